--- /dev/null
+++ b/Makefile
@@ -0,0 +1,114 @@
+# make        builds the programs into build/
+# make check  runs every test; make demo shows the whole path
+# make deps   installs the packages that are missing
+
+CC = gcc
+PACKAGES = apr-1 json-c glib-2.0 libcurl libmicrohttpd libtirpc argtable2
+DEBIAN_PACKAGES = gcc make pkg-config libapr1-dev libjson-c-dev libglib2.0-dev \
+	libcurl4-openssl-dev libmicrohttpd-dev libtirpc-dev libargtable2-dev \
+	check curl
+LINT_PACKAGES = clang-format clang-tidy
+
+BUILD = build
+SANITIZE =
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-format-truncation \
+	-Wno-cast-function-type $(SANITIZE)
+CPPFLAGS = -D_GNU_SOURCE -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
+
+CORE = err clk rnd ctr tbl jsn fld rec tms fst snp mbr rte
+AROUND = log fio cnf cmd evl web plt prp rpl sns flw hls rps rpf adm fwd
+GENERATED = prt_xdr prt_clnt
+LIBRARY = $(BUILD)/libplank.a
+PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl
+STANDINS = $(BUILD)/platformd $(BUILD)/workerd
+
+all: $(PROGRAMS)
+
+$(BUILD):
+	mkdir -p $@
+
+$(BUILD)/%.o: src/%.c $(wildcard src/*.h) Makefile | $(BUILD)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
+
+# Generated code is compiled as it comes.
+$(GENERATED:%=$(BUILD)/%.o): CFLAGS += -w
+
+$(LIBRARY): $(CORE:%=$(BUILD)/%.o) $(AROUND:%=$(BUILD)/%.o) \
+		$(GENERATED:%=$(BUILD)/%.o)
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/plank-entryd: $(BUILD)/entryd.o $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+$(BUILD)/plank-fleetd: $(BUILD)/fleetd.o $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+$(BUILD)/plankctl: $(BUILD)/plankctl.o $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+
+$(BUILD)/%: tests/%.c $(LIBRARY)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -lcheck -lm -lsubunit -lrt -o $@
+
+standins: $(STANDINS)
+
+# Tests: unit tests by check, then process tests with the stand-ins.
+UNIT_TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
+PROCESS_TESTS = $(wildcard tests/process_*.sh)
+
+tests: all standins $(UNIT_TESTS)
+
+run-unit: $(UNIT_TESTS)
+	@set -e; for test in $(UNIT_TESTS); do $$test; done
+
+run-process: all standins
+	@set -e; for test in $(PROCESS_TESTS); do \
+		echo "$$test"; PLANK_BUILD=$(BUILD) bash $$test; done
+
+SANITIZED = BUILD=build-sanitize \
+	SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer"
+
+check: deps
+	$(MAKE) tests
+	$(MAKE) run-unit run-process
+	$(MAKE) $(SANITIZED) tests
+	$(MAKE) $(SANITIZED) run-unit run-process
+
+demo: deps
+	$(MAKE) all standins
+	scripts/demo.sh
+
+SOURCES = $(filter-out src/prt%,$(wildcard src/*.c src/*.h)) \
+	$(wildcard tests/*.c tests/*.h)
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	printf '%s\n' $(filter %.c,$(SOURCES)) | \
+		xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 \
+		$(CPPFLAGS) 2>/dev/null' lint
+
+format:
+	clang-format -i $(SOURCES)
+
+deps:
+	@missing=""; for package in $(DEBIAN_PACKAGES) $(NEEDS); do \
+		dpkg -s $$package >/dev/null 2>&1 || missing="$$missing $$package"; \
+	done; \
+	if [ -n "$$missing" ]; then \
+		echo "installing$$missing"; \
+		apt-get update -q && apt-get install -q -y $$missing; \
+	fi
+
+# Only needed after a change of src/prt.x; the result is committed.
+rpc:
+	cd src && rm -f prt.h prt_xdr.c prt_clnt.c && \
+	rpcgen -C -N -M -h -o prt.h prt.x && \
+	rpcgen -C -N -M -c -o prt_xdr.c prt.x && \
+	rpcgen -C -N -M -l -o prt_clnt.c prt.x
+
+clean:
+	rm -rf build build-*
+
+.PHONY: all standins tests run-unit run-process check demo lint format deps rpc \
+	clean
+.SECONDARY:
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,102 @@
+#!/usr/bin/env bash
+# Shows the whole path on one machine, with stand-ins for the platform and the
+# workers. Exits non-zero when a step fails.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+trap stop_all EXIT
+
+ENTRY_HOSTS=${1:-3}
+WORKER_COUNT=${2:-15}
+STEP=0
+
+step() { STEP=$((STEP + 1)); printf '\n%d. %s\n' $STEP "$1"; }
+fail() {
+	printf '   FAILED: %s\n' "$1"
+	tail -n 5 "$WORK"/*.log
+	exit 1
+}
+say() { sed 's/^/   /'; }
+
+known_everywhere() {
+	local i
+	for ((i = 0; i < ENTRY_HOSTS; i++)); do
+		[ "$(metric "$(entry_url $i)" next_offset)" -gt "$1" ] || return 1
+	done
+}
+pool_serves() { curl -sf "$(entry_url "$1")/crew-shares/payouts/ping"; }
+
+step "$ENTRY_HOSTS entry hosts in three data centres, $WORKER_COUNT workers, a platform"
+start_cluster "$ENTRY_HOSTS" "$WORKER_COUNT" || fail "the processes did not become ready"
+ctl members | say
+
+step "An operator publishes the settings of team crew-shares"
+team_settings "$WORKER_COUNT" 2 >"$WORK/team.json"
+out=$(ctl publish crew-shares "$WORK/team.json" --base -1 --json) || fail "publish: $out"
+version=$(echo "$out" | sed 's/.*"offset":\([0-9]*\).*/\1/')
+wait_until 13 known_everywhere "$version" || fail "the change did not reach every entry host"
+echo "   version $version is in force at all $ENTRY_HOSTS entry hosts"
+ctl pools | say
+
+step "A change based on an outdated version is refused"
+if ctl publish crew-shares "$WORK/team.json" --base -1 2>"$WORK/refusal"; then
+	fail "it was accepted"
+fi
+say <"$WORK/refusal"
+
+step "A caller's request goes through each entry host to a worker and back"
+for ((i = 0; i < ENTRY_HOSTS; i++)); do
+	wait_until 10 pool_serves "$i" || fail "entry host $i does not serve"
+	curl -s -i "$(entry_url $i)/crew-shares/payouts/share-run?boat=tui" |
+		tr -d '\r' | grep -E '^(HTTP|Plank|\{)' | paste -sd' ' | say
+done
+
+step "A host is drained while it works; no request is cut"
+ok=0
+for ((k = 0; k < 18; k++)); do
+	curl -s -o "$WORK/slow$k" -w '%{http_code}\n' \
+		"$(entry_url $((k % ENTRY_HOSTS)))/crew-shares/payouts/slow?sleep_ms=1500" \
+		>"$WORK/status$k" &
+	REQUESTS[$k]=$!
+done
+sleep 0.3
+ctl drain w0 | say
+ctl host w0 --json | say
+for ((k = 0; k < 18; k++)); do
+	wait "${REQUESTS[$k]}"
+	[ "$(cat "$WORK/status$k")" = 200 ] && ok=$((ok + 1))
+done
+is_drained() { ctl host w0 --json | grep -q '"state":"drained"'; }
+wait_until 15 is_drained || fail "w0 is not drained: $(ctl host w0 --json)"
+[ "$(curl -s "$(worker_url 0)/control" | sed 's/.*"active":\([0-9]*\).*/\1/')" = 0 ] ||
+	fail "w0 was drained with requests in progress"
+echo "   $ok of 18 requests answered, w0 is drained"
+[ $ok = 18 ] || fail "requests were cut or refused"
+
+step "The pool's budget refuses one drain too many"
+if ctl drain w1 2>"$WORK/refusal" >/dev/null; then
+	say <"$WORK/refusal"
+	if ctl drain w2 2>"$WORK/refusal" >/dev/null; then
+		fail "the budget of 2 available hosts was broken"
+	fi
+fi
+say <"$WORK/refusal"
+
+step "The host is rebooted and comes back"
+ctl reboot w0 >/dev/null || fail "reboot"
+ctl return w0 >/dev/null || fail "return"
+ctl host w0 | grep -E '^(host|state)' | paste -sd' ' | say
+
+step "The audit trail"
+ctl audit | cut -c1-110 | tail -n 8 | say
+
+step "A graceful stop of an entry host"
+stop entry0 || fail "the entry daemon ended with status $?"
+left() { ! ctl members | grep -q '^e0 '; }
+wait_until 10 left || fail "e0 did not leave"
+echo "   e0 has left; the others serve on"
+for ((i = 1; i < ENTRY_HOSTS; i++)); do
+	pool_serves "$i" >/dev/null || fail "entry host $i does not serve"
+done
+
+printf '\nAll %d steps succeeded.\n' $STEP
--- /dev/null
+++ b/src/adm.h
@@ -0,0 +1,41 @@
+/*
+ * NAME
+ *	adm - operators' HTTP interface of the fleet daemon
+ *
+ * Reads are answered from the state. A change becomes a proposal and is
+ * answered when its record has been read back, or when that takes too long.
+ */
+#ifndef ADM_H
+#define ADM_H
+
+#include "cnf.h"
+#include "ctr.h"
+#include "flw.h"
+#include "hls.h"
+#include "prp.h"
+#include "rpl.h"
+#include "web.h"
+
+struct adm;
+
+struct adm_config {
+	const struct cnf *cnf;
+	struct rpl *rpl;
+	struct flw *flw;
+	struct hls *hls;
+	struct prp *prp;
+	struct ctr *ctr;
+	const bool *stopping;
+	size_t refused_counter; /* index of "requests refused" in ctr */
+};
+
+struct adm *adm_create(const struct adm_config *config);
+void adm_destroy(struct adm *adm);
+
+/* adm_handle - answer a request, now or later; arg is the struct adm */
+void adm_handle(void *arg, struct web_request *request);
+
+/* adm_pending - changes that wait for their record */
+uint32_t adm_pending(const struct adm *adm);
+
+#endif
--- /dev/null
+++ b/src/cmd.c
@@ -0,0 +1,62 @@
+#include "cmd.h"
+
+#include <stdio.h>
+#include <argtable2.h>
+
+static void print_help(const char *program, void **table)
+{
+	printf("Usage: %s", program);
+	arg_print_syntax(stdout, table, "\n\n");
+	arg_print_glossary(stdout, table, "  %-28s %s\n");
+	printf("\nSettings are JSON with comments; docs/OPERATIONS.md lists "
+	       "each key.\n");
+}
+
+int cmd_daemon_args(int argc, char **argv, const char *program,
+		    struct cmd_daemon *args)
+{
+	struct arg_file *settings =
+		arg_file0("s", "settings", "FILE", "settings of this process");
+	struct arg_lit *check =
+		arg_lit0("c", "check", "check the settings and exit");
+	struct arg_lit *quiet =
+		arg_lit0("q", "quiet", "log warnings and errors only");
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_lit *version =
+		arg_lit0("V", "version", "print the version and exit");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { settings, check, quiet, help, version, end };
+	int faults = arg_parse(argc, argv, table);
+	int status = CMD_RUN;
+
+	if (help->count) {
+		print_help(program, table);
+		status = 0;
+	} else if (version->count) {
+		printf("%s %s\n", program, CMD_VERSION);
+		status = 0;
+	} else if (faults) {
+		arg_print_errors(stderr, end, program);
+		status = err_answer(ERR_INVALID)->exit_code;
+	} else if (!settings->count) {
+		fprintf(stderr, "%s: --settings FILE is needed\n", program);
+		status = err_answer(ERR_INVALID)->exit_code;
+	} else {
+		snprintf(args->settings, sizeof(args->settings), "%s",
+			 settings->filename[0]);
+		args->check_only = check->count > 0;
+		args->quiet = quiet->count > 0;
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
+
+int cmd_settings_result(bool valid, const struct err *err)
+{
+	if (valid) {
+		printf("settings are valid\n");
+		return 0;
+	}
+	fprintf(stderr, "%s\n", err->text);
+	return err_answer(err->kind)->exit_code;
+}
--- /dev/null
+++ b/src/entryd.c
@@ -0,0 +1,505 @@
+/* plank-entryd: takes callers' requests and forwards them to workers. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+
+#include "cmd.h"
+#include "cnf.h"
+#include "ctr.h"
+#include "evl.h"
+#include "fwd.h"
+#include "log.h"
+#include "rnd.h"
+#include "rpf.h"
+#include "rpl.h"
+#include "rte.h"
+#include "web.h"
+
+enum counter {
+	C_REQUESTS,
+	C_FORWARD,
+	C_REFUSED_EARLY = C_FORWARD + FWD_COUNTER_COUNT,
+	C_ACTIVE,
+	C_READY,
+	C_NEXT_OFFSET,
+	C_LEASE_LEFT_MS,
+	C_STATE_AGE_MS,
+	C_PLATFORM_AGE_MS,
+	C_COUNT
+};
+
+static const struct ctr_def counters[C_COUNT] = {
+	[C_REQUESTS] = { "requests_total", CTR_COUNTER,
+			 "Requests of callers." },
+	[C_FORWARD + FWD_ANSWERED] = { "requests_answered_total", CTR_COUNTER,
+				       "Requests answered by a worker." },
+	[C_FORWARD + FWD_NOT_RUN] = { "requests_not_run_total", CTR_COUNTER,
+				      "Requests refused as not run." },
+	[C_FORWARD + FWD_UNKNOWN] = { "requests_unknown_total", CTR_COUNTER,
+				      "Requests whose outcome is unknown." },
+	[C_FORWARD + FWD_RETRIES] = { "retries_total", CTR_COUNTER,
+				      "Attempts after the first." },
+	[C_FORWARD + FWD_REFUSED_BY_WORKER] = { "worker_refused_total",
+						CTR_COUNTER,
+						"Attempts that a worker "
+						"refused." },
+	[C_FORWARD + FWD_FAILED_AT_WORKER] = { "worker_failed_total",
+					       CTR_COUNTER,
+					       "Attempts that failed." },
+	[C_FORWARD + FWD_TRUNCATED] = { "answers_truncated_total", CTR_COUNTER,
+					"Answers that did not arrive whole." },
+	[C_REFUSED_EARLY] = { "requests_malformed_total", CTR_COUNTER,
+			      "Requests that were malformed, too large or "
+			      "not sent to their end." },
+	[C_ACTIVE] = { "requests_active", CTR_GAUGE, "Requests under way." },
+	[C_READY] = { "ready", CTR_GAUGE, "1 if requests are taken." },
+	[C_NEXT_OFFSET] = { "next_offset", CTR_GAUGE,
+			    "Offset of the next record to apply." },
+	[C_LEASE_LEFT_MS] = { "lease_left_ms", CTR_GAUGE,
+			      "Time left to send to other data centres." },
+	[C_STATE_AGE_MS] = { "state_age_ms", CTR_GAUGE,
+			     "Time since a fleet daemon last answered; "
+			     "-1: never." },
+	[C_PLATFORM_AGE_MS] = { "platform_age_ms", CTR_GAUGE,
+				"Time since the platform log answered the "
+				"fleet daemon; -1: never." },
+};
+
+enum {
+	/* A platform that is silent for so long cannot record a join. */
+	PLATFORM_SILENT_MS = 3000,
+	LEAVE_WAIT_MS = 2000
+};
+
+struct listed_host {
+	char name[LIM_NAME_BYTES];
+	bool leaving;
+};
+
+struct entryd {
+	const struct cnf *cnf;
+	struct evl *evl;
+	const struct clk *clk;
+	struct rnd rnd;
+	struct ctr *ctr;
+	struct rpl *rpl;
+	struct rpf *rpf;
+	struct rte *rte;
+	struct fwd *fwd;
+	struct web *web;
+
+	int64_t incarnation;
+	bool joined;
+	bool replaced; /* a newer process has this one's name */
+	bool ready;
+	int64_t lease_until_ms;
+	int64_t heard_ms; /* from a fleet daemon; -1: never */
+	int64_t platform_age_ms;
+	uint64_t synced_changes;
+	bool list_changed;
+	int64_t list_version;
+	uint32_t listed_count;
+	struct listed_host *listed;
+
+	bool stopping;
+	bool leaving;
+	int64_t stop_ms;
+	int64_t leave_ms;
+};
+
+static int64_t now(const struct entryd *entryd)
+{
+	return clk_now_ms(entryd->clk);
+}
+
+static bool remote_allowed(void *arg)
+{
+	const struct entryd *entryd = arg;
+
+	return now(entryd) < entryd->lease_until_ms;
+}
+
+static void take_hosts(struct entryd *entryd, const prt_hosts *hosts)
+{
+	uint32_t count = hosts->hosts.hosts_len;
+	struct listed_host *listed = calloc(count + 1, sizeof(*listed));
+
+	if (!listed || hosts->list_version == 0) {
+		free(listed);
+		return;
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		snprintf(listed[i].name, sizeof(listed[i].name), "%s",
+			 hosts->hosts.hosts_val[i].name);
+		listed[i].leaving = hosts->hosts.hosts_val[i].leaving;
+	}
+	free(entryd->listed);
+	entryd->listed = listed;
+	entryd->listed_count = count;
+	entryd->list_version = hosts->list_version;
+	entryd->list_changed = true;
+}
+
+static void take_status(struct entryd *entryd, const struct rpf_news *news)
+{
+	const prt_status *status = &news->status;
+	int64_t until_ms = news->asked_ms + status->lease_left_ms;
+
+	entryd->heard_ms = news->asked_ms;
+	entryd->platform_age_ms = status->platform_age_ms;
+	if (status->lease_left_ms > 0 && until_ms > entryd->lease_until_ms)
+		entryd->lease_until_ms = until_ms;
+	/* A clock that went back must not make this process look old. */
+	if (!entryd->joined && status->last_incarnation > entryd->incarnation)
+		entryd->incarnation = status->last_incarnation + 1;
+}
+
+static void take_state(struct entryd *entryd, const struct rpf_news *news)
+{
+	struct err err;
+
+	if (news->snapshot &&
+	    rpl_adopt(entryd->rpl, news->snapshot, news->snapshot_len, &err) ==
+		    ERR_INVALID)
+		log_warn("state of the fleet daemon is not valid: %s",
+			 err.text);
+	if (!news->has_tail)
+		return;
+	for (u_int i = 0; i < news->tail.records.records_len; i++) {
+		const prt_record *record = &news->tail.records.records_val[i];
+
+		rpl_apply(entryd->rpl, record->offset, record->data.data_val,
+			  record->data.data_len);
+	}
+	rpl_skip_to(entryd->rpl, news->tail.next);
+	if (news->tail.next >= news->status.next)
+		rpl_set_ready(entryd->rpl);
+}
+
+static void take_news(struct entryd *entryd)
+{
+	struct rpf_news news;
+
+	if (!rpf_take(entryd->rpf, &news))
+		return;
+	if (news.has_status) {
+		take_status(entryd, &news);
+		take_state(entryd, &news);
+		if (news.status.next == 0)
+			rpl_set_ready(entryd->rpl);
+	}
+	if (news.has_hosts)
+		take_hosts(entryd, &news.hosts);
+	rpf_news_clear(&news);
+}
+
+static void sync_routes(struct entryd *entryd)
+{
+	const struct fst *fst = rpl_state(entryd->rpl);
+	struct rte_listed *listed;
+
+	if (fst->changes == entryd->synced_changes && !entryd->list_changed)
+		return;
+	listed = calloc(entryd->listed_count + 1, sizeof(*listed));
+	if (!listed)
+		return;
+	for (uint32_t i = 0; i < entryd->listed_count; i++) {
+		listed[i].name = entryd->listed[i].name;
+		listed[i].leaving = entryd->listed[i].leaving;
+	}
+	rte_sync(entryd->rte, fst, entryd->list_version != 0, listed,
+		 entryd->listed_count);
+	entryd->synced_changes = fst->changes;
+	entryd->list_changed = false;
+	free(listed);
+}
+
+/*
+ * A process that has not joined could send to a host without the drain
+ * waiting for it, so it takes requests only once it has joined, or while the
+ * platform is away and nothing new can be drained.
+ */
+static void update_ready(struct entryd *entryd)
+{
+	const struct fst_member *member =
+		fst_member(rpl_state(entryd->rpl), entryd->cnf->name);
+	bool platform_away = entryd->platform_age_ms < 0 ||
+			     entryd->platform_age_ms > PLATFORM_SILENT_MS;
+	bool ready;
+
+	if (member && member->incarnation == entryd->incarnation)
+		entryd->joined = true;
+	if (entryd->joined && member &&
+	    member->incarnation > entryd->incarnation && !entryd->replaced) {
+		entryd->replaced = true;
+		log_error("another process with the name %s has joined",
+			  entryd->cnf->name);
+	}
+	ready = rpl_ready(entryd->rpl) && !entryd->replaced &&
+		(entryd->joined || platform_away);
+	if (ready != entryd->ready)
+		log_info(ready ? "ready, next offset %lld"
+			       : "not ready, next offset %lld",
+			 (long long)rpl_next(entryd->rpl));
+	entryd->ready = ready;
+}
+
+static void set_hello(struct entryd *entryd)
+{
+	const struct fst *fst = rpl_state(entryd->rpl);
+	uint32_t count = tbl_count(fst->hosts);
+	prt_quiet *quiet = calloc(count + 1, sizeof(*quiet));
+	struct rpf_hello hello = {
+		.enabled = true,
+		.name = entryd->cnf->name,
+		.data_centre = entryd->cnf->data_centre,
+		.incarnation = entryd->incarnation,
+		.leaving = entryd->leaving,
+		.next = rpl_next(entryd->rpl),
+		.hosts_version = entryd->list_version,
+		.quiet = quiet,
+	};
+
+	for (uint32_t i = 0; quiet && i < count; i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+
+		if (host->state != FST_DRAINING ||
+		    rte_in_flight(entryd->rte, host->name) ||
+		    hello.quiet_count == PRT_QUIET_MAX)
+			continue;
+		quiet[hello.quiet_count].host = (char *)host->name;
+		quiet[hello.quiet_count++].drain = host->drain_offset;
+	}
+	rpf_set_hello(entryd->rpf, &hello);
+	free(quiet);
+}
+
+static void set_gauges(struct entryd *entryd)
+{
+	int64_t lease_ms = entryd->lease_until_ms - now(entryd);
+
+	ctr_set(entryd->ctr, C_ACTIVE, fwd_active(entryd->fwd));
+	ctr_set(entryd->ctr, C_READY, entryd->ready && !entryd->stopping);
+	ctr_set(entryd->ctr, C_NEXT_OFFSET, rpl_next(entryd->rpl));
+	ctr_set(entryd->ctr, C_LEASE_LEFT_MS, lease_ms > 0 ? lease_ms : 0);
+	ctr_set(entryd->ctr, C_STATE_AGE_MS,
+		entryd->heard_ms < 0 ? -1 : now(entryd) - entryd->heard_ms);
+	ctr_set(entryd->ctr, C_PLATFORM_AGE_MS, entryd->platform_age_ms);
+}
+
+/*
+ * Order of a stop: not ready, so that the balancer looks elsewhere; no new
+ * connections; requests in progress end; the member leaves.
+ */
+static void check_stop(struct entryd *entryd)
+{
+	const struct fst *fst = rpl_state(entryd->rpl);
+	const struct fst_member *member;
+	int64_t waited_ms = now(entryd) - entryd->stop_ms;
+
+	if (!entryd->stopping)
+		return;
+	if (waited_ms >= entryd->cnf->stop_delay_ms)
+		web_quiesce(entryd->web);
+	if (!entryd->leaving) {
+		if (waited_ms < entryd->cnf->stop_delay_ms ||
+		    (web_active(entryd->web) &&
+		     waited_ms < entryd->cnf->stop_delay_ms +
+					 entryd->cnf->stop_grace_ms))
+			return;
+		entryd->leaving = true;
+		entryd->leave_ms = now(entryd);
+		log_info("no requests in progress, leaving");
+		return;
+	}
+	member = fst_member(fst, entryd->cnf->name);
+	if (!member || member->incarnation != entryd->incarnation ||
+	    now(entryd) - entryd->leave_ms >= LEAVE_WAIT_MS)
+		evl_stop(entryd->evl);
+}
+
+static void tick(void *arg)
+{
+	struct entryd *entryd = arg;
+
+	take_news(entryd);
+	sync_routes(entryd);
+	update_ready(entryd);
+	set_hello(entryd);
+	set_gauges(entryd);
+	check_stop(entryd);
+}
+
+static void respond_text(struct web_request *request, int status,
+			 const char *text)
+{
+	static const struct web_header headers[] = {
+		{ "Content-Type", "text/plain; version=0.0.4" },
+		{ NULL, NULL },
+	};
+
+	web_respond(request, status, headers, text, strlen(text));
+}
+
+static void handle(void *arg, struct web_request *request)
+{
+	struct entryd *entryd = arg;
+	bool takes = entryd->ready && !entryd->stopping;
+
+	if (!strcmp(request->path, "/healthz")) {
+		respond_text(request, 200, "live\n");
+	} else if (!strcmp(request->path, "/readyz")) {
+		respond_text(request, takes ? 200 : 503,
+			     takes ? "ready\n" : "not ready\n");
+	} else if (!strcmp(request->path, "/metrics")) {
+		respond_text(request, 200,
+			     ctr_text(entryd->ctr, request->pool));
+	} else {
+		ctr_inc(entryd->ctr, C_REQUESTS);
+		/* Until the listener closes, a stop goes on taking requests
+		   that the balancer still sends. */
+		if (entryd->ready)
+			fwd_start(entryd->fwd, request);
+		else
+			fwd_refuse(entryd->fwd, request, ERR_NOT_READY,
+				   "no fleet state yet");
+	}
+}
+
+static void web_refused(void *arg, int kind)
+{
+	(void)kind;
+	ctr_inc(((struct entryd *)arg)->ctr, C_REFUSED_EARLY);
+}
+
+static void on_stop_signal(void *arg)
+{
+	struct entryd *entryd = arg;
+
+	if (entryd->stopping) {
+		evl_stop(entryd->evl);
+		return;
+	}
+	log_info("stopping, %u requests in progress", fwd_active(entryd->fwd));
+	entryd->stopping = true;
+	entryd->stop_ms = now(entryd);
+}
+
+static void wake(void *arg)
+{
+	evl_wake(((struct entryd *)arg)->evl);
+}
+
+static struct rpf *start_follower(struct entryd *entryd)
+{
+	uint32_t count = entryd->cnf->peer_count;
+	struct rpf_target *targets = calloc(count, sizeof(*targets));
+	struct rpf_config config = {
+		.clk = entryd->clk,
+		.policy = RPF_FIRST,
+		.targets = targets,
+		.target_count = count,
+		.interval_ms = LIM_FOLLOW_MS,
+		.wake = wake,
+		.arg = entryd,
+	};
+	struct rpf *rpf;
+
+	for (uint32_t i = 0; i < count; i++) {
+		targets[i].address = entryd->cnf->peers[i].address;
+		targets[i].port = (uint16_t)entryd->cnf->peers[i].port;
+	}
+	rpf = rpf_create(&config);
+	free(targets);
+	return rpf;
+}
+
+static int create(struct entryd *entryd, apr_pool_t *pool, struct err *err)
+{
+	struct web_config web = {
+		.address = entryd->cnf->address,
+		.port = (uint16_t)entryd->cnf->http_port,
+		.max_body_bytes = LIM_BODY_BYTES,
+		.handle = handle,
+		.refused = web_refused,
+		.arg = entryd,
+	};
+	struct fwd_config fwd = {
+		.remote_allowed = remote_allowed,
+		.arg = entryd,
+		.first_counter = C_FORWARD,
+	};
+
+	entryd->clk = clk_system();
+	entryd->incarnation = clk_wall_ms(entryd->clk);
+	entryd->heard_ms = -1;
+	entryd->platform_age_ms = -1;
+	rnd_init(&entryd->rnd, rnd_system_seed());
+	entryd->ctr = ctr_create(pool, counters, C_COUNT);
+	entryd->evl = evl_create(entryd->clk);
+	entryd->rpl = rpl_create();
+	entryd->rte = rte_create(entryd->cnf->data_centre, &entryd->rnd);
+	fwd.evl = entryd->evl;
+	fwd.rte = entryd->rte;
+	fwd.ctr = entryd->ctr;
+	entryd->fwd = fwd_create(&fwd);
+	entryd->web = web_create(entryd->evl, &web, err);
+	if (!entryd->web)
+		return err->kind;
+	entryd->rpf = start_follower(entryd);
+	if (!entryd->rpf)
+		return err_set(err, ERR_INTERNAL, "cannot start a thread");
+	return 0;
+}
+
+static void destroy(struct entryd *entryd)
+{
+	rpf_destroy(entryd->rpf);
+	web_destroy(entryd->web);
+	evl_destroy(entryd->evl);
+	fwd_destroy(entryd->fwd);
+	rte_destroy(entryd->rte);
+	rpl_destroy(entryd->rpl);
+	free(entryd->listed);
+}
+
+int main(int argc, char **argv)
+{
+	struct err err = { .kind = ERR_OK };
+	struct entryd entryd = { 0 };
+	struct cmd_daemon args;
+	apr_pool_t *pool;
+	struct cnf *cnf;
+	int status = cmd_daemon_args(argc, argv, "plank-entryd", &args);
+
+	if (status != CMD_RUN)
+		return status;
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	log_init("plank-entryd", args.quiet);
+	cnf = cnf_load(args.settings, CNF_ENTRY, &err);
+	if (!cnf || args.check_only) {
+		status = cmd_settings_result(cnf != NULL, &err);
+		cnf_destroy(cnf);
+		return status;
+	}
+	entryd.cnf = cnf;
+	status = create(&entryd, pool, &err);
+	if (status == 0) {
+		evl_on_stop_signal(entryd.evl, on_stop_signal, &entryd);
+		log_info("%s in %s: callers at port %lld", cnf->name,
+			 cnf->data_centre, (long long)cnf->http_port);
+		evl_every(entryd.evl, LIM_TICK_MS, tick, &entryd);
+		evl_run(entryd.evl);
+		log_info("stopped");
+	} else {
+		log_error("%s", err.text);
+	}
+	destroy(&entryd);
+	cnf_destroy(cnf);
+	apr_terminate();
+	return err_answer(status)->exit_code;
+}
--- /dev/null
+++ b/src/fleetd.c
@@ -0,0 +1,432 @@
+/* plank-fleetd: follows the platform, keeps and serves the fleet state. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <apr_strings.h>
+
+#include "adm.h"
+#include "cmd.h"
+#include "cnf.h"
+#include "ctr.h"
+#include "evl.h"
+#include "flw.h"
+#include "hls.h"
+#include "jsn.h"
+#include "log.h"
+#include "mbr.h"
+#include "plt.h"
+#include "prp.h"
+#include "rnd.h"
+#include "rpl.h"
+#include "rps.h"
+#include "web.h"
+
+enum counter {
+	C_RECORDS_APPLIED,
+	C_RECORDS_REFUSED,
+	C_RECORDS_DUPLICATE,
+	C_RECORDS_INVALID,
+	C_REQUESTS,
+	C_REQUESTS_REFUSED,
+	C_RPC_REFUSED,
+	C_NEXT_OFFSET,
+	C_READY,
+	C_PLATFORM_OK,
+	C_PLATFORM_AGE_MS,
+	C_HOST_LIST_AGE_MS,
+	C_RETENTION_GAP,
+	C_RECORD_BYTES,
+	C_PROPOSALS,
+	C_COUNT
+};
+
+static const struct ctr_def counters[C_COUNT] = {
+	[C_RECORDS_APPLIED] = { "records_applied_total", CTR_COUNTER,
+				"Records that were accepted." },
+	[C_RECORDS_REFUSED] = { "records_refused_total", CTR_COUNTER,
+				"Records that were refused at their offset." },
+	[C_RECORDS_DUPLICATE] = { "records_duplicate_total", CTR_COUNTER,
+				  "Records that had been applied before." },
+	[C_RECORDS_INVALID] = { "records_invalid_total", CTR_COUNTER,
+				"Records that could not be parsed." },
+	[C_REQUESTS] = { "operator_requests_total", CTR_COUNTER,
+			 "Requests of operators and probes." },
+	[C_REQUESTS_REFUSED] = { "operator_requests_refused_total", CTR_COUNTER,
+				 "Requests that were answered with an error." },
+	[C_RPC_REFUSED] = { "rpc_refused_total", CTR_COUNTER,
+			    "RPC calls that could not be decoded." },
+	[C_NEXT_OFFSET] = { "next_offset", CTR_GAUGE,
+			    "Offset of the next record to apply." },
+	[C_READY] = { "ready", CTR_GAUGE, "1 if there is a fleet state." },
+	[C_PLATFORM_OK] = { "platform_ok", CTR_GAUGE,
+			    "1 if the platform log answers." },
+	[C_PLATFORM_AGE_MS] = { "platform_age_ms", CTR_GAUGE,
+				"Time since the log answered; -1: never." },
+	[C_HOST_LIST_AGE_MS] = { "host_list_age_ms", CTR_GAUGE,
+				 "Time since the host list was read; "
+				 "-1: never." },
+	[C_RETENTION_GAP] = { "retention_gap", CTR_GAUGE,
+			      "1 if records needed have passed retention." },
+	[C_RECORD_BYTES] = { "record_bytes", CTR_GAUGE,
+			     "Bytes of records and states read." },
+	[C_PROPOSALS] = { "proposals", CTR_GAUGE, "Proposals under way." },
+};
+
+struct fleetd {
+	const struct cnf *cnf;
+	struct evl *evl;
+	const struct clk *clk;
+	struct rnd rnd;
+	struct ctr *ctr;
+	struct plt *plt;
+	struct rpl *rpl;
+	struct prp *prp;
+	struct flw *flw;
+	struct hls *hls;
+	struct mbr *mbr;
+	struct adm *adm;
+	struct web *web;
+	struct rps *rps;
+	struct tbl *entries; /* entry daemons that asked, struct mbr_entry */
+	struct tbl *leases;  /* struct lease */
+	bool stopping;
+	int64_t stop_ms;
+};
+
+/* Right of an entry daemon to send to other data centres. */
+struct lease {
+	char name[LIM_NAME_BYTES];
+	int64_t incarnation;
+	int64_t until_ms;
+};
+
+static void on_applied(void *arg, int64_t offset, const struct rec *rec,
+		       const struct err *result)
+{
+	static const enum counter by_result[] = { C_RECORDS_REFUSED,
+						  C_RECORDS_APPLIED };
+	struct fleetd *fleetd = arg;
+
+	if (!rec) {
+		ctr_inc(fleetd->ctr, C_RECORDS_INVALID);
+		log_warn("record at offset %lld is not valid: %s",
+			 (long long)offset, result->text);
+		return;
+	}
+	if (result->kind == ERR_DUPLICATE)
+		ctr_inc(fleetd->ctr, C_RECORDS_DUPLICATE);
+	else
+		ctr_inc(fleetd->ctr, by_result[result->kind == ERR_OK]);
+	prp_observe(fleetd->prp, offset, rec, result);
+}
+
+/* A heartbeat was read back: the lease counts from before its append. */
+static void heartbeat_done(void *arg, const struct err *result, int64_t offset,
+			   int64_t created_ms)
+{
+	struct fleetd *fleetd = arg;
+
+	(void)offset;
+	if (result->kind != ERR_OK)
+		return;
+	for (uint32_t i = 0; i < tbl_count(fleetd->leases); i++) {
+		struct lease *lease = tbl_at(fleetd->leases, i);
+		const struct fst_member *member =
+			fst_member(rpl_state(fleetd->rpl), lease->name);
+
+		if (member && member->incarnation == lease->incarnation &&
+		    member->seen_offset == offset)
+			lease->until_ms = created_ms + fleetd->cnf->lease_ms;
+	}
+}
+
+static void propose(void *arg, const char *key, struct rec *rec)
+{
+	struct fleetd *fleetd = arg;
+	bool heartbeat = rec->type == REC_MEMBER;
+
+	prp_propose(fleetd->prp, key, rec, LIM_CHANGE_TIMEOUT_MS,
+		    heartbeat ? heartbeat_done : NULL, fleetd);
+}
+
+static void keep_entry(struct fleetd *fleetd, const prt_hello *hello)
+{
+	struct mbr_entry *entry = tbl_find(fleetd->entries, hello->name);
+
+	if (!entry)
+		entry = tbl_add(fleetd->entries, hello->name);
+	if (!entry)
+		return;
+	free(entry->quiet);
+	entry->quiet =
+		calloc(hello->quiet.quiet_len + 1, sizeof(*entry->quiet));
+	entry->quiet_count = entry->quiet ? hello->quiet.quiet_len : 0;
+	for (uint32_t i = 0; i < entry->quiet_count; i++) {
+		const prt_quiet *quiet = &hello->quiet.quiet_val[i];
+
+		apr_cpystrn(entry->quiet[i].host, quiet->host, LIM_NAME_BYTES);
+		entry->quiet[i].drain = quiet->drain;
+	}
+	apr_cpystrn(entry->data_centre, hello->data_centre, LIM_NAME_BYTES);
+	entry->incarnation = hello->incarnation;
+	entry->leaving = hello->leaving;
+	entry->heard_ms = clk_now_ms(fleetd->clk);
+}
+
+static int64_t lease_left_ms(struct fleetd *fleetd, const prt_hello *hello)
+{
+	struct lease *lease = tbl_find(fleetd->leases, hello->name);
+	int64_t left_ms;
+
+	if (!lease)
+		lease = tbl_add(fleetd->leases, hello->name);
+	if (!lease)
+		return 0;
+	if (lease->incarnation != hello->incarnation) {
+		lease->incarnation = hello->incarnation;
+		lease->until_ms = 0;
+	}
+	left_ms = lease->until_ms - clk_now_ms(fleetd->clk);
+	return left_ms > 0 ? left_ms : 0;
+}
+
+static void give_status(void *arg, const prt_hello *hello, prt_status *status)
+{
+	struct fleetd *fleetd = arg;
+	const struct fst_member *member =
+		fst_member(rpl_state(fleetd->rpl), hello->name);
+	struct flw_status follower;
+
+	flw_get_status(fleetd->flw, &follower);
+	*status = (prt_status){
+		.name = (char *)fleetd->cnf->name,
+		.data_centre = (char *)fleetd->cnf->data_centre,
+		.ready = rpl_ready(fleetd->rpl),
+		.next = rpl_next(fleetd->rpl),
+		.hosts_version = hls_version(fleetd->hls),
+		.platform_age_ms = follower.platform_age_ms,
+		.last_incarnation = member ? member->incarnation : -1,
+	};
+	if (!jsn_valid_name(hello->name) || !jsn_valid_name(hello->data_centre))
+		return;
+	keep_entry(fleetd, hello);
+	status->lease_left_ms = lease_left_ms(fleetd, hello);
+}
+
+static void give_hosts(void *arg, prt_hosts *hosts)
+{
+	struct fleetd *fleetd = arg;
+	uint32_t count;
+
+	hosts->list_version = hls_version(fleetd->hls);
+	hosts->hosts.hosts_val = hls_rows(fleetd->hls, &count);
+	hosts->hosts.hosts_len = count;
+}
+
+static void rpc_refused(void *arg)
+{
+	ctr_inc(((struct fleetd *)arg)->ctr, C_RPC_REFUSED);
+}
+
+static void handle(void *arg, struct web_request *request)
+{
+	struct fleetd *fleetd = arg;
+
+	ctr_inc(fleetd->ctr, C_REQUESTS);
+	adm_handle(fleetd->adm, request);
+}
+
+static void web_refused(void *arg, int kind)
+{
+	(void)kind;
+	ctr_inc(((struct fleetd *)arg)->ctr, C_REQUESTS_REFUSED);
+}
+
+static void set_gauges(struct fleetd *fleetd)
+{
+	struct flw_status status;
+
+	flw_get_status(fleetd->flw, &status);
+	ctr_set(fleetd->ctr, C_NEXT_OFFSET, rpl_next(fleetd->rpl));
+	ctr_set(fleetd->ctr, C_READY, rpl_ready(fleetd->rpl));
+	ctr_set(fleetd->ctr, C_PLATFORM_OK, status.platform_ok);
+	ctr_set(fleetd->ctr, C_PLATFORM_AGE_MS, status.platform_age_ms);
+	ctr_set(fleetd->ctr, C_HOST_LIST_AGE_MS, hls_age_ms(fleetd->hls));
+	ctr_set(fleetd->ctr, C_RETENTION_GAP, status.gap);
+	ctr_set(fleetd->ctr, C_RECORD_BYTES, status.bytes_read);
+	ctr_set(fleetd->ctr, C_PROPOSALS, prp_count(fleetd->prp));
+}
+
+/* A stop waits for operators' requests; new ones are refused. */
+static void check_stop(struct fleetd *fleetd)
+{
+	int64_t waited_ms = clk_now_ms(fleetd->clk) - fleetd->stop_ms;
+
+	if (!fleetd->stopping)
+		return;
+	if (web_active(fleetd->web) == 0 ||
+	    waited_ms >= fleetd->cnf->stop_grace_ms)
+		evl_stop(fleetd->evl);
+}
+
+static void tick(void *arg)
+{
+	struct fleetd *fleetd = arg;
+	struct mbr_input input = {
+		.fst = rpl_state(fleetd->rpl),
+		.now_ms = clk_now_ms(fleetd->clk),
+		.entries = fleetd->entries,
+	};
+
+	flw_tick(fleetd->flw);
+	hls_tick(fleetd->hls);
+	prp_tick(fleetd->prp);
+	input.fst = rpl_state(fleetd->rpl);
+	input.hosts = hls_workers(fleetd->hls, &input.host_count);
+	if (rpl_ready(fleetd->rpl))
+		mbr_tick(fleetd->mbr, &input);
+	set_gauges(fleetd);
+	check_stop(fleetd);
+}
+
+static void on_stop_signal(void *arg)
+{
+	struct fleetd *fleetd = arg;
+
+	if (fleetd->stopping) {
+		evl_stop(fleetd->evl);
+		return;
+	}
+	log_info("stopping");
+	fleetd->stopping = true;
+	fleetd->stop_ms = clk_now_ms(fleetd->clk);
+	web_quiesce(fleetd->web);
+}
+
+static int start_servers(struct fleetd *fleetd, struct err *err)
+{
+	struct adm_config adm = {
+		.cnf = fleetd->cnf,
+		.rpl = fleetd->rpl,
+		.flw = fleetd->flw,
+		.hls = fleetd->hls,
+		.prp = fleetd->prp,
+		.ctr = fleetd->ctr,
+		.stopping = &fleetd->stopping,
+		.refused_counter = C_REQUESTS_REFUSED,
+	};
+	struct web_config web = {
+		.address = fleetd->cnf->address,
+		.port = (uint16_t)fleetd->cnf->http_port,
+		.max_body_bytes = LIM_SETTINGS_BYTES * 2,
+		.handle = handle,
+		.refused = web_refused,
+		.arg = fleetd,
+	};
+	struct rps_config rps = {
+		.address = fleetd->cnf->address,
+		.port = (uint16_t)fleetd->cnf->rpc_port,
+		.rpl = fleetd->rpl,
+		.status = give_status,
+		.hosts = give_hosts,
+		.refused = rpc_refused,
+		.arg = fleetd,
+	};
+
+	fleetd->adm = adm_create(&adm);
+	fleetd->web = web_create(fleetd->evl, &web, err);
+	if (!fleetd->web)
+		return err->kind;
+	fleetd->rps = rps_create(fleetd->evl, &rps, err);
+	return fleetd->rps ? 0 : err->kind;
+}
+
+static void create_core(struct fleetd *fleetd, apr_pool_t *pool)
+{
+	struct mbr_config mbr = {
+		.name = fleetd->cnf->name,
+		.address = fleetd->cnf->address,
+		.rpc_port = fleetd->cnf->rpc_port,
+		.heartbeat_ms = fleetd->cnf->heartbeat_ms,
+		.expire_ms = fleetd->cnf->expire_ms,
+		.propose = propose,
+		.arg = fleetd,
+	};
+
+	fleetd->clk = clk_system();
+	rnd_init(&fleetd->rnd, rnd_system_seed());
+	fleetd->ctr = ctr_create(pool, counters, C_COUNT);
+	fleetd->evl = evl_create(fleetd->clk);
+	fleetd->plt = plt_create(fleetd->evl, fleetd->cnf->platform_url);
+	fleetd->rpl = rpl_create();
+	rpl_on_applied(fleetd->rpl, on_applied, fleetd);
+	fleetd->prp = prp_create(fleetd->clk, fleetd->plt, &fleetd->rnd,
+				 fleetd->cnf->name);
+	fleetd->hls = hls_create(fleetd->evl, fleetd->plt);
+	fleetd->mbr = mbr_create(&mbr);
+	fleetd->flw = flw_create(fleetd->evl, fleetd->plt, fleetd->rpl,
+				 &fleetd->rnd, fleetd->cnf);
+	fleetd->entries = tbl_create(sizeof(struct mbr_entry));
+	fleetd->leases = tbl_create(sizeof(struct lease));
+}
+
+static void destroy(struct fleetd *fleetd)
+{
+	rps_destroy(fleetd->rps);
+	web_destroy(fleetd->web);
+	adm_destroy(fleetd->adm);
+	flw_destroy(fleetd->flw);
+	mbr_destroy(fleetd->mbr);
+	hls_destroy(fleetd->hls);
+	plt_destroy(fleetd->plt);
+	prp_destroy(fleetd->prp);
+	rpl_destroy(fleetd->rpl);
+	for (uint32_t i = 0; i < tbl_count(fleetd->entries); i++)
+		free(((struct mbr_entry *)tbl_at(fleetd->entries, i))->quiet);
+	tbl_destroy(fleetd->entries);
+	tbl_destroy(fleetd->leases);
+	evl_destroy(fleetd->evl);
+}
+
+int main(int argc, char **argv)
+{
+	struct err err = { .kind = ERR_OK };
+	struct fleetd fleetd = { 0 };
+	struct cmd_daemon args;
+	apr_pool_t *pool;
+	struct cnf *cnf;
+	int status = cmd_daemon_args(argc, argv, "plank-fleetd", &args);
+
+	if (status != CMD_RUN)
+		return status;
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	log_init("plank-fleetd", args.quiet);
+	cnf = cnf_load(args.settings, CNF_FLEET, &err);
+	if (!cnf || args.check_only) {
+		status = cmd_settings_result(cnf != NULL, &err);
+		cnf_destroy(cnf);
+		return status;
+	}
+	fleetd.cnf = cnf;
+	create_core(&fleetd, pool);
+	evl_on_stop_signal(fleetd.evl, on_stop_signal, &fleetd);
+	status = start_servers(&fleetd, &err);
+	if (status == 0) {
+		log_info("%s in %s: operators at port %lld, RPC at port %lld",
+			 cnf->name, cnf->data_centre, (long long)cnf->http_port,
+			 (long long)cnf->rpc_port);
+		evl_every(fleetd.evl, LIM_TICK_MS, tick, &fleetd);
+		evl_run(fleetd.evl);
+		log_info("stopped");
+	} else {
+		log_error("%s", err.text);
+	}
+	destroy(&fleetd);
+	cnf_destroy(cnf);
+	apr_terminate();
+	return err_answer(status)->exit_code;
+}
--- /dev/null
+++ b/src/flw.h
@@ -0,0 +1,43 @@
+/*
+ * NAME
+ *	flw - keeps the fleet daemon's replica up to date
+ *
+ * Starts from the newest snapshot and the tail of the fleet stream, then
+ * follows the stream. While the platform does not answer, or the records that
+ * are needed have passed retention, it follows the peer with the newest
+ * state. Writes snapshots when it is this member's turn.
+ */
+#ifndef FLW_H
+#define FLW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cnf.h"
+#include "evl.h"
+#include "plt.h"
+#include "rnd.h"
+#include "rpl.h"
+
+struct flw;
+
+struct flw_status {
+	bool platform_ok;	 /* the log answered lately */
+	int64_t platform_age_ms; /* since it last answered; -1: never */
+	bool gap;		 /* records needed have passed retention */
+	bool from_peer;		 /* following a peer at present */
+	int64_t snapshot_next;	 /* of the newest snapshot; -1: none */
+	int64_t bytes_read;	 /* of records, from log and peers */
+};
+
+/* flw_create - begin to build and follow the state; all arguments stay used */
+struct flw *flw_create(struct evl *evl, struct plt *plt, struct rpl *rpl,
+		       struct rnd *rnd, const struct cnf *cnf);
+void flw_destroy(struct flw *flw);
+
+/* flw_tick - do what is due */
+void flw_tick(struct flw *flw);
+
+void flw_get_status(const struct flw *flw, struct flw_status *status);
+
+#endif
--- /dev/null
+++ b/src/fst.h
@@ -0,0 +1,171 @@
+/*
+ * NAME
+ *	fst - fleet state: tables of teams, hosts and members, built from the
+ *	records of the fleet stream
+ *
+ * fst_apply is a pure function of the state, the offset and the record:
+ * every process that applies the same records holds the same bytes. A record
+ * is a proposal; it takes effect only if it is accepted at its offset.
+ *
+ * The tables are open for reading. Only fst and snp write them.
+ */
+#ifndef FST_H
+#define FST_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "lim.h"
+#include "rec.h"
+#include "tbl.h"
+#include "tms.h"
+
+#define FST_NONE ((int64_t)-1) /* no offset, no version */
+
+enum fst_host_state {
+	FST_SERVING,
+	FST_DRAINING, /* gets nothing new; requests may be in progress */
+	FST_DRAINED,  /* every member confirmed that none is in progress */
+	FST_REBOOTING,
+	FST_FAILED,
+	FST_RETIRED,
+	FST_HOST_STATE_COUNT
+};
+
+struct fst_quiet {
+	char member[LIM_NAME_BYTES];
+	int64_t incarnation;
+};
+
+struct fst_host {
+	char name[LIM_NAME_BYTES];
+	char team[LIM_NAME_BYTES]; /* empty: in no pool */
+	char pool[LIM_NAME_BYTES];
+	enum fst_host_state state;
+	int64_t drain_offset;	/* of the drain in force, or FST_NONE */
+	int64_t changed_offset; /* of the last change of state */
+	char reason[LIM_REASON_BYTES];
+
+	bool known; /* the platform told the facts below */
+	char data_centre[LIM_NAME_BYTES];
+	char rack[LIM_NAME_BYTES];
+	char address[LIM_ADDRESS_BYTES];
+	int64_t port;
+	int64_t cpu_milli;
+	int64_t mem_mib;
+	int64_t accelerators;
+	int64_t slots;
+	int64_t connections;
+
+	uint32_t quiet_count;
+	struct fst_quiet *quiet; /* confirmations for drain_offset */
+};
+
+struct fst_team {
+	char name[LIM_NAME_BYTES];
+	int64_t version; /* offset of the settings in force */
+	struct tms *settings;
+};
+
+struct fst_member {
+	char name[LIM_NAME_BYTES];
+	int64_t incarnation;
+	int64_t seq;
+	int64_t join_offset;
+	int64_t seen_offset; /* of its last heartbeat */
+	bool expired;
+	char data_centre[LIM_NAME_BYTES];
+	char address[LIM_ADDRESS_BYTES]; /* of its fleet daemon's RPC */
+	int64_t port;
+};
+
+struct fst_audit {
+	int64_t offset;
+	int64_t at_ms;
+	char author[LIM_NAME_BYTES];
+	char action[LIM_NAME_BYTES];
+	char target[LIM_NAME_BYTES];
+	char before[LIM_NAME_BYTES];
+	char after[LIM_NAME_BYTES];
+	int result; /* ERR_OK, or why it was refused */
+	char detail[LIM_REASON_BYTES];
+};
+
+struct fst {
+	int64_t next; /* offset of the next record to apply */
+	/* Rises with each change of a host or a team's settings; not part of
+	   the snapshot. */
+	uint64_t changes;
+	struct tbl *teams;
+	struct tbl *hosts;
+	struct tbl *members;
+	uint32_t id_count; /* ids ever kept; the ring holds the last ones */
+	char ids[LIM_IDS][LIM_ID_BYTES];
+	uint32_t audit_count;
+	struct fst_audit audit[LIM_AUDIT_ENTRIES];
+};
+
+/* fst_create - empty state at offset 0; released by fst_destroy */
+struct fst *fst_create(void);
+void fst_destroy(struct fst *fst);
+
+/*
+ * fst_apply - apply the record at an offset
+ *
+ * Offsets may have gaps but never go back. rec may be NULL for a record that
+ * could not be parsed: only the offset advances.
+ *
+ * RETURN VALUE
+ *	0 if the record was accepted, else why it was refused, with the text
+ *	in err.
+ *
+ * ERRORS
+ *	ERR_DUPLICATE	the id was applied before, or a heartbeat is old
+ *	ERR_CONFLICT	the team's settings changed since `base`, or a host
+ *			belongs to another team
+ *	ERR_INVALID	the settings are not valid
+ *	ERR_NOT_FOUND	unknown host or member
+ *	ERR_BUDGET	fewer hosts than the pool's min_available would serve
+ *	ERR_STATE	not possible in the host's or member's state
+ *	ERR_GONE	the offset was applied before
+ */
+int fst_apply(struct fst *fst, int64_t offset, const struct rec *rec,
+	      struct err *err);
+
+/* fst_host, fst_team, fst_member - entity by name, or NULL */
+struct fst_host *fst_host(const struct fst *fst, const char *name);
+struct fst_team *fst_team(const struct fst *fst, const char *name);
+struct fst_member *fst_member(const struct fst *fst, const char *name);
+
+const char *fst_host_state_name(enum fst_host_state state);
+
+/* fst_host_available - whether a host serves and its address is known */
+bool fst_host_available(const struct fst_host *host);
+
+struct fst_pool_use {
+	uint32_t hosts;
+	uint32_t available;
+	uint32_t planned_out; /* draining, drained or rebooting */
+	uint32_t failed;
+	uint32_t min_available;
+};
+
+/* fst_pool_use - count the hosts of a pool by what they do */
+struct fst_pool_use fst_pool_use(const struct fst *fst, const char *team,
+				 const char *pool);
+
+/*
+ * fst_member_needed - whether a drain waits for a member's confirmation
+ *
+ * Members that joined after the drain never sent to the host. An expired
+ * member of another data centre has lost its right to send there; one of the
+ * same data centre goes on serving while it is cut off, so it is needed.
+ */
+bool fst_member_needed(const struct fst_host *host,
+		       const struct fst_member *member);
+
+/* fst_is_quiet - whether the member confirmed the host's present drain */
+bool fst_is_quiet(const struct fst_host *host, const struct fst_member *member);
+
+#endif
--- /dev/null
+++ b/src/fwd.h
@@ -0,0 +1,55 @@
+/*
+ * NAME
+ *	fwd - forwards callers' requests to workers
+ *
+ * Each request ends in one of three outcomes: answered, surely not run, or
+ * unknown. An answer is passed on only when it is whole.
+ */
+#ifndef FWD_H
+#define FWD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ctr.h"
+#include "evl.h"
+#include "rte.h"
+#include "web.h"
+
+struct fwd;
+
+enum fwd_counter {
+	FWD_ANSWERED,
+	FWD_NOT_RUN,
+	FWD_UNKNOWN,
+	FWD_RETRIES,
+	FWD_REFUSED_BY_WORKER,
+	FWD_FAILED_AT_WORKER,
+	FWD_TRUNCATED,
+	FWD_COUNTER_COUNT
+};
+
+struct fwd_config {
+	struct evl *evl;
+	struct rte *rte;
+	struct ctr *ctr;
+	size_t first_counter; /* index of FWD_ANSWERED in ctr */
+	/* Whether requests may go to other data centres now. */
+	bool (*remote_allowed)(void *arg);
+	void *arg;
+};
+
+struct fwd *fwd_create(const struct fwd_config *config);
+void fwd_destroy(struct fwd *fwd);
+
+/* fwd_start - forward a request; answers it now or later */
+void fwd_start(struct fwd *fwd, struct web_request *request);
+
+/* fwd_refuse - answer that the request was not run, with the reason */
+void fwd_refuse(struct fwd *fwd, struct web_request *request, int kind,
+		const char *text);
+
+/* fwd_active - requests under way */
+uint32_t fwd_active(const struct fwd *fwd);
+
+#endif
--- /dev/null
+++ b/src/hls.c
@@ -0,0 +1,139 @@
+#include "hls.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "rnd.h"
+
+struct hls {
+	const struct clk *clk;
+	struct plt *plt;
+	bool asking;
+	int64_t due_ms;
+	int64_t answered_ms; /* -1: never */
+	int64_t version;
+	uint32_t count;
+	struct mbr_host *workers;
+	prt_host *rows;
+};
+
+struct hls *hls_create(struct evl *evl, struct plt *plt)
+{
+	struct hls *hls = calloc(1, sizeof(*hls));
+
+	if (!hls)
+		return NULL;
+	hls->clk = evl_clk(evl);
+	hls->plt = plt;
+	hls->answered_ms = -1;
+	return hls;
+}
+
+void hls_destroy(struct hls *hls)
+{
+	if (!hls)
+		return;
+	free(hls->workers);
+	free(hls->rows);
+	free(hls);
+}
+
+static void copy_worker(struct mbr_host *to, const struct plt_host *from)
+{
+	memset(to, 0, sizeof(*to));
+	memcpy(to->name, from->name, sizeof(to->name));
+	memcpy(to->address, from->address, sizeof(to->address));
+	memcpy(to->data_centre, from->data_centre, sizeof(to->data_centre));
+	memcpy(to->rack, from->rack, sizeof(to->rack));
+	to->port = from->port;
+	to->cpu_milli = from->cpu_milli;
+	to->mem_mib = from->mem_mib;
+	to->accelerators = from->accelerators;
+	to->slots = from->slots;
+	to->connections = from->connections;
+}
+
+static int64_t content_version(const struct hls *hls)
+{
+	uint64_t hash = RND_HASH_START;
+
+	for (uint32_t i = 0; i < hls->count; i++) {
+		const char *name = hls->rows[i].name;
+
+		hash = rnd_hash(hash, name, strlen(name) + 1);
+		hash = rnd_hash(hash, &hls->rows[i].leaving,
+				sizeof(hls->rows[i].leaving));
+	}
+	return (int64_t)(hash >> 1) | 1;
+}
+
+static void list_read(void *arg, int status, const struct plt_host *hosts,
+		      uint32_t count)
+{
+	struct hls *hls = arg;
+	struct mbr_host *workers;
+	prt_host *rows;
+
+	hls->asking = false;
+	if (status)
+		return;
+	workers = calloc(count + 1, sizeof(*workers));
+	rows = calloc(count + 1, sizeof(*rows));
+	if (!workers || !rows) {
+		free(workers);
+		free(rows);
+		return;
+	}
+	free(hls->workers);
+	free(hls->rows);
+	hls->workers = workers;
+	hls->rows = rows;
+	hls->count = 0;
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(hosts[i].kind, "worker"))
+			continue;
+		copy_worker(&workers[hls->count], &hosts[i]);
+		rows[hls->count].name = workers[hls->count].name;
+		rows[hls->count].leaving = strcmp(hosts[i].state, "live") != 0;
+		hls->count++;
+	}
+	hls->version = content_version(hls);
+	if (hls->answered_ms < 0)
+		log_info("platform lists %u worker hosts", hls->count);
+	hls->answered_ms = clk_now_ms(hls->clk);
+}
+
+void hls_tick(struct hls *hls)
+{
+	int64_t now_ms = clk_now_ms(hls->clk);
+
+	if (hls->asking || now_ms < hls->due_ms)
+		return;
+	hls->asking = true;
+	hls->due_ms = now_ms + LIM_HOST_LIST_MS;
+	plt_hosts(hls->plt, list_read, hls);
+}
+
+int64_t hls_version(const struct hls *hls)
+{
+	return hls->version;
+}
+
+int64_t hls_age_ms(const struct hls *hls)
+{
+	return hls->answered_ms < 0 ? -1
+				    : clk_now_ms(hls->clk) - hls->answered_ms;
+}
+
+const struct mbr_host *hls_workers(const struct hls *hls, uint32_t *count)
+{
+	*count = hls->count;
+	return hls->workers;
+}
+
+prt_host *hls_rows(const struct hls *hls, uint32_t *count)
+{
+	*count = hls->count;
+	return hls->rows;
+}
--- /dev/null
+++ b/src/jsn.c
@@ -0,0 +1,387 @@
+#include "jsn.h"
+
+#include <ctype.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "lim.h"
+
+/*
+ * json-c keeps the last of two members with the same key. This scanner walks
+ * the same text and reports such a pair. It assumes a text that json-c takes.
+ */
+struct dup_scan {
+	const char *p;
+	const char *end;
+	int depth;
+	const char *found; /* start of the second key */
+	size_t found_len;
+};
+
+static void skip_space(struct dup_scan *scan)
+{
+	while (scan->p < scan->end) {
+		const char *p = scan->p;
+		size_t left = (size_t)(scan->end - p);
+
+		if (isspace((unsigned char)*p)) {
+			scan->p++;
+		} else if (left > 1 && p[0] == '/' && p[1] == '/') {
+			while (scan->p < scan->end && *scan->p != '\n')
+				scan->p++;
+		} else if (left > 1 && p[0] == '/' && p[1] == '*') {
+			scan->p += 2;
+			while (scan->p + 1 < scan->end &&
+			       !(scan->p[0] == '*' && scan->p[1] == '/'))
+				scan->p++;
+			scan->p = scan->p + 2 < scan->end ? scan->p + 2
+							  : scan->end;
+		} else {
+			return;
+		}
+	}
+}
+
+static void skip_string(struct dup_scan *scan)
+{
+	char quote = *scan->p++;
+
+	while (scan->p < scan->end && *scan->p != quote)
+		scan->p += *scan->p == '\\' && scan->p + 1 < scan->end ? 2 : 1;
+	if (scan->p < scan->end)
+		scan->p++;
+}
+
+static void scan_value(struct dup_scan *scan);
+
+static bool key_repeats(const char *const *keys, const size_t *lens, size_t n,
+			const char *key, size_t len)
+{
+	for (size_t i = 0; i < n; i++)
+		if (lens[i] == len && !memcmp(keys[i], key, len))
+			return true;
+	return false;
+}
+
+enum { SCAN_KEYS = 4096 };
+
+static void scan_object(struct dup_scan *scan)
+{
+	const char **keys = calloc(SCAN_KEYS, sizeof(*keys));
+	size_t *lens = calloc(SCAN_KEYS, sizeof(*lens));
+	size_t count = 0;
+
+	scan->p++;
+	while (keys && lens && !scan->found) {
+		const char *key;
+		size_t len;
+
+		skip_space(scan);
+		if (scan->p >= scan->end || *scan->p == '}')
+			break;
+		key = scan->p;
+		skip_string(scan);
+		len = (size_t)(scan->p - key);
+		if (count == SCAN_KEYS ||
+		    key_repeats(keys, lens, count, key, len)) {
+			scan->found = key;
+			scan->found_len = len;
+			break;
+		}
+		keys[count] = key;
+		lens[count++] = len;
+		skip_space(scan);
+		if (scan->p < scan->end && *scan->p == ':')
+			scan->p++;
+		scan_value(scan);
+		skip_space(scan);
+		if (scan->p < scan->end && *scan->p == ',')
+			scan->p++;
+	}
+	if (scan->p < scan->end)
+		scan->p++;
+	free(keys);
+	free(lens);
+}
+
+static void scan_array(struct dup_scan *scan)
+{
+	scan->p++;
+	while (!scan->found) {
+		skip_space(scan);
+		if (scan->p >= scan->end || *scan->p == ']')
+			break;
+		scan_value(scan);
+		skip_space(scan);
+		if (scan->p < scan->end && *scan->p == ',')
+			scan->p++;
+	}
+	if (scan->p < scan->end)
+		scan->p++;
+}
+
+static void scan_value(struct dup_scan *scan)
+{
+	skip_space(scan);
+	if (scan->p >= scan->end || scan->found)
+		return;
+	if (*scan->p == '{') {
+		scan_object(scan);
+	} else if (*scan->p == '[') {
+		scan_array(scan);
+	} else if (*scan->p == '"' || *scan->p == '\'') {
+		skip_string(scan);
+	} else {
+		const char *start = scan->p;
+
+		while (scan->p < scan->end && !strchr(",]}/ \t\r\n", *scan->p))
+			scan->p++;
+		if (scan->p == start)
+			scan->p++;
+	}
+}
+
+struct json_object *jsn_parse(const char *text, size_t len, struct err *err)
+{
+	struct json_tokener *tok = json_tokener_new_ex(LIM_JSON_DEPTH);
+	struct dup_scan scan = { .p = text, .end = text + len };
+	struct json_object *value;
+	enum json_tokener_error fault;
+	size_t used;
+
+	if (!tok) {
+		err_set(err, ERR_NO_MEMORY, "out of memory");
+		return NULL;
+	}
+	json_tokener_set_flags(tok, JSON_TOKENER_VALIDATE_UTF8);
+	value = json_tokener_parse_ex(tok, text, (int)len);
+	fault = json_tokener_get_error(tok);
+	/* A bare number at the end of the text is not yet complete. */
+	if (fault == json_tokener_continue && !value) {
+		value = json_tokener_parse_ex(tok, "", 1);
+		fault = json_tokener_get_error(tok);
+		used = len;
+	} else {
+		used = json_tokener_get_parse_end(tok);
+	}
+	json_tokener_free(tok);
+	if (fault != json_tokener_success) {
+		json_object_put(value);
+		err_set(err, ERR_INVALID, "not valid JSON at byte %zu: %s",
+			used, json_tokener_error_desc(fault));
+		return NULL;
+	}
+	scan.p = text + used;
+	skip_space(&scan);
+	if (scan.p < scan.end) {
+		json_object_put(value);
+		err_set(err, ERR_INVALID,
+			"text after the JSON value at byte %zu", used);
+		return NULL;
+	}
+	scan.p = text;
+	scan_value(&scan);
+	if (scan.found) {
+		json_object_put(value);
+		err_set(err, ERR_INVALID, "key %.*s appears twice",
+			(int)(scan.found_len < 100 ? scan.found_len : 100),
+			scan.found);
+		return NULL;
+	}
+	return value;
+}
+
+struct jsn jsn_root(struct json_object *value, struct err *err)
+{
+	return (struct jsn){ .value = value, .err = err };
+}
+
+struct jsn jsn_member(const struct jsn *at, const char *key)
+{
+	struct jsn member = { .err = at->err };
+
+	if (json_object_is_type(at->value, json_type_object))
+		json_object_object_get_ex(at->value, key, &member.value);
+	snprintf(member.path, sizeof(member.path), "%s%s%s", at->path,
+		 at->path[0] ? "." : "", key);
+	return member;
+}
+
+struct jsn jsn_item(const struct jsn *at, size_t index)
+{
+	struct jsn item = { .err = at->err };
+
+	if (json_object_is_type(at->value, json_type_array))
+		item.value = json_object_array_get_idx(at->value, index);
+	snprintf(item.path, sizeof(item.path), "%s[%zu]", at->path, index);
+	return item;
+}
+
+void jsn_refuse(const struct jsn *at, const char *fmt, ...)
+{
+	char wanted[LIM_REASON_BYTES];
+	const char *seen = "nothing";
+	va_list ap;
+
+	if (at->err->kind != ERR_OK)
+		return;
+	va_start(ap, fmt);
+	vsnprintf(wanted, sizeof(wanted), fmt, ap);
+	va_end(ap);
+	if (at->value)
+		seen = json_object_to_json_string_ext(at->value,
+						      JSON_C_TO_STRING_PLAIN);
+	err_set(at->err, ERR_INVALID, "%s: %.80s given, %s wanted",
+		at->path[0] ? at->path : "(root)", seen, wanted);
+}
+
+bool jsn_object(const struct jsn *at)
+{
+	if (json_object_is_type(at->value, json_type_object))
+		return at->err->kind == ERR_OK;
+	jsn_refuse(at, "an object");
+	return false;
+}
+
+void jsn_keys(const struct jsn *at, const char *const *keys)
+{
+	if (!jsn_object(at))
+		return;
+	json_object_object_foreach(at->value, key, member)
+	{
+		const char *const *known = keys;
+
+		while (*known && strcmp(*known, key))
+			known++;
+		if (!*known) {
+			struct jsn unknown = jsn_member(at, key);
+			char list[LIM_REASON_BYTES] = "";
+
+			for (known = keys; *known; known++) {
+				strncat(list, " ",
+					sizeof(list) - strlen(list) - 1);
+				strncat(list, *known,
+					sizeof(list) - strlen(list) - 1);
+			}
+			unknown.value = member;
+			jsn_refuse(&unknown, "unknown key; one of%s", list);
+			return;
+		}
+	}
+}
+
+size_t jsn_array(const struct jsn *at, size_t max_items)
+{
+	size_t count;
+
+	if (at->err->kind != ERR_OK)
+		return 0;
+	if (!json_object_is_type(at->value, json_type_array)) {
+		jsn_refuse(at, "a list");
+		return 0;
+	}
+	count = json_object_array_length(at->value);
+	if (count > max_items) {
+		jsn_refuse(at, "a list of at most %zu", max_items);
+		return 0;
+	}
+	return count;
+}
+
+void jsn_string(const struct jsn *at, char *out, size_t size,
+		const char *fallback)
+{
+	size_t len;
+
+	out[0] = 0;
+	if (at->err->kind != ERR_OK)
+		return;
+	if (!at->value && fallback) {
+		snprintf(out, size, "%s", fallback);
+		return;
+	}
+	len = (size_t)json_object_get_string_len(at->value);
+	if (!json_object_is_type(at->value, json_type_string) || len == 0 ||
+	    len >= size || strlen(json_object_get_string(at->value)) != len) {
+		jsn_refuse(at, "a text of 1 to %zu bytes", size - 1);
+		return;
+	}
+	memcpy(out, json_object_get_string(at->value), len + 1);
+}
+
+bool jsn_valid_name(const char *text)
+{
+	size_t len = strlen(text);
+
+	if (len == 0 || len >= LIM_NAME_BYTES)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (!isalnum((unsigned char)text[i]) && !strchr("._-", text[i]))
+			return false;
+	return true;
+}
+
+void jsn_name(const struct jsn *at, char *out, size_t size)
+{
+	jsn_string(at, out, size, NULL);
+	if (at->err->kind == ERR_OK && !jsn_valid_name(out))
+		jsn_refuse(at, "a name of letters, digits, '.', '_' and '-'");
+}
+
+int64_t jsn_int(const struct jsn *at, int64_t min, int64_t max,
+		int64_t fallback)
+{
+	int64_t value;
+
+	if (at->err->kind != ERR_OK)
+		return min;
+	if (!at->value && fallback >= min)
+		return fallback;
+	value = json_object_get_int64(at->value);
+	if (!json_object_is_type(at->value, json_type_int) || value < min ||
+	    value > max) {
+		jsn_refuse(at, "a whole number from %" PRId64 " to %" PRId64,
+			   min, max);
+		return min;
+	}
+	return value;
+}
+
+double jsn_double(const struct jsn *at, double min, double max, double fallback)
+{
+	double value;
+
+	if (at->err->kind != ERR_OK || !at->value)
+		return fallback;
+	value = json_object_get_double(at->value);
+	if ((!json_object_is_type(at->value, json_type_int) &&
+	     !json_object_is_type(at->value, json_type_double)) ||
+	    !(value >= min && value <= max)) {
+		jsn_refuse(at, "a number from %g to %g", min, max);
+		return fallback;
+	}
+	return value;
+}
+
+bool jsn_bool(const struct jsn *at, bool fallback)
+{
+	if (at->err->kind != ERR_OK || !at->value)
+		return fallback;
+	if (!json_object_is_type(at->value, json_type_boolean)) {
+		jsn_refuse(at, "true or false");
+		return fallback;
+	}
+	return json_object_get_boolean(at->value);
+}
+
+void jsn_put_string(struct json_object *obj, const char *key, const char *value)
+{
+	json_object_object_add(obj, key, json_object_new_string(value));
+}
+
+void jsn_put_int(struct json_object *obj, const char *key, int64_t value)
+{
+	json_object_object_add(obj, key, json_object_new_int64(value));
+}
--- /dev/null
+++ b/src/lim.h
@@ -0,0 +1,64 @@
+/*
+ * NAME
+ *	lim - limits and tunables, each with its unit
+ */
+#ifndef LIM_H
+#define LIM_H
+
+enum {
+	/* Names of teams, pools, hosts, members and the like. */
+	LIM_NAME_BYTES = 64,
+	LIM_ADDRESS_BYTES = 48,
+	LIM_REASON_BYTES = 192,
+	LIM_ID_BYTES = 33, /* 32 hexadecimal digits and the final zero */
+
+	/* Input from outside. */
+	LIM_HEAD_BYTES = 16 * 1024,
+	LIM_BODY_BYTES = 4 * 1024 * 1024,
+	LIM_ANSWER_BYTES = 16 * 1024 * 1024,
+	LIM_RECORD_BYTES = 48 * 1024,
+	LIM_RPC_BYTES = 256 * 1024,
+	LIM_SETTINGS_BYTES = 256 * 1024,
+	LIM_JSON_DEPTH = 16,
+	LIM_HALF_REQUEST_S = 10,
+
+	/* Fleet state. */
+	LIM_TEAMS = 1024,
+	LIM_POOLS_PER_TEAM = 64,
+	LIM_HOSTS = 20000,
+	LIM_IDS = 2048,
+	LIM_AUDIT_ENTRIES = 512,
+	LIM_SNAPSHOT_BYTES = 32 * 1024 * 1024,
+	LIM_SNAPSHOT_CHUNK_BYTES = 32 * 1024,
+
+	/* Records kept in memory to answer peers without a snapshot. */
+	LIM_TAIL_RECORDS = 8192,
+	LIM_TAIL_BATCH = 256,
+
+	/* Membership. The lease ends before another may propose its expiry. */
+	LIM_HEARTBEAT_MS = 5000,
+	LIM_LEASE_MS = 15000,
+	LIM_EXPIRE_MS = 20000,
+
+	/* Following. */
+	LIM_TICK_MS = 50,
+	LIM_LOG_WAIT_MS = 1000,
+	LIM_FOLLOW_MS = 200,
+	LIM_HOST_LIST_MS = 1000,
+	LIM_APPEND_TIMEOUT_MS = 2000,
+	LIM_READ_TIMEOUT_MS = 4000,
+	LIM_CHANGE_TIMEOUT_MS = 10000,
+	LIM_RPC_TIMEOUT_MS = 1000,
+	LIM_RANK_DELAY_MS = 2000,
+
+	/* Requests. */
+	LIM_DEADLINE_MS = 30000,
+	LIM_DEADLINE_MAX_MS = 3600 * 1000,
+	LIM_CONNECT_TIMEOUT_MS = 1000,
+	LIM_ATTEMPTS = 3,
+	LIM_SLOTS = 8,
+	LIM_CONNECTIONS = 64,
+	LIM_STOP_GRACE_MS = 30000
+};
+
+#endif
--- /dev/null
+++ b/src/mbr.c
@@ -0,0 +1,256 @@
+#include "mbr.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rnd.h"
+
+enum {
+	KEY_BYTES = 3 * LIM_NAME_BYTES,
+	/* An entry daemon that has not asked for so long gets no heartbeat. */
+	ENTRY_SILENT_MS = 2000
+};
+
+/* Since when something holds, by the name of a member or host. */
+struct notice {
+	char name[LIM_NAME_BYTES];
+	int64_t since_ms;
+	int64_t value;
+	int64_t proposed_ms;
+};
+
+struct mbr {
+	struct mbr_config config;
+	struct tbl *silent;	/* members, value: offset of the heartbeat */
+	struct tbl *facts;	/* hosts whose facts differ */
+	struct tbl *heartbeats; /* entry daemons */
+};
+
+struct mbr *mbr_create(const struct mbr_config *config)
+{
+	struct mbr *mbr = calloc(1, sizeof(*mbr));
+
+	if (!mbr)
+		return NULL;
+	mbr->config = *config;
+	mbr->silent = tbl_create(sizeof(struct notice));
+	mbr->facts = tbl_create(sizeof(struct notice));
+	mbr->heartbeats = tbl_create(sizeof(struct notice));
+	return mbr;
+}
+
+void mbr_destroy(struct mbr *mbr)
+{
+	if (!mbr)
+		return;
+	tbl_destroy(mbr->silent);
+	tbl_destroy(mbr->facts);
+	tbl_destroy(mbr->heartbeats);
+	free(mbr);
+}
+
+static uint64_t weight(const char *name, const char *subject)
+{
+	uint64_t hash = rnd_hash(RND_HASH_START, name, strlen(name) + 1);
+
+	return rnd_hash(hash, subject, strlen(subject));
+}
+
+uint32_t mbr_rank(const struct fst *fst, const char *name, const char *subject)
+{
+	uint64_t own = weight(name, subject);
+	uint32_t rank = 0;
+
+	if (!fst_member(fst, name))
+		return tbl_count(fst->members);
+	for (uint32_t i = 0; i < tbl_count(fst->members); i++) {
+		const struct fst_member *member = tbl_at(fst->members, i);
+
+		rank += !member->expired && strcmp(member->name, name) &&
+			weight(member->name, subject) < own;
+	}
+	return rank;
+}
+
+static void propose(struct mbr *mbr, const char *what, const char *subject,
+		    struct rec *rec)
+{
+	char key[KEY_BYTES];
+
+	snprintf(key, sizeof(key), "%s/%s/%s", what, subject, rec->member);
+	mbr->config.propose(mbr->config.arg, key, rec);
+}
+
+static struct notice *notice_of(struct tbl *tbl, const char *name,
+				int64_t now_ms)
+{
+	struct notice *notice = tbl_find(tbl, name);
+
+	if (notice)
+		return notice;
+	notice = tbl_add(tbl, name);
+	notice->since_ms = now_ms;
+	notice->value = FST_NONE;
+	return notice;
+}
+
+/* Whether this daemon's turn has come for what holds since the notice. */
+static bool is_turn(const struct mbr *mbr, const struct mbr_input *input,
+		    const struct notice *notice, int64_t delay_ms)
+{
+	int64_t rank = mbr_rank(input->fst, mbr->config.name, notice->name);
+
+	return input->now_ms - notice->since_ms >=
+	       delay_ms + rank * LIM_RANK_DELAY_MS;
+}
+
+static void send_heartbeat(struct mbr *mbr, const struct mbr_input *input,
+			   const struct mbr_entry *entry)
+{
+	const struct fst_member *member = fst_member(input->fst, entry->name);
+	struct notice *last =
+		notice_of(mbr->heartbeats, entry->name, input->now_ms);
+	bool joined = member && member->incarnation == entry->incarnation;
+	struct rec rec = { .type = REC_MEMBER };
+
+	if (joined && !member->expired && last->value == entry->incarnation &&
+	    input->now_ms - last->proposed_ms < mbr->config.heartbeat_ms)
+		return;
+	last->proposed_ms = input->now_ms;
+	last->value = entry->incarnation;
+	memcpy(rec.member, entry->name, sizeof(rec.member));
+	memcpy(rec.data_centre, entry->data_centre, sizeof(rec.data_centre));
+	snprintf(rec.address, sizeof(rec.address), "%s", mbr->config.address);
+	rec.port = mbr->config.rpc_port;
+	rec.incarnation = entry->incarnation;
+	rec.seq = joined ? member->seq + 1 : 1;
+	propose(mbr, "member", "", &rec);
+}
+
+static void confirm_quiet(struct mbr *mbr, const struct mbr_input *input,
+			  const struct mbr_entry *entry)
+{
+	const struct fst_member *member = fst_member(input->fst, entry->name);
+
+	if (!member || member->incarnation != entry->incarnation)
+		return;
+	for (uint32_t i = 0; i < entry->quiet_count; i++) {
+		const struct fst_host *host =
+			fst_host(input->fst, entry->quiet[i].host);
+		struct rec rec = { .type = REC_QUIET };
+
+		if (!host || host->state != FST_DRAINING ||
+		    host->drain_offset != entry->quiet[i].drain ||
+		    !fst_member_needed(host, member) ||
+		    fst_is_quiet(host, member))
+			continue;
+		memcpy(rec.host, host->name, sizeof(rec.host));
+		memcpy(rec.member, entry->name, sizeof(rec.member));
+		rec.incarnation = entry->incarnation;
+		rec.drain = host->drain_offset;
+		propose(mbr, "quiet", host->name, &rec);
+	}
+}
+
+static void serve_entry(struct mbr *mbr, const struct mbr_input *input,
+			const struct mbr_entry *entry)
+{
+	const struct fst_member *member = fst_member(input->fst, entry->name);
+	struct rec rec = { .type = REC_MEMBER_LEFT };
+
+	if (input->now_ms - entry->heard_ms > ENTRY_SILENT_MS)
+		return;
+	confirm_quiet(mbr, input, entry);
+	if (!entry->leaving) {
+		send_heartbeat(mbr, input, entry);
+		return;
+	}
+	if (!member || member->incarnation != entry->incarnation)
+		return;
+	memcpy(rec.member, entry->name, sizeof(rec.member));
+	rec.incarnation = entry->incarnation;
+	propose(mbr, "left", "", &rec);
+}
+
+static void expire_member(struct mbr *mbr, const struct mbr_input *input,
+			  const struct fst_member *member)
+{
+	struct notice *notice =
+		notice_of(mbr->silent, member->name, input->now_ms);
+	struct rec rec = { .type = REC_MEMBER_EXPIRED };
+
+	if (notice->value != member->seen_offset) {
+		notice->value = member->seen_offset;
+		notice->since_ms = input->now_ms;
+	}
+	if (member->expired ||
+	    !is_turn(mbr, input, notice, mbr->config.expire_ms))
+		return;
+	memcpy(rec.member, member->name, sizeof(rec.member));
+	rec.incarnation = member->incarnation;
+	rec.seen = member->seen_offset;
+	propose(mbr, "expired", "", &rec);
+}
+
+static bool facts_match(const struct fst_host *host,
+			const struct mbr_host *listed)
+{
+	return host && host->known && host->port == listed->port &&
+	       !strcmp(host->address, listed->address) &&
+	       !strcmp(host->data_centre, listed->data_centre) &&
+	       !strcmp(host->rack, listed->rack) &&
+	       host->cpu_milli == listed->cpu_milli &&
+	       host->mem_mib == listed->mem_mib &&
+	       host->accelerators == listed->accelerators &&
+	       host->slots == listed->slots &&
+	       host->connections == listed->connections;
+}
+
+static void report_facts(struct mbr *mbr, const struct mbr_input *input,
+			 const struct mbr_host *listed)
+{
+	struct rec rec = { .type = REC_HOST };
+	struct notice *notice;
+
+	if (facts_match(fst_host(input->fst, listed->name), listed)) {
+		tbl_remove(mbr->facts, listed->name);
+		return;
+	}
+	notice = notice_of(mbr->facts, listed->name, input->now_ms);
+	if (!is_turn(mbr, input, notice, 0))
+		return;
+	memcpy(rec.host, listed->name, sizeof(rec.host));
+	memcpy(rec.address, listed->address, sizeof(rec.address));
+	memcpy(rec.data_centre, listed->data_centre, sizeof(rec.data_centre));
+	memcpy(rec.rack, listed->rack, sizeof(rec.rack));
+	rec.port = listed->port;
+	rec.cpu_milli = listed->cpu_milli;
+	rec.mem_mib = listed->mem_mib;
+	rec.accelerators = listed->accelerators;
+	rec.slots = listed->slots;
+	rec.connections = listed->connections;
+	propose(mbr, "host", listed->name, &rec);
+}
+
+/* Forgets notices of members that have left. */
+static void drop_notices(struct tbl *tbl, const struct fst *fst)
+{
+	for (uint32_t i = tbl_count(tbl); i-- > 0;) {
+		const struct notice *notice = tbl_at(tbl, i);
+
+		if (!fst_member(fst, notice->name))
+			tbl_remove(tbl, notice->name);
+	}
+}
+
+void mbr_tick(struct mbr *mbr, const struct mbr_input *input)
+{
+	for (uint32_t i = 0; i < tbl_count(input->entries); i++)
+		serve_entry(mbr, input, tbl_at(input->entries, i));
+	for (uint32_t i = 0; i < tbl_count(input->fst->members); i++)
+		expire_member(mbr, input, tbl_at(input->fst->members, i));
+	for (uint32_t i = 0; i < input->host_count; i++)
+		report_facts(mbr, input, &input->hosts[i]);
+	drop_notices(mbr->silent, input->fst);
+}
--- /dev/null
+++ b/src/mbr.h
@@ -0,0 +1,81 @@
+/*
+ * NAME
+ *	mbr - what a fleet daemon proposes of itself: heartbeats and
+ *	confirmations of its entry daemons, expiry of silent members, and what
+ *	the platform tells of hosts
+ *
+ * Decides from the state, the time and what was observed; makes no calls.
+ * Proposers of the same matter wait by rank, so that mostly one proposes.
+ */
+#ifndef MBR_H
+#define MBR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fst.h"
+
+struct mbr;
+
+/* An entry daemon that has asked this fleet daemon lately. */
+struct mbr_entry {
+	char name[LIM_NAME_BYTES];
+	char data_centre[LIM_NAME_BYTES];
+	int64_t incarnation;
+	bool leaving;
+	int64_t heard_ms;
+	uint32_t quiet_count;
+	struct {
+		char host[LIM_NAME_BYTES];
+		int64_t drain;
+	} * quiet;
+};
+
+/* A worker host as the platform's list has it. */
+struct mbr_host {
+	char name[LIM_NAME_BYTES];
+	char address[LIM_ADDRESS_BYTES];
+	char data_centre[LIM_NAME_BYTES];
+	char rack[LIM_NAME_BYTES];
+	int64_t port;
+	int64_t cpu_milli;
+	int64_t mem_mib;
+	int64_t accelerators;
+	int64_t slots;
+	int64_t connections;
+};
+
+struct mbr_config {
+	const char *name; /* of this fleet daemon's host */
+	const char *address;
+	int64_t rpc_port;
+	int64_t heartbeat_ms;
+	int64_t expire_ms;
+	/* key names the matter; the record's contents are taken over. */
+	void (*propose)(void *arg, const char *key, struct rec *rec);
+	void *arg;
+};
+
+struct mbr_input {
+	const struct fst *fst;
+	int64_t now_ms;
+	struct tbl *entries; /* of struct mbr_entry */
+	const struct mbr_host *hosts;
+	uint32_t host_count;
+};
+
+struct mbr *mbr_create(const struct mbr_config *config);
+void mbr_destroy(struct mbr *mbr);
+
+/* mbr_tick - propose what is due */
+void mbr_tick(struct mbr *mbr, const struct mbr_input *input);
+
+/*
+ * mbr_rank - place of a member among the live ones for a subject
+ *
+ * 0 for the first. Members are ordered by a hash of their name and the
+ * subject, so that the work spreads. A name that is no member comes last.
+ */
+uint32_t mbr_rank(const struct fst *fst, const char *name, const char *subject);
+
+#endif
--- /dev/null
+++ b/src/plt.c
@@ -0,0 +1,318 @@
+#include "plt.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_pools.h>
+#include <apr_strings.h>
+
+#include "fld.h"
+
+enum { MAX_ANSWER_BYTES = 32 * 1024 * 1024 };
+
+struct plt {
+	struct evl *evl;
+	const char *url;
+	apr_pool_t *pool;
+	struct call *calls;
+};
+
+/* A call under way. Exactly one of the callbacks is set. */
+struct call {
+	struct call *next;
+	struct plt *plt;
+	apr_pool_t *pool;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *answer;
+	size_t answer_len;
+	size_t answer_cap;
+	void (*on_append)(void *arg, int status, int64_t offset);
+	void (*on_read)(void *arg, int status, const struct plt_batch *batch);
+	void (*on_hosts)(void *arg, int status, const struct plt_host *hosts,
+			 uint32_t count);
+	void *arg;
+};
+
+static const struct fld host_fields[] = {
+	FLD_ARRAY(plt_host, name, FLD_NAME),
+	FLD_ARRAY(plt_host, kind, FLD_TEXT),
+	FLD_ARRAY(plt_host, state, FLD_TEXT),
+	FLD_ARRAY(plt_host, address, FLD_TEXT),
+	FLD_ARRAY(plt_host, data_centre, FLD_NAME),
+	FLD_ARRAY(plt_host, rack, FLD_NAME),
+	FLD_NUMBER(plt_host, port, 1, 65535),
+	FLD_NUMBER(plt_host, cpu_milli, 0, 1000000000),
+	FLD_NUMBER(plt_host, mem_mib, 0, 1000000000),
+	FLD_NUMBER(plt_host, accelerators, 0, 1000000),
+	FLD_NUMBER(plt_host, slots, 1, 1000000),
+	FLD_NUMBER(plt_host, connections, 1, 1000000),
+};
+
+enum { HOST_FIELDS = sizeof(host_fields) / sizeof(host_fields[0]) };
+
+struct plt *plt_create(struct evl *evl, const char *url)
+{
+	apr_pool_t *pool;
+	struct plt *plt;
+
+	apr_pool_create(&pool, NULL);
+	plt = apr_pcalloc(pool, sizeof(*plt));
+	plt->evl = evl;
+	plt->pool = pool;
+	plt->url = apr_pstrdup(pool, url);
+	return plt;
+}
+
+static void free_call(struct call *call)
+{
+	struct call **link = &call->plt->calls;
+
+	while (*link != call)
+		link = &(*link)->next;
+	*link = call->next;
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	free(call->answer);
+	apr_pool_destroy(call->pool);
+}
+
+void plt_destroy(struct plt *plt)
+{
+	if (!plt)
+		return;
+	while (plt->calls) {
+		evl_cancel(plt->evl, plt->calls->easy);
+		free_call(plt->calls);
+	}
+	apr_pool_destroy(plt->pool);
+}
+
+static size_t collect(char *data, size_t size, size_t count, void *arg)
+{
+	struct call *call = arg;
+	size_t len = size * count;
+	size_t total = call->answer_len + len;
+
+	if (total > MAX_ANSWER_BYTES)
+		return 0;
+	if (total + 1 > call->answer_cap) {
+		char *answer = realloc(call->answer, (total + 1) * 2);
+
+		if (!answer)
+			return 0;
+		call->answer = answer;
+		call->answer_cap = (total + 1) * 2;
+	}
+	memcpy(call->answer + call->answer_len, data, len);
+	call->answer_len = total;
+	call->answer[total] = 0;
+	return len;
+}
+
+static struct call *new_call(struct plt *plt, void *arg, long timeout_ms,
+			     const char *path)
+{
+	struct call *call;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	call = apr_pcalloc(pool, sizeof(*call));
+	call->pool = pool;
+	call->plt = plt;
+	call->arg = arg;
+	call->next = plt->calls;
+	plt->calls = call;
+	call->easy = curl_easy_init();
+	curl_easy_setopt(call->easy, CURLOPT_URL,
+			 apr_pstrcat(pool, plt->url, path, NULL));
+	curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)LIM_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, collect);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
+	return call;
+}
+
+/* The parsed answer, or NULL; its fault says why. */
+static struct json_object *parse_answer(struct call *call, struct err *fault)
+{
+	if (!call->answer) {
+		err_set(fault, ERR_UNAVAILABLE, "empty answer");
+		return NULL;
+	}
+	return jsn_parse(call->answer, call->answer_len, fault);
+}
+
+static int64_t read_number(struct call *call, const char *key)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value = parse_answer(call, &fault);
+	struct jsn root = jsn_root(value, &fault);
+	struct jsn at = jsn_member(&root, key);
+	int64_t number = -1;
+
+	if (value)
+		number = jsn_int(&at, 0, INT64_MAX, -1);
+	json_object_put(value);
+	return fault.kind == ERR_OK ? number : -1;
+}
+
+static void append_done(void *arg, CURL *easy, CURLcode code)
+{
+	struct call *call = arg;
+	int status = ERR_UNKNOWN;
+	int64_t offset = -1;
+	long http = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http);
+	if (code == CURLE_COULDNT_CONNECT)
+		status = ERR_UNAVAILABLE;
+	else if (code == CURLE_OK && http == 200)
+		offset = read_number(call, "offset");
+	else if (code == CURLE_OK && http == 413)
+		status = ERR_TOO_LARGE;
+	if (offset >= 0)
+		status = 0;
+	call->on_append(call->arg, status, offset);
+	free_call(call);
+}
+
+void plt_append(struct plt *plt, const char *stream, const char *data,
+		size_t len, void (*fn)(void *arg, int status, int64_t offset),
+		void *arg)
+{
+	struct call *call;
+	char path[LIM_NAME_BYTES + 32];
+
+	apr_snprintf(path, sizeof(path), "/streams/%s/records", stream);
+	call = new_call(plt, arg, LIM_APPEND_TIMEOUT_MS, path);
+	call->on_append = fn;
+	call->headers = curl_slist_append(
+		NULL, "Content-Type: application/octet-stream");
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE, (long)len);
+	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, data);
+	evl_transfer(plt->evl, call->easy, append_done, call);
+}
+
+static void read_records(struct call *call, const struct jsn *root,
+			 struct plt_batch *batch)
+{
+	struct jsn first_at = jsn_member(root, "first");
+	struct jsn next_at = jsn_member(root, "next");
+	struct jsn list = jsn_member(root, "records");
+	size_t count = jsn_array(&list, LIM_TAIL_RECORDS);
+	struct plt_record *records =
+		apr_pcalloc(call->pool, (count + 1) * sizeof(*records));
+
+	batch->first = jsn_int(&first_at, 0, INT64_MAX, -1);
+	batch->next = jsn_int(&next_at, 0, INT64_MAX, -1);
+	batch->records = records;
+	for (size_t i = 0; i < count; i++) {
+		struct jsn at = jsn_item(&list, i);
+		struct jsn offset_at = jsn_member(&at, "offset");
+		struct jsn data_at = jsn_member(&at, "data");
+
+		if (!json_object_is_type(data_at.value, json_type_string))
+			jsn_refuse(&data_at, "a text");
+		records[i].offset = jsn_int(&offset_at, 0, INT64_MAX, -1);
+		records[i].data = json_object_get_string(data_at.value);
+		records[i].len =
+			(size_t)json_object_get_string_len(data_at.value);
+		batch->count++;
+	}
+}
+
+static void read_done(void *arg, CURL *easy, CURLcode code)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct plt_batch batch = { 0 };
+	struct call *call = arg;
+	struct json_object *value = NULL;
+	struct jsn root;
+	long http = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http);
+	if (code == CURLE_OK && http == 410) {
+		batch.first = read_number(call, "first");
+		call->on_read(call->arg, ERR_GONE, &batch);
+		free_call(call);
+		return;
+	}
+	if (code == CURLE_OK && http == 200)
+		value = parse_answer(call, &fault);
+	if (value) {
+		root = jsn_root(value, &fault);
+		read_records(call, &root, &batch);
+	}
+	if (value && fault.kind == ERR_OK)
+		call->on_read(call->arg, 0, &batch);
+	else
+		call->on_read(call->arg, ERR_UNAVAILABLE, NULL);
+	json_object_put(value);
+	free_call(call);
+}
+
+void plt_read(struct plt *plt, const char *stream, int64_t from, uint32_t max,
+	      int64_t wait_ms,
+	      void (*fn)(void *arg, int status, const struct plt_batch *batch),
+	      void *arg)
+{
+	struct call *call;
+	char path[LIM_NAME_BYTES + 128];
+
+	apr_snprintf(path, sizeof(path),
+		     "/streams/%s/records?from=%" PRId64
+		     "&max=%u&wait_ms=%" PRId64,
+		     stream, from, max, wait_ms);
+	call = new_call(plt, arg, (long)wait_ms + LIM_READ_TIMEOUT_MS, path);
+	call->on_read = fn;
+	evl_transfer(plt->evl, call->easy, read_done, call);
+}
+
+static void hosts_done(void *arg, CURL *easy, CURLcode code)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct call *call = arg;
+	struct json_object *value = NULL;
+	struct plt_host *hosts = NULL;
+	struct jsn root, list;
+	size_t count = 0;
+	long http = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http);
+	if (code == CURLE_OK && http == 200)
+		value = parse_answer(call, &fault);
+	root = jsn_root(value, &fault);
+	list = jsn_member(&root, "hosts");
+	if (value)
+		count = jsn_array(&list, LIM_HOSTS);
+	hosts = apr_pcalloc(call->pool, (count + 1) * sizeof(*hosts));
+	for (size_t i = 0; i < count; i++) {
+		struct jsn at = jsn_item(&list, i);
+
+		for (size_t k = 0; k < HOST_FIELDS; k++)
+			fld_read(&at, &host_fields[k], &hosts[i]);
+	}
+	json_object_put(value);
+	if (value && fault.kind == ERR_OK)
+		call->on_hosts(call->arg, 0, hosts, (uint32_t)count);
+	else
+		call->on_hosts(call->arg, ERR_UNAVAILABLE, NULL, 0);
+	free_call(call);
+}
+
+void plt_hosts(struct plt *plt,
+	       void (*fn)(void *arg, int status, const struct plt_host *hosts,
+			  uint32_t count),
+	       void *arg)
+{
+	struct call *call = new_call(plt, arg, LIM_READ_TIMEOUT_MS, "/hosts");
+
+	call->on_hosts = fn;
+	evl_transfer(plt->evl, call->easy, hosts_done, call);
+}
--- /dev/null
+++ b/src/plt.h
@@ -0,0 +1,87 @@
+/*
+ * NAME
+ *	plt - client of the platform: append-only log service and host list
+ *
+ * Calls return at once; the callback is called once, from the event loop.
+ */
+#ifndef PLT_H
+#define PLT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "evl.h"
+#include "lim.h"
+
+struct plt;
+
+struct plt_record {
+	int64_t offset;
+	const char *data;
+	size_t len;
+};
+
+struct plt_batch {
+	int64_t first; /* oldest offset that is retained */
+	int64_t next;  /* where to read on */
+	uint32_t count;
+	const struct plt_record *records;
+};
+
+struct plt_host {
+	char name[LIM_NAME_BYTES];
+	char kind[LIM_NAME_BYTES];  /* "worker" or "entry" */
+	char state[LIM_NAME_BYTES]; /* "live" or "leaving" */
+	char address[LIM_ADDRESS_BYTES];
+	char data_centre[LIM_NAME_BYTES];
+	char rack[LIM_NAME_BYTES];
+	int64_t port;
+	int64_t cpu_milli;
+	int64_t mem_mib;
+	int64_t accelerators;
+	int64_t slots;
+	int64_t connections;
+};
+
+/* plt_create - client of the platform at a base URL */
+struct plt *plt_create(struct evl *evl, const char *url);
+
+/* plt_destroy - drop calls under way without calling back */
+void plt_destroy(struct plt *plt);
+
+/*
+ * plt_append - append a record to a stream
+ *
+ * ERRORS (to the callback)
+ *	ERR_UNAVAILABLE	surely not appended: no connection, or refused
+ *	ERR_UNKNOWN	the answer was lost; it may have been appended
+ *	ERR_TOO_LARGE	the platform refused the size
+ */
+void plt_append(struct plt *plt, const char *stream, const char *data,
+		size_t len, void (*fn)(void *arg, int status, int64_t offset),
+		void *arg);
+
+/*
+ * plt_read - read records from an offset on
+ *
+ * Waits up to wait_ms for a record if there is none yet. The batch is valid
+ * during the callback; it is NULL if status is not 0, but for ERR_GONE, where
+ * its `first` is filled in.
+ *
+ * ERRORS (to the callback)
+ *	ERR_GONE	the offset has passed retention
+ *	ERR_UNAVAILABLE	no answer, or not a valid one
+ */
+void plt_read(struct plt *plt, const char *stream, int64_t from, uint32_t max,
+	      int64_t wait_ms,
+	      void (*fn)(void *arg, int status, const struct plt_batch *batch),
+	      void *arg);
+
+/* plt_hosts - list of live and leaving hosts; errors as for plt_read */
+void plt_hosts(struct plt *plt,
+	       void (*fn)(void *arg, int status, const struct plt_host *hosts,
+			  uint32_t count),
+	       void *arg);
+
+#endif
--- /dev/null
+++ b/src/prp.c
@@ -0,0 +1,219 @@
+#include "prp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_strings.h>
+
+enum {
+	RETRY_UNAVAILABLE_MS = 250,
+	/* Time for a record to be read back before it is appended again. */
+	RETRY_UNKNOWN_MS = 1500,
+	KEY_BYTES = 3 * LIM_NAME_BYTES
+};
+
+struct proposal {
+	struct proposal *next;
+	struct prp *prp;
+	char key[KEY_BYTES];
+	char id[LIM_ID_BYTES];
+	char *text;
+	int64_t created_ms;
+	int64_t deadline_ms;
+	int64_t retry_ms;
+	bool appending;
+	bool maybe_appended;
+	bool ended; /* called back; freed when its append has returned */
+	prp_done *done;
+	void *arg;
+};
+
+struct prp {
+	const struct clk *clk;
+	struct plt *plt;
+	struct rnd *rnd;
+	char author[LIM_NAME_BYTES];
+	struct proposal *proposals;
+};
+
+struct prp *prp_create(const struct clk *clk, struct plt *plt, struct rnd *rnd,
+		       const char *author)
+{
+	struct prp *prp = calloc(1, sizeof(*prp));
+
+	if (!prp)
+		return NULL;
+	prp->clk = clk;
+	prp->plt = plt;
+	prp->rnd = rnd;
+	apr_cpystrn(prp->author, author, sizeof(prp->author));
+	return prp;
+}
+
+static void free_proposal(struct proposal *proposal)
+{
+	struct proposal **link = &proposal->prp->proposals;
+
+	while (*link != proposal)
+		link = &(*link)->next;
+	*link = proposal->next;
+	free(proposal->text);
+	free(proposal);
+}
+
+void prp_destroy(struct prp *prp)
+{
+	if (!prp)
+		return;
+	while (prp->proposals)
+		free_proposal(prp->proposals);
+	free(prp);
+}
+
+static void end(struct proposal *proposal, const struct err *result,
+		int64_t offset)
+{
+	if (proposal->ended)
+		return;
+	proposal->ended = true;
+	if (proposal->done)
+		proposal->done(proposal->arg, result, offset,
+			       proposal->created_ms);
+}
+
+static struct proposal *find_key(const struct prp *prp, const char *key)
+{
+	for (struct proposal *p = prp->proposals; p; p = p->next)
+		if (!p->ended && !strcmp(p->key, key))
+			return p;
+	return NULL;
+}
+
+int prp_propose(struct prp *prp, const char *key, struct rec *rec,
+		int64_t timeout_ms, prp_done *done, void *arg)
+{
+	struct proposal *proposal;
+	char *text;
+
+	if (key && find_key(prp, key)) {
+		rec_clear(rec);
+		return ERR_DUPLICATE;
+	}
+	rnd_id(prp->rnd, rec->id);
+	rec->at_ms = clk_wall_ms(prp->clk);
+	if (!rec->author[0])
+		apr_cpystrn(rec->author, prp->author, sizeof(rec->author));
+	text = rec_encode(rec);
+	rec_clear(rec);
+	proposal = calloc(1, sizeof(*proposal));
+	if (!text || !proposal || strlen(text) > LIM_RECORD_BYTES) {
+		free(text);
+		free(proposal);
+		return text && proposal ? ERR_TOO_LARGE : ERR_NO_MEMORY;
+	}
+	*proposal = (struct proposal){
+		.next = prp->proposals,
+		.prp = prp,
+		.text = text,
+		.created_ms = clk_now_ms(prp->clk),
+		.done = done,
+		.arg = arg,
+	};
+	proposal->deadline_ms = proposal->created_ms + timeout_ms;
+	memcpy(proposal->id, rec->id, sizeof(proposal->id));
+	apr_cpystrn(proposal->key, key ? key : "", sizeof(proposal->key));
+	prp->proposals = proposal;
+	prp_tick(prp);
+	return 0;
+}
+
+void prp_observe(struct prp *prp, int64_t offset, const struct rec *rec,
+		 const struct err *result)
+{
+	for (struct proposal *p = prp->proposals; p; p = p->next) {
+		if (strcmp(p->id, rec->id))
+			continue;
+		end(p, result, offset);
+		if (!p->appending)
+			free_proposal(p);
+		return;
+	}
+}
+
+static void appended(void *arg, int status, int64_t offset)
+{
+	struct proposal *proposal = arg;
+	int64_t now_ms = clk_now_ms(proposal->prp->clk);
+	struct err result;
+
+	(void)offset;
+	proposal->appending = false;
+	if (proposal->ended) {
+		free_proposal(proposal);
+		return;
+	}
+	switch (status) {
+	case ERR_OK:
+		/* Only reading it back tells the result. */
+		proposal->maybe_appended = true;
+		proposal->retry_ms = INT64_MAX;
+		break;
+	case ERR_UNAVAILABLE:
+		proposal->retry_ms = now_ms + RETRY_UNAVAILABLE_MS;
+		break;
+	case ERR_TOO_LARGE:
+		err_set(&result, ERR_TOO_LARGE, "refused by the platform");
+		end(proposal, &result, -1);
+		free_proposal(proposal);
+		break;
+	default:
+		proposal->maybe_appended = true;
+		proposal->retry_ms = now_ms + RETRY_UNKNOWN_MS;
+		break;
+	}
+}
+
+static void time_out(struct proposal *proposal)
+{
+	struct err result;
+
+	if (proposal->maybe_appended || proposal->appending)
+		err_set(&result, ERR_UNKNOWN,
+			"the record was not read back in time");
+	else
+		err_set(&result, ERR_UNAVAILABLE,
+			"the platform log took no record");
+	end(proposal, &result, -1);
+	if (!proposal->appending)
+		free_proposal(proposal);
+}
+
+void prp_tick(struct prp *prp)
+{
+	int64_t now_ms = clk_now_ms(prp->clk);
+	struct proposal *next;
+
+	for (struct proposal *p = prp->proposals; p; p = next) {
+		next = p->next;
+		if (p->ended)
+			continue;
+		if (now_ms >= p->deadline_ms) {
+			time_out(p);
+			continue;
+		}
+		if (p->appending || now_ms < p->retry_ms)
+			continue;
+		p->appending = true;
+		plt_append(prp->plt, "fleet", p->text, strlen(p->text),
+			   appended, p);
+	}
+}
+
+uint32_t prp_count(const struct prp *prp)
+{
+	uint32_t count = 0;
+
+	for (const struct proposal *p = prp->proposals; p; p = p->next)
+		count += !p->ended;
+	return count;
+}
--- /dev/null
+++ b/src/prp.h
@@ -0,0 +1,63 @@
+/*
+ * NAME
+ *	prp - proposer: gets records into the fleet stream once
+ *
+ * A record is appended with an id of its own, again with the same id if the
+ * answer was lost, and is done when it has been read back and applied. Ids
+ * are remembered by the fleet state, so a second copy has no effect.
+ */
+#ifndef PRP_H
+#define PRP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clk.h"
+#include "err.h"
+#include "plt.h"
+#include "rec.h"
+#include "rnd.h"
+
+struct prp;
+
+/*
+ * Outcome of a proposal: that of fst_apply with the offset, or
+ *	ERR_UNAVAILABLE	never appended
+ *	ERR_UNKNOWN	may have been appended
+ * with offset -1.
+ */
+typedef void prp_done(void *arg, const struct err *result, int64_t offset,
+		      int64_t created_ms);
+
+/* prp_create - proposer under an author's name; rnd gives the ids */
+struct prp *prp_create(const struct clk *clk, struct plt *plt, struct rnd *rnd,
+		       const char *author);
+
+/* prp_destroy - drop all proposals without calling back */
+void prp_destroy(struct prp *prp);
+
+/*
+ * prp_propose - propose a record
+ *
+ * Fills in id, at_ms and, if it is empty, author. key names the matter: while
+ * a proposal with the same key is under way, nothing is done. It may be NULL.
+ * done may be NULL. Takes over what the record owns.
+ *
+ * ERRORS
+ *	ERR_DUPLICATE	one with the same key is under way
+ *	ERR_TOO_LARGE	the record is longer than LIM_RECORD_BYTES
+ */
+int prp_propose(struct prp *prp, const char *key, struct rec *rec,
+		int64_t timeout_ms, prp_done *done, void *arg);
+
+/* prp_observe - a record was read and applied with this result */
+void prp_observe(struct prp *prp, int64_t offset, const struct rec *rec,
+		 const struct err *result);
+
+/* prp_tick - start appends that are due; end proposals that timed out */
+void prp_tick(struct prp *prp);
+
+/* prp_count - proposals under way */
+uint32_t prp_count(const struct prp *prp);
+
+#endif
--- /dev/null
+++ b/src/rec.c
@@ -0,0 +1,182 @@
+#include "rec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fld.h"
+#include "jsn.h"
+
+enum {
+	F_TEAM = 1 << 0,
+	F_BASE = 1 << 1,
+	F_SETTINGS = 1 << 2,
+	F_HOST = 1 << 3,
+	F_REASON = 1 << 4,
+	F_DRAIN = 1 << 5,
+	F_MEMBER = 1 << 6,
+	F_INCARNATION = 1 << 7,
+	F_SEQ = 1 << 8,
+	F_SEEN = 1 << 9,
+	F_DATA_CENTRE = 1 << 10,
+	F_RACK = 1 << 11,
+	F_ADDRESS = 1 << 12,
+	F_PORT = 1 << 13,
+	F_CPU = 1 << 14,
+	F_MEM = 1 << 15,
+	F_ACCELERATORS = 1 << 16,
+	F_SLOTS = 1 << 17,
+	F_CONNECTIONS = 1 << 18
+};
+
+/* Fields that depend on the type; bit i of a type wants field i. */
+static const struct fld fields[] = {
+	FLD_ARRAY(rec, team, FLD_NAME),
+	FLD_NUMBER(rec, base, -1, INT64_MAX),
+	{ "settings", FLD_JSON, offsetof(struct rec, settings), 0, 0, 0 },
+	FLD_ARRAY(rec, host, FLD_NAME),
+	FLD_ARRAY(rec, reason, FLD_TEXT),
+	FLD_NUMBER(rec, drain, 0, INT64_MAX),
+	FLD_ARRAY(rec, member, FLD_NAME),
+	FLD_NUMBER(rec, incarnation, 0, INT64_MAX),
+	FLD_NUMBER(rec, seq, 0, INT64_MAX),
+	FLD_NUMBER(rec, seen, 0, INT64_MAX),
+	FLD_ARRAY(rec, data_centre, FLD_NAME),
+	FLD_ARRAY(rec, rack, FLD_NAME),
+	FLD_ARRAY(rec, address, FLD_TEXT),
+	FLD_NUMBER(rec, port, 1, 65535),
+	FLD_NUMBER(rec, cpu_milli, 0, 1000000000),
+	FLD_NUMBER(rec, mem_mib, 0, 1000000000),
+	FLD_NUMBER(rec, accelerators, 0, 1000000),
+	FLD_NUMBER(rec, slots, 1, 1000000),
+	FLD_NUMBER(rec, connections, 1, 1000000),
+};
+
+enum {
+	FIELD_COUNT = sizeof(fields) / sizeof(fields[0]),
+	HOST_FACTS = F_DATA_CENTRE | F_RACK | F_ADDRESS | F_PORT | F_CPU |
+		     F_MEM | F_ACCELERATORS | F_SLOTS | F_CONNECTIONS
+};
+
+static const struct {
+	const char *name;
+	uint32_t wants;
+} types[REC_TYPE_COUNT] = {
+	[REC_SETTINGS] = { "settings", F_TEAM | F_BASE | F_SETTINGS },
+	[REC_HOST] = { "host", F_HOST | HOST_FACTS },
+	[REC_MEMBER] = { "member", F_MEMBER | F_INCARNATION | F_SEQ |
+					   F_DATA_CENTRE | F_ADDRESS | F_PORT },
+	[REC_MEMBER_LEFT] = { "member-left", F_MEMBER | F_INCARNATION },
+	[REC_MEMBER_EXPIRED] = { "member-expired",
+				 F_MEMBER | F_INCARNATION | F_SEEN },
+	[REC_DRAIN] = { "drain", F_HOST | F_REASON },
+	[REC_QUIET] = { "quiet", F_HOST | F_DRAIN | F_MEMBER | F_INCARNATION },
+	[REC_UNDRAIN] = { "undrain", F_HOST | F_REASON },
+	[REC_REBOOT] = { "reboot", F_HOST | F_DRAIN },
+	[REC_RETURN] = { "return", F_HOST | F_REASON },
+	[REC_FAIL] = { "fail", F_HOST | F_REASON },
+	[REC_RETIRE] = { "retire", F_HOST | F_DRAIN },
+};
+
+const char *rec_type_name(enum rec_type type)
+{
+	return type < REC_TYPE_COUNT ? types[type].name : "unknown";
+}
+
+static int find_type(const char *name)
+{
+	for (int i = 0; i < REC_TYPE_COUNT; i++)
+		if (!strcmp(types[i].name, name))
+			return i;
+	return -1;
+}
+
+static bool valid_id(const char *id)
+{
+	return strlen(id) == LIM_ID_BYTES - 1 &&
+	       strspn(id, "0123456789abcdef") == LIM_ID_BYTES - 1;
+}
+
+static void read_record(const struct jsn *root, struct rec *rec)
+{
+	const char *keys[FIELD_COUNT + 5] = { "type", "id", "author", "at_ms" };
+	char type_name[LIM_NAME_BYTES];
+	size_t count = 4;
+	struct jsn at;
+	int type;
+
+	if (!jsn_object(root))
+		return;
+	at = jsn_member(root, "type");
+	jsn_string(&at, type_name, sizeof(type_name), NULL);
+	type = find_type(type_name);
+	if (type < 0) {
+		jsn_refuse(&at, "a known record type");
+		return;
+	}
+	rec->type = (enum rec_type)type;
+	at = jsn_member(root, "id");
+	jsn_string(&at, rec->id, sizeof(rec->id), NULL);
+	if (!valid_id(rec->id))
+		jsn_refuse(&at, "32 hexadecimal digits");
+	at = jsn_member(root, "author");
+	jsn_name(&at, rec->author, sizeof(rec->author));
+	at = jsn_member(root, "at_ms");
+	rec->at_ms = jsn_int(&at, 0, INT64_MAX, -1);
+	for (size_t i = 0; i < FIELD_COUNT; i++) {
+		if (!(types[type].wants & 1u << i))
+			continue;
+		keys[count++] = fields[i].name;
+		fld_read(root, &fields[i], rec);
+	}
+	keys[count] = NULL;
+	jsn_keys(root, keys);
+}
+
+int rec_parse(struct rec *rec, const char *text, size_t len, struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value;
+	struct jsn root;
+
+	memset(rec, 0, sizeof(*rec));
+	if (len > LIM_RECORD_BYTES)
+		return err_set(err, ERR_TOO_LARGE,
+			       "record of %zu bytes, at most %d wanted", len,
+			       LIM_RECORD_BYTES);
+	value = jsn_parse(text, len, &fault);
+	if (value) {
+		root = jsn_root(value, &fault);
+		read_record(&root, rec);
+		json_object_put(value);
+	}
+	if (fault.kind == ERR_OK)
+		return 0;
+	rec_clear(rec);
+	if (err)
+		*err = fault;
+	return fault.kind;
+}
+
+char *rec_encode(const struct rec *rec)
+{
+	struct json_object *obj = json_object_new_object();
+	char *text;
+
+	jsn_put_string(obj, "type", rec_type_name(rec->type));
+	jsn_put_string(obj, "id", rec->id);
+	jsn_put_string(obj, "author", rec->author);
+	jsn_put_int(obj, "at_ms", rec->at_ms);
+	for (size_t i = 0; i < FIELD_COUNT; i++)
+		if (types[rec->type].wants & 1u << i)
+			fld_write(obj, &fields[i], rec);
+	text = strdup(
+		json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN));
+	json_object_put(obj);
+	return text;
+}
+
+void rec_clear(struct rec *rec)
+{
+	free(rec->settings);
+	rec->settings = NULL;
+}
--- /dev/null
+++ b/src/rec.h
@@ -0,0 +1,91 @@
+/*
+ * NAME
+ *	rec - records of the fleet stream
+ *
+ * A record is one JSON object. Every record has a type, an id that its author
+ * chose before the first append, the author, and the author's wall clock,
+ * which is shown to people and decides nothing. The other fields depend on
+ * the type.
+ */
+#ifndef REC_H
+#define REC_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "lim.h"
+
+enum rec_type {
+	REC_SETTINGS,	    /* an operator publishes a team's settings */
+	REC_HOST,	    /* what the platform says of a worker host */
+	REC_MEMBER,	    /* an entry host joins, or its heartbeat */
+	REC_MEMBER_LEFT,    /* graceful stop, or gone from the host list */
+	REC_MEMBER_EXPIRED, /* no heartbeat since the offset `seen` */
+	REC_DRAIN,	    /* take a host out of service */
+	REC_QUIET,	    /* a member has nothing in progress at a host */
+	REC_UNDRAIN,	    /* back to serving, before a reboot */
+	REC_REBOOT,	    /* a drained host is being rebooted */
+	REC_RETURN,	    /* a rebooting or failed host is back */
+	REC_FAIL,	    /* a host failed by itself */
+	REC_RETIRE,	    /* a drained host leaves its pool for good */
+	REC_TYPE_COUNT
+};
+
+struct rec {
+	enum rec_type type;
+	char id[LIM_ID_BYTES];
+	char author[LIM_NAME_BYTES];
+	int64_t at_ms;
+
+	char team[LIM_NAME_BYTES];
+	int64_t base;	/* version of the team that it replaces; -1: none */
+	char *settings; /* JSON text, owned by the record */
+
+	char host[LIM_NAME_BYTES];
+	char reason[LIM_REASON_BYTES];
+	int64_t drain; /* offset of the drain that the record refers to */
+
+	char member[LIM_NAME_BYTES];
+	int64_t incarnation;
+	int64_t seq;  /* rises with each heartbeat of an incarnation */
+	int64_t seen; /* offset of the last heartbeat that the author saw */
+
+	char data_centre[LIM_NAME_BYTES];
+	char rack[LIM_NAME_BYTES];
+	char address[LIM_ADDRESS_BYTES];
+	int64_t port;
+	int64_t cpu_milli;
+	int64_t mem_mib;
+	int64_t accelerators;
+	int64_t slots;
+	int64_t connections;
+};
+
+/* rec_type_name - fixed name of a type, as in the JSON text */
+const char *rec_type_name(enum rec_type type);
+
+/*
+ * rec_parse - read a record from its JSON text
+ *
+ * On success the caller releases the record with rec_clear.
+ *
+ * ERRORS
+ *	ERR_INVALID	not JSON, unknown type or field, wrong type of a field
+ *	ERR_TOO_LARGE	longer than LIM_RECORD_BYTES
+ */
+int rec_parse(struct rec *rec, const char *text, size_t len, struct err *err);
+
+/*
+ * rec_encode - JSON text of a record
+ *
+ * RETURN VALUE
+ *	A string that the caller frees with free, or NULL if memory is short.
+ *	The same record always gives the same text.
+ */
+char *rec_encode(const struct rec *rec);
+
+/* rec_clear - free what the record owns */
+void rec_clear(struct rec *rec);
+
+#endif
--- /dev/null
+++ b/src/rnd.h
@@ -0,0 +1,36 @@
+/*
+ * NAME
+ *	rnd - seeded random numbers and unique ids
+ *
+ * Not for secrets. The same seed gives the same sequence.
+ */
+#ifndef RND_H
+#define RND_H
+
+#include <stdint.h>
+
+struct rnd {
+	uint64_t state;
+};
+
+/* rnd_init - start a sequence */
+void rnd_init(struct rnd *rnd, uint64_t seed);
+
+/* rnd_system_seed - seed from the kernel's random source */
+uint64_t rnd_system_seed(void);
+
+/* rnd_next - next number, all 64 bits used */
+uint64_t rnd_next(struct rnd *rnd);
+
+/* rnd_below - number from 0 to limit - 1; 0 if limit is 0 */
+uint32_t rnd_below(struct rnd *rnd, uint32_t limit);
+
+/* rnd_id - write 32 hexadecimal digits and a final zero to id */
+void rnd_id(struct rnd *rnd, char *id);
+
+/* rnd_hash - 64-bit FNV-1a hash of bytes, continuing from start */
+uint64_t rnd_hash(uint64_t start, const void *data, uint64_t len_bytes);
+
+#define RND_HASH_START 14695981039346656037ull
+
+#endif
--- /dev/null
+++ b/src/rpf.c
@@ -0,0 +1,368 @@
+#include "rpf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_network_io.h>
+#include <apr_portable.h>
+#include <apr_strings.h>
+#include <apr_thread_cond.h>
+#include <apr_thread_mutex.h>
+#include <apr_thread_proc.h>
+
+#include "lim.h"
+
+enum {
+	/* A target that did not answer is left alone for this long. */
+	BACKOFF_MS = 2000
+};
+
+struct target {
+	const char *address;
+	uint16_t port;
+	apr_pool_t *pool; /* of the connection */
+	CLIENT *client;
+	int64_t retry_ms;
+};
+
+struct rpf {
+	struct rpf_config config;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	apr_thread_mutex_t *mutex;
+	apr_thread_cond_t *cond;
+	struct target *targets;
+
+	/* Under the mutex. */
+	bool stopping;
+	struct rpf_hello hello;
+	char name[LIM_NAME_BYTES];
+	char data_centre[LIM_NAME_BYTES];
+	uint32_t quiet_count;
+	prt_quiet *quiet;
+	bool news_full;
+	struct rpf_news news;
+
+	uint32_t rounds;
+};
+
+static void free_quiet(prt_quiet *quiet, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		free(quiet[i].host);
+	free(quiet);
+}
+
+static prt_quiet *copy_quiet(const prt_quiet *quiet, uint32_t count)
+{
+	prt_quiet *copy = calloc(count + 1, sizeof(*copy));
+
+	for (uint32_t i = 0; copy && i < count; i++) {
+		copy[i].host = strdup(quiet[i].host);
+		copy[i].drain = quiet[i].drain;
+	}
+	return copy;
+}
+
+static void disconnect(struct target *target)
+{
+	if (target->client)
+		clnt_destroy(target->client);
+	if (target->pool)
+		apr_pool_destroy(target->pool);
+	target->client = NULL;
+	target->pool = NULL;
+}
+
+/* Connects with a time limit, which the RPC library does not offer. */
+static bool connect_target(struct target *target)
+{
+	struct timeval timeout = { .tv_sec = LIM_RPC_TIMEOUT_MS / 1000,
+				   .tv_usec =
+					   LIM_RPC_TIMEOUT_MS % 1000 * 1000 };
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct netbuf netbuf = { .maxlen = sizeof(addr),
+				 .len = sizeof(addr),
+				 .buf = &addr };
+	apr_sockaddr_t *where;
+	apr_socket_t *socket;
+	apr_os_sock_t fd;
+
+	apr_pool_create(&target->pool, NULL);
+	if (apr_sockaddr_info_get(&where, target->address, APR_INET,
+				  target->port, 0, target->pool) ||
+	    apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP,
+			      target->pool))
+		return false;
+	apr_socket_timeout_set(socket, apr_time_from_msec(LIM_RPC_TIMEOUT_MS));
+	if (apr_socket_connect(socket, where))
+		return false;
+	apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
+	apr_socket_timeout_set(socket, -1);
+	apr_os_sock_get(&fd, socket);
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+	memcpy(&addr, &where->sa.sin, sizeof(addr));
+	target->client = clnt_vc_create(fd, &netbuf, PRT_FLEET, PRT_V1,
+					LIM_RPC_BYTES, LIM_RPC_BYTES);
+	if (!target->client)
+		return false;
+	clnt_control(target->client, CLSET_TIMEOUT, (char *)&timeout);
+	return true;
+}
+
+static bool ask_status(struct rpf *rpf, struct target *target, prt_hello *hello,
+		       prt_status *status)
+{
+	int64_t now_ms = clk_now_ms(rpf->config.clk);
+
+	if (now_ms < target->retry_ms)
+		return false;
+	memset(status, 0, sizeof(*status));
+	if ((target->client || connect_target(target)) &&
+	    prt_status_1(*hello, status, target->client) == RPC_SUCCESS)
+		return true;
+	xdr_free((xdrproc_t)xdr_prt_status, (char *)status);
+	disconnect(target);
+	target->retry_ms = now_ms + BACKOFF_MS;
+	return false;
+}
+
+/* Asks the targets for their status and chooses one by the policy. */
+static struct target *choose(struct rpf *rpf, prt_hello *hello,
+			     struct rpf_news *news)
+{
+	struct target *chosen = NULL;
+
+	for (uint32_t i = 0; i < rpf->config.target_count; i++) {
+		struct target *target = &rpf->targets[i];
+		int64_t asked_ms = clk_now_ms(rpf->config.clk);
+		prt_status status;
+
+		if (!ask_status(rpf, target, hello, &status))
+			continue;
+		news->answered++;
+		if (!status.ready ||
+		    (chosen && status.next <= news->status.next)) {
+			xdr_free((xdrproc_t)xdr_prt_status, (char *)&status);
+			continue;
+		}
+		if (chosen)
+			xdr_free((xdrproc_t)xdr_prt_status,
+				 (char *)&news->status);
+		news->status = status;
+		news->has_status = true;
+		news->asked_ms = asked_ms;
+		chosen = target;
+		if (rpf->config.policy == RPF_FIRST)
+			break;
+	}
+	return chosen;
+}
+
+static void fetch_snapshot(struct target *target, struct rpf_news *news)
+{
+	prt_chunk_arg arg = { 0 };
+	int64_t length = 1;
+
+	while (arg.position < length) {
+		prt_chunk chunk = { 0 };
+
+		if (prt_snapshot_1(arg, &chunk, target->client) !=
+			    RPC_SUCCESS ||
+		    chunk.gone || chunk.data.data_len == 0 ||
+		    chunk.length > LIM_SNAPSHOT_BYTES ||
+		    arg.position + chunk.data.data_len > chunk.length) {
+			xdr_free((xdrproc_t)xdr_prt_chunk, (char *)&chunk);
+			free(news->snapshot);
+			news->snapshot = NULL;
+			return;
+		}
+		if (!news->snapshot)
+			news->snapshot = malloc((size_t)chunk.length + 1);
+		if (news->snapshot)
+			memcpy(news->snapshot + arg.position,
+			       chunk.data.data_val, chunk.data.data_len);
+		arg.next = chunk.next;
+		arg.position += chunk.data.data_len;
+		length = chunk.length;
+		xdr_free((xdrproc_t)xdr_prt_chunk, (char *)&chunk);
+	}
+	news->snapshot_len = (size_t)length;
+}
+
+static void fetch(struct target *target, const struct rpf_hello *hello,
+		  struct rpf_news *news)
+{
+	if (news->status.next > hello->next) {
+		prt_tail_arg arg = { .from = hello->next, .max = PRT_TAIL_MAX };
+
+		news->has_tail = prt_tail_1(arg, &news->tail, target->client) ==
+				 RPC_SUCCESS;
+		if (news->has_tail && news->tail.gone) {
+			news->has_tail = false;
+			xdr_free((xdrproc_t)xdr_prt_tail, (char *)&news->tail);
+			fetch_snapshot(target, news);
+		}
+	}
+	if (news->status.hosts_version != hello->hosts_version) {
+		prt_hosts_arg arg = { .list_version = hello->hosts_version };
+
+		news->has_hosts = prt_hosts_1(arg, &news->hosts,
+					      target->client) == RPC_SUCCESS;
+	}
+}
+
+static void run_round(struct rpf *rpf, const struct rpf_hello *hello,
+		      struct rpf_news *news)
+{
+	prt_hello wire = {
+		.name = (char *)hello->name,
+		.data_centre = (char *)hello->data_centre,
+		.incarnation = hello->incarnation,
+		.leaving = hello->leaving,
+		.next = hello->next,
+		.quiet = { .quiet_len = hello->quiet_count,
+			   .quiet_val = (prt_quiet *)hello->quiet },
+	};
+	struct target *target = choose(rpf, &wire, news);
+
+	if (target)
+		fetch(target, hello, news);
+	news->rounds = ++rpf->rounds;
+}
+
+/* Copies the hello for a round; the thread then owns the strings. */
+static bool begin_round(struct rpf *rpf, struct rpf_hello *hello, char *name,
+			char *data_centre)
+{
+	bool go;
+
+	apr_thread_mutex_lock(rpf->mutex);
+	go = rpf->hello.enabled && !rpf->news_full && !rpf->stopping;
+	if (go) {
+		*hello = rpf->hello;
+		memcpy(name, rpf->name, LIM_NAME_BYTES);
+		memcpy(data_centre, rpf->data_centre, LIM_NAME_BYTES);
+		hello->name = name;
+		hello->data_centre = data_centre;
+		hello->quiet = copy_quiet(rpf->quiet, rpf->quiet_count);
+		hello->quiet_count = rpf->quiet_count;
+	}
+	apr_thread_mutex_unlock(rpf->mutex);
+	return go;
+}
+
+static void *APR_THREAD_FUNC run(apr_thread_t *thread, void *arg)
+{
+	char name[LIM_NAME_BYTES], data_centre[LIM_NAME_BYTES];
+	struct rpf *rpf = arg;
+	bool stopping = false;
+
+	(void)thread;
+	while (!stopping) {
+		struct rpf_hello hello;
+		struct rpf_news news;
+
+		if (begin_round(rpf, &hello, name, data_centre)) {
+			memset(&news, 0, sizeof(news));
+			run_round(rpf, &hello, &news);
+			free_quiet((prt_quiet *)hello.quiet, hello.quiet_count);
+			apr_thread_mutex_lock(rpf->mutex);
+			rpf->news = news;
+			rpf->news_full = true;
+			apr_thread_mutex_unlock(rpf->mutex);
+			rpf->config.wake(rpf->config.arg);
+		}
+		apr_thread_mutex_lock(rpf->mutex);
+		if (!rpf->stopping)
+			apr_thread_cond_timedwait(
+				rpf->cond, rpf->mutex,
+				apr_time_from_msec(rpf->config.interval_ms));
+		stopping = rpf->stopping;
+		apr_thread_mutex_unlock(rpf->mutex);
+	}
+	return NULL;
+}
+
+struct rpf *rpf_create(const struct rpf_config *config)
+{
+	apr_pool_t *pool;
+	struct rpf *rpf;
+
+	apr_pool_create(&pool, NULL);
+	rpf = apr_pcalloc(pool, sizeof(*rpf));
+	rpf->pool = pool;
+	rpf->config = *config;
+	rpf->targets = apr_pcalloc(pool, (config->target_count + 1) *
+						 sizeof(*rpf->targets));
+	for (uint32_t i = 0; i < config->target_count; i++) {
+		rpf->targets[i].address =
+			apr_pstrdup(pool, config->targets[i].address);
+		rpf->targets[i].port = config->targets[i].port;
+	}
+	if (apr_thread_mutex_create(&rpf->mutex, APR_THREAD_MUTEX_DEFAULT,
+				    pool) ||
+	    apr_thread_cond_create(&rpf->cond, pool) ||
+	    apr_thread_create(&rpf->thread, NULL, run, rpf, pool)) {
+		apr_pool_destroy(pool);
+		return NULL;
+	}
+	return rpf;
+}
+
+void rpf_destroy(struct rpf *rpf)
+{
+	apr_status_t ignored;
+
+	if (!rpf)
+		return;
+	apr_thread_mutex_lock(rpf->mutex);
+	rpf->stopping = true;
+	apr_thread_cond_signal(rpf->cond);
+	apr_thread_mutex_unlock(rpf->mutex);
+	apr_thread_join(&ignored, rpf->thread);
+	if (rpf->news_full)
+		rpf_news_clear(&rpf->news);
+	for (uint32_t i = 0; i < rpf->config.target_count; i++)
+		disconnect(&rpf->targets[i]);
+	free_quiet(rpf->quiet, rpf->quiet_count);
+	apr_pool_destroy(rpf->pool);
+}
+
+void rpf_set_hello(struct rpf *rpf, const struct rpf_hello *hello)
+{
+	apr_thread_mutex_lock(rpf->mutex);
+	free_quiet(rpf->quiet, rpf->quiet_count);
+	rpf->hello = *hello;
+	apr_cpystrn(rpf->name, hello->name, sizeof(rpf->name));
+	apr_cpystrn(rpf->data_centre, hello->data_centre,
+		    sizeof(rpf->data_centre));
+	rpf->quiet = copy_quiet(hello->quiet, hello->quiet_count);
+	rpf->quiet_count = hello->quiet_count;
+	apr_thread_mutex_unlock(rpf->mutex);
+}
+
+bool rpf_take(struct rpf *rpf, struct rpf_news *news)
+{
+	bool full;
+
+	apr_thread_mutex_lock(rpf->mutex);
+	full = rpf->news_full;
+	if (full)
+		*news = rpf->news;
+	rpf->news_full = false;
+	apr_thread_mutex_unlock(rpf->mutex);
+	return full;
+}
+
+void rpf_news_clear(struct rpf_news *news)
+{
+	if (news->has_status)
+		xdr_free((xdrproc_t)xdr_prt_status, (char *)&news->status);
+	if (news->has_tail)
+		xdr_free((xdrproc_t)xdr_prt_tail, (char *)&news->tail);
+	if (news->has_hosts)
+		xdr_free((xdrproc_t)xdr_prt_hosts, (char *)&news->hosts);
+	free(news->snapshot);
+	memset(news, 0, sizeof(*news));
+}
--- /dev/null
+++ b/src/snp.c
@@ -0,0 +1,344 @@
+#include "snp.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fld.h"
+#include "rnd.h"
+
+#define OFFSET(type, member) FLD_NUMBER(type, member, -1, INT64_MAX)
+
+static const struct fld host_fields[] = {
+	FLD_ARRAY(fst_host, name, FLD_NAME),
+	FLD_ARRAY(fst_host, team, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_host, pool, FLD_OPT_TEXT),
+	OFFSET(fst_host, drain_offset),
+	OFFSET(fst_host, changed_offset),
+	FLD_ARRAY(fst_host, reason, FLD_OPT_TEXT),
+	{ "known", FLD_BOOL, offsetof(struct fst_host, known), 0, 0, 0 },
+	FLD_ARRAY(fst_host, data_centre, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_host, rack, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_host, address, FLD_OPT_TEXT),
+	FLD_NUMBER(fst_host, port, 0, 65535),
+	OFFSET(fst_host, cpu_milli),
+	OFFSET(fst_host, mem_mib),
+	OFFSET(fst_host, accelerators),
+	OFFSET(fst_host, slots),
+	OFFSET(fst_host, connections),
+};
+
+static const struct fld quiet_fields[] = {
+	FLD_ARRAY(fst_quiet, member, FLD_NAME),
+	OFFSET(fst_quiet, incarnation),
+};
+
+static const struct fld member_fields[] = {
+	FLD_ARRAY(fst_member, name, FLD_NAME),
+	OFFSET(fst_member, incarnation),
+	OFFSET(fst_member, seq),
+	OFFSET(fst_member, join_offset),
+	OFFSET(fst_member, seen_offset),
+	{ "expired", FLD_BOOL, offsetof(struct fst_member, expired), 0, 0, 0 },
+	FLD_ARRAY(fst_member, data_centre, FLD_NAME),
+	FLD_ARRAY(fst_member, address, FLD_TEXT),
+	FLD_NUMBER(fst_member, port, 1, 65535),
+};
+
+static const struct fld audit_fields[] = {
+	OFFSET(fst_audit, offset),
+	OFFSET(fst_audit, at_ms),
+	FLD_ARRAY(fst_audit, author, FLD_TEXT),
+	FLD_ARRAY(fst_audit, action, FLD_TEXT),
+	FLD_ARRAY(fst_audit, target, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_audit, before, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_audit, after, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_audit, detail, FLD_OPT_TEXT),
+};
+
+enum {
+	HOST_FIELDS = sizeof(host_fields) / sizeof(host_fields[0]),
+	QUIET_FIELDS = sizeof(quiet_fields) / sizeof(quiet_fields[0]),
+	MEMBER_FIELDS = sizeof(member_fields) / sizeof(member_fields[0]),
+	AUDIT_FIELDS = sizeof(audit_fields) / sizeof(audit_fields[0])
+};
+
+/* What the rows of a list are, and how one is written and read. */
+struct list {
+	const char *key;
+	size_t max;
+	struct json_object *(*write)(const struct fst *fst, uint32_t index);
+	void (*read)(struct fst *fst, const struct jsn *at);
+};
+
+static struct json_object *write_team(const struct fst *fst, uint32_t index)
+{
+	const struct fst_team *team = tbl_at(fst->teams, index);
+	struct json_object *obj = json_object_new_object();
+
+	jsn_put_string(obj, "name", team->name);
+	jsn_put_int(obj, "version", team->version);
+	json_object_object_add(obj, "settings",
+			       json_tokener_parse(team->settings->text));
+	return obj;
+}
+
+static void read_team(struct fst *fst, const struct jsn *at)
+{
+	struct jsn name_at = jsn_member(at, "name");
+	struct jsn version_at = jsn_member(at, "version");
+	struct jsn settings_at = jsn_member(at, "settings");
+	struct err fault = { .kind = ERR_OK };
+	char name[LIM_NAME_BYTES];
+	int64_t version = jsn_int(&version_at, 0, INT64_MAX, -1);
+	struct fst_team *team;
+	const char *text;
+
+	jsn_name(&name_at, name, sizeof(name));
+	if (!jsn_object(&settings_at))
+		return;
+	team = tbl_add(fst->teams, name);
+	if (!team) {
+		jsn_refuse(&name_at, "a team that is not listed yet");
+		return;
+	}
+	text = json_object_to_json_string_ext(settings_at.value,
+					      JSON_C_TO_STRING_PLAIN);
+	team->version = version;
+	team->settings = tms_parse(text, strlen(text), &fault);
+	if (!team->settings)
+		jsn_refuse(&settings_at, "valid settings (%s)", fault.text);
+}
+
+static struct json_object *write_host(const struct fst *fst, uint32_t index)
+{
+	const struct fst_host *host = tbl_at(fst->hosts, index);
+	struct json_object *obj = json_object_new_object();
+	struct json_object *quiet;
+
+	fld_write_all(obj, host_fields, HOST_FIELDS, host);
+	jsn_put_string(obj, "state", fst_host_state_name(host->state));
+	if (!host->quiet_count)
+		return obj;
+	quiet = json_object_new_array();
+	for (uint32_t i = 0; i < host->quiet_count; i++) {
+		struct json_object *row = json_object_new_object();
+
+		fld_write_all(row, quiet_fields, QUIET_FIELDS, &host->quiet[i]);
+		json_object_array_add(quiet, row);
+	}
+	json_object_object_add(obj, "quiet", quiet);
+	return obj;
+}
+
+static enum fst_host_state read_state(const struct jsn *at)
+{
+	struct jsn state_at = jsn_member(at, "state");
+	char name[LIM_NAME_BYTES];
+
+	jsn_string(&state_at, name, sizeof(name), NULL);
+	for (int i = 0; i < FST_HOST_STATE_COUNT; i++)
+		if (!strcmp(name, fst_host_state_name(i)))
+			return i;
+	jsn_refuse(&state_at, "a host state");
+	return FST_FAILED;
+}
+
+static void read_quiet(const struct jsn *at, struct fst_host *host)
+{
+	struct jsn list = jsn_member(at, "quiet");
+	size_t count = list.value ? jsn_array(&list, LIM_HOSTS) : 0;
+
+	if (!count)
+		return;
+	host->quiet = calloc(count, sizeof(*host->quiet));
+	for (size_t i = 0; host->quiet && i < count; i++) {
+		struct jsn row = jsn_item(&list, i);
+
+		fld_read_all(&row, quiet_fields, QUIET_FIELDS, &host->quiet[i]);
+		host->quiet_count++;
+	}
+}
+
+static void read_host(struct fst *fst, const struct jsn *at)
+{
+	struct fst_host row = { .drain_offset = FST_NONE };
+	struct fst_host *host;
+
+	for (size_t i = 0; i < HOST_FIELDS; i++)
+		fld_read(at, &host_fields[i], &row);
+	row.state = read_state(at);
+	read_quiet(at, &row);
+	host = at->err->kind == ERR_OK ? tbl_add(fst->hosts, row.name) : NULL;
+	if (!host) {
+		free(row.quiet);
+		jsn_refuse(at, "a host that is not listed yet");
+		return;
+	}
+	*host = row;
+}
+
+static struct json_object *write_member(const struct fst *fst, uint32_t index)
+{
+	struct json_object *obj = json_object_new_object();
+
+	fld_write_all(obj, member_fields, MEMBER_FIELDS,
+		      tbl_at(fst->members, index));
+	return obj;
+}
+
+static void read_member(struct fst *fst, const struct jsn *at)
+{
+	struct fst_member row = { 0 };
+	struct fst_member *member;
+
+	fld_read_all(at, member_fields, MEMBER_FIELDS, &row);
+	member = at->err->kind == ERR_OK ? tbl_add(fst->members, row.name)
+					 : NULL;
+	if (!member)
+		jsn_refuse(at, "a member that is not listed yet");
+	else
+		*member = row;
+}
+
+/* Ids and audit entries are listed from the oldest kept to the newest. */
+static uint32_t ring_slot(uint32_t count, uint32_t size, uint32_t index)
+{
+	return count <= size ? index : (count + index) % size;
+}
+
+static struct json_object *write_id(const struct fst *fst, uint32_t index)
+{
+	return json_object_new_string(
+		fst->ids[ring_slot(fst->id_count, LIM_IDS, index)]);
+}
+
+static void read_id(struct fst *fst, const struct jsn *at)
+{
+	jsn_string(at, fst->ids[fst->id_count++], LIM_ID_BYTES, NULL);
+}
+
+static struct json_object *write_audit(const struct fst *fst, uint32_t index)
+{
+	const struct fst_audit *entry = &fst->audit[ring_slot(
+		fst->audit_count, LIM_AUDIT_ENTRIES, index)];
+	struct json_object *obj = json_object_new_object();
+
+	fld_write_all(obj, audit_fields, AUDIT_FIELDS, entry);
+	jsn_put_string(obj, "result", err_name(entry->result));
+	return obj;
+}
+
+static void read_audit(struct fst *fst, const struct jsn *at)
+{
+	struct fst_audit *entry = &fst->audit[fst->audit_count++];
+	struct jsn result_at = jsn_member(at, "result");
+	char result[LIM_NAME_BYTES];
+
+	for (size_t i = 0; i < AUDIT_FIELDS; i++)
+		fld_read(at, &audit_fields[i], entry);
+	jsn_string(&result_at, result, sizeof(result), NULL);
+	entry->result = err_by_name(result);
+}
+
+static const struct list lists[] = {
+	{ "teams", LIM_TEAMS, write_team, read_team },
+	{ "hosts", LIM_HOSTS, write_host, read_host },
+	{ "members", LIM_HOSTS, write_member, read_member },
+	{ "ids", LIM_IDS, write_id, read_id },
+	{ "audit", LIM_AUDIT_ENTRIES, write_audit, read_audit },
+};
+
+enum { LIST_COUNT = sizeof(lists) / sizeof(lists[0]) };
+
+static uint32_t ring_kept(uint32_t count, uint32_t size)
+{
+	return count < size ? count : size;
+}
+
+char *snp_encode(const struct fst *fst, size_t *len)
+{
+	const uint32_t counts[LIST_COUNT] = {
+		tbl_count(fst->teams),
+		tbl_count(fst->hosts),
+		tbl_count(fst->members),
+		ring_kept(fst->id_count, LIM_IDS),
+		ring_kept(fst->audit_count, LIM_AUDIT_ENTRIES),
+	};
+	struct json_object *root = json_object_new_object();
+	const char *text;
+	char *copy;
+
+	jsn_put_int(root, "next", fst->next);
+	for (size_t i = 0; i < LIST_COUNT; i++) {
+		struct json_object *rows = json_object_new_array();
+
+		for (uint32_t k = 0; k < counts[i]; k++)
+			json_object_array_add(rows, lists[i].write(fst, k));
+		json_object_object_add(root, lists[i].key, rows);
+	}
+	text = json_object_to_json_string_length(root, JSON_C_TO_STRING_PLAIN,
+						 len);
+	copy = malloc(*len + 1);
+	if (copy)
+		memcpy(copy, text, *len + 1);
+	json_object_put(root);
+	return copy;
+}
+
+static void read_state_text(struct fst *fst, const struct jsn *root)
+{
+	const char *keys[LIST_COUNT + 2] = { "next" };
+	struct jsn next_at = jsn_member(root, "next");
+
+	fst->next = jsn_int(&next_at, 0, INT64_MAX, -1);
+	for (size_t i = 0; i < LIST_COUNT; i++) {
+		struct jsn list = jsn_member(root, lists[i].key);
+		size_t count = jsn_array(&list, lists[i].max);
+
+		keys[i + 1] = lists[i].key;
+		for (size_t k = 0; k < count && root->err->kind == ERR_OK;
+		     k++) {
+			struct jsn at = jsn_item(&list, k);
+
+			lists[i].read(fst, &at);
+		}
+	}
+	jsn_keys(root, keys);
+}
+
+struct fst *snp_decode(const char *text, size_t len, struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value;
+	struct fst *fst = NULL;
+	struct jsn root;
+
+	if (len > LIM_SNAPSHOT_BYTES) {
+		err_set(err, ERR_TOO_LARGE, "snapshot of %zu bytes", len);
+		return NULL;
+	}
+	value = jsn_parse(text, len, &fault);
+	if (value) {
+		fst = fst_create();
+		root = jsn_root(value, &fault);
+		read_state_text(fst, &root);
+		json_object_put(value);
+	}
+	if (fault.kind == ERR_OK)
+		return fst;
+	fst_destroy(fst);
+	if (err)
+		*err = fault;
+	return NULL;
+}
+
+uint64_t snp_hash(const struct fst *fst)
+{
+	size_t len;
+	char *text = snp_encode(fst, &len);
+	uint64_t hash = text ? rnd_hash(RND_HASH_START, text, len) : 0;
+
+	free(text);
+	return hash;
+}
--- /dev/null
+++ b/src/snp.h
@@ -0,0 +1,37 @@
+/*
+ * NAME
+ *	snp - fleet state to text and back
+ *
+ * The same state always gives the same text, so that two processes can
+ * compare a hash of it.
+ */
+#ifndef SNP_H
+#define SNP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "fst.h"
+
+/*
+ * snp_encode - text of a fleet state
+ *
+ * RETURN VALUE
+ *	A string that the caller frees with free, its length in *len; NULL if
+ *	memory is short.
+ */
+char *snp_encode(const struct fst *fst, size_t *len);
+
+/*
+ * snp_decode - fleet state from its text
+ *
+ * RETURN VALUE
+ *	The state, or NULL with err filled in (ERR_INVALID, ERR_TOO_LARGE).
+ */
+struct fst *snp_decode(const char *text, size_t len, struct err *err);
+
+/* snp_hash - 64-bit hash of the state's text */
+uint64_t snp_hash(const struct fst *fst);
+
+#endif
--- /dev/null
+++ b/src/sns.c
@@ -0,0 +1,310 @@
+#include "sns.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "jsn.h"
+
+enum {
+	PART_BYTES = 20 * 1024, /* quoted as JSON it still fits a record */
+	MAX_PARTS = LIM_SNAPSHOT_BYTES / PART_BYTES + 1,
+	READ_MAX = 64
+};
+
+static const char stream[] = "snapshots";
+
+/* The snapshot that is being put together from its parts. */
+struct assembly {
+	char id[LIM_ID_BYTES];
+	int64_t fleet_next;
+	int64_t got;
+	char *text;
+	size_t len;
+};
+
+struct sns {
+	struct plt *plt;
+	struct rnd *rnd;
+
+	/* Reading. */
+	bool reading;
+	int64_t read_from;
+	struct assembly assembly;
+	char *newest;
+	size_t newest_len;
+	int64_t newest_next;
+	void (*loaded)(void *arg, int status, const char *text, size_t len);
+	void *loaded_arg;
+
+	/* Writing. */
+	char *out;
+	size_t out_len;
+	size_t out_pos;
+	size_t out_part_len;
+	int64_t out_next;
+	char out_id[LIM_ID_BYTES];
+	int64_t out_part;
+};
+
+struct sns *sns_create(struct plt *plt, struct rnd *rnd)
+{
+	struct sns *sns = calloc(1, sizeof(*sns));
+
+	if (!sns)
+		return NULL;
+	sns->plt = plt;
+	sns->rnd = rnd;
+	sns->newest_next = -1;
+	return sns;
+}
+
+void sns_destroy(struct sns *sns)
+{
+	if (!sns)
+		return;
+	free(sns->assembly.text);
+	free(sns->newest);
+	free(sns->out);
+	free(sns);
+}
+
+static void drop_assembly(struct assembly *assembly)
+{
+	free(assembly->text);
+	memset(assembly, 0, sizeof(*assembly));
+}
+
+static void finish_assembly(struct sns *sns)
+{
+	struct assembly *assembly = &sns->assembly;
+
+	if (assembly->fleet_next > sns->newest_next) {
+		free(sns->newest);
+		sns->newest = assembly->text;
+		sns->newest_len = assembly->len;
+		sns->newest_next = assembly->fleet_next;
+		assembly->text = NULL;
+	}
+	drop_assembly(assembly);
+}
+
+struct part {
+	char id[LIM_ID_BYTES];
+	int64_t fleet_next;
+	int64_t part;
+	bool last;
+	char data[PART_BYTES + 1];
+};
+
+static bool parse_part(const struct plt_record *record, struct part *part)
+{
+	static const char *const keys[] = { "id",   "fleet_next", "part",
+					    "last", "data",	  NULL };
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value =
+		jsn_parse(record->data, record->len, &fault);
+	struct jsn root = jsn_root(value, &fault);
+	struct jsn id_at = jsn_member(&root, "id");
+	struct jsn next_at = jsn_member(&root, "fleet_next");
+	struct jsn part_at = jsn_member(&root, "part");
+	struct jsn last_at = jsn_member(&root, "last");
+	struct jsn data_at = jsn_member(&root, "data");
+
+	if (value) {
+		jsn_keys(&root, keys);
+		jsn_string(&id_at, part->id, sizeof(part->id), NULL);
+		part->fleet_next = jsn_int(&next_at, 0, INT64_MAX, -1);
+		part->part = jsn_int(&part_at, 0, MAX_PARTS, -1);
+		part->last = jsn_bool(&last_at, false);
+		jsn_string(&data_at, part->data, sizeof(part->data), NULL);
+	}
+	json_object_put(value);
+	return fault.kind == ERR_OK;
+}
+
+static void take_record(struct sns *sns, const struct plt_record *record)
+{
+	struct assembly *assembly = &sns->assembly;
+	struct part part;
+	size_t len;
+	char *text;
+
+	if (!parse_part(record, &part))
+		return;
+	if (part.part == 0) {
+		drop_assembly(assembly);
+		memcpy(assembly->id, part.id, sizeof(part.id));
+		assembly->fleet_next = part.fleet_next;
+	}
+	/* A part appended twice, or of another writer, is passed over. */
+	if (strcmp(assembly->id, part.id) || part.part != assembly->got)
+		return;
+	len = strlen(part.data);
+	text = realloc(assembly->text, assembly->len + len + 1);
+	if (!text)
+		return;
+	memcpy(text + assembly->len, part.data, len + 1);
+	assembly->text = text;
+	assembly->len += len;
+	assembly->got++;
+	if (part.last)
+		finish_assembly(sns);
+}
+
+static void read_on(struct sns *sns);
+
+static void end_reading(struct sns *sns, int status)
+{
+	void (*loaded)(void *arg, int status, const char *text, size_t len) =
+		sns->loaded;
+
+	sns->reading = false;
+	sns->loaded = NULL;
+	if (loaded)
+		loaded(sns->loaded_arg, status, sns->newest, sns->newest_len);
+	/* Only its offset is of use from now on. */
+	free(sns->newest);
+	sns->newest = NULL;
+}
+
+static void read_done(void *arg, int status, const struct plt_batch *batch)
+{
+	struct sns *sns = arg;
+
+	if (status == ERR_GONE && batch->first > sns->read_from) {
+		sns->read_from = batch->first;
+		read_on(sns);
+		return;
+	}
+	if (status) {
+		end_reading(sns, ERR_UNAVAILABLE);
+		return;
+	}
+	for (uint32_t i = 0; i < batch->count; i++)
+		take_record(sns, &batch->records[i]);
+	if (batch->next > sns->read_from) {
+		sns->read_from = batch->next;
+		read_on(sns);
+		return;
+	}
+	end_reading(sns, 0);
+}
+
+static void read_on(struct sns *sns)
+{
+	plt_read(sns->plt, stream, sns->read_from, READ_MAX, 0, read_done, sns);
+}
+
+void sns_load(struct sns *sns,
+	      void (*fn)(void *arg, int status, const char *text, size_t len),
+	      void *arg)
+{
+	if (sns->reading)
+		return;
+	sns->reading = true;
+	sns->loaded = fn;
+	sns->loaded_arg = arg;
+	sns->read_from = 0;
+	sns->newest_next = -1;
+	drop_assembly(&sns->assembly);
+	read_on(sns);
+}
+
+void sns_poll(struct sns *sns)
+{
+	if (sns->reading)
+		return;
+	sns->reading = true;
+	read_on(sns);
+}
+
+bool sns_busy(const struct sns *sns)
+{
+	return sns->out != NULL;
+}
+
+int64_t sns_newest(const struct sns *sns)
+{
+	return sns->newest_next;
+}
+
+static void write_part(struct sns *sns);
+
+static void end_writing(struct sns *sns)
+{
+	free(sns->out);
+	sns->out = NULL;
+}
+
+static void part_done(void *arg, int status, int64_t offset)
+{
+	struct sns *sns = arg;
+
+	(void)offset;
+	if (status != 0 && status != ERR_UNKNOWN) {
+		end_writing(sns);
+		return;
+	}
+	/* After a lost answer the part goes out again; readers pass over the
+	   second copy. */
+	if (status == 0) {
+		sns->out_pos += sns->out_part_len;
+		sns->out_part++;
+	}
+	if (sns->out_pos >= sns->out_len) {
+		if (sns->out_next > sns->newest_next)
+			sns->newest_next = sns->out_next;
+		end_writing(sns);
+		return;
+	}
+	write_part(sns);
+}
+
+/* Length of the next part; a UTF-8 character is not cut in two. */
+static size_t part_len(const struct sns *sns)
+{
+	size_t left = sns->out_len - sns->out_pos;
+	size_t len = PART_BYTES;
+
+	if (left <= PART_BYTES)
+		return left;
+	while ((sns->out[sns->out_pos + len] & 0xc0) == 0x80)
+		len--;
+	return len;
+}
+
+static void write_part(struct sns *sns)
+{
+	size_t len = part_len(sns);
+	struct json_object *obj = json_object_new_object();
+	const char *text;
+
+	sns->out_part_len = len;
+	jsn_put_string(obj, "id", sns->out_id);
+	jsn_put_int(obj, "fleet_next", sns->out_next);
+	jsn_put_int(obj, "part", sns->out_part);
+	json_object_object_add(
+		obj, "last",
+		json_object_new_boolean(sns->out_pos + len == sns->out_len));
+	json_object_object_add(
+		obj, "data",
+		json_object_new_string_len(sns->out + sns->out_pos, (int)len));
+	text = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
+	plt_append(sns->plt, stream, text, strlen(text), part_done, sns);
+	json_object_put(obj);
+}
+
+void sns_write(struct sns *sns, char *text, size_t len, int64_t fleet_next)
+{
+	if (sns->out || !len) {
+		free(text);
+		return;
+	}
+	sns->out = text;
+	sns->out_len = len;
+	sns->out_pos = 0;
+	sns->out_part = 0;
+	sns->out_next = fleet_next;
+	rnd_id(sns->rnd, sns->out_id);
+	write_part(sns);
+}
--- /dev/null
+++ b/src/tms.c
@@ -0,0 +1,347 @@
+#include "tms.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <apr_hash.h>
+#include <apr_strings.h>
+
+#include "jsn.h"
+
+enum { MAX_BATCHES = 256, MAX_WAVES = 256, MAX_QUOTA_SLOTS = 1000000 };
+
+/* A map of the settings being read, with the reader of one entry. */
+struct section {
+	const char *key;
+	size_t max;
+	size_t entry_bytes;
+	void (*read)(struct tms *tms, const struct jsn *at, void *entry);
+};
+
+static bool is_leap(int year)
+{
+	return (year % 4 == 0 && year % 100 != 0) || year % 400 == 0;
+}
+
+int tms_parse_day(const char *text, int32_t *day)
+{
+	static const int month_days[] = { 31, 28, 31, 30, 31, 30,
+					  31, 31, 30, 31, 30, 31 };
+	int year, month, mday, used = 0, days = 0;
+
+	if (sscanf(text, "%4d-%2d-%2d%n", &year, &month, &mday, &used) != 3 ||
+	    used != 10 || text[10] || year < 1970 || year > 2199 || month < 1 ||
+	    month > 12 || mday < 1 ||
+	    mday > month_days[month - 1] + (month == 2 && is_leap(year)))
+		return ERR_INVALID;
+	for (int y = 1970; y < year; y++)
+		days += 365 + is_leap(y);
+	for (int m = 1; m < month; m++)
+		days += month_days[m - 1] + (m == 2 && is_leap(year));
+	*day = days + mday - 1;
+	return 0;
+}
+
+static int32_t read_day(const struct jsn *parent, const char *key)
+{
+	struct jsn at = jsn_member(parent, key);
+	char text[16];
+	int32_t day = 0;
+
+	jsn_string(&at, text, sizeof(text), NULL);
+	if (parent->err->kind == ERR_OK && tms_parse_day(text, &day) < 0)
+		jsn_refuse(&at, "a date YYYY-MM-DD");
+	return day;
+}
+
+static int64_t read_int(const struct jsn *parent, const char *key, int64_t min,
+			int64_t max, int64_t fallback)
+{
+	struct jsn at = jsn_member(parent, key);
+
+	return jsn_int(&at, min, max, fallback);
+}
+
+static void read_hosts(struct tms *tms, const struct jsn *parent,
+		       struct tms_hosts *hosts)
+{
+	struct jsn list = jsn_member(parent, "hosts");
+	size_t count = jsn_array(&list, LIM_HOSTS);
+	char name[LIM_NAME_BYTES];
+
+	hosts->names = apr_pcalloc(tms->mem, (count + 1) * sizeof(char *));
+	for (size_t i = 0; i < count; i++) {
+		struct jsn at = jsn_item(&list, i);
+
+		jsn_name(&at, name, sizeof(name));
+		hosts->names[hosts->count++] = apr_pstrdup(tms->mem, name);
+	}
+}
+
+static void read_pool(struct tms *tms, const struct jsn *at, void *entry)
+{
+	static const char *const keys[] = { "hosts", "min_available", NULL };
+	struct tms_pool *pool = entry;
+	struct jsn min_at = jsn_member(at, "min_available");
+
+	jsn_keys(at, keys);
+	read_hosts(tms, at, &pool->hosts);
+	pool->min_available = (uint32_t)jsn_int(&min_at, 0, LIM_HOSTS, -1);
+	if (pool->min_available > pool->hosts.count)
+		jsn_refuse(&min_at, "at most the %u hosts of the pool",
+			   pool->hosts.count);
+}
+
+static void read_batch(struct tms *tms, const struct jsn *at, void *entry)
+{
+	static const char *const keys[] = { "hosts", "support_ends", NULL };
+	struct tms_batch *batch = entry;
+
+	jsn_keys(at, keys);
+	read_hosts(tms, at, &batch->hosts);
+	batch->support_ends_day = read_day(at, "support_ends");
+}
+
+static void read_wave(struct tms *tms, const struct jsn *at, void *entry)
+{
+	static const char *const keys[] = { "batch",  "action", "start",
+					    "canary", "paused", NULL };
+	struct jsn batch_at = jsn_member(at, "batch");
+	struct jsn action_at = jsn_member(at, "action");
+	struct jsn paused_at = jsn_member(at, "paused");
+	struct tms_wave *wave = entry;
+	char action[16];
+
+	(void)tms;
+	jsn_keys(at, keys);
+	jsn_name(&batch_at, wave->batch, sizeof(wave->batch));
+	jsn_string(&action_at, action, sizeof(action), NULL);
+	wave->action = strcmp(action, "retire") ? TMS_REBOOT : TMS_RETIRE;
+	if (strcmp(action, "retire") && strcmp(action, "reboot"))
+		jsn_refuse(&action_at, "\"reboot\" or \"retire\"");
+	wave->start_day = read_day(at, "start");
+	wave->canary_hosts = (uint32_t)read_int(at, "canary", 1, LIM_HOSTS, 1);
+	wave->paused = jsn_bool(&paused_at, false);
+}
+
+static uint32_t read_section(struct tms *tms, const struct jsn *root,
+			     const struct section *section, void **entries)
+{
+	struct jsn at = jsn_member(root, section->key);
+	uint32_t count = 0;
+	char *entry;
+
+	if (!at.value || !jsn_object(&at))
+		return 0;
+	if ((size_t)json_object_object_length(at.value) > section->max) {
+		jsn_refuse(&at, "at most %zu entries", section->max);
+		return 0;
+	}
+	entry = apr_pcalloc(tms->mem,
+			    (section->max + 1) * section->entry_bytes);
+	*entries = entry;
+	json_object_object_foreach(at.value, name, value)
+	{
+		struct jsn member = jsn_member(&at, name);
+
+		(void)value;
+		if (!jsn_valid_name(name)) {
+			jsn_refuse(&member, "a valid name for the entry");
+			return count;
+		}
+		memcpy(entry, name, strlen(name) + 1);
+		section->read(tms, &member, entry);
+		entry += section->entry_bytes;
+		count++;
+	}
+	return count;
+}
+
+static void read_weights(struct tms *tms, const struct jsn *root)
+{
+	static const char *const keys[] = { "spare", "rollout", "moves", NULL };
+	struct jsn at = jsn_member(root, "weights");
+	struct jsn spare = jsn_member(&at, "spare");
+	struct jsn rollout = jsn_member(&at, "rollout");
+	struct jsn moves = jsn_member(&at, "moves");
+
+	if (at.value)
+		jsn_keys(&at, keys);
+	tms->weight_spare = jsn_double(&spare, 0, 1000, 1);
+	tms->weight_rollout = jsn_double(&rollout, 0, 1000, 1);
+	tms->weight_moves = jsn_double(&moves, 0, 1000, 1);
+}
+
+static void read_root(struct tms *tms, const struct jsn *root)
+{
+	static const char *const keys[] = { "quota", "weights", "spare_pool",
+					    "pools", "batches", "waves",
+					    NULL };
+	static const char *const quota_keys[] = { "slots", NULL };
+	static const struct section pools = { "pools", LIM_POOLS_PER_TEAM,
+					      sizeof(struct tms_pool),
+					      read_pool };
+	static const struct section batches = { "batches", MAX_BATCHES,
+						sizeof(struct tms_batch),
+						read_batch };
+	static const struct section waves = { "waves", MAX_WAVES,
+					      sizeof(struct tms_wave),
+					      read_wave };
+	struct jsn quota = jsn_member(root, "quota");
+	struct jsn spare = jsn_member(root, "spare_pool");
+
+	jsn_keys(root, keys);
+	if (quota.value)
+		jsn_keys(&quota, quota_keys);
+	tms->quota_slots = (uint32_t)read_int(&quota, "slots", 1,
+					      MAX_QUOTA_SLOTS, MAX_QUOTA_SLOTS);
+	read_weights(tms, root);
+	if (spare.value)
+		jsn_name(&spare, tms->spare_pool, sizeof(tms->spare_pool));
+	tms->pool_count = read_section(tms, root, &pools, (void **)&tms->pools);
+	tms->batch_count =
+		read_section(tms, root, &batches, (void **)&tms->batches);
+	tms->wave_count = read_section(tms, root, &waves, (void **)&tms->waves);
+}
+
+/* Refuses a host that two entries of a section list, or one lists twice. */
+static void check_unique(const struct tms_hosts *hosts, const char *path,
+			 apr_hash_t *seen, struct err *err)
+{
+	for (uint32_t i = 0; i < hosts->count; i++) {
+		const char *other = apr_hash_get(seen, hosts->names[i],
+						 APR_HASH_KEY_STRING);
+
+		if (other && err->kind == ERR_OK)
+			err_set(err, ERR_INVALID,
+				"%s.hosts[%u]: \"%s\" given, a host that %s "
+				"does not list yet wanted",
+				path, i, hosts->names[i], other);
+		apr_hash_set(seen, hosts->names[i], APR_HASH_KEY_STRING, path);
+	}
+}
+
+static void check_hosts(const struct tms *tms, struct err *err)
+{
+	apr_hash_t *in_pool = apr_hash_make(tms->mem);
+	apr_hash_t *in_batch = apr_hash_make(tms->mem);
+
+	for (uint32_t i = 0; i < tms->pool_count; i++)
+		check_unique(&tms->pools[i].hosts,
+			     apr_pstrcat(tms->mem, "pools.", tms->pools[i].name,
+					 NULL),
+			     in_pool, err);
+	for (uint32_t i = 0; i < tms->batch_count; i++) {
+		const struct tms_batch *batch = &tms->batches[i];
+		const char *path =
+			apr_pstrcat(tms->mem, "batches.", batch->name, NULL);
+
+		check_unique(&batch->hosts, path, in_batch, err);
+		for (uint32_t k = 0; k < batch->hosts.count; k++)
+			if (err->kind == ERR_OK &&
+			    !apr_hash_get(in_pool, batch->hosts.names[k],
+					  APR_HASH_KEY_STRING))
+				err_set(err, ERR_INVALID,
+					"%s.hosts[%u]: \"%s\" given, a host of "
+					"one of the team's pools wanted",
+					path, k, batch->hosts.names[k]);
+	}
+}
+
+static void check_references(const struct tms *tms, struct err *err)
+{
+	if (tms->spare_pool[0] && !tms_find_pool(tms, tms->spare_pool) &&
+	    err->kind == ERR_OK)
+		err_set(err, ERR_INVALID,
+			"spare_pool: \"%s\" given, one of the team's pools "
+			"wanted",
+			tms->spare_pool);
+	for (uint32_t i = 0; i < tms->wave_count; i++) {
+		const struct tms_wave *wave = &tms->waves[i];
+		const struct tms_batch *batch = NULL;
+
+		for (uint32_t k = 0; k < tms->batch_count && !batch; k++)
+			if (!strcmp(tms->batches[k].name, wave->batch))
+				batch = &tms->batches[k];
+		if (err->kind != ERR_OK)
+			return;
+		if (!batch)
+			err_set(err, ERR_INVALID,
+				"waves.%s.batch: \"%s\" given, one of the "
+				"team's batches wanted",
+				wave->name, wave->batch);
+		else if (wave->start_day > batch->support_ends_day)
+			err_set(err, ERR_INVALID,
+				"waves.%s.start: day after the end of support "
+				"given, a day up to batches.%s.support_ends "
+				"wanted",
+				wave->name, batch->name);
+	}
+}
+
+struct tms *tms_parse(const char *text, size_t len, struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value = NULL;
+	struct tms *tms = NULL;
+	apr_pool_t *mem;
+	struct jsn root;
+
+	if (len > LIM_SETTINGS_BYTES)
+		err_set(&fault, ERR_TOO_LARGE,
+			"settings of %zu bytes given, at most %d wanted", len,
+			LIM_SETTINGS_BYTES);
+	else
+		value = jsn_parse(text, len, &fault);
+	if (value) {
+		apr_pool_create(&mem, NULL);
+		tms = apr_pcalloc(mem, sizeof(*tms));
+		tms->mem = mem;
+		tms->text = apr_pstrdup(mem,
+					json_object_to_json_string_ext(
+						value, JSON_C_TO_STRING_PLAIN));
+		root = jsn_root(value, &fault);
+		read_root(tms, &root);
+		if (fault.kind == ERR_OK) {
+			check_hosts(tms, &fault);
+			check_references(tms, &fault);
+		}
+		json_object_put(value);
+	}
+	if (fault.kind == ERR_OK)
+		return tms;
+	tms_destroy(tms);
+	if (err)
+		*err = fault;
+	return NULL;
+}
+
+void tms_destroy(struct tms *tms)
+{
+	if (tms)
+		apr_pool_destroy(tms->mem);
+}
+
+static bool lists(const struct tms_hosts *hosts, const char *host)
+{
+	for (uint32_t i = 0; i < hosts->count; i++)
+		if (!strcmp(hosts->names[i], host))
+			return true;
+	return false;
+}
+
+const struct tms_pool *tms_pool_of(const struct tms *tms, const char *host)
+{
+	for (uint32_t i = 0; i < tms->pool_count; i++)
+		if (lists(&tms->pools[i].hosts, host))
+			return &tms->pools[i];
+	return NULL;
+}
+
+const struct tms_pool *tms_find_pool(const struct tms *tms, const char *name)
+{
+	for (uint32_t i = 0; i < tms->pool_count; i++)
+		if (!strcmp(tms->pools[i].name, name))
+			return &tms->pools[i];
+	return NULL;
+}
--- /dev/null
+++ b/src/tms.h
@@ -0,0 +1,95 @@
+/*
+ * NAME
+ *	tms - settings of one team: pools, budgets, batches and waves
+ *
+ * The text is JSON with comments. A team's subtree is checked as a whole; a
+ * wrong value is refused with its path, the value seen and the value wanted,
+ * and nothing of the text is applied.
+ */
+#ifndef TMS_H
+#define TMS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <apr_pools.h>
+
+#include "err.h"
+#include "lim.h"
+
+enum tms_action { TMS_REBOOT, TMS_RETIRE };
+
+struct tms_hosts {
+	uint32_t count;
+	const char **names;
+};
+
+struct tms_pool {
+	char name[LIM_NAME_BYTES];
+	struct tms_hosts hosts;
+	uint32_t min_available; /* hosts that must serve at any moment */
+};
+
+struct tms_batch {
+	char name[LIM_NAME_BYTES];
+	struct tms_hosts hosts;
+	int32_t support_ends_day; /* days since 1970-01-01 */
+};
+
+struct tms_wave {
+	char name[LIM_NAME_BYTES];
+	char batch[LIM_NAME_BYTES];
+	enum tms_action action;
+	int32_t start_day; /* days since 1970-01-01 */
+	uint32_t canary_hosts;
+	bool paused;
+};
+
+struct tms {
+	apr_pool_t *mem;
+	const char *text; /* the settings as canonical JSON */
+	uint32_t quota_slots;
+	double weight_spare;
+	double weight_rollout;
+	double weight_moves;
+	char spare_pool[LIM_NAME_BYTES]; /* empty: none */
+	uint32_t pool_count;
+	struct tms_pool *pools;
+	uint32_t batch_count;
+	struct tms_batch *batches;
+	uint32_t wave_count;
+	struct tms_wave *waves;
+};
+
+/*
+ * tms_parse - read and check a team's settings
+ *
+ * RETURN VALUE
+ *	The settings, which the caller releases with tms_destroy, or NULL with
+ *	err filled in.
+ *
+ * ERRORS
+ *	ERR_INVALID	with path, value seen and value wanted
+ *	ERR_TOO_LARGE	longer than LIM_SETTINGS_BYTES
+ */
+struct tms *tms_parse(const char *text, size_t len, struct err *err);
+
+/* tms_destroy - release settings; NULL is allowed */
+void tms_destroy(struct tms *tms);
+
+/* tms_pool_of - pool that lists the host, or NULL */
+const struct tms_pool *tms_pool_of(const struct tms *tms, const char *host);
+
+/* tms_find_pool - pool by name, or NULL */
+const struct tms_pool *tms_find_pool(const struct tms *tms, const char *name);
+
+/*
+ * tms_parse_day - days since 1970-01-01 of a date written as YYYY-MM-DD
+ *
+ * RETURN VALUE
+ *	0, or ERR_INVALID if it is no date between 1970 and 2199.
+ */
+int tms_parse_day(const char *text, int32_t *day);
+
+#endif
--- /dev/null
+++ b/src/web.c
@@ -0,0 +1,328 @@
+#include "web.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+
+#include <apr_strings.h>
+#include <json-c/json.h>
+#include <microhttpd.h>
+
+#include "jsn.h"
+#include "lim.h"
+
+enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIM_HALF_REQUEST_S };
+
+struct web {
+	struct evl *evl;
+	struct web_config config;
+	struct MHD_Daemon *daemon;
+	uint32_t active;
+	bool quiescing;
+};
+
+/* A request as the server keeps it; the handler sees the first member. */
+struct exchange {
+	struct web_request request;
+	struct web *web;
+	struct MHD_Connection *connection;
+	char *body;
+	size_t body_cap;
+	bool handed_over;
+	bool suspended;
+	bool too_large;
+	struct MHD_Response *response;
+	int status;
+};
+
+static struct exchange *exchange_of(const struct web_request *request)
+{
+	return (struct exchange *)request;
+}
+
+/* Called with the request line as sent, before the headers are read. */
+static void *on_request_line(void *cls, const char *target,
+			     struct MHD_Connection *conn)
+{
+	struct web *web = cls;
+	struct exchange *ex;
+	apr_pool_t *pool;
+
+	apr_pool_create(&pool, NULL);
+	ex = apr_pcalloc(pool, sizeof(*ex));
+	ex->request.pool = pool;
+	ex->request.target = apr_pstrdup(pool, target);
+	ex->web = web;
+	ex->connection = conn;
+	web->active++;
+	return ex;
+}
+
+static void append_body(struct exchange *ex, const char *data, size_t len)
+{
+	size_t size = ex->request.body_len + len;
+
+	if (ex->too_large || size > ex->web->config.max_body_bytes) {
+		ex->too_large = true;
+		return;
+	}
+	if (size + 1 > ex->body_cap) {
+		size_t cap = (size + 1) * 2;
+		char *body = realloc(ex->body, cap);
+
+		if (!body) {
+			ex->too_large = true;
+			return;
+		}
+		ex->body = body;
+		ex->body_cap = cap;
+	}
+	memcpy(ex->body + ex->request.body_len, data, len);
+	ex->request.body_len = size;
+	ex->body[size] = 0;
+}
+
+static enum MHD_Result send_response(struct exchange *ex)
+{
+	struct MHD_Response *response = ex->response;
+	enum MHD_Result result;
+
+	ex->response = NULL;
+	result = MHD_queue_response(ex->connection, (unsigned int)ex->status,
+				    response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static void hand_over(struct exchange *ex)
+{
+	struct web *web = ex->web;
+
+	ex->handed_over = true;
+	ex->request.body = ex->body ? ex->body : "";
+	if (ex->too_large) {
+		web->config.refused(web->config.arg, ERR_TOO_LARGE);
+		web_respond_error(&ex->request, ERR_TOO_LARGE,
+				  "request body is too large");
+		return;
+	}
+	web->config.handle(web->config.arg, &ex->request);
+}
+
+static enum MHD_Result on_access(void *cls, struct MHD_Connection *conn,
+				 const char *path, const char *method,
+				 const char *version, const char *upload,
+				 size_t *upload_len, void **con_cls)
+{
+	struct exchange *ex = *con_cls;
+
+	(void)cls;
+	(void)version;
+	if (!ex->request.method) {
+		ex->request.method = apr_pstrdup(ex->request.pool, method);
+		ex->request.path = apr_pstrdup(ex->request.pool, path);
+		return MHD_YES;
+	}
+	if (*upload_len) {
+		append_body(ex, upload, *upload_len);
+		*upload_len = 0;
+		return MHD_YES;
+	}
+	if (!ex->handed_over)
+		hand_over(ex);
+	if (ex->response)
+		return send_response(ex);
+	ex->suspended = true;
+	MHD_suspend_connection(conn);
+	return MHD_YES;
+}
+
+static void on_completed(void *cls, struct MHD_Connection *conn, void **con_cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct exchange *ex = *con_cls;
+	struct web *web = cls;
+
+	(void)conn;
+	if (!ex)
+		return;
+	if (!ex->handed_over && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		web->config.refused(
+			web->config.arg,
+			code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED
+				? ERR_TIMEOUT
+				: ERR_TRUNCATED);
+	if (ex->response)
+		MHD_destroy_response(ex->response);
+	free(ex->body);
+	web->active--;
+	*con_cls = NULL;
+	apr_pool_destroy(ex->request.pool);
+}
+
+static unsigned int fill_fds(void *arg, struct curl_waitfd *fds,
+			     unsigned int max)
+{
+	struct web *web = arg;
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(web->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+
+	if (!info || max < 1)
+		return 0;
+	fds[0] = (struct curl_waitfd){
+		.fd = info->epoll_fd,
+		.events = CURL_WAIT_POLLIN,
+	};
+	return 1;
+}
+
+static void serve_fds(void *arg, const struct curl_waitfd *fds,
+		      unsigned int count)
+{
+	struct web *web = arg;
+
+	(void)fds;
+	(void)count;
+	MHD_run(web->daemon);
+}
+
+struct web *web_create(struct evl *evl, const struct web_config *config,
+		       struct err *err)
+{
+	struct web *web = calloc(1, sizeof(*web));
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_port = htons(config->port),
+	};
+	struct evl_source source = {
+		.fill = fill_fds,
+		.ready = serve_fds,
+		.arg = web,
+	};
+
+	if (!web)
+		return NULL;
+	web->evl = evl;
+	web->config = *config;
+	inet_pton(AF_INET, config->address, &addr.sin_addr);
+	web->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, config->port, NULL,
+		NULL, on_access, web, MHD_OPTION_SOCK_ADDR, &addr,
+		MHD_OPTION_URI_LOG_CALLBACK, on_request_line, web,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, web,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)LIM_HEAD_BYTES * 2,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)KEEPALIVE_S,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)MAX_CONNECTIONS,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+	if (!web->daemon) {
+		err_set(err, ERR_IO, "cannot listen on %s:%u", config->address,
+			config->port);
+		free(web);
+		return NULL;
+	}
+	evl_add_source(evl, &source);
+	return web;
+}
+
+void web_destroy(struct web *web)
+{
+	if (!web)
+		return;
+	MHD_stop_daemon(web->daemon);
+	free(web);
+}
+
+const char *web_header(const struct web_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(exchange_of(request)->connection,
+					   MHD_HEADER_KIND, name);
+}
+
+const char *web_query(const struct web_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(exchange_of(request)->connection,
+					   MHD_GET_ARGUMENT_KIND, name);
+}
+
+struct header_visit {
+	void (*fn)(void *arg, const char *name, const char *value);
+	void *arg;
+};
+
+static enum MHD_Result visit_header(void *cls, enum MHD_ValueKind kind,
+				    const char *name, const char *value)
+{
+	const struct header_visit *visit = cls;
+
+	(void)kind;
+	if (value)
+		visit->fn(visit->arg, name, value);
+	return MHD_YES;
+}
+
+void web_each_header(const struct web_request *request,
+		     void (*fn)(void *arg, const char *name, const char *value),
+		     void *arg)
+{
+	struct header_visit visit = { .fn = fn, .arg = arg };
+
+	MHD_get_connection_values(exchange_of(request)->connection,
+				  MHD_HEADER_KIND, visit_header, &visit);
+}
+
+void web_respond(struct web_request *request, int status,
+		 const struct web_header *headers, const void *body, size_t len)
+{
+	struct exchange *ex = exchange_of(request);
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		len, (void *)body, MHD_RESPMEM_MUST_COPY);
+
+	for (; headers && headers->name; headers++)
+		MHD_add_response_header(response, headers->name,
+					headers->value);
+	if (ex->web->quiescing)
+		MHD_add_response_header(response, "Connection", "close");
+	ex->response = response;
+	ex->status = status;
+	if (ex->suspended) {
+		ex->suspended = false;
+		MHD_resume_connection(ex->connection);
+		evl_wake(ex->web->evl);
+	}
+}
+
+void web_respond_error(struct web_request *request, int kind, const char *text)
+{
+	static const struct web_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ NULL, NULL },
+	};
+	struct json_object *obj = json_object_new_object();
+	const char *body;
+
+	jsn_put_string(obj, "error", err_name(kind));
+	jsn_put_string(obj, "text", text);
+	body = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
+	web_respond(request, err_answer(kind)->http_status, headers, body,
+		    strlen(body));
+	json_object_put(obj);
+}
+
+uint32_t web_active(const struct web *web)
+{
+	return web->active;
+}
+
+void web_quiesce(struct web *web)
+{
+	MHD_socket listener;
+
+	if (web->quiescing)
+		return;
+	web->quiescing = true;
+	listener = MHD_quiesce_daemon(web->daemon);
+	if (listener != MHD_INVALID_SOCKET)
+		close(listener);
+}
--- /dev/null
+++ b/src/web.h
@@ -0,0 +1,86 @@
+/*
+ * NAME
+ *	web - HTTP server of a daemon, on libmicrohttpd
+ *
+ * A request is handed over when its body is whole. It is answered once, at
+ * once or later, by web_respond.
+ */
+#ifndef WEB_H
+#define WEB_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <apr_pools.h>
+
+#include "err.h"
+#include "evl.h"
+
+struct web;
+
+struct web_header {
+	const char *name;
+	const char *value;
+};
+
+struct web_request {
+	apr_pool_t *pool; /* lives until the request has been answered */
+	const char *method;
+	const char *path;   /* decoded, without the query */
+	const char *target; /* path and query as sent */
+	const char *body;
+	size_t body_len;
+	void *user; /* the handler's */
+};
+
+struct web_config {
+	const char *address;
+	uint16_t port;
+	size_t max_body_bytes;
+	void (*handle)(void *arg, struct web_request *request);
+	/* A request that was refused before it reached the handler. */
+	void (*refused)(void *arg, int kind);
+	void *arg;
+};
+
+/*
+ * web_create - listen, with the loop serving the connections
+ *
+ * RETURN VALUE
+ *	The server, or NULL with err filled in (ERR_IO).
+ */
+struct web *web_create(struct evl *evl, const struct web_config *config,
+		       struct err *err);
+void web_destroy(struct web *web);
+
+/* web_header - value of a request header, or NULL */
+const char *web_header(const struct web_request *request, const char *name);
+
+/* web_query - value of a query parameter, or NULL */
+const char *web_query(const struct web_request *request, const char *name);
+
+/* web_each_header - call fn for each header of the request */
+void web_each_header(const struct web_request *request,
+		     void (*fn)(void *arg, const char *name, const char *value),
+		     void *arg);
+
+/*
+ * web_respond - answer a request; headers end with a NULL name
+ *
+ * The body is copied. The request may be freed at once.
+ */
+void web_respond(struct web_request *request, int status,
+		 const struct web_header *headers, const void *body,
+		 size_t len);
+
+/* web_respond_error - answer with the kind's status and a JSON body */
+void web_respond_error(struct web_request *request, int kind, const char *text);
+
+/* web_active - requests that have begun and are not fully answered */
+uint32_t web_active(const struct web *web);
+
+/* web_quiesce - take no new connections; answers close their connection */
+void web_quiesce(struct web *web);
+
+#endif
--- /dev/null
+++ b/tests/test_core.c
@@ -0,0 +1,264 @@
+/* Unit tests of the fleet state: records, budgets, membership, snapshots. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fst.h"
+#include "rec.h"
+#include "snp.h"
+
+static struct fst *fst;
+static int64_t next_offset;
+static struct err err;
+
+static void setup(void)
+{
+	fst = fst_create();
+	next_offset = 0;
+	err.kind = ERR_OK;
+}
+
+static void teardown(void)
+{
+	fst_destroy(fst);
+}
+
+/* Applies a record given as the fields that follow type, id and author. */
+static int apply(const char *type, const char *fields)
+{
+	static int ids;
+	char text[4096];
+	struct rec rec;
+	int status;
+
+	snprintf(text, sizeof(text),
+		 "{\"type\":\"%s\",\"id\":\"%032x\",\"author\":\"a\","
+		 "\"at_ms\":1,%s}",
+		 type, ++ids, fields);
+	status = rec_parse(&rec, text, strlen(text), &err);
+	ck_assert_msg(status == 0, "%s: %s", text, err.text);
+	status = fst_apply(fst, next_offset++, &rec, &err);
+	rec_clear(&rec);
+	return status;
+}
+
+static void add_host(const char *name, const char *data_centre)
+{
+	char fields[512];
+
+	snprintf(fields, sizeof(fields),
+		 "\"host\":\"%s\",\"data_centre\":\"%s\",\"rack\":\"r\","
+		 "\"address\":\"127.0.0.1\",\"port\":80,\"cpu_milli\":1,"
+		 "\"mem_mib\":1,\"accelerators\":0,\"slots\":8,"
+		 "\"connections\":64",
+		 name, data_centre);
+	ck_assert_int_eq(apply("host", fields), 0);
+}
+
+static int heartbeat(const char *member, int incarnation, int seq,
+		     const char *data_centre)
+{
+	char fields[512];
+
+	snprintf(fields, sizeof(fields),
+		 "\"member\":\"%s\",\"incarnation\":%d,\"seq\":%d,"
+		 "\"data_centre\":\"%s\",\"address\":\"127.0.0.1\","
+		 "\"port\":1",
+		 member, incarnation, seq, data_centre);
+	return apply("member", fields);
+}
+
+static int quiet(const char *host, const char *member, int incarnation,
+		 int64_t drain)
+{
+	char fields[512];
+
+	snprintf(fields, sizeof(fields),
+		 "\"host\":\"%s\",\"member\":\"%s\",\"incarnation\":%d,"
+		 "\"drain\":%lld",
+		 host, member, incarnation, (long long)drain);
+	return apply("quiet", fields);
+}
+
+static const char three_hosts[] =
+	"\"team\":\"t\",\"base\":-1,\"settings\":{\"pools\":{\"p\":{"
+	"\"hosts\":[\"h0\",\"h1\",\"h2\"],\"min_available\":2}}}";
+
+static void add_pool(void)
+{
+	add_host("h0", "suva");
+	add_host("h1", "suva");
+	add_host("h2", "lautoka");
+	ck_assert_int_eq(apply("settings", three_hosts), 0);
+}
+
+START_TEST(budget_refuses_second_drain)
+{
+	add_pool();
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(apply("drain", "\"host\":\"h1\",\"reason\":\"x\""),
+			 ERR_BUDGET);
+	ck_assert_int_eq(fst_host(fst, "h1")->state, FST_SERVING);
+}
+END_TEST
+
+/* A host that failed by itself counts against the budget like a drain. */
+START_TEST(failure_uses_budget)
+{
+	add_pool();
+	ck_assert_int_eq(apply("fail", "\"host\":\"h2\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""),
+			 ERR_BUDGET);
+}
+END_TEST
+
+/* Of two changes with the same base the lower offset wins. */
+START_TEST(racing_settings_conflict)
+{
+	add_pool();
+	ck_assert_int_eq(apply("settings", three_hosts), ERR_CONFLICT);
+	ck_assert_ptr_nonnull(strstr(err.text, "version 3 is in force"));
+}
+END_TEST
+
+START_TEST(host_of_other_team_is_refused)
+{
+	add_pool();
+	ck_assert_int_eq(
+		apply("settings",
+		      "\"team\":\"u\",\"base\":-1,\"settings\":{\"pools\":{"
+		      "\"q\":{\"hosts\":[\"h1\"],\"min_available\":0}}}"),
+		ERR_CONFLICT);
+	ck_assert_ptr_null(fst_team(fst, "u"));
+	ck_assert_str_eq(fst_host(fst, "h1")->team, "t");
+}
+END_TEST
+
+/* A lost append answer leads to a second copy, which must do nothing. */
+START_TEST(duplicate_id_has_no_effect)
+{
+	const char *text = "{\"type\":\"undrain\",\"id\":"
+			   "\"ffffffffffffffffffffffffffffffff\","
+			   "\"author\":\"a\",\"at_ms\":1,\"host\":\"h0\","
+			   "\"reason\":\"x\"}";
+	struct rec rec;
+
+	add_pool();
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(rec_parse(&rec, text, strlen(text), &err), 0);
+	ck_assert_int_eq(fst_apply(fst, next_offset++, &rec, &err), 0);
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(fst_apply(fst, next_offset++, &rec, &err),
+			 ERR_DUPLICATE);
+	/* Nobody needs to confirm, so the second drain ended at once. */
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINED);
+	rec_clear(&rec);
+}
+END_TEST
+
+/* A drain ends only when every member that may send has confirmed it. */
+START_TEST(drain_waits_for_members)
+{
+	int64_t drain;
+
+	add_pool();
+	heartbeat("e0", 1, 1, "suva");
+	heartbeat("e1", 1, 1, "lautoka");
+	drain = next_offset;
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	/* One that joins later never sent to the host. */
+	heartbeat("e2", 1, 1, "suva");
+	ck_assert_int_eq(quiet("h0", "e0", 1, drain), 0);
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINING);
+	ck_assert_int_eq(quiet("h0", "e1", 2, drain), ERR_STATE);
+	ck_assert_int_eq(quiet("h0", "e1", 1, drain + 1), ERR_STATE);
+	ck_assert_int_eq(quiet("h0", "e1", 1, drain), 0);
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINED);
+}
+END_TEST
+
+/*
+ * A member that expired has lost its right to send to other data centres, but
+ * goes on with the hosts of its own while it is cut off.
+ */
+START_TEST(expiry_frees_other_data_centres_only)
+{
+	int64_t seen;
+
+	add_pool();
+	seen = next_offset;
+	heartbeat("e0", 1, 1, "suva");
+	ck_assert_int_eq(apply("drain", "\"host\":\"h2\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(fst_host(fst, "h2")->state, FST_DRAINING);
+	heartbeat("e0", 1, 2, "suva");
+	/* The proposer did not see the newer heartbeat. */
+	ck_assert_int_eq(
+		apply("member-expired",
+		      "\"member\":\"e0\",\"incarnation\":1,\"seen\":4"),
+		ERR_STATE);
+	ck_assert_int_eq(seen, 4);
+	ck_assert_int_eq(
+		apply("member-expired",
+		      "\"member\":\"e0\",\"incarnation\":1,\"seen\":6"),
+		0);
+	ck_assert_int_eq(fst_host(fst, "h2")->state, FST_DRAINED);
+	ck_assert_int_eq(apply("undrain", "\"host\":\"h2\",\"reason\":\"x\""),
+			 0);
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINING);
+	ck_assert_int_eq(
+		apply("member-left", "\"member\":\"e0\",\"incarnation\":1"), 0);
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINED);
+}
+END_TEST
+
+START_TEST(snapshot_gives_the_same_bytes)
+{
+	size_t len, again_len;
+	struct fst *copy;
+	char *text, *again;
+
+	add_pool();
+	heartbeat("e0", 1, 1, "suva");
+	apply("drain", "\"host\":\"h0\",\"reason\":\"x\"");
+	text = snp_encode(fst, &len);
+	copy = snp_decode(text, len, &err);
+	ck_assert_msg(copy != NULL, "%s", err.text);
+	again = snp_encode(copy, &again_len);
+	ck_assert_str_eq(text, again);
+	fst_destroy(fst);
+	fst = copy;
+	ck_assert_int_eq(quiet("h0", "e0", 1, 5), 0);
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINED);
+	free(text);
+	free(again);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("core");
+	TCase *tcase = tcase_create("fleet state");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, budget_refuses_second_drain);
+	tcase_add_test(tcase, failure_uses_budget);
+	tcase_add_test(tcase, racing_settings_conflict);
+	tcase_add_test(tcase, host_of_other_team_is_refused);
+	tcase_add_test(tcase, duplicate_id_has_no_effect);
+	tcase_add_test(tcase, drain_waits_for_members);
+	tcase_add_test(tcase, expiry_frees_other_data_centres_only);
+	tcase_add_test(tcase, snapshot_gives_the_same_bytes);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/workerd.c
@@ -0,0 +1,188 @@
+/*
+ * Stand-in for a worker: answers after sleep_ms of the query, at most SLOTS
+ * at a time, and counts how often each Idempotency-Key was run. POST /control
+ * sets its mode: {"mode": "ok" | "fail" | "leaving" | "hang"}; GET /control
+ * tells the counts.
+ */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <apr_hash.h>
+#include <apr_strings.h>
+
+#include "clk.h"
+#include "evl.h"
+#include "jsn.h"
+#include "web.h"
+
+enum { SLOTS = 8 };
+
+struct task {
+	struct task *next;
+	struct web_request *request;
+	int64_t due_ms;
+};
+
+static struct evl *evl;
+static const char *name;
+static char mode[16] = "ok";
+static struct task *tasks;
+static int64_t active, most_active, runs, refusals, doubles, cut;
+static apr_pool_t *pool;
+static apr_hash_t *keys;
+
+static int64_t now(void)
+{
+	return clk_now_ms(evl_clk(evl));
+}
+
+static void answer(struct web_request *request, int status, const char *text)
+{
+	static const struct web_header refusal[] = {
+		{ "Plank-Refused", "yes" },
+		{ NULL, NULL },
+	};
+
+	web_respond(request, status, status == 503 ? refusal : NULL, text,
+		    strlen(text));
+}
+
+static void count_key(struct web_request *request)
+{
+	const char *key = web_header(request, "Idempotency-Key");
+
+	if (!key)
+		return;
+	if (apr_hash_get(keys, key, APR_HASH_KEY_STRING))
+		doubles++;
+	key = apr_pstrdup(pool, key);
+	apr_hash_set(keys, key, APR_HASH_KEY_STRING, key);
+}
+
+static void finish(struct web_request *request)
+{
+	char *text = apr_psprintf(
+		request->pool,
+		"{\"worker\":\"%s\",\"target\":\"%s\",\"body\":%" APR_SIZE_T_FMT
+		"}\n",
+		name, request->target, request->body_len);
+
+	active--;
+	answer(request, strcmp(mode, "fail") ? 200 : 500, text);
+}
+
+static void control(struct web_request *request)
+{
+	struct json_object *value = json_tokener_parse(request->body);
+	struct json_object *member = NULL;
+	char *text;
+
+	json_object_object_get_ex(value, "mode", &member);
+	if (member)
+		apr_cpystrn(mode, json_object_get_string(member), sizeof(mode));
+	json_object_put(value);
+	text = apr_psprintf(request->pool,
+			    "{\"runs\":%" PRId64 ",\"refusals\":%" PRId64
+			    ",\"doubles\":%" PRId64 ",\"active\":%" PRId64
+			    ",\"most_active\":%" PRId64 ",\"cut\":%" PRId64
+			    "}\n",
+			    runs, refusals, doubles, active, most_active, cut);
+	answer(request, 200, text);
+}
+
+static void handle(void *arg, struct web_request *request)
+{
+	const char *sleep_text = web_query(request, "sleep_ms");
+	struct task *task;
+
+	(void)arg;
+	if (!strcmp(request->path, "/control")) {
+		control(request);
+		return;
+	}
+	if (active >= SLOTS || !strcmp(mode, "leaving")) {
+		refusals++;
+		answer(request, 503, "");
+		return;
+	}
+	runs++;
+	active++;
+	if (active > most_active)
+		most_active = active;
+	count_key(request);
+	if (!sleep_text && strcmp(mode, "hang")) {
+		finish(request);
+		return;
+	}
+	task = calloc(1, sizeof(*task));
+	task->next = tasks;
+	task->request = request;
+	task->due_ms = strcmp(mode, "hang") ? now() + apr_atoi64(sleep_text)
+					    : INT64_MAX;
+	tasks = task;
+}
+
+static void tick(void *arg)
+{
+	struct task **link = &tasks;
+
+	(void)arg;
+	while (*link) {
+		struct task *task = *link;
+
+		if (now() < task->due_ms) {
+			link = &task->next;
+			continue;
+		}
+		*link = task->next;
+		finish(task->request);
+		free(task);
+	}
+}
+
+static void refused(void *arg, int kind)
+{
+	(void)arg;
+	(void)kind;
+	cut++;
+}
+
+static void stop(void *arg)
+{
+	(void)arg;
+	evl_stop(evl);
+}
+
+int main(int argc, char **argv)
+{
+	struct err err = { .kind = ERR_OK };
+	struct web_config config = {
+		.address = "127.0.0.1",
+		.max_body_bytes = 16 * 1024 * 1024,
+		.handle = handle,
+		.refused = refused,
+	};
+
+	if (argc < 3) {
+		fprintf(stderr, "usage: workerd NAME PORT\n");
+		return 2;
+	}
+	name = argv[1];
+	config.port = (uint16_t)atoi(argv[2]);
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	keys = apr_hash_make(pool);
+	evl = evl_create(clk_system());
+	if (!web_create(evl, &config, &err)) {
+		fprintf(stderr, "workerd: %s\n", err.text);
+		return 1;
+	}
+	evl_on_stop_signal(evl, stop, NULL);
+	evl_every(evl, 5, tick, NULL);
+	evl_run(evl);
+	return 0;
+}
