--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 CPPFLAGS = -D_GNU_SOURCE -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
-CORE = err clk rnd ctr tbl jsn fld rec tms fst snp mbr rte
+CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host fst_member snp mbr rte
 AROUND = log fio cnf cmd evl web plt prp rpl sns flw hls rps rpf adm fwd
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
@@ -29,7 +29,8 @@
 	mkdir -p $@
 
 $(BUILD)/%.o: src/%.c $(wildcard src/*.h) Makefile | $(BUILD)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
+	@echo "  CC $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
 
 # Generated code is compiled as it comes.
 $(GENERATED:%=$(BUILD)/%.o): CFLAGS += -w
--- /dev/null
+++ b/src/fst_settings.c
@@ -0,0 +1,156 @@
+/* Fleet state: team settings. */
+
+#include "fst_int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+static bool in_settings(const struct tms *settings, const char *host)
+{
+	return tms_pool_of(settings, host) != NULL;
+}
+
+/* A listed host must be free, or already in that pool of this team. */
+static int check_listed(const struct fst *fst, const char *team,
+			const struct tms_pool *pool, struct err *err)
+{
+	for (uint32_t i = 0; i < pool->hosts.count; i++) {
+		const struct fst_host *host =
+			fst_host(fst, pool->hosts.names[i]);
+
+		if (!host)
+			continue;
+		if (host->state == FST_RETIRED && !host->team[0])
+			return err_set(err, ERR_STATE, "host %s is retired",
+				       host->name);
+		if (!host->team[0])
+			continue;
+		if (strcmp(host->team, team))
+			return err_set(err, ERR_CONFLICT,
+				       "host %s belongs to team %s", host->name,
+				       host->team);
+		if (strcmp(host->pool, pool->name))
+			return err_set(err, ERR_STATE,
+				       "host %s is in pool %s; settings do not "
+				       "move a host to pool %s",
+				       host->name, host->pool, pool->name);
+	}
+	return 0;
+}
+
+/* A host may be left out only once it serves no more. */
+static int check_removed(const struct fst *fst, const char *team,
+			 const struct tms *settings, struct err *err)
+{
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+
+		if (strcmp(host->team, team) ||
+		    in_settings(settings, host->name) ||
+		    host->state == FST_DRAINED || host->state == FST_RETIRED)
+			continue;
+		return err_set(err, ERR_STATE,
+			       "host %s is %s; drain or retire it before it is "
+			       "left out",
+			       host->name, fst_host_state_name(host->state));
+	}
+	return 0;
+}
+
+/* A budget may not be raised above what a drain under way leaves. */
+static int check_budgets(const struct fst *fst, const char *team,
+			 const struct tms *settings, struct err *err)
+{
+	for (uint32_t i = 0; i < settings->pool_count; i++) {
+		const struct tms_pool *pool = &settings->pools[i];
+		struct fst_pool_use use = fst_pool_use(fst, team, pool->name);
+
+		if (use.planned_out && pool->min_available > use.available &&
+		    pool->min_available > use.min_available)
+			return err_set(err, ERR_BUDGET,
+				       "pools.%s.min_available: %u given, but "
+				       "%u hosts are available and %u are out "
+				       "for maintenance",
+				       pool->name, pool->min_available,
+				       use.available, use.planned_out);
+	}
+	return 0;
+}
+
+static void assign_hosts(struct fst *fst, int64_t offset, const char *team,
+			 const struct tms *settings)
+{
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		struct fst_host *host = tbl_at(fst->hosts, i);
+
+		if (strcmp(host->team, team) ||
+		    in_settings(settings, host->name))
+			continue;
+		host->team[0] = 0;
+		host->pool[0] = 0;
+	}
+	for (uint32_t i = 0; i < settings->pool_count; i++) {
+		const struct tms_pool *pool = &settings->pools[i];
+
+		for (uint32_t k = 0; k < pool->hosts.count; k++) {
+			const char *name = pool->hosts.names[k];
+			struct fst_host *host = fst_host(fst, name);
+
+			if (!host) {
+				host = tbl_add(fst->hosts, name);
+				fst_set_state(host, FST_SERVING, offset,
+					      "assigned");
+			}
+			if (host->team[0])
+				continue;
+			if (host->state == FST_DRAINED)
+				fst_set_state(host, FST_SERVING, offset,
+					      "assigned");
+			snprintf(host->team, sizeof(host->team), "%s", team);
+			snprintf(host->pool, sizeof(host->pool), "%s",
+				 pool->name);
+		}
+	}
+}
+
+int fst_apply_settings(struct fst *fst, int64_t offset, const struct rec *rec,
+		       struct fst_change *change, struct err *err)
+{
+	struct fst_team *team = fst_team(fst, rec->team);
+	int64_t version = team ? team->version : FST_NONE;
+	struct tms *settings;
+	int status = 0;
+
+	change->target = rec->team;
+	snprintf(change->before, sizeof(change->before), "%" PRId64, version);
+	snprintf(change->after, sizeof(change->after), "%" PRId64, offset);
+	if (rec->base != version)
+		return err_set(err, ERR_CONFLICT,
+			       "based on version %" PRId64
+			       ", but version %" PRId64 " is in force",
+			       rec->base, version);
+	if (!team && tbl_count(fst->teams) >= LIM_TEAMS)
+		return err_set(err, ERR_TOO_LARGE, "more than %d teams",
+			       LIM_TEAMS);
+	settings = tms_parse(rec->settings, strlen(rec->settings), err);
+	if (!settings)
+		return err->kind;
+	for (uint32_t i = 0; i < settings->pool_count && status == 0; i++)
+		status = check_listed(fst, rec->team, &settings->pools[i], err);
+	if (status == 0)
+		status = check_removed(fst, rec->team, settings, err);
+	if (status == 0)
+		status = check_budgets(fst, rec->team, settings, err);
+	if (status < 0) {
+		tms_destroy(settings);
+		return status;
+	}
+	if (!team)
+		team = tbl_add(fst->teams, rec->team);
+	tms_destroy(team->settings);
+	team->settings = settings;
+	team->version = offset;
+	assign_hosts(fst, offset, rec->team, settings);
+	return 0;
+}
