--- a/src/adm.c
+++ b/src/adm.c
@@ -7,12 +7,27 @@
 #include <apr_strings.h>
 #include <json-c/json.h>
 
-#include "fld.h"
-#include "log.h"
+#include "jsn.h"
+#include "snp.h"
+#include "vew.h"
+
+enum { MAX_PARTS = 5 };
+
+/* Outcome of a record that was read, for a client that repeats its change. */
+struct outcome {
+	char id[LIM_ID_BYTES];
+	char author[LIM_NAME_BYTES];
+	char target[LIM_NAME_BYTES]; /* team or host */
+	enum rec_type type;
+	int64_t offset;
+	struct err result;
+};
 
 struct adm {
 	struct adm_config config;
 	uint32_t pending;
+	uint32_t outcome_count; /* ever kept; the ring holds the last ones */
+	struct outcome outcomes[LIM_IDS];
 };
 
 static const struct web_header json_headers[] = {
@@ -77,183 +92,6 @@
 	return !strcmp(op->team, "*") || !strcmp(op->team, team);
 }
 
-static struct json_object *team_json(const struct fst_team *team,
-				     bool with_settings)
-{
-	struct json_object *obj = json_object_new_object();
-
-	jsn_put_string(obj, "team", team->name);
-	jsn_put_int(obj, "version", team->version);
-	if (with_settings)
-		json_object_object_add(
-			obj, "settings",
-			json_tokener_parse(team->settings->text));
-	return obj;
-}
-
-static void get_team(struct adm *adm, struct web_request *request,
-		     const char *name)
-{
-	const struct fst_team *team =
-		fst_team(rpl_state(adm->config.rpl), name);
-
-	if (!team) {
-		refuse(adm, request, ERR_NOT_FOUND, "no such team");
-		return;
-	}
-	respond_json(request, 200, team_json(team, true));
-}
-
-static void get_teams(struct adm *adm, struct web_request *request)
-{
-	const struct fst *fst = rpl_state(adm->config.rpl);
-	struct json_object *list = json_object_new_array();
-
-	for (uint32_t i = 0; i < tbl_count(fst->teams); i++)
-		json_object_array_add(list,
-				      team_json(tbl_at(fst->teams, i), false));
-	respond_json(request, 200, list);
-}
-
-static void add_pools(const struct fst *fst, const struct fst_team *team,
-		      struct json_object *list)
-{
-	for (uint32_t i = 0; i < team->settings->pool_count; i++) {
-		const char *pool = team->settings->pools[i].name;
-		struct fst_pool_use use = fst_pool_use(fst, team->name, pool);
-		struct json_object *obj = json_object_new_object();
-
-		jsn_put_string(obj, "team", team->name);
-		jsn_put_string(obj, "pool", pool);
-		jsn_put_int(obj, "hosts", use.hosts);
-		jsn_put_int(obj, "available", use.available);
-		jsn_put_int(obj, "min_available", use.min_available);
-		jsn_put_int(obj, "planned_out", use.planned_out);
-		jsn_put_int(obj, "failed", use.failed);
-		json_object_array_add(list, obj);
-	}
-}
-
-static void get_pools(struct adm *adm, struct web_request *request)
-{
-	const struct fst *fst = rpl_state(adm->config.rpl);
-	struct json_object *list = json_object_new_array();
-
-	for (uint32_t i = 0; i < tbl_count(fst->teams); i++)
-		add_pools(fst, tbl_at(fst->teams, i), list);
-	respond_json(request, 200, list);
-}
-
-static struct json_object *host_json(const struct fst *fst,
-				     const struct fst_host *host)
-{
-	struct json_object *obj = json_object_new_object();
-	struct json_object *waits = json_object_new_array();
-
-	jsn_put_string(obj, "host", host->name);
-	jsn_put_string(obj, "team", host->team);
-	jsn_put_string(obj, "pool", host->pool);
-	jsn_put_string(obj, "state", fst_host_state_name(host->state));
-	jsn_put_string(obj, "reason", host->reason);
-	jsn_put_string(obj, "data_centre", host->data_centre);
-	jsn_put_string(obj, "rack", host->rack);
-	jsn_put_string(obj, "address", host->address);
-	jsn_put_int(obj, "port", host->port);
-	jsn_put_int(obj, "drain", host->drain_offset);
-	jsn_put_int(obj, "changed", host->changed_offset);
-	for (uint32_t i = 0; i < tbl_count(fst->members); i++) {
-		const struct fst_member *member = tbl_at(fst->members, i);
-
-		if (host->state == FST_DRAINING &&
-		    fst_member_needed(host, member) &&
-		    !fst_is_quiet(host, member))
-			json_object_array_add(
-				waits, json_object_new_string(member->name));
-	}
-	json_object_object_add(obj, "waits_for", waits);
-	return obj;
-}
-
-static void get_hosts(struct adm *adm, struct web_request *request)
-{
-	const struct fst *fst = rpl_state(adm->config.rpl);
-	struct json_object *list = json_object_new_array();
-
-	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++)
-		json_object_array_add(list,
-				      host_json(fst, tbl_at(fst->hosts, i)));
-	respond_json(request, 200, list);
-}
-
-static void get_host(struct adm *adm, struct web_request *request,
-		     const char *name)
-{
-	const struct fst *fst = rpl_state(adm->config.rpl);
-	const struct fst_host *host = fst_host(fst, name);
-
-	if (host)
-		respond_json(request, 200, host_json(fst, host));
-	else
-		refuse(adm, request, ERR_NOT_FOUND, "no such host");
-}
-
-static void get_members(struct adm *adm, struct web_request *request)
-{
-	const struct fst *fst = rpl_state(adm->config.rpl);
-	struct json_object *list = json_object_new_array();
-
-	for (uint32_t i = 0; i < tbl_count(fst->members); i++) {
-		const struct fst_member *member = tbl_at(fst->members, i);
-		struct json_object *obj = json_object_new_object();
-
-		jsn_put_string(obj, "member", member->name);
-		jsn_put_string(obj, "data_centre", member->data_centre);
-		jsn_put_string(obj, "state",
-			       member->expired ? "expired" : "live");
-		jsn_put_int(obj, "incarnation", member->incarnation);
-		jsn_put_int(obj, "joined", member->join_offset);
-		jsn_put_int(obj, "heartbeat", member->seen_offset);
-		json_object_array_add(list, obj);
-	}
-	respond_json(request, 200, list);
-}
-
-static struct json_object *audit_json(const struct fst_audit *entry)
-{
-	struct json_object *obj = json_object_new_object();
-
-	jsn_put_int(obj, "offset", entry->offset);
-	jsn_put_int(obj, "at_ms", entry->at_ms);
-	jsn_put_string(obj, "author", entry->author);
-	jsn_put_string(obj, "action", entry->action);
-	jsn_put_string(obj, "target", entry->target);
-	jsn_put_string(obj, "before", entry->before);
-	jsn_put_string(obj, "after", entry->after);
-	jsn_put_string(obj, "result", err_name(entry->result));
-	jsn_put_string(obj, "detail", entry->detail);
-	return obj;
-}
-
-static void get_audit(struct adm *adm, struct web_request *request)
-{
-	const struct fst *fst = rpl_state(adm->config.rpl);
-	const char *from_text = web_query(request, "from");
-	int64_t from = from_text ? apr_atoi64(from_text) : 0;
-	uint32_t kept = fst->audit_count < LIM_AUDIT_ENTRIES
-				? fst->audit_count
-				: LIM_AUDIT_ENTRIES;
-	struct json_object *list = json_object_new_array();
-
-	for (uint32_t i = fst->audit_count - kept; i < fst->audit_count; i++) {
-		const struct fst_audit *entry =
-			&fst->audit[i % LIM_AUDIT_ENTRIES];
-
-		if (entry->offset >= from)
-			json_object_array_add(list, audit_json(entry));
-	}
-	respond_json(request, 200, list);
-}
-
 static void get_status(struct adm *adm, struct web_request *request)
 {
 	const struct adm_config *config = &adm->config;
@@ -279,57 +117,181 @@
 	respond_json(request, 200, obj);
 }
 
+static const char *target_of(const struct rec *rec)
+{
+	return rec->type == REC_SETTINGS ? rec->team : rec->host;
+}
+
+static const struct outcome *find_outcome(const struct adm *adm, const char *id)
+{
+	uint32_t kept =
+		adm->outcome_count < LIM_IDS ? adm->outcome_count : LIM_IDS;
+
+	for (uint32_t i = 0; i < kept; i++)
+		if (!strcmp(adm->outcomes[i].id, id))
+			return &adm->outcomes[i];
+	return NULL;
+}
+
+void adm_observe(struct adm *adm, int64_t offset, const struct rec *rec,
+		 const struct err *result)
+{
+	struct outcome *outcome;
+
+	/* Only these types are changes of operators. */
+	if (result->kind == ERR_DUPLICATE ||
+	    (!rec->host[0] && rec->type != REC_SETTINGS) || rec->member[0])
+		return;
+	outcome = &adm->outcomes[adm->outcome_count++ % LIM_IDS];
+	*outcome = (struct outcome){
+		.type = rec->type,
+		.offset = offset,
+		.result = *result,
+	};
+	memcpy(outcome->id, rec->id, sizeof(outcome->id));
+	memcpy(outcome->author, rec->author, sizeof(outcome->author));
+	apr_cpystrn(outcome->target, target_of(rec), sizeof(outcome->target));
+}
+
+static void answer_change(struct adm *adm, struct web_request *request,
+			  const struct err *result, int64_t offset)
+{
+	struct json_object *obj;
+
+	if (result->kind != ERR_OK) {
+		refuse(adm, request, result->kind, result->text);
+		return;
+	}
+	obj = json_object_new_object();
+	jsn_put_string(obj, "result", "accepted");
+	jsn_put_int(obj, "offset", offset);
+	respond_json(request, 200, obj);
+}
+
 /* A request that waits for its proposal. */
 struct waiting {
 	struct adm *adm;
 	struct web_request *request;
+	char id[LIM_ID_BYTES]; /* chosen by the client, or empty */
 };
 
 static void change_done(void *arg, const struct err *result, int64_t offset,
 			int64_t created_ms)
 {
 	struct waiting *waiting = arg;
-	struct web_request *request = waiting->request;
-	struct json_object *obj;
+	const struct outcome *first = NULL;
 
 	(void)created_ms;
 	waiting->adm->pending--;
-	if (result->kind != ERR_OK) {
-		refuse(waiting->adm, request, result->kind, result->text);
-		return;
-	}
-	obj = json_object_new_object();
-	jsn_put_string(obj, "result", "accepted");
-	jsn_put_int(obj, "offset", offset);
-	respond_json(request, 200, obj);
+	/* An earlier copy took effect: the client wants to know its result. */
+	if (result->kind == ERR_DUPLICATE && waiting->id[0])
+		first = find_outcome(waiting->adm, waiting->id);
+	if (first)
+		answer_change(waiting->adm, waiting->request, &first->result,
+			      first->offset);
+	else
+		answer_change(waiting->adm, waiting->request, result, offset);
+}
+
+static bool is_change_id(const char *id)
+{
+	return strlen(id) == LIM_ID_BYTES - 1 &&
+	       strspn(id, "0123456789abcdef") == LIM_ID_BYTES - 1;
+}
+
+/*
+ * Takes the client's id of a change. Ids are remembered for the last LIM_IDS
+ * records, so an id that was chosen earlier than that is refused: its first
+ * copy could have been forgotten, and the change would have its effect twice.
+ */
+static int take_change_id(struct adm *adm, struct web_request *request,
+			  struct rec *rec, struct err *err)
+{
+	const char *id = web_header(request, "Plank-Change-Id");
+	const char *since = web_header(request, "Plank-Change-Since");
+	int64_t next = rpl_next(adm->config.rpl);
+	int64_t since_offset = 0;
+
+	if (!id)
+		return 0;
+	if (!is_change_id(id))
+		return err_set(err, ERR_INVALID,
+			       "Plank-Change-Id: 32 hexadecimal digits wanted");
+	if (!since || !*since || strspn(since, "0123456789") != strlen(since) ||
+	    strlen(since) > 18)
+		return err_set(err, ERR_INVALID,
+			       "Plank-Change-Since: the next offset when the "
+			       "id was chosen wanted");
+	since_offset = apr_atoi64(since);
+	if (next - since_offset > LIM_IDS && !find_outcome(adm, id))
+		return err_set(err, ERR_GONE,
+			       "the change id was chosen at offset %" PRId64
+			       ", %" PRId64 " records ago; at most %d are safe "
+			       "to repeat, see the audit trail",
+			       since_offset, next - since_offset, LIM_IDS);
+	apr_cpystrn(rec->id, id, sizeof(rec->id));
+	return 0;
+}
+
+/* Answers a change whose record was read already; false if it was not. */
+static bool answer_known(struct adm *adm, struct web_request *request,
+			 const struct rec *rec)
+{
+	const struct outcome *first =
+		rec->id[0] ? find_outcome(adm, rec->id) : NULL;
+
+	if (!first)
+		return false;
+	if (first->type != rec->type || strcmp(first->author, rec->author) ||
+	    strcmp(first->target, target_of(rec)))
+		refuse(adm, request, ERR_DUPLICATE,
+		       "the change id was used for another change");
+	else
+		answer_change(adm, request, &first->result, first->offset);
+	return true;
 }
 
+/* Takes over what the record owns. */
 static void propose(struct adm *adm, struct web_request *request,
 		    const struct cnf_operator *op, struct rec *rec)
 {
-	struct waiting *waiting = apr_palloc(request->pool, sizeof(*waiting));
+	struct waiting *waiting = apr_pcalloc(request->pool, sizeof(*waiting));
+	struct err err = { .kind = ERR_OK };
 	int status;
 
-	if (*adm->config.stopping) {
+	apr_cpystrn(rec->author, op->name, sizeof(rec->author));
+	if (*adm->config.stopping)
+		err_set(&err, ERR_STOPPING, "this daemon is stopping");
+	else
+		take_change_id(adm, request, rec, &err);
+	if (err.kind != ERR_OK) {
+		rec_clear(rec);
+		refuse(adm, request, err.kind, err.text);
+		return;
+	}
+	if (answer_known(adm, request, rec)) {
 		rec_clear(rec);
-		refuse(adm, request, ERR_STOPPING, "this daemon is stopping");
 		return;
 	}
 	waiting->adm = adm;
 	waiting->request = request;
-	apr_cpystrn(rec->author, op->name, sizeof(rec->author));
+	memcpy(waiting->id, rec->id, sizeof(waiting->id));
 	adm->pending++;
 	status = prp_propose(adm->config.prp, NULL, rec, LIM_CHANGE_TIMEOUT_MS,
 			     change_done, waiting);
 	if (status < 0) {
 		adm->pending--;
-		refuse(adm, request, status, "the change was not proposed");
+		refuse(adm, request, status, err_answer(status)->message);
 	}
 }
 
-/* Body of a settings change: {"base": n, "settings": {...}} */
+/*
+ * Body of a settings change: {"base": n, "settings": {...}}. Without a base
+ * *base stays as it is, if it may be left out.
+ */
 static struct json_object *parse_change(struct web_request *request,
-					int64_t *base, struct err *fault)
+					bool needs_base, int64_t *base,
+					struct err *fault)
 {
 	static const char *const keys[] = { "base", "settings", NULL };
 	struct json_object *value =
@@ -342,7 +304,8 @@
 	if (!value)
 		return NULL;
 	jsn_keys(&root, keys);
-	*base = jsn_int(&base_at, -1, INT64_MAX, INT64_MIN);
+	if (needs_base || base_at.value)
+		*base = jsn_int(&base_at, -1, INT64_MAX, INT64_MIN);
 	if (jsn_object(&settings_at))
 		settings = json_object_get(settings_at.value);
 	json_object_put(value);
@@ -352,11 +315,53 @@
 	return NULL;
 }
 
+/* Applies a change to a copy of the state: what its record would meet now. */
+static int dry_run(struct adm *adm, const struct rec *rec, struct err *err)
+{
+	const struct fst *fst = rpl_state(adm->config.rpl);
+	char *record = rec_encode(rec);
+	char *text;
+	struct fst *copy;
+	size_t len = 0;
+	int status = ERR_NO_MEMORY;
+
+	if (record && strlen(record) + LIM_ID_BYTES > LIM_RECORD_BYTES)
+		status = err_set(err, ERR_TOO_LARGE,
+				 "a record of at most %d bytes wanted",
+				 LIM_RECORD_BYTES);
+	else if (record && (text = snp_encode(fst, &len))) {
+		copy = snp_decode(text, len, err);
+		free(text);
+		status = copy ? fst_apply(copy, copy->next, rec, err)
+			      : err->kind;
+		fst_destroy(copy);
+	}
+	free(record);
+	return status;
+}
+
+static void check_settings(struct adm *adm, struct web_request *request,
+			   struct rec *rec)
+{
+	static const char valid[] = "{\"result\":\"valid\"}";
+	struct err fault = { .kind = ERR_OK };
+
+	if (dry_run(adm, rec, &fault) == 0)
+		web_respond(request, 200, json_headers, valid,
+			    sizeof(valid) - 1);
+	else
+		refuse(adm, request, fault.kind ? fault.kind : ERR_NO_MEMORY,
+		       fault.text);
+	rec_clear(rec);
+}
+
 /* Checks a team's settings; publish proposes them as well. */
 static void post_settings(struct adm *adm, struct web_request *request,
 			  const struct cnf_operator *op, const char *team,
 			  bool publish)
 {
+	const struct fst_team *present =
+		fst_team(rpl_state(adm->config.rpl), team);
 	struct err fault = { .kind = ERR_OK };
 	struct rec rec = { .type = REC_SETTINGS };
 	struct json_object *settings;
@@ -367,7 +372,8 @@
 		       "the operator may not change this team's settings");
 		return;
 	}
-	settings = parse_change(request, &rec.base, &fault);
+	rec.base = present ? present->version : FST_NONE;
+	settings = parse_change(request, publish, &rec.base, &fault);
 	if (!settings) {
 		refuse(adm, request, fault.kind, fault.text);
 		return;
@@ -375,20 +381,23 @@
 	rec.settings = strdup(json_object_to_json_string_ext(
 		settings, JSON_C_TO_STRING_PLAIN));
 	json_object_put(settings);
+	apr_cpystrn(rec.team, team, sizeof(rec.team));
+	if (!rec.settings) {
+		refuse(adm, request, ERR_NO_MEMORY, "out of memory");
+		return;
+	}
+	if (!publish) {
+		check_settings(adm, request, &rec);
+		return;
+	}
 	tms = tms_parse(rec.settings, strlen(rec.settings), &fault);
-	if (!tms || !publish) {
-		rec_clear(&rec);
-		if (tms)
-			web_respond(request, 200, json_headers,
-				    "{\"result\":\"valid\"}", 18);
-		else
-			refuse(adm, request, fault.kind, fault.text);
+	if (tms) {
 		tms_destroy(tms);
+		propose(adm, request, op, &rec);
 		return;
 	}
-	tms_destroy(tms);
-	apr_cpystrn(rec.team, team, sizeof(rec.team));
-	propose(adm, request, op, &rec);
+	rec_clear(&rec);
+	refuse(adm, request, fault.kind, fault.text);
 }
 
 static void post_host(struct adm *adm, struct web_request *request,
@@ -442,29 +451,59 @@
 	}
 }
 
-struct route {
-	const char *path;
-	void (*get)(struct adm *adm, struct web_request *request);
+static void respond_found(struct adm *adm, struct web_request *request,
+			  struct json_object *value)
+{
+	if (value)
+		respond_json(request, 200, value);
+	else
+		refuse(adm, request, ERR_NOT_FOUND, "no such resource");
+}
+
+static void get_audit(struct adm *adm, struct web_request *request)
+{
+	const char *from = web_query(request, "from");
+
+	if (from && (!*from || strlen(from) > 18 ||
+		     strspn(from, "0123456789") != strlen(from)))
+		refuse(adm, request, ERR_INVALID, "from: an offset wanted");
+	else
+		respond_json(request, 200,
+			     vew_audit(rpl_state(adm->config.rpl),
+				       from ? apr_atoi64(from) : 0));
+}
+
+struct list {
+	const char *name;
+	struct json_object *(*view)(const struct fst *fst);
 };
 
-static const struct route routes[] = {
-	{ "/v1/status", get_status },	{ "/v1/teams", get_teams },
-	{ "/v1/pools", get_pools },	{ "/v1/hosts", get_hosts },
-	{ "/v1/members", get_members }, { "/v1/audit", get_audit },
+static const struct list lists[] = {
+	{ "teams", vew_teams },
+	{ "pools", vew_pools },
+	{ "hosts", vew_hosts },
+	{ "members", vew_members },
 };
 
 static void get(struct adm *adm, struct web_request *request, char **parts,
 		int count)
 {
-	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
-		if (!strcmp(routes[i].path, request->path)) {
-			routes[i].get(adm, request);
+	const struct fst *fst = rpl_state(adm->config.rpl);
+
+	for (size_t i = 0; count == 2 && i < sizeof(lists) / sizeof(lists[0]);
+	     i++)
+		if (!strcmp(lists[i].name, parts[1])) {
+			respond_json(request, 200, lists[i].view(fst));
 			return;
 		}
-	if (count == 3 && !strcmp(parts[1], "teams"))
-		get_team(adm, request, parts[2]);
+	if (count == 2 && !strcmp(parts[1], "status"))
+		get_status(adm, request);
+	else if (count == 2 && !strcmp(parts[1], "audit"))
+		get_audit(adm, request);
+	else if (count == 3 && !strcmp(parts[1], "teams"))
+		respond_found(adm, request, vew_team(fst, parts[2]));
 	else if (count == 3 && !strcmp(parts[1], "hosts"))
-		get_host(adm, request, parts[2]);
+		respond_found(adm, request, vew_host(fst, parts[2]));
 	else
 		refuse(adm, request, ERR_NOT_FOUND, "no such resource");
 }
@@ -486,8 +525,6 @@
 		refuse(adm, request, ERR_NOT_FOUND, "no such resource");
 }
 
-enum { MAX_PARTS = 5 };
-
 /* Parts of the path that are valid names; fewer than 1 if one is not. */
 static int split_path(struct web_request *request, char **parts)
 {
--- a/src/adm.h
+++ b/src/adm.h
@@ -35,6 +35,16 @@
 /* adm_handle - answer a request, now or later; arg is the struct adm */
 void adm_handle(void *arg, struct web_request *request);
 
+/*
+ * adm_observe - a record was read and applied with this result
+ *
+ * Kept, so that a client that repeats a change with the same id is told the
+ * result of the first copy, whichever daemon it asked then. To be called
+ * before prp_observe.
+ */
+void adm_observe(struct adm *adm, int64_t offset, const struct rec *rec,
+		 const struct err *result);
+
 /* adm_pending - changes that wait for their record */
 uint32_t adm_pending(const struct adm *adm);
 
--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -120,6 +120,7 @@
 		ctr_inc(fleetd->ctr, C_RECORDS_DUPLICATE);
 	else
 		ctr_inc(fleetd->ctr, by_result[result->kind == ERR_OK]);
+	adm_observe(fleetd->adm, offset, rec, result);
 	prp_observe(fleetd->prp, offset, rec, result);
 }
 
--- a/src/plankctl.c
+++ b/src/plankctl.c
@@ -1,5 +1,6 @@
 /* plankctl: operators' client of the fleet daemons. */
 
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,213 +13,293 @@
 #include <curl/curl.h>
 #include <json-c/json.h>
 
+#include "clk.h"
 #include "cmd.h"
+#include "ctl.h"
 #include "err.h"
 #include "fio.h"
 #include "jsn.h"
 #include "lim.h"
+#include "rnd.h"
+#include "rpt.h"
+
+enum {
+	MAX_COLUMNS = 16,
+	NO_BASE = -2,
+	MAX_TOKEN_BYTES = 4096,
+	HOUR_MS = 3600 * 1000,
+	MAX_HOURS = 24 * 366
+};
 
-enum { MAX_ANSWER_BYTES = 64 * 1024 * 1024, MAX_COLUMNS = 16, NO_BASE = -2 };
+/* First line of a file that `settings --output` writes. */
+static const char origin_format[] = "// plankctl: team %s, version %" PRId64;
 
 struct options {
-	const char *url;
-	const char *token;
+	struct ctl ctl;
 	bool json;
 	int64_t base;
 	int64_t from;
+	int64_t hours;
+	const char *id; /* of a change, as printed; NULL: choose one */
+	const char *output;
 	int word_count;
 	const char **words;
 };
 
-struct answer {
-	char *text;
-	size_t len;
-	long status;
-};
-
 struct command {
 	const char *name;
 	int words; /* after the name */
 	const char *method;
-	const char *path; /* %s: the first word */
+	const char *path; /* %s: the first word, the command's name */
 	const char *usage;
 	/* Builds the body, or NULL; with err filled in on failure. */
 	char *(*body)(const struct options *options, apr_pool_t *pool,
 		      struct err *err);
 	/* Columns of the human output; ends with NULL. */
 	const char *columns[MAX_COLUMNS];
+	bool is_change;
+	/* Does everything itself, in place of one call of the path. */
+	int (*run)(const struct options *options, apr_pool_t *pool,
+		   struct err *err);
 };
 
-static size_t collect(char *data, size_t size, size_t count, void *arg)
+/* The version that the file's first line names, if it does for this team. */
+static int64_t origin_version(const char *text, const char *team)
 {
-	struct answer *answer = arg;
-	size_t len = size * count;
-	char *text;
-
-	if (answer->len + len > MAX_ANSWER_BYTES)
-		return 0;
-	text = realloc(answer->text, answer->len + len + 1);
-	if (!text)
-		return 0;
-	memcpy(text + answer->len, data, len);
-	answer->text = text;
-	answer->len += len;
-	text[answer->len] = 0;
-	return len;
+	char expected[2 * LIM_NAME_BYTES + 64];
+	int64_t version = NO_BASE;
+	char name[LIM_NAME_BYTES];
+
+	if (sscanf(text,
+		   "// plankctl: team %63[A-Za-z0-9._-], version %" SCNd64,
+		   name, &version) != 2 ||
+	    strcmp(name, team))
+		return NO_BASE;
+	snprintf(expected, sizeof(expected), origin_format, name, version);
+	return strncmp(text, expected, strlen(expected)) ? NO_BASE : version;
 }
 
-static int call(const struct options *options, const char *method,
-		const char *path, const char *body, apr_pool_t *pool,
-		struct answer *answer, struct err *err)
-{
-	CURL *easy = curl_easy_init();
-	struct curl_slist *headers = curl_slist_append(
-		NULL, apr_pstrcat(pool, "Authorization: Bearer ",
-				  options->token, NULL));
-	CURLcode code;
-	int status = 0;
-
-	curl_easy_setopt(easy, CURLOPT_URL,
-			 apr_pstrcat(pool, options->url, path, NULL));
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 2L * LIM_CHANGE_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
-	if (!strcmp(method, "POST")) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body ? body : "");
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
-				 (long)(body ? strlen(body) : 0));
-	}
-	code = curl_easy_perform(easy);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer->status);
-	if (code == CURLE_COULDNT_CONNECT)
-		status = err_set(err, ERR_UNAVAILABLE, "%s: %s", options->url,
-				 curl_easy_strerror(code));
-	else if (code != CURLE_OK)
-		status = err_set(err, ERR_UNKNOWN, "%s: %s", options->url,
-				 curl_easy_strerror(code));
-	curl_slist_free_all(headers);
-	curl_easy_cleanup(easy);
-	return status;
-}
-
-static char *settings_body(const struct options *options, apr_pool_t *pool,
-			   struct err *err)
+static char *change_body(const struct options *options, bool needs_base,
+			 apr_pool_t *pool, struct err *err)
 {
 	size_t len;
 	char *text = fio_read(options->words[2], LIM_SETTINGS_BYTES, &len, err);
 	struct json_object *settings, *obj;
+	int64_t base = options->base;
 	char *body;
 
 	if (!text)
 		return NULL;
+	if (base == NO_BASE)
+		base = origin_version(text, options->words[1]);
 	settings = jsn_parse(text, len, err);
 	free(text);
 	if (!settings)
 		return NULL;
+	if (needs_base && base == NO_BASE) {
+		json_object_put(settings);
+		err_set(err, ERR_INVALID,
+			"publish needs the version that the change was based "
+			"on: --base VERSION (-1 for a new team), or a file "
+			"written by `settings %s --output FILE`",
+			options->words[1]);
+		return NULL;
+	}
 	obj = json_object_new_object();
-	jsn_put_int(obj, "base", options->base == NO_BASE ? -1 : options->base);
+	if (base != NO_BASE)
+		jsn_put_int(obj, "base", base);
 	json_object_object_add(obj, "settings", settings);
 	body = apr_pstrdup(pool, json_object_to_json_string(obj));
 	json_object_put(obj);
 	return body;
 }
 
+static char *check_body(const struct options *options, apr_pool_t *pool,
+			struct err *err)
+{
+	return change_body(options, false, pool, err);
+}
+
 static char *publish_body(const struct options *options, apr_pool_t *pool,
 			  struct err *err)
 {
-	if (options->base != NO_BASE)
-		return settings_body(options, pool, err);
-	err_set(err, ERR_INVALID,
-		"publish needs --base VERSION, the version that the change "
-		"was based on (-1 for a new team)");
-	return NULL;
+	return change_body(options, true, pool, err);
 }
 
-#define HOST_COLUMNS                                                           \
-	{                                                                      \
-		"host", "team", "pool", "state", "data_centre", "rack",        \
-			"drain", "waits_for", "reason"                         \
+static void print_lines(struct json_object *obj)
+{
+	json_object_object_foreach(obj, key, member)
+	{
+		if (!json_object_is_type(member, json_type_array)) {
+			printf("%s: %s\n", key, json_object_get_string(member));
+			continue;
+		}
+		printf("%s: %zu\n", key, json_object_array_length(member));
+		for (size_t i = 0; i < json_object_array_length(member); i++)
+			printf("  %s\n",
+			       json_object_get_string(
+				       json_object_array_get_idx(member, i)));
+	}
+}
+
+static int get(const struct options *options, const char *path,
+	       apr_pool_t *pool, struct json_object **value, struct err *err)
+{
+	struct ctl_request request = { .path = path };
+
+	if (err->kind == ERR_OK)
+		*value = ctl_call(&options->ctl, &request, pool, err);
+	return err->kind;
+}
+
+static int report(const struct options *options, apr_pool_t *pool,
+		  struct err *err)
+{
+	bool summary = !strcmp(options->words[0], "summary");
+	struct json_object *obj = NULL;
+	struct rpt_input input = { 0 };
+
+	get(options, "/v1/status", pool, &input.status, err);
+	get(options, "/v1/hosts", pool, &input.hosts, err);
+	get(options, "/v1/pools", pool, &input.pools, err);
+	get(options, "/v1/members", pool, &input.members, err);
+	get(options, "/v1/audit", pool, &input.audit, err);
+	if (err->kind == ERR_OK) {
+		obj = summary ? rpt_summary(&input,
+					    clk_wall_ms(clk_system()) -
+						    options->hours * HOUR_MS)
+			      : rpt_explain(&input, options->words[1]);
+		if (!obj)
+			err_set(err, ERR_NOT_FOUND,
+				"no host or team with pools has the name %s",
+				options->words[1]);
 	}
-#define CHANGE_COLUMNS                                                         \
+	if (obj && options->json)
+		printf("%s\n", json_object_to_json_string(obj));
+	else if (obj)
+		print_lines(obj);
+	json_object_put(obj);
+	json_object_put(input.status);
+	json_object_put(input.hosts);
+	json_object_put(input.pools);
+	json_object_put(input.members);
+	json_object_put(input.audit);
+	return err->kind;
+}
+
+static int write_settings(const struct options *options,
+			  struct json_object *team, struct err *err)
+{
+	struct json_object *settings = NULL, *version = NULL;
+	FILE *file;
+	bool failed;
+
+	json_object_object_get_ex(team, "settings", &settings);
+	json_object_object_get_ex(team, "version", &version);
+	/* Edits of an earlier session are not to be lost. */
+	file = fopen(options->output, "wx");
+	if (!file)
+		return err_set(err, ERR_IO, "%s: %s", options->output,
+			       strerror(errno));
+	fprintf(file, origin_format, options->words[1],
+		json_object_get_int64(version));
+	fprintf(file, "\n%s\n",
+		json_object_to_json_string_ext(
+			settings, JSON_C_TO_STRING_PRETTY |
+					  JSON_C_TO_STRING_SPACED |
+					  JSON_C_TO_STRING_NOSLASHESCAPE));
+	failed = ferror(file) != 0;
+	if (fclose(file) || failed)
+		return err_set(err, ERR_IO, "%s: cannot be written",
+			       options->output);
+	printf("version %" PRId64 " written to %s\n",
+	       json_object_get_int64(version), options->output);
+	return 0;
+}
+
+/* A change of a host that has no body. */
+#define HOST_CHANGE(action, text)                                              \
 	{                                                                      \
-		"result", "offset"                                             \
+		.name = (action), .words = 1, .method = "POST",                \
+		.path = "/v1/hosts/%s/%s", .usage = (text), .is_change = true  \
 	}
 
 static const struct command commands[] = {
-	{ "status",
-	  0,
-	  "GET",
-	  "/v1/status",
-	  "status of the fleet daemon",
-	  NULL,
-	  { NULL } },
-	{ "teams",
-	  0,
-	  "GET",
-	  "/v1/teams",
-	  "teams and their versions",
-	  NULL,
-	  { "team", "version" } },
-	{ "settings",
-	  1,
-	  "GET",
-	  "/v1/teams/%s",
-	  "TEAM: settings in force and their version",
-	  NULL,
-	  { NULL } },
-	{ "check",
-	  2,
-	  "POST",
-	  "/v1/teams/%s/check",
-	  "TEAM FILE: check settings without publishing them",
-	  settings_body,
-	  { NULL } },
-	{ "publish", 2, "POST", "/v1/teams/%s/settings",
-	  "TEAM FILE --base VERSION: publish settings", publish_body,
-	  CHANGE_COLUMNS },
-	{ "pools",
-	  0,
-	  "GET",
-	  "/v1/pools",
-	  "pools and their budgets",
-	  NULL,
-	  { "team", "pool", "hosts", "available", "min_available",
-	    "planned_out", "failed" } },
-	{ "hosts", 0, "GET", "/v1/hosts", "hosts and their states", NULL,
-	  HOST_COLUMNS },
-	{ "host", 1, "GET", "/v1/hosts/%s", "HOST: one host", NULL, { NULL } },
-	{ "members",
-	  0,
-	  "GET",
-	  "/v1/members",
-	  "entry hosts",
-	  NULL,
-	  { "member", "data_centre", "state", "incarnation", "joined",
-	    "heartbeat" } },
-	{ "audit",
-	  0,
-	  "GET",
-	  "/v1/audit",
-	  "trail of changes [--from OFFSET]",
-	  NULL,
-	  { "offset", "author", "action", "target", "before", "after", "result",
-	    "detail" } },
-	{ "drain", 1, "POST", "/v1/hosts/%s/drain",
-	  "HOST: send it nothing new, within the pool's budget", NULL,
-	  CHANGE_COLUMNS },
-	{ "undrain", 1, "POST", "/v1/hosts/%s/undrain",
-	  "HOST: take a drain back", NULL, CHANGE_COLUMNS },
-	{ "reboot", 1, "POST", "/v1/hosts/%s/reboot",
-	  "HOST: a drained host is being rebooted", NULL, CHANGE_COLUMNS },
-	{ "return", 1, "POST", "/v1/hosts/%s/return",
-	  "HOST: a rebooted or failed host is back", NULL, CHANGE_COLUMNS },
-	{ "retire", 1, "POST", "/v1/hosts/%s/retire",
-	  "HOST: a drained host leaves its pool for good", NULL,
-	  CHANGE_COLUMNS },
-	{ "fail", 1, "POST", "/v1/hosts/%s/fail",
-	  "HOST: a host failed by itself", NULL, CHANGE_COLUMNS },
+	{ .name = "status",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/status",
+	  .usage = "status of the fleet daemon" },
+	{ .name = "teams",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/teams",
+	  .usage = "teams and their versions",
+	  .columns = { "team", "version" } },
+	{ .name = "settings",
+	  .words = 1,
+	  .method = "GET",
+	  .path = "/v1/teams/%s",
+	  .usage = "TEAM [--output FILE]: settings in force, version" },
+	{ .name = "check",
+	  .words = 2,
+	  .method = "POST",
+	  .path = "/v1/teams/%s/check",
+	  .usage = "TEAM FILE: check settings without publishing them",
+	  .body = check_body },
+	{ .name = "publish",
+	  .words = 2,
+	  .method = "POST",
+	  .path = "/v1/teams/%s/settings",
+	  .usage = "TEAM FILE [--base VERSION]: publish settings",
+	  .body = publish_body,
+	  .is_change = true },
+	{ .name = "pools",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/pools",
+	  .usage = "pools and their budgets",
+	  .columns = { "team", "pool", "hosts", "available", "min_available",
+		       "planned_out", "failed" } },
+	{ .name = "hosts",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/hosts",
+	  .usage = "hosts and their states",
+	  .columns = { "host", "team", "pool", "state", "data_centre", "rack",
+		       "drain", "waits_for", "reason" } },
+	{ .name = "host",
+	  .words = 1,
+	  .method = "GET",
+	  .path = "/v1/hosts/%s",
+	  .usage = "HOST: one host" },
+	{ .name = "members",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/members",
+	  .usage = "entry hosts",
+	  .columns = { "member", "data_centre", "state", "incarnation",
+		       "joined", "heartbeat" } },
+	{ .name = "audit",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/audit",
+	  .usage = "trail of changes [--from OFFSET]",
+	  .columns = { "offset", "author", "action", "target", "before",
+		       "after", "result", "detail" } },
+	HOST_CHANGE("drain", "HOST: send it nothing new, within the budget"),
+	HOST_CHANGE("undrain", "HOST: take a drain back"),
+	HOST_CHANGE("reboot", "HOST: a drained host is being rebooted"),
+	HOST_CHANGE("return", "HOST: a rebooting or failed host is back"),
+	HOST_CHANGE("retire", "HOST: a drained host leaves its pool for good"),
+	HOST_CHANGE("fail", "HOST: a host failed by itself"),
+	{ .name = "explain",
+	  .words = 1,
+	  .usage = "HOST or TEAM: why it is in its present state",
+	  .run = report },
+	{ .name = "summary",
+	  .usage = "[--hours N]: what happened, what waits for a person",
+	  .run = report },
 };
 
 enum { COMMAND_COUNT = sizeof(commands) / sizeof(commands[0]) };
@@ -285,63 +366,93 @@
 	}
 }
 
-/* Fills in err from an error answer; its kind. */
-static int answer_fault(const struct answer *answer, struct json_object *value,
-			struct err *err)
+/* A change's id and the next offset at that time, as ID or ID-OFFSET. */
+struct change {
+	char id[LIM_ID_BYTES];
+	char since[24];
+};
+
+static int choose_id(const struct options *options, apr_pool_t *pool,
+		     struct change *change, struct err *err)
 {
-	struct json_object *name = NULL, *text = NULL;
-
-	json_object_object_get_ex(value, "error", &name);
-	json_object_object_get_ex(value, "text", &text);
-	return err_set(
-		err,
-		name ? err_by_name(json_object_get_string(name)) : ERR_INTERNAL,
-		"%s", text ? json_object_get_string(text) : answer->text);
+	struct json_object *status = NULL, *next = NULL;
+	struct rnd rnd;
+
+	if (options->id) {
+		if (sscanf(options->id, "%32[0-9a-f]-%18[0-9]", change->id,
+			   change->since) == 2 &&
+		    strlen(options->id) ==
+			    strlen(change->id) + 1 + strlen(change->since))
+			return 0;
+		return err_set(err, ERR_INVALID,
+			       "--id: %s given, an id as printed by an earlier "
+			       "command wanted",
+			       options->id);
+	}
+	if (get(options, "/v1/status", pool, &status, err) < 0)
+		return err->kind;
+	json_object_object_get_ex(status, "next", &next);
+	snprintf(change->since, sizeof(change->since), "%" PRId64,
+		 json_object_get_int64(next));
+	json_object_put(status);
+	rnd_init(&rnd, rnd_system_seed());
+	rnd_id(&rnd, change->id);
+	return 0;
 }
 
-static int show(const struct options *options, const struct command *command,
-		const struct answer *answer, struct err *err)
+static void show(const struct options *options, const struct command *command,
+		 struct json_object *value)
 {
-	struct json_object *value =
-		answer->text ? json_tokener_parse(answer->text) : NULL;
-	int status = 0;
-
-	if (!value)
-		return err_set(err, ERR_UNKNOWN, "the answer is not JSON");
-	if (answer->status != 200)
-		status = answer_fault(answer, value, err);
 	if (options->json)
-		printf("%s\n", answer->text);
-	else if (status == 0)
+		printf("%s\n", json_object_to_json_string_ext(
+				       value, JSON_C_TO_STRING_PLAIN));
+	else
 		print_answer(command, value);
-	json_object_put(value);
-	return status;
 }
 
 static int run(const struct options *options, const struct command *command,
 	       apr_pool_t *pool, struct err *err)
 {
 	const char *word = options->word_count > 1 ? options->words[1] : "";
-	const char *path = apr_psprintf(pool, command->path, word);
-	struct answer answer = { 0 };
-	char *body = NULL;
-	int status;
+	struct ctl_request request = { 0 };
+	struct change change = { 0 };
+	struct json_object *value;
 
 	if (command->words && !jsn_valid_name(word))
 		return err_set(err, ERR_INVALID, "%s: not a valid name", word);
+	if (command->run)
+		return command->run(options, pool, err);
+	request.path = apr_psprintf(pool, command->path, word, command->name);
 	if (options->from >= 0)
-		path = apr_psprintf(pool, "%s?from=%" PRId64, path,
-				    options->from);
+		request.path = apr_psprintf(pool, "%s?from=%" PRId64,
+					    request.path, options->from);
+	if (!strcmp(command->method, "POST"))
+		request.body = "";
 	if (command->body) {
-		body = command->body(options, pool, err);
-		if (!body)
+		request.body = command->body(options, pool, err);
+		if (!request.body)
 			return err->kind;
 	}
-	status = call(options, command->method, path, body, pool, &answer, err);
-	if (status == 0)
-		status = show(options, command, &answer, err);
-	free(answer.text);
-	return status;
+	if (command->is_change) {
+		if (choose_id(options, pool, &change, err) < 0)
+			return err->kind;
+		request.change_id = change.id;
+		request.change_since = change.since;
+	}
+	value = ctl_call(&options->ctl, &request, pool, err);
+	if (value && options->output)
+		write_settings(options, value, err);
+	else if (value)
+		show(options, command, value);
+	json_object_put(value);
+	if (command->is_change && err->kind < 0 &&
+	    err_answer(err->kind)->ran == ERR_RAN_MAYBE)
+		fprintf(stderr,
+			"plankctl: the change may have had its effect; repeat "
+			"the command with --id %s-%s to make sure that it has "
+			"it once\n",
+			change.id, change.since);
+	return err->kind;
 }
 
 static const struct command *find_command(const struct options *options)
@@ -373,63 +484,180 @@
 	return value ? value : "";
 }
 
-int main(int argc, char **argv)
+/* Whole number of an option; sets *status if the text is none. */
+static int64_t number(const struct arg_str *arg, int64_t fallback, int64_t min,
+		      int64_t max, int *status)
+{
+	int64_t value;
+	char *end;
+
+	if (!arg->count)
+		return fallback;
+	errno = 0;
+	value = strtoll(arg->sval[0], &end, 10);
+	if (!errno && end != arg->sval[0] && !*end && value >= min &&
+	    value <= max)
+		return value;
+	fprintf(stderr,
+		"plankctl: --%s: %s given, a number from %" PRId64
+		" to %" PRId64 " wanted\n",
+		arg->hdr.longopts, arg->sval[0], min, max);
+	*status = ERR_INVALID;
+	return fallback;
+}
+
+/* Token from a file, without the line's end. */
+static const char *read_token(const char *path, apr_pool_t *pool, int *status)
+{
+	struct err err = { .kind = ERR_OK };
+	size_t len;
+	char *text = fio_read(path, MAX_TOKEN_BYTES, &len, &err);
+	char *token;
+
+	if (!text) {
+		fprintf(stderr, "plankctl: %s\n", err.text);
+		*status = err.kind;
+		return "";
+	}
+	token = apr_pstrdup(pool, text);
+	free(text);
+	token[strcspn(token, "\r\n")] = 0;
+	return token;
+}
+
+struct arguments {
+	struct arg_str *url;
+	struct arg_str *token;
+	struct arg_str *token_file;
+	struct arg_str *base;
+	struct arg_str *from;
+	struct arg_str *hours;
+	struct arg_str *id;
+	struct arg_str *output;
+	struct arg_lit *json;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_str *words;
+	struct arg_end *end;
+};
+
+static int read_options(const struct arguments *args, struct options *options,
+			apr_pool_t *pool)
+{
+	int status = 0;
+
+	options->ctl.urls = or_environment(args->url, "PLANK_URL");
+	if (args->token_file->count && !args->token->count)
+		options->ctl.token =
+			read_token(args->token_file->sval[0], pool, &status);
+	else
+		options->ctl.token = or_environment(args->token, "PLANK_TOKEN");
+	options->json = args->json->count > 0;
+	options->base = number(args->base, NO_BASE, -1, INT64_MAX, &status);
+	options->from = number(args->from, -1, 0, INT64_MAX, &status);
+	options->hours = number(args->hours, 12, 1, MAX_HOURS, &status);
+	options->id = args->id->count ? args->id->sval[0] : NULL;
+	options->output = args->output->count ? args->output->sval[0] : NULL;
+	options->word_count = args->words->count;
+	options->words = args->words->sval;
+	return status;
+}
+
+/* Refuses an option that the command would ignore. */
+static int check_options(const struct options *options,
+			 const struct command *command)
+{
+	const char *wrong = NULL;
+
+	if (options->output && strcmp(command->name, "settings"))
+		wrong = "--output is for settings";
+	else if (options->id && !command->is_change)
+		wrong = "--id is for changes";
+	else if (options->from >= 0 && strcmp(command->name, "audit"))
+		wrong = "--from is for audit";
+	else if (options->base != NO_BASE && command->body == NULL)
+		wrong = "--base is for publish and check";
+	else if (!options->ctl.urls[0])
+		wrong = "--url or $PLANK_URL is needed";
+	else
+		return 0;
+	fprintf(stderr, "plankctl: %s\n", wrong);
+	return ERR_INVALID;
+}
+
+static int execute(const struct arguments *args, apr_pool_t *pool)
 {
-	struct arg_str *url =
-		arg_str0("u", "url", "URL", "fleet daemon, or $PLANK_URL");
-	struct arg_str *token = arg_str0("t", "token", "TOKEN",
-					 "operator's token, or $PLANK_TOKEN");
-	struct arg_int *base = arg_int0("b", "base", "VERSION",
-					"version the change is based on");
-	struct arg_int *from =
-		arg_int0(NULL, "from", "OFFSET", "entries from this offset on");
-	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
-	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
-	struct arg_lit *version =
-		arg_lit0("V", "version", "print the version and exit");
-	struct arg_str *words =
-		arg_strn(NULL, NULL, "COMMAND", 0, 4, "see below");
-	struct arg_end *end = arg_end(8);
-	void *table[] = { url,	json,	 base,	from, token,
-			  help, version, words, end };
-	int faults = arg_parse(argc, argv, table);
 	struct err err = { .kind = ERR_OK };
 	struct options options = { 0 };
 	const struct command *command;
+	int status = read_options(args, &options, pool);
+
+	if (status < 0)
+		return status;
+	command = args->words->count ? find_command(&options) : NULL;
+	if (!command) {
+		fprintf(stderr, "plankctl: no such command; see --help\n");
+		return ERR_INVALID;
+	}
+	status = check_options(&options, command);
+	if (status < 0)
+		return status;
+	status = run(&options, command, pool, &err);
+	if (status < 0)
+		fprintf(stderr, "plankctl: %s: %s\n", err_name(err.kind),
+			err.text);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments args = {
+		.url = arg_str0("u", "url", "URL,...",
+				"fleet daemons, or $PLANK_URL; the next one is "
+				"asked when one cannot be reached"),
+		.token = arg_str0("t", "token", "TOKEN",
+				  "operator's token, or $PLANK_TOKEN"),
+		.token_file = arg_str0("T", "token-file", "FILE",
+				       "file with the operator's token"),
+		.base = arg_str0("b", "base", "VERSION",
+				 "version the change is based on"),
+		.from = arg_str0(NULL, "from", "OFFSET",
+				 "audit entries from this offset on"),
+		.hours = arg_str0(NULL, "hours", "N", "period of summary (12)"),
+		.id = arg_str0(NULL, "id", "ID",
+			       "repeat a change whose outcome was unknown"),
+		.output = arg_str0("o", "output", "FILE",
+				   "write settings to a new file"),
+		.json = arg_lit0("j", "json", "print JSON"),
+		.help = arg_lit0("h", "help", "print this and exit"),
+		.version =
+			arg_lit0("V", "version", "print the version and exit"),
+		.words = arg_strn(NULL, NULL, "COMMAND", 0, 4, "see below"),
+		.end = arg_end(8),
+	};
+	void *table[] = { args.url,  args.token, args.token_file, args.base,
+			  args.from, args.hours, args.id,	  args.output,
+			  args.json, args.help,	 args.version,	  args.words,
+			  args.end };
+	int faults = arg_parse(argc, argv, table);
 	apr_pool_t *pool;
 	int status = 0;
 
 	apr_initialize();
 	apr_pool_create(&pool, NULL);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	options.url = or_environment(url, "PLANK_URL");
-	options.token = or_environment(token, "PLANK_TOKEN");
-	options.json = json->count > 0;
-	options.base = base->count ? base->ival[0] : NO_BASE;
-	options.from = from->count ? from->ival[0] : -1;
-	options.word_count = words->count;
-	options.words = words->sval;
-	command = words->count ? find_command(&options) : NULL;
-	if (help->count) {
+	if (args.help->count) {
 		print_help(table);
-	} else if (version->count) {
+	} else if (args.version->count) {
 		printf("plankctl %s\n", CMD_VERSION);
 	} else if (faults) {
-		arg_print_errors(stderr, end, "plankctl");
-		status = ERR_INVALID;
-	} else if (!command) {
-		fprintf(stderr, "plankctl: no such command; see --help\n");
-		status = ERR_INVALID;
-	} else if (!options.url[0]) {
-		fprintf(stderr, "plankctl: --url or $PLANK_URL is needed\n");
+		arg_print_errors(stderr, args.end, "plankctl");
 		status = ERR_INVALID;
 	} else {
-		status = run(&options, command, pool, &err);
-		if (status < 0)
-			fprintf(stderr, "plankctl: %s: %s\n",
-				err_name(err.kind), err.text);
+		status = execute(&args, pool);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	curl_global_cleanup();
 	apr_terminate();
 	return err_answer(status)->exit_code;
 }
--- a/src/prp.c
+++ b/src/prp.c
@@ -99,7 +99,8 @@
 		rec_clear(rec);
 		return ERR_DUPLICATE;
 	}
-	rnd_id(prp->rnd, rec->id);
+	if (!rec->id[0])
+		rnd_id(prp->rnd, rec->id);
 	rec->at_ms = clk_wall_ms(prp->clk);
 	if (!rec->author[0])
 		apr_cpystrn(rec->author, prp->author, sizeof(rec->author));
--- a/src/prp.h
+++ b/src/prp.h
@@ -39,7 +39,9 @@
 /*
  * prp_propose - propose a record
  *
- * Fills in id, at_ms and, if it is empty, author. key names the matter: while
+ * Fills in at_ms and, if they are empty, id and author. An id that the author
+ * chose lets it propose the same change again after an unknown outcome; the
+ * copy has no effect. key names the matter: while
  * a proposal with the same key is under way, nothing is done. It may be NULL.
  * done may be NULL. Takes over what the record owns.
  *
--- /dev/null
+++ b/src/vew.h
@@ -0,0 +1,30 @@
+/*
+ * NAME
+ *	vew - the fleet state as JSON, for the operators' interface
+ *
+ * Each function returns a new value that the caller releases with
+ * json_object_put.
+ */
+#ifndef VEW_H
+#define VEW_H
+
+#include <stdint.h>
+
+#include <json-c/json.h>
+
+#include "fst.h"
+
+/* vew_team, vew_host - one entity by name; NULL if there is none */
+struct json_object *vew_team(const struct fst *fst, const char *name);
+struct json_object *vew_host(const struct fst *fst, const char *name);
+
+/* Lists of all entities, in the order of the state's tables. */
+struct json_object *vew_teams(const struct fst *fst);
+struct json_object *vew_pools(const struct fst *fst);
+struct json_object *vew_hosts(const struct fst *fst);
+struct json_object *vew_members(const struct fst *fst);
+
+/* vew_audit - entries kept of the audit trail from an offset on */
+struct json_object *vew_audit(const struct fst *fst, int64_t from);
+
+#endif
--- /dev/null
+++ b/tests/process_fleet.sh
@@ -0,0 +1,142 @@
+#!/usr/bin/env bash
+# Eight entry hosts in three data centres with fifty workers: operators'
+# commands, drains and graceful stops while requests are in progress. Guards
+# against a request cut by a planned stop, a change that has its effect twice,
+# and an operator who changes another team's part.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+trap stop_all EXIT
+
+fail() {
+	printf 'FAILED: %s\n' "$1"
+	tail -n 3 "$WORK"/fleet*.log "$WORK"/entry*.log
+	exit 1
+}
+expect() { # STATUS COMMAND...: the command ends with this exit status
+	local want=$1 got
+	shift
+	"$@" >"$WORK/out" 2>"$WORK/err"
+	got=$?
+	[ $got = "$want" ] || fail "$*: status $got, not $want: $(cat "$WORK/out" "$WORK/err")"
+}
+shows() { grep -q "$1" "$WORK/out" || fail "no '$1' in: $(cat "$WORK/out")"; }
+pool_serves() { curl -sf "$(entry_url "$1")/crew-shares/$2/ping"; }
+state_is() { ctl host "$1" --json | grep -q "\"state\":\"$2\""; }
+
+# begin_requests POOL SKIP: two slow requests through each entry host but SKIP
+begin_requests() {
+	local k
+	REQUESTS=()
+	for ((k = 0; k < 16; k++)); do
+		[ $((k % 8)) = "$2" ] && continue
+		curl -s -o "$WORK/answer$k" -w '%{http_code}' -d run \
+			-H 'Plank-Repeatable: no' \
+			"$(entry_url $((k % 8)))/crew-shares/$1/run?sleep_ms=1200" \
+			>"$WORK/status$k" &
+		REQUESTS[$k]=$!
+	done
+	wait_until 10 in_progress ${#REQUESTS[@]} || fail "requests do not reach workers"
+}
+in_progress() {
+	local i active=0
+	for ((i = 0; i < 8; i++)); do
+		active=$((active + $(metric "$(entry_url $i)" requests_active || echo 0)))
+	done
+	[ $active -ge "$1" ]
+}
+end_requests() { # WHAT: every request was answered by a worker
+	local k
+	for k in "${!REQUESTS[@]}"; do
+		wait "${REQUESTS[$k]}"
+		[ "$(cat "$WORK/status$k")" = 200 ] ||
+			fail "$1: request $k got $(cat "$WORK/status$k") $(cat "$WORK/answer$k")"
+	done
+}
+
+start_cluster 8 50 || fail "the processes did not become ready"
+team_settings 50 5 >"$WORK/team.json"
+
+# Operators' commands.
+expect 2 ctl publish crew-shares "$WORK/team.json"
+expect 0 ctl check crew-shares "$WORK/team.json"
+expect 4 ctl check crew-shares "$WORK/team.json" --base 7
+expect 0 ctl publish crew-shares "$WORK/team.json" --base -1
+for ((i = 0; i < 8; i++)); do
+	for pool in "${POOLS[@]}"; do
+		wait_until 13 pool_serves $i "$pool" || fail "entry host $i, pool $pool"
+	done
+done
+expect 0 ctl settings crew-shares --output "$WORK/edit.json"
+expect 0 ctl publish crew-shares "$WORK/edit.json"
+expect 4 ctl publish crew-shares "$WORK/edit.json"
+echo other-team-token >"$WORK/token"
+other() { "$BUILD/plankctl" --url "$(fleet_url 3)" --token-file "$WORK/token" "$@"; }
+expect 16 other drain w0
+expect 16 other publish crew-shares "$WORK/team.json" --base -1
+expect 16 other check crew-shares "$WORK/team.json"
+[ "$(curl -s -o /dev/null -w '%{http_code}' -X POST -H 'Authorization: Bearer other-team-token' \
+	"$(fleet_url 1)/v1/hosts/w0/drain")" = 403 ] || fail "no 403"
+expect 15 "$BUILD/plankctl" --url "$(fleet_url 0)" --token wrong hosts
+expect 8 "$BUILD/plankctl" --url "http://127.0.0.1:$((BASE + 599))" --token $TOKEN hosts
+expect 0 "$BUILD/plankctl" --url "http://127.0.0.1:$((BASE + 599)),$(fleet_url 2)" --token $TOKEN hosts
+
+# A repeated change has its effect once, whichever daemon gets the copy.
+id=$(printf '%032x' 77)-$(ctl status --json | sed 's/.*"next":\([0-9]*\).*/\1/')
+expect 0 ctl drain w49 --id "$id" --json
+first=$(cat "$WORK/out")
+expect 0 ctl undrain w49
+known() { [ "$(FLEET=5 ctl drain w49 --id "$id" --json)" = "$first" ]; }
+wait_until 10 known || fail "the copy is not answered as the first was"
+expect 7 ctl drain w48 --id "$id"
+state_is w49 serving || fail "a copy of the drain had an effect"
+
+# A drain in each data centre, in the middle of requests.
+for host in 0 1 2; do
+	begin_requests "$(pool_of $host)" -1
+	expect 0 ctl drain w$host
+	end_requests "drain of w$host"
+	wait_until 20 state_is w$host drained || fail "w$host is not drained"
+	expect 0 ctl explain w$host
+	shows "w$host is drained"
+	shows 'by sele'
+done
+expect 0 ctl explain crew-shares
+shows 'pool crew-shares/payouts: '
+expect 0 ctl summary
+shows 'w0 is drained: may be rebooted'
+shows 'refusals: 1'
+
+# Graceful stops. The balancer sends nothing to an entry host that stops.
+begin_requests settlements -1
+stop fleet0 || fail "the fleet daemon ended with status $?"
+end_requests "stop of a fleet daemon"
+export FLEET=1
+begin_requests settlements -1
+stop entry4 || fail "the entry daemon ended with status $?"
+end_requests "stop of an entry daemon"
+left() { ! ctl members | grep -q '^e4 '; }
+wait_until 10 left || fail "e4 did not leave"
+
+# A worker that the platform lists as leaving gets nothing new; it ends when
+# it has nothing in progress.
+worker_control() { curl -s -d "$1" "$(worker_url 3)/control"; }
+idle() { worker_control '{}' | grep -q '"active":0,'; }
+unlisted() {
+	local i before
+	before=$(worker_control '{}' | sed 's/.*"runs":\([0-9]*\).*/\1/')
+	for ((i = 0; i < 24; i++)); do
+		[ $((i % 8)) = 4 ] || curl -sf "$(entry_url $((i % 8)))/crew-shares/settlements/ping"
+	done
+	[ "$(worker_control '{}' | sed 's/.*"runs":\([0-9]*\).*/\1/')" = "$before" ]
+}
+begin_requests settlements 4
+platform "$(host_list 8 50 '3')" || fail "host list"
+wait_until 10 unlisted || fail "the leaving worker still gets requests"
+wait_until 10 idle || fail "the leaving worker is not idle"
+stop worker3 || fail "the worker ended with status $?"
+end_requests "stop of a leaving worker"
+for ((i = 0; i < 8; i++)); do
+	[ $i = 4 ] || pool_serves $i settlements >/dev/null || fail "entry host $i"
+done
+echo ok
