--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst snp mbr rte
-AROUND = log fio cnf cmd evl web plt prp rpl sns flw hls rps rpf adm fwd
+AROUND = log fio tcp cnf cmd evl web plt prp rpl sns flw hls rps rpf adm fwd
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl
--- a/src/cnf.c
+++ b/src/cnf.c
@@ -96,19 +96,28 @@
 	cnf->operators = calloc(count + 1, sizeof(*cnf->operators));
 	for (size_t i = 0; i < count; i++) {
 		struct jsn at = jsn_item(&list, i);
+		struct jsn name_at = jsn_member(&at, "name");
+		struct jsn team_at = jsn_member(&at, "team");
 		struct jsn token_at = jsn_member(&at, "token");
 		struct cnf_operator *op = &cnf->operators[i];
 
 		fld_read_all(&at, operator_fields, 3, op);
 		if (at.err->kind == ERR_OK &&
 		    strlen(op->token) < MIN_TOKEN_BYTES)
-			jsn_refuse(&token_at, "a token of %d bytes or more",
-				   MIN_TOKEN_BYTES);
-		for (uint32_t k = 0; k < cnf->operator_count; k++)
-			if (!strcmp(cnf->operators[k].name, op->name) ||
-			    !strcmp(cnf->operators[k].token, op->token))
-				jsn_refuse(&at, "a name and a token that are "
-						"not listed yet");
+			jsn_refuse_secret(&token_at,
+					  "a token of %d bytes or more",
+					  MIN_TOKEN_BYTES);
+		if (strcmp(op->team, "*") && !jsn_valid_name(op->team))
+			jsn_refuse(&team_at, "a team or \"*\"");
+		for (uint32_t k = 0; k < cnf->operator_count; k++) {
+			if (!strcmp(cnf->operators[k].name, op->name))
+				jsn_refuse(&name_at,
+					   "a name that is not listed yet");
+			if (!strcmp(cnf->operators[k].token, op->token))
+				jsn_refuse_secret(&token_at,
+						  "a token that is not listed "
+						  "yet");
+		}
 		cnf->operator_count++;
 	}
 }
@@ -155,6 +164,8 @@
 	if (url_at.err->kind == ERR_OK &&
 	    strncmp(cnf->platform_url, "http://", 7))
 		jsn_refuse(&url_at, "a URL that begins with http://");
+	if (cnf->platform_url[strcspn(cnf->platform_url, " \t\r\n\"?#")])
+		jsn_refuse(&url_at, "a URL without spaces, query or fragment");
 	/* A member must stop before others may propose its expiry. */
 	if (cnf->expire_ms <= cnf->lease_ms ||
 	    cnf->lease_ms <= cnf->heartbeat_ms)
--- a/src/err.c
+++ b/src/err.c
@@ -56,15 +56,52 @@
 	return ERR_INTERNAL;
 }
 
+/* Bytes of the UTF-8 character at text; 0 if there is none. */
+static size_t utf8_len(const unsigned char *text)
+{
+	size_t len = text[0] < 0x80   ? 1
+		     : text[0] < 0xc2 ? 0
+		     : text[0] < 0xe0 ? 2
+		     : text[0] < 0xf0 ? 3
+		     : text[0] < 0xf5 ? 4
+				      : 0;
+
+	for (size_t i = 1; i < len; i++)
+		if ((text[i] & 0xc0) != 0x80)
+			return 0;
+	return len;
+}
+
+void err_copy_text(char *out, size_t size, const char *text)
+{
+	size_t used = 0;
+
+	while (*text && used + 1 < size) {
+		size_t len = utf8_len((const unsigned char *)text);
+
+		if (len == 0 || used + len >= size) {
+			out[used++] = '?';
+			text++;
+			continue;
+		}
+		memcpy(out + used, text, len);
+		used += len;
+		text += len;
+	}
+	out[used] = 0;
+}
+
 int err_set(struct err *err, int kind, const char *fmt, ...)
 {
+	char text[ERR_TEXT_BYTES];
 	va_list ap;
 
 	if (!err)
 		return kind;
 	err->kind = kind;
 	va_start(ap, fmt);
-	vsnprintf(err->text, sizeof(err->text), fmt, ap);
+	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
+	err_copy_text(err->text, sizeof(err->text), text);
 	return kind;
 }
--- a/src/err.h
+++ b/src/err.h
@@ -9,6 +9,7 @@
 #define ERR_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 enum err_kind {
 	ERR_OK = 0,
@@ -71,10 +72,18 @@
 /* err_by_name - kind with that name, or ERR_INTERNAL */
 int err_by_name(const char *name);
 
+/*
+ * err_copy_text - copy a text for people, cut at size - 1 bytes
+ *
+ * Bytes that are not UTF-8, and a character that the cut divides, become '?',
+ * so that the copy can be a JSON string.
+ */
+void err_copy_text(char *out, size_t size, const char *text);
+
 /*
  * err_set - fill in an error
  *
- * err may be NULL. The text is cut at ERR_TEXT_BYTES.
+ * err may be NULL. The text is copied as by err_copy_text.
  *
  * RETURN VALUE
  *	kind, so that a caller can return the call's value.
--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -29,6 +29,7 @@
 	C_RECORDS_REFUSED,
 	C_RECORDS_DUPLICATE,
 	C_RECORDS_INVALID,
+	C_SNAPSHOTS_INVALID,
 	C_REQUESTS,
 	C_REQUESTS_REFUSED,
 	C_RPC_REFUSED,
@@ -52,6 +53,9 @@
 				  "Records that had been applied before." },
 	[C_RECORDS_INVALID] = { "records_invalid_total", CTR_COUNTER,
 				"Records that could not be parsed." },
+	[C_SNAPSHOTS_INVALID] = { "snapshots_invalid_total", CTR_COUNTER,
+				  "Snapshots or parts of one that were not "
+				  "valid." },
 	[C_REQUESTS] = { "operator_requests_total", CTR_COUNTER,
 			 "Requests of operators and probes." },
 	[C_REQUESTS_REFUSED] = { "operator_requests_refused_total", CTR_COUNTER,
@@ -256,6 +260,7 @@
 	ctr_set(fleetd->ctr, C_PLATFORM_AGE_MS, status.platform_age_ms);
 	ctr_set(fleetd->ctr, C_HOST_LIST_AGE_MS, hls_age_ms(fleetd->hls));
 	ctr_set(fleetd->ctr, C_RETENTION_GAP, status.gap);
+	ctr_set(fleetd->ctr, C_SNAPSHOTS_INVALID, status.snapshots_invalid);
 	ctr_set(fleetd->ctr, C_RECORD_BYTES, status.bytes_read);
 	ctr_set(fleetd->ctr, C_PROPOSALS, prp_count(fleetd->prp));
 }
--- a/src/flw.c
+++ b/src/flw.c
@@ -324,6 +324,7 @@
 		.gap = flw->gap,
 		.from_peer = flw->from_peer,
 		.snapshot_next = sns_newest(flw->sns),
+		.snapshots_invalid = sns_invalid(flw->sns),
 		.bytes_read = flw->bytes_read,
 	};
 }
--- a/src/flw.h
+++ b/src/flw.h
@@ -22,12 +22,13 @@
 struct flw;
 
 struct flw_status {
-	bool platform_ok;	 /* the log answered lately */
-	int64_t platform_age_ms; /* since it last answered; -1: never */
-	bool gap;		 /* records needed have passed retention */
-	bool from_peer;		 /* following a peer at present */
-	int64_t snapshot_next;	 /* of the newest snapshot; -1: none */
-	int64_t bytes_read;	 /* of records, from log and peers */
+	bool platform_ok;	   /* the log answered lately */
+	int64_t platform_age_ms;   /* since it last answered; -1: never */
+	bool gap;		   /* records needed have passed retention */
+	bool from_peer;		   /* following a peer at present */
+	int64_t snapshot_next;	   /* of the newest snapshot; -1: none */
+	int64_t snapshots_invalid; /* parts or whole ones not valid */
+	int64_t bytes_read;	   /* of records, from log and peers */
 };
 
 /* flw_create - begin to build and follow the state; all arguments stay used */
--- a/src/fst.c
+++ b/src/fst.c
@@ -148,8 +148,8 @@
 	snprintf(entry->target, sizeof(entry->target), "%s", change->target);
 	snprintf(entry->before, sizeof(entry->before), "%s", change->before);
 	snprintf(entry->after, sizeof(entry->after), "%s", change->after);
-	snprintf(entry->detail, sizeof(entry->detail), "%.*s",
-		 LIM_REASON_BYTES - 1, detail);
+	/* A character cut in two would make every snapshot unreadable. */
+	err_copy_text(entry->detail, sizeof(entry->detail), detail);
 }
 
 static bool all_quiet(const struct fst *fst, const struct fst_host *host)
--- a/src/jsn.c
+++ b/src/jsn.c
@@ -9,15 +9,15 @@
 #include "lim.h"
 
 /*
- * json-c keeps the last of two members with the same key. This scanner walks
- * the same text and reports such a pair. It assumes a text that json-c takes.
+ * json-c keeps the last of two members with the same key, and cuts a key at a
+ * zero byte. This scanner walks the same text and reports such keys with
+ * their path. It assumes a text that json-c takes.
  */
 struct dup_scan {
 	const char *p;
 	const char *end;
-	int depth;
-	const char *found; /* start of the second key */
-	size_t found_len;
+	const char *fault; /* what is wrong with the key at path */
+	char path[JSN_PATH_BYTES];
 };
 
 static void skip_space(struct dup_scan *scan)
@@ -56,64 +56,88 @@
 
 static void scan_value(struct dup_scan *scan);
 
-static bool key_repeats(const char *const *keys, const size_t *lens, size_t n,
-			const char *key, size_t len)
+/* Extends the path; returns its former length, to cut it off again. */
+static size_t enter(struct dup_scan *scan, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static size_t enter(struct dup_scan *scan, const char *fmt, ...)
 {
-	for (size_t i = 0; i < n; i++)
-		if (lens[i] == len && !memcmp(keys[i], key, len))
-			return true;
-	return false;
+	size_t len = strlen(scan->path);
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(scan->path + len, sizeof(scan->path) - len, fmt, ap);
+	va_end(ap);
+	return len;
 }
 
-enum { SCAN_KEYS = 4096 };
+/* Reads a key, with its escapes decoded, and adds it to the keys seen. */
+static size_t scan_key(struct dup_scan *scan, struct json_object *seen)
+{
+	const char *start = scan->p;
+	struct json_tokener *tok = json_tokener_new();
+	struct json_object *key = NULL;
+	const char *text;
+	size_t path_len;
+
+	skip_string(scan);
+	if (tok)
+		key = json_tokener_parse_ex(tok, start, (int)(scan->p - start));
+	json_tokener_free(tok);
+	text = key ? json_object_get_string(key) : "";
+	path_len = enter(scan, "%s%s", scan->path[0] ? "." : "", text);
+	if (key && strlen(text) != (size_t)json_object_get_string_len(key))
+		scan->fault = "a key with a zero byte";
+	else if (json_object_object_get_ex(seen, text, NULL))
+		scan->fault = "a second key of this name";
+	else
+		json_object_object_add(seen, text, NULL);
+	json_object_put(key);
+	return path_len;
+}
 
 static void scan_object(struct dup_scan *scan)
 {
-	const char **keys = calloc(SCAN_KEYS, sizeof(*keys));
-	size_t *lens = calloc(SCAN_KEYS, sizeof(*lens));
-	size_t count = 0;
+	struct json_object *seen = json_object_new_object();
 
 	scan->p++;
-	while (keys && lens && !scan->found) {
-		const char *key;
-		size_t len;
+	while (seen && !scan->fault) {
+		size_t path_len;
 
 		skip_space(scan);
 		if (scan->p >= scan->end || *scan->p == '}')
 			break;
-		key = scan->p;
-		skip_string(scan);
-		len = (size_t)(scan->p - key);
-		if (count == SCAN_KEYS ||
-		    key_repeats(keys, lens, count, key, len)) {
-			scan->found = key;
-			scan->found_len = len;
-			break;
-		}
-		keys[count] = key;
-		lens[count++] = len;
+		path_len = scan_key(scan, seen);
 		skip_space(scan);
 		if (scan->p < scan->end && *scan->p == ':')
 			scan->p++;
 		scan_value(scan);
+		if (!scan->fault)
+			scan->path[path_len] = 0;
 		skip_space(scan);
 		if (scan->p < scan->end && *scan->p == ',')
 			scan->p++;
 	}
 	if (scan->p < scan->end)
 		scan->p++;
-	free(keys);
-	free(lens);
+	json_object_put(seen);
 }
 
 static void scan_array(struct dup_scan *scan)
 {
+	size_t index = 0;
+
 	scan->p++;
-	while (!scan->found) {
+	while (!scan->fault) {
+		size_t path_len;
+
 		skip_space(scan);
 		if (scan->p >= scan->end || *scan->p == ']')
 			break;
+		path_len = enter(scan, "[%zu]", index++);
 		scan_value(scan);
+		if (!scan->fault)
+			scan->path[path_len] = 0;
 		skip_space(scan);
 		if (scan->p < scan->end && *scan->p == ',')
 			scan->p++;
@@ -125,7 +149,7 @@
 static void scan_value(struct dup_scan *scan)
 {
 	skip_space(scan);
-	if (scan->p >= scan->end || scan->found)
+	if (scan->p >= scan->end || scan->fault)
 		return;
 	if (*scan->p == '{') {
 		scan_object(scan);
@@ -143,7 +167,8 @@
 	}
 }
 
-struct json_object *jsn_parse(const char *text, size_t len, struct err *err)
+static struct json_object *parse(const char *text, size_t len, int flags,
+				 struct err *err)
 {
 	struct json_tokener *tok = json_tokener_new_ex(LIM_JSON_DEPTH);
 	struct dup_scan scan = { .p = text, .end = text + len };
@@ -155,7 +180,7 @@
 		err_set(err, ERR_NO_MEMORY, "out of memory");
 		return NULL;
 	}
-	json_tokener_set_flags(tok, JSON_TOKENER_VALIDATE_UTF8);
+	json_tokener_set_flags(tok, flags);
 	value = json_tokener_parse_ex(tok, text, (int)len);
 	fault = json_tokener_get_error(tok);
 	/* A bare number at the end of the text is not yet complete. */
@@ -173,6 +198,11 @@
 			used, json_tokener_error_desc(fault));
 		return NULL;
 	}
+	/* json-c has no object for null, so it looks like no value at all. */
+	if (!value) {
+		err_set(err, ERR_INVALID, "(root): null given, a value wanted");
+		return NULL;
+	}
 	scan.p = text + used;
 	skip_space(&scan);
 	if (scan.p < scan.end) {
@@ -183,16 +213,26 @@
 	}
 	scan.p = text;
 	scan_value(&scan);
-	if (scan.found) {
+	if (scan.fault) {
 		json_object_put(value);
-		err_set(err, ERR_INVALID, "key %.*s appears twice",
-			(int)(scan.found_len < 100 ? scan.found_len : 100),
-			scan.found);
+		err_set(err, ERR_INVALID, "%s: %s given, each key once wanted",
+			scan.path, scan.fault);
 		return NULL;
 	}
 	return value;
 }
 
+struct json_object *jsn_parse(const char *text, size_t len, struct err *err)
+{
+	return parse(text, len, JSON_TOKENER_VALIDATE_UTF8, err);
+}
+
+struct json_object *jsn_parse_bytes(const char *text, size_t len,
+				    struct err *err)
+{
+	return parse(text, len, 0, err);
+}
+
 struct jsn jsn_root(struct json_object *value, struct err *err)
 {
 	return (struct jsn){ .value = value, .err = err };
@@ -219,22 +259,40 @@
 	return item;
 }
 
-void jsn_refuse(const struct jsn *at, const char *fmt, ...)
+static void refuse(const struct jsn *at, const char *seen, const char *fmt,
+		   va_list ap)
 {
 	char wanted[LIM_REASON_BYTES];
+
+	vsnprintf(wanted, sizeof(wanted), fmt, ap);
+	err_set(at->err, ERR_INVALID, "%s: %.80s given, %s wanted",
+		at->path[0] ? at->path : "(root)", seen, wanted);
+}
+
+void jsn_refuse(const struct jsn *at, const char *fmt, ...)
+{
 	const char *seen = "nothing";
 	va_list ap;
 
 	if (at->err->kind != ERR_OK)
 		return;
-	va_start(ap, fmt);
-	vsnprintf(wanted, sizeof(wanted), fmt, ap);
-	va_end(ap);
 	if (at->value)
 		seen = json_object_to_json_string_ext(at->value,
 						      JSON_C_TO_STRING_PLAIN);
-	err_set(at->err, ERR_INVALID, "%s: %.80s given, %s wanted",
-		at->path[0] ? at->path : "(root)", seen, wanted);
+	va_start(ap, fmt);
+	refuse(at, seen, fmt, ap);
+	va_end(ap);
+}
+
+void jsn_refuse_secret(const struct jsn *at, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (at->err->kind != ERR_OK)
+		return;
+	va_start(ap, fmt);
+	refuse(at, at->value ? "(not shown)" : "nothing", fmt, ap);
+	va_end(ap);
 }
 
 bool jsn_object(const struct jsn *at)
@@ -340,8 +398,9 @@
 	if (!at->value && fallback >= min)
 		return fallback;
 	value = json_object_get_int64(at->value);
+	/* json-c turns what does not fit an int64_t into the nearest one. */
 	if (!json_object_is_type(at->value, json_type_int) || value < min ||
-	    value > max) {
+	    value > max || json_object_get_uint64(at->value) > INT64_MAX) {
 		jsn_refuse(at, "a whole number from %" PRId64 " to %" PRId64,
 			   min, max);
 		return min;
--- a/src/jsn.h
+++ b/src/jsn.h
@@ -32,12 +32,23 @@
  * The text need not end in a zero byte. Duplicate keys of an object, nesting
  * deeper than LIM_JSON_DEPTH, and anything after the value are refused.
  *
+ * A lone null is refused too: it is no object of json-c.
+ *
  * RETURN VALUE
  *	The value, which the caller releases with json_object_put, or NULL
  *	with err filled in (ERR_INVALID).
  */
 struct json_object *jsn_parse(const char *text, size_t len, struct err *err);
 
+/*
+ * jsn_parse_bytes - as jsn_parse, for strings that may hold any bytes
+ *
+ * For an envelope whose strings are checked one by one, so that one string
+ * that is not UTF-8 does not hide the others.
+ */
+struct json_object *jsn_parse_bytes(const char *text, size_t len,
+				    struct err *err);
+
 /* jsn_root - cursor at a parsed value; err must start with kind ERR_OK */
 struct jsn jsn_root(struct json_object *value, struct err *err);
 
@@ -84,6 +95,10 @@
 void jsn_refuse(const struct jsn *at, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/* jsn_refuse_secret - as jsn_refuse, without showing the value */
+void jsn_refuse_secret(const struct jsn *at, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
 /* jsn_valid_name - whether text is a name of 1 to LIM_NAME_BYTES - 1 bytes */
 bool jsn_valid_name(const char *text);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -5,6 +5,14 @@
 #ifndef LIM_H
 #define LIM_H
 
+#include <stdint.h>
+
+/*
+ * Largest offset, time or incarnation in a record or snapshot. Well below
+ * INT64_MAX, so that adding to one cannot overflow.
+ */
+#define LIM_NUMBER_MAX ((int64_t)1 << 53)
+
 enum {
 	/* Names of teams, pools, hosts, members and the like. */
 	LIM_NAME_BYTES = 64,
--- a/src/plt.c
+++ b/src/plt.c
@@ -143,7 +143,7 @@
 		err_set(fault, ERR_UNAVAILABLE, "empty answer");
 		return NULL;
 	}
-	return jsn_parse(call->answer, call->answer_len, fault);
+	return jsn_parse_bytes(call->answer, call->answer_len, fault);
 }
 
 static int64_t read_number(struct call *call, const char *key)
@@ -155,7 +155,7 @@
 	int64_t number = -1;
 
 	if (value)
-		number = jsn_int(&at, 0, INT64_MAX, -1);
+		number = jsn_int(&at, 0, LIM_NUMBER_MAX, -1);
 	json_object_put(value);
 	return fault.kind == ERR_OK ? number : -1;
 }
@@ -209,8 +209,8 @@
 	struct plt_record *records =
 		apr_pcalloc(call->pool, (count + 1) * sizeof(*records));
 
-	batch->first = jsn_int(&first_at, 0, INT64_MAX, -1);
-	batch->next = jsn_int(&next_at, 0, INT64_MAX, -1);
+	batch->first = jsn_int(&first_at, 0, LIM_NUMBER_MAX, -1);
+	batch->next = jsn_int(&next_at, 0, LIM_NUMBER_MAX, -1);
 	batch->records = records;
 	for (size_t i = 0; i < count; i++) {
 		struct jsn at = jsn_item(&list, i);
@@ -219,7 +219,7 @@
 
 		if (!json_object_is_type(data_at.value, json_type_string))
 			jsn_refuse(&data_at, "a text");
-		records[i].offset = jsn_int(&offset_at, 0, INT64_MAX, -1);
+		records[i].offset = jsn_int(&offset_at, 0, LIM_NUMBER_MAX, -1);
 		records[i].data = json_object_get_string(data_at.value);
 		records[i].len =
 			(size_t)json_object_get_string_len(data_at.value);
--- a/src/rec.c
+++ b/src/rec.c
@@ -31,15 +31,15 @@
 /* Fields that depend on the type; bit i of a type wants field i. */
 static const struct fld fields[] = {
 	FLD_ARRAY(rec, team, FLD_NAME),
-	FLD_NUMBER(rec, base, -1, INT64_MAX),
+	FLD_NUMBER(rec, base, -1, LIM_NUMBER_MAX),
 	{ "settings", FLD_JSON, offsetof(struct rec, settings), 0, 0, 0 },
 	FLD_ARRAY(rec, host, FLD_NAME),
 	FLD_ARRAY(rec, reason, FLD_TEXT),
-	FLD_NUMBER(rec, drain, 0, INT64_MAX),
+	FLD_NUMBER(rec, drain, 0, LIM_NUMBER_MAX),
 	FLD_ARRAY(rec, member, FLD_NAME),
-	FLD_NUMBER(rec, incarnation, 0, INT64_MAX),
-	FLD_NUMBER(rec, seq, 0, INT64_MAX),
-	FLD_NUMBER(rec, seen, 0, INT64_MAX),
+	FLD_NUMBER(rec, incarnation, 0, LIM_NUMBER_MAX),
+	FLD_NUMBER(rec, seq, 0, LIM_NUMBER_MAX),
+	FLD_NUMBER(rec, seen, 0, LIM_NUMBER_MAX),
 	FLD_ARRAY(rec, data_centre, FLD_NAME),
 	FLD_ARRAY(rec, rack, FLD_NAME),
 	FLD_ARRAY(rec, address, FLD_TEXT),
@@ -121,7 +121,7 @@
 	at = jsn_member(root, "author");
 	jsn_name(&at, rec->author, sizeof(rec->author));
 	at = jsn_member(root, "at_ms");
-	rec->at_ms = jsn_int(&at, 0, INT64_MAX, -1);
+	rec->at_ms = jsn_int(&at, 0, LIM_NUMBER_MAX, -1);
 	for (size_t i = 0; i < FIELD_COUNT; i++) {
 		if (!(types[type].wants & 1u << i))
 			continue;
--- a/src/rps.c
+++ b/src/rps.c
@@ -8,19 +8,32 @@
 #include <unistd.h>
 #include <arpa/inet.h>
 
+#include "jsn.h"
 #include "snp.h"
+#include "tcp.h"
 
 enum {
 	BACKLOG = 128,
 	TAIL_BYTES = LIM_RPC_BYTES / 2,
 	/* A transfer of chunks may go on this long with the same snapshot. */
-	SNAPSHOT_KEEP_MS = 5000
+	SNAPSHOT_KEEP_MS = 5000,
+	SWEEP_MS = 1000
+};
+
+/* A connection, by its descriptor, to notice input that was no call. */
+struct link {
+	uint64_t done_bytes; /* received up to the end of the last message */
+	int64_t since_ms;    /* when a message that is not whole yet was seen */
 };
 
 struct rps {
 	struct evl *evl;
 	struct rps_config config;
 	SVCXPRT *transport;
+	int listener;
+	bool dispatched; /* the library handed a call over */
+	uint32_t link_count;
+	struct link *links;
 	char *snapshot;
 	size_t snapshot_len;
 	int64_t snapshot_next;
@@ -72,6 +85,10 @@
 		rows[sent].offset = records[sent]->offset;
 		rows[sent].data.data_val = records[sent]->data;
 		rows[sent].data.data_len = (u_int)records[sent]->len;
+		/* One that is too long is invalid for everybody. It goes out
+		   empty, which is invalid too, as the call would fail. */
+		if (records[sent]->len > PRT_RECORD_MAX)
+			rows[sent].data.data_len = 0;
 		sent++;
 	}
 	tail->records.records_val = rows;
@@ -144,12 +161,33 @@
 			call_hosts },
 };
 
+/* Names go into tables and records, so they must be names. */
+static bool valid_arg(uint32_t proc, const union call_arg *arg)
+{
+	const prt_hello *hello = &arg->hello;
+
+	if (proc == PRT_TAIL)
+		return arg->tail.max > 0;
+	if (proc != PRT_STATUS || !hello->name[0])
+		return true;
+	if (!jsn_valid_name(hello->name) ||
+	    !jsn_valid_name(hello->data_centre) || hello->incarnation < 0 ||
+	    hello->incarnation > LIM_NUMBER_MAX)
+		return false;
+	for (u_int i = 0; i < hello->quiet.quiet_len; i++)
+		if (!jsn_valid_name(hello->quiet.quiet_val[i].host) ||
+		    hello->quiet.quiet_val[i].drain < 0)
+			return false;
+	return true;
+}
+
 static void dispatch(struct svc_req *request, SVCXPRT *transport)
 {
 	const struct procedure *procedure;
 	union call_result result;
 	union call_arg arg;
 
+	server->dispatched = true;
 	if (request->rq_proc == PRT_NULL) {
 		svc_sendreply(transport, (xdrproc_t)(void *)xdr_void, NULL);
 		return;
@@ -162,7 +200,8 @@
 	procedure = &procedures[request->rq_proc];
 	memset(&arg, 0, sizeof(arg));
 	memset(&result, 0, sizeof(result));
-	if (!svc_getargs(transport, procedure->arg, (caddr_t)&arg)) {
+	if (!svc_getargs(transport, procedure->arg, (caddr_t)&arg) ||
+	    !valid_arg(request->rq_proc, &arg)) {
 		server->config.refused(server->config.arg);
 		svcerr_decode(transport);
 	} else {
@@ -192,13 +231,87 @@
 	return count;
 }
 
+static bool is_open(int fd)
+{
+	for (int i = 0; i < svc_max_pollfd; i++)
+		if (svc_pollfd[i].fd == fd)
+			return true;
+	return false;
+}
+
+static struct link *link_of(struct rps *rps, int fd)
+{
+	uint32_t count = (uint32_t)fd + 64;
+	struct link *links;
+
+	if ((uint32_t)fd < rps->link_count)
+		return &rps->links[fd];
+	links = realloc(rps->links, count * sizeof(*links));
+	if (!links)
+		return NULL;
+	memset(links + rps->link_count, 0,
+	       (count - rps->link_count) * sizeof(*links));
+	rps->links = links;
+	rps->link_count = count;
+	return &links[fd];
+}
+
+/*
+ * The RPC library answers a call of another program or version, and closes
+ * after garbage, without telling. A reply without a dispatched call, or an end
+ * with input that became no call, is such a case.
+ */
+static void serve_fd(struct rps *rps, int fd)
+{
+	struct link *link = link_of(rps, fd);
+	struct tcp_bytes before = tcp_bytes(fd);
+	struct tcp_bytes after;
+
+	rps->dispatched = false;
+	svc_getreq_common(fd);
+	if (fd == rps->listener || !link)
+		return;
+	if (!is_open(fd)) {
+		if (!rps->dispatched && before.received > link->done_bytes)
+			rps->config.refused(rps->config.arg);
+		*link = (struct link){ 0 };
+		return;
+	}
+	after = tcp_bytes(fd);
+	if (rps->dispatched || after.sent > before.sent) {
+		if (!rps->dispatched)
+			rps->config.refused(rps->config.arg);
+		*link = (struct link){ .done_bytes = after.received };
+	} else if (!link->since_ms) {
+		link->since_ms = clk_now_ms(evl_clk(rps->evl));
+	}
+}
+
 static void serve_fds(void *arg, const struct curl_waitfd *fds,
 		      unsigned int count)
 {
-	(void)arg;
+	struct rps *rps = arg;
+
 	for (unsigned int i = 0; i < count; i++)
 		if (fds[i].revents)
-			svc_getreq_common(fds[i].fd);
+			serve_fd(rps, fds[i].fd);
+}
+
+/* Ends connections that hold half a message; serve_fd counts them. */
+static void sweep(void *arg)
+{
+	struct rps *rps = arg;
+	int64_t now_ms = clk_now_ms(evl_clk(rps->evl));
+
+	for (uint32_t fd = 0; fd < rps->link_count; fd++) {
+		struct link *link = &rps->links[fd];
+
+		if (!link->since_ms ||
+		    now_ms - link->since_ms < LIM_HALF_REQUEST_S * 1000)
+			continue;
+		link->since_ms = 0;
+		shutdown((int)fd, SHUT_RDWR);
+	}
 }
 
 static int listen_on(const char *address, uint16_t port)
@@ -241,6 +354,8 @@
 	rpc_control(RPC_SVC_CONNMAXREC_SET, &max_message);
 	rps->evl = evl;
 	rps->config = *config;
+	rps->listener = fd;
+	source.arg = rps;
 	server = rps;
 	rps->transport = svc_vc_create(fd, LIM_RPC_BYTES, LIM_RPC_BYTES);
 	if (!rps->transport ||
@@ -250,6 +365,7 @@
 		return NULL;
 	}
 	evl_add_source(evl, &source);
+	evl_every(evl, SWEEP_MS, sweep, rps);
 	return rps;
 }
 
@@ -262,6 +378,7 @@
 		svc_destroy(rps->transport);
 	}
 	free(rps->snapshot);
+	free(rps->links);
 	free(rps);
 	server = NULL;
 }
--- a/src/snp.c
+++ b/src/snp.c
@@ -7,7 +7,7 @@
 #include "fld.h"
 #include "rnd.h"
 
-#define OFFSET(type, member) FLD_NUMBER(type, member, -1, INT64_MAX)
+#define OFFSET(type, member) FLD_NUMBER(type, member, -1, LIM_NUMBER_MAX)
 
 static const struct fld host_fields[] = {
 	FLD_ARRAY(fst_host, name, FLD_NAME),
@@ -83,17 +83,33 @@
 	return obj;
 }
 
+/* Refuses keys other than those of a table and up to two more. */
+static void check_keys(const struct jsn *at, const struct fld *table,
+		       size_t count, const char *first, const char *second)
+{
+	const char *keys[HOST_FIELDS + 3] = { first, second };
+	size_t used = second ? 2 : 1;
+
+	for (size_t i = 0; i < count; i++)
+		keys[used++] = table[i].name;
+	keys[used] = NULL;
+	jsn_keys(at, keys);
+}
+
 static void read_team(struct fst *fst, const struct jsn *at)
 {
+	static const char *const keys[] = { "name", "version", "settings",
+					    NULL };
 	struct jsn name_at = jsn_member(at, "name");
 	struct jsn version_at = jsn_member(at, "version");
 	struct jsn settings_at = jsn_member(at, "settings");
 	struct err fault = { .kind = ERR_OK };
 	char name[LIM_NAME_BYTES];
-	int64_t version = jsn_int(&version_at, 0, INT64_MAX, -1);
+	int64_t version = jsn_int(&version_at, 0, LIM_NUMBER_MAX, -1);
 	struct fst_team *team;
 	const char *text;
 
+	jsn_keys(at, keys);
 	jsn_name(&name_at, name, sizeof(name));
 	if (!jsn_object(&settings_at))
 		return;
@@ -169,6 +185,7 @@
 		fld_read(at, &host_fields[i], &row);
 	row.state = read_state(at);
 	read_quiet(at, &row);
+	check_keys(at, host_fields, HOST_FIELDS, "state", "quiet");
 	host = at->err->kind == ERR_OK ? tbl_add(fst->hosts, row.name) : NULL;
 	if (!host) {
 		free(row.quiet);
@@ -239,6 +256,9 @@
 		fld_read(at, &audit_fields[i], entry);
 	jsn_string(&result_at, result, sizeof(result), NULL);
 	entry->result = err_by_name(result);
+	if (strcmp(err_name(entry->result), result))
+		jsn_refuse(&result_at, "the name of a result");
+	check_keys(at, audit_fields, AUDIT_FIELDS, "result", NULL);
 }
 
 static const struct list lists[] = {
@@ -291,7 +311,7 @@
 	const char *keys[LIST_COUNT + 2] = { "next" };
 	struct jsn next_at = jsn_member(root, "next");
 
-	fst->next = jsn_int(&next_at, 0, INT64_MAX, -1);
+	fst->next = jsn_int(&next_at, 0, LIM_NUMBER_MAX, -1);
 	for (size_t i = 0; i < LIST_COUNT; i++) {
 		struct jsn list = jsn_member(root, lists[i].key);
 		size_t count = jsn_array(&list, lists[i].max);
--- a/src/sns.c
+++ b/src/sns.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jsn.h"
+#include "snp.h"
 
 enum {
 	PART_BYTES = 20 * 1024, /* quoted as JSON it still fits a record */
@@ -33,6 +34,7 @@
 	char *newest;
 	size_t newest_len;
 	int64_t newest_next;
+	int64_t invalid;
 	void (*loaded)(void *arg, int status, const char *text, size_t len);
 	void *loaded_arg;
 
@@ -78,8 +80,18 @@
 static void finish_assembly(struct sns *sns)
 {
 	struct assembly *assembly = &sns->assembly;
-
-	if (assembly->fleet_next > sns->newest_next) {
+	bool newer = assembly->fleet_next > sns->newest_next;
+	struct fst *fst = NULL;
+
+	/* One that cannot be read must not hide an older one, nor keep the
+	   members from writing the next. */
+	if (newer) {
+		fst = snp_decode(assembly->text, assembly->len, NULL);
+		newer = fst && fst->next == assembly->fleet_next;
+		sns->invalid += !newer;
+	}
+	fst_destroy(fst);
+	if (newer) {
 		free(sns->newest);
 		sns->newest = assembly->text;
 		sns->newest_len = assembly->len;
@@ -114,7 +126,7 @@
 	if (value) {
 		jsn_keys(&root, keys);
 		jsn_string(&id_at, part->id, sizeof(part->id), NULL);
-		part->fleet_next = jsn_int(&next_at, 0, INT64_MAX, -1);
+		part->fleet_next = jsn_int(&next_at, 0, LIM_NUMBER_MAX, -1);
 		part->part = jsn_int(&part_at, 0, MAX_PARTS, -1);
 		part->last = jsn_bool(&last_at, false);
 		jsn_string(&data_at, part->data, sizeof(part->data), NULL);
@@ -130,8 +142,10 @@
 	size_t len;
 	char *text;
 
-	if (!parse_part(record, &part))
+	if (!parse_part(record, &part)) {
+		sns->invalid++;
 		return;
+	}
 	if (part.part == 0) {
 		drop_assembly(assembly);
 		memcpy(assembly->id, part.id, sizeof(part.id));
@@ -225,6 +239,11 @@
 	return sns->out != NULL;
 }
 
+int64_t sns_invalid(const struct sns *sns)
+{
+	return sns->invalid;
+}
+
 int64_t sns_newest(const struct sns *sns)
 {
 	return sns->newest_next;
--- a/src/sns.h
+++ b/src/sns.h
@@ -51,6 +51,9 @@
  */
 int64_t sns_newest(const struct sns *sns);
 
+/* sns_invalid - parts and whole snapshots that were not valid */
+int64_t sns_invalid(const struct sns *sns);
+
 /* sns_poll - look at what others have written since the last load or poll */
 void sns_poll(struct sns *sns);
 
--- a/src/tms.c
+++ b/src/tms.c
@@ -27,11 +27,14 @@
 {
 	static const int month_days[] = { 31, 28, 31, 30, 31, 30,
 					  31, 31, 30, 31, 30, 31 };
-	int year, month, mday, used = 0, days = 0;
-
-	if (sscanf(text, "%4d-%2d-%2d%n", &year, &month, &mday, &used) != 3 ||
-	    used != 10 || text[10] || year < 1970 || year > 2199 || month < 1 ||
-	    month > 12 || mday < 1 ||
+	int year, month, mday, days = 0;
+
+	/* sscanf alone would also take signs and spaces for digits. */
+	if (strlen(text) != 10 || strspn(text, "0123456789") != 4 ||
+	    strspn(text + 5, "0123456789") != 2 ||
+	    strspn(text + 8, "0123456789") != 2 ||
+	    sscanf(text, "%4d-%2d-%2d", &year, &month, &mday) != 3 ||
+	    year < 1970 || year > 2199 || month < 1 || month > 12 || mday < 1 ||
 	    mday > month_days[month - 1] + (month == 2 && is_leap(year)))
 		return ERR_INVALID;
 	for (int y = 1970; y < year; y++)
--- a/src/web.c
+++ b/src/web.c
@@ -12,6 +12,7 @@
 
 #include "jsn.h"
 #include "lim.h"
+#include "tcp.h"
 
 enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIM_HALF_REQUEST_S };
 
@@ -23,11 +24,20 @@
 	bool quiescing;
 };
 
+/* A connection, to notice input that never became a request. */
+struct link {
+	int fd;
+	bool in_request;
+	bool refused;	     /* what remains of its input was counted already */
+	uint64_t done_bytes; /* received up to the end of the last request */
+};
+
 /* A request as the server keeps it; the handler sees the first member. */
 struct exchange {
 	struct web_request request;
 	struct web *web;
 	struct MHD_Connection *connection;
+	struct link *link;
 	char *body;
 	size_t body_cap;
 	bool handed_over;
@@ -42,6 +52,44 @@
 	return (struct exchange *)request;
 }
 
+static struct link *link_of(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+/*
+ * The library itself answers a request line that it cannot parse, and drops
+ * one that does not arrive whole; neither reaches a callback of a request.
+ */
+static void on_connection(void *cls, struct MHD_Connection *conn,
+			  void **context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct web *web = cls;
+	struct link *link = *context;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+			conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+		link = calloc(1, sizeof(*link));
+		if (link)
+			link->fd = info ? info->connect_fd : -1;
+		*context = link;
+		return;
+	}
+	if (!link)
+		return;
+	if (!link->in_request && !link->refused &&
+	    tcp_bytes(link->fd).received > link->done_bytes)
+		web->config.refused(web->config.arg, ERR_INVALID);
+	free(link);
+	*context = NULL;
+}
+
 /* Called with the request line as sent, before the headers are read. */
 static void *on_request_line(void *cls, const char *target,
 			     struct MHD_Connection *conn)
@@ -56,6 +104,9 @@
 	ex->request.target = apr_pstrdup(pool, target);
 	ex->web = web;
 	ex->connection = conn;
+	ex->link = link_of(conn);
+	if (ex->link)
+		ex->link->in_request = true;
 	web->active++;
 	return ex;
 }
@@ -96,18 +147,79 @@
 	return result;
 }
 
+static void respond_error(struct web_request *request, int status, int kind,
+			  const struct web_header *headers, const char *text);
+
+/* Answers a request that does not reach the handler. */
+static void refuse(struct exchange *ex, int status, int kind, const char *text)
+{
+	static const struct web_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ "Plank-Outcome", "not-run" },
+		{ "Connection", "close" },
+		{ NULL, NULL },
+	};
+
+	ex->handed_over = true;
+	if (ex->link)
+		ex->link->refused = true;
+	ex->web->config.refused(ex->web->config.arg, kind);
+	respond_error(&ex->request, status, kind, headers, text);
+}
+
+static enum MHD_Result add_length(void *cls, enum MHD_ValueKind kind,
+				  const char *name, const char *value)
+{
+	size_t *bytes = cls;
+
+	(void)kind;
+	*bytes += strlen(name) + (value ? strlen(value) : 0) + 4;
+	return MHD_YES;
+}
+
+/* Refuses by what the head tells, before the body is read. */
+static void check_head(struct exchange *ex)
+{
+	const char *length = web_header(&ex->request, "Content-Length");
+	size_t max_body = ex->web->config.max_body_bytes;
+	size_t bytes = strlen(ex->request.target);
+	char text[ERR_TEXT_BYTES];
+
+	MHD_get_connection_values(ex->connection, MHD_HEADER_KIND, add_length,
+				  &bytes);
+	if (bytes > LIM_HEAD_BYTES) {
+		snprintf(text, sizeof(text),
+			 "header of %zu bytes given, at most %d wanted", bytes,
+			 LIM_HEAD_BYTES);
+		refuse(ex, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+		       ERR_TOO_LARGE, text);
+	} else if (length && strtoull(length, NULL, 10) > max_body) {
+		snprintf(text, sizeof(text),
+			 "body of %.20s bytes given, at most %zu wanted",
+			 length, max_body);
+		refuse(ex, MHD_HTTP_CONTENT_TOO_LARGE, ERR_TOO_LARGE, text);
+	} else if (strstr(ex->request.target, "%00")) {
+		/* The decoded path would end there and name something else. */
+		refuse(ex, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
+		       "target: %00 given, a path without zero bytes wanted");
+	}
+}
+
 static void hand_over(struct exchange *ex)
 {
 	struct web *web = ex->web;
+	char text[ERR_TEXT_BYTES];
 
-	ex->handed_over = true;
 	ex->request.body = ex->body ? ex->body : "";
 	if (ex->too_large) {
-		web->config.refused(web->config.arg, ERR_TOO_LARGE);
-		web_respond_error(&ex->request, ERR_TOO_LARGE,
-				  "request body is too large");
+		snprintf(text, sizeof(text),
+			 "body of more than %zu bytes given, at most that "
+			 "wanted",
+			 web->config.max_body_bytes);
+		refuse(ex, MHD_HTTP_CONTENT_TOO_LARGE, ERR_TOO_LARGE, text);
 		return;
 	}
+	ex->handed_over = true;
 	web->config.handle(web->config.arg, &ex->request);
 }
 
@@ -123,7 +235,8 @@
 	if (!ex->request.method) {
 		ex->request.method = apr_pstrdup(ex->request.pool, method);
 		ex->request.path = apr_pstrdup(ex->request.pool, path);
-		return MHD_YES;
+		check_head(ex);
+		return ex->response ? send_response(ex) : MHD_YES;
 	}
 	if (*upload_len) {
 		append_body(ex, upload, *upload_len);
@@ -148,12 +261,22 @@
 	(void)conn;
 	if (!ex)
 		return;
-	if (!ex->handed_over && code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+	/* A head or chunk that the library refused ends as completed. */
+	if (!ex->handed_over) {
+		if (ex->link)
+			ex->link->refused = true;
 		web->config.refused(
 			web->config.arg,
 			code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED
 				? ERR_TIMEOUT
+			: code == MHD_REQUEST_TERMINATED_COMPLETED_OK
+				? ERR_INVALID
 				: ERR_TRUNCATED);
+	}
+	if (ex->link) {
+		ex->link->in_request = false;
+		ex->link->done_bytes = tcp_bytes(ex->link->fd).received;
+	}
 	if (ex->response)
 		MHD_destroy_response(ex->response);
 	free(ex->body);
@@ -212,6 +335,7 @@
 		NULL, on_access, web, MHD_OPTION_SOCK_ADDR, &addr,
 		MHD_OPTION_URI_LOG_CALLBACK, on_request_line, web,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, web,
+		MHD_OPTION_NOTIFY_CONNECTION, on_connection, web,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)LIM_HEAD_BYTES * 2,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)KEEPALIVE_S,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)MAX_CONNECTIONS,
@@ -293,23 +417,33 @@
 	}
 }
 
-void web_respond_error(struct web_request *request, int kind, const char *text)
+static void respond_error(struct web_request *request, int status, int kind,
+			  const struct web_header *headers, const char *text)
 {
-	static const struct web_header headers[] = {
-		{ "Content-Type", "application/json" },
-		{ NULL, NULL },
-	};
 	struct json_object *obj = json_object_new_object();
+	char valid[ERR_TEXT_BYTES];
 	const char *body;
 
+	/* Names from a request's path may hold any bytes. */
+	err_copy_text(valid, sizeof(valid), text);
 	jsn_put_string(obj, "error", err_name(kind));
-	jsn_put_string(obj, "text", text);
+	jsn_put_string(obj, "text", valid);
 	body = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
-	web_respond(request, err_answer(kind)->http_status, headers, body,
-		    strlen(body));
+	web_respond(request, status, headers, body, strlen(body));
 	json_object_put(obj);
 }
 
+void web_respond_error(struct web_request *request, int kind, const char *text)
+{
+	static const struct web_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ NULL, NULL },
+	};
+
+	respond_error(request, err_answer(kind)->http_status, kind, headers,
+		      text);
+}
+
 uint32_t web_active(const struct web *web)
 {
 	return web->active;
