--- a/src/fst_host.c
+++ b/src/fst_host.c
@@ -207,4 +207,3 @@
 	change->detail = host->reason;
 	return 0;
 }
-
