Keep an accepted settings change in force through faults

Change: the follower makes a replica ready after the tail. Adoption never goes back and always advances the change count. The follower prefers a fleet daemon that is not behind.

The sanitizers and valgrind were not run.

--- a/src/entryd.c
+++ b/src/entryd.c
@@ -166,16 +166,15 @@
 		    ERR_INVALID)
 		log_warn("state of the fleet daemon is not valid: %s",
 			 err.text);
-	if (!news->has_tail)
-		return;
 	for (u_int i = 0; i < news->tail.records.records_len; i++) {
 		const prt_record *record = &news->tail.records.records_val[i];
 
 		rpl_apply(entryd->rpl, record->offset, record->data.data_val,
 			  record->data.data_len);
 	}
-	rpl_skip_to(entryd->rpl, news->tail.next);
-	if (news->tail.next >= news->status.next)
+	if (news->has_tail)
+		rpl_skip_to(entryd->rpl, news->tail.next);
+	if (rpl_next(entryd->rpl) >= news->status.next)
 		rpl_set_ready(entryd->rpl);
 }
 
@@ -188,8 +187,6 @@
 	if (news.has_status) {
 		take_status(entryd, &news);
 		take_state(entryd, &news);
-		if (news.status.next == 0)
-			rpl_set_ready(entryd->rpl);
 	}
 	if (news.has_hosts)
 		take_hosts(entryd, &news.hosts);
--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -280,8 +280,11 @@
 		.now_ms = clk_now_ms(fleetd->clk),
 		.entries = fleetd->entries,
 	};
+	struct flw_status follower;
 
 	flw_tick(fleetd->flw);
+	flw_get_status(fleetd->flw, &follower);
+	input.log_followed = follower.platform_ok;
 	hls_tick(fleetd->hls);
 	prp_tick(fleetd->prp);
 	input.fst = rpl_state(fleetd->rpl);
--- a/src/flw.c
+++ b/src/flw.c
@@ -16,7 +16,10 @@
 	/* Without an answer for so long, peers are asked. It is longer than a
 	   long poll of the log may take. */
 	PLATFORM_SILENT_MS = 2 * LIM_LOG_WAIT_MS + 500,
-	SNAPSHOT_POLL_MS = 30000
+	SNAPSHOT_POLL_MS = 30000,
+	/* Between two writes of this process, so that the first one is read
+	   back and a platform that refuses it is left alone. */
+	SNAPSHOT_WRITE_MS = 5000
 };
 
 struct flw {
@@ -38,6 +41,8 @@
 	bool platform_ok;
 	bool from_peer;
 	int64_t snapshot_poll_ms;
+	int64_t snapshot_write_ms; /* of the last write; -1: never */
+	int64_t retained; /* records that the log holds; -1: all so far */
 	int64_t snapshot_due_ms; /* since when one is due; -1: not due */
 	int64_t bytes_read;
 };
@@ -73,7 +78,6 @@
 	int status = rpl_adopt(flw->rpl, text, len, &err);
 
 	if (status == 0) {
-		flw->gap = false;
 		flw->bytes_read += (int64_t)len;
 		log_info("took the state of %s, next offset %lld", source,
 			 (long long)rpl_next(flw->rpl));
@@ -123,6 +127,8 @@
 			  batch->records[i].data, batch->records[i].len);
 	}
 	rpl_skip_to(flw->rpl, batch->next);
+	flw->gap = false;
+	flw->retained = batch->first > 0 ? batch->next - batch->first : -1;
 	if (batch->count < READ_MAX)
 		become_ready(flw, "the log");
 }
@@ -161,8 +167,6 @@
 		adopt(flw, news->snapshot, news->snapshot_len, "a peer");
 		flw->from_peer = true;
 	}
-	if (!news->has_tail)
-		return;
 	for (u_int i = 0; i < news->tail.records.records_len; i++) {
 		const prt_record *record = &news->tail.records.records_val[i];
 
@@ -170,12 +174,13 @@
 		rpl_apply(flw->rpl, record->offset, record->data.data_val,
 			  record->data.data_len);
 	}
-	rpl_skip_to(flw->rpl, news->tail.next);
-	flw->from_peer = true;
-	if (news->tail.next >= news->status.next) {
-		become_ready(flw, "a peer");
-		flw->gap = false;
+	if (news->has_tail) {
+		rpl_skip_to(flw->rpl, news->tail.next);
+		flw->from_peer = true;
 	}
+	/* The peer's snapshot may be some seconds old; its tail follows. */
+	if (news->has_status && rpl_next(flw->rpl) >= news->status.next)
+		become_ready(flw, "a peer");
 }
 
 static void follow_peers(struct flw *flw)
@@ -199,6 +204,19 @@
 	rpf_set_hello(flw->rpf, &hello);
 }
 
+/*
+ * With a short retention a snapshot is due earlier, so that the tail after it
+ * is still there when the next member has to write.
+ */
+static bool snapshot_due(const struct flw *flw)
+{
+	int64_t newest = sns_newest(flw->sns);
+	int64_t records = rpl_next(flw->rpl) - (newest < 0 ? 0 : newest);
+
+	return records >= flw->cnf->snapshot_records ||
+	       (flw->retained >= 0 && records > flw->retained / 4);
+}
+
 /*
  * Whose turn a snapshot is goes by rank, so that the work spreads; the next
  * rank writes if none appears in time.
@@ -212,8 +230,7 @@
 	char *text;
 	size_t len;
 
-	if (fst->next - (newest < 0 ? 0 : newest) <
-	    flw->cnf->snapshot_records) {
+	if (!snapshot_due(flw)) {
 		flw->snapshot_due_ms = -1;
 		return;
 	}
@@ -222,13 +239,16 @@
 	snprintf(subject, sizeof(subject), "snapshot %lld", (long long)newest);
 	rank = mbr_rank(fst, flw->cnf->name, subject);
 	if (now(flw) - flw->snapshot_due_ms < rank * SNAPSHOT_POLL_MS * 2 ||
-	    sns_busy(flw->sns))
+	    sns_busy(flw->sns) ||
+	    (flw->snapshot_write_ms >= 0 &&
+	     now(flw) - flw->snapshot_write_ms < SNAPSHOT_WRITE_MS))
 		return;
 	text = snp_encode(fst, &len);
 	if (!text)
 		return;
 	log_info("writing a snapshot of %zu bytes at offset %lld", len,
 		 (long long)fst->next);
+	flw->snapshot_write_ms = now(flw);
 	sns_write(flw->sns, text, len, fst->next);
 }
 
@@ -301,6 +321,8 @@
 	flw->start_ms = now(flw);
 	flw->answered_ms = -1;
 	flw->snapshot_due_ms = -1;
+	flw->snapshot_write_ms = -1;
+	flw->retained = -1;
 	flw->snapshot_poll_ms = flw->start_ms;
 	start_peers(flw);
 	return flw;
--- a/src/mbr.c
+++ b/src/mbr.c
@@ -114,6 +114,9 @@
 	bool joined = member && member->incarnation == entry->incarnation;
 	struct rec rec = { .type = REC_MEMBER };
 
+	/* It was replaced; each of its heartbeats would be refused. */
+	if (member && member->incarnation > entry->incarnation)
+		return;
 	if (joined && !member->expired && last->value == entry->incarnation &&
 	    input->now_ms - last->proposed_ms < mbr->config.heartbeat_ms)
 		return;
@@ -180,7 +183,9 @@
 		notice_of(mbr->silent, member->name, input->now_ms);
 	struct rec rec = { .type = REC_MEMBER_EXPIRED };
 
-	if (notice->value != member->seen_offset) {
+	/* Silence is known only while the log is followed: after an outage or
+	   a pause of this process, the others' heartbeats come first. */
+	if (!input->log_followed || notice->value != member->seen_offset) {
 		notice->value = member->seen_offset;
 		notice->since_ms = input->now_ms;
 	}
--- a/src/mbr.h
+++ b/src/mbr.h
@@ -59,6 +59,7 @@
 struct mbr_input {
 	const struct fst *fst;
 	int64_t now_ms;
+	bool log_followed;   /* the platform log answers at present */
 	struct tbl *entries; /* of struct mbr_entry */
 	const struct mbr_host *hosts;
 	uint32_t host_count;
--- a/src/prp.c
+++ b/src/prp.c
@@ -9,6 +9,9 @@
 	RETRY_UNAVAILABLE_MS = 250,
 	/* Time for a record to be read back before it is appended again. */
 	RETRY_UNKNOWN_MS = 1500,
+	/* The state remembers LIM_IDS ids. Half of them are left for records
+	   that this process has not read yet. */
+	RETRY_RECORDS = LIM_IDS / 2,
 	KEY_BYTES = 3 * LIM_NAME_BYTES
 };
 
@@ -21,6 +24,7 @@
 	int64_t created_ms;
 	int64_t deadline_ms;
 	int64_t retry_ms;
+	int64_t first_next; /* next offset at the first append; -1: none */
 	bool appending;
 	bool maybe_appended;
 	bool ended; /* called back; freed when its append has returned */
@@ -33,6 +37,7 @@
 	struct plt *plt;
 	struct rnd *rnd;
 	char author[LIM_NAME_BYTES];
+	int64_t next; /* after the last record that was read */
 	struct proposal *proposals;
 };
 
@@ -116,6 +121,7 @@
 		.prp = prp,
 		.text = text,
 		.created_ms = clk_now_ms(prp->clk),
+		.first_next = -1,
 		.done = done,
 		.arg = arg,
 	};
@@ -130,9 +136,20 @@
 void prp_observe(struct prp *prp, int64_t offset, const struct rec *rec,
 		 const struct err *result)
 {
+	struct err unseen;
+
+	prp->next = offset + 1;
 	for (struct proposal *p = prp->proposals; p; p = p->next) {
 		if (strcmp(p->id, rec->id))
 			continue;
+		if (result->kind == ERR_DUPLICATE && p->maybe_appended) {
+			/* The first copy was in records that a snapshot
+			   replaced. */
+			err_set(&unseen, ERR_UNKNOWN,
+				"an earlier copy was applied; its result was "
+				"not read");
+			end(p, &unseen, -1);
+		}
 		end(p, result, offset);
 		if (!p->appending)
 			free_proposal(p);
@@ -203,6 +220,10 @@
 		}
 		if (p->appending || now_ms < p->retry_ms)
 			continue;
+		if (p->first_next < 0)
+			p->first_next = prp->next;
+		if (prp->next - p->first_next >= RETRY_RECORDS)
+			continue;
 		p->appending = true;
 		plt_append(prp->plt, "fleet", p->text, strlen(p->text),
 			   appended, p);
--- a/src/prp.h
+++ b/src/prp.h
@@ -4,7 +4,8 @@
  *
  * A record is appended with an id of its own, again with the same id if the
  * answer was lost, and is done when it has been read back and applied. Ids
- * are remembered by the fleet state, so a second copy has no effect.
+ * are remembered by the fleet state, so a second copy has no effect. An id is
+ * not appended again once the log has advanced so far that it may be forgotten.
  */
 #ifndef PRP_H
 #define PRP_H
--- a/src/rpf.c
+++ b/src/rpf.c
@@ -153,41 +153,53 @@
 		news->has_status = true;
 		news->asked_ms = asked_ms;
 		chosen = target;
-		if (rpf->config.policy == RPF_FIRST)
+		/* One that is behind cannot tell of newer changes. */
+		if (rpf->config.policy == RPF_FIRST &&
+		    status.next >= hello->next)
 			break;
 	}
 	return chosen;
 }
 
+/* Adds a chunk to the snapshot, whose length the first chunk gives. */
+static bool take_chunk(struct rpf_news *news, const prt_chunk *chunk,
+		       int64_t position)
+{
+	if (chunk->gone || chunk->data.data_len == 0 ||
+	    chunk->length > LIM_SNAPSHOT_BYTES ||
+	    position + chunk->data.data_len > chunk->length)
+		return false;
+	if (position == 0) {
+		free(news->snapshot);
+		news->snapshot = malloc((size_t)chunk->length + 1);
+		news->snapshot_len = (size_t)chunk->length;
+	}
+	if (!news->snapshot || news->snapshot_len != (size_t)chunk->length)
+		return false;
+	memcpy(news->snapshot + position, chunk->data.data_val,
+	       chunk->data.data_len);
+	return true;
+}
+
 static void fetch_snapshot(struct target *target, struct rpf_news *news)
 {
 	prt_chunk_arg arg = { 0 };
-	int64_t length = 1;
+	bool ok;
 
-	while (arg.position < length) {
+	do {
 		prt_chunk chunk = { 0 };
 
-		if (prt_snapshot_1(arg, &chunk, target->client) !=
-			    RPC_SUCCESS ||
-		    chunk.gone || chunk.data.data_len == 0 ||
-		    chunk.length > LIM_SNAPSHOT_BYTES ||
-		    arg.position + chunk.data.data_len > chunk.length) {
-			xdr_free((xdrproc_t)xdr_prt_chunk, (char *)&chunk);
-			free(news->snapshot);
-			news->snapshot = NULL;
-			return;
-		}
-		if (!news->snapshot)
-			news->snapshot = malloc((size_t)chunk.length + 1);
-		if (news->snapshot)
-			memcpy(news->snapshot + arg.position,
-			       chunk.data.data_val, chunk.data.data_len);
+		ok = prt_snapshot_1(arg, &chunk, target->client) ==
+			     RPC_SUCCESS &&
+		     take_chunk(news, &chunk, arg.position);
 		arg.next = chunk.next;
 		arg.position += chunk.data.data_len;
-		length = chunk.length;
 		xdr_free((xdrproc_t)xdr_prt_chunk, (char *)&chunk);
-	}
-	news->snapshot_len = (size_t)length;
+	} while (ok && arg.position < (int64_t)news->snapshot_len);
+	if (ok)
+		return;
+	free(news->snapshot);
+	news->snapshot = NULL;
 }
 
 static void fetch(struct target *target, const struct rpf_hello *hello,
@@ -198,17 +210,22 @@
 
 		news->has_tail = prt_tail_1(arg, &news->tail, target->client) ==
 				 RPC_SUCCESS;
+		if (!news->has_tail || news->tail.gone)
+			xdr_free((xdrproc_t)xdr_prt_tail, (char *)&news->tail);
 		if (news->has_tail && news->tail.gone) {
 			news->has_tail = false;
-			xdr_free((xdrproc_t)xdr_prt_tail, (char *)&news->tail);
 			fetch_snapshot(target, news);
 		}
 	}
-	if (news->status.hosts_version != hello->hosts_version) {
+	if (hello->hosts_version >= 0 &&
+	    news->status.hosts_version != hello->hosts_version) {
 		prt_hosts_arg arg = { .list_version = hello->hosts_version };
 
 		news->has_hosts = prt_hosts_1(arg, &news->hosts,
 					      target->client) == RPC_SUCCESS;
+		if (!news->has_hosts)
+			xdr_free((xdrproc_t)xdr_prt_hosts,
+				 (char *)&news->hosts);
 	}
 }
 
--- a/src/rpf.h
+++ b/src/rpf.h
@@ -24,7 +24,9 @@
 };
 
 enum rpf_policy {
-	RPF_FIRST, /* the first target in order that is ready */
+	/* the first ready target in order that is not behind the caller, or
+	   the newest of those that are */
+	RPF_FIRST,
 	RPF_NEWEST /* the ready target with the highest offset */
 };
 
@@ -47,7 +49,7 @@
 	int64_t incarnation;
 	bool leaving;
 	int64_t next;
-	int64_t hosts_version;
+	int64_t hosts_version; /* -1: the host list is not wanted */
 	uint32_t quiet_count;
 	const prt_quiet *quiet;
 };
--- a/src/rpl.c
+++ b/src/rpl.c
@@ -137,16 +137,19 @@
 
 	if (!fst)
 		return ERR_INVALID;
-	if (rpl->ready && fst->next <= rpl->fst->next) {
+	if (fst->next < rpl->fst->next ||
+	    (fst->next == rpl->fst->next && (rpl->ready || fst->next))) {
 		fst_destroy(fst);
 		return err_set(err, ERR_GONE, "snapshot is not newer");
 	}
 	while (rpl->tail_count)
 		drop_oldest(rpl);
+	/* The count is not in the snapshot; a reader that compares it has to
+	   see that the state is another one. */
+	fst->changes = rpl->fst->changes + 1;
 	fst_destroy(rpl->fst);
 	rpl->fst = fst;
 	rpl->tail_from = fst->next;
-	rpl->ready = true;
 	return 0;
 }
 
--- a/src/rpl.h
+++ b/src/rpl.h
@@ -44,7 +44,12 @@
 /* rpl_next - offset of the next record to apply */
 int64_t rpl_next(const struct rpl *rpl);
 
-/* rpl_ready - whether a state was built from the log or a snapshot */
+/*
+ * rpl_ready - whether the state may be used
+ *
+ * Set by the follower once the tail after a snapshot was applied: a snapshot
+ * alone may be older than what this host has already served.
+ */
 bool rpl_ready(const struct rpl *rpl);
 void rpl_set_ready(struct rpl *rpl);
 
@@ -55,7 +60,7 @@
 void rpl_skip_to(struct rpl *rpl, int64_t next);
 
 /*
- * rpl_adopt - take over a snapshot
+ * rpl_adopt - take over a snapshot; does not make the replica ready
  *
  * ERRORS
  *	ERR_GONE	it is not newer than the state held
--- a/src/sns.c
+++ b/src/sns.c
@@ -8,7 +8,12 @@
 enum {
 	PART_BYTES = 20 * 1024, /* quoted as JSON it still fits a record */
 	MAX_PARTS = LIM_SNAPSHOT_BYTES / PART_BYTES + 1,
-	READ_MAX = 64
+	READ_MAX = 64,
+	/* While the platform refuses every append, retries without a limit
+	   would keep the loop and the platform busy. */
+	PART_ATTEMPTS = 3,
+	/* Snapshots that are read at the same time: writers may overlap. */
+	ASSEMBLIES = 4
 };
 
 static const char stream[] = "snapshots";
@@ -18,6 +23,7 @@
 	char id[LIM_ID_BYTES];
 	int64_t fleet_next;
 	int64_t got;
+	int64_t offset; /* of the first part */
 	char *text;
 	size_t len;
 };
@@ -29,10 +35,12 @@
 	/* Reading. */
 	bool reading;
 	int64_t read_from;
-	struct assembly assembly;
+	struct assembly assemblies[ASSEMBLIES];
+	uint32_t assembly_turn; /* the one to replace next */
 	char *newest;
 	size_t newest_len;
 	int64_t newest_next;
+	int64_t newest_offset; /* of its first part */
 	void (*loaded)(void *arg, int status, const char *text, size_t len);
 	void *loaded_arg;
 
@@ -44,6 +52,7 @@
 	int64_t out_next;
 	char out_id[LIM_ID_BYTES];
 	int64_t out_part;
+	int out_attempts; /* of this part */
 };
 
 struct sns *sns_create(struct plt *plt, struct rnd *rnd)
@@ -62,7 +71,8 @@
 {
 	if (!sns)
 		return;
-	free(sns->assembly.text);
+	for (uint32_t i = 0; i < ASSEMBLIES; i++)
+		free(sns->assemblies[i].text);
 	free(sns->newest);
 	free(sns->out);
 	free(sns);
@@ -75,15 +85,14 @@
 	memset(assembly, 0, sizeof(*assembly));
 }
 
-static void finish_assembly(struct sns *sns)
+static void finish_assembly(struct sns *sns, struct assembly *assembly)
 {
-	struct assembly *assembly = &sns->assembly;
-
 	if (assembly->fleet_next > sns->newest_next) {
 		free(sns->newest);
 		sns->newest = assembly->text;
 		sns->newest_len = assembly->len;
 		sns->newest_next = assembly->fleet_next;
+		sns->newest_offset = assembly->offset;
 		assembly->text = NULL;
 	}
 	drop_assembly(assembly);
@@ -123,22 +132,42 @@
 	return fault.kind == ERR_OK;
 }
 
+static struct assembly *find_assembly(struct sns *sns, const char *id)
+{
+	for (uint32_t i = 0; i < ASSEMBLIES; i++)
+		if (!strcmp(sns->assemblies[i].id, id))
+			return &sns->assemblies[i];
+	return NULL;
+}
+
+static struct assembly *start_assembly(struct sns *sns, const struct part *part,
+				       int64_t offset)
+{
+	struct assembly *assembly =
+		&sns->assemblies[sns->assembly_turn++ % ASSEMBLIES];
+
+	drop_assembly(assembly);
+	memcpy(assembly->id, part->id, sizeof(part->id));
+	assembly->fleet_next = part->fleet_next;
+	assembly->offset = offset;
+	return assembly;
+}
+
 static void take_record(struct sns *sns, const struct plt_record *record)
 {
-	struct assembly *assembly = &sns->assembly;
+	struct assembly *assembly;
 	struct part part = { .part = -1 };
 	size_t len;
 	char *text;
 
-	if (!parse_part(record, &part))
+	if (!parse_part(record, &part) || !part.id[0])
 		return;
-	if (part.part == 0) {
-		drop_assembly(assembly);
-		memcpy(assembly->id, part.id, sizeof(part.id));
-		assembly->fleet_next = part.fleet_next;
-	}
-	/* A part appended twice, or of another writer, is passed over. */
-	if (strcmp(assembly->id, part.id) || part.part != assembly->got)
+	assembly = find_assembly(sns, part.id);
+	if (!assembly && part.part == 0)
+		assembly = start_assembly(sns, &part, record->offset);
+	/* A part that was appended twice is passed over, however late its
+	   copy takes effect. */
+	if (!assembly || part.part != assembly->got)
 		return;
 	len = strlen(part.data);
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): as in drop_assembly */
@@ -150,7 +179,7 @@
 	assembly->len += len;
 	assembly->got++;
 	if (part.last)
-		finish_assembly(sns);
+		finish_assembly(sns, assembly);
 }
 
 static void read_on(struct sns *sns);
@@ -182,6 +211,9 @@
 		end_reading(sns, ERR_UNAVAILABLE);
 		return;
 	}
+	/* A snapshot that has passed retention is of no use to a new host. */
+	if (!sns->newest && batch->first > sns->newest_offset)
+		sns->newest_next = -1;
 	for (uint32_t i = 0; i < batch->count; i++)
 		take_record(sns, &batch->records[i]);
 	if (batch->next > sns->read_from) {
@@ -208,7 +240,8 @@
 	sns->loaded_arg = arg;
 	sns->read_from = 0;
 	sns->newest_next = -1;
-	drop_assembly(&sns->assembly);
+	for (uint32_t i = 0; i < ASSEMBLIES; i++)
+		drop_assembly(&sns->assemblies[i]);
 	read_on(sns);
 }
 
@@ -243,7 +276,8 @@
 	struct sns *sns = arg;
 
 	(void)offset;
-	if (status != 0 && status != ERR_UNKNOWN) {
+	if (status != 0 &&
+	    (status != ERR_UNKNOWN || ++sns->out_attempts >= PART_ATTEMPTS)) {
 		end_writing(sns);
 		return;
 	}
@@ -252,11 +286,12 @@
 	if (status == 0) {
 		sns->out_pos += sns->out_part_len;
 		sns->out_part++;
+		sns->out_attempts = 0;
 	}
 	if (sns->out_pos >= sns->out_len) {
-		if (sns->out_next > sns->newest_next)
-			sns->newest_next = sns->out_next;
 		end_writing(sns);
+		/* Only reading it back shows that it is whole. */
+		sns_poll(sns);
 		return;
 	}
 	write_part(sns);
@@ -306,6 +341,7 @@
 	sns->out_len = len;
 	sns->out_pos = 0;
 	sns->out_part = 0;
+	sns->out_attempts = 0;
 	sns->out_next = fleet_next;
 	rnd_id(sns->rnd, sns->out_id);
 	write_part(sns);
--- a/src/sns.h
+++ b/src/sns.h
@@ -46,8 +46,8 @@
 bool sns_busy(const struct sns *sns);
 
 /*
- * sns_newest - fleet offset of the newest whole snapshot that was loaded,
- * written, or seen by sns_poll; -1 if none
+ * sns_newest - fleet offset of the newest whole snapshot that was read by
+ * sns_load or sns_poll and is still retained; -1 if none
  */
 int64_t sns_newest(const struct sns *sns);
 
--- /dev/null
+++ b/tests/test_replica.c
@@ -0,0 +1,464 @@
+/*
+ * Unit tests of the replica, the assembly of snapshots and the proposer. The
+ * platform client is replaced by streams in memory, whose answers arrive when
+ * the test lets them.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "plt.h"
+#include "prp.h"
+#include "rpl.h"
+#include "snp.h"
+#include "sns.h"
+
+enum { MAX_RECORDS = 4096, MAX_CALLS = 16 };
+
+struct stream {
+	int64_t first;
+	int64_t next;
+	char *records[MAX_RECORDS];
+};
+
+struct call {
+	struct stream *stream;
+	int64_t from; /* of a read; -1: an append */
+	int status;
+	void (*on_append)(void *arg, int status, int64_t offset);
+	void (*on_read)(void *arg, int status, const struct plt_batch *batch);
+	void *arg;
+};
+
+static struct stream fleet, snapshots;
+static struct call calls[MAX_CALLS];
+static uint32_t call_count;
+static int append_status; /* ERR_UNKNOWN: appended, and the answer is lost */
+static struct clk clk;
+static struct rnd rnd;
+static struct rpl *rpl;
+static struct prp *prp;
+static struct sns *sns;
+static struct err err;
+static struct err outcome;
+static int outcomes, statuses, loads;
+static char *loaded;
+
+static struct stream *stream_of(const char *name)
+{
+	return strcmp(name, "fleet") ? &snapshots : &fleet;
+}
+
+static void add(struct stream *stream, const char *text)
+{
+	ck_assert_int_lt(stream->next, MAX_RECORDS);
+	stream->records[stream->next++] = strdup(text);
+}
+
+void plt_append(struct plt *plt, const char *name, const char *data, size_t len,
+		void (*fn)(void *arg, int status, int64_t offset), void *arg)
+{
+	(void)plt;
+	(void)len;
+	if (append_status == 0 || append_status == ERR_UNKNOWN)
+		add(stream_of(name), data);
+	ck_assert_uint_lt(call_count, MAX_CALLS);
+	calls[call_count++] = (struct call){
+		.stream = stream_of(name),
+		.from = -1,
+		.status = append_status,
+		.on_append = fn,
+		.arg = arg,
+	};
+}
+
+void plt_read(struct plt *plt, const char *name, int64_t from, uint32_t max,
+	      int64_t wait_ms,
+	      void (*fn)(void *arg, int status, const struct plt_batch *batch),
+	      void *arg)
+{
+	(void)plt;
+	(void)max;
+	(void)wait_ms;
+	ck_assert_uint_lt(call_count, MAX_CALLS);
+	calls[call_count++] = (struct call){
+		.stream = stream_of(name),
+		.from = from,
+		.on_read = fn,
+		.arg = arg,
+	};
+}
+
+static void answer_read(const struct call *call)
+{
+	static struct plt_record records[MAX_RECORDS];
+	struct stream *stream = call->stream;
+	struct plt_batch batch = {
+		.first = stream->first,
+		.next = stream->next,
+		.records = records,
+	};
+
+	if (call->from < stream->first) {
+		call->on_read(call->arg, ERR_GONE, &batch);
+		return;
+	}
+	for (int64_t i = call->from; i < stream->next; i++) {
+		struct plt_record *record = &records[batch.count++];
+
+		record->offset = i;
+		record->data = stream->records[i];
+		record->len = strlen(stream->records[i]);
+	}
+	call->on_read(call->arg, 0, &batch);
+}
+
+/* Answers calls, and those that follow from them, up to a number. */
+static int answer_calls(int max)
+{
+	int answered = 0;
+
+	while (call_count && answered < max) {
+		struct call call = calls[0];
+
+		memmove(calls, calls + 1, --call_count * sizeof(call));
+		answered++;
+		if (call.from >= 0)
+			answer_read(&call);
+		else
+			call.on_append(call.arg, call.status,
+				       call.stream->next - 1);
+	}
+	return answered;
+}
+
+static void on_applied(void *arg, int64_t offset, const struct rec *rec,
+		       const struct err *result)
+{
+	(void)arg;
+	statuses += result->kind == ERR_OK;
+	if (rec)
+		prp_observe(prp, offset, rec, result);
+}
+
+static void on_loaded(void *arg, int status, const char *text, size_t len)
+{
+	(void)arg;
+	ck_assert_int_eq(status, 0);
+	free(loaded);
+	loaded = text ? strndup(text, len) : NULL;
+	loads++;
+}
+
+static void on_done(void *arg, const struct err *result, int64_t offset,
+		    int64_t created_ms)
+{
+	(void)arg;
+	(void)offset;
+	(void)created_ms;
+	outcome = *result;
+	outcomes++;
+}
+
+static void setup(void)
+{
+	clk = clk_manual(1000);
+	rnd_init(&rnd, 7);
+	rpl = rpl_create();
+	rpl_on_applied(rpl, on_applied, NULL);
+	prp = prp_create(&clk, NULL, &rnd, "e0");
+	sns = sns_create(NULL, &rnd);
+	append_status = outcomes = statuses = loads = 0;
+	call_count = 0;
+}
+
+static void clear(struct stream *stream)
+{
+	for (int64_t i = 0; i < stream->next; i++)
+		free(stream->records[i]);
+	memset(stream, 0, sizeof(*stream));
+}
+
+static void teardown(void)
+{
+	sns_destroy(sns);
+	prp_destroy(prp);
+	rpl_destroy(rpl);
+	clear(&fleet);
+	clear(&snapshots);
+	free(loaded);
+	loaded = NULL;
+}
+
+static void propose_settings(int64_t base)
+{
+	struct rec rec = { .type = REC_SETTINGS, .base = base };
+
+	snprintf(rec.team, sizeof(rec.team), "ads");
+	rec.settings = strdup("{\"pools\":{\"proofs\":{\"hosts\":[\"h0\"],"
+			      "\"min_available\":0}}}");
+	ck_assert_int_eq(prp_propose(prp, NULL, &rec, 10000, on_done, NULL), 0);
+}
+
+/* Reads the fleet stream from an offset on. */
+static void follow(int64_t from)
+{
+	for (int64_t i = from; i < fleet.next; i++)
+		rpl_apply(rpl, i, fleet.records[i], strlen(fleet.records[i]));
+}
+
+static int64_t version(void)
+{
+	const struct fst_team *team = fst_team(rpl_state(rpl), "ads");
+
+	return team ? team->version : -1;
+}
+
+static void pass_ms(int64_t ms)
+{
+	clk.manual_ms += ms;
+	prp_tick(prp);
+	answer_calls(MAX_CALLS);
+}
+
+/* Guards against a record that takes effect twice after a lost answer. */
+START_TEST(lost_answer_applies_once)
+{
+	append_status = ERR_UNKNOWN;
+	propose_settings(-1);
+	answer_calls(1);
+	append_status = 0;
+	pass_ms(5000);
+	ck_assert_int_eq(fleet.next, 2);
+	follow(0);
+	ck_assert_int_eq(statuses, 1);
+	ck_assert_int_eq(version(), 0);
+	ck_assert_int_eq(outcomes, 1);
+	ck_assert_int_eq(outcome.kind, ERR_OK);
+	ck_assert_uint_eq(prp_count(prp), 0);
+}
+END_TEST
+
+/* Guards against "refused" for a change whose first copy was accepted in
+   records that a snapshot replaced. */
+START_TEST(duplicate_of_unseen_copy_is_unknown)
+{
+	struct rpl *other = rpl_create();
+	size_t len;
+	char *text;
+
+	append_status = ERR_UNKNOWN;
+	propose_settings(-1);
+	answer_calls(1);
+	rpl_apply(other, 0, fleet.records[0], strlen(fleet.records[0]));
+	text = snp_encode(rpl_state(other), &len);
+	ck_assert_int_eq(rpl_adopt(rpl, text, len, &err), 0);
+	append_status = 0;
+	pass_ms(5000);
+	follow(1);
+	ck_assert_int_eq(outcomes, 1);
+	ck_assert_int_eq(outcome.kind, ERR_UNKNOWN);
+	ck_assert_int_eq(version(), 0);
+	free(text);
+	rpl_destroy(other);
+}
+END_TEST
+
+/* Guards against an id that is appended when the state may have forgotten
+   it. */
+START_TEST(no_retry_after_log_advanced)
+{
+	struct rec other = { .id = "other" };
+
+	append_status = ERR_UNKNOWN;
+	propose_settings(-1);
+	answer_calls(1);
+	prp_observe(prp, LIM_IDS, &other, &(struct err){ .kind = ERR_OK });
+	pass_ms(5000);
+	ck_assert_int_eq(fleet.next, 1);
+	pass_ms(10000);
+	ck_assert_int_eq(outcome.kind, ERR_UNKNOWN);
+}
+END_TEST
+
+/* Guards against "unavailable, not run" for a record that may be stored. */
+START_TEST(refused_append_is_unavailable)
+{
+	append_status = ERR_UNAVAILABLE;
+	propose_settings(-1);
+	answer_calls(1);
+	pass_ms(10000);
+	ck_assert_int_eq(outcome.kind, ERR_UNAVAILABLE);
+	ck_assert_int_eq(fleet.next, 0);
+	append_status = ERR_UNKNOWN;
+	propose_settings(-1);
+	answer_calls(1);
+	pass_ms(10000);
+	ck_assert_int_eq(outcome.kind, ERR_UNKNOWN);
+	ck_assert_int_eq(outcomes, 2);
+}
+END_TEST
+
+static char *state_after(int64_t records, size_t *len)
+{
+	struct rpl *other = rpl_create();
+	char *text;
+
+	for (int64_t i = 0; i < records; i++)
+		rpl_apply(other, i, fleet.records[i], strlen(fleet.records[i]));
+	text = snp_encode(rpl_state(other), len);
+	rpl_destroy(other);
+	return text;
+}
+
+/* Guards against a state that goes back, a replica that is ready before the
+   tail was applied, and a reader of `changes` that misses the new state. */
+START_TEST(adopt_never_goes_back)
+{
+	uint64_t changes;
+	size_t len;
+	char *old, *newer;
+
+	propose_settings(-1);
+	propose_settings(0);
+	answer_calls(MAX_CALLS);
+	old = state_after(1, &len);
+	changes = rpl_state(rpl)->changes;
+	ck_assert_int_eq(rpl_adopt(rpl, old, len, &err), 0);
+	ck_assert(!rpl_ready(rpl));
+	ck_assert_uint_ne(rpl_state(rpl)->changes, changes);
+	follow(0);
+	ck_assert_int_eq(version(), 1);
+	ck_assert_int_eq(rpl_adopt(rpl, old, len, &err), ERR_GONE);
+	newer = state_after(2, &len);
+	ck_assert_int_eq(rpl_adopt(rpl, newer, len, &err), ERR_GONE);
+	rpl_skip_to(rpl, 1);
+	ck_assert_int_eq(rpl_next(rpl), 2);
+	ck_assert_int_eq(version(), 1);
+	free(old);
+	free(newer);
+}
+END_TEST
+
+/* Guards against a tail that leaves out records which are no longer held. */
+START_TEST(tail_says_gone)
+{
+	const struct rpl_record *out[LIM_TAIL_BATCH];
+	size_t len;
+	char *text;
+
+	for (int64_t i = 0; i <= LIM_TAIL_RECORDS; i++)
+		rpl_apply(rpl, i, "{}", 2);
+	ck_assert_int_eq(rpl_tail(rpl, 0, LIM_TAIL_BATCH, out), ERR_GONE);
+	ck_assert_int_eq(rpl_tail(rpl, 1, LIM_TAIL_BATCH, out), LIM_TAIL_BATCH);
+	ck_assert_int_eq(out[0]->offset, 1);
+	ck_assert_int_eq(rpl_tail(rpl, LIM_TAIL_RECORDS, 9, out), 1);
+	ck_assert_int_eq(rpl_tail(rpl, LIM_TAIL_RECORDS + 1, 9, out), 0);
+	text = snp_encode(rpl_state(rpl), &len);
+	rpl_destroy(rpl);
+	rpl = rpl_create();
+	ck_assert_int_eq(rpl_adopt(rpl, text, len, &err), 0);
+	ck_assert_int_eq(rpl_tail(rpl, LIM_TAIL_RECORDS, 9, out), ERR_GONE);
+	ck_assert_int_eq(rpl_tail(rpl, LIM_TAIL_RECORDS + 1, 9, out), 0);
+	free(text);
+}
+END_TEST
+
+static void put_part(const char *id, int64_t fleet_next, int part, bool last)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+		 "{\"id\":\"%s\",\"fleet_next\":%d,\"part\":%d,\"last\":%s,"
+		 "\"data\":\"%s%d\"}",
+		 id, (int)fleet_next, part, last ? "true" : "false", id, part);
+	add(&snapshots, text);
+}
+
+static void load(void)
+{
+	sns_load(sns, on_loaded, NULL);
+	answer_calls(MAX_CALLS);
+}
+
+/* Guards against a snapshot that is lost because two writers overlap, or
+   because a copy of its first part takes effect late; and against one of
+   which parts are missing. */
+START_TEST(snapshot_parts_are_assembled)
+{
+	put_part("a", 5, 0, false);
+	put_part("b", 7, 0, false);
+	put_part("a", 5, 1, false);
+	put_part("a", 5, 0, false);
+	put_part("a", 5, 2, true);
+	put_part("b", 7, 2, true);
+	put_part("c", 9, 1, true);
+	load();
+	ck_assert_int_eq(loads, 1);
+	ck_assert_str_eq(loaded, "a0a1a2");
+	ck_assert_int_eq(sns_newest(sns), 5);
+	snapshots.first = 4;
+	sns_poll(sns);
+	answer_calls(MAX_CALLS);
+	ck_assert_int_eq(sns_newest(sns), -1);
+	load();
+	ck_assert_ptr_null(loaded);
+}
+END_TEST
+
+/* Guards against a broken snapshot after lost answers, and a writer that
+   appends without an end while every answer is lost. */
+START_TEST(snapshot_is_written_over_lost_answers)
+{
+	size_t len = 70000;
+	char *text = malloc(len + 1);
+	int answered;
+
+	memset(text, 'x', len);
+	text[len] = 0;
+	sns_write(sns, strdup(text), len, 11);
+	answer_calls(1);
+	append_status = ERR_UNKNOWN;
+	answer_calls(1);
+	append_status = 0;
+	answer_calls(MAX_CALLS);
+	ck_assert(!sns_busy(sns));
+	ck_assert_int_eq(sns_newest(sns), 11);
+	load();
+	ck_assert_str_eq(loaded, text);
+	append_status = ERR_UNKNOWN;
+	sns_write(sns, text, len, 12);
+	answered = answer_calls(1000);
+	ck_assert_int_lt(answered, 1000);
+	ck_assert(!sns_busy(sns));
+	ck_assert_int_eq(sns_newest(sns), 11);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("replica");
+	TCase *tcase = tcase_create("replica, snapshots, proposer");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, lost_answer_applies_once);
+	tcase_add_test(tcase, duplicate_of_unseen_copy_is_unknown);
+	tcase_add_test(tcase, no_retry_after_log_advanced);
+	tcase_add_test(tcase, refused_append_is_unavailable);
+	tcase_add_test(tcase, adopt_never_goes_back);
+	tcase_add_test(tcase, tail_says_gone);
+	tcase_add_test(tcase, snapshot_parts_are_assembled);
+	tcase_add_test(tcase, snapshot_is_written_over_lost_answers);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
