Add the open-loop load generator and the capacity benchmark

Cause: there was no way to put a repeatable load on the entry daemons, nor to measure what the fleet state costs as the number of hosts grows. Change: plank-load with seeded arrivals and a histogram; make bench.

--- a/Makefile
+++ b/Makefile
@@ -17,10 +17,11 @@
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst snp mbr rte
-AROUND = log fio cnf cmd evl web plt prp rpl sns flw hls rps rpf adm fwd
+AROUND = log fio cnf cmd evl web plt prp rpl sns flw hls rps rpf adm fwd hst arr
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
-PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl
+PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
+	$(BUILD)/plank-load
 STANDINS = $(BUILD)/platformd $(BUILD)/workerd
 
 all: $(PROGRAMS)
@@ -46,9 +47,15 @@
 $(BUILD)/plankctl: $(BUILD)/plankctl.o $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/plank-load: $(BUILD)/load.o $(LIBRARY)
+	$(CC) $(CFLAGS) $^ $(LDLIBS) -lm -o $@
+
 $(BUILD)/%: tests/%.c $(LIBRARY)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -lcheck -lm -lsubunit -lrt -o $@
 
+$(BUILD)/bench_state: bench/state.c $(LIBRARY)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -o $@
+
 standins: $(STANDINS)
 
 # Tests: unit tests by check, then process tests with the stand-ins.
@@ -78,8 +85,13 @@
 	$(MAKE) all standins
 	scripts/demo.sh
 
+# Figures of docs/CAPACITY.md.
+bench: all standins $(BUILD)/bench_state
+	$(BUILD)/bench_state
+	PLANK_BUILD=$(BUILD) bash bench/processes.sh
+
 SOURCES = $(filter-out src/prt%,$(wildcard src/*.c src/*.h)) \
-	$(wildcard tests/*.c tests/*.h)
+	$(wildcard tests/*.c tests/*.h bench/*.c)
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
@@ -109,6 +121,6 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all standins tests run-unit run-process check demo lint format deps rpc \
+.PHONY: all standins tests run-unit run-process check bench demo lint format deps rpc \
 	clean
 .SECONDARY:
--- /dev/null
+++ b/bench/state.c
@@ -0,0 +1,205 @@
+/* Time and memory of the fleet state, its snapshot and the routing table. */
+
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <apr_general.h>
+#include <json-c/json.h>
+
+#include "fst.h"
+#include "rec.h"
+#include "rnd.h"
+#include "rte.h"
+#include "snp.h"
+
+enum { HOSTS_PER_POOL = 31, REPEATS = 1000, MEMBERS = 40, SEED = 1 };
+
+static struct fst *fst;
+static struct rnd rnd;
+static int64_t next_offset;
+
+static double now_us(void)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+	return (double)at.tv_sec * 1e6 + (double)at.tv_nsec / 1e3;
+}
+
+static int apply(struct rec *rec)
+{
+	struct err err = { .kind = ERR_OK };
+	int status;
+
+	rnd_id(&rnd, rec->id);
+	snprintf(rec->author, sizeof(rec->author), "bench");
+	status = fst_apply(fst, next_offset++, rec, &err);
+	if (status == 0)
+		return 0;
+	fprintf(stderr, "state: %s: %s\n", rec_type_name(rec->type), err.text);
+	exit(1);
+}
+
+static void add_host(int i)
+{
+	struct rec rec = { .type = REC_HOST,
+			   .port = 80,
+			   .cpu_milli = 32000,
+			   .mem_mib = 65536,
+			   .slots = 8,
+			   .connections = 64 };
+
+	snprintf(rec.host, sizeof(rec.host), "w%d", i);
+	snprintf(rec.data_centre, sizeof(rec.data_centre), "dc%d", i % 5);
+	snprintf(rec.rack, sizeof(rec.rack), "dc%d-r%d", i % 5, i / 20);
+	snprintf(rec.address, sizeof(rec.address), "10.0.%d.%d", i / 250,
+		 i % 250);
+	apply(&rec);
+}
+
+/* One team for each pool, which is near the ratio of the target. */
+static void publish(int team, int hosts, int64_t base)
+{
+	struct rec rec = { .type = REC_SETTINGS, .base = base };
+	struct json_object *names = json_object_new_array();
+	char text[8192];
+
+	for (int i = team * HOSTS_PER_POOL;
+	     i < hosts && i < (team + 1) * HOSTS_PER_POOL; i++) {
+		snprintf(text, sizeof(text), "w%d", i);
+		json_object_array_add(names, json_object_new_string(text));
+	}
+	snprintf(text, sizeof(text),
+		 "{\"pools\":{\"p\":{\"hosts\":%s,\"min_available\":1}}}",
+		 json_object_to_json_string(names));
+	json_object_put(names);
+	snprintf(rec.team, sizeof(rec.team), "t%d", team);
+	rec.settings = text;
+	apply(&rec);
+}
+
+static void heartbeat(int member, int64_t seq)
+{
+	struct rec rec = {
+		.type = REC_MEMBER, .incarnation = 1, .seq = seq, .port = 1
+	};
+
+	snprintf(rec.member, sizeof(rec.member), "e%d", member);
+	snprintf(rec.data_centre, sizeof(rec.data_centre), "dc%d", member % 5);
+	snprintf(rec.address, sizeof(rec.address), "10.1.0.%d", member);
+	apply(&rec);
+}
+
+static void host_record(enum rec_type type, int i)
+{
+	struct rec rec = { .type = type };
+
+	snprintf(rec.host, sizeof(rec.host), "w%d", i);
+	snprintf(rec.reason, sizeof(rec.reason), "bench");
+	apply(&rec);
+}
+
+static void measure_records(int hosts)
+{
+	int teams = (hosts + HOSTS_PER_POOL - 1) / HOSTS_PER_POOL;
+	double start = now_us();
+
+	for (int i = 0; i < REPEATS; i++)
+		heartbeat(i % MEMBERS, 2 + i / MEMBERS);
+	printf(" member %.2f", (now_us() - start) / REPEATS);
+	start = now_us();
+	for (int i = 0; i < REPEATS; i++)
+		add_host(i % hosts);
+	printf(" host %.2f", (now_us() - start) / REPEATS);
+	start = now_us();
+	for (int i = 0; i < REPEATS; i++) {
+		host_record(REC_DRAIN, i % hosts);
+		host_record(REC_UNDRAIN, i % hosts);
+	}
+	printf(" drain+undrain %.2f", (now_us() - start) / REPEATS);
+	start = now_us();
+	for (int i = 0; i < REPEATS; i++) {
+		char name[LIM_NAME_BYTES];
+
+		snprintf(name, sizeof(name), "t%d", i % teams);
+		publish(i % teams, hosts, fst_team(fst, name)->version);
+	}
+	printf(" settings %.2f", (now_us() - start) / REPEATS);
+}
+
+static void measure_snapshot(void)
+{
+	struct err err = { .kind = ERR_OK };
+	double start = now_us();
+	double encoded;
+	struct fst *copy;
+	size_t len;
+	char *text = snp_encode(fst, &len);
+
+	encoded = now_us();
+	copy = snp_decode(text, len, &err);
+	printf(" encode %.0f decode %.0f bytes %zu", encoded - start,
+	       now_us() - encoded, len);
+	fst_destroy(copy);
+	free(text);
+}
+
+static void measure_routes(void)
+{
+	struct rte *rte = rte_create("dc0", &rnd);
+	struct rte_query query = { .team = "t0",
+				   .pool = "p",
+				   .remote_allowed = true };
+	struct rte_worker *worker;
+	double start;
+
+	rte_sync(rte, fst, false, NULL, 0);
+	start = now_us();
+	for (int i = 0; i < 20; i++)
+		rte_sync(rte, fst, false, NULL, 0);
+	printf(" rebuild %.0f", (now_us() - start) / 20);
+	start = now_us();
+	for (int i = 0; i < 100 * REPEATS; i++)
+		if (rte_pick(rte, &query, &worker) == 0)
+			rte_done(rte, worker, RTE_ANSWERED, 0);
+	printf(" pick %.3f\n", (now_us() - start) / (100 * REPEATS));
+	rte_destroy(rte);
+}
+
+static void measure(int hosts)
+{
+	size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+
+	rnd_init(&rnd, SEED);
+	next_offset = 0;
+	fst = fst_create();
+	for (int i = 0; i < MEMBERS; i++)
+		heartbeat(i, 1);
+	for (int i = 0; i < hosts; i++)
+		add_host(i);
+	for (int i = 0; i * HOSTS_PER_POOL < hosts; i++)
+		publish(i, hosts, FST_NONE);
+	printf("hosts %d: state_bytes %zu; us:", hosts,
+	       mallinfo2().uordblks + mallinfo2().hblkhd - before);
+	measure_records(hosts);
+	measure_snapshot();
+	measure_routes();
+	fst_destroy(fst);
+}
+
+int main(void)
+{
+	static const int sizes[] = { 50, 500, 2600, 10000 };
+
+	apr_initialize();
+	printf("seed %d, %d members, %d hosts a pool, %d records a type; "
+	       "processor time\n",
+	       SEED, MEMBERS, HOSTS_PER_POOL, REPEATS);
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
+		measure(sizes[i]);
+	return 0;
+}
--- /dev/null
+++ b/src/load.c
@@ -0,0 +1,597 @@
+/* plank-load: open-loop load generator for the entry daemons. */
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/resource.h>
+#include <time.h>
+
+#include <argtable2.h>
+#include <curl/curl.h>
+
+#include "arr.h"
+#include "cmd.h"
+#include "err.h"
+#include "hst.h"
+#include "jsn.h"
+#include "lim.h"
+#include "rnd.h"
+
+enum { URGENT, NORMAL, LONG, PRIORITIES };
+enum { ANSWERED, NOT_RUN, UNKNOWN, NONE, CANCELLED, OUTCOMES };
+enum { MAX_URLS = 64, MAX_STATUS = 600, GRACE_MS = 5000, TEXT_BYTES = 256 };
+
+static const char *const priority_names[] = { "urgent", "normal", "long" };
+static const char *const outcome_names[] = { "answered", "not_run", "unknown",
+					     "none", "cancelled" };
+
+/* Pools and mix of a user's workload; the command line can change each. */
+struct shape {
+	const char *name;
+	bool bursts;
+	double burst_s;
+	const char *team;
+	const char *pools;
+	const char *mix;       /* shares of the priorities, in percent */
+	const char *sleeps;    /* mean service time of each, in ms */
+	const char *deadlines; /* of each, in ms */
+	double once;	       /* share of non-idempotent requests */
+};
+
+static const struct shape shapes[] = {
+	{ "flat", false, 0, "crew-shares",
+	  "payouts,settlements,advances,tallies,member-records", "20,70,10",
+	  "20,50,500", "6000,30000,600000", 0.2 },
+	{ "payouts", true, 6, "crew-shares",
+	  "payouts,settlements,advances,tallies,member-records", "10,80,10",
+	  "50,100,1000", "6000,30000,600000", 0.6 },
+	{ "ads", true, 4, "shelter-ads",
+	  "proofs,playlists,bookings,billing,audits", "30,50,20",
+	  "100,100,2000", "6000,30000,600000", 0.3 },
+};
+
+enum { SHAPE_COUNT = sizeof(shapes) / sizeof(shapes[0]) };
+
+struct request {
+	struct request *next;
+	struct request **link; /* what points to this request */
+	CURL *easy;
+	struct curl_slist *headers;
+	int64_t at_us;
+	uint32_t pool;
+	uint32_t priority;
+	int outcome; /* from Plank-Outcome */
+};
+
+struct load {
+	const char *urls[MAX_URLS];
+	uint32_t url_count;
+	const char *team;
+	const char *pools[ARR_MAX_POOLS];
+	uint32_t pool_count;
+	int64_t mix[PRIORITIES];
+	int64_t sleep_ms[PRIORITIES];
+	int64_t deadline_ms[PRIORITIES];
+	double once;
+	double duration_s;
+	double cancel;	       /* share that a wave drops */
+	double cancel_every_s; /* between waves */
+	int64_t max_lost;      /* -1: no bound */
+	struct arr_config schedule;
+
+	CURLM *multi;
+	struct rnd rnd;
+	struct rnd cancel_rnd;
+	int64_t start_us;
+	struct request *active;
+	uint64_t sent;
+	uint64_t outcomes[OUTCOMES];
+	uint64_t status[MAX_STATUS];
+	struct hst late; /* sending after the scheduled time */
+	struct hst all;
+	struct hst by_priority[PRIORITIES];
+	struct hst by_pool[ARR_MAX_POOLS];
+};
+
+static struct load load;
+
+static int64_t now_us(void)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_MONOTONIC, &at);
+	return at.tv_sec * 1000000LL + at.tv_nsec / 1000 - load.start_us;
+}
+
+static double unit(struct rnd *rnd)
+{
+	return (double)(rnd_next(rnd) >> 11) * 0x1p-53;
+}
+
+static size_t drop_body(char *data, size_t size, size_t count, void *arg)
+{
+	(void)data;
+	(void)arg;
+	return size * count;
+}
+
+static size_t take_header(char *data, size_t size, size_t count, void *arg)
+{
+	static const char name[] = "Plank-Outcome:";
+	struct request *request = arg;
+	size_t len = size * count;
+	char value[16] = "";
+
+	if (len < sizeof(name) || strncasecmp(data, name, sizeof(name) - 1))
+		return len;
+	snprintf(value, sizeof(value), "%.*s", (int)(len - sizeof(name) + 1),
+		 data + sizeof(name) - 1);
+	request->outcome = strstr(value, "answered")  ? ANSWERED
+			   : strstr(value, "not-run") ? NOT_RUN
+						      : UNKNOWN;
+	return len;
+}
+
+static void add_header(struct request *request, const char *name,
+		       const char *value)
+{
+	char line[TEXT_BYTES];
+
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	request->headers = curl_slist_append(request->headers, line);
+}
+
+static uint32_t draw_priority(void)
+{
+	int64_t draw = rnd_below(&load.rnd, 100);
+	uint32_t priority = 0;
+
+	while (priority < PRIORITIES - 1 && draw >= load.mix[priority])
+		draw -= load.mix[priority++];
+	return priority;
+}
+
+static void set_headers(struct request *request, bool once, const char *id)
+{
+	char deadline[24];
+
+	snprintf(deadline, sizeof(deadline), "%" PRId64,
+		 load.deadline_ms[request->priority]);
+	add_header(request, "Plank-Priority",
+		   priority_names[request->priority]);
+	add_header(request, "Plank-Deadline-Ms", deadline);
+	if (once)
+		add_header(request, "Idempotency-Key", id);
+	request->headers = curl_slist_append(request->headers, "Expect:");
+	curl_easy_setopt(request->easy, CURLOPT_HTTPHEADER, request->headers);
+}
+
+/* All draws are made here, in the order of the schedule, for repeatability. */
+static void send_request(const struct arr_event *event)
+{
+	struct request *request = calloc(1, sizeof(*request));
+	uint32_t entry = rnd_below(&load.rnd, load.url_count);
+	bool once = unit(&load.rnd) < load.once;
+	char url[2 * TEXT_BYTES], id[LIM_ID_BYTES];
+	int64_t sleep_ms;
+
+	if (!request)
+		abort();
+	request->at_us = event->at_us;
+	request->pool = event->pool;
+	request->priority = draw_priority();
+	request->outcome = NONE;
+	request->easy = curl_easy_init();
+	sleep_ms = (int64_t)((double)load.sleep_ms[request->priority] *
+			     (0.5 + unit(&load.rnd)));
+	rnd_id(&load.rnd, id);
+	snprintf(url, sizeof(url), "%s/%s/%s/load?sleep_ms=%" PRId64,
+		 load.urls[entry], load.team, load.pools[event->pool],
+		 sleep_ms);
+	curl_easy_setopt(request->easy, CURLOPT_URL, url);
+	curl_easy_setopt(request->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(request->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(request->easy, CURLOPT_TIMEOUT_MS,
+			 (long)load.deadline_ms[request->priority] + GRACE_MS);
+	curl_easy_setopt(request->easy, CURLOPT_WRITEFUNCTION, drop_body);
+	curl_easy_setopt(request->easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(request->easy, CURLOPT_HEADERDATA, request);
+	curl_easy_setopt(request->easy, CURLOPT_PRIVATE, request);
+	if (once) {
+		curl_easy_setopt(request->easy, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(request->easy, CURLOPT_POSTFIELDSIZE, 0L);
+		/* libcurl repeats a request by itself when a reused connection
+		   turns out to be closed. */
+		curl_easy_setopt(request->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(request->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	set_headers(request, once, id);
+	request->next = load.active;
+	request->link = &load.active;
+	if (request->next)
+		request->next->link = &request->next;
+	load.active = request;
+	load.sent++;
+	hst_add(&load.late, now_us() - event->at_us);
+	curl_multi_add_handle(load.multi, request->easy);
+}
+
+static void free_request(struct request *request)
+{
+	*request->link = request->next;
+	if (request->next)
+		request->next->link = request->link;
+	curl_multi_remove_handle(load.multi, request->easy);
+	curl_easy_cleanup(request->easy);
+	curl_slist_free_all(request->headers);
+	free(request);
+}
+
+static void finish_request(struct request *request, CURLcode code)
+{
+	int64_t took_us = now_us() - request->at_us;
+	long status = 0;
+
+	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK) {
+		request->outcome = NONE;
+		status = 0;
+	}
+	load.outcomes[request->outcome]++;
+	load.status[status >= 0 && status < MAX_STATUS ? status : 0]++;
+	if (request->outcome == ANSWERED) {
+		hst_add(&load.all, took_us);
+		hst_add(&load.by_priority[request->priority], took_us);
+		hst_add(&load.by_pool[request->pool], took_us);
+	}
+	free_request(request);
+}
+
+static void finish_requests(void)
+{
+	int left;
+
+	for (CURLMsg *msg; (msg = curl_multi_info_read(load.multi, &left));) {
+		struct request *request = NULL;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&request);
+		finish_request(request, msg->data.result);
+	}
+}
+
+/* A cancellation wave: removing a transfer closes its connection. */
+static void cancel_requests(void)
+{
+	struct request *next;
+
+	for (struct request *request = load.active; request; request = next) {
+		next = request->next;
+		if (unit(&load.cancel_rnd) >= load.cancel)
+			continue;
+		load.outcomes[CANCELLED]++;
+		free_request(request);
+	}
+}
+
+static void run(void)
+{
+	int64_t end_us = (int64_t)(load.duration_s * 1e6);
+	int64_t every_us = (int64_t)(load.cancel_every_s * 1e6);
+	int64_t wave_us = load.cancel > 0 ? every_us : INT64_MAX;
+	struct arr_event event;
+	struct arr arr;
+
+	arr_init(&arr, &load.schedule);
+	event = arr_next(&arr);
+	load.start_us = now_us();
+	while (event.at_us < end_us || load.active) {
+		int64_t at_us = event.at_us < end_us ? event.at_us : INT64_MAX;
+		int64_t wait_ms;
+		int running;
+
+		while (at_us <= now_us()) {
+			send_request(&event);
+			event = arr_next(&arr);
+			at_us = event.at_us < end_us ? event.at_us : INT64_MAX;
+		}
+		curl_multi_perform(load.multi, &running);
+		finish_requests();
+		if (now_us() >= wave_us && wave_us < end_us) {
+			cancel_requests();
+			wave_us += every_us;
+		}
+		wait_ms =
+			((at_us < wave_us ? at_us : wave_us) - now_us()) / 1000;
+		wait_ms = wait_ms < 0 ? 0 : wait_ms > 100 ? 100 : wait_ms;
+		curl_multi_poll(load.multi, NULL, 0, (int)wait_ms, NULL);
+	}
+}
+
+static struct json_object *percentiles(const struct hst *hst)
+{
+	static const struct {
+		const char *name;
+		double percent;
+	} list[] = { { "p50_us", 50 },
+		     { "p90_us", 90 },
+		     { "p99_us", 99 },
+		     { "p999_us", 99.9 },
+		     { "max_us", 100 } };
+	struct json_object *obj = json_object_new_object();
+
+	jsn_put_int(obj, "count", (int64_t)hst->count);
+	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
+		jsn_put_int(obj, list[i].name,
+			    (int64_t)hst_percentile(hst, list[i].percent));
+	return obj;
+}
+
+static struct json_object *report(void)
+{
+	struct json_object *obj = json_object_new_object();
+	struct json_object *outcomes = json_object_new_object();
+	struct json_object *status = json_object_new_object();
+	struct json_object *priorities = json_object_new_object();
+	struct json_object *pools = json_object_new_object();
+	char name[8];
+
+	jsn_put_int(obj, "seed", (int64_t)load.schedule.seed);
+	jsn_put_int(obj, "sent", (int64_t)load.sent);
+	for (int i = 0; i < OUTCOMES; i++)
+		jsn_put_int(outcomes, outcome_names[i],
+			    (int64_t)load.outcomes[i]);
+	for (int i = 0; i < MAX_STATUS; i++) {
+		snprintf(name, sizeof(name), "%d", i);
+		if (load.status[i])
+			jsn_put_int(status, name, (int64_t)load.status[i]);
+	}
+	for (int i = 0; i < PRIORITIES; i++)
+		json_object_object_add(priorities, priority_names[i],
+				       percentiles(&load.by_priority[i]));
+	for (uint32_t i = 0; i < load.pool_count; i++)
+		json_object_object_add(pools, load.pools[i],
+				       percentiles(&load.by_pool[i]));
+	json_object_object_add(obj, "outcomes", outcomes);
+	json_object_object_add(obj, "status", status);
+	json_object_object_add(obj, "late", percentiles(&load.late));
+	json_object_object_add(obj, "latency", percentiles(&load.all));
+	json_object_object_add(obj, "priorities", priorities);
+	json_object_object_add(obj, "pools", pools);
+	return obj;
+}
+
+static void print_row(const char *name, const struct hst *hst)
+{
+	printf("%-20s %9" PRIu64 " %9.1f %9.1f %9.1f %9.1f %9.1f\n", name,
+	       hst->count, (double)hst_percentile(hst, 50) / 1e3,
+	       (double)hst_percentile(hst, 90) / 1e3,
+	       (double)hst_percentile(hst, 99) / 1e3,
+	       (double)hst_percentile(hst, 99.9) / 1e3, (double)hst->max / 1e3);
+}
+
+static void print_text(void)
+{
+	printf("seed %" PRIu64 ", %" PRIu64 " requests\noutcomes:",
+	       load.schedule.seed, load.sent);
+	for (int i = 0; i < OUTCOMES; i++)
+		printf(" %s %" PRIu64, outcome_names[i], load.outcomes[i]);
+	printf("\nHTTP status (0: no response):");
+	for (int i = 0; i < MAX_STATUS; i++)
+		if (load.status[i])
+			printf(" %d: %" PRIu64, i, load.status[i]);
+	printf("\n\n%-20s %9s %9s %9s %9s %9s %9s\n", "latency in ms", "count",
+	       "p50", "p90", "p99", "p99.9", "max");
+	print_row("all", &load.all);
+	for (int i = 0; i < PRIORITIES; i++)
+		print_row(priority_names[i], &load.by_priority[i]);
+	for (uint32_t i = 0; i < load.pool_count; i++)
+		print_row(load.pools[i], &load.by_pool[i]);
+	print_row("sent late by", &load.late);
+}
+
+static bool read_triple(const char *text, int64_t min, int64_t *values)
+{
+	char rest;
+
+	return sscanf(text, "%" SCNd64 ",%" SCNd64 ",%" SCNd64 "%c", &values[0],
+		      &values[1], &values[2], &rest) == 3 &&
+	       values[0] >= min && values[1] >= min && values[2] >= min;
+}
+
+static void read_pools(char *text)
+{
+	char *save;
+
+	for (char *name = strtok_r(text, ",", &save);
+	     name && load.pool_count < ARR_MAX_POOLS;
+	     name = strtok_r(NULL, ",", &save))
+		load.pools[load.pool_count++] = name;
+}
+
+static const struct shape *find_shape(const char *name)
+{
+	for (int i = 0; i < SHAPE_COUNT; i++)
+		if (!strcmp(shapes[i].name, name))
+			return &shapes[i];
+	return NULL;
+}
+
+static const char *text_or(const struct arg_str *arg, const char *fallback)
+{
+	return arg->count ? arg->sval[0] : fallback;
+}
+
+static double number_or(const struct arg_dbl *arg, double fallback)
+{
+	return arg->count ? arg->dval[0] : fallback;
+}
+
+static const char *check_options(void)
+{
+	const struct arr_config *schedule = &load.schedule;
+
+	if (!load.url_count)
+		return "--url is needed";
+	if (!load.pool_count)
+		return "--pools: no pool given";
+	if (!(schedule->rate > 0) || !(load.duration_s > 0))
+		return "--rate and --duration must be above 0";
+	if (schedule->bursts && !(schedule->burst_s > 0))
+		return "--burst must be above 0";
+	if (!(load.once >= 0 && load.once <= 1) ||
+	    !(load.cancel >= 0 && load.cancel <= 1))
+		return "--once and --cancel must be from 0 to 1";
+	if (!(load.cancel_every_s > 0))
+		return "--cancel-every must be above 0";
+	return NULL;
+}
+
+/* Many requests are open at a time when the entry hosts are overloaded. */
+static void raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+static int run_and_report(bool json)
+{
+	uint64_t lost;
+
+	raise_file_limit();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	load.multi = curl_multi_init();
+	rnd_init(&load.rnd, load.schedule.seed);
+	rnd_init(&load.cancel_rnd, ~load.schedule.seed);
+	run();
+	curl_multi_cleanup(load.multi);
+	curl_global_cleanup();
+	if (json) {
+		struct json_object *obj = report();
+
+		printf("%s\n", json_object_to_json_string_ext(
+				       obj, JSON_C_TO_STRING_PLAIN));
+		json_object_put(obj);
+	} else {
+		print_text();
+	}
+	lost = load.outcomes[NONE] + load.outcomes[UNKNOWN];
+	if (load.max_lost < 0 || lost <= (uint64_t)load.max_lost)
+		return 0;
+	fprintf(stderr,
+		"plank-load: %" PRIu64 " requests lost or unknown, at most "
+		"%" PRId64 " allowed\n",
+		lost, load.max_lost);
+	return err_answer(ERR_UNKNOWN)->exit_code;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *urls = arg_strn("u", "url", "URL", 0, MAX_URLS,
+					"entry daemon; may be repeated");
+	struct arg_str *shape = arg_str0("s", "shape", "flat|payouts|ads",
+					 "workload whose values are used where "
+					 "no option is given (flat)");
+	struct arg_str *team = arg_str0(NULL, "team", "TEAM", "team");
+	struct arg_str *pools =
+		arg_str0(NULL, "pools", "NAME,...", "pools of the team");
+	struct arg_str *mix = arg_str0(NULL, "mix", "U,N,L",
+				       "percent urgent, normal and long");
+	struct arg_str *sleeps =
+		arg_str0(NULL, "sleep-ms", "U,N,L",
+			 "mean service time of each priority; drawn evenly "
+			 "from half to one and a half of it");
+	struct arg_str *deadlines = arg_str0(NULL, "deadline-ms", "U,N,L",
+					     "deadline of each priority");
+	struct arg_dbl *rate =
+		arg_dbl0("r", "rate", "N", "requests a second in all (100)");
+	struct arg_dbl *duration =
+		arg_dbl0("d", "duration", "SECONDS", "length of the run (10)");
+	struct arg_dbl *burst =
+		arg_dbl0(NULL, "burst", "SECONDS", "length of a burst");
+	struct arg_dbl *once = arg_dbl0(NULL, "once", "SHARE",
+					"non-idempotent requests, 0 to 1");
+	struct arg_dbl *cancel =
+		arg_dbl0(NULL, "cancel", "SHARE",
+			 "requests in progress that a wave drops (0)");
+	struct arg_dbl *every = arg_dbl0(NULL, "cancel-every", "SECONDS",
+					 "time between waves (5)");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed (1)");
+	struct arg_int *max_lost =
+		arg_int0(NULL, "max-lost", "N",
+			 "fail if more outcomes are none or unknown");
+	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_lit *version =
+		arg_lit0("V", "version", "print the version and exit");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { urls,	  shape,     team,    pools,	mix,
+			  sleeps, deadlines, rate,    duration, burst,
+			  once,	  cancel,    every,   seed,	max_lost,
+			  json,	  help,	     version, end };
+	int faults = arg_parse(argc, argv, table);
+	const struct shape *base = find_shape(text_or(shape, "flat"));
+	const char *fault = base ? NULL : "--shape: no such shape";
+	char *pool_text = NULL;
+	int status = 0;
+
+	if (help->count) {
+		printf("Usage: plank-load");
+		arg_print_syntax(stdout, table, "\n\n");
+		arg_print_glossary(stdout, table, "  %-28s %s\n");
+		printf("\nLatency counts from the scheduled time, for answered "
+		       "requests only.\n");
+	} else if (version->count) {
+		printf("plank-load %s\n", CMD_VERSION);
+	} else if (faults) {
+		arg_print_errors(stderr, end, "plank-load");
+		status = err_answer(ERR_INVALID)->exit_code;
+	} else {
+		if (base) {
+			pool_text = strdup(text_or(pools, base->pools));
+			read_pools(pool_text);
+			load.team = text_or(team, base->team);
+			load.once = number_or(once, base->once);
+			if (!read_triple(text_or(mix, base->mix), 0,
+					 load.mix) ||
+			    load.mix[0] + load.mix[1] + load.mix[2] != 100)
+				fault = "--mix: three numbers with sum 100";
+			if (!read_triple(text_or(sleeps, base->sleeps), 0,
+					 load.sleep_ms) ||
+			    !read_triple(text_or(deadlines, base->deadlines), 1,
+					 load.deadline_ms))
+				fault = "--sleep-ms, --deadline-ms: three "
+					"numbers";
+			load.schedule.bursts = base->bursts;
+			load.schedule.burst_s = number_or(burst, base->burst_s);
+		}
+		load.url_count = (uint32_t)urls->count;
+		for (int i = 0; i < urls->count; i++)
+			load.urls[i] = urls->sval[i];
+		load.schedule.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
+		load.schedule.rate = number_or(rate, 100);
+		load.schedule.pools = load.pool_count;
+		load.duration_s = number_or(duration, 10);
+		load.cancel = number_or(cancel, 0);
+		load.cancel_every_s = number_or(every, 5);
+		load.max_lost = max_lost->count ? max_lost->ival[0] : -1;
+		if (!fault)
+			fault = check_options();
+		if (fault)
+			fprintf(stderr, "plank-load: %s\n", fault);
+		status = fault ? err_answer(ERR_INVALID)->exit_code
+			       : run_and_report(json->count > 0);
+	}
+	free(pool_text);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- /dev/null
+++ b/tests/test_load.c
@@ -0,0 +1,115 @@
+/* Unit tests of the load generator: histogram and arrival schedule. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "arr.h"
+#include "hst.h"
+
+static struct hst hst;
+
+static const struct arr_config bursts = {
+	.seed = 7, .pools = 5, .rate = 500, .bursts = true, .burst_s = 4
+};
+
+/* Guards against percentiles that are off by a bucket or a power of two. */
+START_TEST(percentile_error_is_bounded)
+{
+	memset(&hst, 0, sizeof(hst));
+	for (int i = 1; i <= 100000; i++)
+		hst_add(&hst, i);
+	ck_assert_uint_ge(hst_percentile(&hst, 50), 50000);
+	ck_assert_uint_le(hst_percentile(&hst, 50), 50800);
+	ck_assert_uint_ge(hst_percentile(&hst, 99), 99000);
+	ck_assert_uint_eq(hst_percentile(&hst, 100), 100000);
+}
+END_TEST
+
+/* Guards against an index outside the table for extreme values. */
+START_TEST(extreme_values_are_counted)
+{
+	memset(&hst, 0, sizeof(hst));
+	ck_assert_uint_eq(hst_percentile(&hst, 99), 0);
+	hst_add(&hst, -5);
+	hst_add(&hst, INT64_MAX);
+	ck_assert_uint_eq(hst_percentile(&hst, 50), 0);
+	ck_assert_uint_eq(hst_percentile(&hst, 100), INT64_MAX);
+}
+END_TEST
+
+/* Guards against a schedule that does not depend on the seed alone. */
+START_TEST(same_seed_gives_same_schedule)
+{
+	struct arr_config config = bursts;
+	struct arr a, b, other;
+	int differences = 0;
+
+	arr_init(&a, &config);
+	arr_init(&b, &config);
+	config.seed++;
+	arr_init(&other, &config);
+	for (int i = 0; i < 1000; i++) {
+		struct arr_event first = arr_next(&a);
+		struct arr_event second = arr_next(&b);
+
+		ck_assert_int_eq(first.at_us, second.at_us);
+		ck_assert_uint_eq(first.pool, second.pool);
+		differences += first.at_us != arr_next(&other).at_us;
+	}
+	ck_assert_int_gt(differences, 900);
+}
+END_TEST
+
+/* Guards against bursts of the wrong height or length, or all at once. */
+START_TEST(bursts_take_turns_and_keep_the_mean)
+{
+	double cycle_s = bursts.burst_s * 4.95 / 0.95;
+	uint32_t high = 0, low = 0, total = 0;
+	int64_t last_us = 0;
+	struct arr arr;
+
+	arr_init(&arr, &bursts);
+	for (;;) {
+		struct arr_event event = arr_next(&arr);
+		double at_s = (double)event.at_us / 1e6;
+
+		ck_assert_int_ge(event.at_us, last_us);
+		last_us = event.at_us;
+		if (at_s >= 10 * cycle_s)
+			break;
+		total++;
+		if (event.pool != 0)
+			continue;
+		while (at_s >= cycle_s)
+			at_s -= cycle_s;
+		*(at_s < bursts.burst_s ? &high : &low) += 1;
+	}
+	/* Means 104,211, 20,000 and 842; bounds at five deviations. */
+	ck_assert_uint_ge(total, 102600);
+	ck_assert_uint_le(total, 105800);
+	ck_assert_uint_ge(high, 19300);
+	ck_assert_uint_le(high, 20700);
+	ck_assert_uint_ge(low, 700);
+	ck_assert_uint_le(low, 990);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("load");
+	TCase *tcase = tcase_create("load generator");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, percentile_error_is_bounded);
+	tcase_add_test(tcase, extreme_values_are_counted);
+	tcase_add_test(tcase, same_seed_gives_same_schedule);
+	tcase_add_test(tcase, bursts_take_turns_and_keep_the_mean);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
