--- a/src/fst.c
+++ b/src/fst.c
@@ -660,7 +660,9 @@
 		keep_id(fst, rec->id);
 	}
 	status = handlers[rec->type](fst, offset, rec, &change, &fault);
-	if (status == 0)
+	/* Renewals of live members end no drain; the scan of all hosts was most
+	   of the cost of these records. */
+	if (status == 0 && !(rec->type == REC_MEMBER && change.silent))
 		finish_drains(fst, offset, rec);
 	if (status == 0 && !change.silent)
 		fst->changes++;
