--- a/src/flw.c
+++ b/src/flw.c
@@ -304,6 +304,15 @@
 	free(targets);
 }
 
+static bool is_valid_state(const char *text, size_t len, int64_t fleet_next)
+{
+	struct fst *fst = snp_decode(text, len, NULL);
+	bool valid = fst && fst->next == fleet_next;
+
+	fst_destroy(fst);
+	return valid;
+}
+
 struct flw *flw_create(struct evl *evl, struct plt *plt, struct rpl *rpl,
 		       struct rnd *rnd, const struct cnf *cnf)
 {
@@ -317,7 +326,7 @@
 	flw->rpl = rpl;
 	flw->rnd = rnd;
 	flw->cnf = cnf;
-	flw->sns = sns_create(plt, rnd);
+	flw->sns = sns_create(plt, rnd, is_valid_state);
 	flw->start_ms = now(flw);
 	flw->answered_ms = -1;
 	flw->snapshot_due_ms = -1;
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -29,6 +29,33 @@
 	FWD_COUNTER_COUNT
 };
 
+/*
+ * Claims of idempotency keys, which keep a non-idempotent request from running
+ * twice across entry hosts. Times are those of the loop's clock, but for
+ * key_time_ms, the caller's wall clock when it first used the key.
+ */
+struct fwd_claims {
+	/*
+	 * Claims a key; done is called once, at once or later, with
+	 *	0		the claim was won: the request may be sent once
+	 *	ERR_DUPLICATE	an earlier claim holds the key; text names it
+	 *	ERR_GONE	the key is too old to tell; not run
+	 *	ERR_UNAVAILABLE	the log did not answer until the deadline
+	 */
+	void (*claim)(void *arg, const char *team, const char *key,
+		      int64_t key_time_ms, int64_t deadline_ms,
+		      void (*done)(void *done_arg, const struct err *result),
+		      void *done_arg);
+	/*
+	 * Releases a key that was won, after the request was surely not run.
+	 * done is called once, when the release was read back or after a
+	 * bounded wait.
+	 */
+	void (*release)(void *arg, const char *team, const char *key,
+			void (*done)(void *done_arg), void *done_arg);
+	void *arg;
+};
+
 struct fwd_config {
 	struct evl *evl;
 	struct rte *rte;
@@ -37,6 +64,7 @@
 	/* Whether requests may go to other data centres now. */
 	bool (*remote_allowed)(void *arg);
 	void *arg;
+	const struct fwd_claims *claims; /* NULL: keys are not claimed */
 };
 
 struct fwd *fwd_create(const struct fwd_config *config);
--- a/src/rte.c
+++ b/src/rte.c
@@ -159,6 +159,28 @@
 	build_index(rte, fst);
 }
 
+static struct pool *find_pool(const struct rte *rte, const char *team,
+			      const char *name)
+{
+	char key[2 * LIM_NAME_BYTES + 1];
+
+	apr_snprintf(key, sizeof(key), "%s/%s", team, name);
+	return rte->pools ? apr_hash_get(rte->pools, key, APR_HASH_KEY_STRING)
+			  : NULL;
+}
+
+void rte_pool_capacity(const struct rte *rte, const char *team,
+		       const char *pool_name, struct rte_capacity *capacity)
+{
+	const struct pool *pool = find_pool(rte, team, pool_name);
+
+	*capacity = (struct rte_capacity){ 0 };
+	for (uint32_t i = 0; pool && i < pool->count; i++) {
+		capacity->slots += pool->workers[i]->slots;
+		capacity->in_flight += pool->workers[i]->in_flight;
+	}
+}
+
 static bool was_tried(const struct rte_query *query, const char *name)
 {
 	for (uint32_t i = 0; i < query->tried_count; i++)
@@ -181,15 +203,11 @@
 int rte_pick(struct rte *rte, const struct rte_query *query,
 	     struct rte_worker **worker)
 {
-	char key[2 * LIM_NAME_BYTES + 1];
+	struct pool *pool = find_pool(rte, query->team, query->pool);
 	struct rte_worker *best = NULL;
-	struct pool *pool;
 	bool full = false;
 	uint32_t start;
 
-	apr_snprintf(key, sizeof(key), "%s/%s", query->team, query->pool);
-	pool = rte->pools ? apr_hash_get(rte->pools, key, APR_HASH_KEY_STRING)
-			  : NULL;
 	if (!pool)
 		return ERR_NOT_FOUND;
 	/* A random start keeps entry daemons from choosing the same one. */
--- a/src/rte.h
+++ b/src/rte.h
@@ -68,6 +68,15 @@
 int rte_pick(struct rte *rte, const struct rte_query *query,
 	     struct rte_worker **worker);
 
+struct rte_capacity {
+	uint32_t slots;	    /* that this entry daemon may use at once */
+	uint32_t in_flight; /* its requests at those workers */
+};
+
+/* rte_pool_capacity - capacity of a pool's usable workers; 0 if unknown */
+void rte_pool_capacity(const struct rte *rte, const char *team,
+		       const char *pool, struct rte_capacity *capacity);
+
 enum rte_result {
 	RTE_ANSWERED,
 	RTE_REFUSED, /* the worker said that it did not run the request */
--- a/src/sns.c
+++ b/src/sns.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "jsn.h"
-#include "snp.h"
 
 enum {
 	PART_BYTES = 20 * 1024, /* quoted as JSON it still fits a record */
@@ -32,6 +31,7 @@
 struct sns {
 	struct plt *plt;
 	struct rnd *rnd;
+	sns_valid *valid;
 
 	/* Reading. */
 	bool reading;
@@ -57,7 +57,7 @@
 	int out_attempts; /* of this part */
 };
 
-struct sns *sns_create(struct plt *plt, struct rnd *rnd)
+struct sns *sns_create(struct plt *plt, struct rnd *rnd, sns_valid *valid)
 {
 	struct sns *sns = calloc(1, sizeof(*sns));
 
@@ -65,6 +65,7 @@
 		return NULL;
 	sns->plt = plt;
 	sns->rnd = rnd;
+	sns->valid = valid;
 	sns->newest_next = -1;
 	return sns;
 }
@@ -90,16 +91,12 @@
 static void finish_assembly(struct sns *sns, struct assembly *assembly)
 {
 	bool newer = assembly->fleet_next > sns->newest_next;
-	struct fst *fst = NULL;
 
-	/* One that cannot be read must not hide an older one, nor keep the
-	   members from writing the next. */
-	if (newer) {
-		fst = snp_decode(assembly->text, assembly->len, NULL);
-		newer = fst && fst->next == assembly->fleet_next;
+	if (newer && sns->valid) {
+		newer = sns->valid(assembly->text, assembly->len,
+				   assembly->fleet_next);
 		sns->invalid += !newer;
 	}
-	fst_destroy(fst);
 	if (newer) {
 		free(sns->newest);
 		sns->newest = assembly->text;
--- a/src/sns.h
+++ b/src/sns.h
@@ -18,7 +18,14 @@
 
 struct sns;
 
-struct sns *sns_create(struct plt *plt, struct rnd *rnd);
+/*
+ * Whether a whole snapshot can be used. One that cannot is passed over, so
+ * that it neither hides an older one nor keeps members from writing the next.
+ */
+typedef bool sns_valid(const char *text, size_t len, int64_t fleet_next);
+
+/* sns_create - valid may be NULL: every whole snapshot is taken */
+struct sns *sns_create(struct plt *plt, struct rnd *rnd, sns_valid *valid);
 void sns_destroy(struct sns *sns);
 
 /*
