--- a/Makefile
+++ b/Makefile
@@ -43,20 +43,26 @@
 	ar rcs $@ $^
 
 $(BUILD)/plank-entryd: $(BUILD)/entryd.o $(LIBRARY)
-	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/plank-fleetd: $(BUILD)/fleetd.o $(LIBRARY)
-	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/plankctl: $(BUILD)/plankctl.o $(LIBRARY)
-	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 
 $(BUILD)/plank-load: $(BUILD)/load.o $(LIBRARY)
-	$(CC) $(CFLAGS) $^ $(LDLIBS) -lm -o $@
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) $^ $(LDLIBS) -lm -o $@
 
 $(BUILD)/%: tests/%.c $(LIBRARY)
-	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -lcheck -lm -lsubunit -lrt -o $@
+	@echo "  CC $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -lcheck -lm -lsubunit -lrt -o $@
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
-	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -o $@
+	@echo "  CC $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -o $@
 
 standins: $(STANDINS)
 
--- a/src/rpl.c
+++ b/src/rpl.c
@@ -112,6 +112,9 @@
 	struct rec rec;
 	bool valid;
 
+	/* XDR decodes empty data as NULL. */
+	if (!len)
+		data = "";
 	if (offset < rpl->fst->next)
 		return;
 	valid = rec_parse(&rec, data, len, &result) == 0;
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -226,6 +226,14 @@
 }
 
 /* Guards against a record that takes effect twice after a lost answer. */
+/* XDR decodes a record without data as NULL; memcpy must not see that. */
+START_TEST(empty_record_is_passed_over)
+{
+	rpl_apply(rpl, 0, NULL, 0);
+	ck_assert_int_eq(rpl_next(rpl), 1);
+}
+END_TEST
+
 START_TEST(lost_answer_applies_once)
 {
 	append_status = ERR_UNKNOWN;
@@ -448,6 +456,7 @@
 
 	apr_initialize();
 	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, empty_record_is_passed_over);
 	tcase_add_test(tcase, lost_answer_applies_once);
 	tcase_add_test(tcase, duplicate_of_unseen_copy_is_unknown);
 	tcase_add_test(tcase, no_retry_after_log_advanced);
