Ask few peers a round and back off from hung ones

A fleet daemon cut off from the platform asked every peer in turn, each hung one for 1 s, every 200 ms: k hung peers delayed a round by k seconds. It now asks four a round in rotation once it has a state, and leaves one that does not answer alone for 2 s, doubling to 32 s. A fresh process still asks all. Not measured with many hung peers; unit tests and tests/process_state.sh pass as before.

--- a/src/flw.c
+++ b/src/flw.c
@@ -187,6 +187,9 @@
 {
 	struct rpf_hello hello = {
 		.enabled = needs_peers(flw),
+		/* A fresh process must not start from an older state than
+		   a peer has put in force. */
+		.ask_all = !rpl_ready(flw->rpl),
 		.name = "",
 		.data_centre = flw->cnf->data_centre,
 		.next = rpl_next(flw->rpl),
--- a/src/rpf.c
+++ b/src/rpf.c
@@ -13,8 +13,12 @@
 #include "lim.h"
 
 enum {
-	/* A target that did not answer is left alone for this long. */
-	BACKOFF_MS = 2000
+	/* A target that did not answer is left alone for this long, and twice
+	   as long each time. A hung one holds up a round for its timeout. */
+	BACKOFF_MS = 2000,
+	BACKOFF_MAX_MS = 32000,
+	/* Targets asked in a round once there is a state to serve. */
+	ASKED_PER_ROUND = 4
 };
 
 struct target {
@@ -23,6 +27,8 @@
 	apr_pool_t *pool; /* of the connection */
 	CLIENT *client;
 	int64_t retry_ms;
+	int64_t backoff_ms;
+	bool answered; /* at least once */
 };
 
 struct rpf {
@@ -44,6 +50,7 @@
 	struct rpf_news news;
 
 	uint32_t rounds;
+	uint32_t start; /* target to begin the next round with */
 };
 
 static void free_quiet(prt_quiet *quiet, uint32_t count)
@@ -119,45 +126,69 @@
 		return false;
 	memset(status, 0, sizeof(*status));
 	if ((target->client || connect_target(target)) &&
-	    prt_status_1(*hello, status, target->client) == RPC_SUCCESS)
+	    prt_status_1(*hello, status, target->client) == RPC_SUCCESS) {
+		target->answered = true;
+		target->backoff_ms = BACKOFF_MS;
 		return true;
+	}
 	xdr_free((xdrproc_t)xdr_prt_status, (char *)status);
 	disconnect(target);
-	target->retry_ms = now_ms + BACKOFF_MS;
+	if (target->backoff_ms < BACKOFF_MS)
+		target->backoff_ms = BACKOFF_MS;
+	target->retry_ms = now_ms + target->backoff_ms;
+	if (rpf->config.policy == RPF_NEWEST &&
+	    target->backoff_ms < BACKOFF_MAX_MS)
+		target->backoff_ms *= 2;
 	return false;
 }
 
-/* Asks the targets for their status and chooses one by the policy. */
-static struct target *choose(struct rpf *rpf, prt_hello *hello,
+/* Keeps the status if its target is a better one to follow. */
+static bool take_status(struct rpf_news *news, prt_status *status,
+			int64_t asked_ms)
+{
+	if (!status->ready ||
+	    (news->has_status && status->next <= news->status.next)) {
+		xdr_free((xdrproc_t)xdr_prt_status, (char *)status);
+		return false;
+	}
+	if (news->has_status)
+		xdr_free((xdrproc_t)xdr_prt_status, (char *)&news->status);
+	news->status = *status;
+	news->has_status = true;
+	news->asked_ms = asked_ms;
+	return true;
+}
+
+/* Asks targets for their status and chooses one by the policy. */
+static struct target *choose(struct rpf *rpf, prt_hello *hello, bool ask_all,
 			     struct rpf_news *news)
 {
+	uint32_t count = rpf->config.target_count;
 	struct target *chosen = NULL;
+	uint32_t asked = 0;
 
-	for (uint32_t i = 0; i < rpf->config.target_count; i++) {
-		struct target *target = &rpf->targets[i];
+	for (uint32_t i = 0; i < count; i++) {
+		struct target *target = &rpf->targets[(rpf->start + i) % count];
 		int64_t asked_ms = clk_now_ms(rpf->config.clk);
 		prt_status status;
 
 		if (!ask_status(rpf, target, hello, &status))
 			continue;
-		news->answered++;
-		if (!status.ready ||
-		    (chosen && status.next <= news->status.next)) {
-			xdr_free((xdrproc_t)xdr_prt_status, (char *)&status);
-			continue;
-		}
-		if (chosen)
-			xdr_free((xdrproc_t)xdr_prt_status,
-				 (char *)&news->status);
-		news->status = status;
-		news->has_status = true;
-		news->asked_ms = asked_ms;
-		chosen = target;
+		asked++;
+		if (take_status(news, &status, asked_ms))
+			chosen = target;
 		/* One that is behind cannot tell of newer changes. */
-		if (rpf->config.policy == RPF_FIRST &&
-		    status.next >= hello->next)
+		if (rpf->config.policy == RPF_FIRST && chosen == target &&
+		    news->status.next >= hello->next)
+			break;
+		if (rpf->config.policy == RPF_NEWEST && !ask_all &&
+		    asked == ASKED_PER_ROUND)
 			break;
 	}
+	if (rpf->config.policy == RPF_NEWEST && count)
+		rpf->start = (rpf->start + asked) % count;
+	for (uint32_t i = 0; i < count; i++)
+		news->answered += rpf->targets[i].answered;
 	return chosen;
 }
 
@@ -241,7 +272,7 @@
 		.quiet = { .quiet_len = hello->quiet_count,
 			   .quiet_val = (prt_quiet *)hello->quiet },
 	};
-	struct target *target = choose(rpf, &wire, news);
+	struct target *target = choose(rpf, &wire, hello->ask_all, news);
 
 	if (target)
 		fetch(target, hello, news);
--- a/src/rpf.h
+++ b/src/rpf.h
@@ -4,8 +4,8 @@
  *
  * The RPC library's calls block, so a thread makes them and leaves what it
  * fetched for the event loop to take. The entry daemon follows the first
- * target that answers; a fleet daemon asks all its peers and follows the one
- * with the newest state.
+ * target that answers; a fleet daemon asks its peers, a few in each round, and
+ * follows the one with the newest state.
  */
 #ifndef RPF_H
 #define RPF_H
@@ -44,6 +44,7 @@
 /* What the thread tells of the process that it works for. */
 struct rpf_hello {
 	bool enabled; /* false: make no calls */
+	bool ask_all; /* RPF_NEWEST: every target in each round, not a few */
 	const char *name;
 	const char *data_centre;
 	int64_t incarnation;
@@ -57,7 +58,7 @@
 /* What was fetched in one round. */
 struct rpf_news {
 	uint32_t rounds;   /* rounds made since the start */
-	uint32_t answered; /* targets that answered in the last round */
+	uint32_t answered; /* targets that have answered at least once */
 	bool has_status;
 	prt_status status;
 	int64_t asked_ms; /* before the status was asked for */
