Bound the entry daemons a fleet daemon keeps, and keep chunks valid

Each new name in STATUS added a table entry for good; there are now at most 256, dropped after 60 s of silence.

--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -79,6 +79,12 @@
 	[C_PROPOSALS] = { "proposals", CTR_GAUGE, "Proposals under way." },
 };
 
+enum {
+	/* More than entry daemons can have this one as their next choice. */
+	MAX_ENTRIES = 256,
+	ENTRY_KEEP_MS = 60000
+};
+
 struct fleetd {
 	const struct cnf *cnf;
 	struct evl *evl;
@@ -161,7 +167,7 @@
 {
 	struct mbr_entry *entry = tbl_find(fleetd->entries, hello->name);
 
-	if (!entry)
+	if (!entry && tbl_count(fleetd->entries) < MAX_ENTRIES)
 		entry = tbl_add(fleetd->entries, hello->name);
 	if (!entry)
 		return;
@@ -181,12 +187,28 @@
 	entry->heard_ms = clk_now_ms(fleetd->clk);
 }
 
+/* Forgets entry daemons that have not asked for long, with their leases. */
+static void drop_entries(struct fleetd *fleetd)
+{
+	int64_t now_ms = clk_now_ms(fleetd->clk);
+
+	for (uint32_t i = tbl_count(fleetd->entries); i-- > 0;) {
+		struct mbr_entry *entry = tbl_at(fleetd->entries, i);
+
+		if (now_ms - entry->heard_ms < ENTRY_KEEP_MS)
+			continue;
+		tbl_remove(fleetd->leases, entry->name);
+		free(entry->quiet);
+		tbl_remove(fleetd->entries, entry->name);
+	}
+}
+
 static int64_t lease_left_ms(struct fleetd *fleetd, const prt_hello *hello)
 {
 	struct lease *lease = tbl_find(fleetd->leases, hello->name);
 	int64_t left_ms;
 
-	if (!lease)
+	if (!lease && tbl_find(fleetd->entries, hello->name))
 		lease = tbl_add(fleetd->leases, hello->name);
 	if (!lease)
 		return 0;
@@ -297,6 +319,7 @@
 	input.hosts = hls_workers(fleetd->hls, &input.host_count);
 	if (rpl_ready(fleetd->rpl))
 		mbr_tick(fleetd->mbr, &input);
+	drop_entries(fleetd);
 	set_gauges(fleetd);
 	check_stop(fleetd);
 }
--- a/src/rps.c
+++ b/src/rps.c
@@ -17,6 +17,7 @@
 	TAIL_BYTES = LIM_RPC_BYTES / 2,
 	/* A transfer of chunks may go on this long with the same snapshot. */
 	SNAPSHOT_KEEP_MS = 5000,
+	SNAPSHOT_IDLE_MS = 1000,
 	SWEEP_MS = 1000
 };
 
@@ -38,6 +39,7 @@
 	size_t snapshot_len;
 	int64_t snapshot_next;
 	int64_t snapshot_ms;
+	int64_t snapshot_used_ms;
 };
 
 /* Exported by libtirpc, but declared in none of its headers. */
@@ -101,7 +103,11 @@
 {
 	int64_t now_ms = clk_now_ms(evl_clk(rps->evl));
 
-	if (rps->snapshot && now_ms - rps->snapshot_ms < SNAPSHOT_KEEP_MS)
+	/* A new snapshot would end the transfers that are under way. */
+	if (rps->snapshot &&
+	    (now_ms - rps->snapshot_ms < SNAPSHOT_KEEP_MS ||
+	     now_ms - rps->snapshot_used_ms < SNAPSHOT_IDLE_MS) &&
+	    rpl_tail(rps->config.rpl, rps->snapshot_next, 0, NULL) >= 0)
 		return;
 	free(rps->snapshot);
 	rps->snapshot =
@@ -127,6 +133,7 @@
 	    (uint64_t)want->position > rps->snapshot_len)
 		return;
 	left = rps->snapshot_len - (size_t)want->position;
+	rps->snapshot_used_ms = clk_now_ms(evl_clk(rps->evl));
 	chunk->gone = FALSE;
 	chunk->next = rps->snapshot_next;
 	chunk->length = (quad_t)rps->snapshot_len;
