--- a/bench/state.c
+++ b/bench/state.c
@@ -150,7 +150,7 @@
 
 static void measure_routes(void)
 {
-	struct rte *rte = rte_create("dc0", &rnd);
+	struct rte *rte = rte_create("e0", "dc0", &rnd);
 	struct rte_query query = { .team = "t0",
 				   .pool = "p",
 				   .remote_allowed = true };
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -28,6 +28,10 @@
 	C_LEASE_LEFT_MS,
 	C_STATE_AGE_MS,
 	C_PLATFORM_AGE_MS,
+	C_EJECTIONS,
+	C_PROBES,
+	C_TAKEN_BACK,
+	C_NO_FIT,
 	C_COUNT
 };
 
@@ -66,6 +70,14 @@
 	[C_PLATFORM_AGE_MS] = { "platform_age_ms", CTR_GAUGE,
 				"Time since the platform log answered the "
 				"fleet daemon; -1: never." },
+	[C_EJECTIONS] = { "worker_ejections_total", CTR_COUNTER,
+			  "Ejections of failing workers." },
+	[C_PROBES] = { "worker_probes_total", CTR_COUNTER,
+		       "Requests sent to an ejected worker as a probe." },
+	[C_TAKEN_BACK] = { "worker_failures_taken_back_total", CTR_COUNTER,
+			   "Failures at a worker found to be the request's." },
+	[C_NO_FIT] = { "requests_no_fit_total", CTR_COUNTER,
+		       "Requests larger than every worker of their pool." },
 };
 
 enum {
@@ -198,6 +210,8 @@
 	const struct fst *fst = rpl_state(entryd->rpl);
 	struct rte_listed *listed;
 
+	rte_set_lease(entryd->rte, now(entryd) - entryd->lease_until_ms);
+	rte_sync_members(entryd->rte, fst);
 	if (fst->changes == entryd->synced_changes && !entryd->list_changed)
 		return;
 	listed = calloc(entryd->listed_count + 1, sizeof(*listed));
@@ -287,6 +301,16 @@
 	ctr_set(entryd->ctr, C_PLATFORM_AGE_MS, entryd->platform_age_ms);
 }
 
+static void set_route_counters(struct entryd *entryd)
+{
+	const struct rte_stats *stats = rte_stats(entryd->rte);
+
+	ctr_set(entryd->ctr, C_EJECTIONS, stats->ejections);
+	ctr_set(entryd->ctr, C_PROBES, stats->probes);
+	ctr_set(entryd->ctr, C_TAKEN_BACK, stats->taken_back);
+	ctr_set(entryd->ctr, C_NO_FIT, stats->no_fit);
+}
+
 /*
  * Order of a stop: not ready, so that the balancer looks elsewhere; no new
  * connections; requests in progress end; the member leaves.
@@ -327,6 +351,7 @@
 	update_ready(entryd);
 	set_hello(entryd);
 	set_gauges(entryd);
+	set_route_counters(entryd);
 	check_stop(entryd);
 }
 
@@ -432,13 +457,16 @@
 
 	entryd->clk = clk_system();
 	entryd->incarnation = clk_wall_ms(entryd->clk);
+	/* A lease that was not held yet is over from the start on. */
+	entryd->lease_until_ms = now(entryd);
 	entryd->heard_ms = -1;
 	entryd->platform_age_ms = -1;
 	rnd_init(&entryd->rnd, rnd_system_seed());
 	entryd->ctr = ctr_create(pool, counters, C_COUNT);
 	entryd->evl = evl_create(entryd->clk);
 	entryd->rpl = rpl_create();
-	entryd->rte = rte_create(entryd->cnf->data_centre, &entryd->rnd);
+	entryd->rte = rte_create(entryd->cnf->name, entryd->cnf->data_centre,
+				 &entryd->rnd);
 	fwd.evl = entryd->evl;
 	fwd.rte = entryd->rte;
 	fwd.ctr = entryd->ctr;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -25,6 +25,12 @@
 	int64_t deadline_ms;
 	uint32_t tried_count;
 	const char *tried[LIM_ATTEMPTS];
+	uint32_t failed_count; /* workers that had the request and failed */
+	const char *failed[LIM_FAILED_WORKERS];
+	bool ran_maybe; /* an earlier attempt may have run */
+	int64_t cpu_milli;
+	int64_t mem_mib;
+	int64_t accelerators;
 
 	/* Of the present attempt. */
 	struct rte_worker *worker;
@@ -36,6 +42,8 @@
 	bool answer_too_large;
 	bool has_length; /* a content length, or chunked encoding */
 	bool refused;	 /* Plank-Refused was seen */
+	bool leaving;	 /* with the value "leaving" */
+	bool sent;	 /* on any connection that the attempt used */
 	uint32_t header_count;
 	uint32_t header_cap;
 	struct web_header *answer_headers;
@@ -128,6 +136,14 @@
 	forward->headers = curl_slist_append(forward->headers, line);
 }
 
+/* With another last coding the body ends where the connection does. */
+static bool ends_chunked(const char *codings)
+{
+	size_t len = strlen(codings);
+
+	return len >= 7 && !strcasecmp(codings + len - 7, "chunked");
+}
+
 static size_t take_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct forward *forward = arg;
@@ -140,6 +156,7 @@
 		forward->header_count = 0;
 		forward->has_length = false;
 		forward->refused = false;
+		forward->leaving = false;
 		return len;
 	}
 	if (!value)
@@ -150,10 +167,12 @@
 		value++;
 	value[strcspn(value, "\r\n")] = 0;
 	if (!strcasecmp(line, "Content-Length") ||
-	    !strcasecmp(line, "Transfer-Encoding"))
+	    (!strcasecmp(line, "Transfer-Encoding") && ends_chunked(value)))
 		forward->has_length = true;
-	if (!strcasecmp(line, "Plank-Refused"))
+	if (!strcasecmp(line, "Plank-Refused")) {
 		forward->refused = true;
+		forward->leaving = !strcasecmp(value, "leaving");
+	}
 	if (is_own_header(line))
 		return len;
 	if (forward->header_count + 3 > forward->header_cap) {
@@ -206,6 +225,10 @@
 	forward->answer_len = 0;
 	forward->answer_cap = 0;
 	forward->header_count = 0;
+	forward->has_length = false;
+	forward->refused = false;
+	forward->leaving = false;
+	forward->answer_too_large = false;
 }
 
 static void finish(struct forward *forward)
@@ -217,7 +240,11 @@
 static void fail(struct forward *forward, int kind, bool ran_maybe,
 		 const char *text)
 {
-	respond_failure(forward->fwd, forward->request, kind, ran_maybe, text);
+	/* A later attempt that did not run does not undo an earlier one. */
+	if (forward->ran_maybe && !ran_maybe)
+		kind = ERR_UNKNOWN;
+	respond_failure(forward->fwd, forward->request, kind,
+			ran_maybe || forward->ran_maybe, text);
 	finish(forward);
 }
 
@@ -241,6 +268,45 @@
 }
 
 static void attempt(struct forward *forward);
+static int pick(struct forward *forward);
+static void send_attempt(struct forward *forward);
+
+/* Whether another attempt may follow; takes it from the retry budget. */
+static bool may_retry(struct forward *forward, bool ran_maybe)
+{
+	return forward->tried_count < LIM_ATTEMPTS &&
+	       forward->failed_count < LIM_FAILED_WORKERS &&
+	       now(forward->fwd) < forward->deadline_ms &&
+	       (!ran_maybe || forward->repeatable) &&
+	       rte_may_retry(forward->fwd->config.rte);
+}
+
+/*
+ * Notes that the present worker had the request and failed. After the second
+ * such worker the request itself is taken to be the cause.
+ */
+static void note_failure(struct forward *forward)
+{
+	forward->failed[forward->failed_count++] =
+		forward->tried[forward->tried_count - 1];
+	if (forward->failed_count < LIM_FAILED_WORKERS)
+		return;
+	for (uint32_t i = 0; i < forward->failed_count; i++)
+		rte_take_back(forward->fwd->config.rte, forward->failed[i]);
+}
+
+/* Sends an idempotent request that got a 5xx to another worker, if any. */
+static bool retry_answered(struct forward *forward)
+{
+	if (!forward->repeatable || !may_retry(forward, true) ||
+	    pick(forward) < 0)
+		return false;
+	count(forward->fwd, FWD_RETRIES);
+	forward->ran_maybe = true;
+	free_attempt(forward);
+	send_attempt(forward);
+	return true;
+}
 
 /* Another attempt if there may be one, else the given failure. */
 static void retry_or_fail(struct forward *forward, int kind, bool ran_maybe,
@@ -249,10 +315,8 @@
 	struct fwd *fwd = forward->fwd;
 
 	free_attempt(forward);
-	if (forward->tried_count < LIM_ATTEMPTS &&
-	    now(fwd) < forward->deadline_ms &&
-	    (!ran_maybe || forward->repeatable) &&
-	    rte_may_retry(fwd->config.rte)) {
+	if (may_retry(forward, ran_maybe)) {
+		forward->ran_maybe = forward->ran_maybe || ran_maybe;
 		count(fwd, FWD_RETRIES);
 		attempt(forward);
 		return;
@@ -260,15 +324,26 @@
 	fail(forward, kind, ran_maybe, text);
 }
 
-/* Whether any byte of the request may have reached the worker. */
-static bool was_sent(CURL *easy, CURLcode code)
+/*
+ * Called before a request is written to a connection. libcurl writes it again
+ * by itself when a connection that was used before turns out to be closed. The
+ * transfer ends then instead: the worker may have run the request, the result
+ * of the second connection would hide that, and a repetition belongs to the
+ * retries, which are bounded.
+ */
+static int before_send(void *arg, char *remote, char *local, int remote_port,
+		       int local_port)
 {
-	long sent = 0;
+	struct forward *forward = arg;
 
-	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
-		return false;
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-	return sent > 0;
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	if (forward->sent)
+		return CURL_PREREQFUNC_ABORT;
+	forward->sent = true;
+	return CURL_PREREQFUNC_OK;
 }
 
 static bool is_whole(const struct forward *forward, long status)
@@ -281,19 +356,19 @@
 {
 	struct forward *forward = arg;
 	struct fwd *fwd = forward->fwd;
-	bool sent = was_sent(easy, code);
 	long status = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code == CURLE_OK && status == 503 && forward->refused) {
-		rte_done(fwd->config.rte, forward->worker, RTE_REFUSED,
+		rte_done(fwd->config.rte, forward->worker,
+			 forward->leaving ? RTE_LEAVING : RTE_REFUSED,
 			 now(fwd));
 		count(fwd, FWD_REFUSED_BY_WORKER);
 		retry_or_fail(forward, ERR_OVERLOAD, false,
 			      "the worker refused the request");
 		return;
 	}
-	if (code == CURLE_OK && is_whole(forward, status)) {
+	if (code == CURLE_OK && is_whole(forward, status) && status < 500) {
 		rte_done(fwd->config.rte, forward->worker, RTE_ANSWERED,
 			 now(fwd));
 		pass_on(forward, status);
@@ -301,7 +376,12 @@
 	}
 	rte_done(fwd->config.rte, forward->worker, RTE_FAILED, now(fwd));
 	count(fwd, FWD_FAILED_AT_WORKER);
-	if (!sent) {
+	if (forward->sent)
+		note_failure(forward);
+	if (code == CURLE_OK && is_whole(forward, status)) {
+		if (!retry_answered(forward))
+			pass_on(forward, status);
+	} else if (!forward->sent) {
 		retry_or_fail(forward, ERR_NO_WORKER, false,
 			      "the worker could not be reached");
 	} else if (code == CURLE_OPERATION_TIMEDOUT) {
@@ -364,10 +444,14 @@
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 	}
+	forward->sent = false;
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, forward);
 	evl_transfer(fwd->config.evl, easy, attempt_done, forward);
 }
 
-static void attempt(struct forward *forward)
+/* Chooses the worker of the next attempt. */
+static int pick(struct forward *forward)
 {
 	struct fwd *fwd = forward->fwd;
 	struct rte_query query = {
@@ -375,18 +459,57 @@
 		.pool = forward->pool_name,
 		.now_ms = now(fwd),
 		.remote_allowed = fwd->config.remote_allowed(fwd->config.arg),
+		.idempotent = forward->repeatable,
+		.cpu_milli = forward->cpu_milli,
+		.mem_mib = forward->mem_mib,
+		.accelerators = forward->accelerators,
 		.tried_count = forward->tried_count,
 		.tried = forward->tried,
 	};
 	int status = rte_pick(fwd->config.rte, &query, &forward->worker);
 
-	if (status < 0) {
-		fail(forward, status, false, err_answer(status)->message);
+	if (status == 0)
+		forward->tried[forward->tried_count++] =
+			apr_pstrdup(forward->pool, forward->worker->name);
+	return status;
+}
+
+static void attempt(struct forward *forward)
+{
+	int status = pick(forward);
+	char text[ERR_TEXT_BYTES];
+
+	if (status == 0) {
+		send_attempt(forward);
 		return;
 	}
-	forward->tried[forward->tried_count++] =
-		apr_pstrdup(forward->pool, forward->worker->name);
-	send_attempt(forward);
+	if (status == ERR_NO_FIT)
+		rte_largest_text(forward->fwd->config.rte, forward->team,
+				 forward->pool_name, text, sizeof(text));
+	fail(forward, status, false,
+	     status == ERR_NO_FIT ? text : err_answer(status)->message);
+}
+
+/* Reads a declared size; false if it is not a number within the limit. */
+static bool read_size(const struct web_request *request, const char *name,
+		      int64_t *size)
+{
+	const char *text = web_header(request, name);
+
+	if (!text)
+		return true;
+	*size = apr_atoi64(text);
+	return *text && strspn(text, "0123456789") == strlen(text) &&
+	       strlen(text) <= 10 && *size <= LIM_DECLARED_SIZE;
+}
+
+static bool read_sizes(struct forward *forward)
+{
+	const struct web_request *request = forward->request;
+
+	return read_size(request, "Plank-Cpu-Milli", &forward->cpu_milli) &&
+	       read_size(request, "Plank-Mem-Mib", &forward->mem_mib) &&
+	       read_size(request, "Plank-Accelerators", &forward->accelerators);
 }
 
 static bool is_repeatable(const struct web_request *request)
@@ -442,6 +565,12 @@
 			   "Plank-Deadline-Ms must be from 1 to 3600000");
 		return;
 	}
+	if (!read_sizes(forward)) {
+		fwd_refuse(fwd, request, ERR_INVALID,
+			   "Plank-Cpu-Milli, Plank-Mem-Mib and "
+			   "Plank-Accelerators must be from 0 to 1000000000");
+		return;
+	}
 	forward->repeatable = is_repeatable(request);
 	forward->deadline_ms = now(fwd) + deadline_ms;
 	fwd->active++;
--- a/src/lim.h
+++ b/src/lim.h
@@ -64,6 +64,9 @@
 	LIM_DEADLINE_MAX_MS = 3600 * 1000,
 	LIM_CONNECT_TIMEOUT_MS = 1000,
 	LIM_ATTEMPTS = 3,
+	/* Distinct workers after whose failures a request is not tried again. */
+	LIM_FAILED_WORKERS = 2,
+	LIM_DECLARED_SIZE = 1000 * 1000 * 1000,
 	LIM_SLOTS = 8,
 	LIM_CONNECTIONS = 64,
 	LIM_STOP_GRACE_MS = 30000
--- a/src/rte.c
+++ b/src/rte.c
@@ -11,36 +11,72 @@
 
 enum {
 	AVOID_REFUSED_MS = 1000,
-	AVOID_FAILED_MS = 500,
-	AVOID_MAX_MS = 30000,
+	/* More than the 3 s after which a leaving worker gets no new work. */
+	AVOID_LEAVING_MS = 5000,
+	AVOID_LEAVING_DOUBLINGS = 4,
 	RETRY_COST = 10, /* requests that pay for one retry */
-	RETRY_BUDGET_MAX = 100 * RETRY_COST
+	RETRY_BUDGET_MAX = 100 * RETRY_COST,
+
+	/*
+	 * A failure adds more to a worker's score than an answer takes off, so
+	 * that a worker that fails more than a third of its requests is
+	 * ejected in the end, and one that fails all of them after three.
+	 */
+	SCORE_FAILURE = 2,
+	SCORE_EJECT = 6,
+	SCORE_MAX = 12,
+	/* Longer than the default deadline: a worker that hangs gives one
+	   failure for each slot in that time. */
+	SCORE_DECAY_MS = 30000,
+	EJECT_PART = 3,
+	PROBE_MS = 1000,
+	PROBE_DOUBLINGS = 6
 };
 
-struct pool {
+struct rte_pool {
 	uint32_t count;
+	uint32_t usable;
+	uint32_t ejected; /* of the usable ones */
 	struct rte_worker **workers;
 };
 
+/* What the shares need of a member. */
+struct share_member {
+	uint64_t hash;
+	bool own;
+	bool live;
+	bool near; /* counts if only this data centre's members share */
+	bool expired;
+	const char *data_centre;
+};
+
 struct rte {
+	const char *member;
 	const char *data_centre;
 	struct rnd *rnd;
 	struct tbl *workers;
 	apr_pool_t *index_pool;
-	apr_hash_t *pools; /* "team/pool" to struct pool */
+	apr_hash_t *pools; /* "team/pool" to struct rte_pool */
 	uint32_t retry_budget;
+	uint64_t members_of; /* fingerprint of the members */
+	bool remote_allowed;
+	bool isolated; /* only this data centre's members share */
+	struct rte_stats stats;
 };
 
-struct rte *rte_create(const char *data_centre, struct rnd *rnd)
+struct rte *rte_create(const char *member, const char *data_centre,
+		       struct rnd *rnd)
 {
 	struct rte *rte = calloc(1, sizeof(*rte));
 
 	if (!rte)
 		return NULL;
+	rte->member = member;
 	rte->data_centre = data_centre;
 	rte->rnd = rnd;
 	rte->workers = tbl_create(sizeof(struct rte_worker));
 	rte->retry_budget = RETRY_BUDGET_MAX;
+	rte->remote_allowed = true;
 	return rte;
 }
 
@@ -64,7 +100,13 @@
 		return;
 	memcpy(worker->address, host->address, sizeof(worker->address));
 	worker->port = (uint16_t)host->port;
+	memcpy(worker->data_centre, host->data_centre,
+	       sizeof(worker->data_centre));
+	worker->cpu_milli = host->cpu_milli;
+	worker->mem_mib = host->mem_mib;
+	worker->accelerators = host->accelerators;
 	worker->slots = (uint32_t)host->slots;
+	worker->connections = (uint32_t)host->connections;
 	worker->local = !strcmp(host->data_centre, rte->data_centre);
 	worker->usable = fst_host_available(host) && host->team[0];
 }
@@ -101,47 +143,242 @@
 	}
 }
 
-static struct pool *index_pool(struct rte *rte, const char *team,
-			       const char *name, uint32_t capacity)
+static struct rte_pool *index_pool(struct rte *rte, const char *team,
+				   const char *name)
 {
 	const char *key = apr_pstrcat(rte->index_pool, team, "/", name, NULL);
-	struct pool *pool = apr_hash_get(rte->pools, key, APR_HASH_KEY_STRING);
+	struct rte_pool *pool =
+		apr_hash_get(rte->pools, key, APR_HASH_KEY_STRING);
 
 	if (pool)
 		return pool;
 	pool = apr_pcalloc(rte->index_pool, sizeof(*pool));
-	pool->workers = apr_pcalloc(rte->index_pool,
-				    (capacity + 1) * sizeof(*pool->workers));
 	apr_hash_set(rte->pools, key, APR_HASH_KEY_STRING, pool);
 	return pool;
 }
 
+/* Pools are found by name, and each worker has its pool; none is filled. */
+static void assign_pools(struct rte *rte, const struct fst *fst)
+{
+	for (uint32_t i = 0; i < tbl_count(rte->workers); i++)
+		((struct rte_worker *)tbl_at(rte->workers, i))->pool = NULL;
+	for (uint32_t i = 0; i < tbl_count(fst->teams); i++) {
+		const struct fst_team *team = tbl_at(fst->teams, i);
+
+		for (uint32_t k = 0; k < team->settings->pool_count; k++)
+			index_pool(rte, team->name,
+				   team->settings->pools[k].name);
+	}
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+		struct rte_worker *worker = tbl_find(rte->workers, host->name);
+
+		if (!worker || !host->team[0] || host->state == FST_RETIRED)
+			continue;
+		worker->pool = index_pool(rte, host->team, host->pool);
+		worker->pool->count++;
+	}
+}
+
+/* Workers of a pool that may be ejected at a time. */
+static uint32_t eject_limit(const struct rte_pool *pool)
+{
+	if (pool->usable < 2)
+		return 0;
+	return pool->usable < EJECT_PART ? 1 : pool->usable / EJECT_PART;
+}
+
+/* Workers ejected beyond the limit, after others became unusable, return. */
+static void limit_ejected(struct rte_pool *pool)
+{
+	pool->usable = 0;
+	pool->ejected = 0;
+	for (uint32_t i = 0; i < pool->count; i++)
+		pool->usable += pool->workers[i]->usable;
+	for (uint32_t i = 0; i < pool->count; i++) {
+		struct rte_worker *worker = pool->workers[i];
+
+		if (!worker->usable || !worker->ejected)
+			continue;
+		if (pool->ejected >= eject_limit(pool))
+			worker->ejected = false;
+		else
+			pool->ejected++;
+	}
+}
+
 static void build_index(struct rte *rte, const struct fst *fst)
 {
 	if (rte->index_pool)
 		apr_pool_destroy(rte->index_pool);
 	apr_pool_create(&rte->index_pool, NULL);
 	rte->pools = apr_hash_make(rte->index_pool);
-	for (uint32_t i = 0; i < tbl_count(fst->teams); i++) {
-		const struct fst_team *team = tbl_at(fst->teams, i);
+	assign_pools(rte, fst);
+	for (uint32_t i = 0; i < tbl_count(rte->workers); i++) {
+		struct rte_worker *worker = tbl_at(rte->workers, i);
+		struct rte_pool *pool = worker->pool;
+
+		if (!pool)
+			continue;
+		if (!pool->workers) {
+			pool->workers = apr_pcalloc(
+				rte->index_pool,
+				pool->count * sizeof(*pool->workers));
+			pool->count = 0;
+		}
+		pool->workers[pool->count++] = worker;
+	}
+	for (uint32_t i = 0; i < tbl_count(rte->workers); i++) {
+		struct rte_worker *worker = tbl_at(rte->workers, i);
 
-		for (uint32_t k = 0; k < team->settings->pool_count; k++) {
-			const struct tms_pool *pool = &team->settings->pools[k];
+		if (worker->pool && !worker->pool->usable)
+			limit_ejected(worker->pool);
+	}
+}
 
-			index_pool(rte, team->name, pool->name,
-				   pool->hosts.count);
+/* Weight of a member for a slot or connection; the heaviest one owns it. */
+static uint64_t share_weight(uint64_t worker, uint32_t number, uint64_t member)
+{
+	uint64_t mix = worker + number * 0x9e3779b97f4a7c15ull;
+
+	mix = (mix ^ (mix >> 30)) * 0xbf58476d1ce4e5b9ull;
+	mix = (mix ^ (mix >> 27)) * 0x94d049bb133111ebull;
+	mix ^= (mix >> 31) ^ member;
+	mix = (mix ^ (mix >> 30)) * 0xbf58476d1ce4e5b9ull;
+	mix = (mix ^ (mix >> 27)) * 0x94d049bb133111ebull;
+	return mix ^ (mix >> 31);
+}
+
+/*
+ * Connection n has the owner of slot n, so that a member never owns fewer
+ * connections than slots: one of each is used by a request.
+ */
+static void share_worker(struct rte_worker *worker,
+			 const struct share_member *members, uint32_t count)
+{
+	uint64_t hash =
+		rnd_hash(RND_HASH_START, worker->name, strlen(worker->name));
+	uint32_t numbers = worker->slots > worker->connections
+				   ? worker->slots
+				   : worker->connections;
+
+	worker->own_slots = worker->own_connections = 0;
+	worker->near_slots = worker->near_connections = 0;
+	for (uint32_t n = 0; n < numbers; n++) {
+		uint64_t best = 0, near_best = 0;
+		bool own = false, near_own = false;
+
+		for (uint32_t i = 0; i < count; i++) {
+			uint64_t weight =
+				share_weight(hash, n, members[i].hash);
+
+			if (members[i].live && weight >= best) {
+				best = weight;
+				own = members[i].own;
+			}
+			if (members[i].near && weight >= near_best) {
+				near_best = weight;
+				near_own = members[i].own;
+			}
 		}
+		worker->own_slots += own && n < worker->slots;
+		worker->own_connections += own && n < worker->connections;
+		worker->near_slots += near_own && n < worker->slots;
+		worker->near_connections += near_own && n < worker->connections;
 	}
-	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
-		const struct fst_host *host = tbl_at(fst->hosts, i);
-		struct rte_worker *worker = tbl_find(rte->workers, host->name);
-		struct pool *pool;
+}
 
-		if (!worker || !worker->usable)
+static bool data_centre_live(const char *name,
+			     const struct share_member *members, uint32_t count)
+{
+	bool has_member = false;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(members[i].data_centre, name) != 0)
 			continue;
-		pool = index_pool(rte, host->team, host->pool, 0);
-		pool->workers[pool->count++] = worker;
+		if (!members[i].expired)
+			return true;
+		has_member = true;
+	}
+	return !has_member;
+}
+
+static void share_workers(struct rte *rte, const struct share_member *members,
+			  uint32_t count, bool is_member)
+{
+	for (uint32_t i = 0; i < tbl_count(rte->workers); i++) {
+		struct rte_worker *worker = tbl_at(rte->workers, i);
+		const uint32_t limits[] = { worker->slots,
+					    worker->connections };
+		uint64_t shares_of =
+			rnd_hash(rte->members_of, limits, sizeof(limits));
+
+		worker->data_centre_live =
+			data_centre_live(worker->data_centre, members, count);
+		if (shares_of == worker->shares_of)
+			continue;
+		worker->shares_of = shares_of;
+		if (is_member) {
+			share_worker(worker, members, count);
+			continue;
+		}
+		worker->own_slots = worker->near_slots = worker->slots;
+		worker->own_connections = worker->connections;
+		worker->near_connections = worker->connections;
+	}
+}
+
+static uint64_t hash_members(const struct fst *fst)
+{
+	uint64_t hash = RND_HASH_START;
+
+	for (uint32_t i = 0; i < tbl_count(fst->members); i++) {
+		const struct fst_member *member = tbl_at(fst->members, i);
+
+		hash = rnd_hash(hash, member->name, strlen(member->name) + 1);
+		hash = rnd_hash(hash, member->data_centre,
+				strlen(member->data_centre) + 1);
+		hash = rnd_hash(hash, &member->expired,
+				sizeof(member->expired));
 	}
+	return hash;
+}
+
+static void share_slots(struct rte *rte, const struct fst *fst)
+{
+	const struct fst_member *own = fst_member(fst, rte->member);
+	uint32_t count = tbl_count(fst->members);
+	struct share_member *members = calloc(count + 1, sizeof(*members));
+
+	if (!members)
+		return;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct fst_member *member = tbl_at(fst->members, i);
+
+		members[i].hash = rnd_hash(RND_HASH_START, member->name,
+					   strlen(member->name));
+		members[i].data_centre = member->data_centre;
+		members[i].own = member == own;
+		members[i].expired = member->expired;
+		members[i].live = member == own || !member->expired;
+		/* If this one is recorded as expired though it runs, so may
+		   the others of its data centre. */
+		members[i].near =
+			!strcmp(member->data_centre, rte->data_centre) &&
+			(members[i].live || (own && own->expired));
+	}
+	share_workers(rte, members, count, own != NULL);
+	free(members);
+}
+
+void rte_sync_members(struct rte *rte, const struct fst *fst)
+{
+	uint64_t members_of = hash_members(fst);
+
+	if (members_of == rte->members_of)
+		return;
+	rte->members_of = members_of;
+	share_slots(rte, fst);
 }
 
 void rte_sync(struct rte *rte, const struct fst *fst, bool has_list,
@@ -157,10 +394,18 @@
 	if (has_list)
 		apply_list(rte, listed, count);
 	build_index(rte, fst);
+	rte->members_of = hash_members(fst);
+	share_slots(rte, fst);
 }
 
-static struct pool *find_pool(const struct rte *rte, const char *team,
-			      const char *name)
+void rte_set_lease(struct rte *rte, int64_t over_ms)
+{
+	rte->remote_allowed = over_ms <= 0;
+	rte->isolated = over_ms >= LIM_EXPIRE_MS;
+}
+
+static struct rte_pool *find_pool(const struct rte *rte, const char *team,
+				  const char *name)
 {
 	char key[2 * LIM_NAME_BYTES + 1];
 
@@ -169,15 +414,32 @@
 			  : NULL;
 }
 
+static uint32_t own_slots(const struct rte *rte,
+			  const struct rte_worker *worker)
+{
+	return rte->isolated ? worker->near_slots : worker->own_slots;
+}
+
+/* Whether the entry daemon may send to a worker at all. */
+static bool is_open(const struct rte_worker *worker, bool remote_allowed)
+{
+	return worker->usable &&
+	       (worker->local || (remote_allowed && worker->data_centre_live));
+}
+
 void rte_pool_capacity(const struct rte *rte, const char *team,
 		       const char *pool_name, struct rte_capacity *capacity)
 {
-	const struct pool *pool = find_pool(rte, team, pool_name);
+	const struct rte_pool *pool = find_pool(rte, team, pool_name);
 
 	*capacity = (struct rte_capacity){ 0 };
 	for (uint32_t i = 0; pool && i < pool->count; i++) {
-		capacity->slots += pool->workers[i]->slots;
-		capacity->in_flight += pool->workers[i]->in_flight;
+		const struct rte_worker *worker = pool->workers[i];
+
+		if (!is_open(worker, rte->remote_allowed) || worker->ejected)
+			continue;
+		capacity->slots += own_slots(rte, worker);
+		capacity->in_flight += worker->in_flight;
 	}
 }
 
@@ -189,44 +451,162 @@
 	return false;
 }
 
-/* Fewer requests in progress is better; at equal load the own data centre. */
-static bool is_better(const struct rte_worker *a, const struct rte_worker *b)
+static bool is_large_enough(const struct rte_worker *worker,
+			    const struct rte_query *query)
+{
+	return worker->cpu_milli >= query->cpu_milli &&
+	       worker->mem_mib >= query->mem_mib &&
+	       worker->accelerators >= query->accelerators;
+}
+
+/* Whether the pool has a worker of the size, even one that is out now. */
+static bool has_large_enough(const struct rte_pool *pool,
+			     const struct rte_query *query)
+{
+	for (uint32_t i = 0; i < pool->count; i++)
+		if (is_large_enough(pool->workers[i], query))
+			return true;
+	return pool->count == 0;
+}
+
+void rte_largest_text(const struct rte *rte, const char *team,
+		      const char *pool_name, char *text, size_t size)
+{
+	const struct rte_pool *pool = find_pool(rte, team, pool_name);
+	int64_t cpu_milli = 0, mem_mib = 0, accelerators = 0;
+
+	for (uint32_t i = 0; pool && i < pool->count; i++) {
+		const struct rte_worker *worker = pool->workers[i];
+
+		if (worker->cpu_milli > cpu_milli)
+			cpu_milli = worker->cpu_milli;
+		if (worker->mem_mib > mem_mib)
+			mem_mib = worker->mem_mib;
+		if (worker->accelerators > accelerators)
+			accelerators = worker->accelerators;
+	}
+	apr_snprintf(text, size,
+		     "no worker of the pool is large enough; the most that one "
+		     "has: Plank-Cpu-Milli %" APR_INT64_T_FMT
+		     ", Plank-Mem-Mib %" APR_INT64_T_FMT
+		     ", Plank-Accelerators %" APR_INT64_T_FMT,
+		     cpu_milli, mem_mib, accelerators);
+}
+
+static void decay(struct rte_worker *worker, int64_t now_ms)
 {
-	uint64_t load_a = (uint64_t)a->in_flight * b->slots;
-	uint64_t load_b = (uint64_t)b->in_flight * a->slots;
+	int64_t steps = (now_ms - worker->score_ms) / SCORE_DECAY_MS;
+
+	if (worker->score == 0 || worker->ejected) {
+		worker->score_ms = now_ms;
+		return;
+	}
+	worker->score -=
+		steps < worker->score ? (uint32_t)steps : worker->score;
+	worker->score_ms += steps * SCORE_DECAY_MS;
+}
+
+/*
+ * Requests in progress, and more for a worker that fails but is not ejected: it
+ * would be idle most of the time and get most of the load. Below the score for
+ * ejection nothing is added, because the first failures of a worker must not
+ * keep it out of use beyond the limit on ejections.
+ */
+static uint64_t load_of(const struct rte_worker *worker)
+{
+	if (worker->score < SCORE_EJECT)
+		return worker->in_flight;
+	return worker->in_flight + worker->score / SCORE_FAILURE;
+}
+
+/* Less load is better; at equal load the own data centre. */
+static bool is_better(const struct rte *rte, const struct rte_worker *a,
+		      const struct rte_worker *b)
+{
+	uint64_t load_a = load_of(a) * own_slots(rte, b);
+	uint64_t load_b = load_of(b) * own_slots(rte, a);
 
 	if (load_a != load_b)
 		return load_a < load_b;
 	return a->local && !b->local;
 }
 
-int rte_pick(struct rte *rte, const struct rte_query *query,
-	     struct rte_worker **worker)
+static bool is_candidate(const struct rte_worker *worker,
+			 const struct rte_query *query)
 {
-	struct pool *pool = find_pool(rte, query->team, query->pool);
-	struct rte_worker *best = NULL;
-	bool full = false;
-	uint32_t start;
+	return is_open(worker, query->remote_allowed) &&
+	       query->now_ms >= worker->avoid_until_ms &&
+	       is_large_enough(worker, query) &&
+	       !was_tried(query, worker->name);
+}
 
-	if (!pool)
-		return ERR_NOT_FOUND;
+/* The best worker with a free slot; full tells of one without. */
+static struct rte_worker *find_best(struct rte *rte, struct rte_pool *pool,
+				    const struct rte_query *query, bool ejected,
+				    bool *full)
+{
 	/* A random start keeps entry daemons from choosing the same one. */
-	start = rnd_below(rte->rnd, pool->count);
+	uint32_t start = rnd_below(rte->rnd, pool->count);
+	struct rte_worker *best = NULL;
+
 	for (uint32_t i = 0; i < pool->count; i++) {
-		struct rte_worker *candidate =
+		struct rte_worker *worker =
 			pool->workers[(start + i) % pool->count];
 
-		if ((!candidate->local && !query->remote_allowed) ||
-		    query->now_ms < candidate->avoid_until_ms ||
-		    was_tried(query, candidate->name))
+		if (worker->ejected != ejected || !is_candidate(worker, query))
 			continue;
-		if (candidate->in_flight >= candidate->slots) {
-			full = true;
-			continue;
-		}
-		if (!best || is_better(candidate, best))
-			best = candidate;
+		decay(worker, query->now_ms);
+		if (worker->in_flight >= own_slots(rte, worker))
+			*full = true;
+		else if (!best || is_better(rte, worker, best))
+			best = worker;
+	}
+	return best;
+}
+
+/* An ejected worker whose probe is due, if the request can be one. */
+static struct rte_worker *find_probe(struct rte *rte, struct rte_pool *pool,
+				     const struct rte_query *query)
+{
+	/* A probe that fails is retried on another worker. */
+	if (!query->idempotent || query->tried_count ||
+	    rte->retry_budget < RETRY_COST)
+		return NULL;
+	for (uint32_t i = 0; i < pool->count; i++) {
+		struct rte_worker *worker = pool->workers[i];
+
+		if (worker->ejected && worker->in_flight == 0 &&
+		    own_slots(rte, worker) > 0 &&
+		    query->now_ms >= worker->probe_at_ms &&
+		    is_candidate(worker, query))
+			return worker;
+	}
+	return NULL;
+}
+
+int rte_pick(struct rte *rte, const struct rte_query *query,
+	     struct rte_worker **worker)
+{
+	struct rte_pool *pool = find_pool(rte, query->team, query->pool);
+	struct rte_worker *best;
+	bool full = false;
+
+	if (!pool)
+		return ERR_NOT_FOUND;
+	if (!has_large_enough(pool, query)) {
+		rte->stats.no_fit++;
+		return ERR_NO_FIT;
 	}
+	best = find_probe(rte, pool, query);
+	if (best) {
+		best->probing = true;
+		rte->stats.probes++;
+	} else {
+		best = find_best(rte, pool, query, false, &full);
+	}
+	/* With only ejected workers to choose from, one is better than none. */
+	if (!best && !full)
+		best = find_best(rte, pool, query, true, &full);
 	if (!best)
 		return full ? ERR_OVERLOAD : ERR_NO_WORKER;
 	best->in_flight++;
@@ -236,30 +616,126 @@
 	return 0;
 }
 
+static bool may_eject(const struct rte_worker *worker)
+{
+	const struct rte_pool *pool = worker->pool;
+
+	return pool && worker->usable && worker->score >= SCORE_EJECT &&
+	       pool->ejected < eject_limit(pool);
+}
+
+static void plan_probe(struct rte *rte, struct rte_worker *worker,
+		       int64_t now_ms)
+{
+	uint32_t interval_ms = PROBE_MS << worker->probe_steps;
+
+	/* Spread, so that entry daemons do not probe at the same time. */
+	worker->probe_at_ms =
+		now_ms + interval_ms + rnd_below(rte->rnd, interval_ms / 4);
+	if (worker->probe_steps < PROBE_DOUBLINGS)
+		worker->probe_steps++;
+}
+
+static void eject(struct rte *rte, struct rte_worker *worker, int64_t now_ms)
+{
+	worker->ejected = true;
+	worker->pool->ejected++;
+	rte->stats.ejections++;
+	plan_probe(rte, worker, now_ms);
+}
+
+static void readmit(struct rte_worker *worker)
+{
+	worker->ejected = false;
+	if (worker->pool && worker->usable)
+		worker->pool->ejected--;
+}
+
+static void count_answer(struct rte_worker *worker, bool probe, int64_t now_ms)
+{
+	if (now_ms >= worker->avoid_until_ms)
+		worker->leaving_count = 0;
+	if (worker->ejected) {
+		if (!probe)
+			return;
+		readmit(worker);
+		/* One more failure ejects it again. */
+		worker->score = SCORE_EJECT - SCORE_FAILURE;
+		worker->score_ms = now_ms;
+		return;
+	}
+	decay(worker, now_ms);
+	if (worker->score)
+		worker->score--;
+	if (!worker->score)
+		worker->probe_steps = 0;
+}
+
+static void count_failure(struct rte *rte, struct rte_worker *worker,
+			  bool probe, int64_t now_ms)
+{
+	decay(worker, now_ms);
+	worker->score += SCORE_FAILURE;
+	if (worker->score > SCORE_MAX)
+		worker->score = SCORE_MAX;
+	if (probe)
+		plan_probe(rte, worker, now_ms);
+	else if (!worker->ejected && may_eject(worker))
+		eject(rte, worker, now_ms);
+}
+
 void rte_done(struct rte *rte, struct rte_worker *worker,
 	      enum rte_result result, int64_t now_ms)
 {
-	int64_t avoid_ms = AVOID_FAILED_MS;
+	bool probe = worker->ejected && worker->probing;
 
-	(void)rte;
 	worker->in_flight--;
+	worker->probing = false;
 	switch (result) {
 	case RTE_ANSWERED:
-		worker->failures = 0;
+		count_answer(worker, probe, now_ms);
 		break;
 	case RTE_REFUSED:
-		worker->avoid_until_ms = now_ms + AVOID_REFUSED_MS;
+		if (worker->avoid_until_ms < now_ms + AVOID_REFUSED_MS)
+			worker->avoid_until_ms = now_ms + AVOID_REFUSED_MS;
+		break;
+	case RTE_LEAVING:
+		/* Several requests may be refused before the first is known. */
+		if (now_ms < worker->avoid_until_ms && worker->leaving_count)
+			break;
+		worker->avoid_until_ms = now_ms + ((int64_t)AVOID_LEAVING_MS
+						   << worker->leaving_count);
+		if (worker->leaving_count < AVOID_LEAVING_DOUBLINGS)
+			worker->leaving_count++;
 		break;
 	case RTE_FAILED:
-		for (uint32_t i = 0; i < worker->failures; i++)
-			if (avoid_ms < AVOID_MAX_MS)
-				avoid_ms *= 2;
-		worker->failures++;
-		worker->avoid_until_ms = now_ms + avoid_ms;
+		count_failure(rte, worker, probe, now_ms);
 		break;
 	}
 }
 
+void rte_take_back(struct rte *rte, const char *name)
+{
+	struct rte_worker *worker = tbl_find(rte->workers, name);
+
+	if (!worker)
+		return;
+	rte->stats.taken_back++;
+	worker->score -=
+		worker->score < SCORE_FAILURE ? worker->score : SCORE_FAILURE;
+	if (!worker->ejected)
+		return;
+	if (worker->probe_steps)
+		worker->probe_steps--;
+	if (worker->score < SCORE_EJECT)
+		readmit(worker);
+}
+
+const struct rte_stats *rte_stats(const struct rte *rte)
+{
+	return &rte->stats;
+}
+
 uint32_t rte_in_flight(const struct rte *rte, const char *host)
 {
 	const struct rte_worker *worker = tbl_find(rte->workers, host);
--- /dev/null
+++ b/tests/test_rte.c
@@ -0,0 +1,397 @@
+/* Unit tests of the choice of workers: shares, ejection, sizes, leaving. */
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fst.h"
+#include "rec.h"
+#include "rte.h"
+
+static const char *const data_centres[] = { "suva", "lautoka", "levuka" };
+static struct fst *fst;
+static struct rnd rnd;
+static int64_t now_ms;
+
+static void setup(void)
+{
+	fst = fst_create();
+	rnd_init(&rnd, 20261204);
+	now_ms = 1000000;
+}
+
+static void teardown(void)
+{
+	fst_destroy(fst);
+}
+
+static void apply(const char *format, ...)
+{
+	static int ids;
+	char fields[4096], text[8192];
+	struct err err;
+	struct rec rec;
+	va_list ap;
+
+	va_start(ap, format);
+	vsnprintf(fields, sizeof(fields), format, ap);
+	va_end(ap);
+	snprintf(text, sizeof(text),
+		 "{\"id\":\"%032x\",\"author\":\"a\",\"at_ms\":1,%s}", ++ids,
+		 fields);
+	ck_assert_msg(!rec_parse(&rec, text, strlen(text), &err) &&
+			      !fst_apply(fst, fst->next, &rec, &err),
+		      "%s: %s", text, err.text);
+	rec_clear(&rec);
+}
+
+/*
+ * Worker i has i + 1 processors; the pool t/p has them all. They are in the
+ * first places data centres.
+ */
+static void add_workers(int count, int places)
+{
+	char hosts[2048] = "";
+
+	for (int i = 0; i < count; i++) {
+		apply("\"type\":\"host\",\"host\":\"w%d\",\"data_centre\":\"%"
+		      "s\","
+		      "\"rack\":\"r\",\"address\":\"127.0.0.1\",\"port\":80,"
+		      "\"cpu_milli\":%d,\"mem_mib\":64,\"accelerators\":0,"
+		      "\"slots\":8,\"connections\":64",
+		      i, data_centres[i % places], 1000 * (i + 1));
+		snprintf(hosts + strlen(hosts), sizeof(hosts) - strlen(hosts),
+			 "%s\"w%d\"", i ? "," : "", i);
+	}
+	apply("\"type\":\"settings\",\"team\":\"t\",\"base\":-1,\"settings\":{"
+	      "\"pools\":{\"p\":{\"hosts\":[%s],\"min_available\":0}}}",
+	      hosts);
+}
+
+static void join(int member)
+{
+	apply("\"type\":\"member\",\"member\":\"e%d\",\"incarnation\":1,"
+	      "\"seq\":1,\"data_centre\":\"%s\",\"address\":\"127.0.0.1\","
+	      "\"port\":1",
+	      member, data_centres[member % 3]);
+}
+
+static void expire(int member)
+{
+	char name[16];
+
+	snprintf(name, sizeof(name), "e%d", member);
+	apply("\"type\":\"member-expired\",\"member\":\"%s\",\"incarnation\":1,"
+	      "\"seen\":%lld",
+	      name, (long long)fst_member(fst, name)->seen_offset);
+}
+
+/* Slots that a member may use, with its lease over for over_ms. */
+static uint32_t slots_of(int member, int64_t over_ms)
+{
+	struct rte_capacity capacity;
+	struct rte *rte;
+	char name[16];
+
+	snprintf(name, sizeof(name), "e%d", member);
+	rte = rte_create(name, data_centres[member % 3], &rnd);
+	rte_set_lease(rte, over_ms);
+	rte_sync(rte, fst, false, NULL, 0);
+	rte_pool_capacity(rte, "t", "p", &capacity);
+	rte_destroy(rte);
+	return capacity.slots;
+}
+
+static struct rte *create(void)
+{
+	struct rte *rte = rte_create("e0", "suva", &rnd);
+
+	rte_sync(rte, fst, false, NULL, 0);
+	return rte;
+}
+
+static int pick(struct rte *rte, bool idempotent, const char *not_again,
+		struct rte_worker **worker)
+{
+	const struct rte_query query = { .team = "t",
+					 .pool = "p",
+					 .now_ms = now_ms,
+					 .remote_allowed = true,
+					 .idempotent = idempotent,
+					 .tried_count = not_again != NULL,
+					 .tried = &not_again };
+
+	return rte_pick(rte, &query, worker);
+}
+
+/* One request, run at once; workers below failing fail it. */
+static bool run(struct rte *rte, bool idempotent, int failing)
+{
+	struct rte_worker *worker;
+	bool fails;
+
+	ck_assert_int_eq(pick(rte, idempotent, NULL, &worker), 0);
+	fails = atoi(worker->name + 1) < failing;
+	rte_done(rte, worker, fails ? RTE_FAILED : RTE_ANSWERED, now_ms);
+	return !fails;
+}
+
+static uint32_t usable_slots(struct rte *rte)
+{
+	struct rte_capacity capacity;
+
+	rte_pool_capacity(rte, "t", "p", &capacity);
+	return capacity.slots;
+}
+
+/*
+ * Bound: the shares of all members add up to the 80 slots exactly, and no
+ * share falls when another member leaves, so only the slots of the one that
+ * leaves move. Guards against slots that two members use, or none.
+ */
+START_TEST(shares_add_up)
+{
+	uint32_t before[101] = { 0 };
+
+	add_workers(10, 3);
+	for (int count = 1; count <= 100; count++)
+		join(count - 1);
+	for (int count = 100; count >= 1; count--) {
+		uint32_t sum = 0;
+
+		for (int i = 0; i < count; i++) {
+			uint32_t slots = slots_of(i, 0);
+
+			ck_assert_uint_ge(slots, before[i]);
+			before[i] = slots;
+			sum += slots;
+		}
+		ck_assert_uint_eq(sum, 80);
+		apply("\"type\":\"member-left\",\"member\":\"e%d\","
+		      "\"incarnation\":1",
+		      count - 1);
+	}
+}
+END_TEST
+
+/*
+ * Bound: 400 slots among 8 members are 50 each; the standard deviation is
+ * sqrt(400 / 8 * 7 / 8) = 6.6, and each share is within four of them.
+ */
+START_TEST(shares_are_balanced)
+{
+	add_workers(50, 3);
+	for (int i = 0; i < 8; i++)
+		join(i);
+	for (int i = 0; i < 8; i++) {
+		ck_assert_uint_ge(slots_of(i, 0), 24);
+		ck_assert_uint_le(slots_of(i, 0), 76);
+	}
+}
+END_TEST
+
+/* Guards against slots left to members that stopped sending, and against
+   sending to a data centre whose members have all expired. */
+START_TEST(shares_follow_leases)
+{
+	add_workers(9, 3);
+	ck_assert_uint_eq(slots_of(0, 0), 72); /* not a member */
+	for (int i = 0; i < 6; i++)
+		join(i);
+	/* Suva has w0, w3 and w6, and the members e0 and e3. */
+	ck_assert_uint_lt(slots_of(0, 1) + slots_of(3, 1), 24);
+	ck_assert_uint_eq(
+		slots_of(0, LIM_EXPIRE_MS) + slots_of(3, LIM_EXPIRE_MS), 24);
+	expire(1);
+	expire(4);
+	/* Nobody sends to Lautoka's workers but its own members. */
+	ck_assert_uint_eq(slots_of(0, 0) + slots_of(2, 0) + slots_of(3, 0) +
+				  slots_of(5, 0),
+			  48);
+	ck_assert_uint_eq(
+		slots_of(1, LIM_EXPIRE_MS) + slots_of(4, LIM_EXPIRE_MS), 24);
+}
+END_TEST
+
+/* Guards against more than a third of a pool ejected, and against a worker
+   that fails everything and goes on getting load because it is idle. */
+START_TEST(ejection_is_bounded)
+{
+	static const uint32_t limits[] = { 0, 0, 1, 1, 1, 1, 2 };
+	struct rte_worker *worker;
+	int failed = 0;
+
+	add_workers(_i, 1);
+	struct rte *rte = create();
+
+	for (int i = 0; i < 3000; i++)
+		failed += !run(rte, false, (int)limits[_i] + (_i > 2));
+	ck_assert_uint_eq(usable_slots(rte), 8 * (_i - limits[_i]));
+	/* One more fails than may be ejected; it is idle, the others not. */
+	for (int i = 0; _i > 2 && i < 3; i++) {
+		ck_assert_int_eq(pick(rte, false, NULL, &worker), 0);
+		ck_assert_int_gt(atoi(worker->name + 1), (int)limits[_i]);
+	}
+	if (_i > 2)
+		ck_assert_int_lt(failed, 3000 / _i);
+	rte_destroy(rte);
+}
+END_TEST
+
+/* Guards against a probe that is not idempotent, several probes at a time, and
+   intervals that do not grow. */
+START_TEST(probes_are_single_and_rarer)
+{
+	struct rte_worker *worker, *other;
+	int64_t last_ms = 0, last_gap_ms = 0;
+	int probes = 0;
+
+	add_workers(3, 1);
+	struct rte *rte = create();
+
+	while (usable_slots(rte) == 24)
+		run(rte, false, 1);
+	while (probes < 5) {
+		now_ms += 10;
+		ck_assert(run(rte, false, 1));
+		ck_assert_int_eq(pick(rte, true, NULL, &worker), 0);
+		if (strcmp(worker->name, "w0") == 0) {
+			ck_assert_int_eq(pick(rte, true, NULL, &other), 0);
+			ck_assert_str_ne(other->name, "w0");
+			rte_done(rte, other, RTE_ANSWERED, now_ms);
+			rte_done(rte, worker, RTE_FAILED, now_ms);
+			ck_assert_int_gt(now_ms - last_ms, last_gap_ms);
+			last_gap_ms = probes++ ? now_ms - last_ms : 0;
+			last_ms = now_ms;
+		} else {
+			rte_done(rte, worker, RTE_ANSWERED, now_ms);
+		}
+	}
+	ck_assert_int_eq(rte_stats(rte)->probes, probes);
+	now_ms += 10 * last_gap_ms;
+	ck_assert(run(rte, true, 0));
+	ck_assert_uint_eq(usable_slots(rte), 24);
+	rte_destroy(rte);
+}
+END_TEST
+
+/* Guards against workers ejected by jobs that can never run. */
+START_TEST(bad_jobs_eject_nobody)
+{
+	struct rte_worker *first, *second;
+
+	add_workers(6, 1);
+	struct rte *rte = create();
+
+	for (int i = 0; i < 500; i++) {
+		ck_assert_int_eq(pick(rte, true, NULL, &first), 0);
+		rte_done(rte, first, RTE_FAILED, now_ms);
+		ck_assert_int_eq(pick(rte, true, first->name, &second), 0);
+		rte_done(rte, second, RTE_FAILED, now_ms);
+		rte_take_back(rte, first->name);
+		rte_take_back(rte, second->name);
+		ck_assert_uint_eq(usable_slots(rte), 48);
+	}
+	ck_assert_int_eq(rte_stats(rte)->taken_back, 1000);
+	rte_destroy(rte);
+}
+END_TEST
+
+/* Guards against new work for a worker that said that it is leaving, is
+   drained, or is listed as leaving. */
+START_TEST(leaving_gets_nothing)
+{
+	const struct rte_listed listed[] = { { "w0", true }, { "w1", false } };
+	struct rte_worker *worker;
+	int64_t out_ms[2];
+
+	add_workers(2, 1);
+	struct rte *rte = create();
+
+	for (int k = 0; k < 2; k++) {
+		do {
+			ck_assert_int_eq(pick(rte, true, NULL, &worker), 0);
+			rte_done(rte, worker,
+				 worker->name[1] == '0' ? RTE_LEAVING
+							: RTE_ANSWERED,
+				 now_ms);
+		} while (worker->name[1] != '0');
+		for (out_ms[k] = 0;; out_ms[k] += 100, now_ms += 100) {
+			ck_assert_int_eq(pick(rte, true, "w1", &worker),
+					 pick(rte, true, "w1", &worker));
+			if (pick(rte, true, "w1", &worker) == 0)
+				break;
+		}
+		while (worker->in_flight)
+			rte_done(rte, worker, RTE_REFUSED, now_ms - 2000);
+	}
+	ck_assert_int_gt(out_ms[0], 3000);
+	ck_assert_int_gt(out_ms[1], out_ms[0]);
+	now_ms += 100000;
+	rte_sync(rte, fst, true, listed, 2);
+	ck_assert_int_eq(pick(rte, true, "w1", &worker), ERR_NO_WORKER);
+	apply("\"type\":\"drain\",\"host\":\"w1\",\"reason\":\"x\"");
+	rte_sync(rte, fst, true, listed, 2);
+	ck_assert_int_eq(pick(rte, true, NULL, &worker), ERR_NO_WORKER);
+	rte_destroy(rte);
+}
+END_TEST
+
+/* Guards against a job on a worker that is too small, and a wait for one that
+   will never be there. */
+START_TEST(sizes_exclude_small_workers)
+{
+	struct rte_query query = { .team = "t",
+				   .pool = "p",
+				   .remote_allowed = true,
+				   .cpu_milli = 3000 };
+	struct rte_worker *worker;
+	char text[ERR_TEXT_BYTES];
+
+	add_workers(3, 1);
+	struct rte *rte = create();
+
+	for (int i = 0; i < 8; i++) {
+		ck_assert_int_eq(rte_pick(rte, &query, &worker), 0);
+		ck_assert_str_eq(worker->name, "w2");
+	}
+	ck_assert_int_eq(rte_pick(rte, &query, &worker), ERR_OVERLOAD);
+	query.cpu_milli = 3001;
+	ck_assert_int_eq(rte_pick(rte, &query, &worker), ERR_NO_FIT);
+	ck_assert_int_eq(rte_stats(rte)->no_fit, 1);
+	rte_largest_text(rte, "t", "p", text, sizeof(text));
+	ck_assert_ptr_nonnull(strstr(text, "Plank-Cpu-Milli 3000"));
+	rte_destroy(rte);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("rte");
+	TCase *tcase = tcase_create("rte");
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, shares_add_up);
+	tcase_add_test(tcase, shares_are_balanced);
+	tcase_add_test(tcase, shares_follow_leases);
+	tcase_add_loop_test(tcase, ejection_is_bounded, 1, 7);
+	tcase_add_test(tcase, probes_are_single_and_rarer);
+	tcase_add_test(tcase, bad_jobs_eject_nobody);
+	tcase_add_test(tcase, leaving_gets_nothing);
+	tcase_add_test(tcase, sizes_exclude_small_workers);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	apr_terminate();
+	return failed ? 1 : 0;
+}
--- a/tests/workerd.c
+++ b/tests/workerd.c
@@ -42,8 +42,9 @@
 
 static void answer(struct web_request *request, int status, const char *text)
 {
-	static const struct web_header refusal[] = {
-		{ "Plank-Refused", "yes" },
+	const struct web_header refusal[] = {
+		{ "Plank-Refused",
+		  strcmp(mode, "leaving") ? "full" : "leaving" },
 		{ NULL, NULL },
 	};
 
