Break the exchange with a worker at each byte

Cause: outcomes were tested only with whole answers and graceful stops.

Change: tests/faultd.c is a raw TCP worker that ends the connection after N bytes of the request read or of the response sent, by a reset or in order, and sends responses without length, with the coding identity, late, or none because its process ended. tests/process_outcomes.sh goes through every N for idempotent and non-idempotent requests and compares outcomes with what the workers read.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
 	$(BUILD)/plank-load
-STANDINS = $(BUILD)/platformd $(BUILD)/workerd
+STANDINS = $(BUILD)/platformd $(BUILD)/workerd $(BUILD)/faultd
 
 all: $(PROGRAMS)
 
--- /dev/null
+++ b/tests/process_outcomes.sh
@@ -0,0 +1,126 @@
+#!/usr/bin/env bash
+# Breaks the exchange with a worker at each byte of the request and of the
+# response. Guards against a refusal as not run of a request that a worker
+# read, a non-idempotent request that was sent twice, an idempotent one that
+# was sent to a third worker, an answer that was cut short, and an answer to
+# another request.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+trap stop_all EXIT
+
+fail() {
+	printf 'FAILED: %s\n' "$1"
+	tail -n 3 "$WORK"/fleet*.log "$WORK"/entry*.log
+	exit 1
+}
+
+# send POOL GROUP TARGET REPEATABLE [OPTION...]: requests for a target with a
+# range [A-B] in it, many at a time; the answers are in $WORK/GROUP.N
+send() {
+	local pool=$1 group=$2 target=$3 repeatable=$4
+	shift 4
+	curl -s -i -Z --parallel-max 16 --stderr "$WORK/progress" -o "$WORK/$group.#1" -d 'a body' \
+		-H "Plank-Repeatable: $repeatable" "$@" \
+		"$(entry_url 0)/crew-shares/$pool/$group/$target"
+}
+
+# check GROUP: what must hold for each request of the group; prints counts of
+# the outcomes
+check() {
+	cat "$WORK"/worker*.log | awk -v group="/$1/" '
+		index($1, group) == 1 {print}' >"$WORK/reads"
+	local repeatable=$2 target=$3 file n
+	for file in "$WORK/$1".*; do
+		n=${file##*.}
+		tr -d '\r' <"$file" | awk -v n="$n" -v target="/$1/${target/\[*\]/$n}" '
+			!body && tolower($1) == "plank-outcome:" {outcome = $2}
+			!body && $0 == "" {body = 1; next}
+			body {text = text $0}
+			END {print target, outcome ? outcome : "none", text == target ? "own" : "other"}'
+	done >"$WORK/outcomes"
+	awk -v repeatable="$repeatable" '
+		FILENAME == ARGV[1] {reads[$1]++; next}
+		{count[$2]++}
+		$2 == "none" {print "no outcome: " $0; bad = 1}
+		$2 == "not-run" && reads[$1] && $1 !~ /\/refuse\// {print "was read: " $0; bad = 1}
+		$2 == "answered" && $3 != "own" {print "not the own, whole answer: " $0; bad = 1}
+		repeatable == "no" && reads[$1] > 1 && $1 !~ /\/refuse\// {print "sent twice: " $0; bad = 1}
+		reads[$1] > 2 && $1 !~ /\/refuse\// {print "tried on a third worker: " $0; bad = 1}
+		END {printf "answered %d, not run %d, unknown %d\n", count["answered"], count["not-run"], count["unknown"]; exit bad}
+	' "$WORK/reads" "$WORK/outcomes" >"$WORK/result" ||
+		fail "$1 $3: $(head -n 5 "$WORK/result")"
+	echo "$1 $3 repeatable $2: $(cat "$WORK/result")"
+}
+run() { # GROUP TARGET REPEATABLE [OPTION...], at the pool of two workers
+	# Refusals put all workers of the pool aside for a moment.
+	wait_until 13 pool_serves cut || fail "$1: the pool does not serve"
+	send cut "$@"
+	check "$1" "$3" "$2"
+}
+pool_serves() { curl -sf "$(entry_url 0)/crew-shares/$1/ping"; }
+
+write_settings 1
+start_platform || fail "platform"
+platform "$(host_list 1 8 | sed 's/"slots":8/"slots":64/g')" || fail "host list"
+for i in 0 1 2 3 4; do start "worker$i" "$BUILD/faultd" $((BASE + 400 + i)); done
+for i in 5 6 7; do start_worker $i; done
+start_fleet 0
+start_entry 0
+wait_until 30 is_ready "$(fleet_url 0)" || fail "plank-fleetd is not ready"
+wait_until 30 is_ready "$(entry_url 0)" || fail "plank-entryd is not ready"
+cat >"$WORK/team.json" <<-JSON
+	{"pools": {"cut": {"hosts": ["w0", "w1", "w2"], "min_available": 0},
+		"lone": {"hosts": ["w3"], "min_available": 0},
+		"exit": {"hosts": ["w4"], "min_available": 0},
+		"crossed": {"hosts": ["w5", "w6", "w7"], "min_available": 0}}}
+JSON
+ctl publish crew-shares "$WORK/team.json" --base -1 >/dev/null || fail "settings"
+for pool in cut lone exit crossed; do
+	wait_until 13 pool_serves $pool || fail "pool $pool"
+done
+
+# A connection that was used before breaks, and the worker is gone when
+# libcurl connects again: the request was read, so it is not "not run". A
+# later attempt that finds no worker does not change that.
+send exit exit 'exit/x/[0-0]' yes
+check exit yes 'exit/x/[0-0]'
+grep -q 'answered 0, not run 0, unknown 1' "$WORK/result" || fail "exit: $(cat "$WORK/result")"
+send lone lone 'read/close/[400-400]' yes
+check lone yes 'read/close/[400-400]'
+grep -q 'answered 0, not run 0, unknown 1' "$WORK/result" || fail "lone: $(cat "$WORK/result")"
+
+# Every cut point; the numbers past the end cut nothing.
+for how in reset close; do
+	for repeatable in no yes; do
+		run "r$how$repeatable" "read/$how/[0-260]" $repeatable
+		grep -q whole "$WORK/reads" && grep -q part "$WORK/reads" ||
+			fail "the cut points do not reach past the end of the request"
+		run "l$how$repeatable" "length/$how/[0-90]" $repeatable
+		run "c$how$repeatable" "chunked/$how/[0-120]" $repeatable
+	done
+	run "n$how" "none/$how/[0-70]" no
+	grep -q 'answered 0,' "$WORK/result" || fail "an answer without length: $(cat "$WORK/result")"
+	run "i$how" "identity/$how/[0-100]" no
+	grep -q 'answered 0,' "$WORK/result" || fail "an answer without length: $(cat "$WORK/result")"
+	run "f$how" "refuse/$how/[0-120]" no
+done
+run late 'late/300/[0-15]' yes -H 'Plank-Deadline-Ms: 100'
+grep -q 'answered 0,' "$WORK/result" || fail "late: $(cat "$WORK/result")"
+
+# Answers in crossed order: each is that of its own request.
+curl -s -Z --parallel-max 20 --stderr "$WORK/progress" -o "$WORK/crossed#1.#2" \
+	"$(entry_url 0)/crew-shares/crossed/echo-[0-19]-x?sleep_ms={90,5,50,20,70}"
+crossed=0
+for a in {0..19}; do
+	for sleep_ms in 90 5 50 20 70; do
+		body=$(cat "$WORK/crossed$a.$sleep_ms")
+		[[ $body == *"\"target\":\"/echo-$a-x?sleep_ms=$sleep_ms\""* ]] &&
+			crossed=$((crossed + 1))
+		[[ $body == *'"target"'* && $body != *"/echo-$a-x?sleep_ms=$sleep_ms\""* ]] &&
+			fail "request $a, $sleep_ms got $body"
+	done
+done
+[ $crossed = 100 ] || fail "only $crossed of 100 requests were answered"
+echo "crossed order: $crossed of 100 answered, each its own"
+echo ok
