Give the fleet state waves, home pools, boot ids and assign

Change: record assign; wave on drain; boot_id on host; by_operator on return; fail from draining, drained and rebooting; home_pool, wave, wave_done, wave_failed and the boot_id at the reboot for each host; resume, from_hour and to_hour of waves; hosts of a data centre without a live member do not count for a budget. Settings may list a host under another pool of its team; a pool can be left out once no host is in it. Test changed: expiry_frees_other_data_centres_only drained a host of a data centre whose only member had expired, which the budget now refuses. It asserts that refusal, and goes on with a second live member there, whose confirmation alone must not end the drain.

--- a/src/adm.c
+++ b/src/adm.c
@@ -425,6 +425,7 @@
 	}
 	memcpy(rec.host, host->name, sizeof(rec.host));
 	rec.drain = host->drain_offset < 0 ? 0 : host->drain_offset;
+	rec.by_operator = true;
 	apr_snprintf(rec.reason, sizeof(rec.reason), "by operator %s",
 		     op->name);
 	propose(adm, request, op, &rec);
--- a/src/fld.c
+++ b/src/fld.c
@@ -23,6 +23,9 @@
 	case FLD_INT:
 		*(int64_t *)to = jsn_int(&at, fld->min, fld->max, INT64_MIN);
 		break;
+	case FLD_OPT_INT:
+		*(int64_t *)to = jsn_int(&at, fld->min, fld->max, fld->min);
+		break;
 	case FLD_BOOL:
 		*(bool *)to = jsn_bool(&at, false);
 		break;
@@ -48,6 +51,10 @@
 	case FLD_TEXT:
 		jsn_put_string(object, fld->name, from);
 		break;
+	case FLD_OPT_INT:
+		if (*(const int64_t *)from == fld->min)
+			break;
+		/* fallthrough */
 	case FLD_INT:
 		jsn_put_int(object, fld->name, *(const int64_t *)from);
 		break;
--- a/src/fld.h
+++ b/src/fld.h
@@ -16,6 +16,7 @@
 	FLD_TEXT,     /* char array, not empty */
 	FLD_OPT_TEXT, /* char array; left out of the object when empty */
 	FLD_INT,      /* int64_t */
+	FLD_OPT_INT,  /* int64_t; left out of the object when it is min */
 	FLD_BOOL,     /* bool */
 	FLD_JSON      /* char *: text of an object, allocated with malloc */
 };
@@ -39,6 +40,11 @@
 	{                                                                      \
 #member, FLD_INT, offsetof(struct type, member), 0, min, max   \
 	}
+#define FLD_OPT_NUMBER(type, member, min, max)                                 \
+	{                                                                      \
+#member, FLD_OPT_INT, offsetof(struct type, member), 0, min,   \
+			max                                                    \
+	}
 
 /* fld_read - read one described field of an object, refusing a wrong value */
 void fld_read(const struct jsn *object, const struct fld *fld, void *target);
--- a/src/fst.c
+++ b/src/fst.c
@@ -63,6 +63,27 @@
 	return host->state == FST_SERVING && host->known;
 }
 
+static bool is_visible(const struct fst *fst, const char *data_centre)
+{
+	bool expired = false;
+
+	for (uint32_t i = 0; i < tbl_count(fst->members); i++) {
+		const struct fst_member *member = tbl_at(fst->members, i);
+
+		if (strcmp(member->data_centre, data_centre))
+			continue;
+		if (!member->expired)
+			return true;
+		expired = true;
+	}
+	return !expired;
+}
+
+bool fst_host_counts(const struct fst *fst, const struct fst_host *host)
+{
+	return fst_host_available(host) && is_visible(fst, host->data_centre);
+}
+
 struct fst_pool_use fst_pool_use(const struct fst *fst, const char *team_name,
 				 const char *pool_name)
 {
@@ -80,7 +101,7 @@
 		    strcmp(host->pool, pool_name))
 			continue;
 		use.hosts++;
-		use.available += fst_host_available(host);
+		use.available += fst_host_counts(fst, host);
 		use.failed += host->state == FST_FAILED;
 		use.planned_out += host->state == FST_DRAINING ||
 				   host->state == FST_DRAINED ||
@@ -173,6 +194,7 @@
 	[REC_RETURN] = fst_apply_return,
 	[REC_FAIL] = fst_apply_fail,
 	[REC_RETIRE] = fst_apply_retire,
+	[REC_ASSIGN] = fst_apply_assign,
 };
 
 static bool id_seen(const struct fst *fst, const char *id)
--- a/src/fst.h
+++ b/src/fst.h
@@ -40,12 +40,20 @@
 
 struct fst_host {
 	char name[LIM_NAME_BYTES];
-	char team[LIM_NAME_BYTES]; /* empty: in no pool */
-	char pool[LIM_NAME_BYTES];
+	char team[LIM_NAME_BYTES];	/* empty: in no pool */
+	char pool[LIM_NAME_BYTES];	/* where it serves at present */
+	char home_pool[LIM_NAME_BYTES]; /* that the settings list it under */
 	enum fst_host_state state;
 	int64_t drain_offset;	/* of the drain in force, or FST_NONE */
 	int64_t changed_offset; /* of the last change of state */
 	char reason[LIM_REASON_BYTES];
+	int64_t reboot_boot_id; /* boot_id at the reboot from which it has not
+				   returned, or FST_NONE */
+	char wave[LIM_NAME_BYTES];	/* of the drain in force */
+	char wave_done[LIM_NAME_BYTES]; /* completed last */
+	/* The wave in which it failed: it did not come back, or it failed
+	   after its return while the wave went on. */
+	char wave_failed[LIM_NAME_BYTES];
 
 	bool known; /* the platform told the facts below */
 	char data_centre[LIM_NAME_BYTES];
@@ -57,6 +65,7 @@
 	int64_t accelerators;
 	int64_t slots;
 	int64_t connections;
+	int64_t boot_id; /* 0: not given */
 
 	uint32_t quiet_count;
 	struct fst_quiet *quiet; /* confirmations for drain_offset */
@@ -143,6 +152,14 @@
 /* fst_host_available - whether a host serves and its address is known */
 bool fst_host_available(const struct fst_host *host);
 
+/*
+ * fst_host_counts - whether a host counts as available for its pool's budget
+ *
+ * It is available and its data centre can be seen: at least one member there
+ * is live, or the data centre has no members.
+ */
+bool fst_host_counts(const struct fst *fst, const struct fst_host *host);
+
 struct fst_pool_use {
 	uint32_t hosts;
 	uint32_t available;
--- a/src/fst_host.c
+++ b/src/fst_host.c
@@ -18,8 +18,10 @@
 	free(host->quiet);
 	host->quiet = NULL;
 	host->quiet_count = 0;
-	if (state != FST_REBOOTING && state != FST_RETIRED)
-		host->drain_offset = FST_NONE;
+	if (state == FST_REBOOTING || state == FST_RETIRED)
+		return;
+	host->drain_offset = FST_NONE;
+	host->wave[0] = 0;
 }
 
 int fst_apply_host(struct fst *fst, int64_t offset, const struct rec *rec,
@@ -38,6 +40,7 @@
 			return err_set(err, ERR_TOO_LARGE, "more than %d hosts",
 				       LIM_HOSTS);
 		host = tbl_add(fst->hosts, rec->host);
+		host->reboot_boot_id = FST_NONE;
 		fst_set_state(host, FST_SERVING, offset, "listed");
 	}
 	host->known = true;
@@ -50,6 +53,7 @@
 	host->accelerators = rec->accelerators;
 	host->slots = rec->slots;
 	host->connections = rec->connections;
+	host->boot_id = rec->boot_id;
 	return 0;
 }
 
@@ -85,7 +89,7 @@
 	if (host->team[0]) {
 		use = fst_pool_use(fst, host->team, host->pool);
 		if (use.available <
-		    use.min_available + fst_host_available(host))
+		    use.min_available + fst_host_counts(fst, host))
 			return err_set(err, ERR_BUDGET,
 				       "pool %s/%s has %u of %u hosts "
 				       "available and needs %u",
@@ -94,6 +98,7 @@
 	}
 	fst_set_state(host, FST_DRAINING, offset, rec->reason);
 	host->drain_offset = offset;
+	memcpy(host->wave, rec->wave, sizeof(host->wave));
 	change->detail = host->reason;
 	return 0;
 }
@@ -168,6 +173,7 @@
 	if (!host)
 		return err->kind;
 	fst_set_state(host, FST_REBOOTING, offset, "reboot");
+	host->reboot_boot_id = host->boot_id;
 	return 0;
 }
 
@@ -178,31 +184,95 @@
 
 	if (!host)
 		return err->kind;
+	if (host->wave[0])
+		memcpy(host->wave_done, host->wave, sizeof(host->wave_done));
 	fst_set_state(host, FST_RETIRED, offset, "retired");
 	return 0;
 }
 
+int fst_apply_assign(struct fst *fst, int64_t offset, const struct rec *rec,
+		     struct fst_change *change, struct err *err)
+{
+	struct fst_host *host = drained_host(fst, rec, change, err);
+	const struct fst_team *team = host ? fst_team(fst, host->team) : NULL;
+
+	if (!host)
+		return err->kind;
+	if (!team || !tms_find_pool(team->settings, rec->pool))
+		return err_set(err, ERR_NOT_FOUND, "no pool %s in team \"%s\"",
+			       rec->pool, host->team);
+	memcpy(change->before, host->pool, sizeof(change->before));
+	memcpy(change->after, rec->pool, sizeof(change->after));
+	memcpy(host->pool, rec->pool, sizeof(host->pool));
+	fst_set_state(host, FST_SERVING, offset, "assigned");
+	return 0;
+}
+
 int fst_apply_return(struct fst *fst, int64_t offset, const struct rec *rec,
 		     struct fst_change *change, struct err *err)
 {
 	struct fst_host *host = host_in(
 		fst, rec, 1u << FST_REBOOTING | 1u << FST_FAILED, change, err);
 
+	const char *wave;
+	bool booted;
+
 	if (!host)
 		return err->kind;
+	booted = host->reboot_boot_id != FST_NONE &&
+		 host->boot_id > host->reboot_boot_id;
+	if (host->state == FST_REBOOTING && !booted && !rec->by_operator)
+		return err_set(err, ERR_STATE,
+			       "host %s has boot_id %" PRId64
+			       " as at its reboot",
+			       host->name, host->boot_id);
+	/* One that failed in its reboot and came back later needs no other. */
+	wave = host->state == FST_REBOOTING ? host->wave : host->wave_failed;
+	if (wave[0] && (booted || host->state == FST_REBOOTING))
+		memcpy(host->wave_done, wave, sizeof(host->wave_done));
+	host->reboot_boot_id = FST_NONE;
 	fst_set_state(host, FST_SERVING, offset, rec->reason);
 	change->detail = host->reason;
 	return 0;
 }
 
+/* Whether the wave that a host has completed has others to do. */
+static bool wave_goes_on(const struct fst *fst, const struct fst_host *host)
+{
+	const struct fst_team *team = fst_team(fst, host->team);
+	const struct tms_wave *wave =
+		team ? tms_find_wave(team->settings, host->wave_done) : NULL;
+	const struct tms_batch *batch =
+		wave ? tms_find_batch(team->settings, wave->batch) : NULL;
+
+	for (uint32_t i = 0; batch && i < batch->hosts.count; i++) {
+		const struct fst_host *other =
+			fst_host(fst, batch->hosts.names[i]);
+
+		if (other && other->state != FST_RETIRED &&
+		    strcmp(other->wave_done, wave->name))
+			return true;
+	}
+	return false;
+}
+
 int fst_apply_fail(struct fst *fst, int64_t offset, const struct rec *rec,
 		   struct fst_change *change, struct err *err)
 {
-	struct fst_host *host = host_in(
-		fst, rec, 1u << FST_SERVING | 1u << FST_DRAINING, change, err);
+	struct fst_host *host =
+		host_in(fst, rec,
+			1u << FST_SERVING | 1u << FST_DRAINING |
+				1u << FST_DRAINED | 1u << FST_REBOOTING,
+			change, err);
 
 	if (!host)
 		return err->kind;
+	if (host->state == FST_REBOOTING)
+		memcpy(host->wave_failed, host->wave,
+		       sizeof(host->wave_failed));
+	else if (host->wave_done[0] && wave_goes_on(fst, host))
+		memcpy(host->wave_failed, host->wave_done,
+		       sizeof(host->wave_failed));
 	fst_set_state(host, FST_FAILED, offset, rec->reason);
 	change->detail = host->reason;
 	return 0;
--- a/src/fst_int.h
+++ b/src/fst_int.h
@@ -37,6 +37,7 @@
 fst_apply_fn fst_apply_return;
 fst_apply_fn fst_apply_fail;
 fst_apply_fn fst_apply_retire;
+fst_apply_fn fst_apply_assign;
 
 /* fst_set_state - change a host's state; ends its drain where that applies */
 void fst_set_state(struct fst_host *host, enum fst_host_state state,
--- a/src/fst_settings.c
+++ b/src/fst_settings.c
@@ -11,7 +11,7 @@
 	return tms_pool_of(settings, host) != NULL;
 }
 
-/* A listed host must be free, or already in that pool of this team. */
+/* A listed host must be free, or already of this team. */
 static int check_listed(const struct fst *fst, const char *team,
 			const struct tms_pool *pool, struct err *err)
 {
@@ -30,11 +30,6 @@
 			return err_set(err, ERR_CONFLICT,
 				       "host %s belongs to team %s", host->name,
 				       host->team);
-		if (strcmp(host->pool, pool->name))
-			return err_set(err, ERR_STATE,
-				       "host %s is in pool %s; settings do not "
-				       "move a host to pool %s",
-				       host->name, host->pool, pool->name);
 	}
 	return 0;
 }
@@ -58,6 +53,26 @@
 	return 0;
 }
 
+/* A pool may be left out only once no host serves there. */
+static int check_present_pools(const struct fst *fst, const char *team,
+			       const struct tms *settings, struct err *err)
+{
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+
+		if (strcmp(host->team, team) || host->state == FST_RETIRED ||
+		    !in_settings(settings, host->name) ||
+		    tms_find_pool(settings, host->pool))
+			continue;
+		return err_set(err, ERR_STATE,
+			       "pools.%s: left out, but host %s is there; list "
+			       "the host under another pool and leave the pool "
+			       "out once it has moved",
+			       host->pool, host->name);
+	}
+	return 0;
+}
+
 /* A budget may not be raised above what a drain under way leaves. */
 static int check_budgets(const struct fst *fst, const char *team,
 			 const struct tms *settings, struct err *err)
@@ -89,6 +104,9 @@
 			continue;
 		host->team[0] = 0;
 		host->pool[0] = 0;
+		host->home_pool[0] = 0;
+		host->wave_done[0] = 0;
+		host->wave_failed[0] = 0;
 	}
 	for (uint32_t i = 0; i < settings->pool_count; i++) {
 		const struct tms_pool *pool = &settings->pools[i];
@@ -99,9 +117,15 @@
 
 			if (!host) {
 				host = tbl_add(fst->hosts, name);
+				host->reboot_boot_id = FST_NONE;
 				fst_set_state(host, FST_SERVING, offset,
 					      "assigned");
 			}
+			memcpy(host->home_pool, pool->name,
+			       sizeof(host->home_pool));
+			if (host->state == FST_RETIRED)
+				memcpy(host->pool, pool->name,
+				       sizeof(host->pool));
 			if (host->team[0])
 				continue;
 			if (host->state == FST_DRAINED)
@@ -114,6 +138,27 @@
 	}
 }
 
+/* Forgets the failures of waves that the operators resume. */
+static void resume_waves(struct fst *fst, const struct fst_team *team,
+			 const struct tms *settings)
+{
+	for (uint32_t i = 0; i < settings->wave_count; i++) {
+		const struct tms_wave *wave = &settings->waves[i];
+		const struct tms_wave *before =
+			tms_find_wave(team->settings, wave->name);
+
+		if (!before || wave->resume <= before->resume)
+			continue;
+		for (uint32_t k = 0; k < tbl_count(fst->hosts); k++) {
+			struct fst_host *host = tbl_at(fst->hosts, k);
+
+			if (!strcmp(host->team, team->name) &&
+			    !strcmp(host->wave_failed, wave->name))
+				host->wave_failed[0] = 0;
+		}
+	}
+}
+
 int fst_apply_settings(struct fst *fst, int64_t offset, const struct rec *rec,
 		       struct fst_change *change, struct err *err)
 {
@@ -140,13 +185,17 @@
 		status = check_listed(fst, rec->team, &settings->pools[i], err);
 	if (status == 0)
 		status = check_removed(fst, rec->team, settings, err);
+	if (status == 0)
+		status = check_present_pools(fst, rec->team, settings, err);
 	if (status == 0)
 		status = check_budgets(fst, rec->team, settings, err);
 	if (status < 0) {
 		tms_destroy(settings);
 		return status;
 	}
-	if (!team)
+	if (team)
+		resume_waves(fst, team, settings);
+	else
 		team = tbl_add(fst->teams, rec->team);
 	tms_destroy(team->settings);
 	team->settings = settings;
--- a/src/rec.c
+++ b/src/rec.c
@@ -25,7 +25,11 @@
 	F_MEM = 1 << 15,
 	F_ACCELERATORS = 1 << 16,
 	F_SLOTS = 1 << 17,
-	F_CONNECTIONS = 1 << 18
+	F_CONNECTIONS = 1 << 18,
+	F_WAVE = 1 << 19,
+	F_POOL = 1 << 20,
+	F_BOOT_ID = 1 << 21,
+	F_BY_OPERATOR = 1 << 22
 };
 
 /* Fields that depend on the type; bit i of a type wants field i. */
@@ -49,12 +53,17 @@
 	FLD_NUMBER(rec, accelerators, 0, 1000000),
 	FLD_NUMBER(rec, slots, 1, 1000000),
 	FLD_NUMBER(rec, connections, 1, 1000000),
+	FLD_ARRAY(rec, wave, FLD_OPT_TEXT),
+	FLD_ARRAY(rec, pool, FLD_NAME),
+	FLD_OPT_NUMBER(rec, boot_id, 0, LIM_NUMBER_MAX),
+	{ "by_operator", FLD_BOOL, offsetof(struct rec, by_operator), 0, 0, 0 },
 };
 
 enum {
 	FIELD_COUNT = sizeof(fields) / sizeof(fields[0]),
 	HOST_FACTS = F_DATA_CENTRE | F_RACK | F_ADDRESS | F_PORT | F_CPU |
-		     F_MEM | F_ACCELERATORS | F_SLOTS | F_CONNECTIONS
+		     F_MEM | F_ACCELERATORS | F_SLOTS | F_CONNECTIONS |
+		     F_BOOT_ID
 };
 
 static const struct {
@@ -68,13 +77,14 @@
 	[REC_MEMBER_LEFT] = { "member-left", F_MEMBER | F_INCARNATION },
 	[REC_MEMBER_EXPIRED] = { "member-expired",
 				 F_MEMBER | F_INCARNATION | F_SEEN },
-	[REC_DRAIN] = { "drain", F_HOST | F_REASON },
+	[REC_DRAIN] = { "drain", F_HOST | F_REASON | F_WAVE },
 	[REC_QUIET] = { "quiet", F_HOST | F_DRAIN | F_MEMBER | F_INCARNATION },
 	[REC_UNDRAIN] = { "undrain", F_HOST | F_REASON },
 	[REC_REBOOT] = { "reboot", F_HOST | F_DRAIN },
-	[REC_RETURN] = { "return", F_HOST | F_REASON },
+	[REC_RETURN] = { "return", F_HOST | F_REASON | F_BY_OPERATOR },
 	[REC_FAIL] = { "fail", F_HOST | F_REASON },
 	[REC_RETIRE] = { "retire", F_HOST | F_DRAIN },
+	[REC_ASSIGN] = { "assign", F_HOST | F_DRAIN | F_POOL },
 };
 
 const char *rec_type_name(enum rec_type type)
--- a/src/rec.h
+++ b/src/rec.h
@@ -10,6 +10,7 @@
 #ifndef REC_H
 #define REC_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -29,6 +30,7 @@
 	REC_RETURN,	    /* a rebooting or failed host is back */
 	REC_FAIL,	    /* a host failed by itself */
 	REC_RETIRE,	    /* a drained host leaves its pool for good */
+	REC_ASSIGN,	    /* a drained host serves in a pool of its team */
 	REC_TYPE_COUNT
 };
 
@@ -45,6 +47,10 @@
 	char host[LIM_NAME_BYTES];
 	char reason[LIM_REASON_BYTES];
 	int64_t drain; /* offset of the drain that the record refers to */
+	char wave[LIM_NAME_BYTES]; /* that a drain is for; empty: none */
+	char pool[LIM_NAME_BYTES];
+	int64_t boot_id;  /* rises with each boot; 0: not given */
+	bool by_operator; /* a return that an operator vouches for */
 
 	char member[LIM_NAME_BYTES];
 	int64_t incarnation;
--- a/src/snp.c
+++ b/src/snp.c
@@ -26,6 +26,12 @@
 	OFFSET(fst_host, accelerators),
 	OFFSET(fst_host, slots),
 	OFFSET(fst_host, connections),
+	FLD_ARRAY(fst_host, home_pool, FLD_OPT_TEXT),
+	FLD_OPT_NUMBER(fst_host, boot_id, 0, LIM_NUMBER_MAX),
+	FLD_OPT_NUMBER(fst_host, reboot_boot_id, -1, LIM_NUMBER_MAX),
+	FLD_ARRAY(fst_host, wave, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_host, wave_done, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_host, wave_failed, FLD_OPT_TEXT),
 };
 
 static const struct fld quiet_fields[] = {
@@ -183,6 +189,9 @@
 
 	for (size_t i = 0; i < HOST_FIELDS; i++)
 		fld_read(at, &host_fields[i], &row);
+	/* Snapshots of releases without home pools. */
+	if (!row.home_pool[0])
+		memcpy(row.home_pool, row.pool, sizeof(row.home_pool));
 	row.state = read_state(at);
 	read_quiet(at, &row);
 	check_keys(at, host_fields, HOST_FIELDS, "state", "quiet");
--- a/src/tms.c
+++ b/src/tms.c
@@ -107,8 +107,9 @@
 
 static void read_wave(struct tms *tms, const struct jsn *at, void *entry)
 {
-	static const char *const keys[] = { "batch",  "action", "start",
-					    "canary", "paused", NULL };
+	static const char *const keys[] = { "batch",	 "action",  "start",
+					    "canary",	 "paused",  "resume",
+					    "from_hour", "to_hour", NULL };
 	struct jsn batch_at = jsn_member(at, "batch");
 	struct jsn action_at = jsn_member(at, "action");
 	struct jsn paused_at = jsn_member(at, "paused");
@@ -125,6 +126,9 @@
 	wave->start_day = read_day(at, "start");
 	wave->canary_hosts = (uint32_t)read_int(at, "canary", 1, LIM_HOSTS, 1);
 	wave->paused = jsn_bool(&paused_at, false);
+	wave->resume = read_int(at, "resume", 0, LIM_NUMBER_MAX, 0);
+	wave->from_hour = (uint32_t)read_int(at, "from_hour", 0, 23, 0);
+	wave->to_hour = (uint32_t)read_int(at, "to_hour", 0, 24, 24);
 }
 
 static uint32_t read_section(struct tms *tms, const struct jsn *root,
@@ -348,3 +352,19 @@
 			return &tms->pools[i];
 	return NULL;
 }
+
+const struct tms_batch *tms_find_batch(const struct tms *tms, const char *name)
+{
+	for (uint32_t i = 0; i < tms->batch_count; i++)
+		if (!strcmp(tms->batches[i].name, name))
+			return &tms->batches[i];
+	return NULL;
+}
+
+const struct tms_wave *tms_find_wave(const struct tms *tms, const char *name)
+{
+	for (uint32_t i = 0; i < tms->wave_count; i++)
+		if (!strcmp(tms->waves[i].name, name))
+			return &tms->waves[i];
+	return NULL;
+}
--- a/src/tms.h
+++ b/src/tms.h
@@ -44,6 +44,9 @@
 	int32_t start_day; /* days since 1970-01-01 */
 	uint32_t canary_hosts;
 	bool paused;
+	int64_t resume;	    /* raised by an operator to go on after a stop */
+	uint32_t from_hour; /* of the night window, UTC; equal to to_hour or */
+	uint32_t to_hour;   /* 0 and 24: all day */
 };
 
 struct tms {
@@ -81,8 +84,10 @@
 /* tms_pool_of - pool that lists the host, or NULL */
 const struct tms_pool *tms_pool_of(const struct tms *tms, const char *host);
 
-/* tms_find_pool - pool by name, or NULL */
+/* tms_find_pool, tms_find_batch, tms_find_wave - entry by name, or NULL */
 const struct tms_pool *tms_find_pool(const struct tms *tms, const char *name);
+const struct tms_batch *tms_find_batch(const struct tms *tms, const char *name);
+const struct tms_wave *tms_find_wave(const struct tms *tms, const char *name);
 
 /*
  * tms_parse_day - days since 1970-01-01 of a date written as YYYY-MM-DD
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -208,7 +208,13 @@
 	ck_assert_int_eq(fst_host(fst, "h2")->state, FST_DRAINED);
 	ck_assert_int_eq(apply("undrain", "\"host\":\"h2\",\"reason\":\"x\""),
 			 0);
+	/* Without a live member the data centre's hosts are not available. */
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""),
+			 ERR_BUDGET);
+	heartbeat("e1", 1, 1, "suva");
 	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(
+		quiet("h0", "e1", 1, fst_host(fst, "h0")->drain_offset), 0);
 	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_DRAINING);
 	ck_assert_int_eq(
 		apply("member-left", "\"member\":\"e0\",\"incarnation\":1"), 0);
@@ -216,6 +222,119 @@
 }
 END_TEST
 
+/* Drains and, with nobody to wait for, reboots the host for a wave. */
+static void reboot_for_wave(const char *name, const char *wave)
+{
+	char fields[256];
+
+	snprintf(fields, sizeof(fields),
+		 "\"host\":\"%s\",\"reason\":\"x\",\"wave\":\"%s\"", name,
+		 wave);
+	ck_assert_msg(apply("drain", fields) == 0, "%s", err.text);
+	snprintf(fields, sizeof(fields), "\"host\":\"%s\",\"drain\":%lld", name,
+		 (long long)fst_host(fst, name)->drain_offset);
+	ck_assert_int_eq(apply("reboot", fields), 0);
+}
+
+static void set_boot_id(const char *name, int boot_id)
+{
+	char fields[512];
+
+	snprintf(fields, sizeof(fields),
+		 "\"host\":\"%s\",\"data_centre\":\"suva\",\"rack\":\"r\","
+		 "\"address\":\"127.0.0.1\",\"port\":80,\"cpu_milli\":1,"
+		 "\"mem_mib\":1,\"accelerators\":0,\"slots\":8,"
+		 "\"connections\":64,\"boot_id\":%d",
+		 name, boot_id);
+	ck_assert_int_eq(apply("host", fields), 0);
+}
+
+#define WAVE_SETTINGS(base, resume)                                            \
+	"\"team\":\"t\",\"base\":" base ",\"settings\":{\"pools\":{\"p\":{"    \
+	"\"hosts\":[\"h0\",\"h1\"],\"min_available\":1},\"q\":{\"hosts\":"     \
+	"[\"h2\"],\"min_available\":0}},\"batches\":{\"b\":{\"hosts\":["       \
+	"\"h0\","                                                              \
+	"\"h1\",\"h2\"],\"support_ends\":\"2030-01-01\"}},\"waves\":{\"w\":{"  \
+	"\"batch\":\"b\",\"action\":\"reboot\",\"start\":\"2029-01-01\","      \
+	"\"resume\":" resume "}}}"
+
+/*
+ * A host returns by itself only with a higher boot_id: the platform's list
+ * lags, and shows it live with the old one before it has gone down.
+ */
+START_TEST(return_needs_a_higher_boot_id)
+{
+	set_boot_id("h0", 7);
+	set_boot_id("h1", 7);
+	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("-1", "0")), 0);
+	reboot_for_wave("h0", "w");
+	ck_assert_int_eq(apply("return", "\"host\":\"h0\",\"reason\":\"x\""),
+			 ERR_STATE);
+	set_boot_id("h0", 8);
+	ck_assert_int_eq(apply("return", "\"host\":\"h0\",\"reason\":\"x\""),
+			 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_done, "w");
+	ck_assert_str_eq(fst_host(fst, "h0")->wave, "");
+	reboot_for_wave("h1", "w");
+	ck_assert_int_eq(apply("return", "\"host\":\"h1\",\"reason\":\"x\","
+					 "\"by_operator\":true"),
+			 0);
+	ck_assert_str_eq(fst_host(fst, "h1")->wave_done, "w");
+}
+END_TEST
+
+/* Failures of a wave are kept until an operator resumes the wave. */
+START_TEST(wave_keeps_its_failures_until_resumed)
+{
+	set_boot_id("h0", 7);
+	set_boot_id("h1", 7);
+	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("-1", "0")), 0);
+	reboot_for_wave("h0", "w");
+	ck_assert_int_eq(apply("fail", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "w");
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_done, "");
+	set_boot_id("h0", 8);
+	ck_assert_int_eq(apply("return", "\"host\":\"h0\",\"reason\":\"x\""),
+			 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_done, "w");
+	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("2", "0")), 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "w");
+	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("8", "1")), 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "");
+	/* It had come back, but the wave has others to do. */
+	ck_assert_int_eq(apply("fail", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "w");
+}
+END_TEST
+
+/* A host serves in another pool only once it was drained from the first. */
+START_TEST(assign_moves_a_drained_host)
+{
+	char fields[128];
+
+	set_boot_id("h0", 0);
+	set_boot_id("h1", 0);
+	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("-1", "0")), 0);
+	ck_assert_int_eq(
+		apply("assign", "\"host\":\"h0\",\"drain\":0,\"pool\":\"q\""),
+		ERR_STATE);
+	ck_assert_int_eq(apply("drain", "\"host\":\"h0\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(
+		apply("assign", "\"host\":\"h0\",\"drain\":0,\"pool\":\"q\""),
+		ERR_STATE);
+	ck_assert_int_eq(
+		apply("assign", "\"host\":\"h0\",\"drain\":4,\"pool\":\"z\""),
+		ERR_NOT_FOUND);
+	snprintf(fields, sizeof(fields),
+		 "\"host\":\"h0\",\"drain\":%lld,\"pool\":\"q\"",
+		 (long long)fst_host(fst, "h0")->drain_offset);
+	ck_assert_int_eq(apply("assign", fields), 0);
+	ck_assert_str_eq(fst_host(fst, "h0")->pool, "q");
+	ck_assert_str_eq(fst_host(fst, "h0")->home_pool, "p");
+	ck_assert_int_eq(fst_host(fst, "h0")->state, FST_SERVING);
+}
+END_TEST
+
 START_TEST(snapshot_gives_the_same_bytes)
 {
 	size_t len, again_len;
@@ -255,6 +374,9 @@
 	tcase_add_test(tcase, duplicate_id_has_no_effect);
 	tcase_add_test(tcase, drain_waits_for_members);
 	tcase_add_test(tcase, expiry_frees_other_data_centres_only);
+	tcase_add_test(tcase, return_needs_a_higher_boot_id);
+	tcase_add_test(tcase, wave_keeps_its_failures_until_resumed);
+	tcase_add_test(tcase, assign_moves_a_drained_host);
 	tcase_add_test(tcase, snapshot_gives_the_same_bytes);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
