Add the planner of waves and moves

Cause: waves had to be carried out host by host by operators; nothing kept a reserve, stopped on failures or refused a plan that cannot be carried out. Change: module pln (pure): canary, budgets with one host kept back unless roll-out weighs most, half of each data centre, racks together, support end order, reboot, return, retirement, time-out, stop rule, undo of drains, lending from the spare pool and moves home after a hold; pln_explain and pln_check, which the acceptance of settings calls. A settings change that lists a large wave costs hosts times pool size comparisons; not measured yet.

--- a/src/fst_host.c
+++ b/src/fst_host.c
@@ -22,6 +22,7 @@
 		return;
 	host->drain_offset = FST_NONE;
 	host->wave[0] = 0;
+	host->move_to[0] = 0;
 }
 
 int fst_apply_host(struct fst *fst, int64_t offset, const struct rec *rec,
@@ -77,6 +78,14 @@
 	return NULL;
 }
 
+static bool has_pool(const struct fst *fst, const struct fst_host *host,
+		     const char *pool)
+{
+	const struct fst_team *team = fst_team(fst, host->team);
+
+	return team && tms_find_pool(team->settings, pool);
+}
+
 int fst_apply_drain(struct fst *fst, int64_t offset, const struct rec *rec,
 		    struct fst_change *change, struct err *err)
 {
@@ -86,6 +95,9 @@
 
 	if (!host)
 		return err->kind;
+	if (rec->move_to[0] && !has_pool(fst, host, rec->move_to))
+		return err_set(err, ERR_NOT_FOUND, "no pool %s in team \"%s\"",
+			       rec->move_to, host->team);
 	if (host->team[0]) {
 		use = fst_pool_use(fst, host->team, host->pool);
 		if (use.available <
@@ -99,6 +111,7 @@
 	fst_set_state(host, FST_DRAINING, offset, rec->reason);
 	host->drain_offset = offset;
 	memcpy(host->wave, rec->wave, sizeof(host->wave));
+	memcpy(host->move_to, rec->move_to, sizeof(host->move_to));
 	change->detail = host->reason;
 	return 0;
 }
@@ -194,11 +207,10 @@
 		     struct fst_change *change, struct err *err)
 {
 	struct fst_host *host = drained_host(fst, rec, change, err);
-	const struct fst_team *team = host ? fst_team(fst, host->team) : NULL;
 
 	if (!host)
 		return err->kind;
-	if (!team || !tms_find_pool(team->settings, rec->pool))
+	if (!has_pool(fst, host, rec->pool))
 		return err_set(err, ERR_NOT_FOUND, "no pool %s in team \"%s\"",
 			       rec->pool, host->team);
 	memcpy(change->before, host->pool, sizeof(change->before));
--- a/src/fst_settings.c
+++ b/src/fst_settings.c
@@ -6,6 +6,10 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "pln.h"
+
+enum { MS_PER_DAY = 24 * 3600 * 1000 };
+
 static bool in_settings(const struct tms *settings, const char *host)
 {
 	return tms_pool_of(settings, host) != NULL;
@@ -189,6 +193,9 @@
 		status = check_present_pools(fst, rec->team, settings, err);
 	if (status == 0)
 		status = check_budgets(fst, rec->team, settings, err);
+	if (status == 0)
+		status = pln_check(fst, rec->team, settings,
+				   (int32_t)(rec->at_ms / MS_PER_DAY), err);
 	if (status < 0) {
 		tms_destroy(settings);
 		return status;
--- a/src/rec.c
+++ b/src/rec.c
@@ -29,7 +29,8 @@
 	F_WAVE = 1 << 19,
 	F_POOL = 1 << 20,
 	F_BOOT_ID = 1 << 21,
-	F_BY_OPERATOR = 1 << 22
+	F_BY_OPERATOR = 1 << 22,
+	F_MOVE_TO = 1 << 23
 };
 
 /* Fields that depend on the type; bit i of a type wants field i. */
@@ -57,6 +58,7 @@
 	FLD_ARRAY(rec, pool, FLD_NAME),
 	FLD_OPT_NUMBER(rec, boot_id, 0, LIM_NUMBER_MAX),
 	{ "by_operator", FLD_BOOL, offsetof(struct rec, by_operator), 0, 0, 0 },
+	FLD_ARRAY(rec, move_to, FLD_OPT_TEXT),
 };
 
 enum {
@@ -77,7 +79,7 @@
 	[REC_MEMBER_LEFT] = { "member-left", F_MEMBER | F_INCARNATION },
 	[REC_MEMBER_EXPIRED] = { "member-expired",
 				 F_MEMBER | F_INCARNATION | F_SEEN },
-	[REC_DRAIN] = { "drain", F_HOST | F_REASON | F_WAVE },
+	[REC_DRAIN] = { "drain", F_HOST | F_REASON | F_WAVE | F_MOVE_TO },
 	[REC_QUIET] = { "quiet", F_HOST | F_DRAIN | F_MEMBER | F_INCARNATION },
 	[REC_UNDRAIN] = { "undrain", F_HOST | F_REASON },
 	[REC_REBOOT] = { "reboot", F_HOST | F_DRAIN },
--- a/src/rec.h
+++ b/src/rec.h
@@ -47,7 +47,8 @@
 	char host[LIM_NAME_BYTES];
 	char reason[LIM_REASON_BYTES];
 	int64_t drain; /* offset of the drain that the record refers to */
-	char wave[LIM_NAME_BYTES]; /* that a drain is for; empty: none */
+	char wave[LIM_NAME_BYTES];    /* that a drain is for; empty: none */
+	char move_to[LIM_NAME_BYTES]; /* pool that a drain is for; or empty */
 	char pool[LIM_NAME_BYTES];
 	int64_t boot_id;  /* rises with each boot; 0: not given */
 	bool by_operator; /* a return that an operator vouches for */
--- a/src/snp.c
+++ b/src/snp.c
@@ -30,6 +30,7 @@
 	FLD_OPT_NUMBER(fst_host, boot_id, 0, LIM_NUMBER_MAX),
 	FLD_OPT_NUMBER(fst_host, reboot_boot_id, -1, LIM_NUMBER_MAX),
 	FLD_ARRAY(fst_host, wave, FLD_OPT_TEXT),
+	FLD_ARRAY(fst_host, move_to, FLD_OPT_TEXT),
 	FLD_ARRAY(fst_host, wave_done, FLD_OPT_TEXT),
 	FLD_ARRAY(fst_host, wave_failed, FLD_OPT_TEXT),
 };
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,325 @@
+/*
+ * Simulated session of planners over a fleet state: hosts that reboot, that
+ * never come back, that fail by themselves. Time is stepped, nothing sleeps.
+ * Shared by tests/test_pln.c and bench/waves.c.
+ */
+#ifndef SIM_H
+#define SIM_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pln.h"
+#include "rnd.h"
+
+enum { SIM_PLANNERS = 3, SIM_QUEUE = 16384, SIM_POOLS = 512 };
+
+struct sim_host {
+	char name[LIM_NAME_BYTES];
+	int64_t boot_id;
+	int64_t rebooting; /* drain of the reboot under way, or FST_NONE */
+	int64_t back_ms;   /* end of the reboot or repair, or -1 */
+	uint32_t reboots;
+	bool never_back; /* at its next reboot */
+	int64_t reboot_ms;
+	int64_t out_ms; /* time not available because of plans */
+};
+
+struct sim {
+	struct fst *fst;
+	struct rnd rnd;
+	int64_t now_ms;
+	int64_t utc_ms; /* of now_ms 0 */
+	int64_t offset;
+	int64_t repair_ms;
+	struct tbl *hosts; /* struct sim_host */
+	struct pln *planners[SIM_PLANNERS];
+	struct sim_proposer {
+		struct sim *sim;
+		int64_t delay_ms; /* until its records are on the log */
+	} proposers[SIM_PLANNERS];
+	uint32_t planner_count;
+	struct {
+		struct rec rec;
+		int64_t due_ms;
+	} queue[SIM_QUEUE];
+	uint32_t queued;
+	uint32_t accepted[REC_TYPE_COUNT];
+	uint32_t refused;
+	uint32_t broken; /* records after which a budget was broken by a plan */
+	struct {
+		char key[2 * LIM_NAME_BYTES];
+		uint32_t available;
+	} pools[SIM_POOLS];
+	uint32_t pool_count;
+};
+
+static inline void sim_check_budgets(struct sim *sim, const struct rec *rec)
+{
+	uint32_t index = 0;
+
+	for (uint32_t i = 0; i < tbl_count(sim->fst->teams); i++) {
+		const struct fst_team *team = tbl_at(sim->fst->teams, i);
+
+		for (uint32_t k = 0;
+		     k < team->settings->pool_count && index < SIM_POOLS; k++) {
+			struct fst_pool_use use =
+				fst_pool_use(sim->fst, team->name,
+					     team->settings->pools[k].name);
+			uint32_t before = sim->pools[index].available;
+
+			if (use.available < use.min_available &&
+			    use.available < before && rec->type != REC_FAIL)
+				sim->broken++;
+			sim->pools[index++].available = use.available;
+		}
+	}
+}
+
+/* Applies a record; budgets are checked after records that change hosts. */
+static inline int sim_apply(struct sim *sim, struct rec *rec, struct err *err)
+{
+	int status;
+
+	rnd_id(&sim->rnd, rec->id);
+	snprintf(rec->author, sizeof(rec->author), "sim");
+	rec->at_ms = sim->utc_ms + sim->now_ms;
+	status = fst_apply(sim->fst, sim->offset++, rec, err);
+	if (status == 0)
+		sim->accepted[rec->type]++;
+	else
+		sim->refused++;
+	if (status == 0 && rec->type != REC_MEMBER && rec->type != REC_QUIET)
+		sim_check_budgets(sim, rec);
+	return status;
+}
+
+/* Each planner's proposals arrive at a different time, so that they race. */
+static inline void sim_propose(void *arg, const char *key, struct rec *rec)
+{
+	const struct sim_proposer *proposer = arg;
+	struct sim *sim = proposer->sim;
+
+	(void)key;
+	if (sim->queued == SIM_QUEUE)
+		return;
+	sim->queue[sim->queued].rec = *rec;
+	sim->queue[sim->queued++].due_ms = sim->now_ms + proposer->delay_ms;
+}
+
+static inline void sim_member(struct sim *sim, const char *name,
+			      const char *data_centre)
+{
+	struct rec rec = {
+		.type = REC_MEMBER, .incarnation = 1, .seq = 1, .port = 1
+	};
+
+	snprintf(rec.member, sizeof(rec.member), "%s", name);
+	snprintf(rec.data_centre, sizeof(rec.data_centre), "%s", data_centre);
+	snprintf(rec.address, sizeof(rec.address), "127.0.0.1");
+	sim_apply(sim, &rec, NULL);
+}
+
+static inline void sim_facts(struct sim *sim, const char *name,
+			     const char *data_centre, const char *rack,
+			     int64_t boot_id)
+{
+	struct rec rec = { .type = REC_HOST,
+			   .port = 80,
+			   .slots = 8,
+			   .connections = 64,
+			   .boot_id = boot_id };
+
+	snprintf(rec.host, sizeof(rec.host), "%s", name);
+	snprintf(rec.data_centre, sizeof(rec.data_centre), "%s", data_centre);
+	snprintf(rec.rack, sizeof(rec.rack), "%s", rack);
+	snprintf(rec.address, sizeof(rec.address), "127.0.0.1");
+	sim_apply(sim, &rec, NULL);
+}
+
+static inline struct sim *sim_create(uint64_t seed, uint32_t planners,
+				     int64_t utc_ms)
+{
+	static const char *const centres[] = { "suva", "lautoka", "levuka" };
+	struct sim *sim = calloc(1, sizeof(*sim));
+
+	rnd_init(&sim->rnd, seed);
+	sim->fst = fst_create();
+	sim->hosts = tbl_create(sizeof(struct sim_host));
+	sim->utc_ms = utc_ms;
+	sim->repair_ms = INT64_MAX / 2;
+	sim->planner_count = planners;
+	for (uint32_t i = 0; i < SIM_PLANNERS; i++) {
+		static const char *const names[] = { "e0", "e1", "e2" };
+		struct pln_config config = { .name = names[i],
+					     .propose = sim_propose,
+					     .arg = &sim->proposers[i] };
+
+		sim->proposers[i].sim = sim;
+		sim->proposers[i].delay_ms = i * 3000;
+		sim_member(sim, names[i], centres[i]);
+		if (i < planners)
+			sim->planners[i] = pln_create(&config);
+	}
+	return sim;
+}
+
+static inline void sim_destroy(struct sim *sim)
+{
+	for (uint32_t i = 0; i < SIM_PLANNERS; i++)
+		pln_destroy(sim->planners[i]);
+	tbl_destroy(sim->hosts);
+	fst_destroy(sim->fst);
+	free(sim);
+}
+
+static inline struct sim_host *sim_host(struct sim *sim, const char *name)
+{
+	return tbl_find(sim->hosts, name);
+}
+
+static inline struct sim_host *sim_add_host(struct sim *sim, const char *name,
+					    const char *data_centre,
+					    const char *rack)
+{
+	struct sim_host *host = tbl_add(sim->hosts, name);
+
+	host->boot_id = 1;
+	host->rebooting = FST_NONE;
+	host->back_ms = -1;
+	host->reboot_ms = 240000;
+	sim_facts(sim, name, data_centre, rack, 1);
+	return host;
+}
+
+static inline int sim_publish(struct sim *sim, const char *team,
+			      const char *settings, struct err *err)
+{
+	const struct fst_team *present = fst_team(sim->fst, team);
+	struct rec rec = { .type = REC_SETTINGS,
+			   .base = present ? present->version : FST_NONE,
+			   .settings = (char *)settings };
+
+	snprintf(rec.team, sizeof(rec.team), "%s", team);
+	return sim_apply(sim, &rec, err);
+}
+
+static inline int sim_host_record(struct sim *sim, enum rec_type type,
+				  const char *name)
+{
+	struct rec rec = { .type = type };
+
+	snprintf(rec.host, sizeof(rec.host), "%s", name);
+	snprintf(rec.reason, sizeof(rec.reason), "simulated");
+	return sim_apply(sim, &rec, NULL);
+}
+
+/* A host fails by itself, and is repaired after repair_ms. */
+static inline int sim_fail(struct sim *sim, const char *name)
+{
+	int status = sim_host_record(sim, REC_FAIL, name);
+
+	if (status == 0) {
+		sim_host(sim, name)->rebooting = FST_NONE;
+		sim_host(sim, name)->back_ms = sim->now_ms + sim->repair_ms;
+	}
+	return status;
+}
+
+static inline void sim_quiet(struct sim *sim, const struct fst_host *host)
+{
+	int64_t drain = host->drain_offset;
+
+	for (uint32_t i = 0; i < tbl_count(sim->fst->members); i++) {
+		const struct fst_member *member = tbl_at(sim->fst->members, i);
+		struct rec rec = { .type = REC_QUIET,
+				   .drain = drain,
+				   .incarnation = member->incarnation };
+
+		if (host->state != FST_DRAINING)
+			return;
+		memcpy(rec.host, host->name, sizeof(rec.host));
+		memcpy(rec.member, member->name, sizeof(rec.member));
+		sim_apply(sim, &rec, NULL);
+	}
+}
+
+static inline void sim_step_host(struct sim *sim, struct sim_host *host,
+				 int64_t step_ms)
+{
+	const struct fst_host *fst = fst_host(sim->fst, host->name);
+
+	if (fst->state == FST_DRAINING)
+		sim_quiet(sim, fst);
+	if (fst->state == FST_DRAINING || fst->state == FST_DRAINED ||
+	    fst->state == FST_REBOOTING)
+		host->out_ms += step_ms;
+	if (fst->state == FST_REBOOTING &&
+	    host->rebooting != fst->drain_offset) {
+		host->rebooting = fst->drain_offset;
+		host->reboots++;
+		host->back_ms =
+			host->never_back ? -1 : sim->now_ms + host->reboot_ms;
+	}
+	if (host->back_ms < 0 || sim->now_ms < host->back_ms)
+		return;
+	host->back_ms = -1;
+	sim_facts(sim, host->name, fst->data_centre, fst->rack,
+		  ++host->boot_id);
+	if (fst->state == FST_FAILED)
+		sim_host_record(sim, REC_RETURN, host->name);
+}
+
+static inline void sim_step(struct sim *sim, int64_t step_ms)
+{
+	struct pln_input input;
+	uint32_t kept = 0;
+
+	sim->now_ms += step_ms;
+	for (uint32_t i = 0; i < tbl_count(sim->hosts); i++)
+		sim_step_host(sim, tbl_at(sim->hosts, i), step_ms);
+	input = (struct pln_input){ .fst = sim->fst,
+				    .now_ms = sim->now_ms,
+				    .utc_ms = sim->utc_ms + sim->now_ms };
+	for (uint32_t i = 0; i < sim->planner_count; i++)
+		pln_tick(sim->planners[i], &input);
+	for (uint32_t i = 0; i < sim->queued; i++)
+		if (sim->now_ms >= sim->queue[i].due_ms)
+			sim_apply(sim, &sim->queue[i].rec, NULL);
+		else
+			sim->queue[kept++] = sim->queue[i];
+	sim->queued = kept;
+}
+
+static inline void sim_run(struct sim *sim, int64_t seconds)
+{
+	for (int64_t i = 0; i < seconds; i++)
+		sim_step(sim, 1000);
+}
+
+/* Hosts of the state for which a wave is completed. */
+static inline uint32_t sim_done(const struct sim *sim, const char *wave)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < tbl_count(sim->fst->hosts); i++)
+		count += !strcmp(
+			((const struct fst_host *)tbl_at(sim->fst->hosts, i))
+				->wave_done,
+			wave);
+	return count;
+}
+
+static inline uint32_t sim_in_state(const struct sim *sim,
+				    enum fst_host_state state)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < tbl_count(sim->fst->hosts); i++)
+		count += ((const struct fst_host *)tbl_at(sim->fst->hosts, i))
+				 ->state == state;
+	return count;
+}
+
+#endif
