Run the planner in the fleet daemon; reboots through the platform

Cause: the planner had no proposer, nothing called the platform's reboot, and a host that the platform's list shows down stayed in its pool until an operator reported it. Change: fleetd ticks pln while it follows the log; rbt calls POST /hosts/{name}/reboot by rank until it is answered; mbr proposes fail for a host that is down or missing in the list for 5 s, and return when it is live again, but not after an operator's fail (by_operator on fail), nor while most hosts are missing from the list. GET /v1/plan, plankctl plan and move. platformd gives boot_id, state down and the reboot call with counts.

--- a/src/adm.c
+++ b/src/adm.c
@@ -400,6 +400,30 @@
 	refuse(adm, request, fault.kind, fault.text);
 }
 
+static void post_move(struct adm *adm, struct web_request *request,
+		      const struct cnf_operator *op, const char *name,
+		      const char *pool)
+{
+	const struct fst_host *host =
+		fst_host(rpl_state(adm->config.rpl), name);
+	struct rec rec = { .type = REC_DRAIN };
+
+	if (!host) {
+		refuse(adm, request, ERR_NOT_FOUND, "no such host");
+		return;
+	}
+	if (!may_change(op, host->team)) {
+		refuse(adm, request, ERR_FORBIDDEN,
+		       "the operator may not change this team's hosts");
+		return;
+	}
+	memcpy(rec.host, host->name, sizeof(rec.host));
+	apr_cpystrn(rec.move_to, pool, sizeof(rec.move_to));
+	apr_snprintf(rec.reason, sizeof(rec.reason), "by operator %s",
+		     op->name);
+	propose(adm, request, op, &rec);
+}
+
 static void post_host(struct adm *adm, struct web_request *request,
 		      const struct cnf_operator *op, const char *name,
 		      const char *action)
@@ -423,9 +447,9 @@
 		       "the operator may not change this team's hosts");
 		return;
 	}
+	rec.by_operator = true;
 	memcpy(rec.host, host->name, sizeof(rec.host));
 	rec.drain = host->drain_offset < 0 ? 0 : host->drain_offset;
-	rec.by_operator = true;
 	apr_snprintf(rec.reason, sizeof(rec.reason), "by operator %s",
 		     op->name);
 	propose(adm, request, op, &rec);
@@ -501,6 +525,9 @@
 		get_status(adm, request);
 	else if (count == 2 && !strcmp(parts[1], "audit"))
 		get_audit(adm, request);
+	else if (count == 2 && !strcmp(parts[1], "plan"))
+		respond_json(request, 200,
+			     vew_plan(fst, clk_wall_ms(adm->config.clk)));
 	else if (count == 3 && !strcmp(parts[1], "teams"))
 		respond_found(adm, request, vew_team(fst, parts[2]));
 	else if (count == 3 && !strcmp(parts[1], "hosts"))
@@ -522,6 +549,9 @@
 		post_settings(adm, request, op, parts[2], false);
 	else if (count == 4 && !strcmp(parts[1], "hosts"))
 		post_host(adm, request, op, parts[2], parts[3]);
+	else if (count == 5 && !strcmp(parts[1], "hosts") &&
+		 !strcmp(parts[3], "move"))
+		post_move(adm, request, op, parts[2], parts[4]);
 	else
 		refuse(adm, request, ERR_NOT_FOUND, "no such resource");
 }
--- a/src/adm.h
+++ b/src/adm.h
@@ -20,6 +20,7 @@
 
 struct adm_config {
 	const struct cnf *cnf;
+	const struct clk *clk;
 	struct rpl *rpl;
 	struct flw *flw;
 	struct hls *hls;
--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -17,8 +17,10 @@
 #include "jsn.h"
 #include "log.h"
 #include "mbr.h"
+#include "pln.h"
 #include "plt.h"
 #include "prp.h"
+#include "rbt.h"
 #include "rnd.h"
 #include "rpl.h"
 #include "rps.h"
@@ -91,6 +93,8 @@
 	struct flw *flw;
 	struct hls *hls;
 	struct mbr *mbr;
+	struct pln *pln;
+	struct rbt *rbt;
 	struct adm *adm;
 	struct web *web;
 	struct rps *rps;
@@ -286,6 +290,10 @@
 		.now_ms = clk_now_ms(fleetd->clk),
 		.entries = fleetd->entries,
 	};
+	struct pln_input plan = {
+		.now_ms = input.now_ms,
+		.utc_ms = clk_wall_ms(fleetd->clk),
+	};
 	struct flw_status follower;
 
 	flw_tick(fleetd->flw);
@@ -295,8 +303,16 @@
 	prp_tick(fleetd->prp);
 	input.fst = rpl_state(fleetd->rpl);
 	input.hosts = hls_workers(fleetd->hls, &input.host_count);
+	input.hosts_age_ms = hls_age_ms(fleetd->hls);
+	plan.fst = input.fst;
 	if (rpl_ready(fleetd->rpl))
 		mbr_tick(fleetd->mbr, &input);
+	/* Without the log the state is old, and no proposal can be read back. */
+	if (rpl_ready(fleetd->rpl) && follower.platform_ok &&
+	    !fleetd->stopping) {
+		pln_tick(fleetd->pln, &plan);
+		rbt_tick(fleetd->rbt, plan.fst, plan.now_ms);
+	}
 	set_gauges(fleetd);
 	check_stop(fleetd);
 }
@@ -319,6 +335,7 @@
 {
 	struct adm_config adm = {
 		.cnf = fleetd->cnf,
+		.clk = fleetd->clk,
 		.rpl = fleetd->rpl,
 		.flw = fleetd->flw,
 		.hls = fleetd->hls,
@@ -364,6 +381,11 @@
 		.propose = propose,
 		.arg = fleetd,
 	};
+	struct pln_config pln = {
+		.name = fleetd->cnf->name,
+		.propose = propose,
+		.arg = fleetd,
+	};
 
 	fleetd->clk = clk_system();
 	rnd_init(&fleetd->rnd, rnd_system_seed());
@@ -376,6 +398,8 @@
 				 fleetd->cnf->name);
 	fleetd->hls = hls_create(fleetd->evl, fleetd->plt);
 	fleetd->mbr = mbr_create(&mbr);
+	fleetd->pln = pln_create(&pln);
+	fleetd->rbt = rbt_create(fleetd->plt, fleetd->cnf->name);
 	fleetd->flw = flw_create(fleetd->evl, fleetd->plt, fleetd->rpl,
 				 &fleetd->rnd, fleetd->cnf);
 	fleetd->entries = tbl_create(sizeof(struct mbr_entry));
@@ -389,8 +413,10 @@
 	adm_destroy(fleetd->adm);
 	flw_destroy(fleetd->flw);
 	mbr_destroy(fleetd->mbr);
+	pln_destroy(fleetd->pln);
 	hls_destroy(fleetd->hls);
 	plt_destroy(fleetd->plt);
+	rbt_destroy(fleetd->rbt);
 	prp_destroy(fleetd->prp);
 	rpl_destroy(fleetd->rpl);
 	for (uint32_t i = 0; i < tbl_count(fleetd->entries); i++)
--- a/src/fst_host.c
+++ b/src/fst_host.c
@@ -11,6 +11,7 @@
 		   int64_t offset, const char *reason)
 {
 	host->state = state;
+	host->failed_by_operator = false;
 	host->changed_offset = offset;
 	snprintf(host->reason, sizeof(host->reason), "%s", reason);
 	if (state == FST_DRAINING || state == FST_DRAINED)
@@ -286,6 +287,7 @@
 		memcpy(host->wave_failed, host->wave_done,
 		       sizeof(host->wave_failed));
 	fst_set_state(host, FST_FAILED, offset, rec->reason);
+	host->failed_by_operator = rec->by_operator;
 	change->detail = host->reason;
 	return 0;
 }
--- a/src/hls.c
+++ b/src/hls.c
@@ -52,6 +52,9 @@
 	to->accelerators = from->accelerators;
 	to->slots = from->slots;
 	to->connections = from->connections;
+	to->boot_id = from->boot_id;
+	to->live = !strcmp(from->state, "live");
+	to->down = !strcmp(from->state, "down");
 }
 
 static int64_t content_version(const struct hls *hls)
--- a/src/mbr.c
+++ b/src/mbr.c
@@ -9,7 +9,10 @@
 enum {
 	KEY_BYTES = 3 * LIM_NAME_BYTES,
 	/* An entry daemon that has not asked for so long gets no heartbeat. */
-	ENTRY_SILENT_MS = 2000
+	ENTRY_SILENT_MS = 2000,
+	/* The list is read once a second; an older one shows no failures. */
+	LIST_OLD_MS = 5000,
+	CHECK_HOSTS_MS = 500
 };
 
 /* Since when something holds, by the name of a member or host. */
@@ -20,11 +23,24 @@
 	int64_t proposed_ms;
 };
 
+/* What the list last said of a host. */
+struct listed {
+	char name[LIM_NAME_BYTES];
+	int64_t check; /* that saw it */
+	bool live;
+	bool down;
+};
+
 struct mbr {
 	struct mbr_config config;
 	struct tbl *silent;	/* members, value: offset of the heartbeat */
 	struct tbl *facts;	/* hosts whose facts differ */
 	struct tbl *heartbeats; /* entry daemons */
+	struct tbl *listed;
+	struct tbl *down; /* hosts to fail */
+	struct tbl *up;	  /* failed hosts to return */
+	int64_t check;
+	int64_t checked_ms;
 };
 
 struct mbr *mbr_create(const struct mbr_config *config)
@@ -37,6 +53,9 @@
 	mbr->silent = tbl_create(sizeof(struct notice));
 	mbr->facts = tbl_create(sizeof(struct notice));
 	mbr->heartbeats = tbl_create(sizeof(struct notice));
+	mbr->listed = tbl_create(sizeof(struct listed));
+	mbr->down = tbl_create(sizeof(struct notice));
+	mbr->up = tbl_create(sizeof(struct notice));
 	return mbr;
 }
 
@@ -47,6 +66,9 @@
 	tbl_destroy(mbr->silent);
 	tbl_destroy(mbr->facts);
 	tbl_destroy(mbr->heartbeats);
+	tbl_destroy(mbr->listed);
+	tbl_destroy(mbr->down);
+	tbl_destroy(mbr->up);
 	free(mbr);
 }
 
@@ -209,16 +231,21 @@
 	       host->mem_mib == listed->mem_mib &&
 	       host->accelerators == listed->accelerators &&
 	       host->slots == listed->slots &&
+	       host->boot_id == listed->boot_id &&
 	       host->connections == listed->connections;
 }
 
 static void report_facts(struct mbr *mbr, const struct mbr_input *input,
 			 const struct mbr_host *listed)
 {
+	const struct fst_host *host = fst_host(input->fst, listed->name);
 	struct rec rec = { .type = REC_HOST };
 	struct notice *notice;
 
-	if (facts_match(fst_host(input->fst, listed->name), listed)) {
+	/* A boot_id counts once the host is live again: a planner takes it for
+	   the host's return. */
+	if (facts_match(host, listed) ||
+	    (host && host->known && !listed->live)) {
 		tbl_remove(mbr->facts, listed->name);
 		return;
 	}
@@ -235,9 +262,98 @@
 	rec.accelerators = listed->accelerators;
 	rec.slots = listed->slots;
 	rec.connections = listed->connections;
+	rec.boot_id = listed->boot_id;
 	propose(mbr, "host", listed->name, &rec);
 }
 
+/* Takes over the list; counts the known hosts that it does not have. */
+static uint32_t take_list(struct mbr *mbr, const struct mbr_input *input)
+{
+	uint32_t missing = 0;
+
+	mbr->check++;
+	for (uint32_t i = 0; i < input->host_count; i++) {
+		const struct mbr_host *host = &input->hosts[i];
+		struct listed *listed = tbl_find(mbr->listed, host->name);
+
+		if (!listed)
+			listed = tbl_add(mbr->listed, host->name);
+		if (!listed)
+			continue;
+		listed->check = mbr->check;
+		listed->live = host->live;
+		listed->down = host->down;
+	}
+	for (uint32_t i = 0; i < tbl_count(input->fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(input->fst->hosts, i);
+		const struct listed *listed = tbl_find(mbr->listed, host->name);
+
+		missing += host->known && host->state != FST_RETIRED &&
+			   (!listed || listed->check != mbr->check);
+	}
+	return missing;
+}
+
+static void propose_host(struct mbr *mbr, const struct mbr_input *input,
+			 struct tbl *notices, const char *name, bool holds,
+			 enum rec_type type, const char *reason)
+{
+	struct rec rec = { .type = type };
+	struct notice *notice;
+
+	if (!holds) {
+		tbl_remove(notices, name);
+		return;
+	}
+	notice = notice_of(notices, name, input->now_ms);
+	if (!is_turn(mbr, input, notice, LIM_HOST_DOWN_MS))
+		return;
+	snprintf(rec.host, sizeof(rec.host), "%s", name);
+	snprintf(rec.reason, sizeof(rec.reason), "%s", reason);
+	propose(mbr, rec_type_name(type), name, &rec);
+}
+
+static void watch_host(struct mbr *mbr, const struct mbr_input *input,
+		       const struct fst_host *host, bool missing_counts)
+{
+	const struct listed *listed = tbl_find(mbr->listed, host->name);
+	bool present = listed && listed->check == mbr->check;
+	bool can_fail = host->known && (host->state == FST_SERVING ||
+					host->state == FST_DRAINING ||
+					host->state == FST_DRAINED);
+	/* One that did not come back from its reboot has to boot first. */
+	bool can_return = host->state == FST_FAILED &&
+			  !host->failed_by_operator &&
+			  (host->reboot_boot_id == FST_NONE ||
+			   host->boot_id > host->reboot_boot_id);
+
+	propose_host(mbr, input, mbr->down, host->name,
+		     can_fail && (present ? listed->down : missing_counts),
+		     REC_FAIL,
+		     present ? "down in the platform's list"
+			     : "not in the platform's list");
+	propose_host(mbr, input, mbr->up, host->name,
+		     can_return && present && listed->live, REC_RETURN,
+		     "live in the platform's list");
+}
+
+/* Failures and returns that the platform's list shows. */
+static void watch_hosts(struct mbr *mbr, const struct mbr_input *input)
+{
+	uint32_t missing;
+
+	if (input->now_ms - mbr->checked_ms < CHECK_HOSTS_MS ||
+	    !input->host_count || input->hosts_age_ms < 0 ||
+	    input->hosts_age_ms > LIST_OLD_MS)
+		return;
+	mbr->checked_ms = input->now_ms;
+	missing = take_list(mbr, input);
+	/* A list without most of the hosts is taken for a fault of the list. */
+	for (uint32_t i = 0; i < tbl_count(input->fst->hosts); i++)
+		watch_host(mbr, input, tbl_at(input->fst->hosts, i),
+			   missing <= input->host_count);
+}
+
 /* Forgets notices of members that have left. */
 static void drop_notices(struct tbl *tbl, const struct fst *fst)
 {
@@ -257,5 +373,6 @@
 		expire_member(mbr, input, tbl_at(input->fst->members, i));
 	for (uint32_t i = 0; i < input->host_count; i++)
 		report_facts(mbr, input, &input->hosts[i]);
+	watch_hosts(mbr, input);
 	drop_notices(mbr->silent, input->fst);
 }
--- a/src/mbr.h
+++ b/src/mbr.h
@@ -43,6 +43,9 @@
 	int64_t accelerators;
 	int64_t slots;
 	int64_t connections;
+	int64_t boot_id;
+	bool live;
+	bool down;
 };
 
 struct mbr_config {
@@ -63,6 +66,7 @@
 	struct tbl *entries; /* of struct mbr_entry */
 	const struct mbr_host *hosts;
 	uint32_t host_count;
+	int64_t hosts_age_ms; /* since the platform told them; -1: never */
 };
 
 struct mbr *mbr_create(const struct mbr_config *config);
--- a/src/plankctl.c
+++ b/src/plankctl.c
@@ -287,6 +287,18 @@
 	  .usage = "trail of changes [--from OFFSET]",
 	  .columns = { "offset", "author", "action", "target", "before",
 		       "after", "result", "detail" } },
+	{ .name = "plan",
+	  .words = 0,
+	  .method = "GET",
+	  .path = "/v1/plan",
+	  .usage = "hosts of waves: when due, or why not; alarms",
+	  .columns = { "team", "wave", "batch", "host", "state", "why" } },
+	{ .name = "move",
+	  .words = 2,
+	  .method = "POST",
+	  .path = "/v1/hosts/%s/%s/%s",
+	  .usage = "HOST POOL: drain it, then let it serve in that pool",
+	  .is_change = true },
 	HOST_CHANGE("drain", "HOST: send it nothing new, within the budget"),
 	HOST_CHANGE("undrain", "HOST: take a drain back"),
 	HOST_CHANGE("reboot", "HOST: a drained host is being rebooted"),
@@ -414,15 +426,20 @@
 	       apr_pool_t *pool, struct err *err)
 {
 	const char *word = options->word_count > 1 ? options->words[1] : "";
+	const char *second = options->word_count > 2 ? options->words[2] : "";
 	struct ctl_request request = { 0 };
 	struct change change = { 0 };
 	struct json_object *value;
 
 	if (command->words && !jsn_valid_name(word))
 		return err_set(err, ERR_INVALID, "%s: not a valid name", word);
+	if (command->words == 2 && !command->body && !jsn_valid_name(second))
+		return err_set(err, ERR_INVALID, "%s: not a valid name",
+			       second);
 	if (command->run)
 		return command->run(options, pool, err);
-	request.path = apr_psprintf(pool, command->path, word, command->name);
+	request.path =
+		apr_psprintf(pool, command->path, word, command->name, second);
 	if (options->from >= 0)
 		request.path = apr_psprintf(pool, "%s?from=%" PRId64,
 					    request.path, options->from);
--- a/src/plt.c
+++ b/src/plt.c
@@ -29,6 +29,7 @@
 	size_t answer_len;
 	size_t answer_cap;
 	void (*on_append)(void *arg, int status, int64_t offset);
+	void (*on_reboot)(void *arg, int status);
 	void (*on_read)(void *arg, int status, const struct plt_batch *batch);
 	void (*on_hosts)(void *arg, int status, const struct plt_host *hosts,
 			 uint32_t count);
@@ -48,6 +49,7 @@
 	FLD_NUMBER(plt_host, accelerators, 0, 1000000),
 	FLD_NUMBER(plt_host, slots, 1, 1000000),
 	FLD_NUMBER(plt_host, connections, 1, 1000000),
+	FLD_OPT_NUMBER(plt_host, boot_id, 0, LIM_NUMBER_MAX),
 };
 
 enum { HOST_FIELDS = sizeof(host_fields) / sizeof(host_fields[0]) };
@@ -274,6 +276,34 @@
 	evl_transfer(plt->evl, call->easy, read_done, call);
 }
 
+static void reboot_done(void *arg, CURL *easy, CURLcode code)
+{
+	struct call *call = arg;
+	long http = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http);
+	call->on_reboot(call->arg,
+			code == CURLE_OK && http == 200 ? 0 : ERR_UNAVAILABLE);
+	free_call(call);
+}
+
+void plt_reboot(struct plt *plt, const char *host, int64_t token,
+		void (*fn)(void *arg, int status), void *arg)
+{
+	struct call *call;
+	char path[LIM_NAME_BYTES + 32], body[64];
+
+	apr_snprintf(path, sizeof(path), "/hosts/%s/reboot", host);
+	apr_snprintf(body, sizeof(body), "{\"token\":%" PRId64 "}", token);
+	call = new_call(plt, arg, LIM_APPEND_TIMEOUT_MS, path);
+	call->on_reboot = fn;
+	call->headers =
+		curl_slist_append(NULL, "Content-Type: application/json");
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
+	evl_transfer(plt->evl, call->easy, reboot_done, call);
+}
+
 static void hosts_done(void *arg, CURL *easy, CURLcode code)
 {
 	struct err fault = { .kind = ERR_OK };
--- a/src/plt.h
+++ b/src/plt.h
@@ -32,7 +32,7 @@
 struct plt_host {
 	char name[LIM_NAME_BYTES];
 	char kind[LIM_NAME_BYTES];  /* "worker" or "entry" */
-	char state[LIM_NAME_BYTES]; /* "live" or "leaving" */
+	char state[LIM_NAME_BYTES]; /* "live", "leaving" or "down" */
 	char address[LIM_ADDRESS_BYTES];
 	char data_centre[LIM_NAME_BYTES];
 	char rack[LIM_NAME_BYTES];
@@ -42,6 +42,7 @@
 	int64_t accelerators;
 	int64_t slots;
 	int64_t connections;
+	int64_t boot_id; /* rises with each boot; 0: not given */
 };
 
 /* plt_create - client of the platform at a base URL */
@@ -78,6 +79,15 @@
 	      void (*fn)(void *arg, int status, const struct plt_batch *batch),
 	      void *arg);
 
+/*
+ * plt_reboot - reboot a host; a second call with the same token does nothing
+ *
+ * ERRORS (to the callback)
+ *	ERR_UNAVAILABLE	no answer, or a refusal: to be repeated
+ */
+void plt_reboot(struct plt *plt, const char *host, int64_t token,
+		void (*fn)(void *arg, int status), void *arg);
+
 /* plt_hosts - list of live and leaving hosts; errors as for plt_read */
 void plt_hosts(struct plt *plt,
 	       void (*fn)(void *arg, int status, const struct plt_host *hosts,
--- /dev/null
+++ b/src/rbt.h
@@ -0,0 +1,25 @@
+/*
+ * NAME
+ *	rbt - asks the platform to reboot the hosts that are in state rebooting
+ *
+ * Every fleet daemon does so, delayed by its rank; the drain's offset is the
+ * token with which the platform knows a repeated call.
+ */
+#ifndef RBT_H
+#define RBT_H
+
+#include <stdint.h>
+
+#include "fst.h"
+#include "plt.h"
+
+struct rbt;
+
+/* rbt_create - name is that of this fleet daemon's host */
+struct rbt *rbt_create(struct plt *plt, const char *name);
+void rbt_destroy(struct rbt *rbt);
+
+/* rbt_tick - make the calls that are due, until each is answered */
+void rbt_tick(struct rbt *rbt, const struct fst *fst, int64_t now_ms);
+
+#endif
--- a/src/rec.c
+++ b/src/rec.c
@@ -84,7 +84,7 @@
 	[REC_UNDRAIN] = { "undrain", F_HOST | F_REASON },
 	[REC_REBOOT] = { "reboot", F_HOST | F_DRAIN },
 	[REC_RETURN] = { "return", F_HOST | F_REASON | F_BY_OPERATOR },
-	[REC_FAIL] = { "fail", F_HOST | F_REASON },
+	[REC_FAIL] = { "fail", F_HOST | F_REASON | F_BY_OPERATOR },
 	[REC_RETIRE] = { "retire", F_HOST | F_DRAIN },
 	[REC_ASSIGN] = { "assign", F_HOST | F_DRAIN | F_POOL },
 };
--- a/src/vew.c
+++ b/src/vew.c
@@ -1,6 +1,7 @@
 #include "vew.h"
 
 #include "jsn.h"
+#include "pln.h"
 
 static struct json_object *team_json(const struct fst_team *team,
 				     bool with_settings)
@@ -70,7 +71,13 @@
 	jsn_put_string(obj, "host", host->name);
 	jsn_put_string(obj, "team", host->team);
 	jsn_put_string(obj, "pool", host->pool);
+	jsn_put_string(obj, "home_pool", host->home_pool);
 	jsn_put_string(obj, "state", fst_host_state_name(host->state));
+	jsn_put_string(obj, "wave", host->wave);
+	jsn_put_string(obj, "wave_done", host->wave_done);
+	jsn_put_string(obj, "wave_failed", host->wave_failed);
+	jsn_put_string(obj, "move_to", host->move_to);
+	jsn_put_int(obj, "boot_id", host->boot_id);
 	jsn_put_string(obj, "reason", host->reason);
 	jsn_put_string(obj, "data_centre", host->data_centre);
 	jsn_put_string(obj, "rack", host->rack);
@@ -130,6 +137,27 @@
 	return list;
 }
 
+static void add_plan_row(void *arg, const struct pln_row *row)
+{
+	struct json_object *obj = json_object_new_object();
+
+	jsn_put_string(obj, "team", row->team);
+	jsn_put_string(obj, "wave", row->wave ? row->wave : "");
+	jsn_put_string(obj, "batch", row->batch);
+	jsn_put_string(obj, "host", row->host);
+	jsn_put_string(obj, "state", row->state);
+	jsn_put_string(obj, "why", row->text);
+	json_object_array_add(arg, obj);
+}
+
+struct json_object *vew_plan(const struct fst *fst, int64_t utc_ms)
+{
+	struct json_object *list = json_object_new_array();
+
+	pln_explain(fst, utc_ms, add_plan_row, list);
+	return list;
+}
+
 static struct json_object *audit_json(const struct fst_audit *entry)
 {
 	struct json_object *obj = json_object_new_object();
--- a/src/vew.h
+++ b/src/vew.h
@@ -24,6 +24,9 @@
 struct json_object *vew_hosts(const struct fst *fst);
 struct json_object *vew_members(const struct fst *fst);
 
+/* vew_plan - waves: each host, due or why not; and the alarms */
+struct json_object *vew_plan(const struct fst *fst, int64_t utc_ms);
+
 /* vew_audit - entries kept of the audit trail from an offset on */
 struct json_object *vew_audit(const struct fst *fst, int64_t from);
 
--- a/tests/platformd.c
+++ b/tests/platformd.c
@@ -39,6 +39,18 @@
 	char *text;
 };
 
+/* What reboots have done to a host of the list. */
+struct machine {
+	char name[LIM_NAME_BYTES];
+	int64_t boots;
+	int64_t token; /* of the last reboot */
+	int64_t reboots;
+	int64_t down_until_ms;
+	bool never_back;
+};
+
+static struct tbl *machines;
+static int64_t reboot_ms = 3000;
 static struct evl *evl;
 static struct tbl *streams;
 static struct waiter *waiters;
@@ -169,6 +181,102 @@
 	}
 }
 
+static struct machine *machine_of(const char *name)
+{
+	struct machine *machine = tbl_find(machines, name);
+
+	if (machine)
+		return machine;
+	machine = tbl_add(machines, name);
+	if (machine)
+		machine->token = -1;
+	return machine;
+}
+
+/* A second call with the same token does nothing. */
+static void reboot(struct web_request *request, const char *name)
+{
+	struct err err = { .kind = ERR_OK };
+	struct json_object *value =
+		jsn_parse(request->body, request->body_len, &err);
+	struct jsn root = jsn_root(value, &err);
+	struct jsn token_at = jsn_member(&root, "token");
+	int64_t token = value ? jsn_int(&token_at, 0, INT64_MAX, -1) : -1;
+	struct machine *machine = machine_of(name);
+
+	json_object_put(value);
+	if (token < 0 || !machine) {
+		answer_text(request, 400, "{}");
+		return;
+	}
+	if (machine->token != token) {
+		machine->token = token;
+		machine->reboots++;
+		machine->boots++;
+		machine->down_until_ms =
+			machine->never_back ? INT64_MAX : now() + reboot_ms;
+	}
+	answer(request, 200, "{}");
+}
+
+/* The list as it was set, with what reboots have changed. */
+static void answer_hosts(struct web_request *request)
+{
+	struct json_object *list = NULL;
+
+	json_object_object_get_ex(hosts, "hosts", &list);
+	for (size_t i = 0; list && i < json_object_array_length(list); i++) {
+		struct json_object *row = json_object_array_get_idx(list, i);
+		struct json_object *name = NULL, *state = NULL;
+		const struct machine *machine;
+		bool down;
+
+		json_object_object_get_ex(row, "name", &name);
+		machine = tbl_find(machines, json_object_get_string(name));
+		if (!machine)
+			continue;
+		/* The state that was set is kept beside the one shown. */
+		if (!json_object_object_get_ex(row, "set_state", &state)) {
+			json_object_object_get_ex(row, "state", &state);
+			json_object_object_add(row, "set_state",
+					       json_object_get(state));
+		}
+		down = now() < machine->down_until_ms;
+		json_object_object_add(row, "state",
+				       down ? json_object_new_string("down")
+					    : json_object_get(state));
+		jsn_put_int(row, "boot_id", 1 + machine->boots);
+	}
+	answer(request, 200,
+	       hosts ? json_object_to_json_string(hosts)
+		     : "{\"version\":0,\"hosts\":[]}");
+}
+
+static void set_never_back(const struct jsn *list)
+{
+	size_t count = list->value ? jsn_array(list, LIM_HOSTS) : 0;
+
+	for (size_t i = 0; i < count; i++) {
+		struct jsn at = jsn_item(list, i);
+		const char *name = json_object_get_string(at.value);
+
+		if (name && machine_of(name))
+			machine_of(name)->never_back = true;
+	}
+}
+
+static struct json_object *reboot_counts(void)
+{
+	struct json_object *obj = json_object_new_object();
+
+	for (uint32_t i = 0; i < tbl_count(machines); i++) {
+		const struct machine *machine = tbl_at(machines, i);
+
+		jsn_put_int(obj, machine->name, machine->reboots);
+	}
+	return obj;
+}
+
 static void control(struct web_request *request)
 {
 	struct err err = { .kind = ERR_OK };
@@ -180,13 +288,17 @@
 	struct jsn delay_at = jsn_member(&root, "delay_ms");
 	struct jsn retention_at = jsn_member(&root, "retention");
 	struct jsn hosts_at = jsn_member(&root, "hosts");
-	char text[128];
+	struct jsn reboot_at = jsn_member(&root, "reboot_ms");
+	struct jsn never_at = jsn_member(&root, "never_back");
+	struct json_object *result = json_object_new_object();
 
 	if (value) {
 		outage = jsn_bool(&outage_at, outage);
 		lose_answers = jsn_int(&lose_at, 0, INT64_MAX, lose_answers);
 		delay_ms = jsn_int(&delay_at, 0, INT64_MAX, delay_ms);
 		retention = jsn_int(&retention_at, 1, INT64_MAX, retention);
+		reboot_ms = jsn_int(&reboot_at, 0, INT64_MAX, reboot_ms);
+		set_never_back(&never_at);
 	}
 	if (hosts_at.value) {
 		json_object_put(hosts);
@@ -196,10 +308,13 @@
 				       json_object_get(hosts_at.value));
 	}
 	json_object_put(value);
-	snprintf(text, sizeof(text),
-		 "{\"appends\":%" PRId64 ",\"reads\":%" PRId64 "}", appends,
-		 reads);
-	answer_text(request, err.kind == ERR_OK ? 200 : 400, text);
+	jsn_put_int(result, "appends", appends);
+	jsn_put_int(result, "reads", reads);
+	json_object_object_add(result, "reboots", reboot_counts());
+	answer_text(
+		request, err.kind == ERR_OK ? 200 : 400,
+		json_object_to_json_string_ext(result, JSON_C_TO_STRING_PLAIN));
+	json_object_put(result);
 }
 
 static void handle(void *arg, struct web_request *request)
@@ -218,9 +333,13 @@
 		return;
 	}
 	if (!strcmp(path, "/hosts")) {
-		answer(request, 200,
-		       hosts ? json_object_to_json_string(hosts)
-			     : "{\"version\":0,\"hosts\":[]}");
+		answer_hosts(request);
+		return;
+	}
+	if (!strncmp(path, "/hosts/", 7) && (slash = strchr(path + 7, '/')) &&
+	    !strcmp(slash, "/reboot")) {
+		*slash = 0;
+		reboot(request, path + 7);
 		return;
 	}
 	if (!strncmp(path, "/streams/", 9) && (slash = strchr(path + 9, '/'))) {
@@ -294,6 +413,7 @@
 	apr_initialize();
 	evl = evl_create(clk_system());
 	streams = tbl_create(sizeof(struct stream));
+	machines = tbl_create(sizeof(struct machine));
 	web = web_create(evl, &config, &err);
 	if (!web) {
 		fprintf(stderr, "platformd: %s\n", err.text);
--- /dev/null
+++ b/tests/process_wave.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# Process test: a night's wave over a batch of 15 workers with real daemons,
+# while requests go on. Guards against requests cut by planned stops, hosts
+# rebooted twice or left out, budgets broken, and waves that stop for good
+# when a host fails or the fleet daemon that proposes is killed.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+trap 'touch "$WORK/stop"; stop_all' EXIT
+
+HOSTS=15
+ENTRIES=6
+fail() {
+	echo "FAILED: $1"
+	ctl plan
+	ctl audit | tail -n 30
+	tail -n 3 "$WORK"/fleet*.log
+	exit 1
+}
+
+# Every answer of a loop is one line: status, entry host, pool.
+requests() { # NAME POOL CURL-OPTION...
+	local name=$1 pool=$2 k=0
+	shift 2
+	while [ ! -e "$WORK/stop" ]; do
+		k=$(((k + 1) % ENTRIES))
+		echo "$(curl -s -o "$WORK/answer.$name" -w '%{http_code}' "$@" \
+			"$(entry_url $k)/crew-shares/$pool/run?sleep_ms=300") e$k $pool $(head -c 120 "$WORK/answer.$name")"
+	done >"$WORK/requests.$name"
+}
+
+reboots() { curl -sf -d '{}' "$(platform_url)/control" | tr ',{}' '\n\n\n' | grep '^"w[0-9]*"'; }
+wave_settings() { # PAUSED
+	local i hosts="" text
+	for ((i = 0; i < HOSTS; i++)); do hosts+="\"w$i\","; done
+	text=$(team_settings $HOSTS 1)
+	echo "${text%\}},\"batches\":{\"b\":{\"hosts\":[${hosts%,}],\"support_ends\":\"2190-01-01\"}},
+		\"waves\":{\"night\":{\"batch\":\"b\",\"action\":\"reboot\",\"start\":\"2020-01-01\",\"paused\":$1}}}"
+}
+host_states() { ctl hosts --json | tr '{' '\n' | grep '"host":'; }
+all_back() {
+	[ "$(host_states | grep '"state":"serving"' | grep -c '"wave_done":"night"')" = $HOSTS ]
+}
+budgets_hold() { # POOL-LEFT-OUT: the pool of the host that failed by itself
+	ctl pools --json | tr '{' '\n' | grep '"pool":' | grep -v "\"pool\":\"${1:-none}\"" |
+		sed 's/.*"available":\([0-9]*\),"min_available":\([0-9]*\).*/\1 \2/' |
+		while read -r available min; do [ "$available" -ge "$min" ] || exit 1; done
+}
+
+start_cluster $ENTRIES $HOSTS || fail "the processes did not become ready"
+platform '{"reboot_ms":2000}' || fail "control"
+wave_settings true >"$WORK/team.json"
+ctl publish crew-shares "$WORK/team.json" --base -1 >/dev/null || fail "publish"
+serves() { curl -sf "$(entry_url "$1")/crew-shares/$2/ping"; }
+for ((i = 0; i < ENTRIES; i++)); do
+	for pool in "${POOLS[@]}"; do
+		wait_until 13 serves $i "$pool" || fail "entry host $i, pool $pool"
+	done
+done
+ctl plan | grep -q 'paused by its settings' || fail "plan does not tell of the pause"
+
+LOOPS=()
+for pool in payouts settlements advances tallies; do
+	requests "post-$pool" "$pool" -d run -H 'Plank-Repeatable: no' &
+	LOOPS+=($!)
+done
+# The host that is killed serves member-records; its requests may be repeated.
+requests get-member-records member-records &
+LOOPS+=($!)
+
+ctl settings crew-shares --output "$WORK/edit.json" || fail "settings"
+sed -i 's/"paused": *true/"paused": false/' "$WORK/edit.json"
+ctl publish crew-shares "$WORK/edit.json" >/dev/null || fail "publish the start"
+
+declare -A restarted=()
+failed=no killed=no end=$((SECONDS + 240)) failed_at=0
+until all_back; do
+	[ $SECONDS -lt $end ] || fail "the wave did not end"
+	budgets_hold "$([ $failed = no ] || pool_of 14)" || fail "a budget is broken: $(ctl pools)"
+	# The platform reboots a host: its worker process is killed and restarted.
+	while IFS=: read -r name count; do
+		name=${name//\"/}
+		[ "${restarted[$name]:-0}" = "$count" ] && continue
+		[ "$count" = 1 ] || fail "$name was rebooted $count times"
+		restarted[$name]=$count
+		stop "worker${name#w}" KILL
+		start_worker "${name#w}"
+	done < <(reboots)
+	done_count=$(host_states | grep -c '"wave_done":"night"')
+	if [ $failed = no ] && [ "$done_count" -ge 1 ]; then
+		failed=yes failed_at=$SECONDS
+		stop worker14 KILL
+		platform "$(host_list $ENTRIES $HOSTS | sed 's/"name":"w14","kind":"worker","state":"live"/"name":"w14","kind":"worker","state":"down"/')" ||
+			fail "host list"
+	fi
+	if [ $failed = yes ] && [ $SECONDS -ge $((failed_at + 12)) ]; then
+		failed=back
+		ctl audit | grep ' fail .*w14' >/dev/null || fail "w14 did not fail"
+		start_worker 14
+		platform "$(host_list $ENTRIES $HOSTS)" || fail "host list"
+	fi
+	if [ $killed = no ] && [ "$done_count" -ge 5 ]; then
+		author=$(ctl audit | awk '$3 == "drain" && $2 ~ /^e[0-9]/ {print $2}' | tail -n 1)
+		killed=${author#e}
+		stop "fleet$killed" KILL
+		FLEET=$(((killed + 1) % ENTRIES))
+		export FLEET
+		echo "killed the fleet daemon of $author, $done_count hosts done"
+	fi
+	sleep 0.1
+done
+took=$((240 - end + SECONDS))
+touch "$WORK/stop"
+wait "${LOOPS[@]}" 2>/dev/null
+[ $failed = back ] || fail "the wave ended before the failure"
+[ $killed != no ] || fail "the wave ended before the fleet daemon was killed"
+for ((i = 0; i < HOSTS; i++)); do
+	[ "$(reboots | grep -c "^\"w$i\":1$")" = 1 ] || fail "w$i: $(reboots | grep "\"w$i\"")"
+done
+cut=$(cat "$WORK"/requests.* | grep -vc '^200 ')
+[ "$cut" = 0 ] || fail "$cut requests were not answered: $(cat "$WORK"/requests.* | grep -v '^200 ' | head -n 5)"
+echo "$(cat "$WORK"/requests.* | wc -l) requests answered, $HOSTS hosts rebooted once in $took s"
+echo ok
