Add queues of requests with priorities, shedding and bounds

Cause: the entry daemon refuses a request that finds no free slot, so a burst above a pool's capacity is refused although it ends within seconds, and long work can hold every slot.

Round robin without bounds is a second policy of the same module, as the baseline. Nothing uses it yet.

Before and after: none for a running system.

--- a/src/lim.h
+++ b/src/lim.h
@@ -64,6 +64,14 @@
 	LIM_DEADLINE_MAX_MS = 3600 * 1000,
 	LIM_CONNECT_TIMEOUT_MS = 1000,
 	LIM_ATTEMPTS = 3,
+
+	/* Queues of requests. */
+	LIM_QUEUE_REQUESTS = 3072, /* below the server's 4,096 connections */
+	LIM_QUEUE_BYTES = 64 * 1024 * 1024,
+	LIM_QUEUE_ENTRY_BYTES = 16 * 1024, /* of a request without its body */
+	LIM_LONG_WAIT_MS = 10000, /* then a long request precedes normal ones */
+	LIM_NO_WORKER_WAIT_MS = 2000, /* for workers that are all avoided */
+	LIM_CALLER_CHECKS = 256,      /* callers looked at on each tick */
 	LIM_SLOTS = 8,
 	LIM_CONNECTIONS = 64,
 	LIM_STOP_GRACE_MS = 30000
--- /dev/null
+++ b/tests/test_adq.c
@@ -0,0 +1,355 @@
+/* Queues of requests: rules of starting, shedding, expiry and bounds. */
+
+#include <check.h>
+#include <stdlib.h>
+
+#include <apr_general.h>
+
+#include "adq.h"
+#include "rnd.h"
+
+enum { FAR_MS = 1000000, MANY = 64 };
+
+static struct adq *adq;
+static struct adq_pool *pool;
+static struct adq_entry entries[MANY];
+static uint32_t used;
+static int64_t retry_ms;
+
+static void set_up(void)
+{
+	adq = adq_create(&adq_standard);
+	pool = adq_pool(adq, "crew-shares", "payouts");
+	used = 0;
+}
+
+static void tear_down(void)
+{
+	adq_destroy(adq);
+}
+
+static struct adq_entry *new_entry(enum adq_priority priority,
+				   int64_t deadline_ms)
+{
+	struct adq_entry *entry = &entries[used++];
+
+	ck_assert_uint_le(used, MANY);
+	*entry = (struct adq_entry){
+		.pool = pool,
+		.priority = priority,
+		.deadline_ms = deadline_ms,
+	};
+	return entry;
+}
+
+static struct adq_entry *push(enum adq_priority priority, int64_t now_ms)
+{
+	struct adq_entry *entry = new_entry(priority, now_ms + FAR_MS);
+
+	ck_assert_int_eq(adq_push(adq, entry, now_ms, &retry_ms), 0);
+	return entry;
+}
+
+/* Takes all that may start; returns how many. */
+static uint32_t take_all_at(struct adq_pool *from, int64_t now_ms)
+{
+	uint32_t count = 0;
+
+	while (adq_take(adq, from, now_ms))
+		count++;
+	return count;
+}
+
+static uint32_t take_all(struct adq_pool *from)
+{
+	return take_all_at(from, 0);
+}
+
+/* Guards against long or normal work that holds every slot. */
+START_TEST(test_shares)
+{
+	static const struct {
+		uint32_t slots, longs, both;
+	} cases[] = { { 0, 0, 0 }, { 1, 1, 1 }, { 3, 1, 3 },
+		      { 4, 2, 3 }, { 8, 4, 7 }, { 24, 12, 21 } };
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		tear_down();
+		set_up();
+		adq_set_slots(pool, cases[i].slots, 0);
+		for (int k = 0; k < 14; k++)
+			push(ADQ_LONG, 0);
+		ck_assert_uint_eq(take_all(pool), cases[i].longs);
+		for (int k = 0; k < 24; k++)
+			push(ADQ_NORMAL, 0);
+		ck_assert_uint_eq(take_all(pool),
+				  cases[i].both - cases[i].longs);
+		for (int k = 0; k < 24; k++)
+			push(ADQ_URGENT, 0);
+		ck_assert_uint_eq(take_all(pool),
+				  cases[i].slots - cases[i].both);
+	}
+}
+END_TEST
+
+/* Guards against urgent work behind other work, and long work that starves. */
+START_TEST(test_order)
+{
+	struct adq_entry *old = push(ADQ_LONG, 0);
+	struct adq_entry *normal = push(ADQ_NORMAL, 1);
+	struct adq_entry *urgent = push(ADQ_URGENT, 2);
+	struct adq_entry *next = push(ADQ_NORMAL, 3);
+
+	adq_set_slots(pool, 8, 0);
+	ck_assert_ptr_eq(adq_take(adq, pool, 4), urgent);
+	ck_assert_ptr_eq(adq_take(adq, pool, LIM_LONG_WAIT_MS - 1), normal);
+	ck_assert_ptr_eq(adq_take(adq, pool, LIM_LONG_WAIT_MS), old);
+	/* A retry is queued after it has ended. */
+	adq_end(adq, normal, false, 5);
+	adq_push_front(adq, normal);
+	ck_assert_ptr_eq(adq_take(adq, pool, LIM_LONG_WAIT_MS), normal);
+	ck_assert_ptr_eq(adq_take(adq, pool, LIM_LONG_WAIT_MS), next);
+	ck_assert_ptr_null(adq_take(adq, pool, LIM_LONG_WAIT_MS));
+	ck_assert_uint_eq(adq_in_flight(adq), 4);
+}
+END_TEST
+
+/* Guards against a request that waits although it cannot start in time. */
+START_TEST(test_expected_wait)
+{
+	struct adq_entry *first, *second, *late;
+
+	adq_set_slots(pool, 2, 0);
+	first = push(ADQ_NORMAL, 0);
+	adq_take(adq, pool, 0);
+	adq_end(adq, first, true, 1000);
+	first = push(ADQ_NORMAL, 1000);
+	second = push(ADQ_NORMAL, 1000);
+	take_all_at(pool, 1000);
+	for (int i = 0; i < 8; i++)
+		push(ADQ_NORMAL, 1000);
+	/* Nine runs of 1 s in two slots. */
+	late = new_entry(ADQ_NORMAL, 1000 + 4499);
+	ck_assert_int_eq(adq_push(adq, late, 1000, &retry_ms), ERR_OVERLOAD);
+	ck_assert_int_eq(retry_ms, 4500);
+	ck_assert_int_eq(late->state, ADQ_IDLE);
+	late->deadline_ms = 1000 + 4500;
+	ck_assert_int_eq(adq_push(adq, late, 1000, &retry_ms), 0);
+	/* An urgent one does not wait for the normal ones in the queue. */
+	ck_assert_int_eq(adq_expected_wait(pool, ADQ_URGENT), 500);
+	/* Quick failures do not make the queue look short. */
+	adq_end(adq, first, false, 1001);
+	adq_end(adq, second, false, 1001);
+	take_all_at(pool, 1001);
+	ck_assert_int_eq(adq_expected_wait(pool, ADQ_NORMAL), 4000);
+}
+END_TEST
+
+static uint32_t expired_count;
+
+static void count_expired(void *arg, struct adq_entry *entry)
+{
+	ck_assert_ptr_eq(arg, &expired_count);
+	ck_assert_int_eq(entry->state, ADQ_IDLE);
+	expired_count++;
+}
+
+/* Guards against a place that an expired or cancelled request still holds. */
+START_TEST(test_expiry_and_removal)
+{
+	struct adq_entry *kept[2];
+
+	adq_set_slots(pool, 2, 0);
+	for (int i = 0; i < 3; i++)
+		ck_assert_int_eq(adq_push(adq, new_entry(ADQ_URGENT, 100 + i),
+					  0, &retry_ms),
+				 0);
+	kept[0] = push(ADQ_URGENT, 0);
+	adq_remove(adq, push(ADQ_URGENT, 0));
+	kept[1] = push(ADQ_URGENT, 0);
+	expired_count = 0;
+	adq_expire(adq, 99, count_expired, &expired_count);
+	ck_assert_uint_eq(expired_count, 0);
+	adq_expire(adq, 101, count_expired, &expired_count);
+	ck_assert_uint_eq(expired_count, 2);
+	adq_expire(adq, 102, count_expired, &expired_count);
+	ck_assert_uint_eq(expired_count, 3);
+	ck_assert_uint_eq(adq_queued(adq, ADQ_URGENT), 2);
+	ck_assert_ptr_eq(adq_take(adq, pool, 0), kept[0]);
+	ck_assert_ptr_eq(adq_take(adq, pool, 0), kept[1]);
+	adq_end(adq, kept[0], true, 5);
+	adq_end(adq, kept[0], true, 5);
+	ck_assert_uint_eq(adq_in_flight(adq), 1);
+}
+END_TEST
+
+/* Guards against queues that use up the memory or keep urgent work out. */
+START_TEST(test_bounds)
+{
+	static const uint32_t most[] = { LIM_QUEUE_REQUESTS,
+					 LIM_QUEUE_REQUESTS / 8 * 7,
+					 LIM_QUEUE_REQUESTS / 2 };
+	struct adq_entry *many = calloc(LIM_QUEUE_REQUESTS + 1, sizeof(*many));
+	struct adq_entry large = { .pool = pool, .deadline_ms = FAR_MS };
+	uint32_t queued = 0;
+
+	for (int i = ADQ_LONG; i >= ADQ_URGENT; i--) {
+		for (;; queued++) {
+			many[queued] = (struct adq_entry){
+				.pool = pool,
+				.priority = (enum adq_priority)i,
+				.deadline_ms = FAR_MS,
+			};
+			if (adq_push(adq, &many[queued], 0, &retry_ms) < 0)
+				break;
+		}
+		ck_assert_uint_eq(queued, most[i]);
+	}
+	for (uint32_t i = 0; i < queued; i++)
+		adq_remove(adq, &many[i]);
+	large.bytes = LIM_QUEUE_BYTES + 1;
+	ck_assert_int_eq(adq_push(adq, &large, 0, &retry_ms), ERR_OVERLOAD);
+	large.bytes = LIM_QUEUE_BYTES;
+	ck_assert_int_eq(adq_push(adq, &large, 0, &retry_ms), 0);
+	free(many);
+}
+END_TEST
+
+/* Guards against a team that uses more than its quota over all its pools. */
+START_TEST(test_quota)
+{
+	struct adq_pool *other = adq_pool(adq, "crew-shares", "advances");
+
+	adq_set_slots(pool, 8, 0);
+	adq_set_slots(other, 8, 0);
+	adq_set_quota(pool, 3);
+	for (int i = 0; i < 4; i++)
+		push(ADQ_URGENT, 0);
+	ck_assert_uint_eq(take_all(pool), 3);
+	pool = other;
+	push(ADQ_URGENT, 0);
+	ck_assert_uint_eq(take_all(other), 0);
+	adq_end(adq, &entries[0], true, 10);
+	ck_assert_uint_eq(take_all(other), 1);
+	adq_set_quota(other, 0);
+	pool = adq_pool(adq, "crew-shares", "payouts");
+	ck_assert_uint_eq(take_all(pool), 1);
+}
+END_TEST
+
+/* Guards against requests at leaving workers that block the others' slots. */
+START_TEST(test_leaving_workers)
+{
+	adq_set_slots(pool, 8, 0);
+	for (int i = 0; i < 12; i++)
+		push(ADQ_URGENT, 0);
+	ck_assert_uint_eq(take_all(pool), 8);
+	adq_set_slots(pool, 4, 3);
+	ck_assert_uint_eq(take_all(pool), 1);
+}
+END_TEST
+
+struct figures {
+	int64_t urgent_wait_ms;
+	uint32_t longs_done;
+};
+
+/* Five times the capacity of 16 slots for a minute; seed 7, steps of 10 ms. */
+static struct figures simulate(const struct adq_policy *policy)
+{
+	enum { SLOTS = 16, STEP_MS = 10, END_MS = 60000, MOST = 20000 };
+	static const int64_t run_ms[] = { 50, 100, 2000 };
+	static const int64_t deadline_ms[] = { 60000, 60000, 600000 };
+	struct adq_entry *all = calloc(MOST, sizeof(*all));
+	struct adq_entry *running[SLOTS] = { 0 };
+	int64_t ends_ms[SLOTS];
+	struct figures figures = { 0 };
+	uint32_t count = 0;
+	struct rnd rnd;
+
+	rnd_init(&rnd, 7);
+	tear_down();
+	adq = adq_create(policy);
+	pool = adq_pool(adq, "crew-shares", "payouts");
+	adq_set_slots(pool, SLOTS, 0);
+	for (int64_t now_ms = 0; now_ms < END_MS; now_ms += STEP_MS) {
+		uint32_t longs = 0;
+
+		/* Of a step's 800 ms of work 50 are urgent, 150 normal. */
+		for (int i = 0; i < ADQ_PRIORITIES; i++) {
+			static const uint32_t per_mille[] = { 1000, 1500, 300 };
+			uint32_t n =
+				per_mille[i] / 1000 +
+				(rnd_below(&rnd, 1000) < per_mille[i] % 1000);
+
+			while (n-- > 0 && count < MOST) {
+				all[count] = (struct adq_entry){
+					.pool = pool,
+					.priority = (enum adq_priority)i,
+					.deadline_ms = now_ms + deadline_ms[i],
+				};
+				adq_push(adq, &all[count++], now_ms, &retry_ms);
+			}
+		}
+		for (int i = 0; i < SLOTS; i++) {
+			if (running[i] && ends_ms[i] <= now_ms) {
+				figures.longs_done +=
+					running[i]->priority == ADQ_LONG;
+				adq_end(adq, running[i], true, now_ms);
+				running[i] = NULL;
+			}
+			if (!running[i] &&
+			    (running[i] = adq_take(adq, pool, now_ms))) {
+				int64_t wait_ms =
+					now_ms - running[i]->queued_ms;
+
+				ends_ms[i] =
+					now_ms + run_ms[running[i]->priority];
+				if (running[i]->priority == ADQ_URGENT &&
+				    wait_ms > figures.urgent_wait_ms)
+					figures.urgent_wait_ms = wait_ms;
+			}
+			longs += running[i] && running[i]->priority == ADQ_LONG;
+		}
+		if (policy == &adq_standard)
+			ck_assert_uint_le(longs, SLOTS / 2);
+	}
+	free(all);
+	return figures;
+}
+
+/* Guards against an overload in which urgent work waits or long work stops. */
+START_TEST(test_overload)
+{
+	struct figures standard = simulate(&adq_standard);
+	struct figures in_turn = simulate(&adq_round_robin);
+
+	ck_assert_int_le(standard.urgent_wait_ms, 6000);
+	ck_assert_uint_ge(standard.longs_done, 100);
+	ck_assert_int_gt(in_turn.urgent_wait_ms, 6000);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("adq");
+	TCase *tcase = tcase_create("adq");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_test(tcase, test_shares);
+	tcase_add_test(tcase, test_order);
+	tcase_add_test(tcase, test_expected_wait);
+	tcase_add_test(tcase, test_expiry_and_removal);
+	tcase_add_test(tcase, test_bounds);
+	tcase_add_test(tcase, test_quota);
+	tcase_add_test(tcase, test_leaving_workers);
+	tcase_add_test(tcase, test_overload);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
