--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host fst_member snp mbr rte adq
-AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rps rpf vew adm fwd \
-	ctl rpt hst arr
+AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rps rpf vew adm fwd fwd_read \
+	fwd_claim fwd_send ctl rpt hst arr
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
--- a/src/adq.c
+++ b/src/adq.c
@@ -219,10 +219,15 @@
 	if (priority == ADQ_LONG)
 		return long_limit(slots) ? long_limit(slots) : 1;
 	taken = in_flight[ADQ_LONG];
-	if (priority == ADQ_NORMAL)
+	if (priority == ADQ_NORMAL) {
+		/* Long ones that are queued will go first after a while. */
+		taken += pool->queues[ADQ_LONG].count;
+		if (taken > long_limit(slots))
+			taken = long_limit(slots);
 		taken += in_flight[ADQ_URGENT] > reserve(slots)
 				 ? in_flight[ADQ_URGENT]
 				 : reserve(slots);
+	}
 	return taken < slots ? slots - taken : 1;
 }
 
@@ -237,6 +242,11 @@
 	return ends_per_ms > 0 ? 1 / ends_per_ms : 0;
 }
 
+int64_t adq_run_ms(const struct adq_pool *pool, enum adq_priority priority)
+{
+	return (int64_t)pool->run_ms[priority];
+}
+
 int64_t adq_expected_wait(const struct adq_pool *pool,
 			  enum adq_priority priority)
 {
--- a/src/adq.h
+++ b/src/adq.h
@@ -101,6 +101,9 @@
 int64_t adq_expected_wait(const struct adq_pool *pool,
 			  enum adq_priority priority);
 
+/* adq_run_ms - learned run time of the pool and priority; 0: not known */
+int64_t adq_run_ms(const struct adq_pool *pool, enum adq_priority priority);
+
 /*
  * adq_take - the request of the pool that starts now, or NULL
  *
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -51,6 +51,64 @@
 					       "Attempts that failed." },
 	[C_FORWARD + FWD_TRUNCATED] = { "answers_truncated_total", CTR_COUNTER,
 					"Answers that did not arrive whole." },
+	[C_FORWARD + FWD_QUEUED + ADQ_URGENT] = { "queued_urgent", CTR_GAUGE,
+						  "Urgent requests queued." },
+	[C_FORWARD + FWD_QUEUED + ADQ_NORMAL] = { "queued_normal", CTR_GAUGE,
+						  "Normal requests queued." },
+	[C_FORWARD + FWD_QUEUED + ADQ_LONG] = { "queued_long", CTR_GAUGE,
+						"Long requests queued." },
+	[C_FORWARD + FWD_STARTED + ADQ_URGENT] = { "started_urgent_total",
+						   CTR_COUNTER,
+						   "Urgent requests sent to "
+						   "a worker." },
+	[C_FORWARD + FWD_STARTED + ADQ_NORMAL] = { "started_normal_total",
+						   CTR_COUNTER,
+						   "Normal requests sent to "
+						   "a worker." },
+	[C_FORWARD + FWD_STARTED + ADQ_LONG] = { "started_long_total",
+						 CTR_COUNTER,
+						 "Long requests sent to a "
+						 "worker." },
+	[C_FORWARD + FWD_SHED + ADQ_URGENT] = { "shed_urgent_total",
+						CTR_COUNTER,
+						"Urgent requests refused by "
+						"expected wait or size." },
+	[C_FORWARD + FWD_SHED + ADQ_NORMAL] = { "shed_normal_total",
+						CTR_COUNTER,
+						"Normal requests refused by "
+						"expected wait or size." },
+	[C_FORWARD + FWD_SHED + ADQ_LONG] = { "shed_long_total", CTR_COUNTER,
+					      "Long requests refused by "
+					      "expected wait or size." },
+	[C_FORWARD + FWD_EXPIRED + ADQ_URGENT] = { "expired_urgent_total",
+						   CTR_COUNTER,
+						   "Urgent requests whose "
+						   "deadline passed." },
+	[C_FORWARD + FWD_EXPIRED + ADQ_NORMAL] = { "expired_normal_total",
+						   CTR_COUNTER,
+						   "Normal requests whose "
+						   "deadline passed." },
+	[C_FORWARD + FWD_EXPIRED + ADQ_LONG] = { "expired_long_total",
+						 CTR_COUNTER,
+						 "Long requests whose "
+						 "deadline passed." },
+	[C_FORWARD + FWD_IN_FLIGHT] = { "in_flight", CTR_GAUGE,
+					"Requests at workers." },
+	[C_FORWARD + FWD_URGENT_WAIT_SUM_MS] = { "urgent_wait_ms_total",
+						 CTR_COUNTER,
+						 "Time that urgent requests "
+						 "were queued." },
+	[C_FORWARD + FWD_URGENT_WAIT_MAX_MS] = { "urgent_wait_max_ms",
+						 CTR_GAUGE,
+						 "Longest of these times." },
+	[C_FORWARD + FWD_CANCELLED_QUEUED] = { "cancelled_queued_total",
+					       CTR_COUNTER,
+					       "Requests whose caller left "
+					       "before they were sent." },
+	[C_FORWARD + FWD_CANCELLED_IN_FLIGHT] = { "cancelled_in_flight_total",
+						  CTR_COUNTER,
+						  "Requests aborted because "
+						  "the caller left." },
 	[C_REFUSED_EARLY] = { "requests_malformed_total", CTR_COUNTER,
 			      "Requests that were malformed, too large or "
 			      "not sent to their end." },
@@ -122,6 +180,26 @@
 	return now(entryd) < entryd->lease_until_ms;
 }
 
+/* Live members each get the same part, rounded up. */
+static uint32_t quota(void *arg, const char *name)
+{
+	const struct entryd *entryd = arg;
+	const struct fst *fst = rpl_state(entryd->rpl);
+	const struct fst_team *team = tbl_find(fst->teams, name);
+	uint32_t live = 0;
+
+	if (!team || !team->settings->quota_slots)
+		return 0;
+	for (uint32_t i = 0; i < tbl_count(fst->members); i++) {
+		const struct fst_member *member = tbl_at(fst->members, i);
+
+		live += !member->expired;
+	}
+	if (!live)
+		live = 1;
+	return (team->settings->quota_slots + live - 1) / live;
+}
+
 static void take_hosts(struct entryd *entryd, const prt_hosts *hosts)
 {
 	uint32_t count = hosts->hosts.hosts_len;
@@ -212,6 +290,7 @@
 	entryd->synced_changes = fst->changes;
 	entryd->list_changed = false;
 	free(listed);
+	fwd_dispatch(entryd->fwd);
 }
 
 /*
@@ -426,6 +505,10 @@
 	};
 	struct fwd_config fwd = {
 		.remote_allowed = remote_allowed,
+		.quota = quota,
+#ifdef PLANK_QUEUE_BASELINE
+		.policy = &adq_round_robin, /* the bench's baseline */
+#endif
 		.arg = entryd,
 		.first_counter = C_FORWARD,
 	};
--- a/src/err.c
+++ b/src/err.c
@@ -34,6 +34,8 @@
 	{ ERR_NOT_READY, "not-ready", 503, ERR_RAN_NO, 20, "not ready" },
 	{ ERR_NO_MEMORY, "no-memory", 503, ERR_RAN_NO, 21, "out of memory" },
 	{ ERR_INTERNAL, "internal", 500, ERR_RAN_MAYBE, 22, "internal error" },
+	{ ERR_EXPIRED, "expired", 504, ERR_RAN_NO, 23,
+	  "the deadline passed before the start" },
 };
 
 const struct err_answer *err_answer(int kind)
--- a/src/err.h
+++ b/src/err.h
@@ -34,7 +34,8 @@
 	ERR_NOT_READY = -19,
 	ERR_NO_MEMORY = -20,
 	ERR_INTERNAL = -21,
-	ERR_LAST = -21
+	ERR_EXPIRED = -22,
+	ERR_LAST = -22
 };
 
 /* Whether the request behind an error may have had an effect. */
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -1,8 +1,7 @@
-#include "fwd.h"
+#include "fwd_int.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include <apr_strings.h>
 
@@ -10,52 +9,16 @@
 
 struct fwd {
 	struct fwd_config config;
+	struct adq *adq;
 	uint32_t active;
+	/* All requests under way; the caller looked at least lately first. */
+	struct forward *first;
+	struct forward *last;
+	bool dispatching;
+	bool dispatch_again;
 };
 
-/* One caller's request on its way, over all its attempts. */
-struct forward {
-	struct fwd *fwd;
-	struct web_request *request;
-	apr_pool_t *pool; /* the request's */
-	const char *team;
-	const char *pool_name;
-	const char *rest; /* what the worker gets as target */
-	bool repeatable;
-	int64_t deadline_ms;
-	uint32_t tried_count;
-	const char *tried[LIM_ATTEMPTS];
-
-	/* Of the present attempt. */
-	struct rte_worker *worker;
-	CURL *easy;
-	struct curl_slist *headers;
-	char *answer;
-	size_t answer_len;
-	size_t answer_cap;
-	bool answer_too_large;
-	bool has_length; /* a content length, or chunked encoding */
-	bool refused;	 /* Plank-Refused was seen */
-	uint32_t header_count;
-	uint32_t header_cap;
-	struct web_header *answer_headers;
-};
-
-struct fwd *fwd_create(const struct fwd_config *config)
-{
-	struct fwd *fwd = calloc(1, sizeof(*fwd));
-
-	if (fwd)
-		fwd->config = *config;
-	return fwd;
-}
-
-void fwd_destroy(struct fwd *fwd)
-{
-	free(fwd);
-}
-
-static void count(struct fwd *fwd, enum fwd_counter counter)
+static void count(struct fwd *fwd, size_t counter)
 {
 	ctr_inc(fwd->config.ctr, fwd->config.first_counter + counter);
 }
@@ -65,160 +28,90 @@
 	return clk_now_ms(evl_clk(fwd->config.evl));
 }
 
-/* Answers with an error kind; the outcome follows from the kind's table. */
 static void respond_failure(struct fwd *fwd, struct web_request *request,
-			    int kind, bool ran_maybe, const char *text)
+			    const struct failure *failure, bool ran_maybe,
+			    int64_t retry_ms)
 {
+	int status = err_answer(failure->kind)->http_status;
+	bool later = status == 503 || failure->kind == ERR_EXPIRED;
+	int64_t retry_s = retry_ms < 1000 ? 1 : (retry_ms + 999) / 1000;
+	const char *outcome = ran_maybe ? "unknown" : "not-run";
 	const struct web_header headers[] = {
 		{ "Content-Type", "application/json" },
-		{ "Plank-Outcome", ran_maybe ? "unknown" : "not-run" },
-		{ "Plank-Reason", err_name(kind) },
-		{ err_answer(kind)->http_status == 503 ? "Retry-After" : NULL,
-		  "1" },
+		{ "Plank-Outcome", outcome },
+		{ "Plank-Reason", err_name(failure->kind) },
+		{ later ? "Retry-After" : NULL,
+		  apr_psprintf(request->pool, "%" APR_INT64_T_FMT, retry_s) },
 		{ NULL, NULL },
 	};
 	struct json_object *obj = json_object_new_object();
 	const char *body;
 
 	count(fwd, ran_maybe ? FWD_UNKNOWN : FWD_NOT_RUN);
-	jsn_put_string(obj, "error", err_name(kind));
-	jsn_put_string(obj, "text", text);
-	jsn_put_string(obj, "outcome", ran_maybe ? "unknown" : "not-run");
+	jsn_put_string(obj, "error", err_name(failure->kind));
+	jsn_put_string(obj, "text", failure->text);
+	jsn_put_string(obj, "outcome", outcome);
 	body = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
-	web_respond(request, err_answer(kind)->http_status, headers, body,
-		    strlen(body));
+	web_respond(request, status, headers, body, strlen(body));
 	json_object_put(obj);
 }
 
 void fwd_refuse(struct fwd *fwd, struct web_request *request, int kind,
 		const char *text)
 {
-	respond_failure(fwd, request, kind, false, text);
-}
+	const struct failure failure = { kind, text };
 
-/* Headers that belong to one connection, or that this daemon sets itself. */
-static bool is_own_header(const char *name)
-{
-	static const char *const own[] = {
-		"Connection",	    "Keep-Alive",
-		"Proxy-Connection", "TE",
-		"Trailer",	    "Transfer-Encoding",
-		"Upgrade",	    "Host",
-		"Content-Length",   "Expect",
-		"Plank-Outcome",    "Plank-Reason",
-		"Plank-Refused",
-	};
-
-	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++)
-		if (!strcasecmp(name, own[i]))
-			return true;
-	return false;
+	respond_failure(fwd, request, &failure, false, 0);
 }
 
-static void copy_header(void *arg, const char *name, const char *value)
+static void list_add(struct fwd *fwd, struct forward *forward)
 {
-	struct forward *forward = arg;
-	const char *line;
-
-	if (is_own_header(name))
-		return;
-	/* libcurl drops a header without value unless it ends in ';'. */
-	line = *value ? apr_pstrcat(forward->pool, name, ": ", value, NULL)
-		      : apr_pstrcat(forward->pool, name, ";", NULL);
-	forward->headers = curl_slist_append(forward->headers, line);
+	forward->prev = fwd->last;
+	forward->next = NULL;
+	if (fwd->last)
+		fwd->last->next = forward;
+	else
+		fwd->first = forward;
+	fwd->last = forward;
 }
 
-static size_t take_header(char *data, size_t size, size_t n, void *arg)
+static void list_remove(struct fwd *fwd, struct forward *forward)
 {
-	struct forward *forward = arg;
-	size_t len = size * n;
-	char *line = apr_pstrmemdup(forward->pool, data, len);
-	char *value = strchr(line, ':');
-
-	if (!strncmp(line, "HTTP/", 5)) {
-		/* A new head: an interim answer came before. */
-		forward->header_count = 0;
-		forward->has_length = false;
-		forward->refused = false;
-		return len;
-	}
-	if (!value)
-		return len;
-	*value++ = 0;
-	apr_collapse_spaces(line, line);
-	while (*value == ' ' || *value == '\t')
-		value++;
-	value[strcspn(value, "\r\n")] = 0;
-	if (!strcasecmp(line, "Content-Length") ||
-	    !strcasecmp(line, "Transfer-Encoding"))
-		forward->has_length = true;
-	if (!strcasecmp(line, "Plank-Refused"))
-		forward->refused = true;
-	if (is_own_header(line))
-		return len;
-	if (forward->header_count + 3 > forward->header_cap) {
-		uint32_t cap = forward->header_cap * 2 + 16;
-		struct web_header *headers =
-			apr_pcalloc(forward->pool, cap * sizeof(*headers));
-
-		if (forward->header_count)
-			memcpy(headers, forward->answer_headers,
-			       forward->header_count * sizeof(*headers));
-		forward->answer_headers = headers;
-		forward->header_cap = cap;
-	}
-	forward->answer_headers[forward->header_count++] =
-		(struct web_header){ .name = line, .value = value };
-	return len;
+	if (forward->prev)
+		forward->prev->next = forward->next;
+	else
+		fwd->first = forward->next;
+	if (forward->next)
+		forward->next->prev = forward->prev;
+	else
+		fwd->last = forward->prev;
 }
 
-static size_t take_body(char *data, size_t size, size_t n, void *arg)
+/* The request has been answered; an unanswered claim stays, without it. */
+static void finish(struct forward *forward)
 {
-	struct forward *forward = arg;
-	size_t len = size * n;
-	size_t total = forward->answer_len + len;
-
-	if (total > LIM_ANSWER_BYTES) {
-		forward->answer_too_large = true;
-		return 0;
-	}
-	if (total > forward->answer_cap) {
-		char *answer = realloc(forward->answer, total * 2);
+	struct fwd *fwd = forward->fwd;
 
-		if (!answer)
-			return 0;
-		forward->answer = answer;
-		forward->answer_cap = total * 2;
-	}
-	memcpy(forward->answer + forward->answer_len, data, len);
-	forward->answer_len = total;
-	return len;
+	fwd_send_free(forward);
+	adq_remove(fwd->adq, &forward->entry);
+	fwd_claim_end(forward);
+	list_remove(fwd, forward);
+	fwd->active--;
 }
 
-static void free_attempt(struct forward *forward)
+void fwd_fail(struct forward *forward)
 {
-	curl_easy_cleanup(forward->easy);
-	curl_slist_free_all(forward->headers);
-	free(forward->answer);
-	forward->easy = NULL;
-	forward->headers = NULL;
-	forward->answer = NULL;
-	forward->answer_len = 0;
-	forward->answer_cap = 0;
-	forward->header_count = 0;
-}
-
-static void finish(struct forward *forward)
-{
-	free_attempt(forward);
-	forward->fwd->active--;
+	respond_failure(forward->fwd, forward->request, &forward->failure,
+			forward->ran_maybe, forward->retry_ms);
+	finish(forward);
 }
 
-static void fail(struct forward *forward, int kind, bool ran_maybe,
-		 const char *text)
+void fwd_end_failed(struct forward *forward, int kind, const char *text)
 {
-	respond_failure(forward->fwd, forward->request, kind, ran_maybe, text);
-	finish(forward);
+	forward->failure = (struct failure){ kind, text };
+	adq_remove(forward->fwd->adq, &forward->entry);
+	if (!fwd_claim_release(forward))
+		fwd_fail(forward);
 }
 
 static void pass_on(struct forward *forward, long status)
@@ -240,134 +133,123 @@
 	finish(forward);
 }
 
-static void attempt(struct forward *forward);
-
-/* Another attempt if there may be one, else the given failure. */
-static void retry_or_fail(struct forward *forward, int kind, bool ran_maybe,
-			  const char *text)
+static bool may_retry(struct forward *forward)
 {
 	struct fwd *fwd = forward->fwd;
 
-	free_attempt(forward);
-	if (forward->tried_count < LIM_ATTEMPTS &&
-	    now(fwd) < forward->deadline_ms &&
-	    (!ran_maybe || forward->repeatable) &&
-	    rte_may_retry(fwd->config.rte)) {
-		count(fwd, FWD_RETRIES);
-		attempt(forward);
-		return;
-	}
-	fail(forward, kind, ran_maybe, text);
+	/* A claimed request is sent once, whatever the worker says of it. */
+	return forward->tried_count < LIM_ATTEMPTS &&
+	       now(fwd) < forward->entry.deadline_ms && !forward->claim &&
+	       (!forward->ran_maybe || forward->repeatable) &&
+	       rte_may_retry(fwd->config.rte);
 }
 
-/* Whether any byte of the request may have reached the worker. */
-static bool was_sent(CURL *easy, CURLcode code)
+/* Frees the worker's slot with no verdict on the worker. */
+static void leave_worker(struct forward *forward)
 {
-	long sent = 0;
+	struct fwd *fwd = forward->fwd;
+	uint32_t failures = forward->worker->failures;
 
-	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
-		return false;
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-	return sent > 0;
+	rte_done(fwd->config.rte, forward->worker, RTE_ANSWERED, now(fwd));
+	forward->worker->failures = failures;
 }
 
-static bool is_whole(const struct forward *forward, long status)
+/*
+ * Whether the attempt began too near to its deadline to blame the worker. In
+ * an overload many do; counted as failures they kept every worker of a pool
+ * out of use for up to 30 s.
+ */
+static bool began_late(const struct forward *forward)
 {
-	return forward->has_length || status == 204 || status == 304 ||
-	       !strcmp(forward->request->method, "HEAD");
+	const struct adq_entry *entry = &forward->entry;
+
+	return entry->deadline_ms - entry->started_ms <
+	       2 * adq_run_ms(entry->pool, entry->priority);
 }
 
-static void attempt_done(void *arg, CURL *easy, CURLcode code)
+void fwd_attempt_done(struct forward *forward, const struct attempt_end *end)
 {
-	struct forward *forward = arg;
 	struct fwd *fwd = forward->fwd;
-	bool sent = was_sent(easy, code);
-	long status = 0;
 
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code == CURLE_OK && status == 503 && forward->refused) {
-		rte_done(fwd->config.rte, forward->worker, RTE_REFUSED,
+	if (end->failure.kind == ERR_TIMEOUT && began_late(forward))
+		leave_worker(forward);
+	else
+		rte_done(fwd->config.rte, forward->worker, end->result,
 			 now(fwd));
+	adq_end(fwd->adq, &forward->entry, end->result == RTE_ANSWERED,
+		now(fwd));
+	if (end->result == RTE_REFUSED)
 		count(fwd, FWD_REFUSED_BY_WORKER);
-		retry_or_fail(forward, ERR_OVERLOAD, false,
-			      "the worker refused the request");
-		return;
-	}
-	if (code == CURLE_OK && is_whole(forward, status)) {
-		rte_done(fwd->config.rte, forward->worker, RTE_ANSWERED,
-			 now(fwd));
-		pass_on(forward, status);
-		return;
-	}
-	rte_done(fwd->config.rte, forward->worker, RTE_FAILED, now(fwd));
-	count(fwd, FWD_FAILED_AT_WORKER);
-	if (!sent) {
-		retry_or_fail(forward, ERR_NO_WORKER, false,
-			      "the worker could not be reached");
-	} else if (code == CURLE_OPERATION_TIMEDOUT) {
-		retry_or_fail(forward, ERR_TIMEOUT, true,
-			      "the worker did not answer in time");
-	} else {
+	if (end->result == RTE_FAILED)
+		count(fwd, FWD_FAILED_AT_WORKER);
+	if (end->truncated)
 		count(fwd, FWD_TRUNCATED);
-		retry_or_fail(forward, ERR_TRUNCATED, true,
-			      "the worker's answer did not arrive whole");
+	forward->ran_maybe |= end->ran_maybe;
+	if (!end->failure.kind) {
+		pass_on(forward, end->status);
+	} else if (may_retry(forward)) {
+		count(fwd, FWD_RETRIES);
+		fwd_send_free(forward);
+		forward->failure = end->failure;
+		forward->stage = FORWARD_QUEUED;
+		adq_push_front(fwd->adq, &forward->entry);
+	} else {
+		fwd_end_failed(forward, end->failure.kind, end->failure.text);
 	}
+	fwd_dispatch(fwd);
 }
 
-static void set_method(struct forward *forward)
+static void note_start(struct forward *forward)
 {
-	const struct web_request *request = forward->request;
-	CURL *easy = forward->easy;
+	struct fwd *fwd = forward->fwd;
+	size_t first = fwd->config.first_counter;
+	int64_t wait_ms = now(fwd) - forward->entry.queued_ms;
 
-	if (!strcmp(request->method, "HEAD")) {
-		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	count(fwd, FWD_STARTED + forward->entry.priority);
+	if (forward->entry.priority != ADQ_URGENT)
 		return;
-	}
-	if (request->body_len || !strcmp(request->method, "POST") ||
-	    !strcmp(request->method, "PUT")) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request->body);
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-				 (curl_off_t)request->body_len);
-	}
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	ctr_add(fwd->config.ctr, first + FWD_URGENT_WAIT_SUM_MS, wait_ms);
+	if (wait_ms > ctr_get(fwd->config.ctr, first + FWD_URGENT_WAIT_MAX_MS))
+		ctr_set(fwd->config.ctr, first + FWD_URGENT_WAIT_MAX_MS,
+			wait_ms);
 }
 
-static void send_attempt(struct forward *forward)
+/* The taken request found no worker; false if it waits at the front. */
+static bool start_failed(struct forward *forward, int status, bool has_slots)
 {
 	struct fwd *fwd = forward->fwd;
-	int64_t left_ms = forward->deadline_ms - now(fwd);
-	CURL *easy = curl_easy_init();
-
-	forward->easy = easy;
-	curl_easy_setopt(easy, CURLOPT_URL,
-			 apr_psprintf(forward->pool, "http://%s:%u/%s",
-				      forward->worker->address,
-				      forward->worker->port, forward->rest));
-	set_method(forward);
-	web_each_header(forward->request, copy_header, forward);
-	forward->headers = curl_slist_append(forward->headers, "Expect:");
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, forward->headers);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-			 (long)LIM_CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-			 (long)(left_ms > 0 ? left_ms : 1));
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, forward);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, forward);
-	if (!forward->repeatable) {
-		/* libcurl sends a request again by itself when a connection
-		   that it used before turns out to be closed. */
-		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	int64_t *stalled_ms = adq_pool_stalled_ms(forward->entry.pool);
+
+	if (status == ERR_OVERLOAD) {
+		/* The worker that it must avoid may be free for others. */
+		if (forward->tried_count)
+			adq_push_back(fwd->adq, &forward->entry);
+		else
+			adq_push_front(fwd->adq, &forward->entry);
+		return forward->tried_count > 0;
+	}
+	if (forward->tried_count) {
+		adq_end(fwd->adq, &forward->entry, false, now(fwd));
+		fwd_end_failed(forward, forward->failure.kind,
+			       forward->failure.text);
+		return true;
+	}
+	if (status == ERR_NO_WORKER && has_slots) {
+		/* All are avoided for a moment after refusals or failures. */
+		if (!*stalled_ms)
+			*stalled_ms = now(fwd);
+		if (now(fwd) - *stalled_ms < LIM_NO_WORKER_WAIT_MS) {
+			adq_push_front(fwd->adq, &forward->entry);
+			return false;
+		}
 	}
-	evl_transfer(fwd->config.evl, easy, attempt_done, forward);
+	adq_end(fwd->adq, &forward->entry, false, now(fwd));
+	fwd_end_failed(forward, status, err_answer(status)->message);
+	return true;
 }
 
-static void attempt(struct forward *forward)
+/* Starts the taken request; false if the pool can start no more now. */
+static bool start(struct forward *forward, bool has_slots)
 {
 	struct fwd *fwd = forward->fwd;
 	struct rte_query query = {
@@ -380,72 +262,255 @@
 	};
 	int status = rte_pick(fwd->config.rte, &query, &forward->worker);
 
-	if (status < 0) {
-		fail(forward, status, false, err_answer(status)->message);
-		return;
-	}
+	if (status < 0)
+		return start_failed(forward, status, has_slots);
+	*adq_pool_stalled_ms(forward->entry.pool) = 0;
+	if (!forward->tried_count)
+		note_start(forward);
 	forward->tried[forward->tried_count++] =
 		apr_pstrdup(forward->pool, forward->worker->name);
-	send_attempt(forward);
+	forward->stage = FORWARD_SENDING;
+	fwd_send(forward, fwd->config.evl);
+	return true;
 }
 
-static bool is_repeatable(const struct web_request *request)
+/* Takes over the pool's capacity; false if it has none. */
+static bool update_slots(struct fwd *fwd, struct adq_pool *pool)
 {
-	static const char *const methods[] = { "GET", "HEAD", "OPTIONS", "PUT",
-					       "DELETE" };
-	const char *header = web_header(request, "Plank-Repeatable");
+	struct rte_capacity capacity;
 
-	if (header)
-		return !strcasecmp(header, "yes");
-	for (size_t i = 0; i < sizeof(methods) / sizeof(methods[0]); i++)
-		if (!strcmp(request->method, methods[i]))
-			return true;
-	return false;
+	rte_pool_capacity(fwd->config.rte, adq_pool_team(pool),
+			  adq_pool_name(pool), &capacity);
+	adq_set_slots(pool, capacity.slots, capacity.in_flight);
+	return capacity.slots > 0;
 }
 
-/* Splits "/team/pool/rest?query"; false if it is not of that form. */
-static bool split_target(struct forward *forward)
+static void end_all(struct fwd *fwd, struct adq_pool *pool)
 {
-	char *target = apr_pstrdup(forward->pool, forward->request->target);
-	char *pool, *rest;
+	struct adq_entry *entry;
 
-	if (target[0] != '/' || !(pool = strchr(target + 1, '/')))
-		return false;
-	*pool++ = 0;
-	rest = strchr(pool, '/');
-	if (!rest)
-		return false;
-	*rest++ = 0;
-	forward->team = target + 1;
-	forward->pool_name = pool;
-	forward->rest = rest;
-	return jsn_valid_name(forward->team) &&
-	       jsn_valid_name(forward->pool_name);
+	while ((entry = adq_first(pool))) {
+		adq_remove(fwd->adq, entry);
+		fwd_end_failed((struct forward *)entry, ERR_NO_WORKER,
+			       "the pool has no worker that serves");
+	}
+}
+
+static void dispatch_pool(struct fwd *fwd, struct adq_pool *pool)
+{
+	/* A request that is put back is not looked at twice. */
+	uint32_t left = adq_pool_queued(pool);
+	struct adq_entry *entry;
+	bool has_slots;
+
+	if (!left)
+		return;
+	has_slots = update_slots(fwd, pool);
+	if (!has_slots)
+		end_all(fwd, pool);
+	while (left-- > 0 && (entry = adq_take(fwd->adq, pool, now(fwd))))
+		if (!start((struct forward *)entry, has_slots))
+			break;
+}
+
+void fwd_dispatch(struct fwd *fwd)
+{
+	/* A transfer that cannot be set up ends within the loop below. */
+	fwd->dispatch_again = true;
+	if (fwd->dispatching)
+		return;
+	fwd->dispatching = true;
+	while (fwd->dispatch_again) {
+		struct adq_pool *pool = NULL;
+
+		fwd->dispatch_again = false;
+		while ((pool = adq_next_pool(fwd->adq, pool)))
+			dispatch_pool(fwd, pool);
+	}
+	fwd->dispatching = false;
+}
+
+static void expired(void *arg, struct adq_entry *entry)
+{
+	struct forward *forward = (struct forward *)entry;
+	struct fwd *fwd = arg;
+
+	count(fwd, FWD_EXPIRED + entry->priority);
+	forward->retry_ms = adq_expected_wait(entry->pool, entry->priority);
+	if (forward->ran_maybe)
+		fwd_end_failed(forward, forward->failure.kind,
+			       forward->failure.text);
+	else
+		fwd_end_failed(forward, ERR_EXPIRED,
+			       err_answer(ERR_EXPIRED)->message);
+}
+
+/* The caller is gone: nobody reads the answer, and no work is left for it. */
+static void cancel(struct forward *forward)
+{
+	struct fwd *fwd = forward->fwd;
+
+	if (forward->stage == FORWARD_RELEASING ||
+	    (forward->stage == FORWARD_SENDING && !forward->repeatable))
+		return;
+	if (forward->stage == FORWARD_SENDING) {
+		count(fwd, FWD_CANCELLED_IN_FLIGHT);
+		evl_cancel(fwd->config.evl, forward->easy);
+		leave_worker(forward);
+		adq_end(fwd->adq, &forward->entry, false, now(fwd));
+		forward->ran_maybe = true;
+	} else {
+		count(fwd, FWD_CANCELLED_QUEUED);
+	}
+	fwd_end_failed(forward, ERR_TRUNCATED,
+		       "the caller closed its connection");
+}
+
+/* Looks at a bounded number of requests, each in its turn. */
+static void check_callers(struct fwd *fwd)
+{
+	uint32_t left = fwd->active < LIM_CALLER_CHECKS ? fwd->active
+							: LIM_CALLER_CHECKS;
+
+	for (; left > 0 && fwd->first; left--) {
+		struct forward *forward = fwd->first;
+
+		list_remove(fwd, forward);
+		list_add(fwd, forward);
+		if (web_caller_gone(forward->request)) {
+			cancel(forward);
+		} else if (forward->stage == FORWARD_CLAIMING &&
+			   now(fwd) >= forward->entry.deadline_ms) {
+			count(fwd, FWD_EXPIRED + forward->entry.priority);
+			fwd_end_failed(forward, ERR_EXPIRED,
+				       err_answer(ERR_EXPIRED)->message);
+		}
+	}
+}
+
+static void tick(void *arg)
+{
+	struct fwd *fwd = arg;
+	struct adq_pool *pool = NULL;
+
+	while (fwd->config.quota && (pool = adq_next_pool(fwd->adq, pool)))
+		adq_set_quota(pool, fwd->config.quota(fwd->config.arg,
+						      adq_pool_team(pool)));
+	adq_expire(fwd->adq, now(fwd), expired, fwd);
+	check_callers(fwd);
+	fwd_dispatch(fwd);
+	for (size_t i = 0; i < ADQ_PRIORITIES; i++)
+		ctr_set(fwd->config.ctr,
+			fwd->config.first_counter + FWD_QUEUED + i,
+			adq_queued(fwd->adq, (enum adq_priority)i));
+	ctr_set(fwd->config.ctr, fwd->config.first_counter + FWD_IN_FLIGHT,
+		adq_in_flight(fwd->adq));
+}
+
+struct fwd *fwd_create(const struct fwd_config *config)
+{
+	struct fwd *fwd = calloc(1, sizeof(*fwd));
+
+	if (!fwd)
+		return NULL;
+	fwd->config = *config;
+	fwd->adq = adq_create(config->policy ? config->policy : &adq_standard);
+	evl_every(config->evl, LIM_TICK_MS, tick, fwd);
+	return fwd;
+}
+
+void fwd_destroy(struct fwd *fwd)
+{
+	if (!fwd)
+		return;
+	adq_destroy(fwd->adq);
+	free(fwd);
+}
+
+static void shed(struct forward *forward)
+{
+	count(forward->fwd, FWD_SHED + forward->entry.priority);
+	fwd_end_failed(
+		forward, ERR_OVERLOAD,
+		"the expected wait exceeds the deadline, or the queue is "
+		"full");
+}
+
+void fwd_enqueue(struct forward *forward)
+{
+	struct fwd *fwd = forward->fwd;
+
+	forward->stage = FORWARD_QUEUED;
+	if (now(fwd) >= forward->entry.deadline_ms)
+		expired(fwd, &forward->entry);
+	else if (adq_push(fwd->adq, &forward->entry, now(fwd),
+			  &forward->retry_ms) < 0)
+		shed(forward);
+	else
+		fwd_dispatch(fwd);
+}
+
+/* Error of a pool that has no slots at all, or 0. */
+static int check_pool(struct forward *forward)
+{
+	struct fwd *fwd = forward->fwd;
+	struct rte_query query = {
+		.team = forward->team,
+		.pool = forward->pool_name,
+		.now_ms = now(fwd),
+	};
+	struct rte_capacity capacity;
+	struct rte_worker *worker;
+
+	rte_pool_capacity(fwd->config.rte, forward->team, forward->pool_name,
+			  &capacity);
+	if (!capacity.slots)
+		return rte_pick(fwd->config.rte, &query, &worker);
+	/* Names that no settings have must not leave anything in memory. */
+	forward->entry.pool =
+		adq_pool(fwd->adq, forward->team, forward->pool_name);
+	adq_set_slots(forward->entry.pool, capacity.slots, capacity.in_flight);
+	return 0;
 }
 
 void fwd_start(struct fwd *fwd, struct web_request *request)
 {
 	struct forward *forward = apr_pcalloc(request->pool, sizeof(*forward));
-	const char *deadline = web_header(request, "Plank-Deadline-Ms");
-	int64_t deadline_ms = deadline ? apr_atoi64(deadline) : LIM_DEADLINE_MS;
+	const char *key = web_header(request, "Idempotency-Key");
+	bool claims = false;
+	int64_t key_time_ms =
+		fwd_read_time(web_header(request, "Plank-Key-Time-Ms"));
+	const char *wrong;
+	int status;
 
 	forward->fwd = fwd;
 	forward->request = request;
 	forward->pool = request->pool;
-	if (!split_target(forward)) {
-		fwd_refuse(fwd, request, ERR_INVALID,
-			   "the path must be /{team}/{pool}/...");
+	wrong = fwd_read(forward, now(fwd));
+	if (!wrong) {
+		claims = fwd->config.claims && key && !forward->repeatable;
+		if (claims && !key_time_ms)
+			wrong = "Plank-Key-Time-Ms must be the time in ms when "
+				"the key was first used";
+	}
+	if (wrong) {
+		fwd_refuse(fwd, request, ERR_INVALID, wrong);
 		return;
 	}
-	if (deadline_ms < 1 || deadline_ms > LIM_DEADLINE_MAX_MS) {
-		fwd_refuse(fwd, request, ERR_INVALID,
-			   "Plank-Deadline-Ms must be from 1 to 3600000");
+	status = check_pool(forward);
+	if (status < 0) {
+		fwd_refuse(fwd, request, status, err_answer(status)->message);
 		return;
 	}
-	forward->repeatable = is_repeatable(request);
-	forward->deadline_ms = now(fwd) + deadline_ms;
 	fwd->active++;
-	attempt(forward);
+	list_add(fwd, forward);
+	if (!claims)
+		fwd_enqueue(forward);
+	else if (adq_check(fwd->adq, &forward->entry, now(fwd),
+			   &forward->retry_ms) < 0)
+		shed(forward);
+	else
+		fwd_claim_start(forward, fwd->config.claims, key, key_time_ms);
 }
 
 uint32_t fwd_active(const struct fwd *fwd)
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "adq.h"
 #include "ctr.h"
 #include "evl.h"
 #include "rte.h"
@@ -26,6 +27,16 @@
 	FWD_REFUSED_BY_WORKER,
 	FWD_FAILED_AT_WORKER,
 	FWD_TRUNCATED,
+	/* One for each priority. */
+	FWD_QUEUED,
+	FWD_STARTED = FWD_QUEUED + ADQ_PRIORITIES,
+	FWD_SHED = FWD_STARTED + ADQ_PRIORITIES,
+	FWD_EXPIRED = FWD_SHED + ADQ_PRIORITIES,
+	FWD_IN_FLIGHT = FWD_EXPIRED + ADQ_PRIORITIES,
+	FWD_URGENT_WAIT_SUM_MS,
+	FWD_URGENT_WAIT_MAX_MS,
+	FWD_CANCELLED_QUEUED,
+	FWD_CANCELLED_IN_FLIGHT,
 	FWD_COUNTER_COUNT
 };
 
@@ -63,16 +74,29 @@
 	size_t first_counter; /* index of FWD_ANSWERED in ctr */
 	/* Whether requests may go to other data centres now. */
 	bool (*remote_allowed)(void *arg);
+	/*
+	 * This member's part of the team's quota, in requests in flight; 0 if
+	 * the team has none. NULL: no team has one.
+	 */
+	uint32_t (*quota)(void *arg, const char *team);
 	void *arg;
 	const struct fwd_claims *claims; /* NULL: keys are not claimed */
+	const struct adq_policy *policy; /* NULL: adq_standard */
 };
 
 struct fwd *fwd_create(const struct fwd_config *config);
 void fwd_destroy(struct fwd *fwd);
 
-/* fwd_start - forward a request; answers it now or later */
+/*
+ * fwd_start - forward a request; answers it now or later
+ *
+ * It waits in a queue until a worker of its pool has a free slot.
+ */
 void fwd_start(struct fwd *fwd, struct web_request *request);
 
+/* fwd_dispatch - start what may start, after a change of the workers */
+void fwd_dispatch(struct fwd *fwd);
+
 /* fwd_refuse - answer that the request was not run, with the reason */
 void fwd_refuse(struct fwd *fwd, struct web_request *request, int kind,
 		const char *text);
--- /dev/null
+++ b/src/fwd_claim.c
@@ -0,0 +1,107 @@
+#include "fwd_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_strings.h>
+
+/*
+ * A claim of a key. It outlives its request when the caller leaves, or the
+ * deadline passes, while the log has not answered.
+ */
+struct claim {
+	const struct fwd_claims *claims;
+	struct forward *forward; /* NULL: the request has been answered */
+	bool pending;		 /* the log has not answered */
+	bool won;
+	char *team;
+	char *key;
+};
+
+static void claim_free(struct claim *claim)
+{
+	if (!claim)
+		return;
+	free(claim->team);
+	free(claim->key);
+	free(claim);
+}
+
+void fwd_claim_end(struct forward *forward)
+{
+	if (!forward->claim)
+		return;
+	if (forward->claim->pending)
+		forward->claim->forward = NULL;
+	else
+		claim_free(forward->claim);
+	forward->claim = NULL;
+}
+
+static void released(void *arg)
+{
+	struct claim *claim = arg;
+
+	if (claim->forward)
+		fwd_fail(claim->forward);
+	else
+		claim_free(claim);
+}
+
+bool fwd_claim_release(struct forward *forward)
+{
+	struct claim *claim = forward->claim;
+
+	if (!claim || !claim->won || forward->ran_maybe)
+		return false;
+	forward->stage = FORWARD_RELEASING;
+	claim->claims->release(claim->claims->arg, claim->team, claim->key,
+			       released, claim);
+	return true;
+}
+
+static void claim_done(void *arg, const struct err *result)
+{
+	struct claim *claim = arg;
+	const struct fwd_claims *claims = claim->claims;
+	struct forward *forward = claim->forward;
+
+	claim->pending = false;
+	claim->won = result->kind == 0;
+	if (!forward) {
+		if (claim->won)
+			claims->release(claims->arg, claim->team, claim->key,
+					released, claim);
+		else
+			claim_free(claim);
+		return;
+	}
+	if (claim->won) {
+		fwd_enqueue(forward);
+		return;
+	}
+	/* The attempt that holds the key may have run. */
+	forward->ran_maybe = result->kind == ERR_DUPLICATE;
+	fwd_end_failed(forward, result->kind,
+		       apr_pstrdup(forward->pool, result->text));
+}
+
+void fwd_claim_start(struct forward *forward, const struct fwd_claims *claims,
+		     const char *key, int64_t key_time_ms)
+{
+	struct claim *claim = calloc(1, sizeof(*claim));
+
+	if (!claim) {
+		fwd_end_failed(forward, ERR_NO_MEMORY, "no memory for a claim");
+		return;
+	}
+	claim->claims = claims;
+	claim->pending = true;
+	claim->forward = forward;
+	claim->team = strdup(forward->team);
+	claim->key = strdup(key);
+	forward->claim = claim;
+	forward->stage = FORWARD_CLAIMING;
+	claims->claim(claims->arg, claim->team, claim->key, key_time_ms,
+		      forward->entry.deadline_ms, claim_done, claim);
+}
--- /dev/null
+++ b/src/fwd_int.h
@@ -0,0 +1,119 @@
+/*
+ * NAME
+ *	fwd_int - what the parts of fwd share: one request on its way
+ *
+ * fwd.c decides when a request is sent, again or not at all; fwd_read.c reads
+ * its headers, fwd_claim.c claims its key, fwd_send.c makes one attempt.
+ */
+#ifndef FWD_INT_H
+#define FWD_INT_H
+
+#include <curl/curl.h>
+
+#include "adq.h"
+#include "fwd.h"
+
+struct claim;
+
+enum forward_stage {
+	FORWARD_CLAIMING,
+	FORWARD_QUEUED,
+	FORWARD_SENDING,
+	FORWARD_RELEASING
+};
+
+/* An answer that no worker gave. */
+struct failure {
+	int kind;
+	const char *text;
+};
+
+/* One caller's request on its way, over all its attempts. */
+struct forward {
+	struct adq_entry entry; /* the first member */
+	struct fwd *fwd;
+	struct forward *prev;
+	struct forward *next;
+	struct web_request *request;
+	apr_pool_t *pool; /* the request's */
+	const char *team;
+	const char *pool_name;
+	const char *rest; /* what the worker gets as target */
+	bool repeatable;
+	enum forward_stage stage;
+	struct claim *claim;	/* NULL: the request needs none */
+	struct failure failure; /* of the last attempt, or while releasing */
+	bool ran_maybe;		/* in any attempt so far */
+	int64_t retry_ms;	/* for Retry-After */
+	uint32_t tried_count;
+	const char *tried[LIM_ATTEMPTS];
+
+	/* Of the present attempt. */
+	struct rte_worker *worker;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *answer;
+	size_t answer_len;
+	size_t answer_cap;
+	bool answer_too_large;
+	bool has_length; /* a content length, or chunked encoding */
+	bool refused;	 /* Plank-Refused was seen */
+	uint32_t header_count;
+	uint32_t header_cap;
+	struct web_header *answer_headers;
+};
+
+/* How an attempt ended. */
+struct attempt_end {
+	enum rte_result result;
+	bool ran_maybe;
+	bool truncated;
+	struct failure failure; /* kind 0: the worker's whole answer */
+	long status;		/* of that answer */
+};
+
+/*
+ * fwd_read - read target and headers of the request into forward
+ *
+ * RETURN VALUE
+ *	NULL, or what is wrong with them.
+ */
+const char *fwd_read(struct forward *forward, int64_t now_ms);
+
+/* fwd_read_time - a time in ms from 1 to LIM_NUMBER_MAX; 0 if it is none */
+int64_t fwd_read_time(const char *text);
+
+/* fwd_claim_start - claim a key; fwd_enqueue follows when it is won */
+void fwd_claim_start(struct forward *forward, const struct fwd_claims *claims,
+		     const char *key, int64_t key_time_ms);
+
+/*
+ * fwd_claim_release - release the key that was won for a request never run
+ *
+ * RETURN VALUE
+ *	Whether there is one; fwd_fail is called when it has been released.
+ */
+bool fwd_claim_release(struct forward *forward);
+
+/* fwd_claim_end - the request ends; a claim under way is released if won */
+void fwd_claim_end(struct forward *forward);
+
+/* fwd_enqueue - put a request into its pool's queue, or refuse it */
+void fwd_enqueue(struct forward *forward);
+
+/* fwd_end_failed - end a request, after the release of its key if need be */
+void fwd_end_failed(struct forward *forward, int kind, const char *text);
+
+/* fwd_fail - answer with forward->failure */
+void fwd_fail(struct forward *forward);
+
+/* fwd_send - start an attempt at forward->worker */
+void fwd_send(struct forward *forward, struct evl *evl);
+
+/* fwd_send_free - release what the present attempt holds */
+void fwd_send_free(struct forward *forward);
+
+/* fwd_attempt_done - called once for each attempt that was not cancelled */
+void fwd_attempt_done(struct forward *forward, const struct attempt_end *end);
+
+#endif
--- /dev/null
+++ b/src/fwd_read.c
@@ -0,0 +1,90 @@
+#include "fwd_int.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include <apr_strings.h>
+
+#include "jsn.h"
+
+static bool is_repeatable(const struct web_request *request)
+{
+	static const char *const methods[] = { "GET", "HEAD", "OPTIONS", "PUT",
+					       "DELETE" };
+	const char *header = web_header(request, "Plank-Repeatable");
+
+	if (header)
+		return !strcasecmp(header, "yes");
+	for (size_t i = 0; i < sizeof(methods) / sizeof(methods[0]); i++)
+		if (!strcmp(request->method, methods[i]))
+			return true;
+	return false;
+}
+
+/* Splits "/team/pool/rest?query"; false if it is not of that form. */
+static bool split_target(struct forward *forward)
+{
+	char *target = apr_pstrdup(forward->pool, forward->request->target);
+	char *pool, *rest;
+
+	if (target[0] != '/' || !(pool = strchr(target + 1, '/')))
+		return false;
+	*pool++ = 0;
+	rest = strchr(pool, '/');
+	if (!rest)
+		return false;
+	*rest++ = 0;
+	forward->team = target + 1;
+	forward->pool_name = pool;
+	forward->rest = rest;
+	return jsn_valid_name(forward->team) &&
+	       jsn_valid_name(forward->pool_name);
+}
+
+static bool read_priority(const struct web_request *request,
+			  enum adq_priority *priority)
+{
+	static const char *const names[ADQ_PRIORITIES] = { "urgent", "normal",
+							   "long" };
+	const char *header = web_header(request, "Plank-Priority");
+
+	*priority = ADQ_NORMAL;
+	if (!header)
+		return true;
+	for (int i = 0; i < ADQ_PRIORITIES; i++) {
+		if (strcasecmp(header, names[i]) != 0)
+			continue;
+		*priority = (enum adq_priority)i;
+		return true;
+	}
+	return false;
+}
+
+int64_t fwd_read_time(const char *text)
+{
+	char *end;
+	int64_t value;
+
+	if (!text || *text < '0' || *text > '9')
+		return 0;
+	value = apr_strtoi64(text, &end, 10);
+	return *end || value > LIM_NUMBER_MAX ? 0 : value;
+}
+
+const char *fwd_read(struct forward *forward, int64_t now_ms)
+{
+	const struct web_request *request = forward->request;
+	const char *deadline = web_header(request, "Plank-Deadline-Ms");
+	int64_t deadline_ms = deadline ? apr_atoi64(deadline) : LIM_DEADLINE_MS;
+
+	if (!split_target(forward))
+		return "the path must be /{team}/{pool}/...";
+	if (deadline_ms < 1 || deadline_ms > LIM_DEADLINE_MAX_MS)
+		return "Plank-Deadline-Ms must be from 1 to 3600000";
+	if (!read_priority(request, &forward->entry.priority))
+		return "Plank-Priority must be urgent, normal or long";
+	forward->repeatable = is_repeatable(request);
+	forward->entry.deadline_ms = now_ms + deadline_ms;
+	forward->entry.bytes = request->body_len + LIM_QUEUE_ENTRY_BYTES;
+	return NULL;
+}
--- /dev/null
+++ b/src/fwd_send.c
@@ -0,0 +1,224 @@
+#include "fwd_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <apr_strings.h>
+
+/* Headers that belong to one connection, or that this daemon sets itself. */
+static bool is_own_header(const char *name)
+{
+	static const char *const own[] = {
+		"Connection",	    "Keep-Alive",
+		"Proxy-Connection", "TE",
+		"Trailer",	    "Transfer-Encoding",
+		"Upgrade",	    "Host",
+		"Content-Length",   "Expect",
+		"Plank-Outcome",    "Plank-Reason",
+		"Plank-Refused",
+	};
+
+	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++)
+		if (!strcasecmp(name, own[i]))
+			return true;
+	return false;
+}
+
+static void copy_header(void *arg, const char *name, const char *value)
+{
+	struct forward *forward = arg;
+	const char *line;
+
+	if (is_own_header(name))
+		return;
+	/* libcurl drops a header without value unless it ends in ';'. */
+	line = *value ? apr_pstrcat(forward->pool, name, ": ", value, NULL)
+		      : apr_pstrcat(forward->pool, name, ";", NULL);
+	forward->headers = curl_slist_append(forward->headers, line);
+}
+
+static size_t take_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct forward *forward = arg;
+	size_t len = size * n;
+	char *line = apr_pstrmemdup(forward->pool, data, len);
+	char *value = strchr(line, ':');
+
+	if (!strncmp(line, "HTTP/", 5)) {
+		/* A new head: an interim answer came before. */
+		forward->header_count = 0;
+		forward->has_length = false;
+		forward->refused = false;
+		return len;
+	}
+	if (!value)
+		return len;
+	*value++ = 0;
+	apr_collapse_spaces(line, line);
+	while (*value == ' ' || *value == '\t')
+		value++;
+	value[strcspn(value, "\r\n")] = 0;
+	if (!strcasecmp(line, "Content-Length") ||
+	    !strcasecmp(line, "Transfer-Encoding"))
+		forward->has_length = true;
+	if (!strcasecmp(line, "Plank-Refused"))
+		forward->refused = true;
+	if (is_own_header(line))
+		return len;
+	if (forward->header_count + 3 > forward->header_cap) {
+		uint32_t cap = forward->header_cap * 2 + 16;
+		struct web_header *headers =
+			apr_pcalloc(forward->pool, cap * sizeof(*headers));
+
+		if (forward->header_count)
+			memcpy(headers, forward->answer_headers,
+			       forward->header_count * sizeof(*headers));
+		forward->answer_headers = headers;
+		forward->header_cap = cap;
+	}
+	forward->answer_headers[forward->header_count++] =
+		(struct web_header){ .name = line, .value = value };
+	return len;
+}
+
+static size_t take_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct forward *forward = arg;
+	size_t len = size * n;
+	size_t total = forward->answer_len + len;
+
+	if (total > LIM_ANSWER_BYTES) {
+		forward->answer_too_large = true;
+		return 0;
+	}
+	if (total > forward->answer_cap) {
+		char *answer = realloc(forward->answer, total * 2);
+
+		if (!answer)
+			return 0;
+		forward->answer = answer;
+		forward->answer_cap = total * 2;
+	}
+	memcpy(forward->answer + forward->answer_len, data, len);
+	forward->answer_len = total;
+	return len;
+}
+
+void fwd_send_free(struct forward *forward)
+{
+	curl_easy_cleanup(forward->easy);
+	curl_slist_free_all(forward->headers);
+	free(forward->answer);
+	forward->easy = NULL;
+	forward->headers = NULL;
+	forward->answer = NULL;
+	forward->answer_len = 0;
+	forward->answer_cap = 0;
+	forward->header_count = 0;
+}
+
+/* Whether any byte of the request may have reached the worker. */
+static bool was_sent(CURL *easy, CURLcode code)
+{
+	long sent = 0;
+
+	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+		return false;
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+	return sent > 0;
+}
+
+static bool is_whole(const struct forward *forward, long status)
+{
+	return forward->has_length || status == 204 || status == 304 ||
+	       !strcmp(forward->request->method, "HEAD");
+}
+
+static void attempt_done(void *arg, CURL *easy, CURLcode code)
+{
+	struct forward *forward = arg;
+	struct attempt_end end = { .result = RTE_FAILED };
+
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &end.status);
+	if (code == CURLE_OK && end.status == 503 && forward->refused) {
+		end.result = RTE_REFUSED;
+		end.failure =
+			(struct failure){ ERR_OVERLOAD,
+					  "the worker refused the request" };
+	} else if (code == CURLE_OK && is_whole(forward, end.status)) {
+		end.result = RTE_ANSWERED;
+	} else if (!was_sent(easy, code)) {
+		end.failure =
+			(struct failure){ ERR_NO_WORKER,
+					  "the worker could not be reached" };
+	} else if (code == CURLE_OPERATION_TIMEDOUT) {
+		end.ran_maybe = true;
+		end.failure =
+			(struct failure){ ERR_TIMEOUT,
+					  "the worker did not answer in time" };
+	} else {
+		end.ran_maybe = true;
+		end.truncated = true;
+		end.failure = (struct failure){
+			ERR_TRUNCATED,
+			"the worker's answer did not arrive whole"
+		};
+	}
+	fwd_attempt_done(forward, &end);
+}
+
+static void set_method(struct forward *forward)
+{
+	const struct web_request *request = forward->request;
+	CURL *easy = forward->easy;
+
+	if (!strcmp(request->method, "HEAD")) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (request->body_len || !strcmp(request->method, "POST") ||
+	    !strcmp(request->method, "PUT")) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request->body);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)request->body_len);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+void fwd_send(struct forward *forward, struct evl *evl)
+{
+	int64_t left_ms = forward->entry.deadline_ms - clk_now_ms(evl_clk(evl));
+	CURL *easy = curl_easy_init();
+
+	forward->easy = easy;
+	forward->has_length = false;
+	forward->refused = false;
+	forward->answer_too_large = false;
+	curl_easy_setopt(easy, CURLOPT_URL,
+			 apr_psprintf(forward->pool, "http://%s:%u/%s",
+				      forward->worker->address,
+				      forward->worker->port, forward->rest));
+	set_method(forward);
+	web_each_header(forward->request, copy_header, forward);
+	forward->headers = curl_slist_append(forward->headers, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, forward->headers);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)LIM_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)(left_ms > 0 ? left_ms : 1));
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, forward);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, forward);
+	if (!forward->repeatable) {
+		/* libcurl sends a request again by itself when a connection
+		   that it used before turns out to be closed. */
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	evl_transfer(evl, easy, attempt_done, forward);
+}
--- a/src/lim.h
+++ b/src/lim.h
@@ -69,7 +69,7 @@
 	LIM_QUEUE_REQUESTS = 3072, /* below the server's 4,096 connections */
 	LIM_QUEUE_BYTES = 64 * 1024 * 1024,
 	LIM_QUEUE_ENTRY_BYTES = 16 * 1024, /* of a request without its body */
-	LIM_LONG_WAIT_MS = 10000, /* then a long request precedes normal ones */
+	LIM_LONG_WAIT_MS = 5000, /* then a long request precedes normal ones */
 	LIM_NO_WORKER_WAIT_MS = 2000, /* for workers that are all avoided */
 	LIM_CALLER_CHECKS = 256,      /* callers looked at on each tick */
 	LIM_SLOTS = 8,
--- a/src/web.c
+++ b/src/web.c
@@ -1,5 +1,6 @@
 #include "web.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -396,6 +397,19 @@
 				  MHD_HEADER_KIND, visit_header, &visit);
 }
 
+bool web_caller_gone(const struct web_request *request)
+{
+	const struct link *link = exchange_of(request)->link;
+	/* Unlike a read, this also sees a close behind pipelined input. */
+	struct pollfd pollfd = { .events = POLLRDHUP };
+
+	if (!link || link->fd < 0)
+		return false;
+	pollfd.fd = link->fd;
+	return poll(&pollfd, 1, 0) > 0 &&
+	       (pollfd.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
 void web_respond(struct web_request *request, int status,
 		 const struct web_header *headers, const void *body, size_t len)
 {
--- a/src/web.h
+++ b/src/web.h
@@ -65,6 +65,14 @@
 		     void (*fn)(void *arg, const char *name, const char *value),
 		     void *arg);
 
+/*
+ * web_caller_gone - whether the caller has closed its connection
+ *
+ * The server does not watch the connection of a request that waits for its
+ * answer; this looks at the socket, at the cost of one system call.
+ */
+bool web_caller_gone(const struct web_request *request);
+
 /*
  * web_respond - answer a request; headers end with a NULL name
  *
--- a/tests/workerd.c
+++ b/tests/workerd.c
@@ -2,7 +2,7 @@
  * Stand-in for a worker: answers after sleep_ms of the query, at most SLOTS
  * at a time, and counts how often each Idempotency-Key was run. POST /control
  * sets its mode: {"mode": "ok" | "fail" | "leaving" | "hang"}; GET /control
- * tells the counts.
+ * tells the counts, and with ?key=K how often that key was run.
  */
 
 #include <inttypes.h>
@@ -54,13 +54,18 @@
 static void count_key(struct web_request *request)
 {
 	const char *key = web_header(request, "Idempotency-Key");
+	int64_t *count;
 
 	if (!key)
 		return;
-	if (apr_hash_get(keys, key, APR_HASH_KEY_STRING))
+	count = apr_hash_get(keys, key, APR_HASH_KEY_STRING);
+	if (!count) {
+		count = apr_pcalloc(pool, sizeof(*count));
+		apr_hash_set(keys, apr_pstrdup(pool, key), APR_HASH_KEY_STRING,
+			     count);
+	}
+	if (++*count > 1)
 		doubles++;
-	key = apr_pstrdup(pool, key);
-	apr_hash_set(keys, key, APR_HASH_KEY_STRING, key);
 }
 
 static void finish(struct web_request *request)
@@ -79,6 +84,9 @@
 {
 	struct json_object *value = json_tokener_parse(request->body);
 	struct json_object *member = NULL;
+	const char *key = web_query(request, "key");
+	const int64_t *of_key =
+		key ? apr_hash_get(keys, key, APR_HASH_KEY_STRING) : NULL;
 	char *text;
 
 	json_object_object_get_ex(value, "mode", &member);
@@ -89,8 +97,9 @@
 			    "{\"runs\":%" PRId64 ",\"refusals\":%" PRId64
 			    ",\"doubles\":%" PRId64 ",\"active\":%" PRId64
 			    ",\"most_active\":%" PRId64 ",\"cut\":%" PRId64
-			    "}\n",
-			    runs, refusals, doubles, active, most_active, cut);
+			    ",\"key\":%" PRId64 "}\n",
+			    runs, refusals, doubles, active, most_active, cut,
+			    of_key ? *of_key : 0);
 	answer(request, 200, text);
 }
 
