Test claims in the dispatcher; add the queue bench and its baseline build

Cause: nothing exercised fwd_claims, and the queues had no comparison with round robin.

The process test also requires that no request of the burst is refused.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,9 @@
 	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 $(BUILD)/plank-fleetd: $(BUILD)/fleetd.o $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+# Only the bench runs this one: round robin with unbounded queues.
+$(BUILD)/plank-entryd-baseline: src/entryd.c $(LIBRARY)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -DPLANK_QUEUE_BASELINE $^ $(LDLIBS) -o $@
 $(BUILD)/plankctl: $(BUILD)/plankctl.o $(LIBRARY)
 	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 
@@ -92,6 +95,10 @@
 	$(BUILD)/bench_state
 	PLANK_BUILD=$(BUILD) bash bench/processes.sh
 
+# Figures of docs/REQUESTS.md.
+bench-queues: all standins $(BUILD)/plank-entryd-baseline
+	PLANK_BUILD=$(BUILD) bash bench/queues.sh
+
 SOURCES = $(filter-out src/prt%,$(wildcard src/*.c src/*.h)) \
 	$(wildcard tests/*.c tests/*.h bench/*.c)
 
@@ -123,6 +130,6 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all standins tests run-unit run-process check bench demo lint format deps rpc \
+.PHONY: all standins tests run-unit run-process check bench bench-queues demo lint format deps rpc \
 	clean
 .SECONDARY:
--- a/tests/process_queue.sh
+++ b/tests/process_queue.sh
@@ -51,6 +51,7 @@
 # A mean of half the capacity, with bursts of five times that.
 load 12 60 50,150,450 --shape payouts --burst 3 --once 0.5 --deadline-ms 6000,30000,60000
 check_urgent "burst"
+grep -q '"not_run":0' "$WORK/load.json" || fail "requests of the burst were refused"
 wait_until 60 is_idle normal || fail "work remains after the burst"
 
 # Sixty long requests fill the long share of 12 slots; their callers leave.
--- /dev/null
+++ b/tests/test_fwd.c
@@ -0,0 +1,321 @@
+/*
+ * Claims of non-idempotent requests in fwd, with a caller, a worker and
+ * claims of this process on loopback. Guards against a request that is sent
+ * without a claim or twice, and a key that is kept although nothing ran.
+ */
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+
+#include "fwd.h"
+
+enum { ENTRY = 590, WORKER = 591 }; /* after PLANK_BASE_PORT */
+
+struct scenario {
+	const char *key_time, *deadline;
+	long caller_ms;	 /* the caller leaves after so long */
+	bool claim_late; /* answered after the request has ended */
+	bool worker_refuses;
+	struct err claim;
+	int status;
+	const char *outcome;
+	int claims, runs, releases;
+};
+
+static const struct scenario scenarios[] = {
+	/* Won: sent once. */
+	{ "1", "9000", 0, false, false, { 0 }, 200, "answered", 1, 1, 0 },
+	/* Sent once even if the worker says that it did not run. */
+	{ "1", "9000", 0, false, true, { 0 }, 503, "not-run", 1, 1, 1 },
+	/* Another claim has the key: that request may have run. */
+	{ "1",
+	  "9000",
+	  0,
+	  false,
+	  false,
+	  { ERR_DUPLICATE, "e1" },
+	  409,
+	  "unknown",
+	  1,
+	  0,
+	  0 },
+	{ "1",
+	  "9000",
+	  0,
+	  false,
+	  false,
+	  { ERR_GONE, "old" },
+	  410,
+	  "not-run",
+	  1,
+	  0,
+	  0 },
+	{ "1",
+	  "9000",
+	  0,
+	  false,
+	  false,
+	  { ERR_UNAVAILABLE, "log" },
+	  503,
+	  "not-run",
+	  1,
+	  0,
+	  0 },
+	/* No time, or none that is valid: not claimed at all. */
+	{ NULL, "9000", 0, false, false, { 0 }, 400, "not-run", 0, 0, 0 },
+	{ "12x", "9000", 0, false, false, { 0 }, 400, "not-run", 0, 0, 0 },
+	/* Won after the deadline, or after the caller left: released. */
+	{ "1", "150", 0, true, false, { 0 }, 504, "not-run", 1, 0, 1 },
+	{ "1", "9000", 150, true, false, { 0 }, 0, "", 1, 0, 1 },
+	{ "1",
+	  "150",
+	  0,
+	  true,
+	  false,
+	  { ERR_GONE, "old" },
+	  504,
+	  "not-run",
+	  1,
+	  0,
+	  0 },
+};
+
+static const struct scenario *scenario;
+static struct evl *evl;
+static struct fwd *fwd;
+static void (*claim_done)(void *arg, const struct err *result);
+static void (*release_done)(void *arg);
+static void *claim_arg, *release_arg;
+static int claims, runs, releases;
+static bool caller_done;
+static long status;
+static char outcome[16];
+
+static void claim(void *arg, const char *team, const char *key,
+		  int64_t key_time_ms, int64_t deadline_ms,
+		  void (*done)(void *done_arg, const struct err *result),
+		  void *done_arg)
+{
+	(void)arg;
+	(void)deadline_ms;
+	ck_assert_str_eq(team, "crew-shares");
+	ck_assert_str_eq(key, "k");
+	ck_assert_int_eq(key_time_ms, 1);
+	claims++;
+	claim_done = done;
+	claim_arg = done_arg;
+}
+
+static void release(void *arg, const char *team, const char *key,
+		    void (*done)(void *done_arg), void *done_arg)
+{
+	(void)arg;
+	(void)team;
+	ck_assert_str_eq(key, "k");
+	releases++;
+	release_done = done;
+	release_arg = done_arg;
+}
+
+static void on_request(void *arg, struct web_request *request)
+{
+	(void)arg;
+	fwd_start(fwd, request);
+}
+
+static void on_work(void *arg, struct web_request *request)
+{
+	static const struct web_header refusal[] = {
+		{ "Plank-Refused", "yes" },
+		{ NULL, NULL },
+	};
+
+	(void)arg;
+	runs++;
+	web_respond(request, scenario->worker_refuses ? 503 : 200,
+		    scenario->worker_refuses ? refusal : NULL, "", 0);
+}
+
+static void refused(void *arg, int kind)
+{
+	(void)arg;
+	(void)kind;
+}
+
+static bool remote_allowed(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+static size_t take_header(char *data, size_t size, size_t n, void *arg)
+{
+	(void)arg;
+	if (!strncmp(data, "Plank-Outcome: ", 15))
+		sscanf(data + 15, "%15s", outcome);
+	return size * n;
+}
+
+static void answered(void *arg, CURL *easy, CURLcode code)
+{
+	(void)arg;
+	(void)code;
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(easy);
+	caller_done = true;
+	/* Not told before the key is free again for another attempt. */
+	if (!scenario->claim_late)
+		ck_assert_ptr_null(release_done);
+}
+
+static void step(void *arg)
+{
+	(void)arg;
+	if (claim_done && (!scenario->claim_late || !fwd_active(fwd))) {
+		void (*done)(void *, const struct err *) = claim_done;
+
+		claim_done = NULL;
+		done(claim_arg, &scenario->claim);
+	} else if (release_done) {
+		void (*done)(void *) = release_done;
+
+		release_done = NULL;
+		done(release_arg);
+	} else if (caller_done && !fwd_active(fwd) && !claim_done) {
+		evl_stop(evl);
+	}
+}
+
+static uint16_t port(int offset)
+{
+	const char *base = getenv("PLANK_BASE_PORT");
+
+	return (uint16_t)((base ? atoi(base) : 21000) + offset);
+}
+
+static struct web *listen_at(int offset,
+			     void (*handle)(void *, struct web_request *))
+{
+	struct web_config config = {
+		.address = "127.0.0.1",
+		.port = port(offset),
+		.max_body_bytes = 1024,
+		.handle = handle,
+		.refused = refused,
+	};
+	struct web *web = web_create(evl, &config, NULL);
+
+	ck_assert_ptr_nonnull(web);
+	return web;
+}
+
+/* Two workers that are one process, so that runs counts both. */
+static struct rte *two_workers(struct rnd *rnd)
+{
+	struct fst *fst = fst_create();
+	static const char *const names[] = { "w0", "w1" };
+	struct rte *rte = rte_create("suva", rnd);
+
+	for (int i = 0; i < 2; i++) {
+		struct fst_host *host = tbl_add(fst->hosts, names[i]);
+
+		strcpy(host->team, "crew-shares");
+		strcpy(host->pool, "payouts");
+		strcpy(host->data_centre, "suva");
+		strcpy(host->address, "127.0.0.1");
+		host->port = port(WORKER);
+		host->slots = 8;
+		host->known = true;
+	}
+	rte_sync(rte, fst, false, NULL, 0);
+	fst_destroy(fst);
+	return rte;
+}
+
+static struct curl_slist *send_request(void)
+{
+	struct curl_slist *headers =
+		curl_slist_append(NULL, "Idempotency-Key: k");
+	CURL *easy = curl_easy_init();
+	char text[128];
+
+	if (scenario->key_time) {
+		snprintf(text, sizeof(text), "Plank-Key-Time-Ms: %s",
+			 scenario->key_time);
+		headers = curl_slist_append(headers, text);
+	}
+	snprintf(text, sizeof(text), "Plank-Deadline-Ms: %s",
+		 scenario->deadline);
+	headers = curl_slist_append(headers, text);
+	snprintf(text, sizeof(text),
+		 "http://127.0.0.1:%u/crew-shares/payouts/pay", port(ENTRY));
+	curl_easy_setopt(easy, CURLOPT_URL, text);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "x");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, scenario->caller_ms);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_header);
+	evl_transfer(evl, easy, answered, NULL);
+	return headers;
+}
+
+START_TEST(test_claims)
+{
+	static const struct fwd_claims table = { claim, release, NULL };
+	struct ctr_def defs[FWD_COUNTER_COUNT] = { 0 };
+	struct fwd_config config = {
+		.remote_allowed = remote_allowed,
+		.claims = &table,
+	};
+	struct curl_slist *headers;
+	struct web *entry, *worker;
+	apr_pool_t *pool;
+	struct rnd rnd;
+
+	scenario = &scenarios[_i];
+	apr_pool_create(&pool, NULL);
+	rnd_init(&rnd, 3);
+	config.evl = evl = evl_create(clk_system());
+	config.rte = two_workers(&rnd);
+	config.ctr = ctr_create(pool, defs, FWD_COUNTER_COUNT);
+	fwd = fwd_create(&config);
+	entry = listen_at(ENTRY, on_request);
+	worker = listen_at(WORKER, on_work);
+	headers = send_request();
+	evl_every(evl, 5, step, NULL);
+	evl_run(evl);
+	ck_assert_int_eq(status, scenario->status);
+	ck_assert_str_eq(outcome, scenario->outcome);
+	ck_assert_int_eq(claims, scenario->claims);
+	ck_assert_int_eq(runs, scenario->runs);
+	ck_assert_int_eq(releases, scenario->releases);
+	curl_slist_free_all(headers);
+	web_destroy(entry);
+	web_destroy(worker);
+	fwd_destroy(fwd);
+	rte_destroy(config.rte);
+	evl_destroy(evl);
+	apr_pool_destroy(pool);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("fwd");
+	TCase *tcase = tcase_create("fwd");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	tcase_add_loop_test(tcase, test_claims, 0,
+			    sizeof(scenarios) / sizeof(scenarios[0]));
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
