--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,10 @@
 CPPFLAGS = -D_GNU_SOURCE -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
-CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host fst_member snp mbr rte pln
-AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rbt rps rpf vew adm fwd \
-	ctl rpt hst arr
+CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host \
+	fst_member snp mbr rte pln adq
+AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rbt rps rpf vew \
+	adm fwd fwd_read fwd_claim fwd_send ctl rpt hst arr
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
@@ -48,6 +49,10 @@
 $(BUILD)/plank-fleetd: $(BUILD)/fleetd.o $(LIBRARY)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+# Only the bench runs this one: round robin with unbounded queues.
+$(BUILD)/plank-entryd-baseline: src/entryd.c $(LIBRARY)
+	@echo "  CC $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -DPLANK_QUEUE_BASELINE $^ $(LDLIBS) -o $@
 $(BUILD)/plankctl: $(BUILD)/plankctl.o $(LIBRARY)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
@@ -98,6 +103,10 @@
 	$(BUILD)/bench_state
 	PLANK_BUILD=$(BUILD) bash bench/processes.sh
 
+# Figures of docs/REQUESTS.md.
+bench-queues: all standins $(BUILD)/plank-entryd-baseline
+	PLANK_BUILD=$(BUILD) bash bench/queues.sh
+
 SOURCES = $(filter-out src/prt%,$(wildcard src/*.c src/*.h)) \
 	$(wildcard tests/*.c tests/*.h bench/*.c)
 
@@ -129,6 +138,6 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all standins tests run-unit run-process check bench demo lint format deps rpc \
+.PHONY: all standins tests run-unit run-process check bench bench-queues demo lint format deps rpc \
 	clean
 .SECONDARY:
--- a/src/err.c
+++ b/src/err.c
@@ -36,6 +36,8 @@
 	{ ERR_INTERNAL, "internal", 500, ERR_RAN_MAYBE, 22, "internal error" },
 	{ ERR_NO_FIT, "no-fit", 422, ERR_RAN_NO, 23,
 	  "no worker is large enough" },
+	{ ERR_EXPIRED, "expired", 504, ERR_RAN_NO, 24,
+	  "the deadline passed before the start" },
 };
 
 const struct err_answer *err_answer(int kind)
--- a/src/err.h
+++ b/src/err.h
@@ -35,7 +35,8 @@
 	ERR_NO_MEMORY = -20,
 	ERR_INTERNAL = -21,
 	ERR_NO_FIT = -22,
-	ERR_LAST = -22
+	ERR_EXPIRED = -23,
+	ERR_LAST = -23
 };
 
 /* Whether the request behind an error may have had an effect. */
--- a/src/lim.h
+++ b/src/lim.h
@@ -76,6 +76,14 @@
 	/* Distinct workers after whose failures a request is not tried again. */
 	LIM_FAILED_WORKERS = 2,
 	LIM_DECLARED_SIZE = 1000 * 1000 * 1000,
+
+	/* Queues of requests. */
+	LIM_QUEUE_REQUESTS = 3072, /* below the server's 4,096 connections */
+	LIM_QUEUE_BYTES = 64 * 1024 * 1024,
+	LIM_QUEUE_ENTRY_BYTES = 16 * 1024, /* of a request without its body */
+	LIM_LONG_WAIT_MS = 5000, /* then a long request precedes normal ones */
+	LIM_NO_WORKER_WAIT_MS = 2000, /* for workers that are all avoided */
+	LIM_CALLER_CHECKS = 256,      /* callers looked at on each tick */
 	LIM_SLOTS = 8,
 	LIM_CONNECTIONS = 64,
 	LIM_STOP_GRACE_MS = 30000
--- a/src/rte.c
+++ b/src/rte.c
@@ -584,6 +584,21 @@
 	return NULL;
 }
 
+int rte_check(struct rte *rte, const struct rte_query *query)
+{
+	struct rte_pool *pool = find_pool(rte, query->team, query->pool);
+	struct rte_capacity capacity;
+
+	if (!pool)
+		return ERR_NOT_FOUND;
+	if (!has_large_enough(pool, query)) {
+		rte->stats.no_fit++;
+		return ERR_NO_FIT;
+	}
+	rte_pool_capacity(rte, query->team, query->pool, &capacity);
+	return capacity.slots ? 0 : ERR_NO_WORKER;
+}
+
 int rte_pick(struct rte *rte, const struct rte_query *query,
 	     struct rte_worker **worker)
 {
@@ -708,6 +723,8 @@
 		if (worker->leaving_count < AVOID_LEAVING_DOUBLINGS)
 			worker->leaving_count++;
 		break;
+	case RTE_ABANDONED:
+		break;
 	case RTE_FAILED:
 		count_failure(rte, worker, probe, now_ms);
 		break;
--- a/src/rte.h
+++ b/src/rte.h
@@ -122,6 +122,16 @@
 int rte_pick(struct rte *rte, const struct rte_query *query,
 	     struct rte_worker **worker);
 
+/*
+ * rte_check - whether a pool could ever take a request
+ *
+ * ERRORS
+ *	ERR_NOT_FOUND	no such pool
+ *	ERR_NO_FIT	no worker of the pool is large enough
+ *	ERR_NO_WORKER	this entry daemon has no slots at its workers
+ */
+int rte_check(struct rte *rte, const struct rte_query *query);
+
 /* rte_largest_text - text for ERR_NO_FIT that names the largest sizes */
 void rte_largest_text(const struct rte *rte, const char *team, const char *pool,
 		      char *text, size_t size);
@@ -137,9 +147,10 @@
 
 enum rte_result {
 	RTE_ANSWERED,
-	RTE_REFUSED, /* the worker said that it did not run the request */
-	RTE_LEAVING, /* the same, because the worker is leaving */
-	RTE_FAILED   /* reset, timeout, truncated answer or 5xx */
+	RTE_REFUSED,   /* the worker said that it did not run the request */
+	RTE_LEAVING,   /* the same, because the worker is leaving */
+	RTE_ABANDONED, /* ended on this side; says nothing of the worker */
+	RTE_FAILED     /* reset, timeout, truncated answer or 5xx */
 };
 
 /* rte_done - the request picked for the worker has ended */
