--- a/tests/process_outcomes.sh
+++ b/tests/process_outcomes.sh
@@ -2,8 +2,8 @@
 # Breaks the exchange with a worker at each byte of the request and of the
 # response. Guards against a refusal as not run of a request that a worker
 # read, a non-idempotent request that was sent twice, an idempotent one that
-# was sent to a third worker, an answer that was cut short, and an answer to
-# another request.
+# was sent to a third worker, an answer that was cut short, an answer to another
+# request, and work for a worker that leaves.
 set -u
 cd "$(dirname "$0")/.."
 . scripts/cluster.sh
@@ -58,11 +58,29 @@
 	send cut "$@"
 	check "$1" "$3" "$2"
 }
+worker_control() { curl -s -d "$2" "$(worker_url "$1")/control" >"$WORK/control"; }
+runs() { worker_control "$1" '{}' && sed 's/.*"runs":\([0-9]*\).*/\1/' "$WORK/control"; }
+hosts() { host_list 1 8 "$1" | sed 's/"slots":8/"slots":64/g'; }
+# crossed N: 100 requests, N at a time; each gets its own answer
+crossed() {
+	local a sleep_ms
+	rm -f "$WORK"/crossed*
+	curl -s -f -Z --parallel-max "$1" --stderr "$WORK/progress" -o "$WORK/crossed#1.#2" \
+		"$(entry_url 0)/crew-shares/crossed/echo-[0-19]-x?sleep_ms={90,5,50,20,70}"
+	for a in {0..19}; do
+		for sleep_ms in 90 5 50 20 70; do
+			grep -q "\"target\":\"/echo-$a-x?sleep_ms=$sleep_ms\"" \
+				"$WORK/crossed$a.$sleep_ms" ||
+				fail "request $a, $sleep_ms got $(cat "$WORK/crossed$a.$sleep_ms")"
+		done
+	done
+	echo "crossed order: 100 requests, $1 at a time, each got its own answer"
+}
 pool_serves() { curl -sf "$(entry_url 0)/crew-shares/$1/ping"; }
 
 write_settings 1
 start_platform || fail "platform"
-platform "$(host_list 1 8 | sed 's/"slots":8/"slots":64/g')" || fail "host list"
+platform "$(hosts '')" || fail "host list"
 for i in 0 1 2 3 4; do start "worker$i" "$BUILD/faultd" $((BASE + 400 + i)); done
 for i in 5 6 7; do start_worker $i; done
 start_fleet 0
@@ -80,6 +98,15 @@
 	wait_until 13 pool_serves $pool || fail "pool $pool"
 done
 
+# A worker that fails everything costs no caller an idempotent request.
+worker_control 5 '{"mode":"fail"}'
+crossed 10
+[ "$(metric "$(entry_url 0)" worker_ejections_total)" = 1 ] || fail "no ejection"
+worker_control 5 '{"mode":"ok"}'
+before=$(runs 5)
+is_probed() { pool_serves crossed && [ "$(runs 5)" -gt "$before" ]; }
+wait_until 13 is_probed || fail "no probe"
+
 # A connection that was used before breaks, and the worker is gone when
 # libcurl connects again: the request was read, so it is not "not run". A
 # later attempt that finds no worker does not change that.
@@ -109,18 +136,21 @@
 grep -q 'answered 0,' "$WORK/result" || fail "late: $(cat "$WORK/result")"
 
 # Answers in crossed order: each is that of its own request.
-curl -s -Z --parallel-max 20 --stderr "$WORK/progress" -o "$WORK/crossed#1.#2" \
-	"$(entry_url 0)/crew-shares/crossed/echo-[0-19]-x?sleep_ms={90,5,50,20,70}"
-crossed=0
-for a in {0..19}; do
-	for sleep_ms in 90 5 50 20 70; do
-		body=$(cat "$WORK/crossed$a.$sleep_ms")
-		[[ $body == *"\"target\":\"/echo-$a-x?sleep_ms=$sleep_ms\""* ]] &&
-			crossed=$((crossed + 1))
-		[[ $body == *'"target"'* && $body != *"/echo-$a-x?sleep_ms=$sleep_ms\""* ]] &&
-			fail "request $a, $sleep_ms got $body"
-	done
-done
-[ $crossed = 100 ] || fail "only $crossed of 100 requests were answered"
-echo "crossed order: $crossed of 100 answered, each its own"
+crossed 20
+
+# Work for a worker that the platform lists as leaving, or that is drained,
+# ends within 3 s; for one that said that it is leaving, with its refusal.
+leaving='{"mode":"leaving"}'
+platform "$(hosts ' 5 ')" || fail "host list"
+ctl drain w6 >/dev/null || fail "drain"
+sleep 3
+before=$(runs 5)/$(runs 6)
+crossed 8
+[ "$(runs 5)/$(runs 6)" = "$before" ] || fail "a worker that leaves gets work"
+worker_control 7 "$leaving"
+pool_serves crossed && fail "a leaving worker was to refuse"
+worker_control 7 '{"mode":"ok"}'
+before=$(runs 7)
+pool_serves crossed && fail "the request should have been refused"
+[ "$(runs 7)" = "$before" ] || fail "a worker that refused as leaving gets work"
 echo ok
--- a/tests/workerd.c
+++ b/tests/workerd.c
@@ -1,8 +1,8 @@
 /*
- * Stand-in for a worker: answers after sleep_ms of the query, at most SLOTS
- * at a time, and counts how often each Idempotency-Key was run. POST /control
- * sets its mode: {"mode": "ok" | "fail" | "leaving" | "hang"}; GET /control
- * tells the counts.
+ * Stand-in for a worker: answers after sleep_ms of the query (at once in mode
+ * "fail"), at most SLOTS at a time, and counts how often each Idempotency-Key
+ * was run. POST /control sets its mode:
+ * {"mode": "ok" | "fail" | "leaving" | "hang"}; GET /control tells the counts.
  */
 
 #include <inttypes.h>
@@ -115,7 +115,7 @@
 	if (active > most_active)
 		most_active = active;
 	count_key(request);
-	if (!sleep_text && strcmp(mode, "hang")) {
+	if (!strcmp(mode, "fail") || (!sleep_text && strcmp(mode, "hang"))) {
 		finish(request);
 		return;
 	}
