--- a/src/rte.c
+++ b/src/rte.c
@@ -414,10 +414,15 @@
 			  : NULL;
 }
 
+/* Requests that may be in progress; each takes a slot and a connection. */
 static uint32_t own_slots(const struct rte *rte,
 			  const struct rte_worker *worker)
 {
-	return rte->isolated ? worker->near_slots : worker->own_slots;
+	uint32_t slots = rte->isolated ? worker->near_slots : worker->own_slots;
+	uint32_t connections = rte->isolated ? worker->near_connections
+					     : worker->own_connections;
+
+	return slots < connections ? slots : connections;
 }
 
 /* Whether the entry daemon may send to a worker at all. */
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -194,6 +194,20 @@
 }
 END_TEST
 
+/* Guards against more connections than a worker allows. */
+START_TEST(connections_bound_requests)
+{
+	add_workers(1, 1);
+	apply("\"type\":\"host\",\"host\":\"w0\",\"data_centre\":\"suva\","
+	      "\"rack\":\"r\",\"address\":\"127.0.0.1\",\"port\":80,"
+	      "\"cpu_milli\":1,\"mem_mib\":1,\"accelerators\":0,\"slots\":8,"
+	      "\"connections\":3");
+	join(0);
+	join(1);
+	ck_assert_uint_eq(slots_of(0, 0) + slots_of(1, 0), 3);
+}
+END_TEST
+
 /* Guards against slots left to members that stopped sending, and against
    sending to a data centre whose members have all expired. */
 START_TEST(shares_follow_leases)
@@ -381,6 +395,7 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, shares_add_up);
 	tcase_add_test(tcase, shares_are_balanced);
+	tcase_add_test(tcase, connections_bound_requests);
 	tcase_add_test(tcase, shares_follow_leases);
 	tcase_add_loop_test(tcase, ejection_is_bounded, 1, 7);
 	tcase_add_test(tcase, probes_are_single_and_rarer);
