Claim the keys of non-idempotent requests on the log

Change: clf follows the claims stream, appends batches and serves struct fwd_claims. The entry daemon takes platform_url and claim_window_ms; without platform_url a non-idempotent request with a key is refused as not run. fwd claims the key before the first attempt, sends once, and releases the key when the request was surely not run. plank-load sends Plank-Key-Time-Ms.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host fst_member snp mbr rte clm
 AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rps rpf vew adm fwd \
-	ctl rpt hst arr
+	ctl rpt hst arr clf
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -125,6 +125,7 @@
 				// Entry daemon of entry host $i.
 				"name": "e$i", "data_centre": "$(data_centre "$i")",
 				"address": "127.0.0.1", "http_port": $((BASE + 100 + i)),
+				"platform_url": "$(platform_url)", ${ENTRY_SETTINGS:-}
 				"fleet": [${fleet%,}]
 			}
 		JSON
--- a/src/cnf.c
+++ b/src/cnf.c
@@ -35,6 +35,8 @@
 	  1000000, 2000, FLEET },
 	{ "stop_delay_ms", offsetof(struct cnf, stop_delay_ms), 0, HOUR_MS, 0,
 	  ENTRY },
+	{ "claim_window_ms", offsetof(struct cnf, claim_window_ms), 1000,
+	  24 * HOUR_MS, LIM_CLAIM_WINDOW_MS, ENTRY },
 	{ "stop_grace_ms", offsetof(struct cnf, stop_grace_ms), 0, HOUR_MS,
 	  LIM_STOP_GRACE_MS, ENTRY | FLEET },
 };
@@ -122,6 +124,20 @@
 	}
 }
 
+static void read_platform_url(struct cnf *cnf, const struct jsn *root,
+			      enum cnf_role role)
+{
+	struct jsn at = jsn_member(root, "platform_url");
+
+	if (role == CNF_ENTRY && !at.value)
+		return;
+	jsn_string(&at, cnf->platform_url, sizeof(cnf->platform_url), NULL);
+	if (at.err->kind == ERR_OK && strncmp(cnf->platform_url, "http://", 7))
+		jsn_refuse(&at, "a URL that begins with http://");
+	if (cnf->platform_url[strcspn(cnf->platform_url, " \t\r\n\"?#")])
+		jsn_refuse(&at, "a URL without spaces, query or fragment");
+}
+
 static void read_root(struct cnf *cnf, const struct jsn *root,
 		      enum cnf_role role)
 {
@@ -129,7 +145,6 @@
 	const char *peers_key = role == CNF_FLEET ? "peers" : "fleet";
 	struct jsn name_at = jsn_member(root, "name");
 	struct jsn data_centre_at = jsn_member(root, "data_centre");
-	struct jsn url_at = jsn_member(root, "platform_url");
 	struct jsn expire_at = jsn_member(root, "expire_ms");
 	struct jsn peers_at = jsn_member(root, peers_key);
 	size_t count = 3;
@@ -138,10 +153,9 @@
 		if (numbers[i].roles & 1u << role)
 			keys[count++] = numbers[i].key;
 	keys[count++] = peers_key;
-	if (role == CNF_FLEET) {
-		keys[count++] = "platform_url";
+	keys[count++] = "platform_url";
+	if (role == CNF_FLEET)
 		keys[count++] = "operators";
-	}
 	jsn_keys(root, keys);
 	jsn_name(&name_at, cnf->name, sizeof(cnf->name));
 	jsn_name(&data_centre_at, cnf->data_centre, sizeof(cnf->data_centre));
@@ -155,17 +169,12 @@
 					numbers[i].fallback);
 	}
 	read_peers(cnf, root, peers_key);
+	read_platform_url(cnf, root, role);
 	if (role == CNF_ENTRY) {
 		if (!cnf->peer_count)
 			jsn_refuse(&peers_at, "one fleet daemon or more");
 		return;
 	}
-	jsn_string(&url_at, cnf->platform_url, sizeof(cnf->platform_url), NULL);
-	if (url_at.err->kind == ERR_OK &&
-	    strncmp(cnf->platform_url, "http://", 7))
-		jsn_refuse(&url_at, "a URL that begins with http://");
-	if (cnf->platform_url[strcspn(cnf->platform_url, " \t\r\n\"?#")])
-		jsn_refuse(&url_at, "a URL without spaces, query or fragment");
 	/* A member must stop before others may propose its expiry. */
 	if (cnf->expire_ms <= cnf->lease_ms ||
 	    cnf->lease_ms <= cnf->heartbeat_ms)
--- a/src/cnf.h
+++ b/src/cnf.h
@@ -38,8 +38,10 @@
 	char data_centre[LIM_NAME_BYTES];
 	char address[LIM_ADDRESS_BYTES];
 	int64_t http_port;
-	int64_t rpc_port;		  /* fleet daemon only */
-	char platform_url[CNF_URL_BYTES]; /* fleet daemon only */
+	int64_t rpc_port; /* fleet daemon only */
+	/* Entry daemon: empty if there is none; keys are then not claimed. */
+	char platform_url[CNF_URL_BYTES];
+	int64_t claim_window_ms; /* entry daemon only */
 	int64_t heartbeat_ms;
 	int64_t lease_ms;
 	int64_t expire_ms;
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -6,6 +6,7 @@
 
 #include <apr_general.h>
 
+#include "clf.h"
 #include "cmd.h"
 #include "cnf.h"
 #include "ctr.h"
@@ -21,7 +22,8 @@
 enum counter {
 	C_REQUESTS,
 	C_FORWARD,
-	C_REFUSED_EARLY = C_FORWARD + FWD_COUNTER_COUNT,
+	C_CLAIMS = C_FORWARD + FWD_COUNTER_COUNT,
+	C_REFUSED_EARLY = C_CLAIMS + CLF_COUNTER_COUNT,
 	C_ACTIVE,
 	C_READY,
 	C_NEXT_OFFSET,
@@ -51,6 +53,23 @@
 					       "Attempts that failed." },
 	[C_FORWARD + FWD_TRUNCATED] = { "answers_truncated_total", CTR_COUNTER,
 					"Answers that did not arrive whole." },
+	[C_CLAIMS + CLF_CLAIMS] = { "claims_total", CTR_COUNTER,
+				    "Claims of keys." },
+	[C_CLAIMS + CLF_LOST] = { "claims_lost_total", CTR_COUNTER,
+				  "Claims of keys that another claim holds." },
+	[C_CLAIMS + CLF_RELEASES] = { "claims_released_total", CTR_COUNTER,
+				      "Claims that were released." },
+	[C_CLAIMS + CLF_TOO_OLD] = { "claims_too_old_total", CTR_COUNTER,
+				     "Claims refused for the key's time." },
+	[C_CLAIMS + CLF_APPENDS] = { "claims_appends_total", CTR_COUNTER,
+				     "Appends to the claims stream." },
+	[C_CLAIMS + CLF_INVALID] = { "claims_invalid_total", CTR_COUNTER,
+				     "Invalid records of the claims stream." },
+	[C_CLAIMS + CLF_KEYS] = { "claims_window_keys", CTR_GAUGE,
+				  "Claimed keys held in memory." },
+	[C_CLAIMS + CLF_READ_AGE_MS] = { "claims_read_age_ms", CTR_GAUGE,
+					 "Time since the claims stream was "
+					 "read; -1: never." },
 	[C_REFUSED_EARLY] = { "requests_malformed_total", CTR_COUNTER,
 			      "Requests that were malformed, too large or "
 			      "not sent to their end." },
@@ -88,6 +107,8 @@
 	struct rpl *rpl;
 	struct rpf *rpf;
 	struct rte *rte;
+	struct plt *plt; /* NULL: no platform_url */
+	struct clf *clf;
 	struct fwd *fwd;
 	struct web *web;
 
@@ -414,6 +435,42 @@
 	return rpf;
 }
 
+static uint32_t live_members(void *arg)
+{
+	const struct tbl *members =
+		rpl_state(((const struct entryd *)arg)->rpl)->members;
+	uint32_t live = 0;
+
+	for (uint32_t i = 0; i < tbl_count(members); i++)
+		live += !((const struct fst_member *)tbl_at(members, i))
+				 ->expired;
+	return live;
+}
+
+static bool start_claims(struct entryd *entryd, const struct cnf *cnf)
+{
+	char process[LIM_ID_BYTES];
+	struct clf_config config = {
+		.evl = entryd->evl,
+		.ctr = entryd->ctr,
+		.first_counter = C_CLAIMS,
+		.author = cnf->name,
+		.incarnation = entryd->incarnation,
+		.process = process,
+		.window_ms = cnf->claim_window_ms,
+		.live_members = live_members,
+		.arg = entryd,
+	};
+
+	if (!cnf->platform_url[0])
+		return true;
+	rnd_id(&entryd->rnd, process);
+	entryd->plt = plt_create(entryd->evl, cnf->platform_url);
+	config.plt = entryd->plt;
+	entryd->clf = clf_create(&config);
+	return entryd->clf != NULL;
+}
+
 static int create(struct entryd *entryd, apr_pool_t *pool, struct err *err)
 {
 	struct web_config web = {
@@ -442,6 +499,10 @@
 	fwd.evl = entryd->evl;
 	fwd.rte = entryd->rte;
 	fwd.ctr = entryd->ctr;
+	if (!start_claims(entryd, entryd->cnf))
+		return err_set(err, ERR_NO_MEMORY, "out of memory");
+	if (entryd->clf)
+		fwd.claims = clf_claims(entryd->clf);
 	entryd->fwd = fwd_create(&fwd);
 	entryd->web = web_create(entryd->evl, &web, err);
 	if (!entryd->web)
@@ -456,6 +517,8 @@
 {
 	rpf_destroy(entryd->rpf);
 	web_destroy(entryd->web);
+	plt_destroy(entryd->plt);
+	clf_destroy(entryd->clf);
 	evl_destroy(entryd->evl);
 	fwd_destroy(entryd->fwd);
 	rte_destroy(entryd->rte);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -23,6 +23,9 @@
 	const char *rest; /* what the worker gets as target */
 	bool repeatable;
 	int64_t deadline_ms;
+	const char *key; /* claimed for this request, or NULL */
+	int kind;	 /* of the failure, while the key is released */
+	const char *text;
 	uint32_t tried_count;
 	const char *tried[LIM_ATTEMPTS];
 
@@ -214,9 +217,27 @@
 	forward->fwd->active--;
 }
 
+static void release_done(void *arg)
+{
+	struct forward *forward = arg;
+
+	respond_failure(forward->fwd, forward->request, forward->kind, false,
+			forward->text);
+	finish(forward);
+}
+
 static void fail(struct forward *forward, int kind, bool ran_maybe,
 		 const char *text)
 {
+	const struct fwd_claims *claims = forward->fwd->config.claims;
+
+	if (claims && forward->key && !ran_maybe) {
+		forward->kind = kind;
+		forward->text = text;
+		claims->release(claims->arg, forward->team, forward->key,
+				release_done, forward);
+		return;
+	}
 	respond_failure(forward->fwd, forward->request, kind, ran_maybe, text);
 	finish(forward);
 }
@@ -252,6 +273,9 @@
 	if (forward->tried_count < LIM_ATTEMPTS &&
 	    now(fwd) < forward->deadline_ms &&
 	    (!ran_maybe || forward->repeatable) &&
+	    /* After a claim the request is sent once; ERR_NO_WORKER tells
+	       that not a byte was. */
+	    (!forward->key || kind == ERR_NO_WORKER) &&
 	    rte_may_retry(fwd->config.rte)) {
 		count(fwd, FWD_RETRIES);
 		attempt(forward);
@@ -378,8 +402,14 @@
 		.tried_count = forward->tried_count,
 		.tried = forward->tried,
 	};
-	int status = rte_pick(fwd->config.rte, &query, &forward->worker);
+	int status;
 
+	if (forward->key && query.now_ms >= forward->deadline_ms) {
+		fail(forward, ERR_TIMEOUT, false,
+		     "the deadline passed before the request was sent");
+		return;
+	}
+	status = rte_pick(fwd->config.rte, &query, &forward->worker);
 	if (status < 0) {
 		fail(forward, status, false, err_answer(status)->message);
 		return;
@@ -423,6 +453,43 @@
 	       jsn_valid_name(forward->pool_name);
 }
 
+static void claim_done(void *arg, const struct err *result)
+{
+	struct forward *forward = arg;
+	bool held = result->kind == ERR_DUPLICATE;
+
+	if (result->kind == 0) {
+		attempt(forward);
+		return;
+	}
+	forward->key = NULL;
+	fail(forward, result->kind, held, result->text);
+}
+
+/* Claims the request's key if it has one, and goes on to the first attempt. */
+static void claim_key(struct forward *forward)
+{
+	const struct fwd_claims *claims = forward->fwd->config.claims;
+	const char *key = web_header(forward->request, "Idempotency-Key");
+	const char *time = web_header(forward->request, "Plank-Key-Time-Ms");
+
+	if (forward->repeatable || !key) {
+		attempt(forward);
+	} else if (!claims) {
+		fail(forward, ERR_UNAVAILABLE, false,
+		     "keys cannot be claimed: platform_url is not set");
+	} else if (!*key || !time || apr_atoi64(time) < 1) {
+		fail(forward, ERR_INVALID, false,
+		     "Idempotency-Key needs Plank-Key-Time-Ms, the time in ms "
+		     "since 1970 when the key was first used");
+	} else {
+		forward->key = apr_pstrdup(forward->pool, key);
+		claims->claim(claims->arg, forward->team, forward->key,
+			      apr_atoi64(time), forward->deadline_ms,
+			      claim_done, forward);
+	}
+}
+
 void fwd_start(struct fwd *fwd, struct web_request *request)
 {
 	struct forward *forward = apr_pcalloc(request->pool, sizeof(*forward));
@@ -445,7 +512,7 @@
 	forward->repeatable = is_repeatable(request);
 	forward->deadline_ms = now(fwd) + deadline_ms;
 	fwd->active++;
-	attempt(forward);
+	claim_key(forward);
 }
 
 uint32_t fwd_active(const struct fwd *fwd)
--- a/src/load.c
+++ b/src/load.c
@@ -13,6 +13,7 @@
 #include <curl/curl.h>
 
 #include "arr.h"
+#include "clk.h"
 #include "cmd.h"
 #include "err.h"
 #include "hst.h"
@@ -156,15 +157,19 @@
 
 static void set_headers(struct request *request, bool once, const char *id)
 {
-	char deadline[24];
+	char deadline[24], key_time[24];
 
 	snprintf(deadline, sizeof(deadline), "%" PRId64,
 		 load.deadline_ms[request->priority]);
 	add_header(request, "Plank-Priority",
 		   priority_names[request->priority]);
 	add_header(request, "Plank-Deadline-Ms", deadline);
-	if (once)
+	if (once) {
+		snprintf(key_time, sizeof(key_time), "%" PRId64,
+			 clk_wall_ms(clk_system()));
 		add_header(request, "Idempotency-Key", id);
+		add_header(request, "Plank-Key-Time-Ms", key_time);
+	}
 	request->headers = curl_slist_append(request->headers, "Expect:");
 	curl_easy_setopt(request->easy, CURLOPT_HTTPHEADER, request->headers);
 }
