--- a/src/load.c
+++ b/src/load.c
@@ -77,6 +77,7 @@
 	int64_t sleep_ms[PRIORITIES];
 	int64_t deadline_ms[PRIORITIES];
 	double once;
+	bool no_keys; /* non-idempotent requests without a key */
 	double duration_s;
 	double cancel;	       /* share that a wave drops */
 	double cancel_every_s; /* between waves */
@@ -164,7 +165,7 @@
 	add_header(request, "Plank-Priority",
 		   priority_names[request->priority]);
 	add_header(request, "Plank-Deadline-Ms", deadline);
-	if (once) {
+	if (once && !load.no_keys) {
 		snprintf(key_time, sizeof(key_time), "%" PRId64,
 			 clk_wall_ms(clk_system()));
 		add_header(request, "Idempotency-Key", id);
@@ -525,6 +526,8 @@
 		arg_dbl0(NULL, "burst", "SECONDS", "length of a burst");
 	struct arg_dbl *once = arg_dbl0(NULL, "once", "SHARE",
 					"non-idempotent requests, 0 to 1");
+	struct arg_lit *no_keys =
+		arg_lit0(NULL, "no-keys", "send these without Idempotency-Key");
 	struct arg_dbl *cancel =
 		arg_dbl0(NULL, "cancel", "SHARE",
 			 "requests in progress that a wave drops (0)");
@@ -539,10 +542,10 @@
 	struct arg_lit *version =
 		arg_lit0("V", "version", "print the version and exit");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { urls,	  shape,     team,    pools,	mix,
-			  sleeps, deadlines, rate,    duration, burst,
-			  once,	  cancel,    every,   seed,	max_lost,
-			  json,	  help,	     version, end };
+	void *table[] = { urls,	    shape,     team,   pools,	 mix,
+			  sleeps,   deadlines, rate,   duration, burst,
+			  once,	    no_keys,   cancel, every,	 seed,
+			  max_lost, json,      help,   version,	 end };
 	int faults = arg_parse(argc, argv, table);
 	const struct shape *base = find_shape(text_or(shape, "flat"));
 	const char *fault = base ? NULL : "--shape: no such shape";
@@ -566,6 +569,7 @@
 			read_pools(pool_text);
 			load.team = text_or(team, base->team);
 			load.once = number_or(once, base->once);
+			load.no_keys = no_keys->count > 0;
 			if (!read_triple(text_or(mix, base->mix), 0,
 					 load.mix) ||
 			    load.mix[0] + load.mix[1] + load.mix[2] != 100)
