--- a/src/fwd.c
+++ b/src/fwd.c
@@ -137,10 +137,12 @@
 {
 	struct fwd *fwd = forward->fwd;
 
-	/* A claimed request is sent once, whatever the worker says of it. */
+	/* A claimed request is written to one worker only, whatever that
+	   worker says of it. */
 	return forward->tried_count < LIM_ATTEMPTS &&
 	       forward->failed_count < LIM_FAILED_WORKERS &&
-	       now(fwd) < forward->entry.deadline_ms && !forward->claim &&
+	       now(fwd) < forward->entry.deadline_ms &&
+	       !(forward->claim && forward->sent) &&
 	       (!forward->ran_maybe || forward->repeatable) &&
 	       rte_may_retry(fwd->config.rte);
 }
@@ -334,12 +336,35 @@
 	return true;
 }
 
+static void expired(void *arg, struct adq_entry *entry)
+{
+	struct forward *forward = (struct forward *)entry;
+	struct fwd *fwd = arg;
+
+	count(fwd, FWD_EXPIRED + entry->priority);
+	forward->retry_ms = adq_expected_wait(entry->pool, entry->priority);
+	if (forward->ran_maybe)
+		fwd_end_failed(forward, forward->failure.kind,
+			       forward->failure.text);
+	else
+		fwd_end_failed(forward, ERR_EXPIRED,
+			       err_answer(ERR_EXPIRED)->message);
+}
+
 /* Starts the taken request; false if the pool can start no more now. */
 static bool start(struct forward *forward, bool has_slots)
 {
 	struct fwd *fwd = forward->fwd;
-	int status = pick(forward);
+	int status;
 
+	/* A process that was paused may get here before its tick expires
+	   what is queued. */
+	if (now(fwd) >= forward->entry.deadline_ms) {
+		adq_end(fwd->adq, &forward->entry, false, now(fwd));
+		expired(fwd, &forward->entry);
+		return true;
+	}
+	status = pick(forward);
 	if (status < 0)
 		return start_failed(forward, status, has_slots);
 	*adq_pool_stalled_ms(forward->entry.pool) = 0;
@@ -406,21 +431,6 @@
 	fwd->dispatching = false;
 }
 
-static void expired(void *arg, struct adq_entry *entry)
-{
-	struct forward *forward = (struct forward *)entry;
-	struct fwd *fwd = arg;
-
-	count(fwd, FWD_EXPIRED + entry->priority);
-	forward->retry_ms = adq_expected_wait(entry->pool, entry->priority);
-	if (forward->ran_maybe)
-		fwd_end_failed(forward, forward->failure.kind,
-			       forward->failure.text);
-	else
-		fwd_end_failed(forward, ERR_EXPIRED,
-			       err_answer(ERR_EXPIRED)->message);
-}
-
 /* The caller is gone: nobody reads the answer, and no work is left for it. */
 static void cancel(struct forward *forward)
 {
@@ -559,16 +569,19 @@
 	forward->request = request;
 	forward->pool = request->pool;
 	wrong = fwd_read(forward, now(fwd));
-	if (!wrong) {
-		claims = fwd->config.claims && key && !forward->repeatable;
-		if (claims && !key_time_ms)
-			wrong = "Plank-Key-Time-Ms must be the time in ms when "
-				"the key was first used";
-	}
+	claims = key && !forward->repeatable;
+	if (!wrong && claims && (!*key || !key_time_ms))
+		wrong = "Idempotency-Key needs Plank-Key-Time-Ms, the time in "
+			"ms since 1970 when the key was first used";
 	if (wrong) {
 		fwd_refuse(fwd, request, ERR_INVALID, wrong);
 		return;
 	}
+	if (claims && !fwd->config.claims) {
+		fwd_refuse(fwd, request, ERR_UNAVAILABLE,
+			   "keys cannot be claimed: platform_url is not set");
+		return;
+	}
 	status = check_pool(forward);
 	if (status < 0) {
 		fwd_refuse(fwd, request, status, failure_text(forward, status));
--- a/tests/test_fwd.c
+++ b/tests/test_fwd.c
@@ -229,6 +229,7 @@
 		strcpy(host->address, "127.0.0.1");
 		host->port = port(WORKER);
 		host->slots = 8;
+		host->connections = 64;
 		host->known = true;
 	}
 	rte_sync(rte, fst, false, NULL, 0);
