Leave no member without a slot at a pool that serves

The member with the most slots now gives one to each member without any. Shares still add up exactly.

--- a/src/rte.c
+++ b/src/rte.c
@@ -328,6 +328,142 @@
 	}
 }
 
+/* The slots of a pool's available workers, each with its owner. */
+struct pool_slots {
+	struct rte_worker **workers; /* by slot */
+	uint32_t *owners;	     /* index of the member, by slot */
+	uint32_t count;
+	uint32_t *owned; /* number, by member */
+};
+
+static uint32_t owner_of(const struct rte_worker *worker, uint32_t number,
+			 const struct share_member *members, uint32_t count,
+			 bool near)
+{
+	uint64_t hash =
+		rnd_hash(RND_HASH_START, worker->name, strlen(worker->name));
+	uint64_t best = 0;
+	uint32_t owner = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint64_t weight = share_weight(hash, number, members[i].hash);
+
+		if ((near ? members[i].near : members[i].live) &&
+		    weight >= best) {
+			best = weight;
+			owner = i;
+		}
+	}
+	return owner;
+}
+
+static void collect_slots(struct rte *rte, const struct fst *fst,
+			  const struct rte_pool *pool,
+			  const struct share_member *members, uint32_t count,
+			  bool near, struct pool_slots *slots)
+{
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+		struct rte_worker *worker = tbl_find(rte->workers, host->name);
+		uint32_t most;
+
+		if (!worker || worker->pool != pool ||
+		    !fst_host_available(host))
+			continue;
+		most = worker->slots < worker->connections
+			       ? worker->slots
+			       : worker->connections;
+		for (uint32_t n = 0; n < most; n++) {
+			uint32_t owner =
+				owner_of(worker, n, members, count, near);
+
+			slots->workers[slots->count] = worker;
+			slots->owners[slots->count++] = owner;
+			slots->owned[owner]++;
+		}
+	}
+}
+
+static void shift_slot(struct pool_slots *slots, uint32_t from, uint32_t to,
+		       const struct share_member *members, bool near)
+{
+	uint32_t slot = 0;
+	int32_t *shift;
+
+	while (slots->owners[slot] != from)
+		slot++;
+	slots->owners[slot] = to;
+	slots->owned[from]--;
+	slots->owned[to]++;
+	shift = near ? &slots->workers[slot]->near_shift
+		     : &slots->workers[slot]->own_shift;
+	*shift += members[to].own - members[from].own;
+}
+
+/*
+ * Gives a slot of the member with the most to each member with none, while
+ * one has two or more. By hashing alone a member could have none while the
+ * pool serves, and would refuse each of its requests; with 8 slots and 6
+ * members that happens to one member in four.
+ */
+static void spread_slots(struct pool_slots *slots,
+			 const struct share_member *members, uint32_t count,
+			 bool near)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t most = 0;
+
+		if (!(near ? members[i].near : members[i].live) ||
+		    slots->owned[i])
+			continue;
+		for (uint32_t k = 1; k < count; k++)
+			if (slots->owned[k] > slots->owned[most])
+				most = k;
+		if (slots->owned[most] < 2)
+			return;
+		shift_slot(slots, most, i, members, near);
+	}
+}
+
+static void spread_pool(struct rte *rte, const struct fst *fst,
+			const struct rte_pool *pool,
+			const struct share_member *members, uint32_t count,
+			bool near)
+{
+	struct pool_slots slots = { 0 };
+	size_t most = 0;
+
+	for (uint32_t i = 0; i < pool->count; i++)
+		most += pool->workers[i]->slots;
+	slots.workers = calloc(most + 1, sizeof(struct rte_worker *));
+	slots.owners = calloc(most + 1, sizeof(*slots.owners));
+	slots.owned = calloc(count + 1, sizeof(*slots.owned));
+	if (slots.workers && slots.owners && slots.owned) {
+		collect_slots(rte, fst, pool, members, count, near, &slots);
+		spread_slots(&slots, members, count, near);
+	}
+	free(slots.workers);
+	free(slots.owners);
+	free(slots.owned);
+}
+
+static void spread_pools(struct rte *rte, const struct fst *fst,
+			 const struct share_member *members, uint32_t count)
+{
+	for (uint32_t i = 0; i < tbl_count(rte->workers); i++) {
+		struct rte_worker *worker = tbl_at(rte->workers, i);
+
+		worker->own_shift = worker->near_shift = 0;
+	}
+	for (apr_hash_index_t *at = apr_hash_first(rte->index_pool, rte->pools);
+	     at; at = apr_hash_next(at)) {
+		const struct rte_pool *pool = apr_hash_this_val(at);
+
+		spread_pool(rte, fst, pool, members, count, false);
+		spread_pool(rte, fst, pool, members, count, true);
+	}
+}
+
 static uint64_t hash_members(const struct fst *fst)
 {
 	uint64_t hash = RND_HASH_START;
@@ -368,6 +504,8 @@
 			(members[i].live || (own && own->expired));
 	}
 	share_workers(rte, members, count, own != NULL);
+	if (own && rte->pools)
+		spread_pools(rte, fst, members, count);
 	free(members);
 }
 
@@ -422,7 +560,9 @@
 	uint32_t connections = rte->isolated ? worker->near_connections
 					     : worker->own_connections;
 
-	return slots < connections ? slots : connections;
+	int32_t shift = rte->isolated ? worker->near_shift : worker->own_shift;
+
+	return (slots < connections ? slots : connections) + (uint32_t)shift;
 }
 
 /* Whether the entry daemon may send to a worker at all. */
--- a/src/rte.h
+++ b/src/rte.h
@@ -41,6 +41,10 @@
 	uint32_t own_connections;
 	uint32_t near_slots;
 	uint32_t near_connections;
+	/* Slots and connections that the shares are corrected by, so that no
+	   member is without any at a pool that has enough of them. */
+	int32_t own_shift;
+	int32_t near_shift;
 	uint64_t shares_of; /* fingerprint of what the shares follow from */
 
 	uint32_t score; /* rises with failures, falls with answers and time */
