--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # make        builds the programs into build/
 # make check  runs every test; make demo shows the whole path
+# make prove  writes docs/PROOF.md
 # make deps   installs the packages that are missing
 
 CC = gcc
@@ -53,7 +54,14 @@
 	$(CC) $(CFLAGS) $^ $(LDLIBS) -lm -o $@
 
 $(BUILD)/%: tests/%.c $(LIBRARY)
-	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -lcheck -lm -lsubunit -lrt -o $@
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(filter %.c,$^) $(LIBRARY) $(LDLIBS) \
+		-lcheck -lm -lsubunit -lrt -o $@
+
+SESSION_SOURCES = tests/session.c tests/schedule.c tests/oracle.c
+
+$(BUILD)/replay $(BUILD)/test_sessions: $(SESSION_SOURCES) \
+	$(wildcard tests/*.h)
+$(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -o $@
@@ -83,6 +91,11 @@
 	$(MAKE) $(SANITIZED) tests
 	$(MAKE) $(SANITIZED) run-unit run-process
 
+# Shows that each guard matters; its output is docs/PROOF.md.
+prove: $(BUILD)/replay
+	$(BUILD)/replay prove >$(BUILD)/PROOF.md; status=$$?; \
+	cat $(BUILD)/PROOF.md; cp $(BUILD)/PROOF.md docs/PROOF.md; exit $$status
+
 demo: deps
 	$(MAKE) all standins
 	scripts/demo.sh
@@ -123,6 +136,6 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all standins tests run-unit run-process check bench demo lint format deps rpc \
+.PHONY: all standins tests run-unit run-process check prove bench demo lint format deps rpc \
 	clean
 .SECONDARY:
--- /dev/null
+++ b/tests/oracle.c
@@ -0,0 +1,527 @@
+#include "oracle.h"
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "tbl.h"
+
+enum { MAX_CHANGES = 256, MAX_REQUESTS = 256, MAX_OFFSETS = 4096 };
+
+struct host {
+	char name[LIM_NAME_BYTES];
+	bool known;
+	bool serving; /* by the accepted records */
+	char data_centre[LIM_NAME_BYTES];
+	char team[LIM_NAME_BYTES];
+	char pool[2 * LIM_NAME_BYTES]; /* "team/pool", or empty */
+	char observed[LIM_NAME_BYTES]; /* state that the core reports */
+	char viewed[2 * LIM_NAME_BYTES];
+	uint32_t change_count;
+	struct {
+		int64_t offset;
+		bool serving;
+	} changes[MAX_CHANGES];
+};
+
+struct pool {
+	char name[LIM_NAME_BYTES]; /* "team/pool", cut where too long */
+	uint32_t min_available;
+};
+
+struct version {
+	char name[LIM_NAME_BYTES]; /* team, or "entry team" */
+	int64_t version;
+};
+
+struct accepted_id {
+	char name[LIM_NAME_BYTES];
+};
+
+struct request {
+	bool used;
+	bool cut_off;
+	bool counted;
+	char entry[LIM_NAME_BYTES];
+	char host[LIM_NAME_BYTES];
+	char pool[2 * LIM_NAME_BYTES];
+};
+
+struct oracle {
+	struct tbl *hosts;
+	struct tbl *pools;
+	struct tbl *versions; /* in force, by team */
+	struct tbl *seen;     /* versions at the replicas */
+	struct tbl *ids;
+	struct request requests[MAX_REQUESTS];
+	bool has_hash[MAX_OFFSETS];
+	uint64_t hashes[MAX_OFFSETS];
+	uint32_t cut_off_count;
+	char violations[ORACLE_PROMISE_COUNT][512];
+};
+
+const char *oracle_promise_name(enum oracle_promise promise)
+{
+	static const char *const names[ORACLE_PROMISE_COUNT] = {
+		[ORACLE_BUDGET] = "budget",	[ORACLE_ONE_POOL] = "one pool",
+		[ORACLE_GRACEFUL] = "graceful", [ORACLE_NO_NEW] = "no new work",
+		[ORACLE_SETTINGS] = "settings", [ORACLE_ONCE] = "once",
+		[ORACLE_SAME] = "same state",
+	};
+
+	return names[promise];
+}
+
+struct oracle *oracle_create(void)
+{
+	struct oracle *oracle = calloc(1, sizeof(*oracle));
+
+	oracle->hosts = tbl_create(sizeof(struct host));
+	oracle->pools = tbl_create(sizeof(struct pool));
+	oracle->versions = tbl_create(sizeof(struct version));
+	oracle->seen = tbl_create(sizeof(struct version));
+	oracle->ids = tbl_create(sizeof(struct accepted_id));
+	return oracle;
+}
+
+void oracle_destroy(struct oracle *oracle)
+{
+	tbl_destroy(oracle->hosts);
+	tbl_destroy(oracle->pools);
+	tbl_destroy(oracle->versions);
+	tbl_destroy(oracle->seen);
+	tbl_destroy(oracle->ids);
+	free(oracle);
+}
+
+__attribute__((format(printf, 3, 4))) static void
+violate(struct oracle *oracle, enum oracle_promise promise, const char *fmt,
+	...)
+{
+	va_list args;
+
+	if (oracle->violations[promise][0])
+		return;
+	va_start(args, fmt);
+	vsnprintf(oracle->violations[promise],
+		  sizeof(oracle->violations[promise]), fmt, args);
+	va_end(args);
+}
+
+static void *entity(struct tbl *tbl, const char *name)
+{
+	void *found = tbl_find(tbl, name);
+
+	return found ? found : tbl_add(tbl, name);
+}
+
+static void set_serving(struct host *host, int64_t offset, bool serving)
+{
+	host->serving = serving;
+	if (host->change_count == MAX_CHANGES)
+		return;
+	host->changes[host->change_count].offset = offset;
+	host->changes[host->change_count++].serving = serving;
+}
+
+static uint32_t available(const struct oracle *oracle, const char *pool)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < tbl_count(oracle->hosts); i++) {
+		const struct host *host = tbl_at(oracle->hosts, i);
+
+		count += host->serving && host->known &&
+			 !strcmp(host->pool, pool);
+	}
+	return count;
+}
+
+static uint32_t min_available(const struct oracle *oracle, const char *name)
+{
+	const struct pool *pool = tbl_find(oracle->pools, name);
+
+	return pool ? pool->min_available : 0;
+}
+
+static void on_drain(struct oracle *oracle, int64_t offset, struct host *host)
+{
+	bool was_available = host->serving && host->known;
+
+	set_serving(host, offset, false);
+	if (host->pool[0] && was_available &&
+	    available(oracle, host->pool) < min_available(oracle, host->pool))
+		violate(oracle, ORACLE_BUDGET,
+			"drain of %s at offset %lld leaves %u of %u hosts "
+			"needed in %s",
+			host->name, (long long)offset,
+			available(oracle, host->pool),
+			min_available(oracle, host->pool), host->pool);
+}
+
+static struct json_object *pools_of(struct json_object *settings)
+{
+	struct json_object *pools = NULL;
+
+	json_object_object_get_ex(settings, "pools", &pools);
+	return pools;
+}
+
+/* Pool of the settings that lists the host, or NULL. */
+static const char *listed_in(struct json_object *settings, const char *host)
+{
+	json_object_object_foreach(pools_of(settings), name, pool)
+	{
+		struct json_object *hosts = NULL;
+
+		json_object_object_get_ex(pool, "hosts", &hosts);
+		for (size_t i = 0; i < json_object_array_length(hosts); i++)
+			if (!strcmp(host, json_object_get_string(
+						  json_object_array_get_idx(
+							  hosts, i))))
+				return name;
+	}
+	return NULL;
+}
+
+static void take_budgets(struct oracle *oracle, const char *team,
+			 struct json_object *settings)
+{
+	char name[2 * LIM_NAME_BYTES];
+
+	json_object_object_foreach(pools_of(settings), key, value)
+	{
+		struct json_object *min = NULL;
+		struct pool *pool;
+
+		snprintf(name, sizeof(name), "%s/%s", team, key);
+		pool = entity(oracle->pools, name);
+		json_object_object_get_ex(value, "min_available", &min);
+		pool->min_available = (uint32_t)json_object_get_int(min);
+	}
+}
+
+/* Adds the hosts that only the settings name so far. */
+static void add_listed(struct oracle *oracle, int64_t offset,
+		       struct json_object *settings)
+{
+	json_object_object_foreach(pools_of(settings), name, pool)
+	{
+		struct json_object *hosts = NULL;
+
+		(void)name;
+		json_object_object_get_ex(pool, "hosts", &hosts);
+		for (size_t i = 0; i < json_object_array_length(hosts); i++) {
+			const char *key = json_object_get_string(
+				json_object_array_get_idx(hosts, i));
+
+			if (!tbl_find(oracle->hosts, key))
+				set_serving(tbl_add(oracle->hosts, key), offset,
+					    true);
+		}
+	}
+}
+
+static void place_host(struct oracle *oracle, int64_t offset, struct host *host,
+		       const char *team, struct json_object *settings)
+{
+	const char *name = listed_in(settings, host->name);
+	char pool[2 * LIM_NAME_BYTES];
+
+	if (!name) {
+		if (strcmp(host->team, team))
+			return;
+		if (host->serving)
+			violate(oracle, ORACLE_ONE_POOL,
+				"%s left %s at offset %lld while it serves",
+				host->name, host->pool, (long long)offset);
+		host->team[0] = host->pool[0] = 0;
+		return;
+	}
+	snprintf(pool, sizeof(pool), "%s/%s", team, name);
+	if (!host->pool[0] && !strcmp(host->observed, "drained"))
+		set_serving(host, offset, true);
+	snprintf(host->team, sizeof(host->team), "%s", team);
+	snprintf(host->pool, sizeof(host->pool), "%s", pool);
+}
+
+static void on_settings(struct oracle *oracle, int64_t offset,
+			const struct rec *rec)
+{
+	struct json_object *settings = json_tokener_parse(rec->settings);
+	struct version *version = entity(oracle->versions, rec->team);
+
+	version->version = offset;
+	take_budgets(oracle, rec->team, settings);
+	add_listed(oracle, offset, settings);
+	for (uint32_t i = 0; i < tbl_count(oracle->hosts); i++)
+		place_host(oracle, offset, tbl_at(oracle->hosts, i), rec->team,
+			   settings);
+	json_object_put(settings);
+}
+
+/* Of two changes with one base, the first is accepted and the other refused. */
+static void check_base(struct oracle *oracle, int64_t offset,
+		       const struct rec *rec, int status)
+{
+	const struct version *version = tbl_find(oracle->versions, rec->team);
+	int64_t in_force = version ? version->version : -1;
+
+	/* A host of another team is the other reason for a conflict. */
+	if (status == ERR_CONFLICT && rec->base == in_force &&
+	    tbl_count(oracle->versions) < 2)
+		violate(oracle, ORACLE_SETTINGS,
+			"settings at offset %lld refused on base %lld, which "
+			"was in force",
+			(long long)offset, (long long)rec->base);
+	if (status == 0 && rec->base != in_force)
+		violate(oracle, ORACLE_SETTINGS,
+			"settings at offset %lld accepted on base %lld; "
+			"version %lld was in force",
+			(long long)offset, (long long)rec->base,
+			(long long)in_force);
+}
+
+static void on_host(struct oracle *oracle, int64_t offset,
+		    const struct rec *rec)
+{
+	struct host *host = tbl_find(oracle->hosts, rec->host);
+
+	if (!host) {
+		host = tbl_add(oracle->hosts, rec->host);
+		set_serving(host, offset, true);
+	}
+	host->known = true;
+	memcpy(host->data_centre, rec->data_centre, sizeof(host->data_centre));
+}
+
+static void on_accepted(struct oracle *oracle, int64_t offset,
+			const struct rec *rec)
+{
+	struct host *host = tbl_find(oracle->hosts, rec->host);
+
+	switch (rec->type) {
+	case REC_SETTINGS:
+		on_settings(oracle, offset, rec);
+		break;
+	case REC_HOST:
+		on_host(oracle, offset, rec);
+		break;
+	case REC_DRAIN:
+		on_drain(oracle, offset, host);
+		break;
+	case REC_UNDRAIN:
+	case REC_RETURN:
+		set_serving(host, offset, true);
+		break;
+	case REC_FAIL:
+	case REC_REBOOT:
+	case REC_RETIRE:
+		set_serving(host, offset, false);
+		break;
+	default:
+		break;
+	}
+}
+
+void oracle_record(struct oracle *oracle, int64_t offset, const struct rec *rec,
+		   int status)
+{
+	if (rec->type == REC_SETTINGS)
+		check_base(oracle, offset, rec, status);
+	if (status != 0)
+		return;
+	if (rec->type != REC_MEMBER && !tbl_add(oracle->ids, rec->id))
+		violate(oracle, ORACLE_ONCE,
+			"%s at offset %lld took effect a second time",
+			rec_type_name(rec->type), (long long)offset);
+	on_accepted(oracle, offset, rec);
+}
+
+void oracle_observe(struct oracle *oracle, const char *name, const char *state,
+		    const char *team, const char *pool)
+{
+	struct host *host = tbl_find(oracle->hosts, name);
+	char in_pool[2 * LIM_NAME_BYTES] = "";
+
+	if (team[0])
+		snprintf(in_pool, sizeof(in_pool), "%s/%s", team, pool);
+	if (!host || host->serving != !strcmp(state, "serving") ||
+	    strcmp(host->pool, in_pool)) {
+		violate(oracle, ORACLE_SAME,
+			"%s is %s in '%s', by the records %s in '%s'", name,
+			state, in_pool,
+			host && host->serving ? "serving" : "out",
+			host ? host->pool : "");
+		return;
+	}
+	snprintf(host->observed, sizeof(host->observed), "%s", state);
+}
+
+static bool is_out(const struct host *host)
+{
+	return !strcmp(host->observed, "drained") ||
+	       !strcmp(host->observed, "rebooting") ||
+	       !strcmp(host->observed, "retired");
+}
+
+static bool served_at(const struct host *host, int64_t next)
+{
+	bool serving = false;
+
+	for (uint32_t i = 0; i < host->change_count; i++)
+		if (host->changes[i].offset < next)
+			serving = host->changes[i].serving;
+	return serving;
+}
+
+void oracle_send(struct oracle *oracle, const char *entry, const char *name,
+		 const char *pool, int64_t next)
+{
+	const struct host *host = tbl_find(oracle->hosts, name);
+
+	if (!host || !served_at(host, next))
+		violate(oracle, ORACLE_NO_NEW,
+			"%s sends to %s, which does not serve by the records "
+			"that it applied (next %lld)",
+			entry, name, (long long)next);
+	for (uint32_t i = 0; i < MAX_REQUESTS; i++) {
+		struct request *request = &oracle->requests[i];
+
+		if (request->used)
+			continue;
+		*request = (struct request){ .used = true };
+		snprintf(request->entry, sizeof(request->entry), "%s", entry);
+		snprintf(request->host, sizeof(request->host), "%s", name);
+		snprintf(request->pool, sizeof(request->pool), "%s", pool);
+		return;
+	}
+}
+
+void oracle_end(struct oracle *oracle, const char *entry, const char *host)
+{
+	for (uint32_t i = 0; i < MAX_REQUESTS; i++) {
+		struct request *request = &oracle->requests[i];
+
+		if (!request->used || strcmp(request->entry, entry) ||
+		    strcmp(request->host, host))
+			continue;
+		request->used = false;
+		return;
+	}
+}
+
+void oracle_crash(struct oracle *oracle, const char *entry)
+{
+	for (uint32_t i = 0; i < MAX_REQUESTS; i++)
+		if (!strcmp(oracle->requests[i].entry, entry))
+			oracle->requests[i].used = false;
+}
+
+void oracle_cut_off(struct oracle *oracle, const char *entry,
+		    const char *data_centre)
+{
+	for (uint32_t i = 0; i < MAX_REQUESTS; i++) {
+		struct request *request = &oracle->requests[i];
+		const struct host *host;
+
+		if (!request->used || strcmp(request->entry, entry))
+			continue;
+		host = tbl_find(oracle->hosts, request->host);
+		if (strcmp(host->data_centre, data_centre))
+			request->cut_off = true;
+	}
+}
+
+void oracle_views_begin(struct oracle *oracle)
+{
+	for (uint32_t i = 0; i < tbl_count(oracle->hosts); i++)
+		((struct host *)tbl_at(oracle->hosts, i))->viewed[0] = 0;
+}
+
+void oracle_view(struct oracle *oracle, const char *entry, const char *name,
+		 const char *pool)
+{
+	struct host *host = tbl_find(oracle->hosts, name);
+
+	if (host->viewed[0] && strcmp(host->viewed, pool))
+		violate(oracle, ORACLE_ONE_POOL,
+			"%s uses %s for %s, another entry host for %s", entry,
+			name, pool, host->viewed);
+	if (is_out(host))
+		violate(oracle, ORACLE_GRACEFUL, "%s would send to %s, is %s",
+			entry, name, host->observed);
+	snprintf(host->viewed, sizeof(host->viewed), "%s", pool);
+}
+
+void oracle_check(struct oracle *oracle)
+{
+	for (uint32_t i = 0; i < MAX_REQUESTS; i++) {
+		struct request *request = &oracle->requests[i];
+		const struct host *host;
+
+		if (!request->used)
+			continue;
+		host = tbl_find(oracle->hosts, request->host);
+		if (request->cut_off) {
+			oracle->cut_off_count +=
+				is_out(host) && !request->counted;
+			request->counted |= is_out(host);
+			continue;
+		}
+		if (is_out(host))
+			violate(oracle, ORACLE_GRACEFUL,
+				"%s has a request in flight at %s, which is %s",
+				request->entry, request->host, host->observed);
+		if (host->viewed[0] && strcmp(host->viewed, request->pool))
+			violate(oracle, ORACLE_ONE_POOL,
+				"%s has a request for %s in flight at %s, "
+				"used for %s",
+				request->entry, request->pool, request->host,
+				host->viewed);
+	}
+}
+
+void oracle_version(struct oracle *oracle, const char *entry, const char *team,
+		    int64_t number)
+{
+	char name[LIM_NAME_BYTES];
+	struct version *version;
+
+	snprintf(name, sizeof(name), "%.30s %.30s", entry, team);
+	version = entity(oracle->seen, name);
+	if (number < version->version)
+		violate(oracle, ORACLE_SETTINGS,
+			"%s went back from version %lld of %s to %lld", entry,
+			(long long)version->version, team, (long long)number);
+	version->version = number;
+}
+
+void oracle_bytes(struct oracle *oracle, const char *replica, int64_t next,
+		  uint64_t hash)
+{
+	if (next >= MAX_OFFSETS)
+		return;
+	if (oracle->has_hash[next] && oracle->hashes[next] != hash)
+		violate(oracle, ORACLE_SAME,
+			"%s holds another state before offset %lld", replica,
+			(long long)next);
+	oracle->has_hash[next] = true;
+	oracle->hashes[next] = hash;
+}
+
+const char *oracle_violation(const struct oracle *oracle,
+			     enum oracle_promise promise)
+{
+	return oracle->violations[promise][0] ? oracle->violations[promise]
+					      : NULL;
+}
+
+uint32_t oracle_cut_off_count(const struct oracle *oracle)
+{
+	return oracle->cut_off_count;
+}
--- /dev/null
+++ b/tests/session.c
@@ -0,0 +1,944 @@
+#include "session.h"
+
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "fst.h"
+#include "mbr.h"
+#include "rnd.h"
+#include "rpl.h"
+#include "snp.h"
+
+enum {
+	MAX_ENTRIES = 6,
+	MAX_RECORDS = 2000,
+	MAX_HELD = 16,
+	MAX_PENDING = 32,
+	STEP_MS = 1000,
+	PROPOSAL_MS = LIM_CHANGE_TIMEOUT_MS,
+	LINE_BYTES = 512
+};
+
+/* A proposal that the entry host has not read back. */
+struct pending {
+	char key[3 * LIM_NAME_BYTES];
+	char id[LIM_ID_BYTES];
+	int64_t since_ms;
+};
+
+struct entry {
+	char name[LIM_NAME_BYTES];
+	char data_centre[LIM_NAME_BYTES];
+	struct session *session;
+	int64_t incarnation;
+	bool up, paused, joined, ready, leaving, lose, hold;
+	int32_t lag; /* records a step, or -1 */
+	int64_t lease_until_ms;
+	bool lease_ended;
+	struct rpl *rpl;
+	struct mbr *mbr;
+	struct tbl *in_flight; /* struct load, by host */
+	struct tbl *asked;     /* struct mbr_entry, its own */
+	uint32_t held_count;
+	char *held[MAX_HELD];
+	uint32_t pending_count;
+	struct pending pending[MAX_PENDING];
+};
+
+struct load {
+	char name[LIM_NAME_BYTES];
+	uint32_t count;
+};
+
+struct cut {
+	char name[LIM_NAME_BYTES];
+};
+
+/* A record of the log, and what the entry hosts look for in it. */
+struct stored {
+	char *text;
+	size_t len;
+	char id[LIM_ID_BYTES];
+	char heartbeat_of[LIM_NAME_BYTES]; /* empty: another record */
+	int64_t incarnation;
+	int64_t at_ms;
+};
+
+struct session {
+	uint32_t off;
+	uint32_t promises;
+	FILE *out;
+	struct session_result *result;
+	struct oracle *oracle;
+	int64_t now_ms;
+	bool changed; /* since the oracle saw the last instant */
+	uint32_t ids;
+	int64_t incarnations;
+	struct rpl *head; /* applies each record as it is stored */
+	struct err applied;
+	int64_t count;
+	struct stored log[MAX_RECORDS];
+	struct tbl *cuts;
+	char *snapshot;
+	size_t snapshot_len;
+	uint32_t entry_count;
+	struct entry entries[MAX_ENTRIES];
+};
+
+static const char *const guard_names[GUARD_COUNT] = {
+	[GUARD_BUDGET] = "budget",
+	[GUARD_IN_FLIGHT] = "in-flight",
+	[GUARD_DRAINING] = "draining",
+	[GUARD_LEASE] = "lease",
+	[GUARD_CAUGHT_UP] = "caught-up",
+	[GUARD_ALL_QUIET] = "all-quiet",
+	[GUARD_LOCAL] = "local",
+	[GUARD_SEEN] = "seen",
+	[GUARD_JOINED] = "joined",
+	[GUARD_BASE] = "base",
+	[GUARD_IDS] = "ids",
+	[GUARD_TAIL] = "tail",
+	[GUARD_MOVE] = "move",
+	[GUARD_EVERY] = "every",
+	[GUARD_SNAPSHOT] = "snapshot",
+	[GUARD_CUT_OFF] = "cut-off",
+};
+
+const char *session_guard_name(int guard)
+{
+	return guard < GUARD_COUNT ? guard_names[guard] : NULL;
+}
+
+static bool is_off(const struct session *session, enum session_guard guard)
+{
+	return session->off & 1u << guard;
+}
+
+/* The state as the core has it, open to the guards' changes. */
+static struct fst *state_of(const struct rpl *rpl)
+{
+	return (struct fst *)rpl_state(rpl);
+}
+
+static void set_result(void *arg, int64_t offset, const struct rec *rec,
+		       const struct err *result)
+{
+	(void)offset;
+	(void)rec;
+	((struct session *)arg)->applied = *result;
+}
+
+static struct rpl *create_replica(struct session *session)
+{
+	struct rpl *rpl = rpl_create();
+
+	rpl_on_applied(rpl, set_result, session);
+	return rpl;
+}
+
+/* Moves hosts to the pools of settings that are about to be applied. */
+static void move_hosts(struct fst *fst, const struct rec *rec)
+{
+	struct tms *settings =
+		tms_parse(rec->settings, strlen(rec->settings), NULL);
+
+	for (uint32_t i = 0; settings && i < tbl_count(fst->hosts); i++) {
+		struct fst_host *host = tbl_at(fst->hosts, i);
+		const struct tms_pool *pool = tms_pool_of(settings, host->name);
+
+		if (pool && !strcmp(host->team, rec->team))
+			snprintf(host->pool, sizeof(host->pool), "%s",
+				 pool->name);
+	}
+	tms_destroy(settings);
+}
+
+/* What a replica without the guards that are off takes the record for. */
+static void change_record(const struct session *session, struct fst *fst,
+			  int64_t offset, struct rec *rec)
+{
+	const struct fst_team *team = fst_team(fst, rec->team);
+	const struct fst_member *member = fst_member(fst, rec->member);
+
+	if (is_off(session, GUARD_BASE) && rec->type == REC_SETTINGS)
+		rec->base = team ? team->version : FST_NONE;
+	if (is_off(session, GUARD_MOVE) && rec->type == REC_SETTINGS && team &&
+	    rec->base == team->version)
+		move_hosts(fst, rec);
+	if (is_off(session, GUARD_SEEN) && rec->type == REC_MEMBER_EXPIRED &&
+	    member)
+		rec->seen = member->seen_offset;
+	if (is_off(session, GUARD_IDS))
+		snprintf(rec->id, sizeof(rec->id), "%032" PRIx64, offset);
+}
+
+static void change_hosts(const struct session *session, struct fst *fst)
+{
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		struct fst_host *host = tbl_at(fst->hosts, i);
+		bool live_quiet = true;
+
+		if (host->state != FST_DRAINING)
+			continue;
+		for (uint32_t k = 0; k < tbl_count(fst->members); k++) {
+			const struct fst_member *member =
+				tbl_at(fst->members, k);
+
+			live_quiet =
+				live_quiet &&
+				(member->expired ||
+				 member->join_offset > host->drain_offset ||
+				 fst_is_quiet(host, member));
+		}
+		if ((is_off(session, GUARD_ALL_QUIET) && host->quiet_count) ||
+		    (is_off(session, GUARD_LOCAL) && live_quiet))
+			host->state = FST_DRAINED;
+	}
+}
+
+/* Applies the record at an offset to a replica, less the guards that are off */
+static int apply_at(struct session *session, struct rpl *rpl, int64_t offset)
+{
+	const struct stored *stored = &session->log[offset];
+	struct fst *fst = state_of(rpl);
+	struct rec rec;
+	char *text;
+
+	if (!session->off) {
+		rpl_apply(rpl, offset, stored->text, stored->len);
+		return session->applied.kind;
+	}
+	if (rec_parse(&rec, stored->text, stored->len, NULL) < 0)
+		abort();
+	change_record(session, fst, offset, &rec);
+	text = rec_encode(&rec);
+	rpl_apply(rpl, offset, text, strlen(text));
+	free(text);
+	if (is_off(session, GUARD_BUDGET) &&
+	    session->applied.kind == ERR_BUDGET && rec.type == REC_DRAIN) {
+		struct fst_host *host = fst_host(fst, rec.host);
+
+		host->state = FST_DRAINING;
+		host->drain_offset = offset;
+		session->applied.kind = ERR_OK;
+	}
+	if (is_off(session, GUARD_ALL_QUIET) || is_off(session, GUARD_LOCAL))
+		change_hosts(session, fst);
+	rec_clear(&rec);
+	return session->applied.kind;
+}
+
+static void print(struct session *session, const char *what, const char *result)
+{
+	if (session->out)
+		fprintf(session->out, "%s -> %s\n", what, result);
+}
+
+static void observe_head(struct session *session)
+{
+	const struct fst *fst = rpl_state(session->head);
+
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+
+		oracle_observe(session->oracle, host->name,
+			       fst_host_state_name(host->state), host->team,
+			       host->pool);
+	}
+}
+
+/* Stores a record; the result is that of every replica at its offset. */
+static void append(struct session *session, const char *text)
+{
+	int64_t offset = session->count;
+	struct stored *stored = &session->log[offset];
+	char what[LINE_BYTES];
+	struct rec rec;
+	int status;
+
+	if (session->count == MAX_RECORDS)
+		return;
+	if (rec_parse(&rec, text, strlen(text), NULL) < 0)
+		abort();
+	session->changed = true;
+	session->count++;
+	stored->text = strdup(text);
+	stored->len = strlen(text);
+	stored->incarnation = rec.incarnation;
+	stored->at_ms = rec.at_ms;
+	memcpy(stored->id, rec.id, sizeof(stored->id));
+	if (rec.type == REC_MEMBER)
+		memcpy(stored->heartbeat_of, rec.member, LIM_NAME_BYTES);
+	status = apply_at(session, session->head, offset);
+	oracle_record(session->oracle, offset, &rec, status);
+	observe_head(session);
+	session->result->records++;
+	session->result->accepted += status == 0;
+	snprintf(what, sizeof(what), "  %" PRId64 " %s %s%s%s by %s", offset,
+		 rec_type_name(rec.type), rec.team, rec.host,
+		 rec.type == REC_QUIET ? "" : rec.member, rec.author);
+	if (rec.type != REC_MEMBER || status == 0)
+		print(session, what, status ? err_name(status) : "accepted");
+	rec_clear(&rec);
+}
+
+static void append_record(struct session *session, struct rec *rec,
+			  const char *author)
+{
+	char *text;
+
+	snprintf(rec->id, sizeof(rec->id), "%032x", ++session->ids);
+	snprintf(rec->author, sizeof(rec->author), "%s", author);
+	rec->at_ms = session->now_ms;
+	text = rec_encode(rec);
+	append(session, text);
+	free(text);
+}
+
+static bool reaches_log(const struct entry *entry)
+{
+	return !tbl_find(entry->session->cuts, entry->data_centre);
+}
+
+static void propose(void *arg, const char *key, struct rec *rec)
+{
+	struct entry *entry = arg;
+	struct session *session = entry->session;
+	struct pending *pending;
+	char *text;
+
+	for (uint32_t i = 0; i < entry->pending_count; i++)
+		if (!strcmp(entry->pending[i].key, key))
+			return;
+	if (entry->pending_count == MAX_PENDING || !reaches_log(entry))
+		return;
+	snprintf(rec->id, sizeof(rec->id), "%032x", ++session->ids);
+	memcpy(rec->author, entry->name, sizeof(rec->author));
+	rec->at_ms = session->now_ms;
+	pending = &entry->pending[entry->pending_count++];
+	snprintf(pending->key, sizeof(pending->key), "%s", key);
+	memcpy(pending->id, rec->id, sizeof(pending->id));
+	pending->since_ms = session->now_ms;
+	text = rec_encode(rec);
+	if (entry->hold && entry->held_count < MAX_HELD) {
+		entry->held[entry->held_count++] = text;
+		return;
+	}
+	append(session, text);
+	if (entry->lose)
+		append(session, text);
+	entry->lose = false;
+	free(text);
+}
+
+static void start_process(struct session *session, struct entry *entry)
+{
+	struct mbr_config config = {
+		.name = entry->name,
+		.address = "127.0.0.1",
+		.rpc_port = 1,
+		.heartbeat_ms = LIM_HEARTBEAT_MS,
+		.expire_ms = LIM_EXPIRE_MS,
+		.propose = propose,
+		.arg = entry,
+	};
+	struct mbr_entry *asked;
+
+	entry->session = session;
+	entry->up = true;
+	entry->lag = -1;
+	entry->incarnation = ++session->incarnations;
+	entry->rpl = create_replica(session);
+	if (session->snapshot)
+		rpl_adopt(entry->rpl, session->snapshot, session->snapshot_len,
+			  NULL);
+	entry->mbr = mbr_create(&config);
+	entry->in_flight = tbl_create(sizeof(struct load));
+	entry->asked = tbl_create(sizeof(struct mbr_entry));
+	asked = tbl_add(entry->asked, entry->name);
+	memcpy(asked->data_centre, entry->data_centre,
+	       sizeof(asked->data_centre));
+	asked->incarnation = entry->incarnation;
+}
+
+static void end_process(struct entry *entry)
+{
+	struct mbr_entry *asked = tbl_at(entry->asked, 0);
+	struct entry next = { 0 };
+
+	rpl_destroy(entry->rpl);
+	mbr_destroy(entry->mbr);
+	free(asked->quiet);
+	tbl_destroy(entry->in_flight);
+	tbl_destroy(entry->asked);
+	for (uint32_t i = 0; i < entry->held_count; i++)
+		free(entry->held[i]);
+	memcpy(next.name, entry->name, sizeof(next.name));
+	memcpy(next.data_centre, entry->data_centre, sizeof(next.data_centre));
+	*entry = next;
+}
+
+static void restart(struct entry *entry)
+{
+	struct session *session = entry->session;
+
+	oracle_crash(session->oracle, entry->name);
+	end_process(entry);
+	start_process(session, entry);
+}
+
+static bool is_local(const struct entry *entry, const struct fst_host *host)
+{
+	return !strcmp(entry->data_centre, host->data_centre);
+}
+
+/* Whether the entry host would send to the host now, by its own state. */
+static bool may_send(const struct entry *entry, const struct fst_host *host)
+{
+	const struct session *session = entry->session;
+	const struct fst_member *member =
+		fst_member(rpl_state(entry->rpl), entry->name);
+	bool serves = host->state == FST_SERVING ||
+		      (is_off(session, GUARD_DRAINING) &&
+		       host->state == FST_DRAINING);
+
+	if (!entry->up || !entry->ready || entry->leaving || !host->team[0] ||
+	    !host->known || !serves)
+		return false;
+	if (member && member->incarnation > entry->incarnation)
+		return false;
+	if (!entry->joined && !is_off(session, GUARD_JOINED))
+		return false;
+	return is_local(entry, host) || is_off(session, GUARD_LEASE) ||
+	       session->now_ms < entry->lease_until_ms;
+}
+
+static void report_bytes(struct entry *entry)
+{
+	oracle_bytes(entry->session->oracle, entry->name, rpl_next(entry->rpl),
+		     snp_hash(rpl_state(entry->rpl)));
+}
+
+static void report_versions(const struct entry *entry)
+{
+	const struct fst *fst = rpl_state(entry->rpl);
+
+	for (uint32_t i = 0; entry->ready && i < tbl_count(fst->teams); i++) {
+		const struct fst_team *team = tbl_at(fst->teams, i);
+
+		oracle_version(entry->session->oracle, entry->name, team->name,
+			       team->version);
+	}
+}
+
+static void read_back(struct entry *entry, int64_t offset, int status)
+{
+	const struct stored *stored = &entry->session->log[offset];
+
+	for (uint32_t i = entry->pending_count; i-- > 0;)
+		if (!strcmp(entry->pending[i].id, stored->id))
+			entry->pending[i] =
+				entry->pending[--entry->pending_count];
+	if (status == 0 && stored->incarnation == entry->incarnation &&
+	    !strcmp(stored->heartbeat_of, entry->name)) {
+		entry->joined = true;
+		entry->lease_until_ms = stored->at_ms + LIM_LEASE_MS;
+		entry->lease_ended = false;
+	}
+}
+
+static void follow(struct entry *entry)
+{
+	struct session *session = entry->session;
+	int32_t left = entry->lag;
+
+	if (is_off(session, GUARD_EVERY) && left > 0 &&
+	    rpl_next(entry->rpl) < session->count)
+		rpl_skip_to(entry->rpl, rpl_next(entry->rpl) + 1);
+	while (rpl_next(entry->rpl) < session->count && left-- != 0) {
+		int64_t offset = rpl_next(entry->rpl);
+		int status = apply_at(session, entry->rpl, offset);
+
+		session->changed = true;
+		read_back(entry, offset, status);
+		report_versions(entry);
+	}
+	if (rpl_next(entry->rpl) == session->count)
+		entry->ready = true;
+	/* Without this guard the fleet daemon's word is enough for a lease. */
+	if (is_off(session, GUARD_CAUGHT_UP))
+		for (int64_t i = rpl_next(entry->rpl); i < session->count; i++)
+			read_back(entry, i, 0);
+}
+
+static void list_quiet(struct entry *entry)
+{
+	const struct session *session = entry->session;
+	const struct fst *fst = rpl_state(entry->rpl);
+	struct mbr_entry *asked = tbl_at(entry->asked, 0);
+
+	asked->heard_ms = session->now_ms;
+	asked->leaving = entry->leaving;
+	free(asked->quiet);
+	asked->quiet = calloc(tbl_count(fst->hosts) + 1, sizeof(*asked->quiet));
+	asked->quiet_count = 0;
+	for (uint32_t i = 0; i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+		const struct load *load =
+			tbl_find(entry->in_flight, host->name);
+
+		if (load && load->count)
+			asked->leaving = false;
+		if (host->state != FST_DRAINING ||
+		    (load && load->count && !is_off(session, GUARD_IN_FLIGHT)))
+			continue;
+		memcpy(asked->quiet[asked->quiet_count].host, host->name,
+		       LIM_NAME_BYTES);
+		asked->quiet[asked->quiet_count++].drain = host->drain_offset;
+	}
+}
+
+static void tick(struct entry *entry)
+{
+	struct session *session = entry->session;
+	struct mbr_input input = {
+		.fst = rpl_state(entry->rpl),
+		.now_ms = session->now_ms,
+		.log_followed = reaches_log(entry),
+		.entries = entry->asked,
+	};
+
+	if (!entry->ready)
+		return;
+	for (uint32_t i = entry->pending_count; i-- > 0;)
+		if (session->now_ms - entry->pending[i].since_ms > PROPOSAL_MS)
+			entry->pending[i] =
+				entry->pending[--entry->pending_count];
+	list_quiet(entry);
+	mbr_tick(entry->mbr, &input);
+}
+
+static void end_leases(struct session *session)
+{
+	for (uint32_t i = 0; i < session->entry_count; i++) {
+		struct entry *entry = &session->entries[i];
+
+		if (session->now_ms < entry->lease_until_ms ||
+		    entry->lease_ended || !entry->lease_until_ms)
+			continue;
+		entry->lease_ended = true;
+		if (!is_off(session, GUARD_CUT_OFF))
+			oracle_cut_off(session->oracle, entry->name,
+				       entry->data_centre);
+	}
+}
+
+/* Tells the oracle what holds at this instant. */
+static void show_instant(struct session *session)
+{
+	end_leases(session);
+	session->changed = false;
+	oracle_views_begin(session->oracle);
+	for (uint32_t i = 0; i < session->entry_count; i++) {
+		struct entry *entry = &session->entries[i];
+		const struct fst *fst = rpl_state(entry->rpl);
+
+		for (uint32_t k = 0; k < tbl_count(fst->hosts); k++) {
+			const struct fst_host *host = tbl_at(fst->hosts, k);
+			char pool[2 * LIM_NAME_BYTES];
+
+			if (!may_send(entry, host))
+				continue;
+			snprintf(pool, sizeof(pool), "%s/%s", host->team,
+				 host->pool);
+			oracle_view(session->oracle, entry->name, host->name,
+				    pool);
+		}
+	}
+	oracle_check(session->oracle);
+}
+
+static bool violated(struct session *session)
+{
+	struct session_result *result = session->result;
+
+	for (int i = 0; i < ORACLE_PROMISE_COUNT && !result->violation; i++) {
+		if (!(session->promises & 1u << i))
+			continue;
+		result->promise = (enum oracle_promise)i;
+		result->violation =
+			oracle_violation(session->oracle, result->promise);
+	}
+	return result->violation != NULL;
+}
+
+static void run(struct session *session, int64_t for_ms)
+{
+	int64_t until_ms = session->now_ms + for_ms;
+
+	while (session->now_ms < until_ms && !violated(session)) {
+		session->now_ms += STEP_MS;
+		end_leases(session);
+		for (uint32_t i = 0; i < session->entry_count; i++) {
+			struct entry *entry = &session->entries[i];
+
+			if (!entry->up || entry->paused)
+				continue;
+			if (reaches_log(entry))
+				follow(entry);
+			tick(entry);
+			if (session->changed)
+				show_instant(session);
+		}
+	}
+}
+
+static void send_request(struct entry *entry, const char *team,
+			 const char *pool_name, const char *name)
+{
+	struct session *session = entry->session;
+	const struct fst_host *host = fst_host(rpl_state(entry->rpl), name);
+	char pool[2 * LIM_NAME_BYTES], what[LINE_BYTES];
+	struct load *load = tbl_find(entry->in_flight, name);
+	bool sends = host && !entry->paused && !strcmp(host->team, team) &&
+		     !strcmp(host->pool, pool_name) && may_send(entry, host);
+
+	snprintf(what, sizeof(what), "  send by %s to %s", entry->name, name);
+	print(session, what, sends ? "sent" : "not sent");
+	if (!sends)
+		return;
+	if (!load)
+		load = tbl_add(entry->in_flight, name);
+	load->count++;
+	session->result->sent++;
+	snprintf(pool, sizeof(pool), "%s/%s", team, pool_name);
+	oracle_send(session->oracle, entry->name, name, pool,
+		    rpl_next(entry->rpl));
+}
+
+static void end_request(struct entry *entry, const char *name)
+{
+	struct load *load = tbl_find(entry->in_flight, name);
+
+	if (!load || !load->count || entry->paused)
+		return;
+	load->count--;
+	oracle_end(entry->session->oracle, entry->name, name);
+}
+
+/* Settings of the team as the viewer has them, with one host placed. */
+static void place(struct entry *viewer, const char *team_name, const char *name,
+		  const char *pool_name, int min_available)
+{
+	const struct fst_team *team =
+		fst_team(rpl_state(viewer->rpl), team_name);
+	struct json_object *root = json_object_new_object();
+	struct json_object *pools = json_object_new_object();
+	struct rec rec = { .type = REC_SETTINGS, .base = FST_NONE };
+	struct json_object *hosts = NULL, *pool = NULL;
+
+	json_object_object_add(root, "pools", pools);
+	for (uint32_t i = 0; team && i < team->settings->pool_count; i++) {
+		const struct tms_pool *from = &team->settings->pools[i];
+
+		pool = json_object_new_object();
+		hosts = json_object_new_array();
+		for (uint32_t k = 0; k < from->hosts.count; k++)
+			if (strcmp(from->hosts.names[k], name))
+				json_object_array_add(
+					hosts, json_object_new_string(
+						       from->hosts.names[k]));
+		json_object_object_add(pool, "hosts", hosts);
+		json_object_object_add(
+			pool, "min_available",
+			json_object_new_int((int)from->min_available));
+		json_object_object_add(pools, from->name, pool);
+	}
+	if (strcmp(pool_name, "-")) {
+		if (!json_object_object_get_ex(pools, pool_name, &pool)) {
+			pool = json_object_new_object();
+			json_object_object_add(pool, "hosts",
+					       json_object_new_array());
+			json_object_object_add(pools, pool_name, pool);
+		}
+		json_object_object_get_ex(pool, "hosts", &hosts);
+		json_object_array_add(hosts, json_object_new_string(name));
+		json_object_object_add(pool, "min_available",
+				       json_object_new_int(min_available));
+	}
+	if (team)
+		rec.base = team->version;
+	snprintf(rec.team, sizeof(rec.team), "%s", team_name);
+	rec.settings = strdup(json_object_to_json_string(root));
+	append_record(viewer->session, &rec, "op");
+	rec_clear(&rec);
+	json_object_put(root);
+}
+
+static void change_host(struct session *session, enum rec_type type,
+			const char *name)
+{
+	const struct fst_host *host = fst_host(rpl_state(session->head), name);
+	struct rec rec = { .type = type, .reason = "session" };
+
+	snprintf(rec.host, sizeof(rec.host), "%s", name);
+	rec.drain = host && host->drain_offset > 0 ? host->drain_offset : 0;
+	append_record(session, &rec, "op");
+}
+
+static void list_host(struct session *session, const char *name,
+		      const char *data_centre)
+{
+	struct rec rec = {
+		.type = REC_HOST,
+		.rack = "r",
+		.address = "127.0.0.1",
+		.port = 80,
+		.slots = 8,
+		.connections = 64,
+	};
+
+	snprintf(rec.host, sizeof(rec.host), "%s", name);
+	snprintf(rec.data_centre, sizeof(rec.data_centre), "%s", data_centre);
+	append_record(session, &rec, "platform");
+}
+
+static void append_text(struct session *session, const char *type,
+			const char *fields)
+{
+	char text[2 * LINE_BYTES];
+	struct rec rec;
+
+	snprintf(text, sizeof(text),
+		 "{\"type\":\"%s\",\"id\":\"%032x\",\"author\":\"op\","
+		 "\"at_ms\":%" PRId64 ",%s}",
+		 type, ++session->ids, session->now_ms, fields);
+	if (rec_parse(&rec, text, strlen(text), NULL) < 0) {
+		print(session, text, "not a record");
+		return;
+	}
+	rec_clear(&rec);
+	append(session, text);
+}
+
+static void take_snapshot(struct entry *entry)
+{
+	struct session *session = entry->session;
+
+	if (!entry->up || !entry->ready)
+		return;
+	free(session->snapshot);
+	session->snapshot =
+		snp_encode(rpl_state(entry->rpl), &session->snapshot_len);
+}
+
+static void restore(struct entry *entry)
+{
+	struct session *session = entry->session;
+	int64_t until = rpl_next(entry->rpl);
+	struct rpl *rpl = create_replica(session);
+
+	if (!session->snapshot ||
+	    rpl_adopt(rpl, session->snapshot, session->snapshot_len, NULL) ||
+	    rpl_next(rpl) > until) {
+		rpl_destroy(rpl);
+		return;
+	}
+	report_bytes(entry);
+	rpl_destroy(entry->rpl);
+	entry->rpl = rpl;
+	if (is_off(session, GUARD_SNAPSHOT))
+		state_of(rpl)->id_count = 0;
+	while (!is_off(session, GUARD_TAIL) && rpl_next(rpl) < until)
+		apply_at(session, rpl, rpl_next(rpl));
+	report_versions(entry);
+	report_bytes(entry);
+}
+
+static void release(struct entry *entry)
+{
+	entry->hold = false;
+	for (uint32_t i = 0; i < entry->held_count; i++) {
+		append(entry->session, entry->held[i]);
+		free(entry->held[i]);
+	}
+	entry->held_count = 0;
+}
+
+static void start(struct session *session, const char *name,
+		  const char *data_centre)
+{
+	struct entry *entry;
+
+	if (session->entry_count == MAX_ENTRIES)
+		return;
+	entry = &session->entries[session->entry_count++];
+	snprintf(entry->name, sizeof(entry->name), "%s", name);
+	snprintf(entry->data_centre, sizeof(entry->data_centre), "%s",
+		 data_centre);
+	start_process(session, entry);
+	follow(entry);
+}
+
+static void on_entry(struct entry *entry, const char *what, char **args)
+{
+	if (!strcmp(what, "place"))
+		place(entry, args[2], args[3], args[4], atoi(args[5]));
+	else if (!strcmp(what, "lose"))
+		entry->lose = true;
+	else if (!strcmp(what, "hold"))
+		entry->hold = true;
+	else if (!strcmp(what, "release"))
+		release(entry);
+	else if (!strcmp(what, "lag"))
+		entry->lag = args[2][0] == '-' ? -1 : atoi(args[2]);
+	else if (!strcmp(what, "pause") || !strcmp(what, "resume"))
+		entry->paused = what[0] == 'p';
+	else if (!strcmp(what, "send"))
+		send_request(entry, args[2], args[3], args[4]);
+	else if (!strcmp(what, "done"))
+		end_request(entry, args[2]);
+	else if (!strcmp(what, "snapshot"))
+		take_snapshot(entry);
+	else if (!strcmp(what, "restore"))
+		restore(entry);
+	else if (!strcmp(what, "restart"))
+		restart(entry);
+	else if (!strcmp(what, "leave"))
+		entry->leaving = true;
+}
+
+static void on_event(struct session *session, char **args)
+{
+	const char *what = args[0];
+
+	if (!strcmp(what, "entry")) {
+		start(session, args[1], args[2]);
+		return;
+	}
+	for (uint32_t i = 0; i < session->entry_count; i++)
+		if (!strcmp(session->entries[i].name, args[1])) {
+			on_entry(&session->entries[i], what, args);
+			return;
+		}
+	if (!strcmp(what, "run"))
+		run(session, atoll(args[1]));
+	else if (!strcmp(what, "host"))
+		list_host(session, args[1], args[2]);
+	else if (!strcmp(what, "cut"))
+		tbl_add(session->cuts, args[1]);
+	else if (!strcmp(what, "heal"))
+		tbl_remove(session->cuts, args[1]);
+	else if (!strcmp(what, "again") && atoll(args[1]) < session->count &&
+		 atoll(args[1]) >= 0)
+		append(session,
+		       session->log[session->count - 1 - atoll(args[1])].text);
+	else if (!strcmp(what, "record"))
+		append_text(session, args[1], args[2]);
+	for (int i = REC_DRAIN; i < REC_TYPE_COUNT; i++)
+		if (i != REC_QUIET && !strcmp(what, rec_type_name(i)))
+			change_host(session, (enum rec_type)i, args[1]);
+}
+
+static void play_line(struct session *session, char *line)
+{
+	char *args[7] = { "", "", "", "", "", "", "" };
+	char *save = NULL;
+
+	line[strcspn(line, "#")] = 0;
+	if (session->out && line[0])
+		fprintf(session->out, "%s\n", line);
+	/* The fields of a record are the rest of its line. */
+	for (int i = 0; i < 6; i++) {
+		bool rest = i == 2 && !strcmp(args[0], "record");
+		char *arg = strtok_r(i ? NULL : line, rest ? "\n" : " ", &save);
+
+		if (!arg)
+			break;
+		args[i] = arg;
+	}
+	if (args[0][0])
+		on_event(session, args);
+	show_instant(session);
+}
+
+/* All replicas that reach the end of the log have to hold the same bytes. */
+static void compare_replicas(struct session *session)
+{
+	const struct fst *fst = rpl_state(session->head);
+
+	oracle_bytes(session->oracle, "log", session->count, snp_hash(fst));
+	for (uint32_t i = 0; i < session->entry_count; i++) {
+		struct entry *entry = &session->entries[i];
+
+		entry->lag = -1;
+		follow(entry);
+		report_bytes(entry);
+	}
+	for (uint32_t i = 0; session->out && i < tbl_count(fst->hosts); i++) {
+		const struct fst_host *host = tbl_at(fst->hosts, i);
+
+		fprintf(session->out, "%s %s %s/%s\n", host->name,
+			fst_host_state_name(host->state), host->team,
+			host->pool);
+	}
+}
+
+static void finish(struct session *session)
+{
+	const struct fst *fst = rpl_state(session->head);
+	uint32_t kept = fst->audit_count;
+
+	for (uint32_t i = 0; i < kept && i < LIM_AUDIT_ENTRIES; i++)
+		session->result->drained +=
+			!strcmp(fst->audit[i].action, "drained");
+	session->result->cut_off = oracle_cut_off_count(session->oracle);
+	for (uint32_t i = 0; i < session->entry_count; i++)
+		end_process(&session->entries[i]);
+	for (int64_t i = 0; i < session->count; i++)
+		free(session->log[i].text);
+	rpl_destroy(session->head);
+	tbl_destroy(session->cuts);
+	free(session->snapshot);
+	free(session);
+}
+
+void session_run(const char *text, uint32_t off, uint32_t promises, FILE *out,
+		 struct session_result *result)
+{
+	static char violation[512];
+	struct session *session = calloc(1, sizeof(*session));
+	struct oracle *oracle = oracle_create();
+	char line[LINE_BYTES];
+
+	*result = (struct session_result){ 0 };
+	session->off = off;
+	session->promises = promises;
+	session->out = out;
+	session->result = result;
+	session->oracle = oracle;
+	session->cuts = tbl_create(sizeof(struct cut));
+	session->head = create_replica(session);
+	while (*text && !violated(session)) {
+		size_t len = strcspn(text, "\n");
+
+		snprintf(line, sizeof(line), "%.*s", (int)len, text);
+		text += len + (text[len] == '\n');
+		play_line(session, line);
+	}
+	if (!violated(session))
+		compare_replicas(session);
+	if (violated(session)) {
+		snprintf(violation, sizeof(violation), "%s", result->violation);
+		result->violation = violation;
+	}
+	if (out)
+		fprintf(out, "%s\n",
+			result->violation ? result->violation : "no violation");
+	finish(session);
+	oracle_destroy(oracle);
+}
