Extend the lease only with the state that the heartbeat was part of

Cause: plank-entryd took the lease of a status response before, and even without, the records up to that status: at most PRT_TAIL_MAX records come with one response, and the call for them may fail. After a partition it could send to a host of another data centre that had been drained, or moved to another pool, while the lease had ended.

Change: the lease is taken after the records, and only if the replica has reached the offset of the status.

Conclusion: a renewed lease implies a state that includes all that happened while it had ended.

--- a/src/entryd.c
+++ b/src/entryd.c
@@ -146,12 +146,9 @@
 static void take_status(struct entryd *entryd, const struct rpf_news *news)
 {
 	const prt_status *status = &news->status;
-	int64_t until_ms = news->asked_ms + status->lease_left_ms;
 
 	entryd->heard_ms = news->asked_ms;
 	entryd->platform_age_ms = status->platform_age_ms;
-	if (status->lease_left_ms > 0 && until_ms > entryd->lease_until_ms)
-		entryd->lease_until_ms = until_ms;
 	/* A clock that went back must not make this process look old. */
 	if (!entryd->joined && status->last_incarnation > entryd->incarnation)
 		entryd->incarnation = status->last_incarnation + 1;
@@ -178,6 +175,19 @@
 		rpl_set_ready(entryd->rpl);
 }
 
+/*
+ * The lease counts only with the state that the heartbeat was part of: hosts
+ * may have been drained or moved since an earlier lease ended.
+ */
+static void take_lease(struct entryd *entryd, const struct rpf_news *news)
+{
+	int64_t left_ms = news->status.lease_left_ms;
+
+	if (left_ms > 0 && rpl_next(entryd->rpl) >= news->status.next &&
+	    news->asked_ms + left_ms > entryd->lease_until_ms)
+		entryd->lease_until_ms = news->asked_ms + left_ms;
+}
+
 static void take_news(struct entryd *entryd)
 {
 	struct rpf_news news;
@@ -187,6 +197,7 @@
 	if (news.has_status) {
 		take_status(entryd, &news);
 		take_state(entryd, &news);
+		take_lease(entryd, &news);
 	}
 	if (news.has_hosts)
 		take_hosts(entryd, &news.hosts);
