--- a/tests/oracle.c
+++ b/tests/oracle.c
@@ -188,8 +188,37 @@
 	return NULL;
 }
 
-static void take_budgets(struct oracle *oracle, const char *team,
-			 struct json_object *settings)
+static bool is_planned_out(const struct host *host)
+{
+	return !strcmp(host->observed, "draining") ||
+	       !strcmp(host->observed, "drained") ||
+	       !strcmp(host->observed, "rebooting");
+}
+
+/* A budget is not raised above what a drain under way leaves. */
+static void raise_budget(struct oracle *oracle, int64_t offset,
+			 struct pool *pool, uint32_t min)
+{
+	bool maintained = false;
+
+	for (uint32_t i = 0; i < tbl_count(oracle->hosts); i++) {
+		const struct host *host = tbl_at(oracle->hosts, i);
+
+		maintained |=
+			!strcmp(host->pool, pool->name) && is_planned_out(host);
+	}
+	if (maintained && min > pool->min_available &&
+	    available(oracle, pool->name) < min)
+		violate(oracle, ORACLE_BUDGET,
+			"settings at offset %lld raise the budget of %s to %u "
+			"with %u hosts available",
+			(long long)offset, pool->name, min,
+			available(oracle, pool->name));
+	pool->min_available = min;
+}
+
+static void take_budgets(struct oracle *oracle, int64_t offset,
+			 const char *team, struct json_object *settings)
 {
 	char name[2 * LIM_NAME_BYTES];
 
@@ -201,7 +230,8 @@
 		snprintf(name, sizeof(name), "%s/%s", team, key);
 		pool = entity(oracle->pools, name);
 		json_object_object_get_ex(value, "min_available", &min);
-		pool->min_available = (uint32_t)json_object_get_int(min);
+		raise_budget(oracle, offset, pool,
+			     (uint32_t)json_object_get_int(min));
 	}
 }
 
@@ -256,12 +286,28 @@
 	struct version *version = entity(oracle->versions, rec->team);
 
 	version->version = offset;
-	take_budgets(oracle, rec->team, settings);
 	add_listed(oracle, offset, settings);
 	for (uint32_t i = 0; i < tbl_count(oracle->hosts); i++)
 		place_host(oracle, offset, tbl_at(oracle->hosts, i), rec->team,
 			   settings);
+	take_budgets(oracle, offset, rec->team, settings);
+	json_object_put(settings);
+}
+
+/* Whether settings list a host that is in another team's pool. */
+static bool lists_foreign(const struct oracle *oracle, const struct rec *rec)
+{
+	struct json_object *settings = json_tokener_parse(rec->settings);
+	bool foreign = false;
+
+	for (uint32_t i = 0; i < tbl_count(oracle->hosts); i++) {
+		const struct host *host = tbl_at(oracle->hosts, i);
+
+		foreign |= host->team[0] && strcmp(host->team, rec->team) &&
+			   listed_in(settings, host->name);
+	}
 	json_object_put(settings);
+	return foreign;
 }
 
 /* Of two changes with one base, the first is accepted and the other refused. */
@@ -271,9 +317,8 @@
 	const struct version *version = tbl_find(oracle->versions, rec->team);
 	int64_t in_force = version ? version->version : -1;
 
-	/* A host of another team is the other reason for a conflict. */
 	if (status == ERR_CONFLICT && rec->base == in_force &&
-	    tbl_count(oracle->versions) < 2)
+	    !lists_foreign(oracle, rec))
 		violate(oracle, ORACLE_SETTINGS,
 			"settings at offset %lld refused on base %lld, which "
 			"was in force",
--- a/tests/replay.c
+++ b/tests/replay.c
@@ -38,7 +38,6 @@
 	"runs.\n"
 	"- A worker host whose listed data centre changes during a drain.\n"
 	"- More than 2,048 records between two copies of one record.\n"
-	"- Two teams: the random sessions have one team with two pools.\n"
 	"- A search over seeds finds faults; it cannot show that there are "
 	"none.\n";
 
--- a/tests/schedule.c
+++ b/tests/schedule.c
@@ -6,7 +6,7 @@
 
 #include "rnd.h"
 
-enum { HOSTS = 6, ENTRIES = 4, EVENTS = 32, MAX_LINES = 512 };
+enum { HOSTS = 6, ENTRIES = 4, EVENTS = 26, MAX_LINES = 512 };
 
 static const char fleet[] =
 	"host h0 suva\nhost h1 suva\nhost h2 suva\n"
@@ -14,6 +14,8 @@
 	"record settings \"team\":\"t\",\"base\":-1,\"settings\":{\"pools\":{"
 	"\"a\":{\"hosts\":[\"h0\",\"h1\",\"h3\"],\"min_available\":1},"
 	"\"b\":{\"hosts\":[\"h2\",\"h4\"],\"min_available\":1}}}\n"
+	"record settings \"team\":\"u\",\"base\":-1,\"settings\":{\"pools\":{"
+	"\"c\":{\"hosts\":[\"h5\"],\"min_available\":0}}}\n"
 	"entry e0 suva\nentry e1 suva\nentry e2 lautoka\nentry e3 lautoka\n"
 	"run 2000\n";
 
@@ -44,6 +46,12 @@
 	{ 2, "place $e t $h $q $n\nplace $e t $h $q $n\n" },
 	{ 6, "drain $h\nrun 3000\nplace $e t $H - 0\nrun 1000\n"
 	     "place $E t $H $p 1\nrun $r\n" },
+	{ 3, "drain $h\nrun 3000\nplace $e t $H - 0\nrun 1000\n"
+	     "place $E u $H c 1\nrun $r\nsend $e u c $H\n" },
+	{ 2, "drain $h\nrun 3000\nplace $e u $H - 0\nrun 1000\n"
+	     "place $E t $H $p 1\nrun $r\n" },
+	{ 2, "place $e u $h c $n\n" },
+	{ 2, "send $e u c $h\nsend $e u c $h\n" },
 	{ 3, "again $k\n" },
 	{ 2, "lose $e\n" },
 	{ 2, "hold $e\n" },
@@ -62,6 +70,9 @@
 	{ 1, "restart $e\nhold $E\nrun 2000\nsend $E t $p $h\ndrain $H\n"
 	     "run 2000\nrelease $E\n" },
 	{ 1, "leave $e\n" },
+	/* A confirmation of one drain is stored during the next one. */
+	{ 1, "hold $e\ndrain $h\nrun 2000\nundrain $H\nrun 1000\n"
+	     "send $E t $p $H\ndrain $H\nrelease $E\nrun 3000\n" },
 	/* An expiry is stored after the silent members are back. */
 	{ 1, "cut $d\nhold $e\nrun 24000\nheal $D\nrun 3000\n"
 	     "release $E\n" },
@@ -182,6 +193,8 @@
 const struct schedule_case schedule_cases[] = {
 	{ GUARD_BUDGET, ORACLE_BUDGET,
 	  "drains and failures use up a pool's budget" },
+	{ GUARD_RAISE, ORACLE_BUDGET,
+	  "settings raise a budget while a host is drained" },
 	{ GUARD_MOVE, ORACLE_ONE_POOL, "settings list a host elsewhere" },
 	{ GUARD_ALL_QUIET, ORACLE_ONE_POOL,
 	  "a host moves before all members have confirmed" },
--- a/tests/session.c
+++ b/tests/session.c
@@ -20,6 +20,7 @@
 	MAX_PENDING = 32,
 	STEP_MS = 1000,
 	PROPOSAL_MS = LIM_CHANGE_TIMEOUT_MS,
+	HASH_RECORDS = 64, /* replicas are compared at multiples of it */
 	LINE_BYTES = 512
 };
 
@@ -104,6 +105,7 @@
 	[GUARD_TAIL] = "tail",
 	[GUARD_MOVE] = "move",
 	[GUARD_EVERY] = "every",
+	[GUARD_RAISE] = "raise",
 	[GUARD_SNAPSHOT] = "snapshot",
 	[GUARD_CUT_OFF] = "cut-off",
 };
@@ -157,6 +159,23 @@
 	tms_destroy(settings);
 }
 
+/* Lets the budgets in force look like those that are about to be applied. */
+static void raise_budgets(const struct fst_team *team, const struct rec *rec)
+{
+	struct tms *settings =
+		tms_parse(rec->settings, strlen(rec->settings), NULL);
+
+	for (uint32_t i = 0; settings && i < team->settings->pool_count; i++) {
+		struct tms_pool *pool = &team->settings->pools[i];
+		const struct tms_pool *next =
+			tms_find_pool(settings, pool->name);
+
+		if (next)
+			pool->min_available = next->min_available;
+	}
+	tms_destroy(settings);
+}
+
 /* What a replica without the guards that are off takes the record for. */
 static void change_record(const struct session *session, struct fst *fst,
 			  int64_t offset, struct rec *rec)
@@ -169,6 +188,9 @@
 	if (is_off(session, GUARD_MOVE) && rec->type == REC_SETTINGS && team &&
 	    rec->base == team->version)
 		move_hosts(fst, rec);
+	if (is_off(session, GUARD_RAISE) && rec->type == REC_SETTINGS && team &&
+	    rec->base == team->version)
+		raise_budgets(team, rec);
 	if (is_off(session, GUARD_SEEN) && rec->type == REC_MEMBER_EXPIRED &&
 	    member)
 		rec->seen = member->seen_offset;
@@ -200,6 +222,13 @@
 	}
 }
 
+static void report_bytes(struct session *session, const struct rpl *rpl,
+			 const char *name)
+{
+	oracle_bytes(session->oracle, name, rpl_next(rpl),
+		     snp_hash(rpl_state(rpl)));
+}
+
 /* Applies the record at an offset to a replica, less the guards that are off */
 static int apply_at(struct session *session, struct rpl *rpl, int64_t offset)
 {
@@ -275,6 +304,8 @@
 		memcpy(stored->heartbeat_of, rec.member, LIM_NAME_BYTES);
 	status = apply_at(session, session->head, offset);
 	oracle_record(session->oracle, offset, &rec, status);
+	if (session->count % HASH_RECORDS == 0)
+		report_bytes(session, session->head, "log");
 	observe_head(session);
 	session->result->records++;
 	session->result->accepted += status == 0;
@@ -417,12 +448,6 @@
 	       session->now_ms < entry->lease_until_ms;
 }
 
-static void report_bytes(struct entry *entry)
-{
-	oracle_bytes(entry->session->oracle, entry->name, rpl_next(entry->rpl),
-		     snp_hash(rpl_state(entry->rpl)));
-}
-
 static void report_versions(const struct entry *entry)
 {
 	const struct fst *fst = rpl_state(entry->rpl);
@@ -464,6 +489,8 @@
 		int status = apply_at(session, entry->rpl, offset);
 
 		session->changed = true;
+		if (rpl_next(entry->rpl) % HASH_RECORDS == 0)
+			report_bytes(session, entry->rpl, entry->name);
 		read_back(entry, offset, status);
 		report_versions(entry);
 	}
@@ -748,7 +775,7 @@
 		rpl_destroy(rpl);
 		return;
 	}
-	report_bytes(entry);
+	report_bytes(session, entry->rpl, entry->name);
 	rpl_destroy(entry->rpl);
 	entry->rpl = rpl;
 	if (is_off(session, GUARD_SNAPSHOT))
@@ -756,7 +783,7 @@
 	while (!is_off(session, GUARD_TAIL) && rpl_next(rpl) < until)
 		apply_at(session, rpl, rpl_next(rpl));
 	report_versions(entry);
-	report_bytes(entry);
+	report_bytes(session, entry->rpl, entry->name);
 }
 
 static void release(struct entry *entry)
@@ -871,13 +898,13 @@
 {
 	const struct fst *fst = rpl_state(session->head);
 
-	oracle_bytes(session->oracle, "log", session->count, snp_hash(fst));
+	report_bytes(session, session->head, "log");
 	for (uint32_t i = 0; i < session->entry_count; i++) {
 		struct entry *entry = &session->entries[i];
 
 		entry->lag = -1;
 		follow(entry);
-		report_bytes(entry);
+		report_bytes(session, entry->rpl, entry->name);
 	}
 	for (uint32_t i = 0; session->out && i < tbl_count(fst->hosts); i++) {
 		const struct fst_host *host = tbl_at(fst->hosts, i);
--- a/tests/session.h
+++ b/tests/session.h
@@ -39,6 +39,7 @@
 /* Guards that a replay can switch off; bit i of a mask is guard i. */
 enum session_guard {
 	GUARD_BUDGET,	 /* a drain beyond the budget is refused */
+	GUARD_RAISE,	 /* a budget is not raised beyond a drain under way */
 	GUARD_IN_FLIGHT, /* quiet only with nothing in flight */
 	GUARD_DRAINING,	 /* a draining host gets nothing new */
 	GUARD_LEASE,	 /* other data centres only with a lease */
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -17,7 +17,7 @@
 #include "schedule.h"
 
 enum {
-	PROCESSES = 4,
+	PROCESSES = 6,
 #ifdef __SANITIZE_ADDRESS__
 	SEEDS = 200,
 #else
