Count the hosts that settings add when a budget is raised

Cause: check_budgets looked at the hosts that were in the pool before the change. Settings that list a host which was drained while it was in no pool could raise, or set, a budget that counts on that host.

Change: the free hosts that the settings list are counted as they will be after the change: draining and rebooting ones as out for maintenance, drained ones as available, since the assignment lets them serve.

Conclusion: a published budget cannot rest on a drain under way.

--- a/src/fst_settings.c
+++ b/src/fst_settings.c
@@ -58,13 +58,34 @@
 	return 0;
 }
 
+/* Use of a pool once the settings have added the free hosts that they list. */
+static struct fst_pool_use next_use(const struct fst *fst, const char *team,
+				    const struct tms_pool *pool)
+{
+	struct fst_pool_use use = fst_pool_use(fst, team, pool->name);
+
+	for (uint32_t i = 0; i < pool->hosts.count; i++) {
+		const struct fst_host *host =
+			fst_host(fst, pool->hosts.names[i]);
+
+		if (!host || host->team[0])
+			continue;
+		/* assign_hosts lets a drained host serve. */
+		use.available += fst_host_available(host) ||
+				 (host->state == FST_DRAINED && host->known);
+		use.planned_out += host->state == FST_DRAINING ||
+				   host->state == FST_REBOOTING;
+	}
+	return use;
+}
+
 /* A budget may not be raised above what a drain under way leaves. */
 static int check_budgets(const struct fst *fst, const char *team,
 			 const struct tms *settings, struct err *err)
 {
 	for (uint32_t i = 0; i < settings->pool_count; i++) {
 		const struct tms_pool *pool = &settings->pools[i];
-		struct fst_pool_use use = fst_pool_use(fst, team, pool->name);
+		struct fst_pool_use use = next_use(fst, team, pool);
 
 		if (use.planned_out && pool->min_available > use.available &&
 		    pool->min_available > use.min_available)
