--- a/tests/schedule.c
+++ b/tests/schedule.c
@@ -65,6 +65,8 @@
 	{ 3, "heal $d\n" },
 	{ 2, "snapshot $e\n" },
 	{ 2, "restore $e\n" },
+	{ 2, "adopt $e\n" },
+	{ 2, "snapshot $e\nlag $e 0\nrun $r\nadopt $E\n" },
 	{ 2, "restart $e\n" },
 	/* A new process follows the log before its first heartbeat is stored */
 	{ 1, "restart $e\nhold $E\nrun 2000\nsend $E t $p $h\ndrain $H\n"
--- a/tests/session.c
+++ b/tests/session.c
@@ -786,6 +786,18 @@
 	report_bytes(session, entry->rpl, entry->name);
 }
 
+/* A replica in use is given a snapshot, as when it fell behind the tail. */
+static void adopt(struct entry *entry)
+{
+	struct session *session = entry->session;
+
+	if (!session->snapshot || !entry->up || entry->paused)
+		return;
+	rpl_adopt(entry->rpl, session->snapshot, session->snapshot_len, NULL);
+	report_versions(entry);
+	report_bytes(session, entry->rpl, entry->name);
+}
+
 static void release(struct entry *entry)
 {
 	entry->hold = false;
@@ -833,6 +845,8 @@
 		take_snapshot(entry);
 	else if (!strcmp(what, "restore"))
 		restore(entry);
+	else if (!strcmp(what, "adopt"))
+		adopt(entry);
 	else if (!strcmp(what, "restart"))
 		restart(entry);
 	else if (!strcmp(what, "leave"))
--- a/tests/session.h
+++ b/tests/session.h
@@ -25,6 +25,7 @@
  *	send ENTRY TEAM POOL HOST, done ENTRY HOST
  *	snapshot ENTRY		ENTRY's state becomes the newest snapshot
  *	restore ENTRY		ENTRY rebuilds its state from snapshot and tail
+ *	adopt ENTRY		ENTRY is given the snapshot, newer or older
  *	restart ENTRY		ENTRY's process is replaced by a new one
  *	leave ENTRY		graceful stop
  */
