Keep refused attempts and urgent crowds from causing refusals

Cause: the process test, run three at a time, failed in its burst: up to 10 of 914 requests were refused. Workers still held slots of attempts that had timed out, refused new ones and were avoided for a second; a request was given up after refusals by three workers. Then the urgent requests that had gathered took all slots at once, and the expected wait of normal ones was computed as if one slot remained for them.

Change: an attempt that the worker refused does not count against the request's three attempts; the retry budget and the deadline bound it. Urgent requests in flight count as work ahead of normal ones. A request whose deadline passed between two ticks is not sent. A pool's quota is known before its first request.

--- a/src/adq.c
+++ b/src/adq.c
@@ -224,9 +224,7 @@
 		taken += pool->queues[ADQ_LONG].count;
 		if (taken > long_limit(slots))
 			taken = long_limit(slots);
-		taken += in_flight[ADQ_URGENT] > reserve(slots)
-				 ? in_flight[ADQ_URGENT]
-				 : reserve(slots);
+		taken += reserve(slots);
 	}
 	return taken < slots ? slots - taken : 1;
 }
@@ -257,8 +255,11 @@
 
 	if (priority == ADQ_URGENT)
 		first_ms = first_end_ms(pool);
+	/* A crowd of urgent ones passes: it is work, not a loss of slots. */
 	if (priority == ADQ_NORMAL)
-		ahead_ms += queues[ADQ_URGENT].count * pool->run_ms[ADQ_URGENT];
+		ahead_ms += (queues[ADQ_URGENT].count +
+			     pool->in_flight[ADQ_URGENT]) *
+			    pool->run_ms[ADQ_URGENT];
 	if (!queues[priority].count && may_start(pool, priority))
 		return 0;
 	return (int64_t)(first_ms + ahead_ms / slots);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -185,6 +185,9 @@
 	if (end->truncated)
 		count(fwd, FWD_TRUNCATED);
 	forward->ran_maybe |= end->ran_maybe;
+	/* The worker is avoided for a second; then it may have a slot. */
+	if (end->result == RTE_REFUSED)
+		forward->tried_count--;
 	if (!end->failure.kind) {
 		pass_on(forward, end->status);
 	} else if (may_retry(forward)) {
@@ -248,6 +251,21 @@
 	return true;
 }
 
+static void expired(void *arg, struct adq_entry *entry)
+{
+	struct forward *forward = (struct forward *)entry;
+	struct fwd *fwd = arg;
+
+	count(fwd, FWD_EXPIRED + entry->priority);
+	forward->retry_ms = adq_expected_wait(entry->pool, entry->priority);
+	if (forward->ran_maybe)
+		fwd_end_failed(forward, forward->failure.kind,
+			       forward->failure.text);
+	else
+		fwd_end_failed(forward, ERR_EXPIRED,
+			       err_answer(ERR_EXPIRED)->message);
+}
+
 /* Starts the taken request; false if the pool can start no more now. */
 static bool start(struct forward *forward, bool has_slots)
 {
@@ -260,13 +278,21 @@
 		.tried_count = forward->tried_count,
 		.tried = forward->tried,
 	};
-	int status = rte_pick(fwd->config.rte, &query, &forward->worker);
+	int status;
 
+	/* The deadline may have passed since the last tick. */
+	if (query.now_ms >= forward->entry.deadline_ms) {
+		adq_end(fwd->adq, &forward->entry, false, query.now_ms);
+		expired(fwd, &forward->entry);
+		return true;
+	}
+	status = rte_pick(fwd->config.rte, &query, &forward->worker);
 	if (status < 0)
 		return start_failed(forward, status, has_slots);
 	*adq_pool_stalled_ms(forward->entry.pool) = 0;
-	if (!forward->tried_count)
+	if (!forward->started)
 		note_start(forward);
+	forward->started = true;
 	forward->tried[forward->tried_count++] =
 		apr_pstrdup(forward->pool, forward->worker->name);
 	forward->stage = FORWARD_SENDING;
@@ -285,6 +311,13 @@
 	return capacity.slots > 0;
 }
 
+static void update_quota(struct fwd *fwd, struct adq_pool *pool)
+{
+	if (fwd->config.quota)
+		adq_set_quota(pool, fwd->config.quota(fwd->config.arg,
+						      adq_pool_team(pool)));
+}
+
 static void end_all(struct fwd *fwd, struct adq_pool *pool)
 {
 	struct adq_entry *entry;
@@ -330,21 +363,6 @@
 	fwd->dispatching = false;
 }
 
-static void expired(void *arg, struct adq_entry *entry)
-{
-	struct forward *forward = (struct forward *)entry;
-	struct fwd *fwd = arg;
-
-	count(fwd, FWD_EXPIRED + entry->priority);
-	forward->retry_ms = adq_expected_wait(entry->pool, entry->priority);
-	if (forward->ran_maybe)
-		fwd_end_failed(forward, forward->failure.kind,
-			       forward->failure.text);
-	else
-		fwd_end_failed(forward, ERR_EXPIRED,
-			       err_answer(ERR_EXPIRED)->message);
-}
-
 /* The caller is gone: nobody reads the answer, and no work is left for it. */
 static void cancel(struct forward *forward)
 {
@@ -393,9 +411,8 @@
 	struct fwd *fwd = arg;
 	struct adq_pool *pool = NULL;
 
-	while (fwd->config.quota && (pool = adq_next_pool(fwd->adq, pool)))
-		adq_set_quota(pool, fwd->config.quota(fwd->config.arg,
-						      adq_pool_team(pool)));
+	while ((pool = adq_next_pool(fwd->adq, pool)))
+		update_quota(fwd, pool);
 	adq_expire(fwd->adq, now(fwd), expired, fwd);
 	check_callers(fwd);
 	fwd_dispatch(fwd);
@@ -470,6 +487,7 @@
 	forward->entry.pool =
 		adq_pool(fwd->adq, forward->team, forward->pool_name);
 	adq_set_slots(forward->entry.pool, capacity.slots, capacity.in_flight);
+	update_quota(fwd, forward->entry.pool);
 	return 0;
 }
 
--- a/src/fwd_int.h
+++ b/src/fwd_int.h
@@ -45,6 +45,7 @@
 	struct failure failure; /* of the last attempt, or while releasing */
 	bool ran_maybe;		/* in any attempt so far */
 	int64_t retry_ms;	/* for Retry-After */
+	bool started;		/* once at least */
 	uint32_t tried_count;
 	const char *tried[LIM_ATTEMPTS];
 
--- a/tests/test_adq.c
+++ b/tests/test_adq.c
@@ -145,6 +145,26 @@
 }
 END_TEST
 
+/* Guards against normal work refused because many urgent ones are in flight. */
+START_TEST(test_urgent_crowd)
+{
+	struct adq_entry *first[] = { push(ADQ_URGENT, 0),
+				      push(ADQ_NORMAL, 0) };
+
+	adq_set_slots(pool, 8, 0);
+	take_all(pool);
+	adq_end(adq, first[0], true, 70);
+	adq_end(adq, first[1], true, 70);
+	for (int i = 0; i < 8; i++)
+		push(ADQ_URGENT, 100);
+	ck_assert_uint_eq(take_all(pool), 8);
+	for (int i = 0; i < 6; i++)
+		push(ADQ_NORMAL, 100);
+	/* Fifteen runs of 70 ms in the seven slots that are not reserved. */
+	ck_assert_int_eq(adq_expected_wait(pool, ADQ_NORMAL), 150);
+}
+END_TEST
+
 static uint32_t expired_count;
 
 static void count_expired(void *arg, struct adq_entry *entry)
@@ -342,6 +362,7 @@
 	tcase_add_test(tcase, test_shares);
 	tcase_add_test(tcase, test_order);
 	tcase_add_test(tcase, test_expected_wait);
+	tcase_add_test(tcase, test_urgent_crowd);
 	tcase_add_test(tcase, test_expiry_and_removal);
 	tcase_add_test(tcase, test_bounds);
 	tcase_add_test(tcase, test_quota);
