--- a/src/fst.c
+++ b/src/fst.c
@@ -63,7 +63,7 @@
 	return host->state == FST_SERVING && host->known;
 }
 
-static bool is_visible(const struct fst *fst, const char *data_centre)
+bool fst_visible(const struct fst *fst, const char *data_centre)
 {
 	bool expired = false;
 
@@ -81,7 +81,7 @@
 
 bool fst_host_counts(const struct fst *fst, const struct fst_host *host)
 {
-	return fst_host_available(host) && is_visible(fst, host->data_centre);
+	return fst_host_available(host) && fst_visible(fst, host->data_centre);
 }
 
 struct fst_pool_use fst_pool_use(const struct fst *fst, const char *team_name,
--- a/src/fst.h
+++ b/src/fst.h
@@ -154,6 +154,12 @@
 /* fst_host_available - whether a host serves and its address is known */
 bool fst_host_available(const struct fst_host *host);
 
+/*
+ * fst_visible - whether a data centre can be seen: one of its members is not
+ * expired, or it has none
+ */
+bool fst_visible(const struct fst *fst, const char *data_centre);
+
 /*
  * fst_host_counts - whether a host counts as available for its pool's budget
  *
--- a/src/fst_settings.c
+++ b/src/fst_settings.c
@@ -91,7 +91,8 @@
 			continue;
 		/* assign_hosts lets a drained host serve. */
 		use.available += fst_host_counts(fst, host) ||
-				 (host->state == FST_DRAINED && host->known);
+				 (host->state == FST_DRAINED && host->known &&
+				  fst_visible(fst, host->data_centre));
 		use.planned_out += host->state == FST_DRAINING ||
 				   host->state == FST_REBOOTING;
 	}
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -261,6 +261,9 @@
 	adq_end(fwd->adq, &forward->entry, end->result == RTE_ANSWERED,
 		now(fwd));
 	forward->ran_maybe |= end->ran_maybe;
+	/* The worker is avoided for a second; then it may have a slot. */
+	if (end->result == RTE_REFUSED)
+		forward->tried_count--;
 	if (!end->failure.kind) {
 		pass_on(forward, end->status);
 	} else if (may_retry(forward)) {
@@ -368,8 +371,9 @@
 	if (status < 0)
 		return start_failed(forward, status, has_slots);
 	*adq_pool_stalled_ms(forward->entry.pool) = 0;
-	if (forward->tried_count == 1)
+	if (!forward->started)
 		note_start(forward);
+	forward->started = true;
 	forward->stage = FORWARD_SENDING;
 	fwd_send(forward, fwd->config.evl);
 	return true;
@@ -386,6 +390,13 @@
 	return capacity.slots > 0;
 }
 
+static void update_quota(struct fwd *fwd, struct adq_pool *pool)
+{
+	if (fwd->config.quota)
+		adq_set_quota(pool, fwd->config.quota(fwd->config.arg,
+						      adq_pool_team(pool)));
+}
+
 static void end_all(struct fwd *fwd, struct adq_pool *pool)
 {
 	struct adq_entry *entry;
@@ -479,9 +490,8 @@
 	struct fwd *fwd = arg;
 	struct adq_pool *pool = NULL;
 
-	while (fwd->config.quota && (pool = adq_next_pool(fwd->adq, pool)))
-		adq_set_quota(pool, fwd->config.quota(fwd->config.arg,
-						      adq_pool_team(pool)));
+	while ((pool = adq_next_pool(fwd->adq, pool)))
+		update_quota(fwd, pool);
 	adq_expire(fwd->adq, now(fwd), expired, fwd);
 	check_callers(fwd);
 	fwd_dispatch(fwd);
@@ -552,6 +562,7 @@
 	rte_pool_capacity(fwd->config.rte, forward->team, forward->pool_name,
 			  &capacity);
 	adq_set_slots(forward->entry.pool, capacity.slots, capacity.in_flight);
+	update_quota(fwd, forward->entry.pool);
 	return 0;
 }
 
