Measure waves; keep the wave of a host that is lost in its reboot

Cause: bench/waves.c showed waves that never ended: a host that was repaired after the operator had resumed the wave counted as not done, was rebooted again and was lost again. With the change off, wave_keeps_its_failures_until_resumed fails.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,9 @@
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/bench_waves: bench/waves.c tests/sim.h $(LIBRARY)
+	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
+
 standins: $(STANDINS)
 
 # Tests: unit tests by check, then process tests with the stand-ins.
@@ -87,9 +90,10 @@
 	$(MAKE) all standins
 	scripts/demo.sh
 
-# Figures of docs/CAPACITY.md.
-bench: all standins $(BUILD)/bench_state
+# Figures of docs/CAPACITY.md and docs/WAVES.md.
+bench: all standins $(BUILD)/bench_state $(BUILD)/bench_waves
 	$(BUILD)/bench_state
+	$(BUILD)/bench_waves
 	PLANK_BUILD=$(BUILD) bash bench/processes.sh
 
 SOURCES = $(filter-out src/prt%,$(wildcard src/*.c src/*.h)) \
@@ -99,7 +103,7 @@
 	clang-format --dry-run --Werror $(SOURCES)
 	printf '%s\n' $(filter %.c,$(SOURCES)) | \
 		xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 \
-		$(CPPFLAGS) 2>/dev/null' lint
+		$(CPPFLAGS) -Itests 2>/dev/null' lint
 
 format:
 	clang-format -i $(SOURCES)
--- a/src/fst.h
+++ b/src/fst.h
@@ -50,8 +50,9 @@
 	bool failed_by_operator; /* an operator says when it returns */
 	int64_t reboot_boot_id;	 /* boot_id at the reboot from which it has not
 				   returned, or FST_NONE */
-	char wave[LIM_NAME_BYTES];	/* of the drain in force */
-	char move_to[LIM_NAME_BYTES];	/* pool that this drain is for */
+	char wave[LIM_NAME_BYTES];    /* of the drain in force, or of the reboot
+				      from which it has not returned */
+	char move_to[LIM_NAME_BYTES]; /* pool that this drain is for */
 	char wave_done[LIM_NAME_BYTES]; /* completed last */
 	/* The wave in which it failed: it did not come back, or it failed
 	   after its return while the wave went on. */
--- a/src/fst_host.c
+++ b/src/fst_host.c
@@ -22,8 +22,11 @@
 	if (state == FST_REBOOTING || state == FST_RETIRED)
 		return;
 	host->drain_offset = FST_NONE;
-	host->wave[0] = 0;
 	host->move_to[0] = 0;
+	/* One that has not come back from its reboot keeps the wave, which it
+	   completes when it returns, even if the wave was resumed meanwhile. */
+	if (state != FST_FAILED || host->reboot_boot_id == FST_NONE)
+		host->wave[0] = 0;
 }
 
 int fst_apply_host(struct fst *fst, int64_t offset, const struct rec *rec,
@@ -227,7 +230,6 @@
 	struct fst_host *host = host_in(
 		fst, rec, 1u << FST_REBOOTING | 1u << FST_FAILED, change, err);
 
-	const char *wave;
 	bool booted;
 
 	if (!host)
@@ -240,9 +242,8 @@
 			       " as at its reboot",
 			       host->name, host->boot_id);
 	/* One that failed in its reboot and came back later needs no other. */
-	wave = host->state == FST_REBOOTING ? host->wave : host->wave_failed;
-	if (wave[0] && (booted || host->state == FST_REBOOTING))
-		memcpy(host->wave_done, wave, sizeof(host->wave_done));
+	if (host->wave[0] && (booted || host->state == FST_REBOOTING))
+		memcpy(host->wave_done, host->wave, sizeof(host->wave_done));
 	host->reboot_boot_id = FST_NONE;
 	fst_set_state(host, FST_SERVING, offset, rec->reason);
 	change->detail = host->reason;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -23,6 +23,9 @@
 	uint32_t reboots;
 	bool never_back; /* at its next reboot */
 	int64_t reboot_ms;
+	int64_t drain_ms; /* until its last request has ended */
+	int64_t draining; /* drain under way, and since when */
+	int64_t draining_ms;
 	int64_t out_ms; /* time not available because of plans */
 };
 
@@ -187,6 +190,7 @@
 
 	host->boot_id = 1;
 	host->rebooting = FST_NONE;
+	host->draining = FST_NONE;
 	host->back_ms = -1;
 	host->reboot_ms = 240000;
 	sim_facts(sim, name, data_centre, rack, 1);
@@ -250,7 +254,12 @@
 {
 	const struct fst_host *fst = fst_host(sim->fst, host->name);
 
-	if (fst->state == FST_DRAINING)
+	if (fst->state == FST_DRAINING && host->draining != fst->drain_offset) {
+		host->draining = fst->drain_offset;
+		host->draining_ms = sim->now_ms;
+	}
+	if (fst->state == FST_DRAINING &&
+	    sim->now_ms - host->draining_ms >= host->drain_ms)
 		sim_quiet(sim, fst);
 	if (fst->state == FST_DRAINING || fst->state == FST_DRAINED ||
 	    fst->state == FST_REBOOTING)
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -301,6 +301,14 @@
 	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "w");
 	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("8", "1")), 0);
 	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "");
+	/* One that is repaired after the resumption is not rebooted again. */
+	reboot_for_wave("h1", "w");
+	ck_assert_int_eq(apply("fail", "\"host\":\"h1\",\"reason\":\"x\""), 0);
+	ck_assert_int_eq(apply("settings", WAVE_SETTINGS("9", "2")), 0);
+	set_boot_id("h1", 8);
+	ck_assert_int_eq(apply("return", "\"host\":\"h1\",\"reason\":\"x\""),
+			 0);
+	ck_assert_str_eq(fst_host(fst, "h1")->wave_done, "w");
 	/* It had come back, but the wave has others to do. */
 	ck_assert_int_eq(apply("fail", "\"host\":\"h0\",\"reason\":\"x\""), 0);
 	ck_assert_str_eq(fst_host(fst, "h0")->wave_failed, "w");
