Keep operators' moves; let the wave test see requests that are cut

Cause: with the confirmation of members off, tests/process_wave.sh still passed (508 requests answered): its requests of 300 ms had ended before the reboot began. And a planner would have sent a host that an operator moved back to its home pool after the hold. Change: requests of 2 s from 20 callers; a drain of an operator's move has by_operator, and the host stays until the settings change its home pool. Tests for that, for the failures and returns that the platform's list shows, and for an operator's move with real processes. Conclusion: the test guards what it says.

--- a/src/adm.c
+++ b/src/adm.c
@@ -418,6 +418,7 @@
 		return;
 	}
 	memcpy(rec.host, host->name, sizeof(rec.host));
+	rec.by_operator = true;
 	apr_cpystrn(rec.move_to, pool, sizeof(rec.move_to));
 	apr_snprintf(rec.reason, sizeof(rec.reason), "by operator %s",
 		     op->name);
--- a/src/fst.h
+++ b/src/fst.h
@@ -47,6 +47,7 @@
 	int64_t drain_offset;	/* of the drain in force, or FST_NONE */
 	int64_t changed_offset; /* of the last change of state */
 	char reason[LIM_REASON_BYTES];
+	bool stays; /* an operator moved it; it does not go home by itself */
 	bool failed_by_operator; /* an operator says when it returns */
 	int64_t reboot_boot_id;	 /* boot_id at the reboot from which it has not
 				   returned, or FST_NONE */
--- a/src/fst_host.c
+++ b/src/fst_host.c
@@ -116,6 +116,7 @@
 	host->drain_offset = offset;
 	memcpy(host->wave, rec->wave, sizeof(host->wave));
 	memcpy(host->move_to, rec->move_to, sizeof(host->move_to));
+	host->stays = rec->by_operator && rec->move_to[0];
 	change->detail = host->reason;
 	return 0;
 }
@@ -160,6 +161,7 @@
 
 	if (!host)
 		return err->kind;
+	host->stays = false;
 	fst_set_state(host, FST_SERVING, offset, rec->reason);
 	change->detail = host->reason;
 	return 0;
--- a/src/fst_settings.c
+++ b/src/fst_settings.c
@@ -125,6 +125,8 @@
 				fst_set_state(host, FST_SERVING, offset,
 					      "assigned");
 			}
+			if (strcmp(host->home_pool, pool->name))
+				host->stays = false;
 			memcpy(host->home_pool, pool->name,
 			       sizeof(host->home_pool));
 			if (host->state == FST_RETIRED)
--- a/src/pln.c
+++ b/src/pln.c
@@ -839,7 +839,7 @@
 		return;
 	lent = !strcmp(fst->home_pool, host->pool->team->settings->spare_pool);
 	wants = fst->state == FST_SERVING && fst->home_pool[0] &&
-		strcmp(fst->pool, fst->home_pool) &&
+		strcmp(fst->pool, fst->home_pool) && !fst->stays &&
 		!(lent && host->pool->waits);
 	if (!wants) {
 		host->move_since_ms = -1;
--- a/src/rec.c
+++ b/src/rec.c
@@ -79,7 +79,8 @@
 	[REC_MEMBER_LEFT] = { "member-left", F_MEMBER | F_INCARNATION },
 	[REC_MEMBER_EXPIRED] = { "member-expired",
 				 F_MEMBER | F_INCARNATION | F_SEEN },
-	[REC_DRAIN] = { "drain", F_HOST | F_REASON | F_WAVE | F_MOVE_TO },
+	[REC_DRAIN] = { "drain", F_HOST | F_REASON | F_WAVE | F_MOVE_TO |
+					 F_BY_OPERATOR },
 	[REC_QUIET] = { "quiet", F_HOST | F_DRAIN | F_MEMBER | F_INCARNATION },
 	[REC_UNDRAIN] = { "undrain", F_HOST | F_REASON },
 	[REC_REBOOT] = { "reboot", F_HOST | F_DRAIN },
--- a/src/rec.h
+++ b/src/rec.h
@@ -51,7 +51,7 @@
 	char move_to[LIM_NAME_BYTES]; /* pool that a drain is for; or empty */
 	char pool[LIM_NAME_BYTES];
 	int64_t boot_id;  /* rises with each boot; 0: not given */
-	bool by_operator; /* of a return or failure */
+	bool by_operator; /* of a drain, return or failure */
 
 	char member[LIM_NAME_BYTES];
 	int64_t incarnation;
--- a/src/snp.c
+++ b/src/snp.c
@@ -29,6 +29,7 @@
 	FLD_ARRAY(fst_host, home_pool, FLD_OPT_TEXT),
 	FLD_OPT_NUMBER(fst_host, boot_id, 0, LIM_NUMBER_MAX),
 	FLD_OPT_NUMBER(fst_host, reboot_boot_id, -1, LIM_NUMBER_MAX),
+	{ "stays", FLD_BOOL, offsetof(struct fst_host, stays), 0, 0, 0 },
 	{ "failed_by_operator", FLD_BOOL,
 	  offsetof(struct fst_host, failed_by_operator), 0, 0, 0 },
 	FLD_ARRAY(fst_host, wave, FLD_OPT_TEXT),
--- a/tests/process_wave.sh
+++ b/tests/process_wave.sh
@@ -18,14 +18,15 @@
 	exit 1
 }
 
-# Every answer of a loop is one line: status, entry host, pool.
+# A request takes longer than a reboot needs to begin, so that a reboot that does
+# not wait for it cuts it. Every answer of a loop is one line: status, entry host, pool.
 requests() { # NAME POOL CURL-OPTION...
-	local name=$1 pool=$2 k=0
+	local name=$1 pool=$2 k=${#LOOPS[@]}
 	shift 2
 	while [ ! -e "$WORK/stop" ]; do
 		k=$(((k + 1) % ENTRIES))
 		echo "$(curl -s -o "$WORK/answer.$name" -w '%{http_code}' "$@" \
-			"$(entry_url $k)/crew-shares/$pool/run?sleep_ms=300") e$k $pool $(head -c 120 "$WORK/answer.$name")"
+			"$(entry_url $k)/crew-shares/$pool/run?sleep_ms=2000") e$k $pool $(head -c 120 "$WORK/answer.$name")"
 	done >"$WORK/requests.$name"
 }
 
@@ -59,14 +60,22 @@
 done
 ctl plan | grep -q 'paused by its settings' || fail "plan does not tell of the pause"
 
+# An operator's move: drained for the pool, then assigned by a planner.
+ctl move w0 settlements >/dev/null || fail "move"
+moved() { ctl host w0 --json | grep '"pool":"settlements"' | grep -q '"state":"serving"'; }
+wait_until 20 moved || fail "w0 has not moved: $(ctl host w0)"
+
 LOOPS=()
-for pool in payouts settlements advances tallies; do
-	requests "post-$pool" "$pool" -d run -H 'Plank-Repeatable: no' &
+for k in 0 1 2 3; do
+	for pool in payouts settlements advances tallies; do
+		requests "post$k-$pool" "$pool" -d run -H 'Plank-Repeatable: no' &
+		LOOPS+=($!)
+	done
+	# The host that is killed serves member-records; its requests may be
+	# repeated.
+	requests "get$k" member-records &
 	LOOPS+=($!)
 done
-# The host that is killed serves member-records; its requests may be repeated.
-requests get-member-records member-records &
-LOOPS+=($!)
 
 ctl settings crew-shares --output "$WORK/edit.json" || fail "settings"
 sed -i 's/"paused": *true/"paused": false/' "$WORK/edit.json"
--- a/tests/test_pln.c
+++ b/tests/test_pln.c
@@ -3,6 +3,7 @@
 #include <apr_general.h>
 #include <check.h>
 
+#include "mbr.h"
 #include "sim.h"
 
 enum { MAX_TEXT = 32768, SEED = 7, NIGHT_S = 8 * 3600 };
@@ -285,6 +286,8 @@
 /* A change of the settings moves a host by drain and assign. */
 START_TEST(host_moves_to_its_new_home_pool)
 {
+	struct rec rec = { .type = REC_DRAIN, .by_operator = true };
+
 	add_hosts(0, 5);
 	snprintf(text, sizeof(text), "{\"pools\":{" POOL "," POOL "}}", "p",
 		 names(0, 4), 2, "s", names(4, 1), 0);
@@ -296,6 +299,14 @@
 	sim_run(sim, LIM_MOVE_HOLD_MS / 1000 + 30);
 	ck_assert_str_eq(host("h3")->pool, "s");
 	ck_assert_int_eq(host("h3")->state, FST_SERVING);
+	/* Guards against a planner that takes an operator's move back. */
+	snprintf(rec.host, sizeof(rec.host), "h3");
+	snprintf(rec.reason, sizeof(rec.reason), "x");
+	snprintf(rec.move_to, sizeof(rec.move_to), "p");
+	ck_assert_int_eq(sim_apply(sim, &rec, &err), 0);
+	sim_run(sim, 2 * LIM_MOVE_HOLD_MS / 1000);
+	ck_assert_str_eq(host("h3")->pool, "p");
+	ck_assert_int_eq(host("h3")->state, FST_SERVING);
 }
 END_TEST
 
@@ -484,6 +495,72 @@
 }
 END_TEST
 
+static void keep_type(void *arg, const char *key, struct rec *rec)
+{
+	(void)key;
+	if (rec->type == REC_FAIL || rec->type == REC_RETURN) {
+		++*(uint32_t *)arg;
+		sim_apply(sim, rec, NULL);
+	}
+}
+
+/*
+ * What the platform's list shows of hosts: down for a while is a failure, a
+ * list without most of the hosts is not; an operator's failure stays.
+ */
+START_TEST(list_fails_and_returns_hosts)
+{
+	uint32_t proposed = 0;
+	struct mbr_host listed[4] = { 0 };
+	struct mbr_config config = { .name = "e0",
+				     .heartbeat_ms = 5000,
+				     .expire_ms = 1000000000,
+				     .propose = keep_type,
+				     .arg = &proposed };
+	struct mbr *mbr = mbr_create(&config);
+	struct mbr_input input = { .fst = sim->fst,
+				   .entries = tbl_create(64),
+				   .hosts = listed,
+				   .host_count = 4 };
+
+	add_hosts(0, 4);
+	for (int i = 0; i < 4; i++) {
+		snprintf(listed[i].name, sizeof(listed[i].name), "h%d", i);
+		listed[i].live = i != 1;
+		listed[i].down = i == 1;
+	}
+	sim_host_record(sim, REC_FAIL, "h3");
+	((struct fst_host *)host("h3"))->failed_by_operator = true;
+	for (input.now_ms = 0; input.now_ms < 4000; input.now_ms += 500)
+		mbr_tick(mbr, &input);
+	ck_assert_int_eq(host("h1")->state, FST_SERVING);
+	for (; input.now_ms < 20000; input.now_ms += 500)
+		mbr_tick(mbr, &input);
+	ck_assert_int_eq(host("h1")->state, FST_FAILED);
+	ck_assert_uint_eq(proposed, 1);
+	listed[1].live = true;
+	listed[1].down = false;
+	for (; input.now_ms < 40000; input.now_ms += 500)
+		mbr_tick(mbr, &input);
+	ck_assert_int_eq(host("h1")->state, FST_SERVING);
+	ck_assert_int_eq(host("h3")->state, FST_FAILED);
+	input.host_count = 1;
+	for (; input.now_ms < 60000; input.now_ms += 500)
+		mbr_tick(mbr, &input);
+	ck_assert_int_eq(host("h2")->state, FST_SERVING);
+	input.host_count = 3;
+	for (; input.now_ms < 80000; input.now_ms += 500)
+		mbr_tick(mbr, &input);
+	ck_assert_int_eq(host("h2")->state, FST_SERVING);
+	listed[2] = listed[1];
+	for (; input.now_ms < 100000; input.now_ms += 500)
+		mbr_tick(mbr, &input);
+	ck_assert_int_eq(host("h2")->state, FST_FAILED);
+	tbl_destroy(input.entries);
+	mbr_destroy(mbr);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("planner");
@@ -509,6 +586,7 @@
 	tcase_add_test(tcase, retired_hosts_leave_their_pool);
 	tcase_add_test(tcase, window_and_pause_hold_the_wave);
 	tcase_add_test(tcase, impossible_plans_are_refused);
+	tcase_add_test(tcase, list_fails_and_returns_hosts);
 	tcase_add_loop_test(tcase, seeded_sessions_keep_the_budgets, 0, 20);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
