--- a/src/adm.c
+++ b/src/adm.c
@@ -346,6 +346,8 @@
 	static const char valid[] = "{\"result\":\"valid\"}";
 	struct err fault = { .kind = ERR_OK };
 
+	/* The day decides whether a wave can end before the support does. */
+	rec->at_ms = clk_wall_ms(adm->config.clk);
 	if (dry_run(adm, rec, &fault) == 0)
 		web_respond(request, 200, json_headers, valid,
 			    sizeof(valid) - 1);
--- a/tests/process_wave.sh
+++ b/tests/process_wave.sh
@@ -50,6 +50,13 @@
 
 start_cluster $ENTRIES $HOSTS || fail "the processes did not become ready"
 platform '{"reboot_ms":2000}' || fail "control"
+# A wave whose support ended is refused by check as by publish.
+wave_settings true | sed 's/2190-01-01/2021-01-01/' >"$WORK/late.json"
+for command in check publish; do
+	ctl $command crew-shares "$WORK/late.json" --base -1 2>"$WORK/late.err" &&
+		fail "$command takes a wave whose support ended"
+	grep -q 'would make it possible' "$WORK/late.err" || fail "$(cat "$WORK/late.err")"
+done
 wave_settings true >"$WORK/team.json"
 ctl publish crew-shares "$WORK/team.json" --base -1 >/dev/null || fail "publish"
 serves() { curl -sf "$(entry_url "$1")/crew-shares/$2/ping"; }
