--- a/src/adm.c
+++ b/src/adm.c
@@ -346,6 +346,8 @@
 	static const char valid[] = "{\"result\":\"valid\"}";
 	struct err fault = { .kind = ERR_OK };
 
+	/* The day decides whether a wave can end before the support does. */
+	rec->at_ms = clk_wall_ms(adm->config.clk);
 	if (dry_run(adm, rec, &fault) == 0)
 		web_respond(request, 200, json_headers, valid,
 			    sizeof(valid) - 1);
@@ -418,6 +420,7 @@
 		return;
 	}
 	memcpy(rec.host, host->name, sizeof(rec.host));
+	rec.by_operator = true;
 	apr_cpystrn(rec.move_to, pool, sizeof(rec.move_to));
 	apr_snprintf(rec.reason, sizeof(rec.reason), "by operator %s",
 		     op->name);
--- a/src/fst.h
+++ b/src/fst.h
@@ -47,11 +47,13 @@
 	int64_t drain_offset;	/* of the drain in force, or FST_NONE */
 	int64_t changed_offset; /* of the last change of state */
 	char reason[LIM_REASON_BYTES];
+	bool stays; /* an operator moved it; it does not go home by itself */
 	bool failed_by_operator; /* an operator says when it returns */
 	int64_t reboot_boot_id;	 /* boot_id at the reboot from which it has not
 				   returned, or FST_NONE */
-	char wave[LIM_NAME_BYTES];	/* of the drain in force */
-	char move_to[LIM_NAME_BYTES];	/* pool that this drain is for */
+	char wave[LIM_NAME_BYTES];    /* of the drain in force, or of the reboot
+				      from which it has not returned */
+	char move_to[LIM_NAME_BYTES]; /* pool that this drain is for */
 	char wave_done[LIM_NAME_BYTES]; /* completed last */
 	/* The wave in which it failed: it did not come back, or it failed
 	   after its return while the wave went on. */
