Let the queue test's burst begin with idle workers

Workers still ran requests that the overload before had given up at their deadline and refused 1 to 11 of 914 requests of the burst; a claimed request is sent to one worker only, so these ended as not-run.

--- a/tests/process_queue.sh
+++ b/tests/process_queue.sh
@@ -48,6 +48,17 @@
 done
 [ "$(entry_metric shed_normal_total)" -gt 0 ] || fail "nothing was refused at five times"
 
+# Workers still run requests that were given up at their deadline. They would
+# refuse some of the burst, and a claimed request is sent to one worker only.
+workers_idle() {
+	local i
+	for ((i = 0; i < 3; i++)); do
+		curl -s "$(worker_url $i)/control" | grep -q '"active":0,' || return 1
+	done
+}
+wait_until 60 is_idle normal || fail "work remains after the overload"
+wait_until 20 workers_idle || fail "workers are not idle after the overload"
+
 # A mean of half the capacity, with bursts of five times that.
 load 12 60 50,150,450 --shape payouts --burst 3 --once 0.5 --deadline-ms 6000,30000,60000
 check_urgent "burst"
@@ -82,6 +93,7 @@
 		silent
 		url = "$(entry_url 0)/crew-shares/payouts/pay?sleep_ms=400"
 		header = "Idempotency-Key: k$i"
+		header = "Plank-Key-Time-Ms: $(date +%s%3N)"
 		header = "Plank-Deadline-Ms: $((600 + i % 7 * 100))"
 		output = "$WORK/body"
 		request = POST
