Read the host list only when it has changed

Each fleet daemon read the whole list every second: 594 KB/s at 2,600 hosts by the measured slope, against 13 KB/s for a node. It now sends the list's ETag and takes 304 for unchanged, and compares facts only after a change of list or state. An unchanged list costs its headers.

The tick now leaves the claim 500 ms to answer.

--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -326,6 +326,7 @@
 	input.fst = rpl_state(fleetd->rpl);
 	input.hosts = hls_workers(fleetd->hls, &input.host_count);
 	input.hosts_age_ms = hls_age_ms(fleetd->hls);
+	input.lists = hls_lists(fleetd->hls);
 	plan.fst = input.fst;
 	if (rpl_ready(fleetd->rpl))
 		mbr_tick(fleetd->mbr, &input);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -477,7 +477,8 @@
 		if (web_caller_gone(forward->request)) {
 			cancel(forward);
 		} else if (forward->stage == FORWARD_CLAIMING &&
-			   now(fwd) >= forward->entry.deadline_ms) {
+			   now(fwd) >= forward->entry.deadline_ms +
+					       LIM_CLAIM_GRACE_MS) {
 			count(fwd, FWD_EXPIRED + forward->entry.priority);
 			fwd_end_failed(forward, ERR_EXPIRED,
 				       err_answer(ERR_EXPIRED)->message);
--- a/src/hls.c
+++ b/src/hls.c
@@ -13,6 +13,7 @@
 	int64_t due_ms;
 	int64_t answered_ms; /* -1: never */
 	int64_t version;
+	int64_t lists; /* that were read */
 	uint32_t count;
 	struct mbr_host *workers;
 	prt_host *rows;
@@ -79,6 +80,8 @@
 	prt_host *rows;
 
 	hls->asking = false;
+	if (status == PLT_UNCHANGED)
+		hls->answered_ms = clk_now_ms(hls->clk);
 	if (status)
 		return;
 	workers = calloc(count + 1, sizeof(*workers));
@@ -102,6 +105,7 @@
 		hls->count++;
 	}
 	hls->version = content_version(hls);
+	hls->lists++;
 	if (hls->answered_ms < 0)
 		log_info("platform lists %u worker hosts", hls->count);
 	hls->answered_ms = clk_now_ms(hls->clk);
@@ -123,6 +127,11 @@
 	return hls->version;
 }
 
+int64_t hls_lists(const struct hls *hls)
+{
+	return hls->lists;
+}
+
 int64_t hls_age_ms(const struct hls *hls)
 {
 	return hls->answered_ms < 0 ? -1
--- a/src/hls.h
+++ b/src/hls.h
@@ -28,6 +28,9 @@
  */
 int64_t hls_version(const struct hls *hls);
 
+/* hls_lists - lists read so far; an unchanged one is not read again */
+int64_t hls_lists(const struct hls *hls);
+
 /* hls_age_ms - since the platform last answered; -1: never */
 int64_t hls_age_ms(const struct hls *hls);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -78,6 +78,8 @@
 	LIM_CLAIMS_WAITING = 4096,
 	LIM_CLAIM_APPENDS_S = 200,
 	LIM_CLAIM_RELEASE_MS = 2000,
+	/* After the deadline, for the answer that tells why it was missed. */
+	LIM_CLAIM_GRACE_MS = 500,
 
 	/* Requests. */
 	LIM_DEADLINE_MS = 30000,
--- a/src/mbr.c
+++ b/src/mbr.c
@@ -41,6 +41,8 @@
 	struct tbl *up;	  /* failed hosts to return */
 	int64_t check;
 	int64_t checked_ms;
+	int64_t facts_lists;
+	uint64_t facts_changes;
 };
 
 struct mbr *mbr_create(const struct mbr_config *config)
@@ -266,6 +268,18 @@
 	propose(mbr, "host", listed->name, &rec);
 }
 
+/* Compares all hosts only after a change of the list or of the state. */
+static void report_all_facts(struct mbr *mbr, const struct mbr_input *input)
+{
+	if (mbr->facts_lists == input->lists &&
+	    mbr->facts_changes == input->fst->changes && !tbl_count(mbr->facts))
+		return;
+	mbr->facts_lists = input->lists;
+	mbr->facts_changes = input->fst->changes;
+	for (uint32_t i = 0; i < input->host_count; i++)
+		report_facts(mbr, input, &input->hosts[i]);
+}
+
 /* Takes over the list; counts the known hosts that it does not have. */
 static uint32_t take_list(struct mbr *mbr, const struct mbr_input *input)
 {
@@ -371,8 +385,7 @@
 		serve_entry(mbr, input, tbl_at(input->entries, i));
 	for (uint32_t i = 0; i < tbl_count(input->fst->members); i++)
 		expire_member(mbr, input, tbl_at(input->fst->members, i));
-	for (uint32_t i = 0; i < input->host_count; i++)
-		report_facts(mbr, input, &input->hosts[i]);
+	report_all_facts(mbr, input);
 	watch_hosts(mbr, input);
 	drop_notices(mbr->silent, input->fst);
 }
--- a/src/mbr.h
+++ b/src/mbr.h
@@ -66,6 +66,7 @@
 	struct tbl *entries; /* of struct mbr_entry */
 	const struct mbr_host *hosts;
 	uint32_t host_count;
+	int64_t lists;	      /* lists read so far */
 	int64_t hosts_age_ms; /* since the platform told them; -1: never */
 };
 
--- a/src/plt.c
+++ b/src/plt.c
@@ -9,13 +9,14 @@
 
 #include "fld.h"
 
-enum { MAX_ANSWER_BYTES = 32 * 1024 * 1024 };
+enum { MAX_ANSWER_BYTES = 32 * 1024 * 1024, ETAG_BYTES = 128 };
 
 struct plt {
 	struct evl *evl;
 	const char *url;
 	apr_pool_t *pool;
 	struct call *calls;
+	char hosts_etag[ETAG_BYTES]; /* of the last list; empty: none */
 };
 
 /* A call under way. Exactly one of the callbacks is set. */
@@ -304,6 +305,18 @@
 	evl_transfer(plt->evl, call->easy, reboot_done, call);
 }
 
+static void keep_etag(struct plt *plt, CURL *easy)
+{
+	struct curl_header *header;
+
+	plt->hosts_etag[0] = 0;
+	if (curl_easy_header(easy, "ETag", 0, CURLH_HEADER, -1, &header) ==
+		    CURLHE_OK &&
+	    strlen(header->value) < sizeof(plt->hosts_etag))
+		apr_cpystrn(plt->hosts_etag, header->value,
+			    sizeof(plt->hosts_etag));
+}
+
 static void hosts_done(void *arg, CURL *easy, CURLcode code)
 {
 	struct err fault = { .kind = ERR_OK };
@@ -315,6 +328,11 @@
 	long http = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http);
+	if (code == CURLE_OK && http == 304) {
+		call->on_hosts(call->arg, PLT_UNCHANGED, NULL, 0);
+		free_call(call);
+		return;
+	}
 	if (code == CURLE_OK && http == 200)
 		value = parse_answer(call, &fault);
 	root = jsn_root(value, &fault);
@@ -329,6 +347,8 @@
 			fld_read(&at, &host_fields[k], &hosts[i]);
 	}
 	json_object_put(value);
+	if (value && fault.kind == ERR_OK)
+		keep_etag(call->plt, easy);
 	if (value && fault.kind == ERR_OK)
 		call->on_hosts(call->arg, 0, hosts, (uint32_t)count);
 	else
@@ -344,5 +364,11 @@
 	struct call *call = new_call(plt, arg, LIM_READ_TIMEOUT_MS, "/hosts");
 
 	call->on_hosts = fn;
+	if (plt->hosts_etag[0]) {
+		call->headers = curl_slist_append(
+			NULL, apr_pstrcat(call->pool, "If-None-Match: ",
+					  plt->hosts_etag, NULL));
+		curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	}
 	evl_transfer(plt->evl, call->easy, hosts_done, call);
 }
--- a/src/plt.h
+++ b/src/plt.h
@@ -88,7 +88,15 @@
 void plt_reboot(struct plt *plt, const char *host, int64_t token,
 		void (*fn)(void *arg, int status), void *arg);
 
-/* plt_hosts - list of live and leaving hosts; errors as for plt_read */
+enum { PLT_UNCHANGED = 1 };
+
+/*
+ * plt_hosts - list of live and leaving hosts; errors as for plt_read
+ *
+ * If the platform gave the last list an ETag, only a newer one is asked for;
+ * status is PLT_UNCHANGED if there is none. At the target size the list is
+ * most of what a node reads.
+ */
 void plt_hosts(struct plt *plt,
 	       void (*fn)(void *arg, int status, const struct plt_host *hosts,
 			  uint32_t count),
