--- a/Makefile
+++ b/Makefile
@@ -119,6 +119,7 @@
 	$(BUILD)/bench_state
 	$(BUILD)/bench_waves
 	PLANK_BUILD=$(BUILD) bash bench/processes.sh
+	PLANK_BUILD=$(BUILD) bash bench/entries.sh
 
 # Figures of docs/REQUESTS.md.
 bench-queues: all standins $(BUILD)/plank-entryd-baseline
