Split the planner and the routing along their jobs

The survey of the state, the check of settings and the shares of slots now have files of their own; no behaviour changes. All 129 unit tests pass before and after.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host \
-	fst_member snp mbr rte pln adq clm
+	fst_member snp mbr rte rte_share pln pln_survey \
+	pln_check adq clm
 AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rbt rps rpf vew \
 	adm fwd fwd_read fwd_claim fwd_send clf ctl rpt hst arr
 GENERATED = prt_xdr prt_clnt
--- /dev/null
+++ b/src/pln_int.h
@@ -0,0 +1,159 @@
+/*
+ * NAME
+ *	pln_int - what the parts of the planner share among themselves
+ *
+ * pln_survey.c counts what the state holds, pln.c plans from that, pln_check.c
+ * refuses settings whose waves are impossible. Only these include this header.
+ */
+#ifndef PLN_INT_H
+#define PLN_INT_H
+
+#include "mbr.h"
+#include "pln.h"
+
+enum {
+	MS_PER_HOUR = 3600 * 1000,
+	HOURS_PER_DAY = 24,
+	MAX_DATA_CENTRES = 32,
+	/* The state's changes start a new plan; time alone one each second. */
+	REPLAN_MS = 1000,
+	/* A proposal that was refused or got lost is repeated after this. */
+	REPEAT_MS = 3000,
+	KEY_BYTES = 2 * LIM_NAME_BYTES
+};
+
+/* Pool of a team. Counts are of the present plan, need_since_ms persists. */
+struct pool {
+	char name[LIM_NAME_BYTES]; /* hash of team and pool, see key_of */
+	const struct fst_team *team;
+	const struct tms_pool *settings;
+	uint64_t seq;
+	uint32_t hosts;
+	uint32_t available;
+	uint32_t planned_out;
+	int32_t left;  /* hosts that may still be taken out in this plan */
+	int32_t undo;  /* hosts missing for the budget */
+	bool waits;    /* a wave has hosts to do here */
+	bool can_wait; /* such a wave may take out hosts now */
+	bool receives; /* a host is being moved here */
+	int64_t need_since_ms;
+	struct {
+		uint32_t hosts;
+		uint32_t available;
+	} centres[MAX_DATA_CENTRES];
+};
+
+struct rack {
+	char name[LIM_NAME_BYTES]; /* hash of data centre and rack */
+	uint64_t seq;
+	uint64_t listed_by; /* wave pass that has it in its list */
+	uint32_t out;
+	struct host *first; /* candidates of the wave under consideration */
+	struct host *last;
+};
+
+/* What is kept of a host between plans, and what is planned for it. */
+struct host {
+	char name[LIM_NAME_BYTES];
+	const struct fst_host *fst;
+	struct pool *pool; /* present one, or NULL */
+	struct rack *rack;
+	uint32_t centre;
+	uint64_t seq;
+	struct host *next; /* in its rack's list */
+
+	int64_t state_offset; /* of the state that it has since state_ms */
+	int64_t state_ms;
+	int64_t move_since_ms; /* -1: no reason to move */
+
+	uint64_t planned_in; /* plan that gave it the action below */
+	struct rec action;   /* text fields only; nothing is owned */
+	int64_t due_ms;
+	int64_t proposed_ms; /* -1: not proposed */
+};
+
+struct wave {
+	const struct fst_team *team;
+	const struct tms_wave *settings;
+	const struct tms_batch *batch;
+	uint32_t total;
+	uint32_t done;
+	uint32_t healthy; /* done, and not failed since */
+	uint32_t failed;
+	uint32_t out;
+	uint32_t todo;
+	bool stopped;
+	char held[LIM_REASON_BYTES]; /* why no host is taken out now, or "" */
+};
+
+struct pln {
+	struct pln_config config;
+	struct tbl *pools;
+	struct tbl *racks;
+	struct tbl *hosts;
+	char centres[MAX_DATA_CENTRES][LIM_NAME_BYTES];
+	uint32_t centre_count;
+	struct wave *waves;
+	uint32_t wave_count;
+	struct host **acting;
+	uint32_t acting_count;
+	uint32_t acting_cap;
+	uint64_t seq;
+	uint64_t pass;
+
+	const struct fst *planned_fst;
+	uint64_t planned_changes;
+	int64_t planned_ms;
+
+	/* Of the plan under way. */
+	const struct fst *fst;
+	int64_t now_ms;
+	int32_t day;
+	uint32_t hour;
+	void (*row)(void *arg, const struct pln_row *row);
+	void *row_arg;
+};
+
+/* pln_is_out - whether a host is draining, drained or rebooting */
+bool pln_is_out(const struct fst_host *host);
+
+/* pln_find_pool - pool of the present plan, or NULL */
+struct pool *pln_find_pool(struct pln *pln, const char *team, const char *name);
+
+/* pln_start_pools - begin a plan with the pools of all teams, not counted */
+void pln_start_pools(struct pln *pln);
+
+/* pln_start_host - count a host into its pool and rack */
+void pln_start_host(struct pln *pln, const struct fst_host *fst);
+
+/* pln_pool_room - available and planned-out hosts above the budget; may be < 0 */
+int32_t pln_pool_room(const struct pool *pool);
+
+/* pln_set_budgets - how many hosts each pool may take out, or must undo */
+void pln_set_budgets(struct pln *pln);
+
+/* pln_host_of - host of the present plan, or NULL */
+struct host *pln_host_of(const struct pln *pln, const char *name);
+
+/* pln_wave_done - whether a host has completed a wave, or a later one */
+bool pln_wave_done(const struct tms *settings, const struct tms_wave *wave,
+		   const struct fst_host *host);
+
+/* pln_wave_host - host of the wave's batch by its place in the list, or NULL */
+struct host *pln_wave_host(const struct pln *pln, const struct wave *wave,
+			   uint32_t index);
+
+/* pln_format_day - write a day as YYYY-MM-DD */
+void pln_format_day(char *text, size_t size, int32_t day);
+
+/* pln_in_canary_stage - whether the first hosts are not all back yet */
+bool pln_in_canary_stage(const struct wave *wave);
+
+/* pln_start_waves - count the waves, in the order of their support end */
+void pln_start_waves(struct pln *pln);
+
+/* pln_find_wave - wave of the present plan, or NULL */
+const struct wave *pln_find_wave(const struct pln *pln, const char *team,
+				 const char *name);
+
+#endif
--- /dev/null
+++ b/src/pln_survey.c
@@ -0,0 +1,353 @@
+/* Planner: pools, hosts, racks and waves as the state has them. */
+
+#include "pln_int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "rnd.h"
+
+/* Fixed-length key of two names for a table. */
+static void key_of(char *key, const char *first, const char *second)
+{
+	uint64_t hash = rnd_hash(RND_HASH_START, first, strlen(first) + 1);
+
+	snprintf(key, LIM_NAME_BYTES, "%016" PRIx64,
+		 rnd_hash(hash, second, strlen(second)));
+}
+
+static void *entry_of(struct tbl *tbl, const char *name)
+{
+	void *entry = tbl_find(tbl, name);
+
+	return entry ? entry : tbl_add(tbl, name);
+}
+
+static uint32_t centre_of(struct pln *pln, const char *name)
+{
+	for (uint32_t i = 0; i < pln->centre_count; i++)
+		if (!strcmp(pln->centres[i], name))
+			return i;
+	if (pln->centre_count == MAX_DATA_CENTRES)
+		return MAX_DATA_CENTRES - 1;
+	snprintf(pln->centres[pln->centre_count], LIM_NAME_BYTES, "%s", name);
+	return pln->centre_count++;
+}
+
+bool pln_is_out(const struct fst_host *host)
+{
+	return host->state == FST_DRAINING || host->state == FST_DRAINED ||
+	       host->state == FST_REBOOTING;
+}
+
+struct pool *pln_find_pool(struct pln *pln, const char *team, const char *name)
+{
+	char key[LIM_NAME_BYTES];
+	struct pool *pool;
+
+	key_of(key, team, name);
+	pool = tbl_find(pln->pools, key);
+	return pool && pool->seq == pln->seq ? pool : NULL;
+}
+
+void pln_start_pools(struct pln *pln)
+{
+	for (uint32_t i = 0; i < tbl_count(pln->fst->teams); i++) {
+		const struct fst_team *team = tbl_at(pln->fst->teams, i);
+
+		for (uint32_t k = 0; k < team->settings->pool_count; k++) {
+			const struct tms_pool *settings =
+				&team->settings->pools[k];
+			char key[LIM_NAME_BYTES];
+			struct pool *pool;
+			int64_t since_ms;
+
+			key_of(key, team->name, settings->name);
+			pool = entry_of(pln->pools, key);
+			since_ms = pool->seq ? pool->need_since_ms : -1;
+			memset(pool, 0, sizeof(*pool));
+			memcpy(pool->name, key, sizeof(key));
+			pool->need_since_ms = since_ms;
+			pool->team = team;
+			pool->settings = settings;
+			pool->seq = pln->seq;
+		}
+	}
+}
+
+static void count_host(struct pln *pln, struct host *host)
+{
+	const struct fst_host *fst = host->fst;
+	struct pool *pool = host->pool;
+	bool counts;
+
+	if (fst->state == FST_RETIRED)
+		return;
+	counts = fst_host_counts(pln->fst, fst);
+	host->rack->out += !counts;
+	if (!pool)
+		return;
+	pool->hosts++;
+	pool->available += counts;
+	pool->planned_out += pln_is_out(fst);
+	pool->centres[host->centre].hosts++;
+	pool->centres[host->centre].available += counts;
+}
+
+void pln_start_host(struct pln *pln, const struct fst_host *fst)
+{
+	struct host *host = entry_of(pln->hosts, fst->name);
+	char key[LIM_NAME_BYTES];
+
+	if (!host->seq) {
+		host->move_since_ms = -1;
+		host->state_offset = FST_NONE;
+	}
+	host->seq = pln->seq;
+	host->fst = fst;
+	if (host->state_offset != fst->changed_offset) {
+		host->state_offset = fst->changed_offset;
+		host->state_ms = pln->now_ms;
+	}
+	host->pool =
+		fst->team[0] ? pln_find_pool(pln, fst->team, fst->pool) : NULL;
+	host->centre = centre_of(pln, fst->data_centre);
+	key_of(key, fst->data_centre, fst->rack);
+	host->rack = entry_of(pln->racks, key);
+	if (host->rack->seq != pln->seq) {
+		host->rack->seq = pln->seq;
+		host->rack->out = 0;
+	}
+	count_host(pln, host);
+}
+
+/* Teams that weigh roll-out time most use the whole budget. */
+static bool is_rollout_heavy(const struct tms *settings)
+{
+	return settings->weight_rollout > settings->weight_spare &&
+	       settings->weight_rollout > settings->weight_moves;
+}
+
+/* Hosts of a pool that could be taken out if nothing planned were out. */
+int32_t pln_pool_room(const struct pool *pool)
+{
+	return (int32_t)(pool->available + pool->planned_out) -
+	       (int32_t)pool->settings->min_available;
+}
+
+void pln_set_budgets(struct pln *pln)
+{
+	for (uint32_t i = 0; i < tbl_count(pln->pools); i++) {
+		struct pool *pool = tbl_at(pln->pools, i);
+		int32_t kept;
+
+		if (pool->seq != pln->seq)
+			continue;
+		kept = pln_pool_room(pool) >= 2 &&
+		       !is_rollout_heavy(pool->team->settings);
+		pool->left = (int32_t)pool->available -
+			     (int32_t)pool->settings->min_available - kept;
+		pool->undo = (int32_t)pool->settings->min_available -
+			     (int32_t)pool->available;
+	}
+}
+
+struct host *pln_host_of(const struct pln *pln, const char *name)
+{
+	struct host *host = tbl_find(pln->hosts, name);
+
+	return host && host->seq == pln->seq ? host : NULL;
+}
+
+/*
+ * Whether a host has completed a wave. A host remembers only the last wave
+ * that it completed; of several waves of one batch the later ones include the
+ * earlier ones, or they would take turns for ever.
+ */
+bool pln_wave_done(const struct tms *settings, const struct tms_wave *wave,
+		   const struct fst_host *host)
+{
+	const struct tms_wave *last;
+
+	if (!host->wave_done[0])
+		return false;
+	if (!strcmp(host->wave_done, wave->name))
+		return true;
+	last = tms_find_wave(settings, host->wave_done);
+	return last && !strcmp(last->batch, wave->batch) &&
+	       (last->start_day > wave->start_day ||
+		(last->start_day == wave->start_day && last > wave));
+}
+
+/* The host if it belongs to the wave's team; others are none of its hosts. */
+struct host *pln_wave_host(const struct pln *pln, const struct wave *wave,
+			   uint32_t index)
+{
+	struct host *host = pln_host_of(pln, wave->batch->hosts.names[index]);
+
+	return host && !strcmp(host->fst->team, wave->team->name) ? host : NULL;
+}
+
+static bool in_window(const struct tms_wave *wave, uint32_t hour)
+{
+	uint32_t from = wave->from_hour, to = wave->to_hour % HOURS_PER_DAY;
+
+	if (from == to)
+		return true;
+	if (from < to)
+		return hour >= from && hour < to;
+	return hour >= from || hour < to;
+}
+
+void pln_format_day(char *text, size_t size, int32_t day)
+{
+	/* Civil date from days since 1970-01-01, by 400-year cycles. */
+	int32_t z = day + 719468;
+	int32_t era = z / 146097;
+	int32_t doe = z - era * 146097;
+	int32_t yoe = (doe - doe / 1460 + doe / 36524 - doe / 146096) / 365;
+	int32_t doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
+	int32_t mp = (5 * doy + 2) / 153;
+	int32_t month = mp < 10 ? mp + 3 : mp - 9;
+
+	snprintf(text, size, "%04d-%02d-%02d", yoe + era * 400 + (month <= 2),
+		 month, doy - (153 * mp + 2) / 5 + 1);
+}
+
+bool pln_in_canary_stage(const struct wave *wave)
+{
+	uint32_t canary = wave->settings->canary_hosts;
+
+	return wave->healthy < (canary < wave->total ? canary : wave->total);
+}
+
+/* A failed canary host, or more than one host in twenty, at least two. */
+static bool failed_too_often(const struct wave *wave)
+{
+	if (pln_in_canary_stage(wave))
+		return wave->failed > 0;
+	return wave->failed >= 2 && wave->failed * 20 > wave->total;
+}
+
+static void set_held(const struct pln *pln, struct wave *wave)
+{
+	const struct tms_wave *settings = wave->settings;
+	char day[16];
+
+	pln_format_day(day, sizeof(day), settings->start_day);
+	wave->stopped = failed_too_often(wave);
+	wave->held[0] = 0;
+	if (settings->paused)
+		snprintf(wave->held, sizeof(wave->held),
+			 "the wave is paused by its settings");
+	else if (wave->stopped)
+		snprintf(wave->held, sizeof(wave->held),
+			 "stopped: %u of %u hosts failed%s; publish with a "
+			 "higher resume to go on",
+			 wave->failed, wave->total,
+			 pln_in_canary_stage(wave) ? " in the canary stage"
+						   : "");
+	else if (pln->day < settings->start_day)
+		snprintf(wave->held, sizeof(wave->held),
+			 "the wave starts on %s", day);
+	else if (!in_window(settings, pln->hour))
+		snprintf(wave->held, sizeof(wave->held),
+			 "outside of the hours from %u to %u UTC",
+			 settings->from_hour, settings->to_hour);
+}
+
+static void count_wave(const struct pln *pln, struct wave *wave)
+{
+	const struct tms *settings = wave->team->settings;
+
+	for (uint32_t i = 0; i < wave->batch->hosts.count; i++) {
+		struct host *host = pln_wave_host(pln, wave, i);
+		bool done, failed;
+
+		if (!host)
+			continue;
+		done = pln_wave_done(settings, wave->settings, host->fst);
+		if (host->fst->state == FST_RETIRED && !done)
+			continue;
+		failed = !strcmp(host->fst->wave_failed, wave->settings->name);
+		wave->total++;
+		wave->done += done;
+		wave->healthy += done && !failed;
+		wave->failed += failed;
+		wave->todo += !done;
+		wave->out += !done && pln_is_out(host->fst) &&
+			     !strcmp(host->fst->wave, wave->settings->name);
+	}
+	set_held(pln, wave);
+	for (uint32_t i = 0; i < wave->batch->hosts.count; i++) {
+		struct host *host = pln_wave_host(pln, wave, i);
+
+		if (!host || !host->pool || host->fst->state == FST_RETIRED ||
+		    pln_wave_done(settings, wave->settings, host->fst) ||
+		    !strcmp(host->fst->wave_failed, wave->settings->name) ||
+		    pln->day < wave->settings->start_day || wave->stopped)
+			continue;
+		host->pool->waits = true;
+		host->pool->can_wait |= !wave->held[0];
+	}
+}
+
+/* Batches whose support ends first come first. */
+static int by_support_end(const void *a, const void *b)
+{
+	const struct wave *first = a, *second = b;
+
+	if (first->batch->support_ends_day != second->batch->support_ends_day)
+		return first->batch->support_ends_day <
+				       second->batch->support_ends_day
+			       ? -1
+			       : 1;
+	if (first->settings->start_day != second->settings->start_day)
+		return first->settings->start_day < second->settings->start_day
+			       ? -1
+			       : 1;
+	if (first->team != second->team)
+		return first->team < second->team ? -1 : 1;
+	return first->settings < second->settings ? -1 : 1;
+}
+
+void pln_start_waves(struct pln *pln)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < tbl_count(pln->fst->teams); i++)
+		count += ((struct fst_team *)tbl_at(pln->fst->teams, i))
+				 ->settings->wave_count;
+	free(pln->waves);
+	pln->wave_count = 0;
+	pln->waves = calloc(count + 1, sizeof(*pln->waves));
+	for (uint32_t i = 0; pln->waves && i < tbl_count(pln->fst->teams);
+	     i++) {
+		const struct fst_team *team = tbl_at(pln->fst->teams, i);
+
+		for (uint32_t k = 0; k < team->settings->wave_count; k++) {
+			struct wave *wave = &pln->waves[pln->wave_count++];
+
+			wave->team = team;
+			wave->settings = &team->settings->waves[k];
+			wave->batch = tms_find_batch(team->settings,
+						     wave->settings->batch);
+			count_wave(pln, wave);
+		}
+	}
+	if (pln->waves)
+		qsort(pln->waves, pln->wave_count, sizeof(*pln->waves),
+		      by_support_end);
+}
+
+const struct wave *pln_find_wave(const struct pln *pln, const char *team,
+				 const char *name)
+{
+	for (uint32_t i = 0; i < pln->wave_count; i++)
+		if (!strcmp(pln->waves[i].settings->name, name) &&
+		    !strcmp(pln->waves[i].team->name, team))
+			return &pln->waves[i];
+	return NULL;
+}
