--- /dev/null
+++ b/tests/process_docs.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Guards against a counter or a setting that docs/OPERATIONS.md does not name.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+trap stop_all EXIT
+
+missing=0
+named() {
+	grep -qw "$1" docs/OPERATIONS.md && return
+	echo "docs/OPERATIONS.md does not name $1"
+	missing=1
+}
+start_cluster 1 1 || exit 1
+for url in "$(entry_url 0)" "$(fleet_url 0)"; do
+	for counter in $(curl -s "$url/metrics" | sed -n 's/^plank_\([a-z_]*\) .*/\1/p'); do
+		named "$counter"
+	done
+done
+for key in $(sed -n 's/^\t{ "\([a-z_]*\)", offsetof.*/\1/p' src/cnf.c); do
+	named "$key"
+done
+[ $missing = 0 ] && echo ok
+exit $missing
