--- a/src/rte.c
+++ b/src/rte.c
@@ -247,8 +247,7 @@
 }
 
 /* Requests that may be in progress; each takes a slot and a connection. */
-static uint32_t own_slots(const struct rte *rte,
-			  const struct rte_worker *worker)
+static uint32_t share_of(const struct rte *rte, const struct rte_worker *worker)
 {
 	uint32_t slots = rte->isolated ? worker->near_slots : worker->own_slots;
 	uint32_t connections = rte->isolated ? worker->near_connections
@@ -266,12 +265,60 @@
 	       (worker->local || (remote_allowed && worker->data_centre_live));
 }
 
+/*
+ * A member whose shares at a pool are all at workers that are out or fail
+ * would refuse every request until the state tells of them. It then uses one
+ * slot of one of the others, chosen by hash so that such members spread; the
+ * worker's guard refuses a request that is one too many.
+ */
+static void lend_slot(const struct rte *rte, struct rte_pool *pool)
+{
+	uint64_t member =
+		rnd_hash(RND_HASH_START, rte->member, strlen(rte->member));
+	uint64_t best = 0;
+	uint32_t share = 0;
+
+	pool->lent = NULL;
+	for (uint32_t i = 0; i < pool->count; i++) {
+		struct rte_worker *worker = pool->workers[i];
+		uint32_t slots = share_of(rte, worker);
+		uint64_t weight;
+
+		share += slots;
+		if (!is_open(worker, rte->remote_allowed) || worker->ejected)
+			continue;
+		if (slots > 0) {
+			pool->lent = NULL;
+			return;
+		}
+		weight = rnd_hash(member, worker->name, strlen(worker->name));
+		if (!pool->lent || weight > best) {
+			pool->lent = worker;
+			best = weight;
+		}
+	}
+	if (!share)
+		pool->lent = NULL;
+}
+
+/* Requests that may be in progress at a worker. */
+static uint32_t own_slots(const struct rte *rte,
+			  const struct rte_worker *worker)
+{
+	uint32_t slots = share_of(rte, worker);
+
+	return !slots && worker->pool && worker->pool->lent == worker ? 1
+								      : slots;
+}
+
 void rte_pool_capacity(const struct rte *rte, const char *team,
 		       const char *pool_name, struct rte_capacity *capacity)
 {
-	const struct rte_pool *pool = find_pool(rte, team, pool_name);
+	struct rte_pool *pool = find_pool(rte, team, pool_name);
 
 	*capacity = (struct rte_capacity){ 0 };
+	if (pool)
+		lend_slot(rte, pool);
 	for (uint32_t i = 0; pool && i < pool->count; i++) {
 		const struct rte_worker *worker = pool->workers[i];
 
@@ -451,6 +498,7 @@
 		rte->stats.no_fit++;
 		return ERR_NO_FIT;
 	}
+	lend_slot(rte, pool);
 	best = find_probe(rte, pool, query);
 	if (best) {
 		best->probing = true;
--- a/src/rte_int.h
+++ b/src/rte_int.h
@@ -18,6 +18,7 @@
 	uint32_t usable;
 	uint32_t ejected; /* of the usable ones */
 	struct rte_worker **workers;
+	struct rte_worker *lent; /* used for one request beyond the shares */
 };
 
 struct rte {
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -204,6 +204,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a member that refuses everything because its shares are all
+ * at a worker that failed a moment ago, while others of the pool serve.
+ */
+START_TEST(failing_share_leaves_a_slot)
+{
+	const struct rte_listed listed[] = { { "w0", false }, { "w1", false } };
+
+	add_workers(2, 1);
+	for (int i = 0; i < 16; i++)
+		join(i);
+	for (int i = 0; i < 2; i++) {
+		for (int member = 0; member < 16; member++) {
+			char name[16];
+			struct rte *rte;
+
+			snprintf(name, sizeof(name), "e%d", member);
+			rte = rte_create(name, "suva", &rnd);
+			rte_sync(rte, fst, true, &listed[i], 1);
+			ck_assert_uint_ge(usable_slots(rte), 1);
+			rte_destroy(rte);
+		}
+	}
+}
+END_TEST
+
 /* Guards against more connections than a worker allows. */
 START_TEST(connections_bound_requests)
 {
@@ -405,6 +431,7 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, shares_add_up);
 	tcase_add_test(tcase, shares_are_balanced);
+	tcase_add_test(tcase, failing_share_leaves_a_slot);
 	tcase_add_test(tcase, connections_bound_requests);
 	tcase_add_test(tcase, shares_follow_leases);
 	tcase_add_loop_test(tcase, ejection_is_bounded, 1, 7);
