--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 SANITIZE =
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-format-truncation \
 	-Wno-cast-function-type $(SANITIZE)
-CPPFLAGS = -D_GNU_SOURCE -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+CPPFLAGS = -D_GNU_SOURCE -Isrc -Iplatform $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host \
@@ -22,10 +22,13 @@
 	pln_check adq clm
 AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rbt rps rpf vew \
 	adm fwd fwd_read fwd_claim fwd_send clf ctl rpt hst arr
+NODE = cfg job job_record worker place writer tail order pool \
+	pool_order pool_report settings front group node
+PLATFORM = call json store wire orders ingress platform
 GENERATED = prt_xdr prt_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
-	$(BUILD)/plank-load
+	$(BUILD)/plank-load $(BUILD)/plank-noded
 STANDINS = $(BUILD)/platformd $(BUILD)/workerd $(BUILD)/faultd
 
 all: $(PROGRAMS)
@@ -37,10 +40,15 @@
 	@echo "  CC $@"
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
 
+$(BUILD)/%.o: platform/%.c $(wildcard src/*.h platform/*.h) Makefile | $(BUILD)
+	@echo "  CC $@"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
+
 # Generated code is compiled as it comes.
 $(GENERATED:%=$(BUILD)/%.o): CFLAGS += -w
 
 $(LIBRARY): $(CORE:%=$(BUILD)/%.o) $(AROUND:%=$(BUILD)/%.o) \
+		$(NODE:%=$(BUILD)/%.o) $(PLATFORM:%=$(BUILD)/%.o) \
 		$(GENERATED:%=$(BUILD)/%.o)
 	rm -f $@
 	ar rcs $@ $^
@@ -59,6 +67,10 @@
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/plank-noded: $(BUILD)/noded.o $(LIBRARY)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/plank-load: $(BUILD)/load.o $(LIBRARY)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) $^ $(LDLIBS) -lm -o $@
@@ -127,6 +139,7 @@
 	PLANK_BUILD=$(BUILD) bash bench/queues.sh
 
 SOURCES = $(filter-out src/prt%,$(wildcard src/*.c src/*.h)) \
+	$(wildcard platform/*.c platform/*.h) \
 	$(wildcard tests/*.c tests/*.h bench/*.c)
 
 lint:
--- /dev/null
+++ b/src/cfg.c
@@ -0,0 +1,61 @@
+#include "cfg.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void cfg_destroy(struct cfg *cfg)
+{
+	if (!cfg)
+		return;
+	free(cfg->queues);
+	free(cfg->pools);
+	free(cfg);
+}
+
+static bool same_host(const char *host, const char *wanted)
+{
+	const char *colon = strrchr(host, ':');
+	size_t len = colon ? (size_t)(colon - host) : strlen(host);
+
+	return strlen(wanted) == len && !strncasecmp(host, wanted, len);
+}
+
+const struct cfg_queue *cfg_route(const struct cfg *cfg, const char *host,
+				  const char *path, const char **rest)
+{
+	const struct cfg_queue *best = NULL;
+	size_t best_len = 0;
+
+	for (uint32_t i = 0; host && i < cfg->queue_count; i++) {
+		const struct cfg_queue *queue = &cfg->queues[i];
+		size_t len = strlen(queue->prefix);
+
+		if (best && len <= best_len)
+			continue;
+		if (!same_host(host, queue->host) ||
+		    strncmp(path, queue->prefix, len))
+			continue;
+		best = queue;
+		best_len = len;
+	}
+	if (best)
+		*rest = path + best_len;
+	return best;
+}
+
+const struct cfg_queue *cfg_queue_find(const struct cfg *cfg, const char *name)
+{
+	for (uint32_t i = 0; cfg && i < cfg->queue_count; i++)
+		if (!strcmp(cfg->queues[i].name, name))
+			return &cfg->queues[i];
+	return NULL;
+}
+
+const struct cfg_pool *cfg_pool_find(const struct cfg *cfg, const char *name)
+{
+	for (uint32_t i = 0; cfg && i < cfg->pool_count; i++)
+		if (!strcmp(cfg->pools[i].name, name))
+			return &cfg->pools[i];
+	return NULL;
+}
--- /dev/null
+++ b/src/job.c
@@ -0,0 +1,476 @@
+#include "job.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "job_int.h"
+
+struct job_store *job_store_create(int (*decode)(const char *body, size_t len,
+						 struct job_spec *spec,
+						 struct err *err))
+{
+	struct job_store *store = g_new0(struct job_store, 1);
+
+	store->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	store->list = g_ptr_array_new();
+	store->live = g_ptr_array_new();
+	store->decode = decode;
+	return store;
+}
+
+void job_spec_clear(struct job_spec *spec)
+{
+	g_free(spec->text);
+	g_free(spec->steps);
+	memset(spec, 0, sizeof(*spec));
+}
+
+static void clear_tasks(struct job *job)
+{
+	for (uint32_t i = 0; i < job->occurrences * job->tasks_each; i++)
+		g_free(job->tasks[i].checkpoint);
+	g_free(job->tasks);
+	job->tasks = NULL;
+	job->occurrences = 0;
+	job->tasks_each = 0;
+}
+
+static void free_job(struct job *job)
+{
+	clear_tasks(job);
+	job_spec_clear(&job->spec);
+	g_free(job->progress);
+	g_free(job);
+}
+
+void job_store_destroy(struct job_store *store)
+{
+	if (!store)
+		return;
+	for (guint i = 0; i < store->list->len; i++)
+		free_job(store->list->pdata[i]);
+	g_ptr_array_free(store->list, TRUE);
+	g_ptr_array_free(store->live, TRUE);
+	g_hash_table_destroy(store->jobs);
+	g_free(store);
+}
+
+bool job_valid_id(const char *text)
+{
+	size_t len = strspn(text, "0123456789abcdefABCDEF");
+
+	return len == JOB_ID_BYTES - 1 && !text[len];
+}
+
+static int check_step(const struct job_spec *spec, uint32_t index,
+		      struct err *err)
+{
+	const struct job_step *step = &spec->steps[index];
+
+	if (step->count < 1 || step->count > JOB_MAX_TASKS)
+		return err_set(err, ERR_INVALID,
+			       "step %u: count %d given, 1 to %d wanted", index,
+			       step->count, JOB_MAX_TASKS);
+	if (step->cpu_milli < 0 || step->mem_mib < 0 || step->gpu < 0)
+		return err_set(err, ERR_INVALID,
+			       "step %u: a size below 0 given", index);
+	if (step->depends >> index)
+		return err_set(err, ERR_INVALID,
+			       "step %u depends on itself or a later step",
+			       index);
+	return 0;
+}
+
+int job_spec_check(const struct job_spec *spec, struct err *err)
+{
+	int64_t tasks = 0;
+
+	if (strlen(spec->text) > JOB_MAX_SPEC_BYTES)
+		return err_set(err, ERR_INVALID,
+			       "text of %zu bytes given, at most %d wanted",
+			       strlen(spec->text), JOB_MAX_SPEC_BYTES);
+	if (spec->step_count < 1 || spec->step_count > JOB_MAX_STEPS)
+		return err_set(err, ERR_INVALID,
+			       "%u steps given, 1 to %d wanted",
+			       spec->step_count, JOB_MAX_STEPS);
+	for (uint32_t i = 0; i < spec->step_count; i++) {
+		int status = check_step(spec, i, err);
+
+		if (status < 0)
+			return status;
+		tasks += spec->steps[i].count;
+	}
+	if (spec->repeat_count < 0 || spec->interval_ms < 0)
+		return err_set(err, ERR_INVALID, "a negative repetition given");
+	if (spec->repeat_count > 1)
+		tasks *= spec->repeat_count;
+	if (tasks > JOB_MAX_TASKS)
+		return err_set(err, ERR_INVALID,
+			       "%" G_GINT64_FORMAT
+			       " tasks given, at most %d wanted",
+			       tasks, JOB_MAX_TASKS);
+	return 0;
+}
+
+struct job *job_find(const struct job_store *store, const char *id)
+{
+	return g_hash_table_lookup(store->jobs, id);
+}
+
+/* The job with that id, made if it is not known. */
+static struct job *need_job(struct job_store *store, const char *id)
+{
+	struct job *job = job_find(store, id);
+
+	if (job)
+		return job;
+	job = g_new0(struct job, 1);
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->given_offset = -1;
+	job->progress_offset = -1;
+	job->order = store->next_order++;
+	g_hash_table_insert(store->jobs, job->id, job);
+	g_ptr_array_add(store->list, job);
+	g_ptr_array_add(store->live, job);
+	return job;
+}
+
+static void make_tasks(struct job *job)
+{
+	job->tasks_each = 0;
+	for (uint32_t i = 0; i < job->spec.step_count; i++)
+		job->tasks_each += (uint32_t)job->spec.steps[i].count;
+	job->occurrences = job->spec.repeat_count > 1
+				   ? (uint32_t)job->spec.repeat_count
+				   : 1;
+	job->tasks =
+		g_new0(struct job_task, job->occurrences * job->tasks_each);
+}
+
+int job_apply_given(struct job_store *store, const char *id, int64_t offset,
+		    const char *record, size_t len, struct err *err)
+{
+	struct job *job = need_job(store, id);
+	const char *body = memchr(record, '\n', len);
+	int status;
+
+	if (job->has_spec || job->given_offset >= 0)
+		return 0;
+	job->given_offset = offset;
+	if (!body)
+		status = err_set(err, ERR_INVALID, "the record has no body");
+	else
+		status = job_read_head(job, record, (size_t)(body - record),
+				       err);
+	if (status == 0) {
+		body++;
+		status = store->decode(body, len - (size_t)(body - record),
+				       &job->spec, err);
+	}
+	if (status < 0) {
+		job->state = JOB_FAILED;
+		job->shown = JOB_FAILED;
+		g_ptr_array_remove(store->live, job);
+		return status;
+	}
+	job->has_spec = true;
+	make_tasks(job);
+	if (job->progress)
+		job_reload(store, job);
+	return 0;
+}
+
+void job_apply_cancel(struct job_store *store, const char *id)
+{
+	struct job *job = need_job(store, id);
+
+	job->cancel_asked = true;
+}
+
+/* Keeps the list of jobs that have not ended. */
+static void keep_live(struct job_store *store, struct job *job)
+{
+	if (job_ended(job->state) && job_ended(job->shown))
+		g_ptr_array_remove(store->live, job);
+}
+
+void job_stored(struct job *job, const char *record, size_t len)
+{
+	struct err err = { .kind = ERR_OK };
+
+	g_free(job->progress);
+	job->progress = g_strndup(record, len);
+	job_read_shown(job, record, len, &err);
+}
+
+int job_apply_progress(struct job_store *store, const char *id, int64_t offset,
+		       const char *record, size_t len, bool own,
+		       struct err *err)
+{
+	struct job *job = need_job(store, id);
+	int status;
+
+	if (offset <= job->progress_offset)
+		return 0;
+	job->progress_offset = offset;
+	status = job_read_shown(job, record, len, err);
+	if (status < 0)
+		return status;
+	g_free(job->progress);
+	job->progress = g_strndup(record, len);
+	if (!own)
+		job_reload(store, job);
+	keep_live(store, job);
+	return 0;
+}
+
+void job_forget(struct job_store *store, const char *id)
+{
+	struct job *job = job_find(store, id);
+
+	if (!job)
+		return;
+	g_hash_table_remove(store->jobs, id);
+	g_ptr_array_remove(store->list, job);
+	g_ptr_array_remove(store->live, job);
+	free_job(job);
+}
+
+void job_reload(struct job_store *store, struct job *job)
+{
+	struct err err = { .kind = ERR_OK };
+
+	if (job->has_spec) {
+		clear_tasks(job);
+		make_tasks(job);
+	}
+	job->dirty = false;
+	job->state = job->shown;
+	if (job->progress && job->has_spec)
+		job_read_tasks(job, job->progress, &err);
+	keep_live(store, job);
+}
+
+struct job_task *job_task_at(const struct job *job, uint32_t occurrence,
+			     uint32_t step, uint32_t index)
+{
+	return &job->tasks[occurrence * job->tasks_each +
+			   job_step_first(job, step) + index];
+}
+
+bool job_next_task(struct job_pos *pos)
+{
+	const struct job *job = pos->job;
+
+	if (!job->tasks_each)
+		return false;
+	if (!pos->task) {
+		pos->task = job->tasks;
+		return true;
+	}
+	pos->task++;
+	pos->index++;
+	if (pos->index < (uint32_t)job->spec.steps[pos->step].count)
+		return true;
+	pos->index = 0;
+	pos->step++;
+	if (pos->step < job->spec.step_count)
+		return true;
+	pos->step = 0;
+	pos->occurrence++;
+	return pos->occurrence < job->occurrences;
+}
+
+void job_task_name(const struct job_pos *place, char *out, size_t size)
+{
+	g_snprintf(out, size, "%s.%u.%u.%u", place->job->id, place->occurrence,
+		   place->step, place->index);
+}
+
+bool job_task_find(const struct job_store *store, const char *name,
+		   struct job_pos *place)
+{
+	char id[JOB_ID_BYTES];
+	unsigned int occurrence, step, index;
+	int used = 0;
+
+	if (sscanf(name, "%16[0-9a-fA-F].%u.%u.%u%n", id, &occurrence, &step,
+		   &index, &used) != 4 ||
+	    name[used])
+		return false;
+	place->job = job_find(store, id);
+	if (!place->job || occurrence >= place->job->occurrences ||
+	    step >= place->job->spec.step_count ||
+	    index >= (uint32_t)place->job->spec.steps[step].count)
+		return false;
+	place->occurrence = occurrence;
+	place->step = step;
+	place->index = index;
+	place->task = job_task_at(place->job, occurrence, step, index);
+	return true;
+}
+
+uint32_t job_step_first(const struct job *job, uint32_t step)
+{
+	uint32_t first = 0;
+
+	for (uint32_t i = 0; i < step; i++)
+		first += (uint32_t)job->spec.steps[i].count;
+	return first;
+}
+
+static bool step_done(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+	const struct job_task *tasks = job_task_at(job, occurrence, step, 0);
+
+	for (int32_t i = 0; i < job->spec.steps[step].count; i++)
+		if (tasks[i].state != TASK_DONE)
+			return false;
+	return true;
+}
+
+bool job_step_ready(const struct job *job, uint32_t occurrence, uint32_t step)
+{
+	uint32_t depends = job->spec.steps[step].depends;
+
+	for (uint32_t i = 0; depends >> i; i++)
+		if ((depends >> i & 1) && !step_done(job, occurrence, i))
+			return false;
+	return true;
+}
+
+int64_t job_due_ms(const struct job *job, uint32_t occurrence)
+{
+	if (job->spec.repeat_count < 1)
+		return 0;
+	return job->spec.start_at_ms + occurrence * job->spec.interval_ms;
+}
+
+int64_t job_chain_ms(const struct job *job)
+{
+	int64_t ends_ms[JOB_MAX_STEPS] = { 0 };
+	int64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < job->spec.step_count; i++) {
+		const struct job_step *step = &job->spec.steps[i];
+
+		for (uint32_t j = 0; j < i; j++)
+			if ((step->depends >> j & 1) && ends_ms[j] > ends_ms[i])
+				ends_ms[i] = ends_ms[j];
+		ends_ms[i] += step->estimate_ms;
+		longest_ms = MAX(longest_ms, ends_ms[i]);
+	}
+	return longest_ms;
+}
+
+double job_work_left(const struct job *job)
+{
+	struct job_pos pos = { .job = (struct job *)job };
+	double work = 0;
+
+	while (job_next_task(&pos)) {
+		const struct job_step *step = &job->spec.steps[pos.step];
+
+		if (pos.task->state != TASK_DONE)
+			work += (double)step->cpu_milli * step->estimate_ms;
+	}
+	return work;
+}
+
+const char *job_state_name(enum job_state state)
+{
+	static const char *const names[] = {
+		[JOB_QUEUED] = "queued",       [JOB_RUNNING] = "running",
+		[JOB_DONE] = "done",	       [JOB_FAILED] = "failed",
+		[JOB_CANCELLED] = "cancelled",
+	};
+
+	return names[state];
+}
+
+void job_place_task(struct job *job, struct job_task *task, const char *worker,
+		    int32_t run, int64_t now_ms)
+{
+	task->state = TASK_PLACED;
+	task->phase = PHASE_RECORDING;
+	task->stop_sent = false;
+	task->run = run;
+	task->worker = g_intern_string(worker);
+	task->since_ms = now_ms;
+	task->percent = 0;
+	task->figure = 0;
+	task->pace = 100;
+	job->dirty = true;
+}
+
+/* One member's end done stands for the whole gang. */
+static void finish_gang(struct job_pos *place)
+{
+	struct job_task *tasks =
+		job_task_at(place->job, place->occurrence, place->step, 0);
+
+	for (int32_t i = 0; i < place->job->spec.steps[place->step].count; i++)
+		tasks[i].state = TASK_DONE;
+}
+
+static void keep_checkpoint(struct job_pos *place, const char *checkpoint)
+{
+	const struct job_step *step = &place->job->spec.steps[place->step];
+	struct job_task *tasks = place->task;
+	int32_t count = 1;
+
+	if (!checkpoint || !*checkpoint)
+		return;
+	if (step->gang) {
+		tasks = job_task_at(place->job, place->occurrence, place->step,
+				    0);
+		count = step->count;
+	}
+	for (int32_t i = 0; i < count; i++) {
+		g_free(tasks[i].checkpoint);
+		tasks[i].checkpoint = g_strdup(checkpoint);
+	}
+}
+
+void job_end_run(struct job_pos *place, enum job_end how,
+		 const char *checkpoint, int32_t attempts)
+{
+	const struct job_step *step = &place->job->spec.steps[place->step];
+	struct job_task *task = place->task;
+
+	place->job->dirty = true;
+	keep_checkpoint(place, checkpoint);
+	task->state = how == END_DONE ? TASK_DONE : TASK_WAITING;
+	task->phase = PHASE_UNKNOWN;
+	if (how == END_DONE && step->gang)
+		finish_gang(place);
+	if (how != END_FAILED)
+		return;
+	task->failed++;
+	if (!step->long_running && task->failed >= attempts)
+		place->job->state = JOB_FAILED;
+}
+
+void job_refresh(struct job *job)
+{
+	uint32_t count = job->occurrences * job->tasks_each;
+	uint32_t done = 0, placed = 0;
+	enum job_state state = job->state;
+
+	if (!job->has_spec || job_ended(state))
+		return;
+	for (uint32_t i = 0; i < count; i++) {
+		done += job->tasks[i].state == TASK_DONE;
+		placed += job->tasks[i].run > 0;
+	}
+	if (job->cancel_asked)
+		state = JOB_CANCELLED;
+	else if (done == count)
+		state = JOB_DONE;
+	else if (placed)
+		state = JOB_RUNNING;
+	if (state != job->state)
+		job->dirty = true;
+	job->state = state;
+}
--- /dev/null
+++ b/src/job_record.c
@@ -0,0 +1,256 @@
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "job_int.h"
+#include "jsn.h"
+
+/*
+ * A hand-in is a line of JSON with queue, pool and time, then the body as the
+ * caller sent it. A progress record is {"state", "started", "parts"}; a part is
+ * [occurrence, step, done, tasks] with one hexadecimal digit for each four
+ * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
+ * for each other task that has been started.
+ */
+
+char *job_given_record(const char *queue, const char *pool, int64_t wall_ms,
+		       const char *body, size_t body_len, size_t *len)
+{
+	struct json_object *head = json_object_new_object();
+	const char *text;
+	char *record;
+	size_t head_len;
+
+	jsn_put_string(head, "queue", queue);
+	jsn_put_string(head, "pool", pool);
+	jsn_put_int(head, "at", wall_ms);
+	text = json_object_to_json_string_ext(head, JSON_C_TO_STRING_PLAIN);
+	head_len = strlen(text);
+	*len = head_len + 1 + body_len;
+	record = g_malloc(*len);
+	memcpy(record, text, head_len);
+	record[head_len] = '\n';
+	memcpy(record + head_len + 1, body, body_len);
+	json_object_put(head);
+	return record;
+}
+
+int job_read_head(struct job *job, const char *head, size_t len,
+		  struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value = jsn_parse(head, len, &fault);
+	struct jsn root = jsn_root(value, &fault);
+	struct jsn at;
+
+	if (value) {
+		at = jsn_member(&root, "queue");
+		jsn_name(&at, job->queue, sizeof(job->queue));
+		at = jsn_member(&root, "pool");
+		jsn_name(&at, job->pool, sizeof(job->pool));
+		at = jsn_member(&root, "at");
+		job->accepted_ms = jsn_int(&at, 0, LIM_NUMBER_MAX, -1);
+	}
+	json_object_put(value);
+	return fault.kind == ERR_OK
+		       ? 0
+		       : err_set(err, fault.kind, "%s", fault.text);
+}
+
+static struct json_object *task_row(uint32_t index, const struct job_task *task)
+{
+	struct json_object *row = json_object_new_array_ext(6);
+	bool placed = task->state == TASK_PLACED;
+
+	json_object_array_add(row, json_object_new_int((int32_t)index));
+	json_object_array_add(row, json_object_new_int(placed));
+	json_object_array_add(row, json_object_new_int(task->run));
+	json_object_array_add(row, json_object_new_int(task->failed));
+	json_object_array_add(
+		row, json_object_new_string(placed ? task->worker : ""));
+	if (task->checkpoint)
+		json_object_array_add(row,
+				      json_object_new_string(task->checkpoint));
+	return row;
+}
+
+/* A part of the record, or NULL if none of its tasks has been touched. */
+static struct json_object *part_of(const struct job *job, uint32_t occurrence,
+				   uint32_t step)
+{
+	const struct job_task *tasks = job_task_at(job, occurrence, step, 0);
+	uint32_t count = (uint32_t)job->spec.steps[step].count;
+	struct json_object *rows = json_object_new_array();
+	struct json_object *part;
+	GString *done = g_string_new(NULL);
+	bool any = false;
+
+	for (uint32_t first = 0; first < count; first += 4) {
+		uint32_t digit = 0;
+
+		for (uint32_t i = first; i < count && i < first + 4; i++) {
+			if (tasks[i].state == TASK_DONE)
+				digit |= 1u << (i - first);
+			else if (tasks[i].run)
+				json_object_array_add(rows,
+						      task_row(i, &tasks[i]));
+		}
+		any |= digit;
+		g_string_append_printf(done, "%x", digit);
+	}
+	if (!any && !json_object_array_length(rows)) {
+		json_object_put(rows);
+		g_string_free(done, TRUE);
+		return NULL;
+	}
+	part = json_object_new_array_ext(4);
+	json_object_array_add(part, json_object_new_int((int32_t)occurrence));
+	json_object_array_add(part, json_object_new_int((int32_t)step));
+	json_object_array_add(part, json_object_new_string(done->str));
+	json_object_array_add(part, rows);
+	g_string_free(done, TRUE);
+	return part;
+}
+
+char *job_progress_record(const struct job *job, size_t *len)
+{
+	struct json_object *record = json_object_new_object();
+	struct json_object *parts = json_object_new_array();
+	char *text;
+
+	jsn_put_string(record, "state", job_state_name(job->state));
+	for (uint32_t k = 0; k < job->occurrences; k++)
+		for (uint32_t s = 0; s < job->spec.step_count; s++) {
+			/* Nothing is asked of the tasks of an ended job but
+			   what may still run. */
+			struct json_object *part = job->state == JOB_DONE
+							   ? NULL
+							   : part_of(job, k, s);
+
+			if (part)
+				json_object_array_add(parts, part);
+		}
+	json_object_object_add(record, "parts", parts);
+	text = g_strdup(
+		json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
+	*len = strlen(text);
+	json_object_put(record);
+	return text;
+}
+
+static bool read_state(const char *name, enum job_state *state)
+{
+	for (int i = JOB_QUEUED; i <= JOB_CANCELLED; i++)
+		if (!strcmp(job_state_name(i), name)) {
+			*state = i;
+			return true;
+		}
+	return false;
+}
+
+int job_read_shown(struct job *job, const char *record, size_t len,
+		   struct err *err)
+{
+	/* The state comes first, so that other nodes need not parse more. */
+	static const char lead[] = "{\"state\":\"";
+	char name[16];
+	const char *start = record + strlen(lead);
+	const char *end;
+
+	if (len < strlen(lead) || memcmp(record, lead, strlen(lead)))
+		return err_set(err, ERR_INVALID, "no state in the progress");
+	end = memchr(start, '"', len - strlen(lead));
+	if (!end || (size_t)(end - start) >= sizeof(name))
+		return err_set(err, ERR_INVALID, "no state in the progress");
+	g_strlcpy(name, start, (size_t)(end - start) + 1);
+	if (!read_state(name, &job->shown))
+		return err_set(err, ERR_INVALID, "state %s is not known", name);
+	job->started = job->shown != JOB_QUEUED;
+	return 0;
+}
+
+static void read_row(const struct job *job, uint32_t occurrence, uint32_t step,
+		     struct jsn *row)
+{
+	struct jsn at = jsn_item(row, 0);
+	int64_t count = job->spec.steps[step].count;
+	uint32_t index = (uint32_t)jsn_int(&at, 0, count - 1, -1);
+	struct job_task *task = job_task_at(job, occurrence, step, index);
+	char text[JOB_MAX_SPEC_BYTES];
+
+	at = jsn_item(row, 1);
+	task->state = jsn_int(&at, 0, 1, -1) ? TASK_PLACED : TASK_WAITING;
+	at = jsn_item(row, 2);
+	task->run = (int32_t)jsn_int(&at, 0, INT32_MAX, -1);
+	at = jsn_item(row, 3);
+	task->failed = (int32_t)jsn_int(&at, 0, INT32_MAX, -1);
+	at = jsn_item(row, 4);
+	if (task->state == TASK_PLACED) {
+		jsn_string(&at, text, sizeof(text), NULL);
+		task->worker = g_intern_string(text);
+	}
+	task->phase = PHASE_UNKNOWN;
+	task->pace = 100;
+	if (jsn_array(row, 6) < 6)
+		return;
+	at = jsn_item(row, 5);
+	jsn_string(&at, text, sizeof(text), "");
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(text);
+}
+
+static void read_part(const struct job *job, struct jsn *part)
+{
+	struct jsn at = jsn_item(part, 0);
+	uint32_t occurrence =
+		(uint32_t)jsn_int(&at, 0, (int64_t)job->occurrences - 1, -1);
+	struct jsn rows = jsn_item(part, 3);
+	char done[JOB_MAX_TASKS / 4 + 2];
+	uint32_t step;
+	size_t count;
+
+	at = jsn_item(part, 1);
+	step = (uint32_t)jsn_int(&at, 0, (int64_t)job->spec.step_count - 1, -1);
+	at = jsn_item(part, 2);
+	jsn_string(&at, done, sizeof(done), NULL);
+	if (part->err->kind != ERR_OK)
+		return;
+	for (uint32_t i = 0; i < (uint32_t)job->spec.steps[step].count; i++) {
+		struct job_task *task = job_task_at(job, occurrence, step, i);
+		int digit = i / 4 < strlen(done)
+				    ? g_ascii_xdigit_value(done[i / 4])
+				    : 0;
+
+		if (digit > 0 && (digit >> (i % 4) & 1))
+			task->state = TASK_DONE;
+	}
+	count = jsn_array(&rows, JOB_MAX_TASKS);
+	for (size_t i = 0; i < count; i++) {
+		struct jsn row = jsn_item(&rows, i);
+
+		if (jsn_array(&row, 6) < 5 || part->err->kind != ERR_OK)
+			return;
+		read_row(job, occurrence, step, &row);
+	}
+}
+
+int job_read_tasks(struct job *job, const char *record, struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct json_object *value =
+		jsn_parse_bytes(record, strlen(record), &fault);
+	struct jsn root = jsn_root(value, &fault);
+	struct jsn parts = jsn_member(&root, "parts");
+	size_t count = value ? jsn_array(&parts, JOB_MAX_TASKS) : 0;
+
+	for (size_t i = 0; i < count && fault.kind == ERR_OK; i++) {
+		struct jsn part = jsn_item(&parts, i);
+
+		if (jsn_array(&part, 4) == 4)
+			read_part(job, &part);
+	}
+	json_object_put(value);
+	if (fault.kind != ERR_OK)
+		return err_set(err, fault.kind, "%s", fault.text);
+	return 0;
+}
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,375 @@
+#include "node.h"
+
+#include <string.h>
+
+#include "log.h"
+
+enum {
+	NODE_JOBS_PART = 0,
+	NODE_GROUP_PARTS = 24, /* of a topic */
+	NODE_TTL_MS = 1500,
+	NODE_RENEW_MS = 400,
+	NODE_FOLLOW_GAP_MS = 150,
+	NODE_OWNER_GAP_MS = 30,
+	NODE_FOLLOW_WAIT_MS = 10000,
+	NODE_WORKERS_GAP_MS = 500,
+	NODE_APPEND_GAP_MS = 15,
+	NODE_APPEND_BYTES = 1024 * 1024,
+	NODE_LEASE_MS = 4000,
+	NODE_CUT_OFF_MS = 10000,
+	/* The log has been out of reach for so long: send callers elsewhere. */
+	NODE_UNREADY_MS = 1500,
+	NODE_STOP_MS = 500
+};
+
+#define NODE_JOBS_TOPIC "keyed.jobs"
+#define NODE_GROUP_TOPIC "pools"
+
+struct node {
+	struct node_config config;
+	struct cfg *cfg;     /* in force; NULL: none yet */
+	struct cfg *old_cfg; /* the one before; requests may still use it */
+	struct job_store *jobs;
+	struct worker_table *workers;
+	struct tail *operators;
+	struct tail *registry;
+	struct tail *tail; /* of jobs */
+	struct writer *writer;
+	struct group *group;
+	struct front *front;
+	struct front_env front_env;
+	struct pool_env pool_env;
+	GHashTable *pools; /* name -> struct pool */
+	bool stopping;
+	int64_t stop_ms;
+};
+
+static struct pool *pool_of(const struct node *node, const char *name)
+{
+	return g_hash_table_lookup(node->pools, name);
+}
+
+static void take_cfg(struct node *node, const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	struct cfg *cfg = NULL;
+
+	if (node->config.decoders.cfg(record->value, record->value_len, &cfg,
+				      &err) < 0) {
+		log_error("configuration at offset %" G_GINT64_FORMAT
+			  " not taken: %s",
+			  record->offset, err.text);
+		return;
+	}
+	if (node->cfg && cfg->version <= node->cfg->version) {
+		cfg_destroy(cfg);
+		return;
+	}
+	log_info("configuration-in-force version=%" G_GINT64_FORMAT
+		 " offset=%" G_GINT64_FORMAT,
+		 cfg->version, record->offset);
+	cfg_destroy(node->old_cfg);
+	node->old_cfg = node->cfg;
+	node->cfg = cfg;
+	for (uint32_t i = 0; i < cfg->pool_count; i++)
+		if (!pool_of(node, cfg->pools[i].name)) {
+			struct pool *pool = pool_create(&node->pool_env,
+							cfg->pools[i].name);
+
+			g_hash_table_insert(node->pools,
+					    (char *)pool_name(pool), pool);
+		}
+}
+
+static void on_operator(void *arg, const struct stream_record *record)
+{
+	struct node *node = arg;
+	size_t len = strlen(node->config.streams.cfg_key);
+
+	if (record->value && record->key_len == len &&
+	    !memcmp(record->key, node->config.streams.cfg_key, len))
+		take_cfg(node, record);
+}
+
+static void on_worker(void *arg, const struct stream_record *record)
+{
+	struct node *node = arg;
+	struct err err = { .kind = ERR_OK };
+	struct worker_entry entry;
+	char *id = g_strndup(record->key, record->key_len);
+
+	if (!record->value)
+		worker_unlist(node->workers, id);
+	else if (node->config.decoders.worker(id, record->value,
+					      record->value_len, &entry,
+					      &err) < 0) {
+		log_warn("entry of worker %.60s not taken: %s", id, err.text);
+		worker_unlist(node->workers, id);
+	} else {
+		worker_put(node->workers, &entry);
+	}
+	g_free(id);
+}
+
+/* Entries that are not told again are gone. */
+static void on_workers_reload(void *arg)
+{
+	struct node *node = arg;
+
+	for (guint i = 0; i < node->workers->list->len; i++) {
+		struct worker *worker = node->workers->list->pdata[i];
+
+		worker->listed = false;
+	}
+}
+
+static bool owns(const struct node *node, const struct job *job)
+{
+	const struct pool *pool = job ? pool_of(node, job->pool) : NULL;
+
+	return pool && pool_owned(pool);
+}
+
+/* Keys are a letter for the kind of record, a colon, and the job's id. */
+static void on_job(void *arg, const struct stream_record *record)
+{
+	struct node *node = arg;
+	struct err err = { .kind = ERR_OK };
+	char id[JOB_ID_BYTES];
+	int status = 0;
+
+	if (record->key_len != JOB_ID_BYTES + 1 || record->key[1] != ':')
+		return;
+	memcpy(id, record->key + 2, JOB_ID_BYTES - 1);
+	id[JOB_ID_BYTES - 1] = 0;
+	if (!record->value) {
+		if (record->key[0] == 'j')
+			job_forget(node->jobs, id);
+		return;
+	}
+	switch (record->key[0]) {
+	case 'j':
+		status =
+			job_apply_given(node->jobs, id, record->offset,
+					record->value, record->value_len, &err);
+		break;
+	case 'c':
+		job_apply_cancel(node->jobs, id);
+		break;
+	case 'p':
+		status = job_apply_progress(
+			node->jobs, id, record->offset, record->value,
+			record->value_len, owns(node, job_find(node->jobs, id)),
+			&err);
+		break;
+	}
+	if (status < 0)
+		log_error("record %c of job %s at offset %" G_GINT64_FORMAT
+			  " cannot be read: %s",
+			  record->key[0], id, record->offset, err.text);
+}
+
+static struct tail *follow(struct node *node, struct stream_id id,
+			   int64_t gap_ms, int64_t wait_ms,
+			   void (*fn)(void *, const struct stream_record *),
+			   void (*on_reload)(void *))
+{
+	struct tail_config config = {
+		.io = node->config.stream,
+		.clk = node->config.clk,
+		.id = id,
+		.gap_ms = gap_ms,
+		.wait_ms = wait_ms,
+		.on_record = fn,
+		.on_reload = on_reload,
+		.arg = node,
+	};
+
+	return tail_create(&config);
+}
+
+static void create_writer(struct node *node, struct stream_id jobs)
+{
+	char *producer =
+		g_strdup_printf("node-%s-%s", node->config.settings->name,
+				node->config.incarnation);
+	struct writer_config config = {
+		.io = node->config.stream,
+		.clk = node->config.clk,
+		.id = jobs,
+		.producer = producer,
+		.epoch = 1,
+		.gap_ms = NODE_APPEND_GAP_MS,
+		.max_bytes = NODE_APPEND_BYTES,
+	};
+
+	node->writer = writer_create(&config);
+	g_free(producer);
+}
+
+static void create_group(struct node *node)
+{
+	char *member = g_strdup_printf("%s-%s", node->config.settings->name,
+				       node->config.incarnation);
+	struct group_config config = {
+		.io = node->config.stream,
+		.clk = node->config.clk,
+		.name = "owners",
+		.member = member,
+		.topic = NODE_GROUP_TOPIC,
+		.ttl_ms = NODE_TTL_MS,
+		.renew_ms = NODE_RENEW_MS,
+	};
+
+	node->group = group_create(&config);
+	g_free(member);
+}
+
+static int64_t lease_ms(const struct node *node)
+{
+	return MIN(NODE_LEASE_MS, node->config.settings->lease_max_ms);
+}
+
+static void free_pool(void *pool)
+{
+	pool_destroy(pool);
+}
+
+struct node *node_create(const struct node_config *config)
+{
+	struct stream_id jobs = { NODE_JOBS_TOPIC, NODE_JOBS_PART };
+	struct node *node = g_new0(struct node, 1);
+
+	node->config = *config;
+	node->jobs = job_store_create(config->decoders.spec);
+	node->workers = worker_table_create();
+	node->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+	node->operators = follow(node, config->streams.operators, 0,
+				 NODE_FOLLOW_WAIT_MS, on_operator, NULL);
+	node->registry =
+		follow(node, config->streams.workers, NODE_WORKERS_GAP_MS,
+		       NODE_FOLLOW_WAIT_MS, on_worker, on_workers_reload);
+	node->tail = follow(node, jobs, NODE_FOLLOW_GAP_MS, NODE_FOLLOW_WAIT_MS,
+			    on_job, NULL);
+	create_writer(node, jobs);
+	create_group(node);
+	node->pool_env = (struct pool_env){
+		.clk = config->clk,
+		.stream = config->stream,
+		.id = jobs,
+		.orders = config->orders,
+		.jobs = node->jobs,
+		.workers = node->workers,
+		.tail = node->tail,
+		.cfg = (const struct cfg *const *)&node->cfg,
+		.lease_ms = lease_ms(node),
+		.cut_off_ms = NODE_CUT_OFF_MS,
+	};
+	node->front_env = (struct front_env){
+		.clk = config->clk,
+		.cfg = (const struct cfg *const *)&node->cfg,
+		.jobs = node->jobs,
+		.workers = node->workers,
+		.tail = node->tail,
+		.writer = node->writer,
+	};
+	node->front = front_create(&node->front_env);
+	return node;
+}
+
+void node_destroy(struct node *node)
+{
+	if (!node)
+		return;
+	g_hash_table_destroy(node->pools);
+	group_destroy(node->group);
+	front_destroy(node->front);
+	writer_destroy(node->writer);
+	tail_destroy(node->operators);
+	tail_destroy(node->registry);
+	tail_destroy(node->tail);
+	job_store_destroy(node->jobs);
+	worker_table_destroy(node->workers);
+	cfg_destroy(node->cfg);
+	cfg_destroy(node->old_cfg);
+	g_free(node);
+}
+
+/* Part of the group's topic that stands for a pool. */
+static int32_t part_of(const char *pool)
+{
+	return (int32_t)(g_str_hash(pool) % NODE_GROUP_PARTS);
+}
+
+static void tick_pools(struct node *node)
+{
+	bool loaded = tail_loaded(node->tail) && tail_loaded(node->registry);
+	bool any = false;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool *pool = value;
+
+		if (!node->stopping && loaded &&
+		    group_holds(node->group, part_of(pool_name(pool)))) {
+			pool_own(pool, group_generation(node->group),
+				 group_authority_end_ms(node->group));
+			any = true;
+		} else {
+			pool_disown(pool);
+		}
+		pool_tick(pool);
+	}
+	tail_set_gap(node->tail, any ? NODE_OWNER_GAP_MS : NODE_FOLLOW_GAP_MS);
+}
+
+void node_tick(struct node *node)
+{
+	tail_tick(node->operators);
+	tail_tick(node->registry);
+	tail_tick(node->tail);
+	group_tick(node->group);
+	tick_pools(node);
+	front_tick(node->front);
+	writer_tick(node->writer);
+}
+
+void node_stop(struct node *node)
+{
+	if (node->stopping)
+		return;
+	log_info("stop: handing over the pools");
+	node->stopping = true;
+	node->stop_ms = clk_now_ms(node->config.clk);
+	group_leave(node->group);
+}
+
+bool node_stopped(const struct node *node)
+{
+	return node->stopping && !front_waiting(node->front) &&
+	       writer_idle(node->writer) &&
+	       clk_now_ms(node->config.clk) - node->stop_ms >= NODE_STOP_MS;
+}
+
+bool node_ready(const struct node *node)
+{
+	int64_t now_ms = clk_now_ms(node->config.clk);
+
+	return !node->stopping && node->cfg && tail_loaded(node->tail) &&
+	       tail_loaded(node->registry) &&
+	       now_ms < group_authority_end_ms(node->group) + NODE_UNREADY_MS &&
+	       writer_stalled_ms(node->writer) < NODE_UNREADY_MS;
+}
+
+struct front *node_front(struct node *node)
+{
+	return node->front;
+}
+
+const struct cfg *const *node_cfg(const struct node *node)
+{
+	return (const struct cfg *const *)&node->cfg;
+}
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,61 @@
+/*
+ * NAME
+ *	node - one node: what it follows, what it owns, whom it answers
+ */
+#ifndef NODE_H
+#define NODE_H
+
+#include "evl.h"
+#include "front.h"
+#include "group.h"
+#include "order.h"
+#include "pool.h"
+#include "settings.h"
+#include "stream.h"
+#include "tail.h"
+#include "writer.h"
+
+struct node;
+
+/* Decoders of what operators and workers write to the log. */
+struct node_decoders {
+	int (*cfg)(const char *text, size_t len, struct cfg **cfg,
+		   struct err *err);
+	int (*spec)(const char *text, size_t len, struct job_spec *spec,
+		    struct err *err);
+	int (*worker)(const char *id, const char *text, size_t len,
+		      struct worker_entry *entry, struct err *err);
+};
+
+/* Streams that operators and workers write, and the key of the settings. */
+struct node_streams {
+	struct stream_id operators;
+	struct stream_id workers;
+	const char *cfg_key;
+};
+
+struct node_config {
+	const struct clk *clk;
+	const struct settings *settings;
+	const struct stream_io *stream;
+	const struct order_io *orders;
+	struct node_decoders decoders;
+	struct node_streams streams;
+	const char *incarnation; /* differs in each life of the process */
+};
+
+struct node *node_create(const struct node_config *config);
+void node_destroy(struct node *node);
+void node_tick(struct node *node);
+
+/* node_stop - hand over all pools; node_stopped tells when it is done */
+void node_stop(struct node *node);
+bool node_stopped(const struct node *node);
+
+/* node_ready - whether callers may be sent here */
+bool node_ready(const struct node *node);
+
+struct front *node_front(struct node *node);
+const struct cfg *const *node_cfg(const struct node *node);
+
+#endif
--- /dev/null
+++ b/src/noded.c
@@ -0,0 +1,174 @@
+/*
+ * NAME
+ *	plank-noded - the program of a node: takes jobs and runs pools
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <argtable2.h>
+
+#include "call.h"
+#include "cmd.h"
+#include "ingress.h"
+#include "log.h"
+#include "node.h"
+#include "orders.h"
+#include "platform.h"
+#include "rnd.h"
+#include "store.h"
+#include "web.h"
+#include "wire.h"
+
+enum {
+	NODED_TICK_MS = 20,
+	NODED_SETTINGS_MS = 1000,
+	NODED_STOP_SLACK_MS = 500
+};
+
+struct noded {
+	struct evl *evl;
+	char *path; /* of the settings */
+	struct settings settings;
+	struct call_client *client;
+	struct store *store;
+	struct orders *orders;
+	struct node *node;
+	struct ingress *ingress;
+	struct web *callers;
+	struct web *readiness;
+	int64_t stop_ms; /* 0: not asked to stop */
+};
+
+static void handle_readiness(void *arg, struct web_request *request)
+{
+	const struct noded *noded = arg;
+
+	ingress_readiness(request, node_ready(noded->node));
+}
+
+static void note_refused(void *arg, int kind)
+{
+	(void)arg;
+	log_info("request-refused why=%s", err_name(kind));
+}
+
+static void end_when_done(struct noded *noded, int64_t now_ms)
+{
+	bool late = now_ms - noded->stop_ms >
+		    noded->settings.stop_grace_ms - NODED_STOP_SLACK_MS;
+
+	if (late || (node_stopped(noded->node) && !web_active(noded->callers)))
+		evl_stop(noded->evl);
+}
+
+static void tick(void *arg)
+{
+	struct noded *noded = arg;
+
+	node_tick(noded->node);
+	if (noded->stop_ms)
+		end_when_done(noded, clk_now_ms(evl_clk(noded->evl)));
+}
+
+static void on_stop(void *arg)
+{
+	struct noded *noded = arg;
+
+	if (noded->stop_ms)
+		return;
+	noded->stop_ms = clk_now_ms(evl_clk(noded->evl));
+	node_stop(noded->node);
+}
+
+static bool listen_on(struct noded *noded)
+{
+	struct err err = { .kind = ERR_OK };
+	struct web_config callers = {
+		.address = noded->settings.callers.host,
+		.port = noded->settings.callers.port,
+		.max_body_bytes = LIM_BODY_BYTES,
+		.handle = ingress_handle,
+		.refused = note_refused,
+		.arg = noded->ingress,
+	};
+	struct web_config readiness = {
+		.address = noded->settings.readiness.host,
+		.port = noded->settings.readiness.port,
+		.max_body_bytes = 0,
+		.handle = handle_readiness,
+		.refused = note_refused,
+		.arg = noded,
+	};
+
+	noded->callers = web_create(noded->evl, &callers, &err);
+	if (noded->callers)
+		noded->readiness = web_create(noded->evl, &readiness, &err);
+	if (!noded->readiness)
+		log_error("%s", err.text);
+	return noded->readiness != NULL;
+}
+
+static bool start(struct noded *noded)
+{
+	const struct clk *clk = evl_clk(noded->evl);
+	char incarnation[24];
+	struct node_config config = {
+		.clk = clk,
+		.settings = &noded->settings,
+		.decoders = {
+			.cfg = wire_cfg,
+			.spec = wire_spec,
+			.worker = wire_worker,
+		},
+		.streams = platform_streams(),
+		.incarnation = incarnation,
+	};
+
+	snprintf(incarnation, sizeof(incarnation), "%08x%08x",
+		 (unsigned int)clk_wall_ms(clk), (unsigned int)g_random_int());
+	noded->client = call_client_create(noded->evl);
+	noded->store = store_create(noded->client, noded->settings.log_service);
+	noded->orders = orders_create(noded->client);
+	config.stream = store_io(noded->store);
+	config.orders = orders_io(noded->orders);
+	noded->node = node_create(&config);
+	noded->ingress = ingress_create(node_front(noded->node), clk,
+					node_cfg(noded->node));
+	return listen_on(noded);
+}
+
+static int serve(const char *path)
+{
+	struct noded noded = { .path = g_strdup(path) };
+	struct err err = { .kind = ERR_OK };
+
+	if (settings_load(path, &noded.settings, &err) < 0) {
+		log_error("settings: %s", err.text);
+		return err_answer(err.kind)->exit_code;
+	}
+	noded.evl = evl_create(clk_system());
+	if (!start(&noded))
+		return err_answer(ERR_IO)->exit_code;
+	log_info("start name=%s data_centre=%s", noded.settings.name,
+		 noded.settings.data_centre);
+	evl_on_stop_signal(noded.evl, on_stop, &noded);
+	evl_every(noded.evl, NODED_TICK_MS, tick, &noded);
+	evl_run(noded.evl);
+	log_info("end");
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	const char *path = argc > 1 ? argv[1] : platform_settings_path();
+
+	apr_initialize();
+	log_init("plank-noded", false);
+	if (!path) {
+		log_error("no settings file is named");
+		return 2;
+	}
+	return serve(path);
+}
--- /dev/null
+++ b/src/order.c
@@ -0,0 +1,18 @@
+#include "order.h"
+
+const char *order_name(enum order_outcome outcome)
+{
+	static const char *const names[] = {
+		[ORDER_OK] = "ok",
+		[ORDER_FENCED] = "fenced",
+		[ORDER_OLD] = "old-run",
+		[ORDER_LATE] = "late",
+		[ORDER_NO_ROOM] = "no-room",
+		[ORDER_UNHEALTHY] = "unhealthy",
+		[ORDER_OTHER_LIFE] = "other-life",
+		[ORDER_INVALID] = "invalid",
+		[ORDER_UNKNOWN] = "no-answer",
+	};
+
+	return names[outcome];
+}
--- /dev/null
+++ b/src/order.h
@@ -0,0 +1,65 @@
+/*
+ * NAME
+ *	order - interface to workers: renew leases, start, stop and pace tasks
+ *
+ * An order that got no answer may have been carried out, or may be later.
+ */
+#ifndef ORDER_H
+#define ORDER_H
+
+#include <stdint.h>
+
+#include "worker.h"
+
+enum order_outcome {
+	ORDER_OK,
+	ORDER_FENCED, /* the worker has seen a higher fence */
+	ORDER_OLD,    /* a run that is not newer has ended there */
+	ORDER_LATE,   /* the lease asked for has already ended */
+	ORDER_NO_ROOM,
+	ORDER_UNHEALTHY,  /* the worker refuses work; nothing was done */
+	ORDER_OTHER_LIFE, /* another worker lives at the address */
+	ORDER_INVALID,
+	ORDER_UNKNOWN /* no answer */
+};
+
+struct order_start {
+	const char *task;
+	int32_t run;
+	const char *text;	/* of the job */
+	const char *checkpoint; /* NULL: from the beginning */
+	int64_t until_ms;	/* end of the lease, by the worker's clock */
+	int64_t fence;
+};
+
+struct order_renew {
+	int64_t fence;
+	int64_t cursor;	  /* ends up to this one need not be told again */
+	int64_t until_ms; /* 0: the lease is not extended */
+	int64_t wait_ms;  /* the answer waits so long for an end */
+};
+
+typedef void order_fn(void *arg, enum order_outcome outcome);
+/* report is NULL but with ORDER_OK. */
+typedef void order_renew_fn(void *arg, enum order_outcome outcome,
+			    const struct worker_report *report);
+
+struct order_io {
+	void *io;
+	void (*start)(void *io, const struct worker_entry *worker,
+		      const struct order_start *start, order_fn *fn, void *arg);
+	void (*stop)(void *io, const struct worker_entry *worker,
+		     const char *task, int32_t run, int64_t fence, order_fn *fn,
+		     void *arg);
+	void (*pace)(void *io, const struct worker_entry *worker,
+		     const char *task, int32_t run, int32_t percent,
+		     int64_t fence, order_fn *fn, void *arg);
+	void (*renew)(void *io, const struct worker_entry *worker,
+		      const struct order_renew *renew, order_renew_fn *fn,
+		      void *arg);
+};
+
+/* order_name - short name of an outcome, for logs */
+const char *order_name(enum order_outcome outcome);
+
+#endif
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,326 @@
+#include "place.h"
+
+#include <string.h>
+
+enum {
+	/* A worker that has not reported for so long gets no new work. */
+	PLACE_SILENT_MS = 2500,
+	/* Worth of data that is near, in thousandths of a worker's room. */
+	PLACE_NEAR_BONUS = 2000,
+	PLACE_SAME_RACK_BONUS = 1000
+};
+
+/* A step of an occurrence with tasks to start. */
+struct candidate {
+	struct job *job;
+	uint32_t occurrence;
+	uint32_t step;
+	int32_t priority;
+	int64_t target_ms;
+};
+
+int64_t place_target_ms(const struct cfg *cfg, const struct job *job)
+{
+	const struct cfg_queue *queue = cfg_queue_find(cfg, job->queue);
+	double stretch = queue ? queue->stretch : 1;
+	int64_t slack_ms = queue ? queue->slack_ms : 0;
+
+	return job->accepted_ms + slack_ms +
+	       (int64_t)(stretch * (double)job_chain_ms(job));
+}
+
+bool place_usable(const struct place *place, const struct worker *worker)
+{
+	return worker->listed && !worker->entry.draining && !worker->leaving &&
+	       worker->reached && !strcmp(worker->entry.pool, place->pool) &&
+	       place->now_ms - worker->heard_ms < PLACE_SILENT_MS &&
+	       place->now_ms >= worker->avoid_until_ms;
+}
+
+static void take_room(struct worker *worker, const struct job_step *step)
+{
+	if (!step->fills)
+		worker->cpu_used_milli += step->cpu_milli;
+	worker->mem_used_mib += step->mem_mib;
+	worker->gpu_used += step->gpu;
+	worker->lasting += step->long_running;
+}
+
+static void account_job(const struct place *place, struct job *job)
+{
+	struct job_pos pos = { .job = job };
+
+	while (job_next_task(&pos)) {
+		struct worker *worker;
+
+		if (pos.task->state != TASK_PLACED)
+			continue;
+		worker = worker_find(place->workers, pos.task->worker);
+		if (worker)
+			take_room(worker, &job->spec.steps[pos.step]);
+	}
+}
+
+void place_account(const struct place *place)
+{
+	for (guint i = 0; i < place->workers->list->len; i++) {
+		struct worker *worker = place->workers->list->pdata[i];
+
+		if (strcmp(worker->entry.pool, place->pool))
+			continue;
+		worker->cpu_used_milli = 0;
+		worker->mem_used_mib = 0;
+		worker->gpu_used = 0;
+		worker->lasting = 0;
+	}
+	for (guint i = 0; i < place->jobs->live->len; i++) {
+		struct job *job = place->jobs->live->pdata[i];
+
+		if (job->has_spec && !strcmp(job->pool, place->pool))
+			account_job(place, job);
+	}
+}
+
+static bool fits(const struct worker *worker, const struct job_step *step)
+{
+	const struct worker_entry *entry = &worker->entry;
+	int32_t cpu_milli = step->fills ? 0 : step->cpu_milli;
+
+	return worker->cpu_used_milli + cpu_milli <= entry->cpu_milli &&
+	       worker->mem_used_mib + step->mem_mib <= entry->mem_mib &&
+	       worker->gpu_used + step->gpu <= entry->gpu;
+}
+
+/* Tasks of the step's occurrence that are placed at a worker. */
+static int32_t placed_at(const struct candidate *at, const char *worker)
+{
+	const struct job_task *task =
+		job_task_at(at->job, at->occurrence, at->step, 0);
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < at->job->spec.steps[at->step].count; i++)
+		count += task[i].state == TASK_PLACED &&
+			 !strcmp(task[i].worker, worker);
+	return count;
+}
+
+static bool allowed(const struct place *place, const struct candidate *at,
+		    const struct worker *worker)
+{
+	const struct job_step *step = &at->job->spec.steps[at->step];
+
+	if (!place_usable(place, worker) || !fits(worker, step))
+		return false;
+	if (step->label[0] && !worker_has_label(worker, step->label))
+		return false;
+	return !step->max_per_worker ||
+	       placed_at(at, worker->entry.id) < step->max_per_worker;
+}
+
+/* The higher, the better a worker is for a task of the step. */
+static int64_t rate(const struct candidate *at, const struct worker *worker)
+{
+	const struct job_step *step = &at->job->spec.steps[at->step];
+	const struct worker_entry *entry = &worker->entry;
+	int64_t used = entry->cpu_milli > 0 ? (int64_t)worker->cpu_used_milli *
+						      1000 / entry->cpu_milli
+					    : 0;
+	int64_t score = step->long_running ? used : -used;
+
+	if (step->data_rack[0] && worker_has_label(worker, step->data_rack))
+		score += PLACE_NEAR_BONUS;
+	score -= (int64_t)(worker->failure_rate * PLACE_NEAR_BONUS);
+	return score;
+}
+
+static struct worker *best_worker(const struct place *place,
+				  const struct candidate *at)
+{
+	struct worker *best = NULL;
+	int64_t best_score = 0;
+
+	for (guint i = 0; i < place->workers->list->len; i++) {
+		struct worker *worker = place->workers->list->pdata[i];
+		int64_t score;
+
+		if (!allowed(place, at, worker))
+			continue;
+		score = rate(at, worker);
+		if (best && score <= best_score)
+			continue;
+		best = worker;
+		best_score = score;
+	}
+	return best;
+}
+
+static bool startable(const struct place *place, const struct job_task *task)
+{
+	return task->state == TASK_WAITING &&
+	       task->hold_until_ms <= place->now_ms;
+}
+
+/* Starts all members under one run number, or none of them. */
+static uint32_t place_gang(const struct place *place, struct candidate *at)
+{
+	const struct job_step *step = &at->job->spec.steps[at->step];
+	struct job_task *tasks =
+		job_task_at(at->job, at->occurrence, at->step, 0);
+	struct worker **chosen = g_new0(struct worker *, step->count);
+	int32_t run = 0, found = 0;
+
+	for (int32_t i = 0; i < step->count; i++) {
+		if (!startable(place, &tasks[i]))
+			goto out;
+		run = MAX(run, tasks[i].run);
+	}
+	while (found < step->count) {
+		struct worker *worker = best_worker(place, at);
+
+		if (!worker)
+			break;
+		take_room(worker, step);
+		chosen[found++] = worker;
+	}
+	for (int32_t i = 0; i < found; i++) {
+		if (found == step->count) {
+			job_place_task(at->job, &tasks[i], chosen[i]->entry.id,
+				       run + 1, place->now_ms);
+			continue;
+		}
+		chosen[i]->cpu_used_milli -= step->fills ? 0 : step->cpu_milli;
+		chosen[i]->mem_used_mib -= step->mem_mib;
+		chosen[i]->gpu_used -= step->gpu;
+		chosen[i]->lasting -= step->long_running;
+	}
+out:
+	g_free(chosen);
+	return found == step->count ? (uint32_t)found : 0;
+}
+
+static struct place_counts place_step(const struct place *place,
+				      struct candidate *at)
+{
+	const struct job_step *step = &at->job->spec.steps[at->step];
+	struct job_task *tasks =
+		job_task_at(at->job, at->occurrence, at->step, 0);
+	struct place_counts counts = { 0 };
+
+	if (step->gang) {
+		counts.placed = place_gang(place, at);
+		return counts;
+	}
+	for (int32_t i = 0; i < step->count; i++) {
+		struct worker *worker;
+
+		if (!startable(place, &tasks[i]))
+			continue;
+		worker = counts.waiting ? NULL : best_worker(place, at);
+		if (!worker) {
+			counts.waiting++;
+			continue;
+		}
+		job_place_task(at->job, &tasks[i], worker->entry.id,
+			       tasks[i].run + 1, place->now_ms);
+		take_room(worker, step);
+		counts.placed++;
+	}
+	return counts;
+}
+
+static bool has_startable(const struct place *place, const struct job *job,
+			  uint32_t occurrence, uint32_t step)
+{
+	const struct job_task *tasks = job_task_at(job, occurrence, step, 0);
+
+	for (int32_t i = 0; i < job->spec.steps[step].count; i++)
+		if (startable(place, &tasks[i]))
+			return true;
+	return false;
+}
+
+static void add_candidates(const struct place *place, struct job *job,
+			   GArray *out)
+{
+	const struct cfg_queue *queue = cfg_queue_find(place->cfg, job->queue);
+
+	for (uint32_t k = 0; k < job->occurrences; k++) {
+		if (job_due_ms(job, k) > place->wall_ms)
+			continue;
+		for (uint32_t s = 0; s < job->spec.step_count; s++) {
+			struct candidate at = {
+				.job = job,
+				.occurrence = k,
+				.step = s,
+				.priority = queue ? queue->priority : 0,
+			};
+
+			if (!has_startable(place, job, k, s) ||
+			    !job_step_ready(job, k, s))
+				continue;
+			at.target_ms =
+				job->spec.steps[s].long_running
+					? 0
+					: place_target_ms(place->cfg, job);
+			g_array_append_val(out, at);
+		}
+	}
+}
+
+static gint compare(gconstpointer a, gconstpointer b)
+{
+	const struct candidate *left = a;
+	const struct candidate *right = b;
+
+	if (left->target_ms != right->target_ms)
+		return left->target_ms < right->target_ms ? -1 : 1;
+	if (left->priority != right->priority)
+		return left->priority < right->priority ? -1 : 1;
+	return left->job->order < right->job->order ? -1 : 1;
+}
+
+struct place_counts place_tasks(const struct place *place)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	struct place_counts total = { 0 };
+
+	for (guint i = 0; i < place->jobs->live->len; i++) {
+		struct job *job = place->jobs->live->pdata[i];
+
+		if (job->has_spec && !job_ended(job->state) &&
+		    !job->cancel_asked && !strcmp(job->pool, place->pool))
+			add_candidates(place, job, all);
+	}
+	g_array_sort(all, compare);
+	for (guint i = 0; i < all->len; i++) {
+		struct candidate *at = &g_array_index(all, struct candidate, i);
+		struct place_counts counts = place_step(place, at);
+
+		total.placed += counts.placed;
+		total.waiting += counts.waiting;
+	}
+	g_array_free(all, TRUE);
+	return total;
+}
+
+int64_t place_backlog_ms(const struct place *place)
+{
+	double work = 0, room = 0;
+
+	for (guint i = 0; i < place->workers->list->len; i++) {
+		const struct worker *worker = place->workers->list->pdata[i];
+
+		if (worker->listed && !worker->entry.draining &&
+		    !strcmp(worker->entry.pool, place->pool))
+			room += worker->entry.cpu_milli;
+	}
+	for (guint i = 0; i < place->jobs->live->len; i++) {
+		const struct job *job = place->jobs->live->pdata[i];
+
+		if (job->has_spec && !job_ended(job->shown) &&
+		    !job->spec.steps[0].long_running &&
+		    !strcmp(job->pool, place->pool))
+			work += job_work_left(job);
+	}
+	return room > 0 ? (int64_t)(work / room) : INT64_MAX;
+}
--- /dev/null
+++ b/src/place.h
@@ -0,0 +1,57 @@
+/*
+ * NAME
+ *	place - scheduler of a pool: which task starts on which worker
+ *
+ * Pure decisions over jobs, workers and the time. A decision is made in
+ * memory with job_place_task; its caller stores it before a worker is told.
+ */
+#ifndef PLACE_H
+#define PLACE_H
+
+#include <stdint.h>
+
+#include "cfg.h"
+#include "job.h"
+#include "worker.h"
+
+/* Where the scheduler counts what it decided. */
+struct place_counts {
+	uint32_t placed;
+	uint32_t waiting; /* tasks that could start but for room */
+};
+
+struct place {
+	const char *pool;
+	const struct cfg *cfg;
+	struct job_store *jobs;
+	struct worker_table *workers;
+	int64_t now_ms;
+	int64_t wall_ms;
+};
+
+/* place_account - add up what the placed tasks of the pool take on workers */
+void place_account(const struct place *place);
+
+/*
+ * place_tasks - place the tasks that can start now
+ *
+ * Long-running tasks come first, then jobs by the time at which their
+ * objective ends. place_account must have been called.
+ */
+struct place_counts place_tasks(const struct place *place);
+
+/* place_usable - whether new work may go to the worker */
+bool place_usable(const struct place *place, const struct worker *worker);
+
+/* place_target_ms - wall clock by which a job is to be done */
+int64_t place_target_ms(const struct cfg *cfg, const struct job *job);
+
+/*
+ * place_backlog_ms - how long a pool takes for the work that it has accepted
+ *
+ * From estimates and the capacity of its listed workers; INT64_MAX if it has
+ * none.
+ */
+int64_t place_backlog_ms(const struct place *place);
+
+#endif
--- /dev/null
+++ b/src/pool.c
@@ -0,0 +1,375 @@
+#include "pool.h"
+
+#include <string.h>
+
+#include "log.h"
+#include "pool_int.h"
+
+enum {
+	POOL_APPEND_GAP_MS = 20,
+	POOL_APPEND_BYTES = 1024 * 1024,
+	POOL_PRODUCER_BYTES = LIM_NAME_BYTES + 8
+};
+
+/* Argument of a writer's callback. */
+struct note {
+	struct pool *pool;
+	char id[JOB_ID_BYTES]; /* of a job, */
+	char *record;
+	size_t len;
+	uint32_t number;
+	char worker[LIM_NAME_BYTES]; /* or a worker and its cursor */
+	int64_t cursor;
+};
+
+static void free_note(void *arg)
+{
+	struct note *note = arg;
+
+	g_free(note->record);
+	g_free(note);
+}
+
+static struct note *note_new(struct pool *pool)
+{
+	struct note *note = g_new0(struct note, 1);
+
+	note->pool = pool;
+	g_hash_table_add(pool->notes, note);
+	return note;
+}
+
+struct pool *pool_create(struct pool_env *env, const char *name)
+{
+	struct pool *pool = g_new0(struct pool, 1);
+
+	pool->env = env;
+	g_strlcpy(pool->name, name, sizeof(pool->name));
+	pool->last_fence = -1;
+	pool->notes = g_hash_table_new_full(NULL, NULL, free_note, NULL);
+	return pool;
+}
+
+void pool_destroy(struct pool *pool)
+{
+	if (!pool)
+		return;
+	writer_destroy(pool->writer);
+	g_hash_table_destroy(pool->notes);
+	g_free(pool);
+}
+
+const char *pool_name(const struct pool *pool)
+{
+	return pool->name;
+}
+
+bool pool_owned(const struct pool *pool)
+{
+	return pool->state == POOL_OWNED;
+}
+
+bool pool_may_order(const struct pool *pool)
+{
+	return pool->state == POOL_OWNED &&
+	       pool_now_ms(pool) <
+		       pool->authority_end_ms + pool->env->cut_off_ms;
+}
+
+int32_t pool_attempts(const struct pool *pool, const struct job *job)
+{
+	const struct cfg_queue *queue =
+		cfg_queue_find(*pool->env->cfg, job->queue);
+
+	return queue && queue->attempts > 0 ? queue->attempts : 1;
+}
+
+static bool mine(const struct pool *pool, const struct job *job)
+{
+	return job->has_spec && !strcmp(job->pool, pool->name);
+}
+
+static bool my_worker(const struct pool *pool, const struct worker *worker)
+{
+	return !strcmp(worker->entry.pool, pool->name);
+}
+
+void pool_lose(struct pool *pool, const char *why)
+{
+	struct job_store *jobs = pool->env->jobs;
+	bool owned = pool->state == POOL_OWNED;
+
+	log_info("pool-lost pool=%s fence=%" G_GINT64_FORMAT " why=%s",
+		 pool->name, pool->fence, why);
+	pool->state = POOL_FOREIGN;
+	pool->ownership++;
+	writer_destroy(pool->writer);
+	pool->writer = NULL;
+	g_hash_table_remove_all(pool->notes);
+	/* Jobs leave the list of those that have not ended, hence backwards. */
+	for (guint i = jobs->list->len; owned && i > 0; i--) {
+		struct job *job = jobs->list->pdata[i - 1];
+
+		if (mine(pool, job) && !job_ended(job->shown))
+			job_reload(jobs, job);
+	}
+}
+
+static void on_fenced(void *arg, enum writer_outcome outcome, int64_t end)
+{
+	struct pool *pool = arg;
+
+	if (outcome != WRITER_STORED) {
+		pool_lose(pool, "its first append was fenced");
+		return;
+	}
+	pool->state = POOL_CATCHING_UP;
+	pool->fence_end = end;
+	pool->syncing = false;
+}
+
+void pool_own(struct pool *pool, int64_t generation, int64_t authority_end_ms)
+{
+	char producer[POOL_PRODUCER_BYTES];
+	struct writer_config config = {
+		.io = pool->env->stream,
+		.clk = pool->env->clk,
+		.id = pool->env->id,
+		.producer = producer,
+		.epoch = generation,
+		.gap_ms = POOL_APPEND_GAP_MS,
+		.max_bytes = POOL_APPEND_BYTES,
+	};
+
+	pool->authority_end_ms = authority_end_ms;
+	if (pool->state != POOL_FOREIGN || generation <= pool->last_fence)
+		return;
+	log_info("pool-given pool=%s fence=%" G_GINT64_FORMAT, pool->name,
+		 generation);
+	g_snprintf(producer, sizeof(producer), "pool-%s", pool->name);
+	pool->fence = generation;
+	pool->last_fence = generation;
+	pool->state = POOL_FENCING;
+	pool->ownership++;
+	pool->env->counts.takeovers++;
+	pool->writer = writer_create(&config);
+	writer_add(pool->writer, NULL, NULL, 0, on_fenced, pool);
+}
+
+void pool_disown(struct pool *pool)
+{
+	if (pool->state != POOL_FOREIGN)
+		pool_lose(pool, "given to another node");
+}
+
+static void on_synced(void *arg, bool complete)
+{
+	struct pool *pool = arg;
+
+	(void)complete; /* looked at again in each tick */
+	pool->syncing = false;
+}
+
+/*
+ * An earlier owner may have renewed a lease until its authority ended, and
+ * kept on for the time it may be cut off from the log.
+ */
+static void start_owning(struct pool *pool)
+{
+	struct worker_table *workers = pool->env->workers;
+	struct job_store *jobs = pool->env->jobs;
+	int64_t now_ms = pool_now_ms(pool);
+
+	for (guint i = 0; i < workers->list->len; i++) {
+		struct worker *worker = workers->list->pdata[i];
+
+		if (!my_worker(pool, worker))
+			continue;
+		worker_disown(worker);
+		worker->lease_end_ms = worker_lease_bound_ms(
+			now_ms + pool->env->cut_off_ms, pool->env->lease_ms);
+	}
+	for (guint i = jobs->live->len; i > 0; i--) {
+		struct job *job = jobs->live->pdata[i - 1];
+
+		if (mine(pool, job))
+			job_reload(jobs, job);
+	}
+	pool->taken_ms = now_ms;
+	pool->state = POOL_OWNED;
+	log_info("pool-taken pool=%s fence=%" G_GINT64_FORMAT
+		 " offset=%" G_GINT64_FORMAT,
+		 pool->name, pool->fence, pool->fence_end);
+}
+
+static void catch_up(struct pool *pool)
+{
+	if (tail_next(pool->env->tail) >= pool->fence_end) {
+		start_owning(pool);
+	} else if (!pool->syncing) {
+		pool->syncing = true;
+		tail_sync(pool->env->tail, on_synced, pool);
+	}
+}
+
+void pool_end(struct pool *pool, struct job_pos *pos, enum job_end how,
+	      const char *checkpoint)
+{
+	struct pool_counts *counts = &pool->env->counts;
+
+	if (how == END_DONE)
+		counts->runs_done++;
+	else if (how == END_FAILED)
+		counts->runs_failed++;
+	else
+		counts->runs_lost++;
+	job_end_run(pos, how, checkpoint, pool_attempts(pool, pos->job));
+}
+
+/* The placements of that record and earlier ones may be ordered. */
+static void placements_stored(struct job *job, uint32_t record)
+{
+	struct job_pos pos = { .job = job };
+
+	while (job_next_task(&pos)) {
+		if (pos.task->state != TASK_PLACED ||
+		    pos.task->phase != PHASE_STORING ||
+		    pos.task->record != record)
+			continue;
+		pos.task->phase = PHASE_STARTING;
+		pos.task->since_ms = 0;
+	}
+}
+
+static void on_progress(void *arg, enum writer_outcome outcome, int64_t end)
+{
+	struct note *note = arg;
+	struct pool *pool = note->pool;
+	struct job *job = job_find(pool->env->jobs, note->id);
+
+	(void)end;
+	if (outcome != WRITER_STORED) {
+		/* This frees all notes. */
+		if (pool->state != POOL_FOREIGN)
+			pool_lose(pool, "an append was fenced");
+		return;
+	}
+	if (job) {
+		job_stored(job, note->record, note->len);
+		placements_stored(job, note->number);
+		pool_send_starts(pool, job);
+		if (job_ended(job->shown))
+			log_info("job-ended id=%s state=%s queue=%s", job->id,
+				 job_state_name(job->shown), job->queue);
+	}
+	g_hash_table_remove(pool->notes, note);
+}
+
+static void on_cursor(void *arg, enum writer_outcome outcome, int64_t end)
+{
+	struct note *note = arg;
+	struct pool *pool = note->pool;
+	struct worker *worker = worker_find(pool->env->workers, note->worker);
+
+	(void)end;
+	if (outcome != WRITER_STORED) {
+		if (pool->state != POOL_FOREIGN)
+			pool_lose(pool, "an append was fenced");
+		return;
+	}
+	if (worker) {
+		worker->cursor = MAX(worker->cursor, note->cursor);
+		worker->next_renew_ms = 0;
+	}
+	g_hash_table_remove(pool->notes, note);
+}
+
+static void store_job(struct pool *pool, struct job *job)
+{
+	char key[JOB_ID_BYTES + 2];
+	struct note *note = note_new(pool);
+	struct job_pos pos = { .job = job };
+
+	note->number = ++job->records;
+	g_strlcpy(note->id, job->id, sizeof(note->id));
+	note->record = job_progress_record(job, &note->len);
+	job->dirty = false;
+	while (job_next_task(&pos)) {
+		if (pos.task->state != TASK_PLACED ||
+		    pos.task->phase != PHASE_RECORDING)
+			continue;
+		pos.task->phase = PHASE_STORING;
+		pos.task->record = note->number;
+	}
+	g_snprintf(key, sizeof(key), "p:%s", job->id);
+	writer_add(pool->writer, key, note->record, note->len, on_progress,
+		   note);
+}
+
+/* Stores what has changed; the ends of runs before their cursors. */
+static void store_changes(struct pool *pool)
+{
+	struct job_store *jobs = pool->env->jobs;
+	struct worker_table *workers = pool->env->workers;
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job *job = jobs->live->pdata[i];
+
+		if (!mine(pool, job))
+			continue;
+		job_refresh(job);
+		if (job->dirty)
+			store_job(pool, job);
+	}
+	for (guint i = 0; i < workers->list->len; i++) {
+		struct worker *worker = workers->list->pdata[i];
+		struct note *note;
+
+		if (!my_worker(pool, worker) ||
+		    worker->cursor_seen == worker->cursor_flushing)
+			continue;
+		worker->cursor_flushing = worker->cursor_seen;
+		note = note_new(pool);
+		g_strlcpy(note->worker, worker->entry.id, sizeof(note->worker));
+		note->cursor = worker->cursor_seen;
+		writer_add(pool->writer, NULL, NULL, 0, on_cursor, note);
+	}
+}
+
+static void place_new(struct pool *pool)
+{
+	struct place place = {
+		.pool = pool->name,
+		.cfg = *pool->env->cfg,
+		.jobs = pool->env->jobs,
+		.workers = pool->env->workers,
+		.now_ms = pool_now_ms(pool),
+		.wall_ms = clk_wall_ms(pool->env->clk),
+	};
+
+	place_account(&place);
+	/* What is placed while the log stands still could not be stored. */
+	if (writer_stalled_ms(pool->writer) < pool->env->lease_ms / 4)
+		place_tasks(&place);
+}
+
+void pool_tick(struct pool *pool)
+{
+	struct job_store *jobs = pool->env->jobs;
+
+	if (pool->state == POOL_FOREIGN)
+		return;
+	if (pool->state == POOL_CATCHING_UP)
+		catch_up(pool);
+	if (pool->state == POOL_OWNED) {
+		pool_end_lost(pool);
+		place_new(pool);
+		store_changes(pool);
+		for (guint i = 0; i < jobs->live->len; i++)
+			if (mine(pool, jobs->live->pdata[i]))
+				pool_send_starts(pool, jobs->live->pdata[i]);
+		pool_renew(pool);
+	}
+	if (pool->writer)
+		writer_tick(pool->writer);
+}
--- /dev/null
+++ b/src/pool_report.c
@@ -0,0 +1,191 @@
+#include <string.h>
+
+#include "log.h"
+#include "pool_int.h"
+
+enum {
+	/* Share of the newest end in a worker's record of failures. */
+	POOL_FAILURE_WEIGHT_PERCENT = 25,
+	POOL_FAILING_MS = 3000,
+	POOL_STOP_RETRY_MS = 300
+};
+#define POOL_FAILING_RATE 0.6
+
+static void judge(struct worker *worker, bool failed, int64_t now_ms)
+{
+	double weight = POOL_FAILURE_WEIGHT_PERCENT / 100.0;
+
+	worker->failure_rate += (failed - worker->failure_rate) * weight;
+	if (failed && worker->failure_rate > POOL_FAILING_RATE) {
+		worker->avoid_until_ms = now_ms + POOL_FAILING_MS;
+		log_info("worker-avoided worker=%s failure_rate=%.2f",
+			 worker->entry.id, worker->failure_rate);
+	}
+}
+
+/* Whether the task's newest run is that one, at this worker. */
+static bool is_at(const struct job_pos *pos, const struct worker *worker,
+		  int32_t run)
+{
+	return pos->task->state == TASK_PLACED && pos->task->run == run &&
+	       !strcmp(pos->task->worker, worker->entry.id);
+}
+
+static void take_end(struct pool *pool, struct worker *worker,
+		     const struct worker_end *end)
+{
+	struct job_pos pos;
+
+	if (end->number <= worker->cursor_seen)
+		return;
+	worker->cursor_seen = end->number;
+	if (!job_task_find(pool->env->jobs, end->task, &pos) ||
+	    job_ended(pos.job->state))
+		return;
+	if (end->how == END_DONE || end->how == END_FAILED)
+		judge(worker, end->how == END_FAILED, pool_now_ms(pool));
+	if (is_at(&pos, worker, end->run)) {
+		pool_end(pool, &pos, end->how, end->checkpoint);
+	} else if (end->how == END_DONE && pos.task->state == TASK_WAITING &&
+		   end->run <= pos.task->run) {
+		/* Given up as lost, yet it was done. */
+		pool_end(pool, &pos, END_DONE, NULL);
+	}
+}
+
+static void stop_run(struct pool *pool, struct worker *worker,
+		     const struct worker_run *run)
+{
+	pool_send_stop(pool, worker, run->task, run->run);
+}
+
+static void take_run(struct pool *pool, struct worker *worker,
+		     const struct worker_run *run, int64_t now_ms)
+{
+	struct job_pos pos;
+	struct job_task *task;
+
+	if (!job_task_find(pool->env->jobs, run->task, &pos) ||
+	    job_ended(pos.job->state) || pos.job->cancel_asked ||
+	    !is_at(&pos, worker, run->run)) {
+		stop_run(pool, worker, run);
+		return;
+	}
+	task = pos.task;
+	task->seen = worker->reports;
+	task->percent = run->percent;
+	task->figure = run->figure;
+	if (run->checkpoint && g_strcmp0(run->checkpoint, task->checkpoint)) {
+		g_free(task->checkpoint);
+		task->checkpoint = g_strdup(run->checkpoint);
+	}
+	if (task->phase == PHASE_STOPPING) {
+		if (now_ms - task->since_ms >= POOL_STOP_RETRY_MS) {
+			task->since_ms = now_ms;
+			stop_run(pool, worker, run);
+		}
+		return;
+	}
+	if (task->phase != PHASE_RUNNING) {
+		task->phase = PHASE_RUNNING;
+		task->since_ms = now_ms;
+	}
+}
+
+/* Whether a report asked for at that time must list the task's run. */
+static bool must_list(const struct job_task *task, int64_t asked_ms)
+{
+	switch (task->phase) {
+	case PHASE_UNKNOWN:
+		return true;
+	case PHASE_RUNNING:
+	case PHASE_STOPPING:
+		return task->since_ms < asked_ms;
+	default:
+		return false;
+	}
+}
+
+/* Ends the worker's runs that it should have listed and did not. */
+static void end_unlisted(struct pool *pool, struct worker *worker,
+			 int64_t asked_ms)
+{
+	struct job_store *jobs = pool->env->jobs;
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (strcmp(pos.job->pool, pool->name))
+			continue;
+		while (job_next_task(&pos))
+			if (is_at(&pos, worker, pos.task->run) &&
+			    pos.task->seen != worker->reports &&
+			    must_list(pos.task, asked_ms))
+				pool_end(pool, &pos, END_STOPPED, NULL);
+	}
+}
+
+void pool_take_report(struct pool *pool, struct worker *worker,
+		      const struct worker_report *report, int64_t asked_ms)
+{
+	int64_t now_ms = pool_now_ms(pool);
+
+	if (report->born_ms && report->born_ms != worker->life_ms) {
+		if (worker->life_ms)
+			log_info("worker-reborn worker=%s", worker->entry.id);
+		worker->life_ms = report->born_ms;
+		worker->cursor_seen = 0;
+		worker->cursor_flushing = 0;
+		worker->cursor = 0;
+	}
+	if (!worker->reached) {
+		/* From now on only this owner extends its lease. */
+		worker->reached = true;
+		worker->lease_end_ms =
+			worker_lease_bound_ms(now_ms, pool->env->lease_ms);
+	}
+	worker->clock_ms = report->clock_ms;
+	worker->clock_at_ms = now_ms;
+	worker->heard_ms = now_ms;
+	worker->reports++;
+	for (uint32_t i = 0; i < report->end_count; i++)
+		take_end(pool, worker, &report->ends[i]);
+	for (uint32_t i = 0; i < report->run_count; i++)
+		take_run(pool, worker, &report->runs[i], now_ms);
+	end_unlisted(pool, worker, asked_ms);
+}
+
+static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
+{
+	struct worker *worker =
+		worker_find(pool->env->workers, pos->task->worker);
+	int64_t end_ms =
+		worker ? worker->lease_end_ms
+		       : worker_lease_bound_ms(pool->taken_ms +
+						       pool->env->cut_off_ms,
+					       pool->env->lease_ms);
+
+	if (pos->task->phase == PHASE_RECORDING ||
+	    pos->task->phase == PHASE_STORING || now_ms < end_ms)
+		return;
+	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s",
+		 pos->job->id, pos->step, pos->index, pos->task->run,
+		 pos->task->worker);
+	pool_end(pool, pos, END_LAPSED, NULL);
+}
+
+void pool_end_lost(struct pool *pool)
+{
+	struct job_store *jobs = pool->env->jobs;
+	int64_t now_ms = pool_now_ms(pool);
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (strcmp(pos.job->pool, pool->name))
+			continue;
+		while (job_next_task(&pos))
+			if (pos.task->state == TASK_PLACED)
+				end_if_lost(pool, &pos, now_ms);
+	}
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,115 @@
+#include "settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "jsn.h"
+
+/* Splits "address:port"; refuses another form. */
+static void read_address(const struct jsn *root, const char *key, bool needed,
+			 struct settings_address *out)
+{
+	struct jsn at = jsn_member(root, key);
+	char text[LIM_ADDRESS_BYTES];
+	char *colon;
+	char *end;
+	unsigned long port;
+
+	jsn_string(&at, text, sizeof(text), needed ? NULL : "");
+	if (!text[0])
+		return;
+	colon = strrchr(text, ':');
+	port = colon ? strtoul(colon + 1, &end, 10) : 0;
+	if (!colon || *end || port < 1 || port > UINT16_MAX) {
+		jsn_refuse(&at, "address:port");
+		return;
+	}
+	*colon = 0;
+	g_strlcpy(out->host, text, sizeof(out->host));
+	out->port = (uint16_t)port;
+}
+
+static void read_text(const struct jsn *root, const char *key, char *out,
+		      size_t size, const char *fallback)
+{
+	struct jsn at = jsn_member(root, key);
+
+	jsn_string(&at, out, size, fallback);
+}
+
+static int64_t read_ms(const struct jsn *root, const char *key,
+		       int64_t fallback_ms)
+{
+	struct jsn at = jsn_member(root, key);
+
+	return jsn_int(&at, 1, 3600 * 1000, fallback_ms);
+}
+
+/* Seconds that may have a fraction. */
+static int64_t read_seconds(const struct jsn *root, const char *key,
+			    double fallback_s)
+{
+	struct jsn at = jsn_member(root, key);
+
+	return (int64_t)(jsn_double(&at, 0, 3600, fallback_s) * 1000);
+}
+
+int settings_parse(const char *text, size_t len, struct settings *settings,
+		   struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct settings read = { 0 };
+	struct json_object *value = jsn_parse(text, len, &fault);
+	struct jsn root = jsn_root(value, &fault);
+	struct jsn at;
+
+	if (!value)
+		return err_set(err, fault.kind, "%s", fault.text);
+	jsn_object(&root);
+	read_text(&root, "name", read.name, sizeof(read.name), NULL);
+	read_text(&root, "data_centre", read.data_centre,
+		  sizeof(read.data_centre), NULL);
+	read_address(&root, "callers", true, &read.callers);
+	read_address(&root, "readiness", true, &read.readiness);
+	read_address(&root, "metrics", false, &read.metrics);
+	read_text(&root, "log_service", read.log_service,
+		  sizeof(read.log_service), NULL);
+	read_text(&root, "host_service", read.host_service,
+		  sizeof(read.host_service), "");
+	read.lease_max_ms = read_ms(&root, "lease_max_ms", 6000);
+	read.stop_grace_ms = read_seconds(&root, "stop_grace_s", 6);
+	read.order_lease_ms = read_ms(&root, "order_lease_ms", 3000);
+	read.notice_ms = read_ms(&root, "notice_ms", 4500);
+	read.stop_ms = read_ms(&root, "stop_ms", 200);
+	read.recovery_ms = read_seconds(&root, "recovery_s", 12);
+	read.host_restart_ms = read_seconds(&root, "host_restart_s", 2);
+	at = jsn_member(&root, "orders_fenced");
+	read.orders_fenced = jsn_bool(&at, true);
+	json_object_put(value);
+	if (fault.kind != ERR_OK)
+		return err_set(err, fault.kind, "%s", fault.text);
+	*settings = read;
+	return 0;
+}
+
+int settings_load(const char *path, struct settings *settings, struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	gchar *text = NULL;
+	gsize len = 0;
+	GError *error = NULL;
+	int status;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		status = err_set(err, ERR_IO, "%s", error->message);
+		g_error_free(error);
+		return status;
+	}
+	status = settings_parse(text, len, settings, &fault);
+	if (status < 0)
+		err_set(err, status, "%s: %s", path, fault.text);
+	g_free(text);
+	return status;
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,52 @@
+/*
+ * NAME
+ *	settings - settings of a node, JSON with comments
+ *
+ * Fields that are not known are ignored, so that newer files can be read. A
+ * wrong value is refused with the file, its path, the value and what is
+ * wanted.
+ */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "lim.h"
+
+struct settings_address {
+	char host[LIM_ADDRESS_BYTES];
+	uint16_t port;
+};
+
+struct settings {
+	char name[LIM_NAME_BYTES];
+	char data_centre[LIM_NAME_BYTES];
+	struct settings_address callers;
+	struct settings_address readiness;
+	struct settings_address metrics;      /* port 0: not served */
+	char log_service[LIM_ADDRESS_BYTES];  /* address:port */
+	char host_service[LIM_ADDRESS_BYTES]; /* address:port; empty: none */
+	int64_t lease_max_ms;	 /* longest lease that workers give */
+	int64_t stop_grace_ms;	 /* from the stop signal to the kill */
+	int64_t order_lease_ms;	 /* between two holders of a host's orders */
+	int64_t notice_ms;	 /* how long a restart may take a task away */
+	int64_t stop_ms;	 /* a worker stops a task within this time */
+	int64_t recovery_ms;	 /* from a full stop to service */
+	int64_t host_restart_ms; /* a host is away for maintenance */
+	bool orders_fenced;	 /* the host service checks fences */
+};
+
+/*
+ * settings_load - read and check a file
+ *
+ * ERRORS
+ *	ERR_IO		it cannot be read
+ *	ERR_INVALID	a value is wrong; settings are unchanged
+ */
+int settings_load(const char *path, struct settings *settings, struct err *err);
+int settings_parse(const char *text, size_t len, struct settings *settings,
+		   struct err *err);
+
+#endif
--- /dev/null
+++ b/src/tail.c
@@ -0,0 +1,252 @@
+#include "tail.h"
+
+#include "log.h"
+
+enum { TAIL_RETRY_MS = 200, TAIL_KEY_BYTES = 256 };
+
+struct waiter {
+	void (*fn)(void *arg, bool complete);
+	void *arg;
+};
+
+struct tail {
+	struct tail_config config;
+	bool loaded;
+	bool loading;	/* a page of the newest records is under way */
+	bool following; /* a waiting read is under way */
+	bool syncing;	/* a read for waiters is under way */
+	bool failing;
+	bool destroyed;
+	uint32_t calls;	   /* under way */
+	int64_t first_end; /* of the first page; -1: no page yet */
+	char after_key[TAIL_KEY_BYTES];
+	int64_t next;
+	int64_t due_ms;
+	int64_t asked_ms; /* of the read under way */
+	int64_t fresh_ms; /* start of the last answered read */
+	GArray *waiting;  /* for the next read */
+	GArray *synced;	  /* for the read under way */
+};
+
+struct tail *tail_create(const struct tail_config *config)
+{
+	struct tail *tail = g_new0(struct tail, 1);
+
+	tail->config = *config;
+	tail->first_end = -1;
+	tail->next = -1;
+	tail->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	tail->synced = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	return tail;
+}
+
+static void free_tail(struct tail *tail)
+{
+	g_array_free(tail->waiting, TRUE);
+	g_array_free(tail->synced, TRUE);
+	g_free(tail);
+}
+
+void tail_destroy(struct tail *tail)
+{
+	if (!tail)
+		return;
+	tail->destroyed = true;
+	if (!tail->calls)
+		free_tail(tail);
+}
+
+/* Whether an answer may be used; frees a destroyed tail after its last one. */
+static bool answered(struct tail *tail)
+{
+	tail->calls--;
+	if (!tail->destroyed)
+		return true;
+	if (!tail->calls)
+		free_tail(tail);
+	return false;
+}
+
+static void note_failure(struct tail *tail, enum stream_outcome outcome)
+{
+	if (!tail->failing)
+		log_warn("stream %s does not answer (outcome %d)",
+			 tail->config.id.topic, outcome);
+	tail->failing = true;
+	tail->due_ms = clk_now_ms(tail->config.clk) + TAIL_RETRY_MS;
+}
+
+static void note_success(struct tail *tail)
+{
+	if (tail->failing)
+		log_info("stream %s answers again", tail->config.id.topic);
+	tail->failing = false;
+}
+
+static void tell(struct tail *tail, const struct stream_batch *batch)
+{
+	for (uint32_t i = 0; i < batch->count; i++)
+		tail->config.on_record(tail->config.arg, &batch->records[i]);
+}
+
+static void restart(struct tail *tail)
+{
+	log_info("stream %s no longer keeps offset %" G_GINT64_FORMAT
+		 "; reading its newest records",
+		 tail->config.id.topic, tail->next);
+	tail->loaded = false;
+	tail->first_end = -1;
+	tail->after_key[0] = 0;
+}
+
+static void on_page(void *arg, const struct stream_batch *batch)
+{
+	struct tail *tail = arg;
+
+	if (!answered(tail))
+		return;
+	tail->loading = false;
+	if (batch->outcome != STREAM_OK) {
+		note_failure(tail, batch->outcome);
+		return;
+	}
+	note_success(tail);
+	if (tail->first_end < 0) {
+		tail->first_end = batch->end;
+		if (tail->config.on_reload)
+			tail->config.on_reload(tail->config.arg);
+	}
+	tell(tail, batch);
+	if (batch->more && batch->count) {
+		const struct stream_record *last =
+			&batch->records[batch->count - 1];
+
+		g_snprintf(tail->after_key, sizeof(tail->after_key), "%.*s",
+			   (int)last->key_len, last->key);
+		return;
+	}
+	tail->loaded = true;
+	tail->next = tail->first_end;
+	tail->fresh_ms = tail->asked_ms;
+	if (tail->config.on_loaded)
+		tail->config.on_loaded(tail->config.arg);
+}
+
+/* Takes an answer of either kind of read; false: it brought nothing. */
+static bool take(struct tail *tail, const struct stream_batch *batch)
+{
+	if (batch->outcome == STREAM_DELETED) {
+		if (tail->loaded)
+			restart(tail);
+		return false;
+	}
+	if (batch->outcome != STREAM_OK) {
+		note_failure(tail, batch->outcome);
+		return false;
+	}
+	note_success(tail);
+	tell(tail, batch);
+	tail->next = MAX(tail->next, batch->next);
+	return true;
+}
+
+static void on_read(void *arg, const struct stream_batch *batch)
+{
+	struct tail *tail = arg;
+
+	if (!answered(tail))
+		return;
+	tail->following = false;
+	tail->due_ms = clk_now_ms(tail->config.clk) + tail->config.gap_ms;
+	if (take(tail, batch))
+		tail->fresh_ms = MAX(tail->fresh_ms, tail->asked_ms);
+}
+
+static void on_sync(void *arg, const struct stream_batch *batch)
+{
+	struct tail *tail = arg;
+	GArray *told;
+	bool complete;
+
+	if (!answered(tail))
+		return;
+	tail->syncing = false;
+	complete = take(tail, batch) && tail->next >= batch->end;
+	told = tail->synced;
+	tail->synced = g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	for (guint i = 0; i < told->len; i++) {
+		struct waiter *waiter = &g_array_index(told, struct waiter, i);
+
+		waiter->fn(waiter->arg, complete);
+	}
+	g_array_free(told, TRUE);
+}
+
+static void start_sync(struct tail *tail)
+{
+	GArray *empty = tail->synced;
+
+	tail->synced = tail->waiting;
+	tail->waiting = empty;
+	tail->syncing = true;
+	tail->calls++;
+	tail->config.io->read(tail->config.io->io, tail->config.id, tail->next,
+			      0, on_sync, tail);
+}
+
+void tail_sync(struct tail *tail, void (*fn)(void *arg, bool complete),
+	       void *arg)
+{
+	struct waiter waiter = { .fn = fn, .arg = arg };
+
+	if (!tail->loaded) {
+		fn(arg, false);
+		return;
+	}
+	g_array_append_val(tail->waiting, waiter);
+	if (!tail->syncing)
+		start_sync(tail);
+}
+
+void tail_tick(struct tail *tail)
+{
+	int64_t now_ms = clk_now_ms(tail->config.clk);
+
+	if (tail->waiting->len && !tail->syncing)
+		start_sync(tail);
+	if (tail->loading || tail->following || now_ms < tail->due_ms)
+		return;
+	tail->asked_ms = now_ms;
+	tail->calls++;
+	if (!tail->loaded) {
+		tail->loading = true;
+		tail->config.io->newest(tail->config.io->io, tail->config.id,
+					tail->after_key[0] ? tail->after_key
+							   : NULL,
+					on_page, tail);
+		return;
+	}
+	tail->following = true;
+	tail->config.io->read(tail->config.io->io, tail->config.id, tail->next,
+			      tail->config.wait_ms, on_read, tail);
+}
+
+bool tail_loaded(const struct tail *tail)
+{
+	return tail->loaded;
+}
+
+int64_t tail_next(const struct tail *tail)
+{
+	return tail->loaded ? tail->next : -1;
+}
+
+int64_t tail_age_ms(const struct tail *tail)
+{
+	return clk_now_ms(tail->config.clk) - tail->fresh_ms;
+}
+
+void tail_set_gap(struct tail *tail, int64_t gap_ms)
+{
+	tail->config.gap_ms = gap_ms;
+}
--- /dev/null
+++ b/src/tail.h
@@ -0,0 +1,57 @@
+/*
+ * NAME
+ *	tail - follows a stream: the newest record of each key first, then
+ *	every record as it is appended
+ *
+ * A record may be told more than once, with the same offset.
+ */
+#ifndef TAIL_H
+#define TAIL_H
+
+#include "clk.h"
+#include "stream.h"
+
+struct tail;
+
+struct tail_config {
+	const struct stream_io *io;
+	const struct clk *clk;
+	struct stream_id id;
+	int64_t gap_ms;	 /* least time between two reads */
+	int64_t wait_ms; /* how long a read waits for a record */
+	void (*on_record)(void *arg, const struct stream_record *record);
+	/* The newest records are about to be told again, all of them. */
+	void (*on_reload)(void *arg);
+	/* The newest record of each key has been told. */
+	void (*on_loaded)(void *arg);
+	void *arg;
+};
+
+struct tail *tail_create(const struct tail_config *config);
+void tail_destroy(struct tail *tail);
+
+/* tail_tick - read if a read is due */
+void tail_tick(struct tail *tail);
+
+/* tail_loaded - whether the state is complete up to some recent moment */
+bool tail_loaded(const struct tail *tail);
+
+/* tail_next - offset that the next read starts from; -1: not loaded */
+int64_t tail_next(const struct tail *tail);
+
+/* tail_age_ms - time since the start of the last read that was answered */
+int64_t tail_age_ms(const struct tail *tail);
+
+/* tail_set_gap - change the least time between two reads */
+void tail_set_gap(struct tail *tail, int64_t gap_ms);
+
+/*
+ * tail_sync - read at once, and call fn when all that the stream held at the
+ * time of this call has been told
+ *
+ * complete is false if the log did not answer.
+ */
+void tail_sync(struct tail *tail, void (*fn)(void *arg, bool complete),
+	       void *arg);
+
+#endif
--- /dev/null
+++ b/src/worker.c
@@ -0,0 +1,100 @@
+#include "worker.h"
+
+#include <stddef.h>
+#include <string.h>
+
+void worker_report_clear(struct worker_report *report)
+{
+	for (uint32_t i = 0; i < report->run_count; i++)
+		g_free(report->runs[i].checkpoint);
+	for (uint32_t i = 0; i < report->end_count; i++)
+		g_free(report->ends[i].checkpoint);
+	g_free(report->runs);
+	g_free(report->ends);
+	memset(report, 0, sizeof(*report));
+}
+
+struct worker_table *worker_table_create(void)
+{
+	struct worker_table *table = g_new0(struct worker_table, 1);
+
+	table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	table->list = g_ptr_array_new();
+	return table;
+}
+
+void worker_table_destroy(struct worker_table *table)
+{
+	if (!table)
+		return;
+	for (guint i = 0; i < table->list->len; i++)
+		g_free(table->list->pdata[i]);
+	g_ptr_array_free(table->list, TRUE);
+	g_hash_table_destroy(table->by_id);
+	g_free(table);
+}
+
+struct worker *worker_find(const struct worker_table *table, const char *id)
+{
+	return g_hash_table_lookup(table->by_id, id);
+}
+
+void worker_disown(struct worker *worker)
+{
+	size_t start = offsetof(struct worker, reached);
+
+	memset((char *)worker + start, 0, sizeof(*worker) - start);
+}
+
+struct worker *worker_put(struct worker_table *table,
+			  const struct worker_entry *entry)
+{
+	struct worker *worker = worker_find(table, entry->id);
+
+	if (!worker) {
+		worker = g_new0(struct worker, 1);
+		worker->entry = *entry;
+		g_hash_table_insert(table->by_id, worker->entry.id, worker);
+		g_ptr_array_add(table->list, worker);
+	}
+	worker->entry = *entry;
+	worker->listed = true;
+	return worker;
+}
+
+void worker_unlist(struct worker_table *table, const char *id)
+{
+	struct worker *worker = worker_find(table, id);
+
+	if (worker)
+		worker->listed = false;
+}
+
+void worker_remove(struct worker_table *table, struct worker *worker)
+{
+	g_hash_table_remove(table->by_id, worker->entry.id);
+	g_ptr_array_remove(table->list, worker);
+	g_free(worker);
+}
+
+bool worker_has_label(const struct worker *worker, const char *label)
+{
+	for (uint32_t i = 0; i < worker->entry.label_count; i++)
+		if (!strcmp(worker->entry.labels[i], label))
+			return true;
+	return false;
+}
+
+int64_t worker_clock_ms(const struct worker *worker, int64_t now_ms)
+{
+	int64_t passed_ms = now_ms - worker->clock_at_ms;
+
+	return worker->clock_ms +
+	       passed_ms * (100 - WORKER_CLOCK_SLACK_PERCENT) / 100;
+}
+
+int64_t worker_lease_bound_ms(int64_t now_ms, int64_t lease_ms)
+{
+	return now_ms + lease_ms * 100 / (100 - WORKER_CLOCK_SLACK_PERCENT) +
+	       WORKER_LEASE_MARGIN_MS;
+}
--- /dev/null
+++ b/src/writer.c
@@ -0,0 +1,252 @@
+#include "writer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+enum {
+	WRITER_RETRY_MIN_MS = 50,
+	WRITER_RETRY_MAX_MS = 800,
+	WRITER_KEY_BYTES = 128
+};
+
+struct entry {
+	int64_t number;
+	char key[WRITER_KEY_BYTES]; /* empty: no record */
+	char *value;		    /* NULL: drops the key */
+	size_t value_len;
+	writer_fn *fn; /* NULL: withdrawn */
+	void *arg;
+};
+
+struct writer {
+	struct writer_config config;
+	char *producer;
+	int64_t next_number;
+	int64_t sequence; /* of the append under way, or of the next one */
+	GArray *waiting;
+	GArray *sent; /* of the append under way */
+	GByteArray *bytes;
+	bool calling; /* waits for an answer */
+	bool destroyed;
+	int64_t first_try_ms; /* of the append under way */
+	int64_t next_try_ms;
+	int64_t last_append_ms;
+	int64_t retry_ms;
+};
+
+struct writer *writer_create(const struct writer_config *config)
+{
+	struct writer *writer = g_new0(struct writer, 1);
+
+	writer->config = *config;
+	writer->producer = g_strdup(config->producer);
+	writer->waiting = g_array_new(FALSE, FALSE, sizeof(struct entry));
+	writer->sent = g_array_new(FALSE, FALSE, sizeof(struct entry));
+	writer->bytes = g_byte_array_new();
+	writer->retry_ms = WRITER_RETRY_MIN_MS;
+	return writer;
+}
+
+static void clear_entries(GArray *entries)
+{
+	for (guint i = 0; i < entries->len; i++)
+		g_free(g_array_index(entries, struct entry, i).value);
+	g_array_set_size(entries, 0);
+}
+
+static void free_writer(struct writer *writer)
+{
+	clear_entries(writer->waiting);
+	clear_entries(writer->sent);
+	g_array_free(writer->waiting, TRUE);
+	g_array_free(writer->sent, TRUE);
+	g_byte_array_free(writer->bytes, TRUE);
+	g_free(writer->producer);
+	g_free(writer);
+}
+
+void writer_destroy(struct writer *writer)
+{
+	if (!writer)
+		return;
+	/* The answer still comes; it frees the rest. */
+	writer->destroyed = true;
+	if (!writer->calling)
+		free_writer(writer);
+}
+
+int64_t writer_add(struct writer *writer, const char *key, const char *value,
+		   size_t value_len, writer_fn *fn, void *arg)
+{
+	struct entry entry = {
+		.number = ++writer->next_number,
+		.value = value ? g_memdup2(value, value_len ? value_len : 1)
+			       : NULL,
+		.value_len = value_len,
+		.fn = fn,
+		.arg = arg,
+	};
+
+	g_strlcpy(entry.key, key ? key : "", sizeof(entry.key));
+	g_array_append_val(writer->waiting, entry);
+	return entry.number;
+}
+
+bool writer_withdraw(struct writer *writer, int64_t number)
+{
+	for (guint i = 0; i < writer->waiting->len; i++) {
+		struct entry *entry =
+			&g_array_index(writer->waiting, struct entry, i);
+
+		if (entry->number != number)
+			continue;
+		g_free(entry->value);
+		g_array_remove_index(writer->waiting, i);
+		return true;
+	}
+	for (guint i = 0; i < writer->sent->len; i++) {
+		struct entry *entry =
+			&g_array_index(writer->sent, struct entry, i);
+
+		if (entry->number == number)
+			entry->fn = NULL;
+	}
+	return false;
+}
+
+bool writer_is_sent(const struct writer *writer, int64_t number)
+{
+	for (guint i = 0; i < writer->sent->len; i++)
+		if (g_array_index(writer->sent, struct entry, i).number ==
+		    number)
+			return true;
+	return false;
+}
+
+/* Ends the append under way and tells each record's caller. */
+static void finish(struct writer *writer, enum writer_outcome outcome,
+		   int64_t end)
+{
+	GArray *told = writer->sent;
+
+	writer->sent = g_array_new(FALSE, FALSE, sizeof(struct entry));
+	writer->sequence++;
+	writer->retry_ms = WRITER_RETRY_MIN_MS;
+	writer->calling = true; /* a callback may destroy the writer */
+	for (guint i = 0; i < told->len; i++) {
+		struct entry *entry = &g_array_index(told, struct entry, i);
+
+		if (entry->fn && !writer->destroyed)
+			entry->fn(entry->arg, outcome, end);
+	}
+	writer->calling = false;
+	clear_entries(told);
+	g_array_free(told, TRUE);
+}
+
+static void retry_later(struct writer *writer)
+{
+	writer->next_try_ms = clk_now_ms(writer->config.clk) + writer->retry_ms;
+	writer->retry_ms = MIN(writer->retry_ms * 2, WRITER_RETRY_MAX_MS);
+}
+
+static void appended(void *arg, const struct stream_appended *result)
+{
+	struct writer *writer = arg;
+
+	writer->calling = false;
+	if (writer->destroyed) {
+		free_writer(writer);
+		return;
+	}
+	switch (result->outcome) {
+	case STREAM_OK:
+		finish(writer, WRITER_STORED, result->end);
+		break;
+	case STREAM_FENCED:
+		log_warn("append by %s in epoch %" G_GINT64_FORMAT
+			 " refused: a later owner has appended",
+			 writer->producer, writer->config.epoch);
+		finish(writer, WRITER_FENCED, -1);
+		break;
+	case STREAM_SEQUENCE:
+		/* Only this process uses the producer in this epoch. */
+		log_error("append %" G_GINT64_FORMAT " by %s refused: its "
+			  "number does not follow the last one",
+			  writer->sequence, writer->producer);
+		finish(writer, WRITER_FENCED, -1);
+		break;
+	default:
+		retry_later(writer);
+		break;
+	}
+	if (writer->destroyed)
+		free_writer(writer);
+}
+
+/* Moves what fits into the next append. */
+static void fill(struct writer *writer)
+{
+	guint count = 0;
+
+	g_byte_array_set_size(writer->bytes, 0);
+	while (count < writer->waiting->len) {
+		struct entry *entry =
+			&g_array_index(writer->waiting, struct entry, count);
+
+		if (count &&
+		    writer->bytes->len + entry->value_len + WRITER_KEY_BYTES >
+			    writer->config.max_bytes)
+			break;
+		if (entry->key[0])
+			writer->config.io->add_record(writer->bytes, entry->key,
+						      entry->value,
+						      entry->value_len);
+		g_array_append_val(writer->sent, *entry);
+		count++;
+	}
+	g_array_remove_range(writer->waiting, 0, count);
+}
+
+void writer_tick(struct writer *writer)
+{
+	int64_t now_ms = clk_now_ms(writer->config.clk);
+	struct stream_append append = {
+		.id = writer->config.id,
+		.producer = writer->producer,
+		.epoch = writer->config.epoch,
+	};
+
+	if (writer->calling)
+		return;
+	if (!writer->sent->len) {
+		if (!writer->waiting->len ||
+		    now_ms - writer->last_append_ms < writer->config.gap_ms)
+			return;
+		fill(writer);
+		writer->first_try_ms = now_ms;
+	} else if (now_ms < writer->next_try_ms) {
+		return;
+	}
+	writer->calling = true;
+	writer->last_append_ms = now_ms;
+	append.sequence = writer->sequence;
+	append.records = (const char *)writer->bytes->data;
+	append.len = writer->bytes->len;
+	writer->config.io->append(writer->config.io->io, &append, appended,
+				  writer);
+}
+
+int64_t writer_stalled_ms(const struct writer *writer)
+{
+	if (!writer->sent->len)
+		return 0;
+	return clk_now_ms(writer->config.clk) - writer->first_try_ms;
+}
+
+bool writer_idle(const struct writer *writer)
+{
+	return !writer->sent->len && !writer->waiting->len;
+}
