Count only appends with records; retake a pool under a new fence

Cause: an append without records takes no number at the log service, yet the writer counted it, so the next append was refused as out of order and two pools stopped for good: in the same generation they could not be retaken.

--- a/src/pool.c
+++ b/src/pool.c
@@ -8,6 +8,9 @@
 enum {
 	POOL_APPEND_GAP_MS = 20,
 	POOL_APPEND_BYTES = 1024 * 1024,
+	/* Takeovers in one generation, each under a fence of its own. */
+	POOL_FENCES = 256,
+	POOL_RETRY_MS = 500,
 	POOL_PRODUCER_BYTES = LIM_NAME_BYTES + 8
 };
 
@@ -45,7 +48,6 @@
 
 	pool->env = env;
 	g_strlcpy(pool->name, name, sizeof(pool->name));
-	pool->last_fence = -1;
 	pool->notes = g_hash_table_new_full(NULL, NULL, free_note, NULL);
 	return pool;
 }
@@ -102,6 +104,7 @@
 	log_info("pool-lost pool=%s fence=%" G_GINT64_FORMAT " why=%s",
 		 pool->name, pool->fence, why);
 	pool->state = POOL_FOREIGN;
+	pool->retry_ms = pool_now_ms(pool) + POOL_RETRY_MS;
 	pool->ownership++;
 	writer_destroy(pool->writer);
 	pool->writer = NULL;
@@ -136,19 +139,22 @@
 		.clk = pool->env->clk,
 		.id = pool->env->id,
 		.producer = producer,
-		.epoch = generation,
 		.gap_ms = POOL_APPEND_GAP_MS,
 		.max_bytes = POOL_APPEND_BYTES,
 	};
 
 	pool->authority_end_ms = authority_end_ms;
-	if (pool->state != POOL_FOREIGN || generation <= pool->last_fence)
+	if (pool->state != POOL_FOREIGN || pool_now_ms(pool) < pool->retry_ms)
 		return;
+	pool->tries = generation == pool->generation ? pool->tries + 1 : 0;
+	if (pool->tries >= POOL_FENCES)
+		return;
+	pool->generation = generation;
+	pool->fence = generation * POOL_FENCES + pool->tries;
+	config.epoch = pool->fence;
 	log_info("pool-given pool=%s fence=%" G_GINT64_FORMAT, pool->name,
-		 generation);
+		 pool->fence);
 	g_snprintf(producer, sizeof(producer), "pool-%s", pool->name);
-	pool->fence = generation;
-	pool->last_fence = generation;
 	pool->state = POOL_FENCING;
 	pool->ownership++;
 	pool->env->counts.takeovers++;
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -21,7 +21,9 @@
 	char name[LIM_NAME_BYTES];
 	enum pool_state state;
 	int64_t fence;
-	int64_t last_fence; /* highest one that was used or refused */
+	int64_t generation; /* in which the pool was taken over last */
+	int64_t tries;	    /* to take it over in that generation */
+	int64_t retry_ms;   /* not taken over again before */
 	int64_t authority_end_ms;
 	int64_t fence_end; /* the stream must be read up to here */
 	int64_t taken_ms;
--- a/src/writer.c
+++ b/src/writer.c
@@ -29,6 +29,8 @@
 	GArray *sent; /* of the append under way */
 	GByteArray *bytes;
 	bool calling; /* waits for an answer */
+	bool epoch_set;
+	int64_t end; /* of the stream, after the last append */
 	bool destroyed;
 	int64_t first_try_ms; /* of the append under way */
 	int64_t next_try_ms;
@@ -132,7 +134,11 @@
 	GArray *told = writer->sent;
 
 	writer->sent = g_array_new(FALSE, FALSE, sizeof(struct entry));
-	writer->sequence++;
+	/* An append without records has no number. */
+	if (writer->bytes->len)
+		writer->sequence++;
+	writer->epoch_set = true;
+	writer->end = end;
 	writer->retry_ms = WRITER_RETRY_MIN_MS;
 	writer->calling = true; /* a callback may destroy the writer */
 	for (guint i = 0; i < told->len; i++) {
@@ -227,6 +233,12 @@
 			return;
 		fill(writer);
 		writer->first_try_ms = now_ms;
+		if (!writer->bytes->len && writer->epoch_set) {
+			finish(writer, WRITER_STORED, writer->end);
+			if (writer->destroyed)
+				free_writer(writer);
+			return;
+		}
 	} else if (now_ms < writer->next_try_ms) {
 		return;
 	}
--- a/src/writer.h
+++ b/src/writer.h
@@ -41,8 +41,8 @@
 /*
  * writer_add - add a record; value NULL drops the key
  *
- * key NULL adds no record: fn is called once all records before are stored,
- * and an append is made even if there are none, which sets the epoch.
+ * key NULL adds no record: fn is called once all records before are stored.
+ * The first append of a writer is made even without records, to set the epoch.
  *
  * RETURN VALUE
  *	A number by which writer_withdraw knows the record.
