--- a/src/pool.c
+++ b/src/pool.c
@@ -5,15 +5,6 @@
 #include "log.h"
 #include "pool_int.h"
 
-enum {
-	POOL_APPEND_GAP_MS = 20,
-	POOL_APPEND_BYTES = 1024 * 1024,
-	/* Takeovers in one generation, each under a fence of its own. */
-	POOL_FENCES = 256,
-	POOL_RETRY_MS = 500,
-	POOL_PRODUCER_BYTES = LIM_NAME_BYTES + 8
-};
-
 /* Argument of a writer's callback. */
 struct note {
 	struct pool *pool;
@@ -42,25 +33,6 @@
 	return note;
 }
 
-struct pool *pool_create(struct pool_env *env, const char *name)
-{
-	struct pool *pool = g_new0(struct pool, 1);
-
-	pool->env = env;
-	g_strlcpy(pool->name, name, sizeof(pool->name));
-	pool->notes = g_hash_table_new_full(NULL, NULL, free_note, NULL);
-	return pool;
-}
-
-void pool_destroy(struct pool *pool)
-{
-	if (!pool)
-		return;
-	writer_destroy(pool->writer);
-	g_hash_table_destroy(pool->notes);
-	g_free(pool);
-}
-
 const char *pool_name(const struct pool *pool)
 {
 	return pool->name;
@@ -68,14 +40,14 @@
 
 bool pool_owned(const struct pool *pool)
 {
-	return pool->state == POOL_OWNED;
+	return tenure_held(&pool->tenure);
 }
 
 bool pool_may_order(const struct pool *pool)
 {
-	return pool->state == POOL_OWNED &&
+	return tenure_held(&pool->tenure) &&
 	       pool_now_ms(pool) <
-		       pool->authority_end_ms + pool->env->cut_off_ms;
+		       pool->tenure.authority_end_ms + pool->env->cut_off_ms;
 }
 
 int32_t pool_attempts(const struct pool *pool, const struct job *job)
@@ -96,96 +68,18 @@
 	return !strcmp(worker->entry.pool, pool->name);
 }
 
-void pool_lose(struct pool *pool, const char *why)
-{
-	struct job_store *jobs = pool->env->jobs;
-	bool owned = pool->state == POOL_OWNED;
-
-	log_info("pool-lost pool=%s fence=%" G_GINT64_FORMAT " why=%s",
-		 pool->name, pool->fence, why);
-	pool->state = POOL_FOREIGN;
-	pool->retry_ms = pool_now_ms(pool) + POOL_RETRY_MS;
-	pool->ownership++;
-	writer_destroy(pool->writer);
-	pool->writer = NULL;
-	g_hash_table_remove_all(pool->notes);
-	/* Jobs leave the list of those that have not ended, hence backwards. */
-	for (guint i = jobs->list->len; owned && i > 0; i--) {
-		struct job *job = jobs->list->pdata[i - 1];
-
-		if (mine(pool, job) && !job_ended(job->shown))
-			job_reload(jobs, job);
-	}
-}
-
-static void on_fenced(void *arg, enum writer_outcome outcome, int64_t end)
-{
-	struct pool *pool = arg;
-
-	if (outcome != WRITER_STORED) {
-		pool_lose(pool, "its first append was fenced");
-		return;
-	}
-	pool->state = POOL_CATCHING_UP;
-	pool->fence_end = end;
-	pool->syncing = false;
-}
-
-void pool_own(struct pool *pool, int64_t generation, int64_t authority_end_ms)
-{
-	char producer[POOL_PRODUCER_BYTES];
-	struct writer_config config = {
-		.io = pool->env->stream,
-		.clk = pool->env->clk,
-		.id = pool->env->id,
-		.producer = producer,
-		.gap_ms = POOL_APPEND_GAP_MS,
-		.max_bytes = POOL_APPEND_BYTES,
-	};
-
-	pool->authority_end_ms = authority_end_ms;
-	if (pool->state != POOL_FOREIGN || pool_now_ms(pool) < pool->retry_ms)
-		return;
-	pool->tries = generation == pool->generation ? pool->tries + 1 : 0;
-	if (pool->tries >= POOL_FENCES)
-		return;
-	pool->generation = generation;
-	pool->fence = generation * POOL_FENCES + pool->tries;
-	config.epoch = pool->fence;
-	log_info("pool-given pool=%s fence=%" G_GINT64_FORMAT, pool->name,
-		 pool->fence);
-	g_snprintf(producer, sizeof(producer), "pool-%s", pool->name);
-	pool->state = POOL_FENCING;
-	pool->ownership++;
-	pool->env->counts.takeovers++;
-	pool->writer = writer_create(&config);
-	writer_add(pool->writer, NULL, NULL, 0, on_fenced, pool);
-}
-
-void pool_disown(struct pool *pool)
-{
-	if (pool->state != POOL_FOREIGN)
-		pool_lose(pool, "given to another node");
-}
-
-static void on_synced(void *arg, bool complete)
-{
-	struct pool *pool = arg;
-
-	(void)complete; /* looked at again in each tick */
-	pool->syncing = false;
-}
-
 /*
  * An earlier owner may have renewed a lease until its authority ended, and
  * kept on for the time it may be cut off from the log.
  */
-static void start_owning(struct pool *pool)
+static void on_taken(void *arg)
 {
+	struct pool *pool = arg;
 	struct worker_table *workers = pool->env->workers;
 	struct job_store *jobs = pool->env->jobs;
 	int64_t now_ms = pool_now_ms(pool);
 
+	pool->env->counts.takeovers++;
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 
@@ -195,27 +89,66 @@
 		worker->lease_end_ms = worker_lease_bound_ms(
 			now_ms + pool->env->cut_off_ms, pool->env->lease_ms);
 	}
-	for (guint i = jobs->live->len; i > 0; i--) {
-		struct job *job = jobs->live->pdata[i - 1];
+	/* Ended jobs leave the list, hence backwards. */
+	for (guint i = jobs->live->len; i > 0; i--)
+		if (mine(pool, jobs->live->pdata[i - 1]))
+			job_reload(jobs, jobs->live->pdata[i - 1]);
+}
 
-		if (mine(pool, job))
+static void on_lost(void *arg)
+{
+	struct pool *pool = arg;
+	struct job_store *jobs = pool->env->jobs;
+
+	g_hash_table_remove_all(pool->notes);
+	for (guint i = 0; i < jobs->list->len; i++) {
+		struct job *job = jobs->list->pdata[i];
+
+		if (mine(pool, job) && !job_ended(job->shown))
 			job_reload(jobs, job);
 	}
-	pool->taken_ms = now_ms;
-	pool->state = POOL_OWNED;
-	log_info("pool-taken pool=%s fence=%" G_GINT64_FORMAT
-		 " offset=%" G_GINT64_FORMAT,
-		 pool->name, pool->fence, pool->fence_end);
 }
 
-static void catch_up(struct pool *pool)
+struct pool *pool_create(struct pool_env *env, const char *name)
 {
-	if (tail_next(pool->env->tail) >= pool->fence_end) {
-		start_owning(pool);
-	} else if (!pool->syncing) {
-		pool->syncing = true;
-		tail_sync(pool->env->tail, on_synced, pool);
-	}
+	struct pool *pool = g_new0(struct pool, 1);
+	char *what = g_strdup_printf("pool-%s", name);
+	struct tenure_config config = {
+		.clk = env->clk,
+		.stream = env->stream,
+		.id = env->id,
+		.tail = env->tail,
+		.what = what,
+		.taken = on_taken,
+		.lost = on_lost,
+		.arg = pool,
+	};
+
+	pool->env = env;
+	g_strlcpy(pool->name, name, sizeof(pool->name));
+	pool->notes = g_hash_table_new_full(NULL, NULL, free_note, NULL);
+	tenure_init(&pool->tenure, &config);
+	g_free(what);
+	return pool;
+}
+
+void pool_destroy(struct pool *pool)
+{
+	if (!pool)
+		return;
+	tenure_clear(&pool->tenure);
+	g_hash_table_destroy(pool->notes);
+	g_free(pool);
+}
+
+void pool_own(struct pool *pool, int64_t generation, int64_t authority_end_ms)
+{
+	tenure_give(&pool->tenure, generation, authority_end_ms);
+}
+
+void pool_disown(struct pool *pool)
+{
+	tenure_lose(&pool->tenure, "given to another node");
 }
 
 void pool_end(struct pool *pool, struct job_pos *pos, enum job_end how,
@@ -256,8 +189,7 @@
 	(void)end;
 	if (outcome != WRITER_STORED) {
 		/* This frees all notes. */
-		if (pool->state != POOL_FOREIGN)
-			pool_lose(pool, "an append was fenced");
+		tenure_lose(&pool->tenure, "an append was fenced");
 		return;
 	}
 	if (job) {
@@ -279,8 +211,7 @@
 
 	(void)end;
 	if (outcome != WRITER_STORED) {
-		if (pool->state != POOL_FOREIGN)
-			pool_lose(pool, "an append was fenced");
+		tenure_lose(&pool->tenure, "an append was fenced");
 		return;
 	}
 	if (worker) {
@@ -308,8 +239,8 @@
 		pos.task->record = note->number;
 	}
 	g_snprintf(key, sizeof(key), "p:%s", job->id);
-	writer_add(pool->writer, key, note->record, note->len, on_progress,
-		   note);
+	writer_add(pool->tenure.writer, key, note->record, note->len,
+		   on_progress, note);
 }
 
 /* Stores what has changed; the ends of runs before their cursors. */
@@ -338,7 +269,7 @@
 		note = note_new(pool);
 		g_strlcpy(note->worker, worker->entry.id, sizeof(note->worker));
 		note->cursor = worker->cursor_seen;
-		writer_add(pool->writer, NULL, NULL, 0, on_cursor, note);
+		writer_add(pool->tenure.writer, NULL, NULL, 0, on_cursor, note);
 	}
 }
 
@@ -355,7 +286,7 @@
 
 	place_account(&place);
 	/* What is placed while the log stands still could not be stored. */
-	if (writer_stalled_ms(pool->writer) < pool->env->lease_ms / 4)
+	if (writer_stalled_ms(pool->tenure.writer) < pool->env->lease_ms / 4)
 		place_tasks(&place);
 }
 
@@ -363,11 +294,7 @@
 {
 	struct job_store *jobs = pool->env->jobs;
 
-	if (pool->state == POOL_FOREIGN)
-		return;
-	if (pool->state == POOL_CATCHING_UP)
-		catch_up(pool);
-	if (pool->state == POOL_OWNED) {
+	if (tenure_held(&pool->tenure)) {
 		pool_end_lost(pool);
 		place_new(pool);
 		store_changes(pool);
@@ -376,6 +303,5 @@
 				pool_send_starts(pool, jobs->live->pdata[i]);
 		pool_renew(pool);
 	}
-	if (pool->writer)
-		writer_tick(pool->writer);
+	tenure_tick(&pool->tenure);
 }
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -7,29 +7,12 @@
 
 #include "place.h"
 #include "pool.h"
-#include "writer.h"
-
-enum pool_state {
-	POOL_FOREIGN,	  /* another node's, or nobody's */
-	POOL_FENCING,	  /* the first append of this epoch is under way */
-	POOL_CATCHING_UP, /* reads the stream up to that append */
-	POOL_OWNED
-};
+#include "tenure.h"
 
 struct pool {
 	struct pool_env *env;
 	char name[LIM_NAME_BYTES];
-	enum pool_state state;
-	int64_t fence;
-	int64_t generation; /* in which the pool was taken over last */
-	int64_t tries;	    /* to take it over in that generation */
-	int64_t retry_ms;   /* not taken over again before */
-	int64_t authority_end_ms;
-	int64_t fence_end; /* the stream must be read up to here */
-	int64_t taken_ms;
-	bool syncing;
-	uint32_t ownership; /* counts takeovers, to tell late answers */
-	struct writer *writer;
+	struct tenure tenure;
 	GHashTable *notes; /* arguments of the writer's callbacks */
 };
 
@@ -41,9 +24,6 @@
 /* pool_may_order - whether orders may still go out under this fence */
 bool pool_may_order(const struct pool *pool);
 
-/* pool_lose - stop acting as owner; what was not stored is undone */
-void pool_lose(struct pool *pool, const char *why);
-
 /* pool_attempts - failed runs that end a job of that queue */
 int32_t pool_attempts(const struct pool *pool, const struct job *job);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -20,7 +20,7 @@
 /* An order under way. */
 struct sent {
 	struct pool *pool;
-	uint32_t ownership;
+	uint32_t tenure; /* its number */
 	char worker[LIM_NAME_BYTES];
 	char task[JOB_TASK_NAME_BYTES];
 	int32_t run;
@@ -32,7 +32,7 @@
 	struct sent *sent = g_new0(struct sent, 1);
 
 	sent->pool = pool;
-	sent->ownership = pool->ownership;
+	sent->tenure = pool->tenure.number;
 	sent->sent_ms = pool_now_ms(pool);
 	g_strlcpy(sent->worker, worker, sizeof(sent->worker));
 	return sent;
@@ -41,8 +41,8 @@
 static void fenced_off(struct pool *pool, const char *worker)
 {
 	log_warn("order-fenced pool=%s worker=%s fence=%" G_GINT64_FORMAT,
-		 pool->name, worker, pool->fence);
-	pool_lose(pool, "a worker has seen a higher fence");
+		 pool->name, worker, pool->tenure.fence);
+	tenure_lose(&pool->tenure, "a worker has seen a higher fence");
 }
 
 static void unplace(struct pool *pool, struct job_pos *pos, int64_t hold_ms)
@@ -95,7 +95,7 @@
 	struct pool *pool = sent->pool;
 	struct job_pos pos;
 
-	if (sent->ownership != pool->ownership) {
+	if (sent->tenure != pool->tenure.number) {
 		g_free(sent);
 		return;
 	}
@@ -120,7 +120,7 @@
 		.checkpoint = pos->task->checkpoint,
 		.until_ms =
 			worker_clock_ms(worker, now_ms) + pool->env->lease_ms,
-		.fence = pool->fence,
+		.fence = pool->tenure.fence,
 	};
 
 	job_task_name(pos, sent->task, sizeof(sent->task));
@@ -163,7 +163,8 @@
 {
 	struct sent *sent = arg;
 
-	if (sent->ownership == sent->pool->ownership && outcome == ORDER_FENCED)
+	if (sent->tenure == sent->pool->tenure.number &&
+	    outcome == ORDER_FENCED)
 		fenced_off(sent->pool, sent->worker);
 	g_free(sent);
 }
@@ -177,7 +178,7 @@
 		return;
 	sent = sent_new(pool, worker->entry.id);
 	pool->env->orders->stop(pool->env->orders->io, &worker->entry, task,
-				run, pool->fence, on_stop, sent);
+				run, pool->tenure.fence, on_stop, sent);
 }
 
 static void on_renew(void *arg, enum order_outcome outcome,
@@ -188,7 +189,7 @@
 	struct worker *worker = worker_find(pool->env->workers, sent->worker);
 	int64_t now_ms = pool_now_ms(pool);
 
-	if (sent->ownership != pool->ownership || !worker) {
+	if (sent->tenure != pool->tenure.number || !worker) {
 		g_free(sent);
 		return;
 	}
@@ -224,7 +225,7 @@
 {
 	struct sent *sent = sent_new(pool, worker->entry.id);
 	struct order_renew renew = {
-		.fence = pool->fence,
+		.fence = pool->tenure.fence,
 		.cursor = worker->cursor,
 	};
 
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -161,7 +161,7 @@
 		worker_find(pool->env->workers, pos->task->worker);
 	int64_t end_ms =
 		worker ? worker->lease_end_ms
-		       : worker_lease_bound_ms(pool->taken_ms +
+		       : worker_lease_bound_ms(pool->tenure.taken_ms +
 						       pool->env->cut_off_ms,
 					       pool->env->lease_ms);
 
--- /dev/null
+++ b/src/tenure.h
@@ -0,0 +1,72 @@
+/*
+ * NAME
+ *	tenure - the right of one node to decide for a pool, or for the hosts
+ *
+ * The group gives a part to one member in each generation. The member takes
+ * it over in two steps: an append under its new fence, after which nobody
+ * with a lower one can append, and reading the stream up to there.
+ */
+#ifndef TENURE_H
+#define TENURE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clk.h"
+#include "stream.h"
+#include "tail.h"
+#include "writer.h"
+
+enum tenure_state {
+	TENURE_NONE,	    /* another node's, or nobody's */
+	TENURE_FENCING,	    /* the first append is under way */
+	TENURE_CATCHING_UP, /* reads the stream up to that append */
+	TENURE_HELD
+};
+
+struct tenure_config {
+	const struct clk *clk;
+	const struct stream_io *stream;
+	struct stream_id id;
+	struct tail *tail;
+	const char *what; /* name for the producer and for logs; copied */
+	void (*taken)(void *arg); /* all that was stored before is known */
+	void (*lost)(void *arg);  /* what was not stored is to be undone */
+	void *arg;
+};
+
+struct tenure {
+	struct tenure_config config;
+	char *what;
+	enum tenure_state state;
+	int64_t generation; /* in which it was taken over last */
+	int64_t tries;	    /* to take it over in that generation */
+	int64_t retry_ms;   /* not taken over again before */
+	int64_t fence;
+	int64_t fence_end;	  /* the stream must be read up to here */
+	int64_t authority_end_ms; /* then others may have been given it */
+	int64_t taken_ms;
+	uint32_t number; /* rises with each change, to tell late answers */
+	bool syncing;
+	struct writer *writer; /* NULL: not held */
+};
+
+void tenure_init(struct tenure *tenure, const struct tenure_config *config);
+void tenure_clear(struct tenure *tenure);
+
+/* tenure_give - the group says that this node holds the part */
+void tenure_give(struct tenure *tenure, int64_t generation,
+		 int64_t authority_end_ms);
+
+/* tenure_lose - stop acting; safe to call in any state */
+void tenure_lose(struct tenure *tenure, const char *why);
+
+/* tenure_tick - go on with a takeover, and write what is due */
+void tenure_tick(struct tenure *tenure);
+
+static inline bool tenure_held(const struct tenure *tenure)
+{
+	return tenure->state == TENURE_HELD;
+}
+
+#endif
