--- /dev/null
+++ b/src/host_plan.c
@@ -0,0 +1,147 @@
+#include "host_plan.h"
+
+#include <string.h>
+
+#include "jsn.h"
+
+static const char *const work_names[] = {
+	[HOST_RESTART] = "restart",
+	[HOST_MOVE] = "move",
+};
+
+static const char *const step_names[] = {
+	[HOST_ASKED] = "asked",
+	[HOST_CLEAR] = "clear",
+	[HOST_ORDERED] = "ordered",
+};
+
+struct host_plans *host_plans_create(void)
+{
+	struct host_plans *plans = g_new0(struct host_plans, 1);
+
+	plans->by_host = g_hash_table_new(g_str_hash, g_str_equal);
+	plans->list = g_ptr_array_new_with_free_func(g_free);
+	return plans;
+}
+
+void host_plans_destroy(struct host_plans *plans)
+{
+	if (!plans)
+		return;
+	g_hash_table_destroy(plans->by_host);
+	g_ptr_array_free(plans->list, TRUE);
+	g_free(plans);
+}
+
+struct host_plan *host_plan_find(const struct host_plans *plans,
+				 const char *host)
+{
+	return g_hash_table_lookup(plans->by_host, host);
+}
+
+struct host_plan *host_plan_put(struct host_plans *plans,
+				const struct host_plan *plan)
+{
+	struct host_plan *kept = host_plan_find(plans, plan->host);
+
+	if (!kept) {
+		kept = g_new0(struct host_plan, 1);
+		g_strlcpy(kept->host, plan->host, sizeof(kept->host));
+		g_hash_table_insert(plans->by_host, kept->host, kept);
+		g_ptr_array_add(plans->list, kept);
+	}
+	*kept = *plan;
+	return kept;
+}
+
+static void drop(struct host_plans *plans, const char *host)
+{
+	struct host_plan *plan = host_plan_find(plans, host);
+
+	if (!plan)
+		return;
+	g_hash_table_remove(plans->by_host, host);
+	g_ptr_array_remove(plans->list, plan);
+}
+
+static int read_name(const struct jsn *at, const char *const *names, int count)
+{
+	char text[LIM_NAME_BYTES];
+
+	jsn_name(at, text, sizeof(text));
+	for (int i = 0; i < count; i++)
+		if (!strcmp(text, names[i]))
+			return i;
+	jsn_refuse(at, "a known word");
+	return 0;
+}
+
+int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
+		    const char *value, size_t len, struct err *err)
+{
+	struct err fault = { .kind = ERR_OK };
+	struct host_plan *kept = host_plan_find(plans, host);
+	struct host_plan plan = { .offset = offset };
+	struct json_object *object;
+	struct jsn root, at;
+
+	if (kept && offset <= kept->offset)
+		return 0;
+	if (!value) {
+		drop(plans, host);
+		return 0;
+	}
+	g_strlcpy(plan.host, host, sizeof(plan.host));
+	object = jsn_parse(value, len, &fault);
+	root = jsn_root(object, &fault);
+	if (object) {
+		at = jsn_member(&root, "work");
+		plan.work =
+			read_name(&at, work_names, G_N_ELEMENTS(work_names));
+		at = jsn_member(&root, "step");
+		plan.step =
+			read_name(&at, step_names, G_N_ELEMENTS(step_names));
+		at = jsn_member(&root, "wave");
+		plan.wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
+		at = jsn_member(&root, "pool");
+		jsn_string(&at, plan.pool, sizeof(plan.pool), "");
+		at = jsn_member(&root, "worker");
+		jsn_string(&at, plan.worker, sizeof(plan.worker), "");
+	}
+	json_object_put(object);
+	if (fault.kind != ERR_OK)
+		return err_set(err, fault.kind, "%s", fault.text);
+	host_plan_put(plans, &plan);
+	return 0;
+}
+
+char *host_plan_record(const struct host_plan *plan, size_t *len)
+{
+	struct json_object *object = json_object_new_object();
+	char *text;
+
+	jsn_put_string(object, "work", work_names[plan->work]);
+	jsn_put_string(object, "step", step_names[plan->step]);
+	if (plan->work == HOST_RESTART)
+		jsn_put_int(object, "wave", plan->wave);
+	else
+		jsn_put_string(object, "pool", plan->pool);
+	if (plan->worker[0])
+		jsn_put_string(object, "worker", plan->worker);
+	text = g_strdup(
+		json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+	*len = strlen(text);
+	json_object_put(object);
+	return text;
+}
+
+bool host_plan_leaves(const struct host_plans *plans, const char *worker)
+{
+	for (guint i = 0; i < plans->list->len; i++) {
+		const struct host_plan *plan = plans->list->pdata[i];
+
+		if (!strcmp(plan->worker, worker))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/host_plan.h
@@ -0,0 +1,65 @@
+/*
+ * NAME
+ *	host_plan - what is to be done with each host, as the log keeps it
+ *
+ * The node that holds the hosts asks for one; the owner of its pool empties
+ * its worker and says so; the holder then gives the order. Each step is a
+ * record under the host's name, so that either node may be replaced.
+ */
+#ifndef HOST_PLAN_H
+#define HOST_PLAN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "err.h"
+#include "host.h"
+
+enum host_work { HOST_RESTART, HOST_MOVE };
+
+enum host_step {
+	HOST_ASKED,   /* its worker is to be emptied */
+	HOST_CLEAR,   /* nothing runs there, nor will */
+	HOST_ORDERED, /* the order was carried out */
+};
+
+struct host_plan {
+	char host[LIM_NAME_BYTES];
+	char worker[LIM_NAME_BYTES]; /* the life that ends; empty: none */
+	enum host_work work;
+	enum host_step step;
+	int64_t wave;		   /* of a restart */
+	char pool[LIM_NAME_BYTES]; /* that a move leads to */
+	int64_t offset;		   /* of the record */
+	/* Not in the record. */
+	bool clearing; /* the pool's owner is about to store HOST_CLEAR */
+};
+
+struct host_plans {
+	GHashTable *by_host;
+	GPtrArray *list;
+};
+
+struct host_plans *host_plans_create(void);
+void host_plans_destroy(struct host_plans *plans);
+struct host_plan *host_plan_find(const struct host_plans *plans,
+				 const char *host);
+
+/* host_plan_put - keep a plan, in place of an earlier one of the host */
+struct host_plan *host_plan_put(struct host_plans *plans,
+				const struct host_plan *plan);
+
+/* host_plan_apply - apply a record; value NULL drops the plan */
+int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
+		    const char *value, size_t len, struct err *err);
+
+/* host_plan_record - record of a plan, freed with g_free */
+char *host_plan_record(const struct host_plan *plan, size_t *len);
+
+/* host_plan_leaves - whether a plan ends this life of a worker */
+bool host_plan_leaves(const struct host_plans *plans, const char *worker);
+
+#endif
--- /dev/null
+++ b/src/hosts.c
@@ -0,0 +1,305 @@
+#include "hosts.h"
+
+#include <string.h>
+
+#include "hosts_int.h"
+#include "log.h"
+
+enum { HOSTS_LIST_MS = 400, HOSTS_DECIDE_MS = 100, HOSTS_ORDER_RETRY_MS = 400 };
+
+static void on_taken(void *arg)
+{
+	struct hosts *hosts = arg;
+
+	hosts->listed_ms = 0;
+	hosts->list_due_ms = 0;
+}
+
+static void on_lost(void *arg)
+{
+	struct hosts *hosts = arg;
+
+	/* Plans that were not stored are read again with the stream. */
+	writer_destroy(hosts->status);
+	hosts->status = NULL;
+}
+
+struct hosts *hosts_create(struct hosts_env *env)
+{
+	struct hosts *hosts = g_new0(struct hosts, 1);
+	struct tenure_config config = {
+		.clk = env->clk,
+		.stream = env->stream,
+		.id = env->id,
+		.tail = env->tail,
+		.what = "hosts",
+		.taken = on_taken,
+		.lost = on_lost,
+		.arg = hosts,
+	};
+
+	hosts->env = env;
+	hosts->known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	hosts->waves = g_ptr_array_new();
+	tenure_init(&hosts->tenure, &config);
+	return hosts;
+}
+
+static void free_wave(struct wave *wave)
+{
+	g_free(wave->ordered.hosts);
+	g_free(wave);
+}
+
+void hosts_destroy(struct hosts *hosts)
+{
+	if (!hosts)
+		return;
+	tenure_clear(&hosts->tenure);
+	writer_destroy(hosts->status);
+	for (guint i = 0; i < hosts->waves->len; i++)
+		free_wave(hosts->waves->pdata[i]);
+	g_ptr_array_free(hosts->waves, TRUE);
+	g_hash_table_destroy(hosts->known);
+	g_free(hosts);
+}
+
+void hosts_own(struct hosts *hosts, int64_t generation,
+	       int64_t authority_end_ms)
+{
+	tenure_give(&hosts->tenure, generation, authority_end_ms);
+}
+
+void hosts_disown(struct hosts *hosts)
+{
+	tenure_lose(&hosts->tenure, "given to another node");
+}
+
+void hosts_add_wave(struct hosts *hosts, struct host_wave *ordered)
+{
+	struct wave *wave = NULL;
+
+	for (guint i = 0; i < hosts->waves->len; i++) {
+		struct wave *old = hosts->waves->pdata[i];
+
+		if (old->ordered.number == ordered->number)
+			wave = old;
+	}
+	if (!wave) {
+		wave = g_new0(struct wave, 1);
+		g_ptr_array_add(hosts->waves, wave);
+		log_info("wave-seen wave=%" G_GINT64_FORMAT
+			 " hosts=%u max_down=%d within_s=%" G_GINT64_FORMAT,
+			 ordered->number, ordered->host_count,
+			 ordered->max_down, ordered->within_s);
+	}
+	g_free(wave->ordered.hosts);
+	wave->ordered = *ordered;
+}
+
+struct known_host *hosts_find(const struct hosts *hosts, const char *name)
+{
+	return g_hash_table_lookup(hosts->known, name);
+}
+
+static void take_host(struct hosts *hosts, const struct host *host)
+{
+	struct known_host *known = hosts_find(hosts, host->name);
+
+	if (!known) {
+		known = g_new0(struct known_host, 1);
+		known->host = *host;
+		g_hash_table_insert(hosts->known, known->host.name, known);
+	}
+	known->host = *host;
+	known->round = hosts->round;
+}
+
+static gboolean not_listed(void *key, void *value, void *arg)
+{
+	const struct known_host *known = value;
+	const struct hosts *hosts = arg;
+
+	(void)key;
+	return known->round != hosts->round && !known->ordering;
+}
+
+/* A call under way, and the tenure that it belongs to. */
+struct asked {
+	struct hosts *hosts;
+	uint32_t tenure;
+	char host[LIM_NAME_BYTES];
+	bool list; /* a page of the list, not an order */
+};
+
+static struct asked *asked_new(struct hosts *hosts)
+{
+	struct asked *asked = g_new0(struct asked, 1);
+
+	asked->hosts = hosts;
+	asked->tenure = hosts->tenure.number;
+	return asked;
+}
+
+static void on_page(void *arg, const struct host_page *page)
+{
+	struct asked *asked = arg;
+	struct hosts *hosts = asked->hosts;
+
+	if (page->outcome != HOST_OK) {
+		if (!hosts->list_failing)
+			log_warn("host-list-unavailable outcome=%d",
+				 page->outcome);
+		hosts->list_failing = true;
+		hosts->listing = false;
+		g_free(asked);
+		return;
+	}
+	if (hosts->list_failing)
+		log_info("host-list-available");
+	hosts->list_failing = false;
+	for (uint32_t i = 0; i < page->count; i++)
+		take_host(hosts, &page->hosts[i]);
+	if (page->next) {
+		hosts->env->io->list(hosts->env->io->io, page->next, on_page,
+				     asked);
+		return;
+	}
+	g_hash_table_foreach_remove(hosts->known, not_listed, hosts);
+	hosts->listing = false;
+	hosts->listed_ms = clk_now_ms(hosts->env->clk);
+	g_free(asked);
+}
+
+static void list(struct hosts *hosts, int64_t now_ms)
+{
+	if (hosts->listing || now_ms < hosts->list_due_ms)
+		return;
+	hosts->listing = true;
+	hosts->round++;
+	hosts->list_due_ms = now_ms + HOSTS_LIST_MS;
+	hosts->env->io->list(hosts->env->io->io, NULL, on_page,
+			     asked_new(hosts));
+}
+
+void hosts_store(struct hosts *hosts, const struct host_plan *plan)
+{
+	char key[LIM_NAME_BYTES + 2];
+	size_t len;
+	char *record = host_plan_record(plan, &len);
+
+	g_snprintf(key, sizeof(key), "h:%s", plan->host);
+	writer_add(hosts->tenure.writer, key, record, len, NULL, NULL);
+	g_free(record);
+}
+
+static void carried_out(struct hosts *hosts, struct known_host *known,
+			struct host_plan *plan)
+{
+	plan->step = HOST_ORDERED;
+	hosts_store(hosts, plan);
+	/* Until the list says otherwise. */
+	known->host.state =
+		plan->work == HOST_MOVE ? HOST_MOVING : HOST_MAINTENANCE;
+	known->ordered_ms = clk_now_ms(hosts->env->clk);
+	if (plan->work == HOST_MOVE)
+		hosts->env->counts.moves_ordered++;
+	else
+		hosts->env->counts.restarts_ordered++;
+	log_info("host-order-done host=%s work=%s wave=%" G_GINT64_FORMAT
+		 " pool=%s",
+		 plan->host, plan->work == HOST_MOVE ? "move" : "restart",
+		 plan->wave, plan->pool);
+}
+
+static void on_order(void *arg, enum host_outcome outcome)
+{
+	struct asked *asked = arg;
+	struct hosts *hosts = asked->hosts;
+	struct known_host *known = hosts_find(hosts, asked->host);
+	struct host_plan *plan = host_plan_find(hosts->env->plans, asked->host);
+
+	if (known)
+		known->ordering = false;
+	if (asked->tenure != hosts->tenure.number || !known || !plan) {
+		g_free(asked);
+		return;
+	}
+	if (outcome == HOST_OK || outcome == HOST_NOT_DUE) {
+		carried_out(hosts, known, plan);
+	} else {
+		hosts->env->counts.orders_refused++;
+		known->order_due_ms =
+			clk_now_ms(hosts->env->clk) + HOSTS_ORDER_RETRY_MS;
+		log_info("host-order-refused host=%s outcome=%d", asked->host,
+			 outcome);
+		if (outcome == HOST_FENCED)
+			tenure_lose(&hosts->tenure,
+				    "a host was ordered under a higher fence");
+	}
+	g_free(asked);
+}
+
+static bool may_order(const struct hosts *hosts, int64_t now_ms)
+{
+	const struct tenure *tenure = &hosts->tenure;
+
+	return now_ms < tenure->authority_end_ms &&
+	       now_ms > tenure->taken_ms + hosts->env->order_lease_ms;
+}
+
+static void order(struct hosts *hosts, struct known_host *known,
+		  const struct host_plan *plan)
+{
+	struct asked *asked = asked_new(hosts);
+	struct host_holder holder = {
+		.name = hosts->env->holder,
+		.fence = hosts->tenure.fence,
+	};
+
+	g_strlcpy(asked->host, plan->host, sizeof(asked->host));
+	known->ordering = true;
+	if (plan->work == HOST_MOVE)
+		hosts->env->io->move(hosts->env->io->io, &holder, plan->host,
+				     plan->pool, on_order, asked);
+	else
+		hosts->env->io->restart(hosts->env->io->io, &holder, plan->host,
+					plan->wave, on_order, asked);
+}
+
+static void order_clear_ones(struct hosts *hosts, int64_t now_ms)
+{
+	struct host_plans *plans = hosts->env->plans;
+
+	for (guint i = 0; i < plans->list->len; i++) {
+		struct host_plan *plan = plans->list->pdata[i];
+		struct known_host *known = hosts_find(hosts, plan->host);
+
+		if (plan->step != HOST_CLEAR || !known || known->ordering ||
+		    now_ms < known->order_due_ms)
+			continue;
+		if (plan->work == HOST_RESTART &&
+		    !wave_may_begin(hosts, plan->wave))
+			continue;
+		order(hosts, known, plan);
+	}
+}
+
+void hosts_tick(struct hosts *hosts)
+{
+	int64_t now_ms = clk_now_ms(hosts->env->clk);
+
+	if (tenure_held(&hosts->tenure)) {
+		list(hosts, now_ms);
+		if (hosts->listed_ms && now_ms >= hosts->decide_ms &&
+		    may_order(hosts, now_ms)) {
+			hosts->decide_ms = now_ms + HOSTS_DECIDE_MS;
+			wave_decide(hosts);
+			order_clear_ones(hosts, now_ms);
+		}
+		if (hosts->status)
+			writer_tick(hosts->status);
+	}
+	tenure_tick(&hosts->tenure);
+}
--- /dev/null
+++ b/src/hosts_int.h
@@ -0,0 +1,49 @@
+/*
+ * NAME
+ *	hosts_int - shared by the files of module hosts
+ */
+#ifndef HOSTS_INT_H
+#define HOSTS_INT_H
+
+#include "hosts.h"
+
+struct known_host {
+	struct host host;
+	uint32_t round; /* of the list that named it last */
+	bool ordering;	/* an order is under way */
+	int64_t order_due_ms;
+	int64_t ordered_ms; /* when the last order was carried out */
+};
+
+struct wave {
+	struct host_wave ordered;
+	bool told_running; /* operators can read so */
+	bool told_done;
+};
+
+struct hosts {
+	struct hosts_env *env;
+	struct tenure tenure;
+	GHashTable *known; /* name -> struct known_host */
+	GPtrArray *waves;
+	struct writer *status; /* NULL: not needed yet */
+	bool listing;
+	bool list_failing;
+	uint32_t round;
+	int64_t list_due_ms;
+	int64_t listed_ms; /* 0: not listed under this tenure */
+	int64_t decide_ms;
+};
+
+struct known_host *hosts_find(const struct hosts *hosts, const char *name);
+
+/* hosts_store - write a plan as it stands in memory */
+void hosts_store(struct hosts *hosts, const struct host_plan *plan);
+
+/* wave_decide - ask for hosts whose restart may be prepared */
+void wave_decide(struct hosts *hosts);
+
+/* wave_may_begin - whether one more host of the wave may go down */
+bool wave_may_begin(const struct hosts *hosts, int64_t number);
+
+#endif
--- a/src/node.c
+++ b/src/node.c
@@ -7,6 +7,7 @@
 enum {
 	NODE_JOBS_PART = 0,
 	NODE_GROUP_PARTS = 24, /* of a topic */
+	NODE_HOSTS_PART = 0,   /* of the group's topic */
 	NODE_TTL_MS = 1500,
 	NODE_RENEW_MS = 400,
 	NODE_FOLLOW_GAP_MS = 150,
@@ -39,6 +40,9 @@
 	struct front *front;
 	struct front_env front_env;
 	struct pool_env pool_env;
+	struct host_plans *plans;
+	struct hosts *hosts;
+	struct hosts_env hosts_env;
 	GHashTable *pools; /* name -> struct pool */
 	bool stopping;
 	int64_t stop_ms;
@@ -81,14 +85,30 @@
 		}
 }
 
+static void take_wave(struct node *node, const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	struct host_wave wave;
+
+	if (node->config.decoders.wave(record->value, record->value_len, &wave,
+				       &err) < 0)
+		log_error("wave at offset %" G_GINT64_FORMAT " not taken: %s",
+			  record->offset, err.text);
+	else
+		hosts_add_wave(node->hosts, &wave);
+}
+
 static void on_operator(void *arg, const struct stream_record *record)
 {
 	struct node *node = arg;
-	size_t len = strlen(node->config.streams.cfg_key);
+	const struct node_streams *streams = &node->config.streams;
+	char *key = g_strndup(record->key, record->key_len);
 
-	if (record->value && record->key_len == len &&
-	    !memcmp(record->key, node->config.streams.cfg_key, len))
+	if (record->value && !strcmp(key, streams->cfg_key))
 		take_cfg(node, record);
+	else if (record->value && g_str_has_prefix(key, streams->wave_prefix))
+		take_wave(node, record);
+	g_free(key);
 }
 
 static void on_worker(void *arg, const struct stream_record *record)
@@ -130,7 +150,21 @@
 	return pool && pool_owned(pool);
 }
 
-/* Keys are a letter for the kind of record, a colon, and the job's id. */
+static void on_host_plan(struct node *node, const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	char *host = g_strndup(record->key + 2, record->key_len - 2);
+
+	if (host_plan_apply(node->plans, host, record->offset, record->value,
+			    record->value_len, &err) < 0)
+		log_error("plan of host %s at offset %" G_GINT64_FORMAT
+			  " cannot be read: %s",
+			  host, record->offset, err.text);
+	g_free(host);
+}
+
+/* Keys are a letter for the kind of record, a colon, and the name of a
+   job or host. */
 static void on_job(void *arg, const struct stream_record *record)
 {
 	struct node *node = arg;
@@ -138,6 +172,10 @@
 	char id[JOB_ID_BYTES];
 	int status = 0;
 
+	if (record->key_len > 2 && !memcmp(record->key, "h:", 2)) {
+		on_host_plan(node, record);
+		return;
+	}
 	if (record->key_len != JOB_ID_BYTES + 1 || record->key[1] != ':')
 		return;
 	memcpy(id, record->key + 2, JOB_ID_BYTES - 1);
@@ -243,6 +281,7 @@
 	node->config = *config;
 	node->jobs = job_store_create(config->decoders.spec);
 	node->workers = worker_table_create();
+	node->plans = host_plans_create();
 	node->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	node->operators = follow(node, config->streams.operators, 0,
@@ -261,11 +300,28 @@
 		.orders = config->orders,
 		.jobs = node->jobs,
 		.workers = node->workers,
+		.plans = node->plans,
 		.tail = node->tail,
 		.cfg = (const struct cfg *const *)&node->cfg,
 		.lease_ms = lease_ms(node),
 		.cut_off_ms = NODE_CUT_OFF_MS,
 	};
+	node->hosts_env = (struct hosts_env){
+		.clk = config->clk,
+		.stream = config->stream,
+		.id = jobs,
+		.status = config->streams.status,
+		.status_prefix = config->streams.wave_prefix,
+		.io = config->hosts,
+		.holder = config->settings->name,
+		.jobs = node->jobs,
+		.workers = node->workers,
+		.plans = node->plans,
+		.tail = node->tail,
+		.cfg = (const struct cfg *const *)&node->cfg,
+		.order_lease_ms = config->settings->order_lease_ms,
+	};
+	node->hosts = hosts_create(&node->hosts_env);
 	node->front_env = (struct front_env){
 		.clk = config->clk,
 		.cfg = (const struct cfg *const *)&node->cfg,
@@ -283,6 +339,8 @@
 	if (!node)
 		return;
 	g_hash_table_destroy(node->pools);
+	hosts_destroy(node->hosts);
+	host_plans_destroy(node->plans);
 	group_destroy(node->group);
 	front_destroy(node->front);
 	writer_destroy(node->writer);
@@ -323,6 +381,15 @@
 		}
 		pool_tick(pool);
 	}
+	if (!node->stopping && loaded && node->cfg &&
+	    group_holds(node->group, NODE_HOSTS_PART)) {
+		hosts_own(node->hosts, group_generation(node->group),
+			  group_authority_end_ms(node->group));
+		any = true;
+	} else {
+		hosts_disown(node->hosts);
+	}
+	hosts_tick(node->hosts);
 	tail_set_gap(node->tail, any ? NODE_OWNER_GAP_MS : NODE_FOLLOW_GAP_MS);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -8,6 +8,7 @@
 #include "evl.h"
 #include "front.h"
 #include "group.h"
+#include "hosts.h"
 #include "order.h"
 #include "pool.h"
 #include "settings.h"
@@ -23,6 +24,8 @@
 		   struct err *err);
 	int (*spec)(const char *text, size_t len, struct job_spec *spec,
 		    struct err *err);
+	int (*wave)(const char *text, size_t len, struct host_wave *wave,
+		    struct err *err);
 	int (*worker)(const char *id, const char *text, size_t len,
 		      struct worker_entry *entry, struct err *err);
 };
@@ -31,7 +34,9 @@
 struct node_streams {
 	struct stream_id operators;
 	struct stream_id workers;
+	struct stream_id status; /* where operators read what became of it */
 	const char *cfg_key;
+	const char *wave_prefix; /* of a wave's key, in operators and status */
 };
 
 struct node_config {
@@ -39,6 +44,7 @@
 	const struct settings *settings;
 	const struct stream_io *stream;
 	const struct order_io *orders;
+	const struct host_io *hosts;
 	struct node_decoders decoders;
 	struct node_streams streams;
 	const char *incarnation; /* differs in each life of the process */
--- a/src/noded.c
+++ b/src/noded.c
@@ -11,6 +11,7 @@
 
 #include "call.h"
 #include "cmd.h"
+#include "hosts_api.h"
 #include "ingress.h"
 #include "log.h"
 #include "node.h"
@@ -34,6 +35,7 @@
 	struct call_client *client;
 	struct store *store;
 	struct orders *orders;
+	struct hosts_api *hosts;
 	struct node *node;
 	struct ingress *ingress;
 	struct web *callers;
@@ -121,6 +123,7 @@
 			.cfg = wire_cfg,
 			.spec = wire_spec,
 			.worker = wire_worker,
+			.wave = wire_wave,
 		},
 		.streams = platform_streams(),
 		.incarnation = incarnation,
@@ -133,6 +136,9 @@
 	noded->orders = orders_create(noded->client);
 	config.stream = store_io(noded->store);
 	config.orders = orders_io(noded->orders);
+	noded->hosts =
+		hosts_api_create(noded->client, noded->settings.host_service);
+	config.hosts = hosts_api_io(noded->hosts);
 	noded->node = node_create(&config);
 	noded->ingress = ingress_create(node_front(noded->node), clk,
 					node_cfg(noded->node));
--- a/src/pool.c
+++ b/src/pool.c
@@ -80,6 +80,11 @@
 	int64_t now_ms = pool_now_ms(pool);
 
 	pool->env->counts.takeovers++;
+	for (guint i = 0; i < pool->env->plans->list->len; i++) {
+		struct host_plan *plan = pool->env->plans->list->pdata[i];
+
+		plan->clearing = false;
+	}
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 
@@ -275,6 +280,7 @@
 
 static void place_new(struct pool *pool)
 {
+	struct worker_table *workers = pool->env->workers;
 	struct place place = {
 		.pool = pool->name,
 		.cfg = *pool->env->cfg,
@@ -284,6 +290,13 @@
 		.wall_ms = clk_wall_ms(pool->env->clk),
 	};
 
+	for (guint i = 0; i < workers->list->len; i++) {
+		struct worker *worker = workers->list->pdata[i];
+
+		if (my_worker(pool, worker))
+			worker->leaving = host_plan_leaves(pool->env->plans,
+							   worker->entry.id);
+	}
 	place_account(&place);
 	/* What is placed while the log stands still could not be stored. */
 	if (writer_stalled_ms(pool->tenure.writer) < pool->env->lease_ms / 4)
@@ -297,6 +310,7 @@
 	if (tenure_held(&pool->tenure)) {
 		pool_end_lost(pool);
 		place_new(pool);
+		pool_empty_workers(pool);
 		store_changes(pool);
 		for (guint i = 0; i < jobs->live->len; i++)
 			if (mine(pool, jobs->live->pdata[i]))
--- a/src/pool.h
+++ b/src/pool.h
@@ -16,6 +16,7 @@
 
 #include "cfg.h"
 #include "clk.h"
+#include "host_plan.h"
 #include "job.h"
 #include "order.h"
 #include "stream.h"
@@ -42,6 +43,7 @@
 	const struct order_io *orders;
 	struct job_store *jobs;
 	struct worker_table *workers;
+	struct host_plans *plans;
 	struct tail *tail;	      /* of the jobs' stream */
 	const struct cfg *const *cfg; /* the one in force */
 	int64_t lease_ms;	      /* given to workers */
--- /dev/null
+++ b/src/pool_empty.c
@@ -0,0 +1,106 @@
+#include <string.h>
+
+#include "log.h"
+#include "pool_int.h"
+
+/* Whether so many others of the task's step are at work that it may stop. */
+static bool may_stop(const struct job_pos *pos)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	const struct job_task *tasks =
+		job_task_at(pos->job, pos->occurrence, pos->step, 0);
+	int32_t away = 0;
+
+	for (int32_t i = 0; i < step->count; i++) {
+		if (&tasks[i] == pos->task)
+			continue;
+		away += tasks[i].state != TASK_PLACED ||
+			tasks[i].phase != PHASE_RUNNING ||
+			tasks[i].percent < 100;
+	}
+	return away < MAX(step->may_miss, 1);
+}
+
+/* Stops long-running tasks on workers that are to be emptied. */
+static void stop_lasting(struct pool *pool, struct job *job, int64_t now_ms)
+{
+	struct job_pos pos = { .job = job };
+
+	while (job_next_task(&pos)) {
+		struct worker *worker;
+		char name[JOB_TASK_NAME_BYTES];
+
+		if (pos.task->state != TASK_PLACED ||
+		    pos.task->phase != PHASE_RUNNING ||
+		    !job->spec.steps[pos.step].long_running)
+			continue;
+		worker = worker_find(pool->env->workers, pos.task->worker);
+		if (!worker || !(worker->leaving || worker->entry.draining) ||
+		    !may_stop(&pos))
+			continue;
+		pos.task->phase = PHASE_STOPPING;
+		pos.task->since_ms = now_ms;
+		job_task_name(&pos, name, sizeof(name));
+		log_info("task-moved-off task=%s worker=%s", name,
+			 worker->entry.id);
+		pool_send_stop(pool, worker, name, pos.task->run);
+	}
+}
+
+static bool empty(const struct pool *pool, const struct worker *worker)
+{
+	struct job_store *jobs = pool->env->jobs;
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (strcmp(pos.job->pool, pool->name))
+			continue;
+		while (job_next_task(&pos))
+			if (pos.task->state == TASK_PLACED &&
+			    !strcmp(pos.task->worker, worker->entry.id))
+				return false;
+	}
+	return true;
+}
+
+static void store_clear(struct pool *pool, struct host_plan *plan)
+{
+	struct host_plan clear = *plan;
+	char key[LIM_NAME_BYTES + 2];
+	size_t len;
+	char *record;
+
+	clear.step = HOST_CLEAR;
+	plan->clearing = true;
+	record = host_plan_record(&clear, &len);
+	g_snprintf(key, sizeof(key), "h:%s", plan->host);
+	writer_add(pool->tenure.writer, key, record, len, NULL, NULL);
+	g_free(record);
+	log_info("host-clear host=%s worker=%s", plan->host, plan->worker);
+}
+
+void pool_empty_workers(struct pool *pool)
+{
+	struct host_plans *plans = pool->env->plans;
+	struct job_store *jobs = pool->env->jobs;
+	int64_t now_ms = pool_now_ms(pool);
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job *job = jobs->live->pdata[i];
+
+		if (!strcmp(job->pool, pool->name) && !job_ended(job->state))
+			stop_lasting(pool, job, now_ms);
+	}
+	for (guint i = 0; i < plans->list->len; i++) {
+		struct host_plan *plan = plans->list->pdata[i];
+		struct worker *worker =
+			worker_find(pool->env->workers, plan->worker);
+
+		if (plan->step != HOST_ASKED || plan->clearing || !worker ||
+		    strcmp(worker->entry.pool, pool->name))
+			continue;
+		if (empty(pool, worker))
+			store_clear(pool, plan);
+	}
+}
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -45,6 +45,9 @@
 void pool_take_report(struct pool *pool, struct worker *worker,
 		      const struct worker_report *report, int64_t asked_ms);
 
+/* pool_empty_workers - empty the workers of hosts that are to go */
+void pool_empty_workers(struct pool *pool);
+
 /* pool_end_lost - end runs on workers whose lease is surely over */
 void pool_end_lost(struct pool *pool);
 
