--- a/src/evl.c
+++ b/src/evl.c
@@ -30,10 +30,13 @@
 	struct timer timers[MAX_TIMERS];
 	void (*stop_fn)(void *arg);
 	void *stop_arg;
+	void (*reload_fn)(void *arg);
+	void *reload_arg;
 	struct curl_waitfd fds[MAX_FDS];
 };
 
 static volatile sig_atomic_t stop_requested;
+static volatile sig_atomic_t reload_requested;
 static struct evl *signal_evl;
 
 struct evl *evl_create(const struct clk *clk)
@@ -174,6 +177,10 @@
 			stop_requested = 0;
 			evl->stop_fn(evl->stop_arg);
 		}
+		if (reload_requested && evl->reload_fn) {
+			reload_requested = 0;
+			evl->reload_fn(evl->reload_arg);
+		}
 	}
 }
 
@@ -189,8 +196,10 @@
 
 static void handle_signal(int number)
 {
-	(void)number;
-	stop_requested = 1;
+	if (number == SIGHUP)
+		reload_requested = 1;
+	else
+		stop_requested = 1;
 	/* curl_multi_wakeup only writes to a socket pair. */
 	if (signal_evl)
 		curl_multi_wakeup(signal_evl->multi);
@@ -208,3 +217,13 @@
 	action.sa_handler = SIG_IGN;
 	sigaction(SIGPIPE, &action, NULL);
 }
+
+void evl_on_reload_signal(struct evl *evl, void (*fn)(void *arg), void *arg)
+{
+	struct sigaction action = { .sa_handler = handle_signal };
+
+	evl->reload_fn = fn;
+	evl->reload_arg = arg;
+	signal_evl = evl;
+	sigaction(SIGHUP, &action, NULL);
+}
--- a/src/evl.h
+++ b/src/evl.h
@@ -65,4 +65,7 @@
 /* evl_on_stop_signal - call fn in the loop after SIGTERM or SIGINT */
 void evl_on_stop_signal(struct evl *evl, void (*fn)(void *arg), void *arg);
 
+/* evl_on_reload_signal - call fn in the loop after SIGHUP */
+void evl_on_reload_signal(struct evl *evl, void (*fn)(void *arg), void *arg);
+
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -17,6 +17,8 @@
 struct waiting {
 	struct front *front;
 	struct front_ask ask;
+	/* The configuration may change meanwhile. */
+	char queue[LIM_NAME_BYTES];
 	int64_t number; /* of the record; 0: waits for a read */
 	front_fn *fn;
 	void *arg;
@@ -58,6 +60,10 @@
 
 	waiting->front = front;
 	waiting->ask = *ask;
+	waiting->ask.queue = NULL;
+	if (ask->queue)
+		g_strlcpy(waiting->queue, ask->queue->name,
+			  sizeof(waiting->queue));
 	waiting->fn = fn;
 	waiting->arg = arg;
 	g_ptr_array_add(front->waiting, waiting);
@@ -103,7 +109,7 @@
 	} else if (waiting->ask.kind == FRONT_HAND_IN) {
 		env->counts.handed_in++;
 		log_info("job-accepted id=%s queue=%s", waiting->ask.id,
-			 waiting->ask.queue->name);
+			 waiting->queue);
 	} else {
 		env->counts.cancelled++;
 		log_info("cancel-accepted id=%s", waiting->ask.id);
--- a/src/node.c
+++ b/src/node.c
@@ -12,7 +12,7 @@
 	NODE_RENEW_MS = 400,
 	NODE_FOLLOW_GAP_MS = 150,
 	NODE_OWNER_GAP_MS = 30,
-	NODE_FOLLOW_WAIT_MS = 10000,
+	NODE_FOLLOW_WAIT_MS = 1500,
 	NODE_WORKERS_GAP_MS = 500,
 	NODE_APPEND_GAP_MS = 15,
 	NODE_APPEND_BYTES = 1024 * 1024,
@@ -404,6 +404,12 @@
 	writer_tick(node->writer);
 }
 
+void node_settings_changed(struct node *node)
+{
+	node->pool_env.lease_ms = lease_ms(node);
+	node->hosts_env.order_lease_ms = node->config.settings->order_lease_ms;
+}
+
 void node_stop(struct node *node)
 {
 	if (node->stopping)
--- a/src/node.h
+++ b/src/node.h
@@ -54,6 +54,9 @@
 void node_destroy(struct node *node);
 void node_tick(struct node *node);
 
+/* node_settings_changed - the settings it was made with have changed */
+void node_settings_changed(struct node *node);
+
 /* node_stop - hand over all pools; node_stopped tells when it is done */
 void node_stop(struct node *node);
 bool node_stopped(const struct node *node);
--- a/src/noded.c
+++ b/src/noded.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include <apr_general.h>
 #include <argtable2.h>
@@ -40,6 +41,7 @@
 	struct ingress *ingress;
 	struct web *callers;
 	struct web *readiness;
+	time_t settings_time; /* of the file; 0: not looked at yet */
 	int64_t stop_ms; /* 0: not asked to stop */
 };
 
@@ -84,6 +86,41 @@
 	node_stop(noded->node);
 }
 
+/*
+ * Takes what can change while the process runs: bounds and intervals. The
+ * addresses that it listens on and calls are those of its start.
+ */
+static void reload(void *arg)
+{
+	struct noded *noded = arg;
+	struct err err = { .kind = ERR_OK };
+	struct settings settings;
+
+	if (settings_load(noded->path, &settings, &err) < 0) {
+		log_error("reload: settings stay as they were: %s", err.text);
+		return;
+	}
+	noded->settings.stop_grace_ms = settings.stop_grace_ms;
+	noded->settings.lease_max_ms = settings.lease_max_ms;
+	noded->settings.order_lease_ms = settings.order_lease_ms;
+	node_settings_changed(noded->node);
+	log_info("reload: settings taken from %s", noded->path);
+}
+
+/* The file may change without a signal. */
+static void look_for_change(void *arg)
+{
+	struct noded *noded = arg;
+	struct stat status;
+
+	if (stat(noded->path, &status) < 0 ||
+	    status.st_mtime == noded->settings_time)
+		return;
+	if (noded->settings_time)
+		reload(noded);
+	noded->settings_time = status.st_mtime;
+}
+
 static bool listen_on(struct noded *noded)
 {
 	struct err err = { .kind = ERR_OK };
@@ -160,6 +197,8 @@
 	log_info("start name=%s data_centre=%s", noded.settings.name,
 		 noded.settings.data_centre);
 	evl_on_stop_signal(noded.evl, on_stop, &noded);
+	evl_on_reload_signal(noded.evl, reload, &noded);
+	evl_every(noded.evl, NODED_SETTINGS_MS, look_for_change, &noded);
 	evl_every(noded.evl, NODED_TICK_MS, tick, &noded);
 	evl_run(noded.evl);
 	log_info("end");
