--- a/src/node.c
+++ b/src/node.c
@@ -17,7 +17,7 @@
 	NODE_APPEND_GAP_MS = 15,
 	NODE_APPEND_BYTES = 1024 * 1024,
 	NODE_LEASE_MS = 4000,
-	NODE_CUT_OFF_MS = 10000,
+	NODE_CUT_OFF_MS = 2500,
 	/* The log has been out of reach for so long: send callers elsewhere. */
 	NODE_UNREADY_MS = 1500,
 	NODE_STOP_MS = 500
--- a/src/pool.c
+++ b/src/pool.c
@@ -68,16 +68,11 @@
 	return !strcmp(worker->entry.pool, pool->name);
 }
 
-/*
- * An earlier owner may have renewed a lease until its authority ended, and
- * kept on for the time it may be cut off from the log.
- */
 static void on_taken(void *arg)
 {
 	struct pool *pool = arg;
 	struct worker_table *workers = pool->env->workers;
 	struct job_store *jobs = pool->env->jobs;
-	int64_t now_ms = pool_now_ms(pool);
 
 	pool->env->counts.takeovers++;
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
@@ -88,11 +83,8 @@
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 
-		if (!my_worker(pool, worker))
-			continue;
-		worker_disown(worker);
-		worker->lease_end_ms = worker_lease_bound_ms(
-			now_ms + pool->env->cut_off_ms, pool->env->lease_ms);
+		if (my_worker(pool, worker))
+			worker_disown(worker);
 	}
 	/* Ended jobs leave the list, hence backwards. */
 	for (guint i = jobs->live->len; i > 0; i--)
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -67,6 +67,12 @@
 	case ORDER_LATE:
 		/* Sent again, under the same number. */
 		return;
+	case ORDER_OLD:
+		/* An earlier order of this run was carried out, and the run
+		   has ended; the next report tells how. */
+		pos->task->phase = PHASE_RUNNING;
+		pos->task->since_ms = now_ms;
+		return;
 	case ORDER_NO_ROOM:
 		unplace(pool, pos, 0);
 		if (worker)
