--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -155,15 +155,29 @@
 	end_unlisted(pool, worker, asked_ms);
 }
 
+/*
+ * When a lease at a worker is surely over. An earlier owner may have renewed
+ * it until its authority ended, and for the time it may be cut off; that holds
+ * until the worker has accepted this owner's fence, also for one that the
+ * registry names only later.
+ */
+static int64_t lease_end_ms(const struct pool *pool, const char *id)
+{
+	const struct worker *worker = worker_find(pool->env->workers, id);
+	int64_t before_ms = worker_lease_bound_ms(pool->tenure.taken_ms +
+							  pool->env->cut_off_ms,
+						  pool->env->lease_ms);
+
+	if (!worker)
+		return before_ms;
+	if (!worker->reached)
+		return MAX(before_ms, worker->lease_end_ms);
+	return worker->lease_end_ms;
+}
+
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
-	struct worker *worker =
-		worker_find(pool->env->workers, pos->task->worker);
-	int64_t end_ms =
-		worker ? worker->lease_end_ms
-		       : worker_lease_bound_ms(pool->tenure.taken_ms +
-						       pool->env->cut_off_ms,
-					       pool->env->lease_ms);
+	int64_t end_ms = lease_end_ms(pool, pos->task->worker);
 
 	if (pos->task->phase == PHASE_RECORDING ||
 	    pos->task->phase == PHASE_STORING || now_ms < end_ms)
