--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -103,6 +103,8 @@
 			read_name(&at, step_names, G_N_ELEMENTS(step_names));
 		at = jsn_member(&root, "wave");
 		plan.wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
+		at = jsn_member(&root, "done_wave");
+		plan.done_wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
 		at = jsn_member(&root, "pool");
 		jsn_string(&at, plan.pool, sizeof(plan.pool), "");
 		at = jsn_member(&root, "worker");
@@ -126,6 +128,8 @@
 		jsn_put_int(object, "wave", plan->wave);
 	else
 		jsn_put_string(object, "pool", plan->pool);
+	if (plan->done_wave)
+		jsn_put_int(object, "done_wave", plan->done_wave);
 	if (plan->worker[0])
 		jsn_put_string(object, "worker", plan->worker);
 	text = g_strdup(
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -33,6 +33,7 @@
 	enum host_step step;
 	int64_t wave;		   /* of a restart */
 	char pool[LIM_NAME_BYTES]; /* that a move leads to */
+	int64_t done_wave;	   /* last one that restarted it; 0: none */
 	int64_t offset;		   /* of the record */
 	/* Not in the record. */
 	bool clearing; /* the pool's owner is about to store HOST_CLEAR */
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -42,6 +42,7 @@
 	hosts->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	hosts->waves = g_ptr_array_new();
+	hosts->lend_pools = g_array_new(FALSE, FALSE, sizeof(struct lend_pool));
 	tenure_init(&hosts->tenure, &config);
 	return hosts;
 }
@@ -61,6 +62,7 @@
 	for (guint i = 0; i < hosts->waves->len; i++)
 		free_wave(hosts->waves->pdata[i]);
 	g_ptr_array_free(hosts->waves, TRUE);
+	g_array_free(hosts->lend_pools, TRUE);
 	g_hash_table_destroy(hosts->known);
 	g_free(hosts);
 }
@@ -198,6 +200,8 @@
 			struct host_plan *plan)
 {
 	plan->step = HOST_ORDERED;
+	if (plan->work == HOST_RESTART)
+		plan->done_wave = plan->wave;
 	hosts_store(hosts, plan);
 	/* Until the list says otherwise. */
 	known->host.state =
@@ -296,6 +300,7 @@
 		    may_order(hosts, now_ms)) {
 			hosts->decide_ms = now_ms + HOSTS_DECIDE_MS;
 			wave_decide(hosts);
+			lend_decide(hosts);
 			order_clear_ones(hosts, now_ms);
 		}
 		if (hosts->status)
--- a/src/hosts_int.h
+++ b/src/hosts_int.h
@@ -6,11 +6,13 @@
 #define HOSTS_INT_H
 
 #include "hosts.h"
+#include "lend.h"
 
 struct known_host {
 	struct host host;
 	uint32_t round; /* of the list that named it last */
 	bool ordering;	/* an order is under way */
+	bool free;	/* may be moved, in the decision under way */
 	int64_t order_due_ms;
 	int64_t ordered_ms; /* when the last order was carried out */
 };
@@ -26,6 +28,7 @@
 	struct tenure tenure;
 	GHashTable *known; /* name -> struct known_host */
 	GPtrArray *waves;
+	GArray *lend_pools;    /* struct lend_pool */
 	struct writer *status; /* NULL: not needed yet */
 	bool listing;
 	bool list_failing;
@@ -46,4 +49,7 @@
 /* wave_may_begin - whether one more host of the wave may go down */
 bool wave_may_begin(const struct hosts *hosts, int64_t number);
 
+/* lend_decide - move hosts to the pools that want them */
+void lend_decide(struct hosts *hosts);
+
 #endif
--- /dev/null
+++ b/src/hosts_lend.c
@@ -0,0 +1,220 @@
+#include <string.h>
+
+#include "hosts_int.h"
+#include "log.h"
+
+enum {
+	/* A moved host's new life is not looked for before. */
+	LEND_SETTLE_MS = 2000,
+	LEND_MIN_HOSTS = 2
+};
+
+/* What the placements and waiting tasks say of workers and pools. */
+struct demand {
+	GHashTable *busy; /* workers with a placed task */
+};
+
+static struct lend_pool *lend_pool_find(struct hosts *hosts, const char *name)
+{
+	for (guint i = 0; i < hosts->lend_pools->len; i++) {
+		struct lend_pool *pool =
+			&g_array_index(hosts->lend_pools, struct lend_pool, i);
+
+		if (!strcmp(pool->name, name))
+			return pool;
+	}
+	return NULL;
+}
+
+static void reset_pools(struct hosts *hosts)
+{
+	const struct cfg *cfg = *hosts->env->cfg;
+
+	for (uint32_t i = 0; i < cfg->pool_count; i++) {
+		struct lend_pool *pool =
+			lend_pool_find(hosts, cfg->pools[i].name);
+		struct lend_pool new_pool = { 0 };
+
+		if (!pool) {
+			g_strlcpy(new_pool.name, cfg->pools[i].name,
+				  sizeof(new_pool.name));
+			g_array_append_val(hosts->lend_pools, new_pool);
+			pool = lend_pool_find(hosts, new_pool.name);
+		}
+		pool->standby = cfg->pools[i].standby;
+		pool->wanted_milli = 0;
+		pool->hosts = 0;
+		pool->idle = 0;
+		pool->least = LEND_MIN_HOSTS;
+	}
+}
+
+static void note_step(struct lend_pool *pool, const struct job_step *step)
+{
+	int32_t each = step->max_per_worker;
+	int32_t spread = each > 0 ? (step->count + each - 1) / each : 1;
+
+	if (step->long_running)
+		pool->least = MAX(pool->least, spread);
+}
+
+static void note_job(struct hosts *hosts, struct job *job,
+		     struct demand *demand)
+{
+	struct lend_pool *pool = lend_pool_find(hosts, job->pool);
+	struct job_pos pos = { .job = job };
+	int64_t wall_ms = clk_wall_ms(hosts->env->clk);
+	bool ready = false;
+
+	if (!pool || !job->has_spec || job->cancel_asked)
+		return;
+	while (job_next_task(&pos)) {
+		const struct job_step *step = &job->spec.steps[pos.step];
+
+		if (!pos.index) {
+			ready = job_due_ms(job, pos.occurrence) <= wall_ms &&
+				job_step_ready(job, pos.occurrence, pos.step);
+			note_step(pool, step);
+		}
+		if (pos.task->state == TASK_PLACED)
+			g_hash_table_add(demand->busy,
+					 (char *)pos.task->worker);
+		else if (pos.task->state != TASK_WAITING || !ready)
+			continue;
+		if (!step->fills)
+			pool->wanted_milli += step->cpu_milli;
+	}
+}
+
+/* Pool that a host is in, or will be in when its plan is carried out. */
+static const char *home_of(const struct known_host *known,
+			   const struct host_plan *plan)
+{
+	if (plan && plan->work == HOST_MOVE &&
+	    (plan->step != HOST_ORDERED || known->host.state == HOST_MOVING))
+		return plan->pool;
+	return known->host.pool;
+}
+
+static bool is_free(const struct hosts *hosts, const struct known_host *known,
+		    const struct host_plan *plan, const struct demand *demand,
+		    bool standby)
+{
+	int64_t now_ms = clk_now_ms(hosts->env->clk);
+	const struct worker *worker;
+
+	if (known->host.state != HOST_UP || known->ordering ||
+	    (plan && plan->step != HOST_ORDERED) ||
+	    now_ms - known->ordered_ms < LEND_SETTLE_MS)
+		return false;
+	if (standby)
+		return true;
+	worker = worker_find(hosts->env->workers, known->host.worker);
+	return worker && worker->listed && !worker->entry.draining &&
+	       !g_hash_table_contains(demand->busy, known->host.worker);
+}
+
+static void note_hosts(struct hosts *hosts, const struct demand *demand,
+		       struct lend *lend)
+{
+	GHashTableIter iter;
+	int64_t total_milli = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, hosts->known);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct known_host *known = value;
+		const struct host_plan *plan =
+			host_plan_find(hosts->env->plans, known->host.name);
+		struct lend_pool *pool =
+			lend_pool_find(hosts, home_of(known, plan));
+
+		known->free = false;
+		total_milli += known->host.cpu_milli;
+		if (!pool || known->host.state == HOST_DOWN)
+			continue;
+		/* One that is to be restarted does not count here. */
+		if (plan && plan->work == HOST_RESTART &&
+		    (plan->step != HOST_ORDERED ||
+		     known->host.state != HOST_UP))
+			continue;
+		pool->hosts++;
+		known->free =
+			is_free(hosts, known, plan, demand, pool->standby);
+		pool->idle += known->free;
+	}
+	if (g_hash_table_size(hosts->known))
+		lend->host_milli =
+			total_milli / g_hash_table_size(hosts->known);
+}
+
+static struct known_host *take_free(struct hosts *hosts, const char *pool)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, hosts->known);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct known_host *known = value;
+
+		if (known->free && !strcmp(known->host.pool, pool))
+			return known;
+	}
+	return NULL;
+}
+
+static bool move(struct hosts *hosts, struct lend_pool *from,
+		 struct lend_pool *to)
+{
+	struct known_host *known = take_free(hosts, from->name);
+	const struct host_plan *before;
+	struct host_plan plan = {
+		.work = HOST_MOVE,
+		.step = from->standby ? HOST_CLEAR : HOST_ASKED,
+	};
+
+	if (!known)
+		return false;
+	before = host_plan_find(hosts->env->plans, known->host.name);
+	if (before)
+		plan.done_wave = before->done_wave;
+	g_strlcpy(plan.host, known->host.name, sizeof(plan.host));
+	g_strlcpy(plan.worker, known->host.worker, sizeof(plan.worker));
+	g_strlcpy(plan.pool, to->name, sizeof(plan.pool));
+	known->free = false;
+	from->hosts--;
+	from->idle--;
+	to->hosts++;
+	host_plan_put(hosts->env->plans, &plan);
+	hosts_store(hosts, &plan);
+	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
+		 " wanted_to=%" G_GINT64_FORMAT " hosts_to=%d",
+		 plan.host, from->name, to->name, from->wanted_milli,
+		 to->wanted_milli, to->hosts);
+	return true;
+}
+
+void lend_decide(struct hosts *hosts)
+{
+	struct demand demand = {
+		.busy = g_hash_table_new(g_str_hash, g_str_equal),
+	};
+	struct job_store *jobs = hosts->env->jobs;
+	int64_t now_ms = clk_now_ms(hosts->env->clk);
+	struct lend lend = { 0 };
+	struct lend_pool *pools;
+	uint32_t from, to;
+
+	reset_pools(hosts);
+	for (guint i = 0; i < jobs->live->len; i++)
+		note_job(hosts, jobs->live->pdata[i], &demand);
+	note_hosts(hosts, &demand, &lend);
+	pools = (struct lend_pool *)hosts->lend_pools->data;
+	for (guint i = 0; lend.host_milli && i < hosts->lend_pools->len; i++)
+		lend_note(&lend, &pools[i], now_ms);
+	while (lend_next(&lend, pools, hosts->lend_pools->len, now_ms, &from,
+			 &to))
+		if (!move(hosts, &pools[from], &pools[to]))
+			break;
+	g_hash_table_destroy(demand.busy);
+}
--- a/src/hosts_wave.c
+++ b/src/hosts_wave.c
@@ -17,8 +17,7 @@
 {
 	const struct host_plan *plan = host_plan_find(hosts->env->plans, host);
 
-	return plan && plan->work == HOST_RESTART && plan->wave == wave &&
-	       plan->step == HOST_ORDERED;
+	return plan && plan->done_wave == wave;
 }
 
 /* Whether the host is away for its restart, as far as is known. */
@@ -130,9 +129,12 @@
 
 	for (uint32_t i = 0; i < wave->host_count; i++) {
 		struct known_host *known = hosts_find(hosts, wave->hosts[i]);
+		const struct host_plan *plan;
 		int64_t load;
 
+		plan = host_plan_find(hosts->env->plans, wave->hosts[i]);
 		if (!known || known->host.state != HOST_UP ||
+		    (plan && plan->step != HOST_ORDERED) ||
 		    is_done(hosts, wave->number, wave->hosts[i]) ||
 		    is_asked(hosts, wave->number, wave->hosts[i]) ||
 		    !pool_allows(hosts, known->host.pool))
@@ -151,8 +153,11 @@
 {
 	const struct cfg_pool *pool =
 		cfg_pool_find(*hosts->env->cfg, known->host.pool);
+	const struct host_plan *before =
+		host_plan_find(hosts->env->plans, known->host.name);
 	struct host_plan plan = {
 		.work = HOST_RESTART,
+		.done_wave = before ? before->done_wave : 0,
 		.wave = wave->number,
 		.step = HOST_ASKED,
 	};
--- /dev/null
+++ b/src/lend.c
@@ -0,0 +1,120 @@
+#include "lend.h"
+
+enum {
+	/* Room beyond the want, as placements never fill hosts. */
+	LEND_ROOM_PERCENT = 115,
+	/* Demand is taken to last so long beyond its last sight. */
+	LEND_PEAK_MS = 1500,
+	/* Idle hosts that a pool keeps for the first tasks of a turn. */
+	LEND_RESERVE = 1,
+	/* A parked host saves its price only after a while. */
+	LEND_PARK_MS = 1500
+};
+
+int32_t lend_need(const struct lend *lend, const struct lend_pool *pool,
+		  int64_t wanted_milli)
+{
+	int64_t room = wanted_milli * LEND_ROOM_PERCENT / 100;
+	int64_t hosts = (room + lend->host_milli - 1) / lend->host_milli;
+
+	if (pool->standby)
+		return 0;
+	return hosts > pool->least ? (int32_t)hosts : pool->least;
+}
+
+/* Hosts that the pool can do without. */
+static int32_t surplus(const struct lend *lend, const struct lend_pool *pool)
+{
+	int32_t need = lend_need(lend, pool, pool->peak_milli);
+	int32_t over;
+
+	if (!pool->standby)
+		need += LEND_RESERVE;
+	over = pool->hosts - need;
+	return over < pool->idle ? over : pool->idle;
+}
+
+void lend_note(const struct lend *lend, struct lend_pool *pool, int64_t now_ms)
+{
+	if (pool->wanted_milli >= pool->peak_milli ||
+	    now_ms - pool->peak_ms > LEND_PEAK_MS) {
+		pool->peak_milli = pool->wanted_milli;
+		pool->peak_ms = now_ms;
+	}
+	if (surplus(lend, pool) <= 0)
+		pool->surplus_since_ms = 0;
+	else if (!pool->surplus_since_ms)
+		pool->surplus_since_ms = now_ms;
+}
+
+static int32_t deficit(const struct lend *lend, const struct lend_pool *pool)
+{
+	return lend_need(lend, pool, pool->wanted_milli) - pool->hosts;
+}
+
+/* Parked hosts first: nothing is lost there; then the largest surplus. */
+static bool find_source(const struct lend *lend, const struct lend_pool *pools,
+			uint32_t count, uint32_t *from)
+{
+	int32_t best = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		int32_t over = surplus(lend, &pools[i]);
+
+		if (over > 0 && pools[i].standby) {
+			*from = i;
+			return true;
+		}
+		if (over <= best)
+			continue;
+		best = over;
+		*from = i;
+	}
+	return best > 0;
+}
+
+static bool find_target(const struct lend *lend, const struct lend_pool *pools,
+			uint32_t count, uint32_t *to)
+{
+	int32_t most = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		int32_t lacking = deficit(lend, &pools[i]);
+
+		if (lacking <= most)
+			continue;
+		most = lacking;
+		*to = i;
+	}
+	return most > 0;
+}
+
+static bool find_parked(const struct lend *lend, const struct lend_pool *pools,
+			uint32_t count, int64_t now_ms, uint32_t *from,
+			uint32_t *to)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (pools[i].standby) {
+			*to = i;
+			any = true;
+		}
+	for (uint32_t i = 0; any && i < count; i++)
+		if (!pools[i].standby && surplus(lend, &pools[i]) > 0 &&
+		    now_ms - pools[i].surplus_since_ms > LEND_PARK_MS) {
+			*from = i;
+			return true;
+		}
+	return false;
+}
+
+bool lend_next(const struct lend *lend, const struct lend_pool *pools,
+	       uint32_t count, int64_t now_ms, uint32_t *from, uint32_t *to)
+{
+	if (lend->host_milli <= 0)
+		return false;
+	if (find_target(lend, pools, count, to))
+		return find_source(lend, pools, count, from) && *from != *to;
+	return find_parked(lend, pools, count, now_ms, from, to);
+}
--- /dev/null
+++ b/src/lend.h
@@ -0,0 +1,56 @@
+/*
+ * NAME
+ *	lend - how many hosts each pool should have, as demand shifts
+ *
+ * Answers demand that goes by turns: one pool after the other is asked for
+ * several times what its hosts can do, while the others stand almost idle.
+ * Hosts follow the work, and hosts that nobody needs are parked in a pool
+ * whose hosts are off. Pure: no network, no clock of its own.
+ */
+#ifndef LEND_H
+#define LEND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lim.h"
+
+enum { LEND_HISTORY = 16 };
+
+struct lend_pool {
+	char name[LIM_NAME_BYTES];
+	/* Told before each decision. */
+	bool standby;	      /* its hosts are off */
+	int64_t wanted_milli; /* processor time that tasks run with, or wait for */
+	int32_t hosts;	      /* up, or on their way here */
+	int32_t idle;	      /* of these, free to be moved */
+	int32_t least;	      /* hosts that its long-running tasks need */
+	/* Kept between decisions. */
+	int64_t peak_milli; /* largest recent want */
+	int64_t peak_ms;
+	int64_t surplus_since_ms; /* 0: none */
+};
+
+struct lend {
+	int64_t host_milli; /* processor time of a host */
+};
+
+/* lend_note - take the newest demand of a pool; before lend_next */
+void lend_note(const struct lend *lend, struct lend_pool *pool, int64_t now_ms);
+
+/*
+ * lend_next - the next move that is worth its price
+ *
+ * The caller counts the move in the pools and asks again.
+ *
+ * RETURN VALUE
+ *	Whether there is one; from and to are then indexes.
+ */
+bool lend_next(const struct lend *lend, const struct lend_pool *pools,
+	       uint32_t count, int64_t now_ms, uint32_t *from, uint32_t *to);
+
+/* lend_need - hosts that a pool needs for what is wanted of it */
+int32_t lend_need(const struct lend *lend, const struct lend_pool *pool,
+		  int64_t wanted_milli);
+
+#endif
