--- a/src/place.c
+++ b/src/place.c
@@ -125,7 +125,8 @@
 	int64_t used = entry->cpu_milli > 0 ? (int64_t)worker->cpu_used_milli *
 						      1000 / entry->cpu_milli
 					    : 0;
-	int64_t score = step->long_running ? used : -used;
+	/* Full hosts leave others empty, which can then be lent. */
+	int64_t score = used;
 
 	if (step->data_rack[0] && worker_has_label(worker, step->data_rack))
 		score += PLACE_NEAR_BONUS;
