--- a/src/job.c
+++ b/src/job.c
@@ -347,7 +347,8 @@
 	return job->spec.start_at_ms + occurrence * job->spec.interval_ms;
 }
 
-int64_t job_chain_ms(const struct job *job)
+/* Longest chain of steps; occurrence < 0: as if nothing had been done. */
+static int64_t chain_ms(const struct job *job, int64_t occurrence)
 {
 	int64_t ends_ms[JOB_MAX_STEPS] = { 0 };
 	int64_t longest_ms = 0;
@@ -358,12 +359,23 @@
 		for (uint32_t j = 0; j < i; j++)
 			if ((step->depends >> j & 1) && ends_ms[j] > ends_ms[i])
 				ends_ms[i] = ends_ms[j];
-		ends_ms[i] += step->estimate_ms;
+		if (occurrence < 0 || !step_done(job, (uint32_t)occurrence, i))
+			ends_ms[i] += step->estimate_ms;
 		longest_ms = MAX(longest_ms, ends_ms[i]);
 	}
 	return longest_ms;
 }
 
+int64_t job_chain_ms(const struct job *job)
+{
+	return chain_ms(job, -1);
+}
+
+int64_t job_rest_ms(const struct job *job, uint32_t occurrence)
+{
+	return chain_ms(job, occurrence);
+}
+
 double job_work_left(const struct job *job)
 {
 	struct job_pos pos = { .job = (struct job *)job };
--- a/src/job.h
+++ b/src/job.h
@@ -236,7 +236,10 @@
 /* job_chain_ms - longest chain of estimated work of one occurrence */
 int64_t job_chain_ms(const struct job *job);
 
-/* job_work - estimated processor time, in milli-cores times ms, still to do */
+/* job_rest_ms - longest chain of estimated work that an occurrence still has */
+int64_t job_rest_ms(const struct job *job, uint32_t occurrence);
+
+/* job_work_left - estimated processor time, in milli-cores times ms, still to do */
 double job_work_left(const struct job *job);
 
 /* job_ended - whether a state is final */
--- a/src/place.c
+++ b/src/place.c
@@ -16,6 +16,8 @@
 	uint32_t occurrence;
 	uint32_t step;
 	int32_t priority;
+	bool lasting;
+	bool too_late; /* its objective can no longer be met */
 	int64_t target_ms;
 };
 
@@ -259,10 +261,10 @@
 			if (!has_startable(place, job, k, s) ||
 			    !job_step_ready(job, k, s))
 				continue;
-			at.target_ms =
-				job->spec.steps[s].long_running
-					? 0
-					: place_target_ms(place->cfg, job);
+			at.lasting = job->spec.steps[s].long_running;
+			at.target_ms = place_target_ms(place->cfg, job);
+			at.too_late = place->wall_ms + job_rest_ms(job, k) >
+				      at.target_ms;
 			g_array_append_val(out, at);
 		}
 	}
@@ -273,6 +275,10 @@
 	const struct candidate *left = a;
 	const struct candidate *right = b;
 
+	if (left->lasting != right->lasting)
+		return left->lasting ? -1 : 1;
+	if (left->too_late != right->too_late)
+		return left->too_late ? 1 : -1;
 	if (left->target_ms != right->target_ms)
 		return left->target_ms < right->target_ms ? -1 : 1;
 	if (left->priority != right->priority)
--- a/src/place.h
+++ b/src/place.h
@@ -36,7 +36,9 @@
  * place_tasks - place the tasks that can start now
  *
  * Long-running tasks come first, then jobs by the time at which their
- * objective ends. place_account must have been called.
+ * objective ends. Jobs that cannot be in time any more come last: in a turn
+ * that asks for more than the pool holds they would make all others late too.
+ * place_account must have been called.
  */
 struct place_counts place_tasks(const struct place *place);
 
