Order hosts ahead of rising demand; number plans of hosts

Cause of late jobs in a turn's beginning: hosts came 2 s after the demand. The rise of the last 0.8 s is taken to go on while a host is on its way, and owners see new workers within 60 ms.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -43,6 +43,7 @@
 				const struct host_plan *plan)
 {
 	struct host_plan *kept = host_plan_find(plans, plan->host);
+	int64_t clearing;
 
 	if (!kept) {
 		kept = g_new0(struct host_plan, 1);
@@ -50,7 +51,9 @@
 		g_hash_table_insert(plans->by_host, kept->host, kept);
 		g_ptr_array_add(plans->list, kept);
 	}
+	clearing = kept->clearing;
 	*kept = *plan;
+	kept->clearing = clearing;
 	return kept;
 }
 
@@ -77,7 +80,7 @@
 }
 
 int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
-		    const char *value, size_t len, struct err *err)
+		    const char *value, size_t len, bool own, struct err *err)
 {
 	struct err fault = { .kind = ERR_OK };
 	struct host_plan *kept = host_plan_find(plans, host);
@@ -88,7 +91,8 @@
 	if (kept && offset <= kept->offset)
 		return 0;
 	if (!value) {
-		drop(plans, host);
+		if (!own)
+			drop(plans, host);
 		return 0;
 	}
 	g_strlcpy(plan.host, host, sizeof(plan.host));
@@ -103,6 +107,8 @@
 			read_name(&at, step_names, G_N_ELEMENTS(step_names));
 		at = jsn_member(&root, "wave");
 		plan.wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
+		at = jsn_member(&root, "number");
+		plan.number = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
 		at = jsn_member(&root, "done_wave");
 		plan.done_wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
 		at = jsn_member(&root, "pool");
@@ -113,6 +119,11 @@
 	json_object_put(object);
 	if (fault.kind != ERR_OK)
 		return err_set(err, fault.kind, "%s", fault.text);
+	if (plan.step == HOST_CLEAR && kept &&
+	    (kept->number != plan.number || kept->step != HOST_ASKED))
+		return 0;
+	if (own && (plan.step != HOST_CLEAR || !kept))
+		return 0;
 	host_plan_put(plans, &plan);
 	return 0;
 }
@@ -124,6 +135,7 @@
 
 	jsn_put_string(object, "work", work_names[plan->work]);
 	jsn_put_string(object, "step", step_names[plan->step]);
+	jsn_put_int(object, "number", plan->number);
 	if (plan->work == HOST_RESTART)
 		jsn_put_int(object, "wave", plan->wave);
 	else
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -28,6 +28,7 @@
 
 struct host_plan {
 	char host[LIM_NAME_BYTES];
+	int64_t number; /* rises with each plan, so that late answers show */
 	char worker[LIM_NAME_BYTES]; /* the life that ends; empty: none */
 	enum host_work work;
 	enum host_step step;
@@ -35,8 +36,9 @@
 	char pool[LIM_NAME_BYTES]; /* that a move leads to */
 	int64_t done_wave;	   /* last one that restarted it; 0: none */
 	int64_t offset;		   /* of the record */
-	/* Not in the record. */
-	bool clearing; /* the pool's owner is about to store HOST_CLEAR */
+	/* Not in the record: the plan for which its pool's owner has stored
+	   HOST_CLEAR, or is about to. */
+	int64_t clearing;
 };
 
 struct host_plans {
@@ -53,9 +55,15 @@
 struct host_plan *host_plan_put(struct host_plans *plans,
 				const struct host_plan *plan);
 
-/* host_plan_apply - apply a record; value NULL drops the plan */
+/*
+ * host_plan_apply - apply a record; value NULL drops the plan
+ *
+ * That a worker is empty counts only for the plan that asked for it. own
+ * tells that this node holds the hosts: its memory is newer than the record,
+ * and only that answer changes it.
+ */
 int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
-		    const char *value, size_t len, struct err *err);
+		    const char *value, size_t len, bool own, struct err *err);
 
 /* host_plan_record - record of a plan, freed with g_free */
 char *host_plan_record(const struct host_plan *plan, size_t *len);
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -5,13 +5,22 @@
 #include "hosts_int.h"
 #include "log.h"
 
-enum { HOSTS_LIST_MS = 400, HOSTS_DECIDE_MS = 100, HOSTS_ORDER_RETRY_MS = 400 };
+enum {
+	HOSTS_LIST_MS = 400,
+	HOSTS_DECIDE_MS = 100,
+	HOSTS_ORDER_RETRY_MS = 400,
+	/* A list asked for before an order may come after it. */
+	HOSTS_SETTLE_MS = 1500,
+	/* Plans made under one fence. */
+	HOSTS_PLANS = 1 << 20
+};
 
 static void on_taken(void *arg)
 {
 	struct hosts *hosts = arg;
 
 	hosts->listed_ms = 0;
+	hosts->plans = 0;
 	hosts->list_due_ms = 0;
 }
 
@@ -174,6 +183,28 @@
 	g_free(asked);
 }
 
+bool hosts_settled(const struct hosts *hosts, const struct known_host *known,
+		   bool standby)
+{
+	const struct host_plan *plan =
+		host_plan_find(hosts->env->plans, known->host.name);
+	int64_t now_ms = clk_now_ms(hosts->env->clk);
+	const struct worker *worker;
+
+	if (known->host.state != HOST_UP || known->ordering ||
+	    (plan && plan->step != HOST_ORDERED) ||
+	    now_ms - known->ordered_ms < HOSTS_SETTLE_MS)
+		return false;
+	if (standby)
+		return true;
+	/* The list may still name the life that the last order ended. */
+	if (plan && !strcmp(plan->worker, known->host.worker))
+		return false;
+	worker = worker_find(hosts->env->workers, known->host.worker);
+	return worker && worker->listed && !worker->entry.draining &&
+	       !strcmp(worker->entry.pool, known->host.pool);
+}
+
 static void list(struct hosts *hosts, int64_t now_ms)
 {
 	if (hosts->listing || now_ms < hosts->list_due_ms)
@@ -185,6 +216,21 @@
 			     asked_new(hosts));
 }
 
+struct host_plan *hosts_plan(struct hosts *hosts, const struct host_plan *plan)
+{
+	struct host_plan numbered = *plan;
+
+	numbered.number = hosts->tenure.fence * HOSTS_PLANS + ++hosts->plans;
+	host_plan_put(hosts->env->plans, &numbered);
+	hosts_store(hosts, &numbered);
+	return host_plan_find(hosts->env->plans, plan->host);
+}
+
+bool hosts_held(const struct hosts *hosts)
+{
+	return tenure_held(&hosts->tenure);
+}
+
 void hosts_store(struct hosts *hosts, const struct host_plan *plan)
 {
 	char key[LIM_NAME_BYTES + 2];
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -47,6 +47,9 @@
 	       int64_t authority_end_ms);
 void hosts_disown(struct hosts *hosts);
 
+/* hosts_held - whether this node has taken the hosts over */
+bool hosts_held(const struct hosts *hosts);
+
 /* hosts_add_wave - an operator has ordered a wave, or changed it; it is taken */
 void hosts_add_wave(struct hosts *hosts, struct host_wave *wave);
 
--- a/src/hosts_int.h
+++ b/src/hosts_int.h
@@ -29,6 +29,7 @@
 	GHashTable *known; /* name -> struct known_host */
 	GPtrArray *waves;
 	GArray *lend_pools;    /* struct lend_pool */
+	int64_t plans;	       /* made under this fence */
 	struct writer *status; /* NULL: not needed yet */
 	bool listing;
 	bool list_failing;
@@ -40,6 +41,16 @@
 
 struct known_host *hosts_find(const struct hosts *hosts, const char *name);
 
+/*
+ * hosts_settled - whether a host's present life is known and none of its
+ * orders is open
+ */
+bool hosts_settled(const struct hosts *hosts, const struct known_host *known,
+		   bool standby);
+
+/* hosts_plan - make a plan, give it a number and store it */
+struct host_plan *hosts_plan(struct hosts *hosts, const struct host_plan *plan);
+
 /* hosts_store - write a plan as it stands in memory */
 void hosts_store(struct hosts *hosts, const struct host_plan *plan);
 
--- a/src/hosts_lend.c
+++ b/src/hosts_lend.c
@@ -3,11 +3,7 @@
 #include "hosts_int.h"
 #include "log.h"
 
-enum {
-	/* A moved host's new life is not looked for before. */
-	LEND_SETTLE_MS = 2000,
-	LEND_MIN_HOSTS = 2
-};
+enum { LEND_MIN_HOSTS = 2 };
 
 /* What the placements and waiting tasks say of workers and pools. */
 struct demand {
@@ -97,20 +93,9 @@
 }
 
 static bool is_free(const struct hosts *hosts, const struct known_host *known,
-		    const struct host_plan *plan, const struct demand *demand,
-		    bool standby)
+		    const struct demand *demand, bool standby)
 {
-	int64_t now_ms = clk_now_ms(hosts->env->clk);
-	const struct worker *worker;
-
-	if (known->host.state != HOST_UP || known->ordering ||
-	    (plan && plan->step != HOST_ORDERED) ||
-	    now_ms - known->ordered_ms < LEND_SETTLE_MS)
-		return false;
-	if (standby)
-		return true;
-	worker = worker_find(hosts->env->workers, known->host.worker);
-	return worker && worker->listed && !worker->entry.draining &&
+	return hosts_settled(hosts, known, standby) &&
 	       !g_hash_table_contains(demand->busy, known->host.worker);
 }
 
@@ -139,8 +124,7 @@
 		     known->host.state != HOST_UP))
 			continue;
 		pool->hosts++;
-		known->free =
-			is_free(hosts, known, plan, demand, pool->standby);
+		known->free = is_free(hosts, known, demand, pool->standby);
 		pool->idle += known->free;
 	}
 	if (g_hash_table_size(hosts->known))
@@ -185,8 +169,7 @@
 	from->hosts--;
 	from->idle--;
 	to->hosts++;
-	host_plan_put(hosts->env->plans, &plan);
-	hosts_store(hosts, &plan);
+	hosts_plan(hosts, &plan);
 	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
 		 " wanted_to=%" G_GINT64_FORMAT " hosts_to=%d",
 		 plan.host, from->name, to->name, from->wanted_milli,
--- a/src/hosts_wave.c
+++ b/src/hosts_wave.c
@@ -129,14 +129,14 @@
 
 	for (uint32_t i = 0; i < wave->host_count; i++) {
 		struct known_host *known = hosts_find(hosts, wave->hosts[i]);
-		const struct host_plan *plan;
+		const struct cfg_pool *pool;
 		int64_t load;
 
-		plan = host_plan_find(hosts->env->plans, wave->hosts[i]);
-		if (!known || known->host.state != HOST_UP ||
-		    (plan && plan->step != HOST_ORDERED) ||
-		    is_done(hosts, wave->number, wave->hosts[i]) ||
-		    is_asked(hosts, wave->number, wave->hosts[i]) ||
+		if (!known)
+			continue;
+		pool = cfg_pool_find(*hosts->env->cfg, known->host.pool);
+		if (is_done(hosts, wave->number, wave->hosts[i]) ||
+		    !hosts_settled(hosts, known, pool && pool->standby) ||
 		    !pool_allows(hosts, known->host.pool))
 			continue;
 		load = load_of(hosts, known->host.worker);
@@ -167,8 +167,7 @@
 	/* Nothing runs in a pool that is off. */
 	if (!plan.worker[0] || (pool && pool->standby))
 		plan.step = HOST_CLEAR;
-	host_plan_put(hosts->env->plans, &plan);
-	hosts_store(hosts, &plan);
+	hosts_plan(hosts, &plan);
 	log_info("host-asked host=%s worker=%s pool=%s wave=%" G_GINT64_FORMAT,
 		 plan.host, plan.worker, known->host.pool, wave->number);
 }
--- a/src/job.c
+++ b/src/job.c
@@ -413,6 +413,8 @@
 	task->percent = 0;
 	task->figure = 0;
 	task->pace = 100;
+	if (!job->placed_ms)
+		job->placed_ms = now_ms;
 	job->dirty = true;
 }
 
--- a/src/job.h
+++ b/src/job.h
@@ -123,8 +123,9 @@
 	char *progress; /* newest stored progress, NULL: none */
 	int64_t given_offset;
 	int64_t progress_offset;
-	int64_t order;	  /* rank of hand-in */
-	uint32_t records; /* progress records made by this owner */
+	int64_t order;	   /* rank of hand-in */
+	int64_t placed_ms; /* first placement by this owner; 0: none */
+	uint32_t records;  /* progress records made by this owner */
 };
 
 struct job_store {
--- a/src/lend.c
+++ b/src/lend.c
@@ -7,6 +7,10 @@
 	LEND_PEAK_MS = 1500,
 	/* Idle hosts that a pool keeps for the first tasks of a turn. */
 	LEND_RESERVE = 1,
+	/* The want is compared with that of so long ago, */
+	LEND_RISE_MS = 800,
+	/* and its rise goes on while a host is emptied and moved. */
+	LEND_ARRIVAL_MS = 2200,
 	/* A parked host saves its price only after a while. */
 	LEND_PARK_MS = 1500
 };
@@ -41,6 +45,16 @@
 		pool->peak_milli = pool->wanted_milli;
 		pool->peak_ms = now_ms;
 	}
+	if (now_ms - pool->before_ms >= LEND_RISE_MS) {
+		int64_t rise = pool->wanted_milli - pool->before_milli;
+		int64_t passed_ms = now_ms - pool->before_ms;
+
+		pool->rise_milli = rise > 0 && pool->before_ms
+					   ? rise * LEND_ARRIVAL_MS / passed_ms
+					   : 0;
+		pool->before_milli = pool->wanted_milli;
+		pool->before_ms = now_ms;
+	}
 	if (surplus(lend, pool) <= 0)
 		pool->surplus_since_ms = 0;
 	else if (!pool->surplus_since_ms)
@@ -49,7 +63,9 @@
 
 static int32_t deficit(const struct lend *lend, const struct lend_pool *pool)
 {
-	return lend_need(lend, pool, pool->wanted_milli) - pool->hosts;
+	int64_t wanted_milli = pool->wanted_milli + pool->rise_milli;
+
+	return lend_need(lend, pool, wanted_milli) - pool->hosts;
 }
 
 /* Parked hosts first: nothing is lost there; then the largest surplus. */
--- a/src/lend.h
+++ b/src/lend.h
@@ -28,6 +28,9 @@
 	/* Kept between decisions. */
 	int64_t peak_milli; /* largest recent want */
 	int64_t peak_ms;
+	int64_t before_milli; /* want at before_ms, to see it rise */
+	int64_t before_ms;
+	int64_t rise_milli; /* that is expected while a host is on its way */
 	int64_t surplus_since_ms; /* 0: none */
 };
 
@@ -35,7 +38,12 @@
 	int64_t host_milli; /* processor time of a host */
 };
 
-/* lend_note - take the newest demand of a pool; before lend_next */
+/*
+ * lend_note - take the newest demand of a pool; before lend_next
+ *
+ * While the want rises, it is taken to go on rising for the time that a host
+ * needs to arrive.
+ */
 void lend_note(const struct lend *lend, struct lend_pool *pool, int64_t now_ms);
 
 /*
--- a/src/node.c
+++ b/src/node.c
@@ -14,6 +14,7 @@
 	NODE_OWNER_GAP_MS = 30,
 	NODE_FOLLOW_WAIT_MS = 1500,
 	NODE_WORKERS_GAP_MS = 500,
+	NODE_OWNER_WORKERS_GAP_MS = 60,
 	NODE_APPEND_GAP_MS = 15,
 	NODE_APPEND_BYTES = 1024 * 1024,
 	NODE_LEASE_MS = 4000,
@@ -156,7 +157,8 @@
 	char *host = g_strndup(record->key + 2, record->key_len - 2);
 
 	if (host_plan_apply(node->plans, host, record->offset, record->value,
-			    record->value_len, &err) < 0)
+			    record->value_len, hosts_held(node->hosts),
+			    &err) < 0)
 		log_error("plan of host %s at offset %" G_GINT64_FORMAT
 			  " cannot be read: %s",
 			  host, record->offset, err.text);
@@ -390,6 +392,8 @@
 		hosts_disown(node->hosts);
 	}
 	hosts_tick(node->hosts);
+	tail_set_gap(node->registry,
+		     any ? NODE_OWNER_WORKERS_GAP_MS : NODE_WORKERS_GAP_MS);
 	tail_set_gap(node->tail, any ? NODE_OWNER_GAP_MS : NODE_FOLLOW_GAP_MS);
 }
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -78,7 +78,7 @@
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
 		struct host_plan *plan = pool->env->plans->list->pdata[i];
 
-		plan->clearing = false;
+		plan->clearing = 0;
 	}
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
@@ -177,6 +177,22 @@
 	}
 }
 
+static void log_end(const struct pool *pool, const struct job *job)
+{
+	const struct clk *clk = pool->env->clk;
+	int64_t wall_ms = clk_wall_ms(clk);
+	int64_t placed_ms = wall_ms - (clk_now_ms(clk) - job->placed_ms);
+
+	log_info("job-ended id=%s state=%s queue=%s age_ms=%" G_GINT64_FORMAT
+		 " waited_ms=%" G_GINT64_FORMAT " chain_ms=%" G_GINT64_FORMAT
+		 " target_ms=%" G_GINT64_FORMAT,
+		 job->id, job_state_name(job->shown), job->queue,
+		 wall_ms - job->accepted_ms,
+		 job->placed_ms ? placed_ms - job->accepted_ms : -1,
+		 job_chain_ms(job),
+		 place_target_ms(*pool->env->cfg, job) - job->accepted_ms);
+}
+
 static void on_progress(void *arg, enum writer_outcome outcome, int64_t end)
 {
 	struct note *note = arg;
@@ -194,8 +210,7 @@
 		placements_stored(job, note->number);
 		pool_send_starts(pool, job);
 		if (job_ended(job->shown))
-			log_info("job-ended id=%s state=%s queue=%s", job->id,
-				 job_state_name(job->shown), job->queue);
+			log_end(pool, job);
 	}
 	g_hash_table_remove(pool->notes, note);
 }
--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -72,7 +72,7 @@
 	char *record;
 
 	clear.step = HOST_CLEAR;
-	plan->clearing = true;
+	plan->clearing = plan->number;
 	record = host_plan_record(&clear, &len);
 	g_snprintf(key, sizeof(key), "h:%s", plan->host);
 	writer_add(pool->tenure.writer, key, record, len, NULL, NULL);
@@ -97,7 +97,8 @@
 		struct worker *worker =
 			worker_find(pool->env->workers, plan->worker);
 
-		if (plan->step != HOST_ASKED || plan->clearing || !worker ||
+		if (plan->step != HOST_ASKED ||
+		    plan->clearing == plan->number || !worker ||
 		    strcmp(worker->entry.pool, pool->name))
 			continue;
 		if (empty(pool, worker))
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -160,7 +160,10 @@
 		if (!start_due(pos.task, now_ms))
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
-		if (worker && worker->clock_at_ms)
+		/* Each start extends the lease; one to a worker that does not
+		   answer would keep its runs from being given up. */
+		if (worker && worker->clock_at_ms &&
+		    now_ms - worker->heard_ms < POOL_EXTEND_SILENT_MS)
 			send_start(pool, &pos, worker);
 	}
 }
