--- a/src/node.c
+++ b/src/node.c
@@ -441,6 +441,13 @@
 	       writer_stalled_ms(node->writer) < NODE_UNREADY_MS;
 }
 
+bool node_owns(const struct node *node, const char *name)
+{
+	const struct pool *pool = pool_of(node, name);
+
+	return pool && pool_owned(pool);
+}
+
 struct front *node_front(struct node *node)
 {
 	return node->front;
--- a/src/node.h
+++ b/src/node.h
@@ -64,6 +64,9 @@
 /* node_ready - whether callers may be sent here */
 bool node_ready(const struct node *node);
 
+/* node_owns - whether this node has taken that pool over */
+bool node_owns(const struct node *node, const char *pool);
+
 struct front *node_front(struct node *node);
 const struct cfg *const *node_cfg(const struct node *node);
 
--- /dev/null
+++ b/tests/fleet_sim.c
@@ -0,0 +1,1271 @@
+#include "fleet_sim.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wire.h"
+
+enum {
+	STEP_MS = 10,
+	MAX_WAIT_MS = 2000,
+	PARTS = 24,
+	TASK_MS = 400,
+	WORKER_CPU = 4000,
+	TASK_CPU = 1000,
+	LATE_MIN_MS = 500,
+	LATE_MAX_MS = 8000
+};
+
+/* Topics. */
+
+struct record {
+	char *key;
+	char *value;
+	size_t len;
+};
+
+struct topic {
+	char *name;
+	GArray *records; /* struct record */
+};
+
+struct producer {
+	int64_t epoch;
+	int64_t next;
+	int64_t numbers[5];
+	struct stream_appended answers[5];
+	int answer_count;
+};
+
+struct member {
+	char *name;
+	int64_t ttl_ms;
+	int64_t heard_ms;
+	int64_t generation; /* newest one that it has seen */
+	bool gone;
+};
+
+/* One node's way to the outside. */
+struct port {
+	struct sim *sim;
+	int node;
+	uint32_t life;
+};
+
+struct event {
+	int64_t at_ms;
+	uint64_t number;
+	void (*fn)(struct sim *sim, struct event *event);
+	struct port port;
+	/* An append. */
+	struct stream_id id;
+	char *producer;
+	int64_t epoch;
+	int64_t sequence;
+	GByteArray *bytes;
+	struct stream_appended appended;
+	stream_append_fn *on_append;
+	/* A read. */
+	int64_t from;
+	int64_t until_ms;
+	stream_batch_fn *on_batch;
+	bool newest;
+	char *after;
+	/* A membership. */
+	struct stream_join join;
+	stream_member_fn *on_member;
+	/* An order. */
+	int worker;
+	struct worker_entry life_of;
+	char *task;
+	int32_t run;
+	int64_t order_until_ms;
+	int64_t fence;
+	int64_t cursor;
+	char kind; /* s start, x stop, r renew */
+	enum order_outcome outcome;
+	bool unanswered;
+	order_fn *on_order;
+	order_renew_fn *on_renew;
+	void *arg;
+};
+
+static gint by_time(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct event *left = a;
+	const struct event *right = b;
+
+	(void)data;
+	if (left->at_ms != right->at_ms)
+		return left->at_ms < right->at_ms ? -1 : 1;
+	return left->number < right->number ? -1 : 1;
+}
+
+static uint32_t draw(struct sim *sim, uint32_t bound)
+{
+	return (uint32_t)rnd_below(&sim->rnd, bound);
+}
+
+static struct event *event_new(const struct port *port,
+			       void (*fn)(struct sim *, struct event *))
+{
+	struct event *event = g_new0(struct event, 1);
+
+	event->port = *port;
+	event->fn = fn;
+	return event;
+}
+
+static void post(struct sim *sim, struct event *event, int64_t in_ms)
+{
+	event->at_ms = sim->clk.manual_ms + in_ms;
+	event->number = ++sim->next_event;
+	g_sequence_insert_sorted(sim->events, event, by_time, NULL);
+}
+
+static void event_free(struct event *event)
+{
+	g_free(event->producer);
+	g_free(event->after);
+	g_free(event->task);
+	if (event->bytes)
+		g_byte_array_free(event->bytes, TRUE);
+	g_free(event);
+}
+
+static struct sim_node *node_of(struct sim *sim, const struct event *event)
+{
+	return &sim->nodes[event->port.node];
+}
+
+/* Whether the answer reaches its node now; otherwise it is kept or dropped. */
+static bool reaches(struct sim *sim, struct event *event)
+{
+	struct sim_node *node = node_of(sim, event);
+
+	if (!node->alive || node->life != event->port.life) {
+		g_ptr_array_add(sim->dropped, event);
+		return false;
+	}
+	if (node->paused) {
+		g_ptr_array_add(node->held_back, event);
+		return false;
+	}
+	return true;
+}
+
+static struct topic *topic_of(struct sim *sim, const char *name)
+{
+	struct topic *topic;
+
+	for (guint i = 0; i < sim->topics->len; i++) {
+		topic = sim->topics->pdata[i];
+		if (!strcmp(topic->name, name))
+			return topic;
+	}
+	topic = g_new0(struct topic, 1);
+	topic->name = g_strdup(name);
+	topic->records = g_array_new(FALSE, FALSE, sizeof(struct record));
+	g_ptr_array_add(sim->topics, topic);
+	return topic;
+}
+
+static void put_record(struct topic *topic, const char *key, size_t key_len,
+		       const char *value, size_t len)
+{
+	struct record record = {
+		.key = g_strndup(key, key_len),
+		.value = value ? g_memdup2(value, len ? len : 1) : NULL,
+		.len = len,
+	};
+
+	g_array_append_val(topic->records, record);
+}
+
+/* The simulation's own record format: lengths in text, then the bytes. */
+static void add_record(GByteArray *buffer, const char *key, const char *value,
+		       size_t len)
+{
+	char head[64];
+	int head_len = snprintf(head, sizeof(head), "%zu %ld ", strlen(key),
+				value ? (long)len : -1L);
+
+	g_byte_array_append(buffer, (guint8 *)head, (guint)head_len);
+	g_byte_array_append(buffer, (const guint8 *)key, (guint)strlen(key));
+	if (value)
+		g_byte_array_append(buffer, (const guint8 *)value, (guint)len);
+}
+
+static void take_records(struct topic *topic, const GByteArray *bytes)
+{
+	const char *at = (const char *)bytes->data;
+	const char *end = at + bytes->len;
+
+	while (at < end) {
+		char *next;
+		size_t key_len = strtoul(at, &next, 10);
+		long len = strtol(next, &next, 10);
+
+		at = next + 1;
+		put_record(topic, at, key_len, len < 0 ? NULL : at + key_len,
+			   len < 0 ? 0 : (size_t)len);
+		at += key_len + (len < 0 ? 0 : (size_t)len);
+	}
+}
+
+static void answer_append(struct sim *sim, struct event *event)
+{
+	if (!reaches(sim, event))
+		return;
+	event->on_append(event->arg, &event->appended);
+	event_free(event);
+}
+
+static struct producer *producer_of(struct sim *sim, const char *name)
+{
+	struct producer *producer = g_hash_table_lookup(sim->producers, name);
+
+	if (!producer) {
+		producer = g_new0(struct producer, 1);
+		producer->epoch = -1;
+		g_hash_table_insert(sim->producers, g_strdup(name), producer);
+	}
+	return producer;
+}
+
+static struct stream_appended append_now(struct sim *sim, struct event *event)
+{
+	struct topic *topic = topic_of(sim, event->id.topic);
+	struct producer *producer = producer_of(sim, event->producer);
+	struct stream_appended result = {
+		.outcome = STREAM_OK,
+		.offset = topic->records->len,
+		.end = topic->records->len,
+	};
+
+	if (event->epoch < producer->epoch) {
+		result.outcome = STREAM_FENCED;
+		return result;
+	}
+	if (event->epoch > producer->epoch) {
+		producer->epoch = event->epoch;
+		producer->next = event->sequence;
+		producer->answer_count = 0;
+	}
+	if (!event->bytes->len)
+		return result;
+	for (int i = 0; i < producer->answer_count; i++)
+		if (producer->numbers[i] == event->sequence)
+			return producer->answers[i];
+	if (event->sequence != producer->next) {
+		result.outcome = STREAM_SEQUENCE;
+		return result;
+	}
+	take_records(topic, event->bytes);
+	result.end = topic->records->len;
+	producer->next++;
+	if (producer->answer_count == 5) {
+		memmove(producer->numbers, producer->numbers + 1,
+			4 * sizeof(producer->numbers[0]));
+		memmove(producer->answers, producer->answers + 1,
+			4 * sizeof(producer->answers[0]));
+		producer->answer_count--;
+	}
+	producer->numbers[producer->answer_count] = event->sequence;
+	producer->answers[producer->answer_count++] = result;
+	return result;
+}
+
+static void carry_out_append(struct sim *sim, struct event *event)
+{
+	if (sim->faults.log_down ||
+	    draw(sim, 100) < sim->faults.refused_percent) {
+		event->appended.outcome = STREAM_REFUSED;
+	} else {
+		event->appended = append_now(sim, event);
+		if (draw(sim, 100) < sim->faults.lost_percent)
+			event->appended.outcome = STREAM_UNKNOWN;
+	}
+	event->fn = answer_append;
+	post(sim, event, 1 + draw(sim, 8));
+}
+
+/* Carried out after its sender has been told that there was no answer. */
+static void carry_out_late(struct sim *sim, struct event *event)
+{
+	append_now(sim, event);
+	event_free(event);
+}
+
+static struct event *copy_append(const struct event *event)
+{
+	struct event *copy = g_new0(struct event, 1);
+
+	copy->port = event->port;
+	copy->fn = carry_out_late;
+	copy->id = event->id;
+	copy->producer = g_strdup(event->producer);
+	copy->epoch = event->epoch;
+	copy->sequence = event->sequence;
+	copy->bytes = g_byte_array_new();
+	g_byte_array_append(copy->bytes, event->bytes->data, event->bytes->len);
+	return copy;
+}
+
+static bool cut(const struct port *port)
+{
+	return port->sim->nodes[port->node].cut_from_log;
+}
+
+static void io_append(void *io, const struct stream_append *append,
+		      stream_append_fn *fn, void *arg)
+{
+	struct port *port = io;
+	struct sim *sim = port->sim;
+	struct event *event = event_new(port, carry_out_append);
+
+	event->id = append->id;
+	event->producer = g_strdup(append->producer);
+	event->epoch = append->epoch;
+	event->sequence = append->sequence;
+	event->bytes = g_byte_array_new();
+	g_byte_array_append(event->bytes, (const guint8 *)append->records,
+			    (guint)append->len);
+	event->on_append = fn;
+	event->arg = arg;
+	if (cut(port)) {
+		event->appended.outcome = STREAM_UNKNOWN;
+		event->fn = answer_append;
+		post(sim, event, 500);
+	} else if (draw(sim, 100) < sim->faults.late_percent) {
+		post(sim, copy_append(event), LATE_MIN_MS + draw(sim, 5000));
+		event->appended.outcome = STREAM_UNKNOWN;
+		event->fn = answer_append;
+		post(sim, event, 100 + draw(sim, 500));
+	} else {
+		post(sim, event, 1 + draw(sim, 4));
+	}
+}
+
+static void answer_batch(struct sim *sim, struct event *event)
+{
+	struct topic *topic = topic_of(sim, event->id.topic);
+	GArray *records =
+		g_array_new(FALSE, FALSE, sizeof(struct stream_record));
+	struct stream_batch batch = {
+		.outcome = STREAM_OK,
+		.end = topic->records->len,
+		.next = topic->records->len,
+	};
+
+	if (!reaches(sim, event)) {
+		g_array_free(records, TRUE);
+		return;
+	}
+	for (guint i = event->newest ? 0 : (guint)event->from;
+	     i < topic->records->len; i++) {
+		struct record *at =
+			&g_array_index(topic->records, struct record, i);
+		struct stream_record record = {
+			.key = at->key,
+			.key_len = strlen(at->key),
+			.value = at->value,
+			.value_len = at->len,
+			.offset = i,
+		};
+
+		if (event->newest && !at->value)
+			continue;
+		g_array_append_val(records, record);
+	}
+	if (cut(&event->port) || sim->faults.log_down)
+		batch.outcome = STREAM_UNKNOWN;
+	batch.count = batch.outcome == STREAM_OK ? records->len : 0;
+	batch.records = (const struct stream_record *)records->data;
+	event->on_batch(event->arg, &batch);
+	g_array_free(records, TRUE);
+	event_free(event);
+}
+
+/* Looks again until there is a record, or the reader has waited enough. */
+static void wait_read(struct sim *sim, struct event *event)
+{
+	struct topic *topic = topic_of(sim, event->id.topic);
+	bool wait = !cut(&event->port) && !sim->faults.log_down &&
+		    event->from >= (int64_t)topic->records->len &&
+		    sim->clk.manual_ms < event->until_ms;
+
+	if (!wait)
+		event->fn = answer_batch;
+	post(sim, event, wait ? STEP_MS : 1 + draw(sim, 4));
+}
+
+static void io_read(void *io, struct stream_id id, int64_t from,
+		    int64_t wait_ms, stream_batch_fn *fn, void *arg)
+{
+	struct port *port = io;
+	struct event *event = event_new(port, wait_read);
+
+	event->id = id;
+	event->from = from;
+	event->until_ms = port->sim->clk.manual_ms + wait_ms;
+	event->on_batch = fn;
+	event->arg = arg;
+	post(port->sim, event, 1 + draw(port->sim, 4));
+}
+
+static void io_newest(void *io, struct stream_id id, const char *after,
+		      stream_batch_fn *fn, void *arg)
+{
+	struct port *port = io;
+	struct event *event = event_new(port, answer_batch);
+
+	(void)after;
+	event->id = id;
+	event->newest = true;
+	event->on_batch = fn;
+	event->arg = arg;
+	post(port->sim, event, 2 + draw(port->sim, 8));
+}
+
+/* The group: parts are spread evenly; one moves when its holder has let go. */
+
+static struct member *member_of(struct sim *sim, const char *name, int *index)
+{
+	for (guint i = 0; i < sim->members->len; i++) {
+		struct member *member = sim->members->pdata[i];
+
+		*index = (int)i;
+		if (!strcmp(member->name, name))
+			return member;
+	}
+	return NULL;
+}
+
+static int wanted_holder(struct sim *sim, int part)
+{
+	int live[64];
+	int count = 0;
+
+	for (guint i = 0; i < sim->members->len; i++) {
+		struct member *member = sim->members->pdata[i];
+
+		if (!member->gone)
+			live[count++] = (int)i;
+	}
+	return count ? live[part * count / PARTS] : -1;
+}
+
+static void share_parts(struct sim *sim)
+{
+	bool changed = false;
+
+	for (guint i = 0; i < sim->members->len; i++) {
+		struct member *member = sim->members->pdata[i];
+
+		if (!member->gone &&
+		    sim->clk.manual_ms - member->heard_ms > member->ttl_ms) {
+			member->gone = true;
+			changed = true;
+		}
+	}
+	if (changed)
+		sim->changed = ++sim->generation;
+	for (int part = 0; part < PARTS; part++) {
+		int wanted = wanted_holder(sim, part);
+		struct member *holder =
+			sim->holder[part] >= 0
+				? sim->members->pdata[sim->holder[part]]
+				: NULL;
+
+		if (wanted == sim->holder[part])
+			continue;
+		if (holder && !holder->gone &&
+		    holder->generation < sim->changed)
+			continue;
+		sim->holder[part] = wanted;
+		sim->since[part] = ++sim->generation;
+	}
+}
+
+static void answer_join(struct sim *sim, struct event *event)
+{
+	struct stream_membership held = { .outcome = STREAM_UNKNOWN };
+	int32_t parts[PARTS];
+	int index;
+
+	if (!cut(&event->port) && !sim->faults.log_down && event->after) {
+		struct member *member = member_of(sim, event->after, &index);
+
+		if (!member) {
+			member = g_new0(struct member, 1);
+			member->name = g_strdup(event->after);
+			g_ptr_array_add(sim->members, member);
+			index = (int)sim->members->len - 1;
+			sim->changed = ++sim->generation;
+		}
+		if (member->gone)
+			sim->changed = ++sim->generation;
+		member->gone = false;
+		member->ttl_ms = event->join.ttl_ms;
+		member->heard_ms = sim->clk.manual_ms;
+		member->generation = event->join.generation;
+		share_parts(sim);
+		held.outcome = STREAM_OK;
+		held.generation = sim->generation;
+		for (int part = 0; part < PARTS; part++)
+			if (sim->holder[part] == index &&
+			    wanted_holder(sim, part) == index)
+				parts[held.part_count++] = part;
+		held.parts = parts;
+	}
+	if (!reaches(sim, event))
+		return;
+	event->on_member(event->arg, &held);
+	event_free(event);
+}
+
+static void io_join(void *io, const struct stream_join *join,
+		    stream_member_fn *fn, void *arg)
+{
+	struct port *port = io;
+	struct event *event = event_new(port, answer_join);
+
+	event->join = *join;
+	event->after = g_strdup(join->member);
+	event->on_member = fn;
+	event->arg = arg;
+	post(port->sim, event, 1 + draw(port->sim, 8));
+}
+
+static void io_leave(void *io, const struct stream_join *join)
+{
+	struct port *port = io;
+	struct sim *sim = port->sim;
+	int index;
+	struct member *member = member_of(sim, join->member, &index);
+
+	if (!member || member->gone || cut(port))
+		return;
+	member->gone = true;
+	sim->changed = ++sim->generation;
+	share_parts(sim);
+}
+
+/* Workers. */
+
+static void broken(struct sim *sim, const char *what, const char *task)
+{
+	if (!sim->broken[0])
+		snprintf(sim->broken, sizeof(sim->broken),
+			 "at %" G_GINT64_FORMAT " ms: %s: %s",
+			 sim->clk.manual_ms, what, task);
+}
+
+static void judge_start(struct sim *sim, struct sim_worker *worker,
+			const char *task)
+{
+	char id[JOB_ID_BYTES];
+	unsigned int occurrence, step, index;
+	struct sim_job *job;
+
+	sim->started++;
+	for (int i = 0; i < sim->worker_count; i++) {
+		struct sim_worker *other = &sim->workers[i];
+
+		for (guint j = 0; other->up && j < other->runs->len; j++)
+			if (!strcmp(g_array_index(other->runs, struct sim_run,
+						  j)
+					    .task,
+				    task))
+				broken(sim, "two runs at the same time", task);
+	}
+	if (g_hash_table_contains(sim->noted, task))
+		broken(sim, "started after its end was acknowledged", task);
+	if ((int)(worker->runs->len + 1) * TASK_CPU > WORKER_CPU)
+		broken(sim, "over the worker's room", task);
+	if (sscanf(task, "%16[0-9a-f].%u.%u.%u", id, &occurrence, &step,
+		   &index) != 4) {
+		broken(sim, "a task with another name", task);
+		return;
+	}
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (!job || (int32_t)step >= job->steps ||
+	    (int32_t)index >= job->width) {
+		broken(sim, "a task that nobody asked for", task);
+		return;
+	}
+	if (job->refused_for_good)
+		broken(sim, "a task of a job that was refused", task);
+	if (job->cancelled_ms &&
+	    sim->clk.manual_ms > job->cancelled_ms + LATE_MAX_MS + 3000)
+		broken(sim, "started long after its cancelling", task);
+	for (int32_t i = 0; step && i < job->width; i++) {
+		char *before = g_strdup_printf("%s.%u.%u.%d", id, occurrence,
+					       step - 1, i);
+
+		if (!g_hash_table_contains(sim->done, before))
+			broken(sim, "started before the step before it", task);
+		g_free(before);
+	}
+}
+
+static int32_t highest_ended(struct sim_worker *worker, const char *task)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(worker->ended, task));
+}
+
+static void end_run(struct sim *sim, struct sim_worker *worker, guint index,
+		    enum job_end how)
+{
+	struct sim_run *run =
+		&g_array_index(worker->runs, struct sim_run, index);
+	struct worker_end end = {
+		.number = ++worker->next_end,
+		.run = run->run,
+		.how = how,
+	};
+
+	g_strlcpy(end.task, run->task, sizeof(end.task));
+	if (how == END_DONE)
+		g_hash_table_add(sim->done, g_strdup(run->task));
+	g_hash_table_insert(worker->ended, g_strdup(run->task),
+			    GINT_TO_POINTER(run->run));
+	g_array_append_val(worker->ends, end);
+	g_array_remove_index(worker->runs, index);
+}
+
+static enum order_outcome start_now(struct sim *sim, struct sim_worker *worker,
+				    struct event *event)
+{
+	struct sim_run run = { .run = event->run, .left_ms = TASK_MS };
+
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct sim_run *at =
+			&g_array_index(worker->runs, struct sim_run, i);
+
+		if (!strcmp(at->task, event->task))
+			return at->run == event->run ? ORDER_OK : ORDER_OLD;
+	}
+	if (event->run <= highest_ended(worker, event->task))
+		return ORDER_OLD;
+	if (event->order_until_ms <= worker->clock_ms)
+		return ORDER_LATE;
+	if ((int)(worker->runs->len + 1) * TASK_CPU > WORKER_CPU)
+		return ORDER_NO_ROOM;
+	judge_start(sim, worker, event->task);
+	g_strlcpy(run.task, event->task, sizeof(run.task));
+	run.left_ms += draw(sim, TASK_MS);
+	run.fails = draw(sim, 100) < 2;
+	g_array_append_val(worker->runs, run);
+	return ORDER_OK;
+}
+
+static enum order_outcome stop_now(struct sim *sim, struct sim_worker *worker,
+				   struct event *event)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct sim_run *at =
+			&g_array_index(worker->runs, struct sim_run, i);
+
+		if (!strcmp(at->task, event->task) && at->run <= event->run) {
+			end_run(sim, worker, i, END_STOPPED);
+			return ORDER_OK;
+		}
+	}
+	if (event->run > highest_ended(worker, event->task))
+		g_hash_table_insert(worker->ended, g_strdup(event->task),
+				    GINT_TO_POINTER(event->run));
+	return ORDER_OK;
+}
+
+static void acknowledge(struct sim *sim, struct sim_worker *worker,
+			int64_t cursor)
+{
+	while (worker->ends->len) {
+		struct worker_end *end =
+			&g_array_index(worker->ends, struct worker_end, 0);
+
+		if (end->number > cursor)
+			return;
+		if (end->how == END_DONE)
+			g_hash_table_add(sim->noted, g_strdup(end->task));
+		g_array_remove_index(worker->ends, 0);
+	}
+}
+
+static enum order_outcome order_now(struct sim *sim, struct event *event)
+{
+	struct sim_worker *worker = &sim->workers[event->worker];
+	enum order_outcome outcome = ORDER_OK;
+
+	if (!worker->up)
+		return ORDER_UNKNOWN;
+	if (event->fence < worker->fence)
+		return ORDER_FENCED;
+	worker->fence = event->fence;
+	if (event->kind == 's')
+		outcome = start_now(sim, worker, event);
+	else if (event->kind == 'x')
+		outcome = stop_now(sim, worker, event);
+	else
+		acknowledge(sim, worker, event->cursor);
+	if (event->order_until_ms > worker->lease_ms)
+		worker->lease_ms = event->order_until_ms;
+	return outcome;
+}
+
+static void answer_order(struct sim *sim, struct event *event)
+{
+	struct sim_worker *worker = &sim->workers[event->worker];
+	struct worker_report report = { 0 };
+
+	if (!reaches(sim, event))
+		return;
+	if (event->kind != 'r') {
+		event->on_order(event->arg, event->outcome);
+		event_free(event);
+		return;
+	}
+	report.clock_ms = worker->clock_ms;
+	report.born_ms = worker->entry.born_ms;
+	report.runs = g_new0(struct worker_run, worker->runs->len + 1);
+	report.ends = g_new0(struct worker_end, worker->ends->len + 1);
+	for (guint i = 0; i < worker->runs->len; i++) {
+		struct sim_run *run =
+			&g_array_index(worker->runs, struct sim_run, i);
+		struct worker_run *told = &report.runs[report.run_count++];
+
+		g_strlcpy(told->task, run->task, sizeof(told->task));
+		told->run = run->run;
+	}
+	for (guint i = 0; i < worker->ends->len; i++)
+		report.ends[report.end_count++] =
+			g_array_index(worker->ends, struct worker_end, i);
+	event->on_renew(event->arg, event->outcome,
+			event->outcome == ORDER_OK ? &report : NULL);
+	worker_report_clear(&report);
+	event_free(event);
+}
+
+static void wait_renew(struct sim *sim, struct event *event)
+{
+	struct sim_worker *worker = &sim->workers[event->worker];
+	bool wait = worker->up && !worker->ends->len &&
+		    sim->clk.manual_ms < event->until_ms;
+
+	if (!wait)
+		event->fn = answer_order;
+	post(sim, event, wait ? STEP_MS : 1 + draw(sim, 4));
+}
+
+static void carry_out_order(struct sim *sim, struct event *event)
+{
+	event->outcome = order_now(sim, event);
+	if (event->unanswered) {
+		event_free(event);
+		return;
+	}
+	if (draw(sim, 100) < sim->faults.order_lost_percent)
+		event->outcome = ORDER_UNKNOWN;
+	if (event->kind == 'r' && event->outcome == ORDER_OK) {
+		wait_renew(sim, event);
+		return;
+	}
+	event->fn = answer_order;
+	post(sim, event, 1 + draw(sim, 6));
+}
+
+static int worker_index(struct sim *sim, const char *id)
+{
+	for (int i = 0; i < sim->worker_count; i++)
+		if (!strcmp(sim->workers[i].entry.id, id))
+			return i;
+	abort();
+}
+
+static void send_order(struct port *port, struct event *event)
+{
+	struct sim *sim = port->sim;
+	struct sim_node *node = &sim->nodes[port->node];
+
+	if (node->cut_from_worker[event->worker]) {
+		event->outcome = ORDER_UNKNOWN;
+		event->fn = answer_order;
+		post(sim, event, 500);
+		return;
+	}
+	if (draw(sim, 100) < sim->faults.order_late_percent) {
+		struct event *late = event_new(port, carry_out_order);
+
+		late->worker = event->worker;
+		late->kind = event->kind;
+		late->task = g_strdup(event->task);
+		late->run = event->run;
+		late->fence = event->fence;
+		late->order_until_ms = event->order_until_ms;
+		late->unanswered = true;
+		/* An acknowledgement counts when it is carried out. */
+		late->cursor = event->cursor;
+		post(sim, late, LATE_MIN_MS + draw(sim, LATE_MAX_MS));
+		event->outcome = ORDER_UNKNOWN;
+		event->fn = answer_order;
+		post(sim, event, 1000);
+		return;
+	}
+	post(sim, event, 1 + draw(sim, 4));
+}
+
+static struct event *order_event(struct port *port, char kind,
+				 const struct worker_entry *worker,
+				 const char *task, int32_t run, int64_t fence,
+				 void *arg)
+{
+	struct event *event = event_new(port, carry_out_order);
+
+	event->kind = kind;
+	event->worker = worker_index(port->sim, worker->id);
+	event->task = g_strdup(task);
+	event->run = run;
+	event->fence = fence;
+	event->arg = arg;
+	return event;
+}
+
+static void io_start(void *io, const struct worker_entry *worker,
+		     const struct order_start *start, order_fn *fn, void *arg)
+{
+	struct event *event = order_event(io, 's', worker, start->task,
+					  start->run, start->fence, arg);
+
+	event->order_until_ms = start->until_ms;
+	event->on_order = fn;
+	send_order(io, event);
+}
+
+static void io_stop(void *io, const struct worker_entry *worker,
+		    const char *task, int32_t run, int64_t fence, order_fn *fn,
+		    void *arg)
+{
+	struct event *event =
+		order_event(io, 'x', worker, task, run, fence, arg);
+
+	event->on_order = fn;
+	send_order(io, event);
+}
+
+static void io_pace(void *io, const struct worker_entry *worker,
+		    const char *task, int32_t run, int32_t percent,
+		    int64_t fence, order_fn *fn, void *arg)
+{
+	(void)io;
+	(void)worker;
+	(void)task;
+	(void)run;
+	(void)percent;
+	(void)fence;
+	(void)fn;
+	(void)arg;
+}
+
+static void io_renew(void *io, const struct worker_entry *worker,
+		     const struct order_renew *renew, order_renew_fn *fn,
+		     void *arg)
+{
+	struct port *port = io;
+	struct event *event =
+		order_event(io, 'r', worker, "", 0, renew->fence, arg);
+
+	event->order_until_ms = renew->until_ms;
+	event->cursor = renew->cursor;
+	event->until_ms =
+		port->sim->clk.manual_ms + MIN(renew->wait_ms, MAX_WAIT_MS);
+	event->on_renew = fn;
+	send_order(port, event);
+}
+
+/* Hosts stay as they are in this simulation. */
+
+static void io_list(void *io, const char *page, host_page_fn *fn, void *arg)
+{
+	struct host_page none = { .outcome = HOST_OK };
+
+	(void)io;
+	(void)page;
+	fn(arg, &none);
+}
+
+static void io_host_order(void *io, const struct host_holder *holder,
+			  const char *host, int64_t wave, host_order_fn *fn,
+			  void *arg)
+{
+	(void)io;
+	(void)holder;
+	(void)host;
+	(void)wave;
+	fn(arg, HOST_REFUSED);
+}
+
+static void io_host_move(void *io, const struct host_holder *holder,
+			 const char *host, const char *pool, host_order_fn *fn,
+			 void *arg)
+{
+	(void)pool;
+	io_host_order(io, holder, host, 0, fn, arg);
+}
+
+/* Time. */
+
+static void tick_worker(struct sim *sim, struct sim_worker *worker)
+{
+	if (!worker->up)
+		return;
+	worker->clock_ms = (sim->clk.manual_ms - worker->born_at_ms) *
+			   worker->rate_percent / 100;
+	for (guint i = worker->runs->len; i > 0; i--) {
+		struct sim_run *run =
+			&g_array_index(worker->runs, struct sim_run, i - 1);
+
+		if (worker->clock_ms >= worker->lease_ms) {
+			end_run(sim, worker, i - 1, END_LAPSED);
+			continue;
+		}
+		run->left_ms -= STEP_MS;
+		if (run->left_ms <= 0)
+			end_run(sim, worker, i - 1,
+				run->fails ? END_FAILED : END_DONE);
+	}
+}
+
+static void run_events(struct sim *sim)
+{
+	for (;;) {
+		GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
+		struct event *event;
+
+		if (g_sequence_iter_is_end(first))
+			return;
+		event = g_sequence_get(first);
+		if (event->at_ms > sim->clk.manual_ms)
+			return;
+		g_sequence_remove(first);
+		event->fn(sim, event);
+	}
+}
+
+void sim_run_for(struct sim *sim, int64_t ms)
+{
+	int64_t end_ms = sim->clk.manual_ms + ms;
+
+	while (sim->clk.manual_ms < end_ms) {
+		sim->clk.manual_ms += STEP_MS;
+		run_events(sim);
+		for (int i = 0; i < sim->worker_count; i++)
+			tick_worker(sim, &sim->workers[i]);
+		share_parts(sim);
+		for (int i = 0; i < sim->node_count; i++)
+			if (sim->nodes[i].alive && !sim->nodes[i].paused)
+				node_tick(sim->nodes[i].node);
+	}
+}
+
+/* Nodes. */
+
+void sim_start(struct sim *sim, int index)
+{
+	struct sim_node *node = &sim->nodes[index];
+	struct port *port = g_new0(struct port, 1);
+	struct stream_io *stream = g_new0(struct stream_io, 1);
+	struct order_io *orders = g_new0(struct order_io, 1);
+	struct host_io *hosts = g_new0(struct host_io, 1);
+	char *incarnation = g_strdup_printf("%u", ++node->life);
+	struct node_config config = {
+		.clk = &sim->clk,
+		.settings = &node->settings,
+		.stream = stream,
+		.orders = orders,
+		.hosts = hosts,
+		.decoders = {
+			.cfg = wire_cfg,
+			.spec = wire_spec,
+			.wave = wire_wave,
+			.worker = wire_worker,
+		},
+		.streams = {
+			.operators = { "operators", 0 },
+			.workers = { "workers", 0 },
+			.status = { "status", 0 },
+			.cfg_key = "config",
+			.wave_prefix = "wave/",
+		},
+		.incarnation = incarnation,
+	};
+
+	*port = (struct port){ sim, index, node->life };
+	*stream = (struct stream_io){
+		.io = port,
+		.append = io_append,
+		.read = io_read,
+		.newest = io_newest,
+		.join = io_join,
+		.leave = io_leave,
+		.add_record = add_record,
+	};
+	*orders = (struct order_io){
+		.io = port,
+		.start = io_start,
+		.stop = io_stop,
+		.pace = io_pace,
+		.renew = io_renew,
+	};
+	*hosts = (struct host_io){
+		.io = port,
+		.list = io_list,
+		.restart = io_host_order,
+		.move = io_host_move,
+	};
+	g_ptr_array_add(sim->dropped, port);
+	g_ptr_array_add(sim->dropped, stream);
+	g_ptr_array_add(sim->dropped, orders);
+	g_ptr_array_add(sim->dropped, hosts);
+	snprintf(node->settings.name, sizeof(node->settings.name), "n%d",
+		 index);
+	node->settings.lease_max_ms = 6000;
+	node->settings.order_lease_ms = 3000;
+	node->node = node_create(&config);
+	node->alive = true;
+	node->paused = false;
+	g_free(incarnation);
+}
+
+void sim_kill(struct sim *sim, int index)
+{
+	struct sim_node *node = &sim->nodes[index];
+
+	g_ptr_array_add(sim->dropped, node->node);
+	node->alive = false;
+	node->paused = false;
+	for (guint i = 0; i < node->held_back->len; i++)
+		g_ptr_array_add(sim->dropped, node->held_back->pdata[i]);
+	g_ptr_array_set_size(node->held_back, 0);
+}
+
+void sim_pause(struct sim *sim, int index)
+{
+	sim->nodes[index].paused = true;
+}
+
+void sim_resume(struct sim *sim, int index)
+{
+	struct sim_node *node = &sim->nodes[index];
+
+	node->paused = false;
+	for (guint i = 0; i < node->held_back->len; i++)
+		post(sim, node->held_back->pdata[i], 0);
+	g_ptr_array_set_size(node->held_back, 0);
+}
+
+void sim_list_worker(struct sim *sim, int index, bool listed)
+{
+	struct sim_worker *worker = &sim->workers[index];
+	char *value = g_strdup_printf(
+		"{\"service\":\"pool\",\"addr\":\"w:1\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT ","
+		"\"capacity\":{\"cpu\":%d,\"memMb\":1000,\"gpu\":0},"
+		"\"labels\":[]}",
+		worker->entry.born_ms, WORKER_CPU);
+
+	put_record(topic_of(sim, "workers"), worker->entry.id,
+		   strlen(worker->entry.id), listed ? value : NULL,
+		   listed ? strlen(value) : 0);
+	worker->listed = listed;
+	g_free(value);
+}
+
+void sim_crash_worker(struct sim *sim, int index)
+{
+	sim->workers[index].up = false;
+}
+
+void sim_restart_worker(struct sim *sim, int index)
+{
+	struct sim_worker *worker = &sim->workers[index];
+
+	worker->up = true;
+	worker->born_at_ms = sim->clk.manual_ms;
+	worker->entry.born_ms = sim->clk.manual_ms + 1;
+	worker->clock_ms = 0;
+	worker->lease_ms = 0;
+	worker->fence = 0;
+	worker->next_end = 0;
+	g_array_set_size(worker->runs, 0);
+	g_array_set_size(worker->ends, 0);
+	g_hash_table_remove_all(worker->ended);
+	sim_list_worker(sim, index, true);
+}
+
+static const char configuration[] =
+	"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+	"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":50,"
+	"\"stretch\":1000.0,\"sloMs\":100000}],"
+	"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":true}],"
+	"\"limits\":{\"maxBodyBytes\":100000}}";
+
+struct sim *sim_create(uint64_t seed, int nodes, int workers)
+{
+	static GPtrArray *kept;
+	struct sim *sim = g_new0(struct sim, 1);
+
+	if (!kept)
+		kept = g_ptr_array_new();
+	g_ptr_array_add(kept, sim);
+
+	sim->clk = clk_manual(1000000);
+	rnd_init(&sim->rnd, seed);
+	sim->events = g_sequence_new(NULL);
+	sim->topics = g_ptr_array_new();
+	sim->members = g_ptr_array_new();
+	sim->dropped = g_ptr_array_new();
+	sim->producers = g_hash_table_new(g_str_hash, g_str_equal);
+	sim->noted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	for (int part = 0; part < PARTS; part++)
+		sim->holder[part] = -1;
+	put_record(topic_of(sim, "operators"), "config", 6, configuration,
+		   strlen(configuration));
+	sim->worker_count = workers;
+	for (int i = 0; i < workers; i++) {
+		struct sim_worker *worker = &sim->workers[i];
+
+		snprintf(worker->entry.id, sizeof(worker->entry.id), "w%d", i);
+		worker->index = i;
+		worker->rate_percent = 98 + (int32_t)draw(sim, 3);
+		worker->runs =
+			g_array_new(FALSE, FALSE, sizeof(struct sim_run));
+		worker->ends =
+			g_array_new(FALSE, FALSE, sizeof(struct worker_end));
+		worker->ended = g_hash_table_new_full(g_str_hash, g_str_equal,
+						      g_free, NULL);
+		sim_restart_worker(sim, i);
+	}
+	sim->node_count = nodes;
+	for (int i = 0; i < nodes; i++) {
+		sim->nodes[i].held_back = g_ptr_array_new();
+		sim_start(sim, i);
+	}
+	return sim;
+}
+
+/* Callers. */
+
+static void on_handed_in(void *arg, const struct front_answer *answer)
+{
+	struct sim_job *job = arg;
+
+	if (answer->outcome == FRONT_DONE)
+		job->accepted = true;
+	else if (answer->outcome != FRONT_UNDECIDED)
+		job->refused_for_good = true;
+}
+
+struct sim_job *sim_hand_in(struct sim *sim, int index, int32_t steps,
+			    int32_t width)
+{
+	struct sim_job *job = g_new0(struct sim_job, 1);
+	GString *body = g_string_new("{\"spec\":\"t\",\"steps\":[");
+	struct node *node = sim->nodes[index].node;
+	struct front_ask ask = {
+		.kind = FRONT_HAND_IN,
+		.queue = cfg_queue_find(*node_cfg(node), "q"),
+		.deadline_ms = sim->clk.manual_ms + 3000,
+	};
+
+	snprintf(job->id, sizeof(job->id), "%08x%08x", draw(sim, 1u << 31),
+		 draw(sim, 1u << 31));
+	job->steps = steps;
+	job->width = width;
+	g_hash_table_insert(sim->jobs, job->id, job);
+	if (!ask.queue) {
+		job->refused_for_good = true;
+		g_string_free(body, TRUE);
+		return job;
+	}
+	for (int32_t i = 0; i < steps; i++) {
+		g_string_append_printf(body,
+				       "%s{\"count\":%d,\"cpu\":%d,"
+				       "\"estMs\":500",
+				       i ? "," : "", width, TASK_CPU);
+		if (i)
+			g_string_append_printf(body, ",\"dependsOn\":[%d]",
+					       i - 1);
+		g_string_append(body, "}");
+	}
+	g_string_append(body, "]}");
+	g_strlcpy(ask.id, job->id, sizeof(ask.id));
+	ask.body = body->str;
+	ask.len = body->len;
+	front_ask(node_front(node), &ask, on_handed_in, job);
+	g_ptr_array_add(sim->dropped, g_string_free(body, FALSE));
+	return job;
+}
+
+struct cancelling {
+	struct sim *sim;
+	struct sim_job *job;
+};
+
+static void on_cancelled(void *arg, const struct front_answer *answer)
+{
+	struct cancelling *cancelling = arg;
+
+	if (answer->outcome == FRONT_DONE)
+		cancelling->job->cancelled_ms = cancelling->sim->clk.manual_ms;
+}
+
+void sim_cancel(struct sim *sim, int index, struct sim_job *job)
+{
+	struct cancelling *cancelling = g_new0(struct cancelling, 1);
+	struct node *node = sim->nodes[index].node;
+	struct front_ask ask = {
+		.kind = FRONT_CANCEL,
+		.queue = cfg_queue_find(*node_cfg(node), "q"),
+		.deadline_ms = sim->clk.manual_ms + 3000,
+	};
+
+	job->cancel_asked = true;
+	*cancelling = (struct cancelling){ sim, job };
+	g_ptr_array_add(sim->dropped, cancelling);
+	g_strlcpy(ask.id, job->id, sizeof(ask.id));
+	if (ask.queue)
+		front_ask(node_front(node), &ask, on_cancelled, cancelling);
+}
+
+static void on_state(void *arg, const struct front_answer *answer)
+{
+	int *state = arg;
+
+	if (answer->outcome == FRONT_SHOWN)
+		*state = (int)answer->state;
+}
+
+int sim_state(struct sim *sim, int index, const char *id)
+{
+	int *state = g_new0(int, 1);
+	struct node *node = sim->nodes[index].node;
+	struct front_ask ask = {
+		.kind = FRONT_STATE,
+		.queue = cfg_queue_find(*node_cfg(node), "q"),
+		.deadline_ms = sim->clk.manual_ms + 3000,
+	};
+
+	*state = -1;
+	g_ptr_array_add(sim->dropped, state);
+	g_strlcpy(ask.id, id, sizeof(ask.id));
+	front_ask(node_front(node), &ask, on_state, state);
+	sim_run_for(sim, 500);
+	return *state;
+}
--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,300 @@
+/* Tests of whole nodes against simulated log service and workers. */
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fleet_sim.h"
+#include "log.h"
+
+enum {
+	START_MS = 3000,
+	HEAL_MS = 45000,
+	SEEDS = 60,
+	TROUBLE_STEPS = 60,
+	TROUBLE_STEP_MS = 400,
+	JOBS = 40
+};
+
+static void check_kept(struct sim *sim, uint64_t seed)
+{
+	ck_assert_msg(!sim->broken[0], "seed %lu: %s", (unsigned long)seed,
+		      sim->broken);
+}
+
+/* All accepted jobs end done, but for those that were cancelled. */
+static void check_ended(struct sim *sim, uint64_t seed)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, sim->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sim_job *job = value;
+		int state;
+
+		if (!job->accepted)
+			continue;
+		state = sim_state(sim, 0, job->id);
+		if (job->cancel_asked && !job->cancelled_ms)
+			ck_assert_msg(job_ended(state),
+				      "seed %lu: job %s is %d",
+				      (unsigned long)seed, job->id, state);
+		else if (job->cancelled_ms)
+			ck_assert_msg(state == JOB_CANCELLED ||
+					      state == JOB_DONE,
+				      "seed %lu: cancelled %s is %d",
+				      (unsigned long)seed, job->id, state);
+		else
+			ck_assert_msg(state == JOB_DONE,
+				      "seed %lu: job %s is %d",
+				      (unsigned long)seed, job->id, state);
+	}
+}
+
+static int owner_of_pool(struct sim *sim)
+{
+	for (int i = 0; i < sim->node_count; i++)
+		if (sim->nodes[i].alive &&
+		    node_owns(sim->nodes[i].node, "pool"))
+			return i;
+	return -1;
+}
+
+START_TEST(calm_jobs_are_done)
+{
+	struct sim *sim = sim_create(1, 3, 6);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	ck_assert_int_ge(owner_of_pool(sim), 0);
+	for (int i = 0; i < 12; i++) {
+		job = sim_hand_in(sim, i % 3, 1 + i % 3, 1 + i % 4);
+		sim_run_for(sim, 200);
+		ck_assert(job->accepted);
+	}
+	sim_run_for(sim, 15000);
+	check_kept(sim, 1);
+	check_ended(sim, 1);
+}
+END_TEST
+
+START_TEST(cancelled_job_stops)
+{
+	struct sim *sim = sim_create(2, 3, 2);
+	struct sim_job *job;
+	uint32_t started;
+
+	sim_run_for(sim, START_MS);
+	job = sim_hand_in(sim, 0, 3, 8);
+	sim_run_for(sim, 400);
+	sim_cancel(sim, 1, job);
+	sim_run_for(sim, 1500);
+	ck_assert(job->cancelled_ms != 0);
+	started = sim->started;
+	sim_run_for(sim, 10000);
+	ck_assert_uint_eq(sim->started, started);
+	ck_assert_int_eq(sim_state(sim, 2, job->id), JOB_CANCELLED);
+}
+END_TEST
+
+/* A zone's entries come back to the registry only after the takeover. */
+START_TEST(worker_listed_after_takeover_keeps_its_runs)
+{
+	struct sim *sim = sim_create(3, 3, 4);
+	int owner;
+
+	sim_run_for(sim, START_MS);
+	sim_hand_in(sim, 0, 1, 16);
+	sim_run_for(sim, 200);
+	for (int i = 0; i < 4; i++)
+		sim_list_worker(sim, i, false);
+	owner = owner_of_pool(sim);
+	/* The next owner starts without any entry. */
+	for (int i = 0; i < 3; i++)
+		if (i != owner) {
+			sim_kill(sim, i);
+			sim_start(sim, i);
+		}
+	sim_kill(sim, owner);
+	sim_run_for(sim, 1800);
+	for (int i = 0; i < 4; i++)
+		sim_list_worker(sim, i, true);
+	sim_run_for(sim, 20000);
+	check_kept(sim, 3);
+}
+END_TEST
+
+/* Starts repeated to a worker that is gone must not keep its tasks waiting. */
+START_TEST(task_of_a_gone_worker_runs_elsewhere)
+{
+	struct sim *sim = sim_create(4, 3, 4);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < 3; i++)
+		for (int j = 0; j < 3; j++)
+			sim->nodes[i].cut_from_worker[j] = true;
+	job = sim_hand_in(sim, 0, 1, 12);
+	sim_run_for(sim, 100);
+	for (int i = 0; i < 3; i++) {
+		sim_crash_worker(sim, i);
+		sim_list_worker(sim, i, false);
+	}
+	sim_run_for(sim, 25000);
+	check_kept(sim, 4);
+	ck_assert_int_eq(sim_state(sim, 0, job->id), JOB_DONE);
+}
+END_TEST
+
+/* One trouble, drawn at random; each is lifted by a later draw. */
+static void trouble(struct sim *sim)
+{
+	int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
+	int worker = (int)rnd_below(&sim->rnd, (uint32_t)sim->worker_count);
+	struct sim_node *at = &sim->nodes[node];
+
+	switch (rnd_below(&sim->rnd, 12)) {
+	case 0:
+		if (at->alive)
+			sim_kill(sim, node);
+		else
+			sim_start(sim, node);
+		break;
+	case 1:
+		node = owner_of_pool(sim);
+		if (node >= 0 && !sim->nodes[node].paused)
+			sim_kill(sim, node);
+		break;
+	case 2:
+	case 3:
+		if (!at->alive)
+			sim_start(sim, node);
+		else if (at->paused)
+			sim_resume(sim, node);
+		else
+			sim_pause(sim, node);
+		break;
+	case 4:
+		at->cut_from_log = !at->cut_from_log;
+		break;
+	case 5:
+	case 6:
+		at->cut_from_worker[worker] = !at->cut_from_worker[worker];
+		break;
+	case 7:
+		sim->faults.log_down = !sim->faults.log_down;
+		break;
+	case 8:
+		sim->faults.lost_percent = rnd_below(&sim->rnd, 2) * 20;
+		sim->faults.late_percent = rnd_below(&sim->rnd, 2) * 10;
+		sim->faults.refused_percent = rnd_below(&sim->rnd, 2) * 20;
+		break;
+	case 9:
+		sim->faults.order_lost_percent = rnd_below(&sim->rnd, 2) * 15;
+		sim->faults.order_late_percent = rnd_below(&sim->rnd, 2) * 10;
+		break;
+	case 10:
+		if (sim->workers[worker].up)
+			sim_crash_worker(sim, worker);
+		else
+			sim_restart_worker(sim, worker);
+		break;
+	default:
+		if (sim->workers[worker].up)
+			sim_list_worker(sim, worker,
+					!sim->workers[worker].listed);
+		break;
+	}
+}
+
+static void heal(struct sim *sim)
+{
+	sim->faults = (struct sim_faults){ 0 };
+	for (int i = 0; i < sim->node_count; i++) {
+		struct sim_node *node = &sim->nodes[i];
+
+		node->cut_from_log = false;
+		for (int j = 0; j < sim->worker_count; j++)
+			node->cut_from_worker[j] = false;
+		if (!node->alive)
+			sim_start(sim, i);
+		else if (node->paused)
+			sim_resume(sim, i);
+	}
+	for (int i = 0; i < sim->worker_count; i++) {
+		if (!sim->workers[i].up)
+			sim_restart_worker(sim, i);
+		else if (!sim->workers[i].listed)
+			sim_list_worker(sim, i, true);
+	}
+}
+
+static int live_node(struct sim *sim)
+{
+	for (int tries = 0; tries < 8; tries++) {
+		int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
+
+		if (sim->nodes[node].alive && !sim->nodes[node].paused)
+			return node;
+	}
+	return -1;
+}
+
+static void play(uint64_t seed)
+{
+	struct sim *sim = sim_create(seed, 3, 5);
+	struct sim_job *jobs[JOBS] = { NULL };
+	int handed = 0;
+
+	sim_run_for(sim, START_MS);
+	for (int step = 0; step < TROUBLE_STEPS; step++) {
+		int node = live_node(sim);
+
+		if (node >= 0 && handed < JOBS)
+			jobs[handed++] = sim_hand_in(
+				sim, node, 1 + (int)rnd_below(&sim->rnd, 3),
+				1 + (int)rnd_below(&sim->rnd, 6));
+		if (node >= 0 && handed > 4 && rnd_below(&sim->rnd, 10) == 0)
+			sim_cancel(
+				sim, node,
+				jobs[rnd_below(&sim->rnd, (uint32_t)handed)]);
+		trouble(sim);
+		sim_run_for(sim, TROUBLE_STEP_MS);
+		check_kept(sim, seed);
+	}
+	heal(sim);
+	sim_run_for(sim, HEAL_MS);
+	check_kept(sim, seed);
+	check_ended(sim, seed);
+}
+
+START_TEST(promises_hold_in_random_troubles)
+{
+	play((uint64_t)_i + 1000);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("node");
+	TCase *tcase = tcase_create("nodes in troubles");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	log_init("test_node", true);
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, calm_jobs_are_done);
+	tcase_add_test(tcase, cancelled_job_stops);
+	tcase_add_test(tcase, worker_listed_after_takeover_keeps_its_runs);
+	tcase_add_test(tcase, task_of_a_gone_worker_runs_elsewhere);
+	tcase_add_loop_test(tcase, promises_hold_in_random_troubles, 0, SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
