--- a/src/job.c
+++ b/src/job.c
@@ -406,7 +406,7 @@
 {
 	task->state = TASK_PLACED;
 	task->phase = PHASE_RECORDING;
-	task->stop_sent = false;
+	task->wish_ms = 0;
 	task->run = run;
 	task->worker = g_intern_string(worker);
 	task->since_ms = now_ms;
--- a/src/job.h
+++ b/src/job.h
@@ -89,7 +89,7 @@
 struct job_task {
 	uint8_t state;
 	uint8_t phase;
-	bool stop_sent;
+	int64_t wish_ms; /* since when its worker is to be emptied; 0: not */
 	int32_t run;
 	int32_t failed;
 	const char *worker; /* interned; where the newest run is or was */
--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -3,8 +3,25 @@
 #include "log.h"
 #include "pool_int.h"
 
-/* Whether so many others of the task's step are at work that it may stop. */
-static bool may_stop(const struct job_pos *pos)
+/* Whether the task was seen at work since that time. */
+static bool at_work(const struct pool *pool, const struct job_task *task,
+		    int64_t since_ms)
+{
+	const struct worker *worker;
+
+	if (task->state != TASK_PLACED || task->phase != PHASE_RUNNING ||
+	    task->percent < 100)
+		return false;
+	worker = worker_find(pool->env->workers, task->worker);
+	return worker && worker->heard_ms > since_ms;
+}
+
+/*
+ * Whether so many others of the task's step are at work that it may stop.
+ * They must have been seen so since the wish to stop it, as a worker may have
+ * crashed unseen.
+ */
+static bool may_stop(const struct pool *pool, const struct job_pos *pos)
 {
 	const struct job_step *step = &pos->job->spec.steps[pos->step];
 	const struct job_task *tasks =
@@ -14,9 +31,7 @@
 	for (int32_t i = 0; i < step->count; i++) {
 		if (&tasks[i] == pos->task)
 			continue;
-		away += tasks[i].state != TASK_PLACED ||
-			tasks[i].phase != PHASE_RUNNING ||
-			tasks[i].percent < 100;
+		away += !at_work(pool, &tasks[i], pos->task->wish_ms);
 	}
 	return away < MAX(step->may_miss, 1);
 }
@@ -35,8 +50,11 @@
 		    !job->spec.steps[pos.step].long_running)
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
-		if (!worker || !(worker->leaving || worker->entry.draining) ||
-		    !may_stop(&pos))
+		if (!worker || !(worker->leaving || worker->entry.draining))
+			continue;
+		if (!pos.task->wish_ms)
+			pos.task->wish_ms = now_ms;
+		if (!may_stop(pool, &pos))
 			continue;
 		pos.task->phase = PHASE_STOPPING;
 		pos.task->since_ms = now_ms;
