--- a/src/evl.c
+++ b/src/evl.c
@@ -1,12 +1,23 @@
 #include "evl.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 
 #include "lim.h"
 
-enum { MAX_SOURCES = 4, MAX_TIMERS = 16, MAX_FDS = 1024 };
+enum {
+	MAX_SOURCES = 4,
+	MAX_TIMERS = 16,
+	MAX_SOURCE_FDS = 1024,
+	MAX_EVENTS = 64,
+	/* A source runs its own time-outs at least so often. */
+	SOURCE_IDLE_MS = 500
+};
 
 struct timer {
 	int64_t interval_ms;
@@ -20,25 +31,86 @@
 	void *arg;
 };
 
+struct source {
+	struct evl_source at;
+	unsigned int count;
+	struct curl_waitfd fds[MAX_SOURCE_FDS];
+	int64_t served_ms;
+};
+
 struct evl {
 	const struct clk *clk;
 	CURLM *multi;
+	int epoll;
+	int pipe[2]; /* written to from other threads and signal handlers */
 	bool stopping;
+	bool poked;	     /* a source has something to do without input */
+	int64_t curl_due_ms; /* time-out of the transfers; -1: none */
 	unsigned int source_count;
-	struct evl_source sources[MAX_SOURCES];
+	struct source sources[MAX_SOURCES];
 	unsigned int timer_count;
 	struct timer timers[MAX_TIMERS];
 	void (*stop_fn)(void *arg);
 	void *stop_arg;
 	void (*reload_fn)(void *arg);
 	void *reload_arg;
-	struct curl_waitfd fds[MAX_FDS];
 };
 
+/* What a watched descriptor belongs to, kept beside it in the kernel. */
+enum watch_kind { WATCH_PIPE, WATCH_CURL, WATCH_SOURCE };
+
 static volatile sig_atomic_t stop_requested;
 static volatile sig_atomic_t reload_requested;
 static struct evl *signal_evl;
 
+static struct epoll_event watch(enum watch_kind kind, uint32_t index, int fd,
+				uint32_t events)
+{
+	return (struct epoll_event){
+		.events = events,
+		.data.u64 = (uint64_t)kind << 56 | (uint64_t)index << 32 |
+			    (uint32_t)fd,
+	};
+}
+
+/* Watches a descriptor, or changes what for. */
+static void watch_fd(struct evl *evl, int fd, struct epoll_event event)
+{
+	if (epoll_ctl(evl->epoll, EPOLL_CTL_ADD, fd, &event) < 0 &&
+	    errno == EEXIST)
+		epoll_ctl(evl->epoll, EPOLL_CTL_MOD, fd, &event);
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *arg,
+		     void *data)
+{
+	struct evl *evl = arg;
+	uint32_t events = 0;
+
+	(void)easy;
+	(void)data;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(evl->epoll, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		events |= EPOLLOUT;
+	watch_fd(evl, fd, watch(WATCH_CURL, 0, fd, events));
+	return 0;
+}
+
+static int on_timeout(CURLM *multi, long timeout_ms, void *arg)
+{
+	struct evl *evl = arg;
+
+	(void)multi;
+	evl->curl_due_ms =
+		timeout_ms < 0 ? -1 : clk_now_ms(evl->clk) + timeout_ms;
+	return 0;
+}
+
 struct evl *evl_create(const struct clk *clk)
 {
 	struct evl *evl = calloc(1, sizeof(*evl));
@@ -47,8 +119,20 @@
 		return NULL;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	evl->clk = clk;
+	evl->curl_due_ms = -1;
+	evl->epoll = epoll_create1(EPOLL_CLOEXEC);
+	if (evl->epoll < 0 || pipe2(evl->pipe, O_NONBLOCK | O_CLOEXEC) < 0) {
+		free(evl);
+		return NULL;
+	}
+	watch_fd(evl, evl->pipe[0],
+		 watch(WATCH_PIPE, 0, evl->pipe[0], EPOLLIN));
 	evl->multi = curl_multi_init();
 	curl_multi_setopt(evl->multi, CURLMOPT_MAXCONNECTS, 4096L);
+	curl_multi_setopt(evl->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(evl->multi, CURLMOPT_SOCKETDATA, evl);
+	curl_multi_setopt(evl->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+	curl_multi_setopt(evl->multi, CURLMOPT_TIMERDATA, evl);
 	return evl;
 }
 
@@ -59,6 +143,9 @@
 	if (signal_evl == evl)
 		signal_evl = NULL;
 	curl_multi_cleanup(evl->multi);
+	close(evl->epoll);
+	close(evl->pipe[0]);
+	close(evl->pipe[1]);
 	free(evl);
 }
 
@@ -70,7 +157,7 @@
 void evl_add_source(struct evl *evl, const struct evl_source *source)
 {
 	if (evl->source_count < MAX_SOURCES)
-		evl->sources[evl->source_count++] = *source;
+		evl->sources[evl->source_count++].at = *source;
 }
 
 void evl_every(struct evl *evl, int64_t interval_ms, void (*fn)(void *arg),
@@ -148,39 +235,171 @@
 	return (int)wait_ms;
 }
 
+/* Whether the source has watched the same descriptors since the last wait. */
+static bool same_fds(const struct source *source, const struct curl_waitfd *fds,
+		     unsigned int count)
+{
+	if (!source->at.fixed || count != source->count)
+		return false;
+	for (unsigned int i = 0; i < count; i++)
+		if (fds[i].fd != source->fds[i].fd ||
+		    fds[i].events != source->fds[i].events)
+			return false;
+	return true;
+}
+
+/*
+ * Watches what a source wants now. A source whose descriptors come and go may
+ * have closed one and opened another under its number, hence each is watched
+ * anew.
+ */
+static void watch_source(struct evl *evl, unsigned int index)
+{
+	struct source *source = &evl->sources[index];
+	struct curl_waitfd fds[MAX_SOURCE_FDS];
+	unsigned int count =
+		source->at.fill(source->at.arg, fds, MAX_SOURCE_FDS);
+
+	if (same_fds(source, fds, count))
+		return;
+	for (unsigned int i = 0; i < source->count; i++) {
+		bool kept = false;
+
+		for (unsigned int j = 0; j < count; j++)
+			kept |= fds[j].fd == source->fds[i].fd;
+		if (!kept)
+			epoll_ctl(evl->epoll, EPOLL_CTL_DEL, source->fds[i].fd,
+				  NULL);
+	}
+	for (unsigned int i = 0; i < count; i++) {
+		uint32_t events = 0;
+
+		if (fds[i].events & CURL_WAIT_POLLIN)
+			events |= EPOLLIN;
+		if (fds[i].events & CURL_WAIT_POLLOUT)
+			events |= EPOLLOUT;
+		watch_fd(evl, fds[i].fd,
+			 watch(WATCH_SOURCE, index, fds[i].fd, events));
+		source->fds[i] = fds[i];
+	}
+	source->count = count;
+}
+
+static void note_ready(struct source *source, int fd, uint32_t events)
+{
+	for (unsigned int i = 0; i < source->count; i++)
+		if (source->fds[i].fd == fd) {
+			if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+				source->fds[i].revents |= CURL_WAIT_POLLIN;
+			if (events & EPOLLOUT)
+				source->fds[i].revents |= CURL_WAIT_POLLOUT;
+		}
+}
+
+static void drain_pipe(struct evl *evl)
+{
+	char bytes[64];
+
+	while (read(evl->pipe[0], bytes, sizeof(bytes)) > 0)
+		;
+	evl->poked = true;
+}
+
+static void take_event(struct evl *evl, const struct epoll_event *event)
+{
+	int fd = (int)(uint32_t)event->data.u64;
+	unsigned int index = event->data.u64 >> 32 & 0xffffff;
+	int action = 0;
+	int running;
+
+	switch ((enum watch_kind)(event->data.u64 >> 56)) {
+	case WATCH_PIPE:
+		drain_pipe(evl);
+		break;
+	case WATCH_SOURCE:
+		note_ready(&evl->sources[index], fd, event->events);
+		break;
+	case WATCH_CURL:
+		if (event->events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+			action |= CURL_CSELECT_IN;
+		if (event->events & EPOLLOUT)
+			action |= CURL_CSELECT_OUT;
+		curl_multi_socket_action(evl->multi, fd, action, &running);
+		break;
+	}
+}
+
+static void serve_source(struct evl *evl, struct source *source)
+{
+	int64_t now_ms = clk_now_ms(evl->clk);
+	bool due = !source->at.fixed ||
+		   now_ms - source->served_ms >= SOURCE_IDLE_MS;
+
+	for (unsigned int i = 0; i < source->count; i++)
+		due |= source->fds[i].revents != 0;
+	if (!due && !evl->poked)
+		return;
+	source->served_ms = now_ms;
+	source->at.ready(source->at.arg, source->fds, source->count);
+	for (unsigned int i = 0; i < source->count; i++)
+		source->fds[i].revents = 0;
+}
+
+static void run_curl_timeout(struct evl *evl)
+{
+	int running;
+
+	if (evl->curl_due_ms < 0 || clk_now_ms(evl->clk) < evl->curl_due_ms)
+		return;
+	evl->curl_due_ms = -1;
+	curl_multi_socket_action(evl->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+static int bound_wait(struct evl *evl, int wait_ms)
+{
+	if (evl->poked)
+		return 0;
+	if (evl->curl_due_ms >= 0) {
+		int64_t left_ms = evl->curl_due_ms - clk_now_ms(evl->clk);
+
+		if (left_ms < wait_ms)
+			wait_ms = left_ms > 0 ? (int)left_ms : 0;
+	}
+	return wait_ms;
+}
+
+static void run_signals(struct evl *evl)
+{
+	if (stop_requested && evl->stop_fn) {
+		stop_requested = 0;
+		evl->stop_fn(evl->stop_arg);
+	}
+	if (reload_requested && evl->reload_fn) {
+		reload_requested = 0;
+		evl->reload_fn(evl->reload_arg);
+	}
+}
+
 void evl_run(struct evl *evl)
 {
+	struct epoll_event events[MAX_EVENTS];
+
 	while (!evl->stopping) {
-		unsigned int starts[MAX_SOURCES + 1] = { 0 };
 		int wait_ms = run_timers(evl);
-		int running;
-
-		for (unsigned int i = 0; i < evl->source_count; i++) {
-			struct evl_source *source = &evl->sources[i];
-			unsigned int start = starts[i];
+		int count;
 
-			starts[i + 1] = start + source->fill(source->arg,
-							     &evl->fds[start],
-							     MAX_FDS - start);
-		}
-		curl_multi_perform(evl->multi, &running);
-		finish_transfers(evl);
-		curl_multi_poll(evl->multi, evl->fds, starts[evl->source_count],
-				wait_ms, NULL);
 		for (unsigned int i = 0; i < evl->source_count; i++)
-			evl->sources[i].ready(evl->sources[i].arg,
-					      &evl->fds[starts[i]],
-					      starts[i + 1] - starts[i]);
-		curl_multi_perform(evl->multi, &running);
+			watch_source(evl, i);
+		count = epoll_wait(evl->epoll, events, MAX_EVENTS,
+				   bound_wait(evl, wait_ms));
+		for (int i = 0; i < count; i++)
+			take_event(evl, &events[i]);
+		run_curl_timeout(evl);
+		for (unsigned int i = 0; i < evl->source_count; i++)
+			serve_source(evl, &evl->sources[i]);
+		evl->poked = false;
 		finish_transfers(evl);
-		if (stop_requested && evl->stop_fn) {
-			stop_requested = 0;
-			evl->stop_fn(evl->stop_arg);
-		}
-		if (reload_requested && evl->reload_fn) {
-			reload_requested = 0;
-			evl->reload_fn(evl->reload_arg);
-		}
+		run_signals(evl);
 	}
 }
 
@@ -189,9 +408,22 @@
 	evl->stopping = true;
 }
 
+/* A full pipe has been written to already. */
+static void write_pipe(const struct evl *evl)
+{
+	ssize_t written = write(evl->pipe[1], "", 1);
+
+	(void)written;
+}
+
 void evl_wake(struct evl *evl)
 {
-	curl_multi_wakeup(evl->multi);
+	write_pipe(evl);
+}
+
+void evl_poke(struct evl *evl)
+{
+	evl->poked = true;
 }
 
 static void handle_signal(int number)
@@ -200,9 +432,8 @@
 		reload_requested = 1;
 	else
 		stop_requested = 1;
-	/* curl_multi_wakeup only writes to a socket pair. */
 	if (signal_evl)
-		curl_multi_wakeup(signal_evl->multi);
+		write_pipe(signal_evl);
 }
 
 void evl_on_stop_signal(struct evl *evl, void (*fn)(void *arg), void *arg)
--- a/src/evl.h
+++ b/src/evl.h
@@ -9,6 +9,7 @@
 #ifndef EVL_H
 #define EVL_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <curl/curl.h>
@@ -26,6 +27,8 @@
 	void (*ready)(void *arg, const struct curl_waitfd *fds,
 		      unsigned int count);
 	void *arg;
+	/* Its descriptors stay the same; ready need not run without input. */
+	bool fixed;
 };
 
 /* evl_create - loop without sources; the clock stays in use */
@@ -59,9 +62,12 @@
 void evl_run(struct evl *evl);
 void evl_stop(struct evl *evl);
 
-/* evl_wake - end the present wait */
+/* evl_wake - end the present wait, from any thread or a signal handler */
 void evl_wake(struct evl *evl);
 
+/* evl_poke - from the loop's own thread: do not wait, and run all sources */
+void evl_poke(struct evl *evl);
+
 /* evl_on_stop_signal - call fn in the loop after SIGTERM or SIGINT */
 void evl_on_stop_signal(struct evl *evl, void (*fn)(void *arg), void *arg);
 
--- a/src/web.c
+++ b/src/web.c
@@ -324,6 +324,7 @@
 		.fill = fill_fds,
 		.ready = serve_fds,
 		.arg = web,
+		.fixed = true,
 	};
 
 	if (!web)
@@ -427,7 +428,7 @@
 	if (ex->suspended) {
 		ex->suspended = false;
 		MHD_resume_connection(ex->connection);
-		evl_wake(ex->web->evl);
+		evl_poke(ex->web->evl);
 	}
 }
 
