--- a/src/front.c
+++ b/src/front.c
@@ -9,6 +9,9 @@
 	FRONT_STALLED_MS = 400,
 	/* Before the caller's deadline, for the answer's way. */
 	FRONT_ANSWER_MS = 150,
+	/* Expected to take so much of its objective, a job is refused; the
+	   estimates are rough, hence the room beyond it. */
+	FRONT_LATE_PERCENT = 130,
 	FRONT_RETRY_UNAVAILABLE_MS = 1000,
 	FRONT_RETRY_OVERLOAD_MS = 1000
 };
@@ -26,6 +29,7 @@
 
 struct front {
 	struct front_env *env;
+	int64_t all_milli; /* most processor time that was ever listed */
 	GPtrArray *waiting;
 };
 
@@ -136,7 +140,10 @@
 
 	if (spec->steps[0].long_running || spec->repeat_count > 0)
 		return false;
-	return place_backlog_ms(&place) + chain_ms > 2 * objective_ms;
+	front->all_milli =
+		MAX(front->all_milli, place_listed_milli(env->workers));
+	return place_backlog_ms(&place, front->all_milli) + chain_ms >
+	       objective_ms * FRONT_LATE_PERCENT / 100;
 }
 
 static void hand_in(struct front *front, const struct front_ask *ask,
--- a/src/hosts_int.h
+++ b/src/hosts_int.h
@@ -12,7 +12,10 @@
 	struct host host;
 	uint32_t round; /* of the list that named it last */
 	bool ordering;	/* an order is under way */
-	bool free;	/* may be moved, in the decision under way */
+	/* In the decision under way. */
+	bool free; /* may be moved */
+	bool idle; /* no task is placed there */
+	int32_t load_milli;
 	int64_t order_due_ms;
 	int64_t ordered_ms; /* when the last order was carried out */
 };
--- a/src/hosts_lend.c
+++ b/src/hosts_lend.c
@@ -5,11 +5,28 @@
 
 enum { LEND_MIN_HOSTS = 2 };
 
-/* What the placements and waiting tasks say of workers and pools. */
+/* What is placed at a worker. */
+struct load {
+	int32_t cpu_milli;
+	bool any;
+	bool lasting; /* some of it runs until it is cancelled */
+};
+
 struct demand {
-	GHashTable *busy; /* workers with a placed task */
+	GHashTable *loads; /* worker -> struct load */
 };
 
+static struct load *load_at(struct demand *demand, const char *worker)
+{
+	struct load *load = g_hash_table_lookup(demand->loads, worker);
+
+	if (!load) {
+		load = g_new0(struct load, 1);
+		g_hash_table_insert(demand->loads, (char *)worker, load);
+	}
+	return load;
+}
+
 static struct lend_pool *lend_pool_find(struct hosts *hosts, const char *name)
 {
 	for (guint i = 0; i < hosts->lend_pools->len; i++) {
@@ -40,6 +57,7 @@
 		pool->standby = cfg->pools[i].standby;
 		pool->wanted_milli = 0;
 		pool->hosts = 0;
+		pool->movable = 0;
 		pool->idle = 0;
 		pool->least = LEND_MIN_HOSTS;
 	}
@@ -72,11 +90,15 @@
 				job_step_ready(job, pos.occurrence, pos.step);
 			note_step(pool, step);
 		}
-		if (pos.task->state == TASK_PLACED)
-			g_hash_table_add(demand->busy,
-					 (char *)pos.task->worker);
-		else if (pos.task->state != TASK_WAITING || !ready)
+		if (pos.task->state == TASK_PLACED) {
+			struct load *load = load_at(demand, pos.task->worker);
+
+			load->any = true;
+			load->cpu_milli += step->cpu_milli;
+			load->lasting |= step->long_running;
+		} else if (pos.task->state != TASK_WAITING || !ready) {
 			continue;
+		}
 		if (!step->fills)
 			pool->wanted_milli += step->cpu_milli;
 	}
@@ -92,14 +114,7 @@
 	return known->host.pool;
 }
 
-static bool is_free(const struct hosts *hosts, const struct known_host *known,
-		    const struct demand *demand, bool standby)
-{
-	return hosts_settled(hosts, known, standby) &&
-	       !g_hash_table_contains(demand->busy, known->host.worker);
-}
-
-static void note_hosts(struct hosts *hosts, const struct demand *demand,
+static void note_hosts(struct hosts *hosts, struct demand *demand,
 		       struct lend *lend)
 {
 	GHashTableIter iter;
@@ -113,6 +128,7 @@
 			host_plan_find(hosts->env->plans, known->host.name);
 		struct lend_pool *pool =
 			lend_pool_find(hosts, home_of(known, plan));
+		const struct load *load;
 
 		known->free = false;
 		total_milli += known->host.cpu_milli;
@@ -124,16 +140,24 @@
 		     known->host.state != HOST_UP))
 			continue;
 		pool->hosts++;
-		known->free = is_free(hosts, known, demand, pool->standby);
-		pool->idle += known->free;
+		load = load_at(demand, g_intern_string(known->host.worker));
+		known->load_milli = load->cpu_milli;
+		known->idle = !load->any;
+		known->free = hosts_settled(hosts, known, pool->standby) &&
+			      !load->lasting;
+		pool->movable += known->free;
+		pool->idle += known->free && known->idle;
 	}
 	if (g_hash_table_size(hosts->known))
 		lend->host_milli =
 			total_milli / g_hash_table_size(hosts->known);
 }
 
-static struct known_host *take_free(struct hosts *hosts, const char *pool)
+/* The host with the least to end; a parked one only if it is idle. */
+static struct known_host *take_free(struct hosts *hosts, const char *pool,
+				    bool idle)
 {
+	struct known_host *best = NULL;
 	GHashTableIter iter;
 	void *value;
 
@@ -141,16 +165,19 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct known_host *known = value;
 
-		if (known->free && !strcmp(known->host.pool, pool))
-			return known;
+		if (!known->free || strcmp(known->host.pool, pool) ||
+		    (idle && !known->idle))
+			continue;
+		if (!best || known->load_milli < best->load_milli)
+			best = known;
 	}
-	return NULL;
+	return best;
 }
 
 static bool move(struct hosts *hosts, struct lend_pool *from,
 		 struct lend_pool *to)
 {
-	struct known_host *known = take_free(hosts, from->name);
+	struct known_host *known = take_free(hosts, from->name, to->standby);
 	const struct host_plan *before;
 	struct host_plan plan = {
 		.work = HOST_MOVE,
@@ -167,7 +194,8 @@
 	g_strlcpy(plan.pool, to->name, sizeof(plan.pool));
 	known->free = false;
 	from->hosts--;
-	from->idle--;
+	from->movable--;
+	from->idle -= known->idle;
 	to->hosts++;
 	hosts_plan(hosts, &plan);
 	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
@@ -180,7 +208,8 @@
 void lend_decide(struct hosts *hosts)
 {
 	struct demand demand = {
-		.busy = g_hash_table_new(g_str_hash, g_str_equal),
+		.loads = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       g_free),
 	};
 	struct job_store *jobs = hosts->env->jobs;
 	int64_t now_ms = clk_now_ms(hosts->env->clk);
@@ -199,5 +228,5 @@
 			 &to))
 		if (!move(hosts, &pools[from], &pools[to]))
 			break;
-	g_hash_table_destroy(demand.busy);
+	g_hash_table_destroy(demand.loads);
 }
--- a/src/lend.c
+++ b/src/lend.c
@@ -26,8 +26,9 @@
 	return hosts > pool->least ? (int32_t)hosts : pool->least;
 }
 
-/* Hosts that the pool can do without. */
-static int32_t surplus(const struct lend *lend, const struct lend_pool *pool)
+/* Hosts that the pool can do without, of those that may be taken. */
+static int32_t surplus(const struct lend *lend, const struct lend_pool *pool,
+		       int32_t takable)
 {
 	int32_t need = lend_need(lend, pool, pool->peak_milli);
 	int32_t over;
@@ -35,7 +36,7 @@
 	if (!pool->standby)
 		need += LEND_RESERVE;
 	over = pool->hosts - need;
-	return over < pool->idle ? over : pool->idle;
+	return over < takable ? over : takable;
 }
 
 void lend_note(const struct lend *lend, struct lend_pool *pool, int64_t now_ms)
@@ -55,7 +56,7 @@
 		pool->before_milli = pool->wanted_milli;
 		pool->before_ms = now_ms;
 	}
-	if (surplus(lend, pool) <= 0)
+	if (surplus(lend, pool, pool->idle) <= 0)
 		pool->surplus_since_ms = 0;
 	else if (!pool->surplus_since_ms)
 		pool->surplus_since_ms = now_ms;
@@ -75,7 +76,7 @@
 	int32_t best = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
-		int32_t over = surplus(lend, &pools[i]);
+		int32_t over = surplus(lend, &pools[i], pools[i].movable);
 
 		if (over > 0 && pools[i].standby) {
 			*from = i;
@@ -117,7 +118,8 @@
 			any = true;
 		}
 	for (uint32_t i = 0; any && i < count; i++)
-		if (!pools[i].standby && surplus(lend, &pools[i]) > 0 &&
+		if (!pools[i].standby &&
+		    surplus(lend, &pools[i], pools[i].idle) > 0 &&
 		    now_ms - pools[i].surplus_since_ms > LEND_PARK_MS) {
 			*from = i;
 			return true;
--- a/src/lend.h
+++ b/src/lend.h
@@ -23,7 +23,8 @@
 	bool standby;	      /* its hosts are off */
 	int64_t wanted_milli; /* processor time that tasks run with, or wait for */
 	int32_t hosts;	      /* up, or on their way here */
-	int32_t idle;	      /* of these, free to be moved */
+	int32_t movable;      /* of these, without long-running tasks, */
+	int32_t idle;	      /* and without any */
 	int32_t least;	      /* hosts that its long-running tasks need */
 	/* Kept between decisions. */
 	int64_t peak_milli; /* largest recent want */
--- a/src/place.c
+++ b/src/place.c
@@ -310,24 +310,74 @@
 	return total;
 }
 
-int64_t place_backlog_ms(const struct place *place)
+/* Processor time that is listed, and that placements take, of all workers. */
+static void count_room(const struct place *place, int64_t *own_milli,
+		       int64_t *other_milli)
 {
-	double work = 0, room = 0;
-
+	*own_milli = 0;
+	*other_milli = 0;
 	for (guint i = 0; i < place->workers->list->len; i++) {
 		const struct worker *worker = place->workers->list->pdata[i];
 
-		if (worker->listed && !worker->entry.draining &&
-		    !strcmp(worker->entry.pool, place->pool))
-			room += worker->entry.cpu_milli;
+		if (!worker->listed || worker->entry.draining)
+			continue;
+		if (!strcmp(worker->entry.pool, place->pool))
+			*own_milli += worker->entry.cpu_milli;
+		else
+			*other_milli += worker->entry.cpu_milli;
 	}
+}
+
+/* Work of the pool that has yet to be done, and what runs in other pools. */
+static double count_work(const struct place *place, int64_t *other_milli)
+{
+	double work = 0;
+
 	for (guint i = 0; i < place->jobs->live->len; i++) {
-		const struct job *job = place->jobs->live->pdata[i];
+		struct job_pos pos = { .job = place->jobs->live->pdata[i] };
+		bool own = !strcmp(pos.job->pool, place->pool);
+
+		if (!pos.job->has_spec || job_ended(pos.job->shown))
+			continue;
+		while (job_next_task(&pos)) {
+			const struct job_step *step =
+				&pos.job->spec.steps[pos.step];
+
+			if (!own && pos.task->state == TASK_PLACED)
+				*other_milli -= step->cpu_milli;
+			else if (own && pos.task->state != TASK_DONE &&
+				 !step->long_running)
+				work += (double)step->cpu_milli *
+					step->estimate_ms;
+		}
+	}
+	return work;
+}
+
+int64_t place_backlog_ms(const struct place *place, int64_t all_milli)
+{
+	int64_t own_milli, other_milli;
+	int64_t parked_milli, room_milli;
+	double work;
+
+	count_room(place, &own_milli, &other_milli);
+	parked_milli = MAX(all_milli - own_milli - other_milli, 0);
+	work = count_work(place, &other_milli);
+	room_milli = own_milli + parked_milli + MAX(other_milli, 0);
+	if (room_milli <= 0)
+		return INT64_MAX / 2;
+	return (int64_t)(work / (double)room_milli);
+}
+
+int64_t place_listed_milli(const struct worker_table *workers)
+{
+	int64_t total_milli = 0;
+
+	for (guint i = 0; i < workers->list->len; i++) {
+		const struct worker *worker = workers->list->pdata[i];
 
-		if (job->has_spec && !job_ended(job->shown) &&
-		    !job->spec.steps[0].long_running &&
-		    !strcmp(job->pool, place->pool))
-			work += job_work_left(job);
+		if (worker->listed)
+			total_milli += worker->entry.cpu_milli;
 	}
-	return room > 0 ? (int64_t)(work / room) : INT64_MAX;
+	return total_milli;
 }
--- a/src/place.h
+++ b/src/place.h
@@ -51,9 +51,13 @@
 /*
  * place_backlog_ms - how long a pool takes for the work that it has accepted
  *
- * From estimates and the capacity of its listed workers; INT64_MAX if it has
- * none.
+ * From estimates, its own workers, and the hosts that can be lent to it: what
+ * is free in other pools, and what is parked, as all_milli of processor time
+ * was listed at some time.
  */
-int64_t place_backlog_ms(const struct place *place);
+int64_t place_backlog_ms(const struct place *place, int64_t all_milli);
+
+/* place_listed_milli - processor time of all listed workers */
+int64_t place_listed_milli(const struct worker_table *workers);
 
 #endif
