--- a/src/front.c
+++ b/src/front.c
@@ -140,8 +140,6 @@
 
 	if (spec->steps[0].long_running || spec->repeat_count > 0)
 		return false;
-	front->all_milli =
-		MAX(front->all_milli, place_listed_milli(env->workers));
 	return place_backlog_ms(&place, front->all_milli) + chain_ms >
 	       objective_ms * FRONT_LATE_PERCENT / 100;
 }
@@ -313,6 +311,8 @@
 	int64_t now_ms = clk_now_ms(front->env->clk);
 	bool stalled = writer_stalled_ms(writer) > FRONT_STALLED_MS;
 
+	front->all_milli = MAX(front->all_milli,
+			       place_listed_milli(front->env->workers));
 	for (guint i = front->waiting->len; i > 0; i--) {
 		struct waiting *waiting = front->waiting->pdata[i - 1];
 
