--- a/src/hosts_lend.c
+++ b/src/hosts_lend.c
@@ -2,7 +2,6 @@
 
 #include "hosts_int.h"
 #include "log.h"
-#include "place.h"
 
 enum { LEND_MIN_HOSTS = 2 };
 
@@ -79,7 +78,7 @@
 	struct lend_pool *pool = lend_pool_find(hosts, job->pool);
 	struct job_pos pos = { .job = job };
 	int64_t wall_ms = clk_wall_ms(hosts->env->clk);
-	bool ready = false, in_time = false;
+	bool ready = false;
 
 	if (!pool || !job->has_spec || job->cancel_asked)
 		return;
@@ -89,10 +88,6 @@
 		if (!pos.index) {
 			ready = job_due_ms(job, pos.occurrence) <= wall_ms &&
 				job_step_ready(job, pos.occurrence, pos.step);
-			in_time = step->long_running ||
-				  wall_ms + job_rest_ms(job, pos.occurrence) <=
-					  place_target_ms(*hosts->env->cfg,
-							  job);
 			note_step(pool, step);
 		}
 		if (pos.task->state == TASK_PLACED) {
@@ -101,9 +96,7 @@
 			load->any = true;
 			load->cpu_milli += step->cpu_milli;
 			load->lasting |= step->long_running;
-		} else if (pos.task->state != TASK_WAITING || !ready ||
-			   !in_time) {
-			/* What is too late uses the room that others leave. */
+		} else if (pos.task->state != TASK_WAITING || !ready) {
 			continue;
 		}
 		if (!step->fills)
