Wait after a takeover only for hosts that were ordered just before

The new holder of the hosts gave no order for 3 s, so that two holders would not take turns on one host; in a trouble that moves the duty several times no host followed the work.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -80,11 +80,12 @@
 }
 
 int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
-		    const char *value, size_t len, bool own, struct err *err)
+		    const char *value, size_t len, bool own, int64_t now_ms,
+		    struct err *err)
 {
 	struct err fault = { .kind = ERR_OK };
 	struct host_plan *kept = host_plan_find(plans, host);
-	struct host_plan plan = { .offset = offset };
+	struct host_plan plan = { .offset = offset, .seen_ms = now_ms };
 	struct json_object *object;
 	struct jsn root, at;
 
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -39,6 +39,8 @@
 	/* Not in the record: the plan for which its pool's owner has stored
 	   HOST_CLEAR, or is about to. */
 	int64_t clearing;
+	int64_t earlier_ms; /* seen_ms of the plan before it; 0: none */
+	int64_t seen_ms;    /* when the record was applied here */
 };
 
 struct host_plans {
@@ -63,7 +65,8 @@
  * and only that answer changes it.
  */
 int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
-		    const char *value, size_t len, bool own, struct err *err);
+		    const char *value, size_t len, bool own, int64_t now_ms,
+		    struct err *err);
 
 /* host_plan_record - record of a plan, freed with g_free */
 char *host_plan_record(const struct host_plan *plan, size_t *len);
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -21,6 +21,8 @@
 
 	hosts->listed_ms = 0;
 	hosts->plans = 0;
+	hosts->quiet_until_ms =
+		hosts->tenure.taken_ms + hosts->env->order_lease_ms;
 	hosts->list_due_ms = 0;
 }
 
@@ -219,7 +221,10 @@
 struct host_plan *hosts_plan(struct hosts *hosts, const struct host_plan *plan)
 {
 	struct host_plan numbered = *plan;
+	const struct host_plan *earlier =
+		host_plan_find(hosts->env->plans, plan->host);
 
+	numbered.earlier_ms = earlier ? earlier->seen_ms : 0;
 	numbered.number = hosts->tenure.fence * HOSTS_PLANS + ++hosts->plans;
 	host_plan_put(hosts->env->plans, &numbered);
 	hosts_store(hosts, &numbered);
@@ -246,6 +251,7 @@
 			struct host_plan *plan)
 {
 	plan->step = HOST_ORDERED;
+	plan->seen_ms = clk_now_ms(hosts->env->clk);
 	if (plan->work == HOST_RESTART)
 		plan->done_wave = plan->wave;
 	hosts_store(hosts, plan);
@@ -293,10 +299,24 @@
 
 static bool may_order(const struct hosts *hosts, int64_t now_ms)
 {
-	const struct tenure *tenure = &hosts->tenure;
+	return now_ms < hosts->tenure.authority_end_ms;
+}
 
-	return now_ms < tenure->authority_end_ms &&
-	       now_ms > tenure->taken_ms + hosts->env->order_lease_ms;
+/*
+ * Whether an earlier holder may have ordered the host so short a time ago
+ * that another order would be taken for two holders taking turns.
+ */
+static bool ordered_lately(const struct hosts *hosts,
+			   const struct host_plan *plan, int64_t now_ms)
+{
+	int64_t lease_ms = hosts->env->order_lease_ms;
+	int64_t taken_ms = hosts->tenure.taken_ms;
+
+	/* Made under this tenure: no other holder knew of it. */
+	if (plan->number / HOSTS_PLANS == hosts->tenure.fence)
+		return now_ms < hosts->quiet_until_ms &&
+		       now_ms < plan->earlier_ms + lease_ms;
+	return now_ms < taken_ms + lease_ms;
 }
 
 static void order(struct hosts *hosts, struct known_host *known,
@@ -327,7 +347,8 @@
 		struct known_host *known = hosts_find(hosts, plan->host);
 
 		if (plan->step != HOST_CLEAR || !known || known->ordering ||
-		    now_ms < known->order_due_ms)
+		    now_ms < known->order_due_ms ||
+		    ordered_lately(hosts, plan, now_ms))
 			continue;
 		if (plan->work == HOST_RESTART &&
 		    !wave_may_begin(hosts, plan->wave))
--- a/src/hosts_int.h
+++ b/src/hosts_int.h
@@ -31,9 +31,10 @@
 	struct tenure tenure;
 	GHashTable *known; /* name -> struct known_host */
 	GPtrArray *waves;
-	GArray *lend_pools;    /* struct lend_pool */
-	int64_t plans;	       /* made under this fence */
-	struct writer *status; /* NULL: not needed yet */
+	GArray *lend_pools;	/* struct lend_pool */
+	int64_t quiet_until_ms; /* hosts ordered just before the takeover wait */
+	int64_t plans;		/* made under this fence */
+	struct writer *status;	/* NULL: not needed yet */
 	bool listing;
 	bool list_failing;
 	uint32_t round;
--- a/src/node.c
+++ b/src/node.c
@@ -158,7 +158,7 @@
 
 	if (host_plan_apply(node->plans, host, record->offset, record->value,
 			    record->value_len, hosts_held(node->hosts),
-			    &err) < 0)
+			    clk_now_ms(node->config.clk), &err) < 0)
 		log_error("plan of host %s at offset %" G_GINT64_FORMAT
 			  " cannot be read: %s",
 			  host, record->offset, err.text);
