--- a/src/cmd.c
+++ b/src/cmd.c
@@ -38,12 +38,13 @@
 	} else if (faults) {
 		arg_print_errors(stderr, end, program);
 		status = err_answer(ERR_INVALID)->exit_code;
-	} else if (!settings->count) {
+	} else if (!settings->count && !args->settings[0]) {
 		fprintf(stderr, "%s: --settings FILE is needed\n", program);
 		status = err_answer(ERR_INVALID)->exit_code;
 	} else {
-		snprintf(args->settings, sizeof(args->settings), "%s",
-			 settings->filename[0]);
+		if (settings->count)
+			snprintf(args->settings, sizeof(args->settings), "%s",
+				 settings->filename[0]);
 		args->check_only = check->count > 0;
 		args->quiet = quiet->count > 0;
 	}
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -24,7 +24,7 @@
 /*
  * cmd_daemon_args - read a daemon's command line
  *
- * Prints help, version or what is wrong.
+ * args may name settings that are taken if the line names none. Prints help, version or what is wrong.
  *
  * RETURN VALUE
  *	CMD_RUN, or the exit status.
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -652,7 +652,7 @@
 {
 	struct err err = { .kind = ERR_OK };
 	struct entryd entryd = { 0 };
-	struct cmd_daemon args;
+	struct cmd_daemon args = { 0 };
 	apr_pool_t *pool;
 	struct cnf *cnf;
 	int status = cmd_daemon_args(argc, argv, "plank-entryd", &args);
--- a/src/evl.c
+++ b/src/evl.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "lim.h"
+#include "log.h"
 
 enum {
 	MAX_SOURCES = 4,
@@ -384,10 +385,12 @@
 {
 	struct epoll_event events[MAX_EVENTS];
 
+	log_buffered(true);
 	while (!evl->stopping) {
 		int wait_ms = run_timers(evl);
 		int count;
 
+		log_flush();
 		for (unsigned int i = 0; i < evl->source_count; i++)
 			watch_source(evl, i);
 		count = epoll_wait(evl->epoll, events, MAX_EVENTS,
@@ -401,6 +404,7 @@
 		finish_transfers(evl);
 		run_signals(evl);
 	}
+	log_buffered(false);
 }
 
 void evl_stop(struct evl *evl)
--- a/src/front.c
+++ b/src/front.c
@@ -22,6 +22,7 @@
 	struct front_ask ask;
 	/* The configuration may change meanwhile. */
 	char queue[LIM_NAME_BYTES];
+	int64_t asked_ms;
 	int64_t number; /* of the record; 0: waits for a read */
 	front_fn *fn;
 	void *arg;
@@ -63,6 +64,7 @@
 	struct waiting *waiting = g_new0(struct waiting, 1);
 
 	waiting->front = front;
+	waiting->asked_ms = clk_now_ms(front->env->clk);
 	waiting->ask = *ask;
 	waiting->ask.queue = NULL;
 	if (ask->queue)
@@ -112,6 +114,8 @@
 		env->counts.undecided++;
 	} else if (waiting->ask.kind == FRONT_HAND_IN) {
 		env->counts.handed_in++;
+		hst_add(&env->hand_in_ms,
+			clk_now_ms(env->clk) - waiting->asked_ms);
 		log_info("job-accepted id=%s queue=%s", waiting->ask.id,
 			 waiting->queue);
 	} else {
@@ -311,8 +315,8 @@
 	int64_t now_ms = clk_now_ms(front->env->clk);
 	bool stalled = writer_stalled_ms(writer) > FRONT_STALLED_MS;
 
-	front->all_milli = MAX(front->all_milli,
-			       place_listed_milli(front->env->workers));
+	front->all_milli =
+		MAX(front->all_milli, place_listed_milli(front->env->workers));
 	for (guint i = front->waiting->len; i > 0; i--) {
 		struct waiting *waiting = front->waiting->pdata[i - 1];
 
--- a/src/front.h
+++ b/src/front.h
@@ -12,6 +12,7 @@
 
 #include "cfg.h"
 #include "clk.h"
+#include "hst.h"
 #include "job.h"
 #include "place.h"
 #include "tail.h"
@@ -66,6 +67,7 @@
 	struct tail *tail;
 	struct writer *writer;
 	struct front_counts counts;
+	struct hst hand_in_ms; /* from a hand-in to its answer */
 };
 
 struct front;
--- a/src/log.c
+++ b/src/log.c
@@ -1,15 +1,40 @@
 #include "log.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define G_LOG_DOMAIN "plank"
 #define G_LOG_USE_STRUCTURED
 #include <glib.h>
 
+enum {
+	LOG_KINDS = 16, /* kinds of lines left out that are told apart */
+	LOG_KIND_BYTES = 32,
+	/* A pipe that polls as writable takes so much without blocking. */
+	LOG_WRITE_BYTES = 4096
+};
+
+/* Lines of one kind that were left out in the present second. */
+struct left_out {
+	char kind[LOG_KIND_BYTES];
+	int64_t count;
+};
+
+static GMutex lock;
 static const char *process_name = "plank";
 static bool warnings_only;
+static bool buffering;
+static char buffer[LOG_BUFFER_BYTES];
+static size_t used;
+static time_t second;
+static size_t info_bytes, warn_bytes; /* in the present second */
+static struct left_out left_out[LOG_KINDS];
+static int left_out_kinds;
+static int64_t left_out_total;
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -20,14 +45,109 @@
 	return "info";
 }
 
+/* Writes whole lines as far as the reader takes them without blocking. */
+static void write_out(void)
+{
+	size_t done = 0;
+
+	while (done < used) {
+		struct pollfd pollfd = { .fd = STDOUT_FILENO,
+					 .events = POLLOUT };
+		size_t len = MIN(used - done, (size_t)LOG_WRITE_BYTES);
+		ssize_t written;
+
+		if (poll(&pollfd, 1, 0) < 1 || !(pollfd.revents & POLLOUT))
+			break;
+		written = write(STDOUT_FILENO, buffer + done, len);
+		if (written <= 0)
+			break;
+		done += (size_t)written;
+	}
+	memmove(buffer, buffer + done, used - done);
+	used -= done;
+}
+
+static void note_left_out(const char *text)
+{
+	size_t len = strcspn(text, " ");
+	char kind[LOG_KIND_BYTES];
+	int index = 0;
+
+	g_strlcpy(kind, text, MIN(len + 1, sizeof(kind)));
+	left_out_total++;
+	while (index < left_out_kinds && strcmp(left_out[index].kind, kind))
+		index++;
+	if (index == LOG_KINDS)
+		index--; /* the last one counts for all others */
+	else if (index == left_out_kinds) {
+		left_out_kinds++;
+		g_strlcpy(left_out[index].kind, kind, LOG_KIND_BYTES);
+		left_out[index].count = 0;
+	}
+	left_out[index].count++;
+}
+
+static size_t make_line(char *line, GLogLevelFlags level, const char *text)
+{
+	struct timespec now;
+	char stamp[32];
+	struct tm tm;
+	int len;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &tm);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
+	len = snprintf(line, LOG_LINE_BYTES, "%s.%03ldZ %s %s: %s\n", stamp,
+		       now.tv_nsec / 1000000, level_name(level), process_name,
+		       text);
+	if (len < LOG_LINE_BYTES)
+		return (size_t)len;
+	line[LOG_LINE_BYTES - 2] = '\n';
+	return LOG_LINE_BYTES - 1;
+}
+
+static void add_line(GLogLevelFlags level, const char *text)
+{
+	bool info = !(level & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_CRITICAL));
+	size_t *spent = info ? &info_bytes : &warn_bytes;
+	size_t budget = info ? LOG_INFO_BYTES_S : LOG_WARN_BYTES_S;
+	char line[LOG_LINE_BYTES];
+	size_t len = make_line(line, level, text);
+
+	if (*spent + len > budget || used + len > LOG_BUFFER_BYTES) {
+		note_left_out(text);
+		return;
+	}
+	*spent += len;
+	memcpy(buffer + used, line, len);
+	used += len;
+}
+
+/* Begins a new second: the budgets are whole again, what was left out told. */
+static void begin_second(time_t now)
+{
+	int kinds = left_out_kinds;
+
+	second = now;
+	info_bytes = 0;
+	warn_bytes = 0;
+	left_out_kinds = 0;
+	for (int i = 0; i < kinds; i++) {
+		char text[LOG_KIND_BYTES + 64];
+
+		snprintf(text, sizeof(text),
+			 "log-left-out kind=%s lines=%" G_GINT64_FORMAT,
+			 left_out[i].kind, left_out[i].count);
+		add_line(G_LOG_LEVEL_WARNING, text);
+	}
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags level,
 				   const GLogField *fields, gsize count,
 				   gpointer data)
 {
 	const char *text = "";
-	struct timespec now;
-	char stamp[32];
-	struct tm tm;
+	time_t now = time(NULL);
 
 	(void)data;
 	if (warnings_only &&
@@ -36,11 +156,13 @@
 	for (gsize i = 0; i < count; i++)
 		if (!strcmp(fields[i].key, "MESSAGE"))
 			text = fields[i].value;
-	clock_gettime(CLOCK_REALTIME, &now);
-	gmtime_r(&now.tv_sec, &tm);
-	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(stderr, "%s.%03ldZ %s %s: %s\n", stamp, now.tv_nsec / 1000000,
-		level_name(level), process_name, text);
+	g_mutex_lock(&lock);
+	if (now != second)
+		begin_second(now);
+	add_line(level, text);
+	if (!buffering || (level & G_LOG_LEVEL_CRITICAL))
+		write_out();
+	g_mutex_unlock(&lock);
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -51,6 +173,27 @@
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+void log_buffered(bool buffered)
+{
+	buffering = buffered;
+	log_flush();
+}
+
+void log_flush(void)
+{
+	g_mutex_lock(&lock);
+	if (left_out_kinds && time(NULL) != second)
+		begin_second(time(NULL));
+	if (used)
+		write_out();
+	g_mutex_unlock(&lock);
+}
+
+int64_t log_left_out(void)
+{
+	return left_out_total;
+}
+
 static void write_text(GLogLevelFlags level, const char *fmt, va_list ap)
 {
 	char *text = g_strdup_vprintf(fmt, ap);
--- a/src/node.c
+++ b/src/node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "node_metrics.h"
 
 enum {
 	NODE_JOBS_PART = 0,
@@ -441,6 +442,55 @@
 	       writer_stalled_ms(node->writer) < NODE_UNREADY_MS;
 }
 
+static int64_t count_waiting(const struct node *node)
+{
+	int64_t count = 0;
+
+	for (guint i = 0; i < node->jobs->live->len; i++) {
+		struct job_pos pos = { .job = node->jobs->live->pdata[i] };
+
+		if (!owns(node, pos.job))
+			continue;
+		while (job_next_task(&pos))
+			count += pos.task->state == TASK_WAITING;
+	}
+	return count;
+}
+
+static int64_t count_owned(const struct node *node)
+{
+	GHashTableIter iter;
+	int64_t count = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += pool_owned(value);
+	return count;
+}
+
+char *node_metrics(const struct node *node, apr_pool_t *pool)
+{
+	struct node_gauges gauges = {
+		.pools_owned = count_owned(node),
+		.hosts_held = hosts_held(node->hosts),
+		.jobs_live = node->jobs->live->len,
+		.tasks_waiting = count_waiting(node),
+		.cfg_version = node->cfg ? node->cfg->version : -1,
+		.ready = node_ready(node),
+		.stream_age_ms = tail_age_ms(node->tail),
+		.append_stalled_ms = writer_stalled_ms(node->writer),
+	};
+
+	for (guint i = 0; i < node->workers->list->len; i++) {
+		const struct worker *worker = node->workers->list->pdata[i];
+
+		gauges.workers_listed += worker->listed;
+	}
+	return node_metrics_text(pool, &node->front_env, &node->pool_env,
+				 &node->hosts_env, &gauges);
+}
+
 bool node_owns(const struct node *node, const char *name)
 {
 	const struct pool *pool = pool_of(node, name);
--- a/src/node.h
+++ b/src/node.h
@@ -5,6 +5,8 @@
 #ifndef NODE_H
 #define NODE_H
 
+#include <apr_pools.h>
+
 #include "evl.h"
 #include "front.h"
 #include "group.h"
@@ -64,6 +66,9 @@
 /* node_ready - whether callers may be sent here */
 bool node_ready(const struct node *node);
 
+/* node_metrics - counters and latencies as text, allocated from the pool */
+char *node_metrics(const struct node *node, apr_pool_t *pool);
+
 /* node_owns - whether this node has taken that pool over */
 bool node_owns(const struct node *node, const char *pool);
 
--- /dev/null
+++ b/src/node_metrics.c
@@ -0,0 +1,147 @@
+#include "node_metrics.h"
+
+#include <apr_strings.h>
+
+#include "log.h"
+
+enum metric {
+	M_HANDED_IN,
+	M_REFUSED_OVERLOAD,
+	M_REFUSED_UNAVAILABLE,
+	M_REFUSED_INVALID,
+	M_UNDECIDED,
+	M_CANCELLED,
+	M_STARTS_SENT,
+	M_STARTS_REFUSED,
+	M_RENEWALS,
+	M_RENEWALS_FAILED,
+	M_RUNS_DONE,
+	M_RUNS_FAILED,
+	M_RUNS_LOST,
+	M_TAKEOVERS,
+	M_RESTARTS_ORDERED,
+	M_MOVES_ORDERED,
+	M_HOST_ORDERS_REFUSED,
+	M_WAVES_DONE,
+	M_LOG_LEFT_OUT,
+	M_POOLS_OWNED,
+	M_HOSTS_HELD,
+	M_JOBS_LIVE,
+	M_TASKS_WAITING,
+	M_WORKERS_LISTED,
+	M_CFG_VERSION,
+	M_READY,
+	M_STREAM_AGE_MS,
+	M_APPEND_STALLED_MS,
+	M_COUNT
+};
+
+static const struct ctr_def defs[M_COUNT] = {
+	[M_HANDED_IN] = { "jobs_handed_in", CTR_COUNTER, "jobs stored" },
+	[M_REFUSED_OVERLOAD] = { "refused_overload", CTR_COUNTER,
+				 "jobs refused for want of capacity" },
+	[M_REFUSED_UNAVAILABLE] = { "refused_unavailable", CTR_COUNTER,
+				    "requests refused for want of the log" },
+	[M_REFUSED_INVALID] = { "refused_invalid", CTR_COUNTER,
+				"jobs that cannot be read" },
+	[M_UNDECIDED] = { "requests_undecided", CTR_COUNTER,
+			  "requests whose record may have been stored" },
+	[M_CANCELLED] = { "jobs_cancelled", CTR_COUNTER, "cancels stored" },
+	[M_STARTS_SENT] = { "starts_sent", CTR_COUNTER, "start orders" },
+	[M_STARTS_REFUSED] = { "starts_refused", CTR_COUNTER,
+			       "start orders that workers refused" },
+	[M_RENEWALS] = { "renewals", CTR_COUNTER, "lease renewals sent" },
+	[M_RENEWALS_FAILED] = { "renewals_failed", CTR_COUNTER,
+				"lease renewals without success" },
+	[M_RUNS_DONE] = { "runs_done", CTR_COUNTER, "runs that ended done" },
+	[M_RUNS_FAILED] = { "runs_failed", CTR_COUNTER, "runs that failed" },
+	[M_RUNS_LOST] = { "runs_lost", CTR_COUNTER,
+			  "runs stopped, lapsed or gone with their worker" },
+	[M_TAKEOVERS] = { "takeovers", CTR_COUNTER, "pools taken over" },
+	[M_RESTARTS_ORDERED] = { "host_restarts", CTR_COUNTER,
+				 "hosts restarted for a wave" },
+	[M_MOVES_ORDERED] = { "host_moves", CTR_COUNTER,
+			      "hosts moved between pools" },
+	[M_HOST_ORDERS_REFUSED] = { "host_orders_refused", CTR_COUNTER,
+				    "orders on hosts without success" },
+	[M_WAVES_DONE] = { "waves_done", CTR_COUNTER, "waves completed" },
+	[M_LOG_LEFT_OUT] = { "log_left_out", CTR_COUNTER,
+			     "log lines left out" },
+	[M_POOLS_OWNED] = { "pools_owned", CTR_GAUGE, "pools of this node" },
+	[M_HOSTS_HELD] = { "hosts_held", CTR_GAUGE,
+			   "1 if this node holds the hosts" },
+	[M_JOBS_LIVE] = { "jobs_live", CTR_GAUGE, "jobs that have not ended" },
+	[M_TASKS_WAITING] = { "tasks_waiting", CTR_GAUGE,
+			      "tasks of the pools of this node that wait" },
+	[M_WORKERS_LISTED] = { "workers_listed", CTR_GAUGE,
+			       "workers in the registry" },
+	[M_CFG_VERSION] = { "configuration_version", CTR_GAUGE,
+			    "configuration in force; -1: none" },
+	[M_READY] = { "ready", CTR_GAUGE, "1 if callers may be sent here" },
+	[M_STREAM_AGE_MS] = { "stream_age_ms", CTR_GAUGE,
+			      "since the start of the last answered read" },
+	[M_APPEND_STALLED_MS] = { "append_stalled_ms", CTR_GAUGE,
+				  "since the append under way was sent" },
+};
+
+static void add_latency(apr_pool_t *pool, char **text, const char *name,
+			const struct hst *hst)
+{
+	static const double percents[] = { 50, 90, 99 };
+
+	for (size_t i = 0; i < sizeof(percents) / sizeof(percents[0]); i++)
+		*text = apr_psprintf(
+			pool, "%splank_%s_ms{quantile=\"%g\"} %llu\n", *text,
+			name, percents[i] / 100,
+			(unsigned long long)hst_percentile(hst, percents[i]));
+	*text = apr_psprintf(pool, "%splank_%s_ms_count %llu\n", *text, name,
+			     (unsigned long long)hst->count);
+}
+
+char *node_metrics_text(apr_pool_t *pool, const struct front_env *front,
+			const struct pool_env *pools,
+			const struct hosts_env *hosts,
+			const struct node_gauges *gauges)
+{
+	struct ctr *ctr = ctr_create(pool, defs, M_COUNT);
+	const int64_t values[M_COUNT] = {
+		[M_HANDED_IN] = front->counts.handed_in,
+		[M_REFUSED_OVERLOAD] = front->counts.refused_overload,
+		[M_REFUSED_UNAVAILABLE] = front->counts.refused_unavailable,
+		[M_REFUSED_INVALID] = front->counts.refused_invalid,
+		[M_UNDECIDED] = front->counts.undecided,
+		[M_CANCELLED] = front->counts.cancelled,
+		[M_STARTS_SENT] = pools->counts.starts_sent,
+		[M_STARTS_REFUSED] = pools->counts.starts_refused,
+		[M_RENEWALS] = pools->counts.renewals,
+		[M_RENEWALS_FAILED] = pools->counts.renewals_failed,
+		[M_RUNS_DONE] = pools->counts.runs_done,
+		[M_RUNS_FAILED] = pools->counts.runs_failed,
+		[M_RUNS_LOST] = pools->counts.runs_lost,
+		[M_TAKEOVERS] = pools->counts.takeovers,
+		[M_RESTARTS_ORDERED] = hosts->counts.restarts_ordered,
+		[M_MOVES_ORDERED] = hosts->counts.moves_ordered,
+		[M_HOST_ORDERS_REFUSED] = hosts->counts.orders_refused,
+		[M_WAVES_DONE] = hosts->counts.waves_done,
+		[M_LOG_LEFT_OUT] = log_left_out(),
+		[M_POOLS_OWNED] = gauges->pools_owned,
+		[M_HOSTS_HELD] = gauges->hosts_held,
+		[M_JOBS_LIVE] = gauges->jobs_live,
+		[M_TASKS_WAITING] = gauges->tasks_waiting,
+		[M_WORKERS_LISTED] = gauges->workers_listed,
+		[M_CFG_VERSION] = gauges->cfg_version,
+		[M_READY] = gauges->ready,
+		[M_STREAM_AGE_MS] = gauges->stream_age_ms,
+		[M_APPEND_STALLED_MS] = gauges->append_stalled_ms,
+	};
+	char *text;
+
+	for (size_t i = 0; i < M_COUNT; i++)
+		ctr_set(ctr, i, values[i]);
+	text = ctr_text(ctr, pool);
+	add_latency(pool, &text, "hand_in", &front->hand_in_ms);
+	add_latency(pool, &text, "job_wait", &pools->wait_ms);
+	add_latency(pool, &text, "job_age", &pools->age_ms);
+	add_latency(pool, &text, "start_order", &pools->start_ms);
+	return text;
+}
--- /dev/null
+++ b/src/node_metrics.h
@@ -0,0 +1,37 @@
+/*
+ * NAME
+ *	node_metrics - counters and latencies of a node, as text for scrapers
+ */
+#ifndef NODE_METRICS_H
+#define NODE_METRICS_H
+
+#include "ctr.h"
+#include "front.h"
+#include "hosts.h"
+#include "pool.h"
+
+/* What is true at the time of a scrape. */
+struct node_gauges {
+	int64_t pools_owned;
+	int64_t hosts_held;
+	int64_t jobs_live;
+	int64_t tasks_waiting;
+	int64_t workers_listed;
+	int64_t cfg_version;
+	int64_t ready;
+	int64_t stream_age_ms;
+	int64_t append_stalled_ms;
+};
+
+/*
+ * node_metrics_text - all counters, gauges and latencies
+ *
+ * RETURN VALUE
+ *	Text allocated from the pool.
+ */
+char *node_metrics_text(apr_pool_t *pool, const struct front_env *front,
+			const struct pool_env *pools,
+			const struct hosts_env *hosts,
+			const struct node_gauges *gauges);
+
+#endif
--- a/src/noded.c
+++ b/src/noded.c
@@ -41,8 +41,9 @@
 	struct ingress *ingress;
 	struct web *callers;
 	struct web *readiness;
+	struct web *metrics;  /* NULL: not served */
 	time_t settings_time; /* of the file; 0: not looked at yet */
-	int64_t stop_ms; /* 0: not asked to stop */
+	int64_t stop_ms;      /* 0: not asked to stop */
 };
 
 static void handle_readiness(void *arg, struct web_request *request)
@@ -52,6 +53,23 @@
 	ingress_readiness(request, node_ready(noded->node));
 }
 
+static void handle_metrics(void *arg, struct web_request *request)
+{
+	static const struct web_header headers[] = {
+		{ "Content-Type", "text/plain; version=0.0.4" },
+		{ NULL, NULL },
+	};
+	const struct noded *noded = arg;
+	char *text;
+
+	if (strcmp(request->path, "/metrics")) {
+		web_respond(request, 404, NULL, "", 0);
+		return;
+	}
+	text = node_metrics(noded->node, request->pool);
+	web_respond(request, 200, headers, text, strlen(text));
+}
+
 static void note_refused(void *arg, int kind)
 {
 	(void)arg;
@@ -141,11 +159,23 @@
 		.arg = noded,
 	};
 
+	struct web_config metrics = {
+		.address = noded->settings.metrics.host,
+		.port = noded->settings.metrics.port,
+		.max_body_bytes = 0,
+		.handle = handle_metrics,
+		.refused = note_refused,
+		.arg = noded,
+	};
+
 	noded->callers = web_create(noded->evl, &callers, &err);
 	if (noded->callers)
 		noded->readiness = web_create(noded->evl, &readiness, &err);
-	if (!noded->readiness)
+	if (noded->readiness && metrics.port)
+		noded->metrics = web_create(noded->evl, &metrics, &err);
+	if (err.kind != ERR_OK)
 		log_error("%s", err.text);
+	/* Without metrics a node still serves. */
 	return noded->readiness != NULL;
 }
 
@@ -182,20 +212,15 @@
 	return listen_on(noded);
 }
 
-static int serve(const char *path)
+static int serve(const char *path, const struct settings *settings)
 {
-	struct noded noded = { .path = g_strdup(path) };
-	struct err err = { .kind = ERR_OK };
+	struct noded noded = { .path = g_strdup(path), .settings = *settings };
 
-	if (settings_load(path, &noded.settings, &err) < 0) {
-		log_error("settings: %s", err.text);
-		return err_answer(err.kind)->exit_code;
-	}
 	noded.evl = evl_create(clk_system());
-	if (!start(&noded))
+	if (!noded.evl || !start(&noded))
 		return err_answer(ERR_IO)->exit_code;
-	log_info("start name=%s data_centre=%s", noded.settings.name,
-		 noded.settings.data_centre);
+	log_info("start name=%s data_centre=%s version=%s", noded.settings.name,
+		 noded.settings.data_centre, CMD_VERSION);
 	evl_on_stop_signal(noded.evl, on_stop, &noded);
 	evl_on_reload_signal(noded.evl, reload, &noded);
 	evl_every(noded.evl, NODED_SETTINGS_MS, look_for_change, &noded);
@@ -207,13 +232,25 @@
 
 int main(int argc, char **argv)
 {
-	const char *path = argc > 1 ? argv[1] : platform_settings_path();
+	struct cmd_daemon args = { 0 };
+	struct settings settings;
+	struct err err = { .kind = ERR_OK };
+	const char *path = platform_settings_path();
+	int status;
 
+	/* On the platform the settings' place is not on the command line. */
+	g_strlcpy(args.settings, path ? path : "", sizeof(args.settings));
+	status = cmd_daemon_args(argc, argv, "plank-noded", &args);
+	if (status != CMD_RUN)
+		return status;
 	apr_initialize();
-	log_init("plank-noded", false);
-	if (!path) {
-		log_error("no settings file is named");
-		return 2;
+	log_init("plank-noded", args.quiet);
+	status = settings_load(args.settings, &settings, &err);
+	if (args.check_only)
+		return cmd_settings_result(status == 0, &err);
+	if (status < 0) {
+		log_error("settings: %s", err.text);
+		return err_answer(err.kind)->exit_code;
 	}
-	return serve(path);
+	return serve(args.settings, &settings);
 }
--- a/src/pool.c
+++ b/src/pool.c
@@ -177,12 +177,15 @@
 	}
 }
 
-static void log_end(const struct pool *pool, const struct job *job)
+static void note_end(struct pool *pool, const struct job *job)
 {
 	const struct clk *clk = pool->env->clk;
 	int64_t wall_ms = clk_wall_ms(clk);
 	int64_t placed_ms = wall_ms - (clk_now_ms(clk) - job->placed_ms);
 
+	hst_add(&pool->env->age_ms, wall_ms - job->accepted_ms);
+	if (job->placed_ms)
+		hst_add(&pool->env->wait_ms, placed_ms - job->accepted_ms);
 	log_info("job-ended id=%s state=%s queue=%s age_ms=%" G_GINT64_FORMAT
 		 " waited_ms=%" G_GINT64_FORMAT " chain_ms=%" G_GINT64_FORMAT
 		 " target_ms=%" G_GINT64_FORMAT,
@@ -210,7 +213,7 @@
 		placements_stored(job, note->number);
 		pool_send_starts(pool, job);
 		if (job_ended(job->shown))
-			log_end(pool, job);
+			note_end(pool, job);
 	}
 	g_hash_table_remove(pool->notes, note);
 }
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -105,6 +105,7 @@
 		g_free(sent);
 		return;
 	}
+	hst_add(&pool->env->start_ms, pool_now_ms(pool) - sent->sent_ms);
 	if (outcome == ORDER_FENCED)
 		fenced_off(pool, sent->worker);
 	else if (job_task_find(pool->env->jobs, sent->task, &pos) &&
