--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,8 @@
 	$(wildcard tests/*.h)
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
-$(BUILD)/test_node: tests/fleet_sim.c tests/fleet_sim.h
+$(BUILD)/test_node: tests/fleet_sim.c tests/fleet_sim.h tests/log_model.c \
+	tests/log_model.h
 $(BUILD)/test_node: CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -4,12 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "store.h"
 #include "wire.h"
 
 enum {
 	STEP_MS = 10,
 	MAX_WAIT_MS = 2000,
-	PARTS = 24,
 	TASK_MS = 400,
 	WORKER_CPU = 4000,
 	TASK_CPU = 1000,
@@ -17,35 +17,6 @@
 	LATE_MAX_MS = 8000
 };
 
-/* Topics. */
-
-struct record {
-	char *key;
-	char *value;
-	size_t len;
-};
-
-struct topic {
-	char *name;
-	GArray *records; /* struct record */
-};
-
-struct producer {
-	int64_t epoch;
-	int64_t next;
-	int64_t numbers[5];
-	struct stream_appended answers[5];
-	int answer_count;
-};
-
-struct member {
-	char *name;
-	int64_t ttl_ms;
-	int64_t heard_ms;
-	int64_t generation; /* newest one that it has seen */
-	bool gone;
-};
-
 /* One node's way to the outside. */
 struct port {
 	struct sim *sim;
@@ -155,65 +126,6 @@
 	return true;
 }
 
-static struct topic *topic_of(struct sim *sim, const char *name)
-{
-	struct topic *topic;
-
-	for (guint i = 0; i < sim->topics->len; i++) {
-		topic = sim->topics->pdata[i];
-		if (!strcmp(topic->name, name))
-			return topic;
-	}
-	topic = g_new0(struct topic, 1);
-	topic->name = g_strdup(name);
-	topic->records = g_array_new(FALSE, FALSE, sizeof(struct record));
-	g_ptr_array_add(sim->topics, topic);
-	return topic;
-}
-
-static void put_record(struct topic *topic, const char *key, size_t key_len,
-		       const char *value, size_t len)
-{
-	struct record record = {
-		.key = g_strndup(key, key_len),
-		.value = value ? g_memdup2(value, len ? len : 1) : NULL,
-		.len = len,
-	};
-
-	g_array_append_val(topic->records, record);
-}
-
-/* The simulation's own record format: lengths in text, then the bytes. */
-static void add_record(GByteArray *buffer, const char *key, const char *value,
-		       size_t len)
-{
-	char head[64];
-	int head_len = snprintf(head, sizeof(head), "%zu %ld ", strlen(key),
-				value ? (long)len : -1L);
-
-	g_byte_array_append(buffer, (guint8 *)head, (guint)head_len);
-	g_byte_array_append(buffer, (const guint8 *)key, (guint)strlen(key));
-	if (value)
-		g_byte_array_append(buffer, (const guint8 *)value, (guint)len);
-}
-
-static void take_records(struct topic *topic, const GByteArray *bytes)
-{
-	const char *at = (const char *)bytes->data;
-	const char *end = at + bytes->len;
-
-	while (at < end) {
-		char *next;
-		size_t key_len = strtoul(at, &next, 10);
-		long len = strtol(next, &next, 10);
-
-		at = next + 1;
-		put_record(topic, at, key_len, len < 0 ? NULL : at + key_len,
-			   len < 0 ? 0 : (size_t)len);
-		at += key_len + (len < 0 ? 0 : (size_t)len);
-	}
-}
-
 static void answer_append(struct sim *sim, struct event *event)
 {
 	if (!reaches(sim, event))
@@ -222,59 +134,19 @@
 	event_free(event);
 }
 
-static struct producer *producer_of(struct sim *sim, const char *name)
-{
-	struct producer *producer = g_hash_table_lookup(sim->producers, name);
-
-	if (!producer) {
-		producer = g_new0(struct producer, 1);
-		producer->epoch = -1;
-		g_hash_table_insert(sim->producers, g_strdup(name), producer);
-	}
-	return producer;
-}
-
 static struct stream_appended append_now(struct sim *sim, struct event *event)
 {
-	struct topic *topic = topic_of(sim, event->id.topic);
-	struct producer *producer = producer_of(sim, event->producer);
-	struct stream_appended result = {
-		.outcome = STREAM_OK,
-		.offset = topic->records->len,
-		.end = topic->records->len,
+	struct log_append append = {
+		.topic = event->id.topic,
+		.producer = event->producer,
+		.epoch = event->epoch,
+		.sequence = event->sequence,
+		.at = -1,
+		.bytes = (const char *)event->bytes->data,
+		.len = event->bytes->len,
 	};
 
-	if (event->epoch < producer->epoch) {
-		result.outcome = STREAM_FENCED;
-		return result;
-	}
-	if (event->epoch > producer->epoch) {
-		producer->epoch = event->epoch;
-		producer->next = event->sequence;
-		producer->answer_count = 0;
-	}
-	if (!event->bytes->len)
-		return result;
-	for (int i = 0; i < producer->answer_count; i++)
-		if (producer->numbers[i] == event->sequence)
-			return producer->answers[i];
-	if (event->sequence != producer->next) {
-		result.outcome = STREAM_SEQUENCE;
-		return result;
-	}
-	take_records(topic, event->bytes);
-	result.end = topic->records->len;
-	producer->next++;
-	if (producer->answer_count == 5) {
-		memmove(producer->numbers, producer->numbers + 1,
-			4 * sizeof(producer->numbers[0]));
-		memmove(producer->answers, producer->answers + 1,
-			4 * sizeof(producer->answers[0]));
-		producer->answer_count--;
-	}
-	producer->numbers[producer->answer_count] = event->sequence;
-	producer->answers[producer->answer_count++] = result;
-	return result;
+	return log_model_append(sim->log, &append);
 }
 
 static void carry_out_append(struct sim *sim, struct event *event)
@@ -350,7 +222,7 @@
 
 static void answer_batch(struct sim *sim, struct event *event)
 {
-	struct topic *topic = topic_of(sim, event->id.topic);
+	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
 	GArray *records =
 		g_array_new(FALSE, FALSE, sizeof(struct stream_record));
 	struct stream_batch batch = {
@@ -365,8 +237,8 @@
 	}
 	for (guint i = event->newest ? 0 : (guint)event->from;
 	     i < topic->records->len; i++) {
-		struct record *at =
-			&g_array_index(topic->records, struct record, i);
+		struct log_record *at =
+			&g_array_index(topic->records, struct log_record, i);
 		struct stream_record record = {
 			.key = at->key,
 			.key_len = strlen(at->key),
@@ -375,7 +247,8 @@
 			.offset = i,
 		};
 
-		if (event->newest && !at->value)
+		if (event->newest &&
+		    (!at->value || !log_model_is_newest(topic, i)))
 			continue;
 		g_array_append_val(records, record);
 	}
@@ -391,7 +264,7 @@
 /* Looks again until there is a record, or the reader has waited enough. */
 static void wait_read(struct sim *sim, struct event *event)
 {
-	struct topic *topic = topic_of(sim, event->id.topic);
+	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
 	bool wait = !cut(&event->port) && !sim->faults.log_down &&
 		    event->from >= (int64_t)topic->records->len &&
 		    sim->clk.manual_ms < event->until_ms;
@@ -429,95 +302,17 @@
 	post(port->sim, event, 2 + draw(port->sim, 8));
 }
 
-/* The group: parts are spread evenly; one moves when its holder has let go. */
-
-static struct member *member_of(struct sim *sim, const char *name, int *index)
-{
-	for (guint i = 0; i < sim->members->len; i++) {
-		struct member *member = sim->members->pdata[i];
-
-		*index = (int)i;
-		if (!strcmp(member->name, name))
-			return member;
-	}
-	return NULL;
-}
-
-static int wanted_holder(struct sim *sim, int part)
-{
-	int live[64];
-	int count = 0;
-
-	for (guint i = 0; i < sim->members->len; i++) {
-		struct member *member = sim->members->pdata[i];
-
-		if (!member->gone)
-			live[count++] = (int)i;
-	}
-	return count ? live[part * count / PARTS] : -1;
-}
-
-static void share_parts(struct sim *sim)
-{
-	bool changed = false;
-
-	for (guint i = 0; i < sim->members->len; i++) {
-		struct member *member = sim->members->pdata[i];
-
-		if (!member->gone &&
-		    sim->clk.manual_ms - member->heard_ms > member->ttl_ms) {
-			member->gone = true;
-			changed = true;
-		}
-	}
-	if (changed)
-		sim->changed = ++sim->generation;
-	for (int part = 0; part < PARTS; part++) {
-		int wanted = wanted_holder(sim, part);
-		struct member *holder =
-			sim->holder[part] >= 0
-				? sim->members->pdata[sim->holder[part]]
-				: NULL;
-
-		if (wanted == sim->holder[part])
-			continue;
-		if (holder && !holder->gone &&
-		    holder->generation < sim->changed)
-			continue;
-		sim->holder[part] = wanted;
-		sim->since[part] = ++sim->generation;
-	}
-}
-
 static void answer_join(struct sim *sim, struct event *event)
 {
 	struct stream_membership held = { .outcome = STREAM_UNKNOWN };
-	int32_t parts[PARTS];
-	int index;
-
-	if (!cut(&event->port) && !sim->faults.log_down && event->after) {
-		struct member *member = member_of(sim, event->after, &index);
-
-		if (!member) {
-			member = g_new0(struct member, 1);
-			member->name = g_strdup(event->after);
-			g_ptr_array_add(sim->members, member);
-			index = (int)sim->members->len - 1;
-			sim->changed = ++sim->generation;
-		}
-		if (member->gone)
-			sim->changed = ++sim->generation;
-		member->gone = false;
-		member->ttl_ms = event->join.ttl_ms;
-		member->heard_ms = sim->clk.manual_ms;
-		member->generation = event->join.generation;
-		share_parts(sim);
+	int32_t parts[LOG_MODEL_PARTS];
+
+	if (!cut(&event->port) && !sim->faults.log_down) {
 		held.outcome = STREAM_OK;
-		held.generation = sim->generation;
-		for (int part = 0; part < PARTS; part++)
-			if (sim->holder[part] == index &&
-			    wanted_holder(sim, part) == index)
-				parts[held.part_count++] = part;
+		held.part_count = log_model_join(
+			sim->log, event->after, event->join.ttl_ms,
+			event->join.generation, sim->clk.manual_ms, parts);
+		held.generation = sim->log->generation;
 		held.parts = parts;
 	}
 	if (!reaches(sim, event))
@@ -542,15 +337,9 @@
 static void io_leave(void *io, const struct stream_join *join)
 {
 	struct port *port = io;
-	struct sim *sim = port->sim;
-	int index;
-	struct member *member = member_of(sim, join->member, &index);
 
-	if (!member || member->gone || cut(port))
-		return;
-	member->gone = true;
-	sim->changed = ++sim->generation;
-	share_parts(sim);
+	if (!cut(port))
+		log_model_leave(port->sim->log, join->member);
 }
 
 /* Workers. */
@@ -963,7 +752,7 @@
 		run_events(sim);
 		for (int i = 0; i < sim->worker_count; i++)
 			tick_worker(sim, &sim->workers[i]);
-		share_parts(sim);
+		log_model_share(sim->log, sim->clk.manual_ms);
 		for (int i = 0; i < sim->node_count; i++)
 			if (sim->nodes[i].alive && !sim->nodes[i].paused)
 				node_tick(sim->nodes[i].node);
@@ -979,6 +768,7 @@
 	struct stream_io *stream = g_new0(struct stream_io, 1);
 	struct order_io *orders = g_new0(struct order_io, 1);
 	struct host_io *hosts = g_new0(struct host_io, 1);
+	struct store *store = store_create(NULL, "");
 	char *incarnation = g_strdup_printf("%u", ++node->life);
 	struct node_config config = {
 		.clk = &sim->clk,
@@ -1010,7 +800,7 @@
 		.newest = io_newest,
 		.join = io_join,
 		.leave = io_leave,
-		.add_record = add_record,
+		.add_record = store_io(store)->add_record,
 	};
 	*orders = (struct order_io){
 		.io = port,
@@ -1026,6 +816,7 @@
 		.move = io_host_move,
 	};
 	g_ptr_array_add(sim->dropped, port);
+	g_ptr_array_add(sim->dropped, store);
 	g_ptr_array_add(sim->dropped, stream);
 	g_ptr_array_add(sim->dropped, orders);
 	g_ptr_array_add(sim->dropped, hosts);
@@ -1076,9 +867,8 @@
 		"\"labels\":[]}",
 		worker->entry.born_ms, WORKER_CPU);
 
-	put_record(topic_of(sim, "workers"), worker->entry.id,
-		   strlen(worker->entry.id), listed ? value : NULL,
-		   listed ? strlen(value) : 0);
+	log_model_put(sim->log, "workers", worker->entry.id,
+		      listed ? value : NULL, listed ? strlen(value) : 0);
 	worker->listed = listed;
 	g_free(value);
 }
@@ -1124,19 +914,15 @@
 	sim->clk = clk_manual(1000000);
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
-	sim->topics = g_ptr_array_new();
-	sim->members = g_ptr_array_new();
+	sim->log = log_model_create();
 	sim->dropped = g_ptr_array_new();
-	sim->producers = g_hash_table_new(g_str_hash, g_str_equal);
 	sim->noted =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sim->done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sim->jobs = g_hash_table_new(g_str_hash, g_str_equal);
-	for (int part = 0; part < PARTS; part++)
-		sim->holder[part] = -1;
-	put_record(topic_of(sim, "operators"), "config", 6, configuration,
-		   strlen(configuration));
+	log_model_put(sim->log, "operators", "config", configuration,
+		      strlen(configuration));
 	sim->worker_count = workers;
 	for (int i = 0; i < workers; i++) {
 		struct sim_worker *worker = &sim->workers[i];
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "log_model.h"
 #include "node.h"
 #include "rnd.h"
 
@@ -64,14 +65,7 @@
 	struct rnd rnd;
 	GSequence *events;
 	uint64_t next_event;
-	/* The log. */
-	GPtrArray *topics;
-	GHashTable *producers;
-	int64_t generation;
-	int64_t changed; /* generation of the last change of the members */
-	GPtrArray *members;
-	int32_t holder[64]; /* of a part: member index, or -1 */
-	int64_t since[64];  /* generation of that */
+	struct log_model *log;
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
--- /dev/null
+++ b/tests/log_model.c
@@ -0,0 +1,292 @@
+#include "log_model.h"
+
+#include <string.h>
+
+enum { KEPT_ANSWERS = 5 };
+
+struct producer {
+	int64_t epoch;
+	int64_t next;
+	int answer_count;
+	int64_t numbers[KEPT_ANSWERS];
+	struct stream_appended answers[KEPT_ANSWERS];
+};
+
+struct member {
+	char *name;
+	int64_t ttl_ms;
+	int64_t heard_ms;
+	int64_t generation; /* newest one that it has seen */
+	bool gone;
+};
+
+struct log_model *log_model_create(void)
+{
+	struct log_model *model = g_new0(struct log_model, 1);
+
+	model->topics = g_ptr_array_new();
+	model->members = g_ptr_array_new();
+	model->producers = g_hash_table_new(g_str_hash, g_str_equal);
+	for (int part = 0; part < LOG_MODEL_PARTS; part++)
+		model->holder[part] = -1;
+	return model;
+}
+
+struct log_topic *log_model_topic(struct log_model *model, const char *name)
+{
+	struct log_topic *topic;
+
+	for (guint i = 0; i < model->topics->len; i++) {
+		topic = model->topics->pdata[i];
+		if (!strcmp(topic->name, name))
+			return topic;
+	}
+	topic = g_new0(struct log_topic, 1);
+	topic->name = g_strdup(name);
+	topic->records = g_array_new(FALSE, FALSE, sizeof(struct log_record));
+	g_ptr_array_add(model->topics, topic);
+	return topic;
+}
+
+static void put(struct log_topic *topic, const char *key, size_t key_len,
+		const char *value, size_t len)
+{
+	struct log_record record = {
+		.key = g_strndup(key, key_len),
+		.value = value ? g_memdup2(value, len ? len : 1) : NULL,
+		.len = len,
+	};
+
+	g_array_append_val(topic->records, record);
+}
+
+void log_model_put(struct log_model *model, const char *topic, const char *key,
+		   const char *value, size_t len)
+{
+	put(log_model_topic(model, topic), key, strlen(key), value, len);
+}
+
+/* A record: 4 bytes of length, 1 of the key's length, the key, the value. */
+static void take_records(struct log_topic *topic, const char *bytes, size_t len)
+{
+	const guint8 *at = (const guint8 *)bytes;
+	const guint8 *end = at + len;
+
+	while (end - at >= 5) {
+		size_t size = (size_t)at[0] << 24 | (size_t)at[1] << 16 |
+			      (size_t)at[2] << 8 | at[3];
+		size_t key_len = at[4];
+		const char *key = (const char *)at + 5;
+
+		if (size > (size_t)(end - at - 4) || key_len + 1 > size)
+			return;
+		put(topic, key, key_len,
+		    size > key_len + 1 ? key + key_len : NULL,
+		    size - key_len - 1);
+		at += 4 + size;
+	}
+}
+
+static struct producer *producer_of(struct log_model *model, const char *name)
+{
+	struct producer *producer = g_hash_table_lookup(model->producers, name);
+
+	if (!producer) {
+		producer = g_new0(struct producer, 1);
+		producer->epoch = -1;
+		g_hash_table_insert(model->producers, g_strdup(name), producer);
+	}
+	return producer;
+}
+
+static void keep_answer(struct producer *producer, int64_t sequence,
+			const struct stream_appended *answer)
+{
+	if (producer->answer_count == KEPT_ANSWERS) {
+		memmove(producer->numbers, producer->numbers + 1,
+			(KEPT_ANSWERS - 1) * sizeof(producer->numbers[0]));
+		memmove(producer->answers, producer->answers + 1,
+			(KEPT_ANSWERS - 1) * sizeof(producer->answers[0]));
+		producer->answer_count--;
+	}
+	producer->numbers[producer->answer_count] = sequence;
+	producer->answers[producer->answer_count++] = *answer;
+}
+
+struct stream_appended log_model_append(struct log_model *model,
+					const struct log_append *append)
+{
+	struct log_topic *topic = log_model_topic(model, append->topic);
+	struct producer *producer =
+		append->producer ? producer_of(model, append->producer) : NULL;
+	struct stream_appended result = {
+		.outcome = STREAM_OK,
+		.offset = topic->records->len,
+		.end = topic->records->len,
+	};
+
+	if (append->at >= 0 && append->at != result.end) {
+		result.outcome = STREAM_MOVED;
+		return result;
+	}
+	if (producer && append->epoch < producer->epoch) {
+		result.outcome = STREAM_FENCED;
+		return result;
+	}
+	if (producer && append->epoch > producer->epoch) {
+		producer->epoch = append->epoch;
+		producer->next = append->sequence;
+		producer->answer_count = 0;
+	}
+	if (!append->len)
+		return result;
+	for (int i = 0; producer && i < producer->answer_count; i++)
+		if (producer->numbers[i] == append->sequence)
+			return producer->answers[i];
+	if (producer && append->sequence != producer->next) {
+		result.outcome = STREAM_SEQUENCE;
+		return result;
+	}
+	take_records(topic, append->bytes, append->len);
+	result.end = topic->records->len;
+	if (producer) {
+		producer->next++;
+		keep_answer(producer, append->sequence, &result);
+	}
+	return result;
+}
+
+void log_model_trim(struct log_model *model, const char *name, int64_t before)
+{
+	struct log_topic *topic = log_model_topic(model, name);
+
+	topic->first =
+		CLAMP(before, topic->first, (int64_t)topic->records->len);
+}
+
+bool log_model_is_newest(const struct log_topic *topic, guint index)
+{
+	const char *key =
+		g_array_index(topic->records, struct log_record, index).key;
+
+	for (guint i = index + 1; i < topic->records->len; i++)
+		if (!strcmp(g_array_index(topic->records, struct log_record, i)
+				    .key,
+			    key))
+			return false;
+	return true;
+}
+
+static struct member *member_of(struct log_model *model, const char *name,
+				int *index)
+{
+	for (guint i = 0; i < model->members->len; i++) {
+		struct member *member = model->members->pdata[i];
+
+		*index = (int)i;
+		if (!strcmp(member->name, name))
+			return member;
+	}
+	return NULL;
+}
+
+static int wanted_holder(const struct log_model *model, int part)
+{
+	int live[256];
+	int count = 0;
+
+	for (guint i = 0; i < model->members->len && count < 256; i++) {
+		const struct member *member = model->members->pdata[i];
+
+		if (!member->gone)
+			live[count++] = (int)i;
+	}
+	return count ? live[part * count / LOG_MODEL_PARTS] : -1;
+}
+
+static void members_changed(struct log_model *model)
+{
+	model->changed = ++model->generation;
+}
+
+/* A part moves when its holder has seen the change, or is gone. */
+void log_model_share(struct log_model *model, int64_t now_ms)
+{
+	for (guint i = 0; i < model->members->len; i++) {
+		struct member *member = model->members->pdata[i];
+
+		if (member->gone || now_ms - member->heard_ms <= member->ttl_ms)
+			continue;
+		member->gone = true;
+		members_changed(model);
+	}
+	for (int part = 0; part < LOG_MODEL_PARTS; part++) {
+		int wanted = wanted_holder(model, part);
+		const struct member *holder =
+			model->holder[part] >= 0
+				? model->members->pdata[model->holder[part]]
+				: NULL;
+
+		if (wanted == model->holder[part])
+			continue;
+		if (holder && !holder->gone &&
+		    holder->generation < model->changed)
+			continue;
+		model->holder[part] = wanted;
+		model->generation++;
+	}
+}
+
+uint32_t log_model_join(struct log_model *model, const char *name,
+			int64_t ttl_ms, int64_t generation, int64_t now_ms,
+			int32_t *parts)
+{
+	int index = 0;
+	struct member *member = member_of(model, name, &index);
+	uint32_t count = 0;
+
+	if (!member) {
+		member = g_new0(struct member, 1);
+		member->name = g_strdup(name);
+		member->gone = true;
+		g_ptr_array_add(model->members, member);
+		index = (int)model->members->len - 1;
+	}
+	if (member->gone)
+		members_changed(model);
+	member->gone = false;
+	member->ttl_ms = ttl_ms;
+	member->heard_ms = now_ms;
+	member->generation = generation;
+	log_model_share(model, now_ms);
+	for (int part = 0; part < LOG_MODEL_PARTS; part++)
+		if (model->holder[part] == index &&
+		    wanted_holder(model, part) == index)
+			parts[count++] = part;
+	return count;
+}
+
+void log_model_leave(struct log_model *model, const char *name)
+{
+	int index;
+	struct member *member = member_of(model, name, &index);
+
+	if (!member || member->gone)
+		return;
+	member->gone = true;
+	members_changed(model);
+}
+
+void log_model_deal(struct log_model *model)
+{
+	struct member *first;
+
+	if (model->members->len < 2)
+		return;
+	first = model->members->pdata[0];
+	g_ptr_array_remove_index(model->members, 0);
+	g_ptr_array_add(model->members, first);
+	members_changed(model);
+	for (int part = 0; part < LOG_MODEL_PARTS; part++)
+		model->holder[part] = wanted_holder(model, part);
+}
