--- a/src/evl.c
+++ b/src/evl.c
@@ -330,7 +330,7 @@
 	}
 }
 
-static void serve_source(struct evl *evl, struct source *source)
+static void serve_source(struct evl *evl, struct source *source, bool poked)
 {
 	int64_t now_ms = clk_now_ms(evl->clk);
 	bool due = !source->at.fixed ||
@@ -338,7 +338,7 @@
 
 	for (unsigned int i = 0; i < source->count; i++)
 		due |= source->fds[i].revents != 0;
-	if (!due && !evl->poked)
+	if (!due && !poked)
 		return;
 	source->served_ms = now_ms;
 	source->at.ready(source->at.arg, source->fds, source->count);
@@ -388,6 +388,7 @@
 	log_buffered(true);
 	while (!evl->stopping) {
 		int wait_ms = run_timers(evl);
+		bool poked;
 		int count;
 
 		log_flush();
@@ -398,9 +399,10 @@
 		for (int i = 0; i < count; i++)
 			take_event(evl, &events[i]);
 		run_curl_timeout(evl);
-		for (unsigned int i = 0; i < evl->source_count; i++)
-			serve_source(evl, &evl->sources[i]);
+		poked = evl->poked;
 		evl->poked = false;
+		for (unsigned int i = 0; i < evl->source_count; i++)
+			serve_source(evl, &evl->sources[i], poked);
 		finish_transfers(evl);
 		run_signals(evl);
 	}
--- a/src/web.c
+++ b/src/web.c
@@ -306,10 +306,14 @@
 		      unsigned int count)
 {
 	struct web *web = arg;
+	MHD_UNSIGNED_LONG_LONG left_ms;
 
 	(void)fds;
 	(void)count;
 	MHD_run(web->daemon);
+	/* It may have read only a part of what has arrived. */
+	if (MHD_get_timeout(web->daemon, &left_ms) == MHD_YES && !left_ms)
+		evl_poke(web->evl);
 }
 
 struct web *web_create(struct evl *evl, const struct web_config *config,
