--- a/src/job.c
+++ b/src/job.c
@@ -195,13 +195,19 @@
 		g_ptr_array_remove(store->live, job);
 }
 
-void job_stored(struct job *job, const char *record, size_t len)
+void job_stored(struct job_store *store, struct job *job, int64_t offset,
+		const char *record, size_t len)
 {
 	struct err err = { .kind = ERR_OK };
 
+	/* Another owner has written since, if the answer came late. */
+	if (offset <= job->progress_offset)
+		return;
+	job->progress_offset = offset;
 	g_free(job->progress);
 	job->progress = g_strndup(record, len);
 	job_read_shown(job, record, len, &err);
+	keep_live(store, job);
 }
 
 int job_apply_progress(struct job_store *store, const char *id, int64_t offset,
--- a/src/job.h
+++ b/src/job.h
@@ -110,6 +110,7 @@
 	char pool[LIM_NAME_BYTES]; /* interned at hand-in; may be re-routed */
 	bool has_spec;
 	bool cancel_asked;
+	bool dropping;	      /* its records are being dropped */
 	enum job_state state; /* as changed in memory */
 	enum job_state shown; /* as stored */
 	bool started;	      /* as stored: some task has been placed */
@@ -195,8 +196,13 @@
 		       const char *body, size_t body_len, size_t *len);
 char *job_progress_record(const struct job *job, size_t *len);
 
-/* job_stored - the progress record has been stored; offset may be -1 */
-void job_stored(struct job *job, const char *record, size_t len);
+/*
+ * job_stored - the progress record has been stored at that offset
+ *
+ * Nothing changes if a newer one has been applied.
+ */
+void job_stored(struct job_store *store, struct job *job, int64_t offset,
+		const char *record, size_t len);
 
 /* Position of a task. */
 struct job_pos {
--- a/src/node.c
+++ b/src/node.c
@@ -307,6 +307,7 @@
 		.tail = node->tail,
 		.cfg = (const struct cfg *const *)&node->cfg,
 		.lease_ms = lease_ms(node),
+		.keep_ms = config->settings->job_keep_ms,
 		.cut_off_ms = NODE_CUT_OFF_MS,
 	};
 	node->hosts_env = (struct hosts_env){
--- a/src/pool.c
+++ b/src/pool.c
@@ -5,6 +5,8 @@
 #include "log.h"
 #include "pool_int.h"
 
+enum { POOL_DROP_MS = 1000 };
+
 /* Argument of a writer's callback. */
 struct note {
 	struct pool *pool;
@@ -197,20 +199,20 @@
 		 place_target_ms(*pool->env->cfg, job) - job->accepted_ms);
 }
 
-static void on_progress(void *arg, enum writer_outcome outcome, int64_t end)
+static void on_progress(void *arg, enum writer_outcome outcome, int64_t offset)
 {
 	struct note *note = arg;
 	struct pool *pool = note->pool;
 	struct job *job = job_find(pool->env->jobs, note->id);
 
-	(void)end;
 	if (outcome != WRITER_STORED) {
 		/* This frees all notes. */
 		tenure_lose(&pool->tenure, "an append was fenced");
 		return;
 	}
 	if (job) {
-		job_stored(job, note->record, note->len);
+		job_stored(pool->env->jobs, job, offset, note->record,
+			   note->len);
 		placements_stored(job, note->number);
 		pool_send_starts(pool, job);
 		if (job_ended(job->shown))
@@ -316,6 +318,40 @@
 		place_tasks(&place);
 }
 
+static void drop_record(struct pool *pool, char kind, const char *id)
+{
+	char key[JOB_ID_BYTES + 2];
+
+	g_snprintf(key, sizeof(key), "%c:%s", kind, id);
+	writer_add(pool->tenure.writer, key, NULL, 0, NULL, NULL);
+}
+
+/* Ended jobs can be asked for some time; then their records go. */
+static void drop_old_jobs(struct pool *pool)
+{
+	struct job_store *jobs = pool->env->jobs;
+	int64_t now_ms = pool_now_ms(pool);
+
+	if (now_ms < pool->drop_ms)
+		return;
+	pool->drop_ms = now_ms + POOL_DROP_MS;
+	for (guint i = 0; i < jobs->list->len; i++) {
+		struct job *job = jobs->list->pdata[i];
+
+		if (!job_ended(job->shown) || strcmp(job->pool, pool->name))
+			continue;
+		if (!job->ended_ms)
+			job->ended_ms = now_ms;
+		if (job->dropping ||
+		    now_ms - job->ended_ms < pool->env->keep_ms)
+			continue;
+		job->dropping = true;
+		drop_record(pool, 'p', job->id);
+		drop_record(pool, 'c', job->id);
+		drop_record(pool, 'j', job->id);
+	}
+}
+
 void pool_tick(struct pool *pool)
 {
 	struct job_store *jobs = pool->env->jobs;
@@ -329,6 +365,7 @@
 			if (mine(pool, jobs->live->pdata[i]))
 				pool_send_starts(pool, jobs->live->pdata[i]);
 		pool_renew(pool);
+		drop_old_jobs(pool);
 	}
 	tenure_tick(&pool->tenure);
 }
--- a/src/pool.h
+++ b/src/pool.h
@@ -47,6 +47,7 @@
 	struct host_plans *plans;
 	struct tail *tail;	      /* of the jobs' stream */
 	const struct cfg *const *cfg; /* the one in force */
+	int64_t keep_ms;	      /* ended jobs can be asked for */
 	int64_t lease_ms;	      /* given to workers */
 	/* How long an owner that lost touch with the log keeps leases alive. */
 	int64_t cut_off_ms;
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -231,12 +231,24 @@
 		worker->mem_used_mib);
 }
 
+/*
+ * Whether the worker is surely still in the life that has reported last. One
+ * that did not answer may have started anew, and counts its ends anew; a
+ * cursor of before would acknowledge ends that nobody has stored.
+ */
+static bool same_life(const struct worker *worker)
+{
+	return !worker->renew_failures &&
+	       (!worker->entry.born_ms ||
+		worker->entry.born_ms == worker->life_ms);
+}
+
 static void renew(struct pool *pool, struct worker *worker, int64_t now_ms)
 {
 	struct sent *sent = sent_new(pool, worker->entry.id);
 	struct order_renew renew = {
 		.fence = pool->tenure.fence,
-		.cursor = worker->cursor,
+		.cursor = same_life(worker) ? worker->cursor : 0,
 	};
 
 	if (worker->reached && !worker->renew_failures &&
--- a/src/settings.c
+++ b/src/settings.c
@@ -83,6 +83,7 @@
 	read.order_lease_ms = read_ms(&root, "order_lease_ms", 3000);
 	read.notice_ms = read_ms(&root, "notice_ms", 4500);
 	read.stop_ms = read_ms(&root, "stop_ms", 200);
+	read.job_keep_ms = read_seconds(&root, "job_keep_s", 120);
 	read.recovery_ms = read_seconds(&root, "recovery_s", 12);
 	read.host_restart_ms = read_seconds(&root, "host_restart_s", 2);
 	at = jsn_member(&root, "orders_fenced");
--- a/src/writer.c
+++ b/src/writer.c
@@ -129,7 +129,7 @@
 
 /* Ends the append under way and tells each record's caller. */
 static void finish(struct writer *writer, enum writer_outcome outcome,
-		   int64_t end)
+		   int64_t offset, int64_t end)
 {
 	GArray *told = writer->sent;
 
@@ -145,7 +145,10 @@
 		struct entry *entry = &g_array_index(told, struct entry, i);
 
 		if (entry->fn && !writer->destroyed)
-			entry->fn(entry->arg, outcome, end);
+			entry->fn(entry->arg, outcome,
+				  entry->key[0] ? offset : end);
+		if (entry->key[0] && offset >= 0)
+			offset++;
 	}
 	writer->calling = false;
 	clear_entries(told);
@@ -169,20 +172,20 @@
 	}
 	switch (result->outcome) {
 	case STREAM_OK:
-		finish(writer, WRITER_STORED, result->end);
+		finish(writer, WRITER_STORED, result->offset, result->end);
 		break;
 	case STREAM_FENCED:
 		log_warn("append by %s in epoch %" G_GINT64_FORMAT
 			 " refused: a later owner has appended",
 			 writer->producer, writer->config.epoch);
-		finish(writer, WRITER_FENCED, -1);
+		finish(writer, WRITER_FENCED, -1, -1);
 		break;
 	case STREAM_SEQUENCE:
 		/* Only this process uses the producer in this epoch. */
 		log_error("append %" G_GINT64_FORMAT " by %s refused: its "
 			  "number does not follow the last one",
 			  writer->sequence, writer->producer);
-		finish(writer, WRITER_FENCED, -1);
+		finish(writer, WRITER_FENCED, -1, -1);
 		break;
 	default:
 		retry_later(writer);
@@ -234,7 +237,7 @@
 		fill(writer);
 		writer->first_try_ms = now_ms;
 		if (!writer->bytes->len && writer->epoch_set) {
-			finish(writer, WRITER_STORED, writer->end);
+			finish(writer, WRITER_STORED, -1, writer->end);
 			if (writer->destroyed)
 				free_writer(writer);
 			return;
--- a/src/writer.h
+++ b/src/writer.h
@@ -21,7 +21,8 @@
 	WRITER_FENCED /* another owner has taken over; it was not stored */
 };
 
-typedef void writer_fn(void *arg, enum writer_outcome outcome, int64_t end);
+/* offset is that of the record, or for none the end of the stream. */
+typedef void writer_fn(void *arg, enum writer_outcome outcome, int64_t offset);
 
 struct writer_config {
 	const struct stream_io *io;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -770,6 +770,7 @@
 		 index);
 	node->settings.lease_max_ms = 6000;
 	node->settings.order_lease_ms = 3000;
+	node->settings.job_keep_ms = 3600 * 1000;
 	node->node = node_create(&config);
 	node->alive = true;
 	node->paused = false;
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -31,7 +31,11 @@
 	GArray *ends;	   /* struct worker_end, those not acknowledged */
 	GHashTable *ended; /* task -> highest run that ended or was stopped */
 	int64_t next_end;
+	/* Ends up to this number were not acknowledged when the lease ran out.
+	   Their tasks may have been given up, and may run again for good. */
+	int64_t lapsed_end;
 	void (*on_end)(void *arg, const struct worker_end *end);
+	/* Not called for ends before a lapse. */
 	void (*on_acknowledged)(void *arg, const struct worker_end *end);
 	void *arg;
 };
