--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
 	$(BUILD)/plank-load $(BUILD)/plank-noded
-STANDINS = $(BUILD)/platformd $(BUILD)/workerd $(BUILD)/faultd
+STANDINS = $(BUILD)/platformd $(BUILD)/workerd $(BUILD)/faultd \
+	$(BUILD)/standin
 
 all: $(PROGRAMS)
 
@@ -89,7 +90,9 @@
 
 $(BUILD)/test_node: tests/fleet_sim.c tests/fleet_sim.h tests/log_model.c \
 	tests/log_model.h tests/worker_model.c tests/worker_model.h
-$(BUILD)/test_node: CPPFLAGS += -Itests
+$(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
+	tests/worker_model.h
+$(BUILD)/test_node $(BUILD)/standin: CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	@echo "  CC $@"
--- a/src/evl.c
+++ b/src/evl.c
@@ -12,7 +12,7 @@
 #include "log.h"
 
 enum {
-	MAX_SOURCES = 4,
+	MAX_SOURCES = 12,
 	MAX_TIMERS = 16,
 	MAX_SOURCE_FDS = 1024,
 	MAX_EVENTS = 64,
--- /dev/null
+++ b/tests/standin.c
@@ -0,0 +1,653 @@
+/*
+ * Stand-in for the users' platform, by its published protocol, on loopback:
+ * the log service, the host list, and workers that run tasks under leases.
+ * One process; worker i listens at the first port + 10 + i.
+ *
+ * usage: standin PORT WORKERS CONFIGURATION-FILE
+ *
+ * POST /control takes {"down": bool, "lose": n, "refuse": n, "trim": offset,
+ * "deal": true, "crash": worker, "restart": worker}; lose and refuse count
+ * appends whose answer is lost, or that get 503.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+
+#include "json.h"
+#include "log.h"
+#include "log_model.h"
+#include "web.h"
+#include "worker_model.h"
+
+enum {
+	MAX_WORKERS = 8,
+	TICK_MS = 20,
+	TASK_MS = 600,
+	ROOM = 8,
+	WORKER_PORT = 10,
+	MAX_NEWEST = 500
+};
+
+struct stand_worker {
+	int index;
+	bool up;
+	int64_t born_ms;
+	char id[16];
+	struct worker_model model;
+};
+
+/* A request that is answered later. */
+struct waiting {
+	struct web_request *request;
+	int64_t until_ms;
+	struct log_topic *topic; /* a read of the log from that offset, */
+	int64_t from;
+	struct stand_worker *worker; /* or a worker's lists */
+};
+
+static struct evl *evl;
+static struct log_model *model;
+static struct stand_worker workers[MAX_WORKERS];
+static int worker_count;
+static uint16_t first_port;
+static GPtrArray *waiting;
+static bool down;
+static int64_t lose, refuse;
+
+static const struct web_header json_headers[] = {
+	{ "Content-Type", "application/json" },
+	{ NULL, NULL },
+};
+
+static int64_t now_ms(void)
+{
+	return clk_now_ms(evl_clk(evl));
+}
+
+static void answer(struct web_request *request, int status,
+		   struct json_object *body)
+{
+	const char *text =
+		json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
+
+	web_respond(request, status, json_headers, text, strlen(text));
+	json_object_put(body);
+}
+
+static struct json_object *object(const char *key, struct json_object *value)
+{
+	struct json_object *body = json_object_new_object();
+
+	json_object_object_add(body, key, value);
+	return body;
+}
+
+static int64_t query_int(struct web_request *request, const char *key,
+			 int64_t fallback)
+{
+	const char *text = web_query(request, key);
+
+	return text ? strtoll(text, NULL, 10) : fallback;
+}
+
+/* The log. */
+
+static void append(struct web_request *request)
+{
+	struct log_append append = {
+		.topic = web_query(request, "topic"),
+		.producer = web_query(request, "producer"),
+		.epoch = query_int(request, "epoch", 0),
+		.sequence = query_int(request, "seq", 0),
+		.at = query_int(request, "at", -1),
+		.bytes = request->body,
+		.len = request->body_len,
+	};
+	struct stream_appended result;
+	struct json_object *body;
+
+	if (refuse > 0) {
+		refuse--;
+		answer(request, 503, json_object_new_object());
+		return;
+	}
+	result = log_model_append(model, &append);
+	body = object("end", json_object_new_int64(result.end));
+	if (lose > 0) {
+		/* Done, and answered so late that nobody waits any more. */
+		struct waiting *late = g_new0(struct waiting, 1);
+
+		lose--;
+		json_object_put(body);
+		late->request = request;
+		late->until_ms = now_ms() + 4000;
+		g_ptr_array_add(waiting, late);
+		return;
+	}
+	switch (result.outcome) {
+	case STREAM_OK:
+		json_object_object_add(body, "offset",
+				       json_object_new_int64(result.offset));
+		answer(request, 200, body);
+		break;
+	case STREAM_MOVED:
+		answer(request, 412, body);
+		break;
+	default:
+		json_object_object_add(
+			body, "reason",
+			json_object_new_string(result.outcome == STREAM_FENCED
+						       ? "fenced"
+						       : "seq"));
+		answer(request, 409, body);
+		break;
+	}
+}
+
+static void put_number(GByteArray *out, uint64_t number, int bytes)
+{
+	for (int i = bytes - 1; i >= 0; i--) {
+		guint8 byte = (guint8)(number >> (8 * i));
+
+		g_byte_array_append(out, &byte, 1);
+	}
+}
+
+static void answer_read(const struct waiting *at)
+{
+	const struct log_topic *topic = at->topic;
+	GByteArray *out = g_byte_array_new();
+
+	put_number(out, topic->records->len, 8);
+	put_number(out, (uint64_t)topic->first, 8);
+	for (guint i = (guint)at->from; i < topic->records->len; i++) {
+		const struct log_record *record =
+			&g_array_index(topic->records, struct log_record, i);
+		size_t key_len = strlen(record->key);
+
+		put_number(out, 1 + key_len + record->len, 4);
+		put_number(out, key_len, 1);
+		g_byte_array_append(out, (const guint8 *)record->key,
+				    (guint)key_len);
+		g_byte_array_append(out, (const guint8 *)record->value,
+				    (guint)record->len);
+	}
+	web_respond(at->request, 200, NULL, out->data, out->len);
+	g_byte_array_free(out, TRUE);
+}
+
+static void read_log(struct web_request *request)
+{
+	struct waiting at = {
+		.request = request,
+		.topic = log_model_topic(model, web_query(request, "topic")),
+		.from = query_int(request, "from", 0),
+		.until_ms = now_ms() + query_int(request, "waitMs", 0),
+	};
+
+	if (at.from < at.topic->first)
+		answer(request, 410,
+		       object("first", json_object_new_int64(at.topic->first)));
+	else if (at.from < (int64_t)at.topic->records->len ||
+		 at.until_ms <= now_ms())
+		answer_read(&at);
+	else
+		g_ptr_array_add(waiting, g_memdup2(&at, sizeof(at)));
+}
+
+static int by_key(const void *a, const void *b)
+{
+	const struct log_record *const *left = a;
+	const struct log_record *const *right = b;
+
+	return strcmp((*left)->key, (*right)->key);
+}
+
+static void newest(struct web_request *request)
+{
+	struct log_topic *topic =
+		log_model_topic(model, web_query(request, "topic"));
+	/* The key behind which to go on has this name on the wire. */
+	const char *after = web_query(request, "dependsOn");
+	struct json_object *items = json_object_new_array();
+	struct json_object *body = object("items", items);
+	GPtrArray *found = g_ptr_array_new();
+	bool more = false;
+
+	for (guint i = 0; i < topic->records->len; i++) {
+		struct log_record *record =
+			&g_array_index(topic->records, struct log_record, i);
+
+		if (record->value && log_model_is_newest(topic, i) &&
+		    (!after || strcmp(record->key, after) > 0))
+			g_ptr_array_add(found, record);
+	}
+	if (found->len)
+		qsort(found->pdata, found->len, sizeof(gpointer), by_key);
+	for (guint i = 0; i < found->len; i++) {
+		const struct log_record *record = found->pdata[i];
+		struct json_object *item = json_object_new_object();
+		char *value = g_base64_encode((const guchar *)record->value,
+					      record->len);
+
+		if (i == MAX_NEWEST) {
+			more = true;
+			json_object_put(item);
+			g_free(value);
+			break;
+		}
+		json_object_object_add(item, "key",
+				       json_object_new_string(record->key));
+		json_object_object_add(item, "value",
+				       json_object_new_string(value));
+		json_object_object_add(
+			item, "offset",
+			json_object_new_int64(record -
+					      (const struct log_record *)
+						      topic->records->data));
+		json_object_array_add(items, item);
+		g_free(value);
+	}
+	json_object_object_add(body, "more", json_object_new_boolean(more));
+	json_object_object_add(body, "end",
+			       json_object_new_int64(topic->records->len));
+	g_ptr_array_free(found, TRUE);
+	answer(request, 200, body);
+}
+
+static void join(struct web_request *request)
+{
+	struct json_object *asked = json_read(request->body, request->body_len);
+	int32_t parts[LOG_MODEL_PARTS];
+	uint32_t count = log_model_join(
+		model, json_text(asked, "member"), json_int(asked, "ttlMs", 0),
+		json_int(asked, "generation", 0), now_ms(), parts);
+	struct json_object *rows = json_object_new_array();
+	struct json_object *body = object("parts", rows);
+
+	json_object_object_add(body, "generation",
+			       json_object_new_int64(model->generation));
+	for (uint32_t i = 0; i < count; i++) {
+		struct json_object *row = json_object_new_array();
+
+		json_object_array_add(row, json_object_new_string("pools"));
+		json_object_array_add(row, json_object_new_int(parts[i]));
+		json_object_array_add(row, json_object_new_int(0));
+		json_object_array_add(rows, row);
+	}
+	json_object_put(asked);
+	answer(request, 200, body);
+}
+
+static void leave(struct web_request *request)
+{
+	struct json_object *asked = json_read(request->body, request->body_len);
+
+	log_model_leave(model, json_text(asked, "member"));
+	json_object_put(asked);
+	answer(request, 200, json_object_new_object());
+}
+
+/* Workers. */
+
+static void put_entry(const struct stand_worker *worker)
+{
+	char *value = g_strdup_printf(
+		"{\"service\":\"tallies\",\"addr\":\"127.0.0.1:%d\","
+		"\"zone\":\"suva\",\"version\":\"v1\",\"slots\":%d,"
+		"\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT ","
+		"\"capacity\":{\"cpu\":%d,\"memMb\":16384,\"gpu\":0},"
+		"\"labels\":[\"a\",\"r1\"],\"seq\":1}",
+		first_port + WORKER_PORT + worker->index, ROOM, worker->born_ms,
+		ROOM * 1000);
+
+	log_model_put(model, "keyed.servers", worker->id,
+		      worker->up ? value : NULL,
+		      worker->up ? strlen(value) : 0);
+	g_free(value);
+}
+
+static void start_worker(struct stand_worker *worker)
+{
+	worker->up = true;
+	worker->born_ms = clk_wall_ms(evl_clk(evl));
+	worker_model_restart(&worker->model);
+	put_entry(worker);
+}
+
+static struct json_object *with_clock(const struct stand_worker *worker)
+{
+	return object("clockMs", json_object_new_int64(worker->model.clock_ms));
+}
+
+static void answer_order(struct web_request *request,
+			 const struct stand_worker *worker,
+			 enum order_outcome outcome)
+{
+	static const char *const reasons[] = {
+		[ORDER_FENCED] = "fence",
+		[ORDER_OLD] = "old",
+		[ORDER_LATE] = "late",
+		[ORDER_NO_ROOM] = "room",
+	};
+	struct json_object *body = with_clock(worker);
+
+	if (outcome == ORDER_OK) {
+		answer(request, 200, body);
+		return;
+	}
+	json_object_object_add(body, "reason",
+			       json_object_new_string(reasons[outcome]));
+	answer(request, 409, body);
+}
+
+/* A task whose text begins with "last" runs until it is stopped. */
+static void start_run(struct web_request *request, struct stand_worker *worker,
+		      struct json_object *asked)
+{
+	const char *text = json_text(asked, "spec");
+	struct model_run run = {
+		.run = (int32_t)json_int(asked, "run", 0),
+		.left_ms = TASK_MS,
+		.lasts = g_str_has_prefix(text, "last"),
+		.fails = g_str_has_prefix(text, "fail"),
+	};
+	enum order_outcome outcome;
+	bool began;
+
+	json_copy(asked, "task", run.task, sizeof(run.task));
+	worker_model_extend(&worker->model, json_int(asked, "untilMs", 0));
+	outcome = worker_model_start(&worker->model, &run,
+				     json_int(asked, "untilMs", 0), &began);
+	if (began)
+		log_info("run-begun task=%s run=%d worker=%s", run.task,
+			 run.run, worker->id);
+	answer_order(request, worker, outcome);
+}
+
+static struct json_object *run_row(const struct model_run *run)
+{
+	struct json_object *row = json_object_new_array();
+
+	json_object_array_add(row, json_object_new_string(run->task));
+	json_object_array_add(row, json_object_new_int(run->run));
+	json_object_array_add(row, json_object_new_string(""));
+	json_object_array_add(row, json_object_new_int(100));
+	return row;
+}
+
+static struct json_object *end_row(const struct worker_end *end)
+{
+	static const char *const hows[] = {
+		[END_DONE] = "done",	   [END_FAILED] = "failed",
+		[END_STOPPED] = "stopped", [END_LAPSED] = "lapsed",
+		[END_BROKEN] = "broken",   [END_ALONE] = "alone",
+	};
+	struct json_object *row = json_object_new_array();
+
+	json_object_array_add(row, json_object_new_int64(end->number));
+	json_object_array_add(row, json_object_new_string(end->task));
+	json_object_array_add(row, json_object_new_int(end->run));
+	json_object_array_add(row, json_object_new_string(hows[end->how]));
+	json_object_array_add(row, json_object_new_string(""));
+	return row;
+}
+
+static void answer_lists(struct web_request *request,
+			 const struct stand_worker *worker)
+{
+	struct json_object *body = with_clock(worker);
+	struct json_object *runs = json_object_new_array();
+	struct json_object *ends = json_object_new_array();
+	const struct worker_model *at = &worker->model;
+
+	for (guint i = 0; i < at->runs->len; i++)
+		json_object_array_add(
+			runs,
+			run_row(&g_array_index(at->runs, struct model_run, i)));
+	for (guint i = 0; i < at->ends->len; i++)
+		json_object_array_add(
+			ends, end_row(&g_array_index(at->ends,
+						     struct worker_end, i)));
+	json_object_object_add(body, "born",
+			       json_object_new_int64(worker->born_ms));
+	json_object_object_add(body, "running", runs);
+	json_object_object_add(body, "finished", ends);
+	answer(request, 200, body);
+}
+
+static void hold(struct web_request *request, struct stand_worker *worker,
+		 struct json_object *asked)
+{
+	struct waiting at = {
+		.request = request,
+		.worker = worker,
+		.until_ms = now_ms() + json_int(asked, "waitMs", 0),
+	};
+
+	worker_model_acknowledge(&worker->model,
+				 json_int(asked, "ackCursor", 0));
+	worker_model_extend(&worker->model, json_int(asked, "untilMs", 0));
+	if (worker->model.ends->len || at.until_ms <= now_ms())
+		answer_lists(request, worker);
+	else
+		g_ptr_array_add(waiting, g_memdup2(&at, sizeof(at)));
+}
+
+static void handle_worker(void *arg, struct web_request *request)
+{
+	struct stand_worker *worker = arg;
+	struct json_object *asked = json_read(request->body, request->body_len);
+	const char *life =
+		web_header(request, "X-Chestnutplank-Expect-Instance");
+
+	if (!worker->up)
+		/* Nobody answers; the caller's time-out ends the call. */
+		;
+	else if (life && strcmp(life, worker->id))
+		answer(request, 421, json_object_new_object());
+	else if (!worker_model_fence(&worker->model,
+				     json_int(asked, "fence", 0)))
+		answer_order(request, worker, ORDER_FENCED);
+	else if (!strcmp(request->path, "/run-start"))
+		start_run(request, worker, asked);
+	else if (!strcmp(request->path, "/hold"))
+		hold(request, worker, asked);
+	else if (!strcmp(request->path, "/run-stop")) {
+		worker_model_stop(&worker->model, json_text(asked, "task"),
+				  (int32_t)json_int(asked, "run", 0));
+		answer_order(request, worker, ORDER_OK);
+	} else {
+		answer(request, 404, json_object_new_object());
+	}
+	json_object_put(asked);
+}
+
+/* All else. */
+
+static void list_hosts(struct web_request *request)
+{
+	struct json_object *rows = json_object_new_array();
+
+	for (int i = 0; i < worker_count; i++) {
+		struct json_object *row = json_object_new_object();
+		char name[16];
+
+		snprintf(name, sizeof(name), "m-%d", i);
+		json_object_object_add(row, "machine",
+				       json_object_new_string(name));
+		json_object_object_add(row, "pool",
+				       json_object_new_string("tallies"));
+		json_object_object_add(row, "zone",
+				       json_object_new_string("suva"));
+		json_object_object_add(
+			row, "state",
+			json_object_new_string(workers[i].up ? "up" : "down"));
+		json_object_object_add(row, "id",
+				       json_object_new_string(workers[i].id));
+		json_object_array_add(rows, row);
+	}
+	answer(request, 200, object("machines", rows));
+}
+
+static void control(struct web_request *request)
+{
+	struct json_object *asked = json_read(request->body, request->body_len);
+	int64_t crash = json_int(asked, "crash", -1);
+	int64_t restart = json_int(asked, "restart", -1);
+
+	if (json_get(asked, "down"))
+		down = json_flag(asked, "down");
+	lose = json_int(asked, "lose", lose);
+	refuse = json_int(asked, "refuse", refuse);
+	if (json_get(asked, "trim"))
+		log_model_trim(model, "keyed.jobs", json_int(asked, "trim", 0));
+	if (json_flag(asked, "deal"))
+		log_model_deal(model);
+	if (crash >= 0 && crash < worker_count) {
+		workers[crash].up = false;
+		put_entry(&workers[crash]);
+	}
+	if (restart >= 0 && restart < worker_count)
+		start_worker(&workers[restart]);
+	json_object_put(asked);
+	answer(request, 200, json_object_new_object());
+}
+
+static void handle(void *arg, struct web_request *request)
+{
+	(void)arg;
+	if (!strcmp(request->path, "/control"))
+		control(request);
+	else if (down)
+		answer(request, 503, json_object_new_object());
+	else if (!strcmp(request->path, "/log-append"))
+		append(request);
+	else if (!strcmp(request->path, "/log-read"))
+		read_log(request);
+	else if (!strcmp(request->path, "/log-newest"))
+		newest(request);
+	else if (!strcmp(request->path, "/log-join"))
+		join(request);
+	else if (!strcmp(request->path, "/log-leave"))
+		leave(request);
+	else if (!strcmp(request->path, "/machines"))
+		list_hosts(request);
+	else
+		answer(request, 404, json_object_new_object());
+}
+
+static void refused(void *arg, int kind)
+{
+	(void)arg;
+	log_warn("a request was refused: %s", err_name(kind));
+}
+
+static bool is_due(const struct waiting *at)
+{
+	if (now_ms() >= at->until_ms)
+		return true;
+	if (at->worker)
+		return at->worker->model.ends->len > 0;
+	return at->topic &&
+	       (down || at->from < (int64_t)at->topic->records->len);
+}
+
+static void answer_waiting(void)
+{
+	for (guint i = waiting->len; i > 0; i--) {
+		struct waiting *at = waiting->pdata[i - 1];
+
+		if (!is_due(at))
+			continue;
+		g_ptr_array_remove_index(waiting, i - 1);
+		if (at->worker && at->worker->up)
+			answer_lists(at->request, at->worker);
+		else if (at->topic && !down)
+			answer_read(at);
+		else
+			answer(at->request, 503, json_object_new_object());
+		g_free(at);
+	}
+}
+
+static void tick(void *arg)
+{
+	(void)arg;
+	log_model_share(model, now_ms());
+	for (int i = 0; i < worker_count; i++) {
+		struct stand_worker *worker = &workers[i];
+
+		if (worker->up)
+			worker_model_pass(&worker->model,
+					  clk_wall_ms(evl_clk(evl)) -
+						  worker->born_ms,
+					  TICK_MS);
+	}
+	answer_waiting();
+}
+
+static void stop(void *arg)
+{
+	(void)arg;
+	evl_stop(evl);
+}
+
+static bool listen_at(uint16_t port, void (*fn)(void *, struct web_request *),
+		      void *arg)
+{
+	struct err err = { .kind = ERR_OK };
+	struct web_config config = {
+		.address = "127.0.0.1",
+		.port = port,
+		.max_body_bytes = 4 * 1024 * 1024,
+		.handle = fn,
+		.refused = refused,
+		.arg = arg,
+	};
+
+	if (web_create(evl, &config, &err))
+		return true;
+	log_error("%s", err.text);
+	return false;
+}
+
+int main(int argc, char **argv)
+{
+	gchar *configuration = NULL;
+	gsize len;
+
+	apr_initialize();
+	log_init("standin", false);
+	if (argc != 4 ||
+	    !g_file_get_contents(argv[3], &configuration, &len, NULL)) {
+		fprintf(stderr, "usage: standin PORT WORKERS FILE\n");
+		return 2;
+	}
+	evl = evl_create(clk_system());
+	model = log_model_create();
+	waiting = g_ptr_array_new();
+	first_port = (uint16_t)atoi(argv[1]);
+	worker_count = MIN(atoi(argv[2]), MAX_WORKERS);
+	log_model_put(model, "keyed.op", "config", configuration, len);
+	g_free(configuration);
+	if (!listen_at(first_port, handle, NULL))
+		return 1;
+	for (int i = 0; i < worker_count; i++) {
+		struct stand_worker *worker = &workers[i];
+
+		worker->index = i;
+		snprintf(worker->id, sizeof(worker->id), "i-%d", i);
+		worker_model_init(&worker->model, ROOM);
+		start_worker(worker);
+		if (!listen_at((uint16_t)(first_port + WORKER_PORT + i),
+			       handle_worker, worker))
+			return 1;
+	}
+	evl_on_stop_signal(evl, stop, NULL);
+	evl_every(evl, TICK_MS, tick, NULL);
+	evl_run(evl);
+	return 0;
+}
