--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -72,13 +72,18 @@
 	return $status
 }
 
-stop_all() {
+stop_all_processes() {
 	local name
 	for name in "${!PIDS[@]}"; do
 		kill -CONT "${PIDS[$name]}" 2>/dev/null
 		kill -KILL "${PIDS[$name]}" 2>/dev/null
 	done
 	wait 2>/dev/null
+	PIDS=()
+}
+
+stop_all() {
+	stop_all_processes
 	rm -rf "$WORK"
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -99,4 +99,26 @@
 	pool_serves "$i" >/dev/null || fail "entry host $i does not serve"
 done
 
+step "A job on the users' platform: three nodes, workers under leases"
+. scripts/nodes.sh
+stop_all_processes
+start_standin 3 || fail "no stand-in of the platform"
+for i in 0 1 2; do start_node $i; done
+for i in 0 1 2; do wait_until 20 node_is_ready $i || fail "node $i is not ready"; done
+jobs() { "$BUILD/plankctl" --url "$(node_admin_url 1)" --token "$TOKEN" "$@"; }
+ID=00000000000000a1
+[ "$(job_call 0 POST $ID "$(job_body tallies 2 6)")" = 200 ] || fail "hand-in"
+jobs explain-job $ID | cut -c1-140 | say
+wait_until 20 job_is 2 $ID done || fail "the job is $(job_state 2 $ID)"
+echo "   node 0 took it, node 2 says: $(job_state 2 $ID)"
+
+step "A job that lasts is cancelled at another node"
+ID=00000000000000a2
+[ "$(job_call 1 POST $ID "$(job_body last 1 3)")" = 200 ] || fail "hand-in"
+wait_until 20 job_is 0 $ID running || fail "it does not run"
+jobs jobs | say
+[ "$(job_call 2 DELETE $ID)" = 200 ] || fail "cancel"
+wait_until 20 job_is 0 $ID cancelled || fail "it is $(job_state 0 $ID)"
+echo "   node 0 says: $(job_state 0 $ID)"
+
 printf '\nAll %d steps succeeded.\n' $STEP
--- /dev/null
+++ b/src/job_view.c
@@ -0,0 +1,182 @@
+#include "job_view.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "jsn.h"
+#include "place.h"
+
+struct totals {
+	int32_t tasks;
+	int32_t done;
+	int32_t placed;
+	int32_t failed_runs;
+};
+
+static struct totals count(struct job *job, int64_t step)
+{
+	struct job_pos pos = { .job = job };
+	struct totals totals = { 0 };
+
+	while (job_next_task(&pos)) {
+		if (step >= 0 && pos.step != step)
+			continue;
+		totals.tasks++;
+		totals.done += pos.task->state == TASK_DONE;
+		totals.placed += pos.task->state == TASK_PLACED;
+		totals.failed_runs += pos.task->failed;
+	}
+	return totals;
+}
+
+static void put_totals(struct json_object *row, const struct totals *totals)
+{
+	jsn_put_int(row, "tasks", totals->tasks);
+	jsn_put_int(row, "done", totals->done);
+	jsn_put_int(row, "placed", totals->placed);
+	jsn_put_int(row, "failed_runs", totals->failed_runs);
+}
+
+static struct json_object *head(const struct job_view *view, struct job *job)
+{
+	struct json_object *row = json_object_new_object();
+	struct totals totals = count(job, -1);
+	bool cancelling = job->cancel_asked && !job_ended(job->shown);
+
+	jsn_put_string(row, "job", job->id);
+	jsn_put_string(row, "queue", job->queue);
+	jsn_put_string(row, "pool", job->pool);
+	jsn_put_string(row, "state",
+		       cancelling ? "cancelling" : job_state_name(job->shown));
+	jsn_put_int(row, "age_ms", view->wall_ms - job->accepted_ms);
+	put_totals(row, &totals);
+	return row;
+}
+
+struct json_object *job_view_list(const struct job_view *view)
+{
+	struct json_object *rows = json_object_new_array();
+
+	for (guint i = 0; i < view->jobs->live->len; i++)
+		json_object_array_add(rows,
+				      head(view, view->jobs->live->pdata[i]));
+	return rows;
+}
+
+static struct json_object *placed_tasks(struct job *job)
+{
+	struct json_object *rows = json_object_new_array();
+	struct job_pos pos = { .job = job };
+
+	while (job_next_task(&pos)) {
+		struct json_object *row;
+		char name[JOB_TASK_NAME_BYTES];
+
+		if (pos.task->state != TASK_PLACED)
+			continue;
+		row = json_object_new_object();
+		job_task_name(&pos, name, sizeof(name));
+		jsn_put_string(row, "task", name);
+		jsn_put_string(row, "worker", pos.task->worker);
+		jsn_put_int(row, "run", pos.task->run);
+		json_object_array_add(rows, row);
+	}
+	return rows;
+}
+
+struct json_object *job_view_one(const struct job_view *view, const char *id)
+{
+	struct job *job = job_find(view->jobs, id);
+	struct json_object *steps = json_object_new_array();
+	struct json_object *one;
+
+	if (!job) {
+		json_object_put(steps);
+		return NULL;
+	}
+	one = head(view, job);
+	for (uint32_t i = 0; i < job->spec.step_count; i++) {
+		struct json_object *row = json_object_new_object();
+		struct totals totals = count(job, i);
+
+		jsn_put_int(row, "step", i);
+		put_totals(row, &totals);
+		json_object_array_add(steps, row);
+	}
+	json_object_object_add(one, "steps", steps);
+	json_object_object_add(one, "placed_tasks", placed_tasks(job));
+	return one;
+}
+
+/* Why the tasks of a step that are neither placed nor done do not run. */
+static void explain_step(const struct job_view *view, struct job *job,
+			 uint32_t index, GString *text)
+{
+	const struct job_step *step = &job->spec.steps[index];
+	struct totals totals = count(job, index);
+	int32_t waiting = totals.tasks - totals.done - totals.placed;
+	int32_t usable = 0;
+
+	g_string_append_printf(text,
+			       "Step %u: %d of %d tasks done, %d placed. ",
+			       index, totals.done, totals.tasks, totals.placed);
+	if (!waiting)
+		return;
+	if (!job_step_ready(job, 0, index)) {
+		g_string_append(text,
+				"It waits for the steps that it depends on. ");
+		return;
+	}
+	for (guint i = 0; i < view->workers->list->len; i++) {
+		const struct worker *worker = view->workers->list->pdata[i];
+
+		usable += worker->listed && !worker->entry.draining &&
+			  !strcmp(worker->entry.pool, job->pool) &&
+			  worker->entry.cpu_milli >= step->cpu_milli &&
+			  worker->entry.mem_mib >= step->mem_mib &&
+			  (!step->label[0] ||
+			   worker_has_label(worker, step->label));
+	}
+	g_string_append_printf(text,
+			       "%d wait for room; pool %s has %d workers that "
+			       "can hold such a task. ",
+			       waiting, job->pool, usable);
+}
+
+struct json_object *job_view_explain(const struct job_view *view,
+				     const char *id)
+{
+	struct job *job = job_find(view->jobs, id);
+	struct json_object *answer;
+	GString *text;
+	int64_t late_ms;
+
+	if (!job)
+		return NULL;
+	text = g_string_new(NULL);
+	g_string_append_printf(
+		text,
+		"Job %s was handed in to queue %s %" G_GINT64_FORMAT
+		" ms ago and is %s. ",
+		id, job->queue, view->wall_ms - job->accepted_ms,
+		job_state_name(job->shown));
+	late_ms = view->wall_ms - place_target_ms(view->cfg, job);
+	if (!job_ended(job->shown) && late_ms > 0)
+		g_string_append_printf(text,
+				       "It is %" G_GINT64_FORMAT
+				       " ms past its objective. ",
+				       late_ms);
+	if (job->cancel_asked)
+		g_string_append(text, "Its cancelling has been asked for. ");
+	if (job->shown == JOB_FAILED)
+		g_string_append(text, "A task used up its attempts, or the job "
+				      "cannot be read. ");
+	for (uint32_t i = 0; !job_ended(job->shown) && i < job->spec.step_count;
+	     i++)
+		explain_step(view, job, i, text);
+	answer = json_object_new_object();
+	jsn_put_string(answer, "explanation", g_strchomp(text->str));
+	g_string_free(text, TRUE);
+	return answer;
+}
--- a/src/node.c
+++ b/src/node.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "job_view.h"
 #include "log.h"
 #include "node_metrics.h"
 
@@ -492,6 +493,32 @@
 				 &node->hosts_env, &gauges);
 }
 
+struct json_object *node_view(const struct node *node, const char *path)
+{
+	static const char root[] = "/v1/jobs";
+	struct job_view view = {
+		.cfg = node->cfg,
+		.jobs = node->jobs,
+		.workers = node->workers,
+		.wall_ms = clk_wall_ms(node->config.clk),
+	};
+	char id[JOB_ID_BYTES];
+	const char *rest;
+
+	if (!strcmp(path, root))
+		return job_view_list(&view);
+	if (!g_str_has_prefix(path, "/v1/jobs/"))
+		return NULL;
+	path += strlen("/v1/jobs/");
+	g_strlcpy(id, path, sizeof(id));
+	if (!job_valid_id(id))
+		return NULL;
+	rest = path + JOB_ID_BYTES - 1;
+	if (!*rest)
+		return job_view_one(&view, id);
+	return strcmp(rest, "/explain") ? NULL : job_view_explain(&view, id);
+}
+
 bool node_owns(const struct node *node, const char *name)
 {
 	const struct pool *pool = pool_of(node, name);
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,7 @@
 #define NODE_H
 
 #include <apr_pools.h>
+#include <json-c/json.h>
 
 #include "evl.h"
 #include "front.h"
@@ -69,6 +70,13 @@
 /* node_metrics - counters and latencies as text, allocated from the pool */
 char *node_metrics(const struct node *node, apr_pool_t *pool);
 
+/*
+ * node_view - answer to an operator's path, as JSON; NULL: there is no such
+ *
+ * "/v1/jobs", "/v1/jobs/ID" and "/v1/jobs/ID/explain".
+ */
+struct json_object *node_view(const struct node *node, const char *path);
+
 /* node_owns - whether this node has taken that pool over */
 bool node_owns(const struct node *node, const char *pool);
 
--- a/src/noded.c
+++ b/src/noded.c
@@ -53,6 +53,24 @@
 	ingress_readiness(request, node_ready(noded->node));
 }
 
+static void handle_view(const struct noded *noded, struct web_request *request)
+{
+	static const struct web_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ NULL, NULL },
+	};
+	struct json_object *view = node_view(noded->node, request->path);
+	const char *text;
+
+	if (!view) {
+		web_respond_error(request, ERR_NOT_FOUND, request->path);
+		return;
+	}
+	text = json_object_to_json_string_ext(view, JSON_C_TO_STRING_PLAIN);
+	web_respond(request, 200, headers, text, strlen(text));
+	json_object_put(view);
+}
+
 static void handle_metrics(void *arg, struct web_request *request)
 {
 	static const struct web_header headers[] = {
@@ -63,7 +81,7 @@
 	char *text;
 
 	if (strcmp(request->path, "/metrics")) {
-		web_respond(request, 404, NULL, "", 0);
+		handle_view(noded, request);
 		return;
 	}
 	text = node_metrics(noded->node, request->pool);
