--- a/src/job.c
+++ b/src/job.c
@@ -413,6 +413,8 @@
 	task->state = TASK_PLACED;
 	task->phase = PHASE_RECORDING;
 	task->wish_ms = 0;
+	task->open_orders = 0;
+	task->stop_ok = false;
 	task->run = run;
 	task->worker = g_intern_string(worker);
 	task->since_ms = now_ms;
--- a/src/job.h
+++ b/src/job.h
@@ -90,6 +90,9 @@
 	uint8_t state;
 	uint8_t phase;
 	int64_t wish_ms; /* since when its worker is to be emptied; 0: not */
+	/* Start orders of this run without an answer: they may come late. */
+	int32_t open_orders;
+	bool stop_ok; /* its worker has confirmed the stop */
 	int32_t run;
 	int32_t failed;
 	const char *worker; /* interned; where the newest run is or was */
--- a/src/pool.c
+++ b/src/pool.c
@@ -362,8 +362,10 @@
 		pool_empty_workers(pool);
 		store_changes(pool);
 		for (guint i = 0; i < jobs->live->len; i++)
-			if (mine(pool, jobs->live->pdata[i]))
+			if (mine(pool, jobs->live->pdata[i])) {
 				pool_send_starts(pool, jobs->live->pdata[i]);
+				pool_repeat_stops(pool, jobs->live->pdata[i]);
+			}
 		pool_renew(pool);
 		drop_old_jobs(pool);
 	}
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -42,6 +42,9 @@
 void pool_send_stop(struct pool *pool, struct worker *worker, const char *task,
 		    int32_t run);
 
+/* pool_repeat_stops - repeat stop orders that had no answer */
+void pool_repeat_stops(struct pool *pool, struct job *job);
+
 /* pool_take_report - act on what a worker lists */
 void pool_take_report(struct pool *pool, struct worker *worker,
 		      const struct worker_report *report, int64_t asked_ms);
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -5,6 +5,7 @@
 
 enum {
 	POOL_START_RETRY_MS = 400,
+	POOL_STOP_RETRY_MS = 300,
 	POOL_RENEW_WAIT_MS = 1000,
 	POOL_RENEW_GAP_MS = 30,
 	/* For the append with the ends that the worker has told. */
@@ -45,10 +46,32 @@
 	tenure_lose(&pool->tenure, "a worker has seen a higher fence");
 }
 
+/* A stop order under way belongs to the run that it names. */
+static void begin_stop(struct pool *pool, struct job_pos *pos)
+{
+	struct worker *worker =
+		worker_find(pool->env->workers, pos->task->worker);
+	char name[JOB_TASK_NAME_BYTES];
+
+	pos->task->phase = PHASE_STOPPING;
+	pos->task->since_ms = pool_now_ms(pool);
+	job_task_name(pos, name, sizeof(name));
+	if (worker)
+		pool_send_stop(pool, worker, name, pos->task->run);
+}
+
+/*
+ * Frees a task whose start was refused. If an earlier order of the run had no
+ * answer, it may still be carried out; then the worker is first told to stop
+ * the run, after which it starts it no more.
+ */
 static void unplace(struct pool *pool, struct job_pos *pos, int64_t hold_ms)
 {
-	pool_end(pool, pos, END_STOPPED, NULL);
 	pos->task->hold_until_ms = pool_now_ms(pool) + hold_ms;
+	if (pos->task->open_orders)
+		begin_stop(pool, pos);
+	else
+		pool_end(pool, pos, END_STOPPED, NULL);
 }
 
 static void act_on_start(struct sent *sent, enum order_outcome outcome,
@@ -109,9 +132,12 @@
 	if (outcome == ORDER_FENCED)
 		fenced_off(pool, sent->worker);
 	else if (job_task_find(pool->env->jobs, sent->task, &pos) &&
-		 pos.task->state == TASK_PLACED && pos.task->run == sent->run &&
-		 pos.task->phase == PHASE_STARTING)
-		act_on_start(sent, outcome, &pos);
+		 pos.task->state == TASK_PLACED && pos.task->run == sent->run) {
+		if (outcome != ORDER_UNKNOWN)
+			pos.task->open_orders--;
+		if (pos.task->phase == PHASE_STARTING)
+			act_on_start(sent, outcome, &pos);
+	}
 	g_free(sent);
 }
 
@@ -132,6 +158,7 @@
 
 	job_task_name(pos, sent->task, sizeof(sent->task));
 	sent->run = pos->task->run;
+	pos->task->open_orders++;
 	pos->task->since_ms = now_ms;
 	worker->lease_end_ms =
 		MAX(worker->lease_end_ms,
@@ -172,10 +199,23 @@
 static void on_stop(void *arg, enum order_outcome outcome)
 {
 	struct sent *sent = arg;
+	struct pool *pool = sent->pool;
+	struct job_pos pos;
 
-	if (sent->tenure == sent->pool->tenure.number &&
-	    outcome == ORDER_FENCED)
-		fenced_off(sent->pool, sent->worker);
+	if (sent->tenure != pool->tenure.number) {
+		g_free(sent);
+		return;
+	}
+	if (outcome == ORDER_FENCED)
+		fenced_off(pool, sent->worker);
+	else if (outcome == ORDER_OK &&
+		 job_task_find(pool->env->jobs, sent->task, &pos) &&
+		 pos.task->state == TASK_PLACED && pos.task->run == sent->run &&
+		 pos.task->phase == PHASE_STOPPING && !pos.task->stop_ok) {
+		/* A report that is asked for from now on tells the rest. */
+		pos.task->stop_ok = true;
+		pos.task->since_ms = pool_now_ms(pool);
+	}
 	g_free(sent);
 }
 
@@ -187,10 +227,24 @@
 	if (!pool_may_order(pool))
 		return;
 	sent = sent_new(pool, worker->entry.id);
+	g_strlcpy(sent->task, task, sizeof(sent->task));
+	sent->run = run;
 	pool->env->orders->stop(pool->env->orders->io, &worker->entry, task,
 				run, pool->tenure.fence, on_stop, sent);
 }
 
+void pool_repeat_stops(struct pool *pool, struct job *job)
+{
+	struct job_pos pos = { .job = job };
+	int64_t now_ms = pool_now_ms(pool);
+
+	while (job_next_task(&pos))
+		if (pos.task->state == TASK_PLACED &&
+		    pos.task->phase == PHASE_STOPPING && !pos.task->stop_ok &&
+		    now_ms - pos.task->since_ms >= POOL_STOP_RETRY_MS)
+			begin_stop(pool, &pos);
+}
+
 static void on_renew(void *arg, enum order_outcome outcome,
 		     const struct worker_report *report)
 {
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -6,8 +6,7 @@
 enum {
 	/* Share of the newest end in a worker's record of failures. */
 	POOL_FAILURE_WEIGHT_PERCENT = 25,
-	POOL_FAILING_MS = 3000,
-	POOL_STOP_RETRY_MS = 300
+	POOL_FAILING_MS = 3000
 };
 #define POOL_FAILING_RATE 0.6
 
@@ -79,13 +78,8 @@
 		g_free(task->checkpoint);
 		task->checkpoint = g_strdup(run->checkpoint);
 	}
-	if (task->phase == PHASE_STOPPING) {
-		if (now_ms - task->since_ms >= POOL_STOP_RETRY_MS) {
-			task->since_ms = now_ms;
-			stop_run(pool, worker, run);
-		}
+	if (task->phase == PHASE_STOPPING)
 		return;
-	}
 	if (task->phase != PHASE_RUNNING) {
 		task->phase = PHASE_RUNNING;
 		task->since_ms = now_ms;
@@ -99,8 +93,10 @@
 	case PHASE_UNKNOWN:
 		return true;
 	case PHASE_RUNNING:
-	case PHASE_STOPPING:
 		return task->since_ms < asked_ms;
+	case PHASE_STOPPING:
+		/* Until the stop is confirmed, a late start may come. */
+		return task->stop_ok && task->since_ms < asked_ms;
 	default:
 		return false;
 	}
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -450,6 +450,9 @@
 		return ORDER_OTHER_LIFE;
 	if (!worker_model_fence(&worker->model, event->fence))
 		return ORDER_FENCED;
+	if (event->kind == 's' && !event->unanswered &&
+	    draw(sim, 100) < sim->faults.unhealthy_percent)
+		return ORDER_UNHEALTHY;
 	if (event->kind == 's')
 		outcome = start_now(sim, worker, event);
 	else if (event->kind == 'x')
@@ -465,6 +468,9 @@
 	struct sim_worker *worker = &sim->workers[event->worker];
 	struct worker_report report = { 0 };
 
+	/* A connection ends with the life that it was made to. */
+	if (!worker->up || event->born_ms != worker->entry.born_ms)
+		event->outcome = ORDER_UNKNOWN;
 	if (!reaches(sim, event))
 		return;
 	if (event->kind != 'r') {
@@ -514,6 +520,7 @@
 	if (draw(sim, 100) < sim->faults.order_lost_percent)
 		event->outcome = ORDER_UNKNOWN;
 	if (event->kind == 'r' && event->outcome == ORDER_OK) {
+		event->fn = wait_renew;
 		wait_renew(sim, event);
 		return;
 	}
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -44,6 +44,7 @@
 	uint32_t late_percent;	  /* appends carried out late, unanswered */
 	uint32_t refused_percent; /* 503 of the log */
 	uint32_t order_lost_percent;
+	uint32_t unhealthy_percent;  /* starts that a worker refuses */
 	uint32_t order_late_percent; /* orders carried out seconds late */
 	bool log_down;
 };
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -196,6 +196,7 @@
 		break;
 	case 9:
 		sim->faults.order_lost_percent = rnd_below(&sim->rnd, 2) * 15;
+		sim->faults.unhealthy_percent = rnd_below(&sim->rnd, 2) * 20;
 		sim->faults.order_late_percent = rnd_below(&sim->rnd, 2) * 10;
 		break;
 	case 10:
