--- a/src/job.c
+++ b/src/job.c
@@ -474,23 +474,33 @@
 		place->job->state = JOB_FAILED;
 }
 
+/* Whether a worker has confirmed that the task began at some time. */
+static bool has_begun(const struct job_task *task)
+{
+	if (task->state == TASK_DONE || task->failed)
+		return true;
+	return task->state == TASK_PLACED &&
+	       (task->phase == PHASE_RUNNING || task->phase == PHASE_STOPPING);
+}
+
 void job_refresh(struct job *job)
 {
 	uint32_t count = job->occurrences * job->tasks_each;
-	uint32_t done = 0, placed = 0;
+	uint32_t done = 0;
+	bool begun = false;
 	enum job_state state = job->state;
 
 	if (!job->has_spec || job_ended(state))
 		return;
 	for (uint32_t i = 0; i < count; i++) {
 		done += job->tasks[i].state == TASK_DONE;
-		placed += job->tasks[i].run > 0;
+		begun |= has_begun(&job->tasks[i]);
 	}
 	if (job->cancel_asked)
 		state = JOB_CANCELLED;
 	else if (done == count)
 		state = JOB_DONE;
-	else if (placed)
+	else if (begun)
 		state = JOB_RUNNING;
 	if (state != job->state)
 		job->dirty = true;
--- a/src/job.h
+++ b/src/job.h
@@ -116,7 +116,7 @@
 	bool dropping;	      /* its records are being dropped */
 	enum job_state state; /* as changed in memory */
 	enum job_state shown; /* as stored */
-	bool started;	      /* as stored: some task has been placed */
+	bool started;	      /* as stored: a worker has begun some task */
 	int64_t accepted_ms;  /* wall clock of the node that took it */
 	int64_t ended_ms;     /* monotonic, of this node; 0: not ended */
 	struct job_spec spec;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -100,6 +100,24 @@
 }
 END_TEST
 
+/* Starts get lost on the way: no task has begun, and the job waits. */
+START_TEST(job_waits_until_a_worker_has_begun)
+{
+	struct sim *sim = sim_create(5, 3, 4);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	sim->faults.order_late_percent = 100;
+	job = sim_hand_in(sim, 0, 1, 4);
+	sim_run_for(sim, 400);
+	ck_assert_int_eq(sim_state(sim, 1, job->id), JOB_QUEUED);
+	sim->faults.order_late_percent = 0;
+	sim_run_for(sim, 15000);
+	ck_assert_int_eq(sim_state(sim, 1, job->id), JOB_DONE);
+	check_kept(sim, 5);
+}
+END_TEST
+
 /* A zone's entries come back to the registry only after the takeover. */
 START_TEST(worker_listed_after_takeover_keeps_its_runs)
 {
@@ -297,6 +315,7 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, calm_jobs_are_done);
 	tcase_add_test(tcase, cancelled_job_stops);
+	tcase_add_test(tcase, job_waits_until_a_worker_has_begun);
 	tcase_add_test(tcase, worker_listed_after_takeover_keeps_its_runs);
 	tcase_add_test(tcase, task_of_a_gone_worker_runs_elsewhere);
 	tcase_add_loop_test(tcase, promises_hold_in_random_troubles, 0,
