--- a/tests/process_docs.sh
+++ b/tests/process_docs.sh
@@ -17,6 +17,17 @@
 		named "$counter"
 	done
 done
+. scripts/nodes.sh
+stop_all_processes
+start_standin 1 || exit 1
+start_node 0
+wait_until 20 node_is_ready 0 || exit 1
+for counter in $(curl -s "$(node_admin_url 0)/metrics" | sed -n 's/^plank_\([a-z_]*\)[ {].*/\1/p' | sed 's/_ms_count$/_ms/'); do
+	named "$counter"
+done
+for key in $(sed -n 's/.*&root, "\([a-z_]*\)".*/\1/p' src/settings.c); do
+	named "$key"
+done
 for key in $(sed -n 's/^\t{ "\([a-z_]*\)", offsetof.*/\1/p' src/cnf.c); do
 	named "$key"
 done
--- /dev/null
+++ b/tests/test_jobs.c
@@ -0,0 +1,493 @@
+/* Tests of jobs, placement and lending, which know no network or clock. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "host_plan.h"
+#include "lend.h"
+#include "log.h"
+#include "place.h"
+#include "rnd.h"
+#include "settings.h"
+#include "wire.h"
+
+static struct job_store *jobs;
+static struct worker_table *workers;
+static struct cfg *cfg;
+static int64_t next_offset;
+
+static const char configuration[] =
+	"{\"version\":3,\"routes\":["
+	"{\"name\":\"q\",\"host\":\"h.example\",\"prefix\":\"/a/\","
+	"\"service\":\"pool\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500},"
+	"{\"name\":\"deep\",\"host\":\"h.example\",\"prefix\":\"/a/b/\","
+	"\"service\":\"pool\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500}],"
+	"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":true}],"
+	"\"limits\":{\"maxBodyBytes\":1000}}";
+
+static void setup(void)
+{
+	struct err err = { .kind = ERR_OK };
+
+	jobs = job_store_create(wire_spec);
+	workers = worker_table_create();
+	ck_assert_int_eq(
+		wire_cfg(configuration, strlen(configuration), &cfg, &err), 0);
+	next_offset = 0;
+}
+
+static void teardown(void)
+{
+	job_store_destroy(jobs);
+	worker_table_destroy(workers);
+	cfg_destroy(cfg);
+}
+
+static struct job *give(const char *id, const char *body)
+{
+	struct err err = { .kind = ERR_OK };
+	size_t len;
+	char *record =
+		job_given_record("q", "pool", 1000, body, strlen(body), &len);
+
+	job_apply_given(jobs, id, next_offset++, record, len, &err);
+	g_free(record);
+	return job_find(jobs, id);
+}
+
+static struct worker *add_worker(const char *id, const char *label,
+				 int32_t cpu_milli)
+{
+	struct worker_entry entry = {
+		.cpu_milli = cpu_milli,
+		.mem_mib = 1000,
+		.label_count = 1,
+	};
+	struct worker *worker;
+
+	g_strlcpy(entry.id, id, sizeof(entry.id));
+	g_strlcpy(entry.pool, "pool", sizeof(entry.pool));
+	g_strlcpy(entry.labels[0], label, sizeof(entry.labels[0]));
+	worker = worker_put(workers, &entry);
+	worker->reached = true;
+	worker->heard_ms = 1000;
+	return worker;
+}
+
+static struct place_counts place_now(int64_t wall_ms)
+{
+	struct place place = {
+		.pool = "pool",
+		.cfg = cfg,
+		.jobs = jobs,
+		.workers = workers,
+		.now_ms = 1000,
+		.wall_ms = wall_ms,
+	};
+
+	place_account(&place);
+	return place_tasks(&place);
+}
+
+static const char two_steps[] =
+	"{\"spec\":\"t\",\"steps\":[{\"count\":3,\"cpu\":1000,\"estMs\":100},"
+	"{\"count\":2,\"cpu\":1000,\"estMs\":100,\"dependsOn\":[0]}]}";
+#define ID_1 "00000000000000a1"
+#define ID_2 "00000000000000a2"
+
+static void end_all(struct job *job, uint32_t step, enum job_end how)
+{
+	struct job_pos pos = { .job = job };
+
+	while (job_next_task(&pos))
+		if (pos.step == step && pos.task->state == TASK_PLACED)
+			job_end_run(&pos, how, NULL, 2);
+}
+
+START_TEST(steps_run_in_order_and_progress_survives)
+{
+	struct job *job = give(ID_1, two_steps);
+	struct err err = { .kind = ERR_OK };
+	struct job_task *task;
+	char *record;
+	size_t len;
+
+	add_worker("w1", "a", 32000);
+	ck_assert_uint_eq(place_now(1000).placed, 3);
+	ck_assert_uint_eq(place_now(1000).placed, 0);
+	end_all(job, 0, END_DONE);
+	ck_assert_uint_eq(place_now(1000).placed, 2);
+	job_refresh(job);
+	ck_assert_int_eq(job->state, JOB_RUNNING);
+	record = job_progress_record(job, &len);
+	/* Another node knows the same from the record. */
+	ck_assert_int_eq(
+		job_apply_progress(jobs, ID_1, 50, record, len, false, &err),
+		0);
+	g_free(record);
+	task = job_task_at(job, 0, 1, 1);
+	ck_assert_int_eq(task->state, TASK_PLACED);
+	ck_assert_str_eq(task->worker, "w1");
+	ck_assert_int_eq(task->run, 1);
+	ck_assert_int_eq(task->phase, PHASE_UNKNOWN);
+	ck_assert_int_eq(job_task_at(job, 0, 0, 2)->state, TASK_DONE);
+	end_all(job, 1, END_DONE);
+	job_refresh(job);
+	ck_assert_int_eq(job->state, JOB_DONE);
+}
+END_TEST
+
+START_TEST(older_records_change_nothing)
+{
+	struct job *job = give(ID_1, two_steps);
+	struct err err = { .kind = ERR_OK };
+	const char done[] = "{\"state\":\"done\",\"parts\":[]}";
+	const char running[] = "{\"state\":\"running\",\"parts\":[]}";
+
+	job_apply_progress(jobs, ID_1, 20, done, strlen(done), false, &err);
+	job_apply_progress(jobs, ID_1, 10, running, strlen(running), false,
+			   &err);
+	ck_assert_int_eq(job->shown, JOB_DONE);
+	/* The answer of an append that comes after the next owner's record. */
+	job_stored(jobs, job, 15, running, strlen(running));
+	ck_assert_int_eq(job->shown, JOB_DONE);
+	give(ID_1, two_steps);
+	ck_assert_int_eq(job->shown, JOB_DONE);
+}
+END_TEST
+
+START_TEST(attempts_end_a_job)
+{
+	struct job *job = give(ID_1, two_steps);
+
+	add_worker("w1", "a", 1000);
+	ck_assert_uint_eq(place_now(1000).placed, 1);
+	end_all(job, 0, END_FAILED);
+	ck_assert_int_eq(job->state, JOB_QUEUED);
+	ck_assert_uint_eq(place_now(1000).placed, 1);
+	end_all(job, 0, END_FAILED);
+	ck_assert_int_eq(job->state, JOB_FAILED);
+	ck_assert_uint_eq(place_now(1000).placed, 0);
+}
+END_TEST
+
+START_TEST(lost_runs_are_no_attempts)
+{
+	struct job *job = give(ID_1, two_steps);
+
+	add_worker("w1", "a", 1000);
+	for (int i = 0; i < 6; i++) {
+		ck_assert_uint_eq(place_now(1000).placed, 1);
+		end_all(job, 0, i % 2 ? END_LAPSED : END_STOPPED);
+	}
+	ck_assert_int_eq(job->state, JOB_QUEUED);
+}
+END_TEST
+
+START_TEST(labels_spread_and_room_are_kept)
+{
+	struct job *job = give(
+		ID_1, "{\"spec\":\"t\",\"steps\":[{\"count\":9,\"cpu\":1000,"
+		      "\"requiredLabel\":\"a\",\"maxPerServer\":2}]}");
+	struct worker *good = add_worker("w1", "a", 32000);
+	struct worker *small = add_worker("w2", "a", 1500);
+	struct worker *other = add_worker("w3", "b", 32000);
+	struct worker *leaving = add_worker("w4", "a", 32000);
+
+	leaving->leaving = true;
+	ck_assert_uint_eq(place_now(1000).placed, 3);
+	ck_assert_int_eq(good->cpu_used_milli, 2000);
+	ck_assert_int_eq(small->cpu_used_milli, 1000);
+	ck_assert_int_eq(other->cpu_used_milli, 0);
+	ck_assert(job->dirty);
+}
+END_TEST
+
+START_TEST(gangs_start_whole_or_not)
+{
+	struct job *job = give(ID_1, "{\"spec\":\"t\",\"steps\":[{\"count\":3,"
+				     "\"cpu\":1000,\"gang\":true}]}");
+
+	add_worker("w1", "a", 2000);
+	ck_assert_uint_eq(place_now(1000).placed, 0);
+	add_worker("w2", "a", 1000);
+	ck_assert_uint_eq(place_now(1000).placed, 3);
+	for (uint32_t i = 0; i < 3; i++)
+		ck_assert_int_eq(job_task_at(job, 0, 0, i)->run, 1);
+}
+END_TEST
+
+/* A turn asks for more than the pool holds: late jobs must not delay others. */
+START_TEST(jobs_that_are_too_late_come_last)
+{
+	struct job *late = give(ID_1, two_steps);
+	struct job *good = give(ID_2, two_steps);
+
+	good->accepted_ms = 5000;
+	add_worker("w1", "a", 1000);
+	/* The first one's objective has passed, the other's has not. */
+	ck_assert_uint_eq(place_now(5000).placed, 1);
+	ck_assert_int_eq(job_task_at(good, 0, 0, 0)->state, TASK_PLACED);
+	ck_assert_int_eq(job_task_at(late, 0, 0, 0)->state, TASK_WAITING);
+}
+END_TEST
+
+/* A turn begins with few hosts in its pool, and many that can be lent. */
+START_TEST(backlog_counts_what_can_be_lent)
+{
+	struct place place = {
+		.pool = "pool",
+		.cfg = cfg,
+		.jobs = jobs,
+		.workers = workers,
+	};
+	int64_t alone_ms, with_parked_ms;
+
+	give(ID_1, two_steps);
+	add_worker("w1", "a", 1000);
+	alone_ms = place_backlog_ms(&place, 0);
+	with_parked_ms = place_backlog_ms(&place, 10000);
+	ck_assert_int_eq(alone_ms, 500);
+	ck_assert_int_eq(with_parked_ms, 50);
+}
+END_TEST
+
+static struct lend_pool lend_pool_of(const char *name, int32_t hosts,
+				     int32_t idle, int64_t wanted_milli)
+{
+	struct lend_pool pool = {
+		.hosts = hosts,
+		.idle = idle,
+		.movable = idle,
+		.least = 2,
+		.wanted_milli = wanted_milli,
+		.standby = !strcmp(name, "parked"),
+	};
+
+	g_strlcpy(pool.name, name, sizeof(pool.name));
+	return pool;
+}
+
+/* Demand by turns: one pool wants several times what it has. */
+START_TEST(hosts_follow_a_turn_and_are_parked_after_it)
+{
+	struct lend lend = { .host_milli = 1000 };
+	struct lend_pool pools[3] = {
+		lend_pool_of("busy", 4, 0, 8000),
+		lend_pool_of("calm", 8, 6, 500),
+		lend_pool_of("parked", 2, 2, 0),
+	};
+	uint32_t from, to, moves = 0;
+	int64_t now_ms = 10000;
+
+	for (int i = 0; i < 3; i++)
+		lend_note(&lend, &pools[i], now_ms);
+	while (lend_next(&lend, pools, 3, now_ms, &from, &to)) {
+		ck_assert_uint_eq(to, 0);
+		/* Parked hosts first, as nothing is lost there. */
+		ck_assert_uint_eq(from, moves < 2 ? 2 : 1);
+		pools[from].hosts--;
+		pools[from].idle--;
+		pools[from].movable--;
+		pools[to].hosts++;
+		moves++;
+	}
+	ck_assert_int_eq(pools[0].hosts, 10);
+	/* The turn is over. */
+	pools[0].wanted_milli = 0;
+	pools[0].idle = 10;
+	pools[0].movable = 10;
+	for (now_ms = 11000; now_ms < 18000; now_ms += 100) {
+		for (int i = 0; i < 3; i++)
+			lend_note(&lend, &pools[i], now_ms);
+		while (lend_next(&lend, pools, 3, now_ms, &from, &to)) {
+			ck_assert_uint_eq(to, 2);
+			pools[from].hosts--;
+			pools[from].idle--;
+			pools[from].movable--;
+			pools[to].hosts++;
+		}
+	}
+	ck_assert_int_eq(pools[0].hosts, 3);
+	ck_assert_int_ge(pools[1].hosts, 2);
+}
+END_TEST
+
+START_TEST(late_answers_to_earlier_plans_count_for_nothing)
+{
+	struct host_plans *plans = host_plans_create();
+	struct err err = { .kind = ERR_OK };
+	struct host_plan plan = {
+		.host = "m1",
+		.worker = "w1",
+		.number = 7,
+		.work = HOST_RESTART,
+		.step = HOST_ASKED,
+		.wave = 2,
+	};
+	struct host_plan late = plan;
+	size_t len;
+	char *record;
+
+	host_plan_put(plans, &plan);
+	late.number = 6;
+	late.step = HOST_CLEAR;
+	record = host_plan_record(&late, &len);
+	ck_assert_int_eq(
+		host_plan_apply(plans, "m1", 5, record, len, true, 0, &err), 0);
+	ck_assert_int_eq(host_plan_find(plans, "m1")->step, HOST_ASKED);
+	g_free(record);
+	late.number = 7;
+	record = host_plan_record(&late, &len);
+	host_plan_apply(plans, "m1", 6, record, len, true, 0, &err);
+	ck_assert_int_eq(host_plan_find(plans, "m1")->step, HOST_CLEAR);
+	ck_assert(host_plan_leaves(plans, "w1"));
+	g_free(record);
+	host_plans_destroy(plans);
+}
+END_TEST
+
+START_TEST(routes_by_longest_prefix)
+{
+	const char *rest;
+	const struct cfg_queue *queue =
+		cfg_route(cfg, "H.example:80", "/a/b/x", &rest);
+
+	ck_assert_ptr_nonnull(queue);
+	ck_assert_str_eq(queue->name, "deep");
+	ck_assert_str_eq(rest, "x");
+	ck_assert_ptr_null(cfg_route(cfg, "other", "/a/b/x", &rest));
+	ck_assert_ptr_null(cfg_route(cfg, NULL, "/a/", &rest));
+	ck_assert_int_eq(cfg->max_body_bytes, 1000);
+}
+END_TEST
+
+START_TEST(wrong_settings_name_value_and_want)
+{
+	const char good[] =
+		"{\"name\":\"n\",\"data_centre\":\"d\",\"new\":1,"
+		"\"callers\":\"127.0.0.1:1\",\"readiness\":\"127.0.0.1:2\","
+		"\"log_service\":\"127.0.0.1:3\"}";
+	const char bad[] =
+		"{\"name\":\"n\",\"data_centre\":\"d\","
+		"\"callers\":\"127.0.0.1\",\"readiness\":\"127.0.0.1:2\","
+		"\"log_service\":\"127.0.0.1:3\"}";
+	struct settings settings = { .name = "before" };
+	struct err err = { .kind = ERR_OK };
+
+	ck_assert_int_eq(settings_parse(bad, strlen(bad), &settings, &err),
+			 ERR_INVALID);
+	ck_assert_str_eq(settings.name, "before");
+	ck_assert_ptr_nonnull(strstr(err.text, "callers"));
+	ck_assert_ptr_nonnull(strstr(err.text, "127.0.0.1"));
+	ck_assert_ptr_nonnull(strstr(err.text, "address:port"));
+	ck_assert_int_eq(settings_parse(good, strlen(good), &settings, &err),
+			 0);
+	ck_assert_int_eq(settings.callers.port, 1);
+}
+END_TEST
+
+static const char *const messages[] = {
+	configuration,
+	two_steps,
+	"{\"service\":\"pool\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
+	"\"state\":\"ready\",\"born\":5,\"capacity\":{\"cpu\":1,\"memMb\":2},"
+	"\"labels\":[\"a\",\"r1\"]}",
+	"{\"clockMs\":4,\"born\":5,\"running\":[[\"t\",1,\"c\",40,7]],"
+	"\"finished\":[[3,\"t\",1,\"done\",\"\"]]}",
+	"{\"wave\":1,\"machines\":[\"m1\"],\"completeByS\":20,\"maxCount\":1}",
+	"{\"state\":\"running\",\"parts\":[[0,0,\"1\",[[1,1,2,0,\"w\"]]]]}",
+};
+
+static void decode_all(const char *text, size_t len)
+{
+	struct err err = { .kind = ERR_OK };
+	struct cfg *read_cfg = NULL;
+	struct job_spec spec;
+	struct worker_entry entry;
+	struct worker_report report;
+	struct host_wave wave;
+
+	if (wire_cfg(text, len, &read_cfg, &err) == 0)
+		cfg_destroy(read_cfg);
+	if (wire_spec(text, len, &spec, &err) == 0)
+		job_spec_clear(&spec);
+	wire_worker("i", text, len, &entry, &err);
+	if (wire_report(text, len, &report, &err) == 0)
+		worker_report_clear(&report);
+	if (wire_wave(text, len, &wave, &err) == 0)
+		g_free(wave.hosts);
+	job_apply_progress(jobs, ID_1, next_offset++, text, len, false, &err);
+}
+
+/* Messages from outside, with bytes changed, cut out and put in. */
+START_TEST(mutated_messages_do_no_harm)
+{
+	struct rnd rnd;
+
+	rnd_init(&rnd, 77);
+	give(ID_1, two_steps);
+	for (int i = 0; i < 20000; i++) {
+		const char *text =
+			messages[rnd_below(&rnd, G_N_ELEMENTS(messages))];
+		GString *bytes = g_string_new(text);
+		uint32_t changes = 1 + rnd_below(&rnd, 6);
+
+		while (changes--) {
+			uint32_t at = rnd_below(&rnd, (uint32_t)bytes->len);
+
+			switch (rnd_below(&rnd, 3)) {
+			case 0:
+				bytes->str[at] = (char)rnd_below(&rnd, 256);
+				break;
+			case 1:
+				g_string_erase(bytes, at, 1);
+				break;
+			default:
+				g_string_insert_c(
+					bytes, at,
+					"0123456789-{}[],\":"[rnd_below(&rnd,
+									18)]);
+				break;
+			}
+		}
+		decode_all(bytes->str, bytes->len);
+		g_string_free(bytes, TRUE);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("jobs");
+	TCase *tcase = tcase_create("decisions");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	log_init("test_jobs", true);
+	tcase_set_timeout(tcase, 120);
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, steps_run_in_order_and_progress_survives);
+	tcase_add_test(tcase, older_records_change_nothing);
+	tcase_add_test(tcase, attempts_end_a_job);
+	tcase_add_test(tcase, lost_runs_are_no_attempts);
+	tcase_add_test(tcase, labels_spread_and_room_are_kept);
+	tcase_add_test(tcase, gangs_start_whole_or_not);
+	tcase_add_test(tcase, jobs_that_are_too_late_come_last);
+	tcase_add_test(tcase, backlog_counts_what_can_be_lent);
+	tcase_add_test(tcase, hosts_follow_a_turn_and_are_parked_after_it);
+	tcase_add_test(tcase, late_answers_to_earlier_plans_count_for_nothing);
+	tcase_add_test(tcase, routes_by_longest_prefix);
+	tcase_add_test(tcase, wrong_settings_name_value_and_want);
+	tcase_add_test(tcase, mutated_messages_do_no_harm);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -294,7 +294,7 @@
 
 START_TEST(promises_hold_in_random_troubles)
 {
-	play((uint64_t)(_i + first_seed));
+	play((uint64_t)_i + (uint64_t)first_seed);
 }
 END_TEST
 
