Take a part over at once in a new generation

When the log service dealt all parts anew, nodes that got theirs back waited 500 ms, as after a refused takeover; that is needed only within a generation.

--- a/src/tenure.c
+++ b/src/tenure.c
@@ -65,8 +65,10 @@
 	};
 
 	tenure->authority_end_ms = authority_end_ms;
+	/* What was lost in this generation may be another's by a newer one. */
 	if (tenure->state != TENURE_NONE ||
-	    clk_now_ms(tenure->config.clk) < tenure->retry_ms)
+	    (generation == tenure->generation &&
+	     clk_now_ms(tenure->config.clk) < tenure->retry_ms))
 		return;
 	tenure->tries =
 		generation == tenure->generation ? tenure->tries + 1 : 0;
--- a/src/tenure.h
+++ b/src/tenure.h
@@ -41,7 +41,7 @@
 	enum tenure_state state;
 	int64_t generation; /* in which it was taken over last */
 	int64_t tries;	    /* to take it over in that generation */
-	int64_t retry_ms;   /* not taken over again before */
+	int64_t retry_ms;   /* not taken over in it again before */
 	int64_t fence;
 	int64_t fence_end;	  /* the stream must be read up to here */
 	int64_t authority_end_ms; /* then others may have been given it */
