Spread pools over the members; number plans on their own

Pools are now ranked and spread. Nodes that differ for a moment on the ranks use different fences, as the part is in them.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -57,6 +57,18 @@
 	return kept;
 }
 
+int64_t host_plans_highest(const struct host_plans *plans)
+{
+	int64_t highest = 0;
+
+	for (guint i = 0; i < plans->list->len; i++) {
+		const struct host_plan *plan = plans->list->pdata[i];
+
+		highest = MAX(highest, plan->number);
+	}
+	return highest;
+}
+
 static void drop(struct host_plans *plans, const char *host)
 {
 	struct host_plan *plan = host_plan_find(plans, host);
@@ -110,6 +122,8 @@
 		plan.wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
 		at = jsn_member(&root, "number");
 		plan.number = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
+		at = jsn_member(&root, "fence");
+		plan.fence = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
 		at = jsn_member(&root, "done_wave");
 		plan.done_wave = jsn_int(&at, 0, LIM_NUMBER_MAX, 0);
 		at = jsn_member(&root, "pool");
@@ -137,6 +151,7 @@
 	jsn_put_string(object, "work", work_names[plan->work]);
 	jsn_put_string(object, "step", step_names[plan->step]);
 	jsn_put_int(object, "number", plan->number);
+	jsn_put_int(object, "fence", plan->fence);
 	if (plan->work == HOST_RESTART)
 		jsn_put_int(object, "wave", plan->wave);
 	else
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -30,6 +30,7 @@
 	char host[LIM_NAME_BYTES];
 	int64_t number; /* rises with each plan, so that late answers show */
 	char worker[LIM_NAME_BYTES]; /* the life that ends; empty: none */
+	int64_t fence;		     /* of the holder that made it */
 	enum host_work work;
 	enum host_step step;
 	int64_t wave;		   /* of a restart */
@@ -53,6 +54,9 @@
 struct host_plan *host_plan_find(const struct host_plans *plans,
 				 const char *host);
 
+/* host_plans_highest - highest number of a plan; 0: there is none */
+int64_t host_plans_highest(const struct host_plans *plans);
+
 /* host_plan_put - keep a plan, in place of an earlier one of the host */
 struct host_plan *host_plan_put(struct host_plans *plans,
 				const struct host_plan *plan);
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -10,9 +10,7 @@
 	HOSTS_DECIDE_MS = 100,
 	HOSTS_ORDER_RETRY_MS = 400,
 	/* A list asked for before an order may come after it. */
-	HOSTS_SETTLE_MS = 1500,
-	/* Plans made under one fence. */
-	HOSTS_PLANS = 1 << 20
+	HOSTS_SETTLE_MS = 1500
 };
 
 static void on_taken(void *arg)
@@ -20,7 +18,7 @@
 	struct hosts *hosts = arg;
 
 	hosts->listed_ms = 0;
-	hosts->plans = 0;
+	hosts->plans = host_plans_highest(hosts->env->plans);
 	hosts->quiet_until_ms =
 		hosts->tenure.taken_ms + hosts->env->order_lease_ms;
 	hosts->list_due_ms = 0;
@@ -78,10 +76,10 @@
 	g_free(hosts);
 }
 
-void hosts_own(struct hosts *hosts, int64_t generation,
+void hosts_own(struct hosts *hosts, int32_t part, int64_t generation,
 	       int64_t authority_end_ms)
 {
-	tenure_give(&hosts->tenure, generation, authority_end_ms);
+	tenure_give(&hosts->tenure, part, generation, authority_end_ms);
 }
 
 void hosts_disown(struct hosts *hosts)
@@ -225,7 +223,8 @@
 		host_plan_find(hosts->env->plans, plan->host);
 
 	numbered.earlier_ms = earlier ? earlier->seen_ms : 0;
-	numbered.number = hosts->tenure.fence * HOSTS_PLANS + ++hosts->plans;
+	numbered.number = ++hosts->plans;
+	numbered.fence = hosts->tenure.fence;
 	host_plan_put(hosts->env->plans, &numbered);
 	hosts_store(hosts, &numbered);
 	return host_plan_find(hosts->env->plans, plan->host);
@@ -313,7 +312,7 @@
 	int64_t taken_ms = hosts->tenure.taken_ms;
 
 	/* Made under this tenure: no other holder knew of it. */
-	if (plan->number / HOSTS_PLANS == hosts->tenure.fence)
+	if (plan->fence == hosts->tenure.fence)
 		return now_ms < hosts->quiet_until_ms &&
 		       now_ms < plan->earlier_ms + lease_ms;
 	return now_ms < taken_ms + lease_ms;
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -43,7 +43,7 @@
 struct hosts *hosts_create(struct hosts_env *env);
 void hosts_destroy(struct hosts *hosts);
 
-void hosts_own(struct hosts *hosts, int64_t generation,
+void hosts_own(struct hosts *hosts, int32_t part, int64_t generation,
 	       int64_t authority_end_ms);
 void hosts_disown(struct hosts *hosts);
 
--- a/src/hosts_int.h
+++ b/src/hosts_int.h
@@ -33,7 +33,7 @@
 	GPtrArray *waves;
 	GArray *lend_pools;	/* struct lend_pool */
 	int64_t quiet_until_ms; /* hosts ordered just before the takeover wait */
-	int64_t plans;		/* made under this fence */
+	int64_t plans;		/* number of the last one made */
 	struct writer *status;	/* NULL: not needed yet */
 	bool listing;
 	bool list_failing;
--- a/src/node.c
+++ b/src/node.c
@@ -9,7 +9,8 @@
 enum {
 	NODE_JOBS_PART = 0,
 	NODE_GROUP_PARTS = 24, /* of a topic */
-	NODE_HOSTS_PART = 0,   /* of the group's topic */
+	NODE_POOL_PARTS = 20,  /* of these, for pools */
+	NODE_HOSTS_PART = 22,
 	NODE_TTL_MS = 1500,
 	NODE_RENEW_MS = 400,
 	NODE_FOLLOW_GAP_MS = 150,
@@ -359,10 +360,26 @@
 	g_free(node);
 }
 
-/* Part of the group's topic that stands for a pool. */
-static int32_t part_of(const char *pool)
+/*
+ * Part of the group's topic that stands for a pool. Pools are ranked by a hash
+ * of their names and spread over the parts, as neighbouring parts go to one
+ * member.
+ */
+static int32_t part_of(const struct node *node, const char *name)
 {
-	return (int32_t)(g_str_hash(pool) % NODE_GROUP_PARTS);
+	uint32_t hash = g_str_hash(name);
+	uint32_t rank = 0, count = g_hash_table_size(node->pools);
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, node->pools);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		uint32_t other = g_str_hash(key);
+
+		rank += other < hash ||
+			(other == hash && strcmp(key, name) < 0);
+	}
+	return (int32_t)(rank * NODE_POOL_PARTS / count);
 }
 
 static void tick_pools(struct node *node)
@@ -375,10 +392,11 @@
 	g_hash_table_iter_init(&iter, node->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool *pool = value;
+		int32_t part = part_of(node, pool_name(pool));
 
 		if (!node->stopping && loaded &&
-		    group_holds(node->group, part_of(pool_name(pool)))) {
-			pool_own(pool, group_generation(node->group),
+		    group_holds(node->group, part)) {
+			pool_own(pool, part, group_generation(node->group),
 				 group_authority_end_ms(node->group));
 			any = true;
 		} else {
@@ -388,7 +406,8 @@
 	}
 	if (!node->stopping && loaded && node->cfg &&
 	    group_holds(node->group, NODE_HOSTS_PART)) {
-		hosts_own(node->hosts, group_generation(node->group),
+		hosts_own(node->hosts, NODE_HOSTS_PART,
+			  group_generation(node->group),
 			  group_authority_end_ms(node->group));
 		any = true;
 	} else {
--- a/src/pool.c
+++ b/src/pool.c
@@ -141,9 +141,10 @@
 	g_free(pool);
 }
 
-void pool_own(struct pool *pool, int64_t generation, int64_t authority_end_ms)
+void pool_own(struct pool *pool, int32_t part, int64_t generation,
+	      int64_t authority_end_ms)
 {
-	tenure_give(&pool->tenure, generation, authority_end_ms);
+	tenure_give(&pool->tenure, part, generation, authority_end_ms);
 }
 
 void pool_disown(struct pool *pool)
--- a/src/pool.h
+++ b/src/pool.h
@@ -66,7 +66,8 @@
  *
  * authority_end_ms tells when another node may have been given the pool.
  */
-void pool_own(struct pool *pool, int64_t generation, int64_t authority_end_ms);
+void pool_own(struct pool *pool, int32_t part, int64_t generation,
+	      int64_t authority_end_ms);
 
 /* pool_disown - another node may own the pool now */
 void pool_disown(struct pool *pool);
--- a/src/tenure.c
+++ b/src/tenure.c
@@ -52,7 +52,7 @@
 	tenure->syncing = false;
 }
 
-void tenure_give(struct tenure *tenure, int64_t generation,
+void tenure_give(struct tenure *tenure, int32_t part, int64_t generation,
 		 int64_t authority_end_ms)
 {
 	struct writer_config config = {
@@ -75,7 +75,9 @@
 	if (tenure->tries >= TENURE_FENCES)
 		return;
 	tenure->generation = generation;
-	tenure->fence = generation * TENURE_FENCES + tenure->tries;
+	tenure->fence =
+		(generation * TENURE_FENCES + tenure->tries) * TENURE_PARTS +
+		part;
 	config.epoch = tenure->fence;
 	log_info("tenure-given of=%s fence=%" G_GINT64_FORMAT, tenure->what,
 		 tenure->fence);
--- a/src/tenure.h
+++ b/src/tenure.h
@@ -54,8 +54,15 @@
 void tenure_init(struct tenure *tenure, const struct tenure_config *config);
 void tenure_clear(struct tenure *tenure);
 
-/* tenure_give - the group says that this node holds the part */
-void tenure_give(struct tenure *tenure, int64_t generation,
+enum { TENURE_PARTS = 32 };
+
+/*
+ * tenure_give - the group says that this node holds the part
+ *
+ * The part, below TENURE_PARTS, is in the fence: two nodes that for a moment
+ * find the same thing at different parts never use one fence.
+ */
+void tenure_give(struct tenure *tenure, int32_t part, int64_t generation,
 		 int64_t authority_end_ms);
 
 /* tenure_lose - stop acting; safe to call in any state */
