--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -166,14 +166,3 @@
 	json_object_put(object);
 	return text;
 }
-
-bool host_plan_leaves(const struct host_plans *plans, const char *worker)
-{
-	for (guint i = 0; i < plans->list->len; i++) {
-		const struct host_plan *plan = plans->list->pdata[i];
-
-		if (!strcmp(plan->worker, worker))
-			return true;
-	}
-	return false;
-}
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -75,7 +75,4 @@
 /* host_plan_record - record of a plan, freed with g_free */
 char *host_plan_record(const struct host_plan *plan, size_t *len);
 
-/* host_plan_leaves - whether a plan ends this life of a worker */
-bool host_plan_leaves(const struct host_plans *plans, const char *worker);
-
 #endif
--- a/src/pool.c
+++ b/src/pool.c
@@ -294,9 +294,29 @@
 	}
 }
 
-static void place_new(struct pool *pool)
+/* Marks the workers whose life is to end by a plan. */
+static void mark_leaving(struct pool *pool)
 {
 	struct worker_table *workers = pool->env->workers;
+	struct host_plans *plans = pool->env->plans;
+
+	for (guint i = 0; i < workers->list->len; i++) {
+		struct worker *worker = workers->list->pdata[i];
+
+		if (my_worker(pool, worker))
+			worker->leaving = false;
+	}
+	for (guint i = 0; i < plans->list->len; i++) {
+		const struct host_plan *plan = plans->list->pdata[i];
+		struct worker *worker = worker_find(workers, plan->worker);
+
+		if (worker && my_worker(pool, worker))
+			worker->leaving = true;
+	}
+}
+
+static void place_new(struct pool *pool)
+{
 	struct place place = {
 		.pool = pool->name,
 		.cfg = *pool->env->cfg,
@@ -306,13 +326,7 @@
 		.wall_ms = clk_wall_ms(pool->env->clk),
 	};
 
-	for (guint i = 0; i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
-
-		if (my_worker(pool, worker))
-			worker->leaving = host_plan_leaves(pool->env->plans,
-							   worker->entry.id);
-	}
+	mark_leaving(pool);
 	place_account(&place);
 	/* What is placed while the log stands still could not be stored. */
 	if (writer_stalled_ms(pool->tenure.writer) < pool->env->lease_ms / 4)
--- a/src/settings.c
+++ b/src/settings.c
@@ -63,7 +63,6 @@
 	struct settings read = { 0 };
 	struct json_object *value = jsn_parse(text, len, &fault);
 	struct jsn root = jsn_root(value, &fault);
-	struct jsn at;
 
 	if (!value)
 		return err_set(err, fault.kind, "%s", fault.text);
@@ -81,13 +80,7 @@
 	read.lease_max_ms = read_ms(&root, "lease_max_ms", 6000);
 	read.stop_grace_ms = read_seconds(&root, "stop_grace_s", 6);
 	read.order_lease_ms = read_ms(&root, "order_lease_ms", 3000);
-	read.notice_ms = read_ms(&root, "notice_ms", 4500);
-	read.stop_ms = read_ms(&root, "stop_ms", 200);
 	read.job_keep_ms = read_seconds(&root, "job_keep_s", 120);
-	read.recovery_ms = read_seconds(&root, "recovery_s", 12);
-	read.host_restart_ms = read_seconds(&root, "host_restart_s", 2);
-	at = jsn_member(&root, "orders_fenced");
-	read.orders_fenced = jsn_bool(&at, true);
 	json_object_put(value);
 	if (fault.kind != ERR_OK)
 		return err_set(err, fault.kind, "%s", fault.text);
--- a/src/settings.h
+++ b/src/settings.h
@@ -28,15 +28,10 @@
 	struct settings_address metrics;      /* port 0: not served */
 	char log_service[LIM_ADDRESS_BYTES];  /* address:port */
 	char host_service[LIM_ADDRESS_BYTES]; /* address:port; empty: none */
-	int64_t lease_max_ms;	 /* longest lease that workers give */
-	int64_t stop_grace_ms;	 /* from the stop signal to the kill */
-	int64_t order_lease_ms;	 /* between two holders of a host's orders */
-	int64_t notice_ms;	 /* how long a restart may take a task away */
-	int64_t job_keep_ms;	 /* ended jobs can be asked for */
-	int64_t stop_ms;	 /* a worker stops a task within this time */
-	int64_t recovery_ms;	 /* from a full stop to service */
-	int64_t host_restart_ms; /* a host is away for maintenance */
-	bool orders_fenced;	 /* the host service checks fences */
+	int64_t lease_max_ms;	/* longest lease that workers give */
+	int64_t stop_grace_ms;	/* from the stop signal to the kill */
+	int64_t order_lease_ms; /* between two holders of a host's orders */
+	int64_t job_keep_ms;	/* ended jobs can be asked for */
 };
 
 /*
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -345,7 +345,6 @@
 	record = host_plan_record(&late, &len);
 	host_plan_apply(plans, "m1", 6, record, len, true, 0, &err);
 	ck_assert_int_eq(host_plan_find(plans, "m1")->step, HOST_CLEAR);
-	ck_assert(host_plan_leaves(plans, "w1"));
 	g_free(record);
 	host_plans_destroy(plans);
 }
