--- a/src/noded.c
+++ b/src/noded.c
@@ -232,8 +232,11 @@
 
 static int serve(const char *path, const struct settings *settings)
 {
-	struct noded noded = { .path = g_strdup(path), .settings = *settings };
+	/* Calls under way when the loop ends point into it. */
+	static struct noded noded;
 
+	noded.path = g_strdup(path);
+	noded.settings = *settings;
 	noded.evl = evl_create(clk_system());
 	if (!noded.evl || !start(&noded))
 		return err_answer(ERR_IO)->exit_code;
