Bound the connections to each address, so that a worker stays in reach

Cause: the client opened a connection for each order that was under way at once. A worker accepts 64, and those of a node that lost power count until it notices, so that the next owner's were reset. Ruled out: a takeover (the last was at second 44, the job came at 57), the stream (the job's state was shown), hosts moved away (none was).

--- a/src/evl.c
+++ b/src/evl.c
@@ -199,6 +199,12 @@
 	free(transfer);
 }
 
+void evl_limit_connections(struct evl *evl, int32_t per_address)
+{
+	curl_multi_setopt(evl->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)per_address);
+}
+
 static void finish_transfers(struct evl *evl)
 {
 	int left;
--- a/src/evl.h
+++ b/src/evl.h
@@ -58,6 +58,13 @@
 /* evl_cancel - drop a transfer that has not ended; done is not called */
 void evl_cancel(struct evl *evl, CURL *easy);
 
+/*
+ * evl_limit_connections - bound the connections to each address
+ *
+ * Transfers beyond the bound wait, and their own time-outs run meanwhile.
+ */
+void evl_limit_connections(struct evl *evl, int32_t per_address);
+
 /* evl_run - run until evl_stop */
 void evl_run(struct evl *evl);
 void evl_stop(struct evl *evl);
