Order a host only while it runs the life that was emptied

Cause, from the code: a plan whose worker was empty is ordered as soon as the holder may, also if the host crashed meanwhile (a rack did, from second 11 to 17, while nobody could order) and its new worker was given tasks. Likewise a plan that was asked for a life that ended waits for ever, so that its wave is never done. Ruled out: a stop by the pool's owner (it started both tasks anew 48 ms later); an order that came late (the holder's own decision fits the time). Mend: host_plan_next compares the life in the list with the plan's; a restart is asked for anew, a move is dropped. Its test failed before.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -143,6 +143,16 @@
 	return 0;
 }
 
+enum host_next host_plan_next(const struct host_plan *plan,
+			      const struct host *host)
+{
+	if (host->state != HOST_UP)
+		return HOST_NEXT_WAIT;
+	if (!strcmp(host->worker, plan->worker))
+		return HOST_NEXT_ORDER;
+	return host->worker[0] ? HOST_NEXT_ASK : HOST_NEXT_WAIT;
+}
+
 char *host_plan_record(const struct host_plan *plan, size_t *len)
 {
 	struct json_object *object = json_object_new_object();
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -72,6 +72,21 @@
 		    const char *value, size_t len, bool own, int64_t now_ms,
 		    struct err *err);
 
+/* What the holder of the hosts does about a plan whose worker is empty. */
+enum host_next {
+	HOST_NEXT_ORDER,
+	HOST_NEXT_WAIT, /* the host is not up, or its worker is not known */
+	HOST_NEXT_ASK	/* another life has begun there: ask for it anew */
+};
+
+/*
+ * host_plan_next - whether the host still runs the life that was emptied
+ *
+ * A host that crashed and came back may have been given work since.
+ */
+enum host_next host_plan_next(const struct host_plan *plan,
+			      const struct host *host);
+
 /* host_plan_record - record of a plan, freed with g_free */
 char *host_plan_record(const struct host_plan *plan, size_t *len);
 
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -337,6 +337,39 @@
 					plan->wave, on_order, asked);
 }
 
+/*
+ * Another life has begun on the host: a restart is asked for anew; a move was
+ * decided for what was known then, and is dropped.
+ */
+static void plan_again(struct hosts *hosts, const struct known_host *known,
+		       struct host_plan *plan)
+{
+	struct host_plan again = *plan;
+
+	log_info("host-life-changed host=%s worker=%s was=%s work=%s",
+		 plan->host, known->host.worker, plan->worker,
+		 plan->work == HOST_MOVE ? "move" : "restart");
+	if (plan->work == HOST_MOVE) {
+		plan->step = HOST_ORDERED;
+		hosts_store(hosts, plan);
+		return;
+	}
+	again.step = HOST_ASKED;
+	g_strlcpy(again.worker, known->host.worker, sizeof(again.worker));
+	hosts_plan(hosts, &again);
+}
+
+static void order_if_due(struct hosts *hosts, struct known_host *known,
+			 const struct host_plan *plan, int64_t now_ms)
+{
+	if (plan->step != HOST_CLEAR || now_ms < known->order_due_ms ||
+	    ordered_lately(hosts, plan, now_ms))
+		return;
+	if (plan->work == HOST_RESTART && !wave_may_begin(hosts, plan->wave))
+		return;
+	order(hosts, known, plan);
+}
+
 static void order_clear_ones(struct hosts *hosts, int64_t now_ms)
 {
 	struct host_plans *plans = hosts->env->plans;
@@ -345,14 +378,18 @@
 		struct host_plan *plan = plans->list->pdata[i];
 		struct known_host *known = hosts_find(hosts, plan->host);
 
-		if (plan->step != HOST_CLEAR || !known || known->ordering ||
-		    now_ms < known->order_due_ms ||
-		    ordered_lately(hosts, plan, now_ms))
-			continue;
-		if (plan->work == HOST_RESTART &&
-		    !wave_may_begin(hosts, plan->wave))
+		if (plan->step == HOST_ORDERED || !known || known->ordering)
 			continue;
-		order(hosts, known, plan);
+		switch (host_plan_next(plan, &known->host)) {
+		case HOST_NEXT_ORDER:
+			order_if_due(hosts, known, plan, now_ms);
+			break;
+		case HOST_NEXT_ASK:
+			plan_again(hosts, known, plan);
+			break;
+		case HOST_NEXT_WAIT:
+			break;
+		}
 	}
 }
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -353,6 +353,32 @@
 }
 END_TEST
 
+/*
+ * A host crashes after its worker was emptied for a restart, and comes back
+ * while nobody may order hosts; its new worker is given tasks. Seen as tasks
+ * of one step that are ended together in trouble-1 --seed 11 of vfcsa-plank.
+ */
+START_TEST(host_order_waits_for_the_life_that_was_emptied)
+{
+	struct host_plan plan = { .worker = "w1", .step = HOST_CLEAR };
+	struct host host = { .worker = "w1", .state = HOST_UP };
+
+	ck_assert_int_eq(host_plan_next(&plan, &host), HOST_NEXT_ORDER);
+	host.state = HOST_DOWN;
+	ck_assert_int_eq(host_plan_next(&plan, &host), HOST_NEXT_WAIT);
+	host.worker[0] = 0;
+	ck_assert_int_eq(host_plan_next(&plan, &host), HOST_NEXT_WAIT);
+	host.state = HOST_UP;
+	ck_assert_int_eq(host_plan_next(&plan, &host), HOST_NEXT_WAIT);
+	g_strlcpy(host.worker, "w2", sizeof(host.worker));
+	ck_assert_int_eq(host_plan_next(&plan, &host), HOST_NEXT_ASK);
+	/* A parked host has no worker. */
+	plan.worker[0] = 0;
+	host.worker[0] = 0;
+	ck_assert_int_eq(host_plan_next(&plan, &host), HOST_NEXT_ORDER);
+}
+END_TEST
+
 START_TEST(late_answers_to_earlier_plans_count_for_nothing)
 {
 	struct host_plans *plans = host_plans_create();
@@ -518,6 +544,7 @@
 	tcase_add_test(tcase, lasting_task_stays_while_others_may_be_away);
 	tcase_add_test(tcase, hosts_follow_a_turn_and_are_parked_after_it);
 	tcase_add_test(tcase, late_answers_to_earlier_plans_count_for_nothing);
+	tcase_add_test(tcase, host_order_waits_for_the_life_that_was_emptied);
 	tcase_add_test(tcase, routes_by_longest_prefix);
 	tcase_add_test(tcase, wrong_settings_name_value_and_want);
 	tcase_add_test(tcase, mutated_messages_do_no_harm);
