Give no work to silent workers; end runs whose host is known to be down

Ruled out: shorter leases (tasks would lapse at each takeover). Mend: orders without an answer for 300 ms keep new work away; the module life asks the host list while work is placed at silent workers.

--- a/src/node.c
+++ b/src/node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "job_view.h"
+#include "life.h"
 #include "log.h"
 #include "node_metrics.h"
 
@@ -46,6 +47,7 @@
 	struct pool_env pool_env;
 	struct host_plans *plans;
 	struct hosts *hosts;
+	struct life *life;
 	struct hosts_env hosts_env;
 	GHashTable *pools; /* name -> struct pool */
 	bool stopping;
@@ -282,10 +284,12 @@
 {
 	struct stream_id jobs = { NODE_JOBS_TOPIC, NODE_JOBS_PART };
 	struct node *node = g_new0(struct node, 1);
+	struct life_config life = { .clk = config->clk, .io = config->hosts };
 
 	node->config = *config;
 	node->jobs = job_store_create(config->decoders.spec);
 	node->workers = worker_table_create();
+	life.workers = node->workers;
 	node->plans = host_plans_create();
 	node->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
@@ -328,6 +332,7 @@
 		.order_lease_ms = config->settings->order_lease_ms,
 	};
 	node->hosts = hosts_create(&node->hosts_env);
+	node->life = life_create(&life);
 	node->front_env = (struct front_env){
 		.clk = config->clk,
 		.cfg = (const struct cfg *const *)&node->cfg,
@@ -346,6 +351,7 @@
 		return;
 	g_hash_table_destroy(node->pools);
 	hosts_destroy(node->hosts);
+	life_destroy(node->life);
 	host_plans_destroy(node->plans);
 	group_destroy(node->group);
 	front_destroy(node->front);
@@ -425,6 +431,7 @@
 	tail_tick(node->registry);
 	tail_tick(node->tail);
 	group_tick(node->group);
+	life_tick(node->life);
 	tick_pools(node);
 	front_tick(node->front);
 	writer_tick(node->writer);
--- a/src/place.c
+++ b/src/place.c
@@ -36,6 +36,8 @@
 	return worker->listed && !worker->entry.draining && !worker->leaving &&
 	       worker->reached && !strcmp(worker->entry.pool, place->pool) &&
 	       place->now_ms - worker->heard_ms < PLACE_SILENT_MS &&
+	       !worker_is_silent(worker, place->now_ms) &&
+	       !worker_is_gone(worker) &&
 	       place->now_ms >= worker->avoid_until_ms;
 }
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -74,6 +74,16 @@
 		pool_end(pool, pos, END_STOPPED, NULL);
 }
 
+/* An answer of any kind shows that the worker is in reach. */
+static void note_answer(struct pool *pool, const char *name,
+			enum order_outcome outcome)
+{
+	struct worker *worker = worker_find(pool->env->workers, name);
+
+	if (worker && outcome != ORDER_UNKNOWN)
+		worker->open_since_ms = 0;
+}
+
 static void act_on_start(struct sent *sent, enum order_outcome outcome,
 			 struct job_pos *pos)
 {
@@ -128,6 +138,7 @@
 		g_free(sent);
 		return;
 	}
+	note_answer(pool, sent->worker, outcome);
 	hst_add(&pool->env->start_ms, pool_now_ms(pool) - sent->sent_ms);
 	if (outcome == ORDER_FENCED)
 		fenced_off(pool, sent->worker);
@@ -160,6 +171,8 @@
 	sent->run = pos->task->run;
 	pos->task->open_orders++;
 	pos->task->since_ms = now_ms;
+	if (!worker->open_since_ms)
+		worker->open_since_ms = now_ms;
 	worker->lease_end_ms =
 		MAX(worker->lease_end_ms,
 		    worker_lease_bound_ms(now_ms, pool->env->lease_ms));
@@ -190,7 +203,7 @@
 		worker = worker_find(pool->env->workers, pos.task->worker);
 		/* Each start extends the lease; one to a worker that does not
 		   answer would keep its runs from being given up. */
-		if (worker && worker->clock_at_ms &&
+		if (worker && worker->clock_at_ms && !worker_is_gone(worker) &&
 		    now_ms - worker->heard_ms < POOL_EXTEND_SILENT_MS)
 			send_start(pool, &pos, worker);
 	}
@@ -258,6 +271,7 @@
 		return;
 	}
 	worker->renewing = false;
+	note_answer(pool, sent->worker, outcome);
 	worker->next_renew_ms = now_ms + POOL_RENEW_RETRY_MS;
 	if (outcome == ORDER_OK) {
 		worker->renew_failures = 0;
@@ -281,8 +295,7 @@
 static bool needs_renewal(const struct pool *pool, const struct worker *worker)
 {
 	return !strcmp(worker->entry.pool, pool->name) &&
-	       (worker->listed || worker->cpu_used_milli ||
-		worker->mem_used_mib);
+	       (worker->listed || worker_has_work(worker));
 }
 
 /*
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -171,12 +171,28 @@
 	return worker->lease_end_ms;
 }
 
+/*
+ * Whether the run has surely ended with the life of its worker. An order
+ * without an answer may be carried out by the next life under the same name;
+ * and of a run that an earlier owner ordered, such orders are not known.
+ */
+static bool ended_with_worker(const struct pool *pool,
+			      const struct job_task *task)
+{
+	const struct worker *worker =
+		worker_find(pool->env->workers, task->worker);
+
+	return worker && worker_is_gone(worker) && !task->open_orders &&
+	       task->phase != PHASE_UNKNOWN;
+}
+
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
 	int64_t end_ms = lease_end_ms(pool, pos->task->worker);
 
 	if (pos->task->phase == PHASE_RECORDING ||
-	    pos->task->phase == PHASE_STORING || now_ms < end_ms)
+	    pos->task->phase == PHASE_STORING ||
+	    (now_ms < end_ms && !ended_with_worker(pool, pos->task)))
 		return;
 	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s",
 		 pos->job->id, pos->step, pos->index, pos->task->run,
--- a/src/worker.c
+++ b/src/worker.c
@@ -77,6 +77,23 @@
 	g_free(worker);
 }
 
+bool worker_is_silent(const struct worker *worker, int64_t now_ms)
+{
+	return worker->renew_failures ||
+	       (worker->open_since_ms &&
+		now_ms - worker->open_since_ms > WORKER_SILENT_MS);
+}
+
+bool worker_is_gone(const struct worker *worker)
+{
+	return worker->gone_ms && worker->gone_ms > worker->heard_ms;
+}
+
+bool worker_has_work(const struct worker *worker)
+{
+	return worker->cpu_used_milli || worker->mem_used_mib;
+}
+
 bool worker_has_label(const struct worker *worker, const char *label)
 {
 	for (uint32_t i = 0; i < worker->entry.label_count; i++)
--- a/src/worker.h
+++ b/src/worker.h
@@ -25,6 +25,7 @@
 	char pool[LIM_NAME_BYTES];
 	char address[LIM_ADDRESS_BYTES]; /* address:port */
 	char zone[LIM_NAME_BYTES];
+	char host[LIM_NAME_BYTES]; /* that it is a life of; empty: not told */
 	bool draining;
 	int64_t drain_left_ms; /* least time until it leaves; while draining */
 	int64_t born_ms;       /* wall clock of its start */
@@ -75,8 +76,11 @@
 	int64_t life_ms;  /* born_ms of the life that has reported */
 	int64_t clock_ms; /* of the worker, at clock_at_ms of this node */
 	int64_t clock_at_ms;
-	int64_t lease_end_ms; /* upper bound, on this node's clock */
-	int64_t heard_ms;     /* of the last report */
+	int64_t lease_end_ms;  /* upper bound, on this node's clock */
+	int64_t heard_ms;      /* of the last report */
+	int64_t open_since_ms; /* oldest order without an answer; 0: none */
+	/* Its life of before was over then; see life. 0: not known. */
+	int64_t gone_ms;
 	int64_t next_renew_ms;
 	int64_t avoid_until_ms; /* no new work after refusals and failures */
 	uint32_t reports;	/* taken so far */
@@ -113,6 +117,15 @@
 /* worker_disown - forget the owner's view, when a pool changes its owner */
 void worker_disown(struct worker *worker);
 
+/* worker_is_silent - whether orders or renewals stay without an answer */
+bool worker_is_silent(const struct worker *worker, int64_t now_ms);
+
+/* worker_is_gone - whether all that ran there has ended with its life */
+bool worker_is_gone(const struct worker *worker);
+
+/* worker_has_work - whether tasks are placed there */
+bool worker_has_work(const struct worker *worker);
+
 bool worker_has_label(const struct worker *worker, const char *label);
 
 /*
@@ -125,6 +138,11 @@
 /* worker_lease_bound_ms - when a lease of lease_ms given now surely ends */
 int64_t worker_lease_bound_ms(int64_t now_ms, int64_t lease_ms);
 
-enum { WORKER_CLOCK_SLACK_PERCENT = 2, WORKER_LEASE_MARGIN_MS = 100 };
+enum {
+	WORKER_CLOCK_SLACK_PERCENT = 2,
+	WORKER_LEASE_MARGIN_MS = 100,
+	/* Orders are answered within a few milliseconds. */
+	WORKER_SILENT_MS = 300
+};
 
 #endif
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -59,6 +59,9 @@
 	bool unanswered;
 	order_fn *on_order;
 	order_renew_fn *on_renew;
+	/* A list of hosts. */
+	host_page_fn *on_page;
+	struct host hosts[SIM_MAX_WORKERS];
 	void *arg;
 };
 
@@ -638,15 +641,45 @@
 	send_order(port, event);
 }
 
-/* Hosts stay as they are in this simulation. */
+/* Hosts stay in their pool; one is down while its worker is. */
 
+static void answer_list(struct sim *sim, struct event *event)
+{
+	struct host_page page = {
+		.outcome = HOST_OK,
+		.count = (uint32_t)sim->worker_count,
+		.hosts = event->hosts,
+	};
+
+	if (!reaches(sim, event))
+		return;
+	event->on_page(event->arg, &page);
+	event_free(event);
+}
+
+/* The list is of the time of the call; its answer may come much later. */
 static void io_list(void *io, const char *page, host_page_fn *fn, void *arg)
 {
-	struct host_page none = { .outcome = HOST_OK };
+	struct port *port = io;
+	struct sim *sim = port->sim;
+	struct event *event = event_new(port, answer_list);
 
-	(void)io;
 	(void)page;
-	fn(arg, &none);
+	event->on_page = fn;
+	event->arg = arg;
+	for (int i = 0; i < sim->worker_count; i++) {
+		struct sim_worker *worker = &sim->workers[i];
+		struct host *host = &event->hosts[i];
+
+		g_strlcpy(host->name, worker->entry.host, sizeof(host->name));
+		g_strlcpy(host->pool, "pool", sizeof(host->pool));
+		host->cpu_milli = WORKER_CPU;
+		host->state = worker->up ? HOST_UP : HOST_DOWN;
+		if (worker->up)
+			g_strlcpy(host->worker, worker->entry.id,
+				  sizeof(host->worker));
+	}
+	post(sim, event, 1 + draw(sim, draw(sim, 10) ? 10 : 800));
 }
 
 static void io_host_order(void *io, const struct host_holder *holder,
@@ -818,8 +851,8 @@
 		"{\"service\":\"pool\",\"addr\":\"w:1\",\"zone\":\"z\","
 		"\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT ","
 		"\"capacity\":{\"cpu\":%d,\"memMb\":1000,\"gpu\":0},"
-		"\"labels\":[]}",
-		worker->entry.born_ms, WORKER_CPU);
+		"\"labels\":[],\"machine\":\"%s\"}",
+		worker->entry.born_ms, WORKER_CPU, worker->entry.host);
 
 	log_model_put(sim->log, "workers", worker->entry.id,
 		      listed ? value : NULL, listed ? strlen(value) : 0);
@@ -876,6 +909,8 @@
 		struct sim_worker *worker = &sim->workers[i];
 
 		snprintf(worker->entry.id, sizeof(worker->entry.id), "w%d", i);
+		snprintf(worker->entry.host, sizeof(worker->entry.host), "m%d",
+			 i);
 		worker->index = i;
 		worker->rate_percent = 98 + (int32_t)draw(sim, 3);
 		worker_model_init(&worker->model, WORKER_CPU / TASK_CPU);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -167,6 +167,46 @@
 }
 END_TEST
 
+/*
+ * A rack loses power within a turn. Its tasks must not wait for the end of
+ * their leases, as the host list tells that their hosts are down.
+ */
+START_TEST(tasks_of_a_down_host_run_elsewhere_at_once)
+{
+	struct sim *sim = sim_create(6, 3, 4);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_hand_in(sim, 0, 1, 12);
+	sim_run_for(sim, 200);
+	for (int i = 0; i < 3; i++)
+		sim->nodes[i].cut_from_worker[0] = true;
+	sim_crash_worker(sim, 0);
+	sim_run_for(sim, 3500);
+	check_kept(sim, 6);
+	ck_assert_int_eq(sim_state(sim, 1, job->id), JOB_DONE);
+}
+END_TEST
+
+/* A worker that is cut off runs on: only its lease tells when its runs end. */
+START_TEST(tasks_of_a_cut_off_worker_wait_for_its_lease)
+{
+	struct sim *sim = sim_create(7, 3, 4);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_hand_in(sim, 0, 1, 12);
+	sim_run_for(sim, 200);
+	for (int i = 0; i < 3; i++)
+		sim->nodes[i].cut_from_worker[0] = true;
+	sim_run_for(sim, 3500);
+	ck_assert_int_ne(sim_state(sim, 1, job->id), JOB_DONE);
+	sim_run_for(sim, 6000);
+	check_kept(sim, 7);
+	ck_assert_int_eq(sim_state(sim, 1, job->id), JOB_DONE);
+}
+END_TEST
+
 static int first_seed = 1000;
 
 /* One trouble, drawn at random; each is lifted by a later draw. */
@@ -318,6 +358,8 @@
 	tcase_add_test(tcase, job_waits_until_a_worker_has_begun);
 	tcase_add_test(tcase, worker_listed_after_takeover_keeps_its_runs);
 	tcase_add_test(tcase, task_of_a_gone_worker_runs_elsewhere);
+	tcase_add_test(tcase, tasks_of_a_down_host_run_elsewhere_at_once);
+	tcase_add_test(tcase, tasks_of_a_cut_off_worker_wait_for_its_lease);
 	tcase_add_loop_test(tcase, promises_hold_in_random_troubles, 0,
 			    count ? atoi(count) : SEEDS);
 	suite_add_tcase(suite, tcase);
