Lend hosts by what their pool wants now, not by its past peak

Cause: as one queue's turn ends and the next one's begins, the hosts stayed where they were for 1.5 s more, the time for which a past peak counts before a host is parked. Ruled out: the way of a moved host (order to first start 1.6 s in the median, of which the move itself takes 1.5 s), emptying (0.1 s in the median). Mend: a pool in want may take what its source does not want now; parking still waits.

--- a/src/lend.c
+++ b/src/lend.c
@@ -26,11 +26,11 @@
 	return hosts > pool->least ? (int32_t)hosts : pool->least;
 }
 
-/* Hosts that the pool can do without, of those that may be taken. */
-static int32_t surplus(const struct lend *lend, const struct lend_pool *pool,
-		       int32_t takable)
+/* Hosts beyond those needed for a want, of those that may be taken. */
+static int32_t beyond(const struct lend *lend, const struct lend_pool *pool,
+		      int64_t wanted_milli, int32_t takable)
 {
-	int32_t need = lend_need(lend, pool, pool->peak_milli);
+	int32_t need = lend_need(lend, pool, wanted_milli);
 	int32_t over;
 
 	if (!pool->standby)
@@ -39,6 +39,18 @@
 	return over < takable ? over : takable;
 }
 
+/* Idle hosts that may be parked. */
+static int32_t surplus(const struct lend *lend, const struct lend_pool *pool)
+{
+	return beyond(lend, pool, pool->peak_milli, pool->idle);
+}
+
+/* Hosts that a pool in want may take; its want goes before a past peak. */
+static int32_t lendable(const struct lend *lend, const struct lend_pool *pool)
+{
+	return beyond(lend, pool, pool->wanted_milli, pool->movable);
+}
+
 void lend_note(const struct lend *lend, struct lend_pool *pool, int64_t now_ms)
 {
 	if (pool->wanted_milli >= pool->peak_milli ||
@@ -56,7 +68,7 @@
 		pool->before_milli = pool->wanted_milli;
 		pool->before_ms = now_ms;
 	}
-	if (surplus(lend, pool, pool->idle) <= 0)
+	if (surplus(lend, pool) <= 0)
 		pool->surplus_since_ms = 0;
 	else if (!pool->surplus_since_ms)
 		pool->surplus_since_ms = now_ms;
@@ -76,7 +88,7 @@
 	int32_t best = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
-		int32_t over = surplus(lend, &pools[i], pools[i].movable);
+		int32_t over = lendable(lend, &pools[i]);
 
 		if (over > 0 && pools[i].standby) {
 			*from = i;
@@ -118,8 +130,7 @@
 			any = true;
 		}
 	for (uint32_t i = 0; any && i < count; i++)
-		if (!pools[i].standby &&
-		    surplus(lend, &pools[i], pools[i].idle) > 0 &&
+		if (!pools[i].standby && surplus(lend, &pools[i]) > 0 &&
 		    now_ms - pools[i].surplus_since_ms > LEND_PARK_MS) {
 			*from = i;
 			return true;
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -379,6 +379,32 @@
 }
 END_TEST
 
+/* One queue's turn ends as the next one's begins, and no host is parked. */
+START_TEST(hosts_leave_a_pool_as_its_turn_ends)
+{
+	struct lend lend = { .host_milli = 1000 };
+	struct lend_pool pools[2] = {
+		lend_pool_of("next", 3, 0, 1000),
+		lend_pool_of("past", 12, 0, 11000),
+	};
+	uint32_t from, to;
+	int64_t now_ms = 10000;
+
+	pools[1].movable = 8;
+	for (int i = 0; i < 2; i++)
+		lend_note(&lend, &pools[i], now_ms);
+	ck_assert(!lend_next(&lend, pools, 2, now_ms, &from, &to));
+	now_ms += 200;
+	pools[0].wanted_milli = 6000;
+	pools[1].wanted_milli = 4000;
+	for (int i = 0; i < 2; i++)
+		lend_note(&lend, &pools[i], now_ms);
+	ck_assert(lend_next(&lend, pools, 2, now_ms, &from, &to));
+	ck_assert_uint_eq(from, 1);
+	ck_assert_uint_eq(to, 0);
+}
+END_TEST
+
 START_TEST(late_answers_to_earlier_plans_count_for_nothing)
 {
 	struct host_plans *plans = host_plans_create();
@@ -543,6 +569,7 @@
 	tcase_add_test(tcase, backlog_counts_what_can_be_lent);
 	tcase_add_test(tcase, lasting_task_stays_while_others_may_be_away);
 	tcase_add_test(tcase, hosts_follow_a_turn_and_are_parked_after_it);
+	tcase_add_test(tcase, hosts_leave_a_pool_as_its_turn_ends);
 	tcase_add_test(tcase, late_answers_to_earlier_plans_count_for_nothing);
 	tcase_add_test(tcase, host_order_waits_for_the_life_that_was_emptied);
 	tcase_add_test(tcase, routes_by_longest_prefix);
