Leave what is too late out of the backlog that refuses jobs

Cause: the scheduler puts jobs that cannot be in time any more last, but admission counted their work as if it came first.

--- a/src/front.c
+++ b/src/front.c
@@ -136,6 +136,7 @@
 		.cfg = *env->cfg,
 		.jobs = env->jobs,
 		.workers = env->workers,
+		.wall_ms = clk_wall_ms(env->clk),
 	};
 	int64_t chain_ms = job_chain_ms(&probe);
 	int64_t objective_ms =
--- a/src/place.c
+++ b/src/place.c
@@ -41,6 +41,13 @@
 	       place->now_ms >= worker->avoid_until_ms;
 }
 
+bool place_too_late(const struct cfg *cfg, const struct job *job,
+		    uint32_t occurrence, int64_t wall_ms)
+{
+	return wall_ms + job_rest_ms(job, occurrence) >
+	       place_target_ms(cfg, job);
+}
+
 static void take_room(struct worker *worker, const struct job_step *step)
 {
 	if (!step->fills)
@@ -265,8 +272,8 @@
 				continue;
 			at.lasting = job->spec.steps[s].long_running;
 			at.target_ms = place_target_ms(place->cfg, job);
-			at.too_late = place->wall_ms + job_rest_ms(job, k) >
-				      at.target_ms;
+			at.too_late = place_too_late(place->cfg, job, k,
+						     place->wall_ms);
 			g_array_append_val(out, at);
 		}
 	}
@@ -338,9 +345,11 @@
 	for (guint i = 0; i < place->jobs->live->len; i++) {
 		struct job_pos pos = { .job = place->jobs->live->pdata[i] };
 		bool own = !strcmp(pos.job->pool, place->pool);
+		bool late;
 
 		if (!pos.job->has_spec || job_ended(pos.job->shown))
 			continue;
+		late = place_too_late(place->cfg, pos.job, 0, place->wall_ms);
 		while (job_next_task(&pos)) {
 			const struct job_step *step =
 				&pos.job->spec.steps[pos.step];
@@ -348,7 +357,8 @@
 			if (!own && pos.task->state == TASK_PLACED)
 				*other_milli -= step->cpu_milli;
 			else if (own && pos.task->state != TASK_DONE &&
-				 !step->long_running)
+				 !step->long_running &&
+				 (!late || pos.task->state == TASK_PLACED))
 				work += (double)step->cpu_milli *
 					step->estimate_ms;
 		}
--- a/src/place.h
+++ b/src/place.h
@@ -48,12 +48,17 @@
 /* place_target_ms - wall clock by which a job is to be done */
 int64_t place_target_ms(const struct cfg *cfg, const struct job *job);
 
+/* place_too_late - whether an occurrence can no longer meet its objective */
+bool place_too_late(const struct cfg *cfg, const struct job *job,
+		    uint32_t occurrence, int64_t wall_ms);
+
 /*
  * place_backlog_ms - how long a pool takes for the work that it has accepted
  *
  * From estimates, its own workers, and the hosts that can be lent to it: what
  * is free in other pools, and what is parked, as all_milli of processor time
- * was listed at some time.
+ * was listed at some time. Jobs that are too late do not count, as they come
+ * last.
  */
 int64_t place_backlog_ms(const struct place *place, int64_t all_milli);
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -405,6 +405,25 @@
 }
 END_TEST
 
+/* A turn in which much came too late must not have the next jobs refused. */
+START_TEST(backlog_leaves_out_what_is_too_late)
+{
+	struct place place = {
+		.pool = "pool",
+		.cfg = cfg,
+		.jobs = jobs,
+		.workers = workers,
+		.wall_ms = 1000,
+	};
+
+	give(ID_1, two_steps);
+	add_worker("w1", "a", 1000);
+	ck_assert_int_eq(place_backlog_ms(&place, 0), 500);
+	place.wall_ms = 100000;
+	ck_assert_int_eq(place_backlog_ms(&place, 0), 0);
+}
+END_TEST
+
 START_TEST(late_answers_to_earlier_plans_count_for_nothing)
 {
 	struct host_plans *plans = host_plans_create();
@@ -570,6 +589,7 @@
 	tcase_add_test(tcase, lasting_task_stays_while_others_may_be_away);
 	tcase_add_test(tcase, hosts_follow_a_turn_and_are_parked_after_it);
 	tcase_add_test(tcase, hosts_leave_a_pool_as_its_turn_ends);
+	tcase_add_test(tcase, backlog_leaves_out_what_is_too_late);
 	tcase_add_test(tcase, late_answers_to_earlier_plans_count_for_nothing);
 	tcase_add_test(tcase, host_order_waits_for_the_life_that_was_emptied);
 	tcase_add_test(tcase, routes_by_longest_prefix);
