Refuse requests whose head gives the body's length twice

Two Content-Length headers that differ, or one together with chunked encoding, were answered 200: a proxy and this server could have read different requests from them. Both get 400, a count and a closed connection. tests/process_input.sh: both cases failed before on the entry daemon and on the fleet daemon.

--- a/src/web.c
+++ b/src/web.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <unistd.h>
 #include <arpa/inet.h>
 
@@ -178,10 +179,42 @@
 	return MHD_YES;
 }
 
+/* How the head says that the body ends. */
+struct framing {
+	const char *length; /* the first Content-Length; NULL: none */
+	bool ambiguous;	    /* another one differs, or the body is chunked */
+};
+
+static enum MHD_Result note_framing(void *cls, enum MHD_ValueKind kind,
+				    const char *name, const char *value)
+{
+	struct framing *framing = cls;
+
+	(void)kind;
+	if (strcasecmp(name, "Content-Length") || !value)
+		return MHD_YES;
+	if (framing->length && strcmp(framing->length, value))
+		framing->ambiguous = true;
+	framing->length = value;
+	return MHD_YES;
+}
+
+static struct framing framing_of(const struct exchange *ex)
+{
+	struct framing framing = { 0 };
+
+	MHD_get_connection_values(ex->connection, MHD_HEADER_KIND, note_framing,
+				  &framing);
+	if (framing.length && web_header(&ex->request, "Transfer-Encoding"))
+		framing.ambiguous = true;
+	return framing;
+}
+
 /* Refuses by what the head tells, before the body is read. */
 static void check_head(struct exchange *ex)
 {
-	const char *length = web_header(&ex->request, "Content-Length");
+	struct framing framing = framing_of(ex);
+	const char *length = framing.length;
 	size_t max_body = ex->web->config.max_body_bytes;
 	size_t bytes = strlen(ex->request.target);
 	char text[ERR_TEXT_BYTES];
@@ -194,6 +227,9 @@
 			 LIM_HEAD_BYTES);
 		refuse(ex, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
 		       ERR_TOO_LARGE, text);
+	} else if (framing.ambiguous) {
+		refuse(ex, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
+		       "body: its length is given twice, once wanted");
 	} else if (length && strtoull(length, NULL, 10) > max_body) {
 		snprintf(text, sizeof(text),
 			 "body of %.20s bytes given, at most %zu wanted",
--- a/tests/process_input.sh
+++ b/tests/process_input.sh
@@ -61,6 +61,13 @@
 	counted "large body" "$url" "$counter" send "$port" \
 		'POST /t/p/x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n'
 	grep -q ' 413 ' "$WORK/answer" || fail "large body: not 413"
+	# What follows such a head could be taken for another request.
+	counted "two lengths that differ" "$url" "$counter" send "$port" \
+		'POST /t/p/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc'
+	grep -q ' 400 ' "$WORK/answer" || fail "two lengths that differ: not 400"
+	counted "length and chunks" "$url" "$counter" send "$port" \
+		'POST /t/p/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+	grep -q ' 400 ' "$WORK/answer" || fail "length and chunks: not 400"
 	counted "zero byte in the path" "$url" "$counter" \
 		send "$port" 'GET /healthz%%00x HTTP/1.1\r\nHost: a\r\n\r\n'
 	grep -q ' 400 ' "$WORK/answer" || fail "zero byte: not 400"
