Lend no host to a pool without work; say why a run is given up

The least that a pool keeps now only limits what is taken from it. The test pins the rule of the module; the least itself was set by its caller, so it passed before as well.

--- a/src/hosts_lend.c
+++ b/src/hosts_lend.c
@@ -3,8 +3,6 @@
 #include "hosts_int.h"
 #include "log.h"
 
-enum { LEND_MIN_HOSTS = 2 };
-
 /* What is placed at a worker. */
 struct load {
 	int32_t cpu_milli;
@@ -59,7 +57,7 @@
 		pool->hosts = 0;
 		pool->movable = 0;
 		pool->idle = 0;
-		pool->least = LEND_MIN_HOSTS;
+		pool->least = 0;
 	}
 }
 
--- a/src/lend.c
+++ b/src/lend.c
@@ -5,6 +5,8 @@
 	LEND_ROOM_PERCENT = 115,
 	/* Demand is taken to last so long beyond its last sight. */
 	LEND_PEAK_MS = 1500,
+	/* Hosts that a pool keeps when nothing is wanted of it. */
+	LEND_KEPT = 2,
 	/* Idle hosts that a pool keeps for the first tasks of a turn. */
 	LEND_RESERVE = 1,
 	/* The want is compared with that of so long ago, */
@@ -34,7 +36,7 @@
 	int32_t over;
 
 	if (!pool->standby)
-		need += LEND_RESERVE;
+		need = (need > LEND_KEPT ? need : LEND_KEPT) + LEND_RESERVE;
 	over = pool->hosts - need;
 	return over < takable ? over : takable;
 }
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -189,14 +189,14 @@
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
 	int64_t end_ms = lease_end_ms(pool, pos->task->worker);
+	bool gone = ended_with_worker(pool, pos->task);
 
 	if (pos->task->phase == PHASE_RECORDING ||
-	    pos->task->phase == PHASE_STORING ||
-	    (now_ms < end_ms && !ended_with_worker(pool, pos->task)))
+	    pos->task->phase == PHASE_STORING || (now_ms < end_ms && !gone))
 		return;
-	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s",
+	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s why=%s",
 		 pos->job->id, pos->step, pos->index, pos->task->run,
-		 pos->task->worker);
+		 pos->task->worker, gone ? "worker-gone" : "lease-over");
 	pool_end(pool, pos, END_LAPSED, NULL);
 }
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -405,6 +405,25 @@
 }
 END_TEST
 
+/* Right after a start the list does not name all hosts of a pool yet. */
+START_TEST(pool_without_work_is_lent_no_host)
+{
+	struct lend lend = { .host_milli = 1000 };
+	struct lend_pool pools[2] = {
+		lend_pool_of("calm", 0, 0, 0),
+		lend_pool_of("parked", 8, 8, 0),
+	};
+	uint32_t from, to;
+
+	pools[0].least = 0;
+	lend_note(&lend, &pools[0], 10000);
+	ck_assert(!lend_next(&lend, pools, 2, 10000, &from, &to));
+	pools[0].wanted_milli = 500;
+	ck_assert(lend_next(&lend, pools, 2, 10000, &from, &to));
+	ck_assert_uint_eq(to, 0);
+}
+END_TEST
+
 /* A turn in which much came too late must not have the next jobs refused. */
 START_TEST(backlog_leaves_out_what_is_too_late)
 {
@@ -590,6 +609,7 @@
 	tcase_add_test(tcase, hosts_follow_a_turn_and_are_parked_after_it);
 	tcase_add_test(tcase, hosts_leave_a_pool_as_its_turn_ends);
 	tcase_add_test(tcase, backlog_leaves_out_what_is_too_late);
+	tcase_add_test(tcase, pool_without_work_is_lent_no_host);
 	tcase_add_test(tcase, late_answers_to_earlier_plans_count_for_nothing);
 	tcase_add_test(tcase, host_order_waits_for_the_life_that_was_emptied);
 	tcase_add_test(tcase, routes_by_longest_prefix);
