--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -167,6 +167,19 @@
 }
 END_TEST
 
+/* A job runs on four workers, the first of which gets out of reach. */
+static struct sim_job *begin_and_cut_worker(struct sim *sim)
+{
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_hand_in(sim, 0, 1, 12);
+	sim_run_for(sim, 200);
+	for (int i = 0; i < sim->node_count; i++)
+		sim->nodes[i].cut_from_worker[0] = true;
+	return job;
+}
+
 /*
  * A rack loses power within a turn. Its tasks must not wait for the end of
  * their leases, as the host list tells that their hosts are down.
@@ -174,13 +187,8 @@
 START_TEST(tasks_of_a_down_host_run_elsewhere_at_once)
 {
 	struct sim *sim = sim_create(6, 3, 4);
-	struct sim_job *job;
+	struct sim_job *job = begin_and_cut_worker(sim);
 
-	sim_run_for(sim, START_MS);
-	job = sim_hand_in(sim, 0, 1, 12);
-	sim_run_for(sim, 200);
-	for (int i = 0; i < 3; i++)
-		sim->nodes[i].cut_from_worker[0] = true;
 	sim_crash_worker(sim, 0);
 	sim_run_for(sim, 3500);
 	check_kept(sim, 6);
@@ -192,13 +200,8 @@
 START_TEST(tasks_of_a_cut_off_worker_wait_for_its_lease)
 {
 	struct sim *sim = sim_create(7, 3, 4);
-	struct sim_job *job;
+	struct sim_job *job = begin_and_cut_worker(sim);
 
-	sim_run_for(sim, START_MS);
-	job = sim_hand_in(sim, 0, 1, 12);
-	sim_run_for(sim, 200);
-	for (int i = 0; i < 3; i++)
-		sim->nodes[i].cut_from_worker[0] = true;
 	sim_run_for(sim, 3500);
 	ck_assert_int_ne(sim_state(sim, 1, job->id), JOB_DONE);
 	sim_run_for(sim, 6000);
