Let no list that is older than a host's return take it out of service

Cause: a fleet daemon reads the host list once a second. Another one's newer list leads to the record of a host's return, and 100 ms later the pool's other host is drained. An entry host whose list is older held the first one for down still and the second one is drained: no worker. Ruled out: a lease that ran out, expired members, ejected workers (the text and the missing attempt do not fit). A list now counts against a host only if it was asked for after the host's return was applied; an entry host takes the list after the records that are newer than its status. tests/test_hls.c failed before.

--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -237,7 +237,8 @@
 		.data_centre = (char *)fleetd->cnf->data_centre,
 		.ready = rpl_ready(fleetd->rpl),
 		.next = rpl_next(fleetd->rpl),
-		.hosts_version = hls_version(fleetd->hls),
+		.hosts_version =
+			hls_version(fleetd->hls, rpl_state(fleetd->rpl)),
 		.platform_age_ms = follower.platform_age_ms,
 		.last_incarnation = member ? member->incarnation : -1,
 	};
@@ -252,8 +253,9 @@
 	struct fleetd *fleetd = arg;
 	uint32_t count;
 
-	hosts->list_version = hls_version(fleetd->hls);
-	hosts->hosts.hosts_val = hls_rows(fleetd->hls, &count);
+	hosts->list_version = hls_version(fleetd->hls, rpl_state(fleetd->rpl));
+	hosts->hosts.hosts_val =
+		hls_rows(fleetd->hls, rpl_state(fleetd->rpl), &count);
 	hosts->hosts.hosts_len = count;
 }
 
@@ -321,7 +323,7 @@
 	flw_tick(fleetd->flw);
 	flw_get_status(fleetd->flw, &follower);
 	input.log_followed = follower.platform_ok;
-	hls_tick(fleetd->hls);
+	hls_tick(fleetd->hls, rpl_next(fleetd->rpl));
 	prp_tick(fleetd->prp);
 	input.fst = rpl_state(fleetd->rpl);
 	input.hosts = hls_workers(fleetd->hls, &input.host_count);
--- a/src/hls.c
+++ b/src/hls.c
@@ -13,10 +13,16 @@
 	int64_t due_ms;
 	int64_t answered_ms; /* -1: never */
 	int64_t version;
-	int64_t lists; /* that were read */
+	int64_t lists;	    /* that were read */
+	int64_t asked_next; /* next offset of the state at the last question */
+	int64_t next;	    /* the same for the list that was answered */
 	uint32_t count;
 	struct mbr_host *workers;
 	prt_host *rows;
+	/* What the rows and the version were made from. */
+	int64_t rows_lists;
+	int64_t rows_next;
+	int64_t rows_fst_next;
 };
 
 struct hls *hls_create(struct evl *evl, struct plt *plt)
@@ -58,6 +64,15 @@
 	to->down = !strcmp(from->state, "down");
 }
 
+bool hls_leaving(const struct mbr_host *listed, const struct fst_host *host,
+		 int64_t next)
+{
+	bool returned = host && host->state == FST_SERVING &&
+			host->changed_offset >= next;
+
+	return !listed->live && !returned;
+}
+
 static int64_t content_version(const struct hls *hls)
 {
 	uint64_t hash = RND_HASH_START;
@@ -72,6 +87,26 @@
 	return (int64_t)(hash >> 1) | 1;
 }
 
+/* Makes the rows anew if the list or the state has changed. */
+static void make_rows(struct hls *hls, const struct fst *fst)
+{
+	if (!hls->lists ||
+	    (hls->rows_lists == hls->lists && hls->rows_next == hls->next &&
+	     hls->rows_fst_next == fst->next))
+		return;
+	hls->rows_lists = hls->lists;
+	hls->rows_next = hls->next;
+	hls->rows_fst_next = fst->next;
+	for (uint32_t i = 0; i < hls->count; i++) {
+		const struct mbr_host *listed = &hls->workers[i];
+
+		hls->rows[i].name = hls->workers[i].name;
+		hls->rows[i].leaving = hls_leaving(
+			listed, fst_host(fst, listed->name), hls->next);
+	}
+	hls->version = content_version(hls);
+}
+
 static void list_read(void *arg, int status, const struct plt_host *hosts,
 		      uint32_t count)
 {
@@ -80,8 +115,10 @@
 	prt_host *rows;
 
 	hls->asking = false;
-	if (status == PLT_UNCHANGED)
+	if (status == PLT_UNCHANGED) {
 		hls->answered_ms = clk_now_ms(hls->clk);
+		hls->next = hls->asked_next;
+	}
 	if (status)
 		return;
 	workers = calloc(count + 1, sizeof(*workers));
@@ -99,31 +136,30 @@
 	for (uint32_t i = 0; i < count; i++) {
 		if (strcmp(hosts[i].kind, "worker"))
 			continue;
-		copy_worker(&workers[hls->count], &hosts[i]);
-		rows[hls->count].name = workers[hls->count].name;
-		rows[hls->count].leaving = strcmp(hosts[i].state, "live") != 0;
-		hls->count++;
+		copy_worker(&workers[hls->count++], &hosts[i]);
 	}
-	hls->version = content_version(hls);
+	hls->next = hls->asked_next;
 	hls->lists++;
 	if (hls->answered_ms < 0)
 		log_info("platform lists %u worker hosts", hls->count);
 	hls->answered_ms = clk_now_ms(hls->clk);
 }
 
-void hls_tick(struct hls *hls)
+void hls_tick(struct hls *hls, int64_t next)
 {
 	int64_t now_ms = clk_now_ms(hls->clk);
 
 	if (hls->asking || now_ms < hls->due_ms)
 		return;
 	hls->asking = true;
+	hls->asked_next = next;
 	hls->due_ms = now_ms + LIM_HOST_LIST_MS;
 	plt_hosts(hls->plt, list_read, hls);
 }
 
-int64_t hls_version(const struct hls *hls)
+int64_t hls_version(struct hls *hls, const struct fst *fst)
 {
+	make_rows(hls, fst);
 	return hls->version;
 }
 
@@ -144,8 +180,9 @@
 	return hls->workers;
 }
 
-prt_host *hls_rows(const struct hls *hls, uint32_t *count)
+prt_host *hls_rows(struct hls *hls, const struct fst *fst, uint32_t *count)
 {
+	make_rows(hls, fst);
 	*count = hls->count;
 	return hls->rows;
 }
--- a/src/rpf.c
+++ b/src/rpf.c
@@ -233,6 +233,27 @@
 	news->snapshot = NULL;
 }
 
+/*
+ * The records may go past those that the status was made with; the list has to
+ * be as new as they are.
+ */
+static void fetch_hosts(struct target *target, const struct rpf_hello *hello,
+			struct rpf_news *news)
+{
+	prt_hosts_arg arg = { .list_version = hello->hosts_version };
+	bool newer = news->snapshot ||
+		     (news->has_tail && news->tail.next > news->status.next);
+
+	if (hello->hosts_version < 0 ||
+	    (!newer && news->status.hosts_version == hello->hosts_version))
+		return;
+	news->has_hosts =
+		prt_hosts_1(arg, &news->hosts, target->client) == RPC_SUCCESS &&
+		news->hosts.list_version != hello->hosts_version;
+	if (!news->has_hosts)
+		xdr_free((xdrproc_t)xdr_prt_hosts, (char *)&news->hosts);
+}
+
 static void fetch(struct target *target, const struct rpf_hello *hello,
 		  struct rpf_news *news)
 {
@@ -248,16 +269,7 @@
 			fetch_snapshot(target, news);
 		}
 	}
-	if (hello->hosts_version >= 0 &&
-	    news->status.hosts_version != hello->hosts_version) {
-		prt_hosts_arg arg = { .list_version = hello->hosts_version };
-
-		news->has_hosts = prt_hosts_1(arg, &news->hosts,
-					      target->client) == RPC_SUCCESS;
-		if (!news->has_hosts)
-			xdr_free((xdrproc_t)xdr_prt_hosts,
-				 (char *)&news->hosts);
-	}
+	fetch_hosts(target, hello, news);
 }
 
 static void run_round(struct rpf *rpf, const struct rpf_hello *hello,
--- /dev/null
+++ b/tests/test_hls.c
@@ -0,0 +1,134 @@
+/* Unit tests of the host list beside the fleet state. */
+
+#include <stdio.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "hls.h"
+
+static void (*answer)(void *arg, int status, const struct plt_host *hosts,
+		      uint32_t count);
+static void *answer_arg;
+
+void plt_hosts(struct plt *plt,
+	       void (*fn)(void *arg, int status, const struct plt_host *hosts,
+			  uint32_t count),
+	       void *arg)
+{
+	(void)plt;
+	answer = fn;
+	answer_arg = arg;
+}
+
+static int64_t now_ms;
+
+static int64_t read_clock(const struct clk *clk)
+{
+	(void)clk;
+	return now_ms;
+}
+
+static const struct clk clk = { .now_ms = read_clock, .wall_ms = read_clock };
+
+/* One host in the list, as the platform answers it. */
+static void list(const char *state)
+{
+	struct plt_host host = { .kind = "worker" };
+
+	snprintf(host.name, sizeof(host.name), "w1");
+	snprintf(host.state, sizeof(host.state), "%s", state);
+	answer(answer_arg, 0, &host, 1);
+}
+
+static void apply(struct fst *fst, enum rec_type type)
+{
+	struct rec rec = { .type = type };
+	struct err err;
+
+	snprintf(rec.id, sizeof(rec.id), "%lld", (long long)fst->next);
+	snprintf(rec.host, sizeof(rec.host), "w1");
+	snprintf(rec.author, sizeof(rec.author), "e1");
+	snprintf(rec.address, sizeof(rec.address), "127.0.0.1");
+	ck_assert_int_eq(fst_apply(fst, fst->next, &rec, &err), 0);
+}
+
+static bool leaving(struct hls *hls, const struct fst *fst)
+{
+	uint32_t count;
+	prt_host *rows = hls_rows(hls, fst, &count);
+
+	ck_assert_uint_eq(count, 1);
+	return rows[0].leaving;
+}
+
+/*
+ * Pattern: a wave restarts two hosts of a pool one after the other. A fleet
+ * daemon that read the host list just before the first one was back learns of
+ * its return, and of the second one's drain, from the log.
+ */
+START_TEST(older_list_does_not_undo_a_return)
+{
+	struct evl *evl = evl_create(&clk);
+	struct hls *hls = hls_create(evl, NULL);
+	struct fst *fst = fst_create();
+	int64_t before;
+
+	apply(fst, REC_HOST);
+	apply(fst, REC_FAIL);
+	hls_tick(hls, fst->next);
+	list("down");
+	ck_assert(leaving(hls, fst));
+	before = hls_version(hls, fst);
+
+	apply(fst, REC_RETURN);
+	ck_assert(!leaving(hls, fst));
+	ck_assert(hls_version(hls, fst) != before);
+
+	/* A list that was asked for after the return counts again. */
+	now_ms += LIM_HOST_LIST_MS;
+	hls_tick(hls, fst->next);
+	ck_assert(!leaving(hls, fst));
+	answer(answer_arg, PLT_UNCHANGED, NULL, 0);
+	ck_assert(leaving(hls, fst));
+	ck_assert(hls_version(hls, fst) == before);
+
+	fst_destroy(fst);
+	hls_destroy(hls);
+	evl_destroy(evl);
+}
+END_TEST
+
+START_TEST(leaving_host_stays_marked)
+{
+	const struct mbr_host down = { .live = false };
+	const struct mbr_host live = { .live = true };
+	struct fst_host host = { .state = FST_SERVING, .changed_offset = 7 };
+
+	ck_assert(hls_leaving(&down, NULL, 0));
+	ck_assert(!hls_leaving(&live, NULL, 0));
+	ck_assert(!hls_leaving(&down, &host, 7));
+	ck_assert(hls_leaving(&down, &host, 8));
+	host.state = FST_REBOOTING;
+	ck_assert(hls_leaving(&down, &host, 7));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("hls");
+	TCase *tcase = tcase_create("hls");
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	tcase_add_test(tcase, older_list_does_not_undo_a_return);
+	tcase_add_test(tcase, leaving_host_stays_marked);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
