Repeat a heartbeat that came second; let a retry leave the member's own slots

No lease after a start: an entry daemon asks two fleet daemons, and each sends a heartbeat for it. The second one is refused as old, or its result is unknown, and its lease counts from its own heartbeat only, the next of which was due 5 s later; until then requests for other data centres got 503 no-worker.

A retry that waits: if all slots of a member at a pool are those of the worker that failed the request, its retry counted the others as full and waited until its deadline of 30 s. It may now use a slot of another worker. tests/test_rte.c failed before (-11 in place of a worker). Ruled out: the worker (it ran nothing of the request a second time), the lease (held), a connection that hangs (the first attempt ended early).

--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -138,15 +138,34 @@
 	prp_observe(fleetd->prp, offset, rec, result);
 }
 
+/*
+ * An entry daemon asks several fleet daemons as it starts, and each sends a
+ * heartbeat for it; all but the first are refused as old, or cannot be told
+ * from copies. One that the log did not take has been tried for
+ * LIM_CHANGE_TIMEOUT_MS before.
+ */
+static void repeat_heartbeats(struct fleetd *fleetd)
+{
+	int64_t now_ms = clk_now_ms(fleetd->clk);
+
+	for (uint32_t i = 0; i < tbl_count(fleetd->leases); i++) {
+		const struct lease *lease = tbl_at(fleetd->leases, i);
+
+		if (lease->until_ms <= now_ms)
+			mbr_repeat_heartbeat(fleetd->mbr, lease->name);
+	}
+}
+
 /* A heartbeat was read back: the lease counts from before its append. */
 static void heartbeat_done(void *arg, const struct err *result, int64_t offset,
 			   int64_t created_ms)
 {
 	struct fleetd *fleetd = arg;
 
-	(void)offset;
-	if (result->kind != ERR_OK)
+	if (result->kind != ERR_OK) {
+		repeat_heartbeats(fleetd);
 		return;
+	}
 	for (uint32_t i = 0; i < tbl_count(fleetd->leases); i++) {
 		struct lease *lease = tbl_at(fleetd->leases, i);
 		const struct fst_member *member =
--- a/src/mbr.c
+++ b/src/mbr.c
@@ -155,6 +155,14 @@
 	propose(mbr, "member", "", &rec);
 }
 
+void mbr_repeat_heartbeat(struct mbr *mbr, const char *member)
+{
+	struct notice *last = tbl_find(mbr->heartbeats, member);
+
+	if (last)
+		last->value = FST_NONE;
+}
+
 static void confirm_quiet(struct mbr *mbr, const struct mbr_input *input,
 			  const struct mbr_entry *entry)
 {
--- a/src/mbr.h
+++ b/src/mbr.h
@@ -76,6 +76,14 @@
 /* mbr_tick - propose what is due */
 void mbr_tick(struct mbr *mbr, const struct mbr_input *input);
 
+/*
+ * mbr_repeat_heartbeat - propose a member's next heartbeat at the next tick
+ *
+ * For one that was refused as old, as another fleet daemon's was accepted
+ * before it: a lease counts only from a heartbeat of one's own.
+ */
+void mbr_repeat_heartbeat(struct mbr *mbr, const char *member);
+
 /*
  * mbr_rank - place of a member among the live ones for a subject
  *
--- a/src/rte.c
+++ b/src/rte.c
@@ -265,13 +265,23 @@
 	       (worker->local || (remote_allowed && worker->data_centre_live));
 }
 
+static bool was_tried(const struct rte_query *query, const char *name)
+{
+	for (uint32_t i = 0; i < query->tried_count; i++)
+		if (!strcmp(query->tried[i], name))
+			return true;
+	return false;
+}
+
 /*
  * A member whose shares at a pool are all at workers that are out or fail
- * would refuse every request until the state tells of them. It then uses one
- * slot of one of the others, chosen by hash so that such members spread; the
- * worker's guard refuses a request that is one too many.
+ * would refuse every request until the state tells of them, and so it is for a
+ * request that has tried all of them. It then uses one slot of one of the
+ * others, chosen by hash so that such members spread; the worker's guard
+ * refuses a request that is one too many. query may be NULL.
  */
-static void lend_slot(const struct rte *rte, struct rte_pool *pool)
+static void lend_slot(const struct rte *rte, struct rte_pool *pool,
+		      const struct rte_query *query)
 {
 	uint64_t member =
 		rnd_hash(RND_HASH_START, rte->member, strlen(rte->member));
@@ -285,7 +295,8 @@
 		uint64_t weight;
 
 		share += slots;
-		if (!is_open(worker, rte->remote_allowed) || worker->ejected)
+		if (!is_open(worker, rte->remote_allowed) || worker->ejected ||
+		    (query && was_tried(query, worker->name)))
 			continue;
 		if (slots > 0) {
 			pool->lent = NULL;
@@ -318,7 +329,7 @@
 
 	*capacity = (struct rte_capacity){ 0 };
 	if (pool)
-		lend_slot(rte, pool);
+		lend_slot(rte, pool, NULL);
 	for (uint32_t i = 0; pool && i < pool->count; i++) {
 		const struct rte_worker *worker = pool->workers[i];
 
@@ -329,14 +340,6 @@
 	}
 }
 
-static bool was_tried(const struct rte_query *query, const char *name)
-{
-	for (uint32_t i = 0; i < query->tried_count; i++)
-		if (!strcmp(query->tried[i], name))
-			return true;
-	return false;
-}
-
 static bool is_large_enough(const struct rte_worker *worker,
 			    const struct rte_query *query)
 {
@@ -498,7 +501,7 @@
 		rte->stats.no_fit++;
 		return ERR_NO_FIT;
 	}
-	lend_slot(rte, pool);
+	lend_slot(rte, pool, query);
 	best = find_probe(rte, pool, query);
 	if (best) {
 		best->probing = true;
--- a/tests/process_wave.sh
+++ b/tests/process_wave.sh
@@ -50,6 +50,11 @@
 
 start_cluster $ENTRIES $HOSTS || fail "the processes did not become ready"
 platform '{"reboot_ms":2000}' || fail "control"
+# Without its lease an entry host refuses requests for other data centres.
+leased() { [ "$(metric "$(entry_url "$1")" lease_left_ms)" -gt 0 ]; }
+for ((i = 0; i < ENTRIES; i++)); do
+	wait_until 2 leased $i || fail "entry host $i has no lease"
+done
 # A wave whose support ended is refused by check as by publish.
 wave_settings true | sed 's/2190-01-01/2021-01-01/' >"$WORK/late.json"
 for command in check publish; do
--- a/tests/test_pln.c
+++ b/tests/test_pln.c
@@ -561,6 +561,49 @@
 }
 END_TEST
 
+static void keep_sequence(void *arg, const char *key, struct rec *rec)
+{
+	(void)key;
+	if (rec->type == REC_MEMBER)
+		*(int64_t *)arg = rec->seq;
+}
+
+/*
+ * Guards against an entry daemon that stays without a lease until the next
+ * heartbeat is due, as another fleet daemon's came before its own one's.
+ */
+START_TEST(heartbeat_that_came_second_is_repeated)
+{
+	int64_t seq = 0;
+	struct mbr_config config = { .name = "e0",
+				     .heartbeat_ms = 5000,
+				     .expire_ms = 1000000000,
+				     .propose = keep_sequence,
+				     .arg = &seq };
+	struct mbr *mbr = mbr_create(&config);
+	struct mbr_input input = {
+		.fst = sim->fst,
+		.entries = tbl_create(sizeof(struct mbr_entry)),
+	};
+	struct mbr_entry *entry = tbl_add(input.entries, "e9");
+	struct rec rec = { .type = REC_MEMBER, .seq = 1, .incarnation = 7 };
+
+	entry->incarnation = 7;
+	mbr_tick(mbr, &input);
+	ck_assert_int_eq(seq, 1);
+	snprintf(rec.member, sizeof(rec.member), "e9");
+	sim_apply(sim, &rec, NULL);
+	input.now_ms += 50;
+	mbr_tick(mbr, &input);
+	ck_assert_int_eq(seq, 1);
+	mbr_repeat_heartbeat(mbr, "e9");
+	mbr_tick(mbr, &input);
+	ck_assert_int_eq(seq, 2);
+	tbl_destroy(input.entries);
+	mbr_destroy(mbr);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("planner");
@@ -587,6 +630,7 @@
 	tcase_add_test(tcase, window_and_pause_hold_the_wave);
 	tcase_add_test(tcase, impossible_plans_are_refused);
 	tcase_add_test(tcase, list_fails_and_returns_hosts);
+	tcase_add_test(tcase, heartbeat_that_came_second_is_repeated);
 	tcase_add_loop_test(tcase, seeded_sessions_keep_the_budgets, 0, 20);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
--- a/tests/test_rte.c
+++ b/tests/test_rte.c
@@ -230,6 +230,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a retry that waits until its deadline because all the
+ * member's shares are at the worker that it has tried.
+ */
+START_TEST(retry_finds_a_slot_elsewhere)
+{
+	add_workers(2, 1);
+	for (int i = 0; i < 16; i++)
+		join(i);
+	for (int member = 0; member < 16; member++) {
+		const struct rte_worker *tried;
+		struct rte_worker *worker;
+		char name[16];
+		struct rte *rte;
+
+		snprintf(name, sizeof(name), "e%d", member);
+		rte = rte_create(name, "suva", &rnd);
+		rte_sync(rte, fst, false, NULL, 0);
+		ck_assert_int_eq(pick(rte, true, NULL, &worker), 0);
+		tried = worker;
+		rte_done(rte, worker, RTE_FAILED, now_ms);
+		ck_assert_int_eq(pick(rte, true, tried->name, &worker), 0);
+		ck_assert_ptr_ne(worker, tried);
+		rte_destroy(rte);
+	}
+}
+END_TEST
+
 /* Guards against more connections than a worker allows. */
 START_TEST(connections_bound_requests)
 {
@@ -432,6 +460,7 @@
 	tcase_add_test(tcase, shares_add_up);
 	tcase_add_test(tcase, shares_are_balanced);
 	tcase_add_test(tcase, failing_share_leaves_a_slot);
+	tcase_add_test(tcase, retry_finds_a_slot_elsewhere);
 	tcase_add_test(tcase, connections_bound_requests);
 	tcase_add_test(tcase, shares_follow_leases);
 	tcase_add_loop_test(tcase, ejection_is_bounded, 1, 7);
