Write the latencies of the metrics so that scrapers can read them

The portable printf knows no %llu and writes 0.5 as .5: each quantile read {quantile=".5"} %lu. Found while the load of a node was measured. tests/test_metrics.c failed before: it matches every line of the text.

bench/nodes.c measures the ticks of a pool's owner by size and load; the simulation of nodes takes up to 512 workers for it.

--- a/Makefile
+++ b/Makefile
@@ -101,6 +101,11 @@
 $(BUILD)/bench_waves: bench/waves.c tests/sim.h $(LIBRARY)
 	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
+$(BUILD)/bench_nodes: bench/nodes.c tests/fleet_sim.c tests/log_model.c \
+		tests/worker_model.c tests/fleet_sim.h $(LIBRARY)
+	@echo "  CC $@"
+	@$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
+
 standins: $(STANDINS)
 
 # Tests: unit tests by check, then process tests with the stand-ins.
@@ -142,7 +147,9 @@
 	scripts/demo.sh
 
 # Figures of docs/CAPACITY.md and docs/WAVES.md.
-bench: all standins $(BUILD)/bench_state $(BUILD)/bench_waves
+bench: all standins $(BUILD)/bench_state $(BUILD)/bench_waves \
+		$(BUILD)/bench_nodes
+	$(BUILD)/bench_nodes
 	$(BUILD)/bench_state
 	$(BUILD)/bench_waves
 	PLANK_BUILD=$(BUILD) bash bench/processes.sh
--- a/src/node_metrics.c
+++ b/src/node_metrics.c
@@ -87,15 +87,21 @@
 static void add_latency(apr_pool_t *pool, char **text, const char *name,
 			const struct hst *hst)
 {
-	static const double percents[] = { 50, 90, 99 };
+	static const struct {
+		const char *label;
+		double percent;
+	} quantiles[] = { { "0.5", 50 }, { "0.9", 90 }, { "0.99", 99 } };
 
-	for (size_t i = 0; i < sizeof(percents) / sizeof(percents[0]); i++)
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
 		*text = apr_psprintf(
-			pool, "%splank_%s_ms{quantile=\"%g\"} %llu\n", *text,
-			name, percents[i] / 100,
-			(unsigned long long)hst_percentile(hst, percents[i]));
-	*text = apr_psprintf(pool, "%splank_%s_ms_count %llu\n", *text, name,
-			     (unsigned long long)hst->count);
+			pool,
+			"%splank_%s_ms{quantile=\"%s\"} %" APR_UINT64_T_FMT
+			"\n",
+			*text, name, quantiles[i].label,
+			hst_percentile(hst, quantiles[i].percent));
+	*text = apr_psprintf(pool,
+			     "%splank_%s_ms_count %" APR_UINT64_T_FMT "\n",
+			     *text, name, hst->count);
 }
 
 char *node_metrics_text(apr_pool_t *pool, const struct front_env *front,
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -61,7 +61,7 @@
 	order_renew_fn *on_renew;
 	/* A list of hosts. */
 	host_page_fn *on_page;
-	struct host hosts[SIM_MAX_WORKERS];
+	struct host *hosts;
 	void *arg;
 };
 
@@ -103,6 +103,7 @@
 	g_free(event->producer);
 	g_free(event->after);
 	g_free(event->task);
+	g_free(event->hosts);
 	if (event->bytes)
 		g_byte_array_free(event->bytes, TRUE);
 	g_free(event);
@@ -667,6 +668,7 @@
 	(void)page;
 	event->on_page = fn;
 	event->arg = arg;
+	event->hosts = g_new0(struct host, sim->worker_count);
 	for (int i = 0; i < sim->worker_count; i++) {
 		struct sim_worker *worker = &sim->workers[i];
 		struct host *host = &event->hosts[i];
@@ -741,7 +743,7 @@
 		log_model_share(sim->log, sim->clk.manual_ms);
 		for (int i = 0; i < sim->node_count; i++)
 			if (sim->nodes[i].alive && !sim->nodes[i].paused)
-				node_tick(sim->nodes[i].node);
+				sim->tick(sim->nodes[i].node);
 	}
 }
 
@@ -893,6 +895,7 @@
 	g_ptr_array_add(kept, sim);
 
 	sim->clk = clk_manual(1000000);
+	sim->tick = node_tick;
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
 	sim->log = log_model_create();
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -16,7 +16,7 @@
 #include "rnd.h"
 #include "worker_model.h"
 
-enum { SIM_MAX_NODES = 4, SIM_MAX_WORKERS = 12 };
+enum { SIM_MAX_NODES = 4, SIM_MAX_WORKERS = 512 };
 
 struct sim_worker {
 	struct worker_entry entry;
@@ -55,6 +55,7 @@
 	GSequence *events;
 	uint64_t next_event;
 	struct log_model *log;
+	void (*tick)(struct node *node); /* node_tick, or one that measures it */
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
--- /dev/null
+++ b/tests/test_metrics.c
@@ -0,0 +1,79 @@
+/* Unit tests of the text that a node serves on its metrics address. */
+
+#include <regex.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "node_metrics.h"
+
+static apr_pool_t *pool;
+
+static char *text_of_a_node(void)
+{
+	static struct front_env front;
+	static struct pool_env pools;
+	static struct hosts_env hosts;
+	struct node_gauges gauges = { .jobs_live = 7 };
+
+	for (int64_t ms = 1; ms <= 1000; ms++)
+		hst_add(&pools.start_ms, ms);
+	return node_metrics_text(pool, &front, &pools, &hosts, &gauges);
+}
+
+/* Scrapers drop the whole answer for one line that they cannot read. */
+START_TEST(each_line_can_be_scraped)
+{
+	static const char pattern[] =
+		"^(#.*|plank_[a-z_]+(\\{[a-z]+=\"[0-9]+\\.[0-9]+\"\\})? "
+		"-?[0-9]+)$";
+	char *text = text_of_a_node();
+	char *line, *last;
+	regex_t sample;
+
+	ck_assert_int_eq(regcomp(&sample, pattern, REG_EXTENDED | REG_NOSUB),
+			 0);
+	for (line = strtok_r(text, "\n", &last); line;
+	     line = strtok_r(NULL, "\n", &last))
+		ck_assert_msg(!regexec(&sample, line, 0, NULL, 0), "%s", line);
+	regfree(&sample);
+}
+END_TEST
+
+START_TEST(latencies_have_their_quantiles)
+{
+	const char *text = text_of_a_node();
+	unsigned long long median = 0;
+	const char *line =
+		strstr(text, "plank_start_order_ms{quantile=\"0.5\"} ");
+
+	ck_assert_ptr_nonnull(line);
+	ck_assert_int_eq(sscanf(strchr(line, ' '), " %llu", &median), 1);
+	ck_assert_uint_ge(median, 450);
+	ck_assert_uint_le(median, 550);
+	ck_assert_ptr_nonnull(strstr(text, "plank_jobs_live 7\n"));
+	ck_assert_ptr_nonnull(strstr(text, "plank_job_wait_ms_count 0\n"));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("metrics");
+	TCase *tcase = tcase_create("metrics");
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	apr_pool_create(&pool, NULL);
+	tcase_add_test(tcase, each_line_can_be_scraped);
+	tcase_add_test(tcase, latencies_have_their_quantiles);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	apr_pool_destroy(pool);
+	return failed ? 1 : 0;
+}
