Let the large nodes decide where nodes differ; small ones stand by

Cause: an owner sends all orders of its pool. Four of five owners were nodes with 0.12 of a core and a link of 10 Mbit/s; 400 tasks a second with their reports fill it. Orders then take longer than their time-out, are sent again on new connections (33,314 of them), and the owner reads of cancels seconds late. Mend: module reserve. A node below a share of 0.2 core or 50 Mbit/s joins the group only while no larger one has told of itself in the jobs' stream for 3.5 s; the rest of a small node's work stays.

--- a/src/group.c
+++ b/src/group.c
@@ -7,6 +7,7 @@
 	char *member;
 	bool calling;
 	bool leaving;
+	bool unwanted;
 	bool destroyed;
 	bool failing;
 	int64_t asked_ms;
@@ -74,7 +75,7 @@
 		return;
 	}
 	note_outcome(group, held->outcome);
-	if (held->outcome != STREAM_OK || group->leaving)
+	if (held->outcome != STREAM_OK || group->leaving || group->unwanted)
 		return;
 	if (held->generation != group->generation)
 		log_info("group-changed generation=%" G_GINT64_FORMAT
@@ -86,11 +87,32 @@
 	g_array_append_vals(group->parts, held->parts, held->part_count);
 }
 
+static void give_up(struct group *group)
+{
+	struct stream_join join = join_of(group);
+
+	g_array_set_size(group->parts, 0);
+	group->config.io->leave(group->config.io->io, &join);
+	group->generation = 0;
+	group->renewed_ms = 0;
+}
+
+void group_want(struct group *group, bool wanted)
+{
+	group->unwanted = !wanted;
+}
+
 void group_tick(struct group *group)
 {
 	int64_t now_ms = clk_now_ms(group->config.clk);
 	struct stream_join join = join_of(group);
 
+	if (group->unwanted) {
+		/* A join under way would make it a member again. */
+		if (group->renewed_ms && !group->calling && !group->leaving)
+			give_up(group);
+		return;
+	}
 	if (group->calling || group->leaving || now_ms < group->due_ms)
 		return;
 	group->calling = true;
--- a/src/group.h
+++ b/src/group.h
@@ -30,6 +30,13 @@
 void group_destroy(struct group *group);
 void group_tick(struct group *group);
 
+/*
+ * group_want - whether this node is to be a member; at first it is
+ *
+ * One that is not any more gives its parts up at once, and may join again.
+ */
+void group_want(struct group *group, bool wanted);
+
 /* group_leave - give up the membership, so that others take over at once */
 void group_leave(struct group *group);
 
--- a/src/node.c
+++ b/src/node.c
@@ -6,6 +6,7 @@
 #include "life.h"
 #include "log.h"
 #include "node_metrics.h"
+#include "reserve.h"
 
 enum {
 	NODE_JOBS_PART = 0,
@@ -17,6 +18,7 @@
 	NODE_FOLLOW_GAP_MS = 150,
 	NODE_OWNER_GAP_MS = 30,
 	NODE_FOLLOW_WAIT_MS = 1500,
+	NODE_LOG_AGE_MS = 2 * NODE_FOLLOW_WAIT_MS + 500,
 	NODE_WORKERS_GAP_MS = 500,
 	NODE_OWNER_WORKERS_GAP_MS = 60,
 	NODE_APPEND_GAP_MS = 15,
@@ -29,6 +31,8 @@
 };
 
 #define NODE_JOBS_TOPIC "keyed.jobs"
+/* Key of the record by which a node tells that it decides. */
+#define NODE_DECIDER_KEY "d:decider"
 #define NODE_GROUP_TOPIC "pools"
 
 struct node {
@@ -42,6 +46,7 @@
 	struct tail *tail; /* of jobs */
 	struct writer *writer;
 	struct group *group;
+	struct reserve reserve;
 	struct front *front;
 	struct front_env front_env;
 	struct pool_env pool_env;
@@ -170,6 +175,12 @@
 	g_free(host);
 }
 
+static bool is_decider(const struct stream_record *record)
+{
+	return record->key_len == strlen(NODE_DECIDER_KEY) &&
+	       !memcmp(record->key, NODE_DECIDER_KEY, record->key_len);
+}
+
 /* Keys are a letter for the kind of record, a colon, and the name of a
    job or host. */
 static void on_job(void *arg, const struct stream_record *record)
@@ -183,6 +194,13 @@
 		on_host_plan(node, record);
 		return;
 	}
+	if (is_decider(record)) {
+		/* The one that is kept for good may be old. */
+		if (tail_loaded(node->tail))
+			reserve_seen(&node->reserve,
+				     clk_now_ms(node->config.clk));
+		return;
+	}
 	if (record->key_len != JOB_ID_BYTES + 1 || record->key[1] != ':')
 		return;
 	memcpy(id, record->key + 2, JOB_ID_BYTES - 1);
@@ -302,6 +320,7 @@
 			    on_job, NULL);
 	create_writer(node, jobs);
 	create_group(node);
+	reserve_init(&node->reserve, config->settings, clk_now_ms(config->clk));
 	node->pool_env = (struct pool_env){
 		.clk = config->clk,
 		.stream = config->stream,
@@ -425,12 +444,36 @@
 	tail_set_gap(node->tail, any ? NODE_OWNER_GAP_MS : NODE_FOLLOW_GAP_MS);
 }
 
+/* A read that brings nothing is answered after its wait, and the age counts
+   from its start. */
+static bool log_answers(const struct node *node)
+{
+	return tail_loaded(node->tail) &&
+	       tail_age_ms(node->tail) < NODE_LOG_AGE_MS;
+}
+
+/* Joins, leaves, and tells of itself as a node that decides. */
+static void tick_membership(struct node *node)
+{
+	int64_t now_ms = clk_now_ms(node->config.clk);
+	const char *name = node->config.settings->name;
+
+	group_want(node->group,
+		   reserve_decides(&node->reserve, now_ms, log_answers(node)));
+	group_tick(node->group);
+	if (tail_loaded(node->tail) && !node->stopping &&
+	    now_ms < group_authority_end_ms(node->group) &&
+	    reserve_tells(&node->reserve, now_ms))
+		writer_add(node->writer, NODE_DECIDER_KEY, name, strlen(name),
+			   NULL, NULL);
+}
+
 void node_tick(struct node *node)
 {
 	tail_tick(node->operators);
 	tail_tick(node->registry);
 	tail_tick(node->tail);
-	group_tick(node->group);
+	tick_membership(node);
 	life_tick(node->life);
 	tick_pools(node);
 	front_tick(node->front);
@@ -460,13 +503,21 @@
 	       clk_now_ms(node->config.clk) - node->stop_ms >= NODE_STOP_MS;
 }
 
-bool node_ready(const struct node *node)
+/* Whether the log was in reach lately, by this node's newest answer of it. */
+static bool follows_log(const struct node *node)
 {
 	int64_t now_ms = clk_now_ms(node->config.clk);
 
+	if (node->reserve.decides)
+		return now_ms <
+		       group_authority_end_ms(node->group) + NODE_UNREADY_MS;
+	return log_answers(node);
+}
+
+bool node_ready(const struct node *node)
+{
 	return !node->stopping && node->cfg && tail_loaded(node->tail) &&
-	       tail_loaded(node->registry) &&
-	       now_ms < group_authority_end_ms(node->group) + NODE_UNREADY_MS &&
+	       tail_loaded(node->registry) && follows_log(node) &&
 	       writer_stalled_ms(node->writer) < NODE_UNREADY_MS;
 }
 
--- /dev/null
+++ b/src/reserve.h
@@ -0,0 +1,50 @@
+/*
+ * NAME
+ *	reserve - whether a node takes part in deciding, or only stands by
+ *
+ * The owner of a pool sends all its orders, so that the pool starts tasks no
+ * faster than the owner's link and processor carry. Where nodes differ, the
+ * large ones decide: they tell of themselves in the jobs' stream, which every
+ * node follows, and a small one joins them only while nobody has told of
+ * himself for RESERVE_SILENCE_MS. Pure: no network, no clock of its own.
+ */
+#ifndef RESERVE_H
+#define RESERVE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "settings.h"
+
+enum {
+	/* A large node tells of itself if none has for so long. */
+	RESERVE_TELL_MS = 1000,
+	/* Longer than a membership, after which another large node tells. */
+	RESERVE_SILENCE_MS = 3500
+};
+
+struct reserve {
+	bool small;
+	int64_t seen_ms; /* when a large node was last told of */
+	int64_t told_ms; /* when this one last told of itself */
+	bool decides;
+};
+
+/* reserve_init - small as the settings say; the silence begins now */
+void reserve_init(struct reserve *reserve, const struct settings *settings,
+		  int64_t now_ms);
+
+/* reserve_seen - a large node has told of itself */
+void reserve_seen(struct reserve *reserve, int64_t now_ms);
+
+/*
+ * reserve_decides - whether the node is to be a member of the group
+ *
+ * Silence while the log does not answer says nothing.
+ */
+bool reserve_decides(struct reserve *reserve, int64_t now_ms, bool log_answers);
+
+/* reserve_tells - whether a member is to tell of itself; notes that it does */
+bool reserve_tells(struct reserve *reserve, int64_t now_ms);
+
+#endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -56,6 +56,15 @@
 	return (int64_t)(jsn_double(&at, 0, 3600, fallback_s) * 1000);
 }
 
+/* A positive number; what is not given counts as enough. */
+static double read_size(const struct jsn *root, const char *key,
+			double fallback)
+{
+	struct jsn at = jsn_member(root, key);
+
+	return jsn_double(&at, 0, 1e9, fallback);
+}
+
 int settings_parse(const char *text, size_t len, struct settings *settings,
 		   struct err *err)
 {
@@ -81,6 +90,11 @@
 	read.stop_grace_ms = read_seconds(&root, "stop_grace_s", 6);
 	read.order_lease_ms = read_ms(&root, "order_lease_ms", 3000);
 	read.job_keep_ms = read_seconds(&root, "job_keep_s", 120);
+	read.core_share = read_size(&root, "core_share", 1) *
+			  read_size(&root, "core_speed", 1);
+	read.link_mbps = read_size(&root, "link_mbps", 1000);
+	read.decider_core_share = read_size(&root, "decider_core_share", 0.2);
+	read.decider_link_mbps = read_size(&root, "decider_link_mbps", 50);
 	json_object_put(value);
 	if (fault.kind != ERR_OK)
 		return err_set(err, fault.kind, "%s", fault.text);
--- a/src/settings.h
+++ b/src/settings.h
@@ -32,6 +32,11 @@
 	int64_t stop_grace_ms;	/* from the stop signal to the kill */
 	int64_t order_lease_ms; /* between two holders of a host's orders */
 	int64_t job_keep_ms;	/* ended jobs can be asked for */
+	double core_share;	/* processor of this node, in cores */
+	double link_mbps;	/* of its network link */
+	/* With less of either a node decides only if no other one does. */
+	double decider_core_share;
+	double decider_link_mbps;
 };
 
 /*
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -831,6 +831,16 @@
 	g_ptr_array_set_size(node->held_back, 0);
 }
 
+void sim_make_small(struct sim *sim, int index)
+{
+	struct settings *settings = &sim->nodes[index].settings;
+
+	settings->link_mbps = 10;
+	settings->decider_link_mbps = 50;
+	sim_kill(sim, index);
+	sim_start(sim, index);
+}
+
 void sim_pause(struct sim *sim, int index)
 {
 	sim->nodes[index].paused = true;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -94,6 +94,9 @@
 /* sim_state - state of a job as a node shows it; -1: not known there */
 int sim_state(struct sim *sim, int node, const char *id);
 
+/* sim_make_small - start a node anew with a link too slow to decide */
+void sim_make_small(struct sim *sim, int node);
+
 void sim_kill(struct sim *sim, int node);
 void sim_start(struct sim *sim, int node);
 void sim_pause(struct sim *sim, int node);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -8,6 +8,7 @@
 
 #include "fleet_sim.h"
 #include "log.h"
+#include "reserve.h"
 
 enum {
 	START_MS = 3000,
@@ -307,12 +308,41 @@
 	return -1;
 }
 
+/* Pattern: one large node among small ones; it loses power, and comes back. */
+START_TEST(small_nodes_own_pools_only_without_large_ones)
+{
+	struct sim *sim = sim_create(1, 3, 4);
+	struct sim_job *job;
+
+	sim_make_small(sim, 0);
+	sim_make_small(sim, 2);
+	sim_run_for(sim, START_MS);
+	ck_assert_int_eq(owner_of_pool(sim), 1);
+	sim_kill(sim, 1);
+	sim_run_for(sim, RESERVE_SILENCE_MS + 2 * START_MS);
+	ck_assert_int_ne(owner_of_pool(sim), -1);
+	job = sim_hand_in(sim, 0, 2, 4);
+	sim_run_for(sim, 6000);
+	ck_assert(job->accepted);
+	ck_assert_int_eq(sim_state(sim, 2, job->id), JOB_DONE);
+	sim_start(sim, 1);
+	sim_run_for(sim, 2 * START_MS);
+	ck_assert_int_eq(owner_of_pool(sim), 1);
+	check_kept(sim, 1);
+}
+END_TEST
+
 static void play(uint64_t seed)
 {
 	struct sim *sim = sim_create(seed, 3, 5);
 	struct sim_job *jobs[JOBS] = { NULL };
 	int handed = 0;
 
+	/* Every second fleet has nodes of two sizes. */
+	if (seed % 2)
+		sim_make_small(sim, (int)(seed / 2 % 3));
+	if (seed % 4 == 3)
+		sim_make_small(sim, (int)((seed / 2 + 1) % 3));
 	sim_run_for(sim, START_MS);
 	for (int step = 0; step < TROUBLE_STEPS; step++) {
 		int node = live_node(sim);
@@ -363,6 +393,7 @@
 	tcase_add_test(tcase, task_of_a_gone_worker_runs_elsewhere);
 	tcase_add_test(tcase, tasks_of_a_down_host_run_elsewhere_at_once);
 	tcase_add_test(tcase, tasks_of_a_cut_off_worker_wait_for_its_lease);
+	tcase_add_test(tcase, small_nodes_own_pools_only_without_large_ones);
 	tcase_add_loop_test(tcase, promises_hold_in_random_troubles, 0,
 			    count ? atoi(count) : SEEDS);
 	suite_add_tcase(suite, tcase);
--- /dev/null
+++ b/tests/test_reserve.c
@@ -0,0 +1,103 @@
+/* Unit tests of which nodes decide where nodes differ in size. */
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "log.h"
+#include "reserve.h"
+
+static const struct settings large = {
+	.core_share = 0.5,
+	.link_mbps = 200,
+	.decider_core_share = 0.2,
+	.decider_link_mbps = 50,
+};
+
+static struct settings small(void)
+{
+	struct settings settings = large;
+
+	settings.link_mbps = 10;
+	return settings;
+}
+
+/* Pattern: all nodes alike; nobody waits for another. */
+START_TEST(large_node_decides_from_the_start)
+{
+	struct reserve reserve;
+
+	reserve_init(&reserve, &large, 1000);
+	ck_assert(reserve_decides(&reserve, 1000, false));
+	ck_assert(reserve_tells(&reserve, 1000 + RESERVE_TELL_MS));
+	ck_assert(!reserve_tells(&reserve, 1001 + RESERVE_TELL_MS));
+}
+END_TEST
+
+/* Pattern: a few large nodes among many small ones. */
+START_TEST(one_that_tells_is_enough)
+{
+	struct reserve reserve;
+	int64_t now_ms = 1000;
+
+	reserve_init(&reserve, &large, now_ms);
+	for (; now_ms < 10000; now_ms += 100) {
+		if (now_ms % 500 == 0)
+			reserve_seen(&reserve, now_ms);
+		ck_assert(!reserve_tells(&reserve, now_ms));
+	}
+}
+END_TEST
+
+/* Pattern: all large nodes lose power, and come back. */
+START_TEST(small_node_decides_while_no_large_one_does)
+{
+	struct settings settings = small();
+	struct reserve reserve;
+	int64_t now_ms = 1000;
+
+	reserve_init(&reserve, &settings, now_ms);
+	ck_assert(!reserve_decides(&reserve, now_ms, true));
+	ck_assert(!reserve_tells(&reserve, now_ms + 10 * RESERVE_TELL_MS));
+	now_ms += RESERVE_SILENCE_MS;
+	ck_assert(!reserve_decides(&reserve, now_ms, true));
+	ck_assert(reserve_decides(&reserve, now_ms + 1, true));
+	reserve_seen(&reserve, now_ms + 2);
+	ck_assert(!reserve_decides(&reserve, now_ms + 2, true));
+}
+END_TEST
+
+/* Pattern: the log is away, and large nodes cannot be heard. */
+START_TEST(silence_counts_only_while_the_log_answers)
+{
+	struct settings settings = small();
+	struct reserve reserve;
+	int64_t now_ms = 1000;
+
+	reserve_init(&reserve, &settings, now_ms);
+	for (; now_ms < 30000; now_ms += 100)
+		ck_assert(!reserve_decides(&reserve, now_ms, false));
+	ck_assert(!reserve_decides(&reserve, now_ms + 1000, true));
+	ck_assert(reserve_decides(&reserve, now_ms + RESERVE_SILENCE_MS, true));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("reserve");
+	TCase *tcase = tcase_create("reserve");
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	log_init("test_reserve", true);
+	tcase_add_test(tcase, large_node_decides_from_the_start);
+	tcase_add_test(tcase, one_that_tells_is_enough);
+	tcase_add_test(tcase, small_node_decides_while_no_large_one_does);
+	tcase_add_test(tcase, silence_counts_only_while_the_log_answers);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
