Take tasks off workers on which they stand still or go on slowly

Seen: a worker whose tasks stand still (srv_grey hang, srv_slow) kept them until the trouble ended, 4 to 7 s, and got new ones meanwhile: only ends that failed told of a bad worker. Mend: module speed judges a worker by the progress of all its runs, by its own clock, against the median of its pool. One below 30 percent, or without any progress for 600 ms, gets no new work for 3 s, and a task that would end sooner elsewhere is stopped and started there, if there is room. Workers with such tasks report every 500 ms in place of 1,000. Ruled out: judging a task by its estimate alone (estimates are off by half, and jobs that take ten times as long would be restarted for ever).

--- a/src/job.c
+++ b/src/job.c
@@ -418,6 +418,7 @@
 	task->run = run;
 	task->worker = g_intern_string(worker);
 	task->since_ms = now_ms;
+	task->seen = 0;
 	task->percent = 0;
 	task->figure = 0;
 	task->pace = 100;
--- a/src/place.c
+++ b/src/place.c
@@ -38,7 +38,8 @@
 	       place->now_ms - worker->heard_ms < PLACE_SILENT_MS &&
 	       !worker_is_silent(worker, place->now_ms) &&
 	       !worker_is_gone(worker) &&
-	       place->now_ms >= worker->avoid_until_ms;
+	       place->now_ms >= worker->avoid_until_ms &&
+	       !worker->slow_until_ms;
 }
 
 bool place_too_late(const struct cfg *cfg, const struct job *job,
@@ -54,6 +55,7 @@
 		worker->cpu_used_milli += step->cpu_milli;
 	worker->mem_used_mib += step->mem_mib;
 	worker->gpu_used += step->gpu;
+	worker->tasks++;
 	worker->lasting += step->long_running;
 }
 
@@ -82,6 +84,7 @@
 		worker->cpu_used_milli = 0;
 		worker->mem_used_mib = 0;
 		worker->gpu_used = 0;
+		worker->tasks = 0;
 		worker->lasting = 0;
 	}
 	for (guint i = 0; i < place->jobs->live->len; i++) {
@@ -166,6 +169,20 @@
 	return best;
 }
 
+bool place_reserve(const struct place *place, const struct job_pos *pos)
+{
+	struct candidate at = {
+		.job = pos->job,
+		.occurrence = pos->occurrence,
+		.step = pos->step,
+	};
+	struct worker *worker = best_worker(place, &at);
+
+	if (worker)
+		take_room(worker, &pos->job->spec.steps[pos->step]);
+	return worker != NULL;
+}
+
 static bool startable(const struct place *place, const struct job_task *task)
 {
 	return task->state == TASK_WAITING &&
@@ -203,6 +220,7 @@
 		chosen[i]->cpu_used_milli -= step->fills ? 0 : step->cpu_milli;
 		chosen[i]->mem_used_mib -= step->mem_mib;
 		chosen[i]->gpu_used -= step->gpu;
+		chosen[i]->tasks--;
 		chosen[i]->lasting -= step->long_running;
 	}
 out:
--- a/src/place.h
+++ b/src/place.h
@@ -42,6 +42,16 @@
  */
 struct place_counts place_tasks(const struct place *place);
 
+/*
+ * place_reserve - take room for a placed task at another worker
+ *
+ * Until the next place_account, so that no two tasks count on the same room.
+ *
+ * RETURN VALUE
+ *	Whether there is any.
+ */
+bool place_reserve(const struct place *place, const struct job_pos *pos);
+
 /* place_usable - whether new work may go to the worker */
 bool place_usable(const struct place *place, const struct worker *worker);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -328,6 +328,7 @@
 
 	mark_leaving(pool);
 	place_account(&place);
+	pool_leave_slow(pool, &place);
 	/* What is placed while the log stands still could not be stored. */
 	if (writer_stalled_ms(pool->tenure.writer) < pool->env->lease_ms / 4)
 		place_tasks(&place);
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -52,6 +52,13 @@
 /* pool_empty_workers - empty the workers of hosts that are to go */
 void pool_empty_workers(struct pool *pool);
 
+/*
+ * pool_leave_slow - notice workers that are slow, and take tasks off them
+ *
+ * place_account must have been called for place.
+ */
+void pool_leave_slow(struct pool *pool, const struct place *place);
+
 /* pool_end_lost - end runs on workers whose lease is surely over */
 void pool_end_lost(struct pool *pool);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -7,6 +7,8 @@
 	POOL_START_RETRY_MS = 400,
 	POOL_STOP_RETRY_MS = 300,
 	POOL_RENEW_WAIT_MS = 1000,
+	/* For a worker whose tasks are to show their progress. */
+	POOL_WATCH_WAIT_MS = 500,
 	POOL_RENEW_GAP_MS = 30,
 	/* For the append with the ends that the worker has told. */
 	POOL_CURSOR_WAIT_MS = 250,
@@ -310,6 +312,12 @@
 		worker->entry.born_ms == worker->life_ms);
 }
 
+/* Whether tasks that end by themselves are placed there. */
+static bool is_watched(const struct worker *worker)
+{
+	return worker->tasks > worker->lasting;
+}
+
 static void renew(struct pool *pool, struct worker *worker, int64_t now_ms)
 {
 	struct sent *sent = sent_new(pool, worker->entry.id);
@@ -322,7 +330,8 @@
 	    now_ms - worker->heard_ms < POOL_EXTEND_SILENT_MS) {
 		renew.until_ms =
 			worker_clock_ms(worker, now_ms) + pool->env->lease_ms;
-		renew.wait_ms = POOL_RENEW_WAIT_MS;
+		renew.wait_ms = is_watched(worker) ? POOL_WATCH_WAIT_MS
+						   : POOL_RENEW_WAIT_MS;
 		worker->lease_end_ms =
 			MAX(worker->lease_end_ms,
 			    worker_lease_bound_ms(now_ms, pool->env->lease_ms));
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -10,6 +10,12 @@
 };
 #define POOL_FAILING_RATE 0.6
 
+/* What a worker's runs did between two of its reports. */
+struct progress {
+	uint32_t runs;
+	double work_ms;
+};
+
 static void judge(struct worker *worker, bool failed, int64_t now_ms)
 {
 	double weight = POOL_FAILURE_WEIGHT_PERCENT / 100.0;
@@ -30,8 +36,22 @@
 	       !strcmp(pos->task->worker, worker->entry.id);
 }
 
+/* Progress of a run since the worker's last report, if that listed it. */
+static void note_progress(struct worker *worker, const struct job_pos *pos,
+			  int32_t percent, struct progress *progress)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	int32_t gained = percent - pos->task->percent;
+
+	if (pos->task->phase != PHASE_RUNNING || step->long_running ||
+	    step->fills || pos->task->seen + 1 != worker->reports)
+		return;
+	progress->runs++;
+	progress->work_ms += MAX(gained, 0) / 100.0 * step->estimate_ms;
+}
+
 static void take_end(struct pool *pool, struct worker *worker,
-		     const struct worker_end *end)
+		     const struct worker_end *end, struct progress *progress)
 {
 	struct job_pos pos;
 
@@ -44,6 +64,8 @@
 	if (end->how == END_DONE || end->how == END_FAILED)
 		judge(worker, end->how == END_FAILED, pool_now_ms(pool));
 	if (is_at(&pos, worker, end->run)) {
+		if (end->how == END_DONE)
+			note_progress(worker, &pos, 100, progress);
 		pool_end(pool, &pos, end->how, end->checkpoint);
 	} else if (end->how == END_DONE && pos.task->state == TASK_WAITING &&
 		   end->run <= pos.task->run) {
@@ -59,7 +81,8 @@
 }
 
 static void take_run(struct pool *pool, struct worker *worker,
-		     const struct worker_run *run, int64_t now_ms)
+		     const struct worker_run *run, int64_t now_ms,
+		     struct progress *progress)
 {
 	struct job_pos pos;
 	struct job_task *task;
@@ -71,6 +94,7 @@
 		return;
 	}
 	task = pos.task;
+	note_progress(worker, &pos, run->percent, progress);
 	task->seen = worker->reports;
 	task->percent = run->percent;
 	task->figure = run->figure;
@@ -125,6 +149,8 @@
 		      const struct worker_report *report, int64_t asked_ms)
 {
 	int64_t now_ms = pool_now_ms(pool);
+	int64_t passed_ms = report->clock_ms - worker->clock_ms;
+	struct progress progress = { 0 };
 
 	if (report->born_ms && report->born_ms != worker->life_ms) {
 		if (worker->life_ms)
@@ -133,6 +159,8 @@
 		worker->cursor_seen = 0;
 		worker->cursor_flushing = 0;
 		worker->cursor = 0;
+		worker->speed = (struct speed){ 0 };
+		worker->slow_until_ms = 0;
 	}
 	if (!worker->reached) {
 		/* From now on only this owner extends its lease. */
@@ -145,9 +173,12 @@
 	worker->heard_ms = now_ms;
 	worker->reports++;
 	for (uint32_t i = 0; i < report->end_count; i++)
-		take_end(pool, worker, &report->ends[i]);
+		take_end(pool, worker, &report->ends[i], &progress);
 	for (uint32_t i = 0; i < report->run_count; i++)
-		take_run(pool, worker, &report->runs[i], now_ms);
+		take_run(pool, worker, &report->runs[i], now_ms, &progress);
+	if (passed_ms > 0)
+		speed_add(&worker->speed, report->clock_ms, passed_ms,
+			  progress.runs, progress.work_ms);
 	end_unlisted(pool, worker, asked_ms);
 }
 
--- /dev/null
+++ b/src/pool_slow.c
@@ -0,0 +1,101 @@
+#include <string.h>
+
+#include "log.h"
+#include "pool_int.h"
+#include "speed.h"
+
+/* A slow worker gets no new work for so long; then it is tried again. */
+enum { POOL_SLOW_MS = 3000 };
+
+static bool is_mine(const struct pool *pool, const struct worker *worker)
+{
+	return worker->reached && !strcmp(worker->entry.pool, pool->name);
+}
+
+static double typical_rate(const struct pool *pool)
+{
+	GPtrArray *workers = pool->env->workers->list;
+	double *rates = g_new(double, workers->len + 1);
+	uint32_t count = 0;
+	double typical;
+
+	for (guint i = 0; i < workers->len; i++) {
+		const struct worker *worker = workers->pdata[i];
+
+		if (is_mine(pool, worker))
+			rates[count++] = speed_rate(&worker->speed);
+	}
+	typical = speed_typical(rates, count);
+	g_free(rates);
+	return typical;
+}
+
+static void judge(struct worker *worker, double typical, int64_t now_ms)
+{
+	double rate = speed_rate(&worker->speed);
+
+	if (speed_is_slow(rate, typical)) {
+		if (!worker->slow_until_ms)
+			log_info("worker-slow worker=%s rate=%.2f typical=%.2f",
+				 worker->entry.id, rate, typical);
+		worker->slow_until_ms = now_ms + POOL_SLOW_MS;
+	} else if (worker->slow_until_ms && now_ms >= worker->slow_until_ms) {
+		worker->speed = (struct speed){ 0 };
+		worker->slow_until_ms = 0;
+	}
+}
+
+/* Takes a task off a slow worker if another one has room for it. */
+static void move_task(struct pool *pool, const struct place *place,
+		      struct job_pos *pos, double typical)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	struct worker *worker;
+	char name[JOB_TASK_NAME_BYTES];
+
+	if (pos->task->state != TASK_PLACED ||
+	    pos->task->phase != PHASE_RUNNING || step->long_running ||
+	    step->gang || step->fills)
+		return;
+	worker = worker_find(pool->env->workers, pos->task->worker);
+	if (!worker || !worker->slow_until_ms ||
+	    !speed_gains(speed_rate(&worker->speed), typical,
+			 pos->task->percent, step->estimate_ms,
+			 step->checkpointing) ||
+	    !place_reserve(place, pos))
+		return;
+	job_task_name(pos, name, sizeof(name));
+	log_info("task-restarted task=%s run=%d worker=%s percent=%d "
+		 "rate=%.2f typical=%.2f",
+		 name, pos->task->run, worker->entry.id, pos->task->percent,
+		 speed_rate(&worker->speed), typical);
+	pos->task->phase = PHASE_STOPPING;
+	pos->task->since_ms = place->now_ms;
+	pool_send_stop(pool, worker, name, pos->task->run);
+}
+
+void pool_leave_slow(struct pool *pool, const struct place *place)
+{
+	GPtrArray *workers = pool->env->workers->list;
+	struct job_store *jobs = pool->env->jobs;
+	double typical = typical_rate(pool);
+	bool any = false;
+
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
+
+		if (!is_mine(pool, worker))
+			continue;
+		judge(worker, typical, place->now_ms);
+		any |= worker->slow_until_ms != 0;
+	}
+	for (guint i = 0; any && i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (strcmp(pos.job->pool, pool->name) ||
+		    job_ended(pos.job->state) || pos.job->cancel_asked)
+			continue;
+		while (job_next_task(&pos))
+			move_task(pool, place, &pos, typical);
+	}
+}
--- a/src/worker.h
+++ b/src/worker.h
@@ -16,6 +16,7 @@
 
 #include "job.h"
 #include "lim.h"
+#include "speed.h"
 
 enum { WORKER_MAX_LABELS = 8, WORKER_LABEL_BYTES = 32 };
 
@@ -91,8 +92,11 @@
 	int32_t cpu_used_milli;	 /* of placed tasks; see place */
 	int32_t mem_used_mib;
 	int32_t gpu_used;
-	int32_t lasting;     /* placed long-running tasks */
-	double failure_rate; /* of its ended runs, newest count most */
+	int32_t tasks;	       /* placed there, */
+	int32_t lasting;       /* of these, long-running ones */
+	double failure_rate;   /* of its ended runs, newest count most */
+	struct speed speed;    /* by its own clock */
+	int64_t slow_until_ms; /* gets no new work before; 0: not slow */
 };
 
 struct worker_table {
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -435,6 +435,7 @@
 	enum order_outcome outcome;
 	bool began;
 
+	run.total_ms = run.left_ms;
 	g_strlcpy(run.task, event->task, sizeof(run.task));
 	outcome = worker_model_start(&worker->model, &run,
 				     event->order_until_ms, &began);
@@ -493,6 +494,7 @@
 
 		g_strlcpy(told->task, run->task, sizeof(told->task));
 		told->run = run->run;
+		told->percent = model_run_percent(run);
 	}
 	for (guint i = 0; i < worker->model.ends->len; i++)
 		report.ends[report.end_count++] =
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -350,6 +350,7 @@
 	const char *text = json_text(asked, "spec");
 	struct model_run run = {
 		.run = (int32_t)json_int(asked, "run", 0),
+		.total_ms = TASK_MS,
 		.left_ms = TASK_MS,
 		.lasts = g_str_has_prefix(text, "last"),
 		.fails = g_str_has_prefix(text, "fail"),
@@ -374,7 +375,7 @@
 	json_object_array_add(row, json_object_new_string(run->task));
 	json_object_array_add(row, json_object_new_int(run->run));
 	json_object_array_add(row, json_object_new_string(""));
-	json_object_array_add(row, json_object_new_int(100));
+	json_object_array_add(row, json_object_new_int(model_run_percent(run)));
 	return row;
 }
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -197,6 +197,22 @@
 }
 END_TEST
 
+/* A worker answers, yet its tasks stand still from then on. */
+START_TEST(tasks_that_stand_still_run_elsewhere)
+{
+	struct sim *sim = sim_create(7, 3, 5);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_hand_in(sim, 0, 1, 14);
+	sim_run_for(sim, 250);
+	sim->workers[0].model.still = true;
+	sim_run_for(sim, 3000);
+	check_kept(sim, 7);
+	ck_assert_int_eq(sim_state(sim, 1, job->id), JOB_DONE);
+}
+END_TEST
+
 /* A worker that is cut off runs on: only its lease tells when its runs end. */
 START_TEST(tasks_of_a_cut_off_worker_wait_for_its_lease)
 {
@@ -220,7 +236,7 @@
 	int worker = (int)rnd_below(&sim->rnd, (uint32_t)sim->worker_count);
 	struct sim_node *at = &sim->nodes[node];
 
-	switch (rnd_below(&sim->rnd, 12)) {
+	switch (rnd_below(&sim->rnd, 13)) {
 	case 0:
 		if (at->alive)
 			sim_kill(sim, node);
@@ -267,6 +283,9 @@
 		else
 			sim_restart_worker(sim, worker);
 		break;
+	case 11:
+		sim->workers[worker].model.still ^= true;
+		break;
 	default:
 		if (sim->workers[worker].up)
 			sim_list_worker(sim, worker,
@@ -290,6 +309,7 @@
 			sim_resume(sim, i);
 	}
 	for (int i = 0; i < sim->worker_count; i++) {
+		sim->workers[i].model.still = false;
 		if (!sim->workers[i].up)
 			sim_restart_worker(sim, i);
 		else if (!sim->workers[i].listed)
@@ -392,6 +412,7 @@
 	tcase_add_test(tcase, worker_listed_after_takeover_keeps_its_runs);
 	tcase_add_test(tcase, task_of_a_gone_worker_runs_elsewhere);
 	tcase_add_test(tcase, tasks_of_a_down_host_run_elsewhere_at_once);
+	tcase_add_test(tcase, tasks_that_stand_still_run_elsewhere);
 	tcase_add_test(tcase, tasks_of_a_cut_off_worker_wait_for_its_lease);
 	tcase_add_test(tcase, small_nodes_own_pools_only_without_large_ones);
 	tcase_add_loop_test(tcase, promises_hold_in_random_troubles, 0,
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -114,6 +114,13 @@
 	model->lease_ms = MAX(model->lease_ms, until_ms);
 }
 
+int32_t model_run_percent(const struct model_run *run)
+{
+	if (run->lasts)
+		return 100;
+	return (int32_t)(100 * (run->total_ms - run->left_ms) / run->total_ms);
+}
+
 void worker_model_pass(struct worker_model *model, int64_t clock_ms,
 		       int64_t worked_ms)
 {
@@ -128,7 +135,8 @@
 			end_run(model, i - 1, END_LAPSED);
 			continue;
 		}
-		run->left_ms -= worked_ms;
+		if (!model->still)
+			run->left_ms -= worked_ms;
 		if (run->left_ms <= 0 && !run->lasts)
 			end_run(model, i - 1,
 				run->fails ? END_FAILED : END_DONE);
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -16,7 +16,8 @@
 struct model_run {
 	char task[JOB_TASK_NAME_BYTES];
 	int32_t run;
-	int64_t left_ms; /* of work; below 0: it lasts */
+	int64_t total_ms; /* of work */
+	int64_t left_ms;  /* below 0: it lasts */
 	bool fails;
 	bool lasts;
 	int32_t pace;
@@ -27,6 +28,7 @@
 	int64_t fence;
 	int64_t lease_ms;  /* until, by its clock */
 	int32_t room;	   /* runs at a time */
+	bool still;	   /* its runs do no work */
 	GArray *runs;	   /* struct model_run */
 	GArray *ends;	   /* struct worker_end, those not acknowledged */
 	GHashTable *ended; /* task -> highest run that ended or was stopped */
@@ -61,6 +63,9 @@
 void worker_model_acknowledge(struct worker_model *model, int64_t cursor);
 void worker_model_extend(struct worker_model *model, int64_t until_ms);
 
+/* model_run_percent - how much of its work a run has done */
+int32_t model_run_percent(const struct model_run *run);
+
 /* worker_model_pass - let time pass by the worker's clock */
 void worker_model_pass(struct worker_model *model, int64_t clock_ms,
 		       int64_t worked_ms);
