Bound the start orders that an owner has under way

Each start without an answer for 400 ms was sent again, on a new connection, while the first one was still under way. Mend: at most 8 starts under way at a worker and 128 in all; the rest waits, in order.

--- a/src/pool.c
+++ b/src/pool.c
@@ -78,6 +78,7 @@
 	struct job_store *jobs = pool->env->jobs;
 
 	pool->env->counts.takeovers++;
+	pool->starting = 0;
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
 		struct host_plan *plan = pool->env->plans->list->pdata[i];
 
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -13,6 +13,7 @@
 	struct pool_env *env;
 	char name[LIM_NAME_BYTES];
 	struct tenure tenure;
+	int32_t starting;  /* start orders under way */
 	int64_t drop_ms;   /* next look for jobs to drop */
 	GHashTable *notes; /* arguments of the writer's callbacks */
 };
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -5,6 +5,11 @@
 
 enum {
 	POOL_START_RETRY_MS = 400,
+	/* Starts without an answer, at a worker and in all. An owner that is
+	   slower than its pool otherwise adds to its own load by repeating
+	   orders that it has no time to hear of. */
+	POOL_STARTS_AT_WORKER = 8,
+	POOL_STARTS_UNDER_WAY = 128,
 	POOL_STOP_RETRY_MS = 300,
 	POOL_RENEW_WAIT_MS = 1000,
 	/* For a worker whose tasks are to show their progress. */
@@ -130,6 +135,15 @@
 		 sent->run, sent->worker, order_name(outcome));
 }
 
+static void start_ended(struct pool *pool, const char *name)
+{
+	struct worker *worker = worker_find(pool->env->workers, name);
+
+	pool->starting--;
+	if (worker)
+		worker->starting--;
+}
+
 static void on_start(void *arg, enum order_outcome outcome)
 {
 	struct sent *sent = arg;
@@ -141,6 +155,7 @@
 		return;
 	}
 	note_answer(pool, sent->worker, outcome);
+	start_ended(pool, sent->worker);
 	hst_add(&pool->env->start_ms, pool_now_ms(pool) - sent->sent_ms);
 	if (outcome == ORDER_FENCED)
 		fenced_off(pool, sent->worker);
@@ -173,6 +188,8 @@
 	sent->run = pos->task->run;
 	pos->task->open_orders++;
 	pos->task->since_ms = now_ms;
+	pool->starting++;
+	worker->starting++;
 	if (!worker->open_since_ms)
 		worker->open_since_ms = now_ms;
 	worker->lease_end_ms =
@@ -203,9 +220,12 @@
 		if (!start_due(pos.task, now_ms))
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
+		if (pool->starting >= POOL_STARTS_UNDER_WAY)
+			return;
 		/* Each start extends the lease; one to a worker that does not
 		   answer would keep its runs from being given up. */
-		if (worker && worker->clock_at_ms && !worker_is_gone(worker) &&
+		if (worker && worker->starting < POOL_STARTS_AT_WORKER &&
+		    worker->clock_at_ms && !worker_is_gone(worker) &&
 		    now_ms - worker->heard_ms < POOL_EXTEND_SILENT_MS)
 			send_start(pool, &pos, worker);
 	}
--- a/src/worker.h
+++ b/src/worker.h
@@ -82,6 +82,7 @@
 	int64_t open_since_ms; /* oldest order without an answer; 0: none */
 	/* Its life of before was over then; see life. 0: not known. */
 	int64_t gone_ms;
+	int32_t starting; /* start orders under way */
 	int64_t next_renew_ms;
 	int64_t avoid_until_ms; /* no new work after refusals and failures */
 	uint32_t reports;	/* taken so far */
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -473,6 +473,7 @@
 	struct sim_worker *worker = &sim->workers[event->worker];
 	struct worker_report report = { 0 };
 
+	sim->starts_open -= event->kind == 's';
 	/* A connection ends with the life that it was made to. */
 	if (!worker->up || event->born_ms != worker->entry.born_ms)
 		event->outcome = ORDER_UNKNOWN;
@@ -531,7 +532,9 @@
 		return;
 	}
 	event->fn = answer_order;
-	post(sim, event, 1 + draw(sim, 6));
+	post(sim, event,
+	     1 + draw(sim, 6) +
+		     (event->kind == 's' ? sim->faults.start_answer_ms : 0));
 }
 
 static int worker_index(struct sim *sim, const char *id)
@@ -597,9 +600,12 @@
 {
 	struct event *event = order_event(io, 's', worker, start->task,
 					  start->run, start->fence, arg);
+	struct sim *sim = event->port.sim;
 
 	event->order_until_ms = start->until_ms;
 	event->on_order = fn;
+	sim->starts_open++;
+	sim->most_starts_open = MAX(sim->most_starts_open, sim->starts_open);
 	send_order(io, event);
 }
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -46,6 +46,7 @@
 	uint32_t order_lost_percent;
 	uint32_t unhealthy_percent;  /* starts that a worker refuses */
 	uint32_t order_late_percent; /* orders carried out seconds late */
+	int64_t start_answer_ms;     /* more that answers to starts take */
 	bool log_down;
 };
 
@@ -55,7 +56,8 @@
 	GSequence *events;
 	uint64_t next_event;
 	struct log_model *log;
-	void (*tick)(struct node *node); /* node_tick, or one that measures it */
+	void (*tick)(
+		struct node *node); /* node_tick, or one that measures it */
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
@@ -67,7 +69,9 @@
 	GHashTable *done;  /* tasks that ended done somewhere */
 	GHashTable *jobs;  /* id -> struct sim_job */
 	uint32_t started;
-	char broken[256]; /* the first broken promise; empty: none */
+	uint32_t starts_open;	   /* start orders under way */
+	uint32_t most_starts_open; /* at any time */
+	char broken[256];	   /* the first broken promise; empty: none */
 };
 
 struct sim_job {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -213,6 +213,27 @@
 }
 END_TEST
 
+/*
+ * A turn begins, and the owner hears of answers a second late. It must not add
+ * to its load by more and more orders under way.
+ */
+START_TEST(orders_under_way_are_bounded)
+{
+	struct sim *sim = sim_create(8, 1, 200);
+
+	sim_run_for(sim, START_MS);
+	sim->faults.start_answer_ms = 900;
+	for (int i = 0; i < 90; i++)
+		sim_hand_in(sim, 0, 1, 8);
+	sim_run_for(sim, 6000);
+	ck_assert_uint_le(sim->most_starts_open, 128);
+	sim->faults.start_answer_ms = 0;
+	sim_run_for(sim, 6000);
+	check_kept(sim, 8);
+	check_ended(sim, 8);
+}
+END_TEST
+
 /* A worker that is cut off runs on: only its lease tells when its runs end. */
 START_TEST(tasks_of_a_cut_off_worker_wait_for_its_lease)
 {
@@ -413,6 +434,7 @@
 	tcase_add_test(tcase, task_of_a_gone_worker_runs_elsewhere);
 	tcase_add_test(tcase, tasks_of_a_down_host_run_elsewhere_at_once);
 	tcase_add_test(tcase, tasks_that_stand_still_run_elsewhere);
+	tcase_add_test(tcase, orders_under_way_are_bounded);
 	tcase_add_test(tcase, tasks_of_a_cut_off_worker_wait_for_its_lease);
 	tcase_add_test(tcase, small_nodes_own_pools_only_without_large_ones);
 	tcase_add_loop_test(tcase, promises_hold_in_random_troubles, 0,
