--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lpthread -lm
 
 CORE = err clk rnd ctr tbl jsn fld rec tms fst fst_settings fst_host \
-	fst_member snp mbr rte rte_share pln pln_survey \
+	fst_member snp mbr rte rte_share rte_result pln pln_survey \
 	pln_check adq clm
 AROUND = log fio cnf cmd evl web tcp plt prp rpl sns flw hls rbt rps rpf vew \
 	adm fwd fwd_read fwd_claim fwd_send clf ctl rpt hst arr
@@ -88,11 +88,14 @@
 	$(wildcard tests/*.h)
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
-$(BUILD)/test_node: tests/fleet_sim.c tests/fleet_sim.h tests/log_model.c \
-	tests/log_model.h tests/worker_model.c tests/worker_model.h
+FLEET_SOURCES = tests/fleet_play.c tests/fleet_play.h tests/fleet_sim.c \
+	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
+	tests/worker_model.c tests/worker_model.h
+
+$(BUILD)/test_node $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
 	tests/worker_model.h
-$(BUILD)/test_node $(BUILD)/standin: CPPFLAGS += -Itests
+$(BUILD)/test_node $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	@echo "  CC $@"
@@ -138,8 +141,10 @@
 	$(MAKE) $(SANITIZED) run-process
 
 # Shows that each guard matters; its output is docs/PROOF.md.
-prove: $(BUILD)/replay
+prove: $(BUILD)/replay $(BUILD)/explore
 	$(BUILD)/replay prove >$(BUILD)/PROOF.md; status=$$?; \
+	$(BUILD)/explore $(BUILD)/nodes.md >$(BUILD)/explore.log || status=1; \
+	cat $(BUILD)/nodes.md >>$(BUILD)/PROOF.md; \
 	cat $(BUILD)/PROOF.md; cp $(BUILD)/PROOF.md docs/PROOF.md; exit $$status
 
 demo: deps
--- a/bench/nodes.c
+++ b/bench/nodes.c
@@ -53,7 +53,7 @@
 	struct sim *sim = sim_create(SEED, 1, workers);
 	double tasks_per_ms =
 		(double)workers * ROOM / TASK_MS * load_percent / 100;
-	double owed = 0;
+	double owed = 0; /* tasks */
 	uint32_t started;
 
 	sim_run_for(sim, WARM_UP_MS);
@@ -63,8 +63,10 @@
 	ticks = 0;
 	for (int at_ms = 0; at_ms < MEASURED_MS; at_ms += SLICE_MS) {
 		owed += tasks_per_ms * SLICE_MS;
-		for (; owed >= STEPS * WIDTH; owed -= STEPS * WIDTH)
+		while (owed >= STEPS * WIDTH) {
 			sim_hand_in(sim, 0, STEPS, WIDTH);
+			owed -= STEPS * WIDTH;
+		}
 		sim_run_for(sim, SLICE_MS);
 	}
 	started = sim->started - started;
--- a/src/rte.c
+++ b/src/rte.c
@@ -8,27 +8,8 @@
 #include <apr_strings.h>
 
 enum {
-	AVOID_REFUSED_MS = 1000,
-	/* More than the 3 s after which a leaving worker gets no new work. */
-	AVOID_LEAVING_MS = 5000,
-	AVOID_LEAVING_DOUBLINGS = 4,
 	RETRY_COST = 10, /* requests that pay for one retry */
-	RETRY_BUDGET_MAX = 100 * RETRY_COST,
-
-	/*
-	 * A failure adds more to a worker's score than an answer takes off, so
-	 * that a worker that fails more than a third of its requests is
-	 * ejected in the end, and one that fails all of them after three.
-	 */
-	SCORE_FAILURE = 2,
-	SCORE_EJECT = 6,
-	SCORE_MAX = 12,
-	/* Longer than the default deadline: a worker that hangs gives one
-	   failure for each slot in that time. */
-	SCORE_DECAY_MS = 30000,
-	EJECT_PART = 3,
-	PROBE_MS = 1000,
-	PROBE_DOUBLINGS = 6
+	RETRY_BUDGET_MAX = 100 * RETRY_COST
 };
 
 struct rte *rte_create(const char *member, const char *data_centre,
@@ -147,33 +128,6 @@
 	}
 }
 
-/* Workers of a pool that may be ejected at a time. */
-static uint32_t eject_limit(const struct rte_pool *pool)
-{
-	if (pool->usable < 2)
-		return 0;
-	return pool->usable < EJECT_PART ? 1 : pool->usable / EJECT_PART;
-}
-
-/* Workers ejected beyond the limit, after others became unusable, return. */
-static void limit_ejected(struct rte_pool *pool)
-{
-	pool->usable = 0;
-	pool->ejected = 0;
-	for (uint32_t i = 0; i < pool->count; i++)
-		pool->usable += pool->workers[i]->usable;
-	for (uint32_t i = 0; i < pool->count; i++) {
-		struct rte_worker *worker = pool->workers[i];
-
-		if (!worker->usable || !worker->ejected)
-			continue;
-		if (pool->ejected >= eject_limit(pool))
-			worker->ejected = false;
-		else
-			pool->ejected++;
-	}
-}
-
 static void build_index(struct rte *rte, const struct fst *fst)
 {
 	if (rte->index_pool)
@@ -199,7 +153,7 @@
 		struct rte_worker *worker = tbl_at(rte->workers, i);
 
 		if (worker->pool && !worker->pool->usable)
-			limit_ejected(worker->pool);
+			rte_limit_ejected(worker->pool);
 	}
 }
 
@@ -382,38 +336,12 @@
 		     cpu_milli, mem_mib, accelerators);
 }
 
-static void decay(struct rte_worker *worker, int64_t now_ms)
-{
-	int64_t steps = (now_ms - worker->score_ms) / SCORE_DECAY_MS;
-
-	if (worker->score == 0 || worker->ejected) {
-		worker->score_ms = now_ms;
-		return;
-	}
-	worker->score -=
-		steps < worker->score ? (uint32_t)steps : worker->score;
-	worker->score_ms += steps * SCORE_DECAY_MS;
-}
-
-/*
- * Requests in progress, and more for a worker that fails but is not ejected: it
- * would be idle most of the time and get most of the load. Below the score for
- * ejection nothing is added, because the first failures of a worker must not
- * keep it out of use beyond the limit on ejections.
- */
-static uint64_t load_of(const struct rte_worker *worker)
-{
-	if (worker->score < SCORE_EJECT)
-		return worker->in_flight;
-	return worker->in_flight + worker->score / SCORE_FAILURE;
-}
-
 /* Less load is better; at equal load the own data centre. */
 static bool is_better(const struct rte *rte, const struct rte_worker *a,
 		      const struct rte_worker *b)
 {
-	uint64_t load_a = load_of(a) * own_slots(rte, b);
-	uint64_t load_b = load_of(b) * own_slots(rte, a);
+	uint64_t load_a = rte_load(a) * own_slots(rte, b);
+	uint64_t load_b = rte_load(b) * own_slots(rte, a);
 
 	if (load_a != load_b)
 		return load_a < load_b;
@@ -444,7 +372,7 @@
 
 		if (worker->ejected != ejected || !is_candidate(worker, query))
 			continue;
-		decay(worker, query->now_ms);
+		rte_decay_score(worker, query->now_ms);
 		if (worker->in_flight >= own_slots(rte, worker))
 			*full = true;
 		else if (!best || is_better(rte, worker, best))
@@ -521,123 +449,6 @@
 	return 0;
 }
 
-static bool may_eject(const struct rte_worker *worker)
-{
-	const struct rte_pool *pool = worker->pool;
-
-	return pool && worker->usable && worker->score >= SCORE_EJECT &&
-	       pool->ejected < eject_limit(pool);
-}
-
-static void plan_probe(struct rte *rte, struct rte_worker *worker,
-		       int64_t now_ms)
-{
-	uint32_t interval_ms = PROBE_MS << worker->probe_steps;
-
-	/* Spread, so that entry daemons do not probe at the same time. */
-	worker->probe_at_ms =
-		now_ms + interval_ms + rnd_below(rte->rnd, interval_ms / 4);
-	if (worker->probe_steps < PROBE_DOUBLINGS)
-		worker->probe_steps++;
-}
-
-static void eject(struct rte *rte, struct rte_worker *worker, int64_t now_ms)
-{
-	worker->ejected = true;
-	worker->pool->ejected++;
-	rte->stats.ejections++;
-	plan_probe(rte, worker, now_ms);
-}
-
-static void readmit(struct rte_worker *worker)
-{
-	worker->ejected = false;
-	if (worker->pool && worker->usable)
-		worker->pool->ejected--;
-}
-
-static void count_answer(struct rte_worker *worker, bool probe, int64_t now_ms)
-{
-	if (now_ms >= worker->avoid_until_ms)
-		worker->leaving_count = 0;
-	if (worker->ejected) {
-		if (!probe)
-			return;
-		readmit(worker);
-		/* One more failure ejects it again. */
-		worker->score = SCORE_EJECT - SCORE_FAILURE;
-		worker->score_ms = now_ms;
-		return;
-	}
-	decay(worker, now_ms);
-	if (worker->score)
-		worker->score--;
-	if (!worker->score)
-		worker->probe_steps = 0;
-}
-
-static void count_failure(struct rte *rte, struct rte_worker *worker,
-			  bool probe, int64_t now_ms)
-{
-	decay(worker, now_ms);
-	worker->score += SCORE_FAILURE;
-	if (worker->score > SCORE_MAX)
-		worker->score = SCORE_MAX;
-	if (probe)
-		plan_probe(rte, worker, now_ms);
-	else if (!worker->ejected && may_eject(worker))
-		eject(rte, worker, now_ms);
-}
-
-void rte_done(struct rte *rte, struct rte_worker *worker,
-	      enum rte_result result, int64_t now_ms)
-{
-	bool probe = worker->ejected && worker->probing;
-
-	worker->in_flight--;
-	worker->probing = false;
-	switch (result) {
-	case RTE_ANSWERED:
-		count_answer(worker, probe, now_ms);
-		break;
-	case RTE_REFUSED:
-		if (worker->avoid_until_ms < now_ms + AVOID_REFUSED_MS)
-			worker->avoid_until_ms = now_ms + AVOID_REFUSED_MS;
-		break;
-	case RTE_LEAVING:
-		/* Several requests may be refused before the first is known. */
-		if (now_ms < worker->avoid_until_ms && worker->leaving_count)
-			break;
-		worker->avoid_until_ms = now_ms + ((int64_t)AVOID_LEAVING_MS
-						   << worker->leaving_count);
-		if (worker->leaving_count < AVOID_LEAVING_DOUBLINGS)
-			worker->leaving_count++;
-		break;
-	case RTE_ABANDONED:
-		break;
-	case RTE_FAILED:
-		count_failure(rte, worker, probe, now_ms);
-		break;
-	}
-}
-
-void rte_take_back(struct rte *rte, const char *name)
-{
-	struct rte_worker *worker = tbl_find(rte->workers, name);
-
-	if (!worker)
-		return;
-	rte->stats.taken_back++;
-	worker->score -=
-		worker->score < SCORE_FAILURE ? worker->score : SCORE_FAILURE;
-	if (!worker->ejected)
-		return;
-	if (worker->probe_steps)
-		worker->probe_steps--;
-	if (worker->score < SCORE_EJECT)
-		readmit(worker);
-}
-
 const struct rte_stats *rte_stats(const struct rte *rte)
 {
 	return &rte->stats;
--- a/src/rte_int.h
+++ b/src/rte_int.h
@@ -1,8 +1,8 @@
 /*
  * NAME
- *	rte_int - what rte.c and rte_share.c share
+ *	rte_int - what rte.c, rte_share.c and rte_result.c share
  *
- * Only these two include this header.
+ * Only these three include this header.
  */
 #ifndef RTE_INT_H
 #define RTE_INT_H
@@ -45,4 +45,13 @@
  */
 void rte_share_slots(struct rte *rte, const struct fst *fst);
 
+/* rte_limit_ejected - let workers ejected beyond the pool's limit return */
+void rte_limit_ejected(struct rte_pool *pool);
+
+/* rte_decay_score - forget failures as time passes */
+void rte_decay_score(struct rte_worker *worker, int64_t now_ms);
+
+/* rte_load - requests in progress, and more for a worker that fails */
+uint64_t rte_load(const struct rte_worker *worker);
+
 #endif
--- /dev/null
+++ b/src/rte_result.c
@@ -0,0 +1,195 @@
+/* What the ends of requests say of workers: scores, ejection, probes. */
+
+#include "rte_int.h"
+
+enum {
+	AVOID_REFUSED_MS = 1000,
+	/* More than the 3 s after which a leaving worker gets no new work. */
+	AVOID_LEAVING_MS = 5000,
+	AVOID_LEAVING_DOUBLINGS = 4,
+
+	/*
+	 * A failure adds more to a worker's score than an answer takes off, so
+	 * that a worker that fails more than a third of its requests is
+	 * ejected in the end, and one that fails all of them after three.
+	 */
+	SCORE_FAILURE = 2,
+	SCORE_EJECT = 6,
+	SCORE_MAX = 12,
+	/* Longer than the default deadline: a worker that hangs gives one
+	   failure for each slot in that time. */
+	SCORE_DECAY_MS = 30000,
+	EJECT_PART = 3,
+	PROBE_MS = 1000,
+	PROBE_DOUBLINGS = 6
+};
+
+/* Workers of a pool that may be ejected at a time. */
+static uint32_t eject_limit(const struct rte_pool *pool)
+{
+	if (pool->usable < 2)
+		return 0;
+	return pool->usable < EJECT_PART ? 1 : pool->usable / EJECT_PART;
+}
+
+/* Workers ejected beyond the limit, after others became unusable, return. */
+void rte_limit_ejected(struct rte_pool *pool)
+{
+	pool->usable = 0;
+	pool->ejected = 0;
+	for (uint32_t i = 0; i < pool->count; i++)
+		pool->usable += pool->workers[i]->usable;
+	for (uint32_t i = 0; i < pool->count; i++) {
+		struct rte_worker *worker = pool->workers[i];
+
+		if (!worker->usable || !worker->ejected)
+			continue;
+		if (pool->ejected >= eject_limit(pool))
+			worker->ejected = false;
+		else
+			pool->ejected++;
+	}
+}
+
+void rte_decay_score(struct rte_worker *worker, int64_t now_ms)
+{
+	int64_t steps = (now_ms - worker->score_ms) / SCORE_DECAY_MS;
+
+	if (worker->score == 0 || worker->ejected) {
+		worker->score_ms = now_ms;
+		return;
+	}
+	worker->score -=
+		steps < worker->score ? (uint32_t)steps : worker->score;
+	worker->score_ms += steps * SCORE_DECAY_MS;
+}
+
+/*
+ * Requests in progress, and more for a worker that fails but is not ejected: it
+ * would be idle most of the time and get most of the load. Below the score for
+ * ejection nothing is added, because the first failures of a worker must not
+ * keep it out of use beyond the limit on ejections.
+ */
+uint64_t rte_load(const struct rte_worker *worker)
+{
+	if (worker->score < SCORE_EJECT)
+		return worker->in_flight;
+	return worker->in_flight + worker->score / SCORE_FAILURE;
+}
+
+static bool may_eject(const struct rte_worker *worker)
+{
+	const struct rte_pool *pool = worker->pool;
+
+	return pool && worker->usable && worker->score >= SCORE_EJECT &&
+	       pool->ejected < eject_limit(pool);
+}
+
+static void plan_probe(struct rte *rte, struct rte_worker *worker,
+		       int64_t now_ms)
+{
+	uint32_t interval_ms = PROBE_MS << worker->probe_steps;
+
+	/* Spread, so that entry daemons do not probe at the same time. */
+	worker->probe_at_ms =
+		now_ms + interval_ms + rnd_below(rte->rnd, interval_ms / 4);
+	if (worker->probe_steps < PROBE_DOUBLINGS)
+		worker->probe_steps++;
+}
+
+static void eject(struct rte *rte, struct rte_worker *worker, int64_t now_ms)
+{
+	worker->ejected = true;
+	worker->pool->ejected++;
+	rte->stats.ejections++;
+	plan_probe(rte, worker, now_ms);
+}
+
+static void readmit(struct rte_worker *worker)
+{
+	worker->ejected = false;
+	if (worker->pool && worker->usable)
+		worker->pool->ejected--;
+}
+
+static void count_answer(struct rte_worker *worker, bool probe, int64_t now_ms)
+{
+	if (now_ms >= worker->avoid_until_ms)
+		worker->leaving_count = 0;
+	if (worker->ejected) {
+		if (!probe)
+			return;
+		readmit(worker);
+		/* One more failure ejects it again. */
+		worker->score = SCORE_EJECT - SCORE_FAILURE;
+		worker->score_ms = now_ms;
+		return;
+	}
+	rte_decay_score(worker, now_ms);
+	if (worker->score)
+		worker->score--;
+	if (!worker->score)
+		worker->probe_steps = 0;
+}
+
+static void count_failure(struct rte *rte, struct rte_worker *worker,
+			  bool probe, int64_t now_ms)
+{
+	rte_decay_score(worker, now_ms);
+	worker->score += SCORE_FAILURE;
+	if (worker->score > SCORE_MAX)
+		worker->score = SCORE_MAX;
+	if (probe)
+		plan_probe(rte, worker, now_ms);
+	else if (!worker->ejected && may_eject(worker))
+		eject(rte, worker, now_ms);
+}
+
+void rte_done(struct rte *rte, struct rte_worker *worker,
+	      enum rte_result result, int64_t now_ms)
+{
+	bool probe = worker->ejected && worker->probing;
+
+	worker->in_flight--;
+	worker->probing = false;
+	switch (result) {
+	case RTE_ANSWERED:
+		count_answer(worker, probe, now_ms);
+		break;
+	case RTE_REFUSED:
+		if (worker->avoid_until_ms < now_ms + AVOID_REFUSED_MS)
+			worker->avoid_until_ms = now_ms + AVOID_REFUSED_MS;
+		break;
+	case RTE_LEAVING:
+		/* Several requests may be refused before the first is known. */
+		if (now_ms < worker->avoid_until_ms && worker->leaving_count)
+			break;
+		worker->avoid_until_ms = now_ms + ((int64_t)AVOID_LEAVING_MS
+						   << worker->leaving_count);
+		if (worker->leaving_count < AVOID_LEAVING_DOUBLINGS)
+			worker->leaving_count++;
+		break;
+	case RTE_ABANDONED:
+		break;
+	case RTE_FAILED:
+		count_failure(rte, worker, probe, now_ms);
+		break;
+	}
+}
+
+void rte_take_back(struct rte *rte, const char *name)
+{
+	struct rte_worker *worker = tbl_find(rte->workers, name);
+
+	if (!worker)
+		return;
+	rte->stats.taken_back++;
+	worker->score -=
+		worker->score < SCORE_FAILURE ? worker->score : SCORE_FAILURE;
+	if (!worker->ejected)
+		return;
+	if (worker->probe_steps)
+		worker->probe_steps--;
+	if (worker->score < SCORE_EJECT)
+		readmit(worker);
+}
--- /dev/null
+++ b/tests/fleet_play.c
@@ -0,0 +1,197 @@
+#include "fleet_play.h"
+
+#include <stdio.h>
+
+#include "fleet_sim.h"
+
+enum {
+	START_MS = 3000,
+	HEAL_MS = 45000,
+	TROUBLE_STEPS = 60,
+	TROUBLE_STEP_MS = 400,
+	JOBS = 40,
+	/* The nodes allow for clocks that are 2% slow. */
+	SLOW_CLOCK_PERCENT = 50
+};
+
+int fleet_owner(struct sim *sim)
+{
+	for (int i = 0; i < sim->node_count; i++)
+		if (sim->nodes[i].alive &&
+		    node_owns(sim->nodes[i].node, "pool"))
+			return i;
+	return -1;
+}
+
+/* One trouble, drawn at random; each is lifted by a later draw. */
+static void trouble(struct sim *sim)
+{
+	int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
+	int worker = (int)rnd_below(&sim->rnd, (uint32_t)sim->worker_count);
+	struct sim_node *at = &sim->nodes[node];
+
+	switch (rnd_below(&sim->rnd, 13)) {
+	case 0:
+		if (at->alive)
+			sim_kill(sim, node);
+		else
+			sim_start(sim, node);
+		break;
+	case 1:
+		node = fleet_owner(sim);
+		if (node >= 0 && !sim->nodes[node].paused)
+			sim_kill(sim, node);
+		break;
+	case 2:
+	case 3:
+		if (!at->alive)
+			sim_start(sim, node);
+		else if (at->paused)
+			sim_resume(sim, node);
+		else
+			sim_pause(sim, node);
+		break;
+	case 4:
+		at->cut_from_log = !at->cut_from_log;
+		break;
+	case 5:
+	case 6:
+		at->cut_from_worker[worker] = !at->cut_from_worker[worker];
+		break;
+	case 7:
+		sim->faults.log_down = !sim->faults.log_down;
+		break;
+	case 8:
+		sim->faults.lost_percent = rnd_below(&sim->rnd, 2) * 20;
+		sim->faults.late_percent = rnd_below(&sim->rnd, 2) * 10;
+		sim->faults.refused_percent = rnd_below(&sim->rnd, 2) * 20;
+		break;
+	case 9:
+		sim->faults.order_lost_percent = rnd_below(&sim->rnd, 2) * 15;
+		sim->faults.unhealthy_percent = rnd_below(&sim->rnd, 2) * 20;
+		sim->faults.order_late_percent = rnd_below(&sim->rnd, 2) * 10;
+		break;
+	case 10:
+		if (sim->workers[worker].up)
+			sim_crash_worker(sim, worker);
+		else
+			sim_restart_worker(sim, worker);
+		break;
+	case 11:
+		sim->workers[worker].model.still ^= true;
+		break;
+	default:
+		if (sim->workers[worker].up)
+			sim_list_worker(sim, worker,
+					!sim->workers[worker].listed);
+		break;
+	}
+}
+
+static void heal(struct sim *sim)
+{
+	sim->faults = (struct sim_faults){ 0 };
+	for (int i = 0; i < sim->node_count; i++) {
+		struct sim_node *node = &sim->nodes[i];
+
+		node->cut_from_log = false;
+		for (int j = 0; j < sim->worker_count; j++)
+			node->cut_from_worker[j] = false;
+		if (!node->alive)
+			sim_start(sim, i);
+		else if (node->paused)
+			sim_resume(sim, i);
+	}
+	for (int i = 0; i < sim->worker_count; i++) {
+		sim->workers[i].model.still = false;
+		if (!sim->workers[i].up)
+			sim_restart_worker(sim, i);
+		else if (!sim->workers[i].listed)
+			sim_list_worker(sim, i, true);
+	}
+}
+
+static int live_node(struct sim *sim)
+{
+	for (int tries = 0; tries < 8; tries++) {
+		int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
+
+		if (sim->nodes[node].alive && !sim->nodes[node].paused)
+			return node;
+	}
+	return -1;
+}
+
+/* All accepted jobs end done, but for those that were cancelled. */
+static void judge_ends(struct sim *sim, struct fleet_play *play)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, sim->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct sim_job *job = value;
+		int state;
+
+		if (!job->accepted || play->broken[0])
+			continue;
+		state = sim_state(sim, 0, job->id);
+		if (state == JOB_DONE ||
+		    (job->cancelled_ms && state == JOB_CANCELLED) ||
+		    (job->cancel_asked && !job->cancelled_ms &&
+		     job_ended((enum job_state)state)))
+			continue;
+		snprintf(play->broken, sizeof(play->broken),
+			 "job %s is %d at the end", job->id, state);
+	}
+}
+
+static void take_away(struct sim *sim, enum fleet_support support)
+{
+	sim->log->no_epochs = support == FLEET_NO_EPOCHS;
+	for (int i = 0; i < sim->worker_count; i++) {
+		struct sim_worker *worker = &sim->workers[i];
+
+		worker->model.no_fences = support == FLEET_NO_FENCES;
+		worker->model.no_leases = support == FLEET_NO_LEASES;
+		worker->model.no_numbers = support == FLEET_NO_NUMBERS;
+		if (support == FLEET_SLOW_CLOCKS)
+			worker->rate_percent = SLOW_CLOCK_PERCENT;
+	}
+}
+
+void fleet_play(uint64_t seed, struct fleet_play *play)
+{
+	struct sim *sim = sim_create(seed, 3, 5);
+	struct sim_job *jobs[JOBS] = { NULL };
+	int handed = 0;
+
+	take_away(sim, play->without);
+	/* Every second fleet has nodes of two sizes. */
+	if (seed % 2)
+		sim_make_small(sim, (int)(seed / 2 % 3));
+	if (seed % 4 == 3)
+		sim_make_small(sim, (int)((seed / 2 + 1) % 3));
+	sim_run_for(sim, START_MS);
+	for (int step = 0; step < TROUBLE_STEPS && !sim->broken[0]; step++) {
+		int node = live_node(sim);
+
+		if (node >= 0 && handed < JOBS)
+			jobs[handed++] = sim_hand_in(
+				sim, node, 1 + (int)rnd_below(&sim->rnd, 3),
+				1 + (int)rnd_below(&sim->rnd, 6));
+		if (node >= 0 && handed > 4 && rnd_below(&sim->rnd, 10) == 0)
+			sim_cancel(
+				sim, node,
+				jobs[rnd_below(&sim->rnd, (uint32_t)handed)]);
+		trouble(sim);
+		sim_run_for(sim, TROUBLE_STEP_MS);
+	}
+	heal(sim);
+	if (!sim->broken[0])
+		sim_run_for(sim, HEAL_MS);
+	g_strlcpy(play->broken, sim->broken, sizeof(play->broken));
+	if (!play->broken[0])
+		judge_ends(sim, play);
+	play->started += sim->started;
+}
--- a/tests/log_model.c
+++ b/tests/log_model.c
@@ -129,6 +129,8 @@
 		result.outcome = STREAM_MOVED;
 		return result;
 	}
+	if (producer && append->epoch < producer->epoch && model->no_epochs)
+		producer = NULL;
 	if (producer && append->epoch < producer->epoch) {
 		result.outcome = STREAM_FENCED;
 		return result;
--- a/tests/log_model.h
+++ b/tests/log_model.h
@@ -34,6 +34,7 @@
 	int64_t generation;
 	int64_t changed; /* generation of the last change of the members */
 	int32_t holder[LOG_MODEL_PARTS]; /* member, or -1 */
+	bool no_epochs;			 /* takes appends of any epoch */
 };
 
 struct log_append {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -6,18 +6,12 @@
 #include <apr_general.h>
 #include <check.h>
 
+#include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
 #include "reserve.h"
 
-enum {
-	START_MS = 3000,
-	HEAL_MS = 45000,
-	SEEDS = 60,
-	TROUBLE_STEPS = 60,
-	TROUBLE_STEP_MS = 400,
-	JOBS = 40
-};
+enum { START_MS = 3000, SEEDS = 60 };
 
 static void check_kept(struct sim *sim, uint64_t seed)
 {
@@ -55,22 +49,13 @@
 	}
 }
 
-static int owner_of_pool(struct sim *sim)
-{
-	for (int i = 0; i < sim->node_count; i++)
-		if (sim->nodes[i].alive &&
-		    node_owns(sim->nodes[i].node, "pool"))
-			return i;
-	return -1;
-}
-
 START_TEST(calm_jobs_are_done)
 {
 	struct sim *sim = sim_create(1, 3, 6);
 	struct sim_job *job;
 
 	sim_run_for(sim, START_MS);
-	ck_assert_int_ge(owner_of_pool(sim), 0);
+	ck_assert_int_ge(fleet_owner(sim), 0);
 	for (int i = 0; i < 12; i++) {
 		job = sim_hand_in(sim, i % 3, 1 + i % 3, 1 + i % 4);
 		sim_run_for(sim, 200);
@@ -130,7 +115,7 @@
 	sim_run_for(sim, 200);
 	for (int i = 0; i < 4; i++)
 		sim_list_worker(sim, i, false);
-	owner = owner_of_pool(sim);
+	owner = fleet_owner(sim);
 	/* The next owner starts without any entry. */
 	for (int i = 0; i < 3; i++)
 		if (i != owner) {
@@ -250,105 +235,6 @@
 
 static int first_seed = 1000;
 
-/* One trouble, drawn at random; each is lifted by a later draw. */
-static void trouble(struct sim *sim)
-{
-	int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
-	int worker = (int)rnd_below(&sim->rnd, (uint32_t)sim->worker_count);
-	struct sim_node *at = &sim->nodes[node];
-
-	switch (rnd_below(&sim->rnd, 13)) {
-	case 0:
-		if (at->alive)
-			sim_kill(sim, node);
-		else
-			sim_start(sim, node);
-		break;
-	case 1:
-		node = owner_of_pool(sim);
-		if (node >= 0 && !sim->nodes[node].paused)
-			sim_kill(sim, node);
-		break;
-	case 2:
-	case 3:
-		if (!at->alive)
-			sim_start(sim, node);
-		else if (at->paused)
-			sim_resume(sim, node);
-		else
-			sim_pause(sim, node);
-		break;
-	case 4:
-		at->cut_from_log = !at->cut_from_log;
-		break;
-	case 5:
-	case 6:
-		at->cut_from_worker[worker] = !at->cut_from_worker[worker];
-		break;
-	case 7:
-		sim->faults.log_down = !sim->faults.log_down;
-		break;
-	case 8:
-		sim->faults.lost_percent = rnd_below(&sim->rnd, 2) * 20;
-		sim->faults.late_percent = rnd_below(&sim->rnd, 2) * 10;
-		sim->faults.refused_percent = rnd_below(&sim->rnd, 2) * 20;
-		break;
-	case 9:
-		sim->faults.order_lost_percent = rnd_below(&sim->rnd, 2) * 15;
-		sim->faults.unhealthy_percent = rnd_below(&sim->rnd, 2) * 20;
-		sim->faults.order_late_percent = rnd_below(&sim->rnd, 2) * 10;
-		break;
-	case 10:
-		if (sim->workers[worker].up)
-			sim_crash_worker(sim, worker);
-		else
-			sim_restart_worker(sim, worker);
-		break;
-	case 11:
-		sim->workers[worker].model.still ^= true;
-		break;
-	default:
-		if (sim->workers[worker].up)
-			sim_list_worker(sim, worker,
-					!sim->workers[worker].listed);
-		break;
-	}
-}
-
-static void heal(struct sim *sim)
-{
-	sim->faults = (struct sim_faults){ 0 };
-	for (int i = 0; i < sim->node_count; i++) {
-		struct sim_node *node = &sim->nodes[i];
-
-		node->cut_from_log = false;
-		for (int j = 0; j < sim->worker_count; j++)
-			node->cut_from_worker[j] = false;
-		if (!node->alive)
-			sim_start(sim, i);
-		else if (node->paused)
-			sim_resume(sim, i);
-	}
-	for (int i = 0; i < sim->worker_count; i++) {
-		sim->workers[i].model.still = false;
-		if (!sim->workers[i].up)
-			sim_restart_worker(sim, i);
-		else if (!sim->workers[i].listed)
-			sim_list_worker(sim, i, true);
-	}
-}
-
-static int live_node(struct sim *sim)
-{
-	for (int tries = 0; tries < 8; tries++) {
-		int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
-
-		if (sim->nodes[node].alive && !sim->nodes[node].paused)
-			return node;
-	}
-	return -1;
-}
-
 /* Pattern: one large node among small ones; it loses power, and comes back. */
 START_TEST(small_nodes_own_pools_only_without_large_ones)
 {
@@ -358,57 +244,28 @@
 	sim_make_small(sim, 0);
 	sim_make_small(sim, 2);
 	sim_run_for(sim, START_MS);
-	ck_assert_int_eq(owner_of_pool(sim), 1);
+	ck_assert_int_eq(fleet_owner(sim), 1);
 	sim_kill(sim, 1);
 	sim_run_for(sim, RESERVE_SILENCE_MS + 2 * START_MS);
-	ck_assert_int_ne(owner_of_pool(sim), -1);
+	ck_assert_int_ne(fleet_owner(sim), -1);
 	job = sim_hand_in(sim, 0, 2, 4);
 	sim_run_for(sim, 6000);
 	ck_assert(job->accepted);
 	ck_assert_int_eq(sim_state(sim, 2, job->id), JOB_DONE);
 	sim_start(sim, 1);
 	sim_run_for(sim, 2 * START_MS);
-	ck_assert_int_eq(owner_of_pool(sim), 1);
+	ck_assert_int_eq(fleet_owner(sim), 1);
 	check_kept(sim, 1);
 }
 END_TEST
 
-static void play(uint64_t seed)
-{
-	struct sim *sim = sim_create(seed, 3, 5);
-	struct sim_job *jobs[JOBS] = { NULL };
-	int handed = 0;
-
-	/* Every second fleet has nodes of two sizes. */
-	if (seed % 2)
-		sim_make_small(sim, (int)(seed / 2 % 3));
-	if (seed % 4 == 3)
-		sim_make_small(sim, (int)((seed / 2 + 1) % 3));
-	sim_run_for(sim, START_MS);
-	for (int step = 0; step < TROUBLE_STEPS; step++) {
-		int node = live_node(sim);
-
-		if (node >= 0 && handed < JOBS)
-			jobs[handed++] = sim_hand_in(
-				sim, node, 1 + (int)rnd_below(&sim->rnd, 3),
-				1 + (int)rnd_below(&sim->rnd, 6));
-		if (node >= 0 && handed > 4 && rnd_below(&sim->rnd, 10) == 0)
-			sim_cancel(
-				sim, node,
-				jobs[rnd_below(&sim->rnd, (uint32_t)handed)]);
-		trouble(sim);
-		sim_run_for(sim, TROUBLE_STEP_MS);
-		check_kept(sim, seed);
-	}
-	heal(sim);
-	sim_run_for(sim, HEAL_MS);
-	check_kept(sim, seed);
-	check_ended(sim, seed);
-}
-
 START_TEST(promises_hold_in_random_troubles)
 {
-	play((uint64_t)_i + (uint64_t)first_seed);
+	struct fleet_play play = { 0 };
+
+	fleet_play((uint64_t)_i + (uint64_t)first_seed, &play);
+	ck_assert_msg(!play.broken[0], "seed %d: %s", _i + first_seed,
+		      play.broken);
 }
 END_TEST
 
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -25,7 +25,7 @@
 
 bool worker_model_fence(struct worker_model *model, int64_t fence)
 {
-	if (fence < model->fence)
+	if (fence < model->fence && !model->no_fences)
 		return false;
 	model->fence = fence;
 	return true;
@@ -33,6 +33,8 @@
 
 static int32_t highest_ended(const struct worker_model *model, const char *task)
 {
+	if (model->no_numbers)
+		return 0;
 	return GPOINTER_TO_INT(g_hash_table_lookup(model->ended, task));
 }
 
@@ -124,14 +126,16 @@
 void worker_model_pass(struct worker_model *model, int64_t clock_ms,
 		       int64_t worked_ms)
 {
+	bool lapsed = clock_ms >= model->lease_ms && !model->no_leases;
+
 	model->clock_ms = clock_ms;
-	if (clock_ms >= model->lease_ms)
+	if (lapsed)
 		model->lapsed_end = model->next_end;
 	for (guint i = model->runs->len; i > 0; i--) {
 		struct model_run *run =
 			&g_array_index(model->runs, struct model_run, i - 1);
 
-		if (clock_ms >= model->lease_ms) {
+		if (lapsed) {
 			end_run(model, i - 1, END_LAPSED);
 			continue;
 		}
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -29,6 +29,9 @@
 	int64_t lease_ms;  /* until, by its clock */
 	int32_t room;	   /* runs at a time */
 	bool still;	   /* its runs do no work */
+	bool no_fences;	   /* takes orders under any fence */
+	bool no_leases;	   /* runs go on without a lease */
+	bool no_numbers;   /* forgets which runs have ended */
 	GArray *runs;	   /* struct model_run */
 	GArray *ends;	   /* struct worker_end, those not acknowledged */
 	GHashTable *ended; /* task -> highest run that ended or was stopped */
