Stop a run in one place; read the sizes of a node in a test

Reading the diff: three places told a worker to stop a run in the same four lines, and a worker whose rate is not known yet could count as infinitely slow for a task of it.

--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -24,12 +24,10 @@
 			pos.task->wish_ms = now_ms;
 		if (!avail_may_stop(pool->env->workers, &pos, now_ms))
 			continue;
-		pos.task->phase = PHASE_STOPPING;
-		pos.task->since_ms = now_ms;
 		job_task_name(&pos, name, sizeof(name));
 		log_info("task-moved-off task=%s worker=%s", name,
 			 worker->entry.id);
-		pool_send_stop(pool, worker, name, pos.task->run);
+		pool_stop_task(pool, &pos);
 	}
 }
 
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -43,6 +43,13 @@
 void pool_send_stop(struct pool *pool, struct worker *worker, const char *task,
 		    int32_t run);
 
+/*
+ * pool_stop_task - end the task's newest run, wherever it is placed
+ *
+ * It is started again once the worker has confirmed that the run is over.
+ */
+void pool_stop_task(struct pool *pool, struct job_pos *pos);
+
 /* pool_repeat_stops - repeat stop orders that had no answer */
 void pool_repeat_stops(struct pool *pool, struct job *job);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -53,8 +53,7 @@
 	tenure_lose(&pool->tenure, "a worker has seen a higher fence");
 }
 
-/* A stop order under way belongs to the run that it names. */
-static void begin_stop(struct pool *pool, struct job_pos *pos)
+void pool_stop_task(struct pool *pool, struct job_pos *pos)
 {
 	struct worker *worker =
 		worker_find(pool->env->workers, pos->task->worker);
@@ -76,7 +75,7 @@
 {
 	pos->task->hold_until_ms = pool_now_ms(pool) + hold_ms;
 	if (pos->task->open_orders)
-		begin_stop(pool, pos);
+		pool_stop_task(pool, pos);
 	else
 		pool_end(pool, pos, END_STOPPED, NULL);
 }
@@ -277,7 +276,7 @@
 		if (pos.task->state == TASK_PLACED &&
 		    pos.task->phase == PHASE_STOPPING && !pos.task->stop_ok &&
 		    now_ms - pos.task->since_ms >= POOL_STOP_RETRY_MS)
-			begin_stop(pool, &pos);
+			pool_stop_task(pool, &pos);
 }
 
 static void on_renew(void *arg, enum order_outcome outcome,
--- a/src/pool_slow.c
+++ b/src/pool_slow.c
@@ -69,9 +69,7 @@
 		 "rate=%.2f typical=%.2f",
 		 name, pos->task->run, worker->entry.id, pos->task->percent,
 		 speed_rate(&worker->speed), typical);
-	pos->task->phase = PHASE_STOPPING;
-	pos->task->since_ms = place->now_ms;
-	pool_send_stop(pool, worker, name, pos->task->run);
+	pool_stop_task(pool, pos);
 }
 
 void pool_leave_slow(struct pool *pool, const struct place *place)
--- a/src/speed.c
+++ b/src/speed.c
@@ -61,7 +61,7 @@
 	double left_ms = (100 - percent) / 100.0 * estimate_ms;
 	double again_ms = keeps_work ? left_ms : estimate_ms;
 
-	if (typical <= 0)
+	if (rate < 0 || typical <= 0)
 		return false;
 	return left_ms > rate * (again_ms / typical + SPEED_RESTART_MS);
 }
--- a/tests/test_reserve.c
+++ b/tests/test_reserve.c
@@ -1,7 +1,10 @@
 /* Unit tests of which nodes decide where nodes differ in size. */
 
+#include <string.h>
+
 #include <apr_general.h>
 #include <check.h>
+#include <glib.h>
 
 #include "log.h"
 #include "reserve.h"
@@ -81,6 +84,38 @@
 }
 END_TEST
 
+static struct reserve with_settings(const char *sizes)
+{
+	char *text =
+		g_strdup_printf("{\"name\":\"n\",\"data_centre\":\"d\","
+				"\"callers\":\"a:1\",\"readiness\":\"a:2\","
+				"\"log_service\":\"a:3\"%s}",
+				sizes);
+	struct err err = { .kind = ERR_OK };
+	struct settings settings;
+	struct reserve reserve;
+
+	ck_assert_msg(!settings_parse(text, strlen(text), &settings, &err),
+		      "%s", err.text);
+	g_free(text);
+	reserve_init(&reserve, &settings, 1000);
+	return reserve;
+}
+
+START_TEST(settings_tell_the_size)
+{
+	ck_assert(!with_settings("").small);
+	ck_assert(!with_settings(",\"core_share\":0.25").small);
+	ck_assert(with_settings(",\"core_share\":0.12").small);
+	ck_assert(
+		!with_settings(",\"core_share\":0.12,\"core_speed\":2").small);
+	ck_assert(with_settings(",\"link_mbps\":10").small);
+	ck_assert(!with_settings(",\"link_mbps\":10,"
+				 "\"decider_link_mbps\":5")
+			   .small);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("reserve");
@@ -94,6 +129,7 @@
 	tcase_add_test(tcase, one_that_tells_is_enough);
 	tcase_add_test(tcase, small_node_decides_while_no_large_one_does);
 	tcase_add_test(tcase, silence_counts_only_while_the_log_answers);
+	tcase_add_test(tcase, settings_tell_the_size);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -99,6 +99,7 @@
 	ck_assert(speed_gains(1 / 6.0, 1, 85, ESTIMATE_MS, true));
 	ck_assert(!speed_gains(0.9, 1, 10, ESTIMATE_MS, false));
 	ck_assert(!speed_gains(0, -1, 10, ESTIMATE_MS, false));
+	ck_assert(!speed_gains(-1, 1, 10, ESTIMATE_MS, false));
 }
 END_TEST
 
