Leave room for orders to workers that answer

Four starts under way at a worker and 256 in all, in place of 8 and 128: in a cut between data centres the orders to a third of the workers took up all 128 for a second.

--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -7,9 +7,10 @@
 	POOL_START_RETRY_MS = 400,
 	/* Starts without an answer, at a worker and in all. An owner that is
 	   slower than its pool otherwise adds to its own load by repeating
-	   orders that it has no time to hear of. */
-	POOL_STARTS_AT_WORKER = 8,
-	POOL_STARTS_UNDER_WAY = 128,
+	   orders that it has no time to hear of. Those at the workers of a
+	   data centre that is cut off must leave room for the others. */
+	POOL_STARTS_AT_WORKER = 4,
+	POOL_STARTS_UNDER_WAY = 256,
 	POOL_STOP_RETRY_MS = 300,
 	POOL_RENEW_WAIT_MS = 1000,
 	/* For a worker whose tasks are to show their progress. */
