Keep small nodes out of the group after their data centre was cut off

Silence now ends at the start of the newest answered read, and counts anew after an outage of the log.

--- a/src/node.c
+++ b/src/node.c
@@ -472,11 +472,13 @@
 static void tick_membership(struct node *node)
 {
 	int64_t now_ms = clk_now_ms(node->config.clk);
+	int64_t heard_ms = node->standby.heard_ms;
 	const char *name = node->config.settings->name;
 
+	if (tail_loaded(node->jobs_tail))
+		heard_ms = now_ms - tail_age_ms(node->jobs_tail);
 	group_set_wanted(node->group,
-			 standby_decides(&node->standby, now_ms,
-					 log_answered_recently(node)));
+			 standby_decides(&node->standby, heard_ms));
 	group_tick(node->group);
 	if (tail_loaded(node->jobs_tail) && !node->stopping &&
 	    now_ms < group_authority_end_ms(node->group) &&
