End a stopped node only after callers' input has been read

Now the node ends after two such looks (2.5 s if nobody looks) and 300 ms and three ticks without input, in any case before the kill; answers meanwhile close their connection.

--- a/src/noded.c
+++ b/src/noded.c
@@ -25,8 +25,16 @@
 
 enum {
 	NODED_TICK_MS = 20,
-	NODED_SETTINGS_MS = 1000, /* between two looks at the settings file */
-	NODED_STOP_SLACK_MS = 500 /* exit this long before the kill */
+	NODED_SETTINGS_MS = 1000,  /* between two looks at the settings file */
+	NODED_STOP_SLACK_MS = 500, /* exit this long before the kill */
+	/* The platform sends new connections until it has seen the node not
+	   ready this many times; this long if it does not look. */
+	NODED_STOP_PROBES = 2,
+	NODED_STOP_UNSEEN_MS = 2500,
+	/* Time and ticks without input before the end: a busy node may not have
+	   read yet what callers have sent. */
+	NODED_STOP_QUIET_MS = 300,
+	NODED_STOP_QUIET_TICKS = 3
 };
 
 struct noded {
@@ -44,12 +52,15 @@
 	struct web *metrics;  /* NULL: not served */
 	time_t settings_time; /* mtime of the settings file; 0: not read yet */
 	int64_t stop_ms;      /* time of the stop signal; 0: none */
+	uint32_t stop_probes; /* looks at the readiness since then */
+	uint32_t quiet_ticks; /* ticks since the last input */
 };
 
 static void handle_readiness(void *arg, struct web_request *request)
 {
-	const struct noded *noded = arg;
+	struct noded *noded = arg;
 
+	noded->stop_probes += noded->stop_ms != 0;
 	ingress_handle_readiness(request, node_ready(noded->node));
 }
 
@@ -94,13 +105,31 @@
 	log_info("request-refused why=%s", err_name(kind));
 }
 
+/* Whether callers' input has certainly been read and no more is expected. */
+static bool input_over(struct noded *noded, int64_t now_ms)
+{
+	int64_t quiet_ms = web_quiet_ms(noded->callers);
+
+	if (quiet_ms < NODED_STOP_QUIET_MS)
+		noded->quiet_ticks = 0;
+	else
+		noded->quiet_ticks++;
+	return noded->quiet_ticks >= NODED_STOP_QUIET_TICKS &&
+	       (noded->stop_probes >= NODED_STOP_PROBES ||
+		now_ms - noded->stop_ms > NODED_STOP_UNSEEN_MS);
+}
+
 static void exit_when_stopped(struct noded *noded, int64_t now_ms)
 {
 	bool timed_out = now_ms - noded->stop_ms >
 			 noded->settings.stop_grace_ms - NODED_STOP_SLACK_MS;
 
+	if (timed_out)
+		log_warn("stop: the time is over, requests=%u",
+			 web_active(noded->callers));
 	if (timed_out ||
-	    (node_stopped(noded->node) && !web_active(noded->callers)))
+	    (input_over(noded, now_ms) && node_stopped(noded->node) &&
+	     !web_active(noded->callers)))
 		evloop_stop(noded->evloop);
 }
 
@@ -120,6 +149,7 @@
 	if (noded->stop_ms)
 		return;
 	noded->stop_ms = clk_now_ms(evloop_clk(noded->evloop));
+	web_close_answered(noded->callers);
 	node_stop(noded->node);
 }
 
--- a/src/web.c
+++ b/src/web.c
@@ -23,7 +23,9 @@
 	struct web_config config;
 	struct MHD_Daemon *daemon;
 	uint32_t active;
+	int64_t last_input_ms; /* last connection or request */
 	bool quiescing;
+	bool close_answered;
 };
 
 /* A connection, tracked to detect input that never became a request. */
@@ -63,6 +65,11 @@
 	return info ? info->socket_context : NULL;
 }
 
+static void note_input(struct web *web)
+{
+	web->last_input_ms = clk_now_ms(evloop_clk(web->evloop));
+}
+
 /*
  * Counts refused input that reaches no request callback: libmicrohttpd itself
  * answers a request line that it cannot parse and drops an incomplete one.
@@ -78,6 +85,7 @@
 		const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 			conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 
+		note_input(web);
 		connection = calloc(1, sizeof(*connection));
 		if (connection)
 			connection->fd = info ? info->connect_fd : -1;
@@ -101,6 +109,7 @@
 	struct exchange *ex;
 	apr_pool_t *pool;
 
+	note_input(web);
 	apr_pool_create(&pool, NULL);
 	ex = apr_pcalloc(pool, sizeof(*ex));
 	ex->request.pool = pool;
@@ -466,7 +475,7 @@
 	for (; headers && headers->name; headers++)
 		MHD_add_response_header(response, headers->name,
 					headers->value);
-	if (ex->web->quiescing)
+	if (ex->web->close_answered)
 		MHD_add_response_header(response, "Connection", "close");
 	ex->response = response;
 	ex->status = status;
@@ -509,6 +518,16 @@
 	return web->active;
 }
 
+int64_t web_quiet_ms(const struct web *web)
+{
+	return clk_now_ms(evloop_clk(web->evloop)) - web->last_input_ms;
+}
+
+void web_close_answered(struct web *web)
+{
+	web->close_answered = true;
+}
+
 void web_quiesce(struct web *web)
 {
 	MHD_socket listener;
@@ -516,6 +535,7 @@
 	if (web->quiescing)
 		return;
 	web->quiescing = true;
+	web->close_answered = true;
 	listener = MHD_quiesce_daemon(web->daemon);
 	if (listener != MHD_INVALID_SOCKET)
 		close(listener);
--- a/src/web.h
+++ b/src/web.h
@@ -89,6 +89,12 @@
 /* web_active - number of requests begun and not fully answered */
 uint32_t web_active(const struct web *web);
 
+/* web_quiet_ms - time since a connection or request last arrived */
+int64_t web_quiet_ms(const struct web *web);
+
+/* web_close_answered - from now on close each connection after its answer */
+void web_close_answered(struct web *web);
+
 /* web_quiesce - stop accepting connections; close each one after its answer */
 void web_quiesce(struct web *web);
 
