--- a/src/maint_wave.c
+++ b/src/maint_wave.c
@@ -17,7 +17,7 @@
 	WAVE_HOST_MS = 3500,
 	/* A wave is to end in this part of its time: the rest is for failures,
 	   and a slow wave takes its hosts where load is low. */
-	WAVE_AIM_PERCENT = 75
+	WAVE_AIM_PERCENT = 60
 };
 
 static bool is_done(const struct maint *maint, int64_t wave, const char *host)
--- a/src/noded.c
+++ b/src/noded.c
@@ -105,18 +105,21 @@
 	log_info("request-refused why=%s", err_name(kind));
 }
 
-/* Whether callers' input has certainly been read and no more is expected. */
-static bool input_over(struct noded *noded, int64_t now_ms)
+/* Whether the platform sends no more connections, as far as is known. */
+static bool out_of_rotation(const struct noded *noded, int64_t now_ms)
 {
-	int64_t quiet_ms = web_quiet_ms(noded->callers);
+	return noded->stop_probes >= NODED_STOP_PROBES ||
+	       now_ms - noded->stop_ms > NODED_STOP_UNSEEN_MS;
+}
 
-	if (quiet_ms < NODED_STOP_QUIET_MS)
+/* Whether all that callers have sent has certainly been read. */
+static bool input_read(struct noded *noded)
+{
+	if (web_quiet_ms(noded->callers) < NODED_STOP_QUIET_MS)
 		noded->quiet_ticks = 0;
 	else
 		noded->quiet_ticks++;
-	return noded->quiet_ticks >= NODED_STOP_QUIET_TICKS &&
-	       (noded->stop_probes >= NODED_STOP_PROBES ||
-		now_ms - noded->stop_ms > NODED_STOP_UNSEEN_MS);
+	return noded->quiet_ticks >= NODED_STOP_QUIET_TICKS;
 }
 
 static void exit_when_stopped(struct noded *noded, int64_t now_ms)
@@ -124,12 +127,17 @@
 	bool timed_out = now_ms - noded->stop_ms >
 			 noded->settings.stop_grace_ms - NODED_STOP_SLACK_MS;
 
-	if (timed_out)
+	if (timed_out) {
 		log_warn("stop: the time is over, requests=%u",
 			 web_active(noded->callers));
-	if (timed_out ||
-	    (input_over(noded, now_ms) && node_stopped(noded->node) &&
-	     !web_active(noded->callers)))
+		evloop_stop(noded->evloop);
+		return;
+	}
+	if (!out_of_rotation(noded, now_ms))
+		return;
+	web_quiesce(noded->callers);
+	if (input_read(noded) && node_stopped(noded->node) &&
+	    !web_active(noded->callers))
 		evloop_stop(noded->evloop);
 }
 
--- a/src/web.c
+++ b/src/web.c
@@ -1,5 +1,6 @@
 #include "web.h"
 
+#include <errno.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,6 +8,7 @@
 #include <strings.h>
 #include <unistd.h>
 #include <arpa/inet.h>
+#include <sys/socket.h>
 
 #include <apr_strings.h>
 #include <json-c/json.h>
@@ -14,6 +16,7 @@
 
 #include "jcursor.h"
 #include "limit.h"
+#include "log.h"
 #include "tcp.h"
 
 enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S };
@@ -528,6 +531,26 @@
 	web->close_answered = true;
 }
 
+/* Takes over connections that the kernel has accepted: closing the listener
+   would reset them, though callers may have sent their requests. */
+static void add_waiting_connections(struct web *web, MHD_socket listener)
+{
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	int fd;
+
+	while ((fd = accept4(listener, (struct sockaddr *)&addr, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		MHD_add_connection(web->daemon, fd, (struct sockaddr *)&addr,
+				   len);
+		len = sizeof(addr);
+	}
+	if (errno != EAGAIN && errno != EWOULDBLOCK)
+		log_warn("connections waiting at the listener cannot be "
+			 "accepted: %s",
+			 strerror(errno));
+}
+
 void web_quiesce(struct web *web)
 {
 	MHD_socket listener;
@@ -537,6 +560,9 @@
 	web->quiescing = true;
 	web->close_answered = true;
 	listener = MHD_quiesce_daemon(web->daemon);
-	if (listener != MHD_INVALID_SOCKET)
-		close(listener);
+	if (listener == MHD_INVALID_SOCKET)
+		return;
+	add_waiting_connections(web, listener);
+	close(listener);
+	evloop_skip_wait(web->evloop);
 }
--- a/tests/process_jobs.sh
+++ b/tests/process_jobs.sh
@@ -123,8 +123,31 @@
 expect_state 1 "$ID" done
 echo "ok: a worker crashes and restarts under the same id"
 
+# Callers send until the connection is refused, also while the node is too busy
+# to read: each connection that is taken gets its answer.
+callers_until_refused() {
+	local code
+	for ((i = 0; i < 800; i++)); do
+		curl -s -m 8 -o /dev/null -H "Host: $ENTRY_HOST" "$(node_url 0)$PREFIX$ID"
+		code=$?
+		[ $code = 7 ] && return 0
+		[ $code = 0 ] || echo "call $i: curl exits with $code"
+	done
+}
+for ((c = 0; c < 4; c++)); do callers_until_refused >"$WORK/callers$c" & CALLERS[c]=$!; done
+sleep 0.3
+kill -TERM "${PIDS[node0]}"
+for ((c = 0; c < 12; c++)); do
+	sleep 0.12
+	kill -STOP "${PIDS[node0]}" 2>/dev/null
+	sleep 0.25
+	kill -CONT "${PIDS[node0]}" 2>/dev/null
+done
 stop node0 TERM
 status=$?
+wait "${CALLERS[@]}"
+cat "$WORK"/callers? >"$WORK/out"
+[ -s "$WORK/out" ] && fail "answers lost at the stop: $(head -n 3 "$WORK/out")"
 [ $status = 0 ] || fail "a node exits with status $status"
 submit 1 1 2
 expect_state 1 "$ID" done
