--- a/src/front.c
+++ b/src/front.c
@@ -149,14 +149,26 @@
 		.wall_ms = clk_wall_ms(env->clk),
 	};
 	int64_t chain_ms = job_critical_path_ms(&candidate);
-	int64_t objective_ms =
-		request->queue->slack_ms +
-		(int64_t)(request->queue->stretch * (double)chain_ms);
+	int64_t backlog_ms, objective_ms;
+	bool late;
 
 	if (spec->steps[0].long_running || spec->repeat_count > 0)
 		return false;
-	return place_backlog_ms(&place, front->max_listed_milli) + chain_ms >
+	objective_ms = request->queue->slack_ms +
+		       (int64_t)(request->queue->stretch * (double)chain_ms);
+
+	backlog_ms = place_backlog_ms(&place, place.wall_ms + objective_ms,
+				      front->max_listed_milli);
+	late = backlog_ms + chain_ms >
 	       objective_ms * FRONT_MAX_EXPECTED_PERCENT / 100;
+	if (late)
+		log_info("refused id=%s why=overload queue=%s "
+			 "backlog_ms=%" G_GINT64_FORMAT
+			 " chain_ms=%" G_GINT64_FORMAT
+			 " objective_ms=%" G_GINT64_FORMAT,
+			 request->id, request->queue->name, backlog_ms,
+			 chain_ms, objective_ms);
+	return late;
 }
 
 static void submit(struct front *front, const struct front_request *request,
@@ -187,8 +199,6 @@
 	if (would_be_late(front, request, &spec)) {
 		job_spec_clear(&spec);
 		env->counts.refused_overload++;
-		log_info("refused id=%s why=overload queue=%s", request->id,
-			 request->queue->name);
 		answer.outcome = FRONT_OVERLOADED;
 		answer.retry_after_ms = FRONT_RETRY_OVERLOAD_MS;
 		fn(arg, &answer);
--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -272,15 +272,18 @@
 }
 
 static void decide_slice(struct maint *maint, uint32_t slice,
-			 const struct sizing *sizing, int64_t now_ms)
+			 int64_t host_milli, int64_t now_ms)
 {
 	GArray *slice_pools = maint->slices[slice];
 	struct sizing_pool *pools = (struct sizing_pool *)slice_pools->data;
+	struct sizing sizing = { .host_milli = host_milli };
 	uint32_t from, to;
 
 	for (guint i = 0; i < slice_pools->len; i++)
-		sizing_observe(sizing, &pools[i], now_ms);
-	while (sizing_next_move(sizing, pools, slice_pools->len, now_ms, &from,
+		sizing.hosts += pools[i].hosts;
+	for (guint i = 0; i < slice_pools->len; i++)
+		sizing_observe(&sizing, &pools[i], now_ms);
+	while (sizing_next_move(&sizing, pools, slice_pools->len, now_ms, &from,
 				&to))
 		if (!move(maint, slice, &pools[from], &pools[to]))
 			break;
@@ -289,10 +292,10 @@
 void maint_decide_sizing(struct maint *maint)
 {
 	int64_t now_ms = clk_now_ms(maint->env->clk);
-	struct sizing sizing = { .host_milli = add_hosts(maint) };
+	int64_t host_milli = add_hosts(maint);
 
-	if (!sizing.host_milli)
+	if (!host_milli)
 		return;
 	for (uint32_t k = 0; k < *maint->env->share_count; k++)
-		decide_slice(maint, k, &sizing, now_ms);
+		decide_slice(maint, k, host_milli, now_ms);
 }
--- a/src/place.c
+++ b/src/place.c
@@ -10,6 +10,9 @@
 	PLACE_SAME_RACK_BONUS = 1000
 };
 
+/* Part of the work with a later target that counts for a job's delay. */
+#define PLACE_LATER_WEIGHT 0.5
+
 /* A pass over the waiting tasks, and what it has found out. */
 struct pass {
 	const struct place *place;
@@ -437,10 +440,24 @@
 }
 
 /*
- * Returns the share's remaining work in milli-cores times ms. Subtracts from
- * other_milli what placed tasks of other pools use.
+ * Part of a job's remaining work that delays a job with the given target: tasks
+ * are placed by target, but running ones are not interrupted, and admitting
+ * only what fits before the later targets as well keeps those in time.
+ */
+static double delay_weight(const struct place *place, const struct job *job,
+			   int64_t target_ms)
+{
+	return place_target_ms(place->cfg, job) <= target_ms
+		       ? 1
+		       : PLACE_LATER_WEIGHT;
+}
+
+/*
+ * Returns the share's remaining work in milli-cores times ms, as far as it
+ * delays a job with the given target. Subtracts from other_milli what placed
+ * tasks of other pools use.
  */
-static double count_remaining_work(const struct place *place,
+static double count_remaining_work(const struct place *place, int64_t target_ms,
 				   int64_t *other_milli)
 {
 	double work = 0;
@@ -448,6 +465,7 @@
 	for (guint i = 0; i < place->jobs->live->len; i++) {
 		struct job_pos pos = { .job = place->jobs->live->pdata[i] };
 		bool own = share_has_job(&place->share, pos.job);
+		double weight;
 		bool late;
 
 		if (!pos.job->has_spec || job_ended(pos.job->stored_state) ||
@@ -455,6 +473,7 @@
 			    place->share.index)
 			continue;
 		late = place_too_late(place->cfg, pos.job, 0, place->wall_ms);
+		weight = own ? delay_weight(place, pos.job, target_ms) : 0;
 		while (job_next_task(&pos)) {
 			const struct job_step *step =
 				&pos.job->spec.steps[pos.step];
@@ -464,14 +483,15 @@
 			else if (own && pos.task->state != TASK_DONE &&
 				 !step->long_running &&
 				 (!late || pos.task->state == TASK_PLACED))
-				work += (double)step->cpu_milli *
+				work += weight * step->cpu_milli *
 					step->estimate_ms;
 		}
 	}
 	return work;
 }
 
-int64_t place_backlog_ms(const struct place *place, int64_t all_milli)
+int64_t place_backlog_ms(const struct place *place, int64_t target_ms,
+			 int64_t all_milli)
 {
 	int64_t own_milli, other_milli;
 	int64_t parked_milli, capacity_milli;
@@ -480,7 +500,7 @@
 	count_capacity(place, &own_milli, &other_milli);
 	parked_milli = MAX(
 		all_milli / place->share.count - own_milli - other_milli, 0);
-	work = count_remaining_work(place, &other_milli);
+	work = count_remaining_work(place, target_ms, &other_milli);
 	capacity_milli = own_milli + parked_milli + MAX(other_milli, 0);
 	if (capacity_milli <= 0)
 		return INT64_MAX / 2;
--- a/src/place.h
+++ b/src/place.h
@@ -67,7 +67,10 @@
 		    uint32_t occurrence, int64_t wall_ms);
 
 /*
- * place_backlog_ms - time that a pool needs for the work that it has accepted
+ * place_backlog_ms - time that a pool needs for accepted work before a new job
+ *
+ * target_ms is the new job's, see place_target_ms; work with a later target
+ * counts in part only.
  *
  * Estimated work of the share divided by the capacity of its own workers and of
  * the hosts that can be moved to it: those that are idle in other pools or
@@ -75,7 +78,8 @@
  * at some time; the part of it that is not listed now counts as parked. Jobs that are too late do not
  * count, because they are placed last.
  */
-int64_t place_backlog_ms(const struct place *place, int64_t all_milli);
+int64_t place_backlog_ms(const struct place *place, int64_t target_ms,
+			 int64_t all_milli);
 
 /* place_listed_milli - milli-cores of all listed workers */
 int64_t place_listed_milli(const struct worker_table *workers);
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -5,10 +5,13 @@
 	SIZING_CAPACITY_PERCENT = 115,
 	/* A peak of demand counts for this long after it was seen. */
 	SIZING_PEAK_HOLD_MS = 1500,
-	/* Minimum number of hosts of a pool without demand. */
+	/* Hosts that a pool without demand keeps: at least so many, and this
+	   share of all hosts. */
 	SIZING_MIN_HOSTS = 2,
+	SIZING_MIN_PERCENT = 4,
 	/* Spare hosts of a pool for the first tasks when demand shifts. */
 	SIZING_SPARE_HOSTS = 1,
+	SIZING_SPARE_PERCENT = 2,
 	/* Interval between the samples that show a rise of demand. */
 	SIZING_SAMPLE_MS = 800,
 	/* Time to drain and move a host, over which a rise is extrapolated. */
@@ -30,17 +33,28 @@
 	return hosts > pool->min_hosts ? (int32_t)hosts : pool->min_hosts;
 }
 
+static int32_t share_of_hosts(const struct sizing *sizing, int32_t percent,
+			      int32_t least)
+{
+	int32_t hosts = sizing->hosts * percent / 100;
+
+	return hosts > least ? hosts : least;
+}
+
 /* Hosts beyond those needed for a demand, at most max; may be negative. */
 static int32_t excess(const struct sizing *sizing,
 		      const struct sizing_pool *pool, int64_t wanted_milli,
 		      int32_t max)
 {
+	int32_t least =
+		share_of_hosts(sizing, SIZING_MIN_PERCENT, SIZING_MIN_HOSTS);
 	int32_t need = sizing_hosts_needed(sizing, pool, wanted_milli);
 	int32_t excess_hosts;
 
 	if (!pool->standby)
-		need = (need > SIZING_MIN_HOSTS ? need : SIZING_MIN_HOSTS) +
-		       SIZING_SPARE_HOSTS;
+		need = (need > least ? need : least) +
+		       share_of_hosts(sizing, SIZING_SPARE_PERCENT,
+				      SIZING_SPARE_HOSTS);
 	excess_hosts = pool->hosts - need;
 	return excess_hosts < max ? excess_hosts : max;
 }
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -38,6 +38,7 @@
 
 struct sizing {
 	int64_t host_milli; /* mean CPU of a host, in millicores */
+	int32_t hosts;	    /* of all these pools together */
 };
 
 /*
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -256,8 +256,8 @@
 
 	submit_job(ID_1, two_step_spec);
 	add_worker("w1", "a", 1000);
-	alone_ms = place_backlog_ms(&place, 0);
-	with_parked_ms = place_backlog_ms(&place, 10000);
+	alone_ms = place_backlog_ms(&place, INT64_MAX, 0);
+	with_parked_ms = place_backlog_ms(&place, INT64_MAX, 10000);
 	ck_assert_int_eq(alone_ms, 500);
 	ck_assert_int_eq(with_parked_ms, 50);
 }
@@ -434,6 +434,58 @@
 }
 END_TEST
 
+/*
+ * A turn begins in a large fleet: the first seconds' work does not wait for
+ * hosts to be moved, as a pool keeps a share of all hosts and not a fixed few.
+ */
+START_TEST(pool_of_a_large_fleet_keeps_more_hosts)
+{
+	struct sizing sizing = { .host_milli = 1000, .hosts = 300 };
+	struct sizing_pool pools[2] = {
+		sizing_pool_of("calm", 100, 100, 0),
+		sizing_pool_of("parked", 200, 0, 0),
+	};
+	uint32_t from, to;
+	int64_t now_ms = 10000;
+
+	pools[1].standby = true;
+	for (int i = 0; i < 2; i++)
+		sizing_observe(&sizing, &pools[i], now_ms);
+	now_ms += 5000;
+	while (sizing_next_move(&sizing, pools, 2, now_ms, &from, &to)) {
+		ck_assert_uint_eq(from, 0);
+		ck_assert_uint_eq(to, 1);
+		pools[0].hosts--;
+		pools[0].movable--;
+		pools[0].idle--;
+		pools[1].hosts++;
+	}
+	ck_assert_int_eq(pools[0].hosts, 18);
+}
+END_TEST
+
+/*
+ * A small job comes to a pool with large ones. It is placed before work whose
+ * target is later, so it must not be refused because of all of that.
+ */
+START_TEST(backlog_counts_later_targets_in_part)
+{
+	struct place place = {
+		.share = { "pool", 0, 1 },
+		.cfg = cfg,
+		.jobs = jobs,
+		.workers = workers,
+	};
+	const struct job *large = submit_job(ID_1, two_step_spec);
+	int64_t target_ms = place_target_ms(cfg, large);
+
+	add_worker("w1", "a", 1000);
+	ck_assert_int_eq(place_backlog_ms(&place, target_ms, 0), 500);
+	ck_assert_int_lt(place_backlog_ms(&place, target_ms - 1, 0), 300);
+	ck_assert_int_gt(place_backlog_ms(&place, target_ms - 1, 0), 0);
+}
+END_TEST
+
 /* After a peak with many late jobs, new jobs must not be refused. */
 START_TEST(backlog_excludes_late_jobs)
 {
@@ -447,9 +499,9 @@
 
 	submit_job(ID_1, two_step_spec);
 	add_worker("w1", "a", 1000);
-	ck_assert_int_eq(place_backlog_ms(&place, 0), 500);
+	ck_assert_int_eq(place_backlog_ms(&place, INT64_MAX, 0), 500);
 	place.wall_ms = 100000;
-	ck_assert_int_eq(place_backlog_ms(&place, 0), 0);
+	ck_assert_int_eq(place_backlog_ms(&place, INT64_MAX, 0), 0);
 }
 END_TEST
 
@@ -620,6 +672,8 @@
 	tcase_add_test(tcase,
 		       hosts_move_to_a_load_peak_and_are_parked_after_it);
 	tcase_add_test(tcase, hosts_move_between_successive_load_peaks);
+	tcase_add_test(tcase, pool_of_a_large_fleet_keeps_more_hosts);
+	tcase_add_test(tcase, backlog_counts_later_targets_in_part);
 	tcase_add_test(tcase, backlog_excludes_late_jobs);
 	tcase_add_test(tcase, pool_without_work_gets_no_host);
 	tcase_add_test(tcase, late_answers_to_earlier_plans_are_ignored);
