--- a/src/web.c
+++ b/src/web.c
@@ -1,6 +1,7 @@
 #include "web.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,7 +20,23 @@
 #include "log.h"
 #include "tcp.h"
 
-enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S };
+enum {
+	MAX_CONNECTIONS = 4096,
+	KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S,
+	/* Refused connections that are kept for their callers to read the
+	   answer, and for how long. */
+	MAX_LINGERING = 16,
+	LINGER_MS = 1000,
+	DISCARD_BYTES = 4096
+};
+
+/* A refused connection: closing it while input arrives would reset it, and the
+   caller would lose the answer. */
+struct lingering {
+	bool used;
+	int fd;
+	int64_t until_ms;
+};
 
 struct web {
 	struct evloop *evloop;
@@ -29,6 +46,8 @@
 	int64_t last_input_ms; /* last connection or request */
 	bool quiescing;
 	bool close_answered;
+	struct lingering lingering[MAX_LINGERING];
+	uint32_t next_lingering;
 };
 
 /* A connection, tracked to detect input that never became a request. */
@@ -73,6 +92,50 @@
 	web->last_input_ms = clk_now_ms(evloop_clk(web->evloop));
 }
 
+/* Discards input that has arrived, so that the close resets nothing. */
+static void end_lingering(struct lingering *lingering)
+{
+	char discarded[DISCARD_BYTES];
+
+	if (!lingering->used)
+		return;
+	lingering->used = false;
+	while (recv(lingering->fd, discarded, sizeof(discarded),
+		    MSG_DONTWAIT) == (ssize_t)sizeof(discarded))
+		;
+	close(lingering->fd);
+}
+
+static void end_old_lingering(struct web *web)
+{
+	int64_t now_ms = clk_now_ms(evloop_clk(web->evloop));
+
+	for (uint32_t i = 0; i < MAX_LINGERING; i++)
+		if (now_ms >= web->lingering[i].until_ms)
+			end_lingering(&web->lingering[i]);
+}
+
+/* Keeps a connection that the library has shut down for writing and is about
+   to close. */
+static void linger(struct web *web, int fd)
+{
+	struct lingering *lingering =
+		&web->lingering[web->next_lingering++ % MAX_LINGERING];
+	int copy = fd < 0 ? -1 : fcntl(fd, F_DUPFD_CLOEXEC, 0);
+
+	end_lingering(lingering);
+	if (copy < 0) {
+		log_warn("a refused connection is closed at once: %s",
+			 strerror(errno));
+		return;
+	}
+	*lingering = (struct lingering){
+		.used = true,
+		.fd = copy,
+		.until_ms = clk_now_ms(evloop_clk(web->evloop)) + LINGER_MS,
+	};
+}
+
 /*
  * Counts refused input that reaches no request callback: libmicrohttpd itself
  * answers a request line that it cannot parse and drops an incomplete one.
@@ -100,6 +163,8 @@
 	if (!connection->in_request && !connection->refused &&
 	    tcp_bytes(connection->fd).received > connection->consumed_bytes)
 		web->config.on_refused(web->config.arg, ERR_INVALID);
+	if (connection->refused)
+		linger(web, connection->fd);
 	free(connection);
 	*context = NULL;
 }
@@ -361,6 +426,7 @@
 
 	(void)fds;
 	(void)count;
+	end_old_lingering(web);
 	MHD_run(web->daemon);
 	/* MHD_run may have read only part of the available input. */
 	if (MHD_get_timeout(web->daemon, &left_ms) == MHD_YES && !left_ms)
@@ -413,6 +479,8 @@
 	if (!web)
 		return;
 	MHD_stop_daemon(web->daemon);
+	for (uint32_t i = 0; i < MAX_LINGERING; i++)
+		end_lingering(&web->lingering[i]);
 	free(web);
 }
 
--- a/tests/process_input.sh
+++ b/tests/process_input.sh
@@ -28,6 +28,14 @@
 	(exec 3<>"/dev/tcp/127.0.0.1/$port" && printf "$@" >&3 &&
 		timeout 1 head -c 400 <&3 | head -n 1 | tr -d '\r\0') 2>/dev/null
 }
+# send_parts PORT HEAD BODY: the same, with the body sent after a refusal of the
+# head can have been answered
+send_parts() {
+	# shellcheck disable=SC2059
+	(exec 3<>"/dev/tcp/127.0.0.1/$1" && printf "$2" >&3 && sleep 0.05 &&
+		printf "$3" >&3 && sleep 0.05 &&
+		timeout 1 head -c 400 <&3 | head -n 1 | tr -d '\r\0') 2>/dev/null
+}
 above() { [ "$(metric "$1" "$2")" -gt "$3" ]; }
 served() { curl -sf "$(entry_url 0)/crew-shares/payouts/ping" >/dev/null; }
 
@@ -79,6 +87,9 @@
 	counted "length and chunks" "$url" "$counter" send "$port" \
 		'POST /t/p/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
 	grep -q ' 400 ' "$WORK/answer" || fail "length and chunks: not 400"
+	counted "a body after the refusal" "$url" "$counter" send_parts "$port" \
+		'POST /t/p/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n' '0\r\n\r\n'
+	grep -q ' 400 ' "$WORK/answer" || fail "a body after the refusal: not 400"
 	counted "zero byte in the path" "$url" "$counter" \
 		send "$port" 'GET /healthz%%00x HTTP/1.1\r\nHost: a\r\n\r\n'
 	grep -q ' 400 ' "$WORK/answer" || fail "zero byte: not 400"
