--- a/src/tail.c
+++ b/src/tail.c
@@ -153,14 +153,22 @@
 static void on_read(void *arg, const struct stream_batch *batch)
 {
 	struct tail *tail = arg;
+	int64_t before = tail->next;
 
 	if (!call_ended(tail))
 		return;
 	tail->polling = false;
 	tail->due_ms = clk_now_ms(tail->config.clk) + tail->config.gap_ms;
-	if (process_batch(tail, batch))
-		tail->answered_read_ms =
-			MAX(tail->answered_read_ms, tail->read_start_ms);
+	if (!process_batch(tail, batch))
+		return;
+	if (batch->next < batch->end) {
+		/* The answer was full: more records wait. */
+		if (tail->next > before)
+			tail->due_ms = 0;
+		return;
+	}
+	tail->answered_read_ms =
+		MAX(tail->answered_read_ms, tail->read_start_ms);
 }
 
 static void on_sync(void *arg, const struct stream_batch *batch)
--- /dev/null
+++ b/tests/test_tail.c
@@ -0,0 +1,152 @@
+/*
+ * Unit tests of following a stream. They use no network. The load: many nodes
+ * read a stream that grows faster than they can read it at times.
+ */
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "log.h"
+#include "tail.h"
+
+enum { GAP_MS = 150, WAIT_MS = 1500, START_MS = 1000 };
+
+static struct clk clk;
+static stream_batch_fn *answer; /* of the call in progress; NULL: none */
+static void *answer_arg;
+static int reads;
+
+static void fake_read(void *io, struct stream_id id, int64_t from,
+		      int64_t wait_ms, stream_batch_fn *fn, void *arg)
+{
+	(void)io;
+	(void)id;
+	(void)from;
+	(void)wait_ms;
+	reads++;
+	answer = fn;
+	answer_arg = arg;
+}
+
+static void fake_newest(void *io, struct stream_id id, const char *after_key,
+			stream_batch_fn *fn, void *arg)
+{
+	(void)io;
+	(void)id;
+	(void)after_key;
+	answer = fn;
+	answer_arg = arg;
+}
+
+static const struct stream_io fake_io = {
+	.read = fake_read,
+	.newest = fake_newest,
+};
+
+static void ignore_record(void *arg, const struct stream_record *record)
+{
+	(void)arg;
+	(void)record;
+}
+
+static void deliver(int64_t next, int64_t end)
+{
+	struct stream_batch batch = {
+		.outcome = STREAM_OK,
+		.next = next,
+		.end = end,
+	};
+
+	answer(answer_arg, &batch);
+}
+
+static struct tail *loaded_tail(void)
+{
+	struct tail_config config = {
+		.io = &fake_io,
+		.clk = &clk,
+		.id = { "topic", 0 },
+		.gap_ms = GAP_MS,
+		.wait_ms = WAIT_MS,
+		.on_record = ignore_record,
+	};
+	struct tail *tail;
+
+	clk = clk_manual(START_MS);
+	tail = tail_create(&config);
+	tail_tick(tail);
+	deliver(0, 10);
+	ck_assert(tail_loaded(tail));
+	reads = 0;
+	return tail;
+}
+
+/* A node that has read all there is pauses before it reads again. */
+START_TEST(reads_pause_at_the_end)
+{
+	struct tail *tail = loaded_tail();
+
+	tail_tick(tail);
+	ck_assert_int_eq(reads, 1);
+	deliver(20, 20);
+	tail_tick(tail);
+	ck_assert_int_eq(reads, 1);
+	clk.manual_ms += GAP_MS;
+	tail_tick(tail);
+	ck_assert_int_eq(reads, 2);
+	deliver(20, 20);
+	tail_destroy(tail);
+}
+END_TEST
+
+/* One that is behind reads on at once, and its state counts as old until then. */
+START_TEST(reads_go_on_at_once_when_behind)
+{
+	struct tail *tail = loaded_tail();
+
+	clk.manual_ms += WAIT_MS;
+	tail_tick(tail);
+	deliver(20, 100);
+	ck_assert_int_eq(tail_age_ms(tail), WAIT_MS);
+	tail_tick(tail);
+	ck_assert_int_eq(reads, 2);
+	deliver(100, 100);
+	ck_assert_int_eq(tail_age_ms(tail), 0);
+	tail_tick(tail);
+	ck_assert_int_eq(reads, 2);
+	tail_destroy(tail);
+}
+END_TEST
+
+/* An answer without progress must not make it read without a pause. */
+START_TEST(reads_pause_without_progress)
+{
+	struct tail *tail = loaded_tail();
+
+	tail_tick(tail);
+	deliver(tail_next(tail), 100);
+	tail_tick(tail);
+	ck_assert_int_eq(reads, 1);
+	tail_destroy(tail);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("tail");
+	TCase *tcase = tcase_create("tail");
+	SRunner *runner;
+	int failed;
+
+	apr_initialize();
+	log_init("test_tail", true);
+	tcase_add_test(tcase, reads_pause_at_the_end);
+	tcase_add_test(tcase, reads_go_on_at_once_when_behind);
+	tcase_add_test(tcase, reads_pause_without_progress);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
