--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	proxy_read proxy_claim proxy_send claim_log admin_client report histo \
 	arrival
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
-	pool job_view pool_order pool_report pool_empty pool_slow host_plan \
+	pool job_view pool_order pool_report pool_empty pool_slow place_backlog host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node
 PLATFORM = call json store wire order_api host_api ingress platform
