Give up tasks that crash the workers that start them

Cause: a run that is lost with its worker counted for nothing. The owner ends it as soon as the host list shows the worker as dead and places the task anew, about every 300 ms, without end; the job fails only by ends that workers report as failed. The class of fault: a retry without a budget, as the failure was noted at the victim (the worker) only.

Fix: a crash of a worker counts for each task that may have run on it, and the count is stored with the job, so that it survives a takeover. A count by itself would also hit the tasks beside the culprit: suspects are spread, and from two crashes on a task starts in quarantine only, on a worker whose other tasks have been at work for a while and to which no other is sent. A task is given up after three crashes, two of them with no other new task on the worker and with the rest of its rack alive, or after four. A worker that is only out of reach, that drains or is to leave does not count. A start order without an answer is withdrawn when its worker has restarted, and not repeated to one whose renewals fail.

Tried before: to give a task up after the first crash in quarantine.

--- a/src/job.c
+++ b/src/job.c
@@ -429,7 +429,7 @@
 }
 
 void job_place_task(struct job *job, struct job_task *task, const char *worker,
-		    int32_t run, int64_t now_ms)
+		    int64_t boot_ms, int32_t run, int64_t now_ms)
 {
 	task->state = TASK_PLACED;
 	task->phase = PHASE_RECORDING;
@@ -438,6 +438,8 @@
 	task->stop_ok = false;
 	task->run = run;
 	task->worker = g_intern_string(worker);
+	task->worker_boot_ms = boot_ms;
+	task->quarantine = NULL;
 	task->since_ms = now_ms;
 	task->last_report = 0;
 	task->percent = 0;
@@ -495,6 +497,12 @@
 		pos->job->state = JOB_FAILED;
 }
 
+void job_give_up(struct job *job)
+{
+	job->state = JOB_FAILED;
+	job->dirty = true;
+}
+
 /* Whether a worker has confirmed a start of the task at any time. */
 static bool has_started(const struct job_task *task)
 {
--- a/src/job.h
+++ b/src/job.h
@@ -95,11 +95,19 @@
 	bool stop_ok; /* its worker has confirmed the stop */
 	int32_t run;
 	int32_t failed;
-	const char *worker; /* of the newest run; interned */
-	char *checkpoint;   /* NULL: none */
+	int32_t crashes;       /* workers that have crashed under it */
+	int32_t crashes_alone; /* those with no other task to blame */
+	int32_t crashed_run;   /* newest run under which that was counted */
+	const char *worker;    /* of the newest run; interned */
+	/* Start of that worker, by its clock; 0: unknown. Stored only for a task
+	   with crashes. */
+	int64_t worker_boot_ms;
+	char *checkpoint; /* NULL: none */
 	/* The rest is known to the owner only and not stored. */
-	int64_t since_ms;      /* start of the phase */
-	int64_t hold_until_ms; /* not placed again before */
+	const char *quarantine; /* worker reserved for it; NULL: none */
+	int64_t reserved_ms;	/* when it was reserved */
+	int64_t since_ms;	/* start of the phase */
+	int64_t hold_until_ms;	/* not placed again before */
 	int32_t percent;
 	/* Tail latency in ms, or processor use in thousandths. */
 	int32_t load_metric;
@@ -286,10 +294,11 @@
 /*
  * job_place_task - assign a task to a worker under a new run number
  *
- * The caller stores the progress before it sends the order.
+ * boot_ms is the start of the worker. The caller stores the progress before it
+ * sends the order.
  */
 void job_place_task(struct job *job, struct job_task *task, const char *worker,
-		    int32_t run, int64_t now_ms);
+		    int64_t boot_ms, int32_t run, int64_t now_ms);
 
 /*
  * job_end_run - record the end of a task's newest run
@@ -300,6 +309,9 @@
 void job_end_run(struct job_pos *pos, enum job_end how, const char *checkpoint,
 		 int32_t attempts);
 
+/* job_give_up - let the job fail because a task crashes its workers */
+void job_give_up(struct job *job);
+
 /* job_refresh - derive the job's state from its tasks; mark it if changed */
 void job_refresh(struct job *job);
 
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -10,7 +10,10 @@
  * the caller sent it. A progress record is {"state", "parts"}; a part is
  * [occurrence, step, done, tasks] with one hexadecimal digit for each four
  * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
- * for each other task that has been started.
+ * for each other task that has been started. "crashes", if there are any, has a
+ * row [occurrence, step, index, crashes, crashes_alone, run, boot_ms] for each
+ * task under which workers have crashed; run is the newest one under which that
+ * was counted, and boot_ms the start of the worker that the task is placed on.
  */
 
 char *job_submission_record(const char *queue, const char *pool,
@@ -114,6 +117,37 @@
 	return part;
 }
 
+static void add_crashes(struct json_object *rows, const struct job_pos *pos)
+{
+	const struct job_task *task = pos->task;
+	const int64_t values[] = {
+		pos->occurrence,      pos->step,	   pos->index,
+		task->crashes,	      task->crashes_alone, task->crashed_run,
+		task->worker_boot_ms,
+	};
+	struct json_object *row =
+		json_object_new_array_ext(G_N_ELEMENTS(values));
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++)
+		json_object_array_add(row, json_object_new_int64(values[i]));
+	json_object_array_add(rows, row);
+}
+
+/* Adds the crashes under tasks that are not done, unless there are none. */
+static void put_crashes(struct json_object *record, const struct job *job)
+{
+	struct json_object *rows = json_object_new_array();
+	struct job_pos pos = { .job = (struct job *)job };
+
+	while (job_next_task(&pos))
+		if (pos.task->crashes && pos.task->state != TASK_DONE)
+			add_crashes(rows, &pos);
+	if (json_object_array_length(rows))
+		json_object_object_add(record, "crashes", rows);
+	else
+		json_object_put(rows);
+}
+
 char *job_progress_record(const struct job *job, size_t *len)
 {
 	struct json_object *record = json_object_new_object();
@@ -133,6 +167,7 @@
 				json_object_array_add(parts, part);
 		}
 	json_object_object_add(record, "parts", parts);
+	put_crashes(record, job);
 	text = g_strdup(
 		json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
 	*len = strlen(text);
@@ -241,6 +276,54 @@
 	}
 }
 
+/* Reads the number in a row; 0 if it is not one from 0 to max. */
+static int64_t row_number(const struct jcursor *row, size_t index, int64_t max)
+{
+	struct jcursor item = jcursor_item(row, index);
+	int64_t number = jcursor_int(&item, 0, max, -1);
+
+	return row->err->kind == ERR_OK ? number : 0;
+}
+
+static void decode_crashes(const struct job *job, const struct jcursor *row)
+{
+	uint32_t occurrence =
+		(uint32_t)row_number(row, 0, (int64_t)job->occurrences - 1);
+	uint32_t step =
+		(uint32_t)row_number(row, 1, (int64_t)job->spec.step_count - 1);
+	uint32_t index = (uint32_t)row_number(
+		row, 2, (int64_t)job->spec.steps[step].count - 1);
+	int32_t crashes = (int32_t)row_number(row, 3, INT32_MAX);
+	int32_t crashes_alone = (int32_t)row_number(row, 4, INT32_MAX);
+	int32_t run = (int32_t)row_number(row, 5, INT32_MAX);
+	int64_t boot_ms = row_number(row, 6, LIMIT_NUMBER_MAX);
+	struct job_task *task;
+
+	if (row->err->kind != ERR_OK)
+		return;
+	task = job_task_at(job, occurrence, step, index);
+	task->crashes = crashes;
+	task->crashes_alone = crashes_alone;
+	task->crashed_run = run;
+	task->worker_boot_ms = boot_ms;
+}
+
+/* Records of older builds have no crashes. */
+static void read_crashes(const struct job *job, struct jcursor *root)
+{
+	struct jcursor rows = jcursor_member(root, "crashes");
+	size_t count;
+
+	if (!rows.value)
+		return;
+	count = jcursor_check_array(&rows, JOB_MAX_TASKS);
+	for (size_t i = 0; i < count && root->err->kind == ERR_OK; i++) {
+		struct jcursor row = jcursor_item(&rows, i);
+
+		decode_crashes(job, &row);
+	}
+}
+
 int job_read_tasks(struct job *job, const char *record, struct err *err)
 {
 	struct err parse_err = { .kind = ERR_OK };
@@ -256,6 +339,8 @@
 		if (jcursor_check_array(&part, 4) == 4)
 			decode_part(job, &part);
 	}
+	if (value && parse_err.kind == ERR_OK)
+		read_crashes(job, &root);
 	json_object_put(value);
 	if (parse_err.kind != ERR_OK)
 		return err_set(err, parse_err.kind, "%s", parse_err.text);
--- a/src/place.c
+++ b/src/place.c
@@ -1,34 +1,15 @@
-#include "place.h"
-
 #include <string.h>
 
+#include "crash.h"
+#include "place_int.h"
+
 enum {
 	/* A worker whose last report is older gets no new tasks. */
 	PLACE_MAX_REPORT_AGE_MS = 2500,
 	/* Score for a worker near the data; a fully used one scores 1000. */
 	PLACE_DATA_NEAR_BONUS = 2000,
-	PLACE_SAME_RACK_BONUS = 1000
-};
-
-/* A pass over the waiting tasks, and what it has found out. */
-struct pass {
-	const struct place *place;
-	GPtrArray *usable; /* workers that may receive tasks */
-	/* Smallest request for which no worker had room, among steps without
-	   other constraints; 0: none yet. */
-	int32_t full_cpu_milli;
-	int32_t full_mem_mib;
-};
-
-/* A step of one occurrence that has tasks to start. */
-struct candidate {
-	struct job *job;
-	uint32_t occurrence;
-	uint32_t step;
-	int32_t priority;
-	bool long_running;
-	bool too_late; /* target_ms can no longer be met */
-	int64_t target_ms;
+	/* Score lost by a suspect for each other one on the worker. */
+	PLACE_SUSPECT_PENALTY = 4000
 };
 
 int64_t place_target_ms(const struct cfg *cfg, const struct job *job)
@@ -61,7 +42,7 @@
 	       place_target_ms(cfg, job);
 }
 
-static void reserve_room(struct worker *worker, const struct job_step *step)
+void place_use_room(struct worker *worker, const struct job_step *step)
 {
 	if (!step->uses_idle_cpu)
 		worker->cpu_used_milli += step->cpu_milli;
@@ -69,6 +50,7 @@
 	worker->gpu_used += step->gpu;
 	worker->tasks++;
 	worker->long_running_tasks += step->long_running;
+	worker->new_tasks++;
 }
 
 static void account_job(const struct place *place, struct job *job)
@@ -81,8 +63,12 @@
 		if (pos.task->state != TASK_PLACED)
 			continue;
 		worker = worker_find(place->workers, pos.task->worker);
-		if (worker)
-			reserve_room(worker, &job->spec.steps[pos.step]);
+		if (!worker)
+			continue;
+		place_use_room(worker, &job->spec.steps[pos.step]);
+		worker->suspects += crash_is_suspect(pos.task);
+		worker->new_tasks -=
+			crash_is_established(pos.task, place->now_ms);
 	}
 }
 
@@ -98,16 +84,21 @@
 		worker->gpu_used = 0;
 		worker->tasks = 0;
 		worker->long_running_tasks = 0;
+		worker->suspects = 0;
+		worker->new_tasks = 0;
+		worker->reserved = false;
 	}
 	for (guint i = 0; i < place->jobs->live->len; i++) {
 		struct job *job = place->jobs->live->pdata[i];
 
-		if (job->has_spec && share_has_job(&place->share, job))
-			account_job(place, job);
+		if (!job->has_spec || !share_has_job(&place->share, job))
+			continue;
+		account_job(place, job);
+		place_account_quarantine(place, job);
 	}
 }
 
-static bool fits(const struct worker *worker, const struct job_step *step)
+bool place_fits(const struct worker *worker, const struct job_step *step)
 {
 	const struct worker_entry *entry = &worker->entry;
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
@@ -130,12 +121,10 @@
 	return count;
 }
 
-static bool may_place(const struct candidate *cand, const struct worker *worker)
+bool place_may_hold(const struct candidate *cand, const struct worker *worker)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
 
-	if (!fits(worker, step))
-		return false;
 	if (step->label[0] && !worker_has_label(worker, step->label))
 		return false;
 	return !step->max_per_worker ||
@@ -144,6 +133,7 @@
 
 /* Rates the worker for a task of the step; higher is better. */
 static int64_t score_worker(const struct candidate *cand,
+			    const struct job_task *task,
 			    const struct worker *worker)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
@@ -158,6 +148,8 @@
 	if (step->data_rack[0] && worker_has_label(worker, step->data_rack))
 		score += PLACE_DATA_NEAR_BONUS;
 	score -= (int64_t)(worker->failure_rate * PLACE_DATA_NEAR_BONUS);
+	if (crash_is_suspect(task))
+		score -= (int64_t)worker->suspects * PLACE_SUSPECT_PENALTY;
 	return score;
 }
 
@@ -203,7 +195,8 @@
 }
 
 static struct worker *best_worker(struct pass *pass,
-				  const struct candidate *cand)
+				  const struct candidate *cand,
+				  const struct job_task *task)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
 	struct worker *best = NULL;
@@ -215,9 +208,10 @@
 		struct worker *worker = pass->usable->pdata[i];
 		int64_t score;
 
-		if (!may_place(cand, worker))
+		if (worker->reserved || !place_fits(worker, step) ||
+		    !place_may_hold(cand, worker))
 			continue;
-		score = score_worker(cand, worker);
+		score = score_worker(cand, task, worker);
 		if (best && score <= best_score)
 			continue;
 		best = worker;
@@ -238,11 +232,13 @@
 	struct worker *worker;
 	struct pass pass;
 
+	if (crash_needs_quarantine(pos->task))
+		return false;
 	pass_begin(&pass, place);
-	worker = best_worker(&pass, &cand);
+	worker = best_worker(&pass, &cand, pos->task);
 	pass_end(&pass);
 	if (worker)
-		reserve_room(worker, &pos->job->spec.steps[pos->step]);
+		place_use_room(worker, &pos->job->spec.steps[pos->step]);
 	return worker != NULL;
 }
 
@@ -269,18 +265,19 @@
 		run = MAX(run, tasks[i].run);
 	}
 	while (found < step->count) {
-		struct worker *worker = best_worker(pass, cand);
+		struct worker *worker = best_worker(pass, cand, &tasks[found]);
 
 		if (!worker)
 			break;
-		reserve_room(worker, step);
+		place_use_room(worker, step);
+		worker->suspects += crash_is_suspect(&tasks[found]);
 		chosen[found++] = worker;
 	}
 	for (int32_t i = 0; i < found; i++) {
 		if (found == step->count) {
 			job_place_task(cand->job, &tasks[i],
-				       chosen[i]->entry.id, run + 1,
-				       place->now_ms);
+				       chosen[i]->entry.id, chosen[i]->boot_ms,
+				       run + 1, place->now_ms);
 			continue;
 		}
 		chosen[i]->cpu_used_milli -=
@@ -288,6 +285,8 @@
 		chosen[i]->mem_used_mib -= step->mem_mib;
 		chosen[i]->gpu_used -= step->gpu;
 		chosen[i]->tasks--;
+		chosen[i]->new_tasks--;
+		chosen[i]->suspects -= crash_is_suspect(&tasks[i]);
 		chosen[i]->long_running_tasks -= step->long_running;
 	}
 	/* Room was short beside the gang's own reservations only. */
@@ -315,14 +314,22 @@
 
 		if (!is_startable(place, &tasks[i]))
 			continue;
-		worker = counts.waiting ? NULL : best_worker(pass, cand);
+		if (crash_needs_quarantine(&tasks[i])) {
+			counts.placed +=
+				place_in_quarantine(pass, cand, &tasks[i]);
+			continue;
+		}
+		worker = counts.waiting ? NULL
+					: best_worker(pass, cand, &tasks[i]);
 		if (!worker) {
 			counts.waiting++;
 			continue;
 		}
 		job_place_task(cand->job, &tasks[i], worker->entry.id,
-			       tasks[i].run + 1, place->now_ms);
-		reserve_room(worker, step);
+			       worker->boot_ms, tasks[i].run + 1,
+			       place->now_ms);
+		place_use_room(worker, step);
+		worker->suspects += crash_is_suspect(&tasks[i]);
 		counts.placed++;
 	}
 	return counts;
--- /dev/null
+++ b/src/place_int.h
@@ -0,0 +1,60 @@
+/*
+ * NAME
+ *	place_int - internals shared by the files of module place
+ */
+#ifndef PLACE_INT_H
+#define PLACE_INT_H
+
+#include "place.h"
+
+/* A pass over the waiting tasks, and what it has found out. */
+struct pass {
+	const struct place *place;
+	GPtrArray *usable; /* workers that may receive tasks */
+	/* Smallest request for which no worker had room, among steps without
+	   other constraints; 0: none yet. */
+	int32_t full_cpu_milli;
+	int32_t full_mem_mib;
+};
+
+/* A step of one occurrence that has tasks to start. */
+struct candidate {
+	struct job *job;
+	uint32_t occurrence;
+	uint32_t step;
+	int32_t priority;
+	bool long_running;
+	bool too_late; /* target_ms can no longer be met */
+	int64_t target_ms;
+};
+
+/* place_use_room - count a task of the step as placed on the worker */
+void place_use_room(struct worker *worker, const struct job_step *step);
+
+/* place_fits - whether the worker has room for a task of the step */
+bool place_fits(const struct worker *worker, const struct job_step *step);
+
+/* place_may_hold - whether the candidate's constraints allow the worker */
+bool place_may_hold(const struct candidate *cand, const struct worker *worker);
+
+/*
+ * place_account_quarantine - mark the workers that are reserved
+ *
+ * For tasks in quarantine, and for those that wait for their worker to be
+ * ready; see crash.h. job is one of the share.
+ */
+void place_account_quarantine(const struct place *place, struct job *job);
+
+/*
+ * place_in_quarantine - place a task that has to be started in quarantine
+ *
+ * Reserves a worker first, to which no other task is sent from then on, and
+ * waits until all its tasks have been at work for a while.
+ *
+ * RETURN VALUE
+ *	Whether the task was placed.
+ */
+bool place_in_quarantine(struct pass *pass, const struct candidate *cand,
+			 struct job_task *task);
+
+#endif
--- /dev/null
+++ b/src/place_quarantine.c
@@ -0,0 +1,115 @@
+#include "crash.h"
+#include "log.h"
+#include "place_int.h"
+
+/* A worker that has no room for the task by then is given back. */
+enum { PLACE_RESERVATION_MS = 3000 };
+
+/* The worker reserved for a waiting task, unless it is of no use any more. */
+static struct worker *reserved_worker(const struct place *place,
+				      const struct job_task *task)
+{
+	struct worker *worker =
+		task->quarantine ? worker_find(place->workers, task->quarantine)
+				 : NULL;
+
+	if (!worker || !place_usable(place, worker) ||
+	    place->now_ms - task->reserved_ms >= PLACE_RESERVATION_MS)
+		return NULL;
+	return worker;
+}
+
+void place_account_quarantine(const struct place *place, struct job *job)
+{
+	struct job_pos pos = { .job = job };
+
+	while (job_next_task(&pos)) {
+		const struct job_step *step = &job->spec.steps[pos.step];
+		struct worker *worker = NULL;
+
+		if (!crash_needs_quarantine(pos.task))
+			continue;
+		if (pos.task->state == TASK_WAITING)
+			worker = reserved_worker(place, pos.task);
+		else if (pos.task->state == TASK_PLACED &&
+			 crash_in_quarantine(pos.task, step, place->now_ms))
+			worker = worker_find(place->workers, pos.task->worker);
+		if (worker)
+			worker->reserved = true;
+	}
+}
+
+/* Whether one more worker may be kept from other tasks: at most half are. */
+static bool may_reserve(const struct pass *pass)
+{
+	guint reserved = 0;
+
+	for (guint i = 0; i < pass->usable->len; i++) {
+		const struct worker *worker = pass->usable->pdata[i];
+
+		reserved += worker->reserved;
+	}
+	return !reserved || 2 * (reserved + 1) <= pass->usable->len;
+}
+
+/* The worker that is likely to be ready first: one with few tasks. */
+static struct worker *choose_worker(const struct pass *pass,
+				    const struct candidate *cand)
+{
+	const struct job_step *step = &cand->job->spec.steps[cand->step];
+	struct worker *best = NULL;
+
+	for (guint i = 0; i < pass->usable->len; i++) {
+		struct worker *worker = pass->usable->pdata[i];
+
+		if (worker->reserved || !place_may_hold(cand, worker) ||
+		    worker->entry.cpu_milli < step->cpu_milli ||
+		    worker->entry.mem_mib < step->mem_mib ||
+		    worker->entry.gpu < step->gpu)
+			continue;
+		if (!best || worker->new_tasks < best->new_tasks ||
+		    (worker->new_tasks == best->new_tasks &&
+		     worker->cpu_used_milli < best->cpu_used_milli))
+			best = worker;
+	}
+	return best;
+}
+
+static struct worker *reserve_worker(const struct pass *pass,
+				     const struct candidate *cand,
+				     struct job_task *task)
+{
+	struct worker *worker;
+
+	task->quarantine = NULL;
+	if (!may_reserve(pass))
+		return NULL;
+	worker = choose_worker(pass, cand);
+	if (!worker)
+		return NULL;
+	worker->reserved = true;
+	task->quarantine = worker->name;
+	task->reserved_ms = pass->place->now_ms;
+	log_info("quarantine-reserved id=%s worker=%s crashes=%d new_tasks=%d",
+		 cand->job->id, worker->name, task->crashes, worker->new_tasks);
+	return worker;
+}
+
+bool place_in_quarantine(struct pass *pass, const struct candidate *cand,
+			 struct job_task *task)
+{
+	const struct place *place = pass->place;
+	const struct job_step *step = &cand->job->spec.steps[cand->step];
+	struct worker *worker = reserved_worker(place, task);
+
+	if (!worker)
+		worker = reserve_worker(pass, cand, task);
+	if (!worker || worker->new_tasks > 0 || !place_fits(worker, step) ||
+	    !place_may_hold(cand, worker))
+		return false;
+	job_place_task(cand->job, task, worker->entry.id, worker->boot_ms,
+		       task->run + 1, place->now_ms);
+	place_use_room(worker, step);
+	worker->suspects++;
+	return true;
+}
--- a/src/pool.h
+++ b/src/pool.h
@@ -37,6 +37,8 @@
 	int64_t runs_failed;
 	int64_t runs_lost;
 	int64_t takeovers;
+	int64_t worker_crashes; /* with tasks on the worker */
+	int64_t tasks_given_up; /* as they crash their workers */
 };
 
 struct pool_env {
--- /dev/null
+++ b/src/pool_crash.c
@@ -0,0 +1,189 @@
+#include <string.h>
+
+#include "crash.h"
+#include "log.h"
+#include "pool_int.h"
+
+/* The tasks that a worker's crash is judged by. */
+struct crash_scene {
+	const struct worker *worker;
+	const char *why;
+	GArray *suspects; /* struct job_pos */
+	uint32_t new_tasks;
+	bool any_uncleared;
+};
+
+static const struct job_step *step_of(const struct job_pos *pos)
+{
+	return &pos->job->spec.steps[pos->step];
+}
+
+/* Whether the run began, if at all, in an earlier life of the worker. */
+static bool is_of_earlier_life(const struct worker *worker,
+			       const struct job_task *task)
+{
+	return task->worker_boot_ms && worker->boot_ms &&
+	       task->worker_boot_ms != worker->boot_ms &&
+	       task->last_report != worker->reports;
+}
+
+static bool crashed_under(const struct worker *worker, bool dead,
+			  const struct job_task *task)
+{
+	return task->state == TASK_PLACED && task->worker == worker->name &&
+	       crash_may_count(task) &&
+	       (dead || is_of_earlier_life(worker, task));
+}
+
+static void add_suspect(struct crash_scene *scene, const struct job_pos *pos,
+			int64_t now_ms)
+{
+	g_array_append_val(scene->suspects, *pos);
+	scene->new_tasks += !crash_is_established(pos->task, now_ms);
+	scene->any_uncleared |=
+		!crash_is_cleared(pos->task, step_of(pos), now_ms);
+}
+
+static void find_suspects(struct pool *pool, bool dead,
+			  struct crash_scene *scene)
+{
+	struct job_store *jobs = pool->env->jobs;
+	int64_t now_ms = pool_now_ms(pool);
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (!share_has_job(&pool->share, pos.job) ||
+		    job_ended(pos.job->state))
+			continue;
+		while (job_next_task(&pos))
+			if (crashed_under(scene->worker, dead, pos.task))
+				add_suspect(scene, &pos, now_ms);
+	}
+}
+
+/* Whether no other task of the worker, nor its rack, can be to blame. */
+static bool is_alone(const struct crash_scene *scene, const struct job_pos *pos,
+		     int64_t now_ms)
+{
+	return scene->worker->rack_has_lived && scene->new_tasks == 1 &&
+	       !crash_is_established(pos->task, now_ms);
+}
+
+static void give_up(struct pool *pool, struct job_pos *pos)
+{
+	const struct job_task *task = pos->task;
+	char name[JOB_TASK_NAME_BYTES];
+
+	job_task_name(pos, name, sizeof(name));
+	log_warn("task-given-up task=%s run=%d worker=%s crashes=%d "
+		 "crashes_alone=%d",
+		 name, task->run, task->worker, task->crashes,
+		 task->crashes_alone);
+	pool->env->counts.tasks_given_up++;
+	job_give_up(pos->job);
+}
+
+static void judge(struct pool *pool, const struct crash_scene *scene,
+		  struct job_pos *pos, int64_t now_ms)
+{
+	struct job_task *task = pos->task;
+
+	if (scene->any_uncleared &&
+	    crash_is_cleared(task, step_of(pos), now_ms))
+		return;
+	task->crashed_run = task->run;
+	task->crashes++;
+	task->crashes_alone += is_alone(scene, pos, now_ms);
+	pos->job->dirty = true;
+	if (crash_must_give_up(task, step_of(pos)))
+		give_up(pool, pos);
+}
+
+static void count_crash(struct pool *pool, struct worker *worker, bool dead,
+			const char *why)
+{
+	struct crash_scene scene = {
+		.worker = worker,
+		.suspects = g_array_new(FALSE, FALSE, sizeof(struct job_pos)),
+	};
+	int64_t now_ms = pool_now_ms(pool);
+
+	/* A worker that is emptied may leave with tasks on it. */
+	if (!worker->entry.draining && !worker->leaving)
+		find_suspects(pool, dead, &scene);
+	if (scene.suspects->len) {
+		pool->env->counts.worker_crashes++;
+		log_info("worker-crashed worker=%s host=%s why=%s tasks=%u "
+			 "new_tasks=%u rack_has_lived=%d",
+			 worker->entry.id, worker->entry.host, why,
+			 scene.suspects->len, scene.new_tasks,
+			 worker->rack_has_lived);
+	}
+	for (guint i = 0; i < scene.suspects->len; i++)
+		judge(pool, &scene,
+		      &g_array_index(scene.suspects, struct job_pos, i),
+		      now_ms);
+	g_array_free(scene.suspects, TRUE);
+}
+
+void pool_note_dead_workers(struct pool *pool)
+{
+	GPtrArray *workers = pool->env->workers->list;
+
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
+
+		if (!share_has_worker(&pool->share, worker) ||
+		    !worker_is_dead(worker) ||
+		    worker->counted_dead_ms == worker->dead_ms)
+			continue;
+		worker->counted_dead_ms = worker->dead_ms;
+		count_crash(pool, worker, true, "worker-gone");
+	}
+}
+
+void pool_note_restart(struct pool *pool, struct worker *worker)
+{
+	struct job_store *jobs = pool->env->jobs;
+
+	count_crash(pool, worker, false, "worker-restarted");
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (!share_has_job(&pool->share, pos.job))
+			continue;
+		/* The order that may have caused the crash is not repeated. */
+		while (job_next_task(&pos))
+			if (pos.task->state == TASK_PLACED &&
+			    pos.task->worker == worker->name &&
+			    pos.task->phase == PHASE_STARTING &&
+			    pos.task->unanswered_starts &&
+			    is_of_earlier_life(worker, pos.task))
+				pool_stop_task(pool, &pos);
+	}
+}
+
+/* Whether the registry lists a later worker of the same host. */
+static bool is_replaced(const struct pool *pool, const struct worker *worker)
+{
+	GPtrArray *workers = pool->env->workers->list;
+
+	for (guint i = 0; worker->entry.host[0] && i < workers->len; i++) {
+		const struct worker *other = workers->pdata[i];
+
+		if (other != worker && other->listed &&
+		    other->entry.boot_ms > worker->entry.boot_ms &&
+		    !strcmp(other->entry.host, worker->entry.host))
+			return true;
+	}
+	return false;
+}
+
+void pool_note_lost_run(struct pool *pool, const struct job_task *task)
+{
+	struct worker *worker = worker_find(pool->env->workers, task->worker);
+
+	if (worker && crash_may_count(task) && is_replaced(pool, worker))
+		count_crash(pool, worker, true, "worker-replaced");
+}
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -73,6 +73,29 @@
  */
 void pool_move_off_slow(struct pool *pool, const struct place *place);
 
+/*
+ * pool_note_dead_workers - count crashes that the host list shows
+ *
+ * Tasks that crash their workers are given up, see crash.h. Called before the
+ * runs of dead workers end.
+ */
+void pool_note_dead_workers(struct pool *pool);
+
+/*
+ * pool_note_restart - count the crash of a worker that has started again
+ *
+ * Called after its report has been read into the tasks and before the runs that
+ * it does not list end. Start orders without an answer are withdrawn.
+ */
+void pool_note_restart(struct pool *pool, struct worker *worker);
+
+/*
+ * pool_note_lost_run - count a crash that is found out at the end of a lease
+ *
+ * A worker that is only out of reach does not count as crashed.
+ */
+void pool_note_lost_run(struct pool *pool, const struct job_task *task);
+
 /* pool_end_lost - end the runs whose lease has expired or worker is dead */
 void pool_end_lost(struct pool *pool);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -228,9 +228,11 @@
 		if (pool->starting >= POOL_MAX_STARTS)
 			return;
 		/* Each start extends the lease; resending it to a worker that
-		   does not answer would keep its runs from expiring. */
+		   does not answer would keep its runs from expiring, and one
+		   that has crashed could start the run a second time. */
 		if (worker && worker->starting < POOL_MAX_STARTS_PER_WORKER &&
 		    worker->clock_at_ms && !worker_is_dead(worker) &&
+		    !worker->renew_failures &&
 		    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS)
 			send_start(pool, &pos, worker);
 	}
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "crash.h"
 #include "log.h"
 #include "pool_int.h"
 
@@ -102,6 +103,7 @@
 	}
 	task = pos.task;
 	add_progress(worker, &pos, run->percent, progress);
+	task->worker_boot_ms = worker->boot_ms;
 	task->last_report = worker->reports;
 	task->percent = run->percent;
 	task->load_metric = run->load_metric;
@@ -115,6 +117,11 @@
 		task->phase = PHASE_RUNNING;
 		task->since_ms = now_ms;
 	}
+	if (crash_must_forget(task, now_ms)) {
+		task->crashes = 0;
+		task->crashes_alone = 0;
+		pos.job->dirty = true;
+	}
 }
 
 /* Whether a report requested at asked_ms must list the task's run. */
@@ -158,8 +165,9 @@
 	int64_t now_ms = pool_now_ms(pool);
 	int64_t passed_ms = report->clock_ms - worker->clock_ms;
 	struct progress progress = { 0 };
+	bool new_life = report->boot_ms && report->boot_ms != worker->boot_ms;
 
-	if (report->boot_ms && report->boot_ms != worker->boot_ms) {
+	if (new_life) {
 		if (worker->boot_ms)
 			log_info("worker-restarted worker=%s",
 				 worker->entry.id);
@@ -188,6 +196,8 @@
 	if (passed_ms > 0)
 		speed_add(&worker->speed, report->clock_ms, passed_ms,
 			  progress.runs, progress.work_ms);
+	if (new_life)
+		pool_note_restart(pool, worker);
 	end_unlisted(pool, worker, asked_ms);
 }
 
@@ -234,9 +244,12 @@
 	if (pos->task->phase == PHASE_RECORDING ||
 	    pos->task->phase == PHASE_STORING || (now_ms < end_ms && !dead))
 		return;
-	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s why=%s",
+	pool_note_lost_run(pool, pos->task);
+	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s why=%s "
+		 "crashes=%d",
 		 pos->job->id, pos->step, pos->index, pos->task->run,
-		 pos->task->worker, dead ? "worker-gone" : "lease-over");
+		 pos->task->worker, dead ? "worker-gone" : "lease-over",
+		 pos->task->crashes);
 	pool_end_run(pool, pos, END_LAPSED, NULL);
 }
 
@@ -245,6 +258,7 @@
 	struct job_store *jobs = pool->env->jobs;
 	int64_t now_ms = pool_now_ms(pool);
 
+	pool_note_dead_workers(pool);
 	for (guint i = 0; i < jobs->live->len; i++) {
 		struct job_pos pos = { .job = jobs->live->pdata[i] };
 
--- a/tests/fleet_play.h
+++ b/tests/fleet_play.h
@@ -22,8 +22,9 @@
 
 struct fleet_play {
 	enum fleet_guard disabled; /* input: the guard to disable */
-	char broken[256];	   /* first violated invariant; empty: none */
-	uint64_t started;	   /* runs; each call adds to it */
+	bool deadly; /* input: some jobs have a task that crashes workers */
+	char broken[256]; /* first violated invariant; empty: none */
+	uint64_t started; /* runs; each call adds to it */
 };
 
 /*
@@ -38,8 +39,9 @@
  * fleet_check_ends - check the final states of all accepted jobs
  *
  * A job must be done, or cancelled if its cancel was acknowledged; after an
- * unacknowledged cancel any final state is right. The first violation is
- * written to play->broken.
+ * unacknowledged cancel any final state is right. A job with a task that
+ * crashes workers must have failed instead. The first violation is written to
+ * play->broken.
  */
 void fleet_check_ends(struct sim *sim, struct fleet_play *play);
 
--- /dev/null
+++ b/tests/test_crash.c
@@ -0,0 +1,150 @@
+/*
+ * Tests of tasks that crash the workers that start them, on complete nodes
+ * against a simulated log service and workers.
+ */
+
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fleet_play.h"
+#include "fleet_sim.h"
+#include "log.h"
+
+enum {
+	START_MS = 3000,
+	/* Until a task that crashes workers must have been given up. */
+	GIVE_UP_MS = 30000,
+	SEEDS = 20,
+	RANDOM_SEEDS = 40
+};
+
+static int first_seed = 1;
+
+static void check_play(struct sim *sim, uint64_t seed)
+{
+	struct fleet_play play = { 0 };
+
+	ck_assert_msg(!sim->broken[0], "seed %lu: %s", (unsigned long)seed,
+		      sim->broken);
+	fleet_check_ends(sim, &play);
+	ck_assert_msg(!play.broken[0], "seed %lu: %s", (unsigned long)seed,
+		      play.broken);
+}
+
+/* Submits sound jobs for some time, so that workers are always shared. */
+static void submit_sound_jobs(struct sim *sim, int64_t ms)
+{
+	for (int64_t passed_ms = 0; passed_ms < ms; passed_ms += 500) {
+		int node = sim->nodes[0].alive ? 0 : 1;
+
+		sim_submit_job(sim, node, 1, 4);
+		sim_run_for(sim, 500);
+	}
+}
+
+/* A task that crashes its workers must not be started again without end. */
+START_TEST(task_that_crashes_workers_is_given_up)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 6);
+
+	sim_run_for(sim, START_MS);
+	sim_submit_deadly_job(sim, 0, 1, 5);
+	submit_sound_jobs(sim, 6000);
+	sim_run_for(sim, GIVE_UP_MS);
+	check_play(sim, seed);
+}
+END_TEST
+
+/* The next owner must not begin to count a task's crashes anew. */
+START_TEST(crashes_are_counted_across_takeovers)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 6);
+	struct sim_job *job;
+	int32_t crashes = 0;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_deadly_job(sim, 0, 1, 5);
+	for (int step = 0; step < 400; step++) {
+		int owner = fleet_owner(sim);
+
+		sim_run_for(sim, 100);
+		if (job->crashes == crashes || owner < 0)
+			continue;
+		/* The worker is known to be down; the owner dies later. */
+		crashes = job->crashes;
+		sim_run_for(sim, 1500);
+		sim_kill(sim, owner);
+		sim_run_for(sim, 2000);
+		sim_start(sim, owner);
+	}
+	sim_run_for(sim, GIVE_UP_MS);
+	check_play(sim, seed);
+}
+END_TEST
+
+/*
+ * Tasks that share workers with ones that crash them must not be given up with
+ * them: several such jobs at a time, each beside sound ones.
+ */
+START_TEST(neighbours_of_a_crashing_task_are_not_given_up)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 8);
+
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < 4; i++) {
+		sim_submit_deadly_job(sim, i % 3, 1, 3);
+		sim_submit_job(sim, i % 3, 2, 6);
+		submit_sound_jobs(sim, 1000);
+	}
+	sim_run_for(sim, 2 * GIVE_UP_MS);
+	check_play(sim, seed);
+}
+END_TEST
+
+/* The same with every other fault of the random play. */
+START_TEST(invariants_hold_with_crashing_tasks)
+{
+	struct fleet_play play = { .deadly = true };
+
+	fleet_play((uint64_t)first_seed + (uint64_t)_i, &play);
+	ck_assert_msg(!play.broken[0], "seed %d: %s", _i + first_seed,
+		      play.broken);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("crash");
+	TCase *tcase = tcase_create("tasks that crash workers");
+	SRunner *runner = srunner_create(suite);
+	/* For a search over more seeds, or one seed with its log. */
+	const char *from = getenv("PLANK_FIRST_SEED");
+	const char *count = getenv("PLANK_SEEDS");
+	int seeds = count ? atoi(count) : SEEDS;
+	int failed;
+
+	if (from)
+		first_seed = atoi(from);
+	apr_initialize();
+	log_init("test_crash", !getenv("PLANK_VERBOSE"));
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, task_that_crashes_workers_is_given_up, 0,
+			    seeds);
+	tcase_add_loop_test(tcase, crashes_are_counted_across_takeovers, 0,
+			    seeds);
+	tcase_add_loop_test(tcase,
+			    neighbours_of_a_crashing_task_are_not_given_up, 0,
+			    seeds);
+	tcase_add_loop_test(tcase, invariants_hold_with_crashing_tasks, 0,
+			    count ? atoi(count) : RANDOM_SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
