Read what has arrived before a stopped daemon ends

What callers saw: a request on a connection that had been open since before the stop got no answer, and the connection ended.

Cause: the node decides to end in a timer, by the time since the last input. Input that came during that turn of the loop, or while the process was paused, had not been read. The loop then waited up to 20 ms more, read requests and ended with them. web_quiet_ms now reads first, and a loop that a timer has stopped runs no source again. The fleet and entry daemons read likewise before they end (web_idle); the entry daemon also waits for requests that come while it leaves.

The entry daemon's new wait has no test of its own.

--- a/src/entryd.c
+++ b/src/entryd.c
@@ -473,7 +473,7 @@
 		web_quiesce(entryd->web);
 	if (!entryd->leaving) {
 		if (waited_ms < entryd->procconf->stop_delay_ms ||
-		    (web_active(entryd->web) &&
+		    (!web_idle(entryd->web) &&
 		     waited_ms < entryd->procconf->stop_delay_ms +
 					 entryd->procconf->stop_grace_ms))
 			return;
@@ -482,6 +482,11 @@
 		log_info("no requests in progress, leaving");
 		return;
 	}
+	/* A connection that is still open may have brought a request. */
+	if (!web_idle(entryd->web) &&
+	    waited_ms < entryd->procconf->stop_delay_ms +
+				entryd->procconf->stop_grace_ms)
+		return;
 	member = fleet_member(fleet, entryd->procconf->name);
 	if (!member || member->incarnation != entryd->incarnation ||
 	    now(entryd) - entryd->leave_ms >= LEAVE_WAIT_MS)
--- a/src/evloop.c
+++ b/src/evloop.c
@@ -406,6 +406,8 @@
 		bool skip_wait;
 		int count;
 
+		if (evloop->stopping)
+			break;
 		log_flush();
 		for (unsigned int i = 0; i < evloop->source_count; i++)
 			watch_source(evloop, i);
--- a/src/evloop.h
+++ b/src/evloop.h
@@ -68,7 +68,12 @@
  */
 void evloop_limit_connections(struct evloop *evloop, int32_t per_address);
 
-/* evloop_run - run until evloop_stop */
+/*
+ * evloop_run - run until evloop_stop
+ *
+ * After a stop by a timer no source is run again: a request that is read in the
+ * last turn would get no answer.
+ */
 void evloop_run(struct evloop *evloop);
 void evloop_stop(struct evloop *evloop);
 
--- a/src/fleetd.c
+++ b/src/fleetd.c
@@ -348,7 +348,7 @@
 
 	if (!fleetd->stopping)
 		return;
-	if (web_active(fleetd->web) == 0 ||
+	if (web_idle(fleetd->web) ||
 	    waited_ms >= fleetd->procconf->stop_grace_ms)
 		evloop_stop(fleetd->evloop);
 }
--- a/src/web.c
+++ b/src/web.c
@@ -418,19 +418,25 @@
 	return 1;
 }
 
+static void read_input(struct web *web)
+{
+	MHD_UNSIGNED_LONG_LONG left_ms;
+
+	MHD_run(web->daemon);
+	/* MHD_run may have read only part of the available input. */
+	if (MHD_get_timeout(web->daemon, &left_ms) == MHD_YES && !left_ms)
+		evloop_skip_wait(web->evloop);
+}
+
 static void serve_fds(void *arg, const struct curl_waitfd *fds,
 		      unsigned int count)
 {
 	struct web *web = arg;
-	MHD_UNSIGNED_LONG_LONG left_ms;
 
 	(void)fds;
 	(void)count;
 	end_old_lingering(web);
-	MHD_run(web->daemon);
-	/* MHD_run may have read only part of the available input. */
-	if (MHD_get_timeout(web->daemon, &left_ms) == MHD_YES && !left_ms)
-		evloop_skip_wait(web->evloop);
+	read_input(web);
 }
 
 struct web *web_create(struct evloop *evloop, const struct web_config *config,
@@ -589,8 +595,15 @@
 	return web->active;
 }
 
-int64_t web_quiet_ms(const struct web *web)
+bool web_idle(struct web *web)
+{
+	read_input(web);
+	return !web->active;
+}
+
+int64_t web_quiet_ms(struct web *web)
 {
+	read_input(web);
 	return clk_now_ms(evloop_clk(web->evloop)) - web->last_input_ms;
 }
 
--- a/src/web.h
+++ b/src/web.h
@@ -89,8 +89,20 @@
 /* web_active - number of requests begun and not fully answered */
 uint32_t web_active(const struct web *web);
 
-/* web_quiet_ms - time since a connection or request last arrived */
-int64_t web_quiet_ms(const struct web *web);
+/*
+ * web_idle - whether no request is in progress or waits to be read
+ *
+ * Reads what has arrived first, as web_quiet_ms. Not to be called by a handler.
+ */
+bool web_idle(struct web *web);
+
+/*
+ * web_quiet_ms - time since a connection or request last arrived
+ *
+ * Reads what has arrived first, so that input counts which this turn of the
+ * event loop has not read yet. Not to be called by a handler.
+ */
+int64_t web_quiet_ms(struct web *web);
 
 /* web_close_answered - from now on close each connection after its answer */
 void web_close_answered(struct web *web);
--- a/tests/process_fleet.sh
+++ b/tests/process_fleet.sh
@@ -110,7 +110,15 @@
 
 # Graceful stops. A load balancer would send nothing to a stopping entry host.
 begin_requests settlements -1
+# A request on an open connection arrives together with the signal.
+exec 8<>"/dev/tcp/127.0.0.1/$((BASE + 200))"
+sleep 0.1
+kill -STOP "${PIDS[fleet0]}"
+printf 'GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n' >&8
+(sleep 0.3; kill -CONT "${PIDS[fleet0]}") &
 stop fleet0 || fail "the fleet daemon ended with status $?"
+timeout 2 head -n 1 <&8 2>/dev/null | grep -q ' 200 ' || fail "a request at the stop of a fleet daemon gets no answer"
+exec 8>&-
 end_requests "stop of a fleet daemon"
 export FLEET=1
 begin_requests settlements -1
