Answer requests that wait for the log before a stopped node ends

What callers saw: a job was handed in while the log was away, with a deadline later than the node's end; the node was stopped, and the connection ended without an answer (curl exits with 52).

Cause: a request whose record has been sent waits until its own deadline; the node ended 500 ms before the kill whatever waited. The node's end now limits the deadlines of all requests: 504 if the record may have been stored, 503 if it was not sent or a read was waited for.

--- a/src/front.c
+++ b/src/front.c
@@ -17,7 +17,7 @@
 	FRONT_RETRY_OVERLOAD_MS = 1000
 };
 
-/* A request that waits for the log. */
+/* A request that waits for the log; fn is NULL once it has been answered. */
 struct pending {
 	struct front *front;
 	struct front_request request;
@@ -32,6 +32,7 @@
 struct front {
 	struct front_env *env;
 	int64_t max_listed_milli; /* most processor time of all workers so far */
+	int64_t end_ms; /* all requests are answered before; 0: none */
 	GPtrArray *pending;
 };
 
@@ -311,8 +312,19 @@
 	}
 }
 
+/* Answers a request that waits for a read; on_synced frees it. */
+static void expire_read(struct pending *pending)
+{
+	front_fn *fn = pending->fn;
+
+	pending->fn = NULL;
+	if (fn)
+		answer_unavailable(pending->front, pending->request.id, fn,
+				   pending->arg);
+}
+
 /*
- * Ends a request that timed out. If its record has not been sent it is
+ * Ends a request whose time is over. If its record has not been sent it is
  * withdrawn, so that nothing is stored; otherwise the outcome is unknown.
  */
 static void expire(struct pending *pending)
@@ -320,6 +332,10 @@
 	struct front *front = pending->front;
 	struct front_answer answer = { .outcome = FRONT_UNDECIDED };
 
+	if (!pending->number) {
+		expire_read(pending);
+		return;
+	}
 	if (writer_withdraw(front->env->writer, pending->number)) {
 		front_fn *fn = pending->fn;
 		void *arg = pending->arg;
@@ -337,6 +353,22 @@
 	finish_request(pending, &answer);
 }
 
+/* Reads of the log end in time by themselves while the node runs. */
+static int64_t answer_by_ms(const struct pending *pending)
+{
+	int64_t end_ms =
+		pending->number ? pending->request.deadline_ms : INT64_MAX;
+
+	if (pending->front->end_ms)
+		end_ms = MIN(end_ms, pending->front->end_ms);
+	return end_ms - FRONT_ANSWER_MARGIN_MS;
+}
+
+void front_end_by(struct front *front, int64_t end_ms)
+{
+	front->end_ms = end_ms;
+}
+
 void front_tick(struct front *front)
 {
 	struct writer *writer = front->env->writer;
@@ -347,15 +379,10 @@
 				      place_listed_milli(front->env->workers));
 	for (guint i = front->pending->len; i > 0; i--) {
 		struct pending *pending = front->pending->pdata[i - 1];
+		bool unsent = pending->number &&
+			      !writer_is_sent(writer, pending->number);
 
-		if (!pending->number)
-			continue;
-		if (now_ms >
-		    pending->request.deadline_ms - FRONT_ANSWER_MARGIN_MS) {
-			expire(pending);
-		} else if (stalled &&
-			   !writer_is_sent(writer, pending->number)) {
+		if (now_ms > answer_by_ms(pending) || (stalled && unsent))
 			expire(pending);
-		}
 	}
 }
--- a/src/front.h
+++ b/src/front.h
@@ -90,6 +90,13 @@
 /* front_tick - fail requests that have waited too long for the log */
 void front_tick(struct front *front);
 
+/*
+ * front_end_by - answer each request before this time, whatever its deadline
+ *
+ * For a node that stops: the monotonic time at which its process ends.
+ */
+void front_end_by(struct front *front, int64_t end_ms);
+
 /* front_count_pending - number of requests not answered yet */
 uint32_t front_count_pending(const struct front *front);
 
--- a/src/node.c
+++ b/src/node.c
@@ -601,13 +601,14 @@
 	node->maint_env.order_lease_ms = node->config.settings->order_lease_ms;
 }
 
-void node_stop(struct node *node)
+void node_stop(struct node *node, int64_t end_ms)
 {
 	if (node->stopping)
 		return;
 	log_info("stop: handing over the pools");
 	node->stopping = true;
 	node->stop_ms = clk_now_ms(node->config.clk);
+	front_end_by(node->front, end_ms);
 	group_leave(node->group);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -61,8 +61,12 @@
 /* node_settings_changed - apply changes of config.settings */
 void node_settings_changed(struct node *node);
 
-/* node_stop - start to hand over all pools; poll node_stopped for the end */
-void node_stop(struct node *node);
+/*
+ * node_stop - start to hand over all pools; poll node_stopped for the end
+ *
+ * Requests are answered before end_ms, the latest end of the process.
+ */
+void node_stop(struct node *node, int64_t end_ms);
 bool node_stopped(const struct node *node);
 
 /* node_ready - whether the node can serve callers */
--- a/src/noded.c
+++ b/src/noded.c
@@ -52,6 +52,7 @@
 	struct web *metrics;  /* NULL: not served */
 	time_t settings_time; /* mtime of the settings file; 0: not read yet */
 	int64_t stop_ms;      /* time of the stop signal; 0: none */
+	int64_t end_ms;	      /* latest end after it */
 	uint32_t stop_probes; /* looks at the readiness since then */
 	uint32_t quiet_ticks; /* ticks since the last input */
 };
@@ -124,10 +125,7 @@
 
 static void exit_when_stopped(struct noded *noded, int64_t now_ms)
 {
-	bool timed_out = now_ms - noded->stop_ms >
-			 noded->settings.stop_grace_ms - NODED_STOP_SLACK_MS;
-
-	if (timed_out) {
+	if (now_ms > noded->end_ms) {
 		log_warn("stop: the time is over, requests=%u",
 			 web_active(noded->callers));
 		evloop_stop(noded->evloop);
@@ -157,8 +155,10 @@
 	if (noded->stop_ms)
 		return;
 	noded->stop_ms = clk_now_ms(evloop_clk(noded->evloop));
+	noded->end_ms = noded->stop_ms + noded->settings.stop_grace_ms -
+			NODED_STOP_SLACK_MS;
 	web_close_answered(noded->callers);
-	node_stop(noded->node);
+	node_stop(noded->node, noded->end_ms);
 }
 
 /*
--- a/tests/process_jobs.sh
+++ b/tests/process_jobs.sh
@@ -161,3 +161,19 @@
 submit 1 1 2
 expect_state 1 "$ID" done
 echo "ok: stop, settings, reload"
+
+# A node stops while the log is away and the request's deadline is later than
+# the end of the process: the caller gets an answer all the same.
+standin_control '{"down": true}'
+new_id
+curl -s -m 8 -o /dev/null -w '%{http_code}' -H "Host: $ENTRY_HOST" \
+	-H 'X-Chestnutplank-Deadline-Ms: 30000' -d "$(job_body t 1 1)" \
+	"$(node_url 2)$PREFIX$ID" >"$WORK/status" &
+CALLER=$!
+sleep 0.05
+stop node2 TERM
+wait $CALLER
+status=$(cat "$WORK/status")
+[ "$status" = 503 ] || [ "$status" = 504 ] || fail "a stop during an outage: status $status"
+standin_control '{"down": false}'
+echo "ok: a stop while the log is away"
