Count the runs of ended jobs as using room until they end

Workers of a service without `enforcesCapacity` start whatever they are told to. A rule forbids a start that brings such a worker over its capacity, and what is being stopped still counts. When a job was cancelled or had failed, its tasks left the owner's account as soon as the end was stored, though they ran on until the next report had listed them and the stop had taken effect. The owner placed other tasks in the same room: guarding workers answered 409 `room`, others were overloaded. Runs that a worker lists though no placed task of a live job is at it, as after a takeover, were stopped but not counted either.

The pool keeps these unplaced runs (pool_unplaced), orders stops until they are confirmed, and counts them until the worker's report shows their end or its lease is over. A run of an unknown job counts as the whole worker.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	arrival
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
-	crash place_backlog place_quarantine host_plan \
+	pool_unplaced crash place_backlog place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node
 PLATFORM = call json store wire order_api host_api ingress platform
@@ -93,14 +93,17 @@
 	$(wildcard tests/*.h)
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
-FLEET_SOURCES = tests/fleet_play.c tests/fleet_play.h tests/fleet_sim.c \
+FLEET_SOURCES = tests/fleet_capacity.c tests/fleet_capacity.h \
+	tests/fleet_play.c tests/fleet_play.h tests/fleet_sim.c \
 	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
-$(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/explore: $(FLEET_SOURCES)
+$(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_capacity \
+	$(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
 	tests/worker_model.h
-$(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
+$(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_capacity \
+	$(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	@echo "  CC $@"
@@ -109,8 +112,10 @@
 $(BUILD)/bench_waves: bench/waves.c tests/sim.h $(LIBRARY)
 	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
-$(BUILD)/bench_nodes: bench/nodes.c tests/fleet_sim.c tests/log_model.c \
-		tests/worker_model.c tests/fleet_sim.h $(LIBRARY)
+$(BUILD)/bench_nodes: bench/nodes.c tests/fleet_capacity.c tests/fleet_play.c \
+		tests/fleet_sim.c tests/log_model.c tests/worker_model.c \
+		tests/fleet_capacity.h tests/fleet_play.h tests/fleet_sim.h \
+		$(LIBRARY)
 	@echo "  CC $@"
 	@$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
--- a/src/place.c
+++ b/src/place.c
@@ -42,12 +42,17 @@
 	       place_target_ms(cfg, job);
 }
 
-void place_use_room(struct worker *worker, const struct job_step *step)
+void place_occupy(struct worker *worker, const struct job_step *step)
 {
 	if (!step->uses_idle_cpu)
 		worker->cpu_used_milli += step->cpu_milli;
 	worker->mem_used_mib += step->mem_mib;
 	worker->gpu_used += step->gpu;
+}
+
+void place_use_room(struct worker *worker, const struct job_step *step)
+{
+	place_occupy(worker, step);
 	worker->tasks++;
 	worker->long_running_tasks += step->long_running;
 	worker->new_tasks++;
@@ -82,6 +87,7 @@
 		worker->cpu_used_milli = 0;
 		worker->mem_used_mib = 0;
 		worker->gpu_used = 0;
+		worker->unknown_runs = 0;
 		worker->tasks = 0;
 		worker->long_running_tasks = 0;
 		worker->suspects = 0;
@@ -103,7 +109,8 @@
 	const struct worker_entry *entry = &worker->entry;
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
 
-	return worker->cpu_used_milli + cpu_milli <= entry->cpu_milli &&
+	return !worker->unknown_runs &&
+	       worker->cpu_used_milli + cpu_milli <= entry->cpu_milli &&
 	       worker->mem_used_mib + step->mem_mib <= entry->mem_mib &&
 	       worker->gpu_used + step->gpu <= entry->gpu;
 }
--- a/src/place.h
+++ b/src/place.h
@@ -35,6 +35,13 @@
 /* place_account - add up what the pool's placed tasks use on each worker */
 void place_account(const struct place *place);
 
+/*
+ * place_occupy - count a run of the step that is not a placed task's
+ *
+ * Lasts until the next place_account.
+ */
+void place_occupy(struct worker *worker, const struct job_step *step);
+
 /*
  * place_tasks - place the tasks that can start now
  *
--- a/src/pool.c
+++ b/src/pool.c
@@ -74,6 +74,7 @@
 
 	pool->env->counts.takeovers++;
 	pool->starting = 0;
+	pool_unplaced_clear(pool);
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
 		struct host_plan *plan = pool->env->plans->list->pdata[i];
 
@@ -97,6 +98,7 @@
 	struct job_store *jobs = pool->env->jobs;
 
 	g_hash_table_remove_all(pool->pending_writes);
+	pool_unplaced_clear(pool);
 	for (guint i = 0; i < jobs->list->len; i++) {
 		struct job *job = jobs->list->pdata[i];
 
@@ -129,6 +131,7 @@
 	pool->share.pool = pool->name;
 	pool->pending_writes =
 		g_hash_table_new_full(NULL, NULL, pending_write_free, NULL);
+	pool_unplaced_init(pool);
 	ownership_init(&pool->ownership, &config);
 	g_free(what);
 	return pool;
@@ -140,6 +143,7 @@
 		return;
 	ownership_clear(&pool->ownership);
 	g_hash_table_destroy(pool->pending_writes);
+	g_array_free(pool->unplaced, TRUE);
 	g_free(pool);
 }
 
@@ -283,8 +287,11 @@
 		if (!is_own_job(pool, job))
 			continue;
 		job_refresh(job);
-		if (job->dirty)
-			store_job(pool, job);
+		if (!job->dirty)
+			continue;
+		if (job_ended(job->state))
+			pool_unplaced_add_job(pool, job);
+		store_job(pool, job);
 	}
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
@@ -338,6 +345,7 @@
 
 	mark_leaving(pool);
 	place_account(&place);
+	pool_unplaced_account(pool);
 	pool_move_off_slow(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
 	if (writer_stalled_ms(pool->ownership.writer) < pool->env->lease_ms / 4)
@@ -393,6 +401,7 @@
 				pool_send_starts(pool, jobs->live->pdata[i]);
 				pool_resend_stops(pool, jobs->live->pdata[i]);
 			}
+		pool_unplaced_stop(pool);
 		pool_renew(pool);
 		delete_expired_jobs(pool);
 	}
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -18,6 +18,7 @@
 	int32_t starting;	    /* start orders in flight */
 	int64_t next_expiry_ms;	    /* next search for expired jobs */
 	GHashTable *pending_writes; /* callback arguments of the writer */
+	GArray *unplaced;	    /* struct unplaced_run */
 };
 
 static inline int64_t pool_now_ms(const struct pool *pool)
@@ -96,6 +97,45 @@
  */
 void pool_note_lost_run(struct pool *pool, const struct job_task *task);
 
+/*
+ * pool_lease_end_ms - upper bound of the end of a worker's lease
+ *
+ * Until the worker has accepted this owner's fence, an earlier owner may have
+ * extended the lease: until its authority ended, and for some time more if it
+ * could not reach the log. This also holds for a worker that the registry does
+ * not list yet.
+ */
+int64_t pool_lease_end_ms(const struct pool *pool, const char *worker);
+
+/*
+ * Unplaced runs: those of ended jobs, and others that workers list though the
+ * task is not placed there. They are stopped, and use room until their end is
+ * known. Not stored; a new owner learns of them from the workers' reports.
+ *
+ * pool_unplaced_init, pool_unplaced_clear - begin with none; forget them all
+ * pool_unplaced_add_job - add the placed tasks of a job that ends
+ * pool_unplaced_listed - add a run that the worker's report lists
+ * pool_unplaced_ended - drop a run whose end the worker's report lists
+ * pool_unplaced_reported - drop those that a report asked for at asked_ms would
+ *	list
+ * pool_unplaced_stopped - note that the worker has confirmed a stop order
+ * pool_unplaced_account - add what they use, after place_account
+ * pool_unplaced_stop - order stops that are due; drop runs whose lease is over
+ */
+void pool_unplaced_init(struct pool *pool);
+void pool_unplaced_clear(struct pool *pool);
+void pool_unplaced_add_job(struct pool *pool, struct job *job);
+void pool_unplaced_listed(struct pool *pool, const struct worker *worker,
+			  const struct worker_run *run);
+void pool_unplaced_ended(struct pool *pool, const struct worker *worker,
+			 const struct worker_end *end);
+void pool_unplaced_reported(struct pool *pool, const struct worker *worker,
+			    int64_t asked_ms);
+void pool_unplaced_stopped(struct pool *pool, const char *worker,
+			   const char *task, int32_t run);
+void pool_unplaced_account(struct pool *pool);
+void pool_unplaced_stop(struct pool *pool);
+
 /* pool_end_lost - end the runs whose lease has expired or worker is dead */
 void pool_end_lost(struct pool *pool);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -250,10 +250,13 @@
 	}
 	if (outcome == ORDER_FENCED)
 		handle_fenced(pool, sent->worker);
-	else if (outcome == ORDER_OK &&
-		 job_task_find(pool->env->jobs, sent->task, &pos) &&
-		 pos.task->state == TASK_PLACED && pos.task->run == sent->run &&
-		 pos.task->phase == PHASE_STOPPING && !pos.task->stop_ok) {
+	else if (outcome == ORDER_OK)
+		pool_unplaced_stopped(pool, sent->worker, sent->task,
+				      sent->run);
+	if (outcome == ORDER_OK &&
+	    job_task_find(pool->env->jobs, sent->task, &pos) &&
+	    pos.task->state == TASK_PLACED && pos.task->run == sent->run &&
+	    pos.task->phase == PHASE_STOPPING && !pos.task->stop_ok) {
 		/* Only a report requested from now on shows whether the run
 		   has ended. */
 		pos.task->stop_ok = true;
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -65,6 +65,7 @@
 	if (end->number <= worker->cursor_processed)
 		return;
 	worker->cursor_processed = end->number;
+	pool_unplaced_ended(pool, worker, end);
 	if (!job_task_find(pool->env->jobs, end->task, &pos) ||
 	    job_ended(pos.job->state))
 		return;
@@ -98,6 +99,7 @@
 	if (!job_task_find(pool->env->jobs, run->task, &pos) ||
 	    job_ended(pos.job->state) || pos.job->cancel_requested ||
 	    !is_placed_run(&pos, worker, run->run)) {
+		pool_unplaced_listed(pool, worker, run);
 		stop_run(pool, worker, run);
 		return;
 	}
@@ -199,15 +201,10 @@
 	if (new_life)
 		pool_note_restart(pool, worker);
 	end_unlisted(pool, worker, asked_ms);
+	pool_unplaced_reported(pool, worker, asked_ms);
 }
 
-/*
- * Upper bound of the end of a worker's lease. Until the worker has accepted
- * this owner's fence, an earlier owner may have extended the lease: until its
- * authority ended, and for some time more if it could not reach the log. This
- * also holds for a worker that the registry does not list yet.
- */
-static int64_t lease_end_ms(const struct pool *pool, const char *id)
+int64_t pool_lease_end_ms(const struct pool *pool, const char *id)
 {
 	const struct worker *worker = worker_find(pool->env->workers, id);
 	int64_t earlier_owner_ms = worker_lease_bound_ms(
@@ -238,7 +235,7 @@
 
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
-	int64_t end_ms = lease_end_ms(pool, pos->task->worker);
+	int64_t end_ms = pool_lease_end_ms(pool, pos->task->worker);
 	bool dead = ended_with_worker(pool, pos->task);
 
 	if (pos->task->phase == PHASE_RECORDING ||
--- a/src/worker.c
+++ b/src/worker.c
@@ -98,7 +98,8 @@
 
 bool worker_has_work(const struct worker *worker)
 {
-	return worker->cpu_used_milli || worker->mem_used_mib;
+	return worker->cpu_used_milli || worker->mem_used_mib ||
+	       worker->unknown_runs;
 }
 
 bool worker_has_label(const struct worker *worker, const char *label)
--- a/src/worker.h
+++ b/src/worker.h
@@ -97,7 +97,8 @@
 	int32_t cpu_used_milli;	  /* by placed tasks; see place_account */
 	int32_t mem_used_mib;
 	int32_t gpu_used;
-	int32_t tasks;		    /* placed tasks */
+	int32_t unknown_runs; /* runs that use an unknown part of its room */
+	int32_t tasks;	      /* placed tasks */
 	int32_t long_running_tasks; /* placed tasks that are long-running */
 	int32_t suspects;  /* placed tasks under which workers crashed */
 	int32_t new_tasks; /* placed tasks that have not been at work for long */
--- a/tests/fleet_play.c
+++ b/tests/fleet_play.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "fleet_capacity.h"
 #include "fleet_sim.h"
 
 enum {
@@ -183,6 +184,8 @@
 	int submitted = 0;
 
 	disable_guard(sim, play->disabled);
+	if (play->shrinking)
+		fleet_capacity_unguard(sim);
 	/* Odd seeds have one or two nodes that cannot be deciders. */
 	if (seed % 2)
 		sim_restart_with_slow_link(sim, (int)(seed / 2 % 3));
@@ -193,6 +196,8 @@
 		int node = pick_live_node(sim);
 		submit_fn *submit = submit_fn_of(play, submitted);
 
+		if (play->shrinking)
+			fleet_capacity_vary(sim);
 		if (node >= 0 && submitted < JOBS)
 			jobs[submitted++] = submit(
 				sim, node, 1 + (int)rnd_below(&sim->rnd, 3),
@@ -205,6 +210,8 @@
 		sim_run_for(sim, FAULT_STEP_MS);
 	}
 	lift_faults(sim);
+	if (play->shrinking)
+		fleet_capacity_restore(sim);
 	if (!sim->broken[0])
 		sim_run_for(sim, RECOVERY_MS);
 	g_strlcpy(play->broken, sim->broken, sizeof(play->broken));
--- a/tests/fleet_play.h
+++ b/tests/fleet_play.h
@@ -23,6 +23,8 @@
 struct fleet_play {
 	enum fleet_guard disabled; /* input: the guard to disable */
 	bool deadly; /* input: some jobs have a task that crashes workers */
+	/* Input: workers that do not guard their capacity, which changes. */
+	bool shrinking;
 	char broken[256]; /* first violated invariant; empty: none */
 	uint64_t started; /* runs; each call adds to it */
 };
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet_capacity.h"
 #include "store.h"
 #include "wire.h"
 
@@ -11,7 +12,6 @@
 	STEP_MS = 10,
 	MAX_RENEW_WAIT_MS = 2000,
 	TASK_MS = 400,
-	WORKER_CPU_MILLI = 4000,
 	TASK_CPU_MILLI = 1000,
 	LATE_MIN_MS = 500,
 	LATE_RANGE_MS = 8000,
@@ -379,7 +379,15 @@
 				 task);
 }
 
-static void check_start(struct sim *sim, struct sim_worker *worker,
+static bool is_over_capacity(const struct sim *sim,
+			     const struct sim_worker *worker, int node)
+{
+	if (sim->unguarded)
+		return fleet_capacity_exceeded(sim, worker, node);
+	return (int32_t)worker->model.runs->len > worker->model.max_runs;
+}
+
+static void check_start(struct sim *sim, struct sim_worker *worker, int node,
 			const char *task)
 {
 	char id[JOB_ID_BYTES];
@@ -404,7 +412,7 @@
 	if (g_hash_table_contains(sim->acknowledged, task))
 		report_violation(sim, "started after its end was acknowledged",
 				 task);
-	if ((int)worker->model.runs->len * TASK_CPU_MILLI > WORKER_CPU_MILLI)
+	if (is_over_capacity(sim, worker, node))
 		report_violation(sim, "more runs than the worker has room for",
 				 task);
 	if (sscanf(task, "%16[0-9a-f].%u.%u.%u", id, &occurrence, &step,
@@ -513,7 +521,7 @@
 				     event->order_until_ms, &began);
 	if (!began)
 		return outcome;
-	check_start(sim, worker, event->task);
+	check_start(sim, worker, event->client.node, event->task);
 	g_strlcpy(id, event->task, sizeof(id));
 	job = g_hash_table_lookup(sim->jobs, id);
 	if (job && is_deadly(job, event->task))
@@ -763,7 +771,7 @@
 
 		g_strlcpy(host->name, worker->entry.host, sizeof(host->name));
 		g_strlcpy(host->pool, "pool", sizeof(host->pool));
-		host->cpu_milli = WORKER_CPU_MILLI;
+		host->cpu_milli = worker->entry.cpu_milli;
 		host->state = worker->up ? HOST_UP : HOST_DOWN;
 		if (worker->up)
 			g_strlcpy(host->worker, worker->entry.id,
@@ -829,6 +837,7 @@
 
 	while (sim->clk.manual_ms < end_ms) {
 		sim->clk.manual_ms += STEP_MS;
+		fleet_capacity_step(sim);
 		run_events(sim);
 		for (int i = 0; i < sim->worker_count; i++)
 			tick_worker(sim, &sim->workers[i]);
@@ -860,7 +869,7 @@
 			.cfg = wire_decode_cfg,
 			.spec = wire_decode_spec,
 			.wave = wire_decode_wave,
-			.worker = wire_decode_worker,
+			.worker = sim->decode_worker,
 		},
 		.streams = {
 			.operators = { "operators", 0 },
@@ -956,13 +965,16 @@
 	char *value = g_strdup_printf(
 		"{\"service\":\"pool\",\"addr\":\"w:1\",\"zone\":\"z\","
 		"\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT ","
-		"\"capacity\":{\"cpu\":%d,\"memMb\":1000,\"gpu\":0},"
+		"\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
 		"\"labels\":[],\"machine\":\"%s\"}",
-		worker->entry.boot_ms, WORKER_CPU_MILLI, worker->entry.host);
+		worker->entry.boot_ms, worker->entry.cpu_milli,
+		worker->entry.mem_mib, worker->entry.host);
 
 	log_model_put(sim->log, "workers", worker->entry.id,
 		      listed ? value : NULL, listed ? strlen(value) : 0);
 	worker->listed = listed;
+	if (listed)
+		fleet_capacity_listed(sim, worker);
 	g_free(value);
 }
 
@@ -984,12 +996,19 @@
 	sim_set_worker_listed(sim, index, true);
 }
 
-static const char configuration[] =
-	"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
-	"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":50,"
-	"\"stretch\":1000.0,\"sloMs\":100000}],"
-	"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":true}],"
-	"\"limits\":{\"maxBodyBytes\":100000}}";
+void sim_set_configuration(struct sim *sim, bool guarded)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+		"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":50,"
+		"\"stretch\":1000.0,\"sloMs\":100000}],"
+		"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":%s}],"
+		"\"limits\":{\"maxBodyBytes\":100000}}",
+		guarded ? "true" : "false");
+
+	log_model_put(sim->log, "operators", "config", text, strlen(text));
+	g_free(text);
+}
 
 struct sim *sim_create(uint64_t seed, int nodes, int workers)
 {
@@ -1009,6 +1028,8 @@
 
 	sim->clk = clk_manual(1000000);
 	sim->tick = node_tick;
+	sim->decode_worker = wire_decode_worker;
+	sim->task_cpu_milli = TASK_CPU_MILLI;
 	sim->share_hosts = share_hosts;
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
@@ -1019,8 +1040,7 @@
 	sim->done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sim->jobs = g_hash_table_new(g_str_hash, g_str_equal);
-	log_model_put(sim->log, "operators", "config", configuration,
-		      strlen(configuration));
+	sim_set_configuration(sim, true);
 	sim->worker_count = workers;
 	for (int i = 0; i < workers; i++) {
 		struct sim_worker *worker = &sim->workers[i];
@@ -1029,9 +1049,11 @@
 		snprintf(worker->entry.host, sizeof(worker->entry.host), "m%d",
 			 i);
 		worker->index = i;
+		worker->entry.cpu_milli = FLEET_CPU_MILLI;
+		worker->entry.mem_mib = FLEET_MEM_MIB;
 		worker->rate_percent = 98 + (int32_t)random_below(sim, 3);
 		worker_model_init(&worker->model,
-				  WORKER_CPU_MILLI / TASK_CPU_MILLI);
+				  FLEET_CPU_MILLI / TASK_CPU_MILLI);
 		worker->model.on_end = record_end;
 		worker->model.on_acknowledged = record_acknowledged;
 		worker->model.arg = sim;
@@ -1073,6 +1095,8 @@
 		 random_below(sim, 1u << 31), random_below(sim, 1u << 31));
 	job->steps = steps;
 	job->width = width;
+	job->cpu_milli = sim->task_cpu_milli;
+	job->mem_mib = sim->task_mem_mib;
 	g_hash_table_insert(sim->jobs, job->id, job);
 	if (!ask.queue) {
 		job->rejected = true;
@@ -1082,8 +1106,9 @@
 	for (int32_t i = 0; i < steps; i++) {
 		g_string_append_printf(body,
 				       "%s{\"count\":%d,\"cpu\":%d,"
-				       "\"estMs\":500",
-				       i ? "," : "", width, TASK_CPU_MILLI);
+				       "\"memMb\":%d,\"estMs\":500",
+				       i ? "," : "", width, job->cpu_milli,
+				       job->mem_mib);
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
 					       i - 1);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -28,6 +28,13 @@
 	SIM_CRASH_MS = 3000
 };
 
+/* What a worker's registry entry has said of its capacity. */
+struct sim_capacity {
+	int64_t since_ms;
+	int32_t cpu_milli;
+	int32_t mem_mib;
+};
+
 struct sim_worker {
 	struct worker_entry entry;
 	int index;
@@ -36,6 +43,7 @@
 	int64_t started_at_ms; /* simulated time of its last start */
 	int64_t restart_at_ms; /* it returns from a crash then; 0: by a call */
 	int32_t rate_percent;  /* speed of its clock, of real time */
+	GArray *capacities;    /* struct sim_capacity, the newest last */
 	struct worker_model model;
 };
 
@@ -45,6 +53,7 @@
 	bool alive;
 	bool paused;
 	bool cut_from_log;
+	int64_t disrupted_ms; /* when it was last out of touch with the log */
 	uint32_t incarnation;
 	GPtrArray *held_back; /* answers that arrived while it was paused */
 	bool cut_from_worker[SIM_MAX_WORKERS];
@@ -69,6 +78,12 @@
 	uint64_t next_event;
 	struct log_model *log;
 	void (*tick)(struct node *node); /* node_tick, or a wrapper of it */
+	/* The nodes' decoder of registry entries, or a wrapper of it. */
+	int (*decode_worker)(const char *id, const char *text, size_t len,
+			     struct worker_entry *entry, struct err *err);
+	bool unguarded; /* workers execute starts beyond their capacity */
+	int32_t task_cpu_milli; /* of the tasks of jobs submitted from now on */
+	int32_t task_mem_mib;
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
@@ -89,6 +104,8 @@
 	char id[JOB_ID_BYTES];
 	int32_t steps;
 	int32_t width;
+	int32_t cpu_milli; /* of each task */
+	int32_t mem_mib;
 	bool accepted;
 	bool cancel_requested; /* may take effect without an answer */
 	bool rejected;
@@ -149,6 +166,8 @@
 void sim_resume(struct sim *sim, int node);
 void sim_crash_worker(struct sim *sim, int worker);
 void sim_restart_worker(struct sim *sim, int worker);
+/* sim_set_configuration - store the configuration; guarded: of the workers */
+void sim_set_configuration(struct sim *sim, bool guarded);
 /* sim_set_worker_listed - add the worker's entry to the registry or delete it */
 void sim_set_worker_listed(struct sim *sim, int worker, bool listed);
 
--- /dev/null
+++ b/tests/test_capacity.c
@@ -0,0 +1,149 @@
+/*
+ * Tests of workers that do not guard their capacity, and whose capacity shrinks
+ * and grows while they run, on complete nodes against a simulated log service.
+ */
+
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fleet_capacity.h"
+#include "fleet_play.h"
+#include "log.h"
+
+enum {
+	START_MS = 3000,
+	WORKERS = 4,
+	SEEDS = 25,
+	/* Within so many seeds the check must have detected a disabled guard. */
+	DETECTION_SEEDS = 5
+};
+
+static int first_seed = 1;
+
+static struct sim *create_unguarded(uint64_t seed)
+{
+	struct sim *sim = sim_create(seed, 3, WORKERS);
+
+	fleet_capacity_unguard(sim);
+	sim_run_for(sim, START_MS);
+	return sim;
+}
+
+static void check_ends(struct sim *sim)
+{
+	struct fleet_play play = { 0 };
+
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	fleet_check_ends(sim, &play);
+	ck_assert_msg(!play.broken[0], "%s", play.broken);
+}
+
+/* Jobs must wait, and not fail, while no worker can hold their tasks. */
+START_TEST(tasks_wait_while_no_worker_can_hold_them)
+{
+	struct sim *sim = create_unguarded(1);
+	struct sim_job *job;
+
+	for (int i = 1; i < WORKERS; i++)
+		fleet_capacity_set(sim, i, 0, 0);
+	fleet_capacity_set(sim, 0, 500, FLEET_MEM_MIB);
+	sim_run_for(sim, FLEET_SHRUNK_MS);
+	job = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 8000);
+	ck_assert(job->accepted);
+	ck_assert_uint_eq(sim->started, 0);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_QUEUED);
+	fleet_capacity_restore(sim);
+	sim_run_for(sim, 1500);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+	check_ends(sim);
+}
+END_TEST
+
+/* Tasks that fit must not wait behind those that no worker can hold now. */
+START_TEST(smaller_tasks_pass_those_that_wait_for_room)
+{
+	struct sim *sim = create_unguarded(2);
+	struct sim_job *large, *small;
+
+	for (int i = 0; i < WORKERS; i++)
+		fleet_capacity_set(sim, i, 1000, FLEET_MEM_MIB);
+	sim_run_for(sim, 500);
+	sim->task_cpu_milli = 2000;
+	large = sim_submit_job(sim, 0, 1, 2);
+	sim_run_for(sim, 500);
+	sim->task_cpu_milli = 1000;
+	small = sim_submit_job(sim, 0, 1, 2);
+	sim_run_for(sim, 3000);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, small->id), JOB_DONE);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, large->id), JOB_QUEUED);
+	fleet_capacity_restore(sim);
+	sim_run_for(sim, 2000);
+	check_ends(sim);
+}
+END_TEST
+
+/* No start may bring a worker over its capacity, under load and with faults. */
+START_TEST(no_start_exceeds_a_capacity_that_changes)
+{
+	struct fleet_play play = { 0 };
+
+	fleet_capacity_play((uint64_t)first_seed + (uint64_t)_i, false, &play);
+	ck_assert_msg(!play.broken[0], "seed %d: %s", _i + first_seed,
+		      play.broken);
+}
+END_TEST
+
+/* The same with every other fault of the random play. */
+START_TEST(invariants_hold_while_capacities_change)
+{
+	struct fleet_play play = { .shrinking = true };
+
+	fleet_play((uint64_t)first_seed + (uint64_t)_i, &play);
+	ck_assert_msg(!play.broken[0], "seed %d: %s", _i + first_seed,
+		      play.broken);
+}
+END_TEST
+
+/* The check must detect nodes that go by a capacity that has shrunk. */
+START_TEST(check_detects_nodes_that_miss_changes)
+{
+	struct fleet_play play = { 0 };
+
+	for (uint64_t seed = 1; seed <= DETECTION_SEEDS && !play.broken[0];
+	     seed++)
+		fleet_capacity_play(seed, true, &play);
+	ck_assert(play.broken[0]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("capacity");
+	TCase *tcase = tcase_create("capacity that changes");
+	SRunner *runner = srunner_create(suite);
+	/* For a search over more seeds, or one seed with its log. */
+	const char *from = getenv("PLANK_FIRST_SEED");
+	const char *count = getenv("PLANK_SEEDS");
+	int failed;
+
+	if (from)
+		first_seed = atoi(from);
+	apr_initialize();
+	log_init("test_capacity", !getenv("PLANK_VERBOSE"));
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, tasks_wait_while_no_worker_can_hold_them);
+	tcase_add_test(tcase, smaller_tasks_pass_those_that_wait_for_room);
+	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
+	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
+			    count ? atoi(count) : SEEDS);
+	tcase_add_loop_test(tcase, invariants_hold_while_capacities_change, 0,
+			    count ? atoi(count) : SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -67,7 +67,9 @@
 			&g_array_index(model->runs, struct model_run, i);
 
 		if (!strcmp(at->task, run->task))
-			return at->run == run->run ? ORDER_OK : ORDER_OLD_RUN;
+			return at->run == run->run && !at->stopped_ms
+				       ? ORDER_OK
+				       : ORDER_OLD_RUN;
 	}
 	if (run->run <= highest_ended(model, run->task))
 		return ORDER_OLD_RUN;
@@ -88,7 +90,11 @@
 			&g_array_index(model->runs, struct model_run, i);
 
 		if (!strcmp(at->task, task) && at->run <= run) {
-			end_run(model, i, END_STOPPED);
+			if (!model->stop_ms)
+				end_run(model, i, END_STOPPED);
+			else if (!at->stopped_ms)
+				at->stopped_ms =
+					model->clock_ms + model->stop_ms;
 			return;
 		}
 	}
@@ -141,6 +147,11 @@
 			end_run(model, i - 1, END_LAPSED);
 			continue;
 		}
+		if (run->stopped_ms) {
+			if (clock_ms >= run->stopped_ms)
+				end_run(model, i - 1, END_STOPPED);
+			continue;
+		}
 		if (!model->stalled)
 			run->remaining_ms -= worked_ms;
 		if (run->remaining_ms <= 0 && !run->until_stopped)
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -21,6 +21,7 @@
 	int64_t remaining_ms; /* remaining work; unused for runs without end */
 	bool fails;
 	bool until_stopped; /* runs until it is stopped */
+	int64_t stopped_ms; /* worker's clock when a stop takes effect; 0: none */
 	int32_t pace;
 };
 
@@ -29,6 +30,7 @@
 	int64_t fence;
 	int64_t lease_ms;	 /* end of the lease, by the worker's clock */
 	int32_t max_runs;	 /* most runs at a time */
+	int64_t stop_ms;	 /* a stop takes so long; 0: none */
 	bool stalled;		 /* runs make no progress */
 	bool ignore_fences;	 /* accept orders with any fence */
 	bool ignore_leases;	 /* runs continue after the lease */
