Withdraw starts whose worker's capacity has shrunk

The room of a worker was checked only when a task was placed. Starts wait for the append of the placement and for the answers of earlier starts (four at a time for a worker), and are repeated while they get no answer. When the capacity shrank meanwhile, they were sent all the same: workers without `enforcesCapacity` were brought over their capacity, long after it was known to have shrunk.

A start that is due at a worker over its capacity is now withdrawn, and the task is placed again. If orders of the run are unanswered, the run is stopped first, after reports have had time to list it. A gang is withdrawn as a whole, as its other tasks would wait for a member that does not come.

starts_that_wait_are_withdrawn_when_capacity_shrinks failed before: a start at 8,580 ms on a worker whose capacity had been 0 since 3,300 ms. gang_is_withdrawn_when_capacity_shrinks failed with 8 members left on that worker (4 with only the single starts withdrawn).

--- a/src/place.c
+++ b/src/place.c
@@ -58,6 +58,17 @@
 	worker->new_tasks++;
 }
 
+void place_release_room(struct worker *worker, const struct job_step *step)
+{
+	if (!step->uses_idle_cpu)
+		worker->cpu_used_milli -= step->cpu_milli;
+	worker->mem_used_mib -= step->mem_mib;
+	worker->gpu_used -= step->gpu;
+	worker->tasks--;
+	worker->long_running_tasks -= step->long_running;
+	worker->new_tasks--;
+}
+
 static void account_job(const struct place *place, struct job *job)
 {
 	struct job_pos pos = { .job = job };
@@ -115,6 +126,15 @@
 	       worker->gpu_used + step->gpu <= entry->gpu;
 }
 
+bool place_is_over_capacity(const struct worker *worker)
+{
+	const struct worker_entry *entry = &worker->entry;
+
+	return worker->cpu_used_milli > entry->cpu_milli ||
+	       worker->mem_used_mib > entry->mem_mib ||
+	       worker->gpu_used > entry->gpu;
+}
+
 /* Counts tasks of the candidate that are placed on the worker. */
 static int32_t count_placed(const struct candidate *cand, const char *worker)
 {
@@ -287,14 +307,8 @@
 				       run + 1, place->now_ms);
 			continue;
 		}
-		chosen[i]->cpu_used_milli -=
-			step->uses_idle_cpu ? 0 : step->cpu_milli;
-		chosen[i]->mem_used_mib -= step->mem_mib;
-		chosen[i]->gpu_used -= step->gpu;
-		chosen[i]->tasks--;
-		chosen[i]->new_tasks--;
+		place_release_room(chosen[i], step);
 		chosen[i]->suspects -= crash_is_suspect(&tasks[i]);
-		chosen[i]->long_running_tasks -= step->long_running;
 	}
 	/* Room was short beside the gang's own reservations only. */
 	if (found < step->count)
--- a/src/place.h
+++ b/src/place.h
@@ -42,6 +42,17 @@
  */
 void place_occupy(struct worker *worker, const struct job_step *step);
 
+/* place_release_room - no longer count a task of the step, placed there */
+void place_release_room(struct worker *worker, const struct job_step *step);
+
+/*
+ * place_is_over_capacity - whether the worker's runs exceed its capacity
+ *
+ * True after the capacity has shrunk below what was placed there before.
+ * place_account must have been called.
+ */
+bool place_is_over_capacity(const struct worker *worker);
+
 /*
  * place_tasks - place the tasks that can start now
  *
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -12,6 +12,9 @@
 	POOL_MAX_STARTS_PER_WORKER = 4,
 	POOL_MAX_STARTS = 256,
 	POOL_STOP_RETRY_MS = 300,
+	/* Within this time a report lists the run of an unanswered start that
+	   was executed. */
+	POOL_WITHDRAW_MS = 1200,
 	/* How long the answer to a renewal may wait for a run to end. Shorter
 	   for a worker with tasks that report progress. */
 	POOL_RENEW_WAIT_MS = 1000,
@@ -84,6 +87,49 @@
 		pool_end_run(pool, pos, END_STOPPED, NULL);
 }
 
+/* Withdraws the start of a task that has lost its room, or stops its run. */
+static void withdraw_task(struct pool *pool, struct job_pos *pos)
+{
+	struct worker *worker =
+		worker_find(pool->env->workers, pos->task->worker);
+	char name[JOB_TASK_NAME_BYTES];
+
+	job_task_name(pos, name, sizeof(name));
+	log_info("start-withdrawn task=%s run=%d worker=%s unanswered=%d", name,
+		 pos->task->run, pos->task->worker,
+		 pos->task->unanswered_starts);
+	if (pos->task->phase != PHASE_STARTING) {
+		pool_stop_task(pool, pos);
+		return;
+	}
+	if (worker && !pos->task->unanswered_starts)
+		place_release_room(worker, &pos->job->spec.steps[pos->step]);
+	return_to_waiting(pool, pos, 0);
+}
+
+/*
+ * Withdraws a start that is due, because its worker's capacity has shrunk. The
+ * tasks of a gang run together or not at all.
+ */
+static void withdraw_start(struct pool *pool, const struct job_pos *pos)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	struct job_pos member = *pos;
+
+	if (!step->gang) {
+		withdraw_task(pool, &member);
+		return;
+	}
+	for (int32_t i = 0; i < step->count; i++) {
+		member.index = (uint32_t)i;
+		member.task = job_task_at(pos->job, pos->occurrence, pos->step,
+					  (uint32_t)i);
+		if (member.task->state == TASK_PLACED &&
+		    member.task->phase != PHASE_STOPPING)
+			withdraw_task(pool, &member);
+	}
+}
+
 /* An answer of any kind shows that the worker is reachable. */
 static void clear_unanswered(struct pool *pool, const char *name,
 			     enum order_outcome outcome)
@@ -225,6 +271,12 @@
 		if (!start_due(pos.task, now_ms))
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
+		if (worker && place_is_over_capacity(worker)) {
+			if (!pos.task->unanswered_starts ||
+			    now_ms - pos.task->since_ms >= POOL_WITHDRAW_MS)
+				withdraw_start(pool, &pos);
+			continue;
+		}
 		if (pool->starting >= POOL_MAX_STARTS)
 			return;
 		/* Each start extends the lease; resending it to a worker that
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1106,9 +1106,10 @@
 	for (int32_t i = 0; i < steps; i++) {
 		g_string_append_printf(body,
 				       "%s{\"count\":%d,\"cpu\":%d,"
-				       "\"memMb\":%d,\"estMs\":500",
+				       "\"memMb\":%d,\"estMs\":500%s",
 				       i ? "," : "", width, job->cpu_milli,
-				       job->mem_mib);
+				       job->mem_mib,
+				       sim->gang ? ",\"gang\":true" : "");
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
 					       i - 1);
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -85,6 +85,61 @@
 }
 END_TEST
 
+/*
+ * Submits a job to one worker, and moves the worker's capacity to another one
+ * while starts wait to be sent: answers to starts are slow.
+ */
+static struct sim_job *shrink_while_starts_wait(struct sim *sim)
+{
+	struct sim_job *job;
+
+	for (int i = 1; i < WORKERS; i++)
+		fleet_capacity_set(sim, i, 0, 0);
+	sim->faults.start_answer_ms = 900;
+	sim->task_cpu_milli = 100;
+	job = sim_submit_job(sim, 0, 1, 40);
+	sim_run_for(sim, 300);
+	ck_assert_uint_gt(sim->workers[0].model.runs->len, 0);
+	fleet_capacity_set(sim, 0, 0, FLEET_MEM_MIB);
+	fleet_capacity_set(sim, 1, FLEET_CPU_MILLI, FLEET_MEM_MIB);
+	return job;
+}
+
+static void check_done(struct sim *sim, const struct sim_job *job)
+{
+	sim->faults.start_answer_ms = 0;
+	sim_run_for(sim, 5000);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+	check_ends(sim);
+}
+
+/* Starts that no longer fit must not be sent after the capacity has shrunk. */
+START_TEST(starts_that_wait_are_withdrawn_when_capacity_shrinks)
+{
+	struct sim *sim = create_unguarded(3);
+	struct sim_job *job = shrink_while_starts_wait(sim);
+
+	sim_run_for(sim, 2 * FLEET_SHRUNK_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	check_done(sim, job);
+}
+END_TEST
+
+/* Gang tasks that have started must not be left without those withdrawn. */
+START_TEST(gang_is_withdrawn_when_capacity_shrinks)
+{
+	struct sim *sim = create_unguarded(3);
+	struct sim_job *job;
+
+	sim->gang = true;
+	sim->workers[0].model.stalled = true;
+	job = shrink_while_starts_wait(sim);
+	sim_run_for(sim, 1000);
+	ck_assert_uint_eq(sim->workers[0].model.runs->len, 0);
+	check_done(sim, job);
+}
+END_TEST
+
 /* No start may bring a worker over its capacity, under load and with faults. */
 START_TEST(no_start_exceeds_a_capacity_that_changes)
 {
@@ -136,6 +191,9 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, tasks_wait_while_no_worker_can_hold_them);
 	tcase_add_test(tcase, smaller_tasks_pass_those_that_wait_for_room);
+	tcase_add_test(tcase,
+		       starts_that_wait_are_withdrawn_when_capacity_shrinks);
+	tcase_add_test(tcase, gang_is_withdrawn_when_capacity_shrinks);
 	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
 	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
 			    count ? atoi(count) : SEEDS);
