Log changes of a worker's capacity

An operator could not tell why starts were withdrawn or why tasks waited beside a worker with few runs. The pool's owner logs `worker-capacity` once for each change that it finds between two reports, with what was used at the time.

--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -161,6 +161,26 @@
 	}
 }
 
+/* Logs a change of capacity since the last report to this owner. */
+static void note_capacity(struct worker *worker)
+{
+	const struct worker_entry *entry = &worker->entry;
+
+	if (worker->reports && (worker->noted_cpu_milli != entry->cpu_milli ||
+				worker->noted_mem_mib != entry->mem_mib ||
+				worker->noted_gpu != entry->gpu))
+		log_info("worker-capacity worker=%s cpu_milli=%d was=%d "
+			 "mem_mib=%d was_mem_mib=%d gpu=%d was_gpu=%d "
+			 "used_milli=%d used_mem_mib=%d",
+			 entry->id, entry->cpu_milli, worker->noted_cpu_milli,
+			 entry->mem_mib, worker->noted_mem_mib, entry->gpu,
+			 worker->noted_gpu, worker->cpu_used_milli,
+			 worker->mem_used_mib);
+	worker->noted_cpu_milli = entry->cpu_milli;
+	worker->noted_mem_mib = entry->mem_mib;
+	worker->noted_gpu = entry->gpu;
+}
+
 void pool_handle_report(struct pool *pool, struct worker *worker,
 			const struct worker_report *report, int64_t asked_ms)
 {
@@ -189,6 +209,7 @@
 	worker->clock_ms = report->clock_ms;
 	worker->clock_at_ms = now_ms;
 	worker->last_report_ms = now_ms;
+	note_capacity(worker);
 	worker->reports++;
 	for (uint32_t i = 0; i < report->end_count; i++)
 		handle_ended_run(pool, worker, &report->ends[i], &progress);
--- a/src/worker.h
+++ b/src/worker.h
@@ -79,8 +79,12 @@
 	int64_t boot_ms;     /* start of the worker that reported last */
 	int64_t clock_ms;    /* worker's clock at clock_at_ms of this node */
 	int64_t clock_at_ms;
-	int64_t lease_end_ms;	     /* upper bound, on this node's clock */
-	int64_t last_report_ms;	     /* time of the last report */
+	int64_t lease_end_ms;	/* upper bound, on this node's clock */
+	int64_t last_report_ms; /* time of the last report */
+	/* Capacity in the registry entry at the last report. */
+	int32_t noted_cpu_milli;
+	int32_t noted_mem_mib;
+	int32_t noted_gpu;
 	int64_t unanswered_since_ms; /* oldest unanswered start order; 0: none */
 	/* It was dead at this time, see liveness; 0: not known. */
 	int64_t dead_ms;
