--- a/src/place.c
+++ b/src/place.c
@@ -42,17 +42,33 @@
 	       place_target_ms(cfg, job);
 }
 
-void place_use_room(struct worker *worker, const struct job_step *step)
+void place_occupy(struct worker *worker, const struct job_step *step)
 {
 	if (!step->uses_idle_cpu)
 		worker->cpu_used_milli += step->cpu_milli;
 	worker->mem_used_mib += step->mem_mib;
 	worker->gpu_used += step->gpu;
+}
+
+void place_use_room(struct worker *worker, const struct job_step *step)
+{
+	place_occupy(worker, step);
 	worker->tasks++;
 	worker->long_running_tasks += step->long_running;
 	worker->new_tasks++;
 }
 
+void place_release_room(struct worker *worker, const struct job_step *step)
+{
+	if (!step->uses_idle_cpu)
+		worker->cpu_used_milli -= step->cpu_milli;
+	worker->mem_used_mib -= step->mem_mib;
+	worker->gpu_used -= step->gpu;
+	worker->tasks--;
+	worker->long_running_tasks -= step->long_running;
+	worker->new_tasks--;
+}
+
 static void account_job(const struct place *place, struct job *job)
 {
 	struct job_pos pos = { .job = job };
@@ -82,6 +98,7 @@
 		worker->cpu_used_milli = 0;
 		worker->mem_used_mib = 0;
 		worker->gpu_used = 0;
+		worker->unknown_runs = 0;
 		worker->tasks = 0;
 		worker->long_running_tasks = 0;
 		worker->suspects = 0;
@@ -103,11 +120,21 @@
 	const struct worker_entry *entry = &worker->entry;
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
 
-	return worker->cpu_used_milli + cpu_milli <= entry->cpu_milli &&
+	return !worker->unknown_runs &&
+	       worker->cpu_used_milli + cpu_milli <= entry->cpu_milli &&
 	       worker->mem_used_mib + step->mem_mib <= entry->mem_mib &&
 	       worker->gpu_used + step->gpu <= entry->gpu;
 }
 
+bool place_is_over_capacity(const struct worker *worker)
+{
+	const struct worker_entry *entry = &worker->entry;
+
+	return worker->cpu_used_milli > entry->cpu_milli ||
+	       worker->mem_used_mib > entry->mem_mib ||
+	       worker->gpu_used > entry->gpu;
+}
+
 /* Counts tasks of the candidate that are placed on the worker. */
 static int32_t count_placed(const struct candidate *cand, const char *worker)
 {
@@ -280,14 +307,8 @@
 				       run + 1, place->now_ms);
 			continue;
 		}
-		chosen[i]->cpu_used_milli -=
-			step->uses_idle_cpu ? 0 : step->cpu_milli;
-		chosen[i]->mem_used_mib -= step->mem_mib;
-		chosen[i]->gpu_used -= step->gpu;
-		chosen[i]->tasks--;
-		chosen[i]->new_tasks--;
+		place_release_room(chosen[i], step);
 		chosen[i]->suspects -= crash_is_suspect(&tasks[i]);
-		chosen[i]->long_running_tasks -= step->long_running;
 	}
 	/* Room was short beside the gang's own reservations only. */
 	if (found < step->count)
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -65,6 +65,7 @@
 	if (end->number <= worker->cursor_processed)
 		return;
 	worker->cursor_processed = end->number;
+	pool_unplaced_ended(pool, worker, end);
 	if (!job_task_find(pool->env->jobs, end->task, &pos) ||
 	    job_ended(pos.job->state))
 		return;
@@ -98,6 +99,7 @@
 	if (!job_task_find(pool->env->jobs, run->task, &pos) ||
 	    job_ended(pos.job->state) || pos.job->cancel_requested ||
 	    !is_placed_run(&pos, worker, run->run)) {
+		pool_unplaced_listed(pool, worker, run);
 		stop_run(pool, worker, run);
 		return;
 	}
@@ -159,6 +161,26 @@
 	}
 }
 
+/* Logs a change of capacity since the last report to this owner. */
+static void note_capacity(struct worker *worker)
+{
+	const struct worker_entry *entry = &worker->entry;
+
+	if (worker->reports && (worker->noted_cpu_milli != entry->cpu_milli ||
+				worker->noted_mem_mib != entry->mem_mib ||
+				worker->noted_gpu != entry->gpu))
+		log_info("worker-capacity worker=%s cpu_milli=%d was=%d "
+			 "mem_mib=%d was_mem_mib=%d gpu=%d was_gpu=%d "
+			 "used_milli=%d used_mem_mib=%d",
+			 entry->id, entry->cpu_milli, worker->noted_cpu_milli,
+			 entry->mem_mib, worker->noted_mem_mib, entry->gpu,
+			 worker->noted_gpu, worker->cpu_used_milli,
+			 worker->mem_used_mib);
+	worker->noted_cpu_milli = entry->cpu_milli;
+	worker->noted_mem_mib = entry->mem_mib;
+	worker->noted_gpu = entry->gpu;
+}
+
 void pool_handle_report(struct pool *pool, struct worker *worker,
 			const struct worker_report *report, int64_t asked_ms)
 {
@@ -187,6 +209,7 @@
 	worker->clock_ms = report->clock_ms;
 	worker->clock_at_ms = now_ms;
 	worker->last_report_ms = now_ms;
+	note_capacity(worker);
 	worker->reports++;
 	for (uint32_t i = 0; i < report->end_count; i++)
 		handle_ended_run(pool, worker, &report->ends[i], &progress);
@@ -199,15 +222,10 @@
 	if (new_life)
 		pool_note_restart(pool, worker);
 	end_unlisted(pool, worker, asked_ms);
+	pool_unplaced_reported(pool, worker, asked_ms);
 }
 
-/*
- * Upper bound of the end of a worker's lease. Until the worker has accepted
- * this owner's fence, an earlier owner may have extended the lease: until its
- * authority ended, and for some time more if it could not reach the log. This
- * also holds for a worker that the registry does not list yet.
- */
-static int64_t lease_end_ms(const struct pool *pool, const char *id)
+int64_t pool_lease_end_ms(const struct pool *pool, const char *id)
 {
 	const struct worker *worker = worker_find(pool->env->workers, id);
 	int64_t earlier_owner_ms = worker_lease_bound_ms(
@@ -238,7 +256,7 @@
 
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
-	int64_t end_ms = lease_end_ms(pool, pos->task->worker);
+	int64_t end_ms = pool_lease_end_ms(pool, pos->task->worker);
 	bool dead = ended_with_worker(pool, pos->task);
 
 	if (pos->task->phase == PHASE_RECORDING ||
--- a/src/worker.h
+++ b/src/worker.h
@@ -79,8 +79,12 @@
 	int64_t boot_ms;     /* start of the worker that reported last */
 	int64_t clock_ms;    /* worker's clock at clock_at_ms of this node */
 	int64_t clock_at_ms;
-	int64_t lease_end_ms;	     /* upper bound, on this node's clock */
-	int64_t last_report_ms;	     /* time of the last report */
+	int64_t lease_end_ms;	/* upper bound, on this node's clock */
+	int64_t last_report_ms; /* time of the last report */
+	/* Capacity in the registry entry at the last report. */
+	int32_t noted_cpu_milli;
+	int32_t noted_mem_mib;
+	int32_t noted_gpu;
 	int64_t unanswered_since_ms; /* oldest unanswered start order; 0: none */
 	/* It was dead at this time, see liveness; 0: not known. */
 	int64_t dead_ms;
@@ -97,7 +101,8 @@
 	int32_t cpu_used_milli;	  /* by placed tasks; see place_account */
 	int32_t mem_used_mib;
 	int32_t gpu_used;
-	int32_t tasks;		    /* placed tasks */
+	int32_t unknown_runs; /* runs that use an unknown part of its room */
+	int32_t tasks;	      /* placed tasks */
 	int32_t long_running_tasks; /* placed tasks that are long-running */
 	int32_t suspects;  /* placed tasks under which workers crashed */
 	int32_t new_tasks; /* placed tasks that have not been at work for long */
