Log which long-running tasks are not at work, and what room there is

A long-running task that its owner stops, and that then stays away for seconds with room for it, left no trace: placements have no log line, and neither has the stop of a run that is not the newest.

One line when a task has been away for 3 s, with the workers of its share by what keeps it from them, one when it is back, and one for the stop of a stale run. A task that is moved off says why.

--- a/src/place.c
+++ b/src/place.c
@@ -131,6 +131,20 @@
 	       count_placed(cand, worker->entry.id) < step->max_per_worker;
 }
 
+bool place_has_room(const struct place *place, const struct job_pos *pos,
+		    const struct worker *worker)
+{
+	struct candidate cand = {
+		.job = pos->job,
+		.occurrence = pos->occurrence,
+		.step = pos->step,
+	};
+
+	return place_usable(place, worker) && !worker->reserved &&
+	       place_fits(worker, &pos->job->spec.steps[pos->step]) &&
+	       place_may_hold(&cand, worker);
+}
+
 /* Rates the worker for a task of the step; higher is better. */
 static int64_t score_worker(const struct candidate *cand,
 			    const struct job_task *task,
--- a/src/place.h
+++ b/src/place.h
@@ -59,6 +59,10 @@
 /* place_usable - whether the worker may receive new tasks */
 bool place_usable(const struct place *place, const struct worker *worker);
 
+/* place_has_room - whether the task could be placed on the worker now */
+bool place_has_room(const struct place *place, const struct job_pos *pos,
+		    const struct worker *worker);
+
 /* place_target_ms - wall-clock time at which a job's objective ends */
 int64_t place_target_ms(const struct cfg *cfg, const struct job *job);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -342,6 +342,7 @@
 	/* While the log is stalled, placements could not be stored. */
 	if (writer_stalled_ms(pool->ownership.writer) < pool->env->lease_ms / 4)
 		place_tasks(&place);
+	pool_note_away(pool, &place);
 }
 
 static void delete_record(struct pool *pool, char kind, const char *id)
--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -29,8 +29,9 @@
 		if (!avail_may_stop(pool->env->workers, &pos, now_ms))
 			continue;
 		job_task_name(&pos, name, sizeof(name));
-		log_info("task-moved-off task=%s worker=%s", name,
-			 worker->entry.id);
+		log_info("task-moved-off task=%s run=%d worker=%s why=%s", name,
+			 pos.task->run, worker->entry.id,
+			 worker->entry.draining ? "draining" : "leaving");
 		pool_stop_task(pool, &pos);
 	}
 }
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -73,6 +73,14 @@
  */
 void pool_move_off_slow(struct pool *pool, const struct place *place);
 
+/*
+ * pool_note_away - log which long-running tasks are not at work, and since when
+ *
+ * One line when a task has been away for a while, with the room that there is
+ * for it, and one when it is at work again. place is that of the last pass.
+ */
+void pool_note_away(struct pool *pool, const struct place *place);
+
 /*
  * pool_note_dead_workers - count crashes that the host list shows
  *
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -85,6 +85,15 @@
 static void stop_run(struct pool *pool, struct worker *worker,
 		     const struct worker_run *run)
 {
+	struct job_pos pos;
+
+	if (job_task_find(pool->env->jobs, run->task, &pos) &&
+	    !job_ended(pos.job->state) && !pos.job->cancel_requested)
+		log_info("stale-run-stopped task=%s run=%d worker=%s state=%d "
+			 "phase=%d newest_run=%d newest_worker=%s",
+			 run->task, run->run, worker->entry.id, pos.task->state,
+			 pos.task->phase, pos.task->run,
+			 pos.task->worker ? pos.task->worker : "-");
 	pool_send_stop(pool, worker, run->task, run->run);
 }
 
