End runs on a replaced worker at once after a takeover

The host list shows that the worker is gone, but a run that an earlier owner had placed waited all the same until every lease which that owner can have given was over, since one of its start orders might come late; each takeover began these 6.7 s anew.

Once the host is up with another worker, an order that names the former one is refused, so its runs end at once, whoever placed them. While the host is down, its worker may return under its id and the run waits as before.

--- a/src/liveness.c
+++ b/src/liveness.c
@@ -52,11 +52,12 @@
 	return host->worker[0] && strcmp(host->worker, worker);
 }
 
+/* A dead worker is checked until it is replaced: until then it may return. */
 static bool needs_check(const struct liveness *liveness,
 			const struct worker *worker)
 {
 	return worker->entry.host[0] && worker_has_work(worker) &&
-	       !worker_is_dead(worker) &&
+	       !worker_is_replaced(worker) &&
 	       worker_is_silent(worker, clk_now_ms(liveness->config.clk));
 }
 
@@ -86,6 +87,23 @@
 	return false;
 }
 
+bool liveness_proves_replaced(const struct host *host, const char *worker)
+{
+	return host->state == HOST_UP && host->worker[0] &&
+	       strcmp(host->worker, worker);
+}
+
+static void mark_dead(struct liveness *liveness, struct worker *worker,
+		      const struct host *host)
+{
+	worker->dead_ms = liveness->requested_ms;
+	worker->rack_has_lived = rack_has_lived(liveness, worker);
+	log_info("worker-gone worker=%s host=%s host_state=%d host_worker=%s "
+		 "heard_ms_ago=%" G_GINT64_FORMAT,
+		 worker->entry.id, host->name, host->state, host->worker,
+		 clk_now_ms(liveness->config.clk) - worker->last_report_ms);
+}
+
 /* Marks a dead worker. A report since the request is newer than the list. */
 static void check_worker(struct liveness *liveness, struct worker *worker)
 {
@@ -96,12 +114,10 @@
 	    worker->last_report_ms >= liveness->requested_ms ||
 	    !liveness_proves_dead(host, worker->entry.id))
 		return;
-	worker->dead_ms = liveness->requested_ms;
-	worker->rack_has_lived = rack_has_lived(liveness, worker);
-	log_info("worker-gone worker=%s host=%s host_state=%d host_worker=%s "
-		 "heard_ms_ago=%" G_GINT64_FORMAT,
-		 worker->entry.id, host->name, host->state, host->worker,
-		 clk_now_ms(liveness->config.clk) - worker->last_report_ms);
+	if (!worker_is_dead(worker))
+		mark_dead(liveness, worker, host);
+	if (liveness_proves_replaced(host, worker->entry.id))
+		worker->replaced_ms = liveness->requested_ms;
 }
 
 static void handle_list_end(struct liveness *liveness,
--- a/src/liveness.h
+++ b/src/liveness.h
@@ -38,4 +38,12 @@
  */
 bool liveness_proves_dead(const struct host *host, const char *worker);
 
+/*
+ * liveness_proves_replaced - whether the host runs another worker instead
+ *
+ * An id belongs to one host, which may start a worker again under the id that
+ * it had last, but not under an earlier one.
+ */
+bool liveness_proves_replaced(const struct host *host, const char *worker);
+
 #endif
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -231,9 +231,9 @@
 }
 
 /*
- * Whether the run certainly ended when its worker died. An unanswered start
- * may still be executed by the next worker process of the same name; of a run
- * started by an earlier owner it is not known whether such orders exist.
+ * Whether the run certainly ended when its worker died. While the worker may
+ * return under its name, an unanswered start may still be executed by it; of a
+ * run started by an earlier owner it is not known whether such orders exist.
  */
 static bool ended_with_worker(const struct pool *pool,
 			      const struct job_task *task)
@@ -241,8 +241,10 @@
 	const struct worker *worker =
 		worker_find(pool->env->workers, task->worker);
 
-	return worker && worker_is_dead(worker) && !task->unanswered_starts &&
-	       task->phase != PHASE_UNKNOWN;
+	if (!worker || !worker_is_dead(worker))
+		return false;
+	return worker_is_replaced(worker) ||
+	       (!task->unanswered_starts && task->phase != PHASE_UNKNOWN);
 }
 
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
--- a/src/worker.c
+++ b/src/worker.c
@@ -96,6 +96,12 @@
 	return worker->dead_ms && worker->dead_ms > worker->last_report_ms;
 }
 
+bool worker_is_replaced(const struct worker *worker)
+{
+	return worker->replaced_ms &&
+	       worker->replaced_ms > worker->last_report_ms;
+}
+
 bool worker_has_work(const struct worker *worker)
 {
 	return worker->cpu_used_milli || worker->mem_used_mib;
--- a/src/worker.h
+++ b/src/worker.h
@@ -84,7 +84,8 @@
 	int64_t unanswered_since_ms; /* oldest unanswered start order; 0: none */
 	/* It was dead at this time, see liveness; 0: not known. */
 	int64_t dead_ms;
-	bool rack_has_lived;	 /* a worker of its rack was up then */
+	bool rack_has_lived; /* a worker of its rack was up then */
+	int64_t replaced_ms; /* its host ran another one then; 0: not known */
 	int64_t counted_dead_ms; /* dead_ms whose crash has been counted */
 	int32_t starting;	 /* start orders in flight */
 	int64_t next_renew_ms;
@@ -135,6 +136,14 @@
 /* worker_is_dead - whether the worker is dead and all its runs have ended */
 bool worker_is_dead(const struct worker *worker);
 
+/*
+ * worker_is_replaced - whether the worker is dead and will not return
+ *
+ * Another worker runs on its host. An order that names this one is refused
+ * there, however late it comes.
+ */
+bool worker_is_replaced(const struct worker *worker);
+
 /* worker_has_work - whether tasks are placed on the worker */
 bool worker_has_work(const struct worker *worker);
 
--- a/tests/fleet_play.c
+++ b/tests/fleet_play.c
@@ -79,8 +79,10 @@
 	case 10:
 		if (sim->workers[worker].up)
 			sim_crash_worker(sim, worker);
-		else
+		else if (sim->clk.manual_ms / FAULT_STEP_MS % 2)
 			sim_restart_worker(sim, worker);
+		else
+			sim_replace_worker(sim, worker);
 		break;
 	case 11:
 		sim->workers[worker].model.stalled ^= true;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -615,14 +615,27 @@
 			(event->kind == 's' ? sim->faults.start_answer_ms : 0));
 }
 
+/* Index of the host that the worker runs on, or ran on before its successor. */
 static int worker_index(struct sim *sim, const char *id)
 {
-	for (int i = 0; i < sim->worker_count; i++)
-		if (!strcmp(sim->workers[i].entry.id, id))
+	size_t len = strcspn(id, ".");
+
+	for (int i = 0; i < sim->worker_count; i++) {
+		const char *other = sim->workers[i].entry.id;
+
+		if (strcspn(other, ".") == len && !strncmp(other, id, len))
 			return i;
+	}
 	abort();
 }
 
+/* Start of the worker that an order names; -1 if another has its host now. */
+static int64_t addressed_boot_ms(const struct sim_worker *worker,
+				 const char *id)
+{
+	return strcmp(worker->entry.id, id) ? -1 : worker->entry.boot_ms;
+}
+
 static void send_order(struct client *client, struct event *event)
 {
 	struct sim *sim = client->sim;
@@ -666,7 +679,8 @@
 
 	event->kind = kind;
 	event->worker = worker_index(client->sim, worker->id);
-	event->born_ms = client->sim->workers[event->worker].entry.boot_ms;
+	event->born_ms = addressed_boot_ms(&client->sim->workers[event->worker],
+					   worker->id);
 	event->task = g_strdup(task);
 	event->run = run;
 	event->fence = fence;
@@ -984,6 +998,16 @@
 	sim_set_worker_listed(sim, index, true);
 }
 
+void sim_replace_worker(struct sim *sim, int index)
+{
+	struct sim_worker *worker = &sim->workers[index];
+
+	sim_set_worker_listed(sim, index, false);
+	snprintf(worker->entry.id, sizeof(worker->entry.id), "w%d.%d", index,
+		 ++worker->replacements);
+	sim_restart_worker(sim, index);
+}
+
 static const char configuration[] =
 	"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
 	"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":50,"
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -36,6 +36,7 @@
 	int64_t started_at_ms; /* simulated time of its last start */
 	int64_t restart_at_ms; /* it returns from a crash then; 0: by a call */
 	int32_t rate_percent;  /* speed of its clock, of real time */
+	int replacements;      /* earlier workers of its host, by other ids */
 	struct worker_model model;
 };
 
@@ -149,6 +150,8 @@
 void sim_resume(struct sim *sim, int node);
 void sim_crash_worker(struct sim *sim, int worker);
 void sim_restart_worker(struct sim *sim, int worker);
+/* sim_replace_worker - start another worker, with an id of its own, on its host */
+void sim_replace_worker(struct sim *sim, int worker);
 /* sim_set_worker_listed - add the worker's entry to the registry or delete it */
 void sim_set_worker_listed(struct sim *sim, int worker, bool listed);
 
