Stop long-running tasks on leaving hosts only with room elsewhere

The stop asked only how many other tasks of the step were away. It now waits until another worker has room, which is kept for the task, for 4 s at most, so that a full pool cannot keep a host from its restart for good. Workers that drain by themselves are left at once, as before.

tests/test_leaving.c: 20 of 40 checks fail without the wait, the other 20 without its limit.

--- a/Makefile
+++ b/Makefile
@@ -98,7 +98,8 @@
 	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
-FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover
+FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
+	$(BUILD)/test_leaving
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
--- a/src/place.c
+++ b/src/place.c
@@ -145,6 +145,46 @@
 	       place_may_hold(&cand, worker);
 }
 
+/* How often need fits into free; many times if nothing is needed. */
+static int32_t times(int32_t free, int32_t need)
+{
+	return need > 0 ? MAX(free, 0) / need : JOB_MAX_TASKS;
+}
+
+int32_t place_free_slots(const struct place *place, const struct job_pos *pos)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	struct candidate cand = {
+		.job = pos->job,
+		.occurrence = pos->occurrence,
+		.step = pos->step,
+	};
+	int32_t total = 0;
+
+	for (guint i = 0; i < place->workers->list->len; i++) {
+		const struct worker *worker = place->workers->list->pdata[i];
+		const struct worker_entry *entry = &worker->entry;
+		int32_t slots;
+
+		if (!place_has_room(place, pos, worker))
+			continue;
+		slots = times(entry->mem_mib - worker->mem_used_mib,
+			      step->mem_mib);
+		slots = MIN(slots,
+			    times(entry->gpu - worker->gpu_used, step->gpu));
+		if (!step->uses_idle_cpu)
+			slots = MIN(slots, times(entry->cpu_milli -
+							 worker->cpu_used_milli,
+						 step->cpu_milli));
+		if (step->max_per_worker)
+			slots = MIN(slots,
+				    step->max_per_worker -
+					    count_placed(&cand, entry->id));
+		total += slots;
+	}
+	return total;
+}
+
 /* Rates the worker for a task of the step; higher is better. */
 static int64_t score_worker(const struct candidate *cand,
 			    const struct job_task *task,
--- a/src/place.h
+++ b/src/place.h
@@ -56,6 +56,9 @@
  */
 bool place_reserve(const struct place *place, const struct job_pos *pos);
 
+/* place_free_slots - how many more tasks of the step could be placed now */
+int32_t place_free_slots(const struct place *place, const struct job_pos *pos);
+
 /* place_usable - whether the worker may receive new tasks */
 bool place_usable(const struct place *place, const struct worker *worker);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -339,6 +339,7 @@
 	mark_leaving(pool);
 	place_account(&place);
 	pool_move_off_slow(pool, &place);
+	pool_move_off_leaving(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
 	if (writer_stalled_ms(pool->ownership.writer) < pool->env->lease_ms / 4)
 		place_tasks(&place);
--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -4,14 +4,65 @@
 #include "log.h"
 #include "pool_int.h"
 
+/*
+ * How long a long-running task stays on a worker that leaves if no other has
+ * room for it. A host that is moved to the pool meanwhile arrives in about half
+ * of it; without a limit, a full pool would keep its hosts from their restart.
+ */
+enum { POOL_ROOM_WAIT_MS = 4000 };
+
+/* Tasks of the step that are to be placed again. */
+static int32_t count_unplaced(const struct job_pos *pos)
+{
+	const struct job_task *tasks =
+		job_task_at(pos->job, pos->occurrence, pos->step, 0);
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < pos->job->spec.steps[pos->step].count; i++)
+		count += tasks[i].state == TASK_WAITING ||
+			 (tasks[i].state == TASK_PLACED &&
+			  tasks[i].phase == PHASE_STOPPING);
+	return count;
+}
+
+/* Whether the task can start elsewhere, or cannot wait until it can. */
+static bool may_leave(const struct place *place, const struct job_pos *pos,
+		      const struct worker *worker)
+{
+	return worker->entry.draining ||
+	       place->now_ms - pos->task->stop_wanted_ms >= POOL_ROOM_WAIT_MS ||
+	       (place_free_slots(place, pos) > count_unplaced(pos) &&
+		place_reserve(place, pos));
+}
+
+/* Keeps room for stopped tasks until they can be placed. */
+static void reserve_for_stopping(const struct pool *pool,
+				 const struct place *place)
+{
+	struct job_store *jobs = pool->env->jobs;
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (!share_has_job(&pool->share, pos.job))
+			continue;
+		while (job_next_task(&pos))
+			if (pos.task->state == TASK_PLACED &&
+			    pos.task->phase == PHASE_STOPPING &&
+			    pos.job->spec.steps[pos.step].long_running)
+				place_reserve(place, &pos);
+	}
+}
+
 /*
  * Stops long-running tasks on workers that are draining or leaving, as far as
- * the availability budget of the tasks allows.
+ * the availability budget of the tasks and the room elsewhere allow.
  */
-static void stop_long_running(struct pool *pool, struct job *job,
-			      int64_t now_ms)
+static void stop_long_running(struct pool *pool, const struct place *place,
+			      struct job *job)
 {
 	struct job_pos pos = { .job = job };
+	int64_t now_ms = place->now_ms;
 
 	while (job_next_task(&pos)) {
 		struct worker *worker;
@@ -26,7 +77,8 @@
 			continue;
 		if (!pos.task->stop_wanted_ms)
 			pos.task->stop_wanted_ms = now_ms;
-		if (!avail_may_stop(pool->env->workers, &pos, now_ms))
+		if (!avail_may_stop(pool->env->workers, &pos, now_ms) ||
+		    !may_leave(place, &pos, worker))
 			continue;
 		job_task_name(&pos, name, sizeof(name));
 		log_info("task-moved-off task=%s run=%d worker=%s why=%s", name,
@@ -69,18 +121,23 @@
 	log_info("host-clear host=%s worker=%s", plan->host, plan->worker);
 }
 
-void pool_drain_workers(struct pool *pool)
+void pool_move_off_leaving(struct pool *pool, const struct place *place)
 {
-	struct host_plans *plans = pool->env->plans;
 	struct job_store *jobs = pool->env->jobs;
-	int64_t now_ms = pool_now_ms(pool);
 
+	reserve_for_stopping(pool, place);
 	for (guint i = 0; i < jobs->live->len; i++) {
 		struct job *job = jobs->live->pdata[i];
 
 		if (share_has_job(&pool->share, job) && !job_ended(job->state))
-			stop_long_running(pool, job, now_ms);
+			stop_long_running(pool, place, job);
 	}
+}
+
+void pool_drain_workers(struct pool *pool)
+{
+	struct host_plans *plans = pool->env->plans;
+
 	for (guint i = 0; i < plans->list->len; i++) {
 		struct host_plan *plan = plans->list->pdata[i];
 		struct worker *worker =
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -63,7 +63,15 @@
 void pool_handle_report(struct pool *pool, struct worker *worker,
 			const struct worker_report *report, int64_t asked_ms);
 
-/* pool_drain_workers - drain the workers of hosts to be restarted or moved */
+/*
+ * pool_move_off_leaving - stop long-running tasks on workers that leave
+ *
+ * As far as their availability budget allows, and once another worker has room,
+ * which is kept for them. place_account must have been called for place.
+ */
+void pool_move_off_leaving(struct pool *pool, const struct place *place);
+
+/* pool_drain_workers - note which hosts to be restarted or moved are drained */
 void pool_drain_workers(struct pool *pool);
 
 /*
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "host_plan.h"
 #include "store.h"
 #include "wire.h"
 
@@ -518,6 +519,10 @@
 	job = g_hash_table_lookup(sim->jobs, id);
 	if (job && is_deadly(job, event->task))
 		schedule_crash(sim, event);
+	if (job && job->lasting)
+		g_array_index(worker->model.runs, struct model_run,
+			      worker->model.runs->len - 1)
+			.until_stopped = true;
 	return outcome;
 }
 
@@ -1081,8 +1086,9 @@
 		job->rejected = true;
 }
 
-struct sim_job *sim_submit_job(struct sim *sim, int index, int32_t steps,
-			       int32_t width)
+/* options: members of each step besides its size and its dependencies */
+static struct sim_job *submit(struct sim *sim, int index, int32_t steps,
+			      int32_t width, const char *options)
 {
 	struct sim_job *job = g_new0(struct sim_job, 1);
 	GString *body = g_string_new("{\"spec\":\"t\",\"steps\":[");
@@ -1106,8 +1112,9 @@
 	for (int32_t i = 0; i < steps; i++) {
 		g_string_append_printf(body,
 				       "%s{\"count\":%d,\"cpu\":%d,"
-				       "\"estMs\":500",
-				       i ? "," : "", width, TASK_CPU_MILLI);
+				       "\"estMs\":500%s",
+				       i ? "," : "", width, TASK_CPU_MILLI,
+				       options);
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
 					       i - 1);
@@ -1122,6 +1129,43 @@
 	return job;
 }
 
+struct sim_job *sim_submit_job(struct sim *sim, int index, int32_t steps,
+			       int32_t width)
+{
+	return submit(sim, index, steps, width, "");
+}
+
+struct sim_job *sim_submit_lasting_job(struct sim *sim, int index,
+				       int32_t width)
+{
+	struct sim_job *job = submit(sim, index, 1, width,
+				     ",\"longRunning\":true,"
+				     "\"maxPerServer\":1,\"mayMiss\":1");
+
+	job->lasting = true;
+	return job;
+}
+
+void sim_plan_restart(struct sim *sim, int index)
+{
+	struct host_plan plan = {
+		.work = HOST_RESTART,
+		.step = HOST_DRAIN_REQUESTED,
+		.number = 1,
+		.wave = 1,
+	};
+	const struct worker_entry *entry = &sim->workers[index].entry;
+	char key[LIMIT_NAME_BYTES + 2];
+	size_t len;
+	char *record;
+
+	g_strlcpy(plan.worker, entry->id, sizeof(plan.worker));
+	record = host_plan_record(&plan, &len);
+	snprintf(key, sizeof(key), "h:%s", entry->host);
+	log_model_put(sim->log, "keyed.jobs", key, record, len);
+	g_free(record);
+}
+
 struct sim_job *sim_submit_deadly_job(struct sim *sim, int index, int32_t steps,
 				      int32_t width)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -96,6 +96,7 @@
 	int64_t cancelled_ms; /* time of the acknowledged cancel; 0: none */
 	/* Its first task crashes each worker that starts it. */
 	bool deadly;
+	bool lasting;		     /* its tasks run until they are stopped */
 	int32_t crashes;	     /* of workers under that task */
 	int32_t starts_beyond_limit; /* after SIM_CRASH_LIMIT crashes */
 };
@@ -129,6 +130,11 @@
 /* sim_submit_deadly_job - the same; its first task crashes workers */
 struct sim_job *sim_submit_deadly_job(struct sim *sim, int node, int32_t steps,
 				      int32_t width);
+/* sim_submit_lasting_job - one step of long-running tasks, one to a worker */
+struct sim_job *sim_submit_lasting_job(struct sim *sim, int node,
+				       int32_t width);
+/* sim_plan_restart - record that the worker's host is to be drained */
+void sim_plan_restart(struct sim *sim, int worker);
 void sim_cancel(struct sim *sim, int node, struct sim_job *job);
 
 /*
--- /dev/null
+++ b/tests/test_leaving.c
@@ -0,0 +1,98 @@
+/*
+ * Guards against long-running tasks that are stopped on a host that leaves
+ * while no other has room for them.
+ */
+
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fleet_sim.h"
+#include "log.h"
+
+enum {
+	START_MS = 3000,
+	SEEDS = 20,
+	TASKS = 4, /* one for each worker but the last */
+	SPARE = TASKS,
+	STEP_MS = 50,
+	/* A stop, its report, a record and a start. */
+	MOVE_MS = 500
+};
+
+static guint count_runs(const struct sim *sim)
+{
+	guint count = 0;
+
+	for (int i = 0; i < sim->worker_count; i++)
+		if (sim->workers[i].up)
+			count += sim->workers[i].model.runs->len;
+	return count;
+}
+
+/* The first of four workers with a task each is to leave; no fifth is up. */
+static struct sim *plan_without_room(uint64_t seed)
+{
+	struct sim *sim = sim_create(seed, 3, TASKS + 1);
+
+	sim_crash_worker(sim, SPARE);
+	sim_set_worker_listed(sim, SPARE, false);
+	sim_run_for(sim, START_MS);
+	sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	sim_plan_restart(sim, 0);
+	return sim;
+}
+
+START_TEST(task_stays_until_there_is_room)
+{
+	struct sim *sim = plan_without_room(200 + (uint64_t)_i);
+	int64_t away_ms = 0;
+
+	sim_run_for(sim, 2000);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	sim_restart_worker(sim, SPARE);
+	for (int i = 0; i < 3000 / STEP_MS; i++) {
+		sim_run_for(sim, STEP_MS);
+		away_ms += count_runs(sim) < TASKS ? STEP_MS : 0;
+	}
+	ck_assert_int_le(away_ms, MOVE_MS);
+	ck_assert_uint_eq(sim->workers[0].model.runs->len, 0);
+	ck_assert_uint_eq(sim->workers[SPARE].model.runs->len, 1);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
+/* A pool without room must not keep its hosts from their restart for good. */
+START_TEST(host_is_drained_without_room_in_the_end)
+{
+	struct sim *sim = plan_without_room(200 + (uint64_t)_i);
+
+	sim_run_for(sim, 6000);
+	ck_assert_uint_eq(sim->workers[0].model.runs->len, 0);
+	ck_assert_uint_eq(count_runs(sim), TASKS - 1);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("leaving");
+	TCase *tcase = tcase_create("hosts that leave");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	log_init("test_leaving", !getenv("PLANK_VERBOSE"));
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, task_stays_until_there_is_room, 0, SEEDS);
+	tcase_add_loop_test(tcase, host_is_drained_without_room_in_the_end, 0,
+			    SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
