--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	arrival
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
-	pool_unplaced crash place_backlog place_quarantine host_plan \
+	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node
 PLATFORM = call json store wire order_api host_api ingress platform
@@ -98,12 +98,13 @@
 	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
-$(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_capacity \
-	$(BUILD)/explore: $(FLEET_SOURCES)
+FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
+	$(BUILD)/test_leaving $(BUILD)/test_capacity
+
+$(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
 	tests/worker_model.h
-$(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_capacity \
-	$(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
+$(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	@echo "  CC $@"
--- a/src/pool.c
+++ b/src/pool.c
@@ -347,9 +347,11 @@
 	place_account(&place);
 	pool_unplaced_account(pool);
 	pool_move_off_slow(pool, &place);
+	pool_move_off_leaving(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
 	if (writer_stalled_ms(pool->ownership.writer) < pool->env->lease_ms / 4)
 		place_tasks(&place);
+	pool_note_away(pool, &place);
 }
 
 static void delete_record(struct pool *pool, char kind, const char *id)
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -86,6 +86,15 @@
 static void stop_run(struct pool *pool, struct worker *worker,
 		     const struct worker_run *run)
 {
+	struct job_pos pos;
+
+	if (job_task_find(pool->env->jobs, run->task, &pos) &&
+	    !job_ended(pos.job->state) && !pos.job->cancel_requested)
+		log_info("stale-run-stopped task=%s run=%d worker=%s state=%d "
+			 "phase=%d newest_run=%d newest_worker=%s",
+			 run->task, run->run, worker->entry.id, pos.task->state,
+			 pos.task->phase, pos.task->run,
+			 pos.task->worker ? pos.task->worker : "-");
 	pool_send_stop(pool, worker, run->task, run->run);
 }
 
@@ -240,9 +249,9 @@
 }
 
 /*
- * Whether the run certainly ended when its worker died. An unanswered start
- * may still be executed by the next worker process of the same name; of a run
- * started by an earlier owner it is not known whether such orders exist.
+ * Whether the run certainly ended when its worker died. While the worker may
+ * return under its name, an unanswered start may still be executed by it; of a
+ * run started by an earlier owner it is not known whether such orders exist.
  */
 static bool ended_with_worker(const struct pool *pool,
 			      const struct job_task *task)
@@ -250,8 +259,10 @@
 	const struct worker *worker =
 		worker_find(pool->env->workers, task->worker);
 
-	return worker && worker_is_dead(worker) && !task->unanswered_starts &&
-	       task->phase != PHASE_UNKNOWN;
+	if (!worker || !worker_is_dead(worker))
+		return false;
+	return worker_is_replaced(worker) ||
+	       (!task->unanswered_starts && task->phase != PHASE_UNKNOWN);
 }
 
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet_capacity.h"
+#include "host_plan.h"
 #include "store.h"
 #include "wire.h"
 
@@ -526,6 +527,10 @@
 	job = g_hash_table_lookup(sim->jobs, id);
 	if (job && is_deadly(job, event->task))
 		schedule_crash(sim, event);
+	if (job && job->lasting)
+		g_array_index(worker->model.runs, struct model_run,
+			      worker->model.runs->len - 1)
+			.until_stopped = true;
 	return outcome;
 }
 
@@ -623,14 +628,27 @@
 			(event->kind == 's' ? sim->faults.start_answer_ms : 0));
 }
 
+/* Index of the host that the worker runs on, or ran on before its successor. */
 static int worker_index(struct sim *sim, const char *id)
 {
-	for (int i = 0; i < sim->worker_count; i++)
-		if (!strcmp(sim->workers[i].entry.id, id))
+	size_t len = strcspn(id, ".");
+
+	for (int i = 0; i < sim->worker_count; i++) {
+		const char *other = sim->workers[i].entry.id;
+
+		if (strcspn(other, ".") == len && !strncmp(other, id, len))
 			return i;
+	}
 	abort();
 }
 
+/* Start of the worker that an order names; -1 if another has its host now. */
+static int64_t addressed_boot_ms(const struct sim_worker *worker,
+				 const char *id)
+{
+	return strcmp(worker->entry.id, id) ? -1 : worker->entry.boot_ms;
+}
+
 static void send_order(struct client *client, struct event *event)
 {
 	struct sim *sim = client->sim;
@@ -674,7 +692,8 @@
 
 	event->kind = kind;
 	event->worker = worker_index(client->sim, worker->id);
-	event->born_ms = client->sim->workers[event->worker].entry.boot_ms;
+	event->born_ms = addressed_boot_ms(&client->sim->workers[event->worker],
+					   worker->id);
 	event->task = g_strdup(task);
 	event->run = run;
 	event->fence = fence;
@@ -1010,6 +1029,16 @@
 	g_free(text);
 }
 
+void sim_replace_worker(struct sim *sim, int index)
+{
+	struct sim_worker *worker = &sim->workers[index];
+
+	sim_set_worker_listed(sim, index, false);
+	snprintf(worker->entry.id, sizeof(worker->entry.id), "w%d.%d", index,
+		 ++worker->replacements);
+	sim_restart_worker(sim, index);
+}
+
 struct sim *sim_create(uint64_t seed, int nodes, int workers)
 {
 	return sim_create_shared(seed, nodes, workers, NODECONF_SHARE_HOSTS);
@@ -1079,8 +1108,9 @@
 		job->rejected = true;
 }
 
-struct sim_job *sim_submit_job(struct sim *sim, int index, int32_t steps,
-			       int32_t width)
+/* options: members of each step besides its size and its dependencies */
+static struct sim_job *submit(struct sim *sim, int index, int32_t steps,
+			      int32_t width, const char *options)
 {
 	struct sim_job *job = g_new0(struct sim_job, 1);
 	GString *body = g_string_new("{\"spec\":\"t\",\"steps\":[");
@@ -1104,12 +1134,12 @@
 		return job;
 	}
 	for (int32_t i = 0; i < steps; i++) {
-		g_string_append_printf(body,
-				       "%s{\"count\":%d,\"cpu\":%d,"
-				       "\"memMb\":%d,\"estMs\":500%s",
-				       i ? "," : "", width, job->cpu_milli,
-				       job->mem_mib,
-				       sim->gang ? ",\"gang\":true" : "");
+		g_string_append_printf(
+			body,
+			"%s{\"count\":%d,\"cpu\":%d,"
+			"\"memMb\":%d,\"estMs\":500%s%s",
+			i ? "," : "", width, job->cpu_milli, job->mem_mib,
+			sim->gang ? ",\"gang\":true" : "", options);
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
 					       i - 1);
@@ -1124,6 +1154,43 @@
 	return job;
 }
 
+struct sim_job *sim_submit_job(struct sim *sim, int index, int32_t steps,
+			       int32_t width)
+{
+	return submit(sim, index, steps, width, "");
+}
+
+struct sim_job *sim_submit_lasting_job(struct sim *sim, int index,
+				       int32_t width)
+{
+	struct sim_job *job = submit(sim, index, 1, width,
+				     ",\"longRunning\":true,"
+				     "\"maxPerServer\":1,\"mayMiss\":1");
+
+	job->lasting = true;
+	return job;
+}
+
+void sim_plan_restart(struct sim *sim, int index)
+{
+	struct host_plan plan = {
+		.work = HOST_RESTART,
+		.step = HOST_DRAIN_REQUESTED,
+		.number = 1,
+		.wave = 1,
+	};
+	const struct worker_entry *entry = &sim->workers[index].entry;
+	char key[LIMIT_NAME_BYTES + 2];
+	size_t len;
+	char *record;
+
+	g_strlcpy(plan.worker, entry->id, sizeof(plan.worker));
+	record = host_plan_record(&plan, &len);
+	snprintf(key, sizeof(key), "h:%s", entry->host);
+	log_model_put(sim->log, "keyed.jobs", key, record, len);
+	g_free(record);
+}
+
 struct sim_job *sim_submit_deadly_job(struct sim *sim, int index, int32_t steps,
 				      int32_t width)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -44,6 +44,7 @@
 	int64_t restart_at_ms; /* it returns from a crash then; 0: by a call */
 	int32_t rate_percent;  /* speed of its clock, of real time */
 	GArray *capacities;    /* struct sim_capacity, the newest last */
+	int replacements;      /* earlier workers of its host, by other ids */
 	struct worker_model model;
 };
 
@@ -113,6 +114,7 @@
 	int64_t cancelled_ms; /* time of the acknowledged cancel; 0: none */
 	/* Its first task crashes each worker that starts it. */
 	bool deadly;
+	bool lasting;		     /* its tasks run until they are stopped */
 	int32_t crashes;	     /* of workers under that task */
 	int32_t starts_beyond_limit; /* after SIM_CRASH_LIMIT crashes */
 };
@@ -146,6 +148,11 @@
 /* sim_submit_deadly_job - the same; its first task crashes workers */
 struct sim_job *sim_submit_deadly_job(struct sim *sim, int node, int32_t steps,
 				      int32_t width);
+/* sim_submit_lasting_job - one step of long-running tasks, one to a worker */
+struct sim_job *sim_submit_lasting_job(struct sim *sim, int node,
+				       int32_t width);
+/* sim_plan_restart - record that the worker's host is to be drained */
+void sim_plan_restart(struct sim *sim, int worker);
 void sim_cancel(struct sim *sim, int node, struct sim_job *job);
 
 /*
@@ -169,6 +176,8 @@
 void sim_restart_worker(struct sim *sim, int worker);
 /* sim_set_configuration - store the configuration; guarded: of the workers */
 void sim_set_configuration(struct sim *sim, bool guarded);
+/* sim_replace_worker - start another worker, with an id of its own, on its host */
+void sim_replace_worker(struct sim *sim, int worker);
 /* sim_set_worker_listed - add the worker's entry to the registry or delete it */
 void sim_set_worker_listed(struct sim *sim, int worker, bool listed);
 
