Blame a crash on tasks that may not have survived their start

Cause: every task on a crashed worker counted the crash, however long it had been at work, and quarantine lasted to the end of a run, so that each suspect took a worker from all others for seconds.

Fix: the crash counts for the tasks that no report has shown 500 ms after their start; without such tasks, for those at work for less than 10 s. Quarantine ends when the task has survived its start, 1.5 s the first time. As a neighbour cannot raise the count in quarantine, four crashes are enough to give a task up, and whether the rack lived is no longer asked.

--- a/src/crash.c
+++ b/src/crash.c
@@ -5,23 +5,18 @@
 	return task->phase == PHASE_RUNNING && now_ms - task->since_ms >= ms;
 }
 
-bool crash_is_established(const struct job_task *task, int64_t now_ms)
+bool crash_is_settled(const struct job_task *task, int64_t seen_ms)
 {
-	return at_work_for(task, now_ms, CRASH_ESTABLISHED_MS);
+	if (task->crashes < CRASH_QUARANTINE_COUNT)
+		return at_work_for(task, seen_ms, CRASH_START_MS);
+	if (task->crashes == CRASH_QUARANTINE_COUNT)
+		return at_work_for(task, seen_ms, CRASH_LATE_START_MS);
+	return crash_is_cleared(task, seen_ms);
 }
 
-bool crash_is_cleared(const struct job_task *task, const struct job_step *step,
-		      int64_t now_ms)
+bool crash_is_cleared(const struct job_task *task, int64_t seen_ms)
 {
-	return crash_needs_quarantine(task) && step->long_running &&
-	       at_work_for(task, now_ms, CRASH_QUARANTINE_MS);
-}
-
-bool crash_in_quarantine(const struct job_task *task,
-			 const struct job_step *step, int64_t now_ms)
-{
-	return crash_needs_quarantine(task) &&
-	       !crash_is_cleared(task, step, now_ms);
+	return at_work_for(task, seen_ms, CRASH_QUARANTINE_MS);
 }
 
 bool crash_may_count(const struct job_task *task)
@@ -45,12 +40,7 @@
 	       at_work_for(task, now_ms, CRASH_FORGET_MS);
 }
 
-bool crash_must_give_up(const struct job_task *task,
-			const struct job_step *step)
+bool crash_must_give_up(const struct job_task *task)
 {
-	int32_t max = step->gang ? CRASH_MAX_GANG_COUNT : CRASH_MAX_COUNT;
-
-	return task->crashes >= max ||
-	       (task->crashes >= CRASH_GIVE_UP_COUNT &&
-		task->crashes_alone >= CRASH_ALONE_COUNT);
+	return task->crashes >= CRASH_GIVE_UP_COUNT;
 }
--- a/src/crash.h
+++ b/src/crash.h
@@ -2,13 +2,14 @@
  * NAME
  *	crash - tells tasks that crash their workers from those beside them
  *
- * A task may crash each worker that starts it. When a worker crashes, every
- * task on it is a suspect: each counts the crash, and the count is stored with
- * the job. Suspects are spread over the workers. One with several crashes is
- * started in quarantine: on a worker whose other tasks have all been at work for
- * a while, and to which no other task is sent meanwhile. A task is given up, and
- * its job fails, once several workers have crashed under it with no other task
- * to blame. Pure functions of tasks and time.
+ * A task may crash each worker that starts it. When a worker crashes, the tasks
+ * on it that are not known to have survived their start are suspects: each counts
+ * the crash, and the count is stored with the job. Suspects are spread over the
+ * workers. One with several crashes is started in quarantine: on a worker whose
+ * other tasks have all survived their start, and to which no other task is sent
+ * until it has survived its own. So no neighbour can raise its count further. A
+ * task is given up, and its job fails, if workers crash under it in quarantine
+ * too. Pure functions of tasks and time.
  */
 #ifndef CRASH_H
 #define CRASH_H
@@ -21,17 +22,14 @@
 enum {
 	/* Crashes from which on a task is started in quarantine only. */
 	CRASH_QUARANTINE_COUNT = 2,
-	/* Crashes with which a task is given up, and how many of them must have
-	   had no other task to blame, while the rest of the rack lived. */
-	CRASH_GIVE_UP_COUNT = 3,
-	CRASH_ALONE_COUNT = 2,
-	/* Crashes with which it is given up in any case. */
-	CRASH_MAX_COUNT = 4,
-	/* The same for a task of a gang, which is not put in quarantine. */
-	CRASH_MAX_GANG_COUNT = 5,
-	/* A task at work for so long may stay beside one in quarantine. */
-	CRASH_ESTABLISHED_MS = 1500,
-	/* Quarantine of a long-running task; others stay in it to their end. */
+	/* Crashes with which it is given up. The last two are those of workers
+	   on which no other task can be to blame. */
+	CRASH_GIVE_UP_COUNT = 4,
+	/* A task that crashes its worker is expected to do so within this time
+	   of its start; later only if it has several crashes. */
+	CRASH_START_MS = 500,
+	CRASH_LATE_START_MS = 1500,
+	/* A task at work for so long is never to blame for a crash. */
 	CRASH_QUARANTINE_MS = 10000,
 	/* After this time at work the crashes under a task are forgotten. */
 	CRASH_FORGET_MS = 60000
@@ -44,29 +42,27 @@
 }
 
 /* crash_needs_quarantine - whether it may be started in quarantine only */
-static inline bool crash_needs_quarantine(const struct job_task *task)
+static inline bool crash_needs_quarantine(const struct job_task *task,
+					  const struct job_step *step)
 {
-	return task->crashes >= CRASH_QUARANTINE_COUNT;
+	return task->crashes >= CRASH_QUARANTINE_COUNT && !step->gang;
 }
 
-/* crash_is_established - whether a placed task has been at work for a while */
-bool crash_is_established(const struct job_task *task, int64_t now_ms);
-
 /*
- * crash_in_quarantine - whether a placed task is in quarantine
+ * crash_is_settled - whether a placed task is known to have survived its start
  *
- * step is the task's.
+ * seen_ms is the time of its worker's last report, which lists the task if it is
+ * at work. The more crashes a task has, the longer its start takes.
  */
-bool crash_in_quarantine(const struct job_task *task,
-			 const struct job_step *step, int64_t now_ms);
+bool crash_is_settled(const struct job_task *task, int64_t seen_ms);
 
 /*
- * crash_is_cleared - whether a placed task has been through its quarantine
+ * crash_is_cleared - whether a placed task is not to blame for any crash
  *
- * It is not suspected of a crash while another task is.
+ * seen_ms is as above. A crash of a worker whose tasks have all survived their
+ * start is blamed on those that are not cleared.
  */
-bool crash_is_cleared(const struct job_task *task, const struct job_step *step,
-		      int64_t now_ms);
+bool crash_is_cleared(const struct job_task *task, int64_t seen_ms);
 
 /*
  * crash_may_count - whether a crash of its worker counts for a placed task
@@ -79,8 +75,7 @@
 /* crash_must_forget - whether it has been at work long enough to trust it */
 bool crash_must_forget(const struct job_task *task, int64_t now_ms);
 
-/* crash_must_give_up - whether the task, one of the step, is to be given up */
-bool crash_must_give_up(const struct job_task *task,
-			const struct job_step *step);
+/* crash_must_give_up - whether the task is to be given up */
+bool crash_must_give_up(const struct job_task *task);
 
 #endif
--- a/src/job.h
+++ b/src/job.h
@@ -95,10 +95,9 @@
 	bool stop_ok; /* its worker has confirmed the stop */
 	int32_t run;
 	int32_t failed;
-	int32_t crashes;       /* workers that have crashed under it */
-	int32_t crashes_alone; /* those with no other task to blame */
-	int32_t crashed_run;   /* newest run under which that was counted */
-	const char *worker;    /* of the newest run; interned */
+	int32_t crashes;     /* workers that have crashed under it */
+	int32_t crashed_run; /* newest run under which that was counted */
+	const char *worker;  /* of the newest run; interned */
 	/* Start of that worker, by its clock; 0: unknown. Stored only for a task
 	   with crashes. */
 	int64_t worker_boot_ms;
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -11,7 +11,7 @@
  * [occurrence, step, done, tasks] with one hexadecimal digit for each four
  * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
  * for each other task that has been started. "crashes", if there are any, has a
- * row [occurrence, step, index, crashes, crashes_alone, run, boot_ms] for each
+ * row [occurrence, step, index, crashes, run, boot_ms] for each
  * task under which workers have crashed; run is the newest one under which that
  * was counted, and boot_ms the start of the worker that the task is placed on.
  */
@@ -121,9 +121,8 @@
 {
 	const struct job_task *task = pos->task;
 	const int64_t values[] = {
-		pos->occurrence,      pos->step,	   pos->index,
-		task->crashes,	      task->crashes_alone, task->crashed_run,
-		task->worker_boot_ms,
+		pos->occurrence, pos->step,	    pos->index,
+		task->crashes,	 task->crashed_run, task->worker_boot_ms,
 	};
 	struct json_object *row =
 		json_object_new_array_ext(G_N_ELEMENTS(values));
@@ -294,16 +293,14 @@
 	uint32_t index = (uint32_t)row_number(
 		row, 2, (int64_t)job->spec.steps[step].count - 1);
 	int32_t crashes = (int32_t)row_number(row, 3, INT32_MAX);
-	int32_t crashes_alone = (int32_t)row_number(row, 4, INT32_MAX);
-	int32_t run = (int32_t)row_number(row, 5, INT32_MAX);
-	int64_t boot_ms = row_number(row, 6, LIMIT_NUMBER_MAX);
+	int32_t run = (int32_t)row_number(row, 4, INT32_MAX);
+	int64_t boot_ms = row_number(row, 5, LIMIT_NUMBER_MAX);
 	struct job_task *task;
 
 	if (row->err->kind != ERR_OK)
 		return;
 	task = job_task_at(job, occurrence, step, index);
 	task->crashes = crashes;
-	task->crashes_alone = crashes_alone;
 	task->crashed_run = run;
 	task->worker_boot_ms = boot_ms;
 }
--- a/src/liveness.c
+++ b/src/liveness.c
@@ -4,11 +4,7 @@
 
 #include "log.h"
 
-enum {
-	LIVENESS_LIST_GAP_MS = 300,
-	/* Workers of a rack that crash together do so within this time. */
-	LIVENESS_RACK_SPAN_MS = 3000
-};
+enum { LIVENESS_LIST_GAP_MS = 300 };
 
 struct liveness {
 	struct liveness_config config;
@@ -60,32 +56,6 @@
 	       worker_is_silent(worker, clk_now_ms(liveness->config.clk));
 }
 
-/*
- * Whether another worker of the same kind and rack is up, and has been since
- * well before the crash, so that the rack as a whole did not fail.
- */
-static bool rack_has_lived(const struct liveness *liveness,
-			   const struct worker *worker)
-{
-	int64_t before_ms =
-		clk_wall_ms(liveness->config.clk) - LIVENESS_RACK_SPAN_MS;
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, liveness->hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct host *host = value;
-		const struct worker *other =
-			worker_find(liveness->config.workers, host->worker);
-
-		if (host->state == HOST_UP && other && other != worker &&
-		    other->entry.boot_ms < before_ms &&
-		    worker_same_labels(other, worker))
-			return true;
-	}
-	return false;
-}
-
 /* Marks a dead worker. A report since the request is newer than the list. */
 static void check_worker(struct liveness *liveness, struct worker *worker)
 {
@@ -97,7 +67,6 @@
 	    !liveness_proves_dead(host, worker->entry.id))
 		return;
 	worker->dead_ms = liveness->requested_ms;
-	worker->rack_has_lived = rack_has_lived(liveness, worker);
 	log_info("worker-gone worker=%s host=%s host_state=%d host_worker=%s "
 		 "heard_ms_ago=%" G_GINT64_FORMAT,
 		 worker->entry.id, host->name, host->state, host->worker,
--- a/src/place.c
+++ b/src/place.c
@@ -44,13 +44,35 @@
 
 void place_use_room(struct worker *worker, const struct job_step *step)
 {
-	if (!step->uses_idle_cpu)
-		worker->cpu_used_milli += step->cpu_milli;
+	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
+
+	worker->cpu_used_milli += cpu_milli;
 	worker->mem_used_mib += step->mem_mib;
 	worker->gpu_used += step->gpu;
 	worker->tasks++;
-	worker->long_running_tasks += step->long_running;
 	worker->new_tasks++;
+	if (step->long_running) {
+		worker->long_running_tasks++;
+		worker->lasting_cpu_milli += cpu_milli;
+		worker->lasting_mem_mib += step->mem_mib;
+	}
+}
+
+/* Reverses place_use_room. */
+static void free_room(struct worker *worker, const struct job_step *step)
+{
+	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
+
+	worker->cpu_used_milli -= cpu_milli;
+	worker->mem_used_mib -= step->mem_mib;
+	worker->gpu_used -= step->gpu;
+	worker->tasks--;
+	worker->new_tasks--;
+	if (step->long_running) {
+		worker->long_running_tasks--;
+		worker->lasting_cpu_milli -= cpu_milli;
+		worker->lasting_mem_mib -= step->mem_mib;
+	}
 }
 
 static void account_job(const struct place *place, struct job *job)
@@ -68,7 +90,7 @@
 		place_use_room(worker, &job->spec.steps[pos.step]);
 		worker->suspects += crash_is_suspect(pos.task);
 		worker->new_tasks -=
-			crash_is_established(pos.task, place->now_ms);
+			crash_is_settled(pos.task, worker->last_report_ms);
 	}
 }
 
@@ -84,6 +106,8 @@
 		worker->gpu_used = 0;
 		worker->tasks = 0;
 		worker->long_running_tasks = 0;
+		worker->lasting_cpu_milli = 0;
+		worker->lasting_mem_mib = 0;
 		worker->suspects = 0;
 		worker->new_tasks = 0;
 		worker->reserved = false;
@@ -232,7 +256,7 @@
 	struct worker *worker;
 	struct pass pass;
 
-	if (crash_needs_quarantine(pos->task))
+	if (crash_needs_quarantine(pos->task, &pos->job->spec.steps[pos->step]))
 		return false;
 	pass_begin(&pass, place);
 	worker = best_worker(&pass, &cand, pos->task);
@@ -280,14 +304,8 @@
 				       run + 1, place->now_ms);
 			continue;
 		}
-		chosen[i]->cpu_used_milli -=
-			step->uses_idle_cpu ? 0 : step->cpu_milli;
-		chosen[i]->mem_used_mib -= step->mem_mib;
-		chosen[i]->gpu_used -= step->gpu;
-		chosen[i]->tasks--;
-		chosen[i]->new_tasks--;
+		free_room(chosen[i], step);
 		chosen[i]->suspects -= crash_is_suspect(&tasks[i]);
-		chosen[i]->long_running_tasks -= step->long_running;
 	}
 	/* Room was short beside the gang's own reservations only. */
 	if (found < step->count)
@@ -304,6 +322,7 @@
 	struct job_task *tasks =
 		job_task_at(cand->job, cand->occurrence, cand->step, 0);
 	struct place_counts counts = { 0 };
+	uint32_t held = 0; /* tasks that wait for their quarantine */
 
 	if (step->gang) {
 		counts.placed = place_gang(pass, cand);
@@ -314,9 +333,11 @@
 
 		if (!is_startable(place, &tasks[i]))
 			continue;
-		if (crash_needs_quarantine(&tasks[i])) {
-			counts.placed +=
-				place_in_quarantine(pass, cand, &tasks[i]);
+		if (crash_needs_quarantine(&tasks[i], step)) {
+			if (place_in_quarantine(pass, cand, &tasks[i]))
+				counts.placed++;
+			else
+				held++;
 			continue;
 		}
 		worker = counts.waiting ? NULL
@@ -332,6 +353,7 @@
 		worker->suspects += crash_is_suspect(&tasks[i]);
 		counts.placed++;
 	}
+	counts.waiting += held;
 	return counts;
 }
 
--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -19,21 +19,33 @@
 	return worker;
 }
 
+/* The worker that is kept from other tasks for the suspect; NULL: none. */
+static struct worker *kept_worker(const struct place *place,
+				  const struct job_task *task)
+{
+	struct worker *worker;
+
+	if (task->state == TASK_WAITING)
+		return reserved_worker(place, task);
+	if (task->state != TASK_PLACED)
+		return NULL;
+	worker = worker_find(place->workers, task->worker);
+	if (!worker || crash_is_settled(task, worker->last_report_ms))
+		return NULL;
+	return worker;
+}
+
 void place_account_quarantine(const struct place *place, struct job *job)
 {
 	struct job_pos pos = { .job = job };
 
 	while (job_next_task(&pos)) {
-		const struct job_step *step = &job->spec.steps[pos.step];
-		struct worker *worker = NULL;
+		struct worker *worker;
 
-		if (!crash_needs_quarantine(pos.task))
+		if (!crash_needs_quarantine(pos.task,
+					    &job->spec.steps[pos.step]))
 			continue;
-		if (pos.task->state == TASK_WAITING)
-			worker = reserved_worker(place, pos.task);
-		else if (pos.task->state == TASK_PLACED &&
-			 crash_in_quarantine(pos.task, step, place->now_ms))
-			worker = worker_find(place->workers, pos.task->worker);
+		worker = kept_worker(place, pos.task);
 		if (worker)
 			worker->reserved = true;
 	}
@@ -79,6 +91,7 @@
 				     const struct candidate *cand,
 				     struct job_task *task)
 {
+	const struct place *place = pass->place;
 	struct worker *worker;
 
 	task->quarantine = NULL;
@@ -89,7 +102,7 @@
 		return NULL;
 	worker->reserved = true;
 	task->quarantine = worker->name;
-	task->reserved_ms = pass->place->now_ms;
+	task->reserved_ms = place->now_ms;
 	log_info("quarantine-reserved id=%s worker=%s crashes=%d new_tasks=%d",
 		 cand->job->id, worker->name, task->crashes, worker->new_tasks);
 	return worker;
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -7,17 +7,10 @@
 /* The tasks that a worker's crash is judged by. */
 struct crash_scene {
 	const struct worker *worker;
-	const char *why;
-	GArray *suspects; /* struct job_pos */
-	uint32_t new_tasks;
-	bool any_uncleared;
+	GArray *tasks;	    /* struct job_pos */
+	uint32_t new_tasks; /* not known to have survived their start */
 };
 
-static const struct job_step *step_of(const struct job_pos *pos)
-{
-	return &pos->job->spec.steps[pos->step];
-}
-
 /* Whether the run began, if at all, in an earlier life of the worker. */
 static bool is_of_earlier_life(const struct worker *worker,
 			       const struct job_task *task)
@@ -35,20 +28,20 @@
 	       (dead || is_of_earlier_life(worker, task));
 }
 
-static void add_suspect(struct crash_scene *scene, const struct job_pos *pos,
-			int64_t now_ms)
+static bool is_new(const struct crash_scene *scene, const struct job_pos *pos)
 {
-	g_array_append_val(scene->suspects, *pos);
-	scene->new_tasks += !crash_is_established(pos->task, now_ms);
-	scene->any_uncleared |=
-		!crash_is_cleared(pos->task, step_of(pos), now_ms);
+	return !crash_is_settled(pos->task, scene->worker->last_report_ms);
 }
 
-static void find_suspects(struct pool *pool, bool dead,
-			  struct crash_scene *scene)
+static void add_task(struct crash_scene *scene, const struct job_pos *pos)
+{
+	g_array_append_val(scene->tasks, *pos);
+	scene->new_tasks += is_new(scene, pos);
+}
+
+static void find_tasks(struct pool *pool, bool dead, struct crash_scene *scene)
 {
 	struct job_store *jobs = pool->env->jobs;
-	int64_t now_ms = pool_now_ms(pool);
 
 	for (guint i = 0; i < jobs->live->len; i++) {
 		struct job_pos pos = { .job = jobs->live->pdata[i] };
@@ -58,45 +51,49 @@
 			continue;
 		while (job_next_task(&pos))
 			if (crashed_under(scene->worker, dead, pos.task))
-				add_suspect(scene, &pos, now_ms);
+				add_task(scene, &pos);
 	}
 }
 
-/* Whether no other task of the worker, nor its rack, can be to blame. */
-static bool is_alone(const struct crash_scene *scene, const struct job_pos *pos,
-		     int64_t now_ms)
-{
-	return scene->worker->rack_has_lived && scene->new_tasks == 1 &&
-	       !crash_is_established(pos->task, now_ms);
-}
-
 static void give_up(struct pool *pool, struct job_pos *pos)
 {
 	const struct job_task *task = pos->task;
 	char name[JOB_TASK_NAME_BYTES];
 
 	job_task_name(pos, name, sizeof(name));
-	log_warn("task-given-up task=%s run=%d worker=%s crashes=%d "
-		 "crashes_alone=%d",
-		 name, task->run, task->worker, task->crashes,
-		 task->crashes_alone);
+	log_warn("task-given-up task=%s run=%d worker=%s crashes=%d", name,
+		 task->run, task->worker, task->crashes);
 	pool->env->counts.tasks_given_up++;
 	job_give_up(pos->job);
 }
 
+/*
+ * Whether the task may have crashed the worker. A worker that is emptied may
+ * leave with tasks on it.
+ */
+static bool is_to_blame(const struct crash_scene *scene,
+			const struct job_pos *pos)
+{
+	const struct worker *worker = scene->worker;
+
+	if (is_new(scene, pos))
+		return true;
+	return !scene->new_tasks && !worker->entry.draining &&
+	       !worker->leaving &&
+	       !crash_is_cleared(pos->task, worker->last_report_ms);
+}
+
 static void judge(struct pool *pool, const struct crash_scene *scene,
-		  struct job_pos *pos, int64_t now_ms)
+		  struct job_pos *pos)
 {
 	struct job_task *task = pos->task;
 
-	if (scene->any_uncleared &&
-	    crash_is_cleared(task, step_of(pos), now_ms))
+	if (!is_to_blame(scene, pos))
 		return;
 	task->crashed_run = task->run;
 	task->crashes++;
-	task->crashes_alone += is_alone(scene, pos, now_ms);
 	pos->job->dirty = true;
-	if (crash_must_give_up(task, step_of(pos)))
+	if (crash_must_give_up(task))
 		give_up(pool, pos);
 }
 
@@ -105,26 +102,21 @@
 {
 	struct crash_scene scene = {
 		.worker = worker,
-		.suspects = g_array_new(FALSE, FALSE, sizeof(struct job_pos)),
+		.tasks = g_array_new(FALSE, FALSE, sizeof(struct job_pos)),
 	};
-	int64_t now_ms = pool_now_ms(pool);
 
-	/* A worker that is emptied may leave with tasks on it. */
-	if (!worker->entry.draining && !worker->leaving)
-		find_suspects(pool, dead, &scene);
-	if (scene.suspects->len) {
+	find_tasks(pool, dead, &scene);
+	if (scene.tasks->len) {
 		pool->env->counts.worker_crashes++;
 		log_info("worker-crashed worker=%s host=%s why=%s tasks=%u "
-			 "new_tasks=%u rack_has_lived=%d",
+			 "new_tasks=%u",
 			 worker->entry.id, worker->entry.host, why,
-			 scene.suspects->len, scene.new_tasks,
-			 worker->rack_has_lived);
+			 scene.tasks->len, scene.new_tasks);
 	}
-	for (guint i = 0; i < scene.suspects->len; i++)
+	for (guint i = 0; i < scene.tasks->len; i++)
 		judge(pool, &scene,
-		      &g_array_index(scene.suspects, struct job_pos, i),
-		      now_ms);
-	g_array_free(scene.suspects, TRUE);
+		      &g_array_index(scene.tasks, struct job_pos, i));
+	g_array_free(scene.tasks, TRUE);
 }
 
 void pool_note_dead_workers(struct pool *pool)
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -119,7 +119,6 @@
 	}
 	if (crash_must_forget(task, now_ms)) {
 		task->crashes = 0;
-		task->crashes_alone = 0;
 		pos.job->dirty = true;
 	}
 }
--- a/src/worker.c
+++ b/src/worker.c
@@ -109,16 +109,6 @@
 	return false;
 }
 
-bool worker_same_labels(const struct worker *left, const struct worker *right)
-{
-	if (left->entry.label_count != right->entry.label_count)
-		return false;
-	for (uint32_t i = 0; i < left->entry.label_count; i++)
-		if (!worker_has_label(right, left->entry.labels[i]))
-			return false;
-	return true;
-}
-
 int64_t worker_clock_ms(const struct worker *worker, int64_t now_ms)
 {
 	int64_t passed_ms = now_ms - worker->clock_at_ms;
--- a/src/worker.h
+++ b/src/worker.h
@@ -84,7 +84,6 @@
 	int64_t unanswered_since_ms; /* oldest unanswered start order; 0: none */
 	/* It was dead at this time, see liveness; 0: not known. */
 	int64_t dead_ms;
-	bool rack_has_lived;	 /* a worker of its rack was up then */
 	int64_t counted_dead_ms; /* dead_ms whose crash has been counted */
 	int32_t starting;	 /* start orders in flight */
 	int64_t next_renew_ms;
@@ -99,11 +98,13 @@
 	int32_t gpu_used;
 	int32_t tasks;		    /* placed tasks */
 	int32_t long_running_tasks; /* placed tasks that are long-running */
-	int32_t suspects;  /* placed tasks under which workers crashed */
-	int32_t new_tasks; /* placed tasks that have not been at work for long */
-	bool reserved;	   /* for a task that starts or waits in quarantine */
-	double failure_rate;   /* moving average over its ended runs */
-	struct speed speed;    /* measured by its own clock */
+	int32_t suspects; /* placed tasks under which workers crashed */
+	int32_t new_tasks; /* placed tasks that may not have survived their start */
+	int32_t lasting_cpu_milli; /* used by placed long-running tasks */
+	int32_t lasting_mem_mib;
+	bool reserved;	     /* for a task that starts or waits in quarantine */
+	double failure_rate; /* moving average over its ended runs */
+	struct speed speed;  /* measured by its own clock */
 	int64_t slow_until_ms; /* no new tasks before; 0: not slow */
 };
 
@@ -140,13 +141,6 @@
 
 bool worker_has_label(const struct worker *worker, const char *label);
 
-/*
- * worker_same_labels - whether two workers have the same labels
- *
- * The labels name a worker's kind and rack.
- */
-bool worker_same_labels(const struct worker *left, const struct worker *right);
-
 /*
  * worker_clock_ms - lower bound of the worker's clock at now_ms
  *
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -499,7 +499,7 @@
 {
 	struct model_run run = {
 		.run = event->run,
-		.remaining_ms = TASK_MS + random_below(sim, TASK_MS),
+		.remaining_ms = sim->task_ms + random_below(sim, TASK_MS),
 		.fails = random_below(sim, 100) < 2,
 	};
 	enum order_outcome outcome;
@@ -1010,6 +1010,7 @@
 	sim->clk = clk_manual(1000000);
 	sim->tick = node_tick;
 	sim->share_hosts = share_hosts;
+	sim->task_ms = TASK_MS;
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
 	sim->log = log_model_create();
@@ -1082,8 +1083,9 @@
 	for (int32_t i = 0; i < steps; i++) {
 		g_string_append_printf(body,
 				       "%s{\"count\":%d,\"cpu\":%d,"
-				       "\"estMs\":500",
-				       i ? "," : "", width, TASK_CPU_MILLI);
+				       "\"estMs\":%" G_GINT64_FORMAT,
+				       i ? "," : "", width, TASK_CPU_MILLI,
+				       sim->task_ms + TASK_MS / 4);
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
 					       i - 1);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -63,6 +63,7 @@
 
 struct sim {
 	uint32_t share_hosts; /* setting of the nodes */
+	int64_t task_ms;      /* least duration of the tasks that start */
 	struct clk clk;
 	struct rnd rnd;
 	GSequence *events;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -16,6 +16,9 @@
 	START_MS = 3000,
 	/* Until a task that crashes workers must have been given up. */
 	GIVE_UP_MS = 30000,
+	LONG_TASK_MS = 200000,
+	/* Between crashes of the workers that run a long task. */
+	FLAP_MS = 14000,
 	SEEDS = 20,
 	RANDOM_SEEDS = 40
 };
@@ -106,6 +109,41 @@
 }
 END_TEST
 
+/* Crashes the workers with tasks on them; each is back after some seconds. */
+static void crash_busy_workers(struct sim *sim)
+{
+	for (int i = 0; i < sim->worker_count; i++) {
+		struct sim_worker *worker = &sim->workers[i];
+
+		if (!worker->up || !worker->model.runs->len)
+			continue;
+		sim_crash_worker(sim, i);
+		worker->restart_at_ms = sim->clk.manual_ms + SIM_CRASH_MS;
+	}
+}
+
+/*
+ * A sound task must not be given up because workers crash long after they have
+ * started it, however often.
+ */
+START_TEST(task_on_flapping_workers_is_not_given_up)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 6);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	sim->task_ms = LONG_TASK_MS;
+	job = sim_submit_job(sim, 0, 1, 1);
+	for (int i = 0; i < 6; i++) {
+		sim_run_for(sim, FLAP_MS);
+		crash_busy_workers(sim);
+	}
+	sim_run_for(sim, SIM_CRASH_MS);
+	ck_assert_int_ne(sim_get_job_state(sim, 0, job->id), JOB_FAILED);
+}
+END_TEST
+
 /* The same with every other fault of the random play. */
 START_TEST(invariants_hold_with_crashing_tasks)
 {
@@ -140,6 +178,8 @@
 	tcase_add_loop_test(tcase,
 			    neighbours_of_a_crashing_task_are_not_given_up, 0,
 			    seeds);
+	tcase_add_loop_test(tcase, task_on_flapping_workers_is_not_given_up, 0,
+			    seeds);
 	tcase_add_loop_test(tcase, invariants_hold_with_crashing_tasks, 0,
 			    count ? atoi(count) : RANDOM_SEEDS);
 	suite_add_tcase(suite, tcase);
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,168 @@
+/*
+ * Unit tests of the placement of tasks under which workers have crashed. None
+ * uses a network or a clock.
+ */
+
+#include <stdio.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "crash.h"
+#include "log.h"
+#include "place.h"
+#include "wire.h"
+
+enum {
+	WORKER_CPU_MILLI = 4000,
+	TASK_CPU_MILLI = 1000,
+	PASS_GAP_MS = 100
+};
+
+static struct job_store *jobs;
+static struct worker_table *workers;
+static struct cfg *cfg;
+static int64_t next_offset;
+static int64_t now_ms;
+
+static const char configuration[] =
+	"{\"version\":3,\"routes\":["
+	"{\"name\":\"q\",\"host\":\"h.example\",\"prefix\":\"/a/\","
+	"\"service\":\"pool\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500}],"
+	"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":true}],"
+	"\"limits\":{\"maxBodyBytes\":1000}}";
+
+static void setup(void)
+{
+	struct err err = { .kind = ERR_OK };
+
+	jobs = job_store_create(wire_decode_spec);
+	workers = worker_table_create();
+	ck_assert_int_eq(wire_decode_cfg(configuration, strlen(configuration),
+					 &cfg, &err),
+			 0);
+	next_offset = 0;
+	now_ms = 100000;
+}
+
+static void teardown(void)
+{
+	job_store_destroy(jobs);
+	worker_table_destroy(workers);
+	cfg_destroy(cfg);
+}
+
+static void add_worker(int number)
+{
+	struct worker_entry entry = {
+		.pool = "pool",
+		.cpu_milli = WORKER_CPU_MILLI,
+		.mem_mib = 1000,
+	};
+
+	snprintf(entry.id, sizeof(entry.id), "w%d", number);
+	worker_put(workers, &entry)->fence_accepted = true;
+}
+
+static struct job *submit_tasks(int count, int32_t cpu_milli, bool long_running)
+{
+	struct err err = { .kind = ERR_OK };
+	char id[JOB_ID_BYTES], body[200];
+	char *record;
+	size_t len;
+
+	snprintf(id, sizeof(id), "%016x", (unsigned int)next_offset + 1);
+	snprintf(body, sizeof(body),
+		 "{\"spec\":\"t\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+		 "\"estMs\":100%s}]}",
+		 count, cpu_milli, long_running ? ",\"longRunning\":true" : "");
+	record = job_submission_record("q", "pool", 1000, body, strlen(body),
+				       &len);
+	job_apply_submission(jobs, id, next_offset++, record, len, &err);
+	g_free(record);
+	ck_assert_int_eq(err.kind, ERR_OK);
+	return job_find(jobs, id);
+}
+
+/* Submits tasks under which workers have crashed. */
+static struct job *submit_suspects(int count, int32_t cpu_milli)
+{
+	struct job *job = submit_tasks(count, cpu_milli, false);
+
+	for (int i = 0; i < count; i++)
+		job->tasks[i].crashes = CRASH_QUARANTINE_COUNT;
+	return job;
+}
+
+static void place(void)
+{
+	struct place place = {
+		.share = { "pool", 0, 1 },
+		.cfg = cfg,
+		.jobs = jobs,
+		.workers = workers,
+		.now_ms = now_ms,
+		.wall_ms = now_ms,
+	};
+
+	for (guint i = 0; i < workers->list->len; i++)
+		((struct worker *)workers->list->pdata[i])->last_report_ms =
+			now_ms;
+	place_account(&place);
+	place_tasks(&place);
+}
+
+static int count_placed(const struct job *job, int count)
+{
+	int placed = 0;
+
+	for (int i = 0; i < count; i++)
+		placed += job->tasks[i].state == TASK_PLACED;
+	return placed;
+}
+
+/*
+ * Many sound suspects must not queue for their whole run: one leaves quarantine
+ * when it has survived its start, and the next one follows.
+ */
+START_TEST(suspects_leave_quarantine_after_their_start)
+{
+	int64_t start_ms = now_ms;
+	struct job *suspects = submit_suspects(24, TASK_CPU_MILLI);
+
+	for (int i = 0; i < 8; i++)
+		add_worker(i);
+	for (; count_placed(suspects, 24) < 24; now_ms += PASS_GAP_MS) {
+		place();
+		for (int i = 0; i < 24; i++) {
+			struct job_task *task = &suspects->tasks[i];
+
+			if (task->state != TASK_PLACED ||
+			    task->phase == PHASE_RUNNING)
+				continue;
+			task->phase = PHASE_RUNNING;
+			task->since_ms = now_ms;
+		}
+		ck_assert_int_le(now_ms - start_ms, 12000);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("quarantine");
+	TCase *tcase = tcase_create("placement of suspects");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	log_init("test_quarantine", true);
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, suspects_leave_quarantine_after_their_start);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
