Reserve workers for suspects only where room can come free

What callers would see: a task under which two workers had crashed waited for ever for a worker full of lasting tasks, while another one had room; and suspects that had room nowhere kept workers from sound tasks (1 to 4 workers: 0, 1, 2 and 2 sound tasks placed within 60 s, with room for all).

Cause: the worker to reserve was chosen by its number of new tasks only, and a reservation that ran out was renewed in the same pass.

Fix: only workers where the task has room once tasks that end have ended; first those with room now. After a reservation that ran out the task waits for 500 ms, so that others get the worker. Evidence: two tests in tests/test_quarantine.c, 5 of 5 checks fail before.

--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -2,8 +2,18 @@
 #include "log.h"
 #include "place_int.h"
 
-/* A worker that has no room for the task by then is given back. */
-enum { PLACE_RESERVATION_MS = 3000 };
+enum {
+	/* A worker that has no room for the task by then is given back. */
+	PLACE_RESERVATION_MS = 2000,
+	/* Until the task may reserve another one, so that others get a turn. */
+	PLACE_RESERVATION_GAP_MS = 500
+};
+
+static bool reservation_expired(const struct place *place,
+				const struct job_task *task)
+{
+	return place->now_ms - task->reserved_ms >= PLACE_RESERVATION_MS;
+}
 
 /* The worker reserved for a waiting task, unless it is of no use any more. */
 static struct worker *reserved_worker(const struct place *place,
@@ -14,7 +24,7 @@
 				 : NULL;
 
 	if (!worker || !place_usable(place, worker) ||
-	    place->now_ms - task->reserved_ms >= PLACE_RESERVATION_MS)
+	    reservation_expired(place, task))
 		return NULL;
 	return worker;
 }
@@ -64,7 +74,31 @@
 	return !reserved || 2 * (reserved + 1) <= pass->usable->len;
 }
 
-/* The worker that is likely to be ready first: one with few tasks. */
+/* Whether the worker will have room once its tasks that end have ended. */
+static bool will_fit(const struct worker *worker, const struct job_step *step)
+{
+	const struct worker_entry *entry = &worker->entry;
+	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
+
+	return worker->lasting_cpu_milli + cpu_milli <= entry->cpu_milli &&
+	       worker->lasting_mem_mib + step->mem_mib <= entry->mem_mib &&
+	       step->gpu <= entry->gpu;
+}
+
+/* Whether the step's task can be expected to start sooner on left. */
+static bool is_ready_sooner(const struct worker *left,
+			    const struct worker *right,
+			    const struct job_step *step)
+{
+	bool left_fits = place_fits(left, step);
+
+	if (left_fits != place_fits(right, step))
+		return left_fits;
+	if (left->new_tasks != right->new_tasks)
+		return left->new_tasks < right->new_tasks;
+	return left->cpu_used_milli < right->cpu_used_milli;
+}
+
 static struct worker *choose_worker(const struct pass *pass,
 				    const struct candidate *cand)
 {
@@ -75,13 +109,9 @@
 		struct worker *worker = pass->usable->pdata[i];
 
 		if (worker->reserved || !place_may_hold(cand, worker) ||
-		    worker->entry.cpu_milli < step->cpu_milli ||
-		    worker->entry.mem_mib < step->mem_mib ||
-		    worker->entry.gpu < step->gpu)
+		    !will_fit(worker, step))
 			continue;
-		if (!best || worker->new_tasks < best->new_tasks ||
-		    (worker->new_tasks == best->new_tasks &&
-		     worker->cpu_used_milli < best->cpu_used_milli))
+		if (!best || is_ready_sooner(worker, best, step))
 			best = worker;
 	}
 	return best;
@@ -94,6 +124,11 @@
 	const struct place *place = pass->place;
 	struct worker *worker;
 
+	if (task->quarantine && reservation_expired(place, task)) {
+		task->quarantine = NULL;
+		task->hold_until_ms = place->now_ms + PLACE_RESERVATION_GAP_MS;
+		return NULL;
+	}
 	task->quarantine = NULL;
 	if (!may_reserve(pass))
 		return NULL;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -17,7 +17,10 @@
 enum {
 	WORKER_CPU_MILLI = 4000,
 	TASK_CPU_MILLI = 1000,
-	PASS_GAP_MS = 100
+	SHORT_TASK_MS = 900,
+	PASS_GAP_MS = 100,
+	/* Within this time a task must have been placed. */
+	PLACED_MS = 3000
 };
 
 static struct job_store *jobs;
@@ -95,6 +98,29 @@
 	return job;
 }
 
+static void run_on(struct job *job, int index, int worker)
+{
+	struct job_task *task = &job->tasks[index];
+	char id[8];
+
+	snprintf(id, sizeof(id), "w%d", worker);
+	job_place_task(job, task, id, 1, 1, now_ms);
+	task->phase = PHASE_RUNNING;
+	task->since_ms = now_ms;
+}
+
+/* Puts a worker with lasting tasks of long ago into the pool. */
+static void add_worker_with_lasting_tasks(int number, int count)
+{
+	struct job *job = submit_tasks(count, TASK_CPU_MILLI, true);
+
+	add_worker(number);
+	for (int i = 0; i < count; i++) {
+		run_on(job, i, number);
+		job->tasks[i].since_ms = 0;
+	}
+}
+
 static void place(void)
 {
 	struct place place = {
@@ -122,6 +148,53 @@
 	return placed;
 }
 
+/*
+ * A suspect must not wait for a worker whose lasting tasks leave it no room,
+ * while there is room on another one that is never without new tasks.
+ */
+START_TEST(suspect_starts_where_room_comes_free)
+{
+	int64_t end_ms = now_ms + PLACED_MS;
+	struct job *suspect, *others;
+
+	add_worker_with_lasting_tasks(0, WORKER_CPU_MILLI / TASK_CPU_MILLI);
+	add_worker(1);
+	suspect = submit_suspects(1, TASK_CPU_MILLI);
+	others = submit_tasks(PLACED_MS / SHORT_TASK_MS + 1, TASK_CPU_MILLI,
+			      true);
+	for (int next = 0; now_ms < end_ms; next++) {
+		if (next)
+			others->tasks[next - 1].state = TASK_DONE;
+		run_on(others, next, 1);
+		for (int64_t ms = 0; ms < SHORT_TASK_MS; ms += PASS_GAP_MS) {
+			place();
+			now_ms += PASS_GAP_MS;
+		}
+	}
+	ck_assert_int_eq(count_placed(suspect, 1), 1);
+}
+END_TEST
+
+/*
+ * Suspects that have room nowhere must not keep the workers of a pool from
+ * sound tasks that have.
+ */
+START_TEST(suspects_without_room_do_not_close_the_pool)
+{
+	int64_t end_ms = now_ms + PLACED_MS;
+	struct job *sound;
+	int count = _i;
+
+	for (int i = 0; i < count; i++)
+		add_worker_with_lasting_tasks(i, 3);
+	submit_suspects(count, 2 * TASK_CPU_MILLI);
+	sound = submit_tasks(count, TASK_CPU_MILLI, false);
+	for (; now_ms < end_ms; now_ms += PASS_GAP_MS)
+		place();
+	ck_assert_int_eq(count_placed(sound, count), count);
+}
+END_TEST
+
 /*
  * Many sound suspects must not queue for their whole run: one leaves quarantine
  * when it has survived its start, and the next one follows.
@@ -159,6 +232,9 @@
 	apr_initialize();
 	log_init("test_quarantine", true);
 	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, suspect_starts_where_room_comes_free);
+	tcase_add_loop_test(tcase, suspects_without_room_do_not_close_the_pool,
+			    1, 5);
 	tcase_add_test(tcase, suspects_leave_quarantine_after_their_start);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
