Place a task anew at once if its worker's renewal fails before the start is sent

Since starts are not sent to a worker whose renewals fail, a task that had just been placed on it waited for the end of the lease, 4.2 s, though no order existed. It returns to the waiting tasks at once. Found by review; it has no test of its own: the random plays of test_node and test_crash pass through it.

--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -225,6 +225,12 @@
 		if (!start_due(pos.task, now_ms))
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
+		if (worker && worker->renew_failures &&
+		    !pos.task->unanswered_starts) {
+			/* No order exists; the task is placed elsewhere. */
+			pool_end_run(pool, &pos, END_STOPPED, NULL);
+			continue;
+		}
 		if (pool->starting >= POOL_MAX_STARTS)
 			return;
 		/* Each start extends the lease; resending it to a worker that
