--- a/src/place.c
+++ b/src/place.c
@@ -54,19 +54,28 @@
 {
 	place_occupy(worker, step);
 	worker->tasks++;
-	worker->long_running_tasks += step->long_running;
 	worker->new_tasks++;
+	if (!step->long_running)
+		return;
+	worker->long_running_tasks++;
+	worker->lasting_cpu_milli += step->uses_idle_cpu ? 0 : step->cpu_milli;
+	worker->lasting_mem_mib += step->mem_mib;
 }
 
 void place_release_room(struct worker *worker, const struct job_step *step)
 {
-	if (!step->uses_idle_cpu)
-		worker->cpu_used_milli -= step->cpu_milli;
+	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
+
+	worker->cpu_used_milli -= cpu_milli;
 	worker->mem_used_mib -= step->mem_mib;
 	worker->gpu_used -= step->gpu;
 	worker->tasks--;
-	worker->long_running_tasks -= step->long_running;
 	worker->new_tasks--;
+	if (!step->long_running)
+		return;
+	worker->long_running_tasks--;
+	worker->lasting_cpu_milli -= cpu_milli;
+	worker->lasting_mem_mib -= step->mem_mib;
 }
 
 static void account_job(const struct place *place, struct job *job)
@@ -84,7 +93,7 @@
 		place_use_room(worker, &job->spec.steps[pos.step]);
 		worker->suspects += crash_is_suspect(pos.task);
 		worker->new_tasks -=
-			crash_is_established(pos.task, place->now_ms);
+			crash_is_settled(pos.task, worker->last_report_ms);
 	}
 }
 
@@ -101,6 +110,8 @@
 		worker->unknown_runs = 0;
 		worker->tasks = 0;
 		worker->long_running_tasks = 0;
+		worker->lasting_cpu_milli = 0;
+		worker->lasting_mem_mib = 0;
 		worker->suspects = 0;
 		worker->new_tasks = 0;
 		worker->reserved = false;
@@ -313,7 +324,7 @@
 	struct worker *worker;
 	struct pass pass;
 
-	if (crash_needs_quarantine(pos->task))
+	if (crash_needs_quarantine(pos->task, &pos->job->spec.steps[pos->step]))
 		return false;
 	pass_begin(&pass, place);
 	worker = best_worker(&pass, &cand, pos->task);
@@ -379,6 +390,7 @@
 	struct job_task *tasks =
 		job_task_at(cand->job, cand->occurrence, cand->step, 0);
 	struct place_counts counts = { 0 };
+	uint32_t held = 0; /* tasks that wait for their quarantine */
 
 	if (step->gang) {
 		counts.placed = place_gang(pass, cand);
@@ -389,9 +401,11 @@
 
 		if (!is_startable(place, &tasks[i]))
 			continue;
-		if (crash_needs_quarantine(&tasks[i])) {
-			counts.placed +=
-				place_in_quarantine(pass, cand, &tasks[i]);
+		if (crash_needs_quarantine(&tasks[i], step)) {
+			if (place_in_quarantine(pass, cand, &tasks[i]))
+				counts.placed++;
+			else
+				held++;
 			continue;
 		}
 		worker = counts.waiting ? NULL
@@ -407,6 +421,7 @@
 		worker->suspects += crash_is_suspect(&tasks[i]);
 		counts.placed++;
 	}
+	counts.waiting += held;
 	return counts;
 }
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -257,6 +257,22 @@
 		now_ms - task->since_ms >= POOL_START_RETRY_MS);
 }
 
+/*
+ * Whether a start that is due must not be sent to its worker any more: of a run
+ * for which no order exists, if the worker does not answer, or if its capacity
+ * has shrunk. An order that is not answered may have been carried out; the next
+ * report lists it then.
+ */
+static bool must_withdraw(const struct job_task *task,
+			  const struct worker *worker, int64_t now_ms)
+{
+	if (worker->renew_failures && !task->unanswered_starts)
+		return true;
+	return place_is_over_capacity(worker) &&
+	       (!task->unanswered_starts ||
+		now_ms - task->since_ms >= POOL_WITHDRAW_MS);
+}
+
 void pool_send_starts(struct pool *pool, struct job *job)
 {
 	int64_t now_ms = pool_now_ms(pool);
@@ -271,10 +287,8 @@
 		if (!start_due(pos.task, now_ms))
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
-		if (worker && place_is_over_capacity(worker)) {
-			if (!pos.task->unanswered_starts ||
-			    now_ms - pos.task->since_ms >= POOL_WITHDRAW_MS)
-				withdraw_start(pool, &pos);
+		if (worker && must_withdraw(pos.task, worker, now_ms)) {
+			withdraw_start(pool, &pos);
 			continue;
 		}
 		if (pool->starting >= POOL_MAX_STARTS)
@@ -282,7 +296,8 @@
 		/* Each start extends the lease; resending it to a worker that
 		   does not answer would keep its runs from expiring, and one
 		   that has crashed could start the run a second time. */
-		if (worker && worker->starting < POOL_MAX_STARTS_PER_WORKER &&
+		if (worker && !place_is_over_capacity(worker) &&
+		    worker->starting < POOL_MAX_STARTS_PER_WORKER &&
 		    worker->clock_at_ms && !worker_is_dead(worker) &&
 		    !worker->renew_failures &&
 		    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS)
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -508,7 +508,7 @@
 {
 	struct model_run run = {
 		.run = event->run,
-		.remaining_ms = TASK_MS + random_below(sim, TASK_MS),
+		.remaining_ms = sim->task_ms + random_below(sim, TASK_MS),
 		.fails = random_below(sim, 100) < 2,
 	};
 	enum order_outcome outcome;
@@ -1060,6 +1060,7 @@
 	sim->decode_worker = wire_decode_worker;
 	sim->task_cpu_milli = TASK_CPU_MILLI;
 	sim->share_hosts = share_hosts;
+	sim->task_ms = TASK_MS;
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
 	sim->log = log_model_create();
@@ -1136,9 +1137,10 @@
 	for (int32_t i = 0; i < steps; i++) {
 		g_string_append_printf(
 			body,
-			"%s{\"count\":%d,\"cpu\":%d,"
-			"\"memMb\":%d,\"estMs\":500%s%s",
+			"%s{\"count\":%d,\"cpu\":%d,\"memMb\":%d,"
+			"\"estMs\":%" G_GINT64_FORMAT "%s%s",
 			i ? "," : "", width, job->cpu_milli, job->mem_mib,
+			sim->task_ms + TASK_MS / 4,
 			sim->gang ? ",\"gang\":true" : "", options);
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
