--- a/Makefile
+++ b/Makefile
@@ -106,6 +106,10 @@
 	tests/worker_model.h
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
+POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
+$(BUILD)/test_jobs $(BUILD)/test_quarantine: $(POOL_FIXTURE)
+$(BUILD)/test_jobs $(BUILD)/test_quarantine: CPPFLAGS += -Itests
+
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	@echo "  CC $@"
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $^ $(LDLIBS) -o $@
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -15,81 +15,41 @@
 #include "sizing.h"
 #include "log.h"
 #include "place.h"
+#include "pool_fixture.h"
 #include "rnd.h"
 #include "nodeconf.h"
 #include "wire.h"
 
-static struct job_store *jobs;
-static struct worker_table *workers;
-static struct cfg *cfg;
-static int64_t next_offset;
-
-static const char configuration[] =
-	"{\"version\":3,\"routes\":["
-	"{\"name\":\"q\",\"host\":\"h.example\",\"prefix\":\"/a/\","
-	"\"service\":\"pool\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500},"
-	"{\"name\":\"deep\",\"host\":\"h.example\",\"prefix\":\"/a/b/\","
-	"\"service\":\"pool\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500}],"
-	"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":true}],"
-	"\"limits\":{\"maxBodyBytes\":1000}}";
+static struct pool_fixture fixture;
 
 static void setup(void)
 {
-	struct err err = { .kind = ERR_OK };
-
-	jobs = job_store_create(wire_decode_spec);
-	workers = worker_table_create();
-	ck_assert_int_eq(wire_decode_cfg(configuration, strlen(configuration),
-					 &cfg, &err),
-			 0);
-	next_offset = 0;
+	pool_fixture_setup(&fixture);
 }
 
 static void teardown(void)
 {
-	job_store_destroy(jobs);
-	worker_table_destroy(workers);
-	cfg_destroy(cfg);
+	pool_fixture_teardown(&fixture);
 }
 
 static struct job *submit_job(const char *id, const char *body)
 {
-	struct err err = { .kind = ERR_OK };
-	size_t len;
-	char *record = job_submission_record("q", "pool", 1000, body,
-					     strlen(body), &len);
-
-	job_apply_submission(jobs, id, next_offset++, record, len, &err);
-	g_free(record);
-	return job_find(jobs, id);
+	return pool_fixture_submit(&fixture, id, body);
 }
 
 static struct worker *add_worker(const char *id, const char *label,
 				 int32_t cpu_milli)
 {
-	struct worker_entry entry = {
-		.cpu_milli = cpu_milli,
-		.mem_mib = 1000,
-		.label_count = 1,
-	};
-	struct worker *worker;
-
-	g_strlcpy(entry.id, id, sizeof(entry.id));
-	g_strlcpy(entry.pool, "pool", sizeof(entry.pool));
-	g_strlcpy(entry.labels[0], label, sizeof(entry.labels[0]));
-	worker = worker_put(workers, &entry);
-	worker->fence_accepted = true;
-	worker->last_report_ms = 1000;
-	return worker;
+	return pool_fixture_add_worker(&fixture, id, label, cpu_milli);
 }
 
 static struct place_counts run_placement(int64_t wall_ms)
 {
 	struct place place = {
 		.share = { "pool", 0, 1 },
-		.cfg = cfg,
-		.jobs = jobs,
-		.workers = workers,
+		.cfg = fixture.cfg,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
 		.now_ms = 1000,
 		.wall_ms = wall_ms,
 	};
@@ -130,9 +90,9 @@
 	ck_assert_int_eq(job->state, JOB_RUNNING);
 	record = job_progress_record(job, &len);
 	/* Another node restores the same state from the record. */
-	ck_assert_int_eq(
-		job_apply_progress(jobs, ID_1, 50, record, len, false, &err),
-		0);
+	ck_assert_int_eq(job_apply_progress(fixture.jobs, ID_1, 50, record, len,
+					    false, &err),
+			 0);
 	g_free(record);
 	job_load_tasks(job);
 	task = job_task_at(job, 0, 1, 1);
@@ -154,12 +114,13 @@
 	const char done[] = "{\"state\":\"done\",\"parts\":[]}";
 	const char running[] = "{\"state\":\"running\",\"parts\":[]}";
 
-	job_apply_progress(jobs, ID_1, 20, done, strlen(done), false, &err);
-	job_apply_progress(jobs, ID_1, 10, running, strlen(running), false,
+	job_apply_progress(fixture.jobs, ID_1, 20, done, strlen(done), false,
 			   &err);
+	job_apply_progress(fixture.jobs, ID_1, 10, running, strlen(running),
+			   false, &err);
 	ck_assert_int_eq(job->stored_state, JOB_DONE);
 	/* A late answer to an append, after the next owner's record. */
-	job_progress_stored(jobs, job, 15, running, strlen(running));
+	job_progress_stored(fixture.jobs, job, 15, running, strlen(running));
 	ck_assert_int_eq(job->stored_state, JOB_DONE);
 	submit_job(ID_1, two_step_spec);
 	ck_assert_int_eq(job->stored_state, JOB_DONE);
@@ -248,9 +209,9 @@
 {
 	struct place place = {
 		.share = { "pool", 0, 1 },
-		.cfg = cfg,
-		.jobs = jobs,
-		.workers = workers,
+		.cfg = fixture.cfg,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
 	};
 	int64_t alone_ms, with_parked_ms;
 
@@ -289,14 +250,14 @@
 	pos.task = job_task_at(job, 0, 0, 2);
 	pos.task->stop_wanted_ms = 2000;
 	other->last_report_ms = 1900;
-	ck_assert(!avail_may_stop(workers, &pos, 2100));
+	ck_assert(!avail_may_stop(fixture.workers, &pos, 2100));
 	other->last_report_ms = 2050;
-	ck_assert(avail_may_stop(workers, &pos, 2100));
+	ck_assert(avail_may_stop(fixture.workers, &pos, 2100));
 	/* Stop wanted long ago; the other worker silent for seconds. */
 	other->last_report_ms = 6000;
-	ck_assert(!avail_may_stop(workers, &pos, 9000));
+	ck_assert(!avail_may_stop(fixture.workers, &pos, 9000));
 	other->last_report_ms = 8900;
-	ck_assert(avail_may_stop(workers, &pos, 9000));
+	ck_assert(avail_may_stop(fixture.workers, &pos, 9000));
 }
 END_TEST
 
@@ -472,12 +433,12 @@
 {
 	struct place place = {
 		.share = { "pool", 0, 1 },
-		.cfg = cfg,
-		.jobs = jobs,
-		.workers = workers,
+		.cfg = fixture.cfg,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
 	};
 	const struct job *large = submit_job(ID_1, two_step_spec);
-	int64_t target_ms = place_target_ms(cfg, large);
+	int64_t target_ms = place_target_ms(fixture.cfg, large);
 
 	add_worker("w1", "a", 1000);
 	ck_assert_int_eq(place_backlog_ms(&place, target_ms, 0), 500);
@@ -491,9 +452,9 @@
 {
 	struct place place = {
 		.share = { "pool", 0, 1 },
-		.cfg = cfg,
-		.jobs = jobs,
-		.workers = workers,
+		.cfg = fixture.cfg,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
 		.wall_ms = 1000,
 	};
 
@@ -543,14 +504,14 @@
 {
 	const char *rest;
 	const struct cfg_queue *queue =
-		cfg_route(cfg, "H.example:80", "/a/b/x", &rest);
+		cfg_route(fixture.cfg, "H.example:80", "/a/b/x", &rest);
 
 	ck_assert_ptr_nonnull(queue);
 	ck_assert_str_eq(queue->name, "deep");
 	ck_assert_str_eq(rest, "x");
-	ck_assert_ptr_null(cfg_route(cfg, "other", "/a/b/x", &rest));
-	ck_assert_ptr_null(cfg_route(cfg, NULL, "/a/", &rest));
-	ck_assert_int_eq(cfg->max_body_bytes, 1000);
+	ck_assert_ptr_null(cfg_route(fixture.cfg, "other", "/a/b/x", &rest));
+	ck_assert_ptr_null(cfg_route(fixture.cfg, NULL, "/a/", &rest));
+	ck_assert_int_eq(fixture.cfg->max_body_bytes, 1000);
 }
 END_TEST
 
@@ -580,7 +541,7 @@
 END_TEST
 
 static const char *const messages[] = {
-	configuration,
+	pool_fixture_configuration,
 	two_step_spec,
 	"{\"service\":\"pool\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","
 	"\"state\":\"ready\",\"born\":5,\"capacity\":{\"cpu\":1,\"memMb\":2},"
@@ -609,7 +570,8 @@
 		worker_report_clear(&report);
 	if (wire_decode_wave(text, len, &wave, &err) == 0)
 		g_free(wave.hosts);
-	job_apply_progress(jobs, ID_1, next_offset++, text, len, false, &err);
+	job_apply_progress(fixture.jobs, ID_1, fixture.next_offset++, text, len,
+			   false, &err);
 }
 
 /* Messages from outside with bytes changed, removed and inserted. */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -4,7 +4,6 @@
  */
 
 #include <stdio.h>
-#include <string.h>
 
 #include <apr_general.h>
 #include <check.h>
@@ -12,7 +11,7 @@
 #include "crash.h"
 #include "log.h"
 #include "place.h"
-#include "wire.h"
+#include "pool_fixture.h"
 
 enum {
 	WORKER_CPU_MILLI = 4000,
@@ -23,69 +22,40 @@
 	PLACED_MS = 3000
 };
 
-static struct job_store *jobs;
-static struct worker_table *workers;
-static struct cfg *cfg;
-static int64_t next_offset;
+static struct pool_fixture fixture;
+static unsigned int submitted;
 static int64_t now_ms;
 
-static const char configuration[] =
-	"{\"version\":3,\"routes\":["
-	"{\"name\":\"q\",\"host\":\"h.example\",\"prefix\":\"/a/\","
-	"\"service\":\"pool\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500}],"
-	"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":true}],"
-	"\"limits\":{\"maxBodyBytes\":1000}}";
-
 static void setup(void)
 {
-	struct err err = { .kind = ERR_OK };
-
-	jobs = job_store_create(wire_decode_spec);
-	workers = worker_table_create();
-	ck_assert_int_eq(wire_decode_cfg(configuration, strlen(configuration),
-					 &cfg, &err),
-			 0);
-	next_offset = 0;
+	pool_fixture_setup(&fixture);
+	submitted = 0;
 	now_ms = 100000;
 }
 
 static void teardown(void)
 {
-	job_store_destroy(jobs);
-	worker_table_destroy(workers);
-	cfg_destroy(cfg);
+	pool_fixture_teardown(&fixture);
 }
 
 static void add_worker(int number)
 {
-	struct worker_entry entry = {
-		.pool = "pool",
-		.cpu_milli = WORKER_CPU_MILLI,
-		.mem_mib = 1000,
-	};
+	char id[8];
 
-	snprintf(entry.id, sizeof(entry.id), "w%d", number);
-	worker_put(workers, &entry)->fence_accepted = true;
+	snprintf(id, sizeof(id), "w%d", number);
+	pool_fixture_add_worker(&fixture, id, NULL, WORKER_CPU_MILLI);
 }
 
 static struct job *submit_tasks(int count, int32_t cpu_milli, bool long_running)
 {
-	struct err err = { .kind = ERR_OK };
 	char id[JOB_ID_BYTES], body[200];
-	char *record;
-	size_t len;
 
-	snprintf(id, sizeof(id), "%016x", (unsigned int)next_offset + 1);
+	snprintf(id, sizeof(id), "%016x", ++submitted);
 	snprintf(body, sizeof(body),
 		 "{\"spec\":\"t\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
 		 "\"estMs\":100%s}]}",
 		 count, cpu_milli, long_running ? ",\"longRunning\":true" : "");
-	record = job_submission_record("q", "pool", 1000, body, strlen(body),
-				       &len);
-	job_apply_submission(jobs, id, next_offset++, record, len, &err);
-	g_free(record);
-	ck_assert_int_eq(err.kind, ERR_OK);
-	return job_find(jobs, id);
+	return pool_fixture_submit(&fixture, id, body);
 }
 
 /* Submits tasks under which workers have crashed. */
@@ -125,16 +95,18 @@
 {
 	struct place place = {
 		.share = { "pool", 0, 1 },
-		.cfg = cfg,
-		.jobs = jobs,
-		.workers = workers,
+		.cfg = fixture.cfg,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
 		.now_ms = now_ms,
 		.wall_ms = now_ms,
 	};
 
-	for (guint i = 0; i < workers->list->len; i++)
-		((struct worker *)workers->list->pdata[i])->last_report_ms =
-			now_ms;
+	for (guint i = 0; i < fixture.workers->list->len; i++) {
+		struct worker *worker = fixture.workers->list->pdata[i];
+
+		worker->last_report_ms = now_ms;
+	}
 	place_account(&place);
 	place_tasks(&place);
 }
