Hold workers for suspects for the time of a start only, and clear runs for good

A suspect leaves quarantine 1.5 s after its start whatever its count, a task at work for 3.5 s is not to blame, and that a suspect's run has come so far is stored. The tests of test_crash hold; they have no check of their own for this.

Tried and dropped: to blame all tasks at work for less than 3.5 s, so that a task which crashes its worker later than 0.5 s after its start is counted beside others that start all the time.

--- a/src/crash.c
+++ b/src/crash.c
@@ -9,14 +9,12 @@
 {
 	if (crash_suspicion(task) < CRASH_QUARANTINE_COUNT)
 		return at_work_for(task, seen_ms, CRASH_START_MS);
-	if (crash_suspicion(task) == CRASH_QUARANTINE_COUNT)
-		return at_work_for(task, seen_ms, CRASH_LATE_START_MS);
-	return crash_is_cleared(task, seen_ms);
+	return at_work_for(task, seen_ms, CRASH_LATE_START_MS);
 }
 
 bool crash_is_cleared(const struct job_task *task, int64_t seen_ms)
 {
-	return at_work_for(task, seen_ms, CRASH_QUARANTINE_MS);
+	return at_work_for(task, seen_ms, CRASH_CLEARED_MS);
 }
 
 bool crash_may_count(const struct job_task *task)
--- a/src/crash.h
+++ b/src/crash.h
@@ -32,11 +32,11 @@
 	/* With so many and fewer proven ones a task waits for the host list. */
 	CRASH_WAIT_COUNT = 3,
 	/* A task that crashes its worker is expected to do so within this time
-	   of its start; later only if it has several crashes. */
+	   of its start; in quarantine also later. */
 	CRASH_START_MS = 500,
 	CRASH_LATE_START_MS = 1500,
 	/* A task at work for so long is never to blame for a crash. */
-	CRASH_QUARANTINE_MS = 10000,
+	CRASH_CLEARED_MS = 3500,
 	/* After this time at work the crashes under a task are forgotten. */
 	CRASH_FORGET_MS = 60000
 };
@@ -64,7 +64,7 @@
  * crash_is_settled - whether a placed task is known to have survived its start
  *
  * seen_ms is the time of its worker's last report, which lists the task if it is
- * at work. The more crashes a task has, the longer its start takes.
+ * at work.
  */
 bool crash_is_settled(const struct job_task *task, int64_t seen_ms);
 
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -128,6 +128,12 @@
 		task->phase = PHASE_RUNNING;
 		task->since_ms = now_ms;
 	}
+	if (crash_is_suspect(task) && task->crashed_run != task->run &&
+	    crash_is_cleared(task, now_ms)) {
+		/* Stored, so that the next owner does not blame this run. */
+		task->crashed_run = task->run;
+		pos.job->dirty = true;
+	}
 	if (crash_must_forget(task, now_ms)) {
 		task->crashes = 0;
 		task->lapses = 0;
