--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -1,7 +1,15 @@
 #include <string.h>
 
-#include "maint_int.h"
+#include "crash.h"
 #include "log.h"
+#include "maint_int.h"
+
+enum {
+	/* Suspects that wait for their quarantine, for each host more. */
+	MAINT_SUSPECTS_PER_HOST = 4,
+	/* The largest part of the hosts that is added for them. */
+	MAINT_QUARANTINE_PART = 4
+};
 
 static struct load *find_or_add_load(struct maint *maint, const char *worker)
 {
@@ -85,6 +93,7 @@
 	}
 	pool->standby = cfg->standby;
 	pool->demand_milli = 0;
+	pool->suspects = 0;
 	pool->hosts = 0;
 	pool->movable = 0;
 	pool->idle = 0;
@@ -140,6 +149,9 @@
 			load->long_running |= step->long_running;
 		} else if (pos.task->state != TASK_WAITING || !ready) {
 			continue;
+		} else {
+			pool->suspects +=
+				crash_needs_quarantine(pos.task, step);
 		}
 		/* A step that uses only idle CPU adds no demand. */
 		if (!step->uses_idle_cpu)
@@ -271,6 +283,16 @@
 	return true;
 }
 
+/* A task that starts in quarantine keeps other tasks away from its host. */
+static void add_quarantine_demand(struct sizing_pool *pool,
+				  const struct sizing *sizing)
+{
+	int64_t hosts = MIN(pool->suspects / MAINT_SUSPECTS_PER_HOST,
+			    sizing->hosts / MAINT_QUARANTINE_PART);
+
+	pool->demand_milli += hosts * sizing->host_milli;
+}
+
 static void decide_slice(struct maint *maint, uint32_t slice,
 			 int64_t host_milli, int64_t now_ms)
 {
@@ -281,8 +303,10 @@
 
 	for (guint i = 0; i < slice_pools->len; i++)
 		sizing.hosts += pools[i].hosts;
-	for (guint i = 0; i < slice_pools->len; i++)
+	for (guint i = 0; i < slice_pools->len; i++) {
+		add_quarantine_demand(&pools[i], &sizing);
 		sizing_observe(&sizing, &pools[i], now_ms);
+	}
 	while (sizing_next_move(&sizing, pools, slice_pools->len, now_ms, &from,
 				&to))
 		if (!move(maint, slice, &pools[from], &pools[to]))
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -23,6 +23,7 @@
 	/* Set by the caller before each decision. */
 	bool standby;	      /* its hosts are off */
 	int64_t demand_milli; /* CPU of running and ready tasks, millicores */
+	int32_t suspects;     /* ready tasks that wait for their quarantine */
 	int32_t hosts;	      /* including those moving here */
 	int32_t movable;      /* hosts without long-running tasks */
 	int32_t idle;	      /* movable hosts without any task */
