Keep the hosts that long-running tasks need by their memory

Cause: sizes of pools counted processors only, and of the long-running steps the one that needs most hosts.

Fix: each long-running task takes a part of a host, by processor or memory, and a pool keeps the sum of them. long_running_tasks_take_hosts_by_memory tests the part; the code before has no such count.

--- a/src/host.h
+++ b/src/host.h
@@ -19,6 +19,7 @@
 	char worker[LIMIT_NAME_BYTES]; /* current incarnation; empty: none */
 	enum host_state state;
 	int32_t cpu_milli;
+	int32_t mem_mib;
 };
 
 /* Maintenance wave: an operator's order to restart each of the hosts once. */
--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -98,6 +98,7 @@
 	pool->movable = 0;
 	pool->idle = 0;
 	pool->min_hosts = 0;
+	pool->lasting_parts = 0;
 }
 
 static void reset_pools(struct maint *maint)
@@ -109,6 +110,25 @@
 			reset_pool(maint, k, &cfg->pools[i]);
 }
 
+static struct sizing_host mean_host(const struct maint *maint)
+{
+	guint count = MAX(g_hash_table_size(maint->known_hosts), 1);
+	struct sizing_host mean = { 0 };
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, maint->known_hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct known_host *known = value;
+
+		mean.cpu_milli += known->host.cpu_milli;
+		mean.mem_mib += known->host.mem_mib;
+	}
+	mean.cpu_milli /= count;
+	mean.mem_mib /= count;
+	return mean;
+}
+
 /* Raises the pool's minimum to the hosts that a long-running step needs. */
 static void raise_min_hosts(struct sizing_pool *pool,
 			    const struct job_step *step)
@@ -122,7 +142,23 @@
 		pool->min_hosts = MAX(pool->min_hosts, workers);
 }
 
-static void add_job(struct maint *maint, struct job *job)
+/* Adds the part of a host that a running or ready task of the step takes. */
+static void add_lasting(struct sizing_pool *pool, const struct job_step *step,
+			const struct sizing_host *host)
+{
+	int64_t hosts;
+
+	if (!step->long_running)
+		return;
+	pool->lasting_parts += sizing_task_parts(
+		host, step->uses_idle_cpu ? 0 : step->cpu_milli, step->mem_mib);
+	hosts = (pool->lasting_parts + SIZING_HOST_PARTS - 1) /
+		SIZING_HOST_PARTS;
+	pool->min_hosts = MAX(pool->min_hosts, (int32_t)hosts);
+}
+
+static void add_job(struct maint *maint, struct job *job,
+		    const struct sizing_host *host)
 {
 	struct sizing_pool *pool = find_pool(
 		maint, share_of_job(job, *maint->env->share_count), job->pool);
@@ -153,6 +189,7 @@
 			pool->suspects +=
 				crash_needs_quarantine(pos.task, step);
 		}
+		add_lasting(pool, step, host);
 		/* A step that uses only idle CPU adds no demand. */
 		if (!step->uses_idle_cpu)
 			pool->demand_milli += step->cpu_milli;
@@ -197,6 +234,7 @@
 void maint_survey(struct maint *maint)
 {
 	struct job_store *jobs = maint->env->jobs;
+	struct sizing_host host = mean_host(maint);
 	GHashTableIter iter;
 	void *value;
 
@@ -209,24 +247,18 @@
 		return;
 	reset_pools(maint);
 	for (guint i = 0; i < jobs->live->len; i++)
-		add_job(maint, jobs->live->pdata[i]);
+		add_job(maint, jobs->live->pdata[i], &host);
 }
 
-/* Adds the hosts to the pools of their slice; returns their mean CPU. */
-static int64_t add_hosts(struct maint *maint)
+/* Adds the hosts to the pools of their slice. */
+static void add_hosts(struct maint *maint)
 {
-	int64_t total_milli = 0;
 	GHashTableIter iter;
 	void *value;
 
 	g_hash_table_iter_init(&iter, maint->known_hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct known_host *known = value;
-
-		total_milli += known->host.cpu_milli;
+	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_host(maint, value);
-	}
-	return total_milli / MAX(g_hash_table_size(maint->known_hosts), 1);
 }
 
 /* The movable host with the least load; idle restricts it to idle hosts. */
@@ -316,8 +348,9 @@
 void maint_decide_sizing(struct maint *maint)
 {
 	int64_t now_ms = clk_now_ms(maint->env->clk);
-	int64_t host_milli = add_hosts(maint);
+	int64_t host_milli = mean_host(maint).cpu_milli;
 
+	add_hosts(maint);
 	if (!host_milli)
 		return;
 	for (uint32_t k = 0; k < *maint->env->share_count; k++)
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -20,6 +20,31 @@
 	SIZING_STANDBY_DELAY_MS = 1500
 };
 
+/*
+ * How many times the request fits, at most SIZING_HOST_PARTS times. A capacity
+ * of 0 is not known.
+ */
+static int64_t times(int64_t capacity, int32_t request)
+{
+	int64_t count = SIZING_HOST_PARTS;
+
+	if (request > 0 && capacity > 0)
+		count = capacity / request;
+	return count < SIZING_HOST_PARTS ? count : SIZING_HOST_PARTS;
+}
+
+int32_t sizing_task_parts(const struct sizing_host *host, int32_t cpu_milli,
+			  int32_t mem_mib)
+{
+	int64_t by_cpu = times(host->cpu_milli, cpu_milli);
+	int64_t by_mem = times(host->mem_mib, mem_mib);
+	int64_t count = by_cpu < by_mem ? by_cpu : by_mem;
+
+	if (count < 1)
+		return SIZING_HOST_PARTS;
+	return (int32_t)(SIZING_HOST_PARTS / count);
+}
+
 int32_t sizing_hosts_needed(const struct sizing *sizing,
 			    const struct sizing_pool *pool,
 			    int64_t wanted_milli)
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -16,18 +16,19 @@
 
 #include "limit.h"
 
-enum { SIZING_HISTORY = 16 };
+enum { SIZING_HISTORY = 16, SIZING_HOST_PARTS = 1000 };
 
 struct sizing_pool {
 	char name[LIMIT_NAME_BYTES];
 	/* Set by the caller before each decision. */
-	bool standby;	      /* its hosts are off */
-	int64_t demand_milli; /* CPU of running and ready tasks, millicores */
-	int32_t suspects;     /* ready tasks that wait for their quarantine */
-	int32_t hosts;	      /* including those moving here */
-	int32_t movable;      /* hosts without long-running tasks */
-	int32_t idle;	      /* movable hosts without any task */
-	int32_t min_hosts;    /* hosts that its long-running tasks need */
+	bool standby;	       /* its hosts are off */
+	int64_t demand_milli;  /* CPU of running and ready tasks, millicores */
+	int32_t suspects;      /* ready tasks that wait for their quarantine */
+	int32_t hosts;	       /* including those moving here */
+	int32_t movable;       /* hosts without long-running tasks */
+	int32_t idle;	       /* movable hosts without any task */
+	int32_t min_hosts;     /* hosts that its long-running tasks need */
+	int64_t lasting_parts; /* of hosts, that these tasks take */
 	/* Updated by sizing_observe. */
 	int64_t peak_milli; /* highest recent demand */
 	int64_t peak_ms;
@@ -42,6 +43,24 @@
 	int32_t hosts;	    /* of all these pools together */
 };
 
+/* Mean capacity of a host; 0: not known. */
+struct sizing_host {
+	int64_t cpu_milli;
+	int64_t mem_mib;
+};
+
+/*
+ * sizing_task_parts - part of a host that a long-running task takes
+ *
+ * By processor or memory, whatever fewer such tasks fit by. A task that uses only
+ * idle CPU has a cpu_milli of 0.
+ *
+ * RETURN VALUE
+ *	In SIZING_HOST_PARTS of a host, from 1 on.
+ */
+int32_t sizing_task_parts(const struct sizing_host *host, int32_t cpu_milli,
+			  int32_t mem_mib);
+
 /*
  * sizing_observe - record a pool's demand; called before sizing_next_move
  *
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -791,6 +791,7 @@
 		g_strlcpy(host->name, worker->entry.host, sizeof(host->name));
 		g_strlcpy(host->pool, "pool", sizeof(host->pool));
 		host->cpu_milli = worker->entry.cpu_milli;
+		host->mem_mib = worker->entry.mem_mib;
 		host->state = worker->up ? HOST_UP : HOST_DOWN;
 		if (worker->up)
 			g_strlcpy(host->worker, worker->entry.id,
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -261,6 +261,22 @@
 }
 END_TEST
 
+/*
+ * Long-running tasks must not lose the hosts that hold their memory: by it, not
+ * by processor, two tasks of 31 GB fit a host of 64 GB.
+ */
+START_TEST(long_running_tasks_take_hosts_by_memory)
+{
+	struct sizing_host host = { .cpu_milli = 16000, .mem_mib = 65536 };
+
+	ck_assert_int_eq(sizing_task_parts(&host, 2000, 31744), 500);
+	ck_assert_int_eq(sizing_task_parts(&host, 2350, 13488), 250);
+	ck_assert_int_eq(sizing_task_parts(&host, 4000, 1024), 250);
+	ck_assert_int_eq(sizing_task_parts(&host, 0, 0), 1);
+	ck_assert_int_eq(sizing_task_parts(&host, 0, 65537), 1000);
+}
+END_TEST
+
 static struct sizing_pool sizing_pool_of(const char *name, int32_t hosts,
 					 int32_t idle, int64_t wanted_milli)
 {
@@ -622,6 +638,7 @@
 	log_init("test_jobs", true);
 	tcase_set_timeout(tcase, 120);
 	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, long_running_tasks_take_hosts_by_memory);
 	tcase_add_test(tcase, steps_run_in_order_and_progress_survives);
 	tcase_add_test(tcase, older_records_are_ignored);
 	tcase_add_test(tcase, job_fails_after_its_attempts);
