Do not place tasks whose request overflows the sum of a worker's room

A task that asks for about 2,147,483,647 thousandths of a core, or MiB, was placed on a worker on which another task ran: the sum of both requests exceeded 32 bits, became negative, and was below each capacity. A worker that does not guard its capacity then started it; guarding ones answered 409 `room`, and the task was placed again at once.

place_fits now compares the request with what is left, which cannot overflow.

largest_request_does_not_fit_beside_others (tests/test_room.c) failed before: one such task placed beside one of 1,000.

--- a/Makefile
+++ b/Makefile
@@ -107,8 +107,9 @@
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
-$(BUILD)/test_jobs $(BUILD)/test_quarantine: $(POOL_FIXTURE)
-$(BUILD)/test_jobs $(BUILD)/test_quarantine: CPPFLAGS += -Itests
+POOL_TESTS = $(BUILD)/test_jobs $(BUILD)/test_quarantine $(BUILD)/test_room
+$(POOL_TESTS): $(POOL_FIXTURE)
+$(POOL_TESTS): CPPFLAGS += -Itests
 
 $(BUILD)/bench_state: bench/state.c $(LIBRARY)
 	@echo "  CC $@"
--- a/src/place.c
+++ b/src/place.c
@@ -131,10 +131,11 @@
 	const struct worker_entry *entry = &worker->entry;
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
 
+	/* Subtracts, as a request and what is used may exceed 32 bits. */
 	return !worker->unknown_runs &&
-	       worker->cpu_used_milli + cpu_milli <= entry->cpu_milli &&
-	       worker->mem_used_mib + step->mem_mib <= entry->mem_mib &&
-	       worker->gpu_used + step->gpu <= entry->gpu;
+	       cpu_milli <= entry->cpu_milli - worker->cpu_used_milli &&
+	       step->mem_mib <= entry->mem_mib - worker->mem_used_mib &&
+	       step->gpu <= entry->gpu - worker->gpu_used;
 }
 
 bool place_is_over_capacity(const struct worker *worker)
