--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -134,9 +134,8 @@
 			    const struct job_step *step)
 {
 	int32_t per_worker = step->max_per_worker;
-	int32_t workers = per_worker > 0
-				  ? (step->count + per_worker - 1) / per_worker
-				  : 1;
+	int32_t workers =
+		per_worker > 0 ? (step->count - 1) / per_worker + 1 : 1;
 
 	if (step->long_running)
 		pool->min_hosts = MAX(pool->min_hosts, workers);
--- a/src/maint_wave.c
+++ b/src/maint_wave.c
@@ -198,9 +198,10 @@
 
 	for (uint32_t i = 0; i < order->host_count; i++)
 		left += !is_done(maint, order->number, order->hosts[i]);
-	return maint_wave_limit(left,
-				wave->received_ms ? aim_ms - passed_ms : 0,
-				order->max_down + WAVE_DRAIN_AHEAD);
+	return maint_wave_limit(
+		left, wave->received_ms ? aim_ms - passed_ms : 0,
+		MIN(order->max_down, (int32_t)order->host_count) +
+			WAVE_DRAIN_AHEAD);
 }
 
 static void decide_wave(struct maint *maint, struct wave *wave)
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -12,6 +12,7 @@
 #include "log.h"
 #include "place.h"
 #include "pool_fixture.h"
+#include "wire.h"
 
 enum { NOW_MS = 1000 };
 
@@ -69,6 +70,98 @@
 }
 END_TEST
 
+/* Decodes a registry entry with this capacity; false if it is rejected. */
+static bool decode_capacity(const char *capacity, struct worker_entry *entry)
+{
+	struct err err = { .kind = ERR_OK };
+	char *text = g_strdup_printf(
+		"{\"service\":\"pool\",\"addr\":\"10.0.0.1:80\","
+		"\"zone\":\"z\",\"state\":\"ready\",\"born\":5%s}",
+		capacity);
+	int status = wire_decode_worker("w1", text, strlen(text), entry, &err);
+
+	g_free(text);
+	return status == 0;
+}
+
+/*
+ * A capacity that is not a number must not be used, and one beyond 32 bits must
+ * not turn into a small or a negative one.
+ */
+START_TEST(capacities_are_read_as_written)
+{
+	static const struct {
+		const char *text;
+		bool valid;
+		int32_t cpu_milli;
+		int32_t mem_mib;
+		int32_t gpu;
+	} cases[] = {
+		{ ",\"capacity\":{\"cpu\":8000,\"memMb\":64,\"gpu\":2}", true,
+		  8000, 64, 2 },
+		{ ",\"capacity\":{\"cpu\":8000,\"memMb\":64}", true, 8000, 64,
+		  0 },
+		{ ",\"capacity\":{\"cpu\":0,\"memMb\":0,\"gpu\":0}", true, 0, 0,
+		  0 },
+		{ ",\"capacity\":{\"cpu\":1e3,\"memMb\":64.5}", true, 1000, 64,
+		  0 },
+		{ ",\"capacity\":{\"cpu\":4294967297,\"memMb\":6442450945}",
+		  true, INT32_MAX, INT32_MAX, 0 },
+		{ ",\"capacity\":{\"cpu\":1e300,\"memMb\":9e99,"
+		  "\"gpu\":98765432109876543210}",
+		  true, INT32_MAX, INT32_MAX, INT32_MAX },
+		{ "", false, 0, 0, 0 },
+		{ ",\"capacity\":8000", false, 0, 0, 0 },
+		{ ",\"capacity\":[8000,64,0]", false, 0, 0, 0 },
+		{ ",\"capacity\":{\"memMb\":64}", false, 0, 0, 0 },
+		{ ",\"capacity\":{\"cpu\":\"8000\",\"memMb\":64}", false, 0, 0,
+		  0 },
+		{ ",\"capacity\":{\"cpu\":8000,\"memMb\":null}", false, 0, 0,
+		  0 },
+		{ ",\"capacity\":{\"cpu\":NaN,\"memMb\":64}", false, 0, 0, 0 },
+		{ ",\"capacity\":{\"cpu\":-1,\"memMb\":64}", false, 0, 0, 0 },
+		{ ",\"capacity\":{\"cpu\":8000,\"memMb\":-4294967295}", false,
+		  0, 0, 0 },
+		{ ",\"capacity\":{\"cpu\":8000,\"memMb\":64,\"gpu\":-1}", false,
+		  0, 0, 0 },
+		{ ",\"capacity\":{\"cpu\":8000,\"memMb\":64,\"gpu\":\"2\"}",
+		  false, 0, 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct worker_entry entry;
+
+		ck_assert_msg(decode_capacity(cases[i].text, &entry) ==
+				      cases[i].valid,
+			      "%s", cases[i].text);
+		if (!cases[i].valid)
+			continue;
+		ck_assert_msg(entry.cpu_milli == cases[i].cpu_milli &&
+				      entry.mem_mib == cases[i].mem_mib &&
+				      entry.gpu == cases[i].gpu,
+			      "%s: %d %d %d", cases[i].text, entry.cpu_milli,
+			      entry.mem_mib, entry.gpu);
+	}
+}
+END_TEST
+
+/* A request beyond 32 bits must not turn into a small one, which would fit. */
+START_TEST(requests_beyond_32_bits_do_not_fit)
+{
+	pool_fixture_add_worker(&fixture, "w1", NULL, 4000);
+	pool_fixture_submit(&fixture, "0000000000000001",
+			    "{\"spec\":\"t\",\"steps\":[{\"count\":1,"
+			    "\"cpu\":4294967297}]}");
+	pool_fixture_submit(&fixture, "0000000000000002",
+			    "{\"spec\":\"t\",\"steps\":[{\"count\":1,"
+			    "\"memMb\":1e300}]}");
+	pool_fixture_submit(&fixture, "0000000000000003",
+			    "{\"spec\":\"t\",\"steps\":[{\"count\":1,"
+			    "\"gpu\":4294967296}]}");
+	ck_assert_uint_eq(place_all(), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("room");
@@ -80,6 +173,8 @@
 	log_init("test_room", true);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, largest_request_does_not_fit_beside_others);
+	tcase_add_test(tcase, capacities_are_read_as_written);
+	tcase_add_test(tcase, requests_beyond_32_bits_do_not_fit);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
