Do not admit jobs on capacity that has shrunk

Admission counts processor time that was listed once and is not listed now as parked hosts, which can be had within seconds. What a listed worker had lost since its capacity shrank counted likewise: callers got 2xx for jobs that the pool could not finish near their objective, where 429 with Retry-After is due.

A worker's entry keeps the largest capacity that it has stated since its start; what is parked is the difference of the sums of these.

backlog_does_not_count_shrunk_capacity_as_parked failed before: with one of two workers at 0 the backlog stayed at 1,000 ms instead of 2,000.

--- a/src/place.h
+++ b/src/place.h
@@ -100,13 +100,14 @@
  * Estimated work of the share divided by the capacity of its own workers and of
  * the hosts that can be moved to it: those that are idle in other pools or
  * parked. all_milli is processor time of the whole fleet that has been listed
- * at some time; the part of it that is not listed now counts as parked. Jobs that are too late do not
- * count, because they are placed last.
+ * at some time; the part of it that is not listed now counts as parked, but not
+ * what listed workers have lost. Jobs that are too late do not count, because
+ * they are placed last.
  */
 int64_t place_backlog_ms(const struct place *place, int64_t target_ms,
 			 int64_t all_milli);
 
-/* place_listed_milli - milli-cores of all listed workers */
+/* place_listed_milli - milli-cores of all listed workers, none of them shrunk */
 int64_t place_listed_milli(const struct worker_table *workers);
 
 #endif
--- a/src/place_backlog.c
+++ b/src/place_backlog.c
@@ -5,13 +5,14 @@
 
 /*
  * Milli-cores of the listed workers of this share, and of the same slice of the
- * fleet in other pools.
+ * fleet in other pools; full_milli is what both have when nothing is shrunk.
  */
 static void count_capacity(const struct place *place, int64_t *own_milli,
-			   int64_t *other_milli)
+			   int64_t *other_milli, int64_t *full_milli)
 {
 	*own_milli = 0;
 	*other_milli = 0;
+	*full_milli = 0;
 	for (guint i = 0; i < place->workers->list->len; i++) {
 		const struct worker *worker = place->workers->list->pdata[i];
 
@@ -19,6 +20,7 @@
 		    share_of_worker(worker, place->share.count) !=
 			    place->share.index)
 			continue;
+		*full_milli += worker->full_cpu_milli;
 		if (share_has_worker(&place->share, worker))
 			*own_milli += worker->entry.cpu_milli;
 		else
@@ -80,13 +82,12 @@
 int64_t place_backlog_ms(const struct place *place, int64_t target_ms,
 			 int64_t all_milli)
 {
-	int64_t own_milli, other_milli;
+	int64_t own_milli, other_milli, full_milli;
 	int64_t parked_milli, capacity_milli;
 	double work;
 
-	count_capacity(place, &own_milli, &other_milli);
-	parked_milli = MAX(
-		all_milli / place->share.count - own_milli - other_milli, 0);
+	count_capacity(place, &own_milli, &other_milli, &full_milli);
+	parked_milli = MAX(all_milli / place->share.count - full_milli, 0);
 	work = count_remaining_work(place, target_ms, &other_milli);
 	capacity_milli = own_milli + parked_milli + MAX(other_milli, 0);
 	if (capacity_milli <= 0)
@@ -102,7 +103,7 @@
 		const struct worker *worker = workers->list->pdata[i];
 
 		if (worker->listed)
-			total_milli += worker->entry.cpu_milli;
+			total_milli += worker->full_cpu_milli;
 	}
 	return total_milli;
 }
--- a/src/worker.c
+++ b/src/worker.c
@@ -60,6 +60,9 @@
 		g_ptr_array_add(table->list, worker);
 		worker->name = g_intern_string(entry->id);
 	}
+	if (worker->entry.boot_ms != entry->boot_ms)
+		worker->full_cpu_milli = 0;
+	worker->full_cpu_milli = MAX(worker->full_cpu_milli, entry->cpu_milli);
 	worker->entry = *entry;
 	if (entry->host[0])
 		worker->hash = rnd_hash_name(entry->host);
--- a/src/worker.h
+++ b/src/worker.h
@@ -71,8 +71,10 @@
 	struct worker_entry entry;
 	const char *name; /* entry.id, interned like job_task.worker */
 	uint32_t hash;	  /* of its host's name; of its id if that is unknown */
-	bool listed;	  /* the registry has an entry for it */
-	bool leaving;	  /* its host is to be restarted or moved */
+	/* Most processor time that its entries have stated since its start. */
+	int32_t full_cpu_milli;
+	bool listed;  /* the registry has an entry for it */
+	bool leaving; /* its host is to be restarted or moved */
 	/* The rest is state of the pool's owner; see worker_reset_owner_state. */
 	bool fence_accepted; /* has accepted this owner's fence */
 	bool renewing;	     /* a renewal is in flight */
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -162,6 +162,41 @@
 }
 END_TEST
 
+static void set_capacity(const char *id, int32_t cpu_milli)
+{
+	struct worker_entry entry = worker_find(fixture.workers, id)->entry;
+
+	entry.cpu_milli = cpu_milli;
+	worker_put(fixture.workers, &entry);
+}
+
+/*
+ * Callers must not be promised capacity that has shrunk: it is no parked host
+ * that can be had.
+ */
+START_TEST(backlog_does_not_count_shrunk_capacity_as_parked)
+{
+	struct place place = place_now();
+	int64_t all_milli;
+
+	pool_fixture_add_worker(&fixture, "w1", NULL, 4000);
+	pool_fixture_add_worker(&fixture, "w2", NULL, 4000);
+	pool_fixture_submit(&fixture, "0000000000000001",
+			    "{\"spec\":\"t\",\"steps\":[{\"count\":8,"
+			    "\"cpu\":1000,\"estMs\":1000}]}");
+	all_milli = place_listed_milli(fixture.workers);
+	ck_assert_int_eq(place_backlog_ms(&place, INT64_MAX, all_milli), 1000);
+	set_capacity("w1", 0);
+	ck_assert_int_eq(place_backlog_ms(&place, INT64_MAX, all_milli), 2000);
+	ck_assert_int_eq(place_listed_milli(fixture.workers), all_milli);
+	/* A parked host still counts, and so does capacity that has grown. */
+	worker_unlist(fixture.workers, "w1");
+	ck_assert_int_eq(place_backlog_ms(&place, INT64_MAX, all_milli), 1000);
+	set_capacity("w1", 4000);
+	ck_assert_int_eq(place_backlog_ms(&place, INT64_MAX, all_milli), 1000);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("room");
@@ -175,6 +210,7 @@
 	tcase_add_test(tcase, largest_request_does_not_fit_beside_others);
 	tcase_add_test(tcase, capacities_are_read_as_written);
 	tcase_add_test(tcase, requests_beyond_32_bits_do_not_fit);
+	tcase_add_test(tcase, backlog_does_not_count_shrunk_capacity_as_parked);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
