Split the records of claims from module claim

Parsing and encoding a record of the claims stream are claim_record now; struct claim_record is what both sides share. Behaviour is unchanged: test_claim.

--- a/src/claim.c
+++ b/src/claim.c
@@ -7,14 +7,11 @@
 
 #include <glib.h>
 
-#include "jcursor.h"
+#include "claim_record.h"
 
 enum {
 	NONE = UINT32_MAX,
 	INITIAL_ENTRIES = 1024,
-	KEY_HEX_BYTES = 33,
-	/* Limits the text of a batch to 22 KiB. */
-	MAX_BATCH_KEYS = 600,
 	RETRY_UNAVAILABLE_MS = 250,
 	/* Short, because a duplicate batch is harmless. */
 	RETRY_UNKNOWN_MS = 500,
@@ -326,92 +323,6 @@
 	       !strcmp(claim->authors[author].process, claim->process);
 }
 
-/* Records */
-
-struct claim_record {
-	char process[LIMIT_ID_BYTES];
-	char author[LIMIT_NAME_BYTES];
-	int64_t batch;
-	int64_t at_ms;
-	size_t claim_count;
-	size_t release_count;
-	struct claim_key keys[2 * MAX_BATCH_KEYS]; /* claims, then releases */
-};
-
-static void key_to_hex(const struct claim_key *key, char *hex)
-{
-	for (size_t i = 0; i < sizeof(key->bytes); i++)
-		snprintf(hex + 2 * i, 3, "%02x", key->bytes[i]);
-}
-
-static void read_key(const struct jcursor *at, struct claim_key *key)
-{
-	char hex[KEY_HEX_BYTES];
-
-	jcursor_string(at, hex, sizeof(hex), NULL);
-	if (at->err->kind != ERR_OK)
-		return;
-	for (size_t i = 0; i < sizeof(key->bytes); i++) {
-		int high = g_ascii_xdigit_value(hex[2 * i]);
-		int low = high < 0 ? -1 : g_ascii_xdigit_value(hex[2 * i + 1]);
-
-		if (low < 0) {
-			jcursor_refuse(at, "32 hexadecimal digits");
-			return;
-		}
-		key->bytes[i] = (uint8_t)(high << 4 | low);
-	}
-}
-
-static size_t read_keys(const struct jcursor *root, const char *name,
-			struct claim_key *keys)
-{
-	struct jcursor list = jcursor_member(root, name);
-	size_t count = jcursor_check_array(&list, MAX_BATCH_KEYS);
-
-	for (size_t i = 0; i < count; i++) {
-		struct jcursor at = jcursor_item(&list, i);
-
-		read_key(&at, &keys[i]);
-	}
-	return count;
-}
-
-static int parse_record(struct claim_record *record, const char *data,
-			size_t len)
-{
-	static const char *const keys[] = { "type",   "process",     "batch",
-					    "author", "incarnation", "at_ms",
-					    "claims", "releases",    NULL };
-	struct err fault = { .kind = ERR_OK };
-	struct json_object *value = jcursor_parse(data, len, &fault);
-	struct jcursor root = jcursor_root(value, &fault);
-	struct jcursor type_at = jcursor_member(&root, "type");
-	struct jcursor process_at = jcursor_member(&root, "process");
-	struct jcursor author_at = jcursor_member(&root, "author");
-	struct jcursor batch_at = jcursor_member(&root, "batch");
-	struct jcursor incarnation_at = jcursor_member(&root, "incarnation");
-	struct jcursor time_at = jcursor_member(&root, "at_ms");
-	char type[LIMIT_NAME_BYTES];
-
-	if (!value)
-		return ERR_INVALID;
-	jcursor_check_keys(&root, keys);
-	jcursor_name(&type_at, type, sizeof(type));
-	if (strcmp(type, "claims"))
-		jcursor_refuse(&type_at, "\"claims\"");
-	jcursor_name(&process_at, record->process, sizeof(record->process));
-	jcursor_name(&author_at, record->author, sizeof(record->author));
-	record->batch = jcursor_int(&batch_at, 0, LIMIT_NUMBER_MAX, -1);
-	jcursor_int(&incarnation_at, 0, LIMIT_NUMBER_MAX, -1);
-	record->at_ms = jcursor_int(&time_at, 0, LIMIT_NUMBER_MAX, -1);
-	record->claim_count = read_keys(&root, "claims", record->keys);
-	record->release_count = read_keys(&root, "releases",
-					  record->keys + record->claim_count);
-	json_object_put(value);
-	return fault.kind;
-}
-
 /*
  * Records that passed retention unread were appended before the first remaining
  * record, so the times of their keys are at most that record's time, apart from
@@ -553,7 +464,8 @@
 	struct author *author;
 	uint32_t index;
 
-	if (len > LIMIT_RECORD_BYTES || parse_record(&record, data, len) != 0) {
+	if (len > LIMIT_RECORD_BYTES ||
+	    claim_record_parse(&record, data, len) != 0) {
 		claim->stats.invalid++;
 		return ERR_INVALID;
 	}
@@ -709,40 +621,42 @@
 
 /* Batches */
 
-static char *encode_batch(struct claim *claim, const struct claim_time *at)
+static size_t copy_batch_keys(const struct claim *claim, bool release,
+			      struct claim_key *keys)
 {
-	struct json_object *root = json_object_new_object();
-	struct json_object *claims = json_object_new_array();
-	struct json_object *releases = json_object_new_array();
-	char hex[KEY_HEX_BYTES];
-	char *text;
+	size_t count = 0;
 
 	for (guint i = 0; i < claim->batch->len; i++) {
 		const struct item *item = claim->batch->pdata[i];
 
-		key_to_hex(&item->key, hex);
-		json_object_array_add(item->release ? releases : claims,
-				      json_object_new_string(hex));
+		if (item->release == release)
+			keys[count++] = item->key;
 	}
-	jcursor_put_string(root, "type", "claims");
-	jcursor_put_string(root, "process", claim->process);
-	jcursor_put_int(root, "batch", claim->batch_number);
-	jcursor_put_string(root, "author", claim->name);
-	jcursor_put_int(root, "incarnation", claim->config.incarnation);
-	jcursor_put_int(root, "at_ms", at->wall_ms);
-	json_object_object_add(root, "claims", claims);
-	json_object_object_add(root, "releases", releases);
-	text = g_strdup(
-		json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
-	json_object_put(root);
-	return text;
+	return count;
+}
+
+static char *encode_batch(const struct claim *claim,
+			  const struct claim_time *at)
+{
+	struct claim_record record = {
+		.incarnation = claim->config.incarnation,
+		.batch = claim->batch_number,
+		.at_ms = at->wall_ms,
+	};
+
+	memcpy(record.process, claim->process, sizeof(record.process));
+	memcpy(record.author, claim->name, sizeof(record.author));
+	record.claim_count = copy_batch_keys(claim, false, record.keys);
+	record.release_count =
+		copy_batch_keys(claim, true, record.keys + record.claim_count);
+	return claim_record_encode(&record);
 }
 
 static void form_batch(struct claim *claim)
 {
 	claim->batch = g_ptr_array_new();
 	while (!g_queue_is_empty(claim->queue) &&
-	       claim->batch->len < MAX_BATCH_KEYS) {
+	       claim->batch->len < CLAIM_RECORD_KEYS) {
 		struct item *item = g_queue_pop_head(claim->queue);
 
 		item->batched = true;
