--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 CORE = err clk rnd counters table jcursor field record teamconf fleet \
 	fleet_settings fleet_host fleet_member fleet_text member route \
 	route_share route_result plan plan_survey plan_check admit claim \
-	claim_record
+	claim_record claim_window
 AROUND = log file procconf cmd evloop web tcp platclient propose replica \
 	snapshot follow hostlist reboot rpcserver rpcfollow view admin proxy \
 	proxy_read proxy_claim proxy_send claim_log admin_client report histo \
--- a/src/claim.c
+++ b/src/claim.c
@@ -8,34 +8,15 @@
 #include <glib.h>
 
 #include "claim_record.h"
+#include "claim_window.h"
 
 enum {
-	NONE = UINT32_MAX,
-	INITIAL_ENTRIES = 1024,
 	RETRY_UNAVAILABLE_MS = 250,
 	/* Short, because a duplicate batch is harmless. */
 	RETRY_UNKNOWN_MS = 500,
 	RETRY_UNREAD_MS = 3000
 };
 
-/* A process that has appended batches. */
-struct author {
-	bool used;
-	char process[LIMIT_ID_BYTES];
-	char name[LIMIT_NAME_BYTES];
-	int64_t last_batch;
-	int64_t seen_wall_ms;
-	uint32_t keys; /* number of its entries in the window */
-};
-
-/* A claim in the window. */
-struct entry {
-	struct claim_key key;
-	uint32_t next;	 /* in its bucket, or NONE */
-	uint32_t author; /* NONE: released */
-	int64_t read_wall_ms;
-};
-
 /* A claim or release of this process that has not been read back yet. */
 struct item {
 	struct claim_key key;
@@ -54,20 +35,7 @@
 	char name[LIMIT_NAME_BYTES];
 	char process[LIMIT_ID_BYTES];
 	struct claim_stats stats;
-
-	/* Window: a ring of entries in the order of reading, and a hash table
-	   of buckets that chains their indexes. */
-	struct entry *entries;
-	uint32_t *buckets;
-	uint32_t cap; /* of both; a power of two */
-	uint64_t head;
-	uint64_t tail;
-	uint32_t author_count;
-	struct author *authors;
-
-	/* Claims of keys with times up to this one may have been evicted or
-	   never read. */
-	int64_t floor_ms;
+	struct claim_window window;
 	bool gap;	/* records before the next one were not read */
 	bool caught_up; /* the end of the stream has been reached */
 
@@ -83,19 +51,6 @@
 	int64_t next_append_ms; /* earliest time of any append */
 };
 
-static guint hash_key(gconstpointer key)
-{
-	guint hash;
-
-	memcpy(&hash, key, sizeof(hash));
-	return hash;
-}
-
-static gboolean keys_equal(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, sizeof(struct claim_key));
-}
-
 struct claim_key claim_key_of(const char *team, const char *key)
 {
 	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
@@ -112,27 +67,6 @@
 	return out;
 }
 
-/*
- * Replaces the window by an empty one. Returns false, without a change, if
- * memory is short; otherwise the caller must free the old arrays.
- */
-static bool alloc_window(struct claim *claim, uint32_t cap)
-{
-	struct entry *entries = calloc(cap, sizeof(*entries));
-	uint32_t *buckets = malloc(cap * sizeof(*buckets));
-
-	if (!entries || !buckets) {
-		free(entries);
-		free(buckets);
-		return false;
-	}
-	memset(buckets, 0xff, cap * sizeof(*buckets));
-	claim->entries = entries;
-	claim->buckets = buckets;
-	claim->cap = cap;
-	return true;
-}
-
 struct claim *claim_create(const struct claim_config *config)
 {
 	struct claim *claim = calloc(1, sizeof(*claim));
@@ -142,10 +76,11 @@
 	claim->config = *config;
 	g_strlcpy(claim->name, config->author, sizeof(claim->name));
 	g_strlcpy(claim->process, config->process, sizeof(claim->process));
-	claim->floor_ms = INT64_MIN;
-	claim->items = g_hash_table_new_full(hash_key, keys_equal, NULL, free);
+	claim->items = g_hash_table_new_full(
+		claim_window_hash_key, claim_window_keys_equal, NULL, free);
 	claim->queue = g_queue_new();
-	if (!alloc_window(claim, INITIAL_ENTRIES)) {
+	if (!claim_window_init(&claim->window, config->window_ms,
+			       config->max_keys)) {
 		claim_destroy(claim);
 		return NULL;
 	}
@@ -161,166 +96,14 @@
 		g_ptr_array_free(claim->batch, TRUE);
 	g_hash_table_destroy(claim->items);
 	g_free(claim->text);
-	free(claim->entries);
-	free(claim->buckets);
-	free(claim->authors);
+	claim_window_clear(&claim->window);
 	free(claim);
 }
 
-/* Window */
-
-static uint32_t *find_bucket(struct claim *claim, const struct claim_key *key)
-{
-	return &claim->buckets[hash_key(key) & (claim->cap - 1)];
-}
-
-/*
- * The link that points to the key's entry: its bucket, or the previous entry of
- * the chain. The link is NONE if there is no such entry.
- */
-static uint32_t *find_link(struct claim *claim, const struct claim_key *key)
-{
-	uint32_t *link = find_bucket(claim, key);
-
-	while (*link != NONE && !keys_equal(&claim->entries[*link].key, key))
-		link = &claim->entries[*link].next;
-	return link;
-}
-
-/* Index of the author that holds the key, or NONE. */
-static uint32_t find_holder(struct claim *claim, const struct claim_key *key)
-{
-	uint32_t index = *find_link(claim, key);
-
-	return index == NONE ? NONE : claim->entries[index].author;
-}
-
-static void remove_entry(struct claim *claim, uint32_t *link)
-{
-	struct entry *entry = &claim->entries[*link];
-
-	claim->authors[entry->author].keys--;
-	entry->author = NONE;
-	*link = entry->next;
-	claim->stats.keys--;
-}
-
-static void raise_floor(struct claim *claim, int64_t wall_ms)
-{
-	if (wall_ms + LIMIT_CLAIM_SKEW_MS > claim->floor_ms)
-		claim->floor_ms = wall_ms + LIMIT_CLAIM_SKEW_MS;
-}
-
-static void evict_oldest(struct claim *claim)
-{
-	struct entry *entry = &claim->entries[claim->head & (claim->cap - 1)];
-
-	if (entry->author != NONE) {
-		raise_floor(claim, entry->read_wall_ms);
-		remove_entry(claim, find_link(claim, &entry->key));
-	}
-	claim->head++;
-}
-
-static void append_entry(struct claim *claim, const struct entry *entry)
-{
-	uint32_t index = (uint32_t)(claim->tail++ & (claim->cap - 1));
-	uint32_t *bucket = find_bucket(claim, &entry->key);
-
-	claim->entries[index] = *entry;
-	if (entry->author == NONE)
-		return;
-	claim->entries[index].next = *bucket;
-	*bucket = index;
-}
-
-static void grow_window(struct claim *claim)
-{
-	struct entry *entries = claim->entries;
-	uint32_t *buckets = claim->buckets;
-	uint32_t cap = claim->cap;
-	uint64_t head = claim->head, tail = claim->tail;
-
-	if (cap * 2 > claim->config.max_keys || !alloc_window(claim, cap * 2)) {
-		evict_oldest(claim);
-		return;
-	}
-	claim->head = claim->tail = 0;
-	for (uint64_t i = head; i < tail; i++)
-		append_entry(claim, &entries[i & (cap - 1)]);
-	free(entries);
-	free(buckets);
-}
-
-static void add_entry(struct claim *claim, const struct claim_time *at,
-		      const struct claim_key *key, uint32_t author)
-{
-	struct entry entry = {
-		.key = *key,
-		.author = author,
-		.read_wall_ms = at->wall_ms,
-	};
-
-	if (claim->tail - claim->head == claim->cap)
-		grow_window(claim);
-	append_entry(claim, &entry);
-	claim->authors[author].keys++;
-	claim->stats.keys++;
-}
-
-static bool is_past_window(const struct claim *claim,
-			   const struct claim_time *at, int64_t wall_ms)
-{
-	return wall_ms + claim->config.window_ms + LIMIT_CLAIM_SKEW_MS <
-	       at->wall_ms;
-}
-
-static void evict_expired(struct claim *claim, const struct claim_time *at)
-{
-	while (claim->head < claim->tail &&
-	       is_past_window(claim, at,
-			      claim->entries[claim->head & (claim->cap - 1)]
-				      .read_wall_ms))
-		evict_oldest(claim);
-}
-
-/* Index of the author, which is added if it is new; NONE if memory is short. */
-static uint32_t find_or_add_author(struct claim *claim,
-				   const struct claim_time *at,
-				   const char *process, const char *name)
-{
-	uint32_t slot = NONE;
-	struct author *author;
-
-	for (uint32_t i = 0; i < claim->author_count; i++) {
-		author = &claim->authors[i];
-		if (author->used && !strcmp(author->process, process))
-			return i;
-		if (author->used && author->keys == 0 &&
-		    is_past_window(claim, at, author->seen_wall_ms))
-			author->used = false;
-		if (!author->used)
-			slot = i;
-	}
-	if (slot == NONE) {
-		author = realloc(claim->authors, (claim->author_count +
-						  1) * sizeof(*claim->authors));
-		if (!author)
-			return NONE;
-		claim->authors = author;
-		slot = claim->author_count++;
-	}
-	author = &claim->authors[slot];
-	*author = (struct author){ .used = true, .last_batch = -1 };
-	g_strlcpy(author->process, process, sizeof(author->process));
-	g_strlcpy(author->name, name, sizeof(author->name));
-	return slot;
-}
-
 static bool is_own(const struct claim *claim, uint32_t author)
 {
-	return author != NONE &&
-	       !strcmp(claim->authors[author].process, claim->process);
+	return author != CLAIM_WINDOW_NONE &&
+	       !strcmp(claim->window.authors[author].process, claim->process);
 }
 
 /*
@@ -332,7 +115,8 @@
 		      int64_t at_ms)
 {
 	if (claim->gap)
-		raise_floor(claim, MIN(at_ms, at->wall_ms));
+		claim_window_raise_floor(&claim->window,
+					 MIN(at_ms, at->wall_ms));
 	claim->gap = false;
 }
 
@@ -368,7 +152,7 @@
 static void report_duplicate(struct claim *claim, struct item *item,
 			     uint32_t author)
 {
-	const char *holder = claim->authors[author].name;
+	const char *holder = claim->window.authors[author].name;
 	char text[LIMIT_REASON_BYTES];
 
 	if (item->claim_done)
@@ -391,12 +175,12 @@
 static void settle_claim(struct claim *claim, const struct claim_time *at,
 			 struct item *item)
 {
-	uint32_t holder = find_holder(claim, &item->key);
+	uint32_t holder = claim_window_holder(&claim->window, &item->key);
 
-	if (holder != NONE && !is_own(claim, holder)) {
+	if (holder != CLAIM_WINDOW_NONE && !is_own(claim, holder)) {
 		report_duplicate(claim, item, holder);
 		free_item(claim, item);
-	} else if (item->key_time_ms <= claim->floor_ms) {
+	} else if (item->key_time_ms <= claim->window.floor_ms) {
 		/* An earlier claim may have been evicted in the meantime. */
 		if (item->claim_done)
 			claim->stats.too_old++;
@@ -441,27 +225,25 @@
 		g_ptr_array_free(batch, TRUE);
 }
 
-static void apply_record(struct claim *claim, const struct claim_time *at,
+static void apply_record(struct claim_window *window,
+			 const struct claim_time *at,
 			 const struct claim_record *record, uint32_t author)
 {
 	const struct claim_key *releases = record->keys + record->claim_count;
 
-	for (size_t i = 0; i < record->release_count; i++) {
-		uint32_t *link = find_link(claim, &releases[i]);
-
-		if (*link != NONE && claim->entries[*link].author == author)
-			remove_entry(claim, link);
-	}
+	for (size_t i = 0; i < record->release_count; i++)
+		claim_window_release(window, &releases[i], author);
 	for (size_t i = 0; i < record->claim_count; i++)
-		if (find_holder(claim, &record->keys[i]) == NONE)
-			add_entry(claim, at, &record->keys[i], author);
+		if (claim_window_holder(window, &record->keys[i]) ==
+		    CLAIM_WINDOW_NONE)
+			claim_window_add(window, at, &record->keys[i], author);
 }
 
 int claim_apply_record(struct claim *claim, const struct claim_time *at,
 		       const char *data, size_t len)
 {
 	struct claim_record record;
-	struct author *author;
+	struct claim_window_author *author;
 	uint32_t index;
 
 	if (len > LIMIT_RECORD_BYTES ||
@@ -470,20 +252,21 @@
 		return ERR_INVALID;
 	}
 	close_gap(claim, at, record.at_ms);
-	index = find_or_add_author(claim, at, record.process, record.author);
+	index = claim_window_author(&claim->window, at, record.process,
+				    record.author);
 	/* Keys whose claims cannot be stored must not count as free. */
-	if (index == NONE) {
-		raise_floor(claim, at->wall_ms);
+	if (index == CLAIM_WINDOW_NONE) {
+		claim_window_raise_floor(&claim->window, at->wall_ms);
 		return 0;
 	}
-	author = &claim->authors[index];
+	author = &claim->window.authors[index];
 	author->seen_wall_ms = at->wall_ms;
 	if (record.batch <= author->last_batch) {
 		claim->stats.duplicate_batches++;
 		return 0;
 	}
 	author->last_batch = record.batch;
-	apply_record(claim, at, &record, index);
+	apply_record(&claim->window, at, &record, index);
 	if (!strcmp(record.process, claim->process))
 		settle_batch(claim, at);
 	return 0;
@@ -502,7 +285,8 @@
 
 int64_t claim_safe_from(const struct claim *claim, const struct claim_time *at)
 {
-	return MAX(at->wall_ms - claim->config.window_ms, claim->floor_ms);
+	return MAX(at->wall_ms - claim->config.window_ms,
+		   claim->window.floor_ms);
 }
 
 /* Sets error and returns its kind if a claim cannot be appended, or 0. */
@@ -558,7 +342,7 @@
 		   int64_t deadline_ms,
 		   void (*done)(void *arg, const struct err *result), void *arg)
 {
-	uint32_t holder = find_holder(claim, key);
+	uint32_t holder = claim_window_holder(&claim->window, key);
 	struct item *item = calloc(1, sizeof(*item));
 	struct err error = { .kind = ERR_OK };
 
@@ -574,7 +358,7 @@
 		.claim_done = done,
 		.arg = arg,
 	};
-	if (holder != NONE) {
+	if (holder != CLAIM_WINDOW_NONE) {
 		report_duplicate(claim, item, holder);
 	} else if (check_claim(claim, at, item, &error)) {
 		claim->stats.too_old += error.kind == ERR_GONE;
@@ -602,7 +386,7 @@
 {
 	struct item *item = NULL;
 
-	if (is_own(claim, find_holder(claim, key)) &&
+	if (is_own(claim, claim_window_holder(&claim->window, key)) &&
 	    !g_hash_table_contains(claim->items, key))
 		item = calloc(1, sizeof(*item));
 	if (!item) {
@@ -770,7 +554,7 @@
 	for (guint i = 0; i < due->len; i++)
 		expire_item(claim, due->pdata[i]);
 	g_ptr_array_free(due, TRUE);
-	evict_expired(claim, at);
+	claim_window_evict_expired(&claim->window, at);
 	claim->in_tick = false;
 }
 
@@ -781,5 +565,8 @@
 
 struct claim_stats claim_stats(const struct claim *claim)
 {
-	return claim->stats;
+	struct claim_stats stats = claim->stats;
+
+	stats.keys = claim->window.keys;
+	return stats;
 }
