Split module node by its jobs

src/node.c had 734 lines: it put the modules together, applied the records of three streams and decided which pools and hosts the node takes over. node_records and node_pools have the last two now; node_int.h is their internal header. Names of former static functions got the prefix node_.

--- /dev/null
+++ b/src/node_records.c
@@ -0,0 +1,188 @@
+#include "node_int.h"
+
+#include <string.h>
+
+#include "log.h"
+
+static void apply_cfg(struct node *node, const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	struct cfg *cfg = NULL;
+
+	if (node->config.decoders.cfg(record->value, record->value_len, &cfg,
+				      &err) < 0) {
+		log_error("configuration at offset %" G_GINT64_FORMAT
+			  " rejected: %s",
+			  record->offset, err.text);
+		return;
+	}
+	if (node->cfg && cfg->version <= node->cfg->version) {
+		cfg_destroy(cfg);
+		return;
+	}
+	log_info("configuration-in-force version=%" G_GINT64_FORMAT
+		 " offset=%" G_GINT64_FORMAT,
+		 cfg->version, record->offset);
+	cfg_destroy(node->previous_cfg);
+	node->previous_cfg = node->cfg;
+	node->cfg = cfg;
+	node_create_pools(node);
+}
+
+static void apply_wave(struct node *node, const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	struct host_wave wave;
+
+	if (node->config.decoders.wave(record->value, record->value_len, &wave,
+				       &err) < 0)
+		log_error("wave at offset %" G_GINT64_FORMAT " rejected: %s",
+			  record->offset, err.text);
+	else
+		maint_add_wave(node->maint, &wave,
+			       tail_loaded(node->operators_tail));
+}
+
+void node_on_operator_record(void *arg, const struct stream_record *record)
+{
+	struct node *node = arg;
+	const struct node_streams *streams = &node->config.streams;
+	char *key = g_strndup(record->key, record->key_len);
+
+	if (record->value && !strcmp(key, streams->cfg_key))
+		apply_cfg(node, record);
+	else if (record->value && g_str_has_prefix(key, streams->wave_prefix))
+		apply_wave(node, record);
+	g_free(key);
+}
+
+void node_on_worker_record(void *arg, const struct stream_record *record)
+{
+	struct node *node = arg;
+	struct err err = { .kind = ERR_OK };
+	struct worker_entry entry;
+	char *id = g_strndup(record->key, record->key_len);
+
+	if (!record->value)
+		worker_unlist(node->workers, id);
+	else if (node->config.decoders.worker(id, record->value,
+					      record->value_len, &entry,
+					      &err) < 0) {
+		log_warn("entry of worker %.60s rejected: %s", id, err.text);
+		worker_unlist(node->workers, id);
+	} else {
+		worker_put(node->workers, &entry);
+	}
+	g_free(id);
+}
+
+void node_on_registry_reload(void *arg)
+{
+	struct node *node = arg;
+
+	for (guint i = 0; i < node->workers->list->len; i++) {
+		struct worker *worker = node->workers->list->pdata[i];
+
+		worker->listed = false;
+	}
+}
+
+static void apply_host_plan(struct node *node,
+			    const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	char *host = g_strndup(record->key + 2, record->key_len - 2);
+
+	if (host_plan_apply(node->plans, host, record->offset, record->value,
+			    record->value_len, maint_is_owner(node->maint),
+			    clk_now_ms(node->config.clk), &err) < 0)
+		log_error("plan of host %s at offset %" G_GINT64_FORMAT
+			  " cannot be read: %s",
+			  host, record->offset, err.text);
+	g_free(host);
+}
+
+static bool has_key(const struct stream_record *record, const char *key)
+{
+	return record->key_len == strlen(key) &&
+	       !memcmp(record->key, key, record->key_len);
+}
+
+/* The first record holds for good: owners act on the number. */
+static void apply_shares(struct node *node, const struct stream_record *record)
+{
+	uint32_t count = record->value ? share_count_parse(record->value,
+							   record->value_len)
+				       : 0;
+
+	if (node->share_count)
+		return;
+	if (!count) {
+		log_error("number of shares at offset %" G_GINT64_FORMAT
+			  " cannot be read",
+			  record->offset);
+		return;
+	}
+	log_info("shares-decided count=%u offset=%" G_GINT64_FORMAT, count,
+		 record->offset);
+	node->share_count = count;
+	node_create_pools(node);
+}
+
+/*
+ * A key is a letter for the kind of record (j: job, c: cancellation, p:
+ * progress, h: host plan), a colon, and the job's id or the host's name.
+ */
+void node_on_job_record(void *arg, const struct stream_record *record)
+{
+	struct node *node = arg;
+	struct err err = { .kind = ERR_OK };
+	char id[JOB_ID_BYTES];
+	int status = 0;
+
+	if (record->key_len > 2 && !memcmp(record->key, "h:", 2)) {
+		apply_host_plan(node, record);
+		return;
+	}
+	if (has_key(record, NODE_SHARES_KEY)) {
+		apply_shares(node, record);
+		return;
+	}
+	if (has_key(record, NODE_DECIDER_KEY)) {
+		/* While loading, the record may be old: the log retains the
+		   newest of each key without limit. */
+		if (tail_loaded(node->jobs_tail))
+			standby_note_announcement(&node->standby,
+						  clk_now_ms(node->config.clk));
+		return;
+	}
+	if (record->key_len != JOB_ID_BYTES + 1 || record->key[1] != ':')
+		return;
+	memcpy(id, record->key + 2, JOB_ID_BYTES - 1);
+	id[JOB_ID_BYTES - 1] = 0;
+	if (!record->value) {
+		if (record->key[0] == 'j')
+			job_remove(node->jobs, id);
+		return;
+	}
+	switch (record->key[0]) {
+	case 'j':
+		status = job_apply_submission(node->jobs, id, record->offset,
+					      record->value, record->value_len,
+					      &err);
+		break;
+	case 'c':
+		job_apply_cancel(node->jobs, id);
+		break;
+	case 'p':
+		status = job_apply_progress(
+			node->jobs, id, record->offset, record->value,
+			record->value_len,
+			node_owns_job(node, job_find(node->jobs, id)), &err);
+		break;
+	}
+	if (status < 0)
+		log_error("record %c of job %s at offset %" G_GINT64_FORMAT
+			  " cannot be read: %s",
+			  record->key[0], id, record->offset, err.text);
+}
