--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
 	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
-	standby node_metrics node_records node_pools node
+	standby node_metrics node_records node_pools \
+	node_view node
 PLATFORM = call json store wire order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
 LIBRARY = $(BUILD)/libplank.a
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -3,7 +3,8 @@
  *	node_int - internals shared by the files of module node
  *
  * node_records.c applies the records of the streams, node_pools.c decides which
- * pools and hosts this node takes over, node.c puts the modules together.
+ * pools and hosts this node takes over, node_view.c answers operators, and node.c
+ * puts the modules together.
  */
 #ifndef NODE_INT_H
 #define NODE_INT_H
--- /dev/null
+++ b/src/node_view.c
@@ -0,0 +1,81 @@
+#include "node_int.h"
+
+#include <string.h>
+
+#include "job_view.h"
+#include "node_metrics.h"
+
+static int64_t count_waiting_tasks(const struct node *node)
+{
+	int64_t count = 0;
+
+	for (guint i = 0; i < node->jobs->live->len; i++) {
+		struct job_pos pos = { .job = node->jobs->live->pdata[i] };
+
+		if (!node_owns_job(node, pos.job))
+			continue;
+		while (job_next_task(&pos))
+			count += pos.task->state == TASK_WAITING;
+	}
+	return count;
+}
+
+static int64_t count_owned_pools(const struct node *node)
+{
+	GHashTableIter iter;
+	int64_t count = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iter, node->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += pool_is_owned(value);
+	return count;
+}
+
+char *node_metrics(const struct node *node, apr_pool_t *pool)
+{
+	struct node_gauges gauges = {
+		.pools_owned = count_owned_pools(node),
+		.hosts_held = maint_is_owner(node->maint),
+		.jobs_live = node->jobs->live->len,
+		.tasks_waiting = count_waiting_tasks(node),
+		.cfg_version = node->cfg ? node->cfg->version : -1,
+		.ready = node_ready(node),
+		.stream_age_ms = tail_age_ms(node->jobs_tail),
+		.append_stalled_ms = writer_stalled_ms(node->writer),
+	};
+
+	for (guint i = 0; i < node->workers->list->len; i++) {
+		const struct worker *worker = node->workers->list->pdata[i];
+
+		gauges.workers_listed += worker->listed;
+	}
+	return node_metrics_text(pool, &node->front_env, &node->pool_env,
+				 &node->maint_env, &gauges);
+}
+
+struct json_object *node_view(const struct node *node, const char *path)
+{
+	static const char jobs_path[] = "/v1/jobs";
+	struct job_view view = {
+		.cfg = node->cfg,
+		.jobs = node->jobs,
+		.workers = node->workers,
+		.wall_ms = clk_wall_ms(node->config.clk),
+	};
+	char id[JOB_ID_BYTES];
+	const char *suffix;
+
+	if (!strcmp(path, jobs_path))
+		return job_view_list(&view);
+	if (!g_str_has_prefix(path, "/v1/jobs/"))
+		return NULL;
+	path += strlen("/v1/jobs/");
+	g_strlcpy(id, path, sizeof(id));
+	if (!job_valid_id(id))
+		return NULL;
+	suffix = path + JOB_ID_BYTES - 1;
+	if (!*suffix)
+		return job_view_one(&view, id);
+	return strcmp(suffix, "/explain") ? NULL : job_view_explain(&view, id);
+}
