Split the replay of sessions by its jobs

They are session_entry, session_log, session_guards and session now, with session_int.h between them; constants and structs that they share got the prefix. test_sessions replays the golden sessions to the same bytes.

--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,8 @@
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $(filter %.c,$^) $(LIBRARY) $(LDLIBS) \
 		-lcheck -lm -lsubunit -lrt -o $@
 
-SESSION_SOURCES = tests/session.c tests/schedule.c tests/oracle.c
+SESSION_SOURCES = tests/session.c tests/session_entry.c tests/session_guards.c \
+	tests/session_log.c tests/schedule.c tests/oracle.c
 
 $(BUILD)/replay $(BUILD)/test_sessions: $(SESSION_SOURCES) \
 	$(wildcard tests/*.h)
