--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 
 CORE = err clk rnd counters table jcursor field record teamconf fleet \
 	fleet_settings fleet_host fleet_member fleet_text member route \
-	route_share route_result plan plan_survey plan_check admit claim
+	route_share route_result plan plan_survey plan_check admit claim \
+	claim_record claim_window
 AROUND = log file procconf cmd evloop web tcp platclient propose replica \
 	snapshot follow hostlist reboot rpcserver rpcfollow view admin proxy \
 	proxy_read proxy_claim proxy_send claim_log admin_client report histo \
@@ -29,7 +30,8 @@
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
 	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
-	standby node_metrics node
+	standby node_metrics node_records node_pools \
+	node_view node
 PLATFORM = call json store wire order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
 LIBRARY = $(BUILD)/libplank.a
@@ -87,7 +89,8 @@
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $(filter %.c,$^) $(LIBRARY) $(LDLIBS) \
 		-lcheck -lm -lsubunit -lrt -o $@
 
-SESSION_SOURCES = tests/session.c tests/schedule.c tests/oracle.c
+SESSION_SOURCES = tests/session.c tests/session_entry.c tests/session_guards.c \
+	tests/session_log.c tests/schedule.c tests/oracle.c
 
 $(BUILD)/replay $(BUILD)/test_sessions: $(SESSION_SOURCES) \
 	$(wildcard tests/*.h)
