Add hosts for long-running tasks that fit on no host of their pool

Cause: the size of a pool counted the sum of what its long-running tasks take of a host. Tasks that are spread one to a host leave room on each that no large task fits in. Nothing reacted to tasks that waited.

Fix: if such tasks have waited for a second, the pool gets hosts for them beside those on which long-running tasks are at work. host-lent logs both inputs.

Evidence: long_running_tasks_that_wait_get_hosts; the code before has no such input.

--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -99,6 +99,9 @@
 	pool->idle = 0;
 	pool->min_hosts = 0;
 	pool->lasting_parts = 0;
+	pool->lasting_hosts = 0;
+	pool->waiting_parts = 0;
+	pool->waiting_hosts = 0;
 }
 
 static void reset_pools(struct maint *maint)
@@ -129,28 +132,34 @@
 	return mean;
 }
 
+/* Hosts over which so many tasks of the step must be spread. */
+static int32_t spread_hosts(const struct job_step *step, int32_t count)
+{
+	return step->max_per_worker > 0 && count > 0
+		       ? (count - 1) / step->max_per_worker + 1
+		       : MIN(count, 1);
+}
+
 /* Raises the pool's minimum to the hosts that a long-running step needs. */
 static void raise_min_hosts(struct sizing_pool *pool,
 			    const struct job_step *step)
 {
-	int32_t per_worker = step->max_per_worker;
-	int32_t workers =
-		per_worker > 0 ? (step->count - 1) / per_worker + 1 : 1;
-
 	if (step->long_running)
-		pool->min_hosts = MAX(pool->min_hosts, workers);
+		pool->min_hosts =
+			MAX(pool->min_hosts, spread_hosts(step, step->count));
 }
 
 /* Adds the part of a host that a running or ready task of the step takes. */
 static void add_lasting(struct sizing_pool *pool, const struct job_step *step,
-			const struct sizing_host *host)
+			bool waits, const struct sizing_host *host)
 {
+	int32_t parts = sizing_task_parts(
+		host, step->uses_idle_cpu ? 0 : step->cpu_milli, step->mem_mib);
 	int64_t hosts;
 
-	if (!step->long_running)
-		return;
-	pool->lasting_parts += sizing_task_parts(
-		host, step->uses_idle_cpu ? 0 : step->cpu_milli, step->mem_mib);
+	pool->lasting_parts += parts;
+	if (waits)
+		pool->waiting_parts += parts;
 	hosts = (pool->lasting_parts + SIZING_HOST_PARTS - 1) /
 		SIZING_HOST_PARTS;
 	pool->min_hosts = MAX(pool->min_hosts, (int32_t)hosts);
@@ -164,6 +173,7 @@
 	struct job_pos pos = { .job = job };
 	int64_t wall_ms = clk_wall_ms(maint->env->clk);
 	bool ready = false;
+	int32_t waiting = 0; /* tasks of the step */
 
 	if (!pool || !job->has_spec || job->cancel_requested)
 		return;
@@ -174,6 +184,7 @@
 			ready = job_due_ms(job, pos.occurrence) <= wall_ms &&
 				job_step_ready(job, pos.occurrence, pos.step);
 			raise_min_hosts(pool, step);
+			waiting = 0;
 		}
 		if (pos.task->state == TASK_PLACED) {
 			struct load *load =
@@ -188,7 +199,13 @@
 			pool->suspects +=
 				crash_needs_quarantine(pos.task, step);
 		}
-		add_lasting(pool, step, host);
+		waiting += pos.task->state == TASK_WAITING;
+		if (step->long_running) {
+			add_lasting(pool, step, pos.task->state == TASK_WAITING,
+				    host);
+			pool->waiting_hosts = MAX(pool->waiting_hosts,
+						  spread_hosts(step, waiting));
+		}
 		/* A step that uses only idle CPU adds no demand. */
 		if (!step->uses_idle_cpu)
 			pool->demand_milli += step->cpu_milli;
@@ -228,6 +245,8 @@
 			 !load->long_running;
 	pool->movable += known->movable;
 	pool->idle += known->movable && known->idle;
+	pool->lasting_hosts += load->long_running &&
+			       maint_host_settled(maint, known, pool->standby);
 }
 
 void maint_survey(struct maint *maint)
@@ -308,9 +327,13 @@
 	to->hosts++;
 	maint_add_plan(maint, &plan);
 	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
-		 " wanted_to=%" G_GINT64_FORMAT " hosts_to=%d",
+		 " wanted_to=%" G_GINT64_FORMAT " hosts_to=%d min_to=%d "
+		 "waiting_ms=%" G_GINT64_FORMAT,
 		 plan.host, from->name, to->name, from->demand_milli,
-		 to->demand_milli, to->hosts);
+		 to->demand_milli, to->hosts, to->min_hosts,
+		 to->waiting_since_ms
+			 ? clk_now_ms(maint->env->clk) - to->waiting_since_ms
+			 : 0);
 	return true;
 }
 
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -17,7 +17,9 @@
 	/* Time to drain and move a host, over which a rise is extrapolated. */
 	SIZING_MOVE_MS = 2200,
 	/* A move to standby saves cost only if the surplus lasts. */
-	SIZING_STANDBY_DELAY_MS = 1500
+	SIZING_STANDBY_DELAY_MS = 1500,
+	/* A long-running task that waits longer needs another host. */
+	SIZING_LASTING_WAIT_MS = 1000
 };
 
 /*
@@ -101,9 +103,27 @@
 	return excess(sizing, pool, pool->demand_milli, pool->movable);
 }
 
+static void observe_waiting(struct sizing_pool *pool, int64_t now_ms)
+{
+	int64_t hosts = (pool->waiting_parts + SIZING_HOST_PARTS - 1) /
+			SIZING_HOST_PARTS;
+
+	if (hosts < pool->waiting_hosts)
+		hosts = pool->waiting_hosts;
+	hosts += pool->lasting_hosts;
+	if (!pool->waiting_parts)
+		pool->waiting_since_ms = 0;
+	else if (!pool->waiting_since_ms)
+		pool->waiting_since_ms = now_ms;
+	else if (now_ms - pool->waiting_since_ms >= SIZING_LASTING_WAIT_MS &&
+		 hosts > pool->min_hosts)
+		pool->min_hosts = (int32_t)hosts;
+}
+
 void sizing_observe(const struct sizing *sizing, struct sizing_pool *pool,
 		    int64_t now_ms)
 {
+	observe_waiting(pool, now_ms);
 	if (pool->demand_milli >= pool->peak_milli ||
 	    now_ms - pool->peak_ms > SIZING_PEAK_HOLD_MS) {
 		pool->peak_milli = pool->demand_milli;
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -29,8 +29,12 @@
 	int32_t idle;	       /* movable hosts without any task */
 	int32_t min_hosts;     /* hosts that its long-running tasks need */
 	int64_t lasting_parts; /* of hosts, that these tasks take */
+	int32_t lasting_hosts; /* hosts with such tasks, none of them leaving */
+	int64_t waiting_parts; /* of lasting_parts: of tasks that wait */
+	int32_t waiting_hosts; /* that a step's waiting tasks must spread over */
 	/* Updated by sizing_observe. */
-	int64_t peak_milli; /* highest recent demand */
+	int64_t waiting_since_ms; /* such tasks wait since then; 0: none does */
+	int64_t peak_milli;	  /* highest recent demand */
 	int64_t peak_ms;
 	int64_t sample_milli; /* demand sampled at before_ms */
 	int64_t sample_ms;
@@ -64,7 +68,9 @@
 /*
  * sizing_observe - record a pool's demand; called before sizing_next_move
  *
- * Rising demand is extrapolated over the time that a move takes.
+ * Rising demand is extrapolated over the time that a move takes. If long-running
+ * tasks have waited for a while, those at work leave no host with room for them,
+ * whatever room the hosts have in sum: min_hosts is raised by hosts for them.
  */
 void sizing_observe(const struct sizing *sizing, struct sizing_pool *pool,
 		    int64_t now_ms);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -293,6 +293,45 @@
 	return pool;
 }
 
+/*
+ * Long-running tasks must get another host if they wait because those at work
+ * leave room for them on no host, though there is enough of it in sum.
+ */
+START_TEST(long_running_tasks_that_wait_get_hosts)
+{
+	struct sizing sizing = { .host_milli = 1000 };
+	struct sizing_pool pools[2] = {
+		sizing_pool_of("busy", 13, 0, 0),
+		sizing_pool_of("parked", 20, 20, 0),
+	};
+	uint32_t from, to;
+
+	pools[0].min_hosts = 13;
+	pools[0].lasting_hosts = 13;
+	pools[0].waiting_parts = 2 * SIZING_HOST_PARTS + 1;
+	for (int64_t now_ms = 10000; now_ms < 11000; now_ms += 100) {
+		sizing_observe(&sizing, &pools[0], now_ms);
+		ck_assert(!sizing_next_move(&sizing, pools, 2, now_ms, &from,
+					    &to));
+	}
+	sizing_observe(&sizing, &pools[0], 11000);
+	ck_assert_int_eq(pools[0].min_hosts, 16);
+	ck_assert(sizing_next_move(&sizing, pools, 2, 11000, &from, &to));
+	ck_assert_uint_eq(to, 0);
+	/* One on each host. */
+	pools[0].waiting_hosts = 6;
+	sizing_observe(&sizing, &pools[0], 11100);
+	ck_assert_int_eq(pools[0].min_hosts, 19);
+	/* They are at work, the next wait is a new one. */
+	pools[0].min_hosts = 13;
+	pools[0].waiting_parts = 0;
+	sizing_observe(&sizing, &pools[0], 11200);
+	pools[0].waiting_parts = 1;
+	sizing_observe(&sizing, &pools[0], 11300);
+	ck_assert_int_eq(pools[0].min_hosts, 13);
+}
+END_TEST
+
 /* Alternating demand: one pool needs several times its capacity. */
 START_TEST(hosts_move_to_a_load_peak_and_are_parked_after_it)
 {
@@ -639,6 +678,7 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, long_running_tasks_take_hosts_by_memory);
+	tcase_add_test(tcase, long_running_tasks_that_wait_get_hosts);
 	tcase_add_test(tcase, steps_run_in_order_and_progress_survives);
 	tcase_add_test(tcase, older_records_are_ignored);
 	tcase_add_test(tcase, job_fails_after_its_attempts);
