--- a/src/place.c
+++ b/src/place.c
@@ -115,7 +115,6 @@
 		worker->suspects = 0;
 		worker->new_tasks = 0;
 		worker->reserved = false;
-		worker->held = false;
 	}
 	for (guint i = 0; i < place->jobs->live->len; i++) {
 		struct job *job = place->jobs->live->pdata[i];
@@ -302,8 +301,8 @@
 		struct worker *worker = pass->usable->pdata[i];
 		int64_t score;
 
-		if (worker->reserved || (worker->held && !step->long_running) ||
-		    !place_fits(worker, step) || !place_may_hold(cand, worker))
+		if (worker->reserved || !place_fits(worker, step) ||
+		    !place_may_hold(cand, worker))
 			continue;
 		score = score_worker(cand, task, worker);
 		if (best && score <= best_score)
@@ -415,8 +414,6 @@
 					: best_worker(pass, cand, &tasks[i]);
 		if (!worker) {
 			counts.waiting++;
-			if (step->long_running)
-				place_hold_worker(pass, cand);
 			continue;
 		}
 		job_place_task(cand->job, &tasks[i], worker->entry.id,
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -37,15 +37,6 @@
 /* place_may_hold - whether the candidate's constraints allow the worker */
 bool place_may_hold(const struct candidate *cand, const struct worker *worker);
 
-/*
- * place_hold_worker - keep a worker for a long-running task that waits
- *
- * Until the next pass it gets no more tasks that end by themselves: otherwise
- * small ones would take all room that comes free, bit by bit. It is one that has
- * room beside its long-running tasks, if there is any.
- */
-void place_hold_worker(const struct pass *pass, const struct candidate *cand);
-
 /*
  * place_account_quarantine - mark the workers that are reserved
  *
--- a/src/worker.h
+++ b/src/worker.h
@@ -111,10 +111,9 @@
 	int32_t new_tasks; /* placed tasks that may not have survived their start */
 	int32_t lasting_cpu_milli; /* used by placed long-running tasks */
 	int32_t lasting_mem_mib;
-	bool reserved; /* for a task that starts or waits in quarantine */
-	bool held;     /* for a long-running task that waits for its room */
-	double failure_rate;   /* moving average over its ended runs */
-	struct speed speed;    /* measured by its own clock */
+	bool reserved;	     /* for a task that starts or waits in quarantine */
+	double failure_rate; /* moving average over its ended runs */
+	struct speed speed;  /* measured by its own clock */
 	int64_t slow_until_ms; /* no new tasks before; 0: not slow */
 };
 
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -197,50 +197,6 @@
 }
 END_TEST
 
-/* Ends as many placed runs of the job. */
-static void end_runs(struct job *job, int count)
-{
-	struct job_pos pos = { .job = job };
-
-	while (count > 0 && job_next_task(&pos))
-		if (pos.task->state == TASK_PLACED) {
-			job_end_run(&pos, END_DONE, NULL, 1);
-			count--;
-		}
-}
-
-/*
- * A long-running task must not wait for good behind small tasks that take the
- * room on its worker whenever one of them ends.
- */
-START_TEST(small_tasks_do_not_starve_a_long_running_one)
-{
-	struct job *small, *lasting;
-
-	pool_fixture_add_worker(&fixture, "w1", NULL, 4000);
-	pool_fixture_add_worker(&fixture, "w2", NULL, 4000);
-	small = pool_fixture_submit(&fixture, "0000000000000001",
-				    "{\"spec\":\"t\",\"steps\":[{\"count\":40,"
-				    "\"cpu\":1000}]}");
-	ck_assert_uint_eq(place_all(), 8);
-	lasting = pool_fixture_submit(&fixture, "0000000000000002",
-				      "{\"spec\":\"t\",\"steps\":[{\"count\":1,"
-				      "\"cpu\":3000,\"longRunning\":true}]}");
-	for (int i = 0;
-	     i < 8 && job_task_at(lasting, 0, 0, 0)->state == TASK_WAITING;
-	     i++) {
-		end_runs(small, 1);
-		place_all();
-	}
-	ck_assert_int_eq(job_task_at(lasting, 0, 0, 0)->state, TASK_PLACED);
-	/* No room is kept any more. */
-	ck_assert_int_eq(worker_find(fixture.workers, "w1")->cpu_used_milli,
-			 4000);
-	ck_assert_int_eq(worker_find(fixture.workers, "w2")->cpu_used_milli,
-			 4000);
-}
-END_TEST
-
 int main(void)
 {
 	Suite *suite = suite_create("room");
@@ -255,7 +211,6 @@
 	tcase_add_test(tcase, capacities_are_read_as_written);
 	tcase_add_test(tcase, requests_beyond_32_bits_do_not_fit);
 	tcase_add_test(tcase, backlog_does_not_count_shrunk_capacity_as_parked);
-	tcase_add_test(tcase, small_tasks_do_not_starve_a_long_running_one);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
