--- a/tests/log_model.c
+++ b/tests/log_model.c
@@ -92,15 +92,20 @@
 	}
 }
 
-static struct producer *get_producer(struct log_model *model, const char *name)
+/* A producer's epoch and sequence belong to one topic. */
+static struct producer *get_producer(struct log_model *model, const char *topic,
+				     const char *name)
 {
-	struct producer *producer = g_hash_table_lookup(model->producers, name);
+	char *key = g_strdup_printf("%s/%s", topic, name);
+	struct producer *producer = g_hash_table_lookup(model->producers, key);
 
-	if (!producer) {
-		producer = g_new0(struct producer, 1);
-		producer->epoch = -1;
-		g_hash_table_insert(model->producers, g_strdup(name), producer);
+	if (producer) {
+		g_free(key);
+		return producer;
 	}
+	producer = g_new0(struct producer, 1);
+	producer->epoch = -1;
+	g_hash_table_insert(model->producers, key, producer);
 	return producer;
 }
 
@@ -125,7 +130,9 @@
 {
 	struct log_topic *topic = log_model_topic(model, append->topic);
 	struct producer *producer =
-		append->producer ? get_producer(model, append->producer) : NULL;
+		append->producer
+			? get_producer(model, append->topic, append->producer)
+			: NULL;
 	struct stream_append_result result = {
 		.outcome = STREAM_OK,
 		.offset = topic->records->len,
