Release a host whose order was carried out on an earlier worker

Of the restarted hosts some got no tasks any more, no move and no later wave.

When the answer to a restart is lost, or its owner ends before it has stored the order, the host's next worker is drained and ordered too. The platform answers that as done and does nothing, but the plan then named a worker in service, which was taken to be leaving for good. A next worker that has the id of the former one met the same.

The simulation carries out orders for hosts on demand (hosts_obey).

--- a/src/maint.c
+++ b/src/maint.c
@@ -21,6 +21,7 @@
 	struct maint *maint = arg;
 
 	maint->listed_ms = 0;
+	maint->list_asked_ms = 0;
 	maint->last_plan = host_plans_last_number(maint->env->plans);
 	maint->earlier_orders_end_ms =
 		maint->ownership.acquired_ms + maint->env->order_lease_ms;
@@ -194,6 +195,7 @@
 	g_hash_table_foreach_remove(maint->known_hosts, is_unlisted, maint);
 	maint->listing = false;
 	maint->listed_ms = clk_now_ms(maint->env->clk);
+	maint->list_asked_ms = maint->list_sent_ms;
 	g_free(request);
 }
 
@@ -225,6 +227,7 @@
 		return;
 	maint->listing = true;
 	maint->list_round++;
+	maint->list_sent_ms = now_ms;
 	maint->list_due_ms = now_ms + MAINT_LIST_MS;
 	maint->env->io->list(maint->env->io->io, NULL, on_page,
 			     request_new(maint));
@@ -389,6 +392,29 @@
 	send_order(maint, known, plan);
 }
 
+/*
+ * Whether an order that was answered as done has not ended the worker: it had
+ * been carried out on an earlier one, and its answer or record was lost, or the
+ * host's next worker has the same id.
+ */
+static bool worker_outlived_order(const struct maint *maint,
+				  const struct known_host *known,
+				  const struct host_plan *plan)
+{
+	return plan->worker[0] && known->host.state == HOST_UP &&
+	       !strcmp(known->host.worker, plan->worker) &&
+	       maint->list_asked_ms - plan->seen_ms >= MAINT_SETTLE_MS;
+}
+
+/* Ends a plan whose worker is there still, so that it gets tasks again. */
+static void release_worker(struct maint *maint, struct host_plan *plan)
+{
+	log_info("host-released host=%s worker=%s work=%s", plan->host,
+		 plan->worker, plan->work == HOST_MOVE ? "move" : "restart");
+	plan->worker[0] = '\0';
+	maint_store_plan(maint, plan);
+}
+
 static void order_drained_hosts(struct maint *maint, int64_t now_ms)
 {
 	struct host_plans *plans = maint->env->plans;
@@ -397,8 +423,13 @@
 		struct host_plan *plan = plans->list->pdata[i];
 		struct known_host *known = maint_find_host(maint, plan->host);
 
-		if (plan->step == HOST_ORDER_DONE || !known || known->ordering)
+		if (!known || known->ordering)
 			continue;
+		if (plan->step == HOST_ORDER_DONE) {
+			if (worker_outlived_order(maint, known, plan))
+				release_worker(maint, plan);
+			continue;
+		}
 		switch (host_plan_next(plan, &known->host)) {
 		case HOST_NEXT_ORDER:
 			send_order_if_due(maint, known, plan, now_ms);
--- a/src/maint_int.h
+++ b/src/maint_int.h
@@ -59,7 +59,9 @@
 	bool list_failing;
 	uint32_t list_round; /* number of the last list */
 	int64_t list_due_ms;
-	int64_t listed_ms; /* 0: no complete list in this tenure */
+	int64_t listed_ms;     /* 0: no complete list in this tenure */
+	int64_t list_sent_ms;  /* when the last list was requested */
+	int64_t list_asked_ms; /* when the last complete one was */
 	int64_t decide_due_ms;
 };
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -65,6 +65,12 @@
 	/* Host list. */
 	host_page_fn *on_page;
 	struct host *hosts;
+	/* Order for a host. */
+	host_order_fn *on_host_order;
+	enum host_work work;
+	enum host_outcome host_outcome;
+	int64_t wave;
+	bool to_standby;
 	void *arg;
 };
 
@@ -757,7 +763,7 @@
 	send_order(client, event);
 }
 
-/* Hosts. They never change pools; a host is down while its worker is. */
+/* Hosts. A host without an order under way is down while its worker is. */
 
 static void answer_list(struct sim *sim, struct event *event)
 {
@@ -773,6 +779,14 @@
 	event_free(event);
 }
 
+static enum host_state host_state(const struct sim_worker *worker)
+{
+	if (worker->order_ends_ms)
+		return worker->order == HOST_MOVE ? HOST_MOVING
+						  : HOST_MAINTENANCE;
+	return worker->up || worker->parked ? HOST_UP : HOST_DOWN;
+}
+
 /* The list is a snapshot of now; the answer may be delivered much later. */
 static void io_list(void *io, const char *page, host_page_fn *fn, void *arg)
 {
@@ -789,10 +803,11 @@
 		struct host *host = &event->hosts[i];
 
 		g_strlcpy(host->name, worker->entry.host, sizeof(host->name));
-		g_strlcpy(host->pool, "pool", sizeof(host->pool));
+		g_strlcpy(host->pool, worker->parked ? "standby" : "pool",
+			  sizeof(host->pool));
 		host->cpu_milli = worker->entry.cpu_milli;
 		host->mem_mib = worker->entry.mem_mib;
-		host->state = worker->up ? HOST_UP : HOST_DOWN;
+		host->state = host_state(worker);
 		if (worker->up)
 			g_strlcpy(host->worker, worker->entry.id,
 				  sizeof(host->worker));
@@ -801,29 +816,122 @@
 		 1 + random_below(sim, random_below(sim, 10) ? 10 : 800));
 }
 
-static void io_host_order(void *io, const struct host_owner *holder,
-			  const char *host, int64_t wave, host_order_fn *fn,
-			  void *arg)
+static enum host_outcome apply_host_order(struct sim *sim,
+					  const struct event *event)
 {
-	(void)io;
-	(void)holder;
-	(void)host;
-	(void)wave;
-	fn(arg, HOST_REFUSED);
+	struct sim_worker *worker = &sim->workers[event->worker];
+	bool move = event->work == HOST_MOVE;
+
+	if (event->fence < worker->host_fence)
+		return HOST_FENCED;
+	worker->host_fence = event->fence;
+	if (move ? worker->parked == event->to_standby
+		 : worker->done_wave == event->wave)
+		return HOST_OK;
+	if (host_state(worker) != HOST_UP)
+		return HOST_BUSY;
+	sim_crash_worker(sim, event->worker);
+	sim_set_worker_listed(sim, event->worker, false);
+	worker->order = event->work;
+	worker->order_ends_ms =
+		sim->clk.manual_ms + (move ? SIM_MOVE_MS : SIM_RESTART_MS);
+	worker->next_parked = move ? event->to_standby : worker->parked;
+	if (!move)
+		worker->done_wave = event->wave;
+	return HOST_OK;
+}
+
+static void answer_host_order(struct sim *sim, struct event *event)
+{
+	if (!can_deliver(sim, event))
+		return;
+	event->on_host_order(event->arg, event->host_outcome);
+	event_free(event);
+}
+
+static void execute_host_order(struct sim *sim, struct event *event)
+{
+	event->host_outcome = apply_host_order(sim, event);
+	if (random_below(sim, 100) < sim->faults.host_lost_percent)
+		event->host_outcome = HOST_UNKNOWN;
+	event->fn = answer_host_order;
+	schedule(sim, event,
+		 event->host_outcome == HOST_UNKNOWN
+			 ? 1500
+			 : 1 + random_below(sim, 8));
+}
+
+static int host_index(const struct sim *sim, const char *host)
+{
+	for (int i = 0; i < sim->worker_count; i++)
+		if (!strcmp(sim->workers[i].entry.host, host))
+			return i;
+	abort();
+}
+
+static void send_host_order(struct client *client,
+			    const struct host_owner *holder,
+			    struct event *event)
+{
+	event->fence = holder->fence;
+	if (!client->sim->hosts_obey) {
+		event->on_host_order(event->arg, HOST_REFUSED);
+		event_free(event);
+		return;
+	}
+	schedule(client->sim, event, 1 + random_below(client->sim, 4));
+}
+
+static void io_host_restart(void *io, const struct host_owner *holder,
+			    const char *host, int64_t wave, host_order_fn *fn,
+			    void *arg)
+{
+	struct client *client = io;
+	struct event *event = event_new(client, execute_host_order);
+
+	event->work = HOST_RESTART;
+	event->worker = host_index(client->sim, host);
+	event->wave = wave;
+	event->on_host_order = fn;
+	event->arg = arg;
+	send_host_order(client, holder, event);
 }
 
 static void io_host_move(void *io, const struct host_owner *holder,
 			 const char *host, const char *pool, host_order_fn *fn,
 			 void *arg)
 {
-	(void)pool;
-	io_host_order(io, holder, host, 0, fn, arg);
+	struct client *client = io;
+	struct event *event = event_new(client, execute_host_order);
+
+	event->work = HOST_MOVE;
+	event->worker = host_index(client->sim, host);
+	event->to_standby = !strcmp(pool, "standby");
+	event->on_host_order = fn;
+	event->arg = arg;
+	send_host_order(client, holder, event);
+}
+
+/* Starts the next worker of a host whose order has ended. */
+static void end_host_order(struct sim *sim, struct sim_worker *worker)
+{
+	worker->order_ends_ms = 0;
+	worker->parked = worker->next_parked;
+	if (worker->parked)
+		return;
+	if (sim->keep_ids)
+		sim_restart_worker(sim, worker->index);
+	else
+		sim_replace_worker(sim, worker->index);
 }
 
 /* Time. */
 
 static void tick_worker(struct sim *sim, struct sim_worker *worker)
 {
+	if (worker->order_ends_ms &&
+	    sim->clk.manual_ms >= worker->order_ends_ms)
+		end_host_order(sim, worker);
 	if (worker->restart_at_ms &&
 	    sim->clk.manual_ms >= worker->restart_at_ms)
 		sim_restart_worker(sim, worker->index);
@@ -921,7 +1029,7 @@
 	*hosts = (struct host_io){
 		.io = client,
 		.list = io_list,
-		.restart = io_host_order,
+		.restart = io_host_restart,
 		.move = io_host_move,
 	};
 	g_ptr_array_add(sim->retained, client);
@@ -1016,20 +1124,51 @@
 	sim_set_worker_listed(sim, index, true);
 }
 
-void sim_set_configuration(struct sim *sim, bool guarded)
+static void set_configuration(struct sim *sim, bool guarded,
+			      const char *other_services)
 {
 	char *text = g_strdup_printf(
 		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
 		"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":50,"
 		"\"stretch\":1000.0,\"sloMs\":100000}],"
-		"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":%s}],"
+		"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":%s}%s],"
 		"\"limits\":{\"maxBodyBytes\":100000}}",
-		guarded ? "true" : "false");
+		guarded ? "true" : "false", other_services);
 
 	log_model_put(sim->log, "operators", "config", text, strlen(text));
 	g_free(text);
 }
 
+void sim_set_configuration(struct sim *sim, bool guarded)
+{
+	set_configuration(sim, guarded, "");
+}
+
+void sim_add_standby_pool(struct sim *sim)
+{
+	set_configuration(sim, true,
+			  ",{\"name\":\"standby\",\"standby\":true}");
+}
+
+void sim_order_wave(struct sim *sim, int64_t number, int32_t max_down,
+		    int64_t within_s)
+{
+	GString *text = g_string_new(NULL);
+	char key[LIMIT_NAME_BYTES];
+
+	g_string_printf(text,
+			"{\"wave\":%" G_GINT64_FORMAT ",\"maxCount\":%d,"
+			"\"completeByS\":%" G_GINT64_FORMAT ",\"machines\":[",
+			number, max_down, within_s);
+	for (int i = 0; i < sim->worker_count; i++)
+		g_string_append_printf(text, "%s\"%s\"", i ? "," : "",
+				       sim->workers[i].entry.host);
+	g_string_append(text, "]}");
+	snprintf(key, sizeof(key), "wave/%" G_GINT64_FORMAT, number);
+	log_model_put(sim->log, "operators", key, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
 void sim_replace_worker(struct sim *sim, int index)
 {
 	struct sim_worker *worker = &sim->workers[index];
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "host_plan.h"
 #include "log_model.h"
 #include "node.h"
 #include "rnd.h"
@@ -25,7 +26,10 @@
 	SIM_CRASH_LIMIT = 3,
 	SIM_STARTS_BEYOND_LIMIT = 3,
 	/* A worker that a task has crashed is back after this time. */
-	SIM_CRASH_MS = 3000
+	SIM_CRASH_MS = 3000,
+	/* From an order for a host to its next worker. */
+	SIM_RESTART_MS = 2000,
+	SIM_MOVE_MS = 1500
 };
 
 /* What a worker's registry entry has said of its capacity. */
@@ -45,6 +49,13 @@
 	int32_t rate_percent;  /* speed of its clock, of real time */
 	GArray *capacities;    /* struct sim_capacity, the newest last */
 	int replacements;      /* earlier workers of its host, by other ids */
+	/* Of its host: */
+	bool parked;	       /* in the standby pool, without a worker */
+	int64_t order_ends_ms; /* of the order under way; 0: none */
+	enum host_work order;
+	bool next_parked; /* the order moves it to the standby pool */
+	int64_t done_wave;
+	int64_t host_fence;
 	struct worker_model model;
 };
 
@@ -70,6 +81,8 @@
 	int64_t start_answer_ms;     /* added delay of start answers */
 	bool log_down;
 	bool host_list_down;
+	uint32_t
+		host_lost_percent; /* answers to orders for hosts that are lost */
 };
 
 struct sim {
@@ -88,7 +101,9 @@
 	bool unguarded; /* workers execute starts beyond their capacity */
 	int32_t task_cpu_milli; /* of the tasks of jobs submitted from now on */
 	int32_t task_mem_mib;
-	bool gang; /* the tasks of each of their steps are a gang */
+	bool gang;	 /* the tasks of each of their steps are a gang */
+	bool hosts_obey; /* orders for hosts are carried out, else refused */
+	bool keep_ids;	 /* a restarted host's worker has the same id */
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
@@ -154,6 +169,15 @@
 /* sim_submit_lasting_job - one step of long-running tasks, one to a worker */
 struct sim_job *sim_submit_lasting_job(struct sim *sim, int node,
 				       int32_t width);
+/*
+ * sim_order_wave - let an operator order a wave of all hosts
+ *
+ * Needs hosts_obey.
+ */
+void sim_order_wave(struct sim *sim, int64_t number, int32_t max_down,
+		    int64_t within_s);
+/* sim_add_standby_pool - let the nodes move hosts to a standby pool and back */
+void sim_add_standby_pool(struct sim *sim);
 /* sim_plan_restart - record that the worker's host is to be drained */
 void sim_plan_restart(struct sim *sim, int worker);
 void sim_cancel(struct sim *sim, int node, struct sim_job *job);
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -18,7 +18,8 @@
 	SPARE = TASKS,
 	STEP_MS = 50,
 	/* A stop, its report, a record and a start. */
-	MOVE_MS = 500
+	MOVE_MS = 500,
+	WAVE_MS = 25000
 };
 
 static guint count_runs(const struct sim *sim)
@@ -77,6 +78,40 @@
 }
 END_TEST
 
+/* Orders a wave of all hosts whose first answers are lost; waits for its end. */
+static struct sim *play_wave(uint64_t seed, bool keep_ids)
+{
+	struct sim *sim = sim_create(seed, 3, TASKS);
+
+	sim->hosts_obey = true;
+	sim->keep_ids = keep_ids;
+	sim_run_for(sim, START_MS);
+	sim->faults.host_lost_percent = 100;
+	sim_order_wave(sim, 1, 2, 30);
+	sim_run_for(sim, START_MS);
+	sim->faults.host_lost_percent = 0;
+	sim_run_for(sim, WAVE_MS);
+	return sim;
+}
+
+/*
+ * The answer to the order of a restart is lost, and the repeated order, to the
+ * host's next worker, is answered as done. Or that worker has the same id. The
+ * host must get tasks again.
+ */
+START_TEST(restarted_host_gets_tasks_again)
+{
+	struct sim *sim = play_wave(200 + (uint64_t)_i, _i % 2);
+
+	sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	for (int i = 0; i < TASKS; i++)
+		ck_assert_int_eq(sim->workers[i].done_wave, 1);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("leaving");
@@ -90,6 +125,7 @@
 	tcase_add_loop_test(tcase, task_stays_until_there_is_room, 0, SEEDS);
 	tcase_add_loop_test(tcase, host_is_drained_without_room_in_the_end, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase, restarted_host_gets_tasks_again, 0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
