--- a/src/pool.c
+++ b/src/pool.c
@@ -320,15 +320,20 @@
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 
-		if (share_has_worker(&pool->share, worker))
-			worker->leaving = false;
+		if (!share_has_worker(&pool->share, worker))
+			continue;
+		worker->leaving = false;
+		worker->may_stay = false;
 	}
 	for (guint i = 0; i < plans->list->len; i++) {
 		const struct host_plan *plan = plans->list->pdata[i];
 		struct worker *worker = worker_find(workers, plan->worker);
 
-		if (worker && share_has_worker(&pool->share, worker))
-			worker->leaving = true;
+		if (!worker || !share_has_worker(&pool->share, worker))
+			continue;
+		worker->leaving = true;
+		worker->may_stay = plan->step == HOST_DRAIN_REQUESTED &&
+				   plan->drained_number != plan->number;
 	}
 }
 
--- a/src/worker.h
+++ b/src/worker.h
@@ -73,6 +73,7 @@
 	uint32_t hash;	  /* of its host's name; of its id if that is unknown */
 	bool listed;	  /* the registry has an entry for it */
 	bool leaving;	  /* its host is to be restarted or moved */
+	bool may_stay;	  /* it leaves, but has not been reported as empty */
 	/* The rest is state of the pool's owner; see worker_reset_owner_state. */
 	bool fence_accepted; /* has accepted this owner's fence */
 	bool renewing;	     /* a renewal is in flight */
