Check that long-running tasks run again after faults, in random plays

No test asked how long a long-running task waits: the random plays check what may not happen, and that jobs end. The rule (LOST) allows 6 s after the last run where there is room for the task twice over and the last 7 s were without a fault.

--- a/tests/fleet_play.h
+++ b/tests/fleet_play.h
@@ -47,6 +47,12 @@
  */
 void fleet_check_ends(struct sim *sim, struct fleet_play *play);
 
+/* fleet_inject_fault - inject or lift one random fault */
+void fleet_inject_fault(struct sim *sim);
+
+/* fleet_lift_faults - lift all faults; nodes and workers run again */
+void fleet_lift_faults(struct sim *sim);
+
 /* fleet_owner - index of the node that owns the pool; -1: none */
 int fleet_owner(struct sim *sim);
 
