Keep a worker for a long-running task that smaller tasks pass

Long-running tasks are placed first in each pass, but one that fits no worker at the moment is passed by the tasks that do. While these come at a rate that fills the pool, no worker ever has room for the large one.

A long-running task that has been without room for 1 s now keeps other tasks off the worker with the fewest tasks that end, if it will have room once they have; at most half of the workers are kept so or for suspects. What concerns room for long-running tasks is in a file of its own, place_room.c.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	arrival
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
-	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
+	pool_away pool_unplaced crash place_backlog place_room place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node
 PLATFORM = call json store wire order_api host_api ingress platform
--- a/src/place.c
+++ b/src/place.c
@@ -9,10 +9,7 @@
 	/* Score for a worker near the data; a fully used one scores 1000. */
 	PLACE_DATA_NEAR_BONUS = 2000,
 	/* Score lost by a suspect for each other one on the worker. */
-	PLACE_SUSPECT_PENALTY = 4000,
-	/* A long-running task without room for so long may start on a worker
-	   that leaves and is not empty. */
-	PLACE_ROOM_WAIT_MS = 1000
+	PLACE_SUSPECT_PENALTY = 4000
 };
 
 int64_t place_target_ms(const struct cfg *cfg, const struct job *job)
@@ -25,7 +22,8 @@
 	       (int64_t)(stretch * (double)job_critical_path_ms(job));
 }
 
-static bool is_usable(const struct place *place, const struct worker *worker)
+bool place_usable_if_leaving(const struct place *place,
+			     const struct worker *worker)
 {
 	return worker->listed && !worker->entry.draining &&
 	       worker->fence_accepted &&
@@ -40,7 +38,7 @@
 
 bool place_usable(const struct place *place, const struct worker *worker)
 {
-	return !worker->leaving && is_usable(place, worker);
+	return !worker->leaving && place_usable_if_leaving(place, worker);
 }
 
 bool place_too_late(const struct cfg *cfg, const struct job *job,
@@ -322,34 +320,6 @@
 	return best;
 }
 
-/*
- * A worker that leaves, for a long-running task that no other has room for. Its
- * host may be kept by tasks whose budget this one's absence uses up.
- */
-static struct worker *leaving_worker(const struct place *place,
-				     const struct candidate *cand,
-				     const struct job_task *task)
-{
-	const struct job_step *step = &cand->job->spec.steps[cand->step];
-	GPtrArray *workers = place->workers->list;
-	struct worker *best = NULL;
-
-	if (!step->long_running || !task->away_ms ||
-	    place->now_ms - task->away_ms < PLACE_ROOM_WAIT_MS)
-		return NULL;
-	for (guint i = 0; i < workers->len; i++) {
-		struct worker *worker = workers->pdata[i];
-
-		if (!worker->may_stay || !worker->tasks || worker->reserved ||
-		    !is_usable(place, worker) || !place_fits(worker, step) ||
-		    !place_may_hold(cand, worker))
-			continue;
-		if (!best || worker->tasks > best->tasks)
-			best = worker;
-	}
-	return best;
-}
-
 bool place_reserve(const struct place *place, const struct job_pos *pos)
 {
 	struct candidate cand = {
@@ -448,8 +418,9 @@
 		worker = counts.waiting ? NULL
 					: best_worker(pass, cand, &tasks[i]);
 		if (!worker)
-			worker = leaving_worker(place, cand, &tasks[i]);
+			worker = place_leaving_worker(place, cand, &tasks[i]);
 		if (!worker) {
+			place_keep_room(pass, cand, &tasks[i]);
 			counts.waiting++;
 			continue;
 		}
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -37,6 +37,39 @@
 /* place_may_hold - whether the candidate's constraints allow the worker */
 bool place_may_hold(const struct candidate *cand, const struct worker *worker);
 
+/* place_usable_if_leaving - place_usable, but for a host that leaves */
+bool place_usable_if_leaving(const struct place *place,
+			     const struct worker *worker);
+
+/* place_may_reserve - whether one more worker may be kept from other tasks */
+bool place_may_reserve(const struct pass *pass);
+
+/* place_will_fit - whether there is room once the tasks that end have ended */
+bool place_will_fit(const struct worker *worker, const struct job_step *step);
+
+/*
+ * place_leaving_worker - a worker that leaves, for a task without room elsewhere
+ *
+ * Its host may be kept by tasks whose budget the waiting task uses up. Only for
+ * a long-running task that has waited for a while.
+ *
+ * RETURN VALUE
+ *	A worker that has other tasks, so that this keeps no empty host from
+ *	leaving; NULL: none has room.
+ */
+struct worker *place_leaving_worker(const struct place *place,
+				    const struct candidate *cand,
+				    const struct job_task *task);
+
+/*
+ * place_keep_room - keep other tasks off a worker for a long-running one
+ *
+ * Otherwise smaller tasks could take what comes free for as long as they come.
+ * Lasts until the next place_account; only for a task that has waited.
+ */
+void place_keep_room(struct pass *pass, const struct candidate *cand,
+		     const struct job_task *task);
+
 /*
  * place_account_quarantine - mark the workers that are reserved
  *
--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -61,8 +61,8 @@
 	}
 }
 
-/* Whether one more worker may be kept from other tasks: at most half are. */
-static bool may_reserve(const struct pass *pass)
+/* At most half of the workers are kept from other tasks. */
+bool place_may_reserve(const struct pass *pass)
 {
 	guint reserved = 0;
 
@@ -74,8 +74,7 @@
 	return !reserved || 2 * (reserved + 1) <= pass->usable->len;
 }
 
-/* Whether the worker will have room once its tasks that end have ended. */
-static bool will_fit(const struct worker *worker, const struct job_step *step)
+bool place_will_fit(const struct worker *worker, const struct job_step *step)
 {
 	const struct worker_entry *entry = &worker->entry;
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
@@ -109,7 +108,7 @@
 		struct worker *worker = pass->usable->pdata[i];
 
 		if (worker->reserved || !place_may_hold(cand, worker) ||
-		    !will_fit(worker, step))
+		    !place_will_fit(worker, step))
 			continue;
 		if (!best || is_ready_sooner(worker, best, step))
 			best = worker;
@@ -130,7 +129,7 @@
 		return NULL;
 	}
 	task->quarantine = NULL;
-	if (!may_reserve(pass))
+	if (!place_may_reserve(pass))
 		return NULL;
 	worker = choose_worker(pass, cand);
 	if (!worker)
--- a/tests/test_lasting.c
+++ b/tests/test_lasting.c
@@ -34,7 +34,8 @@
 	WORKERS = 8,
 	/* Makes two shares of the hosts. */
 	SHARED_HOSTS = 4,
-	STOP_MS = 200, /* a run takes so long to stop */
+	STREAM_GAP_MS = 100, /* between jobs of a stream */
+	STOP_MS = 200,	     /* a run takes so long to stop */
 	WAVE_MAX_DOWN = 2,
 	WAVE_S = 30
 };
@@ -233,6 +234,37 @@
 }
 END_TEST
 
+/*
+ * Jobs of small tasks come without end and take all room. A large long-running
+ * task must not wait for a worker that happens to be empty.
+ */
+START_TEST(large_task_runs_beside_a_stream_of_small_ones)
+{
+	struct sim *sim = sim_create(100 + (uint64_t)_i, 1, 2);
+	struct sim_job *job;
+	int64_t waited_ms = 0;
+	char name[JOB_TASK_NAME_BYTES];
+
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < 2000 / STREAM_GAP_MS; i++) {
+		sim_submit_job(sim, 0, 1, 4);
+		sim_run_for(sim, STREAM_GAP_MS);
+	}
+	sim->task_cpu_milli = FLEET_CPU_MILLI;
+	job = sim_submit_lasting_job(sim, 0, 1);
+	sim->task_cpu_milli = FLEET_CPU_MILLI / 4;
+	snprintf(name, sizeof(name), "%s.0.0.0", job->id);
+	while (!has_run(&sim->workers[0], name) &&
+	       !has_run(&sim->workers[1], name) && waited_ms < AWAY_MS) {
+		sim_submit_job(sim, 0, 1, 4);
+		sim_run_for(sim, STREAM_GAP_MS);
+		waited_ms += STREAM_GAP_MS;
+	}
+	ck_assert_int_le(waited_ms, START_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("lasting");
@@ -250,6 +282,9 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, long_running_tasks_run_again_after_faults, 0,
 			    count ? atoi(count) : SEEDS);
+	tcase_add_loop_test(tcase,
+			    large_task_runs_beside_a_stream_of_small_ones, 0,
+			    SEEDS / 2);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
