Keep long-running tasks on a host that cannot be emptied

A long-running task was stopped, and started on the same host a second later, every five seconds.

When no other worker has room, a task on a leaving host is stopped after 4 s all the same, so that a full pool does not keep its hosts. Where another task of the host may not be stopped, as its step's budget is used up, the host stays anyway. The stop comes now only if the budgets of all long-running tasks there allow it.

--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -25,12 +25,41 @@
 	return count;
 }
 
-/* Whether the task can start elsewhere, or cannot wait until it can. */
+/* Whether the budgets of all long-running tasks on the worker allow a stop. */
+static bool can_be_emptied(const struct place *place,
+			   const struct worker *worker)
+{
+	struct job_store *jobs = place->jobs;
+
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (!share_has_job(&place->share, pos.job) ||
+		    job_ended(pos.job->state))
+			continue;
+		while (job_next_task(&pos))
+			if (pos.task->state == TASK_PLACED &&
+			    pos.task->worker == worker->name &&
+			    pos.task->phase == PHASE_RUNNING &&
+			    pos.job->spec.steps[pos.step].long_running &&
+			    !avail_may_stop(place->workers, &pos,
+					    place->now_ms))
+				return false;
+	}
+	return true;
+}
+
+/*
+ * Whether the task can start elsewhere, or cannot wait until it can. Without
+ * room elsewhere its stop is of use only if the host can leave then.
+ */
 static bool may_leave(const struct place *place, const struct job_pos *pos,
 		      const struct worker *worker)
 {
 	return worker->entry.draining ||
-	       place->now_ms - pos->task->stop_wanted_ms >= POOL_ROOM_WAIT_MS ||
+	       (place->now_ms - pos->task->stop_wanted_ms >=
+			POOL_ROOM_WAIT_MS &&
+		can_be_emptied(place, worker)) ||
 	       (place_free_slots(place, pos) > count_unplaced(pos) &&
 		place_reserve(place, pos));
 }
