--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	arrival
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
-	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
+	pool_away pool_unplaced crash place_backlog place_room place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node_records node_pools \
 	node_view node
@@ -102,7 +102,7 @@
 	tests/worker_model.c tests/worker_model.h
 
 FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
-	$(BUILD)/test_leaving $(BUILD)/test_capacity
+	$(BUILD)/test_leaving $(BUILD)/test_capacity $(BUILD)/test_lasting
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
--- a/src/place.c
+++ b/src/place.c
@@ -22,9 +22,10 @@
 	       (int64_t)(stretch * (double)job_critical_path_ms(job));
 }
 
-bool place_usable(const struct place *place, const struct worker *worker)
+bool place_usable_if_leaving(const struct place *place,
+			     const struct worker *worker)
 {
-	return worker->listed && !worker->entry.draining && !worker->leaving &&
+	return worker->listed && !worker->entry.draining &&
 	       worker->fence_accepted &&
 	       share_has_worker(&place->share, worker) &&
 	       place->now_ms - worker->last_report_ms <
@@ -35,6 +36,11 @@
 	       !worker->slow_until_ms;
 }
 
+bool place_usable(const struct place *place, const struct worker *worker)
+{
+	return !worker->leaving && place_usable_if_leaving(place, worker);
+}
+
 bool place_too_late(const struct cfg *cfg, const struct job *job,
 		    uint32_t occurrence, int64_t wall_ms)
 {
@@ -412,7 +418,10 @@
 		}
 		worker = counts.waiting ? NULL
 					: best_worker(pass, cand, &tasks[i]);
+		if (!worker)
+			worker = place_leaving_worker(place, cand, &tasks[i]);
 		if (!worker) {
+			place_keep_room(pass, cand, &tasks[i]);
 			counts.waiting++;
 			continue;
 		}
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -18,7 +18,11 @@
 	SPARE = TASKS,
 	STEP_MS = 50,
 	/* A stop, its report, a record and a start. */
-	MOVE_MS = 500
+	MOVE_MS = 500,
+	/* The same, after a task has found no room elsewhere. */
+	RETURN_MS = 2000,
+	WATCHED_MS = 15000,
+	WAVE_MS = 25000
 };
 
 static guint count_runs(const struct sim *sim)
@@ -77,6 +81,94 @@
 }
 END_TEST
 
+/* Orders a wave of all hosts whose first answers are lost; waits for its end. */
+static struct sim *play_wave(uint64_t seed, bool keep_ids)
+{
+	struct sim *sim = sim_create(seed, 3, TASKS);
+
+	sim->hosts_obey = true;
+	sim->keep_ids = keep_ids;
+	sim_run_for(sim, START_MS);
+	sim->faults.host_lost_percent = 100;
+	sim_order_wave(sim, 1, 2, 30);
+	sim_run_for(sim, START_MS);
+	sim->faults.host_lost_percent = 0;
+	sim_run_for(sim, WAVE_MS);
+	return sim;
+}
+
+/*
+ * The answer to the order of a restart is lost, and the repeated order, to the
+ * host's next worker, is answered as done. Or that worker has the same id. The
+ * host must get tasks again.
+ */
+START_TEST(restarted_host_gets_tasks_again)
+{
+	struct sim *sim = play_wave(200 + (uint64_t)_i, _i % 2);
+
+	sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	for (int i = 0; i < TASKS; i++)
+		ck_assert_int_eq(sim->workers[i].done_wave, 1);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
+/* The first task cannot be stopped, as another of its step has no room. */
+static struct sim *plan_without_budget(uint64_t seed)
+{
+	struct sim *sim = sim_create(seed, 3, TASKS);
+
+	sim_run_for(sim, START_MS);
+	sim_submit_lasting_job(sim, 0, TASKS + 1);
+	sim_run_for(sim, START_MS);
+	return sim;
+}
+
+/* Longest time in which fewer tasks were at work, over a while. */
+static int64_t longest_absence_ms(struct sim *sim, guint tasks)
+{
+	int64_t away_ms = 0, longest_ms = 0;
+
+	for (int i = 0; i < WATCHED_MS / STEP_MS; i++) {
+		sim_run_for(sim, STEP_MS);
+		away_ms = count_runs(sim) < tasks ? away_ms + STEP_MS : 0;
+		longest_ms = MAX(longest_ms, away_ms);
+	}
+	return longest_ms;
+}
+
+/*
+ * A host that leaves is kept by a task that cannot be stopped. A task that has
+ * room nowhere else must run on it.
+ */
+START_TEST(task_starts_on_a_host_that_cannot_leave)
+{
+	struct sim *sim = plan_without_budget(200 + (uint64_t)_i);
+
+	sim_plan_restart(sim, 0);
+	sim_run_for(sim, START_MS);
+	sim_submit_lasting_job(sim, 0, TASKS);
+	ck_assert_int_le(longest_absence_ms(sim, (guint)2 * TASKS), RETURN_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
+/* A stop without room elsewhere must not come if the host cannot leave. */
+START_TEST(task_stays_on_a_host_that_cannot_leave)
+{
+	struct sim *sim = plan_without_budget(200 + (uint64_t)_i);
+
+	sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS);
+	ck_assert_uint_eq(count_runs(sim), 2 * TASKS);
+	sim_plan_restart(sim, 0);
+	ck_assert_int_eq(longest_absence_ms(sim, (guint)2 * TASKS), 0);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("leaving");
@@ -90,6 +182,11 @@
 	tcase_add_loop_test(tcase, task_stays_until_there_is_room, 0, SEEDS);
 	tcase_add_loop_test(tcase, host_is_drained_without_room_in_the_end, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase, restarted_host_gets_tasks_again, 0, SEEDS);
+	tcase_add_loop_test(tcase, task_starts_on_a_host_that_cannot_leave, 0,
+			    SEEDS);
+	tcase_add_loop_test(tcase, task_stays_on_a_host_that_cannot_leave, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
