Drop exported names without callers

admin_pending and the counter behind it, group_joined, worker_remove, LIMIT_SNAPSHOT_CHUNK_BYTES, LIMIT_SLOTS, LIMIT_CONNECTIONS and the follower's unused rnd.

--- a/src/admin.c
+++ b/src/admin.c
@@ -25,7 +25,6 @@
 
 struct admin {
 	struct admin_config config;
-	uint32_t pending;
 	uint32_t outcome_count;			   /* total ever added */
 	struct outcome outcomes[LIMIT_RECORD_IDS]; /* ring of the newest */
 };
@@ -188,7 +187,6 @@
 	const struct outcome *first = NULL;
 
 	(void)created_ms;
-	change->admin->pending--;
 	/* An earlier copy of this change was read: report its result. */
 	if (result->kind == ERR_DUPLICATE && change->id[0])
 		first = find_outcome(change->admin, change->id);
@@ -286,13 +284,10 @@
 	change->admin = admin;
 	change->request = request;
 	memcpy(change->id, rec->id, sizeof(change->id));
-	admin->pending++;
 	status = propose_submit(admin->config.propose, NULL, rec,
 				LIMIT_CHANGE_TIMEOUT_MS, change_done, change);
-	if (status < 0) {
-		admin->pending--;
+	if (status < 0)
 		refuse(admin, request, status, err_answer(status)->message);
-	}
 }
 
 /*
@@ -638,8 +633,3 @@
 {
 	free(admin);
 }
-
-uint32_t admin_pending(const struct admin *admin)
-{
-	return admin->pending;
-}
--- a/src/admin.h
+++ b/src/admin.h
@@ -47,7 +47,4 @@
 void admin_observe(struct admin *admin, int64_t offset,
 		   const struct record *rec, const struct err *result);
 
-/* admin_pending - number of changes whose record was not read back yet */
-uint32_t admin_pending(const struct admin *admin);
-
 #endif
--- a/src/follow.c
+++ b/src/follow.c
@@ -28,7 +28,6 @@
 	const struct clk *clk;
 	struct platclient *platclient;
 	struct replica *replica;
-	struct rnd *rnd;
 	const struct procconf *procconf;
 	struct snapshot *snapshot;
 	struct rpcfollow *rpcfollow;
@@ -351,7 +350,6 @@
 	follow->clk = evloop_clk(evloop);
 	follow->platclient = platclient;
 	follow->replica = replica;
-	follow->rnd = rnd;
 	follow->procconf = procconf;
 	follow->snapshot = snapshot_create(platclient, rnd, is_valid_state);
 	follow->start_ms = now(follow);
--- a/src/group.c
+++ b/src/group.c
@@ -149,11 +149,6 @@
 	return group->generation;
 }
 
-bool group_joined(const struct group *group)
-{
-	return group->renewed_ms > 0;
-}
-
 int64_t group_authority_end_ms(const struct group *group)
 {
 	return group->renewed_ms + group->config.ttl_ms;
--- a/src/group.h
+++ b/src/group.h
@@ -45,9 +45,6 @@
 bool group_has_part(const struct group *group, int32_t part);
 int64_t group_generation(const struct group *group);
 
-/* group_joined - whether the log service has accepted this member */
-bool group_joined(const struct group *group);
-
 /*
  * group_authority_end_ms - when the membership expires
  *
--- a/src/limit.h
+++ b/src/limit.h
@@ -41,7 +41,6 @@
 	LIMIT_RECORD_IDS = 2048,
 	LIMIT_AUDIT_ENTRIES = 512,
 	LIMIT_SNAPSHOT_BYTES = 32 * 1024 * 1024,
-	LIMIT_SNAPSHOT_CHUNK_BYTES = 32 * 1024,
 
 	/* Latest records, kept in memory to answer peers without a snapshot. */
 	LIMIT_TAIL_RECORDS = 8192,
@@ -108,8 +107,6 @@
 	LIMIT_LONG_WAIT_MS = 5000,
 	LIMIT_NO_WORKER_WAIT_MS = 2000, /* while all workers are avoided */
 	LIMIT_CALLER_CHECKS = 256, /* connections of callers checked per tick */
-	LIMIT_SLOTS = 8,
-	LIMIT_CONNECTIONS = 64,
 	LIMIT_STOP_GRACE_MS = 30000
 };
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -77,13 +77,6 @@
 		worker->listed = false;
 }
 
-void worker_remove(struct worker_table *table, struct worker *worker)
-{
-	g_hash_table_remove(table->by_id, worker->entry.id);
-	g_ptr_array_remove(table->list, worker);
-	g_free(worker);
-}
-
 bool worker_is_silent(const struct worker *worker, int64_t now_ms)
 {
 	return worker->renew_failures ||
--- a/src/worker.h
+++ b/src/worker.h
@@ -132,9 +132,6 @@
 /* worker_unlist - note that the registry dropped it; tasks may still run */
 void worker_unlist(struct worker_table *table, const char *id);
 
-/* worker_remove - remove and free a worker on which nothing can run */
-void worker_remove(struct worker_table *table, struct worker *worker);
-
 /* worker_reset_owner_state - reset the owner's state when the pool changes owners */
 void worker_reset_owner_state(struct worker *worker);
 
