--- a/src/entryd.c
+++ b/src/entryd.c
@@ -9,7 +9,7 @@
 #include "claim_log.h"
 #include "cmd.h"
 #include "procconf.h"
-#include "counters.h"
+#include "entry_counters.h"
 #include "evloop.h"
 #include "proxy.h"
 #include "log.h"
@@ -19,164 +19,6 @@
 #include "route.h"
 #include "web.h"
 
-enum counter {
-	C_REQUESTS,
-	C_PROXY,
-	C_CLAIMS = C_PROXY + PROXY_COUNTER_COUNT,
-	C_MALFORMED = C_CLAIMS + CLAIM_LOG_COUNTER_COUNT,
-	C_ACTIVE,
-	C_READY,
-	C_NEXT_OFFSET,
-	C_LEASE_LEFT_MS,
-	C_STATE_AGE_MS,
-	C_PLATFORM_AGE_MS,
-	C_EJECTIONS,
-	C_PROBES,
-	C_FAILURES_UNDONE,
-	C_NO_FIT,
-	C_COUNT
-};
-
-static const struct counters_def counters[C_COUNT] = {
-	[C_REQUESTS] = { "requests_total", COUNTERS_COUNTER,
-			 "Requests of callers." },
-	[C_PROXY + PROXY_ANSWERED] = { "requests_answered_total",
-				       COUNTERS_COUNTER,
-				       "Requests answered by a worker." },
-	[C_PROXY + PROXY_NOT_RUN] = { "requests_not_run_total",
-				      COUNTERS_COUNTER,
-				      "Requests refused as not run." },
-	[C_PROXY + PROXY_UNKNOWN] = { "requests_unknown_total",
-				      COUNTERS_COUNTER,
-				      "Requests whose outcome is unknown." },
-	[C_PROXY + PROXY_RETRIES] = { "retries_total", COUNTERS_COUNTER,
-				      "Attempts after the first." },
-	[C_PROXY + PROXY_REFUSED_BY_WORKER] = { "worker_refused_total",
-						COUNTERS_COUNTER,
-						"Attempts that a worker "
-						"refused." },
-	[C_PROXY + PROXY_FAILED_AT_WORKER] = { "worker_failed_total",
-					       COUNTERS_COUNTER,
-					       "Attempts that failed." },
-	[C_PROXY + PROXY_TRUNCATED] = { "answers_truncated_total",
-					COUNTERS_COUNTER,
-					"Truncated answers." },
-	[C_PROXY + PROXY_QUEUED + ADMIT_URGENT] = { "queued_urgent",
-						    COUNTERS_GAUGE,
-						    "Urgent requests queued." },
-	[C_PROXY + PROXY_QUEUED + ADMIT_NORMAL] = { "queued_normal",
-						    COUNTERS_GAUGE,
-						    "Normal requests queued." },
-	[C_PROXY + PROXY_QUEUED + ADMIT_LONG] = { "queued_long", COUNTERS_GAUGE,
-						  "Long requests queued." },
-	[C_PROXY + PROXY_STARTED + ADMIT_URGENT] = { "started_urgent_total",
-						     COUNTERS_COUNTER,
-						     "Urgent requests sent to "
-						     "a worker." },
-	[C_PROXY + PROXY_STARTED + ADMIT_NORMAL] = { "started_normal_total",
-						     COUNTERS_COUNTER,
-						     "Normal requests sent to "
-						     "a worker." },
-	[C_PROXY + PROXY_STARTED + ADMIT_LONG] = { "started_long_total",
-						   COUNTERS_COUNTER,
-						   "Long requests sent to a "
-						   "worker." },
-	[C_PROXY + PROXY_SHED +
-		ADMIT_URGENT] = { "shed_urgent_total", COUNTERS_COUNTER,
-				  "Urgent requests refused for "
-				  "their expected wait or size." },
-	[C_PROXY + PROXY_SHED +
-		ADMIT_NORMAL] = { "shed_normal_total", COUNTERS_COUNTER,
-				  "Normal requests refused for "
-				  "their expected wait or size." },
-	[C_PROXY + PROXY_SHED +
-		ADMIT_LONG] = { "shed_long_total", COUNTERS_COUNTER,
-				"Long requests refused for "
-				"their expected wait or size." },
-	[C_PROXY + PROXY_EXPIRED + ADMIT_URGENT] = { "expired_urgent_total",
-						     COUNTERS_COUNTER,
-						     "Urgent requests whose "
-						     "deadline passed." },
-	[C_PROXY + PROXY_EXPIRED + ADMIT_NORMAL] = { "expired_normal_total",
-						     COUNTERS_COUNTER,
-						     "Normal requests whose "
-						     "deadline passed." },
-	[C_PROXY + PROXY_EXPIRED + ADMIT_LONG] = { "expired_long_total",
-						   COUNTERS_COUNTER,
-						   "Long requests whose "
-						   "deadline passed." },
-	[C_PROXY + PROXY_IN_FLIGHT] = { "in_flight", COUNTERS_GAUGE,
-					"Requests in progress at workers." },
-	[C_PROXY + PROXY_URGENT_WAIT_SUM_MS] = { "urgent_wait_ms_total",
-						 COUNTERS_COUNTER,
-						 "Time that urgent requests "
-						 "were queued." },
-	[C_PROXY + PROXY_URGENT_WAIT_MAX_MS] = { "urgent_wait_max_ms",
-						 COUNTERS_GAUGE,
-						 "Longest time that an urgent "
-						 "request was queued." },
-	[C_PROXY + PROXY_CANCELLED_QUEUED] = { "cancelled_queued_total",
-					       COUNTERS_COUNTER,
-					       "Requests whose caller left "
-					       "before they were sent." },
-	[C_PROXY + PROXY_CANCELLED_IN_FLIGHT] = { "cancelled_in_flight_total",
-						  COUNTERS_COUNTER,
-						  "Requests aborted because "
-						  "the caller left." },
-	[C_CLAIMS + CLAIM_LOG_CLAIMS] = { "claims_total", COUNTERS_COUNTER,
-					  "Claims of keys." },
-	[C_CLAIMS + CLAIM_LOG_LOST] = { "claims_lost_total", COUNTERS_COUNTER,
-					"Claims of keys that another claim "
-					"holds." },
-	[C_CLAIMS + CLAIM_LOG_RELEASES] = { "claims_released_total",
-					    COUNTERS_COUNTER,
-					    "Claims that were released." },
-	[C_CLAIMS + CLAIM_LOG_TOO_OLD] = { "claims_too_old_total",
-					   COUNTERS_COUNTER,
-					   "Claims refused because the key's "
-					   "time precedes the window." },
-	[C_CLAIMS + CLAIM_LOG_APPENDS] = { "claims_appends_total",
-					   COUNTERS_COUNTER,
-					   "Appends to the claims stream." },
-	[C_CLAIMS + CLAIM_LOG_INVALID] = { "claims_invalid_total",
-					   COUNTERS_COUNTER,
-					   "Invalid records of the claims "
-					   "stream." },
-	[C_CLAIMS + CLAIM_LOG_KEYS] = { "claims_window_keys", COUNTERS_GAUGE,
-					"Claimed keys held in memory." },
-	[C_CLAIMS +
-		CLAIM_LOG_READ_AGE_MS] = { "claims_read_age_ms", COUNTERS_GAUGE,
-					   "Time since the claims stream was "
-					   "read; -1: never." },
-	[C_MALFORMED] = { "requests_malformed_total", COUNTERS_COUNTER,
-			  "Requests that were malformed, too "
-			  "large or incomplete." },
-	[C_ACTIVE] = { "requests_active", COUNTERS_GAUGE,
-		       "Requests in progress." },
-	[C_READY] = { "ready", COUNTERS_GAUGE, "1 if requests are accepted." },
-	[C_NEXT_OFFSET] = { "next_offset", COUNTERS_GAUGE,
-			    "Offset of the next record to apply." },
-	[C_LEASE_LEFT_MS] = { "lease_left_ms", COUNTERS_GAUGE,
-			      "Time left of the lease for sending to other "
-			      "data centres." },
-	[C_STATE_AGE_MS] = { "state_age_ms", COUNTERS_GAUGE,
-			     "Time since a fleet daemon last answered; "
-			     "-1: never." },
-	[C_PLATFORM_AGE_MS] = { "platform_age_ms", COUNTERS_GAUGE,
-				"Time since the platform log answered the "
-				"fleet daemon; -1: never." },
-	[C_EJECTIONS] = { "worker_ejections_total", COUNTERS_COUNTER,
-			  "Ejections of failing workers." },
-	[C_PROBES] = { "worker_probes_total", COUNTERS_COUNTER,
-		       "Requests sent to an ejected worker as a probe." },
-	[C_FAILURES_UNDONE] = { "worker_failures_taken_back_total",
-				COUNTERS_COUNTER,
-				"Worker failures undone because the request "
-				"caused them." },
-	[C_NO_FIT] = { "requests_no_fit_total", COUNTERS_COUNTER,
-		       "Requests larger than every worker of their pool." },
-};
-
 enum {
 	/* A platform log that has been silent for this long is assumed to be
 	   unable to record a join. */
@@ -234,21 +76,29 @@
 	return now(entryd) < entryd->lease_until_ms;
 }
 
+static uint32_t live_members(void *arg)
+{
+	const struct table *members =
+		replica_state(((const struct entryd *)arg)->replica)->members;
+	uint32_t live = 0;
+
+	for (uint32_t i = 0; i < table_count(members); i++)
+		live += !((const struct fleet_member *)table_at(members, i))
+				 ->expired;
+	return live;
+}
+
 /* Each live member gets an equal share, rounded up. */
 static uint32_t quota(void *arg, const char *name)
 {
 	const struct entryd *entryd = arg;
 	const struct fleet *fleet = replica_state(entryd->replica);
 	const struct fleet_team *team = table_find(fleet->teams, name);
-	uint32_t live = 0;
+	uint32_t live;
 
 	if (!team || !team->settings->quota_slots)
 		return 0;
-	for (uint32_t i = 0; i < table_count(fleet->members); i++) {
-		const struct fleet_member *member = table_at(fleet->members, i);
-
-		live += !member->expired;
-	}
+	live = live_members(arg);
 	if (!live)
 		live = 1;
 	return (team->settings->quota_slots + live - 1) / live;
@@ -431,17 +281,18 @@
 {
 	int64_t lease_ms = entryd->lease_until_ms - now(entryd);
 
-	counters_set(entryd->counters, C_ACTIVE, proxy_active(entryd->proxy));
-	counters_set(entryd->counters, C_READY,
+	counters_set(entryd->counters, ENTRY_ACTIVE,
+		     proxy_active(entryd->proxy));
+	counters_set(entryd->counters, ENTRY_READY,
 		     entryd->ready && !entryd->stopping);
-	counters_set(entryd->counters, C_NEXT_OFFSET,
+	counters_set(entryd->counters, ENTRY_NEXT_OFFSET,
 		     replica_next(entryd->replica));
-	counters_set(entryd->counters, C_LEASE_LEFT_MS,
+	counters_set(entryd->counters, ENTRY_LEASE_LEFT_MS,
 		     lease_ms > 0 ? lease_ms : 0);
-	counters_set(entryd->counters, C_STATE_AGE_MS,
+	counters_set(entryd->counters, ENTRY_STATE_AGE_MS,
 		     entryd->status_ms < 0 ? -1
 					   : now(entryd) - entryd->status_ms);
-	counters_set(entryd->counters, C_PLATFORM_AGE_MS,
+	counters_set(entryd->counters, ENTRY_PLATFORM_AGE_MS,
 		     entryd->platform_age_ms);
 }
 
@@ -449,11 +300,11 @@
 {
 	const struct route_stats *stats = route_stats(entryd->route);
 
-	counters_set(entryd->counters, C_EJECTIONS, stats->ejections);
-	counters_set(entryd->counters, C_PROBES, stats->probes);
-	counters_set(entryd->counters, C_FAILURES_UNDONE,
+	counters_set(entryd->counters, ENTRY_EJECTIONS, stats->ejections);
+	counters_set(entryd->counters, ENTRY_PROBES, stats->probes);
+	counters_set(entryd->counters, ENTRY_FAILURES_UNDONE,
 		     stats->failures_undone);
-	counters_set(entryd->counters, C_NO_FIT, stats->no_fit);
+	counters_set(entryd->counters, ENTRY_NO_FIT, stats->no_fit);
 }
 
 /*
@@ -531,7 +382,7 @@
 		respond_text(request, 200,
 			     counters_format(entryd->counters, request->pool));
 	} else {
-		counters_inc(entryd->counters, C_REQUESTS);
+		counters_inc(entryd->counters, ENTRY_REQUESTS);
 		/* While stopping, requests that the load balancer still sends
 		   are accepted until the listener closes. */
 		if (entryd->ready)
@@ -545,7 +396,7 @@
 static void web_refused(void *arg, int kind)
 {
 	(void)kind;
-	counters_inc(((struct entryd *)arg)->counters, C_MALFORMED);
+	counters_inc(((struct entryd *)arg)->counters, ENTRY_MALFORMED);
 }
 
 static void on_stop_signal(void *arg)
@@ -591,25 +442,13 @@
 	return rpcfollow;
 }
 
-static uint32_t live_members(void *arg)
-{
-	const struct table *members =
-		replica_state(((const struct entryd *)arg)->replica)->members;
-	uint32_t live = 0;
-
-	for (uint32_t i = 0; i < table_count(members); i++)
-		live += !((const struct fleet_member *)table_at(members, i))
-				 ->expired;
-	return live;
-}
-
 static bool start_claims(struct entryd *entryd, const struct procconf *procconf)
 {
 	char process[LIMIT_ID_BYTES];
 	struct claim_log_config config = {
 		.evloop = entryd->evloop,
 		.counters = entryd->counters,
-		.first_counter = C_CLAIMS,
+		.first_counter = ENTRY_CLAIMS,
 		.author = procconf->name,
 		.incarnation = entryd->incarnation,
 		.process = process,
@@ -645,7 +484,7 @@
 		.policy = &admit_round_robin, /* baseline of the benchmark */
 #endif
 		.arg = entryd,
-		.first_counter = C_PROXY,
+		.first_counter = ENTRY_PROXY,
 	};
 
 	entryd->clk = clk_system();
@@ -655,7 +494,8 @@
 	entryd->status_ms = -1;
 	entryd->platform_age_ms = -1;
 	rnd_init(&entryd->rnd, rnd_system_seed());
-	entryd->counters = counters_create(pool, counters, C_COUNT);
+	entryd->counters =
+		counters_create(pool, entry_counters, ENTRY_COUNTER_COUNT);
 	entryd->evloop = evloop_create(entryd->clk);
 	entryd->replica = replica_create();
 	entryd->route =
