--- a/src/proxy.c
+++ b/src/proxy.c
@@ -7,24 +7,13 @@
 
 #include "jcursor.h"
 
-struct proxy {
-	struct proxy_config config;
-	struct admit *admit;
-	uint32_t active;
-	/* All active requests, least recently checked caller first. */
-	struct forward *first;
-	struct forward *last;
-	bool dispatching;
-	bool dispatch_again;
-};
-
-static void count_event(struct proxy *proxy, size_t counter)
+void proxy_count(struct proxy *proxy, size_t counter)
 {
 	counters_inc(proxy->config.counters,
 		     proxy->config.first_counter + counter);
 }
 
-static int64_t now(const struct proxy *proxy)
+int64_t proxy_now_ms(const struct proxy *proxy)
 {
 	return clk_now_ms(evloop_clk(proxy->config.evloop));
 }
@@ -48,7 +37,7 @@
 	struct json_object *obj = json_object_new_object();
 	const char *body;
 
-	count_event(proxy, may_have_run ? PROXY_UNKNOWN : PROXY_NOT_RUN);
+	proxy_count(proxy, may_have_run ? PROXY_UNKNOWN : PROXY_NOT_RUN);
 	jcursor_put_string(obj, "error", err_name(failure->kind));
 	jcursor_put_string(obj, "text", failure->text);
 	jcursor_put_string(obj, "outcome", outcome);
@@ -128,7 +117,7 @@
 		headers[forward->header_count] = outcome;
 		headers[forward->header_count + 1] = last;
 	}
-	count_event(forward->proxy, PROXY_ANSWERED);
+	proxy_count(forward->proxy, PROXY_ANSWERED);
 	web_respond(forward->request, (int)status, headers, forward->answer,
 		    forward->answer_len);
 	finish_request(forward);
@@ -142,7 +131,7 @@
 	   reports that it did not run it. */
 	return forward->tried_count < LIMIT_ATTEMPTS &&
 	       forward->failed_count < LIMIT_FAILED_WORKERS &&
-	       now(proxy) < forward->entry.deadline_ms &&
+	       proxy_now_ms(proxy) < forward->entry.deadline_ms &&
 	       !(forward->claim && forward->sent) &&
 	       (!forward->may_have_run || forward->repeatable) &&
 	       route_may_retry(proxy->config.route);
@@ -153,7 +142,7 @@
 {
 	struct proxy *proxy = forward->proxy;
 	route_done(proxy->config.route, forward->worker, ROUTE_ABANDONED,
-		   now(proxy));
+		   proxy_now_ms(proxy));
 }
 
 /*
@@ -191,7 +180,7 @@
 	return (struct route_query){
 		.team = forward->team,
 		.pool = forward->pool_name,
-		.now_ms = now(proxy),
+		.now_ms = proxy_now_ms(proxy),
 		.remote_allowed =
 			proxy->config.remote_allowed(proxy->config.arg),
 		.idempotent = forward->repeatable,
@@ -203,8 +192,7 @@
 	};
 }
 
-/* Chooses the worker of the next attempt. */
-static int pick_worker(struct forward *forward)
+int proxy_pick_worker(struct forward *forward)
 {
 	struct route_query query = make_query(forward);
 	int status = route_pick(forward->proxy->config.route, &query,
@@ -226,9 +214,9 @@
 	struct proxy *proxy = forward->proxy;
 
 	if (!forward->repeatable || !may_retry(forward) ||
-	    pick_worker(forward) < 0)
+	    proxy_pick_worker(forward) < 0)
 		return false;
-	count_event(proxy, PROXY_RETRIES);
+	proxy_count(proxy, PROXY_RETRIES);
 	forward->may_have_run = true;
 	forward->failure =
 		(struct failure){ ERR_UNKNOWN, "a worker failed the request" };
@@ -241,11 +229,11 @@
 				 const struct attempt_end *end)
 {
 	if (end->result == ROUTE_REFUSED || end->result == ROUTE_LEAVING)
-		count_event(proxy, PROXY_REFUSED_BY_WORKER);
+		proxy_count(proxy, PROXY_REFUSED_BY_WORKER);
 	if (end->result == ROUTE_FAILED)
-		count_event(proxy, PROXY_FAILED_AT_WORKER);
+		proxy_count(proxy, PROXY_FAILED_AT_WORKER);
 	if (end->truncated)
-		count_event(proxy, PROXY_TRUNCATED);
+		proxy_count(proxy, PROXY_TRUNCATED);
 }
 
 void proxy_attempt_done(struct forward *forward, const struct attempt_end *end)
@@ -258,7 +246,7 @@
 		release_worker_slot(forward);
 	else
 		route_done(proxy->config.route, forward->worker, end->result,
-			   now(proxy));
+			   proxy_now_ms(proxy));
 	if (end->result == ROUTE_FAILED && forward->sent && !near_deadline)
 		record_failed_worker(forward);
 	count_attempt_result(proxy, end);
@@ -266,7 +254,7 @@
 	    retry_after_5xx(forward))
 		return;
 	admit_end(proxy->admit, &forward->entry, end->result == ROUTE_ANSWERED,
-		  now(proxy));
+		  proxy_now_ms(proxy));
 	forward->may_have_run |= end->may_have_run;
 	/* The worker may be tried again: it is avoided for 1 s, and by then
 	   may have a free slot. */
@@ -275,7 +263,7 @@
 	if (!end->failure.kind) {
 		send_worker_answer(forward, end->status);
 	} else if (may_retry(forward)) {
-		count_event(proxy, PROXY_RETRIES);
+		proxy_count(proxy, PROXY_RETRIES);
 		proxy_send_free(forward);
 		forward->failure = end->failure;
 		forward->stage = FORWARD_QUEUED;
@@ -286,25 +274,7 @@
 	proxy_dispatch(proxy);
 }
 
-static void record_first_start(struct forward *forward)
-{
-	struct proxy *proxy = forward->proxy;
-	size_t first = proxy->config.first_counter;
-	int64_t wait_ms = now(proxy) - forward->entry.queued_ms;
-
-	count_event(proxy, PROXY_STARTED + forward->entry.priority);
-	if (forward->entry.priority != ADMIT_URGENT)
-		return;
-	counters_add(proxy->config.counters, first + PROXY_URGENT_WAIT_SUM_MS,
-		     wait_ms);
-	if (wait_ms > counters_get(proxy->config.counters,
-				   first + PROXY_URGENT_WAIT_MAX_MS))
-		counters_set(proxy->config.counters,
-			     first + PROXY_URGENT_WAIT_MAX_MS, wait_ms);
-}
-
-/* Message for an error of module route; for ERR_NO_FIT it names the sizes. */
-static const char *failure_text(struct forward *forward, int status)
+const char *proxy_failure_text(struct forward *forward, int status)
 {
 	char text[ERR_TEXT_BYTES];
 
@@ -315,95 +285,6 @@
 	return apr_pstrdup(forward->pool, text);
 }
 
-/* Handles a request that got no worker; false if the pool must wait. */
-static bool handle_start_failure(struct forward *forward, int status,
-				 bool has_slots)
-{
-	struct proxy *proxy = forward->proxy;
-	int64_t *stalled_since =
-		admit_pool_stalled_since_ms(forward->entry.pool);
-
-	if (status == ERR_OVERLOAD) {
-		/* Other requests may still use the workers that this one has
-		   tried, so they go first. */
-		if (forward->tried_count)
-			admit_push_back(proxy->admit, &forward->entry);
-		else
-			admit_push_front(proxy->admit, &forward->entry);
-		return forward->tried_count > 0;
-	}
-	if (forward->tried_count) {
-		admit_end(proxy->admit, &forward->entry, false, now(proxy));
-		proxy_end_failed(forward, forward->failure.kind,
-				 forward->failure.text);
-		return true;
-	}
-	if (status == ERR_NO_WORKER && has_slots) {
-		/* All workers are avoided for a while, after refusals or
-		   failures. */
-		if (!*stalled_since)
-			*stalled_since = now(proxy);
-		if (now(proxy) - *stalled_since < LIMIT_NO_WORKER_WAIT_MS) {
-			admit_push_front(proxy->admit, &forward->entry);
-			return false;
-		}
-	}
-	admit_end(proxy->admit, &forward->entry, false, now(proxy));
-	proxy_end_failed(forward, status, failure_text(forward, status));
-	return true;
-}
-
-static void expire_request(void *arg, struct admit_entry *entry)
-{
-	struct forward *forward = (struct forward *)entry;
-	struct proxy *proxy = arg;
-
-	count_event(proxy, PROXY_EXPIRED + entry->priority);
-	forward->retry_ms = admit_expected_wait(entry->pool, entry->priority);
-	if (forward->may_have_run)
-		proxy_end_failed(forward, forward->failure.kind,
-				 forward->failure.text);
-	else
-		proxy_end_failed(forward, ERR_EXPIRED,
-				 err_answer(ERR_EXPIRED)->message);
-}
-
-/* Starts a request taken from its queue; false if the pool must wait. */
-static bool start_request(struct forward *forward, bool has_slots)
-{
-	struct proxy *proxy = forward->proxy;
-	int status;
-
-	/* After a pause of the process, this may run before the tick that
-	   expires queued requests. */
-	if (now(proxy) >= forward->entry.deadline_ms) {
-		admit_end(proxy->admit, &forward->entry, false, now(proxy));
-		expire_request(proxy, &forward->entry);
-		return true;
-	}
-	status = pick_worker(forward);
-	if (status < 0)
-		return handle_start_failure(forward, status, has_slots);
-	*admit_pool_stalled_since_ms(forward->entry.pool) = 0;
-	if (!forward->started)
-		record_first_start(forward);
-	forward->started = true;
-	forward->stage = FORWARD_SENDING;
-	proxy_send(forward, proxy->config.evloop);
-	return true;
-}
-
-/* Updates the pool's slots from its capacity; false if it has none. */
-static bool update_slots(struct proxy *proxy, struct admit_pool *pool)
-{
-	struct route_capacity capacity;
-
-	route_pool_capacity(proxy->config.route, admit_pool_team(pool),
-			    admit_pool_name(pool), &capacity);
-	admit_set_slots(pool, capacity.slots, capacity.in_flight);
-	return capacity.slots > 0;
-}
-
 static void update_quota(struct proxy *proxy, struct admit_pool *pool)
 {
 	if (proxy->config.quota)
@@ -412,53 +293,6 @@
 						    admit_pool_team(pool)));
 }
 
-static void fail_all_queued(struct proxy *proxy, struct admit_pool *pool)
-{
-	struct admit_entry *entry;
-
-	while ((entry = admit_first(pool))) {
-		admit_remove(proxy->admit, entry);
-		proxy_end_failed((struct forward *)entry, ERR_NO_WORKER,
-				 "the pool has no serving worker");
-	}
-}
-
-static void dispatch_pool(struct proxy *proxy, struct admit_pool *pool)
-{
-	/* The initial count keeps requeued requests from being tried twice. */
-	uint32_t remaining = admit_pool_queued(pool);
-	struct admit_entry *entry;
-	bool has_slots;
-
-	if (!remaining)
-		return;
-	has_slots = update_slots(proxy, pool);
-	if (!has_slots)
-		fail_all_queued(proxy, pool);
-	while (remaining-- > 0 &&
-	       (entry = admit_take(proxy->admit, pool, now(proxy))))
-		if (!start_request((struct forward *)entry, has_slots))
-			break;
-}
-
-void proxy_dispatch(struct proxy *proxy)
-{
-	/* A transfer that cannot be set up ends inside the loop below, which
-	   calls this function again. */
-	proxy->dispatch_again = true;
-	if (proxy->dispatching)
-		return;
-	proxy->dispatching = true;
-	while (proxy->dispatch_again) {
-		struct admit_pool *pool = NULL;
-
-		proxy->dispatch_again = false;
-		while ((pool = admit_next_pool(proxy->admit, pool)))
-			dispatch_pool(proxy, pool);
-	}
-	proxy->dispatching = false;
-}
-
 /*
  * Cancels a request whose caller has disconnected, since nobody will read the
  * answer. A non-idempotent request that has been sent runs to its end.
@@ -471,13 +305,14 @@
 	    (forward->stage == FORWARD_SENDING && !forward->repeatable))
 		return;
 	if (forward->stage == FORWARD_SENDING) {
-		count_event(proxy, PROXY_CANCELLED_IN_FLIGHT);
+		proxy_count(proxy, PROXY_CANCELLED_IN_FLIGHT);
 		evloop_cancel(proxy->config.evloop, forward->easy);
 		release_worker_slot(forward);
-		admit_end(proxy->admit, &forward->entry, false, now(proxy));
+		admit_end(proxy->admit, &forward->entry, false,
+			  proxy_now_ms(proxy));
 		forward->may_have_run = true;
 	} else {
-		count_event(proxy, PROXY_CANCELLED_QUEUED);
+		proxy_count(proxy, PROXY_CANCELLED_QUEUED);
 	}
 	proxy_end_failed(forward, ERR_TRUNCATED,
 			 "the caller closed its connection");
@@ -501,9 +336,10 @@
 		if (web_caller_disconnected(forward->request)) {
 			cancel_request(forward);
 		} else if (forward->stage == FORWARD_CLAIMING &&
-			   now(proxy) >= forward->entry.deadline_ms +
-						 LIMIT_CLAIM_GRACE_MS) {
-			count_event(proxy,
+			   proxy_now_ms(proxy) >=
+				   forward->entry.deadline_ms +
+					   LIMIT_CLAIM_GRACE_MS) {
+			proxy_count(proxy,
 				    PROXY_EXPIRED + forward->entry.priority);
 			proxy_end_failed(forward, ERR_EXPIRED,
 					 err_answer(ERR_EXPIRED)->message);
@@ -518,7 +354,8 @@
 
 	while ((pool = admit_next_pool(proxy->admit, pool)))
 		update_quota(proxy, pool);
-	admit_expire(proxy->admit, now(proxy), expire_request, proxy);
+	admit_expire(proxy->admit, proxy_now_ms(proxy), proxy_queue_expire,
+		     proxy);
 	check_callers(proxy);
 	proxy_dispatch(proxy);
 	for (size_t i = 0; i < ADMIT_PRIORITIES; i++)
@@ -552,29 +389,6 @@
 	free(proxy);
 }
 
-static void shed_request(struct forward *forward)
-{
-	count_event(forward->proxy, PROXY_SHED + forward->entry.priority);
-	proxy_end_failed(
-		forward, ERR_OVERLOAD,
-		"the expected wait exceeds the deadline, or the queue is "
-		"full");
-}
-
-void proxy_enqueue(struct forward *forward)
-{
-	struct proxy *proxy = forward->proxy;
-
-	forward->stage = FORWARD_QUEUED;
-	if (now(proxy) >= forward->entry.deadline_ms)
-		expire_request(proxy, &forward->entry);
-	else if (admit_push(proxy->admit, &forward->entry, now(proxy),
-			    &forward->retry_ms) < 0)
-		shed_request(forward);
-	else
-		proxy_dispatch(proxy);
-}
-
 /* Updates the request's pool; an error if the pool cannot take the request. */
 static int check_pool(struct forward *forward)
 {
@@ -610,7 +424,7 @@
 	forward->proxy = proxy;
 	forward->request = request;
 	forward->pool = request->pool;
-	error = proxy_read(forward, now(proxy));
+	error = proxy_read(forward, proxy_now_ms(proxy));
 	needs_claim = key && !forward->repeatable;
 	if (!error && needs_claim && (!*key || !key_time_ms))
 		error = "Idempotency-Key needs Plank-Key-Time-Ms, the time in "
@@ -628,16 +442,16 @@
 	status = check_pool(forward);
 	if (status < 0) {
 		proxy_refuse(proxy, request, status,
-			     failure_text(forward, status));
+			     proxy_failure_text(forward, status));
 		return;
 	}
 	proxy->active++;
 	append_active(proxy, forward);
 	if (!needs_claim)
 		proxy_enqueue(forward);
-	else if (admit_check(proxy->admit, &forward->entry, now(proxy),
+	else if (admit_check(proxy->admit, &forward->entry, proxy_now_ms(proxy),
 			     &forward->retry_ms) < 0)
-		shed_request(forward);
+		proxy_queue_shed(forward);
 	else
 		proxy_claim_start(forward, proxy->config.claims, key,
 				  key_time_ms);
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -3,9 +3,9 @@
  *	proxy_int - internal declarations of the proxy_*.c files: an active
  *	request
  *
- * proxy.c decides when a request is sent, retried or refused, proxy_read.c
- * parses its headers, proxy_claim.c claims its key, and proxy_send.c makes one
- * attempt.
+ * proxy.c answers, retries or refuses a request, proxy_read.c parses its
+ * headers, proxy_claim.c claims its key, proxy_queue.c decides when it is sent,
+ * and proxy_send.c makes one attempt.
  */
 #ifndef PROXY_INT_H
 #define PROXY_INT_H
@@ -24,6 +24,17 @@
 	FORWARD_RELEASING
 };
 
+struct proxy {
+	struct proxy_config config;
+	struct admit *admit;
+	uint32_t active;
+	/* All active requests, least recently checked caller first. */
+	struct forward *first;
+	struct forward *last;
+	bool dispatching;
+	bool dispatch_again;
+};
+
 /* An error that is answered in place of a worker's answer. */
 struct failure {
 	int kind;
@@ -115,9 +126,34 @@
  */
 void proxy_claim_end(struct forward *forward);
 
+/* proxy_count - add one to a counter, see enum proxy_counter */
+void proxy_count(struct proxy *proxy, size_t counter);
+int64_t proxy_now_ms(const struct proxy *proxy);
+
+/*
+ * proxy_pick_worker - choose the worker of the next attempt
+ *
+ * RETURN VALUE
+ *	0, or an error of module route.
+ */
+int proxy_pick_worker(struct forward *forward);
+
+/*
+ * proxy_failure_text - message for an error of module route
+ *
+ * For ERR_NO_FIT it names the sizes of the largest worker.
+ */
+const char *proxy_failure_text(struct forward *forward, int status);
+
 /* proxy_enqueue - queue a request in its pool, or refuse it */
 void proxy_enqueue(struct forward *forward);
 
+/* proxy_queue_expire - end a request whose deadline passed; arg is the proxy */
+void proxy_queue_expire(void *arg, struct admit_entry *entry);
+
+/* proxy_queue_shed - refuse a request that would wait for too long */
+void proxy_queue_shed(struct forward *forward);
+
 /* proxy_end_failed - end a request with an error, after releasing its key */
 void proxy_end_failed(struct forward *forward, int kind, const char *text);
 
