--- a/src/jcursor.c
+++ b/src/jcursor.c
@@ -96,6 +96,16 @@
 	return path_len;
 }
 
+/* Ends a member or item: truncates the path and skips the separator. */
+static void leave(struct key_scan *scan, size_t path_len)
+{
+	if (!scan->error)
+		scan->path[path_len] = 0;
+	skip_space(scan);
+	if (scan->p < scan->end && *scan->p == ',')
+		scan->p++;
+}
+
 static void scan_object(struct key_scan *scan)
 {
 	struct json_object *seen = json_object_new_object();
@@ -112,11 +122,7 @@
 		if (scan->p < scan->end && *scan->p == ':')
 			scan->p++;
 		scan_value(scan);
-		if (!scan->error)
-			scan->path[path_len] = 0;
-		skip_space(scan);
-		if (scan->p < scan->end && *scan->p == ',')
-			scan->p++;
+		leave(scan, path_len);
 	}
 	if (scan->p < scan->end)
 		scan->p++;
@@ -136,11 +142,7 @@
 			break;
 		path_len = enter(scan, "[%zu]", index++);
 		scan_value(scan);
-		if (!scan->error)
-			scan->path[path_len] = 0;
-		skip_space(scan);
-		if (scan->p < scan->end && *scan->p == ',')
-			scan->p++;
+		leave(scan, path_len);
 	}
 	if (scan->p < scan->end)
 		scan->p++;
