--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	fleet_settings fleet_host fleet_member fleet_text member route \
 	route_share route_result plan plan_survey plan_check admit claim \
 	claim_record claim_window
-AROUND = log file procconf cmd evloop web tcp platclient propose replica \
-	snapshot follow hostlist reboot rpcserver rpcfollow view admin \
+AROUND = log file procconf cmd evloop web web_linger tcp platclient propose \
+	replica snapshot follow hostlist reboot rpcserver rpcfollow view admin \
 	admin_change proxy proxy_read proxy_claim proxy_queue proxy_send \
 	claim_log entry_counters admin_client ctl_command ctl_print report \
 	histo arrival
--- a/src/web.c
+++ b/src/web.c
@@ -1,7 +1,6 @@
 #include "web.h"
 
 #include <errno.h>
-#include <fcntl.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,24 +18,9 @@
 #include "limit.h"
 #include "log.h"
 #include "tcp.h"
+#include "web_linger.h"
 
-enum {
-	MAX_CONNECTIONS = 4096,
-	KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S,
-	/* Refused connections that are kept for their callers to read the
-	   answer, and for how long. */
-	MAX_LINGERING = 16,
-	LINGER_MS = 1000,
-	DISCARD_BYTES = 4096
-};
-
-/* A refused connection: closing it while input arrives would reset it, and the
-   caller would lose the answer. */
-struct lingering {
-	bool used;
-	int fd;
-	int64_t until_ms;
-};
+enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S };
 
 struct web {
 	struct evloop *evloop;
@@ -46,8 +30,7 @@
 	int64_t last_input_ms; /* last connection or request */
 	bool quiescing;
 	bool close_answered;
-	struct lingering lingering[MAX_LINGERING];
-	uint32_t next_lingering;
+	struct web_linger linger; /* refused connections */
 };
 
 /* A connection, tracked to detect input that never became a request. */
@@ -87,53 +70,14 @@
 	return info ? info->socket_context : NULL;
 }
 
-static void note_input(struct web *web)
-{
-	web->last_input_ms = clk_now_ms(evloop_clk(web->evloop));
-}
-
-/* Discards input that has arrived, so that the close resets nothing. */
-static void end_lingering(struct lingering *lingering)
-{
-	char discarded[DISCARD_BYTES];
-
-	if (!lingering->used)
-		return;
-	lingering->used = false;
-	while (recv(lingering->fd, discarded, sizeof(discarded),
-		    MSG_DONTWAIT) == (ssize_t)sizeof(discarded))
-		;
-	close(lingering->fd);
-}
-
-static void end_old_lingering(struct web *web)
+static int64_t now_ms(const struct web *web)
 {
-	int64_t now_ms = clk_now_ms(evloop_clk(web->evloop));
-
-	for (uint32_t i = 0; i < MAX_LINGERING; i++)
-		if (now_ms >= web->lingering[i].until_ms)
-			end_lingering(&web->lingering[i]);
+	return clk_now_ms(evloop_clk(web->evloop));
 }
 
-/* Keeps a connection that the library has shut down for writing and is about
-   to close. */
-static void linger(struct web *web, int fd)
+static void note_input(struct web *web)
 {
-	struct lingering *lingering =
-		&web->lingering[web->next_lingering++ % MAX_LINGERING];
-	int copy = fd < 0 ? -1 : fcntl(fd, F_DUPFD_CLOEXEC, 0);
-
-	end_lingering(lingering);
-	if (copy < 0) {
-		log_warn("a refused connection is closed at once: %s",
-			 strerror(errno));
-		return;
-	}
-	*lingering = (struct lingering){
-		.used = true,
-		.fd = copy,
-		.until_ms = clk_now_ms(evloop_clk(web->evloop)) + LINGER_MS,
-	};
+	web->last_input_ms = now_ms(web);
 }
 
 /*
@@ -164,7 +108,7 @@
 	    tcp_bytes(connection->fd).received > connection->consumed_bytes)
 		web->config.on_refused(web->config.arg, ERR_INVALID);
 	if (connection->refused)
-		linger(web, connection->fd);
+		web_linger_add(&web->linger, connection->fd, now_ms(web));
 	free(connection);
 	*context = NULL;
 }
@@ -435,7 +379,7 @@
 
 	(void)fds;
 	(void)count;
-	end_old_lingering(web);
+	web_linger_tick(&web->linger, now_ms(web));
 	read_input(web);
 }
 
@@ -485,8 +429,7 @@
 	if (!web)
 		return;
 	MHD_stop_daemon(web->daemon);
-	for (uint32_t i = 0; i < MAX_LINGERING; i++)
-		end_lingering(&web->lingering[i]);
+	web_linger_end(&web->linger);
 	free(web);
 }
 
@@ -604,7 +547,7 @@
 int64_t web_quiet_ms(struct web *web)
 {
 	read_input(web);
-	return clk_now_ms(evloop_clk(web->evloop)) - web->last_input_ms;
+	return now_ms(web) - web->last_input_ms;
 }
 
 void web_close_answered(struct web *web)
