--- a/Makefile
+++ b/Makefile
@@ -22,17 +22,16 @@
 	fleet_settings fleet_host fleet_member fleet_text member route \
 	route_share route_result plan plan_survey plan_check admit claim \
 	claim_record claim_window
-AROUND = log file procconf cmd evloop web web_linger tcp platclient propose \
-	replica snapshot follow hostlist reboot rpcserver rpcfollow view admin \
-	admin_change proxy proxy_read proxy_claim proxy_queue proxy_send \
-	claim_log entry_counters admin_client ctl_command ctl_print report \
-	histo arrival
+AROUND = log file procconf cmd evloop web web_request web_linger tcp \
+	platclient propose replica snapshot follow hostlist reboot rpcserver \
+	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
+	proxy_queue proxy_send claim_log entry_counters admin_client \
+	ctl_command ctl_print report histo arrival
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
 	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
-	standby node_metrics node_records node_pools \
-	node_view node
+	standby node_metrics node_records node_pools node_view node
 PLATFORM = call json store wire order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
 LIBRARY = $(BUILD)/libplank.a
--- a/src/web.c
+++ b/src/web.c
@@ -1,68 +1,22 @@
-#include "web.h"
+#include "web_int.h"
 
 #include <errno.h>
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <unistd.h>
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
 #include <apr_strings.h>
-#include <json-c/json.h>
-#include <microhttpd.h>
 
-#include "jcursor.h"
 #include "limit.h"
 #include "log.h"
 #include "tcp.h"
-#include "web_linger.h"
 
 enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S };
 
-struct web {
-	struct evloop *evloop;
-	struct web_config config;
-	struct MHD_Daemon *daemon;
-	uint32_t active;
-	int64_t last_input_ms; /* last connection or request */
-	bool quiescing;
-	bool close_answered;
-	struct web_linger linger; /* refused connections */
-};
-
-/* A connection, tracked to detect input that never became a request. */
-struct connection {
-	int fd;
-	bool in_request;
-	bool refused; /* the rest of its input is counted as refused */
-	/* Received up to the end of the last request. */
-	uint64_t consumed_bytes;
-};
-
-/* A request and its response; the handler sees only the first member. */
-struct exchange {
-	struct web_request request;
-	struct web *web;
-	struct MHD_Connection *mhd_connection;
-	struct connection *connection;
-	char *body;
-	size_t body_cap;
-	bool handled; /* passed to the handler, or refused */
-	bool suspended;
-	bool too_large;
-	struct MHD_Response *response;
-	int status;
-};
-
-static struct exchange *exchange_of(const struct web_request *request)
-{
-	return (struct exchange *)request;
-}
-
-static struct connection *connection_of(struct MHD_Connection *conn)
+static struct web_connection *connection_of(struct MHD_Connection *conn)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -89,7 +43,7 @@
 			  enum MHD_ConnectionNotificationCode code)
 {
 	struct web *web = cls;
-	struct connection *connection = *context;
+	struct web_connection *connection = *context;
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		const union MHD_ConnectionInfo *info = MHD_get_connection_info(
@@ -118,7 +72,7 @@
 			     struct MHD_Connection *conn)
 {
 	struct web *web = cls;
-	struct exchange *ex;
+	struct web_exchange *ex;
 	apr_pool_t *pool;
 
 	note_input(web);
@@ -135,7 +89,7 @@
 	return ex;
 }
 
-static void append_body(struct exchange *ex, const char *data, size_t len)
+static void append_body(struct web_exchange *ex, const char *data, size_t len)
 {
 	size_t size = ex->request.body_len + len;
 
@@ -159,7 +113,7 @@
 	ex->body[size] = 0;
 }
 
-static enum MHD_Result send_response(struct exchange *ex)
+static enum MHD_Result send_response(struct web_exchange *ex)
 {
 	struct MHD_Response *response = ex->response;
 	enum MHD_Result result;
@@ -171,100 +125,7 @@
 	return result;
 }
 
-static void respond_error(struct web_request *request, int status, int kind,
-			  const struct web_header *headers, const char *text);
-
-/* Answers a request that is not passed to the handler. */
-static void refuse(struct exchange *ex, int status, int kind, const char *text)
-{
-	static const struct web_header headers[] = {
-		{ "Content-Type", "application/json" },
-		{ "Plank-Outcome", "not-run" },
-		{ "Connection", "close" },
-		{ NULL, NULL },
-	};
-
-	ex->handled = true;
-	if (ex->connection)
-		ex->connection->refused = true;
-	ex->web->config.on_refused(ex->web->config.arg, kind);
-	respond_error(&ex->request, status, kind, headers, text);
-}
-
-static enum MHD_Result add_length(void *cls, enum MHD_ValueKind kind,
-				  const char *name, const char *value)
-{
-	size_t *bytes = cls;
-
-	(void)kind;
-	*bytes += strlen(name) + (value ? strlen(value) : 0) + 4;
-	return MHD_YES;
-}
-
-/* How the header delimits the body. */
-struct framing {
-	const char *length; /* of Content-Length; NULL: none */
-	bool ambiguous;	    /* a second one differs, or the body is chunked */
-};
-
-static enum MHD_Result read_length(void *cls, enum MHD_ValueKind kind,
-				   const char *name, const char *value)
-{
-	struct framing *framing = cls;
-
-	(void)kind;
-	if (strcasecmp(name, "Content-Length") || !value)
-		return MHD_YES;
-	if (framing->length && strcmp(framing->length, value))
-		framing->ambiguous = true;
-	framing->length = value;
-	return MHD_YES;
-}
-
-static struct framing framing_of(const struct exchange *ex)
-{
-	struct framing framing = { 0 };
-
-	MHD_get_connection_values(ex->mhd_connection, MHD_HEADER_KIND,
-				  read_length, &framing);
-	if (framing.length && web_header(&ex->request, "Transfer-Encoding"))
-		framing.ambiguous = true;
-	return framing;
-}
-
-/* Checks the header before the body is read; refuses a bad request. */
-static void check_header(struct exchange *ex)
-{
-	struct framing framing = framing_of(ex);
-	const char *length = framing.length;
-	size_t max_body = ex->web->config.max_body_bytes;
-	size_t bytes = strlen(ex->request.target);
-	char text[ERR_TEXT_BYTES];
-
-	MHD_get_connection_values(ex->mhd_connection, MHD_HEADER_KIND,
-				  add_length, &bytes);
-	if (bytes > LIMIT_HEAD_BYTES) {
-		snprintf(text, sizeof(text),
-			 "header of %zu bytes exceeds the limit of %d", bytes,
-			 LIMIT_HEAD_BYTES);
-		refuse(ex, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
-		       ERR_TOO_LARGE, text);
-	} else if (framing.ambiguous) {
-		refuse(ex, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
-		       "body: its length is ambiguous");
-	} else if (length && strtoull(length, NULL, 10) > max_body) {
-		snprintf(text, sizeof(text),
-			 "body of %.20s bytes exceeds the limit of %zu", length,
-			 max_body);
-		refuse(ex, MHD_HTTP_CONTENT_TOO_LARGE, ERR_TOO_LARGE, text);
-	} else if (strstr(ex->request.target, "%00")) {
-		/* The decoded path would end at the zero byte. */
-		refuse(ex, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
-		       "target: %00 is not allowed in a path");
-	}
-}
-
-static void dispatch(struct exchange *ex)
+static void dispatch(struct web_exchange *ex)
 {
 	struct web *web = ex->web;
 	char text[ERR_TEXT_BYTES];
@@ -275,7 +136,8 @@
 			 "request body too large: at most %zu bytes are "
 			 "wanted",
 			 web->config.max_body_bytes);
-		refuse(ex, MHD_HTTP_CONTENT_TOO_LARGE, ERR_TOO_LARGE, text);
+		web_request_refuse(ex, MHD_HTTP_CONTENT_TOO_LARGE,
+				   ERR_TOO_LARGE, text);
 		return;
 	}
 	ex->handled = true;
@@ -287,14 +149,14 @@
 				 const char *version, const char *upload,
 				 size_t *upload_len, void **con_cls)
 {
-	struct exchange *ex = *con_cls;
+	struct web_exchange *ex = *con_cls;
 
 	(void)cls;
 	(void)version;
 	if (!ex->request.method) {
 		ex->request.method = apr_pstrdup(ex->request.pool, method);
 		ex->request.path = apr_pstrdup(ex->request.pool, path);
-		check_header(ex);
+		web_request_check(ex);
 		return ex->response ? send_response(ex) : MHD_YES;
 	}
 	if (*upload_len) {
@@ -314,7 +176,7 @@
 static void on_completed(void *cls, struct MHD_Connection *conn, void **con_cls,
 			 enum MHD_RequestTerminationCode code)
 {
-	struct exchange *ex = *con_cls;
+	struct web_exchange *ex = *con_cls;
 	struct web *web = cls;
 
 	(void)conn;
@@ -433,106 +295,6 @@
 	free(web);
 }
 
-const char *web_header(const struct web_request *request, const char *name)
-{
-	return MHD_lookup_connection_value(exchange_of(request)->mhd_connection,
-					   MHD_HEADER_KIND, name);
-}
-
-const char *web_query(const struct web_request *request, const char *name)
-{
-	return MHD_lookup_connection_value(exchange_of(request)->mhd_connection,
-					   MHD_GET_ARGUMENT_KIND, name);
-}
-
-struct header_visit {
-	void (*fn)(void *arg, const char *name, const char *value);
-	void *arg;
-};
-
-static enum MHD_Result visit_header(void *cls, enum MHD_ValueKind kind,
-				    const char *name, const char *value)
-{
-	const struct header_visit *visit = cls;
-
-	(void)kind;
-	if (value)
-		visit->fn(visit->arg, name, value);
-	return MHD_YES;
-}
-
-void web_foreach_header(const struct web_request *request,
-			void (*fn)(void *arg, const char *name,
-				   const char *value),
-			void *arg)
-{
-	struct header_visit visit = { .fn = fn, .arg = arg };
-
-	MHD_get_connection_values(exchange_of(request)->mhd_connection,
-				  MHD_HEADER_KIND, visit_header, &visit);
-}
-
-bool web_caller_disconnected(const struct web_request *request)
-{
-	const struct connection *connection = exchange_of(request)->connection;
-	/* Unlike a read, this also detects a close after pipelined input. */
-	struct pollfd pollfd = { .events = POLLRDHUP };
-
-	if (!connection || connection->fd < 0)
-		return false;
-	pollfd.fd = connection->fd;
-	return poll(&pollfd, 1, 0) > 0 &&
-	       (pollfd.revents & (POLLRDHUP | POLLHUP | POLLERR));
-}
-
-void web_respond(struct web_request *request, int status,
-		 const struct web_header *headers, const void *body, size_t len)
-{
-	struct exchange *ex = exchange_of(request);
-	struct MHD_Response *response = MHD_create_response_from_buffer(
-		len, (void *)body, MHD_RESPMEM_MUST_COPY);
-
-	for (; headers && headers->name; headers++)
-		MHD_add_response_header(response, headers->name,
-					headers->value);
-	if (ex->web->close_answered)
-		MHD_add_response_header(response, "Connection", "close");
-	ex->response = response;
-	ex->status = status;
-	if (ex->suspended) {
-		ex->suspended = false;
-		MHD_resume_connection(ex->mhd_connection);
-		evloop_skip_wait(ex->web->evloop);
-	}
-}
-
-static void respond_error(struct web_request *request, int status, int kind,
-			  const struct web_header *headers, const char *text)
-{
-	struct json_object *obj = json_object_new_object();
-	char valid[ERR_TEXT_BYTES];
-	const char *body;
-
-	/* Names from a request's path may contain any bytes. */
-	err_copy_text(valid, sizeof(valid), text);
-	jcursor_put_string(obj, "error", err_name(kind));
-	jcursor_put_string(obj, "text", valid);
-	body = json_object_to_json_string_ext(obj, JSON_C_TO_STRING_PLAIN);
-	web_respond(request, status, headers, body, strlen(body));
-	json_object_put(obj);
-}
-
-void web_respond_error(struct web_request *request, int kind, const char *text)
-{
-	static const struct web_header headers[] = {
-		{ "Content-Type", "application/json" },
-		{ NULL, NULL },
-	};
-
-	respond_error(request, err_answer(kind)->http_status, kind, headers,
-		      text);
-}
-
 uint32_t web_active(const struct web *web)
 {
 	return web->active;
