--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	platclient propose replica snapshot follow hostlist reboot rpcserver \
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
-	ctl_command ctl_print report histo arrival
+	ctl_command ctl_print report histo arrival load_report
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
 	pool_away pool_unplaced crash place_backlog place_quarantine host_plan \
--- a/src/load.c
+++ b/src/load.c
@@ -16,24 +16,16 @@
 #include "clk.h"
 #include "cmd.h"
 #include "err.h"
-#include "histo.h"
-#include "jcursor.h"
 #include "limit.h"
+#include "load_report.h"
 #include "rnd.h"
 
-enum { URGENT, NORMAL, LONG, PRIORITIES };
-enum { ANSWERED, NOT_RUN, UNKNOWN, NONE, CANCELLED, OUTCOMES };
 enum {
 	MAX_URLS = 64,
-	MAX_STATUS = 600,
 	RESPONSE_GRACE_MS = 5000, /* to wait after the deadline */
 	TEXT_BYTES = 256
 };
 
-static const char *const priority_names[] = { "urgent", "normal", "long" };
-static const char *const outcome_names[] = { "answered", "not_run", "unknown",
-					     "none", "cancelled" };
-
 /* Defaults of a user's workload; command-line options override them. */
 struct shape {
 	const char *name;
@@ -76,11 +68,9 @@
 	const char *urls[MAX_URLS];
 	uint32_t url_count;
 	const char *team;
-	const char *pools[ARRIVAL_MAX_POOLS];
-	uint32_t pool_count;
-	int64_t mix[PRIORITIES];
-	int64_t sleep_ms[PRIORITIES];
-	int64_t deadline_ms[PRIORITIES];
+	int64_t mix[LOAD_PRIORITIES];
+	int64_t sleep_ms[LOAD_PRIORITIES];
+	int64_t deadline_ms[LOAD_PRIORITIES];
 	double once_share;
 	bool no_keys; /* non-idempotent requests without a key */
 	double duration_s;
@@ -94,13 +84,7 @@
 	struct rnd cancel_rnd;
 	int64_t start_us;
 	struct request *active;
-	uint64_t sent;
-	uint64_t outcomes[OUTCOMES];
-	uint64_t status[MAX_STATUS];
-	struct histo send_delay_us; /* after the scheduled time */
-	struct histo latency_us;
-	struct histo latency_us_by_priority[PRIORITIES];
-	struct histo latency_us_by_pool[ARRIVAL_MAX_POOLS];
+	struct load_result result;
 };
 
 static struct load load;
@@ -137,9 +121,9 @@
 		return len;
 	snprintf(value, sizeof(value), "%.*s", (int)(len - sizeof(name) + 1),
 		 data + sizeof(name) - 1);
-	request->outcome = strstr(value, "answered")  ? ANSWERED
-			   : strstr(value, "not-run") ? NOT_RUN
-						      : UNKNOWN;
+	request->outcome = strstr(value, "answered")  ? LOAD_ANSWERED
+			   : strstr(value, "not-run") ? LOAD_NOT_RUN
+						      : LOAD_UNKNOWN;
 	return len;
 }
 
@@ -157,7 +141,7 @@
 	int64_t draw = rnd_below(&load.rnd, 100);
 	uint32_t priority = 0;
 
-	while (priority < PRIORITIES - 1 && draw >= load.mix[priority])
+	while (priority < LOAD_PRIORITIES - 1 && draw >= load.mix[priority])
 		draw -= load.mix[priority++];
 	return priority;
 }
@@ -169,7 +153,7 @@
 	snprintf(deadline, sizeof(deadline), "%" PRId64,
 		 load.deadline_ms[request->priority]);
 	add_header(request, "Plank-Priority",
-		   priority_names[request->priority]);
+		   load_priority_names[request->priority]);
 	add_header(request, "Plank-Deadline-Ms", deadline);
 	if (once && !load.no_keys) {
 		snprintf(key_time, sizeof(key_time), "%" PRId64,
@@ -198,13 +182,13 @@
 	request->at_us = event->at_us;
 	request->pool = event->pool;
 	request->priority = random_priority();
-	request->outcome = NONE;
+	request->outcome = LOAD_NONE;
 	request->easy = curl_easy_init();
 	sleep_ms = (int64_t)((double)load.sleep_ms[request->priority] *
 			     (0.5 + random_unit(&load.rnd)));
 	rnd_make_id(&load.rnd, id);
 	snprintf(url, sizeof(url), "%s/%s/%s/load?sleep_ms=%" PRId64,
-		 load.urls[entry], load.team, load.pools[event->pool],
+		 load.urls[entry], load.team, load.result.pools[event->pool],
 		 sleep_ms);
 	curl_easy_setopt(request->easy, CURLOPT_URL, url);
 	curl_easy_setopt(request->easy, CURLOPT_PROXY, "");
@@ -230,8 +214,8 @@
 	if (request->next)
 		request->next->prev_next = &request->next;
 	load.active = request;
-	load.sent++;
-	histo_add(&load.send_delay_us, now_us() - event->at_us);
+	load.result.sent++;
+	histo_add(&load.result.send_delay_us, now_us() - event->at_us);
 	curl_multi_add_handle(load.multi, request->easy);
 }
 
@@ -253,16 +237,19 @@
 
 	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code != CURLE_OK) {
-		request->outcome = NONE;
+		request->outcome = LOAD_NONE;
 		status = 0;
 	}
-	load.outcomes[request->outcome]++;
-	load.status[status >= 0 && status < MAX_STATUS ? status : 0]++;
-	if (request->outcome == ANSWERED) {
-		histo_add(&load.latency_us, latency_us);
-		histo_add(&load.latency_us_by_priority[request->priority],
+	load.result.outcomes[request->outcome]++;
+	load.result
+		.status[status >= 0 && status < LOAD_MAX_STATUS ? status : 0]++;
+	if (request->outcome == LOAD_ANSWERED) {
+		histo_add(&load.result.latency_us, latency_us);
+		histo_add(
+			&load.result.latency_us_by_priority[request->priority],
+			latency_us);
+		histo_add(&load.result.latency_us_by_pool[request->pool],
 			  latency_us);
-		histo_add(&load.latency_us_by_pool[request->pool], latency_us);
 	}
 	free_request(request);
 }
@@ -291,7 +278,7 @@
 		next = request->next;
 		if (random_unit(&load.cancel_rnd) >= load.cancel_share)
 			continue;
-		load.outcomes[CANCELLED]++;
+		load.result.outcomes[LOAD_CANCELLED]++;
 		free_request(request);
 	}
 }
@@ -330,92 +317,6 @@
 	}
 }
 
-static struct json_object *percentiles(const struct histo *histo)
-{
-	static const struct {
-		const char *name;
-		double percent;
-	} list[] = { { "p50_us", 50 },
-		     { "p90_us", 90 },
-		     { "p99_us", 99 },
-		     { "p999_us", 99.9 },
-		     { "max_us", 100 } };
-	struct json_object *obj = json_object_new_object();
-
-	jcursor_put_int(obj, "count", (int64_t)histo->count);
-	for (size_t i = 0; i < sizeof(list) / sizeof(list[0]); i++)
-		jcursor_put_int(
-			obj, list[i].name,
-			(int64_t)histo_percentile(histo, list[i].percent));
-	return obj;
-}
-
-static struct json_object *report(void)
-{
-	struct json_object *obj = json_object_new_object();
-	struct json_object *outcomes = json_object_new_object();
-	struct json_object *status = json_object_new_object();
-	struct json_object *priorities = json_object_new_object();
-	struct json_object *pools = json_object_new_object();
-	char name[8];
-
-	jcursor_put_int(obj, "seed", (int64_t)load.schedule.seed);
-	jcursor_put_int(obj, "sent", (int64_t)load.sent);
-	for (int i = 0; i < OUTCOMES; i++)
-		jcursor_put_int(outcomes, outcome_names[i],
-				(int64_t)load.outcomes[i]);
-	for (int i = 0; i < MAX_STATUS; i++) {
-		snprintf(name, sizeof(name), "%d", i);
-		if (load.status[i])
-			jcursor_put_int(status, name, (int64_t)load.status[i]);
-	}
-	for (int i = 0; i < PRIORITIES; i++)
-		json_object_object_add(
-			priorities, priority_names[i],
-			percentiles(&load.latency_us_by_priority[i]));
-	for (uint32_t i = 0; i < load.pool_count; i++)
-		json_object_object_add(
-			pools, load.pools[i],
-			percentiles(&load.latency_us_by_pool[i]));
-	json_object_object_add(obj, "outcomes", outcomes);
-	json_object_object_add(obj, "status", status);
-	json_object_object_add(obj, "late", percentiles(&load.send_delay_us));
-	json_object_object_add(obj, "latency", percentiles(&load.latency_us));
-	json_object_object_add(obj, "priorities", priorities);
-	json_object_object_add(obj, "pools", pools);
-	return obj;
-}
-
-static void print_row(const char *name, const struct histo *histo)
-{
-	printf("%-20s %9" PRIu64 " %9.1f %9.1f %9.1f %9.1f %9.1f\n", name,
-	       histo->count, (double)histo_percentile(histo, 50) / 1e3,
-	       (double)histo_percentile(histo, 90) / 1e3,
-	       (double)histo_percentile(histo, 99) / 1e3,
-	       (double)histo_percentile(histo, 99.9) / 1e3,
-	       (double)histo->max / 1e3);
-}
-
-static void print_text(void)
-{
-	printf("seed %" PRIu64 ", %" PRIu64 " requests\noutcomes:",
-	       load.schedule.seed, load.sent);
-	for (int i = 0; i < OUTCOMES; i++)
-		printf(" %s %" PRIu64, outcome_names[i], load.outcomes[i]);
-	printf("\nHTTP status (0: no response):");
-	for (int i = 0; i < MAX_STATUS; i++)
-		if (load.status[i])
-			printf(" %d: %" PRIu64, i, load.status[i]);
-	printf("\n\n%-20s %9s %9s %9s %9s %9s %9s\n", "latency in ms", "count",
-	       "p50", "p90", "p99", "p99.9", "max");
-	print_row("all", &load.latency_us);
-	for (int i = 0; i < PRIORITIES; i++)
-		print_row(priority_names[i], &load.latency_us_by_priority[i]);
-	for (uint32_t i = 0; i < load.pool_count; i++)
-		print_row(load.pools[i], &load.latency_us_by_pool[i]);
-	print_row("send delay", &load.send_delay_us);
-}
-
 static bool parse_triple(const char *text, int64_t min, int64_t *values)
 {
 	char rest;
@@ -425,15 +326,15 @@
 	       values[0] >= min && values[1] >= min && values[2] >= min;
 }
 
-/* Splits text in place; load.pools points into it. */
+/* Splits text in place; load.result.pools points into it. */
 static void parse_pools(char *text)
 {
 	char *save;
 
 	for (char *name = strtok_r(text, ",", &save);
-	     name && load.pool_count < ARRIVAL_MAX_POOLS;
+	     name && load.result.pool_count < ARRIVAL_MAX_POOLS;
 	     name = strtok_r(NULL, ",", &save))
-		load.pools[load.pool_count++] = name;
+		load.result.pools[load.result.pool_count++] = name;
 }
 
 static const struct shape *find_shape(const char *name)
@@ -460,7 +361,7 @@
 
 	if (!load.url_count)
 		return "--url is required";
-	if (!load.pool_count)
+	if (!load.result.pool_count)
 		return "--pools: no pool given";
 	if (!(schedule->rate > 0) || !(load.duration_s > 0))
 		return "--rate and --duration must be above 0";
@@ -492,21 +393,23 @@
 	raise_file_limit();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	load.multi = curl_multi_init();
+	load.result.seed = load.schedule.seed;
 	rnd_init(&load.rnd, load.schedule.seed);
 	rnd_init(&load.cancel_rnd, ~load.schedule.seed);
 	run();
 	curl_multi_cleanup(load.multi);
 	curl_global_cleanup();
 	if (json) {
-		struct json_object *obj = report();
+		struct json_object *obj = load_report_json(&load.result);
 
 		printf("%s\n", json_object_to_json_string_ext(
 				       obj, JSON_C_TO_STRING_PLAIN));
 		json_object_put(obj);
 	} else {
-		print_text();
+		load_report_print(&load.result);
 	}
-	lost = load.outcomes[NONE] + load.outcomes[UNKNOWN];
+	lost = load.result.outcomes[LOAD_NONE] +
+	       load.result.outcomes[LOAD_UNKNOWN];
 	if (load.max_lost < 0 || lost <= (uint64_t)load.max_lost)
 		return 0;
 	fprintf(stderr,
@@ -607,7 +510,7 @@
 			load.urls[i] = urls->sval[i];
 		load.schedule.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
 		load.schedule.rate = number_or(rate, 100);
-		load.schedule.pool_count = load.pool_count;
+		load.schedule.pool_count = load.result.pool_count;
 		load.duration_s = number_or(duration, 10);
 		load.cancel_share = number_or(cancel, 0);
 		load.cancel_every_s = number_or(every, 5);
