Do not start tasks by the capacity of a worker's former life

A worker that crashes may be back under its id with another capacity. Its first list of runs shows the new life at once, its first registry entry comes up to a beat later. Until then the pool's owner placed tasks by the entry of the former life, and brought workers that do not guard their capacity over the new one.

A worker now gets tasks only while its entry and its last report are of the same life. Starts that are due meanwhile are withdrawn as those of a worker that has shrunk, so that none waits for a worker that does not register again.

The simulation restarts workers with another capacity and a late first entry, and counts that capacity at once.

--- a/src/place.c
+++ b/src/place.c
@@ -30,7 +30,7 @@
 	       place->now_ms - worker->last_report_ms <
 		       PLACE_MAX_REPORT_AGE_MS &&
 	       !worker_is_silent(worker, place->now_ms) &&
-	       !worker_is_dead(worker) &&
+	       !worker_is_dead(worker) && worker_has_current_entry(worker) &&
 	       place->now_ms >= worker->avoid_until_ms &&
 	       !worker->slow_until_ms;
 }
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -257,18 +257,25 @@
 		now_ms - task->since_ms >= POOL_START_RETRY_MS);
 }
 
+/* Whether a start could exceed the worker's capacity, or that is not known. */
+static bool has_no_room(const struct worker *worker)
+{
+	return place_is_over_capacity(worker) ||
+	       !worker_has_current_entry(worker);
+}
+
 /*
  * Whether a start that is due must not be sent to its worker any more: of a run
  * for which no order exists, if the worker does not answer, or if its capacity
- * has shrunk. An order that is not answered may have been carried out; the next
- * report lists it then.
+ * has shrunk or is not known. An order that is not answered may have been
+ * carried out; the next report lists it then.
  */
 static bool must_withdraw(const struct job_task *task,
 			  const struct worker *worker, int64_t now_ms)
 {
 	if (worker->renew_failures && !task->unanswered_starts)
 		return true;
-	return place_is_over_capacity(worker) &&
+	return has_no_room(worker) &&
 	       (!task->unanswered_starts ||
 		now_ms - task->since_ms >= POOL_WITHDRAW_MS);
 }
@@ -296,7 +303,7 @@
 		/* Each start extends the lease; resending it to a worker that
 		   does not answer would keep its runs from expiring, and one
 		   that has crashed could start the run a second time. */
-		if (worker && !place_is_over_capacity(worker) &&
+		if (worker && !has_no_room(worker) &&
 		    worker->starting < POOL_MAX_STARTS_PER_WORKER &&
 		    worker->clock_at_ms && !worker_is_dead(worker) &&
 		    !worker->renew_failures &&
--- a/src/worker.c
+++ b/src/worker.c
@@ -94,6 +94,12 @@
 		now_ms - worker->unanswered_since_ms > WORKER_SILENT_MS);
 }
 
+bool worker_has_current_entry(const struct worker *worker)
+{
+	return !worker->boot_ms || !worker->entry.boot_ms ||
+	       worker->boot_ms == worker->entry.boot_ms;
+}
+
 bool worker_is_dead(const struct worker *worker)
 {
 	return worker->dead_ms && worker->dead_ms > worker->last_report_ms;
--- a/src/worker.h
+++ b/src/worker.h
@@ -143,6 +143,14 @@
 /* worker_is_silent - whether starts or renewals remain unanswered */
 bool worker_is_silent(const struct worker *worker, int64_t now_ms);
 
+/*
+ * worker_has_current_entry - whether its entry is of the life that reported last
+ *
+ * A worker that starts again under its id may have another capacity, which is
+ * not known until both its entry and a report are of that life.
+ */
+bool worker_has_current_entry(const struct worker *worker);
+
 /* worker_is_dead - whether the worker is dead and all its runs have ended */
 bool worker_is_dead(const struct worker *worker);
 
--- a/tests/fleet_capacity.c
+++ b/tests/fleet_capacity.c
@@ -81,6 +81,24 @@
 		fleet_capacity_set(sim, i, FLEET_CPU_MILLI, FLEET_MEM_MIB);
 }
 
+void fleet_capacity_restart(struct sim *sim, int index, int32_t cpu_milli,
+			    int32_t mem_mib)
+{
+	struct sim_worker *worker = &sim->workers[index];
+
+	worker->entry.cpu_milli = cpu_milli;
+	worker->entry.mem_mib = mem_mib;
+	worker->entry_delay_ms = 1 + rnd_below(&sim->rnd, FLEET_ENTRY_MS);
+	sim_restart_worker(sim, index);
+}
+
+void fleet_capacity_restarted(struct sim *sim, struct sim_worker *worker)
+{
+	if (worker->capacities)
+		g_array_set_size(worker->capacities, 0);
+	fleet_capacity_listed(sim, worker);
+}
+
 void fleet_capacity_listed(struct sim *sim, struct sim_worker *worker)
 {
 	struct sim_capacity capacity = {
@@ -178,7 +196,10 @@
 		if (sim->workers[worker].up)
 			sim_crash_worker(sim, worker);
 		else
-			sim_restart_worker(sim, worker);
+			fleet_capacity_restart(
+				sim, worker,
+				1000 * (int32_t)rnd_below(&sim->rnd, 5),
+				250 * (int32_t)rnd_below(&sim->rnd, 5));
 		break;
 	default:
 		break;
--- a/tests/fleet_capacity.h
+++ b/tests/fleet_capacity.h
@@ -15,7 +15,8 @@
 	/* A shrunk capacity counts after this time: 3,000 ms in which machines
 	   are to be in touch, and a heartbeat of a worker. */
 	FLEET_SHRUNK_MS = 4500,
-	FLEET_STOP_MS = 300 /* a run takes so long to stop */
+	FLEET_STOP_MS = 300,  /* a run takes so long to stop */
+	FLEET_ENTRY_MS = 1000 /* a worker writes to the registry so often */
 };
 
 /*
@@ -39,6 +40,15 @@
 /* fleet_capacity_vary - change the size of later tasks, and some worker's room */
 void fleet_capacity_vary(struct sim *sim);
 
+/*
+ * fleet_capacity_restart - start a worker under its id with another capacity
+ *
+ * Until its first entry, up to FLEET_ENTRY_MS later, the registry has that of
+ * its former life.
+ */
+void fleet_capacity_restart(struct sim *sim, int worker, int32_t cpu_milli,
+			    int32_t mem_mib);
+
 /* fleet_capacity_restore - return all workers that are up to their full room */
 void fleet_capacity_restore(struct sim *sim);
 
@@ -58,6 +68,9 @@
 /* fleet_capacity_listed - note the capacity in the worker's registry entry */
 void fleet_capacity_listed(struct sim *sim, struct sim_worker *worker);
 
+/* fleet_capacity_restarted - forget the capacity of the worker's former life */
+void fleet_capacity_restarted(struct sim *sim, struct sim_worker *worker);
+
 /* fleet_capacity_step - note which nodes are out of touch with the log */
 void fleet_capacity_step(struct sim *sim);
 
@@ -66,7 +79,8 @@
  *
  * The run has begun. A smaller capacity counts once it has been listed for
  * FLEET_SHRUNK_MS in which the node that sent the start was in touch with the
- * log. Runs that are being stopped count.
+ * log; that of a worker that has started again counts at once. Runs that are
+ * being stopped count.
  */
 bool fleet_capacity_exceeded(const struct sim *sim,
 			     const struct sim_worker *worker, int node);
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -829,6 +829,8 @@
 		sim_restart_worker(sim, worker->index);
 	if (!worker->up)
 		return;
+	if (worker->list_at_ms && sim->clk.manual_ms >= worker->list_at_ms)
+		sim_set_worker_listed(sim, worker->index, true);
 	worker_model_advance(&worker->model,
 			     (sim->clk.manual_ms - worker->started_at_ms) *
 				     worker->rate_percent / 100,
@@ -993,6 +995,7 @@
 	log_model_put(sim->log, "workers", worker->entry.id,
 		      listed ? value : NULL, listed ? strlen(value) : 0);
 	worker->listed = listed;
+	worker->list_at_ms = 0;
 	if (listed)
 		fleet_capacity_listed(sim, worker);
 	g_free(value);
@@ -1013,7 +1016,13 @@
 	worker->started_at_ms = sim->clk.manual_ms;
 	worker->entry.boot_ms = sim->clk.manual_ms + 1;
 	worker_model_restart(&worker->model);
-	sim_set_worker_listed(sim, index, true);
+	fleet_capacity_restarted(sim, worker);
+	if (worker->entry_delay_ms)
+		worker->list_at_ms =
+			sim->clk.manual_ms + worker->entry_delay_ms;
+	else
+		sim_set_worker_listed(sim, index, true);
+	worker->entry_delay_ms = 0;
 }
 
 void sim_set_configuration(struct sim *sim, bool guarded)
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -40,11 +40,13 @@
 	int index;
 	bool up;
 	bool listed;
-	int64_t started_at_ms; /* simulated time of its last start */
-	int64_t restart_at_ms; /* it returns from a crash then; 0: by a call */
-	int32_t rate_percent;  /* speed of its clock, of real time */
-	GArray *capacities;    /* struct sim_capacity, the newest last */
-	int replacements;      /* earlier workers of its host, by other ids */
+	int64_t started_at_ms;	/* simulated time of its last start */
+	int64_t restart_at_ms;	/* it returns from a crash then; 0: by a call */
+	int64_t entry_delay_ms; /* from its next start to its first entry */
+	int64_t list_at_ms;	/* its first entry comes then; 0: it has come */
+	int32_t rate_percent;	/* speed of its clock, of real time */
+	GArray *capacities;	/* struct sim_capacity, the newest last */
+	int replacements;	/* earlier workers of its host, by other ids */
 	struct worker_model model;
 };
 
@@ -176,6 +178,7 @@
 void sim_pause(struct sim *sim, int node);
 void sim_resume(struct sim *sim, int node);
 void sim_crash_worker(struct sim *sim, int worker);
+/* sim_restart_worker - start it under its id; see also entry_delay_ms */
 void sim_restart_worker(struct sim *sim, int worker);
 /* sim_set_configuration - store the configuration; guarded: of the workers */
 void sim_set_configuration(struct sim *sim, bool guarded);
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -140,6 +140,30 @@
 }
 END_TEST
 
+/*
+ * A worker that starts again under its id with less capacity must not be taken
+ * for the former one until its first registry entry.
+ */
+START_TEST(capacity_of_a_former_life_is_not_used)
+{
+	struct sim *sim = create_unguarded(4);
+	struct sim_job *job;
+
+	for (int i = 1; i < WORKERS; i++)
+		fleet_capacity_set(sim, i, 0, 0);
+	sim_run_for(sim, FLEET_SHRUNK_MS);
+	sim_crash_worker(sim, 0);
+	sim_run_for(sim, 1000);
+	sim->workers[0].entry.cpu_milli = 1000;
+	sim->workers[0].entry_delay_ms = FLEET_ENTRY_MS;
+	sim_restart_worker(sim, 0);
+	job = sim_submit_job(sim, 0, 1, 8);
+	sim_run_for(sim, 8000);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+	check_ends(sim);
+}
+END_TEST
+
 /* No start may bring a worker over its capacity, under load and with faults. */
 START_TEST(no_start_exceeds_a_capacity_that_changes)
 {
@@ -194,6 +218,7 @@
 	tcase_add_test(tcase,
 		       starts_that_wait_are_withdrawn_when_capacity_shrinks);
 	tcase_add_test(tcase, gang_is_withdrawn_when_capacity_shrinks);
+	tcase_add_test(tcase, capacity_of_a_former_life_is_not_used);
 	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
 	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
 			    count ? atoi(count) : SEEDS);
