Check capacities that shrink in real processes

The stand-in's workers can be told to start whatever they are told to, to say another capacity, or one that cannot be read, and to execute starts seconds later.

--- a/Makefile
+++ b/Makefile
@@ -102,8 +102,8 @@
 	$(BUILD)/test_leaving $(BUILD)/test_capacity
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
-$(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
-	tests/worker_model.h
+$(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
+	tests/standin_room.h tests/worker_model.c tests/worker_model.h
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
--- a/scripts/nodes.sh
+++ b/scripts/nodes.sh
@@ -15,7 +15,7 @@
 		{"version":1,"routes":[{"name":"tally-queue","host":"$ENTRY_HOST",
 		"prefix":"$PREFIX","service":"tallies","attempts":3,"stretch":2.0,
 		"sloMs":60000}],
-		"services":[{"name":"tallies","enforcesCapacity":true}],
+		"services":[{"name":"tallies","enforcesCapacity":${ENFORCES_CAPACITY:-true}}],
 		"limits":{"maxBodyBytes":65536}}
 	JSON
 }
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -13,6 +13,13 @@
  *	"deal": true       reassign all parts of the consumer group at once
  *	"crash": worker    stop a worker and delete its registry entry
  *	"restart": worker  start it again under the same id
+ *	"unguarded": bool  workers start whatever they are told to, and log
+ *			   "over-capacity" for each start that takes one over the
+ *			   capacity that it says; a stop takes 200 ms
+ *	"of": worker	   its entry says "capacity" from now on, or none without
+ *			   that member
+ *	"hide": bool	   entries say the full capacity, though another counts
+ *	"late": n	   execute the next n starts late, and answer them too late
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,6 +30,7 @@
 #include "json.h"
 #include "log.h"
 #include "log_model.h"
+#include "standin_room.h"
 #include "web.h"
 #include "worker_model.h"
 
@@ -31,6 +39,10 @@
 	TICK_MS = 20,
 	TASK_MS = 600,
 	MAX_RUNS = 8,
+	FULL_CPU_MILLI = MAX_RUNS * 1000,
+	FULL_MEM_MIB = 16384,
+	STOP_MS = 200,
+	LATE_MS = 2500,
 	WORKER_PORT_OFFSET = 10,
 	NEWEST_PAGE_SIZE = 500
 };
@@ -41,6 +53,16 @@
 	int64_t born_ms;
 	char id[16];
 	struct worker_model model;
+	struct standin_room room;
+};
+
+/* A start that is executed late. */
+struct late_start {
+	struct web_request *request;
+	struct standin_worker *worker;
+	struct json_object *params;
+	int64_t born_ms; /* of the worker that got it */
+	int64_t at_ms;
 };
 
 /*
@@ -63,7 +85,9 @@
 static uint16_t first_port;
 static GPtrArray *pending_requests;
 static bool down;
-static int64_t answers_to_lose, appends_to_refuse;
+static bool unguarded, hide_capacity;
+static int64_t answers_to_lose, appends_to_refuse, starts_to_delay;
+static GPtrArray *late_starts;
 
 static const struct web_header json_headers[] = {
 	{ "Content-Type", "application/json" },
@@ -309,21 +333,48 @@
 
 /* Workers. */
 
+static struct json_object *full_capacity(void)
+{
+	struct json_object *capacity =
+		object_with("cpu", json_object_new_int(FULL_CPU_MILLI));
+
+	json_object_object_add(capacity, "memMb",
+			       json_object_new_int(FULL_MEM_MIB));
+	json_object_object_add(capacity, "gpu", json_object_new_int(0));
+	return capacity;
+}
+
+/* Member "capacity" of the worker's entry, with a comma; free with g_free. */
+static char *capacity_member(const struct standin_worker *worker)
+{
+	struct json_object *capacity =
+		hide_capacity ? full_capacity()
+			      : json_object_get(worker->room.capacity);
+	char *member =
+		capacity ? g_strdup_printf("\"capacity\":%s,",
+					   json_object_to_json_string(capacity))
+			 : g_strdup("");
+
+	json_object_put(capacity);
+	return member;
+}
+
 static void publish_entry(const struct standin_worker *worker)
 {
+	char *capacity = capacity_member(worker);
 	char *value = g_strdup_printf(
 		"{\"service\":\"tallies\",\"addr\":\"127.0.0.1:%d\","
 		"\"zone\":\"suva\",\"version\":\"v1\",\"slots\":%d,"
 		"\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT ","
-		"\"capacity\":{\"cpu\":%d,\"memMb\":16384,\"gpu\":0},"
-		"\"labels\":[\"a\",\"r1\"],\"seq\":1}",
+		"%s\"labels\":[\"a\",\"r1\"],\"seq\":1}",
 		first_port + WORKER_PORT_OFFSET + worker->index, MAX_RUNS,
-		worker->born_ms, MAX_RUNS * 1000);
+		worker->born_ms, capacity);
 
 	log_model_put(model, "keyed.servers", worker->id,
 		      worker->up ? value : NULL,
 		      worker->up ? strlen(value) : 0);
 	g_free(value);
+	g_free(capacity);
 }
 
 static void start_worker(struct standin_worker *worker)
@@ -331,6 +382,7 @@
 	worker->up = true;
 	worker->born_ms = clk_wall_ms(evloop_clk(evloop));
 	worker_model_restart(&worker->model);
+	room_restart(&worker->room);
 	publish_entry(worker);
 }
 
@@ -376,6 +428,7 @@
 	enum order_outcome outcome;
 	bool began;
 
+	room_parse_use(text, &run);
 	json_copy(params, "task", run.task, sizeof(run.task));
 	worker_model_extend(&worker->model, json_int(params, "untilMs", 0));
 	outcome = worker_model_start(&worker->model, &run,
@@ -383,6 +436,11 @@
 	if (began)
 		log_info("run-begun task=%s run=%d worker=%s", run.task,
 			 run.run, worker->id);
+	if (began && unguarded &&
+	    room_exceeded(&worker->room, &worker->model, now_ms()))
+		log_error("over-capacity task=%s run=%d worker=%s runs=%u",
+			  run.task, run.run, worker->id,
+			  worker->model.runs->len);
 	answer_order(request, worker, outcome);
 }
 
@@ -457,6 +515,44 @@
 				g_memdup2(&pending, sizeof(pending)));
 }
 
+static void delay_start(struct web_request *request,
+			struct standin_worker *worker,
+			struct json_object *params)
+{
+	struct late_start late = {
+		.request = request,
+		.worker = worker,
+		.params = json_object_get(params),
+		.born_ms = worker->born_ms,
+		.at_ms = now_ms() + LATE_MS,
+	};
+
+	starts_to_delay--;
+	g_ptr_array_add(late_starts, g_memdup2(&late, sizeof(late)));
+}
+
+static void execute_late_starts(void)
+{
+	for (guint i = late_starts->len; i > 0; i--) {
+		struct late_start *late = late_starts->pdata[i - 1];
+		struct standin_worker *worker = late->worker;
+
+		if (now_ms() < late->at_ms)
+			continue;
+		g_ptr_array_remove_index(late_starts, i - 1);
+		if (!worker->up || worker->born_ms != late->born_ms)
+			answer(late->request, 503, json_object_new_object());
+		else if (!worker_model_check_fence(
+				 &worker->model,
+				 json_int(late->params, "fence", 0)))
+			answer_order(late->request, worker, ORDER_FENCED);
+		else
+			start_run(late->request, worker, late->params);
+		json_object_put(late->params);
+		g_free(late);
+	}
+}
+
 static void handle_worker(void *arg, struct web_request *request)
 {
 	struct standin_worker *worker = arg;
@@ -468,6 +564,8 @@
 	if (!worker->up)
 		/* No answer: the call ends by the client's timeout. */
 		;
+	else if (starts_to_delay > 0 && !strcmp(request->path, "/run-start"))
+		delay_start(request, worker, params);
 	else if (expected_id && strcmp(expected_id, worker->id))
 		answer(request, 421, json_object_new_object());
 	else if (!worker_model_check_fence(&worker->model,
@@ -514,6 +612,40 @@
 	answer(request, 200, object_with("machines", rows));
 }
 
+static void log_end(void *arg, const struct worker_end *end)
+{
+	const struct standin_worker *worker = arg;
+
+	log_info("run-ended task=%s run=%d worker=%s how=%d", end->task,
+		 end->run, worker->id, end->how);
+}
+
+static void set_unguarded(bool value)
+{
+	unguarded = value;
+	for (int i = 0; i < worker_count; i++) {
+		workers[i].model.max_runs = value ? INT32_MAX : MAX_RUNS;
+		workers[i].model.stop_ms = value ? STOP_MS : 0;
+	}
+}
+
+static void control_capacity(struct json_object *params)
+{
+	int64_t of = json_int(params, "of", -1);
+
+	if (json_get(params, "unguarded"))
+		set_unguarded(json_flag(params, "unguarded"));
+	if (json_get(params, "hide"))
+		hide_capacity = json_flag(params, "hide");
+	starts_to_delay = json_int(params, "late", starts_to_delay);
+	if (of < 0 || of >= worker_count)
+		return;
+	room_say(&workers[of].room,
+		 json_object_get(json_get(params, "capacity")), now_ms());
+	if (workers[of].up)
+		publish_entry(&workers[of]);
+}
+
 static void control(struct web_request *request)
 {
 	struct json_object *params =
@@ -530,6 +662,7 @@
 			       json_int(params, "trim", 0));
 	if (json_flag(params, "deal"))
 		log_model_reassign_all(model);
+	control_capacity(params);
 	if (crash >= 0 && crash < worker_count) {
 		workers[crash].up = false;
 		publish_entry(&workers[crash]);
@@ -611,6 +744,7 @@
 						     worker->born_ms,
 					     TICK_MS);
 	}
+	execute_late_starts();
 	answer_pending();
 }
 
@@ -655,6 +789,7 @@
 	evloop = evloop_create(clk_system());
 	model = log_model_create();
 	pending_requests = g_ptr_array_new();
+	late_starts = g_ptr_array_new();
 	first_port = (uint16_t)atoi(argv[1]);
 	worker_count = MIN(atoi(argv[2]), MAX_WORKERS);
 	log_model_put(model, "keyed.op", "config", configuration, len);
@@ -667,6 +802,9 @@
 		worker->index = i;
 		snprintf(worker->id, sizeof(worker->id), "i-%d", i);
 		worker_model_init(&worker->model, MAX_RUNS);
+		worker->model.on_end = log_end;
+		worker->model.arg = worker;
+		room_say(&worker->room, full_capacity(), now_ms());
 		start_worker(worker);
 		if (!listen_at((uint16_t)(first_port + WORKER_PORT_OFFSET + i),
 			       handle_worker, worker))
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -23,6 +23,9 @@
 	bool until_stopped; /* runs until it is stopped */
 	int64_t stopped_ms; /* worker's clock when a stop takes effect; 0: none */
 	int32_t pace;
+	int64_t cpu_milli; /* used, as the task's text says; see standin_room */
+	int64_t mem_mib;
+	int64_t gpu;
 };
 
 struct worker_model {
