Renew leases of tasks that use neither processor nor memory

A worker without a registry entry is renewed while it has work, and whether its host is alive is asked only then. Work was taken for processor time or memory in use: tasks that fill or that ask for a GPU only did not count. When the registry dropped the entry for some seconds, or it could not be read, their leases ran out on a sound worker, and long-running ones were away until they ran again.

Placed tasks and GPUs now count as work.

tasks_without_requests_outlive_their_registry_entry failed before: all four tasks were started again after their entries had been gone for 10 s.

--- a/src/worker.c
+++ b/src/worker.c
@@ -113,8 +113,8 @@
 
 bool worker_has_work(const struct worker *worker)
 {
-	return worker->cpu_used_milli || worker->mem_used_mib ||
-	       worker->unknown_runs;
+	return worker->tasks || worker->cpu_used_milli ||
+	       worker->mem_used_mib || worker->gpu_used || worker->unknown_runs;
 }
 
 bool worker_has_label(const struct worker *worker, const char *label)
--- a/src/worker.h
+++ b/src/worker.h
@@ -162,7 +162,7 @@
  */
 bool worker_is_replaced(const struct worker *worker);
 
-/* worker_has_work - whether tasks are placed on the worker */
+/* worker_has_work - whether tasks are placed, or other runs are, on the worker */
 bool worker_has_work(const struct worker *worker);
 
 bool worker_has_label(const struct worker *worker, const char *label);
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -164,6 +164,34 @@
 }
 END_TEST
 
+/*
+ * Leases of tasks that use neither processor nor memory must be renewed too
+ * while the registry has no entry of their worker.
+ */
+START_TEST(tasks_without_requests_outlive_their_registry_entry)
+{
+	struct sim *sim = create_unguarded(5);
+	struct sim_job *job;
+	uint32_t started;
+
+	sim->task_cpu_milli = 0;
+	sim->task_mem_mib = 0;
+	job = sim_submit_lasting_job(sim, 0, WORKERS);
+	sim_run_for(sim, 2000);
+	ck_assert(job->accepted);
+	started = sim->started;
+	ck_assert_uint_eq(started, WORKERS);
+	for (int i = 0; i < WORKERS; i++)
+		sim_set_worker_listed(sim, i, false);
+	sim_run_for(sim, 10000);
+	for (int i = 0; i < WORKERS; i++)
+		sim_set_worker_listed(sim, i, true);
+	sim_run_for(sim, 3000);
+	ck_assert_uint_eq(sim->started, started);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 /* No start may bring a worker over its capacity, under load and with faults. */
 START_TEST(no_start_exceeds_a_capacity_that_changes)
 {
@@ -219,6 +247,8 @@
 		       starts_that_wait_are_withdrawn_when_capacity_shrinks);
 	tcase_add_test(tcase, gang_is_withdrawn_when_capacity_shrinks);
 	tcase_add_test(tcase, capacity_of_a_former_life_is_not_used);
+	tcase_add_test(tcase,
+		       tasks_without_requests_outlive_their_registry_entry);
 	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
 	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
 			    count ? atoi(count) : SEEDS);
