--- a/src/worker.c
+++ b/src/worker.c
@@ -87,6 +87,12 @@
 		now_ms - worker->unanswered_since_ms > WORKER_SILENT_MS);
 }
 
+bool worker_has_current_entry(const struct worker *worker)
+{
+	return !worker->boot_ms || !worker->entry.boot_ms ||
+	       worker->boot_ms == worker->entry.boot_ms;
+}
+
 bool worker_is_dead(const struct worker *worker)
 {
 	return worker->dead_ms && worker->dead_ms > worker->last_report_ms;
@@ -100,8 +106,8 @@
 
 bool worker_has_work(const struct worker *worker)
 {
-	return worker->cpu_used_milli || worker->mem_used_mib ||
-	       worker->unknown_runs;
+	return worker->tasks || worker->cpu_used_milli ||
+	       worker->mem_used_mib || worker->gpu_used || worker->unknown_runs;
 }
 
 bool worker_has_label(const struct worker *worker, const char *label)
--- a/src/worker.h
+++ b/src/worker.h
@@ -141,6 +141,14 @@
 /* worker_is_silent - whether starts or renewals remain unanswered */
 bool worker_is_silent(const struct worker *worker, int64_t now_ms);
 
+/*
+ * worker_has_current_entry - whether its entry is of the life that reported last
+ *
+ * A worker that starts again under its id may have another capacity, which is
+ * not known until both its entry and a report are of that life.
+ */
+bool worker_has_current_entry(const struct worker *worker);
+
 /* worker_is_dead - whether the worker is dead and all its runs have ended */
 bool worker_is_dead(const struct worker *worker);
 
@@ -152,7 +160,7 @@
  */
 bool worker_is_replaced(const struct worker *worker);
 
-/* worker_has_work - whether tasks are placed on the worker */
+/* worker_has_work - whether tasks are placed, or other runs are, on the worker */
 bool worker_has_work(const struct worker *worker);
 
 bool worker_has_label(const struct worker *worker, const char *label);
