Move suspects off workers that stand still

Cause: place_reserve refused each task that has to be started in quarantine, and a task is stopped on a slow worker only if room for it has been reserved.

Fix: such a task reserves the worker that it could reserve for its quarantine now, if that has room.

--- a/src/place.c
+++ b/src/place.c
@@ -316,6 +316,8 @@
 
 bool place_reserve(const struct place *place, const struct job_pos *pos)
 {
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	bool alone = crash_needs_quarantine(pos->task, step);
 	struct candidate cand = {
 		.job = pos->job,
 		.occurrence = pos->occurrence,
@@ -324,14 +326,15 @@
 	struct worker *worker;
 	struct pass pass;
 
-	if (crash_needs_quarantine(pos->task, &pos->job->spec.steps[pos->step]))
-		return false;
 	pass_begin(&pass, place);
-	worker = best_worker(&pass, &cand, pos->task);
+	worker = alone ? place_find_quarantine(&pass, &cand)
+		       : best_worker(&pass, &cand, pos->task);
 	pass_end(&pass);
-	if (worker)
-		place_use_room(worker, &pos->job->spec.steps[pos->step]);
-	return worker != NULL;
+	if (!worker || !place_fits(worker, step))
+		return false;
+	place_use_room(worker, step);
+	worker->reserved |= alone;
+	return true;
 }
 
 static bool is_startable(const struct place *place, const struct job_task *task)
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -45,6 +45,15 @@
  */
 void place_account_quarantine(const struct place *place, struct job *job);
 
+/*
+ * place_find_quarantine - the worker that a suspect can reserve now
+ *
+ * RETURN VALUE
+ *	The worker, which may not have room yet; NULL if there is none.
+ */
+struct worker *place_find_quarantine(const struct pass *pass,
+				     const struct candidate *cand);
+
 /*
  * place_in_quarantine - place a task that has to be started in quarantine
  *
--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -117,6 +117,12 @@
 	return best;
 }
 
+struct worker *place_find_quarantine(const struct pass *pass,
+				     const struct candidate *cand)
+{
+	return may_reserve(pass) ? choose_worker(pass, cand) : NULL;
+}
+
 static struct worker *reserve_worker(const struct pass *pass,
 				     const struct candidate *cand,
 				     struct job_task *task)
@@ -130,9 +136,7 @@
 		return NULL;
 	}
 	task->quarantine = NULL;
-	if (!may_reserve(pass))
-		return NULL;
-	worker = choose_worker(pass, cand);
+	worker = place_find_quarantine(pass, cand);
 	if (!worker)
 		return NULL;
 	worker->reserved = true;
--- /dev/null
+++ b/tests/test_suspects.c
@@ -0,0 +1,117 @@
+/*
+ * Tests of suspects, tasks under which workers have crashed, on workers that
+ * trouble them in other ways; on complete nodes against a simulated log service
+ * and workers.
+ */
+
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fleet_play.h"
+#include "fleet_sim.h"
+#include "log.h"
+
+enum {
+	START_MS = 3000,
+	SEEDS = 20,
+	STEP_MS = 20,
+	LOAD_STEP_MS = 200,
+	SHORT_TASK_MS = 400,
+	LONG_TASK_MS = 4000,
+	/* A suspect has left quarantine then. */
+	AT_WORK_MS = 1600,
+	/* Until the worker is known to stand still and the task has run again. */
+	MOVE_MS = 8000
+};
+
+/* Index of the worker that runs the job's only task; -1: none. */
+static int find_run(const struct sim *sim, const struct sim_job *job)
+{
+	for (int i = 0; i < sim->worker_count; i++) {
+		const struct sim_worker *worker = &sim->workers[i];
+		GArray *runs = worker->model.runs;
+
+		for (guint j = 0; worker->up && j < runs->len; j++)
+			if (g_str_has_prefix(
+				    g_array_index(runs, struct model_run, j)
+					    .task,
+				    job->id))
+				return i;
+	}
+	return -1;
+}
+
+static int wait_for_run(struct sim *sim, const struct sim_job *job)
+{
+	int worker = find_run(sim, job);
+
+	for (int i = 0; worker < 0 && i < 20000 / STEP_MS; i++) {
+		sim_run_for(sim, STEP_MS);
+		worker = find_run(sim, job);
+	}
+	ck_assert_int_ge(worker, 0);
+	return worker;
+}
+
+/* Crashes the worker that has just started the job's task, which comes back. */
+static void crash_at_start(struct sim *sim, const struct sim_job *job)
+{
+	int worker = wait_for_run(sim, job);
+
+	sim_crash_worker(sim, worker);
+	sim->workers[worker].restart_at_ms = sim->clk.manual_ms + SIM_CRASH_MS;
+	sim_run_for(sim, STEP_MS);
+}
+
+/* Other workers must be at work for one that stands still to be noticed. */
+static void submit_short_jobs(struct sim *sim, int64_t ms)
+{
+	sim->task_ms = SHORT_TASK_MS;
+	for (int64_t passed_ms = 0; passed_ms < ms; passed_ms += LOAD_STEP_MS) {
+		sim_submit_job(sim, 0, 1, 5);
+		sim_run_for(sim, LOAD_STEP_MS);
+	}
+}
+
+/* A suspect on a worker that stands still must run elsewhere, as any task. */
+START_TEST(suspect_on_a_stalled_worker_runs_elsewhere)
+{
+	struct sim *sim = sim_create(300 + (uint64_t)_i, 3, 6);
+	struct sim_job *job;
+	int worker;
+
+	sim_run_for(sim, START_MS);
+	sim->task_ms = LONG_TASK_MS;
+	job = sim_submit_job(sim, 0, 1, 1);
+	crash_at_start(sim, job);
+	crash_at_start(sim, job);
+	worker = wait_for_run(sim, job);
+	submit_short_jobs(sim, AT_WORK_MS);
+	sim->workers[worker].model.stalled = true;
+	submit_short_jobs(sim, MOVE_MS);
+	sim_run_for(sim, START_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("suspects");
+	TCase *tcase = tcase_create("tasks under which workers crashed");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	log_init("test_suspects", !getenv("PLANK_VERBOSE"));
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, suspect_on_a_stalled_worker_runs_elsewhere,
+			    0, SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
