--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -116,6 +116,12 @@
 	return best;
 }
 
+struct worker *place_find_quarantine(const struct pass *pass,
+				     const struct candidate *cand)
+{
+	return place_may_reserve(pass) ? choose_worker(pass, cand) : NULL;
+}
+
 static struct worker *reserve_worker(const struct pass *pass,
 				     const struct candidate *cand,
 				     struct job_task *task)
@@ -129,9 +135,7 @@
 		return NULL;
 	}
 	task->quarantine = NULL;
-	if (!place_may_reserve(pass))
-		return NULL;
-	worker = choose_worker(pass, cand);
+	worker = place_find_quarantine(pass, cand);
 	if (!worker)
 		return NULL;
 	worker->reserved = true;
