Count crashes under a gang for all its tasks

Each task counted the crashes of its own worker only, but the first crash breaks the whole gang, so the run counted for another task each time. A task that waited for the others of its gang also counted as one that had survived its start, though a gang works, and crashes, only once its last task runs; its neighbours could be blamed then.

All tasks of a gang now share the count, which each run raises once, and their start counts from the confirmation of the last of them. The simulation gets gangs: they work when complete, and end broken or alone.

--- a/Makefile
+++ b/Makefile
@@ -94,7 +94,7 @@
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
 FLEET_SOURCES = tests/fleet_capacity.c tests/fleet_capacity.h \
-	tests/fleet_play.c tests/fleet_play.h tests/fleet_sim.c \
+	tests/fleet_gang.c tests/fleet_gang.h tests/fleet_play.c tests/fleet_play.h tests/fleet_sim.c \
 	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
@@ -117,10 +117,10 @@
 $(BUILD)/bench_waves: bench/waves.c tests/sim.h $(LIBRARY)
 	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
-$(BUILD)/bench_nodes: bench/nodes.c tests/fleet_capacity.c tests/fleet_play.c \
-		tests/fleet_sim.c tests/log_model.c tests/worker_model.c \
-		tests/fleet_capacity.h tests/fleet_play.h tests/fleet_sim.h \
-		$(LIBRARY)
+$(BUILD)/bench_nodes: bench/nodes.c tests/fleet_capacity.c tests/fleet_gang.c \
+		tests/fleet_play.c tests/fleet_sim.c tests/log_model.c tests/worker_model.c \
+		tests/fleet_capacity.h tests/fleet_gang.h tests/fleet_play.h \
+		tests/fleet_sim.h $(LIBRARY)
 	@echo "  CC $@"
 	@$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
--- a/src/crash.c
+++ b/src/crash.c
@@ -2,7 +2,8 @@
 
 static bool at_work_for(const struct job_task *task, int64_t now_ms, int64_t ms)
 {
-	return task->phase == PHASE_RUNNING && now_ms - task->since_ms >= ms;
+	return task->phase == PHASE_RUNNING && !task->gang_waits &&
+	       now_ms - task->since_ms >= ms;
 }
 
 bool crash_is_settled(const struct job_task *task, int64_t seen_ms)
@@ -32,6 +33,36 @@
 	}
 }
 
+/* Whether one has been counted for the gang's newest run. */
+static bool gang_is_counted(const struct job_task *tasks, int32_t count,
+			    int32_t run)
+{
+	for (int32_t i = 0; i < count; i++)
+		if (tasks[i].crashed_run == run)
+			return true;
+	return false;
+}
+
+void crash_count(const struct job_pos *pos, bool lapse)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	struct job_task *tasks = pos->task;
+	int32_t count = 1;
+	bool counted;
+
+	if (step->gang) {
+		tasks = job_task_at(pos->job, pos->occurrence, pos->step, 0);
+		count = step->count;
+	}
+	counted = gang_is_counted(tasks, count, pos->task->run);
+	pos->task->crashed_run = pos->task->run;
+	pos->job->dirty = true;
+	for (int32_t i = 0; i < count && !counted; i++) {
+		tasks[i].crashes += !lapse;
+		tasks[i].lapses += lapse;
+	}
+}
+
 bool crash_must_forget(const struct job_task *task, int64_t now_ms)
 {
 	return crash_is_suspect(task) &&
--- a/src/crash.h
+++ b/src/crash.h
@@ -11,7 +11,10 @@
  * task is given up, and its job fails, if workers crash under it in quarantine
  * too. A run that is lost at its start with a worker of which nothing shows
  * whether it has crashed or is cut off, is a lapse. It counts as a crash does, but
- * a task is not given up without crashes. Pure functions of tasks and time.
+ * a task is not given up without crashes.
+ *
+ * The tasks of a gang start together, and a crash ends them together. They share
+ * one count, raised once for each run. Pure functions of tasks and time.
  */
 #ifndef CRASH_H
 #define CRASH_H
@@ -84,6 +87,13 @@
  */
 bool crash_may_count(const struct job_task *task);
 
+/*
+ * crash_count - count a crash or a lapse of its worker for the task
+ *
+ * For a gang, the first one of a run is counted for all its tasks.
+ */
+void crash_count(const struct job_pos *pos, bool lapse);
+
 /* crash_must_forget - whether it has been at work long enough to trust it */
 bool crash_must_forget(const struct job_task *task, int64_t now_ms);
 
--- a/src/job.c
+++ b/src/job.c
@@ -450,6 +450,39 @@
 	job->dirty = true;
 }
 
+static bool is_confirmed(const struct job_task *task, int32_t run)
+{
+	return task->state == TASK_PLACED && task->phase == PHASE_RUNNING &&
+	       task->run == run;
+}
+
+static void refresh_gang(const struct job_pos *pos, int64_t now_ms)
+{
+	struct job_task *tasks =
+		job_task_at(pos->job, pos->occurrence, pos->step, 0);
+	int32_t count = pos->job->spec.steps[pos->step].count;
+	int32_t run = pos->task->run;
+	int32_t confirmed = 0;
+
+	for (int32_t i = 0; i < count; i++)
+		confirmed += is_confirmed(&tasks[i], run);
+	for (int32_t i = 0; i < count; i++) {
+		if (!is_confirmed(&tasks[i], run))
+			continue;
+		tasks[i].gang_waits = confirmed < count;
+		tasks[i].since_ms = now_ms;
+	}
+}
+
+void job_run_confirmed(const struct job_pos *pos, int64_t now_ms)
+{
+	pos->task->phase = PHASE_RUNNING;
+	pos->task->since_ms = now_ms;
+	pos->task->gang_waits = false;
+	if (pos->job->spec.steps[pos->step].gang)
+		refresh_gang(pos, now_ms);
+}
+
 /* A gang is done as soon as one of its tasks is done. */
 static void complete_gang(struct job_pos *pos)
 {
--- a/src/job.h
+++ b/src/job.h
@@ -92,7 +92,8 @@
 	int64_t stop_wanted_ms; /* since when a stop is wanted; 0: not wanted */
 	/* Unanswered start orders of this run, which may arrive late. */
 	int32_t unanswered_starts;
-	bool stop_ok; /* its worker has confirmed the stop */
+	bool stop_ok;	 /* its worker has confirmed the stop */
+	bool gang_waits; /* it runs, but not yet all tasks of its gang */
 	int32_t run;
 	int32_t failed;
 	int32_t crashes;     /* workers that have crashed under it */
@@ -302,6 +303,14 @@
 void job_place_task(struct job *job, struct job_task *task, const char *worker,
 		    int64_t boot_ms, int32_t run, int64_t now_ms);
 
+/*
+ * job_run_confirmed - note that a worker has confirmed the start of a task
+ *
+ * A gang works from the confirmation of its last task on: since_ms of all its
+ * tasks is reset then.
+ */
+void job_run_confirmed(const struct job_pos *pos, int64_t now_ms);
+
 /*
  * job_end_run - record the end of a task's newest run
  *
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -86,14 +86,10 @@
 static void judge(struct pool *pool, const struct crash_scene *scene,
 		  struct job_pos *pos)
 {
-	struct job_task *task = pos->task;
-
 	if (!is_to_blame(scene, pos))
 		return;
-	task->crashed_run = task->run;
-	task->crashes++;
-	pos->job->dirty = true;
-	if (crash_must_give_up(task))
+	crash_count(pos, false);
+	if (crash_must_give_up(pos->task))
 		give_up(pool, pos);
 }
 
@@ -184,9 +180,7 @@
 {
 	struct job_task *task = pos->task;
 
-	task->crashed_run = task->run;
-	task->lapses++;
-	pos->job->dirty = true;
+	crash_count(pos, true);
 	log_info("run-lapsed id=%s step=%u index=%u run=%d worker=%s "
 		 "crashes=%d lapses=%d",
 		 pos->job->id, pos->step, pos->index, task->run, task->worker,
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -149,8 +149,7 @@
 
 	switch (outcome) {
 	case ORDER_OK:
-		pos->task->phase = PHASE_RUNNING;
-		pos->task->since_ms = now_ms;
+		job_run_confirmed(pos, now_ms);
 		return;
 	case ORDER_UNKNOWN:
 	case ORDER_LATE:
@@ -159,8 +158,7 @@
 	case ORDER_OLD_RUN:
 		/* An earlier order of this run was executed and the run has
 		   ended; the next report has its outcome. */
-		pos->task->phase = PHASE_RUNNING;
-		pos->task->since_ms = now_ms;
+		job_run_confirmed(pos, now_ms);
 		return;
 	case ORDER_NO_ROOM:
 		return_to_waiting(pool, pos, 0);
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -124,10 +124,8 @@
 	}
 	if (task->phase == PHASE_STOPPING)
 		return;
-	if (task->phase != PHASE_RUNNING) {
-		task->phase = PHASE_RUNNING;
-		task->since_ms = now_ms;
-	}
+	if (task->phase != PHASE_RUNNING)
+		job_run_confirmed(&pos, now_ms);
 	if (crash_is_suspect(task) && task->crashed_run != task->run &&
 	    crash_is_cleared(task, now_ms)) {
 		/* Stored, so that the next owner does not blame this run. */
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet_capacity.h"
+#include "fleet_gang.h"
 #include "host_plan.h"
 #include "store.h"
 #include "wire.h"
@@ -17,7 +18,9 @@
 	LATE_MIN_MS = 500,
 	LATE_RANGE_MS = 8000,
 	/* A task that crashes its worker does so within this time. */
-	CRASH_DELAY_MS = 60
+	CRASH_DELAY_MS = 60,
+	/* Between looks at whether the gang of such a task is complete. */
+	CRASH_CHECK_MS = 20
 };
 
 /* The io argument of one node incarnation's calls. */
@@ -365,17 +368,28 @@
 			 sim->clk.manual_ms, what, task);
 }
 
-/* Whether the task, named by its job, crashes the workers that start it. */
-static bool is_deadly(const struct sim_job *job, const char *task)
+/*
+ * Number of the task among those of its job that crash the workers that start
+ * them; -1 if it is not one.
+ */
+static int deadly_index(const struct sim_job *job, const char *task)
 {
-	return job->deadly && !strcmp(task + JOB_ID_BYTES - 1, ".0.0.0");
+	unsigned int index;
+
+	if (!job->deadly ||
+	    sscanf(task + JOB_ID_BYTES - 1, ".0.0.%u", &index) != 1 ||
+	    (int32_t)index >= job->deadly_tasks)
+		return -1;
+	return (int)index;
 }
 
 static void check_deadly_start(struct sim *sim, struct sim_job *job,
 			       const char *task)
 {
-	if (job->crashes >= SIM_CRASH_LIMIT &&
-	    ++job->starts_beyond_limit == SIM_STARTS_BEYOND_LIMIT)
+	int index = deadly_index(job, task);
+
+	if (index >= 0 && job->crashes_of[index] >= SIM_CRASH_LIMIT &&
+	    ++job->starts_beyond_limit[index] == SIM_STARTS_BEYOND_LIMIT)
 		report_violation(sim, "started again after crashing workers",
 				 task);
 }
@@ -429,8 +443,7 @@
 	}
 	if (job->rejected)
 		report_violation(sim, "task of a refused job", task);
-	if (is_deadly(job, task))
-		check_deadly_start(sim, job, task);
+	check_deadly_start(sim, job, task);
 	if (job->cancelled_ms &&
 	    sim->clk.manual_ms > job->cancelled_ms + LATE_RANGE_MS + 3000)
 		report_violation(
@@ -465,14 +478,17 @@
 		g_hash_table_add(sim->acknowledged, g_strdup(end->task));
 }
 
-static bool has_run(const struct worker_model *model, const char *task)
+static const struct model_run *find_run(const struct worker_model *model,
+					const char *task)
 {
-	for (guint i = 0; i < model->runs->len; i++)
-		if (!strcmp(g_array_index(model->runs, struct model_run, i)
-				    .task,
-			    task))
-			return true;
-	return false;
+	for (guint i = 0; i < model->runs->len; i++) {
+		const struct model_run *run =
+			&g_array_index(model->runs, struct model_run, i);
+
+		if (!strcmp(run->task, task))
+			return run;
+	}
+	return NULL;
 }
 
 /* Crashes the worker, unless the run has ended or the worker has restarted. */
@@ -480,13 +496,18 @@
 {
 	struct sim_worker *worker = &sim->workers[event->worker];
 	char id[JOB_ID_BYTES];
+	const struct model_run *run = find_run(&worker->model, event->task);
 	struct sim_job *job;
 
 	g_strlcpy(id, event->task, sizeof(id));
 	job = g_hash_table_lookup(sim->jobs, id);
-	if (worker->up && worker->entry.boot_ms == event->born_ms &&
-	    has_run(&worker->model, event->task)) {
+	if (worker->up && worker->entry.boot_ms == event->born_ms && run) {
+		if (run->waits && sim->deadly_at_work) {
+			schedule(sim, event, CRASH_CHECK_MS);
+			return;
+		}
 		job->crashes++;
+		job->crashes_of[deadly_index(job, event->task)]++;
 		sim_crash_worker(sim, event->worker);
 		worker->restart_at_ms = sim->clk.manual_ms + sim->crash_ms;
 	}
@@ -518,14 +539,16 @@
 
 	run.total_ms = run.remaining_ms;
 	g_strlcpy(run.task, event->task, sizeof(run.task));
+	g_strlcpy(id, event->task, sizeof(id));
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (job && job->gang)
+		fleet_gang_init_run(&run, job, &worker->model);
 	outcome = worker_model_start(&worker->model, &run,
 				     event->order_until_ms, &began);
 	if (!began)
 		return outcome;
 	check_start(sim, worker, event->client.node, event->task);
-	g_strlcpy(id, event->task, sizeof(id));
-	job = g_hash_table_lookup(sim->jobs, id);
-	if (job && is_deadly(job, event->task))
+	if (job && deadly_index(job, event->task) >= 0)
 		schedule_crash(sim, event);
 	if (job && job->lasting)
 		g_array_index(worker->model.runs, struct model_run,
@@ -861,6 +884,7 @@
 		run_events(sim);
 		for (int i = 0; i < sim->worker_count; i++)
 			tick_worker(sim, &sim->workers[i]);
+		fleet_gang_step(sim);
 		log_model_rebalance(sim->log, sim->clk.manual_ms);
 		for (int i = 0; i < sim->node_count; i++)
 			if (sim->nodes[i].alive && !sim->nodes[i].paused)
@@ -1063,6 +1087,7 @@
 	sim->share_hosts = share_hosts;
 	sim->task_ms = TASK_MS;
 	sim->crash_ms = SIM_CRASH_MS;
+	sim->deadly_tasks = 1;
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
 	sim->log = log_model_create();
@@ -1130,6 +1155,7 @@
 	job->width = width;
 	job->cpu_milli = sim->task_cpu_milli;
 	job->mem_mib = sim->task_mem_mib;
+	job->gang = sim->gang;
 	g_hash_table_insert(sim->jobs, job->id, job);
 	if (!ask.queue) {
 		job->rejected = true;
@@ -1201,6 +1227,7 @@
 	struct sim_job *job = sim_submit_job(sim, index, steps, width);
 
 	job->deadly = true;
+	job->deadly_tasks = sim->deadly_tasks;
 	return job;
 }
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -24,6 +24,7 @@
 	   than SIM_STARTS_BEYOND_LIMIT times more. */
 	SIM_CRASH_LIMIT = 3,
 	SIM_STARTS_BEYOND_LIMIT = 3,
+	SIM_MAX_DEADLY_TASKS = 8,
 	/* A worker that a task has crashed is back after this time. */
 	SIM_CRASH_MS = 3000
 };
@@ -88,7 +89,9 @@
 	bool unguarded; /* workers execute starts beyond their capacity */
 	int32_t task_cpu_milli; /* of the tasks of jobs submitted from now on */
 	int32_t task_mem_mib;
-	bool gang; /* the tasks of each of their steps are a gang */
+	bool gang;	      /* the tasks of each of their steps are a gang */
+	int32_t deadly_tasks; /* of the deadly jobs submitted from now on */
+	bool deadly_at_work;  /* those of a gang crash once it is complete */
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
@@ -115,11 +118,15 @@
 	bool cancel_requested; /* may take effect without an answer */
 	bool rejected;
 	int64_t cancelled_ms; /* time of the acknowledged cancel; 0: none */
-	/* Its first task crashes each worker that starts it. */
+	/* Its first tasks crash each worker that starts them. */
 	bool deadly;
-	bool lasting;		     /* its tasks run until they are stopped */
-	int32_t crashes;	     /* of workers under that task */
-	int32_t starts_beyond_limit; /* after SIM_CRASH_LIMIT crashes */
+	int32_t deadly_tasks;
+	bool gang;
+	bool lasting;	 /* its tasks run until they are stopped */
+	int32_t crashes; /* of workers under these tasks */
+	int32_t crashes_of[SIM_MAX_DEADLY_TASKS];
+	/* After SIM_CRASH_LIMIT crashes. */
+	int32_t starts_beyond_limit[SIM_MAX_DEADLY_TASKS];
 };
 
 /*
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -167,6 +167,43 @@
 }
 END_TEST
 
+/* Submits a gang; its first deadly_tasks tasks crash workers. */
+static void submit_gang(struct sim *sim, int node, int32_t width,
+			int32_t deadly_tasks)
+{
+	sim->gang = true;
+	sim->deadly_tasks = deadly_tasks;
+	if (deadly_tasks)
+		sim_submit_deadly_job(sim, node, 1, width);
+	else
+		sim_submit_job(sim, node, 1, width);
+	sim->gang = false;
+	sim->deadly_tasks = 1;
+}
+
+/*
+ * A gang must not be started again without end if one of its tasks, or each,
+ * crashes its worker: at its start, or when the gang is complete, which may be
+ * long after the first of them has started.
+ */
+START_TEST(gang_that_crashes_workers_is_given_up)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 8);
+	int32_t width = 2 + (int32_t)(seed / 8 % 4);
+
+	sim->deadly_at_work = seed & 1;
+	sim->faults.order_lost_percent = seed & 4 ? 25 : 0;
+	sim_run_for(sim, START_MS);
+	submit_gang(sim, 0, width, seed & 2 ? width : 1);
+	submit_sound_jobs(sim, 8000);
+	sim_run_for(sim, GIVE_UP_MS);
+	sim->faults.order_lost_percent = 0;
+	sim_run_for(sim, 2 * GIVE_UP_MS);
+	check_play(sim, seed);
+}
+END_TEST
+
 /* The same with every other fault of the random play. */
 START_TEST(invariants_hold_with_crashing_tasks)
 {
@@ -182,6 +219,7 @@
 {
 	Suite *suite = suite_create("crash");
 	TCase *tcase = tcase_create("tasks that crash workers");
+	TCase *gangs = tcase_create("gangs that crash workers");
 	SRunner *runner = srunner_create(suite);
 	/* For a search over more seeds, or one seed with its log. */
 	const char *from = getenv("PLANK_FIRST_SEED");
@@ -194,6 +232,7 @@
 	apr_initialize();
 	log_init("test_crash", !getenv("PLANK_VERBOSE"));
 	tcase_set_timeout(tcase, 120);
+	tcase_set_timeout(gangs, 120);
 	tcase_add_loop_test(tcase, task_that_crashes_workers_is_given_up, 0,
 			    seeds);
 	tcase_add_loop_test(tcase, crashes_are_counted_across_takeovers, 0,
@@ -205,9 +244,12 @@
 			    seeds);
 	tcase_add_loop_test(tcase, task_on_flapping_workers_is_not_given_up, 0,
 			    seeds);
+	tcase_add_loop_test(gangs, gang_that_crashes_workers_is_given_up, 0,
+			    seeds);
 	tcase_add_loop_test(tcase, invariants_hold_with_crashing_tasks, 0,
 			    count ? atoi(count) : RANDOM_SEEDS);
 	suite_add_tcase(suite, tcase);
+	suite_add_tcase(suite, gangs);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -57,6 +57,11 @@
 	g_array_remove_index(model->runs, index);
 }
 
+void worker_model_break(struct worker_model *model, guint index)
+{
+	end_run(model, index, END_BROKEN);
+}
+
 enum order_outcome worker_model_start(struct worker_model *model,
 				      const struct model_run *run,
 				      int64_t until_ms, bool *began)
@@ -152,6 +157,11 @@
 				end_run(model, i - 1, END_STOPPED);
 			continue;
 		}
+		if (run->waits) {
+			if (clock_ms >= run->alone_ms)
+				end_run(model, i - 1, END_ALONE);
+			continue;
+		}
 		if (!model->stalled)
 			run->remaining_ms -= worked_ms;
 		if (run->remaining_ms <= 0 && !run->until_stopped)
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -22,6 +22,9 @@
 	bool fails;
 	bool until_stopped; /* runs until it is stopped */
 	int64_t stopped_ms; /* worker's clock when a stop takes effect; 0: none */
+	int32_t gang_size; /* 0: not of a gang */
+	bool waits;	   /* for the other members of its gang */
+	int64_t alone_ms;  /* worker's clock when it has waited too long */
 	int32_t pace;
 };
 
@@ -79,6 +82,9 @@
 /* worker_model_extend - extend the lease */
 void worker_model_extend(struct worker_model *model, int64_t until_ms);
 
+/* worker_model_break - end a run because its gang is no longer complete */
+void worker_model_break(struct worker_model *model, guint index);
+
 /* model_run_percent - progress of a run; 100 if it lasts until stopped */
 int32_t model_run_percent(const struct model_run *run);
 
