Start suspect gangs in quarantine as a whole

A sound gang that started beside tasks that crash their workers was given up with them, and its job shown as failed: gangs were never put in quarantine, so neighbours could raise its count up to the limit.

A gang under which workers have crashed now reserves workers for all its tasks at once, as few as have room, and is placed when all of them are without new tasks.

--- a/src/crash.h
+++ b/src/crash.h
@@ -14,7 +14,8 @@
  * a task is not given up without crashes.
  *
  * The tasks of a gang start together, and a crash ends them together. They share
- * one count, raised once for each run. Pure functions of tasks and time.
+ * one count, raised once for each run, and are started in quarantine as a whole.
+ * Pure functions of tasks and time.
  */
 #ifndef CRASH_H
 #define CRASH_H
@@ -57,10 +58,9 @@
 }
 
 /* crash_needs_quarantine - whether it may be started in quarantine only */
-static inline bool crash_needs_quarantine(const struct job_task *task,
-					  const struct job_step *step)
+static inline bool crash_needs_quarantine(const struct job_task *task)
 {
-	return crash_suspicion(task) >= CRASH_QUARANTINE_COUNT && !step->gang;
+	return crash_suspicion(task) >= CRASH_QUARANTINE_COUNT;
 }
 
 /*
--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -186,8 +186,9 @@
 		} else if (pos.task->state != TASK_WAITING || !ready) {
 			continue;
 		} else {
-			pool->suspects +=
-				crash_needs_quarantine(pos.task, step);
+			/* A gang starts in quarantine as a whole. */
+			pool->suspects += crash_needs_quarantine(pos.task) &&
+					  (!step->gang || !pos.index);
 		}
 		add_lasting(pool, step, host);
 		/* A step that uses only idle CPU adds no demand. */
--- a/src/place.c
+++ b/src/place.c
@@ -324,7 +324,7 @@
 	struct worker *worker;
 	struct pass pass;
 
-	if (crash_needs_quarantine(pos->task, &pos->job->spec.steps[pos->step]))
+	if (crash_needs_quarantine(pos->task))
 		return false;
 	pass_begin(&pass, place);
 	worker = best_worker(&pass, &cand, pos->task);
@@ -334,7 +334,7 @@
 	return worker != NULL;
 }
 
-static bool is_startable(const struct place *place, const struct job_task *task)
+bool place_is_startable(const struct place *place, const struct job_task *task)
 {
 	return task->state == TASK_WAITING &&
 	       task->hold_until_ms <= place->now_ms &&
@@ -353,7 +353,7 @@
 	int32_t run = 0, found = 0;
 
 	for (int32_t i = 0; i < step->count; i++) {
-		if (!is_startable(place, &tasks[i]))
+		if (!place_is_startable(place, &tasks[i]))
 			goto out;
 		run = MAX(run, tasks[i].run);
 	}
@@ -394,15 +394,17 @@
 	uint32_t held = 0; /* tasks that wait for their quarantine */
 
 	if (step->gang) {
-		counts.placed = place_gang(pass, cand);
+		counts.placed = crash_needs_quarantine(tasks)
+					? place_gang_in_quarantine(pass, cand)
+					: place_gang(pass, cand);
 		return counts;
 	}
 	for (int32_t i = 0; i < step->count; i++) {
 		struct worker *worker;
 
-		if (!is_startable(place, &tasks[i]))
+		if (!place_is_startable(place, &tasks[i]))
 			continue;
-		if (crash_needs_quarantine(&tasks[i], step)) {
+		if (crash_needs_quarantine(&tasks[i])) {
 			if (place_in_quarantine(pass, cand, &tasks[i]))
 				counts.placed++;
 			else
@@ -432,7 +434,7 @@
 	const struct job_task *tasks = job_task_at(job, occurrence, step, 0);
 
 	for (int32_t i = 0; i < job->spec.steps[step].count; i++)
-		if (is_startable(place, &tasks[i]))
+		if (place_is_startable(place, &tasks[i]))
 			return true;
 	return false;
 }
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -34,6 +34,9 @@
 /* place_fits - whether the worker has room for a task of the step */
 bool place_fits(const struct worker *worker, const struct job_step *step);
 
+/* place_is_startable - whether the task waits, and may be placed now */
+bool place_is_startable(const struct place *place, const struct job_task *task);
+
 /* place_may_hold - whether the candidate's constraints allow the worker */
 bool place_may_hold(const struct candidate *cand, const struct worker *worker);
 
@@ -57,4 +60,13 @@
 bool place_in_quarantine(struct pass *pass, const struct candidate *cand,
 			 struct job_task *task);
 
+/*
+ * place_gang_in_quarantine - the same for all tasks of a gang
+ *
+ * RETURN VALUE
+ *	How many were placed: all or none.
+ */
+uint32_t place_gang_in_quarantine(struct pass *pass,
+				  const struct candidate *cand);
+
 #endif
--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -52,8 +52,7 @@
 	while (job_next_task(&pos)) {
 		struct worker *worker;
 
-		if (!crash_needs_quarantine(pos.task,
-					    &job->spec.steps[pos.step]))
+		if (!crash_needs_quarantine(pos.task))
 			continue;
 		worker = kept_worker(place, pos.task);
 		if (worker)
@@ -61,8 +60,11 @@
 	}
 }
 
-/* Whether one more worker may be kept from other tasks: at most half are. */
-static bool may_reserve(const struct pass *pass)
+/*
+ * Whether so many more workers may be kept from other tasks: at most half are,
+ * unless it is for the only task or gang in quarantine.
+ */
+static bool may_reserve(const struct pass *pass, guint more)
 {
 	guint reserved = 0;
 
@@ -71,18 +73,24 @@
 
 		reserved += worker->reserved;
 	}
-	return !reserved || 2 * (reserved + 1) <= pass->usable->len;
+	return !reserved || 2 * (reserved + more) <= pass->usable->len;
 }
 
-/* Whether the worker will have room once its tasks that end have ended. */
-static bool will_fit(const struct worker *worker, const struct job_step *step)
+/*
+ * Whether the worker will have room for count tasks of the step once its tasks
+ * that end have ended.
+ */
+static bool will_fit(const struct worker *worker, const struct job_step *step,
+		     int32_t count)
 {
 	const struct worker_entry *entry = &worker->entry;
-	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
+	int64_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
 
-	return worker->lasting_cpu_milli + cpu_milli <= entry->cpu_milli &&
-	       worker->lasting_mem_mib + step->mem_mib <= entry->mem_mib &&
-	       step->gpu <= entry->gpu;
+	return worker->lasting_cpu_milli + count * cpu_milli <=
+		       entry->cpu_milli &&
+	       worker->lasting_mem_mib + (int64_t)count * step->mem_mib <=
+		       entry->mem_mib &&
+	       (int64_t)count * step->gpu <= entry->gpu;
 }
 
 /* Whether the step's task can be expected to start sooner on left. */
@@ -109,7 +117,7 @@
 		struct worker *worker = pass->usable->pdata[i];
 
 		if (worker->reserved || !place_may_hold(cand, worker) ||
-		    !will_fit(worker, step))
+		    !will_fit(worker, step, 1))
 			continue;
 		if (!best || is_ready_sooner(worker, best, step))
 			best = worker;
@@ -130,7 +138,7 @@
 		return NULL;
 	}
 	task->quarantine = NULL;
-	if (!may_reserve(pass))
+	if (!may_reserve(pass, 1))
 		return NULL;
 	worker = choose_worker(pass, cand);
 	if (!worker)
@@ -161,3 +169,161 @@
 	worker->suspects++;
 	return true;
 }
+
+/* The tasks of a gang, and the workers that are chosen for them. */
+struct gang {
+	const struct candidate *cand;
+	const struct job_step *step;
+	struct job_task *tasks;
+	struct worker **chosen; /* of the first found tasks */
+	int32_t found;
+};
+
+static int32_t count_chosen(const struct gang *gang,
+			    const struct worker *worker)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < gang->found; i++)
+		count += gang->chosen[i] == worker;
+	return count;
+}
+
+/* Whether the worker can take one more task of the gang, now or later. */
+static bool will_take(const struct gang *gang, const struct worker *worker,
+		      int32_t chosen)
+{
+	int32_t limit = gang->step->max_per_worker;
+
+	return (chosen || !worker->reserved) && (!limit || chosen < limit) &&
+	       place_may_hold(gang->cand, worker) &&
+	       will_fit(worker, gang->step, chosen + 1);
+}
+
+/* Chooses workers for all tasks of the gang, as few as possible. */
+static bool choose_workers(const struct pass *pass, struct gang *gang)
+{
+	guint workers = 0;
+
+	while (gang->found < gang->step->count) {
+		struct worker *best = NULL;
+
+		for (guint i = 0; i < pass->usable->len; i++) {
+			struct worker *worker = pass->usable->pdata[i];
+			int32_t chosen = count_chosen(gang, worker);
+
+			if (!will_take(gang, worker, chosen))
+				continue;
+			if (chosen) {
+				best = worker;
+				break;
+			}
+			if (!best || is_ready_sooner(worker, best, gang->step))
+				best = worker;
+		}
+		if (!best)
+			return false;
+		workers += !count_chosen(gang, best);
+		gang->chosen[gang->found++] = best;
+	}
+	return may_reserve(pass, workers);
+}
+
+static void reserve_workers(const struct place *place, struct gang *gang)
+{
+	for (int32_t i = 0; i < gang->step->count; i++) {
+		gang->chosen[i]->reserved = true;
+		gang->tasks[i].quarantine = gang->chosen[i]->name;
+		gang->tasks[i].reserved_ms = place->now_ms;
+	}
+	log_info("gang-quarantine-reserved id=%s step=%u tasks=%d crashes=%d "
+		 "lapses=%d",
+		 gang->cand->job->id, gang->cand->step, gang->step->count,
+		 gang->tasks->crashes, gang->tasks->lapses);
+}
+
+/* Finds the workers that are reserved, if all still are; else reserves them. */
+static bool find_reserved(const struct pass *pass, struct gang *gang)
+{
+	const struct place *place = pass->place;
+	bool expired = gang->tasks->quarantine &&
+		       reservation_expired(place, gang->tasks);
+	int32_t count = gang->step->count;
+
+	while (gang->found < count) {
+		gang->chosen[gang->found] =
+			reserved_worker(place, &gang->tasks[gang->found]);
+		if (!gang->chosen[gang->found])
+			break;
+		gang->found++;
+	}
+	if (gang->found == count)
+		return true;
+	gang->found = 0;
+	for (int32_t i = 0; i < count; i++) {
+		gang->tasks[i].quarantine = NULL;
+		if (expired)
+			gang->tasks[i].hold_until_ms =
+				place->now_ms + PLACE_RESERVATION_GAP_MS;
+	}
+	if (expired || !choose_workers(pass, gang))
+		return false;
+	reserve_workers(place, gang);
+	return true;
+}
+
+/* Whether all chosen workers have room now and no other task that is new. */
+static bool is_ready(const struct gang *gang)
+{
+	int32_t taken = 0;
+	bool ready = true;
+
+	for (int32_t i = 0; i < gang->step->count; i++)
+		ready &= gang->chosen[i]->new_tasks == 0;
+	while (ready && taken < gang->step->count) {
+		ready = place_fits(gang->chosen[taken], gang->step);
+		if (ready)
+			place_use_room(gang->chosen[taken++], gang->step);
+	}
+	if (ready)
+		return true;
+	while (taken > 0)
+		place_release_room(gang->chosen[--taken], gang->step);
+	return false;
+}
+
+static bool all_startable(const struct place *place, const struct gang *gang,
+			  int32_t *run)
+{
+	for (int32_t i = 0; i < gang->step->count; i++) {
+		if (!place_is_startable(place, &gang->tasks[i]))
+			return false;
+		*run = MAX(*run, gang->tasks[i].run);
+	}
+	return true;
+}
+
+uint32_t place_gang_in_quarantine(struct pass *pass,
+				  const struct candidate *cand)
+{
+	const struct job_step *step = &cand->job->spec.steps[cand->step];
+	struct gang gang = {
+		.cand = cand,
+		.step = step,
+		.tasks =
+			job_task_at(cand->job, cand->occurrence, cand->step, 0),
+		.chosen = g_new0(struct worker *, step->count),
+	};
+	int32_t run = 0;
+	bool placed = all_startable(pass->place, &gang, &run) &&
+		      find_reserved(pass, &gang) && is_ready(&gang);
+
+	for (int32_t i = 0; placed && i < step->count; i++) {
+		job_place_task(
+			cand->job, &gang.tasks[i], gang.chosen[i]->entry.id,
+			gang.chosen[i]->boot_ms, run + 1, pass->place->now_ms);
+		gang.chosen[i]->suspects++;
+	}
+	g_free(gang.chosen);
+	return placed ? (uint32_t)step->count : 0;
+}
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -204,6 +204,26 @@
 }
 END_TEST
 
+/* Nor must sound gangs or tasks beside such gangs be given up with them. */
+START_TEST(gangs_beside_a_crashing_gang_are_not_given_up)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 8);
+
+	sim->deadly_at_work = seed & 1;
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < 3; i++) {
+		submit_gang(sim, i % 3, 3, seed & 2 ? 3 : 1);
+		submit_gang(sim, i % 3, 4, 0);
+		sim_submit_deadly_job(sim, i % 3, 1, 2);
+		submit_sound_jobs(sim, 1000);
+		submit_gang(sim, i % 3, 2, 0);
+	}
+	sim_run_for(sim, 4 * GIVE_UP_MS);
+	check_play(sim, seed);
+}
+END_TEST
+
 /* The same with every other fault of the random play. */
 START_TEST(invariants_hold_with_crashing_tasks)
 {
@@ -246,6 +266,8 @@
 			    seeds);
 	tcase_add_loop_test(gangs, gang_that_crashes_workers_is_given_up, 0,
 			    seeds);
+	tcase_add_loop_test(
+		gangs, gangs_beside_a_crashing_gang_are_not_given_up, 0, seeds);
 	tcase_add_loop_test(tcase, invariants_hold_with_crashing_tasks, 0,
 			    count ? atoi(count) : RANDOM_SEEDS);
 	suite_add_tcase(suite, tcase);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -58,6 +58,23 @@
 	return pool_fixture_submit(&fixture, id, body);
 }
 
+/* Submits a gang under which workers have crashed. */
+static struct job *submit_suspect_gang(int count, int32_t cpu_milli)
+{
+	char id[JOB_ID_BYTES], body[200];
+	struct job *job;
+
+	snprintf(id, sizeof(id), "%016x", ++submitted);
+	snprintf(body, sizeof(body),
+		 "{\"spec\":\"t\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+		 "\"estMs\":100,\"gang\":true}]}",
+		 count, cpu_milli);
+	job = pool_fixture_submit(&fixture, id, body);
+	for (int i = 0; i < count; i++)
+		job->tasks[i].crashes = CRASH_QUARANTINE_COUNT;
+	return job;
+}
+
 /* Submits tasks under which workers have crashed. */
 static struct job *submit_suspects(int count, int32_t cpu_milli)
 {
@@ -194,6 +211,75 @@
 }
 END_TEST
 
+/* Lets placed tasks of the job run, and end after SHORT_TASK_MS. */
+static void advance_short_tasks(struct job *job, int count)
+{
+	for (int i = 0; i < count; i++) {
+		struct job_task *task = &job->tasks[i];
+
+		if (task->state != TASK_PLACED)
+			continue;
+		if (task->phase != PHASE_RUNNING) {
+			task->phase = PHASE_RUNNING;
+			task->since_ms = now_ms;
+		} else if (now_ms - task->since_ms >= SHORT_TASK_MS) {
+			task->state = TASK_DONE;
+		}
+	}
+}
+
+/*
+ * A suspect gang must start although its workers are never without new tasks,
+ * also if it needs most of the pool; and no other task beside its start.
+ */
+START_TEST(suspect_gang_starts_alone_on_its_workers)
+{
+	enum { WORKERS = 4, JOBS = PLACED_MS / SHORT_TASK_MS * 2 + 2 };
+	int64_t end_ms = now_ms + PLACED_MS;
+	int32_t count = 2 + 2 * _i;
+	struct job *gang, *others[JOBS];
+	int submitted_jobs = 0;
+
+	for (int i = 0; i < WORKERS; i++)
+		add_worker(i);
+	gang = submit_suspect_gang(count, 2 * TASK_CPU_MILLI);
+	for (int step = 0; now_ms < end_ms && !count_placed(gang, count);
+	     step++) {
+		if (step % 4 == 0)
+			others[submitted_jobs++] = submit_tasks(
+				2 * WORKERS, TASK_CPU_MILLI, false);
+		place();
+		for (int i = 0; i < submitted_jobs; i++)
+			advance_short_tasks(others[i], 2 * WORKERS);
+		now_ms += PASS_GAP_MS;
+	}
+	ck_assert_int_eq(count_placed(gang, count), count);
+	for (int i = 0; i < count; i++)
+		ck_assert_int_eq(
+			worker_find(fixture.workers, gang->tasks[i].worker)
+				->suspects,
+			worker_find(fixture.workers, gang->tasks[i].worker)
+				->new_tasks);
+}
+END_TEST
+
+/* A suspect gang that has room nowhere must not keep workers from others. */
+START_TEST(suspect_gang_without_room_does_not_close_the_pool)
+{
+	enum { WORKERS = 4 };
+	int64_t end_ms = now_ms + PLACED_MS;
+	struct job *sound;
+
+	for (int i = 0; i < WORKERS; i++)
+		add_worker_with_lasting_tasks(i, 3);
+	submit_suspect_gang(WORKERS + 1, TASK_CPU_MILLI);
+	sound = submit_tasks(WORKERS, TASK_CPU_MILLI, false);
+	for (; now_ms < end_ms; now_ms += PASS_GAP_MS)
+		place();
+	ck_assert_int_eq(count_placed(sound, WORKERS), WORKERS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("quarantine");
@@ -208,6 +294,10 @@
 	tcase_add_loop_test(tcase, suspects_without_room_do_not_close_the_pool,
 			    1, 5);
 	tcase_add_test(tcase, suspects_leave_quarantine_after_their_start);
+	tcase_add_loop_test(tcase, suspect_gang_starts_alone_on_its_workers, 0,
+			    3);
+	tcase_add_test(tcase,
+		       suspect_gang_without_room_does_not_close_the_pool);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
