--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -224,6 +224,60 @@
 }
 END_TEST
 
+/* How many tasks of the job run on workers that are up. */
+static int32_t count_runs(const struct sim *sim, const struct sim_job *job)
+{
+	int32_t count = 0;
+
+	for (int i = 0; i < sim->worker_count; i++) {
+		const struct sim_worker *worker = &sim->workers[i];
+
+		for (guint j = 0; worker->up && j < worker->model.runs->len;
+		     j++)
+			count += g_str_has_prefix(
+				g_array_index(worker->model.runs,
+					      struct model_run, j)
+					.task,
+				job->id);
+	}
+	return count;
+}
+
+/*
+ * A long-running task that crashes its workers must not be started again without
+ * end; sound long-running ones beside it must not be given up, and run again.
+ */
+START_TEST(lasting_task_that_crashes_workers_is_given_up)
+{
+	enum { JOBS = 3, WIDTH = 3 };
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 8);
+	struct sim_job *deadly[JOBS], *sound[JOBS];
+
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < JOBS; i++) {
+		deadly[i] = sim_submit_lasting_job(sim, i % 3, WIDTH);
+		deadly[i]->deadly = true;
+		deadly[i]->deadly_tasks = seed & 1 ? WIDTH : 1;
+		sound[i] = sim_submit_lasting_job(sim, i % 3, WIDTH);
+		submit_sound_jobs(sim, 1000);
+	}
+	sim_run_for(sim, 2 * GIVE_UP_MS);
+	ck_assert_msg(!sim->broken[0], "seed %lu: %s", (unsigned long)seed,
+		      sim->broken);
+	for (int i = 0; i < JOBS; i++) {
+		if (deadly[i]->accepted)
+			ck_assert_int_eq(
+				sim_get_job_state(sim, 0, deadly[i]->id),
+				JOB_FAILED);
+		if (sound[i]->accepted)
+			ck_assert_msg(count_runs(sim, sound[i]) == WIDTH,
+				      "seed %lu: %s does not run",
+				      (unsigned long)seed, sound[i]->id);
+	}
+}
+END_TEST
+
 /* The same with every other fault of the random play. */
 START_TEST(invariants_hold_with_crashing_tasks)
 {
@@ -239,6 +293,7 @@
 {
 	Suite *suite = suite_create("crash");
 	TCase *tcase = tcase_create("tasks that crash workers");
+	TCase *lasting = tcase_create("long-running tasks");
 	TCase *gangs = tcase_create("gangs that crash workers");
 	SRunner *runner = srunner_create(suite);
 	/* For a search over more seeds, or one seed with its log. */
@@ -253,6 +308,7 @@
 	log_init("test_crash", !getenv("PLANK_VERBOSE"));
 	tcase_set_timeout(tcase, 120);
 	tcase_set_timeout(gangs, 120);
+	tcase_set_timeout(lasting, 120);
 	tcase_add_loop_test(tcase, task_that_crashes_workers_is_given_up, 0,
 			    seeds);
 	tcase_add_loop_test(tcase, crashes_are_counted_across_takeovers, 0,
@@ -264,6 +320,9 @@
 			    seeds);
 	tcase_add_loop_test(tcase, task_on_flapping_workers_is_not_given_up, 0,
 			    seeds);
+	tcase_add_loop_test(lasting,
+			    lasting_task_that_crashes_workers_is_given_up, 0,
+			    seeds);
 	tcase_add_loop_test(gangs, gang_that_crashes_workers_is_given_up, 0,
 			    seeds);
 	tcase_add_loop_test(
@@ -272,6 +331,7 @@
 			    count ? atoi(count) : RANDOM_SEEDS);
 	suite_add_tcase(suite, tcase);
 	suite_add_tcase(suite, gangs);
+	suite_add_tcase(suite, lasting);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
