Repeat starts that are refused as invalid less and less often

A start that a worker refuses as invalid, or for want of a ticket, was sent again each second without end: 58 refused starts in a minute for one task, each with a stored placement. The pause is now doubled with each refusal in a row, from 1 s to 8 s; a confirmed start resets it. The task is not given up. New log line retry-held and counter retries_held.

--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,7 @@
 	tests/worker_model.c tests/worker_model.h
 
 FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
-	$(BUILD)/test_leaving $(BUILD)/test_capacity
+	$(BUILD)/test_leaving $(BUILD)/test_capacity $(BUILD)/test_retry
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/worker_model.c \
--- a/src/job.c
+++ b/src/job.c
@@ -479,6 +479,7 @@
 	pos->task->phase = PHASE_RUNNING;
 	pos->task->since_ms = now_ms;
 	pos->task->gang_waits = false;
+	pos->task->refusals = 0;
 	if (pos->job->spec.steps[pos->step].gang)
 		refresh_gang(pos, now_ms);
 }
--- a/src/pool.c
+++ b/src/pool.c
@@ -172,6 +172,23 @@
 	job_end_run(pos, how, checkpoint, pool_max_attempts(pool, pos->job));
 }
 
+void pool_hold_retry(struct pool *pool, struct job_pos *pos, int32_t times,
+		     int64_t first_ms, int64_t max_ms, const char *why)
+{
+	char name[JOB_TASK_NAME_BYTES];
+	int64_t hold_ms = first_ms;
+
+	for (int32_t i = 1; i < times && hold_ms < max_ms; i++)
+		hold_ms *= 2;
+	hold_ms = MIN(hold_ms, max_ms);
+	pos->task->hold_until_ms = pool_now_ms(pool) + hold_ms;
+	pool->env->counts.retries_held++;
+	job_task_name(pos, name, sizeof(name));
+	log_info("retry-held task=%s run=%d why=%s times=%d "
+		 "hold_ms=%" G_GINT64_FORMAT,
+		 name, pos->task->run, why, times, hold_ms);
+}
+
 /* Allows start orders for the placements in the stored record. */
 static void mark_placements_stored(struct job *job, uint32_t record)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -31,6 +31,7 @@
 struct pool_counts {
 	int64_t starts_sent;
 	int64_t starts_refused;
+	int64_t retries_held; /* of tasks, as attempts fail in a row */
 	int64_t renewals;
 	int64_t renewals_failed;
 	int64_t runs_done;
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -32,6 +32,15 @@
 /* pool_max_attempts - failed runs of a task after which its job fails */
 int32_t pool_max_attempts(const struct pool *pool, const struct job *job);
 
+/*
+ * pool_hold_retry - keep a task from being placed again for some time
+ *
+ * For first_ms, doubled with each failure in a row after the first, at most for
+ * max_ms. times is the number of them; why names them in the log.
+ */
+void pool_hold_retry(struct pool *pool, struct job_pos *pos, int32_t times,
+		     int64_t first_ms, int64_t max_ms, const char *why);
+
 /* pool_end_run - record the end of a run and count it */
 void pool_end_run(struct pool *pool, struct job_pos *pos, enum job_end how,
 		  const char *checkpoint);
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -28,7 +28,10 @@
 	POOL_MAX_REPORT_AGE_MS = 2500,
 	POOL_AVOID_NO_ROOM_MS = 150,
 	POOL_AVOID_UNHEALTHY_MS = 1500,
-	POOL_HOLD_INVALID_MS = 1000
+	/* Before a task whose start was refused as invalid, or for want of a
+	   ticket, is placed again; doubled with each refusal in a row. */
+	POOL_HOLD_INVALID_MS = 1000,
+	POOL_HOLD_INVALID_MAX_MS = 8000
 };
 
 /* An order in flight. */
@@ -77,10 +80,8 @@
  * start order of the run is unanswered, it may still be executed; then the run
  * is stopped first, and a worker never starts a run that it was told to stop.
  */
-static void return_to_waiting(struct pool *pool, struct job_pos *pos,
-			      int64_t hold_ms)
+static void return_to_waiting(struct pool *pool, struct job_pos *pos)
 {
-	pos->task->hold_until_ms = pool_now_ms(pool) + hold_ms;
 	if (pos->task->unanswered_starts)
 		pool_stop_task(pool, pos);
 	else
@@ -104,7 +105,7 @@
 	}
 	if (worker && !pos->task->unanswered_starts)
 		place_release_room(worker, &pos->job->spec.steps[pos->step]);
-	return_to_waiting(pool, pos, 0);
+	return_to_waiting(pool, pos);
 }
 
 /*
@@ -161,21 +162,24 @@
 		job_run_confirmed(pos, now_ms);
 		return;
 	case ORDER_NO_ROOM:
-		return_to_waiting(pool, pos, 0);
+		return_to_waiting(pool, pos);
 		if (worker)
 			worker->avoid_until_ms = now_ms + POOL_AVOID_NO_ROOM_MS;
 		break;
 	case ORDER_UNHEALTHY:
-		return_to_waiting(pool, pos, 0);
+		return_to_waiting(pool, pos);
 		if (worker)
 			worker->avoid_until_ms =
 				now_ms + POOL_AVOID_UNHEALTHY_MS;
 		break;
 	case ORDER_INVALID:
-		return_to_waiting(pool, pos, POOL_HOLD_INVALID_MS);
+		pool_hold_retry(pool, pos, ++pos->task->refusals,
+				POOL_HOLD_INVALID_MS, POOL_HOLD_INVALID_MAX_MS,
+				"start-invalid");
+		return_to_waiting(pool, pos);
 		break;
 	default:
-		return_to_waiting(pool, pos, 0);
+		return_to_waiting(pool, pos);
 		break;
 	}
 	pool->env->counts.starts_refused++;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -557,6 +557,20 @@
 	return outcome;
 }
 
+/* Whether the worker refuses the start as invalid; counts it. */
+static bool refuse_invalid(struct sim *sim, const struct event *start)
+{
+	char id[JOB_ID_BYTES];
+	struct sim_job *job;
+
+	g_strlcpy(id, start->task, sizeof(id));
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (!job || !job->invalid)
+		return false;
+	job->starts_refused++;
+	return true;
+}
+
 static enum order_outcome apply_order(struct sim *sim, struct event *event)
 {
 	struct sim_worker *worker = &sim->workers[event->worker];
@@ -571,6 +585,8 @@
 	if (event->kind == 's' && !event->unanswered &&
 	    random_below(sim, 100) < sim->faults.unhealthy_percent)
 		return ORDER_UNHEALTHY;
+	if (event->kind == 's' && refuse_invalid(sim, event))
+		return ORDER_INVALID;
 	if (event->kind == 's')
 		outcome = apply_start(sim, worker, event);
 	else if (event->kind == 'x')
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -122,8 +122,10 @@
 	bool deadly;
 	int32_t deadly_tasks;
 	bool gang;
-	bool lasting;	 /* its tasks run until they are stopped */
-	int32_t crashes; /* of workers under these tasks */
+	bool lasting;		/* its tasks run until they are stopped */
+	bool invalid;		/* workers refuse its starts as invalid */
+	int32_t starts_refused; /* as it is invalid */
+	int32_t crashes;	/* of workers under these tasks */
 	int32_t crashes_of[SIM_MAX_DEADLY_TASKS];
 	/* After SIM_CRASH_LIMIT crashes. */
 	int32_t starts_beyond_limit[SIM_MAX_DEADLY_TASKS];
--- /dev/null
+++ b/tests/test_retry.c
@@ -0,0 +1,62 @@
+/*
+ * Tests that attempts which fail in a row are repeated less and less often, and
+ * that the work is done once they can succeed. On complete nodes against a
+ * simulated log service and workers.
+ */
+
+#include <stdlib.h>
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "fleet_sim.h"
+#include "log.h"
+
+enum {
+	NODES = 3,
+	WORKERS = 4,
+	START_MS = 3000,
+	FAILING_MS = 60000,
+	/* Attempts with pauses of 1, 2, 4 and then 8 s, and a few more. */
+	MAX_REFUSED = 15,
+	/* The longest pause, and the time for the task itself. */
+	RECOVERY_MS = 11000,
+	SEEDS = 10
+};
+
+/* A start that workers refuse as invalid must not be sent each second for ever. */
+START_TEST(invalid_start_is_repeated_less_often)
+{
+	struct sim *sim = sim_create((uint64_t)_i + 1, NODES, WORKERS);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_job(sim, 0, 1, 1);
+	job->invalid = true;
+	sim_run_for(sim, FAILING_MS);
+	ck_assert_int_gt(job->starts_refused, 3);
+	ck_assert_int_le(job->starts_refused, MAX_REFUSED);
+	job->invalid = false;
+	sim_run_for(sim, RECOVERY_MS);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("retry");
+	TCase *tcase = tcase_create("attempts that fail in a row");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	apr_initialize();
+	log_init("test_retry", !getenv("PLANK_VERBOSE"));
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, invalid_start_is_repeated_less_often, 0,
+			    SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
