Count crashes under tasks that had none when their owner died

A task that crashed its workers was started three times more after three of them had crashed (BUDGET): records held the start of a task's worker only for tasks with crashes, so a new owner that found the worker back under its id could not tell that it had crashed.

The record now has a tag of the start of each placed task's worker, 17 bytes for one task and 7 for each further one, in a member that older builds ignore. A sound task on such a worker is blamed once, as it is not known how long it has been at work.

Evidence: crashes_are_counted_if_owners_die_at_any_time (three deadly jobs, up to 12 owners killed 0 to 1.5 s after a crash, workers back after 0.3 to 8 s).

--- a/src/job.h
+++ b/src/job.h
@@ -25,7 +25,8 @@
 	JOB_MAX_STEPS = 32,
 	JOB_MAX_TASKS = 20000,
 	JOB_MAX_SPEC_BYTES = 4000,
-	JOB_TASK_NAME_BYTES = 64
+	JOB_TASK_NAME_BYTES = 64,
+	JOB_BOOT_TAGS = 1000000
 };
 
 enum job_state { JOB_QUEUED, JOB_RUNNING, JOB_DONE, JOB_FAILED, JOB_CANCELLED };
@@ -100,8 +101,8 @@
 	int32_t lapses;	     /* runs lost with a worker that may have crashed */
 	int32_t crashed_run; /* newest run under which that was counted */
 	const char *worker;  /* of the newest run; interned */
-	/* Start of that worker, by its clock; 0: unknown. Stored only for a task
-	   with crashes. */
+	/* Start of that worker, by its clock, or the tag of it that is stored, see
+	   job_boot_tag; 0: unknown. */
 	int64_t worker_boot_ms;
 	char *checkpoint; /* NULL: none */
 	/* The rest is known to the owner only and not stored. */
@@ -265,6 +266,16 @@
 /* job_task_name - name of the task in orders and reports */
 void job_task_name(const struct job_pos *pos, char *out, size_t size);
 
+/*
+ * job_boot_tag - short form of the time of a worker's start
+ *
+ * Two starts of a worker differ in it. The tag of a tag is the tag itself.
+ */
+static inline int64_t job_boot_tag(int64_t boot_ms)
+{
+	return boot_ms % JOB_BOOT_TAGS;
+}
+
 /* job_task_find - look a task up by name; false if there is none */
 bool job_task_find(const struct job_store *store, const char *name,
 		   struct job_pos *pos);
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -11,10 +11,13 @@
  * the caller sent it. A progress record is {"state", "parts"}; a part is
  * [occurrence, step, done, tasks] with one hexadecimal digit for each four
  * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
- * for each other task that has been started. "crashes", if there are any, has a
+ * for each other task that has been started. "boots" has, for each task that is
+ * placed, in the order of the rows, the tag of the start of its worker, so that
+ * the next owner sees a crash after which the worker is back. "crashes", if there are any, has a
  * row [occurrence, step, index, crashes, run, boot_ms, lapses] for each
  * task under which workers have crashed; run is the newest one under which that
- * was counted, and boot_ms the start of the worker that the task is placed on.
+ * was counted, and boot_ms the start of the worker that the task is placed on, or
+ * its tag.
  */
 
 char *job_submission_record(const char *queue, const char *pool,
@@ -149,6 +152,26 @@
 		json_object_put(rows);
 }
 
+/* Adds the tags of the starts of the placed tasks' workers. */
+static void put_boots(struct json_object *record, const struct job *job)
+{
+	struct json_object *boots;
+	struct job_pos pos = { .job = (struct job *)job };
+
+	if (job_ended(job->state))
+		return;
+	boots = json_object_new_array();
+	while (job_next_task(&pos))
+		if (pos.task->state == TASK_PLACED)
+			json_object_array_add(
+				boots, json_object_new_int64(job_boot_tag(
+					       pos.task->worker_boot_ms)));
+	if (json_object_array_length(boots))
+		json_object_object_add(record, "boots", boots);
+	else
+		json_object_put(boots);
+}
+
 char *job_progress_record(const struct job *job, size_t *len)
 {
 	struct json_object *record = json_object_new_object();
@@ -168,6 +191,7 @@
 				json_object_array_add(parts, part);
 		}
 	json_object_object_add(record, "parts", parts);
+	put_boots(record, job);
 	put_crashes(record, job);
 	text = g_strdup(
 		json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
@@ -309,6 +333,22 @@
 	task->worker_boot_ms = boot_ms;
 }
 
+/* Records of older builds have no boots. */
+static void read_boots(struct job *job, struct jcursor *root)
+{
+	struct jcursor boots = jcursor_member(root, "boots");
+	struct job_pos pos = { .job = job };
+	size_t count, next = 0;
+
+	if (!boots.value)
+		return;
+	count = jcursor_check_array(&boots, JOB_MAX_TASKS);
+	while (next < count && job_next_task(&pos))
+		if (pos.task->state == TASK_PLACED)
+			pos.task->worker_boot_ms =
+				row_number(&boots, next++, JOB_BOOT_TAGS - 1);
+}
+
 /* Records of older builds have no crashes. */
 static void read_crashes(const struct job *job, struct jcursor *root)
 {
@@ -340,8 +380,10 @@
 		if (jcursor_check_array(&part, 4) == 4)
 			decode_part(job, &part);
 	}
-	if (value && parse_err.kind == ERR_OK)
+	if (value && parse_err.kind == ERR_OK) {
+		read_boots(job, &root);
 		read_crashes(job, &root);
+	}
 	json_object_put(value);
 	if (parse_err.kind != ERR_OK)
 		return err_set(err, parse_err.kind, "%s", parse_err.text);
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -16,7 +16,8 @@
 			       const struct job_task *task)
 {
 	return task->worker_boot_ms && worker->boot_ms &&
-	       task->worker_boot_ms != worker->boot_ms &&
+	       job_boot_tag(task->worker_boot_ms) !=
+		       job_boot_tag(worker->boot_ms) &&
 	       task->last_report != worker->reports;
 }
 
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -22,6 +22,9 @@
 	/* Longer than a lease. */
 	LATE_RETURN_MS = 8000,
 	LIST_AWAY_MS = 12000,
+	/* Until a worker that has crashed is back. */
+	MIN_RETURN_MS = 300,
+	MAX_RETURN_MS = 8000,
 	SEEDS = 20,
 	RANDOM_SEEDS = 40
 };
@@ -92,6 +95,45 @@
 }
 END_TEST
 
+/*
+ * A crash must not stay uncounted more often than the limit allows if owners die
+ * at any time around it and workers are back early or late.
+ */
+START_TEST(crashes_are_counted_if_owners_die_at_any_time)
+{
+	enum { JOBS = 3, KILLS = 12 };
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 8);
+	struct sim_job *jobs[JOBS];
+	int32_t crashes = 0, kills = 0;
+
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < JOBS; i++)
+		jobs[i] = sim_submit_deadly_job(sim, i, 1, 3);
+	for (int step = 0; step < 1500; step++) {
+		int owner = fleet_owner(sim);
+		int32_t all = 0;
+
+		sim->crash_ms =
+			MIN_RETURN_MS +
+			rnd_below(&sim->rnd, MAX_RETURN_MS - MIN_RETURN_MS);
+		sim_run_for(sim, 10);
+		for (int i = 0; i < JOBS; i++)
+			all += jobs[i]->crashes;
+		if (all == crashes || owner < 0 || kills >= KILLS)
+			continue;
+		crashes = all;
+		kills++;
+		sim_run_for(sim, rnd_below(&sim->rnd, 1500));
+		sim_kill(sim, owner);
+		sim_run_for(sim, 100);
+		sim_start(sim, owner);
+	}
+	sim_run_for(sim, GIVE_UP_MS);
+	check_play(sim, seed);
+}
+END_TEST
+
 /*
  * Tasks that share workers with ones that crash them must not be given up with
  * them: several such jobs at a time, each beside sound ones.
@@ -112,8 +154,8 @@
 }
 END_TEST
 
-/* Crashes the workers with tasks on them; each is back after some seconds. */
-static void crash_busy_workers(struct sim *sim)
+/* Crashes the workers with tasks on them; each is back after return_ms. */
+static void crash_busy_workers(struct sim *sim, int64_t return_ms)
 {
 	for (int i = 0; i < sim->worker_count; i++) {
 		struct sim_worker *worker = &sim->workers[i];
@@ -121,7 +163,7 @@
 		if (!worker->up || !worker->model.runs->len)
 			continue;
 		sim_crash_worker(sim, i);
-		worker->restart_at_ms = sim->clk.manual_ms + SIM_CRASH_MS;
+		worker->restart_at_ms = sim->clk.manual_ms + return_ms;
 	}
 }
 
@@ -140,7 +182,37 @@
 	job = sim_submit_job(sim, 0, 1, 1);
 	for (int i = 0; i < 6; i++) {
 		sim_run_for(sim, FLAP_MS);
-		crash_busy_workers(sim);
+		crash_busy_workers(sim, SIM_CRASH_MS);
+	}
+	sim_run_for(sim, SIM_CRASH_MS);
+	ck_assert_int_ne(sim_get_job_state(sim, 0, job->id), JOB_FAILED);
+}
+END_TEST
+
+/*
+ * Nor if the owner dies with the worker, and the next one finds it back: it does
+ * not know how long the task has been at work.
+ */
+START_TEST(task_on_flapping_workers_survives_takeovers)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 6);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	sim->task_ms = LONG_TASK_MS;
+	job = sim_submit_job(sim, 0, 1, 1);
+	for (int i = 0; i < 6; i++) {
+		int owner;
+
+		sim_run_for(sim, FLAP_MS);
+		owner = fleet_owner(sim);
+		if (owner >= 0)
+			sim_kill(sim, owner);
+		crash_busy_workers(sim, MIN_RETURN_MS);
+		sim_run_for(sim, 500);
+		if (owner >= 0)
+			sim_start(sim, owner);
 	}
 	sim_run_for(sim, SIM_CRASH_MS);
 	ck_assert_int_ne(sim_get_job_state(sim, 0, job->id), JOB_FAILED);
@@ -294,6 +366,7 @@
 	Suite *suite = suite_create("crash");
 	TCase *tcase = tcase_create("tasks that crash workers");
 	TCase *lasting = tcase_create("long-running tasks");
+	TCase *takeovers = tcase_create("crashes and takeovers");
 	TCase *gangs = tcase_create("gangs that crash workers");
 	SRunner *runner = srunner_create(suite);
 	/* For a search over more seeds, or one seed with its log. */
@@ -308,6 +381,7 @@
 	log_init("test_crash", !getenv("PLANK_VERBOSE"));
 	tcase_set_timeout(tcase, 120);
 	tcase_set_timeout(gangs, 120);
+	tcase_set_timeout(takeovers, 120);
 	tcase_set_timeout(lasting, 120);
 	tcase_add_loop_test(tcase, task_that_crashes_workers_is_given_up, 0,
 			    seeds);
@@ -320,6 +394,12 @@
 			    seeds);
 	tcase_add_loop_test(tcase, task_on_flapping_workers_is_not_given_up, 0,
 			    seeds);
+	tcase_add_loop_test(takeovers,
+			    crashes_are_counted_if_owners_die_at_any_time, 0,
+			    seeds);
+	tcase_add_loop_test(takeovers,
+			    task_on_flapping_workers_survives_takeovers, 0,
+			    seeds);
 	tcase_add_loop_test(lasting,
 			    lasting_task_that_crashes_workers_is_given_up, 0,
 			    seeds);
@@ -331,6 +411,7 @@
 			    count ? atoi(count) : RANDOM_SEEDS);
 	suite_add_tcase(suite, tcase);
 	suite_add_tcase(suite, gangs);
+	suite_add_tcase(suite, takeovers);
 	suite_add_tcase(suite, lasting);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
