Start long-running tasks that fail at once less and less often

A long-running task that fails soon after its start was started again at once without end: 88 starts in a minute, slowed only because its failures made each worker in turn look bad, which kept them from other tasks for 3 s. From the third such failure in a row on, the task is now held 0.5 s, doubled up to 4 s, which leaves it time to run again within 6 s of its last run. It is never given up.

--- a/src/job.h
+++ b/src/job.h
@@ -110,6 +110,8 @@
 	int64_t reserved_ms;	/* when it was reserved */
 	int64_t since_ms;	/* start of the phase */
 	int64_t hold_until_ms;	/* not placed again before */
+	/* Runs of a long-running one in a row that failed soon. */
+	int32_t quick_failures;
 	int32_t refusals; /* starts refused as invalid since the last one */
 	int64_t away_ms;  /* since when a long-running one is not at work */
 	bool away_logged;
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -8,6 +8,14 @@
 	/* Weight of the newest ended run in a worker's failure rate. */
 	POOL_FAILURE_WEIGHT_PERCENT = 25,
 	POOL_AVOID_FAILING_MS = 3000,
+	/* A long-running task that fails sooner after its start counts as one
+	   that may go on to do so. The first failures in a row cost no pause,
+	   as the worker may be to blame; the longest pause is shorter than the
+	   6 s in which such a task must run again. */
+	POOL_QUICK_FAILURE_MS = 5000,
+	POOL_FREE_FAILURES = 2,
+	POOL_HOLD_FAILED_MS = 500,
+	POOL_HOLD_FAILED_MAX_MS = 4000,
 	/* Progress comes in whole percent; a run of a longer step shows none
 	   for so long that it would look stalled. */
 	POOL_MAX_MEASURED_MS = 20000
@@ -56,6 +64,23 @@
 	progress->work_ms += MAX(gained, 0) / 100.0 * step->estimate_ms;
 }
 
+/* Holds a long-running task that fails soon after its start again and again. */
+static void hold_if_failing(struct pool *pool, struct job_pos *pos)
+{
+	struct job_task *task = pos->task;
+	bool quick = task->phase != PHASE_RUNNING ||
+		     pool_now_ms(pool) - task->since_ms < POOL_QUICK_FAILURE_MS;
+
+	if (!pos->job->spec.steps[pos->step].long_running)
+		return;
+	task->quick_failures = quick ? task->quick_failures + 1 : 0;
+	if (task->quick_failures > POOL_FREE_FAILURES)
+		pool_hold_retry(pool, pos,
+				task->quick_failures - POOL_FREE_FAILURES,
+				POOL_HOLD_FAILED_MS, POOL_HOLD_FAILED_MAX_MS,
+				"run-failed");
+}
+
 static void handle_ended_run(struct pool *pool, struct worker *worker,
 			     const struct worker_end *end,
 			     struct progress *progress)
@@ -75,6 +100,8 @@
 	if (is_placed_run(&pos, worker, end->run)) {
 		if (end->how == END_DONE)
 			add_progress(worker, &pos, 100, progress);
+		if (end->how == END_FAILED)
+			hold_if_failing(pool, &pos);
 		pool_end_run(pool, &pos, end->how, end->checkpoint);
 	} else if (end->how == END_DONE && pos.task->state == TASK_WAITING &&
 		   end->run <= pos.task->run) {
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -20,7 +20,9 @@
 	/* A task that crashes its worker does so within this time. */
 	CRASH_DELAY_MS = 60,
 	/* Between looks at whether the gang of such a task is complete. */
-	CRASH_CHECK_MS = 20
+	CRASH_CHECK_MS = 20,
+	/* A run that fails at once does so after this time. */
+	QUICK_FAILURE_MS = 100
 };
 
 /* The io argument of one node incarnation's calls. */
@@ -441,6 +443,7 @@
 		report_violation(sim, "task of no submitted job", task);
 		return;
 	}
+	job->starts++;
 	if (job->rejected)
 		report_violation(sim, "task of a refused job", task);
 	check_deadly_start(sim, job, task);
@@ -541,6 +544,10 @@
 	g_strlcpy(run.task, event->task, sizeof(run.task));
 	g_strlcpy(id, event->task, sizeof(id));
 	job = g_hash_table_lookup(sim->jobs, id);
+	if (job && job->fails_at_once) {
+		run.remaining_ms = QUICK_FAILURE_MS;
+		run.fails = true;
+	}
 	if (job && job->gang)
 		fleet_gang_init_run(&run, job, &worker->model);
 	outcome = worker_model_start(&worker->model, &run,
@@ -550,7 +557,7 @@
 	check_start(sim, worker, event->client.node, event->task);
 	if (job && deadly_index(job, event->task) >= 0)
 		schedule_crash(sim, event);
-	if (job && job->lasting)
+	if (job && job->lasting && !job->fails_at_once)
 		g_array_index(worker->model.runs, struct model_run,
 			      worker->model.runs->len - 1)
 			.until_stopped = true;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -124,6 +124,8 @@
 	bool gang;
 	bool lasting;		/* its tasks run until they are stopped */
 	bool invalid;		/* workers refuse its starts as invalid */
+	bool fails_at_once;	/* its runs fail after a short time */
+	int32_t starts;		/* of its tasks */
 	int32_t starts_refused; /* as it is invalid */
 	int32_t crashes;	/* of workers under these tasks */
 	int32_t crashes_of[SIM_MAX_DEADLY_TASKS];
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -19,6 +19,8 @@
 	FAILING_MS = 60000,
 	/* Attempts with pauses of 1, 2, 4 and then 8 s, and a few more. */
 	MAX_REFUSED = 15,
+	/* Attempts without a pause, then with pauses of 0.5, 1, 2 and 4 s. */
+	MAX_FAILED = 30,
 	/* The longest pause, and the time for the task itself. */
 	RECOVERY_MS = 11000,
 	SEEDS = 10
@@ -42,6 +44,26 @@
 }
 END_TEST
 
+/* A long-running task that fails at once must not be started without a pause. */
+START_TEST(lasting_task_that_fails_at_once_is_started_less_often)
+{
+	struct sim *sim = sim_create((uint64_t)_i + 1, NODES, WORKERS);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_lasting_job(sim, 0, 1);
+	job->fails_at_once = true;
+	sim_run_for(sim, FAILING_MS);
+	ck_assert_int_gt(job->starts, 5);
+	ck_assert_int_le(job->starts, MAX_FAILED);
+	job->fails_at_once = false;
+	job->starts = 0;
+	sim_run_for(sim, RECOVERY_MS);
+	ck_assert_int_eq(job->starts, 1);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_RUNNING);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("retry");
@@ -54,6 +76,9 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, invalid_start_is_repeated_less_often, 0,
 			    SEEDS);
+	tcase_add_loop_test(
+		tcase, lasting_task_that_fails_at_once_is_started_less_often, 0,
+		SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
