--- a/src/job.h
+++ b/src/job.h
@@ -25,7 +25,8 @@
 	JOB_MAX_STEPS = 32,
 	JOB_MAX_TASKS = 20000,
 	JOB_MAX_SPEC_BYTES = 4000,
-	JOB_TASK_NAME_BYTES = 64
+	JOB_TASK_NAME_BYTES = 64,
+	JOB_BOOT_TAGS = 1000000
 };
 
 enum job_state { JOB_QUEUED, JOB_RUNNING, JOB_DONE, JOB_FAILED, JOB_CANCELLED };
@@ -92,15 +93,16 @@
 	int64_t stop_wanted_ms; /* since when a stop is wanted; 0: not wanted */
 	/* Unanswered start orders of this run, which may arrive late. */
 	int32_t unanswered_starts;
-	bool stop_ok; /* its worker has confirmed the stop */
+	bool stop_ok;	 /* its worker has confirmed the stop */
+	bool gang_waits; /* it runs, but not yet all tasks of its gang */
 	int32_t run;
 	int32_t failed;
 	int32_t crashes;     /* workers that have crashed under it */
 	int32_t lapses;	     /* runs lost with a worker that may have crashed */
 	int32_t crashed_run; /* newest run under which that was counted */
 	const char *worker;  /* of the newest run; interned */
-	/* Start of that worker, by its clock; 0: unknown. Stored only for a task
-	   with crashes. */
+	/* Start of that worker, by its clock, or the tag of it that is stored, see
+	   job_boot_tag; 0: unknown. */
 	int64_t worker_boot_ms;
 	char *checkpoint; /* NULL: none */
 	/* The rest is known to the owner only and not stored. */
@@ -108,7 +110,10 @@
 	int64_t reserved_ms;	/* when it was reserved */
 	int64_t since_ms;	/* start of the phase */
 	int64_t hold_until_ms;	/* not placed again before */
-	int64_t away_ms; /* since when a long-running one is not at work */
+	/* Runs of a long-running one in a row that failed soon. */
+	int32_t quick_failures;
+	int32_t refusals; /* starts refused as invalid since the last one */
+	int64_t away_ms;  /* since when a long-running one is not at work */
 	bool away_logged;
 	int32_t percent;
 	/* Tail latency in ms, or processor use in thousandths. */
@@ -263,6 +268,16 @@
 /* job_task_name - name of the task in orders and reports */
 void job_task_name(const struct job_pos *pos, char *out, size_t size);
 
+/*
+ * job_boot_tag - short form of the time of a worker's start
+ *
+ * Two starts of a worker differ in it. The tag of a tag is the tag itself.
+ */
+static inline int64_t job_boot_tag(int64_t boot_ms)
+{
+	return boot_ms % JOB_BOOT_TAGS;
+}
+
 /* job_task_find - look a task up by name; false if there is none */
 bool job_task_find(const struct job_store *store, const char *name,
 		   struct job_pos *pos);
@@ -302,6 +317,14 @@
 void job_place_task(struct job *job, struct job_task *task, const char *worker,
 		    int64_t boot_ms, int32_t run, int64_t now_ms);
 
+/*
+ * job_run_confirmed - note that a worker has confirmed the start of a task
+ *
+ * A gang works from the confirmation of its last task on: since_ms of all its
+ * tasks is reset then.
+ */
+void job_run_confirmed(const struct job_pos *pos, int64_t now_ms);
+
 /*
  * job_end_run - record the end of a task's newest run
  *
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -34,6 +34,9 @@
 /* place_fits - whether the worker has room for a task of the step */
 bool place_fits(const struct worker *worker, const struct job_step *step);
 
+/* place_is_startable - whether the task waits, and may be placed now */
+bool place_is_startable(const struct place *place, const struct job_task *task);
+
 /* place_may_hold - whether the candidate's constraints allow the worker */
 bool place_may_hold(const struct candidate *cand, const struct worker *worker);
 
@@ -41,11 +44,12 @@
 bool place_usable_if_leaving(const struct place *place,
 			     const struct worker *worker);
 
-/* place_may_reserve - whether one more worker may be kept from other tasks */
-bool place_may_reserve(const struct pass *pass);
+/* place_may_reserve - whether so many more workers may be kept from others */
+bool place_may_reserve(const struct pass *pass, guint more);
 
-/* place_will_fit - whether there is room once the tasks that end have ended */
-bool place_will_fit(const struct worker *worker, const struct job_step *step);
+/* place_will_fit - whether count tasks fit once those that end have ended */
+bool place_will_fit(const struct worker *worker, const struct job_step *step,
+		    int32_t count);
 
 /*
  * place_leaving_worker - a worker that leaves, for a task without room elsewhere
@@ -99,4 +103,13 @@
 bool place_in_quarantine(struct pass *pass, const struct candidate *cand,
 			 struct job_task *task);
 
+/*
+ * place_gang_in_quarantine - the same for all tasks of a gang
+ *
+ * RETURN VALUE
+ *	How many were placed: all or none.
+ */
+uint32_t place_gang_in_quarantine(struct pass *pass,
+				  const struct candidate *cand);
+
 #endif
--- a/src/place_room.c
+++ b/src/place_room.c
@@ -47,13 +47,13 @@
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
 	struct worker *best = NULL;
 
-	if (!has_waited(pass->place, cand, task) || !place_may_reserve(pass))
+	if (!has_waited(pass->place, cand, task) || !place_may_reserve(pass, 1))
 		return;
 	for (guint i = 0; i < pass->usable->len; i++) {
 		struct worker *worker = pass->usable->pdata[i];
 
 		if (worker->reserved || !place_may_hold(cand, worker) ||
-		    !place_will_fit(worker, step))
+		    !place_will_fit(worker, step, 1))
 			continue;
 		if (!best || count_finite(worker) < count_finite(best))
 			best = worker;
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -16,7 +16,8 @@
 			       const struct job_task *task)
 {
 	return task->worker_boot_ms && worker->boot_ms &&
-	       task->worker_boot_ms != worker->boot_ms &&
+	       job_boot_tag(task->worker_boot_ms) !=
+		       job_boot_tag(worker->boot_ms) &&
 	       task->last_report != worker->reports;
 }
 
@@ -86,14 +87,10 @@
 static void judge(struct pool *pool, const struct crash_scene *scene,
 		  struct job_pos *pos)
 {
-	struct job_task *task = pos->task;
-
 	if (!is_to_blame(scene, pos))
 		return;
-	task->crashed_run = task->run;
-	task->crashes++;
-	pos->job->dirty = true;
-	if (crash_must_give_up(task))
+	crash_count(pos, false);
+	if (crash_must_give_up(pos->task))
 		give_up(pool, pos);
 }
 
@@ -184,9 +181,7 @@
 {
 	struct job_task *task = pos->task;
 
-	task->crashed_run = task->run;
-	task->lapses++;
-	pos->job->dirty = true;
+	crash_count(pos, true);
 	log_info("run-lapsed id=%s step=%u index=%u run=%d worker=%s "
 		 "crashes=%d lapses=%d",
 		 pos->job->id, pos->step, pos->index, task->run, task->worker,
