Play tasks that fill while capacities change

The simulated jobs all counted their processor time. One step in five now submits tasks that fill: their processor time does not count against the capacity, their memory does.

--- a/tests/fleet_capacity.c
+++ b/tests/fleet_capacity.c
@@ -11,7 +11,9 @@
 	/* A dead node starts again within this number of steps on average. */
 	DEAD_STEPS = 10,
 	/* Some worker's capacity changes once in this number of steps. */
-	CHANGE_STEPS = 8
+	CHANGE_STEPS = 8,
+	/* The tasks of jobs fill once in this number of steps. */
+	FILLS_STEPS = 5
 };
 
 static void stop_guarding(struct sim *sim)
@@ -69,6 +71,7 @@
 
 	sim->task_cpu_milli = 500 << rnd_below(&sim->rnd, 3);
 	sim->task_mem_mib = 125 * (int32_t)rnd_below(&sim->rnd, 4);
+	sim->fills = !rnd_below(&sim->rnd, FILLS_STEPS);
 	if (!rnd_below(&sim->rnd, CHANGE_STEPS))
 		fleet_capacity_set(sim, worker, cpu_milli,
 				   rnd_below(&sim->rnd, 2) ? mem_mib
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1137,7 +1137,7 @@
 		 random_below(sim, 1u << 31), random_below(sim, 1u << 31));
 	job->steps = steps;
 	job->width = width;
-	job->cpu_milli = sim->task_cpu_milli;
+	job->cpu_milli = sim->fills ? 0 : sim->task_cpu_milli;
 	job->mem_mib = sim->task_mem_mib;
 	g_hash_table_insert(sim->jobs, job->id, job);
 	if (!ask.queue) {
@@ -1149,10 +1149,11 @@
 		g_string_append_printf(
 			body,
 			"%s{\"count\":%d,\"cpu\":%d,\"memMb\":%d,"
-			"\"estMs\":%" G_GINT64_FORMAT "%s%s",
-			i ? "," : "", width, job->cpu_milli, job->mem_mib,
+			"\"estMs\":%" G_GINT64_FORMAT "%s%s%s",
+			i ? "," : "", width, sim->task_cpu_milli, job->mem_mib,
 			sim->task_ms + TASK_MS / 4,
-			sim->gang ? ",\"gang\":true" : "", options);
+			sim->gang ? ",\"gang\":true" : "",
+			sim->fills ? ",\"fills\":true" : "", options);
 		if (i)
 			g_string_append_printf(body, ",\"dependsOn\":[%d]",
 					       i - 1);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -90,7 +90,8 @@
 	bool unguarded; /* workers execute starts beyond their capacity */
 	int32_t task_cpu_milli; /* of the tasks of jobs submitted from now on */
 	int32_t task_mem_mib;
-	bool gang; /* the tasks of each of their steps are a gang */
+	bool gang;  /* the tasks of each of their steps are a gang */
+	bool fills; /* their tasks use the processor that others leave */
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
