Test that GPUs and tasks that fill keep to a worker's capacity

Neither had a test: GPUs are counted apart, also when they shrink; tasks that fill use memory only. Both pass on the code as it is. With one of seven lines of place_fits, place_occupy and place_is_over_capacity left out or changed (GPU and memory in each, processor time of tasks that fill), at least one test of test_room fails, for each of the seven.

--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -70,6 +70,43 @@
 }
 END_TEST
 
+/* GPUs must be kept apart from processors, and counted when they shrink. */
+START_TEST(tasks_use_no_more_gpus_than_the_worker_has)
+{
+	struct worker *worker =
+		pool_fixture_add_worker(&fixture, "w1", NULL, 4000);
+
+	worker->entry.gpu = 2;
+	pool_fixture_submit(&fixture, "0000000000000001",
+			    "{\"spec\":\"t\",\"steps\":[{\"count\":3,"
+			    "\"gpu\":1}]}");
+	ck_assert_uint_eq(place_all(), 2);
+	ck_assert(!place_is_over_capacity(worker));
+	worker->entry.gpu = 1;
+	ck_assert(place_is_over_capacity(worker));
+	ck_assert_uint_eq(place_all(), 0);
+	worker->entry.gpu = 3;
+	ck_assert_uint_eq(place_all(), 1);
+}
+END_TEST
+
+/* Tasks that fill must not be limited by processor time, nor exceed memory. */
+START_TEST(tasks_that_fill_use_memory_only)
+{
+	struct worker *worker =
+		pool_fixture_add_worker(&fixture, "w1", NULL, 1000);
+
+	pool_fixture_submit(&fixture, "0000000000000001",
+			    "{\"spec\":\"t\",\"steps\":[{\"count\":5,"
+			    "\"cpu\":2000,\"memMb\":250,\"fills\":true}]}");
+	ck_assert_uint_eq(place_all(), 4);
+	ck_assert_int_eq(worker->cpu_used_milli, 0);
+	worker->entry.mem_mib = 500;
+	ck_assert(place_is_over_capacity(worker));
+	ck_assert_uint_eq(place_all(), 0);
+}
+END_TEST
+
 /* Decodes a registry entry with this capacity; false if it is rejected. */
 static bool decode_capacity(const char *capacity, struct worker_entry *entry)
 {
@@ -208,6 +245,8 @@
 	log_init("test_room", true);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, largest_request_does_not_fit_beside_others);
+	tcase_add_test(tcase, tasks_use_no_more_gpus_than_the_worker_has);
+	tcase_add_test(tcase, tasks_that_fill_use_memory_only);
 	tcase_add_test(tcase, capacities_are_read_as_written);
 	tcase_add_test(tcase, requests_beyond_32_bits_do_not_fit);
 	tcase_add_test(tcase, backlog_does_not_count_shrunk_capacity_as_parked);
