Split the oracle's records from its checks of entry hosts

Structs that both share got the prefix oracle_. test_sessions replays the golden sessions, with violations among them, to the same bytes.

--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,8 @@
 		-lcheck -lm -lsubunit -lrt -o $@
 
 SESSION_SOURCES = tests/session.c tests/session_entry.c tests/session_guards.c \
-	tests/session_log.c tests/schedule.c tests/oracle.c
+	tests/session_log.c tests/schedule.c tests/oracle.c \
+	tests/oracle_records.c
 
 $(BUILD)/replay $(BUILD)/test_sessions: $(SESSION_SOURCES) \
 	$(wildcard tests/*.h)
