Settle lapses when their worker is heard of again

Cause: a task is given up with two proven crashes and otherwise waits for the host list, but only until it answers once; the next runs lapsed as well. A worker that came back after its lease was not taken as proof: the run had ended for its owner.

Fix: the owner remembers where a task's newest lapse happened. If that worker's next report is of a later life, the lapse becomes a crash; if not, it was cut off only and the lapse counts no more. This is not stored: after a takeover a lapse stays one. A task that has been started anew is not given up by it.

--- a/src/job.h
+++ b/src/job.h
@@ -106,8 +106,12 @@
 	/* The rest is known to the owner only and not stored. */
 	const char *quarantine; /* worker reserved for it; NULL: none */
 	int64_t reserved_ms;	/* when it was reserved */
-	int64_t since_ms;	/* start of the phase */
-	int64_t hold_until_ms;	/* not placed again before */
+	/* Where a run lapsed that is not settled yet, see pool_settle_lapses,
+	   and the start of that worker. */
+	const char *lapsed_at;
+	int64_t lapsed_boot_ms;
+	int64_t since_ms;      /* start of the phase */
+	int64_t hold_until_ms; /* not placed again before */
 	int64_t away_ms; /* since when a long-running one is not at work */
 	bool away_logged;
 	int32_t percent;
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -180,13 +180,20 @@
 			   !crash_is_settled(task, worker->last_report_ms));
 }
 
-static void count_lapse(struct pool *pool, struct job_pos *pos)
+static void count_lapse(struct pool *pool, struct worker *worker,
+			struct job_pos *pos)
 {
 	struct job_task *task = pos->task;
 
 	task->crashed_run = task->run;
 	task->lapses++;
+	task->lapsed_at = NULL;
 	pos->job->dirty = true;
+	if (worker && task->worker_boot_ms) {
+		worker->lapsed = true;
+		task->lapsed_at = worker->name;
+		task->lapsed_boot_ms = task->worker_boot_ms;
+	}
 	log_info("run-lapsed id=%s step=%u index=%u run=%d worker=%s "
 		 "crashes=%d lapses=%d",
 		 pos->job->id, pos->step, pos->index, task->run, task->worker,
@@ -195,6 +202,46 @@
 		give_up(pool, pos);
 }
 
+static void settle_lapse(struct pool *pool, const struct worker *worker,
+			 struct job_pos *pos)
+{
+	struct job_task *task = pos->task;
+	bool crashed = task->lapsed_boot_ms != worker->boot_ms;
+
+	task->lapsed_at = NULL;
+	if (!task->lapses)
+		return;
+	task->lapses--;
+	task->crashes += crashed;
+	pos->job->dirty = true;
+	log_info("lapse-settled id=%s step=%u index=%u worker=%s crashed=%d "
+		 "crashes=%d lapses=%d",
+		 pos->job->id, pos->step, pos->index, worker->entry.id, crashed,
+		 task->crashes, task->lapses);
+	/* One that has been started anew may survive its start. */
+	if (task->state == TASK_WAITING && crash_must_give_up(task))
+		give_up(pool, pos);
+}
+
+void pool_settle_lapses(struct pool *pool, struct worker *worker)
+{
+	struct job_store *jobs = pool->env->jobs;
+
+	if (!worker->lapsed)
+		return;
+	worker->lapsed = false;
+	for (guint i = 0; i < jobs->live->len; i++) {
+		struct job_pos pos = { .job = jobs->live->pdata[i] };
+
+		if (!share_has_job(&pool->share, pos.job) ||
+		    job_ended(pos.job->state))
+			continue;
+		while (job_next_task(&pos))
+			if (pos.task->lapsed_at == worker->name)
+				settle_lapse(pool, worker, &pos);
+	}
+}
+
 void pool_note_lost_run(struct pool *pool, struct job_pos *pos)
 {
 	struct worker *worker =
@@ -205,5 +252,5 @@
 	if (worker && is_replaced(pool, worker))
 		count_crash(pool, worker, true, "worker-replaced");
 	else if (may_have_crashed(worker, pos->task))
-		count_lapse(pool, pos);
+		count_lapse(pool, worker, pos);
 }
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -106,6 +106,14 @@
  */
 void pool_note_restart(struct pool *pool, struct worker *worker);
 
+/*
+ * pool_settle_lapses - find out what became of runs that lapsed at a worker
+ *
+ * Called with each report. A lapse is a crash if the worker has started again
+ * since, and counts no more if it has not.
+ */
+void pool_settle_lapses(struct pool *pool, struct worker *worker);
+
 /*
  * pool_note_lost_run - count a crash that is found out at the end of a lease
  *
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -236,6 +236,7 @@
 			  progress.runs, progress.work_ms);
 	if (new_life)
 		pool_note_restart(pool, worker);
+	pool_settle_lapses(pool, worker);
 	end_unlisted(pool, worker, asked_ms);
 	pool_unplaced_reported(pool, worker, asked_ms);
 }
--- a/src/worker.h
+++ b/src/worker.h
@@ -91,7 +91,8 @@
 	int64_t replaced_ms; /* its host ran another one then; 0: not known */
 	int64_t up_ms;	     /* its host ran it then; 0: not known */
 	int64_t counted_dead_ms; /* dead_ms whose crash has been counted */
-	int32_t starting;	 /* start orders in flight */
+	bool lapsed;	  /* runs have lapsed there since its last report */
+	int32_t starting; /* start orders in flight */
 	int64_t next_renew_ms;
 	int64_t avoid_until_ms; /* no new tasks before, after refusals */
 	uint32_t reports;	/* received so far */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -23,7 +23,14 @@
 	/* A suspect has left quarantine then. */
 	AT_WORK_MS = 1600,
 	/* Until the worker is known to stand still and the task has run again. */
-	MOVE_MS = 8000
+	MOVE_MS = 8000,
+	/* Longer than a lease. */
+	LATE_RETURN_MS = 6000,
+	/* As long as a start and its lease take. */
+	LIST_AWAY_MS = 4500,
+	LIST_BACK_MS = 100,
+	LIST_CHANGES = 8,
+	GIVE_UP_MS = 30000
 };
 
 /* Index of the worker that runs the job's only task; -1: none. */
@@ -97,6 +104,34 @@
 }
 END_TEST
 
+/*
+ * A task must not crash workers without end while the host list answers now and
+ * then only: workers that come back after their lease show that they crashed.
+ */
+START_TEST(crashes_are_counted_beside_a_host_list_that_fails_often)
+{
+	uint64_t seed = 300 + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 8);
+	struct fleet_play play = { 0 };
+
+	sim->crash_ms = LATE_RETURN_MS;
+	sim_run_for(sim, START_MS);
+	sim->faults.host_list_down = true;
+	sim_submit_deadly_job(sim, 0, 1, 2);
+	for (int i = 0; i < LIST_CHANGES; i++) {
+		submit_short_jobs(sim, LIST_AWAY_MS);
+		sim->faults.host_list_down = false;
+		submit_short_jobs(sim, LIST_BACK_MS);
+		sim->faults.host_list_down = true;
+	}
+	sim->faults.host_list_down = false;
+	sim_run_for(sim, GIVE_UP_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	fleet_check_ends(sim, &play);
+	ck_assert_msg(!play.broken[0], "%s", play.broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("suspects");
@@ -109,6 +144,9 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, suspect_on_a_stalled_worker_runs_elsewhere,
 			    0, SEEDS);
+	tcase_add_loop_test(
+		tcase, crashes_are_counted_beside_a_host_list_that_fails_often,
+		0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
