Choose workers of a suspect gang without counting tasks over and over

For each task of a gang that waits for its quarantine, each worker was compared with all tasks chosen so far. Each worker is filled before the next is chosen, as before.

--- a/src/place_quarantine.c
+++ b/src/place_quarantine.c
@@ -179,54 +179,55 @@
 	int32_t found;
 };
 
-static int32_t count_chosen(const struct gang *gang,
-			    const struct worker *worker)
-{
-	int32_t count = 0;
-
-	for (int32_t i = 0; i < gang->found; i++)
-		count += gang->chosen[i] == worker;
-	return count;
-}
-
-/* Whether the worker can take one more task of the gang, now or later. */
+/* Whether the worker can take one more task than those chosen for it. */
 static bool will_take(const struct gang *gang, const struct worker *worker,
 		      int32_t chosen)
 {
 	int32_t limit = gang->step->max_per_worker;
 
-	return (chosen || !worker->reserved) && (!limit || chosen < limit) &&
+	return (!limit || chosen < limit) &&
 	       place_may_hold(gang->cand, worker) &&
 	       will_fit(worker, gang->step, chosen + 1);
 }
 
+static struct worker *next_worker(const struct pass *pass,
+				  const struct gang *gang)
+{
+	struct worker *best = NULL;
+
+	for (guint i = 0; i < pass->usable->len; i++) {
+		struct worker *worker = pass->usable->pdata[i];
+
+		if (worker->reserved || !will_take(gang, worker, 0))
+			continue;
+		if (!best || is_ready_sooner(worker, best, gang->step))
+			best = worker;
+	}
+	return best;
+}
+
 /* Chooses workers for all tasks of the gang, as few as possible. */
 static bool choose_workers(const struct pass *pass, struct gang *gang)
 {
+	int32_t count = gang->step->count;
 	guint workers = 0;
 
-	while (gang->found < gang->step->count) {
-		struct worker *best = NULL;
-
-		for (guint i = 0; i < pass->usable->len; i++) {
-			struct worker *worker = pass->usable->pdata[i];
-			int32_t chosen = count_chosen(gang, worker);
-
-			if (!will_take(gang, worker, chosen))
-				continue;
-			if (chosen) {
-				best = worker;
-				break;
-			}
-			if (!best || is_ready_sooner(worker, best, gang->step))
-				best = worker;
-		}
-		if (!best)
-			return false;
-		workers += !count_chosen(gang, best);
-		gang->chosen[gang->found++] = best;
+	while (gang->found < count) {
+		struct worker *worker = next_worker(pass, gang);
+
+		if (!worker)
+			break;
+		/* Not chosen twice. */
+		worker->reserved = true;
+		workers++;
+		for (int32_t taken = 0;
+		     gang->found < count && will_take(gang, worker, taken);
+		     taken++)
+			gang->chosen[gang->found++] = worker;
 	}
-	return may_reserve(pass, workers);
+	for (int32_t i = 0; i < gang->found; i++)
+		gang->chosen[i]->reserved = false;
+	return gang->found == count && may_reserve(pass, workers);
 }
 
 static void reserve_workers(const struct place *place, struct gang *gang)
