Keep the limit per worker for the tasks of a gang

A gang with maxPerServer was started with more of its tasks on one worker than it allows: the limit counts placed tasks, and those of a gang are placed only once workers have been chosen for all. The chosen ones are now counted too.

Evidence: gang_keeps_its_limit_per_worker failed before: both tasks were placed on the only worker.

--- a/src/place.c
+++ b/src/place.c
@@ -159,6 +159,16 @@
 	return count;
 }
 
+static int32_t count_chosen(const struct candidate *cand,
+			    const struct worker *worker)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < cand->chosen_count; i++)
+		count += cand->chosen[i] == worker;
+	return count;
+}
+
 bool place_may_hold(const struct candidate *cand, const struct worker *worker)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
@@ -166,7 +176,9 @@
 	if (step->label[0] && !worker_has_label(worker, step->label))
 		return false;
 	return !step->max_per_worker ||
-	       count_placed(cand, worker->entry.id) < step->max_per_worker;
+	       count_placed(cand, worker->entry.id) +
+			       count_chosen(cand, worker) <
+		       step->max_per_worker;
 }
 
 bool place_has_room(const struct place *place, const struct job_pos *pos,
@@ -357,6 +369,7 @@
 			goto out;
 		run = MAX(run, tasks[i].run);
 	}
+	cand->chosen = chosen;
 	while (found < step->count) {
 		struct worker *worker = best_worker(pass, cand, &tasks[found]);
 
@@ -365,6 +378,7 @@
 		place_use_room(worker, step);
 		worker->suspects += crash_is_suspect(&tasks[found]);
 		chosen[found++] = worker;
+		cand->chosen_count = found;
 	}
 	for (int32_t i = 0; i < found; i++) {
 		if (found == step->count) {
@@ -380,6 +394,8 @@
 	if (found < step->count)
 		*pass = before;
 out:
+	cand->chosen = NULL;
+	cand->chosen_count = 0;
 	g_free(chosen);
 	return found == step->count ? (uint32_t)found : 0;
 }
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -26,6 +26,9 @@
 	bool long_running;
 	bool too_late; /* target_ms can no longer be met */
 	int64_t target_ms;
+	/* Workers chosen for tasks of a gang that are not placed yet. */
+	struct worker *const *chosen;
+	int32_t chosen_count;
 };
 
 /* place_use_room - count a task of the step as placed on the worker */
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -189,6 +189,22 @@
 }
 END_TEST
 
+/* A gang must not start more of its tasks on one worker than it says. */
+START_TEST(gang_keeps_its_limit_per_worker)
+{
+	struct worker *left, *right;
+
+	submit_job(ID_1, "{\"spec\":\"t\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+			 "\"gang\":true,\"maxPerServer\":1}]}");
+	left = add_worker("w1", "a", 4000);
+	ck_assert_uint_eq(run_placement(1000).placed, 0);
+	right = add_worker("w2", "a", 4000);
+	ck_assert_uint_eq(run_placement(1000).placed, 2);
+	ck_assert_int_eq(left->cpu_used_milli, 1000);
+	ck_assert_int_eq(right->cpu_used_milli, 1000);
+}
+END_TEST
+
 /* With demand above capacity, late jobs must not delay the others. */
 START_TEST(late_jobs_are_placed_last)
 {
@@ -645,6 +661,7 @@
 	tcase_add_test(tcase, lost_runs_do_not_count_as_attempts);
 	tcase_add_test(tcase, placement_respects_labels_spread_and_room);
 	tcase_add_test(tcase, gang_starts_completely_or_not_at_all);
+	tcase_add_test(tcase, gang_keeps_its_limit_per_worker);
 	tcase_add_test(tcase, late_jobs_are_placed_last);
 	tcase_add_test(tcase, backlog_counts_parked_hosts);
 	tcase_add_test(tcase, long_running_task_is_not_stopped_beyond_budget);
