Test that nothing starts beside a run of an unknown job

A run whose job is not known any more, as its record has expired, counts as the whole worker; no test showed it. nothing_starts_beside_a_run_of_an_unknown_job fails if place_fits ignores such runs (one start), and passes.

--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -192,6 +192,35 @@
 }
 END_TEST
 
+/* Beside a run of an unknown job, which may use all room, nothing may start. */
+START_TEST(nothing_starts_beside_a_run_of_an_unknown_job)
+{
+	struct sim *sim = create_unguarded(6);
+	struct worker_model *model = &sim->workers[0].model;
+	struct model_run unknown = {
+		.task = "00000000000000aa.0.0.0",
+		.run = 1,
+		.total_ms = 1,
+		.remaining_ms = 1,
+		.until_stopped = true,
+	};
+	struct sim_job *job;
+
+	for (int i = 1; i < WORKERS; i++)
+		fleet_capacity_set(sim, i, 0, 0);
+	model->stop_ms = 3000;
+	g_array_append_val(model->runs, unknown);
+	sim_run_for(sim, 1500);
+	job = sim_submit_job(sim, 0, 1, 1);
+	sim_run_for(sim, 1000);
+	ck_assert(job->accepted);
+	ck_assert_uint_eq(sim->started, 0);
+	sim_run_for(sim, 4000);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+	check_ends(sim);
+}
+END_TEST
+
 /* No start may bring a worker over its capacity, under load and with faults. */
 START_TEST(no_start_exceeds_a_capacity_that_changes)
 {
@@ -249,6 +278,7 @@
 	tcase_add_test(tcase, capacity_of_a_former_life_is_not_used);
 	tcase_add_test(tcase,
 		       tasks_without_requests_outlive_their_registry_entry);
+	tcase_add_test(tcase, nothing_starts_beside_a_run_of_an_unknown_job);
 	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
 	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
 			    count ? atoi(count) : SEEDS);
