--- a/src/ctl_command.c
+++ b/src/ctl_command.c
@@ -20,7 +20,7 @@
 /* First line of a file written by `settings --output`. */
 static const char header_format[] = "// plankctl: team %s, version %" PRId64;
 
-/* Version in the header line of a settings file, CTL_NO_BASE if not this team's. */
+/* Version in a settings file's header, CTL_NO_BASE if not this team's. */
 static int64_t read_header_version(const char *text, const char *team)
 {
 	char expected[2 * LIMIT_NAME_BYTES + 64];
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -3,8 +3,8 @@
  *	node_int - internals shared by the files of module node
  *
  * node_records.c applies the records of the streams, node_pools.c decides which
- * pools and hosts this node takes over, node_view.c answers operators, and node.c
- * puts the modules together.
+ * pools and hosts this node takes over, node_view.c answers operators, and
+ * node.c puts the modules together.
  */
 #ifndef NODE_INT_H
 #define NODE_INT_H
@@ -69,7 +69,7 @@
 struct pool *node_find_pool(const struct node *node, const char *name,
 			    uint32_t index);
 
-/* node_create_pools - create the pools of the configuration that do not exist */
+/* node_create_pools - create the configured pools that do not exist yet */
 void node_create_pools(struct node *node);
 
 /* node_owns_job - whether this node has taken over the share of the job */
