--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -221,6 +221,61 @@
 }
 END_TEST
 
+static struct sim *create_with_one_worker(uint64_t seed)
+{
+	struct sim *sim = create_unguarded(seed);
+
+	for (int i = 1; i < WORKERS; i++)
+		fleet_capacity_set(sim, i, 0, 0);
+	sim_run_for(sim, FLEET_SHRUNK_MS);
+	sim->task_cpu_milli = 1000;
+	return sim;
+}
+
+/* Runs of a cancelled job must use room before a report lists them again. */
+START_TEST(runs_of_a_cancelled_job_use_room_until_they_end)
+{
+	struct sim *sim = create_with_one_worker(7);
+	struct sim_job *first, *next;
+
+	sim->task_ms = 60000;
+	first = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 1000);
+	ck_assert_uint_eq(sim->started, 4);
+	sim->workers[0].model.stop_ms = 3000;
+	sim->task_ms = 100;
+	next = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 200);
+	sim_cancel(sim, 0, first);
+	sim_run_for(sim, 2500);
+	ck_assert_uint_eq(sim->started, 4);
+	sim_run_for(sim, 3000);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, next->id), JOB_DONE);
+	check_ends(sim);
+}
+END_TEST
+
+/* Starts without an answer use room until they are known not to happen. */
+START_TEST(late_starts_of_a_cancelled_job_use_room)
+{
+	struct sim *sim = create_with_one_worker(8);
+	struct sim_job *first, *next;
+
+	sim->task_ms = 3000;
+	sim->faults.order_late_percent = 100;
+	first = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 200);
+	sim_cancel(sim, 0, first);
+	sim_run_for(sim, 200);
+	sim->faults.order_late_percent = 0;
+	next = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 10000);
+	ck_assert(first->cancelled_ms);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, next->id), JOB_DONE);
+	check_ends(sim);
+}
+END_TEST
+
 /* No start may bring a worker over its capacity, under load and with faults. */
 START_TEST(no_start_exceeds_a_capacity_that_changes)
 {
@@ -279,6 +334,8 @@
 	tcase_add_test(tcase,
 		       tasks_without_requests_outlive_their_registry_entry);
 	tcase_add_test(tcase, nothing_starts_beside_a_run_of_an_unknown_job);
+	tcase_add_test(tcase, runs_of_a_cancelled_job_use_room_until_they_end);
+	tcase_add_test(tcase, late_starts_of_a_cancelled_job_use_room);
 	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
 	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
 			    count ? atoi(count) : SEEDS);
