--- a/Makefile
+++ b/Makefile
@@ -134,6 +134,8 @@
 UNIT_TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 PROCESS_TESTS = $(wildcard tests/process_*.sh)
 
+$(UNIT_TESTS): tests/suite.h
+
 tests: all standins $(UNIT_TESTS)
 
 # Process tests watch real time; few run side by side.
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -7,6 +7,7 @@
 
 #include "admit.h"
 #include "rnd.h"
+#include "suite.h"
 
 enum { DISTANT_DEADLINE_MS = 1000000, MAX_ENTRIES = 64 };
 
@@ -369,8 +370,6 @@
 {
 	Suite *suite = suite_create("admit");
 	TCase *tcase = tcase_create("admit");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_add_checked_fixture(tcase, set_up, tear_down);
@@ -384,8 +383,5 @@
 	tcase_add_test(tcase, test_leaving_workers);
 	tcase_add_test(tcase, test_overload);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -11,6 +11,7 @@
 
 #include "call.h"
 #include "evloop.h"
+#include "suite.h"
 
 enum {
 	CALLS = 100,
@@ -127,14 +128,8 @@
 {
 	Suite *suite = suite_create("call");
 	TCase *calls = tcase_create("calls");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(calls, connections_to_one_address_are_bounded);
 	suite_add_tcase(suite, calls);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -12,6 +12,7 @@
 
 #include "claim.h"
 #include "rnd.h"
+#include "suite.h"
 
 enum { HOSTS = 4, KEYS = 400, ATTEMPTS = 3000, MAX_LOG = 20000, STEPS = 9000 };
 enum { MINUTE_MS = 60 * 1000, WINDOW_MS = 60 * MINUTE_MS };
@@ -491,8 +492,6 @@
 {
 	Suite *suite = suite_create("claims");
 	TCase *tcase = tcase_create("claims");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 300);
 	tcase_add_checked_fixture(tcase, setup, NULL);
@@ -505,8 +504,5 @@
 	tcase_add_test(tcase, interval_grows_with_the_members);
 	tcase_add_test(tcase, no_key_runs_twice);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -10,6 +10,7 @@
 #include "fleet.h"
 #include "record.h"
 #include "fleet_text.h"
+#include "suite.h"
 
 static struct fleet *fleet;
 static int64_t next_offset;
@@ -371,8 +372,6 @@
 {
 	Suite *suite = suite_create("core");
 	TCase *tcase = tcase_create("fleet state");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_add_checked_fixture(tcase, setup, teardown);
@@ -388,8 +387,5 @@
 	tcase_add_test(tcase, assign_moves_a_drained_host);
 	tcase_add_test(tcase, snapshot_gives_the_same_bytes);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_hostlist.c
+++ b/tests/test_hostlist.c
@@ -7,6 +7,7 @@
 #include <check.h>
 
 #include "hostlist.h"
+#include "suite.h"
 
 static void (*answer)(void *arg, int status,
 		      const struct platclient_host *hosts, uint32_t count);
@@ -123,16 +124,10 @@
 {
 	Suite *suite = suite_create("hostlist");
 	TCase *tcase = tcase_create("hostlist");
-	SRunner *runner;
-	int failed;
 
 	apr_initialize();
 	tcase_add_test(tcase, older_list_does_not_undo_a_return);
 	tcase_add_test(tcase, leaving_host_stays_marked);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return suite_run(suite);
 }
--- a/tests/test_input.c
+++ b/tests/test_input.c
@@ -12,6 +12,7 @@
 #include "record.h"
 #include "rnd.h"
 #include "fleet_text.h"
+#include "suite.h"
 #include "teamconf.h"
 
 enum { ROUNDS = 4000, SEED = 20261204 };
@@ -410,8 +411,6 @@
 {
 	Suite *suite = suite_create("input");
 	TCase *tcase = tcase_create("parsers");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_set_timeout(tcase, 60);
@@ -420,8 +419,5 @@
 	tcase_add_test(tcase, audit_text_stays_utf8);
 	tcase_add_loop_test(tcase, mutated_input_is_refused_or_kept, 0, 20);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -7,6 +7,7 @@
 
 #include "arrival.h"
 #include "histo.h"
+#include "suite.h"
 
 static struct histo histo;
 
@@ -100,16 +101,11 @@
 {
 	Suite *suite = suite_create("load");
 	TCase *tcase = tcase_create("load generator");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, percentile_error_is_bounded);
 	tcase_add_test(tcase, extreme_values_are_counted);
 	tcase_add_test(tcase, same_seed_gives_same_schedule);
 	tcase_add_test(tcase, bursts_take_turns_and_keep_the_mean);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -8,6 +8,7 @@
 #include <check.h>
 
 #include "node_metrics.h"
+#include "suite.h"
 
 static apr_pool_t *pool;
 
@@ -62,18 +63,14 @@
 {
 	Suite *suite = suite_create("metrics");
 	TCase *tcase = tcase_create("metrics");
-	SRunner *runner;
-	int failed;
+	int status;
 
 	apr_initialize();
 	apr_pool_create(&pool, NULL);
 	tcase_add_test(tcase, each_line_is_well_formed);
 	tcase_add_test(tcase, latencies_have_their_quantiles);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
+	status = suite_run(suite);
 	apr_pool_destroy(pool);
-	return failed ? 1 : 0;
+	return status;
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -5,6 +5,7 @@
 
 #include "member.h"
 #include "sim.h"
+#include "suite.h"
 
 enum { MAX_TEXT = 32768, SEED = 7, NIGHT_S = 8 * 3600 };
 
@@ -618,8 +619,6 @@
 {
 	Suite *suite = suite_create("planner");
 	TCase *tcase = tcase_create("waves, moves and members");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_set_timeout(tcase, 60);
@@ -643,8 +642,5 @@
 	tcase_add_test(tcase, outdated_heartbeat_is_repeated);
 	tcase_add_loop_test(tcase, seeded_sessions_keep_the_budgets, 0, 20);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -13,6 +13,7 @@
 #include <apr_general.h>
 
 #include "proxy.h"
+#include "suite.h"
 
 /* Relative to PLANK_BASE_PORT. */
 enum { ENTRY_PORT_OFFSET = 590, WORKER_PORT_OFFSET = 591 };
@@ -311,15 +312,10 @@
 {
 	Suite *suite = suite_create("proxy");
 	TCase *tcase = tcase_create("proxy");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_add_loop_test(tcase, test_claims, 0,
 			    sizeof(scenarios) / sizeof(scenarios[0]));
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -15,6 +15,7 @@
 #include "replica.h"
 #include "fleet_text.h"
 #include "snapshot.h"
+#include "suite.h"
 
 enum { MAX_RECORDS = 4096, MAX_CALLS = 16 };
 
@@ -464,8 +465,6 @@
 {
 	Suite *suite = suite_create("replica");
 	TCase *tcase = tcase_create("replica, snapshots, proposer");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_add_checked_fixture(tcase, setup, teardown);
@@ -479,8 +478,5 @@
 	tcase_add_test(tcase, snapshot_parts_are_assembled);
 	tcase_add_test(tcase, snapshot_write_survives_lost_answers);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -11,6 +11,7 @@
 #include "fleet.h"
 #include "record.h"
 #include "route.h"
+#include "suite.h"
 
 static const char *const data_centres[] = { "suva", "lautoka", "levuka" };
 static struct fleet *fleet;
@@ -468,8 +469,7 @@
 {
 	Suite *suite = suite_create("route");
 	TCase *tcase = tcase_create("route");
-	SRunner *runner;
-	int failed;
+	int status;
 
 	apr_initialize();
 	tcase_add_checked_fixture(tcase, setup, teardown);
@@ -486,10 +486,7 @@
 	tcase_add_test(tcase, leaving_worker_gets_no_requests);
 	tcase_add_test(tcase, sizes_exclude_small_workers);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
+	status = suite_run(suite);
 	apr_terminate();
-	return failed ? 1 : 0;
+	return status;
 }
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -16,6 +16,7 @@
 #include <check.h>
 
 #include "schedule.h"
+#include "suite.h"
 
 enum {
 	PROCESS_COUNT = 6,
@@ -145,16 +146,11 @@
 {
 	Suite *suite = suite_create("sessions");
 	TCase *tcase = tcase_create("sessions");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase, golden_sessions_keep_their_outcome);
 	tcase_add_test(tcase, random_sessions_break_no_promise);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -14,6 +14,7 @@
 #include "place.h"
 #include "rnd.h"
 #include "share.h"
+#include "suite.h"
 #include "wire.h"
 
 enum { HOSTS = 1100, JOBS = 4000 };
@@ -206,8 +207,6 @@
 {
 	Suite *suite = suite_create("share");
 	TCase *tcase = tcase_create("share");
-	SRunner *runner;
-	int failed;
 
 	apr_initialize();
 	log_init("test_share", true);
@@ -219,9 +218,5 @@
 	tcase_add_test(tcase, owners_of_a_pool_use_separate_workers);
 	tcase_add_test(tcase, wave_spreads_over_its_time);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return suite_run(suite);
 }
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -3,6 +3,7 @@
 #include <check.h>
 
 #include "speed.h"
+#include "suite.h"
 
 enum { REPORT_MS = 100, ESTIMATE_MS = 2000 };
 
@@ -107,8 +108,6 @@
 {
 	Suite *suite = suite_create("speed");
 	TCase *tcase = tcase_create("speed");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, stalled_worker_is_slow);
 	tcase_add_test(tcase, worker_at_a_sixth_is_slow);
@@ -118,9 +117,5 @@
 	tcase_add_test(tcase, slow_is_relative_to_the_median);
 	tcase_add_test(tcase, task_moves_only_if_it_ends_sooner);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return suite_run(suite);
 }
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -8,6 +8,7 @@
 
 #include "log.h"
 #include "standby.h"
+#include "suite.h"
 
 static const struct nodeconf large_node = {
 	.core_share = 0.5,
@@ -157,8 +158,6 @@
 {
 	Suite *suite = suite_create("standby");
 	TCase *tcase = tcase_create("standby");
-	SRunner *runner;
-	int failed;
 
 	apr_initialize();
 	log_init("test_standby", true);
@@ -169,9 +168,5 @@
 	tcase_add_test(tcase, small_node_stays_out_after_a_cut);
 	tcase_add_test(tcase, settings_determine_the_size);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return suite_run(suite);
 }
--- a/tests/test_tail.c
+++ b/tests/test_tail.c
@@ -7,6 +7,7 @@
 #include <check.h>
 
 #include "log.h"
+#include "suite.h"
 #include "tail.h"
 
 enum { GAP_MS = 150, WAIT_MS = 1500, START_MS = 1000 };
@@ -135,8 +136,6 @@
 {
 	Suite *suite = suite_create("tail");
 	TCase *tcase = tcase_create("tail");
-	SRunner *runner;
-	int failed;
 
 	apr_initialize();
 	log_init("test_tail", true);
@@ -144,9 +143,5 @@
 	tcase_add_test(tcase, reads_go_on_at_once_when_behind);
 	tcase_add_test(tcase, reads_pause_without_progress);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return suite_run(suite);
 }
--- a/tests/test_web.c
+++ b/tests/test_web.c
@@ -13,6 +13,7 @@
 #include <check.h>
 
 #include "log.h"
+#include "suite.h"
 #include "web.h"
 
 enum { IDLE_MS = 1000, TURN_MS = 10, MAX_TURNS = 200 };
@@ -145,8 +146,6 @@
 	Suite *suite = suite_create("web");
 	TCase *idle = tcase_create("idle");
 	TCase *busy = tcase_create("request at the stop");
-	SRunner *runner;
-	int failed;
 
 	apr_initialize();
 	log_init("test_web", true);
@@ -157,9 +156,5 @@
 	tcase_add_test(busy, stopped_loop_reads_no_request);
 	tcase_add_test(busy, unread_input_ends_the_idle_time);
 	suite_add_tcase(suite, busy);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return suite_run(suite);
 }
