Count a lapse for runs of an earlier owner on a worker that started lately

What callers would see: a task crashed six workers and more (BUDGET) if the host list was away and the owner died at each crash, before it had stored it.

Cause: the start of a run's worker is stored only for a task with crashes. The next owner read from the worker's first report that the run was gone, and took it as never started, though the worker had been back for a second only.

Fix: such a run is a lapse if the worker started at most 3 s before the takeover, the time in which the earlier owner may have sent it. To store the start with each placement would need no guess, but adds to each record.

--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -4,6 +4,9 @@
 #include "log.h"
 #include "pool_int.h"
 
+/* An owner that dies has usually been replaced within this time. */
+enum { POOL_TAKEOVER_MS = 3000 };
+
 /* The tasks that a worker's crash is judged by. */
 struct crash_scene {
 	const struct worker *worker;
@@ -202,6 +205,23 @@
 		give_up(pool, pos);
 }
 
+/* Whether the worker started when an earlier owner may still have sent runs. */
+static bool started_lately(const struct pool *pool, const struct worker *worker)
+{
+	int64_t age_ms = clk_wall_ms(pool->env->clk) - worker->boot_ms;
+	int64_t owned_ms = pool_now_ms(pool) - pool->ownership.acquired_ms;
+
+	return worker->boot_ms && age_ms < owned_ms + POOL_TAKEOVER_MS;
+}
+
+void pool_note_unlisted(struct pool *pool, struct worker *worker,
+			struct job_pos *pos)
+{
+	if (pos->task->phase == PHASE_UNKNOWN && !pos->task->worker_boot_ms &&
+	    crash_may_count(pos->task) && started_lately(pool, worker))
+		count_lapse(pool, worker, pos);
+}
+
 static void settle_lapse(struct pool *pool, const struct worker *worker,
 			 struct job_pos *pos)
 {
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -106,6 +106,15 @@
  */
 void pool_note_restart(struct pool *pool, struct worker *worker);
 
+/*
+ * pool_note_unlisted - count a lapse if a run may have crashed its worker
+ *
+ * For a run that the worker's report should list but does not. One that an
+ * earlier owner placed may have been sent to an earlier life of the worker.
+ */
+void pool_note_unlisted(struct pool *pool, struct worker *worker,
+			struct job_pos *pos);
+
 /*
  * pool_settle_lapses - find out what became of runs that lapsed at a worker
  *
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -171,8 +171,10 @@
 		while (job_next_task(&pos))
 			if (is_placed_run(&pos, worker, pos.task->run) &&
 			    pos.task->last_report != worker->reports &&
-			    must_list(pos.task, asked_ms))
+			    must_list(pos.task, asked_ms)) {
+				pool_note_unlisted(pool, worker, &pos);
 				pool_end_run(pool, &pos, END_STOPPED, NULL);
+			}
 	}
 }
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -24,6 +24,8 @@
 	AT_WORK_MS = 1600,
 	/* Until the worker is known to stand still and the task has run again. */
 	MOVE_MS = 8000,
+	/* Before another owner has taken over. */
+	EARLY_RETURN_MS = 1500,
 	/* Longer than a lease. */
 	LATE_RETURN_MS = 6000,
 	/* As long as a start and its lease take. */
@@ -132,6 +134,41 @@
 }
 END_TEST
 
+/*
+ * A crash must be counted though its owner dies at once, the host list is away,
+ * and the worker is back when the next owner asks it.
+ */
+START_TEST(crashes_are_counted_though_each_owner_dies)
+{
+	uint64_t seed = 300 + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, 3, 6);
+	struct fleet_play play = { 0 };
+	struct sim_job *job;
+	int32_t crashes = 0;
+
+	sim->crash_ms = EARLY_RETURN_MS;
+	sim_run_for(sim, START_MS);
+	sim->faults.host_list_down = true;
+	job = sim_submit_deadly_job(sim, 0, 1, 2);
+	for (int i = 0; i < 2 * GIVE_UP_MS / STEP_MS; i++) {
+		int owner = fleet_owner(sim);
+
+		sim_run_for(sim, STEP_MS);
+		if (job->crashes == crashes || owner < 0)
+			continue;
+		crashes = job->crashes;
+		sim_kill(sim, owner);
+		sim_run_for(sim, LOAD_STEP_MS);
+		sim_start(sim, owner);
+	}
+	sim->faults.host_list_down = false;
+	sim_run_for(sim, GIVE_UP_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	fleet_check_ends(sim, &play);
+	ck_assert_msg(!play.broken[0], "%s", play.broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("suspects");
@@ -147,6 +184,8 @@
 	tcase_add_loop_test(
 		tcase, crashes_are_counted_beside_a_host_list_that_fails_often,
 		0, SEEDS);
+	tcase_add_loop_test(tcase, crashes_are_counted_though_each_owner_dies,
+			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
