Show late crashes that are not counted, known red

tests/test_suspects.c, 5 of 5 checks fail: a task crashes its workers 2 s after its start, beside others that start all the time, and is never blamed (BUDGET).

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -16,7 +16,7 @@
 	TASK_CPU_MILLI = 1000,
 	LATE_MIN_MS = 500,
 	LATE_RANGE_MS = 8000,
-	/* A task that crashes its worker does so within this time. */
+	/* A task crashes its worker within so long after sim.crash_delay_ms. */
 	CRASH_DELAY_MS = 60
 };
 
@@ -500,7 +500,8 @@
 	event->worker = start->worker;
 	event->born_ms = start->born_ms;
 	event->task = g_strdup(start->task);
-	schedule(sim, event, random_below(sim, CRASH_DELAY_MS));
+	schedule(sim, event,
+		 sim->crash_delay_ms + random_below(sim, CRASH_DELAY_MS));
 }
 
 static enum order_outcome
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -73,8 +73,9 @@
 };
 
 struct sim {
-	uint32_t share_hosts; /* setting of the nodes */
-	int64_t task_ms;      /* least duration of the tasks that start */
+	uint32_t share_hosts;	/* setting of the nodes */
+	int64_t task_ms;	/* least duration of the tasks that start */
+	int64_t crash_delay_ms; /* at work of a task that crashes its worker */
 	int64_t crash_ms; /* until a worker that a task has crashed is back */
 	struct clk clk;
 	struct rnd rnd;
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -4,6 +4,7 @@
  * and workers.
  */
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <apr_general.h>
@@ -16,6 +17,7 @@
 enum {
 	START_MS = 3000,
 	SEEDS = 20,
+	KNOWN_RED_SEEDS = 5,
 	STEP_MS = 20,
 	LOAD_STEP_MS = 200,
 	SHORT_TASK_MS = 400,
@@ -32,7 +34,11 @@
 	LIST_AWAY_MS = 4500,
 	LIST_BACK_MS = 100,
 	LIST_CHANGES = 8,
-	GIVE_UP_MS = 30000
+	GIVE_UP_MS = 30000,
+	/* Of a task that crashes its worker, and of those beside it. */
+	CRASH_DELAY_MS = 2000,
+	MEDIUM_TASK_MS = 3000,
+	LOAD_MS = 12000
 };
 
 /* Index of the worker that runs the job's only task; -1: none. */
@@ -169,6 +175,46 @@
 }
 END_TEST
 
+/*
+ * A task that crashes its workers seconds after its start must be given up, though
+ * others start beside it all the time. KNOWN-RED.txt: it is not.
+ */
+START_TEST(late_crashes_are_counted_beside_tasks_that_start)
+{
+	struct sim *sim = sim_create(300 + (uint64_t)_i, 3, 6);
+
+	sim->crash_delay_ms = CRASH_DELAY_MS;
+	sim_run_for(sim, START_MS);
+	sim->task_ms = MEDIUM_TASK_MS;
+	sim_submit_deadly_job(sim, 0, 1, 3);
+	for (int i = 0; i < LOAD_MS / LOAD_STEP_MS; i++) {
+		sim_submit_job(sim, 0, 1, 2);
+		sim_run_for(sim, LOAD_STEP_MS);
+	}
+	sim_run_for(sim, GIVE_UP_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
+/* Runs the test of KNOWN-RED.txt; its failures are printed and not counted. */
+static void run_known_red(void)
+{
+	Suite *suite = suite_create("suspects, known red");
+	TCase *tcase = tcase_create("late crashes");
+	SRunner *runner = srunner_create(suite);
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase,
+			    late_crashes_are_counted_beside_tasks_that_start, 0,
+			    KNOWN_RED_SEEDS);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_SILENT);
+	printf("KNOWN RED: late_crashes_are_counted_beside_tasks_that_start: "
+	       "%d of %d fail\n",
+	       srunner_ntests_failed(runner), KNOWN_RED_SEEDS);
+	srunner_free(runner);
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("suspects");
@@ -190,5 +236,6 @@
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
+	run_known_red();
 	return failed != 0;
 }
