Test late starts whose stop orders are lost

A stop that is not confirmed does not keep a late start from happening. Two guards against that had no test that fails without them: unplaced runs stay until a report after the confirmed stop (pool_unplaced_reported), and so do placed ones that are being stopped (must_list). The simulation can now lose all stop orders.

Both pass on the code as it is.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -654,7 +654,8 @@
 	struct sim *sim = client->sim;
 	struct sim_node *node = &sim->nodes[client->node];
 
-	if (node->cut_from_worker[event->worker]) {
+	if (node->cut_from_worker[event->worker] ||
+	    (event->kind == 'x' && sim->faults.stops_lost)) {
 		event->outcome = ORDER_UNKNOWN;
 		event->fn = answer_order;
 		schedule(sim, event, 500);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -69,6 +69,7 @@
 	uint32_t order_lost_percent;
 	uint32_t unhealthy_percent;  /* starts refused by workers */
 	uint32_t order_late_percent; /* orders executed seconds late */
+	bool stops_lost;	     /* stop orders are not executed */
 	int64_t start_answer_ms;     /* added delay of start answers */
 	bool log_down;
 	bool host_list_down;
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -16,6 +16,8 @@
 	START_MS = 3000,
 	WORKERS = 4,
 	SEEDS = 25,
+	LATE_SEEDS =
+		10, /* in some the late start comes before its lease ends */
 	/* Within so many seeds the check must have detected a disabled guard. */
 	DETECTION_SEEDS = 5
 };
@@ -265,10 +267,12 @@
 	sim->faults.order_late_percent = 100;
 	first = sim_submit_job(sim, 0, 1, 4);
 	sim_run_for(sim, 200);
-	sim_cancel(sim, 0, first);
-	sim_run_for(sim, 200);
 	sim->faults.order_late_percent = 0;
+	sim->faults.stops_lost = true;
+	sim_cancel(sim, 0, first);
 	next = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 5000);
+	sim->faults.stops_lost = false;
 	sim_run_for(sim, 10000);
 	ck_assert(first->cancelled_ms);
 	ck_assert_int_eq(sim_get_job_state(sim, 0, next->id), JOB_DONE);
@@ -276,6 +280,29 @@
 }
 END_TEST
 
+/* A withdrawn task must not start elsewhere while its first start may happen. */
+START_TEST(withdrawn_start_that_is_late_does_not_run_twice)
+{
+	struct sim *sim = create_with_one_worker(9 + (uint64_t)_i);
+	struct sim_job *job;
+
+	sim->task_ms = 3000;
+	sim->faults.order_late_percent = 100;
+	job = sim_submit_job(sim, 0, 1, 4);
+	sim_run_for(sim, 200);
+	fleet_capacity_set(sim, 0, 0, FLEET_MEM_MIB);
+	fleet_capacity_set(sim, 1, FLEET_CPU_MILLI, FLEET_MEM_MIB);
+	sim_run_for(sim, 700);
+	sim->faults.order_late_percent = 0;
+	sim->faults.stops_lost = true;
+	sim_run_for(sim, 5000);
+	sim->faults.stops_lost = false;
+	sim_run_for(sim, 10000);
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+	check_ends(sim);
+}
+END_TEST
+
 /* No start may bring a worker over its capacity, under load and with faults. */
 START_TEST(no_start_exceeds_a_capacity_that_changes)
 {
@@ -336,6 +363,9 @@
 	tcase_add_test(tcase, nothing_starts_beside_a_run_of_an_unknown_job);
 	tcase_add_test(tcase, runs_of_a_cancelled_job_use_room_until_they_end);
 	tcase_add_test(tcase, late_starts_of_a_cancelled_job_use_room);
+	tcase_add_loop_test(tcase,
+			    withdrawn_start_that_is_late_does_not_run_twice, 0,
+			    LATE_SEEDS);
 	tcase_add_test(tcase, check_detects_nodes_that_miss_changes);
 	tcase_add_loop_test(tcase, no_start_exceeds_a_capacity_that_changes, 0,
 			    count ? atoi(count) : SEEDS);
