Judge crashes with the tasks of jobs that have just ended

What callers would see: a sound long-running job shown as failed. A job with several tasks that crash their workers fails with the first that is given up; its others crash theirs a moment later.

Cause: tasks of ended jobs were left out when a crash was judged, so it was blamed on sound tasks beside them that had survived their start but were not cleared.

Fix: they take part, but nothing is counted for them any more. A job whose end has been stored is still left out.

--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -47,8 +47,7 @@
 	for (guint i = 0; i < jobs->live->len; i++) {
 		struct job_pos pos = { .job = jobs->live->pdata[i] };
 
-		if (!share_has_job(&pool->share, pos.job) ||
-		    job_ended(pos.job->state))
+		if (!share_has_job(&pool->share, pos.job))
 			continue;
 		while (job_next_task(&pos))
 			if (crashed_under(scene->worker, dead, pos.task))
@@ -87,7 +86,8 @@
 static void judge(struct pool *pool, const struct crash_scene *scene,
 		  struct job_pos *pos)
 {
-	if (!is_to_blame(scene, pos))
+	/* Tasks of an ended job only show that others are not to blame. */
+	if (job_ended(pos->job->state) || !is_to_blame(scene, pos))
 		return;
 	crash_count(pos, false);
 	if (crash_must_give_up(pos->task))
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -403,6 +403,13 @@
 	tcase_add_loop_test(lasting,
 			    lasting_task_that_crashes_workers_is_given_up, 0,
 			    seeds);
+	/* Two seeds where others of a job crash workers once it has failed. */
+	tcase_add_loop_test(lasting,
+			    lasting_task_that_crashes_workers_is_given_up, 158,
+			    159);
+	tcase_add_loop_test(lasting,
+			    lasting_task_that_crashes_workers_is_given_up, 290,
+			    291);
 	tcase_add_loop_test(gangs, gang_that_crashes_workers_is_given_up, 0,
 			    seeds);
 	tcase_add_loop_test(
