--- a/src/job_record.c
+++ b/src/job_record.c
@@ -13,11 +13,11 @@
  * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
  * for each other task that has been started. "boots" has, for each task that is
  * placed, in the order of the rows, the tag of the start of its worker, so that
- * the next owner sees a crash after which the worker is back. "crashes", if there are any, has a
- * row [occurrence, step, index, crashes, run, boot_ms, lapses] for each
- * task under which workers have crashed; run is the newest one under which that
- * was counted, and boot_ms the start of the worker that the task is placed on, or
- * its tag.
+ * the next owner sees a crash after which the worker is back. "crashes", if there
+ * are any, has a row [occurrence, step, index, crashes, run, boot_ms, lapses] for
+ * each task under which workers have crashed; run is the newest one under which
+ * that was counted, and boot_ms the start of the worker that the task is placed
+ * on, or its tag.
  */
 
 char *job_submission_record(const char *queue, const char *pool,
