Look at all entry hosts at once for requests in progress

It asks for 14 requests of 3.5 s in progress at the same time, and asked the eight entry hosts one after the other. It asks them by one command now; what it wants to see is the same.

--- a/tests/process_fleet.sh
+++ b/tests/process_fleet.sh
@@ -39,12 +39,15 @@
 	done
 	wait_until 10 in_progress ${#REQUESTS[@]} || fail "requests do not reach workers"
 }
+# in_progress COUNT: so many are; one look at all entry hosts, as each request
+# ends after some seconds
 in_progress() {
-	local i active=0
+	local i urls=()
 	for ((i = 0; i < 8; i++)); do
-		active=$((active + $(metric "$(entry_url $i)" requests_active || echo 0)))
+		urls+=("$(entry_url $i)/metrics")
 	done
-	[ $active -ge "$1" ]
+	[ "$(curl -s "${urls[@]}" | awk '$1 == "plank_requests_active" { sum += $2 }
+		END { print sum + 0 }')" -ge "$1" ]
 }
 end_requests() { # WHAT: waits; every request must be answered by a worker
 	local k
