--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	ctl_command ctl_print report histo arrival load_report
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
 	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
-	pool_away pool_unplaced crash place_backlog place_room place_quarantine host_plan \
+	pool_away pool_unplaced crash place_backlog place_room place_quarantine \
+	host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node_records node_pools node_view node
 PLATFORM = call json store wire order_api host_api ingress platform
@@ -98,7 +99,8 @@
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
 FLEET_SOURCES = tests/fleet_capacity.c tests/fleet_capacity.h \
-	tests/fleet_gang.c tests/fleet_gang.h tests/fleet_play.c tests/fleet_play.h tests/fleet_sim.c \
+	tests/fleet_gang.c tests/fleet_gang.h tests/fleet_play.c \
+	tests/fleet_play.h tests/fleet_sim.c \
 	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
