Wait until a shrunk capacity is known before a task that fits the former one

Trace, from the log in its output: the entry of worker i-1 had stated thousandths of a core, which is the largest number of 32 bits for the node; the test set it back to 8000 and submitted the task at 37.072, and the owner's report at 37.675 is the first with the new entry. Until then the task fitted, which is allowed: a capacity that has shrunk counts some seconds later. The test now waits until the owner has seen it; what it checks stays.

--- a/tests/process_capacity.sh
+++ b/tests/process_capacity.sh
@@ -78,6 +78,7 @@
 submit 0 1 1000 64
 expect_state 1 "$ID" done
 say_full
+wait_until 10 grep -q "worker-capacity worker=i-1 cpu_milli=8000 was=2147483647" "$WORK"/node?.log || fail "the shrunk capacity is not noticed"
 submit 0 1 4294967297 64
 HUGE=$ID
 sleep 1
