Log what a former owner does without a membership, and whose lease a lost run waited for

A run that is started again while its former run still has a lease could not be told from other causes: no line said that the former owner goes on without the log, nor whether the bound that the successor waited for was its own or that of a former owner. membership-over and membership-valid are logged once a change and pool; run-lost tells whether the worker has accepted the fence, how long the lease is over and how long ago the takeover was.

--- a/src/pool.c
+++ b/src/pool.c
@@ -74,6 +74,7 @@
 
 	pool->env->counts.takeovers++;
 	pool->starting = 0;
+	pool->membership_over = false;
 	pool_unplaced_clear(pool);
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
 		struct host_plan *plan = pool->env->plans->list->pdata[i];
@@ -411,11 +412,28 @@
 	}
 }
 
+/* Logs that the owner acts on without a valid membership, and the end of that. */
+static void note_membership(struct pool *pool)
+{
+	const struct ownership *ownership = &pool->ownership;
+	int64_t over_ms = pool_now_ms(pool) - ownership->authority_end_ms;
+	bool over = over_ms >= 0;
+
+	if (over == pool->membership_over)
+		return;
+	pool->membership_over = over;
+	log_info("membership-%s of=%s fence=%" G_GINT64_FORMAT
+		 " over_ms=%" G_GINT64_FORMAT,
+		 over ? "over" : "valid", ownership->name, ownership->fence,
+		 over_ms);
+}
+
 void pool_tick(struct pool *pool)
 {
 	struct job_store *jobs = pool->env->jobs;
 
 	if (ownership_held(&pool->ownership)) {
+		note_membership(pool);
 		pool_end_lost(pool);
 		place_waiting_tasks(pool);
 		pool_drain_workers(pool);
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -17,6 +17,7 @@
 	double typical_rate;	    /* last known of the workers; 0: none yet */
 	int32_t starting;	    /* start orders in flight */
 	int64_t next_expiry_ms;	    /* next search for expired jobs */
+	bool membership_over;	    /* it has run out; logged once */
 	GHashTable *pending_writes; /* callback arguments of the writer */
 	GArray *unplaced;	    /* struct unplaced_run */
 };
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -297,6 +297,16 @@
 	       (!task->unanswered_starts && task->phase != PHASE_UNKNOWN);
 }
 
+/* Whether only this owner can have extended the lease of the task's worker. */
+static bool has_accepted_fence(const struct pool *pool,
+			       const struct job_task *task)
+{
+	const struct worker *worker =
+		worker_find(pool->env->workers, task->worker);
+
+	return worker && worker->fence_accepted;
+}
+
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
 	int64_t end_ms = pool_lease_end_ms(pool, pos->task->worker);
@@ -307,10 +317,12 @@
 		return;
 	pool_note_lost_run(pool, pos);
 	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s why=%s "
-		 "crashes=%d",
+		 "crashes=%d fenced=%d lease_over_ms=%" G_GINT64_FORMAT
+		 " owner_ms=%" G_GINT64_FORMAT,
 		 pos->job->id, pos->step, pos->index, pos->task->run,
 		 pos->task->worker, dead ? "worker-gone" : "lease-over",
-		 pos->task->crashes);
+		 pos->task->crashes, has_accepted_fence(pool, pos->task),
+		 now_ms - end_ms, now_ms - pool->ownership.acquired_ms);
 	pool_end_run(pool, pos, END_LAPSED, NULL);
 }
 
