Renew leases up to a common end while the log does not answer

Since the owner of a pool gives full leases for 1 s after its membership only, runs on its workers lapsed when the log was away for more than 5.2 s: the last renewal before that end came up to 1 s earlier, as its answer may wait for a run to end. Renewals go on now, with leases that end together, a full lease after the last time at which orders may be sent; successors wait for that end anyway. Their answers wait 0.2 s at most, so that a full lease follows soon after the log has answered.

--- a/src/pool.c
+++ b/src/pool.c
@@ -46,11 +46,25 @@
 	return ownership_held(&pool->ownership);
 }
 
+static int64_t orders_end_ms(const struct pool *pool)
+{
+	return pool->ownership.authority_end_ms + pool->env->disconnected_ms;
+}
+
 bool pool_may_send_orders(const struct pool *pool)
 {
 	return ownership_held(&pool->ownership) &&
-	       pool_now_ms(pool) < pool->ownership.authority_end_ms +
-					   pool->env->disconnected_ms;
+	       pool_now_ms(pool) < orders_end_ms(pool);
+}
+
+int64_t pool_grantable_ms(const struct pool *pool)
+{
+	int64_t lease_ms = pool->env->lease_ms;
+	int64_t left_ms = orders_end_ms(pool) + lease_ms - pool_now_ms(pool);
+
+	if (!ownership_held(&pool->ownership))
+		return 0;
+	return CLAMP(left_ms, 0, lease_ms);
 }
 
 int32_t pool_max_attempts(const struct pool *pool, const struct job *job)
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -27,9 +27,22 @@
 	return clk_now_ms(pool->env->clk);
 }
 
-/* pool_may_send_orders - whether orders may still be sent under this fence */
+/*
+ * pool_may_send_orders - whether starts and stops may still be sent under this
+ *	fence
+ *
+ * Each start gives a full lease.
+ */
 bool pool_may_send_orders(const struct pool *pool);
 
+/*
+ * pool_grantable_ms - longest lease that may be given now; 0: none
+ *
+ * Leases end at the latest a full one after the last time at which orders may be
+ * sent, so that renewals go on for that time, with shorter and shorter leases.
+ */
+int64_t pool_grantable_ms(const struct pool *pool);
+
 /* pool_max_attempts - failed runs of a task after which its job fails */
 int32_t pool_max_attempts(const struct pool *pool, const struct job *job);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -19,6 +19,9 @@
 	   for a worker with tasks that report progress. */
 	POOL_RENEW_WAIT_MS = 1000,
 	POOL_PROGRESS_WAIT_MS = 500,
+	/* And while leases cannot be full, so that full ones follow soon after
+	   the log has answered. */
+	POOL_SHORT_LEASE_WAIT_MS = 200,
 	POOL_RENEW_GAP_MS = 30,
 	/* Until the next renewal while ended runs that the worker has reported
 	   are being stored. */
@@ -221,6 +224,15 @@
 	g_free(sent);
 }
 
+/* Notes a lease that is given now; returns its end by the worker's clock. */
+static int64_t grant_lease(struct worker *worker, int64_t now_ms,
+			   int64_t lease_ms)
+{
+	worker->lease_end_ms = MAX(worker->lease_end_ms,
+				   worker_lease_bound_ms(now_ms, lease_ms));
+	return worker_clock_ms(worker, now_ms) + lease_ms;
+}
+
 static void send_start(struct pool *pool, struct job_pos *pos,
 		       struct worker *worker)
 {
@@ -231,8 +243,7 @@
 		.run = pos->task->run,
 		.text = pos->job->spec.text,
 		.checkpoint = pos->task->checkpoint,
-		.until_ms =
-			worker_clock_ms(worker, now_ms) + pool->env->lease_ms,
+		.until_ms = grant_lease(worker, now_ms, pool->env->lease_ms),
 		.fence = pool->ownership.fence,
 	};
 
@@ -244,9 +255,6 @@
 	worker->starting++;
 	if (!worker->unanswered_since_ms)
 		worker->unanswered_since_ms = now_ms;
-	worker->lease_end_ms =
-		MAX(worker->lease_end_ms,
-		    worker_lease_bound_ms(now_ms, pool->env->lease_ms));
 	pool->env->counts.starts_sent++;
 	pool->env->orders->start(pool->env->orders->io, &worker->entry, &start,
 				 on_start, sent);
@@ -425,7 +433,17 @@
 	return worker->tasks > worker->long_running_tasks;
 }
 
-static void renew(struct pool *pool, struct worker *worker, int64_t now_ms)
+static int64_t renewal_wait_ms(const struct pool *pool,
+			       const struct worker *worker, int64_t lease_ms)
+{
+	if (lease_ms < pool->env->lease_ms)
+		return POOL_SHORT_LEASE_WAIT_MS;
+	return has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
+					: POOL_RENEW_WAIT_MS;
+}
+
+static void renew(struct pool *pool, struct worker *worker, int64_t now_ms,
+		  int64_t lease_ms)
 {
 	struct sent_order *sent = sent_order_new(pool, worker->entry.id);
 	struct order_renew renew = {
@@ -435,13 +453,8 @@
 
 	if (worker->fence_accepted && !worker->renew_failures &&
 	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
-		renew.until_ms =
-			worker_clock_ms(worker, now_ms) + pool->env->lease_ms;
-		renew.wait_ms = has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
-							 : POOL_RENEW_WAIT_MS;
-		worker->lease_end_ms =
-			MAX(worker->lease_end_ms,
-			    worker_lease_bound_ms(now_ms, pool->env->lease_ms));
+		renew.until_ms = grant_lease(worker, now_ms, lease_ms);
+		renew.wait_ms = renewal_wait_ms(pool, worker, lease_ms);
 	}
 	worker->renewing = true;
 	pool->env->counts.renewals++;
@@ -453,14 +466,15 @@
 {
 	struct worker_table *workers = pool->env->workers;
 	int64_t now_ms = pool_now_ms(pool);
+	int64_t lease_ms = pool_grantable_ms(pool);
 
-	if (!pool_may_send_orders(pool))
+	if (!lease_ms)
 		return;
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 
 		if (needs_renewal(pool, worker) && !worker->renewing &&
 		    now_ms >= worker->next_renew_ms)
-			renew(pool, worker, now_ms);
+			renew(pool, worker, now_ms, lease_ms);
 	}
 }
--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -17,9 +17,8 @@
 	TASKS = 4,
 	/* Spreads the moment of the cut over the interval of renewals. */
 	PHASE_MS = 37,
-	STEP_MS = 50,
+	OUTAGE_MS = 5500,
 	/* A takeover, and the longest lease that the former owner can give. */
-	RESTART_MS = 8000,
 	WATCHED_MS = 12000
 };
 
@@ -72,6 +71,29 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that lapse in an outage of the log that is shorter than
+ * the longest lease of an owner that cannot reach it.
+ */
+START_TEST(runs_survive_an_outage_of_the_log)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS + _i * PHASE_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	sim->faults.log_down = true;
+	sim_run_for(sim, OUTAGE_MS);
+	sim->faults.log_down = false;
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	ck_assert_int_eq(job->starts, TASKS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -83,6 +105,7 @@
 	tcase_add_loop_test(tcase,
 			    run_outlives_a_reassignment_until_its_lease_is_over,
 			    0, SEEDS);
+	tcase_add_loop_test(tcase, runs_survive_an_outage_of_the_log, 0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
