Count the membership of a former owner when hosts wait for its orders

The owner of the hosts orders until its membership runs out. If the log service assigns the hosts to another node while it is valid, and the owner is cut off from the log, its orders went on for up to 1.5 s after the takeover, and the successor ordered the same host less than order_lease_ms (3 s) later.

--- a/src/maint.c
+++ b/src/maint.c
@@ -24,7 +24,8 @@
 	maint->list_asked_ms = 0;
 	maint->last_plan = host_plans_last_number(maint->env->plans);
 	maint->earlier_orders_end_ms =
-		maint->ownership.acquired_ms + maint->env->order_lease_ms;
+		ownership_earlier_end_ms(&maint->ownership) +
+		maint->env->order_lease_ms;
 	maint->list_due_ms = 0;
 }
 
@@ -46,6 +47,7 @@
 		.id = env->id,
 		.tail = env->tail,
 		.name = "hosts",
+		.membership_ms = env->membership_ms,
 		.acquired = on_acquired,
 		.lost = on_lost,
 		.arg = maint,
@@ -330,14 +332,13 @@
 			     const struct host_plan *plan, int64_t now_ms)
 {
 	int64_t lease_ms = maint->env->order_lease_ms;
-	int64_t acquired_ms = maint->ownership.acquired_ms;
 
 	/* Made in this tenure, so only the host's previous plan can have been
 	   ordered by an earlier owner. */
 	if (plan->fence == maint->ownership.fence)
 		return now_ms < maint->earlier_orders_end_ms &&
 		       now_ms < plan->previous_seen_ms + lease_ms;
-	return now_ms < acquired_ms + lease_ms;
+	return now_ms < maint->earlier_orders_end_ms;
 }
 
 static void send_order(struct maint *maint, struct known_host *known,
--- a/src/maint.h
+++ b/src/maint.h
@@ -38,6 +38,7 @@
 	const struct cfg *const *cfg;
 	const uint32_t *share_count; /* of each pool; points to 0: not known */
 	int64_t order_lease_ms; /* minimum time between orders of two owners */
+	int64_t membership_ms;	/* how long a renewal of the membership holds */
 	struct maint_counts counts;
 };
 
--- a/src/node.c
+++ b/src/node.c
@@ -150,6 +150,7 @@
 		.tail = node->jobs_tail,
 		.cfg = (const struct cfg *const *)&node->cfg,
 		.order_lease_ms = config->settings->order_lease_ms,
+		.membership_ms = NODE_TTL_MS,
 		.share_count = &node->share_count,
 	};
 	node->maint = maint_create(&node->maint_env);
--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -9,6 +9,7 @@
 #include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
+#include "node_int.h"
 #include "suite.h"
 
 enum {
@@ -19,7 +20,10 @@
 	PHASE_MS = 37,
 	OUTAGE_MS = 5500,
 	/* A takeover, and the longest lease that the former owner can give. */
-	WATCHED_MS = 12000
+	WATCHED_MS = 12000,
+	/* Least time between orders of two owners for a host; a setting. */
+	ORDER_LEASE_MS = 3000,
+	ORDER_STEP_MS = 10
 };
 
 static guint count_runs(const struct sim *sim)
@@ -94,6 +98,66 @@
 }
 END_TEST
 
+static int hosts_owner(const struct sim *sim)
+{
+	for (int i = 0; i < sim->node_count; i++)
+		if (maint_is_owner(sim->nodes[i].node->maint))
+			return i;
+	return -1;
+}
+
+/* Orders for hosts that a node has sent; none is carried out here. */
+static int64_t count_host_orders(const struct sim *sim, int node)
+{
+	return sim->nodes[node].node->maint_env.counts.orders_refused;
+}
+
+/* Runs until another node than the former owner orders a host. */
+static void watch_host_orders(struct sim *sim, int former, int64_t *last_ms,
+			      int64_t *first_ms)
+{
+	int64_t counted = count_host_orders(sim, former);
+	int64_t end_ms = sim->clk.manual_ms + WATCHED_MS;
+
+	*first_ms = 0;
+	while (!*first_ms && sim->clk.manual_ms < end_ms) {
+		sim_run_for(sim, ORDER_STEP_MS);
+		if (count_host_orders(sim, former) != counted)
+			*last_ms = sim->clk.manual_ms;
+		counted = count_host_orders(sim, former);
+		for (int i = 0; i < sim->node_count; i++)
+			if (i != former && count_host_orders(sim, i))
+				*first_ms = sim->clk.manual_ms;
+	}
+}
+
+/*
+ * Guards against two owners of the hosts that order the same host by turns.
+ * The former owner repeats its order for the rest of its membership.
+ */
+START_TEST(host_orders_of_two_owners_are_apart)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	int64_t last_ms = 0;
+	int64_t first_ms;
+	int former;
+
+	sim_run_for(sim, START_MS);
+	former = hosts_owner(sim);
+	ck_assert_int_ge(former, 0);
+	sim_order_wave(sim, 1, 1, WATCHED_MS / 1000);
+	sim_run_for(sim, START_MS + _i * PHASE_MS);
+	ck_assert_int_eq(hosts_owner(sim), former);
+	ck_assert_int_gt(count_host_orders(sim, former), 0);
+	sim->nodes[former].cut_from_log = true;
+	log_model_reassign_all(sim->log);
+	watch_host_orders(sim, former, &last_ms, &first_ms);
+	ck_assert_int_gt(last_ms, 0);
+	ck_assert_int_gt(first_ms, 0);
+	ck_assert_int_ge(first_ms - last_ms, ORDER_LEASE_MS - ORDER_STEP_MS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -106,6 +170,8 @@
 			    run_outlives_a_reassignment_until_its_lease_is_over,
 			    0, SEEDS);
 	tcase_add_loop_test(tcase, runs_survive_an_outage_of_the_log, 0, SEEDS);
+	tcase_add_loop_test(tcase, host_orders_of_two_owners_are_apart, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
