--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 	proxy_queue proxy_send claim_log entry_counters admin_client \
 	ctl_command ctl_print report histo arrival load_report
 NODE = cfg job job_record worker share speed avail place writer tail order ownership \
-	pool job_view pool_order pool_report pool_empty pool_slow pool_crash \
+	pool job_view pool_order pool_sent pool_renew pool_report pool_lost \
+	pool_empty pool_slow pool_crash \
 	pool_away pool_unplaced crash place_backlog place_room place_quarantine \
 	host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -9,6 +9,12 @@
 #include "pool.h"
 #include "ownership.h"
 
+enum {
+	/* A worker whose last report is older gets no start and no lease
+	   extension. */
+	POOL_MAX_REPORT_AGE_MS = 2500
+};
+
 struct pool {
 	struct pool_env *env;
 	char name[LIMIT_NAME_BYTES];
@@ -62,6 +68,15 @@
 /* pool_renew - renew leases that are due */
 void pool_renew(struct pool *pool);
 
+/*
+ * pool_grant_lease - note a lease that is given now
+ *
+ * RETURN VALUE
+ *	Its end by the worker's clock.
+ */
+int64_t pool_grant_lease(struct worker *worker, int64_t now_ms,
+			 int64_t lease_ms);
+
 /* pool_send_starts - send start orders for stored placements */
 void pool_send_starts(struct pool *pool, struct job *job);
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "pool_int.h"
+#include "pool_sent.h"
 
 enum {
 	POOL_START_RETRY_MS = 400,
@@ -15,20 +16,6 @@
 	/* Within this time a report lists the run of an unanswered start that
 	   was executed. */
 	POOL_WITHDRAW_MS = 1200,
-	/* How long the answer to a renewal may wait for a run to end. Shorter
-	   for a worker with tasks that report progress. */
-	POOL_RENEW_WAIT_MS = 1000,
-	POOL_PROGRESS_WAIT_MS = 500,
-	/* And while leases cannot be full, so that full ones follow soon after
-	   the log has answered. */
-	POOL_SHORT_LEASE_WAIT_MS = 200,
-	POOL_RENEW_GAP_MS = 30,
-	/* Until the next renewal while ended runs that the worker has reported
-	   are being stored. */
-	POOL_CURSOR_WAIT_MS = 250,
-	POOL_RENEW_RETRY_MS = 250,
-	/* A worker whose last report is older gets no lease extension. */
-	POOL_MAX_REPORT_AGE_MS = 2500,
 	POOL_AVOID_NO_ROOM_MS = 150,
 	POOL_AVOID_UNHEALTHY_MS = 1500,
 	/* Before a task whose start was refused as invalid, or for want of a
@@ -37,34 +24,6 @@
 	POOL_HOLD_INVALID_MAX_MS = 8000
 };
 
-/* An order in flight. */
-struct sent_order {
-	struct pool *pool;
-	uint32_t ownership_number; /* when the order was sent */
-	char worker[LIMIT_NAME_BYTES];
-	char task[JOB_TASK_NAME_BYTES];
-	int32_t run;
-	int64_t sent_ms;
-};
-
-static struct sent_order *sent_order_new(struct pool *pool, const char *worker)
-{
-	struct sent_order *sent = g_new0(struct sent_order, 1);
-
-	sent->pool = pool;
-	sent->ownership_number = pool->ownership.change_count;
-	sent->sent_ms = pool_now_ms(pool);
-	g_strlcpy(sent->worker, worker, sizeof(sent->worker));
-	return sent;
-}
-
-static void handle_fenced(struct pool *pool, const char *worker)
-{
-	log_warn("order-fenced pool=%s worker=%s fence=%" G_GINT64_FORMAT,
-		 pool->name, worker, pool->ownership.fence);
-	ownership_lose(&pool->ownership, "a worker has seen a higher fence");
-}
-
 void pool_stop_task(struct pool *pool, struct job_pos *pos)
 {
 	struct worker *worker =
@@ -134,17 +93,7 @@
 	}
 }
 
-/* An answer of any kind shows that the worker is reachable. */
-static void clear_unanswered(struct pool *pool, const char *name,
-			     enum order_outcome outcome)
-{
-	struct worker *worker = worker_find(pool->env->workers, name);
-
-	if (worker && outcome != ORDER_UNKNOWN)
-		worker->unanswered_since_ms = 0;
-}
-
-static void handle_start_answer(struct sent_order *sent,
+static void handle_start_answer(struct pool_sent *sent,
 				enum order_outcome outcome, struct job_pos *pos)
 {
 	struct pool *pool = sent->pool;
@@ -201,19 +150,19 @@
 
 static void on_start(void *arg, enum order_outcome outcome)
 {
-	struct sent_order *sent = arg;
+	struct pool_sent *sent = arg;
 	struct pool *pool = sent->pool;
 	struct job_pos pos;
 
-	if (sent->ownership_number != pool->ownership.change_count) {
+	if (!pool_sent_is_current(sent)) {
 		g_free(sent);
 		return;
 	}
-	clear_unanswered(pool, sent->worker, outcome);
+	pool_sent_note_answer(sent, outcome);
 	release_start_slot(pool, sent->worker);
 	histo_add(&pool->env->start_ms, pool_now_ms(pool) - sent->sent_ms);
 	if (outcome == ORDER_FENCED)
-		handle_fenced(pool, sent->worker);
+		pool_sent_handle_fenced(sent);
 	else if (job_task_find(pool->env->jobs, sent->task, &pos) &&
 		 pos.task->state == TASK_PLACED && pos.task->run == sent->run) {
 		if (outcome != ORDER_UNKNOWN)
@@ -224,26 +173,18 @@
 	g_free(sent);
 }
 
-/* Notes a lease that is given now; returns its end by the worker's clock. */
-static int64_t grant_lease(struct worker *worker, int64_t now_ms,
-			   int64_t lease_ms)
-{
-	worker->lease_end_ms = MAX(worker->lease_end_ms,
-				   worker_lease_bound_ms(now_ms, lease_ms));
-	return worker_clock_ms(worker, now_ms) + lease_ms;
-}
-
 static void send_start(struct pool *pool, struct job_pos *pos,
 		       struct worker *worker)
 {
-	struct sent_order *sent = sent_order_new(pool, worker->entry.id);
+	struct pool_sent *sent = pool_sent_new(pool, worker->entry.id);
 	int64_t now_ms = sent->sent_ms;
 	struct order_start start = {
 		.task = sent->task,
 		.run = pos->task->run,
 		.text = pos->job->spec.text,
 		.checkpoint = pos->task->checkpoint,
-		.until_ms = grant_lease(worker, now_ms, pool->env->lease_ms),
+		.until_ms =
+			pool_grant_lease(worker, now_ms, pool->env->lease_ms),
 		.fence = pool->ownership.fence,
 	};
 
@@ -324,16 +265,16 @@
 
 static void on_stop(void *arg, enum order_outcome outcome)
 {
-	struct sent_order *sent = arg;
+	struct pool_sent *sent = arg;
 	struct pool *pool = sent->pool;
 	struct job_pos pos;
 
-	if (sent->ownership_number != pool->ownership.change_count) {
+	if (!pool_sent_is_current(sent)) {
 		g_free(sent);
 		return;
 	}
 	if (outcome == ORDER_FENCED)
-		handle_fenced(pool, sent->worker);
+		pool_sent_handle_fenced(sent);
 	else if (outcome == ORDER_OK)
 		pool_unplaced_stopped(pool, sent->worker, sent->task,
 				      sent->run);
@@ -352,11 +293,11 @@
 void pool_send_stop(struct pool *pool, struct worker *worker, const char *task,
 		    int32_t run)
 {
-	struct sent_order *sent;
+	struct pool_sent *sent;
 
 	if (!pool_may_send_orders(pool))
 		return;
-	sent = sent_order_new(pool, worker->entry.id);
+	sent = pool_sent_new(pool, worker->entry.id);
 	g_strlcpy(sent->task, task, sizeof(sent->task));
 	sent->run = run;
 	pool->env->orders->stop(pool->env->orders->io, &worker->entry, task,
@@ -374,107 +315,3 @@
 		    now_ms - pos.task->since_ms >= POOL_STOP_RETRY_MS)
 			pool_stop_task(pool, &pos);
 }
-
-static void on_renew(void *arg, enum order_outcome outcome,
-		     const struct worker_report *report)
-{
-	struct sent_order *sent = arg;
-	struct pool *pool = sent->pool;
-	struct worker *worker = worker_find(pool->env->workers, sent->worker);
-	int64_t now_ms = pool_now_ms(pool);
-
-	if (sent->ownership_number != pool->ownership.change_count || !worker) {
-		g_free(sent);
-		return;
-	}
-	worker->renewing = false;
-	clear_unanswered(pool, sent->worker, outcome);
-	worker->next_renew_ms = now_ms + POOL_RENEW_RETRY_MS;
-	if (outcome == ORDER_OK) {
-		worker->renew_failures = 0;
-		pool_handle_report(pool, worker, report, sent->sent_ms);
-		worker->next_renew_ms =
-			now_ms + (worker->cursor == worker->cursor_processed
-					  ? POOL_RENEW_GAP_MS
-					  : POOL_CURSOR_WAIT_MS);
-	} else if (outcome == ORDER_FENCED) {
-		handle_fenced(pool, sent->worker);
-	} else {
-		pool->env->counts.renewals_failed++;
-		if (!worker->renew_failures++)
-			log_info("renewal-failed pool=%s worker=%s why=%s",
-				 pool->name, sent->worker, order_name(outcome));
-	}
-	g_free(sent);
-}
-
-/* Whether tasks run or may be started on the worker. */
-static bool needs_renewal(const struct pool *pool, const struct worker *worker)
-{
-	return share_has_worker(&pool->share, worker) &&
-	       (worker->listed || worker_has_work(worker));
-}
-
-/*
- * Whether the worker is known not to have restarted since its last report; one
- * that did not answer may have. After a restart it numbers its ended runs from
- * 1 again, so an old cursor would acknowledge ends that have not been stored.
- */
-static bool has_not_restarted(const struct worker *worker)
-{
-	return !worker->renew_failures &&
-	       (!worker->entry.boot_ms ||
-		worker->entry.boot_ms == worker->boot_ms);
-}
-
-/* Whether tasks other than long-running ones are placed on the worker. */
-static bool has_finite_tasks(const struct worker *worker)
-{
-	return worker->tasks > worker->long_running_tasks;
-}
-
-static int64_t renewal_wait_ms(const struct pool *pool,
-			       const struct worker *worker, int64_t lease_ms)
-{
-	if (lease_ms < pool->env->lease_ms)
-		return POOL_SHORT_LEASE_WAIT_MS;
-	return has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
-					: POOL_RENEW_WAIT_MS;
-}
-
-static void renew(struct pool *pool, struct worker *worker, int64_t now_ms,
-		  int64_t lease_ms)
-{
-	struct sent_order *sent = sent_order_new(pool, worker->entry.id);
-	struct order_renew renew = {
-		.fence = pool->ownership.fence,
-		.cursor = has_not_restarted(worker) ? worker->cursor : 0,
-	};
-
-	if (worker->fence_accepted && !worker->renew_failures &&
-	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
-		renew.until_ms = grant_lease(worker, now_ms, lease_ms);
-		renew.wait_ms = renewal_wait_ms(pool, worker, lease_ms);
-	}
-	worker->renewing = true;
-	pool->env->counts.renewals++;
-	pool->env->orders->renew(pool->env->orders->io, &worker->entry, &renew,
-				 on_renew, sent);
-}
-
-void pool_renew(struct pool *pool)
-{
-	struct worker_table *workers = pool->env->workers;
-	int64_t now_ms = pool_now_ms(pool);
-	int64_t lease_ms = pool_grantable_ms(pool);
-
-	if (!lease_ms)
-		return;
-	for (guint i = 0; i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
-
-		if (needs_renewal(pool, worker) && !worker->renewing &&
-		    now_ms >= worker->next_renew_ms)
-			renew(pool, worker, now_ms, lease_ms);
-	}
-}
--- /dev/null
+++ b/src/pool_renew.c
@@ -0,0 +1,130 @@
+#include "log.h"
+#include "pool_int.h"
+#include "pool_sent.h"
+
+enum {
+	/* How long the answer to a renewal may wait for a run to end. Shorter
+	   for a worker with tasks that report progress. */
+	POOL_RENEW_WAIT_MS = 1000,
+	POOL_PROGRESS_WAIT_MS = 500,
+	/* And while leases cannot be full, so that full ones follow soon after
+	   the log has answered. */
+	POOL_SHORT_LEASE_WAIT_MS = 200,
+	POOL_RENEW_GAP_MS = 30,
+	/* Until the next renewal while ended runs that the worker has reported
+	   are being stored. */
+	POOL_CURSOR_WAIT_MS = 250,
+	POOL_RENEW_RETRY_MS = 250
+};
+
+int64_t pool_grant_lease(struct worker *worker, int64_t now_ms,
+			 int64_t lease_ms)
+{
+	worker->lease_end_ms = MAX(worker->lease_end_ms,
+				   worker_lease_bound_ms(now_ms, lease_ms));
+	return worker_clock_ms(worker, now_ms) + lease_ms;
+}
+
+static void on_renew(void *arg, enum order_outcome outcome,
+		     const struct worker_report *report)
+{
+	struct pool_sent *sent = arg;
+	struct pool *pool = sent->pool;
+	struct worker *worker = worker_find(pool->env->workers, sent->worker);
+	int64_t now_ms = pool_now_ms(pool);
+
+	if (!pool_sent_is_current(sent) || !worker) {
+		g_free(sent);
+		return;
+	}
+	worker->renewing = false;
+	pool_sent_note_answer(sent, outcome);
+	worker->next_renew_ms = now_ms + POOL_RENEW_RETRY_MS;
+	if (outcome == ORDER_OK) {
+		worker->renew_failures = 0;
+		pool_handle_report(pool, worker, report, sent->sent_ms);
+		worker->next_renew_ms =
+			now_ms + (worker->cursor == worker->cursor_processed
+					  ? POOL_RENEW_GAP_MS
+					  : POOL_CURSOR_WAIT_MS);
+	} else if (outcome == ORDER_FENCED) {
+		pool_sent_handle_fenced(sent);
+	} else {
+		pool->env->counts.renewals_failed++;
+		if (!worker->renew_failures++)
+			log_info("renewal-failed pool=%s worker=%s why=%s",
+				 pool->name, sent->worker, order_name(outcome));
+	}
+	g_free(sent);
+}
+
+/* Whether tasks run or may be started on the worker. */
+static bool needs_renewal(const struct pool *pool, const struct worker *worker)
+{
+	return share_has_worker(&pool->share, worker) &&
+	       (worker->listed || worker_has_work(worker));
+}
+
+/*
+ * Whether the worker is known not to have restarted since its last report; one
+ * that did not answer may have. After a restart it numbers its ended runs from
+ * 1 again, so an old cursor would acknowledge ends that have not been stored.
+ */
+static bool has_not_restarted(const struct worker *worker)
+{
+	return !worker->renew_failures &&
+	       (!worker->entry.boot_ms ||
+		worker->entry.boot_ms == worker->boot_ms);
+}
+
+/* Whether tasks other than long-running ones are placed on the worker. */
+static bool has_finite_tasks(const struct worker *worker)
+{
+	return worker->tasks > worker->long_running_tasks;
+}
+
+static int64_t renewal_wait_ms(const struct pool *pool,
+			       const struct worker *worker, int64_t lease_ms)
+{
+	if (lease_ms < pool->env->lease_ms)
+		return POOL_SHORT_LEASE_WAIT_MS;
+	return has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
+					: POOL_RENEW_WAIT_MS;
+}
+
+static void renew(struct pool *pool, struct worker *worker, int64_t now_ms,
+		  int64_t lease_ms)
+{
+	struct pool_sent *sent = pool_sent_new(pool, worker->entry.id);
+	struct order_renew renew = {
+		.fence = pool->ownership.fence,
+		.cursor = has_not_restarted(worker) ? worker->cursor : 0,
+	};
+
+	if (worker->fence_accepted && !worker->renew_failures &&
+	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
+		renew.until_ms = pool_grant_lease(worker, now_ms, lease_ms);
+		renew.wait_ms = renewal_wait_ms(pool, worker, lease_ms);
+	}
+	worker->renewing = true;
+	pool->env->counts.renewals++;
+	pool->env->orders->renew(pool->env->orders->io, &worker->entry, &renew,
+				 on_renew, sent);
+}
+
+void pool_renew(struct pool *pool)
+{
+	struct worker_table *workers = pool->env->workers;
+	int64_t now_ms = pool_now_ms(pool);
+	int64_t lease_ms = pool_grantable_ms(pool);
+
+	if (!lease_ms)
+		return;
+	for (guint i = 0; i < workers->list->len; i++) {
+		struct worker *worker = workers->list->pdata[i];
+
+		if (needs_renewal(pool, worker) && !worker->renewing &&
+		    now_ms >= worker->next_renew_ms)
+			renew(pool, worker, now_ms, lease_ms);
+	}
+}
--- /dev/null
+++ b/src/pool_sent.c
@@ -0,0 +1,38 @@
+#include "pool_sent.h"
+
+#include "log.h"
+
+struct pool_sent *pool_sent_new(struct pool *pool, const char *worker)
+{
+	struct pool_sent *sent = g_new0(struct pool_sent, 1);
+
+	sent->pool = pool;
+	sent->ownership_number = pool->ownership.change_count;
+	sent->sent_ms = pool_now_ms(pool);
+	g_strlcpy(sent->worker, worker, sizeof(sent->worker));
+	return sent;
+}
+
+bool pool_sent_is_current(const struct pool_sent *sent)
+{
+	return sent->ownership_number == sent->pool->ownership.change_count;
+}
+
+void pool_sent_note_answer(const struct pool_sent *sent,
+			   enum order_outcome outcome)
+{
+	struct worker *worker =
+		worker_find(sent->pool->env->workers, sent->worker);
+
+	if (worker && outcome != ORDER_UNKNOWN)
+		worker->unanswered_since_ms = 0;
+}
+
+void pool_sent_handle_fenced(const struct pool_sent *sent)
+{
+	struct pool *pool = sent->pool;
+
+	log_warn("order-fenced pool=%s worker=%s fence=%" G_GINT64_FORMAT,
+		 pool->name, sent->worker, pool->ownership.fence);
+	ownership_lose(&pool->ownership, "a worker has seen a higher fence");
+}
