Bound the leases of starts by the time at which each is sent

An owner checked once whether it may send starts, then read the clock anew for each of a job's tasks. If it was paused in between, the remaining starts got a full lease from the later time, which could end after its successor had started the runs elsewhere. Starts get what renewals get: the longest lease that may be given at the time of sending; a worker refuses one that is over.

--- a/Makefile
+++ b/Makefile
@@ -116,7 +116,8 @@
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
-POOL_TESTS = $(BUILD)/test_jobs $(BUILD)/test_quarantine $(BUILD)/test_room
+POOL_TESTS = $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
+	$(BUILD)/test_room
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -57,10 +57,10 @@
 	       pool_now_ms(pool) < orders_end_ms(pool);
 }
 
-int64_t pool_grantable_ms(const struct pool *pool)
+int64_t pool_grantable_ms(const struct pool *pool, int64_t now_ms)
 {
 	int64_t lease_ms = pool->env->lease_ms;
-	int64_t left_ms = orders_end_ms(pool) + lease_ms - pool_now_ms(pool);
+	int64_t left_ms = orders_end_ms(pool) + lease_ms - now_ms;
 
 	if (!ownership_held(&pool->ownership))
 		return 0;
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -42,12 +42,12 @@
 bool pool_may_send_orders(const struct pool *pool);
 
 /*
- * pool_grantable_ms - longest lease that may be given now; 0: none
+ * pool_grantable_ms - longest lease that may be given at now_ms; 0: none
  *
  * Leases end at the latest a full one after the last time at which orders may be
  * sent, so that renewals go on for that time, with shorter and shorter leases.
  */
-int64_t pool_grantable_ms(const struct pool *pool);
+int64_t pool_grantable_ms(const struct pool *pool, int64_t now_ms);
 
 /* pool_max_attempts - failed runs of a task after which its job fails */
 int32_t pool_max_attempts(const struct pool *pool, const struct job *job);
@@ -69,13 +69,13 @@
 void pool_renew(struct pool *pool);
 
 /*
- * pool_grant_lease - note a lease that is given now
+ * pool_grant_lease - note the longest lease that may be given at now_ms
  *
  * RETURN VALUE
  *	Its end by the worker's clock.
  */
-int64_t pool_grant_lease(struct worker *worker, int64_t now_ms,
-			 int64_t lease_ms);
+int64_t pool_grant_lease(const struct pool *pool, struct worker *worker,
+			 int64_t now_ms);
 
 /* pool_send_starts - send start orders for stored placements */
 void pool_send_starts(struct pool *pool, struct job *job);
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -183,8 +183,7 @@
 		.run = pos->task->run,
 		.text = pos->job->spec.text,
 		.checkpoint = pos->task->checkpoint,
-		.until_ms =
-			pool_grant_lease(worker, now_ms, pool->env->lease_ms),
+		.until_ms = pool_grant_lease(pool, worker, now_ms),
 		.fence = pool->ownership.fence,
 	};
 
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -17,9 +17,11 @@
 	POOL_RENEW_RETRY_MS = 250
 };
 
-int64_t pool_grant_lease(struct worker *worker, int64_t now_ms,
-			 int64_t lease_ms)
+int64_t pool_grant_lease(const struct pool *pool, struct worker *worker,
+			 int64_t now_ms)
 {
+	int64_t lease_ms = pool_grantable_ms(pool, now_ms);
+
 	worker->lease_end_ms = MAX(worker->lease_end_ms,
 				   worker_lease_bound_ms(now_ms, lease_ms));
 	return worker_clock_ms(worker, now_ms) + lease_ms;
@@ -84,16 +86,15 @@
 }
 
 static int64_t renewal_wait_ms(const struct pool *pool,
-			       const struct worker *worker, int64_t lease_ms)
+			       const struct worker *worker, int64_t now_ms)
 {
-	if (lease_ms < pool->env->lease_ms)
+	if (pool_grantable_ms(pool, now_ms) < pool->env->lease_ms)
 		return POOL_SHORT_LEASE_WAIT_MS;
 	return has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
 					: POOL_RENEW_WAIT_MS;
 }
 
-static void renew(struct pool *pool, struct worker *worker, int64_t now_ms,
-		  int64_t lease_ms)
+static void renew(struct pool *pool, struct worker *worker, int64_t now_ms)
 {
 	struct pool_sent *sent = pool_sent_new(pool, worker->entry.id);
 	struct order_renew renew = {
@@ -103,8 +104,8 @@
 
 	if (worker->fence_accepted && !worker->renew_failures &&
 	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
-		renew.until_ms = pool_grant_lease(worker, now_ms, lease_ms);
-		renew.wait_ms = renewal_wait_ms(pool, worker, lease_ms);
+		renew.until_ms = pool_grant_lease(pool, worker, now_ms);
+		renew.wait_ms = renewal_wait_ms(pool, worker, now_ms);
 	}
 	worker->renewing = true;
 	pool->env->counts.renewals++;
@@ -116,15 +117,14 @@
 {
 	struct worker_table *workers = pool->env->workers;
 	int64_t now_ms = pool_now_ms(pool);
-	int64_t lease_ms = pool_grantable_ms(pool);
 
-	if (!lease_ms)
+	if (!pool_grantable_ms(pool, now_ms))
 		return;
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 
 		if (needs_renewal(pool, worker) && !worker->renewing &&
 		    now_ms >= worker->next_renew_ms)
-			renew(pool, worker, now_ms, lease_ms);
+			renew(pool, worker, now_ms);
 	}
 }
