Order hosts only once their plans are stored, and let all nodes know of these

A plan that needs no drain, as for a host of a standby pool, was ordered in the pass that made it, before its record was stored; and other nodes left out the record, since a drained plan had to follow from the plan that they knew. A node that took the hosts over in between did not know of the order and could order the same host for itself (rule ONE of the platform).

An owner reads its own record back before it orders, some 50 ms; a drained plan with a higher number replaces an earlier one.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -92,6 +92,18 @@
 	return 0;
 }
 
+/*
+ * Whether a drained plan follows from the plan that is kept: the pool's owner has
+ * drained the host for it, or it is a later plan of a host without work.
+ */
+static bool applies_drained(const struct host_plan *kept,
+			    const struct host_plan *drained)
+{
+	if (drained->number == kept->number)
+		return kept->step == HOST_DRAIN_REQUESTED;
+	return drained->number > kept->number;
+}
+
 int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
 		    const char *value, size_t len, bool own, int64_t now_ms,
 		    struct err *err)
@@ -135,8 +147,10 @@
 	json_object_put(object);
 	if (fault.kind != ERR_OK)
 		return err_set(err, fault.kind, "%s", fault.text);
-	if (plan.step == HOST_DRAINED && kept &&
-	    (kept->number != plan.number || kept->step != HOST_DRAIN_REQUESTED))
+	plan.stored = true;
+	if (own && kept && kept->number == plan.number)
+		kept->stored = true;
+	if (plan.step == HOST_DRAINED && kept && !applies_drained(kept, &plan))
 		return 0;
 	if (own && (plan.step != HOST_DRAINED || !kept))
 		return 0;
