--- a/src/node.c
+++ b/src/node.c
@@ -16,8 +16,9 @@
 	NODE_APPEND_BYTES = 1024 * 1024,
 	NODE_LEASE_MS = 4000,
 	/* How long an owner whose membership has run out gives full leases. A
-	   successor waits for them where it cannot reach a worker, and
-	   long-running tasks must run again 9 s after their last run. */
+	   successor waits for them where it cannot reach a worker, and a
+	   long-running task counts as lost when it has not run for 9 s: 6 s
+	   without a run, and 3 s with room for it. */
 	NODE_DISCONNECTED_MS = 1000,
 	/* The node reports not ready after the log has been unreachable for
 	   this long. */
