Count hosts that a former owner has taken down for a wave

An owner of the hosts that the log turns away goes on to order for the rest of its membership, and cannot store that. Its successor counted a host as down only if its plan says that it was restarted, and so restarted as many others at once.

All hosts count that the list shows as restarting, and a successor restarts none before it has a list that was asked for after the authority of the former owner. Orders that are carried out seconds late still do not count.

--- a/src/maint_wave.c
+++ b/src/maint_wave.c
@@ -27,7 +27,10 @@
 	return plan && plan->done_wave == wave;
 }
 
-/* Whether the host is down for its restart, or may be. */
+/*
+ * Whether the host is down for its restart, or may be. A former owner may not have
+ * been able to store that it ordered one.
+ */
 static bool is_down(const struct maint *maint, int64_t wave, const char *host)
 {
 	const struct known_host *known = maint_find_host(maint, host);
@@ -35,11 +38,10 @@
 
 	if (!known)
 		return false;
-	if (known->ordering)
+	if (known->ordering || known->host.state == HOST_MAINTENANCE)
 		return true;
 	return is_done(maint, wave, host) &&
-	       (known->host.state == HOST_MAINTENANCE ||
-		now_ms - known->ordered_ms < WAVE_SETTLE_MS);
+	       now_ms - known->ordered_ms < WAVE_SETTLE_MS;
 }
 
 static bool is_requested(const struct maint *maint, int64_t wave,
@@ -76,6 +78,9 @@
 {
 	const struct wave *wave = find_wave(maint, number);
 
+	/* Hosts that an earlier owner takes down until then are not counted. */
+	if (maint->list_asked_ms < ownership_earlier_end_ms(&maint->ownership))
+		return false;
 	return wave && count_down(maint, &wave->order) < wave->order.max_down;
 }
 
--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -31,7 +31,12 @@
 	WIDTH = 6,
 	/* The jobs are stored, and no host has been ordered for them yet. */
 	SUBMIT_MS = 30,
-	REFUSED_MS = 1500
+	REFUSED_MS = 1500,
+	WAVE_HOSTS = 32,
+	WAVE_DOWN = 4,
+	/* Hosts are about to be up again, and others are drained. */
+	WAVE_START_MS = 1400,
+	WAVE_S = 5
 };
 
 static guint count_runs(const struct sim *sim)
@@ -203,6 +208,42 @@
 }
 END_TEST
 
+static int count_restarting(const struct sim *sim)
+{
+	int count = 0;
+
+	for (int i = 0; i < sim->worker_count; i++)
+		count += sim->workers[i].order_ends_ms != 0;
+	return count;
+}
+
+/*
+ * Guards against more hosts of a wave down at once than it allows: the former
+ * owner has restarted hosts, and could not store that any more.
+ */
+START_TEST(wave_keeps_its_limit_after_a_reassignment)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, WAVE_HOSTS);
+	int most = 0;
+	int former;
+
+	sim->hosts_obey = true;
+	sim_run_for(sim, START_MS);
+	former = hosts_owner(sim);
+	ck_assert_int_ge(former, 0);
+	sim_order_wave(sim, 1, WAVE_DOWN, WAVE_S);
+	sim_run_for(sim, WAVE_START_MS + _i * PHASE_MS);
+	sim->nodes[former].cut_from_log = true;
+	log_model_reassign_all(sim->log);
+	for (int i = 0; i < WATCHED_MS / ORDER_STEP_MS; i++) {
+		sim_run_for(sim, ORDER_STEP_MS);
+		most = MAX(most, count_restarting(sim));
+	}
+	ck_assert_int_gt(most, 0);
+	ck_assert_int_le(most, WAVE_DOWN);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -220,6 +261,8 @@
 	tcase_add_loop_test(tcase,
 			    hosts_are_ordered_after_their_plans_are_stored, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase, wave_keeps_its_limit_after_a_reassignment, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
