Limit the depth of the scan for duplicate keys

A text with a comment that ends in two asterisks and a slash, such as /***/, could end the process. json-c does not end such a comment there and skips what follows, up to the next end of a comment, so that its own limit of nesting does not apply to it. The scan for duplicate keys saw the same bytes as values and called itself for each level.

Before, comments_do_not_hide_deep_nesting (300,000 levels) ended by signal 11, and with the sanitizers by "stack-overflow". Now the scan refuses more than LIMIT_JSON_DEPTH levels, as the parser does.

--- a/src/jcursor.c
+++ b/src/jcursor.c
@@ -11,12 +11,15 @@
 /*
  * Finds keys that json-c silently mishandles: it keeps the last of two members
  * with the same key, and truncates a key at a zero byte. Reports such a key
- * with its path. The text must be one that json-c accepts.
+ * with its path. The text must be one that json-c accepts. Its depth is limited
+ * here too: json-c does not end a comment at a slash after two asterisks, so
+ * this may see nesting where json-c sees a comment.
  */
 struct key_scan {
 	const char *p;
 	const char *end;
-	const char *error; /* what is wrong with the key at path */
+	const char *error; /* what is wrong at path */
+	int depth;	   /* of the value that is being scanned */
 	char path[JCURSOR_PATH_BYTES];
 };
 
@@ -87,9 +90,11 @@
 	text = key ? json_object_get_string(key) : "";
 	path_len = enter(scan, "%s%s", scan->path[0] ? "." : "", text);
 	if (key && strlen(text) != (size_t)json_object_get_string_len(key))
-		scan->error = "a key with a zero byte";
+		scan->error = "a key with a zero byte given, each key "
+			      "once wanted";
 	else if (json_object_object_get_ex(seen, text, NULL))
-		scan->error = "a second key of this name";
+		scan->error = "a second key of this name given, each key "
+			      "once wanted";
 	else
 		json_object_object_add(seen, text, NULL);
 	json_object_put(key);
@@ -153,6 +158,11 @@
 	skip_space(scan);
 	if (scan->p >= scan->end || scan->error)
 		return;
+	if (scan->depth == LIMIT_JSON_DEPTH) {
+		scan->error = "nested too deep";
+		return;
+	}
+	scan->depth++;
 	if (*scan->p == '{') {
 		scan_object(scan);
 	} else if (*scan->p == '[') {
@@ -167,6 +177,7 @@
 		if (scan->p == start)
 			scan->p++;
 	}
+	scan->depth--;
 }
 
 static struct json_object *parse(const char *text, size_t len, int flags,
@@ -217,8 +228,7 @@
 	scan_value(&scan);
 	if (scan.error) {
 		json_object_put(value);
-		err_set(err, ERR_INVALID, "%s: %s given, each key once wanted",
-			scan.path, scan.error);
+		err_set(err, ERR_INVALID, "%s: %s", scan.path, scan.error);
 		return NULL;
 	}
 	return value;
