Do not take a key with a zero byte for the key before it

A record under the key of a worker, followed by a zero byte, replaced or removed the entry of that worker, and one under such a form of the key of the configuration was read as the configuration.

A key is now compared by its length. A byte that no id of a worker has is escaped in the id, so that it is refused and can be logged.

--- a/src/node_records.c
+++ b/src/node_records.c
@@ -43,25 +43,46 @@
 			       tail_loaded(node->operators_tail));
 }
 
+static bool has_key(const struct stream_record *record, const char *key)
+{
+	return record->key_len == strlen(key) &&
+	       !memcmp(record->key, key, record->key_len);
+}
+
 void node_on_operator_record(void *arg, const struct stream_record *record)
 {
 	struct node *node = arg;
 	const struct node_streams *streams = &node->config.streams;
-	char *key = g_strndup(record->key, record->key_len);
+	size_t prefix_len = strlen(streams->wave_prefix);
 
-	if (record->value && !strcmp(key, streams->cfg_key))
+	if (record->value && has_key(record, streams->cfg_key))
 		apply_cfg(node, record);
-	else if (record->value && g_str_has_prefix(key, streams->wave_prefix))
+	else if (record->value && record->key_len >= prefix_len &&
+		 !memcmp(record->key, streams->wave_prefix, prefix_len))
 		apply_wave(node, record);
-	g_free(key);
 }
 
+/* The key as an id; bytes that no id of a worker has are escaped. */
+static char *read_id(const struct stream_record *record)
+{
+	GString *id = g_string_new(NULL);
+
+	for (size_t i = 0; i < record->key_len; i++)
+		if (g_ascii_isgraph(record->key[i]))
+			g_string_append_c(id, record->key[i]);
+		else
+			g_string_append_printf(id, " %02x",
+					       (unsigned char)record->key[i]);
+	return g_string_free(id, FALSE);
+}
+
+/* Decodes an entry; an id with an escape is refused as no id of a worker. */
 void node_on_worker_record(void *arg, const struct stream_record *record)
 {
 	struct node *node = arg;
 	struct err err = { .kind = ERR_OK };
 	struct worker_entry entry;
-	char *id = g_strndup(record->key, record->key_len);
+	char *id = read_id(record);
 
 	if (!record->value)
 		worker_unlist(node->workers, id);
@@ -102,12 +123,6 @@
 	g_free(host);
 }
 
-static bool has_key(const struct stream_record *record, const char *key)
-{
-	return record->key_len == strlen(key) &&
-	       !memcmp(record->key, key, record->key_len);
-}
-
 /* The first record holds for good: owners act on the number. */
 static void apply_shares(struct node *node, const struct stream_record *record)
 {
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -37,6 +37,7 @@
 	DEEP_LEVELS = 300000,
 	LONG_DIGITS = 5000,
 	HUGE_BYTES = 1024 * 1024,
+	REQUEST_BYTES = 4096,
 	START_MS = 3000,
 	JOB_MS = 30000,
 	STEP_MS = 100,
@@ -359,6 +360,41 @@
 	node_on_worker_record(&registry->node, &record);
 }
 
+static bool is_listed(const struct worker_table *workers, const char *id)
+{
+	const struct worker *worker = worker_find(workers, id);
+
+	return worker && worker->listed;
+}
+
+/*
+ * Guards against a key with a zero byte that is taken for the id before that
+ * byte: its entry replaced or removed the one of a worker.
+ */
+START_TEST(a_key_with_a_zero_byte_is_no_other_id)
+{
+	struct registry registry;
+	char *good = make_entry("", NULL);
+	char *other = make_entry("addr", "\"127.0.0.1:5000\"");
+	struct worker_table *workers;
+
+	registry_open(&registry);
+	workers = registry.node.workers;
+	registry_put(&registry, "w1", 2, good);
+	registry_put(&registry, "w1\0x", 4, "{");
+	ck_assert(is_listed(workers, "w1"));
+	registry_put(&registry, "w1\0x", 4, NULL);
+	ck_assert(is_listed(workers, "w1"));
+	registry_put(&registry, "w1\0x", 4, other);
+	ck_assert_str_eq(worker_find(workers, "w1")->entry.address,
+			 "127.0.0.1:4000");
+	ck_assert_uint_eq(workers->list->len, 1);
+	worker_table_destroy(workers);
+	g_free(good);
+	g_free(other);
+}
+END_TEST
+
 /*
  * Guards against an odd entry under the id of a worker after which its tasks
  * are no longer known to be there, or after which it cannot come back.
@@ -394,6 +430,47 @@
 }
 END_TEST
 
+static int decoded_cfgs;
+
+static int count_cfg(const char *text, size_t len, struct cfg **cfg,
+		     struct err *err)
+{
+	(void)text;
+	(void)len;
+	(void)cfg;
+	decoded_cfgs++;
+	return err_set(err, ERR_INVALID, "a test");
+}
+
+/*
+ * Guards against records of operators under a key with a zero byte that is taken
+ * for the key before that byte, and under a key that is empty.
+ */
+START_TEST(an_odd_key_is_no_configuration)
+{
+	static const struct {
+		const char *key;
+		size_t len;
+	} keys[] = { { "", 0 },	   { "config\0x", 8 }, { "confi", 5 },
+		     { "wav", 3 }, { "\0", 1 },	       { "config", 6 } };
+	struct node node = {
+		.config.decoders.cfg = count_cfg,
+		.config.streams = { .cfg_key = "config",
+				    .wave_prefix = "wave/" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		struct stream_record record = { .key = keys[i].key,
+						.key_len = keys[i].len,
+						.value = "{",
+						.value_len = 1 };
+
+		node_on_operator_record(&node, &record);
+	}
+	ck_assert_int_eq(decoded_cfgs, 1);
+}
+END_TEST
+
 static int rejections; /* lines about rejected entries */
 static bool raw_bytes; /* one of them holds control characters */
 
@@ -495,6 +572,135 @@
 }
 END_TEST
 
+/* Serves one request with a fixed body. */
+struct server {
+	int fd;
+	char address[32];
+	const char *body;
+	char request[REQUEST_BYTES];
+	pthread_t thread;
+};
+
+static void *serve(void *arg)
+{
+	struct server *server = arg;
+	int fd = accept(server->fd, NULL, NULL);
+	size_t len = 0;
+	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+				     "Content-Length: %zu\r\n\r\n",
+				     strlen(server->body));
+
+	while (len + 1 < sizeof(server->request) &&
+	       !strstr(server->request, "\r\n\r\n")) {
+		ssize_t count = recv(fd, server->request + len,
+				     sizeof(server->request) - len - 1, 0);
+
+		if (count <= 0)
+			break;
+		len += (size_t)count;
+	}
+	ck_assert_int_gt(send(fd, head, strlen(head), MSG_NOSIGNAL), 0);
+	ck_assert_int_ge(
+		send(fd, server->body, strlen(server->body), MSG_NOSIGNAL), 0);
+	close(fd);
+	g_free(head);
+	return NULL;
+}
+
+static void server_start(struct server *server, const char *body)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t len = sizeof(at);
+
+	memset(server, 0, sizeof(*server));
+	server->body = body;
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server->fd = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_ge(server->fd, 0);
+	ck_assert_int_eq(bind(server->fd, (struct sockaddr *)&at, sizeof(at)),
+			 0);
+	ck_assert_int_eq(listen(server->fd, 1), 0);
+	ck_assert_int_eq(getsockname(server->fd, (struct sockaddr *)&at, &len),
+			 0);
+	snprintf(server->address, sizeof(server->address), "127.0.0.1:%d",
+		 ntohs(at.sin_port));
+	pthread_create(&server->thread, NULL, serve, server);
+}
+
+static void server_stop(struct server *server)
+{
+	pthread_join(server->thread, NULL);
+	close(server->fd);
+}
+
+/* What a call brought, copied as far as the tests look at it. */
+struct answer {
+	struct evloop *evloop;
+	bool done;
+	int outcome;
+	uint32_t count;
+	size_t key_len;
+	bool connected;
+	int status;
+};
+
+static void answer_done(struct answer *answer)
+{
+	answer->done = true;
+	evloop_stop(answer->evloop);
+}
+
+static void on_batch(void *arg, const struct stream_batch *batch)
+{
+	struct answer *answer = arg;
+
+	answer->outcome = batch->outcome;
+	answer->count = batch->count;
+	if (batch->count)
+		answer->key_len = batch->records[0].key_len;
+	answer_done(answer);
+}
+
+/* Reads a page of the newest records that continues after a key. */
+static struct answer read_newest(struct server *server, const char *after_key)
+{
+	struct evloop *evloop = evloop_create(clk_system());
+	struct call_client *client = call_client_create(evloop);
+	struct store *store = store_create(client, server->address);
+	const struct stream_io *io = store_io(store);
+	struct answer answer = { .evloop = evloop };
+
+	io->newest(io->io, (struct stream_id){ "keyed.servers", 0 }, after_key,
+		   on_batch, &answer);
+	evloop_run(evloop);
+	ck_assert(answer.done);
+	store_destroy(store);
+	call_client_destroy(client);
+	evloop_destroy(evloop);
+	return answer;
+}
+
+/* Guards against an odd item that hides the others of its page. */
+START_TEST(odd_items_of_a_page_hide_no_others)
+{
+	static const char body[] =
+		"{\"items\":[{\"key\":\"w\\u00001\",\"value\":\"e30=\","
+		"\"offset\":0},{\"key\":\"\xff\",\"value\":\"e30=\","
+		"\"offset\":1},{\"key\":5},null,7,{\"key\":\"w2\",\"value\":"
+		"\"!!\",\"offset\":1e400}],\"more\":false,\"end\":3}";
+	struct server server;
+	struct answer answer;
+
+	server_start(&server, body);
+	answer = read_newest(&server, NULL);
+	server_stop(&server);
+	ck_assert_int_eq(answer.outcome, STREAM_OK);
+	ck_assert_uint_ge(answer.count, 3);
+	/* The key is not cut at its zero byte. */
+	ck_assert_uint_eq(answer.key_len, 3);
+}
+END_TEST
+
 static char *deep_entry(void)
 {
 	char *open = repeat("{\"a\":", DEEP_LEVELS / 10);
@@ -661,7 +867,9 @@
 	tcase_add_test(tcase, bytes_that_are_no_entry_are_refused);
 	tcase_add_test(tcase, huge_fields_are_refused);
 	tcase_add_test(tcase, entries_under_an_odd_id_are_refused);
+	tcase_add_test(tcase, a_key_with_a_zero_byte_is_no_other_id);
 	tcase_add_test(tcase, an_odd_entry_of_a_worker_keeps_its_state);
+	tcase_add_test(tcase, an_odd_key_is_no_configuration);
 	tcase_add_loop_test(tcase, jobs_run_beside_odd_entries, 0, 3);
 	tcase_add_loop_test(tcase,
 			    tasks_run_on_while_the_entry_of_their_worker_is_odd,
@@ -677,6 +885,7 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, deep_nesting_ends_no_decoder, 0, 11);
 	tcase_add_test(tcase, comments_do_not_hide_deep_nesting);
+	tcase_add_test(tcase, odd_items_of_a_page_hide_no_others);
 	suite_add_tcase(suite, tcase);
 }
 
