Log a rejected registry entry once

An entry that is rejected and rewritten each second wrote a line each time, at each node, against the same budget of bytes as all other warnings. It is logged again only after a valid entry or the removal of the id. At most 1,024 ids are remembered; others are not logged while that many are rejected.

Before, a_rewritten_odd_entry_is_logged_once counted 100 lines for 100 equal entries; now it counts 1.

--- a/src/node_records.c
+++ b/src/node_records.c
@@ -88,12 +88,10 @@
 		worker_unlist(node->workers, id);
 	else if (node->config.decoders.worker(id, record->value,
 					      record->value_len, &entry,
-					      &err) < 0) {
-		log_warn("entry of worker %.60s rejected: %s", id, err.text);
-		worker_unlist(node->workers, id);
-	} else {
+					      &err) == 0)
 		worker_put(node->workers, &entry);
-	}
+	else if (worker_reject(node->workers, id))
+		log_warn("entry of worker %.60s rejected: %s", id, err.text);
 	g_free(id);
 }
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -22,6 +22,8 @@
 
 	table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	table->list = g_ptr_array_new();
+	table->rejected =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return table;
 }
 
@@ -33,6 +35,7 @@
 		g_free(table->list->pdata[i]);
 	g_ptr_array_free(table->list, TRUE);
 	g_hash_table_destroy(table->by_id);
+	g_hash_table_destroy(table->rejected);
 	g_free(table);
 }
 
@@ -69,10 +72,11 @@
 	else if (!worker->hash)
 		worker->hash = rnd_hash_name(entry->id);
 	worker->listed = true;
+	g_hash_table_remove(table->rejected, entry->id);
 	return worker;
 }
 
-void worker_unlist(struct worker_table *table, const char *id)
+static void unlist(struct worker_table *table, const char *id)
 {
 	struct worker *worker = worker_find(table, id);
 
@@ -80,6 +84,22 @@
 		worker->listed = false;
 }
 
+void worker_unlist(struct worker_table *table, const char *id)
+{
+	unlist(table, id);
+	g_hash_table_remove(table->rejected, id);
+}
+
+bool worker_reject(struct worker_table *table, const char *id)
+{
+	unlist(table, id);
+	if (g_hash_table_contains(table->rejected, id) ||
+	    g_hash_table_size(table->rejected) >= WORKER_MAX_REJECTED)
+		return false;
+	g_hash_table_add(table->rejected, g_strdup(id));
+	return true;
+}
+
 bool worker_is_silent(const struct worker *worker, int64_t now_ms)
 {
 	return worker->renew_failures ||
--- a/src/worker.h
+++ b/src/worker.h
@@ -18,7 +18,13 @@
 #include "limit.h"
 #include "speed.h"
 
-enum { WORKER_MAX_LABELS = 8, WORKER_LABEL_BYTES = 32 };
+enum {
+	WORKER_MAX_LABELS = 8,
+	WORKER_LABEL_BYTES = 32,
+	/* Ids whose rejected entries are remembered; other ids beyond that are
+	   not logged, so that writing under ever new ones fills no log. */
+	WORKER_MAX_REJECTED = 1024
+};
 
 /* An entry of the registry. */
 struct worker_entry {
@@ -122,7 +128,8 @@
 struct worker_table {
 	GHashTable *by_id;
 	GPtrArray *list;
-	bool host_list_down; /* the last request for the host list failed */
+	GHashTable *rejected; /* ids whose newest entry was rejected */
+	bool host_list_down;  /* the last request for the host list failed */
 };
 
 struct worker_table *worker_table_create(void);
@@ -136,6 +143,17 @@
 /* worker_unlist - note that the registry dropped it; tasks may still run */
 void worker_unlist(struct worker_table *table, const char *id);
 
+/*
+ * worker_reject - note that the newest entry of an id names no worker
+ *
+ * A worker of that id is unlisted and keeps all else: its tasks run on, and its
+ * lease is renewed while it has any, at the address of its last valid entry.
+ *
+ * RETURN VALUE
+ *	Whether this is to be logged: the id's entry before was not rejected.
+ */
+bool worker_reject(struct worker_table *table, const char *id);
+
 /* worker_reset_owner_state - reset the owner's state when the pool changes owners */
 void worker_reset_owner_state(struct worker *worker);
 
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -37,6 +37,7 @@
 	DEEP_LEVELS = 300000,
 	LONG_DIGITS = 5000,
 	HUGE_BYTES = 1024 * 1024,
+	REWRITES = 100,
 	REQUEST_BYTES = 4096,
 	START_MS = 3000,
 	JOB_MS = 30000,
@@ -494,6 +495,53 @@
 	return G_LOG_WRITER_HANDLED;
 }
 
+/*
+ * Guards against a log that one odd entry fills, rewritten each second, and
+ * against an id that writes lines of its own into it.
+ */
+START_TEST(a_rewritten_odd_entry_is_logged_once)
+{
+	struct registry registry;
+	char *good = make_entry("", NULL);
+
+	registry_open(&registry);
+	for (int i = 0; i < REWRITES; i++)
+		registry_put(&registry, "w1", 2, "{");
+	ck_assert_int_eq(rejections, 1);
+	/* What is odd anew is logged again. */
+	registry_put(&registry, "w1", 2, good);
+	registry_put(&registry, "w1", 2, "{");
+	registry_put(&registry, "w1", 2, NULL);
+	registry_put(&registry, "w1", 2, "{");
+	ck_assert_int_eq(rejections, 3);
+	registry_put(&registry, "w\n2\xff", 4, "{");
+	registry_put(&registry, "w1\0x", 4, "{");
+	ck_assert_int_eq(rejections, 5);
+	ck_assert(!raw_bytes);
+	worker_table_destroy(registry.node.workers);
+	g_free(good);
+}
+END_TEST
+
+/* Guards against ids that differ each time and fill the memory. */
+START_TEST(rejected_ids_are_remembered_in_bounded_number)
+{
+	struct registry registry;
+
+	registry_open(&registry);
+	for (int i = 0; i < 20000; i++) {
+		char id[LIMIT_NAME_BYTES];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		registry_put(&registry, id, strlen(id), "{");
+	}
+	ck_assert_uint_le(g_hash_table_size(registry.node.workers->rejected),
+			  WORKER_MAX_REJECTED);
+	ck_assert_uint_eq(registry.node.workers->list->len, 0);
+	worker_table_destroy(registry.node.workers);
+}
+END_TEST
+
 /* Decodes the text as each kind of message; none may be valid. */
 static void refuse_everywhere(const char *text, size_t len)
 {
@@ -870,6 +918,8 @@
 	tcase_add_test(tcase, a_key_with_a_zero_byte_is_no_other_id);
 	tcase_add_test(tcase, an_odd_entry_of_a_worker_keeps_its_state);
 	tcase_add_test(tcase, an_odd_key_is_no_configuration);
+	tcase_add_test(tcase, a_rewritten_odd_entry_is_logged_once);
+	tcase_add_test(tcase, rejected_ids_are_remembered_in_bounded_number);
 	tcase_add_loop_test(tcase, jobs_run_beside_odd_entries, 0, 3);
 	tcase_add_loop_test(tcase,
 			    tasks_run_on_while_the_entry_of_their_worker_is_odd,
