Refuse reports of workers with numbers out of range

A run number beyond 32 bits lost its upper bits and named another run. A clock near the limit of 64 bits overflowed in worker_clock_ms ("signed integer overflow: + 980"). The number of an ended run at that limit hid all later ends. A row that was too short was left out, so that its run counted as ended.

A report with such a number or row is now refused as a whole and counts as no answer: the lease of the worker ends unless it answers otherwise, and no task is started twice. Percent and load, which only guide decisions, are limited to their range.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -46,6 +46,8 @@
 	ODD_MS = 8000 /* longer than a lease of a worker or a pool */
 };
 
+#define JOB_ID "0123456789abcdef"
+
 static const struct {
 	const char *name;
 	const char *value;
@@ -620,6 +622,122 @@
 }
 END_TEST
 
+#define REPORT(rest) "{\"clockMs\":5,\"born\":6" rest "}"
+#define ROW ",\"running\":[[\"" JOB_ID ".0.0.0\","
+#define END ",\"finished\":[["
+
+/*
+ * Guards against a report whose numbers overflow in sums, lose their upper bits
+ * so that one run looks like another, or cannot be read back from a record.
+ */
+START_TEST(reports_out_of_range_are_refused)
+{
+	static const char *const texts[] = {
+		"{\"clockMs\":9223372036854775807}",
+		"{\"clockMs\":9007199254740993}",
+		"{\"clockMs\":1e400}",
+		"{\"clockMs\":-1}",
+		"{\"clockMs\":\"5\"}",
+		"{\"clockMs\":5,\"born\":9223372036854775807}",
+		"{\"clockMs\":5,\"born\":-1}",
+		"{\"clockMs\":5,\"born\":\"6\"}",
+		REPORT(",\"running\":{}"),
+		REPORT(",\"finished\":\"\""),
+		REPORT(",\"running\":[5]"),
+		REPORT(",\"running\":[[]]"),
+		REPORT(",\"finished\":[5]"),
+		REPORT(",\"finished\":[null]"),
+		REPORT(",\"finished\":[{}]"),
+		REPORT(ROW "4294967297,\"\",0]]"),
+		REPORT(ROW "-1,\"\",0]]"),
+		REPORT(ROW "1e400,\"\",0]]"),
+		REPORT(ROW "\"1\",\"\",0]]"),
+		REPORT(ROW "1,5,0]]"),
+		REPORT(ROW "1,\"a\\u0000b\",0]]"),
+		REPORT(",\"running\":[[5,1,\"\",0]]"),
+		REPORT(",\"running\":[[\"\",1,\"\",0]]"),
+		REPORT(",\"running\":[[\"" JOB_ID ".0.0.0\\u0000\",1,\"\",0]]"),
+		REPORT(END "9223372036854775807,\"t\",1,\"done\",\"\"]]"),
+		REPORT(END "1e400,\"t\",1,\"done\",\"\"]]"),
+		REPORT(END "\"1\",\"t\",1,\"done\",\"\"]]"),
+		REPORT(END "1,\"t\",4294967297,\"done\",\"\"]]"),
+		REPORT(END "1,\"t\",1,5,\"\"]]"),
+		REPORT(END "1,5,1,\"done\",\"\"]]"),
+		REPORT(END "1,\"t\",1]]"),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct err err = { .kind = ERR_OK };
+		struct worker_report report = { 0 };
+		int status = wire_decode_report(texts[i], strlen(texts[i]),
+						&report, &err);
+
+		worker_report_clear(&report);
+		ck_assert_msg(status < 0, "%s", texts[i]);
+	}
+}
+END_TEST
+
+/*
+ * Guards against figures that overflow in later differences, and against a
+ * report that is lost for the sake of such a figure.
+ */
+START_TEST(figures_of_runs_are_limited)
+{
+	static const struct {
+		const char *rest;
+		int32_t percent, load;
+	} rows[] = {
+		{ "41,7", 41, 7 },
+		{ "41", 41, 0 },
+		{ "2147483648,4294967297", INT32_MAX, INT32_MAX },
+		{ "-9223372036854775808,-1", 0, 0 },
+		{ "1e400,-1e400", INT32_MAX, 0 },
+		{ "NaN,[]", 0, 0 },
+		{ "null,null", 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct err err = { .kind = ERR_OK };
+		struct worker_report report = { 0 };
+		char *text = g_strdup_printf(REPORT(ROW "1,\"\",%s]]"),
+					     rows[i].rest);
+
+		ck_assert_msg(wire_decode_report(text, strlen(text), &report,
+						 &err) == 0,
+			      "%s", text);
+		ck_assert_int_eq(report.run_count, 1);
+		ck_assert_int_eq(report.runs[0].percent, rows[i].percent);
+		ck_assert_int_eq(report.runs[0].load_metric, rows[i].load);
+		worker_report_clear(&report);
+		g_free(text);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a checkpoint that fits no record: the next owner could read
+ * none of the job's tasks, and would start them anew.
+ */
+START_TEST(checkpoints_beyond_a_record_are_refused)
+{
+	for (int i = 0; i < 2; i++) {
+		struct err err = { .kind = ERR_OK };
+		struct worker_report report = { 0 };
+		char *checkpoint = repeat("c", JOB_MAX_SPEC_BYTES - 1 + i);
+		char *text =
+			g_strdup_printf(REPORT(ROW "1,\"%s\",0]]"), checkpoint);
+		int status =
+			wire_decode_report(text, strlen(text), &report, &err);
+
+		worker_report_clear(&report);
+		ck_assert_int_eq(status < 0, i);
+		g_free(checkpoint);
+		g_free(text);
+	}
+}
+END_TEST
+
 /* Serves one request with a fixed body. */
 struct server {
 	int fd;
@@ -935,6 +1053,9 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, deep_nesting_ends_no_decoder, 0, 11);
 	tcase_add_test(tcase, comments_do_not_hide_deep_nesting);
+	tcase_add_test(tcase, reports_out_of_range_are_refused);
+	tcase_add_test(tcase, figures_of_runs_are_limited);
+	tcase_add_test(tcase, checkpoints_beyond_a_record_are_refused);
 	tcase_add_test(tcase, odd_items_of_a_page_hide_no_others);
 	suite_add_tcase(suite, tcase);
 }
