--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -738,6 +738,142 @@
 }
 END_TEST
 
+#define SPEC(rest) "{\"spec\":\"t\",\"steps\":[{\"count\":1}]" rest "}"
+#define STEP(rest) "{\"spec\":\"t\",\"steps\":[{\"count\":1" rest "}]}"
+
+/* Guards against times of a job that overflow, and fields of another type. */
+START_TEST(jobs_out_of_range_are_refused)
+{
+	static const char *const texts[] = {
+		SPEC(",\"repeatCount\":3,\"startAtMs\":9223372036854775807,"
+		     "\"intervalMs\":5"),
+		SPEC(",\"repeatCount\":3,\"intervalMs\":9223372036854775807"),
+		SPEC(",\"repeatCount\":3,\"startAtMs\":1e400"),
+		SPEC(",\"repeatCount\":3,\"startAtMs\":-1e400"),
+		SPEC(",\"repeatCount\":99999999999"),
+		STEP(",\"cpu\":1e400,\"dependsOn\":[\"x\"]"),
+		STEP(",\"dependsOn\":[null]"),
+		STEP(",\"dependsOn\":[1e400]"),
+		STEP(",\"dependsOn\":[4294967296]"),
+		STEP(",\"image\":\"a\\u0000b\""),
+		"{\"spec\":\"a\\u0000b\",\"steps\":[{\"count\":1}]}",
+		"{\"spec\":\"t\",\"steps\":[null]}",
+		"{\"spec\":\"t\",\"steps\":{}}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct err err = { .kind = ERR_OK };
+		struct job_spec spec;
+		int status = wire_decode_spec(texts[i], strlen(texts[i]), &spec,
+					      &err);
+
+		if (status == 0)
+			job_spec_clear(&spec);
+		ck_assert_msg(status < 0, "%s", texts[i]);
+	}
+}
+END_TEST
+
+/*
+ * Guards against sums of the largest accepted numbers that overflow, seen by the
+ * sanitizer: times of a job, its objective, and the clock of a worker.
+ */
+START_TEST(largest_accepted_numbers_do_not_overflow)
+{
+	static const char job_text[] =
+		SPEC(",\"repeatCount\":20000,\"startAtMs\":9007199254740992,"
+		     "\"intervalMs\":450359962737");
+	static const char cfg_text[] =
+		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+		"\"prefix\":\"/\",\"service\":\"pool\",\"stretch\":1e6,"
+		"\"sloMs\":9007199254740992}],\"services\":[]}";
+	static const char report_text[] =
+		"{\"clockMs\":9007199254740992,\"born\":9007199254740992}";
+	struct err err = { .kind = ERR_OK };
+	struct job job = { .occurrences = 20000,
+			   .queue = "q",
+			   .accepted_ms = LIMIT_NUMBER_MAX };
+	struct worker worker = { 0 };
+	struct worker_report report;
+	struct cfg *cfg = NULL;
+
+	ck_assert_int_eq(
+		wire_decode_spec(job_text, strlen(job_text), &job.spec, &err),
+		0);
+	job.spec.steps[0].estimate_ms = INT32_MAX;
+	ck_assert_int_gt(job_due_ms(&job, 19999), LIMIT_NUMBER_MAX);
+	ck_assert_int_eq(
+		wire_decode_cfg(cfg_text, strlen(cfg_text), &cfg, &err), 0);
+	ck_assert_int_gt(place_target_ms(cfg, &job), LIMIT_NUMBER_MAX);
+	ck_assert_int_eq(wire_decode_report(report_text, strlen(report_text),
+					    &report, &err),
+			 0);
+	worker.clock_ms = report.clock_ms;
+	ck_assert_int_gt(worker_clock_ms(&worker, 1000), report.clock_ms);
+	worker_report_clear(&report);
+	job_spec_clear(&job.spec);
+	cfg_destroy(cfg);
+}
+END_TEST
+
+#define CFG(field)                                                             \
+	"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\","           \
+	"\"prefix\":\"/\",\"service\":\"pool\"," field "}],\"services\":[]}"
+
+/* Guards against an objective of a queue that is no time. */
+START_TEST(configurations_out_of_range_are_refused)
+{
+	static const char *const fields[] = {
+		"\"stretch\":NaN",
+		"\"stretch\":1e400",
+		"\"stretch\":-1",
+		"\"stretch\":1e300",
+		"\"sloMs\":9223372036854775807",
+		"\"sloMs\":-1e400",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		struct err err = { .kind = ERR_OK };
+		struct cfg *cfg = NULL;
+		char *text = g_strdup_printf(CFG("%s"), fields[i]);
+		int status = wire_decode_cfg(text, strlen(text), &cfg, &err);
+
+		cfg_destroy(cfg);
+		ck_assert_msg(status < 0, "%s", text);
+		g_free(text);
+	}
+}
+END_TEST
+
+#define WAVE(hosts, time)                                                      \
+	"{\"wave\":1,\"machines\":[" hosts "],\"completeByS\":" time "}"
+
+/* Guards against a wave whose time overflows, or hosts that are no names. */
+START_TEST(waves_out_of_range_are_refused)
+{
+	static const char *const texts[] = {
+		WAVE("\"m\"", "9223372036854775807"),
+		WAVE("\"m\"", "-1e400"),
+		"{\"wave\":9223372036854775807,\"machines\":[\"m\"]}",
+		"{\"wave\":1,\"machines\":[5]}",
+		"{\"wave\":1,\"machines\":[{}]}",
+		"{\"wave\":1,\"machines\":[null]}",
+		"{\"wave\":1,\"machines\":[\"m\\u0000x\"]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct err err = { .kind = ERR_OK };
+		struct host_wave wave;
+		int status = wire_decode_wave(texts[i], strlen(texts[i]), &wave,
+					      &err);
+
+		if (status == 0)
+			g_free(wave.hosts);
+		ck_assert_msg(status < 0, "%s", texts[i]);
+	}
+}
+END_TEST
+
 /* Serves one request with a fixed body. */
 struct server {
 	int fd;
@@ -1022,6 +1158,119 @@
 }
 END_TEST
 
+#define PROGRESS(rest) "{\"state\":\"running\",\"parts\":" rest "}"
+#define TASK(rest) PROGRESS("[[0,0,\"0\",[[" rest "]]]]")
+
+/*
+ * Guards against records of jobs that end the process when their tasks are read,
+ * which happens only where the job's pool is taken over.
+ */
+START_TEST(odd_progress_of_a_job_is_read_safely)
+{
+	static const char submission[] =
+		"{\"queue\":\"q\",\"pool\":\"pool\",\"at\":1}\n" SPEC("");
+	static const char *const texts[] = {
+		TASK("99999999999999999999,1,1,0,\"w\""),
+		TASK("-1,1,1,0,\"w\""),
+		TASK("1,1,1,0,\"w\""),
+		TASK("0,2,1,0,\"w\""),
+		TASK("0,1,2147483648,0,\"w\""),
+		TASK("0,1,1e400,NaN,\"w\""),
+		TASK("0,1,1,0,5"),
+		TASK("0,1,1,0,\"w\\u0000\""),
+		TASK("0,1,1,0,\"\""),
+		TASK("0,1,1,0,\"w\",5"),
+		TASK("0,1"),
+		TASK("[[[[[[[[[[[[[[[[[[[["),
+		PROGRESS("5"),
+		PROGRESS("[[4294967296,0,\"0\",[]]]"),
+		PROGRESS("[[0,32,\"0\",[]]]"),
+		PROGRESS("[[0,0,\"zz\",[]]]"),
+		PROGRESS("[[0,0,5,[]]]"),
+		PROGRESS("[[0,0,\"0\",{}]]"),
+		PROGRESS("[],\"boots\":[1e400,-1],\"crashes\":[[9,9,9,9,9,9,9]"
+			 "]"),
+		PROGRESS("[],\"boots\":{},\"crashes\":[5,[]]"),
+		PROGRESS("[],\"crashes\":[[0,0,0,1,1,9223372036854775807,0]]"),
+		PROGRESS("[]") "x",
+		"{\"state\":\"running\"",
+		"{\"state\":\"\xff\"}",
+	};
+	struct job_store *store = job_store_create(wire_decode_spec);
+	struct err err = { .kind = ERR_OK };
+	struct job *job;
+
+	ck_assert_int_eq(job_apply_submission(store, JOB_ID, 0, submission,
+					      strlen(submission), &err),
+			 0);
+	job = job_find(store, JOB_ID);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		job_apply_progress(store, JOB_ID, (int64_t)i + 1, texts[i],
+				   strlen(texts[i]), false, &err);
+		job_reload(store, job);
+		ck_assert_uint_eq(job->occurrences, 1);
+		ck_assert_uint_eq(job->tasks_per_occurrence, 1);
+	}
+	job_store_destroy(store);
+}
+END_TEST
+
+#define RESTART "\"work\":\"restart\",\"step\":\"asked\""
+
+/* Guards against heads of submissions, plans and shares of another form. */
+START_TEST(odd_records_of_nodes_are_refused)
+{
+	static const char *const heads[] = {
+		"",
+		"{",
+		"null",
+		"[]",
+		"{\"queue\":5}",
+		"{\"queue\":\"q\",\"pool\":\"p\",\"at\":1e400}",
+		"{\"queue\":\"q\",\"pool\":\"p\",\"at\":-1}",
+		"{\"queue\":\"q\",\"queue\":\"q\",\"pool\":\"p\",\"at\":1}",
+		"{\"queue\":\"q/\",\"pool\":\"p\",\"at\":1}",
+	};
+	static const char *const plans[] = {
+		"",
+		"{",
+		"null",
+		"{\"work\":\"restart\"}",
+		"{\"work\":\"x\",\"step\":\"asked\"}",
+		"{\"work\":5,\"step\":\"asked\"}",
+		"{" RESTART ",\"number\":9223372036854775807}",
+		"{" RESTART ",\"fence\":-1}",
+		"{\"work\":\"move\",\"step\":\"asked\",\"pool\":\"\xff\"}",
+	};
+	static const char *const counts[] = { "", "0", "99", "x", "-1", "1 " };
+	struct host_plans *kept = host_plans_create();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		struct job_store *store = job_store_create(wire_decode_spec);
+		char *text = g_strconcat(heads[i], "\n", SPEC(""), NULL);
+		struct err err = { .kind = ERR_OK };
+
+		ck_assert_msg(job_apply_submission(store, JOB_ID, 0, text,
+						   strlen(text), &err) < 0,
+			      "%s", text);
+		job_store_destroy(store);
+		g_free(text);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(plans); i++) {
+		struct err err = { .kind = ERR_OK };
+
+		ck_assert_msg(host_plan_apply(kept, "m1", 1, plans[i],
+					      strlen(plans[i]), false, 1,
+					      &err) < 0,
+			      "%s", plans[i]);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
+		ck_assert_uint_eq(
+			share_count_parse(counts[i], strlen(counts[i])), 0);
+	host_plans_destroy(kept);
+}
+END_TEST
+
 static void add_worker_tests(Suite *suite)
 {
 	TCase *tcase = tcase_create("workers");
@@ -1056,6 +1305,12 @@
 	tcase_add_test(tcase, reports_out_of_range_are_refused);
 	tcase_add_test(tcase, figures_of_runs_are_limited);
 	tcase_add_test(tcase, checkpoints_beyond_a_record_are_refused);
+	tcase_add_test(tcase, jobs_out_of_range_are_refused);
+	tcase_add_test(tcase, largest_accepted_numbers_do_not_overflow);
+	tcase_add_test(tcase, odd_progress_of_a_job_is_read_safely);
+	tcase_add_test(tcase, odd_records_of_nodes_are_refused);
+	tcase_add_test(tcase, configurations_out_of_range_are_refused);
+	tcase_add_test(tcase, waves_out_of_range_are_refused);
 	tcase_add_test(tcase, odd_items_of_a_page_hide_no_others);
 	suite_add_tcase(suite, tcase);
 }
