Continue a page of newest records after a key of any length

A key may have 255 bytes, each of which may need three in a path. The path of the request for the next page was cut at 383 bytes, and so was its escape at the end: the request was refused, or the same page came again, and the stream was never loaded.

Before, a_page_continues_after_the_longest_key found the cut path.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -37,6 +37,7 @@
 	DEEP_LEVELS = 300000,
 	LONG_DIGITS = 5000,
 	HUGE_BYTES = 1024 * 1024,
+	KEY_MAX_BYTES = 255, /* of a record of the log service */
 	REWRITES = 100,
 	REQUEST_BYTES = 4096,
 	START_MS = 3000,
@@ -982,6 +983,27 @@
 	return answer;
 }
 
+/*
+ * Guards against a key at the end of a page that is too long for the path of
+ * the next request: the page is refused or repeated, and the stream is never
+ * followed.
+ */
+START_TEST(a_page_continues_after_the_longest_key)
+{
+	struct server server;
+	char *key = repeat("\xff", KEY_MAX_BYTES);
+	char *escaped = repeat("%FF", KEY_MAX_BYTES);
+
+	server_start(&server, "{\"items\":[],\"more\":false,\"end\":3}");
+	ck_assert_int_eq(read_newest(&server, key).outcome, STREAM_OK);
+	server_stop(&server);
+	ck_assert_msg(strstr(server.request, escaped) != NULL, "%.300s",
+		      server.request);
+	g_free(key);
+	g_free(escaped);
+}
+END_TEST
+
 /* Guards against an odd item that hides the others of its page. */
 START_TEST(odd_items_of_a_page_hide_no_others)
 {
@@ -1311,6 +1333,7 @@
 	tcase_add_test(tcase, odd_records_of_nodes_are_refused);
 	tcase_add_test(tcase, configurations_out_of_range_are_refused);
 	tcase_add_test(tcase, waves_out_of_range_are_refused);
+	tcase_add_test(tcase, a_page_continues_after_the_longest_key);
 	tcase_add_test(tcase, odd_items_of_a_page_hide_no_others);
 	suite_add_tcase(suite, tcase);
 }
