Refuse lists of hosts that cannot be read

A response with status 200 that was no list was taken for the complete list of a fleet without hosts: all hosts were forgotten, and a wave whose hosts are not listed counts as done.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -39,6 +39,7 @@
 	HUGE_BYTES = 1024 * 1024,
 	KEY_MAX_BYTES = 255, /* of a record of the log service */
 	REWRITES = 100,
+	CALL_TIMEOUT_MS = 2000,
 	REQUEST_BYTES = 4096,
 	START_MS = 3000,
 	JOB_MS = 30000,
@@ -964,6 +965,24 @@
 	answer_done(answer);
 }
 
+static void on_hosts(void *arg, const struct host_page *page)
+{
+	struct answer *answer = arg;
+
+	answer->outcome = page->outcome;
+	answer->count = page->count;
+	answer_done(answer);
+}
+
+static void on_response(void *arg, const struct call_response *response)
+{
+	struct answer *answer = arg;
+
+	answer->status = response->status;
+	answer->connected = response->connected;
+	answer_done(answer);
+}
+
 /* Reads a page of the newest records that continues after a key. */
 static struct answer read_newest(struct server *server, const char *after_key)
 {
@@ -1025,6 +1044,101 @@
 }
 END_TEST
 
+static struct answer list_hosts(const char *body)
+{
+	struct evloop *evloop = evloop_create(clk_system());
+	struct call_client *client = call_client_create(evloop);
+	struct answer answer = { .evloop = evloop };
+	struct server server;
+	struct host_api *api;
+	const struct host_io *io;
+
+	server_start(&server, body);
+	api = host_api_create(client, server.address);
+	io = host_api_io(api);
+	io->list(io->io, NULL, on_hosts, &answer);
+	evloop_run(evloop);
+	ck_assert(answer.done);
+	server_stop(&server);
+	host_api_destroy(api);
+	call_client_destroy(client);
+	evloop_destroy(evloop);
+	return answer;
+}
+
+#define HOST "\"pool\":\"p\",\"zone\":\"z\",\"state\":\"up\""
+
+/*
+ * Guards against a list that cannot be read and is taken for a complete one
+ * without hosts, and against an odd row that hides the others.
+ */
+START_TEST(odd_lists_of_hosts_are_refused)
+{
+	static const char *const bodies[] = {
+		"",
+		"{",
+		"null",
+		"[]",
+		"{\"machines\":5}",
+		"{\"machines\":{}}",
+		"{}",
+	};
+	static const char *const rows[] = {
+		"{" HOST ",\"machine\":\"m1\",\"capacity\":{\"cpu\":1}}",
+		"{" HOST ",\"machine\":\"m2\",\"capacity\":{\"cpu\":-1}}",
+		"{" HOST ",\"machine\":\"m3\",\"capacity\":{\"cpu\":1e400}}",
+		"{" HOST ",\"machine\":5}",
+		"{" HOST ",\"machine\":\"m\\u0000\"}",
+		"{" HOST ",\"machine\":\"m4\",\"id\":5}",
+		"null",
+		"[]",
+	};
+	GString *body = g_string_new("{\"machines\":[");
+	struct answer answer;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++)
+		ck_assert_msg(list_hosts(bodies[i]).outcome == HOST_INVALID,
+			      "%s", bodies[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(body, "%s%s", i ? "," : "", rows[i]);
+	g_string_append(body, "]}");
+	answer = list_hosts(body->str);
+	g_string_free(body, TRUE);
+	ck_assert_int_eq(answer.outcome, HOST_OK);
+	/* m1, m2 and m3: a capacity may be unknown. */
+	ck_assert_uint_eq(answer.count, 3);
+}
+END_TEST
+
+/* Guards against a call to an odd address that ends the process or never ends. */
+START_TEST(calls_to_odd_addresses_end)
+{
+	static const char *const addresses[] = {
+		"127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:x", ":80", "",
+		"a b:80",	   "h\xff:80",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		struct evloop *evloop = evloop_create(clk_system());
+		struct call_client *client = call_client_create(evloop);
+		struct answer answer = { .evloop = evloop, .status = -1 };
+		struct call_request request = {
+			.method = "GET",
+			.address = addresses[i],
+			.path = "/",
+			.timeout_ms = CALL_TIMEOUT_MS,
+		};
+
+		call_send(client, &request, on_response, &answer);
+		evloop_run(evloop);
+		ck_assert(answer.done);
+		ck_assert_int_eq(answer.status, 0);
+		call_client_destroy(client);
+		evloop_destroy(evloop);
+	}
+}
+END_TEST
+
 static char *deep_entry(void)
 {
 	char *open = repeat("{\"a\":", DEEP_LEVELS / 10);
@@ -1335,6 +1449,8 @@
 	tcase_add_test(tcase, waves_out_of_range_are_refused);
 	tcase_add_test(tcase, a_page_continues_after_the_longest_key);
 	tcase_add_test(tcase, odd_items_of_a_page_hide_no_others);
+	tcase_add_test(tcase, odd_lists_of_hosts_are_refused);
+	tcase_add_test(tcase, calls_to_odd_addresses_end);
 	suite_add_tcase(suite, tcase);
 }
 
