Simulate lost and stale answers, and orders that outlast a cut

The simulation of nodes had no link on which calls are executed and only the answers are lost, and a paused node received answers with what was so when it went on, not when they were sent. Each is a switch that is off by default, as are orders to a worker that is cut off which are carried out seconds late. Jobs count the crashes of workers under their runs, so that a play with such crashes can tell a job that was rightly given up.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -53,6 +53,8 @@
 	/* Group membership. */
 	char *member_name;
 	struct stream_join join;
+	struct stream_membership membership;
+	int32_t parts[LOG_MODEL_PARTS];
 	stream_member_fn *on_member;
 	/* Order. */
 	int worker;
@@ -65,6 +67,8 @@
 	char kind; /* 's' start, 'x' stop, 'r' renew */
 	enum order_outcome outcome;
 	bool unanswered; /* executed after its sender timed out */
+	bool sealed;	 /* report or membership is that of its sending */
+	struct worker_report report;
 	order_fn *on_order;
 	order_renew_fn *on_renew;
 	/* Host list. */
@@ -118,6 +122,7 @@
 	g_free(event->member_name);
 	g_free(event->task);
 	g_free(event->hosts);
+	worker_report_clear(&event->report);
 	if (event->bytes)
 		g_byte_array_free(event->bytes, TRUE);
 	g_free(event);
@@ -178,7 +183,8 @@
 		event->appended.outcome = STREAM_REFUSED;
 	} else {
 		event->appended = apply_append(sim, event);
-		if (random_below(sim, 100) < sim->faults.lost_percent)
+		if (random_below(sim, 100) < sim->faults.lost_percent ||
+		    event_node(sim, event)->log_answers_lost)
 			event->appended.outcome = STREAM_UNKNOWN;
 	}
 	event->fn = answer_append;
@@ -275,7 +281,8 @@
 			continue;
 		g_array_append_val(records, record);
 	}
-	if (is_cut_from_log(&event->client) || sim->faults.log_down)
+	if (is_cut_from_log(&event->client) || sim->faults.log_down ||
+	    event_node(sim, event)->log_answers_lost)
 		batch.outcome = STREAM_UNKNOWN;
 	batch.count = batch.outcome == STREAM_OK ? records->len : 0;
 	batch.records = (const struct stream_record *)records->data;
@@ -325,22 +332,30 @@
 	schedule(client->sim, event, 2 + random_below(client->sim, 8));
 }
 
-static void answer_join(struct sim *sim, struct event *event)
+static void execute_join(struct sim *sim, struct event *event)
 {
-	struct stream_membership membership = { .outcome = STREAM_UNKNOWN };
-	int32_t parts[LOG_MODEL_PARTS];
+	struct stream_membership *membership = &event->membership;
 
-	if (!is_cut_from_log(&event->client) && !sim->faults.log_down) {
-		membership.outcome = STREAM_OK;
-		membership.part_count = log_model_join(
-			sim->log, event->member_name, event->join.ttl_ms,
-			event->join.generation, sim->clk.manual_ms, parts);
-		membership.generation = sim->log->generation;
-		membership.parts = parts;
-	}
+	membership->outcome = STREAM_UNKNOWN;
+	if (is_cut_from_log(&event->client) || sim->faults.log_down)
+		return;
+	membership->part_count = log_model_join(
+		sim->log, event->member_name, event->join.ttl_ms,
+		event->join.generation, sim->clk.manual_ms, event->parts);
+	membership->generation = sim->log->generation;
+	membership->parts = event->parts;
+	if (!event_node(sim, event)->log_answers_lost)
+		membership->outcome = STREAM_OK;
+}
+
+static void answer_join(struct sim *sim, struct event *event)
+{
+	if (!event->sealed)
+		execute_join(sim, event);
+	event->sealed = sim->stale_answers;
 	if (!can_deliver(sim, event))
 		return;
-	event->on_member(event->arg, &membership);
+	event->on_member(event->arg, &event->membership);
 	event_free(event);
 }
 
@@ -611,41 +626,60 @@
 	return outcome;
 }
 
-static void answer_order(struct sim *sim, struct event *event)
+static void fill_report(const struct sim_worker *worker,
+			struct worker_report *report)
 {
-	struct sim_worker *worker = &sim->workers[event->worker];
-	struct worker_report report = { 0 };
+	GArray *runs = worker->model.runs;
+	GArray *ends = worker->model.ends;
 
-	sim->starts_in_flight -= event->kind == 's';
-	/* A connection ends with the worker incarnation that accepted it. */
-	if (!worker->up || event->born_ms != worker->entry.boot_ms)
-		event->outcome = ORDER_UNKNOWN;
-	if (!can_deliver(sim, event))
-		return;
-	if (event->kind != 'r') {
-		event->on_order(event->arg, event->outcome);
-		event_free(event);
-		return;
-	}
-	report.clock_ms = worker->model.clock_ms;
-	report.boot_ms = worker->entry.boot_ms;
-	report.runs = g_new0(struct worker_run, worker->model.runs->len + 1);
-	report.ends = g_new0(struct worker_end, worker->model.ends->len + 1);
-	for (guint i = 0; i < worker->model.runs->len; i++) {
-		struct model_run *run =
-			&g_array_index(worker->model.runs, struct model_run, i);
-		struct worker_run *reported = &report.runs[report.run_count++];
+	report->clock_ms = worker->model.clock_ms;
+	report->boot_ms = worker->entry.boot_ms;
+	report->runs = g_new0(struct worker_run, runs->len + 1);
+	report->ends = g_new0(struct worker_end, ends->len + 1);
+	for (guint i = 0; i < runs->len; i++) {
+		const struct model_run *run =
+			&g_array_index(runs, struct model_run, i);
+		struct worker_run *reported =
+			&report->runs[report->run_count++];
 
 		g_strlcpy(reported->task, run->task, sizeof(reported->task));
 		reported->run = run->run;
 		reported->percent = model_run_percent(run);
 	}
-	for (guint i = 0; i < worker->model.ends->len; i++)
-		report.ends[report.end_count++] =
-			g_array_index(worker->model.ends, struct worker_end, i);
-	event->on_renew(event->arg, event->outcome,
-			event->outcome == ORDER_OK ? &report : NULL);
-	worker_report_clear(&report);
+	for (guint i = 0; i < ends->len; i++)
+		report->ends[report->end_count++] =
+			g_array_index(ends, struct worker_end, i);
+}
+
+/* What the answer says, unless that was settled when it was sent. */
+static void seal_order_answer(struct sim *sim, struct event *event)
+{
+	const struct sim_worker *worker = &sim->workers[event->worker];
+
+	if (event->sealed)
+		return;
+	/* A connection ends with the worker incarnation that accepted it. */
+	if (!worker->up || event->born_ms != worker->entry.boot_ms ||
+	    event_node(sim, event)->answers_lost[event->worker])
+		event->outcome = ORDER_UNKNOWN;
+	worker_report_clear(&event->report);
+	if (event->kind == 'r' && event->outcome == ORDER_OK)
+		fill_report(worker, &event->report);
+	event->sealed = sim->stale_answers;
+}
+
+static void answer_order(struct sim *sim, struct event *event)
+{
+	sim->starts_in_flight -= event->kind == 's';
+	seal_order_answer(sim, event);
+	if (!can_deliver(sim, event))
+		return;
+	if (event->kind == 'r')
+		event->on_renew(event->arg, event->outcome,
+				event->outcome == ORDER_OK ? &event->report
+							   : NULL);
+	else
+		event->on_order(event->arg, event->outcome);
 	event_free(event);
 }
 
@@ -702,6 +736,26 @@
 	return strcmp(worker->entry.id, id) ? -1 : worker->entry.boot_ms;
 }
 
+/* Schedules a copy of the order whose execution its sender does not learn of. */
+static void schedule_late_order(struct client *client,
+				const struct event *event)
+{
+	struct event *late = event_new(client, execute_order);
+
+	late->worker = event->worker;
+	late->born_ms = event->born_ms;
+	late->kind = event->kind;
+	late->task = g_strdup(event->task);
+	late->run = event->run;
+	late->fence = event->fence;
+	late->order_until_ms = event->order_until_ms;
+	late->unanswered = true;
+	/* An acknowledgement takes effect when it is executed. */
+	late->cursor = event->cursor;
+	schedule(client->sim, late,
+		 LATE_MIN_MS + random_below(client->sim, LATE_RANGE_MS));
+}
+
 static void send_order(struct client *client, struct event *event)
 {
 	struct sim *sim = client->sim;
@@ -709,26 +763,16 @@
 
 	if (node->cut_from_worker[event->worker] ||
 	    (event->kind == 'x' && sim->faults.stops_lost)) {
+		if (sim->cut_late_percent &&
+		    random_below(sim, 100) < sim->cut_late_percent)
+			schedule_late_order(client, event);
 		event->outcome = ORDER_UNKNOWN;
 		event->fn = answer_order;
 		schedule(sim, event, 500);
 		return;
 	}
 	if (random_below(sim, 100) < sim->faults.order_late_percent) {
-		struct event *late = event_new(client, execute_order);
-
-		late->worker = event->worker;
-		late->born_ms = event->born_ms;
-		late->kind = event->kind;
-		late->task = g_strdup(event->task);
-		late->run = event->run;
-		late->fence = event->fence;
-		late->order_until_ms = event->order_until_ms;
-		late->unanswered = true;
-		/* An acknowledgement takes effect when it is executed. */
-		late->cursor = event->cursor;
-		schedule(sim, late,
-			 LATE_MIN_MS + random_below(sim, LATE_RANGE_MS));
+		schedule_late_order(client, event);
 		event->outcome = ORDER_UNKNOWN;
 		event->fn = answer_order;
 		schedule(sim, event, 1000);
@@ -816,7 +860,11 @@
 static void answer_list(struct sim *sim, struct event *event)
 {
 	struct host_page page = {
-		.outcome = sim->faults.host_list_down ? HOST_UNKNOWN : HOST_OK,
+		.outcome = sim->faults.host_list_down ||
+					   event_node(sim, event)
+						   ->cut_from_host_list
+				   ? HOST_UNKNOWN
+				   : HOST_OK,
 		.count = (uint32_t)sim->worker_count,
 		.hosts = event->hosts,
 	};
@@ -1158,8 +1206,25 @@
 	g_free(value);
 }
 
+static void count_crashes_met(struct sim *sim, const struct sim_worker *worker)
+{
+	for (guint i = 0; worker->up && i < worker->model.runs->len; i++) {
+		char id[JOB_ID_BYTES];
+		struct sim_job *job;
+
+		g_strlcpy(id,
+			  g_array_index(worker->model.runs, struct model_run, i)
+				  .task,
+			  sizeof(id));
+		job = g_hash_table_lookup(sim->jobs, id);
+		if (job)
+			job->crashes_met++;
+	}
+}
+
 void sim_crash_worker(struct sim *sim, int index)
 {
+	count_crashes_met(sim, &sim->workers[index]);
 	sim->workers[index].up = false;
 	sim->workers[index].restart_at_ms = 0;
 }
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -68,10 +68,14 @@
 	bool alive;
 	bool paused;
 	bool cut_from_log;
+	bool log_answers_lost; /* the log executes its calls, unanswered */
+	bool cut_from_host_list;
 	int64_t disrupted_ms; /* when it was last out of touch with the log */
 	uint32_t incarnation;
 	GPtrArray *held_back; /* answers that arrived while it was paused */
 	bool cut_from_worker[SIM_MAX_WORKERS];
+	/* The worker executes its orders, unanswered. */
+	bool answers_lost[SIM_MAX_WORKERS];
 };
 
 struct sim_faults {
@@ -112,6 +116,10 @@
 	bool deadly_at_work;  /* those of a gang crash once it is complete */
 	bool hosts_obey; /* orders for hosts are carried out, else refused */
 	bool keep_ids;	 /* a restarted host's worker has the same id */
+	/* Answers to a paused node say what was so when they were sent. */
+	bool stale_answers;
+	/* Orders to a worker that is cut off which are executed late. */
+	uint32_t cut_late_percent;
 	struct sim_faults faults;
 	int node_count;
 	struct sim_node nodes[SIM_MAX_NODES];
@@ -148,6 +156,7 @@
 	int32_t starts;		/* of its tasks */
 	int32_t starts_refused; /* as it is invalid */
 	int32_t crashes;	/* of workers under these tasks */
+	int32_t crashes_met;	/* of any worker, under its runs */
 	int32_t crashes_of[SIM_MAX_DEADLY_TASKS];
 	/* After SIM_CRASH_LIMIT crashes. */
 	int32_t starts_beyond_limit[SIM_MAX_DEADLY_TASKS];
