--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -7,6 +7,7 @@
 #include "fleet_capacity.h"
 #include "fleet_gang.h"
 #include "host_plan.h"
+#include "log.h"
 #include "store.h"
 #include "wire.h"
 
@@ -490,6 +491,9 @@
 {
 	struct sim *sim = arg;
 
+	log_info("sim-run-ended at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
+		 "how=%d",
+		 sim->clk.manual_ms, end->task, end->run, end->how);
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->done, g_strdup(end->task));
 }
@@ -498,6 +502,9 @@
 {
 	struct sim *sim = arg;
 
+	log_info("sim-end-acknowledged at_ms=%" G_GINT64_FORMAT " task=%s "
+		 "run=%d",
+		 sim->clk.manual_ms, end->task, end->run);
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->acknowledged, g_strdup(end->task));
 }
@@ -576,6 +583,10 @@
 				     event->order_until_ms, &began);
 	if (!began)
 		return outcome;
+	log_info("sim-run-started at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
+		 "worker=%s node=%d fence=%" G_GINT64_FORMAT " late=%d",
+		 sim->clk.manual_ms, event->task, event->run, worker->entry.id,
+		 event->client.node, event->fence, event->unanswered);
 	check_start(sim, worker, event->client.node, event->task);
 	if (job && deadly_index(job, event->task) >= 0)
 		schedule_crash(sim, event);
@@ -1077,6 +1088,12 @@
 
 /* Nodes. */
 
+static void note_event(const struct sim *sim, const char *what, int index)
+{
+	log_info("sim-%s at_ms=%" G_GINT64_FORMAT " index=%d", what,
+		 sim->clk.manual_ms, index);
+}
+
 void sim_start(struct sim *sim, int index)
 {
 	struct sim_node *node = &sim->nodes[index];
@@ -1147,12 +1164,14 @@
 	node->alive = true;
 	node->paused = false;
 	g_free(incarnation);
+	note_event(sim, "node-started", index);
 }
 
 void sim_kill(struct sim *sim, int index)
 {
 	struct sim_node *node = &sim->nodes[index];
 
+	note_event(sim, "node-killed", index);
 	g_ptr_array_add(sim->retained, node->node);
 	node->alive = false;
 	node->paused = false;
@@ -1173,6 +1192,7 @@
 
 void sim_pause(struct sim *sim, int index)
 {
+	note_event(sim, "node-paused", index);
 	sim->nodes[index].paused = true;
 }
 
@@ -1180,6 +1200,7 @@
 {
 	struct sim_node *node = &sim->nodes[index];
 
+	note_event(sim, "node-resumed", index);
 	node->paused = false;
 	for (guint i = 0; i < node->held_back->len; i++)
 		schedule(sim, node->held_back->pdata[i], 0);
@@ -1224,6 +1245,7 @@
 
 void sim_crash_worker(struct sim *sim, int index)
 {
+	note_event(sim, "worker-crashed", index);
 	count_crashes_met(sim, &sim->workers[index]);
 	sim->workers[index].up = false;
 	sim->workers[index].restart_at_ms = 0;
@@ -1233,6 +1255,7 @@
 {
 	struct sim_worker *worker = &sim->workers[index];
 
+	note_event(sim, "worker-started", index);
 	worker->up = true;
 	worker->restart_at_ms = 0;
 	worker->started_at_ms = sim->clk.manual_ms;
