Play cuts of data centres with reassignments of all parts

The random plays of nodes never reassigned all parts at once, never cut a data centre off together with its workers, and their tasks of 0.4 s to 0.8 s hid runs that overlap: none showed the two runs of a task that users saw. With fleet_play.cuts, nodes and workers are dealt to data centres; one is cut off from the others and the log, or only its answers are lost, or only the log is away from it. A cut of the owner's centre is followed by a reassignment within the interval of renewals, and by a restarted worker, a paused or a killed node. Tasks last up to 8 s, or until they are stopped.

tests/test_cut.c guards against a task that runs twice or is lost in them.

--- a/Makefile
+++ b/Makefile
@@ -100,15 +100,15 @@
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
 FLEET_SOURCES = tests/fleet_capacity.c tests/fleet_capacity.h \
-	tests/fleet_gang.c tests/fleet_gang.h tests/fleet_play.c \
-	tests/fleet_play.h tests/fleet_sim.c \
-	tests/fleet_sim.h tests/log_model.c tests/log_model.h \
+	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
+	tests/fleet_gang.h tests/fleet_play.c tests/fleet_play.h \
+	tests/fleet_sim.c tests/fleet_sim.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
 FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
 	$(BUILD)/test_leaving $(BUILD)/test_capacity $(BUILD)/test_lasting \
 	$(BUILD)/test_suspects $(BUILD)/test_retry \
-	$(BUILD)/test_reassigned
+	$(BUILD)/test_reassigned $(BUILD)/test_cut
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
@@ -128,10 +128,7 @@
 $(BUILD)/bench_waves: bench/waves.c tests/sim.h $(LIBRARY)
 	$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
-$(BUILD)/bench_nodes: bench/nodes.c tests/fleet_capacity.c tests/fleet_gang.c \
-		tests/fleet_play.c tests/fleet_sim.c tests/log_model.c tests/worker_model.c \
-		tests/fleet_capacity.h tests/fleet_gang.h tests/fleet_play.h \
-		tests/fleet_sim.h $(LIBRARY)
+$(BUILD)/bench_nodes: bench/nodes.c $(FLEET_SOURCES) $(LIBRARY)
 	@echo "  CC $@"
 	@$(CC) $(CPPFLAGS) -Itests $(CFLAGS) $(filter-out %.h,$^) $(LDLIBS) -o $@
 
--- a/tests/fleet_play.c
+++ b/tests/fleet_play.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "fleet_capacity.h"
+#include "fleet_cut.h"
 #include "fleet_sim.h"
 
 enum {
@@ -16,7 +17,10 @@
 	/* Makes two shares of the five hosts. */
 	SHARED_HOSTS = 3,
 	/* With play->deadly, every so many jobs one has a deadly task. */
-	DEADLY_GAP = 8
+	DEADLY_GAP = 8,
+	/* With play->cuts, a job may be given up after so many crashes of
+	   workers under its runs. */
+	GIVE_UP_CRASHES = 2
 };
 
 int fleet_owner(struct sim *sim)
@@ -127,7 +131,7 @@
 	}
 }
 
-static int pick_live_node(struct sim *sim)
+int fleet_pick_node(struct sim *sim)
 {
 	for (int tries = 0; tries < 8; tries++) {
 		int node = (int)rnd_below(&sim->rnd, (uint32_t)sim->node_count);
@@ -138,6 +142,12 @@
 	return -1;
 }
 
+static bool may_be_given_up(const struct fleet_play *play,
+			    const struct sim_job *job)
+{
+	return play->cuts && job->crashes_met >= GIVE_UP_CRASHES;
+}
+
 void fleet_check_ends(struct sim *sim, struct fleet_play *play)
 {
 	GHashTableIter iter;
@@ -152,6 +162,7 @@
 			continue;
 		state = sim_get_job_state(sim, 0, job->id);
 		if (state == (job->deadly ? JOB_FAILED : JOB_DONE) ||
+		    (state == JOB_FAILED && may_be_given_up(play, job)) ||
 		    (job->cancelled_ms && state == JOB_CANCELLED) ||
 		    (job->cancel_requested && !job->cancelled_ms &&
 		     job_ended((enum job_state)state)))
@@ -161,7 +172,7 @@
 	}
 }
 
-static void disable_guard(struct sim *sim, enum fleet_guard guard)
+void fleet_disable_guard(struct sim *sim, enum fleet_guard guard)
 {
 	sim->log->ignore_epochs = guard == FLEET_NO_EPOCHS;
 	for (int i = 0; i < sim->worker_count; i++) {
@@ -185,7 +196,7 @@
 							: sim_submit_job;
 }
 
-void fleet_play(uint64_t seed, struct fleet_play *play)
+static void play_faults(uint64_t seed, struct fleet_play *play)
 {
 	/* Every second seed plays two owners of the same pool. */
 	struct sim *sim = sim_create_shared(
@@ -193,7 +204,7 @@
 	struct sim_job *jobs[JOBS] = { NULL };
 	int submitted = 0;
 
-	disable_guard(sim, play->disabled);
+	fleet_disable_guard(sim, play->disabled);
 	if (play->shrinking)
 		fleet_capacity_unguard(sim);
 	/* Odd seeds have one or two nodes that cannot be deciders. */
@@ -203,7 +214,7 @@
 		sim_restart_with_slow_link(sim, (int)((seed / 2 + 1) % 3));
 	sim_run_for(sim, WARM_UP_MS);
 	for (int step = 0; step < FAULT_STEPS && !sim->broken[0]; step++) {
-		int node = pick_live_node(sim);
+		int node = fleet_pick_node(sim);
 		submit_fn *submit = submit_fn_of(play, submitted);
 
 		if (play->shrinking)
@@ -229,3 +240,11 @@
 		fleet_check_ends(sim, play);
 	play->started += sim->started;
 }
+
+void fleet_play(uint64_t seed, struct fleet_play *play)
+{
+	if (play->cuts)
+		fleet_cut_play(seed, play);
+	else
+		play_faults(seed, play);
+}
--- a/tests/fleet_play.h
+++ b/tests/fleet_play.h
@@ -25,6 +25,11 @@
 	bool deadly; /* input: some jobs have a task that crashes workers */
 	/* Input: workers that do not guard their capacity, which changes. */
 	bool shrinking;
+	/*
+	 * Input: whole data centres are cut off, all parts are reassigned at
+	 * once, and tasks last for seconds or until they are stopped.
+	 */
+	bool cuts;
 	char broken[256]; /* first violated invariant; empty: none */
 	uint64_t started; /* runs; each call adds to it */
 };
@@ -53,6 +58,12 @@
 /* fleet_lift_faults - lift all faults; nodes and workers run again */
 void fleet_lift_faults(struct sim *sim);
 
+/* fleet_disable_guard - play on without the guard */
+void fleet_disable_guard(struct sim *sim, enum fleet_guard guard);
+
+/* fleet_pick_node - a random node that is alive and not paused; -1: none */
+int fleet_pick_node(struct sim *sim);
+
 /* fleet_owner - index of the node that owns the pool; -1: none */
 int fleet_owner(struct sim *sim);
 
