--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -7,6 +7,7 @@
 #include "fleet_capacity.h"
 #include "fleet_gang.h"
 #include "host_plan.h"
+#include "log.h"
 #include "store.h"
 #include "wire.h"
 
@@ -53,10 +54,13 @@
 	/* Group membership. */
 	char *member_name;
 	struct stream_join join;
+	struct stream_membership membership;
+	int32_t parts[LOG_MODEL_PARTS];
 	stream_member_fn *on_member;
 	/* Order. */
 	int worker;
-	int64_t born_ms; /* start of the worker incarnation addressed */
+	int64_t born_ms;  /* start of the worker incarnation addressed */
+	int replacements; /* of the worker whose id the order names */
 	char *task;
 	int32_t run;
 	int64_t order_until_ms;
@@ -65,6 +69,8 @@
 	char kind; /* 's' start, 'x' stop, 'r' renew */
 	enum order_outcome outcome;
 	bool unanswered; /* executed after its sender timed out */
+	bool sealed;	 /* report or membership is that of its sending */
+	struct worker_report report;
 	order_fn *on_order;
 	order_renew_fn *on_renew;
 	/* Host list. */
@@ -118,6 +124,7 @@
 	g_free(event->member_name);
 	g_free(event->task);
 	g_free(event->hosts);
+	worker_report_clear(&event->report);
 	if (event->bytes)
 		g_byte_array_free(event->bytes, TRUE);
 	g_free(event);
@@ -178,7 +185,8 @@
 		event->appended.outcome = STREAM_REFUSED;
 	} else {
 		event->appended = apply_append(sim, event);
-		if (random_below(sim, 100) < sim->faults.lost_percent)
+		if (random_below(sim, 100) < sim->faults.lost_percent ||
+		    event_node(sim, event)->log_answers_lost)
 			event->appended.outcome = STREAM_UNKNOWN;
 	}
 	event->fn = answer_append;
@@ -275,7 +283,8 @@
 			continue;
 		g_array_append_val(records, record);
 	}
-	if (is_cut_from_log(&event->client) || sim->faults.log_down)
+	if (is_cut_from_log(&event->client) || sim->faults.log_down ||
+	    event_node(sim, event)->log_answers_lost)
 		batch.outcome = STREAM_UNKNOWN;
 	batch.count = batch.outcome == STREAM_OK ? records->len : 0;
 	batch.records = (const struct stream_record *)records->data;
@@ -325,22 +334,30 @@
 	schedule(client->sim, event, 2 + random_below(client->sim, 8));
 }
 
-static void answer_join(struct sim *sim, struct event *event)
+static void execute_join(struct sim *sim, struct event *event)
 {
-	struct stream_membership membership = { .outcome = STREAM_UNKNOWN };
-	int32_t parts[LOG_MODEL_PARTS];
+	struct stream_membership *membership = &event->membership;
 
-	if (!is_cut_from_log(&event->client) && !sim->faults.log_down) {
-		membership.outcome = STREAM_OK;
-		membership.part_count = log_model_join(
-			sim->log, event->member_name, event->join.ttl_ms,
-			event->join.generation, sim->clk.manual_ms, parts);
-		membership.generation = sim->log->generation;
-		membership.parts = parts;
-	}
+	membership->outcome = STREAM_UNKNOWN;
+	if (is_cut_from_log(&event->client) || sim->faults.log_down)
+		return;
+	membership->part_count = log_model_join(
+		sim->log, event->member_name, event->join.ttl_ms,
+		event->join.generation, sim->clk.manual_ms, event->parts);
+	membership->generation = sim->log->generation;
+	membership->parts = event->parts;
+	if (!event_node(sim, event)->log_answers_lost)
+		membership->outcome = STREAM_OK;
+}
+
+static void answer_join(struct sim *sim, struct event *event)
+{
+	if (!event->sealed)
+		execute_join(sim, event);
+	event->sealed = sim->stale_answers;
 	if (!can_deliver(sim, event))
 		return;
-	event->on_member(event->arg, &membership);
+	event->on_member(event->arg, &event->membership);
 	event_free(event);
 }
 
@@ -475,6 +492,9 @@
 {
 	struct sim *sim = arg;
 
+	log_info("sim-run-ended at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
+		 "how=%d",
+		 sim->clk.manual_ms, end->task, end->run, end->how);
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->done, g_strdup(end->task));
 }
@@ -483,6 +503,9 @@
 {
 	struct sim *sim = arg;
 
+	log_info("sim-end-acknowledged at_ms=%" G_GINT64_FORMAT " task=%s "
+		 "run=%d",
+		 sim->clk.manual_ms, end->task, end->run);
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->acknowledged, g_strdup(end->task));
 }
@@ -561,6 +584,10 @@
 				     event->order_until_ms, &began);
 	if (!began)
 		return outcome;
+	log_info("sim-run-started at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
+		 "worker=%s node=%d fence=%" G_GINT64_FORMAT " late=%d",
+		 sim->clk.manual_ms, event->task, event->run, worker->entry.id,
+		 event->client.node, event->fence, event->unanswered);
 	check_start(sim, worker, event->client.node, event->task);
 	if (job && deadly_index(job, event->task) >= 0)
 		schedule_crash(sim, event);
@@ -585,6 +612,19 @@
 	return true;
 }
 
+/*
+ * Whether the worker accepts an order that was sent to an earlier incarnation
+ * under the same id.
+ */
+static bool accepts_earlier_order(const struct sim *sim,
+				  const struct sim_worker *worker,
+				  const struct event *order)
+{
+	return sim->lenient_workers && order->unanswered &&
+	       order->born_ms >= 0 &&
+	       order->replacements == worker->replacements;
+}
+
 static enum order_outcome apply_order(struct sim *sim, struct event *event)
 {
 	struct sim_worker *worker = &sim->workers[event->worker];
@@ -592,7 +632,8 @@
 
 	if (!worker->up)
 		return ORDER_UNKNOWN;
-	if (event->born_ms != worker->entry.boot_ms)
+	if (event->born_ms != worker->entry.boot_ms &&
+	    !accepts_earlier_order(sim, worker, event))
 		return ORDER_OTHER_WORKER;
 	if (!worker_model_check_fence(&worker->model, event->fence))
 		return ORDER_FENCED;
@@ -611,41 +652,60 @@
 	return outcome;
 }
 
-static void answer_order(struct sim *sim, struct event *event)
+static void fill_report(const struct sim_worker *worker,
+			struct worker_report *report)
 {
-	struct sim_worker *worker = &sim->workers[event->worker];
-	struct worker_report report = { 0 };
+	GArray *runs = worker->model.runs;
+	GArray *ends = worker->model.ends;
 
-	sim->starts_in_flight -= event->kind == 's';
-	/* A connection ends with the worker incarnation that accepted it. */
-	if (!worker->up || event->born_ms != worker->entry.boot_ms)
-		event->outcome = ORDER_UNKNOWN;
-	if (!can_deliver(sim, event))
-		return;
-	if (event->kind != 'r') {
-		event->on_order(event->arg, event->outcome);
-		event_free(event);
-		return;
-	}
-	report.clock_ms = worker->model.clock_ms;
-	report.boot_ms = worker->entry.boot_ms;
-	report.runs = g_new0(struct worker_run, worker->model.runs->len + 1);
-	report.ends = g_new0(struct worker_end, worker->model.ends->len + 1);
-	for (guint i = 0; i < worker->model.runs->len; i++) {
-		struct model_run *run =
-			&g_array_index(worker->model.runs, struct model_run, i);
-		struct worker_run *reported = &report.runs[report.run_count++];
+	report->clock_ms = worker->model.clock_ms;
+	report->boot_ms = worker->entry.boot_ms;
+	report->runs = g_new0(struct worker_run, runs->len + 1);
+	report->ends = g_new0(struct worker_end, ends->len + 1);
+	for (guint i = 0; i < runs->len; i++) {
+		const struct model_run *run =
+			&g_array_index(runs, struct model_run, i);
+		struct worker_run *reported =
+			&report->runs[report->run_count++];
 
 		g_strlcpy(reported->task, run->task, sizeof(reported->task));
 		reported->run = run->run;
 		reported->percent = model_run_percent(run);
 	}
-	for (guint i = 0; i < worker->model.ends->len; i++)
-		report.ends[report.end_count++] =
-			g_array_index(worker->model.ends, struct worker_end, i);
-	event->on_renew(event->arg, event->outcome,
-			event->outcome == ORDER_OK ? &report : NULL);
-	worker_report_clear(&report);
+	for (guint i = 0; i < ends->len; i++)
+		report->ends[report->end_count++] =
+			g_array_index(ends, struct worker_end, i);
+}
+
+/* What the answer says, unless that was settled when it was sent. */
+static void seal_order_answer(struct sim *sim, struct event *event)
+{
+	const struct sim_worker *worker = &sim->workers[event->worker];
+
+	if (event->sealed)
+		return;
+	/* A connection ends with the worker incarnation that accepted it. */
+	if (!worker->up || event->born_ms != worker->entry.boot_ms ||
+	    event_node(sim, event)->answers_lost[event->worker])
+		event->outcome = ORDER_UNKNOWN;
+	worker_report_clear(&event->report);
+	if (event->kind == 'r' && event->outcome == ORDER_OK)
+		fill_report(worker, &event->report);
+	event->sealed = sim->stale_answers;
+}
+
+static void answer_order(struct sim *sim, struct event *event)
+{
+	sim->starts_in_flight -= event->kind == 's';
+	seal_order_answer(sim, event);
+	if (!can_deliver(sim, event))
+		return;
+	if (event->kind == 'r')
+		event->on_renew(event->arg, event->outcome,
+				event->outcome == ORDER_OK ? &event->report
+							   : NULL);
+	else
+		event->on_order(event->arg, event->outcome);
 	event_free(event);
 }
 
@@ -702,6 +762,27 @@
 	return strcmp(worker->entry.id, id) ? -1 : worker->entry.boot_ms;
 }
 
+/* Schedules a copy of the order whose execution its sender does not learn of. */
+static void schedule_late_order(struct client *client,
+				const struct event *event)
+{
+	struct event *late = event_new(client, execute_order);
+
+	late->worker = event->worker;
+	late->born_ms = event->born_ms;
+	late->replacements = event->replacements;
+	late->kind = event->kind;
+	late->task = g_strdup(event->task);
+	late->run = event->run;
+	late->fence = event->fence;
+	late->order_until_ms = event->order_until_ms;
+	late->unanswered = true;
+	/* An acknowledgement takes effect when it is executed. */
+	late->cursor = event->cursor;
+	schedule(client->sim, late,
+		 LATE_MIN_MS + random_below(client->sim, LATE_RANGE_MS));
+}
+
 static void send_order(struct client *client, struct event *event)
 {
 	struct sim *sim = client->sim;
@@ -709,26 +790,16 @@
 
 	if (node->cut_from_worker[event->worker] ||
 	    (event->kind == 'x' && sim->faults.stops_lost)) {
+		if (sim->cut_late_percent &&
+		    random_below(sim, 100) < sim->cut_late_percent)
+			schedule_late_order(client, event);
 		event->outcome = ORDER_UNKNOWN;
 		event->fn = answer_order;
 		schedule(sim, event, 500);
 		return;
 	}
 	if (random_below(sim, 100) < sim->faults.order_late_percent) {
-		struct event *late = event_new(client, execute_order);
-
-		late->worker = event->worker;
-		late->born_ms = event->born_ms;
-		late->kind = event->kind;
-		late->task = g_strdup(event->task);
-		late->run = event->run;
-		late->fence = event->fence;
-		late->order_until_ms = event->order_until_ms;
-		late->unanswered = true;
-		/* An acknowledgement takes effect when it is executed. */
-		late->cursor = event->cursor;
-		schedule(sim, late,
-			 LATE_MIN_MS + random_below(sim, LATE_RANGE_MS));
+		schedule_late_order(client, event);
 		event->outcome = ORDER_UNKNOWN;
 		event->fn = answer_order;
 		schedule(sim, event, 1000);
@@ -748,6 +819,7 @@
 	event->worker = worker_index(client->sim, worker->id);
 	event->born_ms = addressed_boot_ms(&client->sim->workers[event->worker],
 					   worker->id);
+	event->replacements = client->sim->workers[event->worker].replacements;
 	event->task = g_strdup(task);
 	event->run = run;
 	event->fence = fence;
@@ -816,7 +888,11 @@
 static void answer_list(struct sim *sim, struct event *event)
 {
 	struct host_page page = {
-		.outcome = sim->faults.host_list_down ? HOST_UNKNOWN : HOST_OK,
+		.outcome = sim->faults.host_list_down ||
+					   event_node(sim, event)
+						   ->cut_from_host_list
+				   ? HOST_UNKNOWN
+				   : HOST_OK,
 		.count = (uint32_t)sim->worker_count,
 		.hosts = event->hosts,
 	};
@@ -1029,6 +1105,12 @@
 
 /* Nodes. */
 
+static void note_event(const struct sim *sim, const char *what, int index)
+{
+	log_info("sim-%s at_ms=%" G_GINT64_FORMAT " index=%d", what,
+		 sim->clk.manual_ms, index);
+}
+
 void sim_start(struct sim *sim, int index)
 {
 	struct sim_node *node = &sim->nodes[index];
@@ -1099,12 +1181,14 @@
 	node->alive = true;
 	node->paused = false;
 	g_free(incarnation);
+	note_event(sim, "node-started", index);
 }
 
 void sim_kill(struct sim *sim, int index)
 {
 	struct sim_node *node = &sim->nodes[index];
 
+	note_event(sim, "node-killed", index);
 	g_ptr_array_add(sim->retained, node->node);
 	node->alive = false;
 	node->paused = false;
@@ -1125,6 +1209,7 @@
 
 void sim_pause(struct sim *sim, int index)
 {
+	note_event(sim, "node-paused", index);
 	sim->nodes[index].paused = true;
 }
 
@@ -1132,6 +1217,7 @@
 {
 	struct sim_node *node = &sim->nodes[index];
 
+	note_event(sim, "node-resumed", index);
 	node->paused = false;
 	for (guint i = 0; i < node->held_back->len; i++)
 		schedule(sim, node->held_back->pdata[i], 0);
@@ -1158,8 +1244,26 @@
 	g_free(value);
 }
 
+static void count_crashes_met(struct sim *sim, const struct sim_worker *worker)
+{
+	for (guint i = 0; worker->up && i < worker->model.runs->len; i++) {
+		char id[JOB_ID_BYTES];
+		struct sim_job *job;
+
+		g_strlcpy(id,
+			  g_array_index(worker->model.runs, struct model_run, i)
+				  .task,
+			  sizeof(id));
+		job = g_hash_table_lookup(sim->jobs, id);
+		if (job)
+			job->crashes_met++;
+	}
+}
+
 void sim_crash_worker(struct sim *sim, int index)
 {
+	note_event(sim, "worker-crashed", index);
+	count_crashes_met(sim, &sim->workers[index]);
 	sim->workers[index].up = false;
 	sim->workers[index].restart_at_ms = 0;
 }
@@ -1168,6 +1272,7 @@
 {
 	struct sim_worker *worker = &sim->workers[index];
 
+	note_event(sim, "worker-started", index);
 	worker->up = true;
 	worker->restart_at_ms = 0;
 	worker->started_at_ms = sim->clk.manual_ms;
