--- a/src/maint.c
+++ b/src/maint.c
@@ -333,8 +333,8 @@
 {
 	int64_t lease_ms = maint->env->order_lease_ms;
 
-	/* Made in this tenure, so only the host's previous plan can have been
-	   ordered by an earlier owner. */
+	/* Made in this tenure. An earlier owner may have ordered the host for its
+	   previous plan, or for one that it could not store. */
 	if (plan->fence == maint->ownership.fence)
 		return now_ms < maint->earlier_orders_end_ms &&
 		       now_ms < plan->previous_seen_ms + lease_ms;
--- a/src/pool.c
+++ b/src/pool.c
@@ -437,7 +437,7 @@
 	if (over == pool->membership_over)
 		return;
 	pool->membership_over = over;
-	log_info("membership-%s of=%s fence=%" G_GINT64_FORMAT
+	log_info("membership-%s tenure=%s fence=%" G_GINT64_FORMAT
 		 " over_ms=%" G_GINT64_FORMAT,
 		 over ? "over" : "valid", ownership->name, ownership->fence,
 		 over_ms);
