Count what is read of each stream, and log cancels as owners read them

Metrics: registry_age_ms, read_jobs_bytes, read_registry_bytes; log line: cancel-read. No decision changes.

--- a/src/node_metrics.c
+++ b/src/node_metrics.c
@@ -35,6 +35,9 @@
 	M_CFG_VERSION,
 	M_READY,
 	M_STREAM_AGE_MS,
+	M_REGISTRY_AGE_MS,
+	M_READ_JOBS_BYTES,
+	M_READ_REGISTRY_BYTES,
 	M_APPEND_STALLED_MS,
 	M_COUNT
 };
@@ -91,7 +94,14 @@
 			    "version of the configuration in force; -1: none" },
 	[M_READY] = { "ready", COUNTERS_GAUGE, "1 if ready for callers" },
 	[M_STREAM_AGE_MS] = { "stream_age_ms", COUNTERS_GAUGE,
-			      "age of the last answered read" },
+			      "time since the jobs' stream was read to its "
+			      "end" },
+	[M_REGISTRY_AGE_MS] = { "registry_age_ms", COUNTERS_GAUGE,
+				"time since the registry was read to its end" },
+	[M_READ_JOBS_BYTES] = { "read_jobs_bytes", COUNTERS_COUNTER,
+				"bytes read from the jobs' stream" },
+	[M_READ_REGISTRY_BYTES] = { "read_registry_bytes", COUNTERS_COUNTER,
+				    "bytes read from the registry" },
 	[M_APPEND_STALLED_MS] = { "append_stalled_ms", COUNTERS_GAUGE,
 				  "age of the append in progress" },
 };
@@ -153,6 +163,9 @@
 		[M_CFG_VERSION] = gauges->cfg_version,
 		[M_READY] = gauges->ready,
 		[M_STREAM_AGE_MS] = gauges->stream_age_ms,
+		[M_REGISTRY_AGE_MS] = gauges->registry_age_ms,
+		[M_READ_JOBS_BYTES] = gauges->read_jobs_bytes,
+		[M_READ_REGISTRY_BYTES] = gauges->read_registry_bytes,
 		[M_APPEND_STALLED_MS] = gauges->append_stalled_ms,
 	};
 	char *text;
--- a/src/node_records.c
+++ b/src/node_records.c
@@ -186,6 +186,9 @@
 		break;
 	case 'c':
 		job_apply_cancel(node->jobs, id);
+		if (node_owns_job(node, job_find(node->jobs, id)))
+			log_info("cancel-read id=%s offset=%" G_GINT64_FORMAT,
+				 id, record->offset);
 		break;
 	case 'p':
 		status = job_apply_progress(
--- a/src/node_view.c
+++ b/src/node_view.c
@@ -42,6 +42,9 @@
 		.cfg_version = node->cfg ? node->cfg->version : -1,
 		.ready = node_ready(node),
 		.stream_age_ms = tail_age_ms(node->jobs_tail),
+		.registry_age_ms = tail_age_ms(node->registry_tail),
+		.read_jobs_bytes = tail_read_bytes(node->jobs_tail),
+		.read_registry_bytes = tail_read_bytes(node->registry_tail),
 		.append_stalled_ms = writer_stalled_ms(node->writer),
 	};
 
--- a/src/tail.c
+++ b/src/tail.c
@@ -24,6 +24,7 @@
 	int64_t due_ms;
 	int64_t read_start_ms;	  /* start of the read in progress */
 	int64_t answered_read_ms; /* start of the last answered read */
+	int64_t read_bytes;	  /* keys and values delivered */
 	GArray *next_waiters;	  /* served by the next sync read */
 	GArray *sync_waiters;	  /* served by the one in progress */
 };
@@ -85,8 +86,13 @@
 
 static void deliver(struct tail *tail, const struct stream_batch *batch)
 {
-	for (uint32_t i = 0; i < batch->count; i++)
-		tail->config.on_record(tail->config.arg, &batch->records[i]);
+	for (uint32_t i = 0; i < batch->count; i++) {
+		const struct stream_record *record = &batch->records[i];
+
+		tail->read_bytes +=
+			(int64_t)(record->key_len + record->value_len);
+		tail->config.on_record(tail->config.arg, record);
+	}
 }
 
 static void reload(struct tail *tail)
@@ -255,6 +261,11 @@
 	return clk_now_ms(tail->config.clk) - tail->answered_read_ms;
 }
 
+int64_t tail_read_bytes(const struct tail *tail)
+{
+	return tail->read_bytes;
+}
+
 void tail_set_gap(struct tail *tail, int64_t gap_ms)
 {
 	tail->config.gap_ms = gap_ms;
--- a/src/tail.h
+++ b/src/tail.h
@@ -43,6 +43,9 @@
 /* tail_age_ms - time since the start of the last read that was answered */
 int64_t tail_age_ms(const struct tail *tail);
 
+/* tail_read_bytes - keys and values delivered so far */
+int64_t tail_read_bytes(const struct tail *tail);
+
 /* tail_set_gap - change the pause between two reads */
 void tail_set_gap(struct tail *tail, int64_t gap_ms);
 
