--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -22,6 +22,8 @@
 	CRASH_DELAY_MS = 60,
 	/* Between looks at whether the gang of such a task is complete. */
 	CRASH_CHECK_MS = 20,
+	/* Of an encoded record, besides its key and value. */
+	RECORD_HEADER_BYTES = 5,
 	/* A run that fails at once does so after this time. */
 	QUICK_FAILURE_MS = 100
 };
@@ -51,6 +53,7 @@
 	int64_t until_ms;
 	stream_batch_fn *on_batch;
 	bool newest;
+	int64_t end; /* of the stream for this answer; -1: at its delivery */
 	/* Group membership. */
 	char *member_name;
 	struct stream_join join;
@@ -251,23 +254,15 @@
 	}
 }
 
-static void answer_batch(struct sim *sim, struct event *event)
+/* Collects the records of an answer that ends before the given offset. */
+static GArray *collect_records(struct sim *sim, const struct event *event,
+			       int64_t end)
 {
 	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
 	GArray *records =
 		g_array_new(FALSE, FALSE, sizeof(struct stream_record));
-	struct stream_batch batch = {
-		.outcome = STREAM_OK,
-		.end = topic->records->len,
-		.next = topic->records->len,
-	};
 
-	if (!can_deliver(sim, event)) {
-		g_array_free(records, TRUE);
-		return;
-	}
-	for (guint i = event->newest ? 0 : (guint)event->from;
-	     i < topic->records->len; i++) {
+	for (guint i = event->newest ? 0 : (guint)event->from; i < end; i++) {
 		struct log_record *at =
 			&g_array_index(topic->records, struct log_record, i);
 		struct stream_record record = {
@@ -283,9 +278,43 @@
 			continue;
 		g_array_append_val(records, record);
 	}
+	return records;
+}
+
+static int64_t count_bytes(const GArray *records)
+{
+	int64_t bytes = 0;
+
+	for (guint i = 0; i < records->len; i++) {
+		const struct stream_record *record =
+			&g_array_index(records, struct stream_record, i);
+
+		bytes += RECORD_HEADER_BYTES + (int64_t)record->key_len +
+			 (int64_t)record->value_len;
+	}
+	return bytes;
+}
+
+static void answer_batch(struct sim *sim, struct event *event)
+{
+	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
+	int64_t end = event->end >= 0 ? event->end : topic->records->len;
+	struct stream_batch batch = {
+		.outcome = STREAM_OK,
+		.end = end,
+		.next = end,
+	};
+	GArray *records;
+
+	if (!can_deliver(sim, event))
+		return;
+	records = collect_records(sim, event, end);
 	if (is_cut_from_log(&event->client) || sim->faults.log_down ||
 	    event_node(sim, event)->log_answers_lost)
 		batch.outcome = STREAM_UNKNOWN;
+	else
+		event_node(sim, event)->read_bytes +=
+			(uint64_t)count_bytes(records);
 	batch.count = batch.outcome == STREAM_OK ? records->len : 0;
 	batch.records = (const struct stream_record *)records->data;
 	event->on_batch(event->arg, &batch);
@@ -293,6 +322,26 @@
 	event_free(event);
 }
 
+/* Delivers the answer once it has been sent after those queued before it. */
+static void queue_batch(struct sim *sim, struct event *event)
+{
+	int64_t now_us = sim->clk.manual_ms * 1000;
+	GArray *records;
+
+	event->fn = answer_batch;
+	if (!sim->read_bytes_per_ms) {
+		answer_batch(sim, event);
+		return;
+	}
+	event->end = log_model_topic(sim->log, event->id.topic)->records->len;
+	records = collect_records(sim, event, event->end);
+	sim->reads_sent_us =
+		MAX(sim->reads_sent_us, now_us) +
+		count_bytes(records) * 1000 / sim->read_bytes_per_ms;
+	g_array_free(records, TRUE);
+	schedule(sim, event, (sim->reads_sent_us - now_us) / 1000);
+}
+
 /* Polls until there is a record or the reader's wait ends. */
 static void poll_read(struct sim *sim, struct event *event)
 {
@@ -302,7 +351,7 @@
 		    sim->clk.manual_ms < event->until_ms;
 
 	if (!wait)
-		event->fn = answer_batch;
+		event->fn = queue_batch;
 	schedule(sim, event, wait ? STEP_MS : 1 + random_below(sim, 4));
 }
 
@@ -313,6 +362,7 @@
 	struct event *event = event_new(client, poll_read);
 
 	event->id = id;
+	event->end = -1;
 	event->from = from;
 	event->until_ms = client->sim->clk.manual_ms + wait_ms;
 	event->on_batch = fn;
@@ -324,10 +374,11 @@
 		      stream_batch_fn *fn, void *arg)
 {
 	struct client *client = io;
-	struct event *event = event_new(client, answer_batch);
+	struct event *event = event_new(client, queue_batch);
 
 	(void)after;
 	event->id = id;
+	event->end = -1;
 	event->newest = true;
 	event->on_batch = fn;
 	event->arg = arg;
@@ -1197,12 +1248,15 @@
 	g_ptr_array_set_size(node->held_back, 0);
 }
 
-void sim_restart_with_slow_link(struct sim *sim, int index)
+static void set_slow_link(struct nodeconf *settings)
 {
-	struct nodeconf *settings = &sim->nodes[index].settings;
-
 	settings->link_mbps = 10;
 	settings->decider_link_mbps = 50;
+}
+
+void sim_restart_with_slow_link(struct sim *sim, int index)
+{
+	set_slow_link(&sim->nodes[index].settings);
 	sim_kill(sim, index);
 	sim_start(sim, index);
 }
@@ -1342,13 +1396,8 @@
 	sim_restart_worker(sim, index);
 }
 
-struct sim *sim_create(uint64_t seed, int nodes, int workers)
-{
-	return sim_create_shared(seed, nodes, workers, NODECONF_SHARE_HOSTS);
-}
-
-struct sim *sim_create_shared(uint64_t seed, int nodes, int workers,
-			      uint32_t share_hosts)
+static struct sim *create(uint64_t seed, int large, int small, int workers,
+			  uint32_t share_hosts)
 {
 	/* Keeps every simulation reachable for the leak checker. */
 	static GPtrArray *sims;
@@ -1394,14 +1443,33 @@
 		worker->model.arg = sim;
 		sim_restart_worker(sim, i);
 	}
-	sim->node_count = nodes;
-	for (int i = 0; i < nodes; i++) {
+	sim->node_count = large + small;
+	g_assert(sim->node_count <= SIM_MAX_NODES);
+	for (int i = 0; i < sim->node_count; i++) {
 		sim->nodes[i].held_back = g_ptr_array_new();
+		if (i >= large)
+			set_slow_link(&sim->nodes[i].settings);
 		sim_start(sim, i);
 	}
 	return sim;
 }
 
+struct sim *sim_create(uint64_t seed, int nodes, int workers)
+{
+	return sim_create_shared(seed, nodes, workers, NODECONF_SHARE_HOSTS);
+}
+
+struct sim *sim_create_shared(uint64_t seed, int nodes, int workers,
+			      uint32_t share_hosts)
+{
+	return create(seed, nodes, 0, workers, share_hosts);
+}
+
+struct sim *sim_create_sized(uint64_t seed, int large, int small, int workers)
+{
+	return create(seed, large, small, workers, NODECONF_SHARE_HOSTS);
+}
+
 /* Callers. */
 
 static void on_submitted(void *arg, const struct front_answer *answer)
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -19,7 +19,7 @@
 #include "worker_model.h"
 
 enum {
-	SIM_MAX_NODES = 4,
+	SIM_MAX_NODES = 40,
 	SIM_MAX_WORKERS = 512,
 	/* A task under which so many workers have crashed may be started fewer
 	   than SIM_STARTS_BEYOND_LIMIT times more. */
@@ -71,6 +71,7 @@
 	bool log_answers_lost; /* the log executes its calls, unanswered */
 	bool cut_from_host_list;
 	int64_t disrupted_ms; /* when it was last out of touch with the log */
+	uint64_t read_bytes;  /* of the log's records that were sent to it */
 	uint32_t incarnation;
 	GPtrArray *held_back; /* answers that arrived while it was paused */
 	bool cut_from_worker[SIM_MAX_WORKERS];
@@ -103,6 +104,11 @@
 	GSequence *events;
 	uint64_t next_event;
 	struct log_model *log;
+	/* The log sends its answers to all reads one after the other at this
+	   rate; an answer holds the records of when it was queued. 0:
+	   unlimited. */
+	int64_t read_bytes_per_ms;
+	int64_t reads_sent_us; /* when the last answer queued has been sent */
 	void (*tick)(struct node *node); /* node_tick, or a wrapper of it */
 	/* The nodes' decoder of registry entries, or a wrapper of it. */
 	int (*decode_worker)(const char *id, const char *text, size_t len,
@@ -175,6 +181,9 @@
 struct sim *sim_create_shared(uint64_t seed, int nodes, int workers,
 			      uint32_t share_hosts);
 
+/* sim_create_sized - the same, with large nodes first, then small ones */
+struct sim *sim_create_sized(uint64_t seed, int large, int small, int workers);
+
 /* sim_run_for - advance the simulated time */
 void sim_run_for(struct sim *sim, int64_t ms);
 
