--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -170,6 +170,7 @@
 {
 	struct log_append append = {
 		.topic = event->id.topic,
+		.part = event->id.part,
 		.producer = event->producer,
 		.epoch = event->epoch,
 		.sequence = event->sequence,
@@ -258,7 +259,8 @@
 static GArray *collect_records(struct sim *sim, const struct event *event,
 			       int64_t end)
 {
-	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
+	struct log_topic *topic =
+		log_model_part(sim->log, event->id.topic, event->id.part);
 	GArray *records =
 		g_array_new(FALSE, FALSE, sizeof(struct stream_record));
 
@@ -297,7 +299,8 @@
 
 static void answer_batch(struct sim *sim, struct event *event)
 {
-	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
+	struct log_topic *topic =
+		log_model_part(sim->log, event->id.topic, event->id.part);
 	int64_t end = event->end >= 0 ? event->end : topic->records->len;
 	struct stream_batch batch = {
 		.outcome = STREAM_OK,
@@ -333,7 +336,8 @@
 		answer_batch(sim, event);
 		return;
 	}
-	event->end = log_model_topic(sim->log, event->id.topic)->records->len;
+	event->end = log_model_part(sim->log, event->id.topic, event->id.part)
+			     ->records->len;
 	records = collect_records(sim, event, event->end);
 	sim->reads_sent_us =
 		MAX(sim->reads_sent_us, now_us) +
@@ -345,7 +349,8 @@
 /* Polls until there is a record or the reader's wait ends. */
 static void poll_read(struct sim *sim, struct event *event)
 {
-	struct log_topic *topic = log_model_topic(sim->log, event->id.topic);
+	struct log_topic *topic =
+		log_model_part(sim->log, event->id.topic, event->id.part);
 	bool wait = !is_cut_from_log(&event->client) && !sim->faults.log_down &&
 		    event->from >= (int64_t)topic->records->len &&
 		    sim->clk.manual_ms < event->until_ms;
--- a/tests/log_model.c
+++ b/tests/log_model.c
@@ -32,22 +32,29 @@
 	return model;
 }
 
-struct log_topic *log_model_topic(struct log_model *model, const char *name)
+struct log_topic *log_model_part(struct log_model *model, const char *name,
+				 int32_t part)
 {
 	struct log_topic *topic;
 
 	for (guint i = 0; i < model->topics->len; i++) {
 		topic = model->topics->pdata[i];
-		if (!strcmp(topic->name, name))
+		if (topic->part == part && !strcmp(topic->name, name))
 			return topic;
 	}
 	topic = g_new0(struct log_topic, 1);
 	topic->name = g_strdup(name);
+	topic->part = part;
 	topic->records = g_array_new(FALSE, FALSE, sizeof(struct log_record));
 	g_ptr_array_add(model->topics, topic);
 	return topic;
 }
 
+struct log_topic *log_model_topic(struct log_model *model, const char *name)
+{
+	return log_model_part(model, name, 0);
+}
+
 static void append_record(struct log_topic *topic, const char *key,
 			  size_t key_len, const char *value, size_t len)
 {
@@ -92,11 +99,12 @@
 	}
 }
 
-/* A producer's epoch and sequence belong to one topic. */
-static struct producer *get_producer(struct log_model *model, const char *topic,
+/* A producer's epoch and sequence belong to one part of a topic. */
+static struct producer *get_producer(struct log_model *model,
+				     const struct log_topic *topic,
 				     const char *name)
 {
-	char *key = g_strdup_printf("%s/%s", topic, name);
+	char *key = g_strdup_printf("%s/%d/%s", topic->name, topic->part, name);
 	struct producer *producer = g_hash_table_lookup(model->producers, key);
 
 	if (producer) {
@@ -128,11 +136,11 @@
 struct stream_append_result log_model_append(struct log_model *model,
 					     const struct log_append *append)
 {
-	struct log_topic *topic = log_model_topic(model, append->topic);
+	struct log_topic *topic =
+		log_model_part(model, append->topic, append->part);
 	struct producer *producer =
-		append->producer
-			? get_producer(model, append->topic, append->producer)
-			: NULL;
+		append->producer ? get_producer(model, topic, append->producer)
+				 : NULL;
 	struct stream_append_result result = {
 		.outcome = STREAM_OK,
 		.offset = topic->records->len,
--- a/tests/log_model.h
+++ b/tests/log_model.h
@@ -22,8 +22,10 @@
 	size_t len;
 };
 
+/* One part of a topic. */
 struct log_topic {
 	char *name;
+	int32_t part;
 	GArray *records; /* struct log_record; index is the offset */
 	int64_t first;	 /* offset of the oldest record that can be read */
 };
@@ -40,6 +42,7 @@
 
 struct log_append {
 	const char *topic;
+	int32_t part;
 	const char *producer; /* NULL: none */
 	int64_t epoch;
 	int64_t sequence;
@@ -49,7 +52,10 @@
 };
 
 struct log_model *log_model_create(void);
-/* log_model_topic - find a topic; it is created if new */
+/* log_model_part - find a part of a topic; it is created if new */
+struct log_topic *log_model_part(struct log_model *model, const char *name,
+				 int32_t part);
+/* log_model_topic - the first part of a topic */
 struct log_topic *log_model_topic(struct log_model *model, const char *name);
 /* log_model_put - append one record; a NULL value is a tombstone */
 void log_model_put(struct log_model *model, const char *topic, const char *key,
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -128,10 +128,17 @@
 
 /* Log service. */
 
+static struct log_topic *queried_part(struct web_request *request)
+{
+	return log_model_part(model, web_query(request, "topic"),
+			      (int32_t)query_int(request, "part", 0));
+}
+
 static void append(struct web_request *request)
 {
 	struct log_append append = {
 		.topic = web_query(request, "topic"),
+		.part = (int32_t)query_int(request, "part", 0),
 		.producer = web_query(request, "producer"),
 		.epoch = query_int(request, "epoch", 0),
 		.sequence = query_int(request, "seq", 0),
@@ -218,7 +225,7 @@
 {
 	struct pending_request pending = {
 		.request = request,
-		.topic = log_model_topic(model, web_query(request, "topic")),
+		.topic = queried_part(request),
 		.from = query_int(request, "from", 0),
 		.until_ms = now_ms() + query_int(request, "waitMs", 0),
 	};
@@ -245,8 +252,7 @@
 
 static void list_newest(struct web_request *request)
 {
-	struct log_topic *topic =
-		log_model_topic(model, web_query(request, "topic"));
+	struct log_topic *topic = queried_part(request);
 	/* The protocol uses this name for the key to continue after. */
 	const char *after = web_query(request, "dependsOn");
 	struct json_object *items = json_object_new_array();
