Let only a part of the small nodes join when no large one announces itself

Each member of the group reads all jobs. Now small nodes belong to four groups by their names; a group joins 1.5 s after the one before it, unless that one announces itself.

--- a/src/node_pools.c
+++ b/src/node_pools.c
@@ -198,11 +198,20 @@
 	job_store_clear(node->jobs);
 }
 
+static void announce(struct node *node)
+{
+	char *record =
+		standby_record(&node->standby, node->config.settings->name);
+
+	writer_add(node->index_writer, NODE_DECIDER_KEY, record, strlen(record),
+		   NULL, NULL);
+	g_free(record);
+}
+
 void node_tick_membership(struct node *node)
 {
 	int64_t now_ms = clk_now_ms(node->config.clk);
 	int64_t heard_ms = node->standby.heard_ms;
-	const char *name = node->config.settings->name;
 
 	if (tail_loaded(node->index_tail))
 		heard_ms = now_ms - tail_age_ms(node->index_tail);
@@ -212,6 +221,5 @@
 	if (tail_loaded(node->index_tail) && !node->stopping &&
 	    now_ms < group_authority_end_ms(node->group) &&
 	    standby_must_announce(&node->standby, now_ms))
-		writer_add(node->index_writer, NODE_DECIDER_KEY, name,
-			   strlen(name), NULL, NULL);
+		announce(node);
 }
--- a/src/node_records.c
+++ b/src/node_records.c
@@ -197,9 +197,10 @@
 	} else if (has_key(record, NODE_DECIDER_KEY)) {
 		/* While loading, the record may be old: the log retains the
 		   newest of each key without limit. */
-		if (tail_loaded(node->index_tail))
-			standby_note_announcement(&node->standby,
-						  clk_now_ms(node->config.clk));
+		if (record->value && tail_loaded(node->index_tail))
+			standby_apply(&node->standby, record->value,
+				      record->value_len,
+				      clk_now_ms(node->config.clk));
 	} else if (record->key_len > 2 && !memcmp(record->key, "s:", 2)) {
 		apply_backlog(node, record);
 	} else if (read_job_id(record, id) && record->key[0] == 'i') {
--- a/src/standby.h
+++ b/src/standby.h
@@ -4,15 +4,18 @@
  *
  * The owner of a pool sends all its orders, so its link and processor limit
  * the rate at which the pool starts tasks. Where nodes differ in size, only the
- * large ones own pools: they announce themselves in the jobs' stream, which
- * every node follows. A small node joins the group only after no large one has
- * announced itself for STANDBY_SILENCE_MS. Uses no network and no clock of its
- * own.
+ * large ones own pools: they announce themselves in the index, which every node
+ * follows. A small node joins the group only after no large one has announced
+ * itself for STANDBY_SILENCE_MS. Only a part of the small nodes do so, as each
+ * member reads all jobs: they belong to STANDBY_GROUPS groups by their names, and
+ * a group joins only if the one before it does not announce itself either. Uses no
+ * network and no clock of its own.
  */
 #ifndef STANDBY_H
 #define STANDBY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "nodeconf.h"
@@ -24,12 +27,17 @@
 	STANDBY_SILENCE_MS = 3500,
 	/* If the log has not answered for longer, announcements may be missing
 	   because nobody could make one: silence counts anew. */
-	STANDBY_OUTAGE_MS = 2500
+	STANDBY_OUTAGE_MS = 2500,
+	STANDBY_GROUPS = 4,
+	/* Between two groups; a member has announced itself by then. */
+	STANDBY_GROUP_MS = 1500
 };
 
 struct standby {
 	bool small;
+	int64_t group_delay_ms;	  /* the groups before this node's join first */
 	int64_t last_announce_ms; /* last announcement by a large node */
+	int64_t last_reserve_ms;  /* last one by a small node; 0: none */
 	int64_t heard_ms;	  /* last value given to standby_decides */
 	int64_t own_announce_ms;  /* last announcement by this node */
 	bool decides;		  /* last result of standby_decides */
@@ -39,6 +47,13 @@
 void standby_init(struct standby *standby, const struct nodeconf *settings,
 		  int64_t now_ms);
 
+/* standby_record - text of an announcement of this node; free with g_free */
+char *standby_record(const struct standby *standby, const char *name);
+
+/* standby_apply - note an announcement by its text */
+void standby_apply(struct standby *standby, const char *text, size_t len,
+		   int64_t now_ms);
+
 /* standby_note_announcement - note the announcement of a large node */
 void standby_note_announcement(struct standby *standby, int64_t now_ms);
 
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -1,5 +1,6 @@
 /* Unit tests of which nodes may own pools where nodes differ in size. */
 
+#include <stdio.h>
 #include <string.h>
 
 #include <apr_general.h>
@@ -17,11 +18,19 @@
 	.decider_link_mbps = 50,
 };
 
+/* A small node of the first group. */
 static struct nodeconf small_node(void)
 {
 	struct nodeconf settings = large_node;
+	struct standby standby;
+	int number = 0;
 
 	settings.link_mbps = 10;
+	do {
+		snprintf(settings.name, sizeof(settings.name), "small-%d",
+			 number++);
+		standby_init(&standby, &settings, 0);
+	} while (standby.group_delay_ms);
 	return settings;
 }
 
@@ -121,6 +130,55 @@
 }
 END_TEST
 
+/*
+ * All large nodes lose power among many small ones. Each member reads all jobs, so
+ * that the reads of all small nodes together would hold up the log.
+ */
+START_TEST(only_a_part_of_the_small_nodes_joins)
+{
+	enum { NODES = 132, START_MS = 1000, RUN_MS = 20000 };
+	struct standby nodes[NODES];
+	struct nodeconf settings = small_node();
+	int joined = 0;
+
+	for (int i = 0; i < NODES; i++) {
+		snprintf(settings.name, sizeof(settings.name), "front-%d", i);
+		standby_init(&nodes[i], &settings, START_MS);
+	}
+	for (int64_t ms = START_MS; ms < RUN_MS; ms += STEP_MS) {
+		char *record = NULL;
+
+		joined = 0;
+		for (int i = 0; i < NODES; i++)
+			joined += standby_decides(&nodes[i], ms);
+		for (int i = 0; i < NODES && !record; i++)
+			if (standby_must_announce(&nodes[i], ms))
+				record = standby_record(&nodes[i], "front");
+		for (int i = 0; record && i < NODES; i++)
+			standby_apply(&nodes[i], record, strlen(record), ms);
+		g_free(record);
+	}
+	ck_assert_int_gt(joined, NODES / STANDBY_GROUPS / 2);
+	ck_assert_int_lt(joined, NODES / STANDBY_GROUPS * 2);
+}
+END_TEST
+
+/* The first group of small nodes has gone, too. */
+START_TEST(later_groups_join_if_the_first_is_away)
+{
+	struct nodeconf settings = small_node();
+	struct standby standby;
+	int64_t now_ms = 1000;
+
+	standby_init(&standby, &settings, now_ms);
+	standby.group_delay_ms = 3 * STANDBY_GROUP_MS;
+	check_stands_by(&standby, now_ms,
+			now_ms + STANDBY_SILENCE_MS + standby.group_delay_ms);
+	now_ms += STANDBY_SILENCE_MS + standby.group_delay_ms;
+	ck_assert(standby_decides(&standby, now_ms + 1));
+}
+END_TEST
+
 static struct standby standby_with_settings(const char *size_fields)
 {
 	char *text =
@@ -166,6 +224,8 @@
 	tcase_add_test(tcase, small_node_decides_only_without_large_ones);
 	tcase_add_test(tcase, silence_counts_only_while_the_log_answers);
 	tcase_add_test(tcase, small_node_stays_out_after_a_cut);
+	tcase_add_test(tcase, only_a_part_of_the_small_nodes_joins);
+	tcase_add_test(tcase, later_groups_join_if_the_first_is_away);
 	tcase_add_test(tcase, settings_determine_the_size);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
