Place no task while the jobs that an owner has read are old

What callers saw: a task of a cancelled job was started 15.7 s after the cancel was confirmed (UNASKED). The owner's reads of the log came ever later, but its appends did not, so it placed tasks by a state of long ago. Now it places none while the stream was last read to its end more than 2.5 s ago, which is under the users' 3 s from a cancel to the last start; it says so in the log (starts-held, starts-resumed). An idle owner reads once a second, as the age of an empty read counts from its start. tests/test_stream_age.c fails with the check left out.

--- a/Makefile
+++ b/Makefile
@@ -117,7 +117,7 @@
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
 POOL_TESTS = $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
-	$(BUILD)/test_room $(BUILD)/test_index
+	$(BUILD)/test_room $(BUILD)/test_index $(BUILD)/test_stream_age
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
 
--- a/src/node.c
+++ b/src/node.c
@@ -12,6 +12,7 @@
 	NODE_RENEW_MS = 400,
 	/* How long a read of a stream may wait. */
 	NODE_FOLLOW_WAIT_MS = 1500,
+	NODE_JOBS_WAIT_MS = 1000,
 	/* The log counts as reachable while the newest answered read began
 	   less than this ago. */
 	NODE_LOG_AGE_MS = 2 * NODE_FOLLOW_WAIT_MS + 500,
@@ -23,6 +24,9 @@
 	   long-running task counts as lost when it has not run for 9 s: 6 s
 	   without a run, and 3 s with room for it. */
 	NODE_DISCONNECTED_MS = 1000,
+	/* An empty read is answered after NODE_JOBS_WAIT_MS, and the age counts
+	   from the start of the one before. */
+	NODE_MAX_STREAM_AGE_MS = 2 * NODE_JOBS_WAIT_MS + 500,
 	/* The node reports not ready after the log has been unreachable for
 	   this long. */
 	NODE_UNREADY_MS = 1500,
@@ -79,7 +83,7 @@
 {
 	node->jobs_tails[part] =
 		create_tail(node, jobs_stream(part), NODE_FOLLOW_GAP_MS,
-			    NODE_FOLLOW_WAIT_MS, node_on_job_record, NULL);
+			    NODE_JOBS_WAIT_MS, node_on_job_record, NULL);
 	tail_set_following(node->jobs_tails[part], node->follows_jobs);
 }
 
@@ -200,6 +204,7 @@
 		.job_retention_ms = config->settings->job_keep_ms,
 		.membership_ms = NODE_TTL_MS,
 		.disconnected_ms = NODE_DISCONNECTED_MS,
+		.max_stream_age_ms = NODE_MAX_STREAM_AGE_MS,
 	};
 	node->maint_env = (struct maint_env){
 		.clk = config->clk,
--- a/src/pool.c
+++ b/src/pool.c
@@ -374,6 +374,20 @@
 	}
 }
 
+/* Whether the jobs read are recent enough to start tasks; logs each change. */
+static bool stream_is_recent(struct pool *pool)
+{
+	int64_t age_ms = tail_age_ms(pool->ownership.config.streams[0].tail);
+	bool outdated = age_ms > pool->env->max_stream_age_ms;
+
+	if (outdated != pool->stream_outdated)
+		log_info("starts-%s tenure=%s stream_age_ms=%" G_GINT64_FORMAT,
+			 outdated ? "held" : "resumed", pool->ownership.name,
+			 age_ms);
+	pool->stream_outdated = outdated;
+	return !outdated;
+}
+
 static void place_waiting_tasks(struct pool *pool)
 {
 	struct place place = {
@@ -391,7 +405,8 @@
 	pool_move_off_slow(pool, &place);
 	pool_move_off_leaving(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
-	if (writer_stalled_ms(pool_writer(pool)) < pool->env->lease_ms / 4)
+	if (writer_stalled_ms(pool_writer(pool)) < pool->env->lease_ms / 4 &&
+	    stream_is_recent(pool))
 		place_tasks(&place);
 	pool_note_away(pool, &place);
 	pool_publish_load(pool, &place);
--- a/src/pool.h
+++ b/src/pool.h
@@ -59,6 +59,9 @@
 	int64_t membership_ms; /* how long a renewal of the membership holds */
 	/* How long an owner whose membership has run out gives full leases. */
 	int64_t disconnected_ms;
+	/* No task is placed while the jobs read are older: a cancel may have been
+	   accepted since. */
+	int64_t max_stream_age_ms;
 	struct pool_counts counts;
 	struct histo wait_ms;  /* from submission to first placement */
 	struct histo age_ms;   /* from submission to the end of the job */
--- /dev/null
+++ b/tests/test_stream_age.c
@@ -0,0 +1,205 @@
+/*
+ * Unit tests of owners whose reads of the log come late, as when other nodes take
+ * up the rate at which the log sends. They use no network.
+ */
+
+#include <apr_general.h>
+#include <check.h>
+
+#include "log.h"
+#include "pool_fixture.h"
+#include "pool_int.h"
+#include "suite.h"
+
+enum { START_MS = 1000000, MAX_AGE_MS = 2500, LEASE_MS = 4000 };
+
+static struct clk clk;
+static struct pool_fixture fixture;
+static struct pool_env env;
+static struct pool *pool;
+static struct tail *tail;
+static struct index *states;
+static struct host_plans *plans;
+static stream_batch_fn *answer; /* of the read in progress */
+static void *answer_arg;
+
+static void keep_append(void *io, const struct stream_append *append,
+			stream_append_fn *fn, void *arg)
+{
+	(void)io;
+	(void)append;
+	(void)fn;
+	(void)arg;
+}
+
+static void keep_read(void *io, struct stream_id id, int64_t from,
+		      int64_t wait_ms, stream_batch_fn *fn, void *arg)
+{
+	(void)io;
+	(void)id;
+	(void)from;
+	(void)wait_ms;
+	answer = fn;
+	answer_arg = arg;
+}
+
+static void keep_newest(void *io, struct stream_id id, const char *after_key,
+			stream_batch_fn *fn, void *arg)
+{
+	(void)after_key;
+	keep_read(io, id, 0, 0, fn, arg);
+}
+
+static void add_record(GByteArray *buffer, const char *key, const char *value,
+		       size_t value_len)
+{
+	(void)key;
+	(void)value;
+	g_byte_array_set_size(buffer, buffer->len + (guint)value_len + 1);
+}
+
+static const struct stream_io stream = {
+	.append = keep_append,
+	.read = keep_read,
+	.newest = keep_newest,
+	.add_record = add_record,
+};
+
+static const struct stream_id jobs_stream = { "jobs", 0 };
+
+static struct writer *create_writer(void)
+{
+	struct writer_config config = {
+		.io = &stream,
+		.clk = &clk,
+		.id = jobs_stream,
+		.producer = "test",
+		.max_bytes = 1000000,
+	};
+
+	return writer_create(&config);
+}
+
+static void ignore_record(void *arg, const struct stream_record *record)
+{
+	(void)arg;
+	(void)record;
+}
+
+/* Lets the owner read the stream to its end. */
+static void read_to_the_end(void)
+{
+	struct stream_batch batch = { .outcome = STREAM_OK };
+
+	tail_tick(tail);
+	answer(answer_arg, &batch);
+}
+
+static void setup(void)
+{
+	struct share share = { .pool = "pool", .count = 1 };
+	struct ownership_stream jobs = { .id = jobs_stream };
+	struct tail_config config = {
+		.io = &stream,
+		.clk = &clk,
+		.id = jobs_stream,
+		.on_record = ignore_record,
+	};
+
+	pool_fixture_setup(&fixture);
+	clk = clk_manual(START_MS);
+	tail = tail_create(&config);
+	jobs.tail = tail;
+	states = index_create();
+	plans = host_plans_create();
+	env = (struct pool_env){
+		.clk = &clk,
+		.stream = &stream,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
+		.plans = plans,
+		.index = states,
+		.publisher = create_writer(),
+		.cfg = (const struct cfg *const *)&fixture.cfg,
+		.lease_ms = LEASE_MS,
+		.max_stream_age_ms = MAX_AGE_MS,
+	};
+	pool = pool_create(&env, &share, &jobs);
+	pool->ownership.state = OWNERSHIP_HELD;
+	pool->ownership.slots[0].writer = create_writer();
+	/* No renewal is due, which would need a worker's interface. */
+	pool->ownership.authority_end_ms = 0;
+}
+
+static void teardown(void)
+{
+	pool_destroy(pool);
+	writer_destroy(env.publisher);
+	tail_destroy(tail);
+	index_destroy(states);
+	host_plans_destroy(plans);
+	pool_fixture_teardown(&fixture);
+}
+
+static struct job *submit(void)
+{
+	return pool_fixture_submit(
+		&fixture, "672a48d34c5231d8",
+		"{\"spec\":\"t\",\"steps\":[{\"count\":1,\"cpu\":500,"
+		"\"memMb\":10,\"estMs\":500}]}");
+}
+
+static void add_worker(void)
+{
+	struct worker *worker =
+		pool_fixture_add_worker(&fixture, "w1", NULL, 4000);
+
+	worker->last_report_ms = clk_now_ms(&clk);
+}
+
+static bool is_placed(const struct job *job)
+{
+	return job_task_at(job, 0, 0, 0)->state == TASK_PLACED;
+}
+
+/* Guards against tasks that start though a cancel of their job was confirmed. */
+START_TEST(no_task_is_placed_while_the_jobs_read_are_old)
+{
+	struct job *job = submit();
+
+	read_to_the_end();
+	clk.manual_ms += MAX_AGE_MS + 1;
+	add_worker();
+	pool_tick(pool);
+	ck_assert(!is_placed(job));
+	read_to_the_end();
+	pool_tick(pool);
+	ck_assert(is_placed(job));
+}
+END_TEST
+
+START_TEST(tasks_are_placed_while_the_jobs_read_are_recent)
+{
+	struct job *job = submit();
+
+	read_to_the_end();
+	clk.manual_ms += MAX_AGE_MS;
+	add_worker();
+	pool_tick(pool);
+	ck_assert(is_placed(job));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("stream age");
+	TCase *tcase = tcase_create("stream age");
+
+	apr_initialize();
+	log_init("test_stream_age", true);
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, no_task_is_placed_while_the_jobs_read_are_old);
+	tcase_add_test(tcase, tasks_are_placed_while_the_jobs_read_are_recent);
+	suite_add_tcase(suite, tcase);
+	return suite_run(suite);
+}
