Tell operators a job's state at nodes that do not read the jobs

plankctl job and explain-job answered "not found" for accepted jobs at small nodes since these read the index only. They give queue and state from it now, and say where to ask. Found by reading the change as a newcomer would.

--- a/src/job_view.c
+++ b/src/job_view.c
@@ -87,16 +87,53 @@
 	return rows;
 }
 
+/* What the index tells of a job; NULL if it is unknown. */
+static struct json_object *index_row(const struct job_view *view,
+				     const char *id)
+{
+	const struct index_entry *entry = index_find(view->index, id);
+	struct json_object *row;
+
+	if (!entry)
+		return NULL;
+	row = json_object_new_object();
+	jcursor_put_string(row, "job", id);
+	jcursor_put_string(row, "queue", entry->queue);
+	jcursor_put_string(row, "state",
+			   job_state_name(index_job_state(entry->state)));
+	return row;
+}
+
+/* Says where to ask about a job of which only the index tells. */
+static struct json_object *explain_by_index(const struct job_view *view,
+					    const char *id)
+{
+	const struct index_entry *entry = index_find(view->index, id);
+	struct json_object *page;
+	char *text;
+
+	if (!entry)
+		return NULL;
+	text = g_strdup_printf("Job %s of queue %s is %s. This node does not "
+			       "read the jobs; ask one that owns pools (metric "
+			       "pools_owned).",
+			       id, entry->queue,
+			       job_state_name(index_job_state(entry->state)));
+	page = json_object_new_object();
+	jcursor_put_string(page, "explanation", text);
+	g_free(text);
+	return page;
+}
+
 struct json_object *job_view_one(const struct job_view *view, const char *id)
 {
 	struct job *job = job_find(view->jobs, id);
-	struct json_object *steps = json_object_new_array();
+	struct json_object *steps;
 	struct json_object *page;
 
-	if (!job) {
-		json_object_put(steps);
-		return NULL;
-	}
+	if (!job)
+		return index_row(view, id);
+	steps = json_object_new_array();
 	page = job_row(view, job);
 	for (uint32_t i = 0; i < job->spec.step_count; i++) {
 		struct json_object *row = json_object_new_object();
@@ -155,7 +192,7 @@
 	int64_t late_ms;
 
 	if (!job)
-		return NULL;
+		return explain_by_index(view, id);
 	text = g_string_new(NULL);
 	g_string_append_printf(
 		text,
--- a/src/node_view.c
+++ b/src/node_view.c
@@ -75,6 +75,7 @@
 		.cfg = node->cfg,
 		.jobs = node->jobs,
 		.workers = node->workers,
+		.index = node->index,
 		.wall_ms = clk_wall_ms(node->config.clk),
 	};
 	char id[JOB_ID_BYTES];
--- a/tests/test_index.c
+++ b/tests/test_index.c
@@ -10,6 +10,7 @@
 
 #include "backlog.h"
 #include "index.h"
+#include "job_view.h"
 #include "log.h"
 #include "place.h"
 #include "pool_fixture.h"
@@ -125,6 +126,32 @@
 }
 END_TEST
 
+/* Guards against "not found" for an accepted job at a node that reads no jobs. */
+START_TEST(operators_are_told_the_state_at_any_node)
+{
+	struct job_view view = {
+		.cfg = fixture.cfg,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
+		.index = states,
+	};
+	struct json_object *page;
+	struct json_object *value;
+
+	ck_assert_ptr_null(job_view_one(&view, ID));
+	ck_assert_ptr_null(job_view_explain(&view, ID));
+	apply("r queue");
+	page = job_view_one(&view, ID);
+	ck_assert(json_object_object_get_ex(page, "state", &value));
+	ck_assert_str_eq(json_object_get_string(value), "running");
+	json_object_put(page);
+	page = job_view_explain(&view, ID);
+	ck_assert(json_object_object_get_ex(page, "explanation", &value));
+	ck_assert_ptr_nonnull(strstr(json_object_get_string(value), "running"));
+	json_object_put(page);
+}
+END_TEST
+
 static const char one_task[] =
 	"{\"spec\":\"t\",\"steps\":[{\"count\":1,\"cpu\":1000,\"memMb\":10,"
 	"\"estMs\":500}]}";
@@ -217,6 +244,7 @@
 	tcase_add_test(tcase, waiting_jobs_are_counted_by_queue);
 	tcase_add_test(tcase, malformed_states_are_refused);
 	tcase_add_test(tcase, records_are_read_back);
+	tcase_add_test(tcase, operators_are_told_the_state_at_any_node);
 	tcase_add_test(tcase, published_load_gives_the_same_delay);
 	tcase_add_test(tcase, unknown_load_delays_nothing);
 	tcase_add_test(tcase, malformed_loads_are_refused);
