Refuse no job as overload before the workers are known

A node that starts, or a small one that begins to read the jobs, knew no worker until it had loaded them, took that for a pool without capacity and answered 429. It now decides by the published loads until then. Found by reading the change; tests/ test_stream_age.c, job_is_not_refused_before_the_workers_are_known, failed before.

--- a/src/front.c
+++ b/src/front.c
@@ -202,7 +202,7 @@
 		.wall_ms = wall_ms,
 	};
 
-	if (*env->follows_jobs)
+	if (*env->jobs_loaded)
 		return place_backlog_ms(&place, target_ms,
 					front->max_listed_milli);
 	return backlogs_delay_ms(env->backlogs, share, *env->cfg, target_ms,
@@ -464,7 +464,7 @@
 {
 	const struct front_env *env = front->env;
 	int64_t now_ms = clk_now_ms(env->clk);
-	int64_t listed_milli = *env->follows_jobs
+	int64_t listed_milli = *env->jobs_loaded
 				       ? place_listed_milli(env->workers)
 				       : backlogs_full_milli(env->backlogs);
 
--- a/src/front.h
+++ b/src/front.h
@@ -73,12 +73,12 @@
 	const struct clk *clk;
 	const struct cfg *const *cfg;
 	const struct share_layout *layout; /* shares of each pool */
-	/* Whether this node reads the jobs and the workers' registry. */
-	const bool *follows_jobs;
+	/* Whether this node has read the jobs and the workers' registry. */
+	const bool *jobs_loaded;
 	struct job_store *jobs;
 	struct worker_table *workers;
 	struct index *index;
-	const struct backlogs *backlogs; /* used if it does not read the jobs */
+	const struct backlogs *backlogs; /* used if it has not */
 	struct tail *index_tail;
 	struct writer *index_writer;
 	struct writer *job_writers[SHARE_MAX_COUNT]; /* by part */
--- a/src/node.c
+++ b/src/node.c
@@ -228,7 +228,7 @@
 		.clk = config->clk,
 		.cfg = (const struct cfg *const *)&node->cfg,
 		.layout = &node->layout,
-		.follows_jobs = &node->follows_jobs,
+		.jobs_loaded = &node->jobs_loaded,
 		.jobs = node->jobs,
 		.workers = node->workers,
 		.index = node->index,
@@ -329,6 +329,7 @@
 	liveness_tick(node->liveness);
 	node_tick_pools(node);
 	node_follow(node);
+	node->jobs_loaded = node->follows_jobs && node_jobs_loaded(node);
 	front_tick(node->front);
 	for (uint32_t i = 0; i < node->layout.parts; i++)
 		writer_tick(node->front_env.job_writers[i]);
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -50,7 +50,8 @@
 	struct backlogs backlogs;
 	/* Reads the jobs and the registry, as it may own shares or does so. */
 	bool follows_jobs;
-	bool owner; /* of a share or the hosts, or takes one over */
+	bool jobs_loaded; /* it does, and all of them have been read */
+	bool owner;	  /* of a share or the hosts, or takes one over */
 	struct group *group;
 	struct standby standby;
 	struct front *front;
--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -3,9 +3,12 @@
  * up the rate at which the log sends. They use no network.
  */
 
+#include <string.h>
+
 #include <apr_general.h>
 #include <check.h>
 
+#include "front.h"
 #include "log.h"
 #include "pool_fixture.h"
 #include "pool_int.h"
@@ -65,6 +68,10 @@
 	.add_record = add_record,
 };
 
+static const char one_task[] =
+	"{\"spec\":\"t\",\"steps\":[{\"count\":1,\"cpu\":500,\"memMb\":10,"
+	"\"estMs\":500}]}";
+
 static const struct stream_id jobs_stream = { "jobs", 0 };
 
 static struct writer *create_writer(void)
@@ -143,10 +150,7 @@
 
 static struct job *submit(void)
 {
-	return pool_fixture_submit(
-		&fixture, "672a48d34c5231d8",
-		"{\"spec\":\"t\",\"steps\":[{\"count\":1,\"cpu\":500,"
-		"\"memMb\":10,\"estMs\":500}]}");
+	return pool_fixture_submit(&fixture, "672a48d34c5231d8", one_task);
 }
 
 static void add_worker(void)
@@ -190,6 +194,54 @@
 }
 END_TEST
 
+static void ignore_answer(void *arg, const struct front_answer *answer)
+{
+	(void)arg;
+	(void)answer;
+}
+
+/* Hands in a job at a node that knows no worker; returns how many it refused. */
+static int64_t submit_without_workers(bool jobs_loaded)
+{
+	struct share_layout layout = { .shares = 1, .parts = 1 };
+	struct backlogs backlogs;
+	struct front_env front_env = {
+		.clk = &clk,
+		.cfg = (const struct cfg *const *)&fixture.cfg,
+		.layout = &layout,
+		.jobs_loaded = &jobs_loaded,
+		.jobs = fixture.jobs,
+		.workers = fixture.workers,
+		.index = states,
+		.backlogs = &backlogs,
+		.index_tail = tail,
+		.index_writer = env.publisher,
+		.job_writers = { pool_writer(pool) },
+	};
+	struct front *front = front_create(&front_env);
+	struct front_request request = {
+		.kind = FRONT_SUBMIT,
+		.queue = cfg_queue_find(fixture.cfg, "q"),
+		.id = "672a48d34c5231d8",
+		.body = one_task,
+		.len = strlen(one_task),
+	};
+
+	backlogs_init(&backlogs);
+	front_request(front, &request, ignore_answer, NULL);
+	front_destroy(front);
+	backlogs_clear(&backlogs);
+	return front_env.counts.refused_overload;
+}
+
+/* Guards against refusals by a node that starts and has not read the workers yet. */
+START_TEST(job_is_not_refused_before_the_workers_are_known)
+{
+	ck_assert_int_eq(submit_without_workers(true), 1);
+	ck_assert_int_eq(submit_without_workers(false), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stream age");
@@ -200,6 +252,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, no_task_is_placed_while_the_jobs_read_are_old);
 	tcase_add_test(tcase, tasks_are_placed_while_the_jobs_read_are_recent);
+	tcase_add_test(tcase, job_is_not_refused_before_the_workers_are_known);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
