Ask a worker without progress for its next report once it counts as stalled

Trace of index 25: the tasks of worker w0 stall at 250 ms after the submission. All other tasks have ended by 850 ms, before three workers have a known rate, but for one that fails and ends at 1.45 s; so there is nothing to compare with, and only a rate of 0 shows the stall. That takes 600 ms without progress. A report comes every 540 ms; the first one after the stall still has progress of before, the next shows 540 ms without any, and only the third, 1.62 s after the stall, more than 600 ms. The tasks start elsewhere at 1.70 s after it. One of them fails, as two of a hundred do in the simulation, and its next run ends at 3.06 s.

A worker none of whose runs has progressed is now asked for its next report when it would count as stalled, here 60 ms later. This holds for steps of at most 10 s: progress comes in whole percent, and longer ones would look stalled at a third of their speed.

--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -90,6 +90,8 @@
 {
 	if (pool_grantable_ms(pool, now_ms) < pool->env->lease_ms)
 		return POOL_SHORT_LEASE_WAIT_MS;
+	if (worker->stall_check_ms)
+		return MIN(worker->stall_check_ms, POOL_PROGRESS_WAIT_MS);
 	return has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
 					: POOL_RENEW_WAIT_MS;
 }
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -18,7 +18,10 @@
 	POOL_HOLD_FAILED_MAX_MS = 4000,
 	/* Progress comes in whole percent; a run of a longer step shows none
 	   for so long that it would look stalled. */
-	POOL_MAX_MEASURED_MS = 20000
+	POOL_MAX_MEASURED_MS = 20000,
+	/* A run of a step this long shows progress within SPEED_STALL_MS even
+	   at a fifth of its speed, so that it need not be watched for longer. */
+	POOL_FINE_MEASURED_MS = 10000
 };
 #define POOL_FAILING_RATE 0.6
 
@@ -26,6 +29,7 @@
 struct progress {
 	uint32_t runs;
 	double work_ms;
+	int32_t longest_ms; /* estimate of the longest step */
 };
 
 static void update_failure_rate(struct worker *worker, bool failed,
@@ -61,6 +65,7 @@
 	    pos->task->last_report + 1 != worker->reports)
 		return;
 	progress->runs++;
+	progress->longest_ms = MAX(progress->longest_ms, step->estimate_ms);
 	progress->work_ms += MAX(gained, 0) / 100.0 * step->estimate_ms;
 }
 
@@ -221,6 +226,19 @@
 	worker->noted_gpu = entry->gpu;
 }
 
+/*
+ * How long to wait for the next report of a worker none of whose runs has
+ * progressed: until they count as stalled. 0: as usual.
+ */
+static int64_t stall_check_ms(const struct speed *speed,
+			      const struct progress *progress)
+{
+	if (!progress->runs || progress->work_ms > 0 ||
+	    progress->longest_ms > POOL_FINE_MEASURED_MS)
+		return 0;
+	return MAX(SPEED_STALL_MS - speed->stalled_ms, 0);
+}
+
 void pool_handle_report(struct pool *pool, struct worker *worker,
 			const struct worker_report *report, int64_t asked_ms)
 {
@@ -259,6 +277,7 @@
 	if (passed_ms > 0)
 		speed_add(&worker->speed, report->clock_ms, passed_ms,
 			  progress.runs, progress.work_ms);
+	worker->stall_check_ms = stall_check_ms(&worker->speed, &progress);
 	if (new_life)
 		pool_note_restart(pool, worker);
 	pool_settle_lapses(pool, worker);
--- a/src/worker.h
+++ b/src/worker.h
@@ -122,6 +122,9 @@
 	bool reserved;	     /* for a task that starts or waits in quarantine */
 	double failure_rate; /* moving average over its ended runs */
 	struct speed speed;  /* measured by its own clock */
+	/* Longest wait for its next report, to see whether its tasks still
+	   stand still; 0: as usual. */
+	int64_t stall_check_ms;
 	int64_t slow_until_ms; /* no new tasks before; 0: not slow */
 };
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -9,10 +9,14 @@
 #include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
+#include "speed.h"
 #include "standby.h"
 
 enum { START_MS = 3000, SEEDS = 60, STALL_SEEDS = 40 };
 
+/* Longest time to a report, and to a stop that follows from it. */
+enum { REPORT_MS = 600, STOP_MS = 100 };
+
 static void check_invariants(struct sim *sim, uint64_t seed)
 {
 	ck_assert_msg(!sim->broken[0], "seed %lu: %s", (unsigned long)seed,
@@ -167,22 +171,58 @@
 }
 END_TEST
 
+static void check_stalled_tasks(uint64_t seed)
+{
+	struct sim *sim = sim_create(seed, 3, 5);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_job(sim, 0, 1, 14);
+	sim_run_for(sim, 250);
+	sim->workers[0].model.stalled = true;
+	sim_run_for(sim, 3000);
+	check_invariants(sim, seed);
+	ck_assert_int_eq(sim_get_job_state(sim, 1, job->id), JOB_DONE);
+}
+
 /*
  * A worker answers, but its tasks make no progress any more. With some seeds
  * the tasks of all other workers have ended before their rates are known.
  */
 START_TEST(stalled_tasks_run_elsewhere)
 {
-	struct sim *sim = sim_create(7 + (uint64_t)_i, 3, 5);
-	struct sim_job *job;
+	check_stalled_tasks(7 + (uint64_t)_i);
+}
+END_TEST
+
+/*
+ * Seeds with which the job was not done in time: the stall was seen late, and
+ * one of the tasks that were started elsewhere failed at first.
+ */
+START_TEST(stalled_tasks_run_elsewhere_and_fail_once)
+{
+	static const uint64_t seeds[] = { 32, 101, 283, 294, 841 };
+
+	check_stalled_tasks(seeds[_i]);
+}
+END_TEST
+
+/*
+ * Guards against a stall that is seen only at the second report without
+ * progress, 500 ms after it counts as one: with two workers, there are too few
+ * rates to compare with. The first report may list progress of before the stall.
+ */
+START_TEST(tasks_are_stopped_once_they_count_as_stalled)
+{
+	struct sim *sim = sim_create(7 + (uint64_t)_i, 3, 2);
 
 	sim_run_for(sim, START_MS);
-	job = sim_submit_job(sim, 0, 1, 14);
+	sim_submit_job(sim, 0, 1, 8);
 	sim_run_for(sim, 250);
 	sim->workers[0].model.stalled = true;
-	sim_run_for(sim, 3000);
-	check_invariants(sim, 7 + (unsigned int)_i);
-	ck_assert_int_eq(sim_get_job_state(sim, 1, job->id), JOB_DONE);
+	ck_assert_uint_eq(sim->workers[0].model.runs->len, 4);
+	sim_run_for(sim, REPORT_MS + SPEED_STALL_MS + STOP_MS);
+	ck_assert_uint_eq(sim->workers[0].model.runs->len, 0);
 }
 END_TEST
 
@@ -282,6 +322,10 @@
 	tcase_add_test(tcase, task_of_a_crashed_worker_runs_elsewhere);
 	tcase_add_test(tcase, tasks_of_a_down_host_run_elsewhere_at_once);
 	tcase_add_loop_test(tcase, stalled_tasks_run_elsewhere, 0, STALL_SEEDS);
+	tcase_add_loop_test(tcase, stalled_tasks_run_elsewhere_and_fail_once, 0,
+			    5);
+	tcase_add_loop_test(tcase, tasks_are_stopped_once_they_count_as_stalled,
+			    0, STALL_SEEDS);
 	tcase_add_test(tcase, orders_in_flight_are_bounded);
 	tcase_add_test(tcase,
 		       tasks_of_an_unreachable_worker_wait_for_its_lease);
