Publish a job before a repeated submission of it is confirmed

What callers saw: a submission got no answer as its node stopped after the job's record was stored; the repeat at a node that reads the jobs was answered 200, and other nodes answered 410 to a GET or a DELETE of that job for as long as none of its tasks had started. Cause: the node that confirmed the repeat knew the job from the jobs' stream, which says nothing of the index, and wrote no record there.

--- a/src/front.c
+++ b/src/front.c
@@ -161,6 +161,20 @@
 	finish_request(pending, &answer);
 }
 
+static void publish(struct pending *pending, enum index_state state)
+{
+	struct writer *writer = pending->front->env->index_writer;
+	char *record = index_record(state, pending->queue);
+	char key[JOB_ID_BYTES + 2];
+
+	g_snprintf(key, sizeof(key), "i:%s", pending->request.id);
+	pending->stored = true;
+	pending->writer = writer;
+	pending->number = writer_add(writer, key, record, strlen(record),
+				     on_published, pending);
+	g_free(record);
+}
+
 /*
  * Publishes the acceptance. Only now, so that no node shows a job as accepted
  * whose record is not stored.
@@ -168,25 +182,14 @@
 static void on_stored(void *arg, enum writer_outcome outcome, int64_t end)
 {
 	struct pending *pending = arg;
-	struct front_env *env = pending->front->env;
-	enum index_state state = pending->request.kind == FRONT_SUBMIT
-					 ? INDEX_QUEUED
-					 : INDEX_CANCEL_REQUESTED;
-	char key[JOB_ID_BYTES + 2];
-	char *record;
 
 	(void)end;
-	if (outcome != WRITER_STORED) {
+	if (outcome == WRITER_STORED)
+		publish(pending, pending->request.kind == FRONT_SUBMIT
+					 ? INDEX_QUEUED
+					 : INDEX_CANCEL_REQUESTED);
+	else
 		answer_fenced(pending);
-		return;
-	}
-	record = index_record(state, pending->queue);
-	g_snprintf(key, sizeof(key), "i:%s", pending->request.id);
-	pending->stored = true;
-	pending->writer = env->index_writer;
-	pending->number = writer_add(env->index_writer, key, record,
-				     strlen(record), on_published, pending);
-	g_free(record);
 }
 
 /* Time until the share has done its work with earlier targets. */
@@ -288,7 +291,11 @@
 	size_t len;
 
 	if (find_state(front, request->id, &state)) {
-		fn(arg, &answer);
+		/* Its node may have stopped before it published the job. */
+		if (!index_find(env->index, request->id))
+			publish(pending_new(front, request, fn, arg), state);
+		else
+			fn(arg, &answer);
 		return;
 	}
 	if (env->jobs->decode(request->body, request->len, &spec, &err) < 0) {
