Publish a stored job whose node did not

What callers saw: a job whose node stopped, or gave the request up, between the two appends was stored and would run, but nodes that do not read the jobs answered 410 to a GET or a DELETE of it until its first task started, and left it out of the count of pending jobs: a DELETE answered 410 whose job runs later. Cause: only the node that took the submission published INDEX_QUEUED; an owner did so at a takeover only. Now the owner publishes a job that it finds missing in the index twice, about a second apart.

--- a/src/job.h
+++ b/src/job.h
@@ -156,6 +156,7 @@
 	uint32_t record_count;	 /* progress records made by this owner */
 	/* Newest state that this owner has published, see index.h, plus 1. */
 	uint8_t published;
+	bool unindexed; /* its owner has found it missing in the index once */
 };
 
 struct job_store {
--- a/src/pool.c
+++ b/src/pool.c
@@ -5,7 +5,7 @@
 #include "log.h"
 #include "pool_int.h"
 
-enum { POOL_EXPIRY_SCAN_MS = 1000 };
+enum { POOL_SCAN_MS = 1000 };
 
 /* Argument of a callback of the writer: a job's record or a cursor. */
 struct pending_write {
@@ -416,14 +416,10 @@
 }
 
 /* Deletes the records of ended jobs whose retention has expired. */
-static void delete_expired_jobs(struct pool *pool)
+static void delete_expired_jobs(struct pool *pool, int64_t now_ms)
 {
 	struct job_store *jobs = pool->env->jobs;
-	int64_t now_ms = pool_now_ms(pool);
 
-	if (now_ms < pool->next_expiry_ms)
-		return;
-	pool->next_expiry_ms = now_ms + POOL_EXPIRY_SCAN_MS;
 	for (guint i = 0; i < jobs->list->len; i++) {
 		struct job *job = jobs->list->pdata[i];
 
@@ -443,6 +439,17 @@
 	}
 }
 
+static void scan_jobs(struct pool *pool)
+{
+	int64_t now_ms = pool_now_ms(pool);
+
+	if (now_ms < pool->next_scan_ms)
+		return;
+	pool->next_scan_ms = now_ms + POOL_SCAN_MS;
+	pool_publish_unindexed(pool);
+	delete_expired_jobs(pool, now_ms);
+}
+
 /* Logs that the owner acts on without a valid membership, and the end of that. */
 static void note_membership(struct pool *pool)
 {
@@ -477,7 +484,7 @@
 		pool_stored_read(pool);
 		pool_unplaced_stop(pool);
 		pool_renew(pool);
-		delete_expired_jobs(pool);
+		scan_jobs(pool);
 	}
 	ownership_tick(&pool->ownership);
 }
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -20,9 +20,9 @@
 	char name[LIMIT_NAME_BYTES];
 	struct share share;
 	struct ownership ownership;
-	double typical_rate;	    /* last known of the workers; 0: none yet */
-	int32_t starting;	    /* start orders in flight */
-	int64_t next_expiry_ms;	    /* next search for expired jobs */
+	double typical_rate;  /* last known of the workers; 0: none yet */
+	int32_t starting;     /* start orders in flight */
+	int64_t next_scan_ms; /* next search for expired and unindexed jobs */
 	int64_t next_publish_ms;    /* next record of the share's load */
 	struct backlog published;   /* the last one */
 	bool stream_outdated;	    /* the jobs read are too old; logged once */
@@ -241,6 +241,14 @@
 /* pool_publish_missing - publish the states that an earlier owner did not */
 void pool_publish_missing(struct pool *pool);
 
+/*
+ * pool_publish_unindexed - publish jobs that the index still does not have
+ *
+ * The node that stored a job may stop before it publishes the acceptance. To be
+ * called about once a second: a job is published when it is missing twice.
+ */
+void pool_publish_unindexed(struct pool *pool);
+
 /* pool_publish_load - publish the share's load when it is due; see backlog.h */
 void pool_publish_load(struct pool *pool, const struct place *place);
 
--- a/src/pool_publish.c
+++ b/src/pool_publish.c
@@ -55,6 +55,23 @@
 	}
 }
 
+void pool_publish_unindexed(struct pool *pool)
+{
+	const GPtrArray *jobs = pool->env->jobs->live;
+
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
+
+		if (!job->has_spec || job->published ||
+		    !share_has_job(&pool->share, job) ||
+		    index_find(pool->env->index, job->id))
+			continue;
+		if (job->unindexed)
+			publish(pool, job, index_state_of(job));
+		job->unindexed = true;
+	}
+}
+
 void pool_publish_load(struct pool *pool, const struct place *place)
 {
 	struct backlog backlog;
--- a/tests/test_acceptance.c
+++ b/tests/test_acceptance.c
@@ -85,6 +85,19 @@
 }
 END_TEST
 
+/* Nobody repeats the submission; the job is stored and will run. */
+START_TEST(stored_job_is_published_by_its_owner)
+{
+	struct sim *sim = sim_create_sized(FIRST_SEED + (uint64_t)_i, LARGE,
+					   SMALL, WORKERS);
+	struct sim_job *job = store_at_stopping_node(sim);
+
+	ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_QUEUED);
+	ck_assert_int_eq(sim_get_job_state(sim, LARGE + 1, job->id),
+			 JOB_QUEUED);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("acceptance");
@@ -95,6 +108,8 @@
 	tcase_add_loop_test(tcase,
 			    job_confirmed_on_a_repeat_is_known_at_all_nodes, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase, stored_job_is_published_by_its_owner, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
