--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -93,15 +93,20 @@
 	(void)record;
 }
 
-/* Lets the owner read the stream to its end. */
-static void read_to_the_end(void)
+static void answer_read(void)
 {
 	struct stream_batch batch = { .outcome = STREAM_OK };
 
-	tail_tick(tail);
 	answer(answer_arg, &batch);
 }
 
+/* Lets the owner read the stream to its end. */
+static void read_to_the_end(void)
+{
+	tail_tick(tail);
+	answer_read();
+}
+
 static void setup(void)
 {
 	struct share share = { .pool = "pool", .count = 1 };
@@ -161,6 +166,22 @@
 	worker->last_report_ms = clk_now_ms(&clk);
 }
 
+static int starts_sent;
+
+static void count_start(void *io, const struct worker_entry *worker,
+			const struct order_start *start, order_fn *fn,
+			void *arg)
+{
+	(void)io;
+	(void)worker;
+	(void)start;
+	(void)fn;
+	(void)arg;
+	starts_sent++;
+}
+
+static const struct order_io orders = { .start = count_start };
+
 static bool is_placed(const struct job *job)
 {
 	return job_task_at(job, 0, 0, 0)->state == TASK_PLACED;
@@ -242,6 +263,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a start order that is sent late for a task placed in time: its
+ * placement was stored late, or earlier orders had no answer.
+ */
+START_TEST(no_start_is_sent_while_the_jobs_read_are_old)
+{
+	struct job *job = submit();
+	struct worker *worker;
+
+	env.orders = &orders;
+	starts_sent = 0;
+	read_to_the_end();
+	add_worker();
+	pool_tick(pool);
+	ck_assert(is_placed(job));
+	job_task_at(job, 0, 0, 0)->phase = PHASE_STARTING;
+	job_task_at(job, 0, 0, 0)->since_ms = 0;
+	clk.manual_ms += MAX_AGE_MS + 1;
+	worker = worker_find(fixture.workers, "w1");
+	worker->last_report_ms = clk_now_ms(&clk);
+	worker->clock_at_ms = clk_now_ms(&clk);
+	pool->ownership.authority_end_ms = clk_now_ms(&clk) + LEASE_MS;
+	pool_send_starts(pool, job);
+	ck_assert_int_eq(starts_sent, 0);
+	pool_stored_read(pool);
+	answer_read();
+	pool_send_starts(pool, job);
+	ck_assert_int_eq(starts_sent, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stream age");
@@ -253,6 +305,7 @@
 	tcase_add_test(tcase, no_task_is_placed_while_the_jobs_read_are_old);
 	tcase_add_test(tcase, tasks_are_placed_while_the_jobs_read_are_recent);
 	tcase_add_test(tcase, job_is_not_refused_before_the_workers_are_known);
+	tcase_add_test(tcase, no_start_is_sent_while_the_jobs_read_are_old);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
