End the appends in progress in the test of stream ages

The sanitizer build of tests/test_stream_age.c failed at: 173 bytes of writers leaked in each of its 2 tests, as a writer that is destroyed during an append is freed by the answer, which never came.

--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -26,13 +26,37 @@
 static stream_batch_fn *answer; /* of the read in progress */
 static void *answer_arg;
 
+/* An append in progress. */
+struct kept_append {
+	stream_append_fn *fn;
+	void *arg;
+};
+
+static GArray *appends; /* struct kept_append */
+
 static void keep_append(void *io, const struct stream_append *append,
 			stream_append_fn *fn, void *arg)
 {
+	struct kept_append kept = { fn, arg };
+
 	(void)io;
 	(void)append;
-	(void)fn;
-	(void)arg;
+	g_array_append_val(appends, kept);
+}
+
+/* Ends the appends in progress, which frees their writers. */
+static void fail_appends(void)
+{
+	const struct stream_append_result result = { .outcome =
+							     STREAM_UNKNOWN };
+
+	for (guint i = 0; i < appends->len; i++) {
+		struct kept_append *kept =
+			&g_array_index(appends, struct kept_append, i);
+
+		kept->fn(kept->arg, &result);
+	}
+	g_array_free(appends, TRUE);
 }
 
 static void keep_read(void *io, struct stream_id id, int64_t from,
@@ -120,6 +144,7 @@
 
 	pool_fixture_setup(&fixture);
 	clk = clk_manual(START_MS);
+	appends = g_array_new(FALSE, FALSE, sizeof(struct kept_append));
 	tail = tail_create(&config);
 	jobs.tail = tail;
 	states = index_create();
@@ -147,6 +172,7 @@
 {
 	pool_destroy(pool);
 	writer_destroy(env.publisher);
+	fail_appends();
 	tail_destroy(tail);
 	index_destroy(states);
 	host_plans_destroy(plans);
@@ -176,7 +202,7 @@
 	(void)worker;
 	(void)start;
 	(void)fn;
-	(void)arg;
+	g_free(arg);
 	starts_sent++;
 }
 
