Publish an unchanged load of a share again

Nodes that do not read the jobs refuse what would be late by the newest record of a share's load, however old. A late append of an earlier owner may be the newest, and the owner wrote again only when its own survey changed; one that took over a share without work and workers wrote nothing. Such nodes could refuse a queue's jobs until a job came in by another node. Now an unchanged load is written every 2 s. Evidence: tests/test_stream_age.c, unchanged_load_is_published_again, failed before and passes now.

--- a/src/pool.c
+++ b/src/pool.c
@@ -91,6 +91,7 @@
 	pool->membership_over = false;
 	pool_unplaced_clear(pool);
 	pool->published = (struct backlog){ 0 };
+	pool->republish_ms = 0;
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
 		struct host_plan *plan = pool->env->plans->list->pdata[i];
 
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -25,6 +25,7 @@
 	int64_t next_scan_ms; /* next search for expired and unindexed jobs */
 	int64_t next_publish_ms;    /* next record of the share's load */
 	struct backlog published;   /* the last one */
+	int64_t republish_ms;	    /* next one if the load does not change */
 	bool stream_outdated;	    /* the jobs read are too old; logged once */
 	bool membership_over;	    /* it has run out; logged once */
 	GHashTable *pending_writes; /* callback arguments of the writer */
--- a/src/pool_publish.c
+++ b/src/pool_publish.c
@@ -2,8 +2,13 @@
 
 #include <string.h>
 
-/* Between two records of a share's load. */
-enum { POOL_PUBLISH_MS = 250 };
+enum {
+	/* Between two records of a share's load. */
+	POOL_PUBLISH_MS = 250,
+	/* Between two records of an unchanged load: a late append of an earlier
+	   owner may have replaced the last one. */
+	POOL_REPUBLISH_MS = 2000
+};
 
 static void publish(struct pool *pool, struct job *job, enum index_state state)
 {
@@ -81,9 +86,11 @@
 		return;
 	pool->next_publish_ms = place->now_ms + POOL_PUBLISH_MS;
 	place_survey_backlog(place, &backlog);
-	if (backlog_equal(&backlog, &pool->published))
+	if (backlog_equal(&backlog, &pool->published) &&
+	    place->now_ms < pool->republish_ms)
 		return;
 	pool->published = backlog;
+	pool->republish_ms = place->now_ms + POOL_REPUBLISH_MS;
 	name = backlog_key(&pool->share);
 	key = g_strdup_printf("s:%s", name);
 	record = backlog_record(&backlog);
--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -1,6 +1,7 @@
 /*
  * Unit tests of owners whose reads of the log come late, as when other nodes take
- * up the rate at which the log sends. They use no network.
+ * up the rate at which the log sends, and of owners whose records others hide.
+ * They use no network.
  */
 
 #include <string.h>
@@ -320,6 +321,31 @@
 }
 END_TEST
 
+/* Whether the owner publishes its share's load, by a writer of its own. */
+static bool publishes_load(void)
+{
+	writer_destroy(env.publisher);
+	env.publisher = create_writer();
+	pool_tick(pool);
+	return !writer_idle(env.publisher);
+}
+
+/*
+ * Guards against nodes that refuse jobs for good by the load of an earlier owner:
+ * its record was appended late, and the load has not changed since.
+ */
+START_TEST(unchanged_load_is_published_again)
+{
+	read_to_the_end();
+	/* Not even a worker is there: equal to no record at all. */
+	ck_assert(publishes_load());
+	clk.manual_ms += 1000;
+	ck_assert(!publishes_load());
+	clk.manual_ms += 1000;
+	ck_assert(publishes_load());
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stream age");
@@ -332,6 +358,7 @@
 	tcase_add_test(tcase, tasks_are_placed_while_the_jobs_read_are_recent);
 	tcase_add_test(tcase, job_is_not_refused_before_the_workers_are_known);
 	tcase_add_test(tcase, no_start_is_sent_while_the_jobs_read_are_old);
+	tcase_add_test(tcase, unchanged_load_is_published_again);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
