Keep the shares owned while the index is read anew

After deleted history each node reads the index anew. Owners then took their jobs for not loaded and gave all shares up, though the index is not needed to own one.

--- a/src/node.c
+++ b/src/node.c
@@ -271,8 +271,7 @@
 
 bool node_jobs_loaded(const struct node *node)
 {
-	bool loaded = tail_loaded(node->index_tail) &&
-		      tail_loaded(node->registry_tail);
+	bool loaded = node->index_known && tail_loaded(node->registry_tail);
 
 	for (uint32_t i = 0; i < MAX(node->layout.parts, 1); i++)
 		loaded &= tail_loaded(node->jobs_tails[i]);
@@ -325,6 +324,8 @@
 	tail_tick(node->registry_tail);
 	for (uint32_t i = 0; i < MAX(node->layout.parts, 1); i++)
 		tail_tick(node->jobs_tails[i]);
+	/* While it is read anew, what is known of it holds. */
+	node->index_known |= tail_loaded(node->index_tail);
 	node_tick_membership(node);
 	liveness_tick(node->liveness);
 	node_tick_pools(node);
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -50,6 +50,7 @@
 	struct backlogs backlogs;
 	/* Reads the jobs and the registry, as it may own shares or does so. */
 	bool follows_jobs;
+	bool index_known; /* the index has been read once */
 	bool jobs_loaded; /* it does, and all of them have been read */
 	bool owner;	  /* of a share or the hosts, or takes one over */
 	struct group *group;
