Read the index before a job is refused as overload

A refusal says that the job will not run. A node decided by what it had read last, so that a repeat of a submission that another node had just accepted could be answered 429. Found by review; tests/test_stream_age.c, job_that_another_node_has_accepted_is_not_refused, failed before (no read is made).

--- a/src/front.c
+++ b/src/front.c
@@ -279,6 +279,33 @@
 				     on_stored, pending);
 }
 
+/*
+ * Refuses a job that would be late, unless another node has accepted it a moment ago:
+ * a refusal says that it will not run.
+ */
+static void on_synced_to_refuse(void *arg, bool complete)
+{
+	struct pending *pending = arg;
+	struct front *front = pending->front;
+	struct front_answer answer = {
+		.outcome = FRONT_OVERLOADED,
+		.retry_after_ms = FRONT_RETRY_OVERLOAD_MS,
+	};
+	enum index_state state;
+
+	(void)complete; /* without an answer, by what is known */
+	if (!pending->fn) {
+		g_ptr_array_remove(front->pending, pending);
+		g_free(pending);
+		return;
+	}
+	if (find_state(front, pending->request.id, &state))
+		answer = (struct front_answer){ .outcome = FRONT_ACCEPTED };
+	else
+		front->env->counts.refused_overload++;
+	finish_request(pending, &answer);
+}
+
 static void submit(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg)
 {
@@ -309,10 +336,8 @@
 	}
 	if (would_be_late(front, request, &spec)) {
 		job_spec_clear(&spec);
-		env->counts.refused_overload++;
-		answer.outcome = FRONT_OVERLOADED;
-		answer.retry_after_ms = FRONT_RETRY_OVERLOAD_MS;
-		fn(arg, &answer);
+		tail_sync(env->index_tail, on_synced_to_refuse,
+			  pending_new(front, request, fn, arg));
 		return;
 	}
 	job_spec_clear(&spec);
