--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 NODE = cfg job job_record worker share index backlog speed avail place writer tail order ownership \
 	pool job_view pool_order pool_sent pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
-	pool_away pool_unplaced pool_publish crash place_backlog place_room place_quarantine \
+	pool_away pool_unplaced pool_stored pool_publish crash place_backlog place_room place_quarantine \
 	host_plan \
 	maint maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node_records node_pools node_view node
@@ -108,7 +108,8 @@
 FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
 	$(BUILD)/test_leaving $(BUILD)/test_capacity $(BUILD)/test_lasting \
 	$(BUILD)/test_suspects $(BUILD)/test_retry $(BUILD)/test_reassigned \
-	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads
+	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
+	$(BUILD)/test_acceptance
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
--- a/src/front.c
+++ b/src/front.c
@@ -161,6 +161,20 @@
 	finish_request(pending, &answer);
 }
 
+static void publish(struct pending *pending, enum index_state state)
+{
+	struct writer *writer = pending->front->env->index_writer;
+	char *record = index_record(state, pending->queue);
+	char key[JOB_ID_BYTES + 2];
+
+	g_snprintf(key, sizeof(key), "i:%s", pending->request.id);
+	pending->stored = true;
+	pending->writer = writer;
+	pending->number = writer_add(writer, key, record, strlen(record),
+				     on_published, pending);
+	g_free(record);
+}
+
 /*
  * Publishes the acceptance. Only now, so that no node shows a job as accepted
  * whose record is not stored.
@@ -168,25 +182,14 @@
 static void on_stored(void *arg, enum writer_outcome outcome, int64_t end)
 {
 	struct pending *pending = arg;
-	struct front_env *env = pending->front->env;
-	enum index_state state = pending->request.kind == FRONT_SUBMIT
-					 ? INDEX_QUEUED
-					 : INDEX_CANCEL_REQUESTED;
-	char key[JOB_ID_BYTES + 2];
-	char *record;
 
 	(void)end;
-	if (outcome != WRITER_STORED) {
+	if (outcome == WRITER_STORED)
+		publish(pending, pending->request.kind == FRONT_SUBMIT
+					 ? INDEX_QUEUED
+					 : INDEX_CANCEL_REQUESTED);
+	else
 		answer_fenced(pending);
-		return;
-	}
-	record = index_record(state, pending->queue);
-	g_snprintf(key, sizeof(key), "i:%s", pending->request.id);
-	pending->stored = true;
-	pending->writer = env->index_writer;
-	pending->number = writer_add(env->index_writer, key, record,
-				     strlen(record), on_published, pending);
-	g_free(record);
 }
 
 /* Time until the share has done its work with earlier targets. */
@@ -202,7 +205,7 @@
 		.wall_ms = wall_ms,
 	};
 
-	if (*env->follows_jobs)
+	if (*env->jobs_loaded)
 		return place_backlog_ms(&place, target_ms,
 					front->max_listed_milli);
 	return backlogs_delay_ms(env->backlogs, share, *env->cfg, target_ms,
@@ -276,6 +279,33 @@
 				     on_stored, pending);
 }
 
+/*
+ * Refuses a job that would be late, unless another node has accepted it a moment ago:
+ * a refusal says that it will not run.
+ */
+static void on_synced_to_refuse(void *arg, bool complete)
+{
+	struct pending *pending = arg;
+	struct front *front = pending->front;
+	struct front_answer answer = {
+		.outcome = FRONT_OVERLOADED,
+		.retry_after_ms = FRONT_RETRY_OVERLOAD_MS,
+	};
+	enum index_state state;
+
+	(void)complete; /* without an answer, by what is known */
+	if (!pending->fn) {
+		g_ptr_array_remove(front->pending, pending);
+		g_free(pending);
+		return;
+	}
+	if (find_state(front, pending->request.id, &state))
+		answer = (struct front_answer){ .outcome = FRONT_ACCEPTED };
+	else
+		front->env->counts.refused_overload++;
+	finish_request(pending, &answer);
+}
+
 static void submit(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg)
 {
@@ -288,7 +318,11 @@
 	size_t len;
 
 	if (find_state(front, request->id, &state)) {
-		fn(arg, &answer);
+		/* Its node may have stopped before it published the job. */
+		if (!index_find(env->index, request->id))
+			publish(pending_new(front, request, fn, arg), state);
+		else
+			fn(arg, &answer);
 		return;
 	}
 	if (env->jobs->decode(request->body, request->len, &spec, &err) < 0) {
@@ -302,10 +336,8 @@
 	}
 	if (would_be_late(front, request, &spec)) {
 		job_spec_clear(&spec);
-		env->counts.refused_overload++;
-		answer.outcome = FRONT_OVERLOADED;
-		answer.retry_after_ms = FRONT_RETRY_OVERLOAD_MS;
-		fn(arg, &answer);
+		tail_sync(env->index_tail, on_synced_to_refuse,
+			  pending_new(front, request, fn, arg));
 		return;
 	}
 	job_spec_clear(&spec);
@@ -464,7 +496,7 @@
 {
 	const struct front_env *env = front->env;
 	int64_t now_ms = clk_now_ms(env->clk);
-	int64_t listed_milli = *env->follows_jobs
+	int64_t listed_milli = *env->jobs_loaded
 				       ? place_listed_milli(env->workers)
 				       : backlogs_full_milli(env->backlogs);
 
--- a/src/node.c
+++ b/src/node.c
@@ -228,7 +228,7 @@
 		.clk = config->clk,
 		.cfg = (const struct cfg *const *)&node->cfg,
 		.layout = &node->layout,
-		.follows_jobs = &node->follows_jobs,
+		.jobs_loaded = &node->jobs_loaded,
 		.jobs = node->jobs,
 		.workers = node->workers,
 		.index = node->index,
@@ -271,8 +271,7 @@
 
 bool node_jobs_loaded(const struct node *node)
 {
-	bool loaded = tail_loaded(node->index_tail) &&
-		      tail_loaded(node->registry_tail);
+	bool loaded = node->index_known && tail_loaded(node->registry_tail);
 
 	for (uint32_t i = 0; i < MAX(node->layout.parts, 1); i++)
 		loaded &= tail_loaded(node->jobs_tails[i]);
@@ -325,10 +324,13 @@
 	tail_tick(node->registry_tail);
 	for (uint32_t i = 0; i < MAX(node->layout.parts, 1); i++)
 		tail_tick(node->jobs_tails[i]);
+	/* While it is read anew, what is known of it holds. */
+	node->index_known |= tail_loaded(node->index_tail);
 	node_tick_membership(node);
 	liveness_tick(node->liveness);
 	node_tick_pools(node);
 	node_follow(node);
+	node->jobs_loaded = node->follows_jobs && node_jobs_loaded(node);
 	front_tick(node->front);
 	for (uint32_t i = 0; i < node->layout.parts; i++)
 		writer_tick(node->front_env.job_writers[i]);
--- a/src/pool.c
+++ b/src/pool.c
@@ -5,7 +5,7 @@
 #include "log.h"
 #include "pool_int.h"
 
-enum { POOL_EXPIRY_SCAN_MS = 1000 };
+enum { POOL_SCAN_MS = 1000 };
 
 /* Argument of a callback of the writer: a job's record or a cursor. */
 struct pending_write {
@@ -91,6 +91,7 @@
 	pool->membership_over = false;
 	pool_unplaced_clear(pool);
 	pool->published = (struct backlog){ 0 };
+	pool->republish_ms = 0;
 	for (guint i = 0; i < pool->env->plans->list->len; i++) {
 		struct host_plan *plan = pool->env->plans->list->pdata[i];
 
@@ -116,6 +117,7 @@
 
 	g_hash_table_remove_all(pool->pending_writes);
 	pool_unplaced_clear(pool);
+	pool_stored_clear(pool);
 	for (guint i = 0; i < jobs->list->len; i++) {
 		struct job *job = jobs->list->pdata[i];
 
@@ -151,6 +153,7 @@
 	pool->pending_writes =
 		g_hash_table_new_full(NULL, NULL, pending_write_free, NULL);
 	pool_unplaced_init(pool);
+	pool_stored_init(pool);
 	ownership_init(&pool->ownership, &config);
 	g_free(what);
 	return pool;
@@ -163,6 +166,7 @@
 	ownership_clear(&pool->ownership);
 	g_hash_table_destroy(pool->pending_writes);
 	g_array_free(pool->unplaced, TRUE);
+	g_array_free(pool->stored, TRUE);
 	g_free(pool);
 }
 
@@ -208,21 +212,6 @@
 		 name, pos->task->run, why, times, hold_ms);
 }
 
-/* Allows start orders for the placements in the stored record. */
-static void mark_placements_stored(struct job *job, uint32_t record)
-{
-	struct job_pos pos = { .job = job };
-
-	while (job_next_task(&pos)) {
-		if (pos.task->state != TASK_PLACED ||
-		    pos.task->phase != PHASE_STORING ||
-		    pos.task->placement_record != record)
-			continue;
-		pos.task->phase = PHASE_STARTING;
-		pos.task->since_ms = 0;
-	}
-}
-
 static void log_job_end(struct pool *pool, const struct job *job)
 {
 	const struct clk *clk = pool->env->clk;
@@ -258,8 +247,7 @@
 		job_progress_stored(pool->env->jobs, job, offset,
 				    pending->record, pending->len);
 		pool_publish_state(pool, job);
-		mark_placements_stored(job, pending->number);
-		pool_send_starts(pool, job);
+		pool_stored_add(pool, job, pending->number, offset);
 		if (job_ended(job->stored_state))
 			log_job_end(pool, job);
 	}
@@ -429,14 +417,10 @@
 }
 
 /* Deletes the records of ended jobs whose retention has expired. */
-static void delete_expired_jobs(struct pool *pool)
+static void delete_expired_jobs(struct pool *pool, int64_t now_ms)
 {
 	struct job_store *jobs = pool->env->jobs;
-	int64_t now_ms = pool_now_ms(pool);
 
-	if (now_ms < pool->next_expiry_ms)
-		return;
-	pool->next_expiry_ms = now_ms + POOL_EXPIRY_SCAN_MS;
 	for (guint i = 0; i < jobs->list->len; i++) {
 		struct job *job = jobs->list->pdata[i];
 
@@ -456,6 +440,17 @@
 	}
 }
 
+static void scan_jobs(struct pool *pool)
+{
+	int64_t now_ms = pool_now_ms(pool);
+
+	if (now_ms < pool->next_scan_ms)
+		return;
+	pool->next_scan_ms = now_ms + POOL_SCAN_MS;
+	pool_publish_unindexed(pool);
+	delete_expired_jobs(pool, now_ms);
+}
+
 /* Logs that the owner acts on without a valid membership, and the end of that. */
 static void note_membership(struct pool *pool)
 {
@@ -487,9 +482,10 @@
 				pool_send_starts(pool, jobs->live->pdata[i]);
 				pool_resend_stops(pool, jobs->live->pdata[i]);
 			}
+		pool_stored_read(pool);
 		pool_unplaced_stop(pool);
 		pool_renew(pool);
-		delete_expired_jobs(pool);
+		scan_jobs(pool);
 	}
 	ownership_tick(&pool->ownership);
 }
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -20,15 +20,22 @@
 	char name[LIMIT_NAME_BYTES];
 	struct share share;
 	struct ownership ownership;
-	double typical_rate;	    /* last known of the workers; 0: none yet */
-	int32_t starting;	    /* start orders in flight */
-	int64_t next_expiry_ms;	    /* next search for expired jobs */
+	double typical_rate;  /* last known of the workers; 0: none yet */
+	int32_t starting;     /* start orders in flight */
+	int64_t next_scan_ms; /* next search for expired and unindexed jobs */
 	int64_t next_publish_ms;    /* next record of the share's load */
 	struct backlog published;   /* the last one */
+	int64_t republish_ms;	    /* next one if the load does not change */
 	bool stream_outdated;	    /* the jobs read are too old; logged once */
 	bool membership_over;	    /* it has run out; logged once */
 	GHashTable *pending_writes; /* callback arguments of the writer */
 	GArray *unplaced;	    /* struct unplaced_run */
+	GArray *stored;		    /* struct stored_record, in stream order */
+	guint stored_reading;	    /* of them stored before the read began */
+	bool reading;	      /* a read of the stream's end is in flight */
+	bool read_wanted;     /* by starts that are due */
+	int64_t read_ms;      /* end of the last one that was answered */
+	int64_t next_read_ms; /* not before, after one that failed */
 };
 
 static inline int64_t pool_now_ms(const struct pool *pool)
@@ -201,6 +208,24 @@
 void pool_unplaced_account(struct pool *pool);
 void pool_unplaced_stop(struct pool *pool);
 
+/*
+ * Stored placements whose start orders wait until the jobs' stream has been
+ * read as it was when their append was answered. Callers may have been told of
+ * what others stored before, such as a cancel.
+ *
+ * pool_stored_init, pool_stored_clear - begin with none; forget them all
+ * pool_stored_add - add the placements of a job's record number at offset
+ * pool_stored_read - read on while some wait; called on every tick
+ * pool_may_start - whether such a read is recent enough to send a start; if not,
+ *	one is made
+ */
+void pool_stored_init(struct pool *pool);
+void pool_stored_clear(struct pool *pool);
+void pool_stored_add(struct pool *pool, struct job *job, uint32_t number,
+		     int64_t offset);
+void pool_stored_read(struct pool *pool);
+bool pool_may_start(struct pool *pool);
+
 /* pool_writer - appends to the share's stream under the fence */
 static inline struct writer *pool_writer(const struct pool *pool)
 {
@@ -217,6 +242,14 @@
 /* pool_publish_missing - publish the states that an earlier owner did not */
 void pool_publish_missing(struct pool *pool);
 
+/*
+ * pool_publish_unindexed - publish jobs that the index still does not have
+ *
+ * The node that stored a job may stop before it publishes the acceptance. To be
+ * called about once a second: a job is published when it is missing twice.
+ */
+void pool_publish_unindexed(struct pool *pool);
+
 /* pool_publish_load - publish the share's load when it is due; see backlog.h */
 void pool_publish_load(struct pool *pool, const struct place *place);
 
