--- a/src/front.c
+++ b/src/front.c
@@ -250,7 +250,7 @@
 	return late;
 }
 
-/* What this node knows of a job, from the index and its own records; false: nothing. */
+/* What this node knows of a job, by the index and the jobs; false: nothing. */
 static bool find_state(const struct front *front, const char *id,
 		       enum index_state *state)
 {
@@ -280,8 +280,8 @@
 }
 
 /*
- * Refuses a job that would be late, unless another node has accepted it a moment ago:
- * a refusal says that it will not run.
+ * Refuses a job that would be late, unless another node has accepted it a
+ * moment ago: a refusal says that it will not run.
  */
 static void on_synced_to_refuse(void *arg, bool complete)
 {
--- a/src/index.c
+++ b/src/index.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 /*
- * The value of a record is the letter of the state, a space, and the job's queue,
- * which may be empty if the record is not the first one of the job.
+ * The value of a record is the letter of the state, a space, and the job's
+ * queue, which may be empty if the record is not the first one of the job.
  * Letters are those of enum index_state, in its order.
  */
 static const char state_letters[] = "qrxdfc";
--- a/src/place_backlog.c
+++ b/src/place_backlog.c
@@ -44,9 +44,9 @@
 }
 
 /*
- * Returns a job's remaining work in milli-cores times ms: that of its finite tasks,
- * if it can still be done in time or they are at work. Adds what its placed tasks
- * use to placed_milli.
+ * Returns a job's remaining work in milli-cores times ms: that of its finite
+ * tasks, if it can still be done in time or they are at work. Adds what its
+ * placed tasks use to placed_milli.
  */
 static double remaining_work(const struct place *place, struct job *job,
 			     int64_t *placed_milli)
--- a/src/pool_stored.c
+++ b/src/pool_stored.c
@@ -67,7 +67,7 @@
 		struct stored_record record =
 			g_array_index(pool->stored, struct stored_record, 0);
 
-		/* The answer may come from a replica that lags behind. */
+		/* The read ended before the record. */
 		if (record.offset >= tail_next(jobs_tail(pool)))
 			return;
 		g_array_remove_index(pool->stored, 0);
--- a/src/share.h
+++ b/src/share.h
@@ -5,10 +5,11 @@
  * A large pool is divided into shares, each with an owner of its own. All pools
  * have the same number of shares. A job belongs to a share by its id, and a
  * host by its name, in whichever pool it is; so the shares of one index form a
- * slice of the fleet, and hosts move between pools only within it. The records of
- * a slice are in one part of the jobs' stream, so that its owners need not read
- * those of other slices. Both numbers are decided once and stored in the log, as
- * two nodes with different numbers could own the same job. Pure functions.
+ * slice of the fleet, and hosts move between pools only within it. The
+ * records of a slice are in one part of the jobs' stream, so that its appends
+ * do not wait for those of other slices. Both numbers are decided once and
+ * stored in the log, as two nodes with different numbers could own the same
+ * job. Pure functions.
  */
 #ifndef SHARE_H
 #define SHARE_H
