--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -290,6 +290,31 @@
 }
 END_TEST
 
+/*
+ * Guards against jobs that are lost in an upgrade: a build with one part of the
+ * jobs' stream has stored two shares of each pool.
+ */
+START_TEST(deployment_of_an_older_build_keeps_its_part)
+{
+	struct sim *sim = sim_create(1, 3, 8);
+	struct sim_job *jobs[8];
+
+	log_model_put(sim->log, "keyed.jobs", "l:shares", "2", 1);
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < 8; i++)
+		jobs[i] = sim_submit_job(sim, i % 3, 1, 2);
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < 8; i++)
+		ck_assert_int_eq(sim_get_job_state(sim, 0, jobs[i]->id),
+				 JOB_DONE);
+	ck_assert_uint_gt(
+		log_model_part(sim->log, "keyed.jobs", 0)->records->len, 1);
+	ck_assert_uint_eq(
+		log_model_part(sim->log, "keyed.jobs", 1)->records->len, 0);
+	check_invariants(sim, 1);
+}
+END_TEST
+
 /*
  * Guards against pages that time out, as all nodes that start again after a loss of
  * power ask for those of all parts at the same time.
@@ -351,6 +376,7 @@
 	tcase_add_test(tcase,
 		       tasks_of_an_unreachable_worker_wait_for_its_lease);
 	tcase_add_test(tcase, small_nodes_own_pools_only_without_large_ones);
+	tcase_add_test(tcase, deployment_of_an_older_build_keeps_its_part);
 	tcase_add_test(tcase, parts_are_loaded_one_after_the_other);
 	tcase_add_loop_test(tcase, invariants_hold_under_random_faults, 0,
 			    count ? atoi(count) : SEEDS);
