Answer the read before a refusal in the test of unknown workers

Since the index is read before a job is refused, job_is_not_refused_before_the_workers_ are_known left that read unanswered and passed whatever the node decided.

--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -284,10 +284,12 @@
 
 	backlogs_init(&backlogs);
 	read_to_the_end();
+	answer = NULL;
 	front_request(front, &request, keep_outcome, &outcome);
 	if (known)
 		index_apply(states, request.id, "q q", strlen("q q"), &err);
-	if (jobs_loaded)
+	/* The read before a refusal, if the node makes one. */
+	if (answer)
 		answer_read();
 	front_destroy(front);
 	backlogs_clear(&backlogs);
