Count events out of order in the test of bursts

It calls an assertion, which writes to a file, for each of 105,000 events: 0.96 s of processor time with sanitizers. It now counts events that are out of order and asserts that there are none: 0.15 s. The check is as strict, and the limit is unchanged.

--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -68,6 +68,7 @@
 {
 	double cycle_s = bursts.burst_s * 4.95 / 0.95;
 	uint32_t burst_count = 0, idle_count = 0, total = 0;
+	uint32_t out_of_order = 0;
 	int64_t last_us = 0;
 	struct arrival arrival;
 
@@ -76,7 +77,7 @@
 		struct arrival_event event = arrival_next(&arrival);
 		double at_s = (double)event.at_us / 1e6;
 
-		ck_assert_int_ge(event.at_us, last_us);
+		out_of_order += event.at_us < last_us;
 		last_us = event.at_us;
 		if (at_s >= 10 * cycle_s)
 			break;
@@ -87,6 +88,7 @@
 			at_s -= cycle_s;
 		*(at_s < bursts.burst_s ? &burst_count : &idle_count) += 1;
 	}
+	ck_assert_uint_eq(out_of_order, 0);
 	/* Means 104,211, 20,000 and 842; bounds at five standard deviations. */
 	ck_assert_uint_ge(total, 102600);
 	ck_assert_uint_le(total, 105800);
