Give hosts to jobs that can be in time before late ones

Cause: the number of hosts of a pool follows the demand of all its jobs, and a pool gives up only hosts beyond that. After a burst, share-split had 16 s of jobs that were too late, which counted like any others: its pool kept nearly all hosts, while the jobs of tally-check that could be in time had the hosts of a calm pool.

Now demand is divided into that of jobs that can be in time, and of late ones. Hosts are moved for the former first, and a pool keeps hosts for late jobs only if no pool needs them for the former.

--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -3,6 +3,7 @@
 #include "crash.h"
 #include "log.h"
 #include "maint_int.h"
+#include "place.h"
 
 enum {
 	/* Suspects that wait for their quarantine, for each host more. */
@@ -93,6 +94,7 @@
 	}
 	pool->standby = cfg->standby;
 	pool->demand_milli = 0;
+	pool->late_milli = 0;
 	pool->suspects = 0;
 	pool->hosts = 0;
 	pool->movable = 0;
@@ -165,6 +167,18 @@
 	pool->min_hosts = MAX(pool->min_hosts, (int32_t)hosts);
 }
 
+/* A step that uses only idle CPU adds none. */
+static void add_demand(struct sizing_pool *pool, const struct job_step *step,
+		       bool late)
+{
+	if (step->uses_idle_cpu)
+		return;
+	if (late && !step->long_running)
+		pool->late_milli += step->cpu_milli;
+	else
+		pool->demand_milli += step->cpu_milli;
+}
+
 static void add_job(struct maint *maint, struct job *job,
 		    const struct sizing_host *host)
 {
@@ -174,6 +188,7 @@
 	struct job_pos pos = { .job = job };
 	int64_t wall_ms = clk_wall_ms(maint->env->clk);
 	bool ready = false;
+	bool late = false;
 	int32_t waiting = 0; /* tasks of the step */
 
 	if (!pool || !job->has_spec || job->cancel_requested)
@@ -184,6 +199,8 @@
 		if (!pos.index) {
 			ready = job_due_ms(job, pos.occurrence) <= wall_ms &&
 				job_step_ready(job, pos.occurrence, pos.step);
+			late = place_too_late(*maint->env->cfg, job,
+					      pos.occurrence, wall_ms);
 			raise_min_hosts(pool, step);
 			waiting = 0;
 		}
@@ -208,9 +225,7 @@
 			pool->waiting_hosts = MAX(pool->waiting_hosts,
 						  spread_hosts(step, waiting));
 		}
-		/* A step that uses only idle CPU adds no demand. */
-		if (!step->uses_idle_cpu)
-			pool->demand_milli += step->cpu_milli;
+		add_demand(pool, step, late);
 	}
 }
 
@@ -329,10 +344,12 @@
 	to->hosts++;
 	maint_add_plan(maint, &plan);
 	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
-		 " wanted_to=%" G_GINT64_FORMAT " hosts_to=%d min_to=%d "
+		 " late_from=%" G_GINT64_FORMAT " wanted_to=%" G_GINT64_FORMAT
+		 " late_to=%" G_GINT64_FORMAT " hosts_to=%d min_to=%d "
 		 "waiting_ms=%" G_GINT64_FORMAT,
 		 plan.host, from->name, to->name, from->demand_milli,
-		 to->demand_milli, to->hosts, to->min_hosts,
+		 from->late_milli, to->demand_milli, to->late_milli, to->hosts,
+		 to->min_hosts,
 		 to->waiting_since_ms
 			 ? clk_now_ms(maint->env->clk) - to->waiting_since_ms
 			 : 0);
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -1,5 +1,7 @@
 #include "sizing.h"
 
+#include <glib.h>
+
 enum {
 	/* Capacity relative to demand: placements never fill hosts. */
 	SIZING_CAPACITY_PERCENT = 115,
@@ -93,14 +95,45 @@
 	return excess(sizing, pool, pool->peak_milli, pool->idle);
 }
 
-/*
- * Hosts that another pool may take. Present demand of the other pool has
- * priority over a past peak of this one.
- */
+/* Which demand of the pools a move is for. */
+struct purpose {
+	int64_t (*wanted_milli)(const struct sizing_pool *pool);
+	int64_t (*kept_milli)(const struct sizing_pool *pool);
+};
+
+static int64_t in_time_milli(const struct sizing_pool *pool)
+{
+	return pool->demand_milli;
+}
+
+static int64_t all_milli(const struct sizing_pool *pool)
+{
+	return pool->demand_milli + pool->late_milli;
+}
+
+static int64_t peak_milli(const struct sizing_pool *pool)
+{
+	return pool->peak_milli;
+}
+
+/* Present demand has priority over a past peak of another pool. */
+static const struct purpose for_jobs_in_time = {
+	.wanted_milli = in_time_milli,
+	.kept_milli = in_time_milli,
+};
+
+/* Late jobs do not take a host that may soon be needed back. */
+static const struct purpose for_all_jobs = {
+	.wanted_milli = all_milli,
+	.kept_milli = peak_milli,
+};
+
+/* Hosts that another pool may take. */
 static int32_t lendable(const struct sizing *sizing,
-			const struct sizing_pool *pool)
+			const struct sizing_pool *pool,
+			const struct purpose *purpose)
 {
-	return excess(sizing, pool, pool->demand_milli, pool->movable);
+	return excess(sizing, pool, purpose->kept_milli(pool), pool->movable);
 }
 
 static void observe_waiting(struct sizing_pool *pool, int64_t now_ms)
@@ -124,9 +157,9 @@
 		    int64_t now_ms)
 {
 	observe_waiting(pool, now_ms);
-	if (pool->demand_milli >= pool->peak_milli ||
+	if (all_milli(pool) >= pool->peak_milli ||
 	    now_ms - pool->peak_ms > SIZING_PEAK_HOLD_MS) {
-		pool->peak_milli = pool->demand_milli;
+		pool->peak_milli = all_milli(pool);
 		pool->peak_ms = now_ms;
 	}
 	if (now_ms - pool->sample_ms >= SIZING_SAMPLE_MS) {
@@ -147,9 +180,10 @@
 }
 
 static int32_t deficit(const struct sizing *sizing,
-		       const struct sizing_pool *pool)
+		       const struct sizing_pool *pool,
+		       const struct purpose *purpose)
 {
-	int64_t wanted_milli = pool->demand_milli + pool->rise_milli;
+	int64_t wanted_milli = purpose->wanted_milli(pool) + pool->rise_milli;
 
 	return sizing_hosts_needed(sizing, pool, wanted_milli) - pool->hosts;
 }
@@ -157,12 +191,12 @@
 /* Prefers standby hosts, which cost no capacity, then the largest surplus. */
 static bool find_source(const struct sizing *sizing,
 			const struct sizing_pool *pools, uint32_t count,
-			uint32_t *from)
+			const struct purpose *purpose, uint32_t *from)
 {
 	int32_t best = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
-		int32_t excess_hosts = lendable(sizing, &pools[i]);
+		int32_t excess_hosts = lendable(sizing, &pools[i], purpose);
 
 		if (excess_hosts > 0 && pools[i].standby) {
 			*from = i;
@@ -178,12 +212,12 @@
 
 static bool find_target(const struct sizing *sizing,
 			const struct sizing_pool *pools, uint32_t count,
-			uint32_t *to)
+			const struct purpose *purpose, uint32_t *to)
 {
 	int32_t most = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
-		int32_t missing = deficit(sizing, &pools[i]);
+		int32_t missing = deficit(sizing, &pools[i], purpose);
 
 		if (missing <= most)
 			continue;
@@ -218,9 +252,15 @@
 		      const struct sizing_pool *pools, uint32_t count,
 		      int64_t now_ms, uint32_t *from, uint32_t *to)
 {
+	static const struct purpose *const purposes[] = { &for_jobs_in_time,
+							  &for_all_jobs };
+
 	if (sizing->host_milli <= 0)
 		return false;
-	if (find_target(sizing, pools, count, to))
-		return find_source(sizing, pools, count, from) && *from != *to;
+	for (size_t i = 0; i < G_N_ELEMENTS(purposes); i++)
+		if (find_target(sizing, pools, count, purposes[i], to))
+			return find_source(sizing, pools, count, purposes[i],
+					   from) &&
+			       *from != *to;
 	return find_standby_move(sizing, pools, count, now_ms, from, to);
 }
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -21,8 +21,11 @@
 struct sizing_pool {
 	char name[LIMIT_NAME_BYTES];
 	/* Set by the caller before each decision. */
-	bool standby;	       /* its hosts are off */
-	int64_t demand_milli;  /* CPU of running and ready tasks, millicores */
+	bool standby; /* its hosts are off */
+	/* CPU of running and ready tasks, in millicores: of jobs that can be in
+	   time and of long-running ones, and of jobs that are too late. */
+	int64_t demand_milli;
+	int64_t late_milli;
 	int32_t suspects;      /* ready tasks that wait for their quarantine */
 	int32_t hosts;	       /* including those moving here */
 	int32_t movable;       /* hosts without long-running tasks */
@@ -34,7 +37,7 @@
 	int32_t waiting_hosts; /* that a step's waiting tasks must spread over */
 	/* Updated by sizing_observe. */
 	int64_t waiting_since_ms; /* such tasks wait since then; 0: none does */
-	int64_t peak_milli;	  /* highest recent demand */
+	int64_t peak_milli; /* highest recent demand, that of late jobs included */
 	int64_t peak_ms;
 	int64_t sample_milli; /* demand sampled at before_ms */
 	int64_t sample_ms;
@@ -78,7 +81,8 @@
 /*
  * sizing_next_move - next move of a host that is worth its cost
  *
- * The caller adjusts the counts of both pools and calls again.
+ * Jobs that can be in time come first: a pool with other work only gives up hosts
+ * for them. The caller adjusts the counts of both pools and calls again.
  *
  * RETURN VALUE
  *	Whether there is such a move; from and to are then set to pool indexes.
