Accept no job on account of room that another pool needs itself

Callers saw: while the pool of share-split has more work than room, tally-check accepts 130 jobs a second, of which a third ends, and refuses none; callers wait for jobs that will not be done in time, instead of being told at once.

Cause: the delay of a new job is the work before it, divided by the pool's own capacity and by what other pools can lend. For the latter, all processor time counted that their placed tasks do not use. A pool whose tasks need memory, or wait to be placed, has such time and lends none of it.

Now the tasks that are ready and can be in time count as well, pool by pool, so that one that lacks room lends nothing and does not take from what others lend. Late jobs claim no room by waiting, as hosts leave them for jobs in time. The published record of a share keeps its fields; the fourth has the new sum.

--- a/src/backlog.c
+++ b/src/backlog.c
@@ -25,7 +25,7 @@
 bool backlog_equal(const struct backlog *a, const struct backlog *b)
 {
 	return a->own_milli == b->own_milli && a->full_milli == b->full_milli &&
-	       a->placed_milli == b->placed_milli &&
+	       a->claimed_milli == b->claimed_milli &&
 	       !memcmp(a->work, b->work, sizeof(a->work));
 }
 
@@ -53,7 +53,7 @@
 			"[%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT
 			",%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT,
 			backlog->at_ms, backlog->own_milli, backlog->full_milli,
-			backlog->placed_milli);
+			backlog->claimed_milli);
 	for (uint32_t i = 0; i < BACKLOG_SPANS; i++)
 		g_string_append_printf(text, ",%" G_GINT64_FORMAT,
 				       backlog->work[i]);
@@ -80,7 +80,7 @@
 		backlog.at_ms = read_number(&row, 0);
 		backlog.own_milli = read_number(&row, 1);
 		backlog.full_milli = read_number(&row, 2);
-		backlog.placed_milli = read_number(&row, 3);
+		backlog.claimed_milli = read_number(&row, 3);
 		for (uint32_t i = 0; i < BACKLOG_SPANS; i++)
 			backlog.work[i] = read_number(&row, 4 + i);
 	}
@@ -149,10 +149,10 @@
 			continue;
 		full_milli += backlog->full_milli;
 		if (backlog != own)
-			lendable_milli +=
-				backlog->own_milli - backlog->placed_milli;
+			lendable_milli += MAX(
+				backlog->own_milli - backlog->claimed_milli, 0);
 	}
-	capacity_milli = own->own_milli + MAX(lendable_milli, 0) +
+	capacity_milli = own->own_milli + lendable_milli +
 			 MAX(all_milli / share->count - full_milli, 0);
 	if (capacity_milli <= 0)
 		return INT64_MAX / 2;
--- a/src/backlog.h
+++ b/src/backlog.h
@@ -19,10 +19,11 @@
 enum { BACKLOG_SPANS = 12 };
 
 struct backlog {
-	int64_t at_ms;	      /* wall clock of the survey */
-	int64_t own_milli;    /* processor time of the share's listed workers */
-	int64_t full_milli;   /* the same when nothing is shrunk */
-	int64_t placed_milli; /* used by its placed tasks */
+	int64_t at_ms;	    /* wall clock of the survey */
+	int64_t own_milli;  /* processor time of the share's listed workers */
+	int64_t full_milli; /* the same when nothing is shrunk */
+	/* Used by its placed tasks, and by those that are ready and in time. */
+	int64_t claimed_milli;
 	/* Remaining work in milli-cores times ms, of jobs whose target is within
 	   backlog_span_ms of the survey; the last one has all of it. */
 	int64_t work[BACKLOG_SPANS];
--- a/src/place.h
+++ b/src/place.h
@@ -102,8 +102,8 @@
  * counts in part only.
  *
  * Estimated work of the share divided by the capacity of its own workers and of
- * the hosts that can be moved to it: those that are idle in other pools or
- * parked. all_milli is processor time of the whole fleet that has been listed
+ * the hosts that can be moved to it: those that are parked, or that other pools
+ * need neither for tasks at work nor for those that can be in time. all_milli is processor time of the whole fleet that has been listed
  * at some time; the part of it that is not listed now counts as parked, but not
  * what listed workers have lost. Jobs that are too late do not count, because
  * they are placed last.
--- a/src/place_backlog.c
+++ b/src/place_backlog.c
@@ -1,31 +1,61 @@
+#include <string.h>
+
 #include "place.h"
 
-/* Milli-cores of listed workers; full when nothing is shrunk. */
+/* Milli-cores of listed workers of a slice of the fleet. */
 struct capacity {
 	int64_t own_milli; /* of this share */
+	/* When nothing is shrunk: of this share, and of all pools. */
 	int64_t own_full_milli;
-	int64_t other_milli; /* of the same slice of the fleet in other pools */
-	int64_t other_full_milli;
+	int64_t full_milli;
+};
+
+/* What another pool has, and what its tasks use or will soon. */
+struct lender {
+	int64_t own_milli;
+	int64_t claimed_milli;
 };
 
-static struct capacity count_capacity(const struct place *place)
+/* One for each pool of the configuration; free with g_free. */
+static struct lender *lenders_new(const struct place *place)
+{
+	return g_new0(struct lender, MAX(place->cfg->pool_count, 1));
+}
+
+/* NULL for the share's own pool and for one that is not configured. */
+static struct lender *find_lender(const struct place *place,
+				  struct lender *lenders, const char *pool)
+{
+	const struct cfg_pool *found = cfg_pool_find(place->cfg, pool);
+
+	if (!lenders || !found || !strcmp(pool, place->share.pool))
+		return NULL;
+	return &lenders[found - place->cfg->pools];
+}
+
+/* lenders may be NULL. */
+static struct capacity count_capacity(const struct place *place,
+				      struct lender *lenders)
 {
 	struct capacity capacity = { 0 };
 
 	for (guint i = 0; i < place->workers->list->len; i++) {
 		const struct worker *worker = place->workers->list->pdata[i];
+		struct lender *lender;
 
 		if (!worker->listed || worker->entry.draining ||
 		    share_of_worker(worker, place->share.count) !=
 			    place->share.index)
 			continue;
+		capacity.full_milli += worker->full_cpu_milli;
 		if (share_has_worker(&place->share, worker)) {
 			capacity.own_milli += worker->entry.cpu_milli;
 			capacity.own_full_milli += worker->full_cpu_milli;
-		} else {
-			capacity.other_milli += worker->entry.cpu_milli;
-			capacity.other_full_milli += worker->full_cpu_milli;
+			continue;
 		}
+		lender = find_lender(place, lenders, worker->entry.pool);
+		if (lender)
+			lender->own_milli += worker->entry.cpu_milli;
 	}
 	return capacity;
 }
@@ -45,24 +75,32 @@
 
 /*
  * Returns a job's remaining work in milli-cores times ms: that of its finite
- * tasks, if it can still be done in time or they are at work. Adds what its
- * placed tasks use to placed_milli.
+ * tasks, if it can still be done in time or they are at work. Adds to
+ * claimed_milli what its placed tasks use, and what those that are ready will use
+ * unless they are placed after the jobs in time.
  */
 static double remaining_work(const struct place *place, struct job *job,
-			     int64_t *placed_milli)
+			     int64_t *claimed_milli)
 {
 	struct job_pos pos = { .job = job };
 	bool late = place_too_late(place->cfg, job, 0, place->wall_ms);
+	bool ready = false;
 	double work = 0;
 
 	while (job_next_task(&pos)) {
 		const struct job_step *step = &job->spec.steps[pos.step];
 		bool placed = pos.task->state == TASK_PLACED;
-
-		if (placed)
-			*placed_milli += step->cpu_milli;
+		bool counts = placed || !late;
+
+		if (!pos.index)
+			ready = job_due_ms(job, pos.occurrence) <=
+					place->wall_ms &&
+				job_step_ready(job, pos.occurrence, pos.step);
+		if (placed || (pos.task->state == TASK_WAITING && ready &&
+			       (counts || step->long_running)))
+			*claimed_milli += step->cpu_milli;
 		if (pos.task->state != TASK_DONE && !step->long_running &&
-		    (!late || placed))
+		    counts)
 			work += (double)step->cpu_milli * step->estimate_ms;
 	}
 	return work;
@@ -70,33 +108,47 @@
 
 /*
  * Returns the share's remaining work, as far as it delays a job with the given
- * target. Subtracts from other_milli what placed tasks of other pools use.
+ * target. Adds what other pools need for their tasks to the lenders.
  */
 static double count_remaining_work(const struct place *place, int64_t target_ms,
-				   int64_t *other_milli)
+				   struct lender *lenders)
 {
 	double work = 0;
 
 	for (guint i = 0; i < place->jobs->live->len; i++) {
 		struct job *job = place->jobs->live->pdata[i];
-		int64_t placed_milli = 0;
+		struct lender *lender;
+		int64_t claimed_milli = 0;
 		double left;
 
 		if (!job->has_spec || job_ended(job->stored_state) ||
 		    share_of_job(job, place->share.count) != place->share.index)
 			continue;
-		left = remaining_work(place, job, &placed_milli);
+		left = remaining_work(place, job, &claimed_milli);
+		lender = find_lender(place, lenders, job->pool);
 		if (share_has_job(&place->share, job))
 			work += delay_weight(place, job, target_ms) * left;
-		else
-			*other_milli -= placed_milli;
+		else if (lender)
+			lender->claimed_milli += claimed_milli;
 	}
 	return work;
 }
 
+/* A pool that lacks room for its own tasks lends nothing. */
+static int64_t lendable_milli(const struct place *place,
+			      const struct lender *lenders)
+{
+	int64_t total_milli = 0;
+
+	for (uint32_t i = 0; i < place->cfg->pool_count; i++)
+		total_milli +=
+			MAX(lenders[i].own_milli - lenders[i].claimed_milli, 0);
+	return total_milli;
+}
+
 void place_survey_backlog(const struct place *place, struct backlog *backlog)
 {
-	struct capacity capacity = count_capacity(place);
+	struct capacity capacity = count_capacity(place, NULL);
 
 	*backlog = (struct backlog){
 		.at_ms = place->wall_ms,
@@ -110,7 +162,7 @@
 		if (!job->has_spec || job_ended(job->stored_state) ||
 		    !share_has_job(&place->share, job))
 			continue;
-		work = remaining_work(place, job, &backlog->placed_milli);
+		work = remaining_work(place, job, &backlog->claimed_milli);
 		backlog_add_work(backlog, place_target_ms(place->cfg, job),
 				 work);
 	}
@@ -119,17 +171,15 @@
 int64_t place_backlog_ms(const struct place *place, int64_t target_ms,
 			 int64_t all_milli)
 {
-	struct capacity capacity = count_capacity(place);
-	int64_t full_milli =
-		capacity.own_full_milli + capacity.other_full_milli;
+	struct lender *lenders = lenders_new(place);
+	struct capacity capacity = count_capacity(place, lenders);
 	int64_t parked_milli =
-		MAX(all_milli / place->share.count - full_milli, 0);
-	int64_t capacity_milli;
-	double work =
-		count_remaining_work(place, target_ms, &capacity.other_milli);
+		MAX(all_milli / place->share.count - capacity.full_milli, 0);
+	double work = count_remaining_work(place, target_ms, lenders);
+	int64_t capacity_milli = capacity.own_milli + parked_milli +
+				 lendable_milli(place, lenders);
 
-	capacity_milli = capacity.own_milli + parked_milli +
-			 MAX(capacity.other_milli, 0);
+	g_free(lenders);
 	if (capacity_milli <= 0)
 		return INT64_MAX / 2;
 	return (int64_t)(work / (double)capacity_milli);
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -1,14 +1,33 @@
 /*
  * Guards against hosts that stay with the late jobs of one pool while the jobs of
- * another, which can be in time, wait for room.
+ * another, which can be in time, wait for room; and against jobs that are
+ * accepted on account of hosts that their pool will not get.
  */
 
+#include <string.h>
+
 #include <apr_general.h>
 #include <check.h>
 
 #include "log.h"
+#include "place.h"
 #include "sizing.h"
 #include "suite.h"
+#include "wire.h"
+
+static const char configuration[] =
+	"{\"version\":3,\"routes\":["
+	"{\"name\":\"short\",\"host\":\"h.example\",\"prefix\":\"/a/\","
+	"\"service\":\"next\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500},"
+	"{\"name\":\"long\",\"host\":\"h.example\",\"prefix\":\"/b/\","
+	"\"service\":\"past\",\"attempts\":2,\"stretch\":2.0,\"sloMs\":500}],"
+	"\"services\":[{\"name\":\"next\",\"enforcesCapacity\":true},"
+	"{\"name\":\"past\",\"enforcesCapacity\":true}],"
+	"\"limits\":{\"maxBodyBytes\":1000}}";
+
+static const char ten_tasks[] =
+	"{\"spec\":\"t\",\"steps\":[{\"count\":10,\"cpu\":1000,\"memMb\":10,"
+	"\"estMs\":1000}]}";
 
 static const int64_t now_ms = 10000;
 
@@ -86,6 +105,134 @@
 }
 END_TEST
 
+struct fleet {
+	struct job_store *jobs;
+	struct worker_table *workers;
+	struct cfg *cfg;
+};
+
+static struct fleet fleet_create(void)
+{
+	struct fleet fleet = {
+		.jobs = job_store_create(wire_decode_spec),
+		.workers = worker_table_create(),
+	};
+	struct err err = { .kind = ERR_OK };
+
+	ck_assert_int_eq(wire_decode_cfg(configuration, strlen(configuration),
+					 &fleet.cfg, &err),
+			 0);
+	return fleet;
+}
+
+static void fleet_destroy(struct fleet *fleet)
+{
+	job_store_destroy(fleet->jobs);
+	worker_table_destroy(fleet->workers);
+	cfg_destroy(fleet->cfg);
+}
+
+static void submit(struct fleet *fleet, const char *id, const char *queue,
+		   const char *pool)
+{
+	static int64_t offset;
+	struct err err = { .kind = ERR_OK };
+	size_t len;
+	char *record = job_submission_record(queue, pool, now_ms, ten_tasks,
+					     strlen(ten_tasks), &len);
+
+	job_apply_submission(fleet->jobs, id, offset++, record, len, &err);
+	g_free(record);
+}
+
+static void add_worker(struct fleet *fleet, const char *id, const char *pool,
+		       int32_t cpu_milli)
+{
+	struct worker_entry entry = { .cpu_milli = cpu_milli, .mem_mib = 1000 };
+
+	g_strlcpy(entry.id, id, sizeof(entry.id));
+	g_strlcpy(entry.pool, pool, sizeof(entry.pool));
+	worker_put(fleet->workers, &entry);
+}
+
+static struct place place_of(const struct fleet *fleet, const char *pool,
+			     int64_t wall_ms)
+{
+	return (struct place){
+		.share = { pool, 0, 1 },
+		.cfg = fleet->cfg,
+		.jobs = fleet->jobs,
+		.workers = fleet->workers,
+		.wall_ms = wall_ms,
+	};
+}
+
+static void publish(struct backlogs *loads, const struct place *place)
+{
+	struct err err = { .kind = ERR_OK };
+	char *key = backlog_key(&place->share);
+	struct backlog backlog;
+	char *record;
+
+	place_survey_backlog(place, &backlog);
+	record = backlog_record(&backlog);
+	ck_assert_int_eq(
+		backlogs_apply(loads, key, record, strlen(record), &err), 0);
+	g_free(record);
+	g_free(key);
+}
+
+/* The same by the jobs and by the published loads. */
+static int64_t delay_of_next(const struct fleet *fleet, int64_t wall_ms)
+{
+	struct place next = place_of(fleet, "next", wall_ms);
+	struct place past = place_of(fleet, "past", wall_ms);
+	int64_t delay_ms = place_backlog_ms(&next, INT64_MAX, 0);
+	struct backlogs loads;
+
+	backlogs_init(&loads);
+	publish(&loads, &next);
+	publish(&loads, &past);
+	ck_assert_int_eq(backlogs_delay_ms(&loads, &next.share, fleet->cfg,
+					   INT64_MAX, 0),
+			 delay_ms);
+	backlogs_clear(&loads);
+	return delay_ms;
+}
+
+/*
+ * Guards against jobs that are accepted on account of the room of another pool,
+ * whose own tasks wait for it.
+ */
+START_TEST(pool_with_waiting_tasks_lends_nothing)
+{
+	struct fleet fleet = fleet_create();
+
+	add_worker(&fleet, "w1", "next", 1000);
+	add_worker(&fleet, "w2", "past", 9000);
+	submit(&fleet, "0000000000000001", "short", "next");
+	ck_assert_int_eq(delay_of_next(&fleet, now_ms), 1000);
+	submit(&fleet, "0000000000000002", "long", "past");
+	ck_assert_int_eq(delay_of_next(&fleet, now_ms), 10000);
+	fleet_destroy(&fleet);
+}
+END_TEST
+
+/* The tasks of late jobs that wait come after jobs in time in any pool. */
+START_TEST(waiting_tasks_of_late_jobs_keep_no_room)
+{
+	struct fleet fleet = fleet_create();
+
+	add_worker(&fleet, "w1", "next", 1000);
+	add_worker(&fleet, "w2", "past", 9000);
+	submit(&fleet, "0000000000000002", "long", "past");
+	job_find(fleet.jobs, "0000000000000002")->accepted_ms -= 5000;
+	submit(&fleet, "0000000000000001", "short", "next");
+	ck_assert_int_eq(delay_of_next(&fleet, now_ms), 1000);
+	fleet_destroy(&fleet);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sizing");
@@ -96,6 +243,8 @@
 	tcase_add_test(tcase, jobs_in_time_get_the_hosts_of_late_jobs);
 	tcase_add_test(tcase, late_jobs_get_the_hosts_that_are_left);
 	tcase_add_test(tcase, late_jobs_take_no_host_just_after_a_peak);
+	tcase_add_test(tcase, pool_with_waiting_tasks_lends_nothing);
+	tcase_add_test(tcase, waiting_tasks_of_late_jobs_keep_no_room);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
