Take back a move whose host is needed where it is

Cause: a host with a long-running task is not moved, by what the owner of the hosts knows when it plans the move. A task that is placed there at the same time, or before the host is drained, is stopped: after 4 s without room elsewhere, too. In the same way a host was moved out of a pool that had come to need hosts, while others moved in.

Now a move that the host's pool has not drained the host for is open: it is taken back if the host has got a long-running task, or if its pool needs hosts, and it can be redirected to a third pool. No order for it can have been sent: an earlier owner of the hosts has no membership any more by then. A record "clear" that comes later does not apply to a plan that has ended.

--- a/src/maint.c
+++ b/src/maint.c
@@ -272,6 +272,13 @@
 	g_free(record);
 }
 
+void maint_end_plan(struct maint *maint, struct host_plan *plan)
+{
+	plan->step = HOST_ORDER_DONE;
+	plan->worker[0] = '\0';
+	maint_store_plan(maint, plan);
+}
+
 static void order_done(struct maint *maint, struct known_host *known,
 		       struct host_plan *plan)
 {
@@ -413,13 +420,12 @@
 	       maint->list_asked_ms - plan->seen_ms >= MAINT_SETTLE_MS;
 }
 
-/* Ends a plan whose worker is there still, so that it gets tasks again. */
+/* Ends a plan whose worker is there still. */
 static void release_worker(struct maint *maint, struct host_plan *plan)
 {
 	log_info("host-released host=%s worker=%s work=%s", plan->host,
 		 plan->worker, plan->work == HOST_MOVE ? "move" : "restart");
-	plan->worker[0] = '\0';
-	maint_store_plan(maint, plan);
+	maint_end_plan(maint, plan);
 }
 
 static void order_drained_hosts(struct maint *maint, int64_t now_ms)
--- a/src/maint_int.h
+++ b/src/maint_int.h
@@ -14,8 +14,10 @@
 	uint32_t list_round; /* last list that has the host */
 	bool ordering;	     /* an order is in progress */
 	/* Set in each sizing decision. */
+	const char *pool; /* in which it is, or will be by an open move */
 	bool movable;
-	bool idle; /* no task is placed there */
+	bool open_move; /* a move that no order can have been sent for */
+	bool idle;	/* no task is placed there */
 	int32_t load_milli;
 	int64_t order_due_ms;
 	int64_t ordered_ms; /* when the last order was confirmed */
@@ -80,6 +82,13 @@
 struct host_plan *maint_add_plan(struct maint *maint,
 				 const struct host_plan *plan);
 
+/*
+ * maint_end_plan - end a plan whose host stays as it is, so that it gets tasks
+ *
+ * No order may be under way, or the order has not ended the host's worker.
+ */
+void maint_end_plan(struct maint *maint, struct host_plan *plan);
+
 /* maint_store_plan - append the record of a plan */
 void maint_store_plan(struct maint *maint, const struct host_plan *plan);
 
--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -239,16 +239,60 @@
 	return known->host.pool;
 }
 
+/*
+ * Whether a move of the host is planned that no order can have been sent for: its
+ * pool has not drained it, and an earlier owner of the hosts sends none any more.
+ */
+static bool has_open_move(const struct maint *maint,
+			  const struct known_host *known,
+			  const struct host_plan *plan)
+{
+	return plan && plan->work == HOST_MOVE &&
+	       plan->step == HOST_DRAIN_REQUESTED && !known->ordering &&
+	       known->host.state == HOST_UP &&
+	       !strcmp(plan->worker, known->host.worker) &&
+	       clk_now_ms(maint->env->clk) >=
+		       ownership_earlier_end_ms(&maint->ownership);
+}
+
+static void take_back_move(struct maint *maint, const struct known_host *known,
+			   const char *why)
+{
+	struct host_plan *plan =
+		host_plan_find(maint->env->plans, known->host.name);
+
+	log_info("move-taken-back host=%s worker=%s pool=%s to=%s why=%s",
+		 plan->host, plan->worker, known->host.pool, plan->pool, why);
+	maint_end_plan(maint, plan);
+}
+
+/*
+ * A host was to be moved as it had no long-running task; one that has been placed
+ * there since keeps it in its pool.
+ */
+static void keep_host_with_lasting_task(struct maint *maint,
+					const struct known_host *known)
+{
+	const struct host_plan *plan =
+		host_plan_find(maint->env->plans, known->host.name);
+
+	if (has_open_move(maint, known, plan) &&
+	    maint_load(maint, known->host.worker)->long_running)
+		take_back_move(maint, known, "long-running-task");
+}
+
 static void add_host(struct maint *maint, struct known_host *known)
 {
 	const struct host_plan *plan =
 		host_plan_find(maint->env->plans, known->host.name);
-	struct sizing_pool *pool =
-		find_pool(maint, slice_of_host(maint, known->host.name),
-			  pool_after_move(known, plan));
 	const struct load *load = maint_load(maint, known->host.worker);
+	struct sizing_pool *pool;
 
+	known->pool = pool_after_move(known, plan);
 	known->movable = false;
+	known->open_move = has_open_move(maint, known, plan);
+	pool = find_pool(maint, slice_of_host(maint, known->host.name),
+			 known->pool);
 	if (!pool || known->host.state == HOST_DOWN)
 		return;
 	/* A host to be restarted is not counted. */
@@ -258,8 +302,9 @@
 	pool->hosts++;
 	known->load_milli = load->cpu_milli;
 	known->idle = !load->has_tasks;
-	known->movable = maint_host_settled(maint, known, pool->standby) &&
-			 !load->long_running;
+	known->movable = known->open_move ||
+			 (maint_host_settled(maint, known, pool->standby) &&
+			  !load->long_running);
 	pool->movable += known->movable;
 	pool->idle += known->movable && known->idle;
 	pool->lasting_hosts += load->long_running &&
@@ -292,13 +337,27 @@
 	void *value;
 
 	g_hash_table_iter_init(&iter, maint->known_hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		keep_host_with_lasting_task(maint, value);
 		add_host(maint, value);
+	}
 }
 
-/* The movable host with the least load; idle restricts it to idle hosts. */
+/* Whether left is better moved to the pool: it is there still, or has less load. */
+static bool moves_sooner(const struct known_host *left,
+			 const struct known_host *right, const char *to)
+{
+	bool left_there = !strcmp(left->host.pool, to);
+
+	if (left_there != !strcmp(right->host.pool, to))
+		return left_there;
+	return left->load_milli < right->load_milli;
+}
+
+/* The best movable host; for a standby pool, of those without a task. */
 static struct known_host *choose_movable(struct maint *maint, uint32_t slice,
-					 const char *pool, bool idle)
+					 const struct sizing_pool *from,
+					 const struct sizing_pool *to)
 {
 	struct known_host *best = NULL;
 	GHashTableIter iter;
@@ -308,11 +367,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct known_host *known = value;
 
-		if (!known->movable || strcmp(known->host.pool, pool) ||
-		    (idle && !known->idle) ||
+		if (!known->movable || strcmp(known->pool, from->name) ||
+		    (to->standby && !known->idle) ||
 		    slice_of_host(maint, known->host.name) != slice)
 			continue;
-		if (!best || known->load_milli < best->load_milli)
+		if (!best || moves_sooner(known, best, to->name))
 			best = known;
 	}
 	return best;
@@ -321,12 +380,11 @@
 static bool move(struct maint *maint, uint32_t slice, struct sizing_pool *from,
 		 struct sizing_pool *to)
 {
-	struct known_host *known =
-		choose_movable(maint, slice, from->name, to->standby);
+	struct known_host *known = choose_movable(maint, slice, from, to);
 	const struct host_plan *previous;
 	struct host_plan plan = {
 		.work = HOST_MOVE,
-		.step = from->standby ? HOST_DRAINED : HOST_DRAIN_REQUESTED,
+		.step = HOST_DRAIN_REQUESTED,
 	};
 
 	if (!known)
@@ -342,6 +400,13 @@
 	from->movable--;
 	from->idle -= known->idle;
 	to->hosts++;
+	if (known->open_move && !strcmp(known->host.pool, to->name)) {
+		take_back_move(maint, known, "needed");
+		return true;
+	}
+	/* No tasks run in a standby pool. */
+	if (from->standby && !known->open_move)
+		plan.step = HOST_DRAINED;
 	maint_add_plan(maint, &plan);
 	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
 		 " late_from=%" G_GINT64_FORMAT " wanted_to=%" G_GINT64_FORMAT
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1567,26 +1567,37 @@
 	return job;
 }
 
-void sim_plan_restart(struct sim *sim, int index)
+static void put_plan(struct sim *sim, int index, struct host_plan *plan)
 {
-	struct host_plan plan = {
-		.work = HOST_RESTART,
-		.step = HOST_DRAIN_REQUESTED,
-		.number = 1,
-		.wave = 1,
-	};
 	const struct worker_entry *entry = &sim->workers[index].entry;
 	char key[LIMIT_NAME_BYTES + 2];
 	size_t len;
 	char *record;
 
-	g_strlcpy(plan.worker, entry->id, sizeof(plan.worker));
-	record = host_plan_record(&plan, &len);
+	plan->step = HOST_DRAIN_REQUESTED;
+	plan->number = 1;
+	g_strlcpy(plan->worker, entry->id, sizeof(plan->worker));
+	record = host_plan_record(plan, &len);
 	snprintf(key, sizeof(key), "h:%s", entry->host);
 	log_model_put(sim->log, "keyed.jobs", key, record, len);
 	g_free(record);
 }
 
+void sim_plan_restart(struct sim *sim, int index)
+{
+	struct host_plan plan = { .work = HOST_RESTART, .wave = 1 };
+
+	put_plan(sim, index, &plan);
+}
+
+void sim_plan_move(struct sim *sim, int index, const char *pool)
+{
+	struct host_plan plan = { .work = HOST_MOVE };
+
+	g_strlcpy(plan.pool, pool, sizeof(plan.pool));
+	put_plan(sim, index, &plan);
+}
+
 struct sim_job *sim_submit_deadly_job(struct sim *sim, int index, int32_t steps,
 				      int32_t width)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -218,6 +218,8 @@
 void sim_add_standby_pool(struct sim *sim);
 /* sim_plan_restart - record that the worker's host is to be drained */
 void sim_plan_restart(struct sim *sim, int worker);
+/* sim_plan_move - the same, for a move to another pool */
+void sim_plan_move(struct sim *sim, int worker, const char *pool);
 void sim_cancel(struct sim *sim, int node, struct sim_job *job);
 
 /*
