Move hosts for long-running tasks before all others

Cause: the hosts that a pool needs for its long-running tasks count like any demand. While the jobs of all pools ask for more hosts than there are, no pool has one to spare.

Now such hosts are moved first, and a pool gives them up whatever its own jobs ask for, down to what its own long-running tasks and its minimum need.

tests/test_sizing.c, long_running_tasks_come_before_jobs_in_time: no move before, 2 now.

--- a/src/sizing.c
+++ b/src/sizing.c
@@ -95,36 +95,59 @@
 	return excess(sizing, pool, pool->peak_milli, pool->idle);
 }
 
-/* Which demand of the pools a move is for. */
+/* What hosts are moved for. */
 struct purpose {
+	/* Demand that a pool wants hosts for, and that it keeps hosts for. */
 	int64_t (*wanted_milli)(const struct sizing_pool *pool);
 	int64_t (*kept_milli)(const struct sizing_pool *pool);
 };
 
+static int64_t no_milli(const struct sizing_pool *pool)
+{
+	(void)pool;
+	return 0;
+}
+
 static int64_t in_time_milli(const struct sizing_pool *pool)
 {
 	return pool->demand_milli;
 }
 
+static int64_t rising_milli(const struct sizing_pool *pool)
+{
+	return pool->demand_milli + pool->rise_milli;
+}
+
 static int64_t all_milli(const struct sizing_pool *pool)
 {
 	return pool->demand_milli + pool->late_milli;
 }
 
+static int64_t rising_all_milli(const struct sizing_pool *pool)
+{
+	return all_milli(pool) + pool->rise_milli;
+}
+
 static int64_t peak_milli(const struct sizing_pool *pool)
 {
 	return pool->peak_milli;
 }
 
+/* A pool's min_hosts, whatever the jobs that end by themselves ask for. */
+static const struct purpose for_long_running = {
+	.wanted_milli = no_milli,
+	.kept_milli = no_milli,
+};
+
 /* Present demand has priority over a past peak of another pool. */
 static const struct purpose for_jobs_in_time = {
-	.wanted_milli = in_time_milli,
+	.wanted_milli = rising_milli,
 	.kept_milli = in_time_milli,
 };
 
 /* Late jobs do not take a host that may soon be needed back. */
 static const struct purpose for_all_jobs = {
-	.wanted_milli = all_milli,
+	.wanted_milli = rising_all_milli,
 	.kept_milli = peak_milli,
 };
 
@@ -183,9 +206,8 @@
 		       const struct sizing_pool *pool,
 		       const struct purpose *purpose)
 {
-	int64_t wanted_milli = purpose->wanted_milli(pool) + pool->rise_milli;
-
-	return sizing_hosts_needed(sizing, pool, wanted_milli) - pool->hosts;
+	return sizing_hosts_needed(sizing, pool, purpose->wanted_milli(pool)) -
+	       pool->hosts;
 }
 
 /* Prefers standby hosts, which cost no capacity, then the largest surplus. */
@@ -252,7 +274,8 @@
 		      const struct sizing_pool *pools, uint32_t count,
 		      int64_t now_ms, uint32_t *from, uint32_t *to)
 {
-	static const struct purpose *const purposes[] = { &for_jobs_in_time,
+	static const struct purpose *const purposes[] = { &for_long_running,
+							  &for_jobs_in_time,
 							  &for_all_jobs };
 
 	if (sizing->host_milli <= 0)
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -81,8 +81,8 @@
 /*
  * sizing_next_move - next move of a host that is worth its cost
  *
- * Jobs that can be in time come first: a pool with other work only gives up hosts
- * for them. The caller adjusts the counts of both pools and calls again.
+ * Long-running tasks come first, then jobs that can be in time: a pool with other
+ * work only gives up hosts for them. The caller adjusts the counts of both pools and calls again.
  *
  * RETURN VALUE
  *	Whether there is such a move; from and to are then set to pool indexes.
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -105,6 +105,24 @@
 }
 END_TEST
 
+/*
+ * Guards against long-running tasks that wait for a host as long as the jobs of
+ * other pools ask for all of them.
+ */
+START_TEST(long_running_tasks_come_before_jobs_in_time)
+{
+	struct sizing sizing = { .host_milli = 1000, .hosts = 62 };
+	struct sizing_pool pools[2] = {
+		pool_of(12, 3000, 0),
+		pool_of(50, 100000, 0),
+	};
+
+	pools[0].min_hosts = 14;
+	ck_assert_uint_eq(move_hosts(&sizing, pools, 2), 2);
+	ck_assert_int_eq(pools[0].hosts, 14);
+}
+END_TEST
+
 struct fleet {
 	struct job_store *jobs;
 	struct worker_table *workers;
@@ -243,6 +261,7 @@
 	tcase_add_test(tcase, jobs_in_time_get_the_hosts_of_late_jobs);
 	tcase_add_test(tcase, late_jobs_get_the_hosts_that_are_left);
 	tcase_add_test(tcase, late_jobs_take_no_host_just_after_a_peak);
+	tcase_add_test(tcase, long_running_tasks_come_before_jobs_in_time);
 	tcase_add_test(tcase, pool_with_waiting_tasks_lends_nothing);
 	tcase_add_test(tcase, waiting_tasks_of_late_jobs_keep_no_room);
 	suite_add_tcase(suite, tcase);
