--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -3,6 +3,7 @@
 #include "crash.h"
 #include "log.h"
 #include "maint_int.h"
+#include "place.h"
 
 enum {
 	/* Suspects that wait for their quarantine, for each host more. */
@@ -93,6 +94,7 @@
 	}
 	pool->standby = cfg->standby;
 	pool->demand_milli = 0;
+	pool->late_milli = 0;
 	pool->suspects = 0;
 	pool->hosts = 0;
 	pool->movable = 0;
@@ -165,6 +167,18 @@
 	pool->min_hosts = MAX(pool->min_hosts, (int32_t)hosts);
 }
 
+/* A step that uses only idle CPU adds none. */
+static void add_demand(struct sizing_pool *pool, const struct job_step *step,
+		       bool late)
+{
+	if (step->uses_idle_cpu)
+		return;
+	if (late && !step->long_running)
+		pool->late_milli += step->cpu_milli;
+	else
+		pool->demand_milli += step->cpu_milli;
+}
+
 static void add_job(struct maint *maint, struct job *job,
 		    const struct sizing_host *host)
 {
@@ -174,6 +188,7 @@
 	struct job_pos pos = { .job = job };
 	int64_t wall_ms = clk_wall_ms(maint->env->clk);
 	bool ready = false;
+	bool late = false;
 	int32_t waiting = 0; /* tasks of the step */
 
 	if (!pool || !job->has_spec || job->cancel_requested)
@@ -184,6 +199,8 @@
 		if (!pos.index) {
 			ready = job_due_ms(job, pos.occurrence) <= wall_ms &&
 				job_step_ready(job, pos.occurrence, pos.step);
+			late = place_too_late(*maint->env->cfg, job,
+					      pos.occurrence, wall_ms);
 			raise_min_hosts(pool, step);
 			waiting = 0;
 		}
@@ -208,9 +225,7 @@
 			pool->waiting_hosts = MAX(pool->waiting_hosts,
 						  spread_hosts(step, waiting));
 		}
-		/* A step that uses only idle CPU adds no demand. */
-		if (!step->uses_idle_cpu)
-			pool->demand_milli += step->cpu_milli;
+		add_demand(pool, step, late);
 	}
 }
 
@@ -224,16 +239,60 @@
 	return known->host.pool;
 }
 
+/*
+ * Whether a move of the host is planned that no order can have been sent for: its
+ * pool has not drained it, and an earlier owner of the hosts sends none any more.
+ */
+static bool has_open_move(const struct maint *maint,
+			  const struct known_host *known,
+			  const struct host_plan *plan)
+{
+	return plan && plan->work == HOST_MOVE &&
+	       plan->step == HOST_DRAIN_REQUESTED && !known->ordering &&
+	       known->host.state == HOST_UP &&
+	       !strcmp(plan->worker, known->host.worker) &&
+	       clk_now_ms(maint->env->clk) >=
+		       ownership_earlier_end_ms(&maint->ownership);
+}
+
+static void take_back_move(struct maint *maint, const struct known_host *known,
+			   const char *why)
+{
+	struct host_plan *plan =
+		host_plan_find(maint->env->plans, known->host.name);
+
+	log_info("move-taken-back host=%s worker=%s pool=%s to=%s why=%s",
+		 plan->host, plan->worker, known->host.pool, plan->pool, why);
+	maint_end_plan(maint, plan);
+}
+
+/*
+ * A host was to be moved as it had no long-running task; one that has been placed
+ * there since keeps it in its pool.
+ */
+static void keep_host_with_lasting_task(struct maint *maint,
+					const struct known_host *known)
+{
+	const struct host_plan *plan =
+		host_plan_find(maint->env->plans, known->host.name);
+
+	if (has_open_move(maint, known, plan) &&
+	    maint_load(maint, known->host.worker)->long_running)
+		take_back_move(maint, known, "long-running-task");
+}
+
 static void add_host(struct maint *maint, struct known_host *known)
 {
 	const struct host_plan *plan =
 		host_plan_find(maint->env->plans, known->host.name);
-	struct sizing_pool *pool =
-		find_pool(maint, slice_of_host(maint, known->host.name),
-			  pool_after_move(known, plan));
 	const struct load *load = maint_load(maint, known->host.worker);
+	struct sizing_pool *pool;
 
+	known->pool = pool_after_move(known, plan);
 	known->movable = false;
+	known->open_move = has_open_move(maint, known, plan);
+	pool = find_pool(maint, slice_of_host(maint, known->host.name),
+			 known->pool);
 	if (!pool || known->host.state == HOST_DOWN)
 		return;
 	/* A host to be restarted is not counted. */
@@ -243,8 +302,9 @@
 	pool->hosts++;
 	known->load_milli = load->cpu_milli;
 	known->idle = !load->has_tasks;
-	known->movable = maint_host_settled(maint, known, pool->standby) &&
-			 !load->long_running;
+	known->movable = known->open_move ||
+			 (maint_host_settled(maint, known, pool->standby) &&
+			  !load->long_running);
 	pool->movable += known->movable;
 	pool->idle += known->movable && known->idle;
 	pool->lasting_hosts += load->long_running &&
@@ -277,13 +337,27 @@
 	void *value;
 
 	g_hash_table_iter_init(&iter, maint->known_hosts);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		keep_host_with_lasting_task(maint, value);
 		add_host(maint, value);
+	}
+}
+
+/* Whether left is better moved to the pool: it is there still, or has less load. */
+static bool moves_sooner(const struct known_host *left,
+			 const struct known_host *right, const char *to)
+{
+	bool left_there = !strcmp(left->host.pool, to);
+
+	if (left_there != !strcmp(right->host.pool, to))
+		return left_there;
+	return left->load_milli < right->load_milli;
 }
 
-/* The movable host with the least load; idle restricts it to idle hosts. */
+/* The best movable host; for a standby pool, of those without a task. */
 static struct known_host *choose_movable(struct maint *maint, uint32_t slice,
-					 const char *pool, bool idle)
+					 const struct sizing_pool *from,
+					 const struct sizing_pool *to)
 {
 	struct known_host *best = NULL;
 	GHashTableIter iter;
@@ -293,11 +367,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct known_host *known = value;
 
-		if (!known->movable || strcmp(known->host.pool, pool) ||
-		    (idle && !known->idle) ||
+		if (!known->movable || strcmp(known->pool, from->name) ||
+		    (to->standby && !known->idle) ||
 		    slice_of_host(maint, known->host.name) != slice)
 			continue;
-		if (!best || known->load_milli < best->load_milli)
+		if (!best || moves_sooner(known, best, to->name))
 			best = known;
 	}
 	return best;
@@ -306,12 +380,11 @@
 static bool move(struct maint *maint, uint32_t slice, struct sizing_pool *from,
 		 struct sizing_pool *to)
 {
-	struct known_host *known =
-		choose_movable(maint, slice, from->name, to->standby);
+	struct known_host *known = choose_movable(maint, slice, from, to);
 	const struct host_plan *previous;
 	struct host_plan plan = {
 		.work = HOST_MOVE,
-		.step = from->standby ? HOST_DRAINED : HOST_DRAIN_REQUESTED,
+		.step = HOST_DRAIN_REQUESTED,
 	};
 
 	if (!known)
@@ -327,12 +400,21 @@
 	from->movable--;
 	from->idle -= known->idle;
 	to->hosts++;
+	if (known->open_move && !strcmp(known->host.pool, to->name)) {
+		take_back_move(maint, known, "needed");
+		return true;
+	}
+	/* No tasks run in a standby pool. */
+	if (from->standby && !known->open_move)
+		plan.step = HOST_DRAINED;
 	maint_add_plan(maint, &plan);
 	log_info("host-lent host=%s from=%s to=%s wanted_from=%" G_GINT64_FORMAT
-		 " wanted_to=%" G_GINT64_FORMAT " hosts_to=%d min_to=%d "
+		 " late_from=%" G_GINT64_FORMAT " wanted_to=%" G_GINT64_FORMAT
+		 " late_to=%" G_GINT64_FORMAT " hosts_to=%d min_to=%d "
 		 "waiting_ms=%" G_GINT64_FORMAT,
 		 plan.host, from->name, to->name, from->demand_milli,
-		 to->demand_milli, to->hosts, to->min_hosts,
+		 from->late_milli, to->demand_milli, to->late_milli, to->hosts,
+		 to->min_hosts,
 		 to->waiting_since_ms
 			 ? clk_now_ms(maint->env->clk) - to->waiting_since_ms
 			 : 0);
