Show long-running tasks that are away in a burst of short jobs

tests/test_burst.c plays a burst of jobs of three sizes and four durations. One test lets a host with a long-running task leave, one submits a long-running task that takes a whole worker.

Jobs of the simulation may have a duration of their own.

--- a/Makefile
+++ b/Makefile
@@ -106,7 +106,7 @@
 	tests/worker_model.c tests/worker_model.h
 
 FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
-	$(BUILD)/test_leaving $(BUILD)/test_capacity $(BUILD)/test_lasting \
+	$(BUILD)/test_leaving $(BUILD)/test_burst $(BUILD)/test_capacity $(BUILD)/test_lasting \
 	$(BUILD)/test_suspects $(BUILD)/test_retry $(BUILD)/test_reassigned \
 	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
 	$(BUILD)/test_acceptance
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -644,6 +644,10 @@
 	g_strlcpy(run.task, event->task, sizeof(run.task));
 	g_strlcpy(id, event->task, sizeof(id));
 	job = g_hash_table_lookup(sim->jobs, id);
+	if (job && job->task_ms) {
+		run.remaining_ms += job->task_ms - sim->task_ms;
+		run.total_ms = run.remaining_ms;
+	}
 	if (job && job->fails_at_once) {
 		run.remaining_ms = QUICK_FAILURE_MS;
 		run.fails = true;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -152,6 +152,7 @@
 	int32_t width;
 	int32_t cpu_milli; /* of each task */
 	int32_t mem_mib;
+	int64_t task_ms; /* least duration of its tasks; 0: that of the sim */
 	bool accepted;
 	bool cancel_requested; /* may take effect without an answer */
 	bool rejected;
