Give long-running tasks that wait hosts in the middle of a burst

Cause: a host goes to the pool that misses most, and only from one that has more than its demand. In a burst that is the pool with the burst, and none has any to spare.

A pool with fewer hosts than its long-running tasks need comes first. Once such tasks have waited for 1 s, it also gets hosts that other pools have demand for, down to what these need at least.

Evidence: long_running_tasks_get_hosts_in_a_burst of tests/test_jobs.c failed before: 0 moves in place of 2.

--- a/src/sizing.c
+++ b/src/sizing.c
@@ -103,6 +103,13 @@
 	return excess(sizing, pool, pool->demand_milli, pool->movable);
 }
 
+/* Whether the pool's long-running tasks have waited for long enough. */
+static bool has_waited(const struct sizing_pool *pool, int64_t now_ms)
+{
+	return pool->waiting_since_ms &&
+	       now_ms - pool->waiting_since_ms >= SIZING_LASTING_WAIT_MS;
+}
+
 static void observe_waiting(struct sizing_pool *pool, int64_t now_ms)
 {
 	int64_t hosts = (pool->waiting_parts + SIZING_HOST_PARTS - 1) /
@@ -115,8 +122,7 @@
 		pool->waiting_since_ms = 0;
 	else if (!pool->waiting_since_ms)
 		pool->waiting_since_ms = now_ms;
-	else if (now_ms - pool->waiting_since_ms >= SIZING_LASTING_WAIT_MS &&
-		 hosts > pool->min_hosts)
+	else if (has_waited(pool, now_ms) && hosts > pool->min_hosts)
 		pool->min_hosts = (int32_t)hosts;
 }
 
@@ -193,6 +199,62 @@
 	return most > 0;
 }
 
+/* Hosts that a pool's long-running tasks need and it does not have. */
+static int32_t lasting_deficit(const struct sizing_pool *pool)
+{
+	return pool->standby ? 0 : pool->min_hosts - pool->hosts;
+}
+
+static bool find_lasting_target(const struct sizing_pool *pools, uint32_t count,
+				uint32_t *to)
+{
+	int32_t most = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		int32_t missing = lasting_deficit(&pools[i]);
+
+		if (missing <= most)
+			continue;
+		most = missing;
+		*to = i;
+	}
+	return most > 0;
+}
+
+/* The pool that can do without most hosts, whatever its demand. */
+static bool find_forced_source(const struct sizing *sizing,
+			       const struct sizing_pool *pools, uint32_t count,
+			       uint32_t *from)
+{
+	int32_t best = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		int32_t hosts = excess(sizing, &pools[i], 0, pools[i].movable);
+
+		if (hosts <= best)
+			continue;
+		best = hosts;
+		*from = i;
+	}
+	return best > 0;
+}
+
+/*
+ * Next host for long-running tasks. They cannot wait for the end of a burst, so
+ * that those that wait get hosts that other pools have demand for.
+ */
+static bool find_lasting_move(const struct sizing *sizing,
+			      const struct sizing_pool *pools, uint32_t count,
+			      int64_t now_ms, uint32_t *from, uint32_t *to)
+{
+	if (!find_lasting_target(pools, count, to))
+		return false;
+	if (find_source(sizing, pools, count, from))
+		return *from != *to;
+	return has_waited(&pools[*to], now_ms) &&
+	       find_forced_source(sizing, pools, count, from) && *from != *to;
+}
+
 static bool find_standby_move(const struct sizing *sizing,
 			      const struct sizing_pool *pools, uint32_t count,
 			      int64_t now_ms, uint32_t *from, uint32_t *to)
@@ -220,6 +282,8 @@
 {
 	if (sizing->host_milli <= 0)
 		return false;
+	if (find_lasting_move(sizing, pools, count, now_ms, from, to))
+		return true;
 	if (find_target(sizing, pools, count, to))
 		return find_source(sizing, pools, count, from) && *from != *to;
 	return find_standby_move(sizing, pools, count, now_ms, from, to);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -347,6 +347,38 @@
 }
 END_TEST
 
+/*
+ * Long-running tasks that wait must get hosts though a burst in another pool
+ * asks for more than there are; those that do not wait take none from it.
+ */
+START_TEST(long_running_tasks_get_hosts_in_a_burst)
+{
+	struct sizing sizing = { .host_milli = 1000, .hosts = 32 };
+	struct sizing_pool pools[2] = {
+		sizing_pool_of("lasting", 12, 0, 12000),
+		sizing_pool_of("burst", 20, 20, 90000),
+	};
+	uint32_t from, to;
+	int moves = 0;
+
+	pools[0].min_hosts = 14;
+	sizing_observe(&sizing, &pools[0], 10000);
+	ck_assert(!sizing_next_move(&sizing, pools, 2, 10000, &from, &to));
+	pools[0].waiting_parts = 1;
+	sizing_observe(&sizing, &pools[0], 10000);
+	sizing_observe(&sizing, &pools[0], 11000);
+	while (sizing_next_move(&sizing, pools, 2, 11000, &from, &to)) {
+		ck_assert_uint_eq(from, 1);
+		ck_assert_uint_eq(to, 0);
+		pools[from].hosts--;
+		pools[from].movable--;
+		pools[to].hosts++;
+		moves++;
+	}
+	ck_assert_int_eq(moves, 2);
+}
+END_TEST
+
 /* Alternating demand: one pool needs several times its capacity. */
 START_TEST(hosts_move_to_a_load_peak_and_are_parked_after_it)
 {
@@ -633,6 +665,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, long_running_tasks_take_hosts_by_memory);
 	tcase_add_test(tcase, long_running_tasks_that_wait_get_hosts);
+	tcase_add_test(tcase, long_running_tasks_get_hosts_in_a_burst);
 	tcase_add_test(tcase, steps_run_in_order_and_progress_survives);
 	tcase_add_test(tcase, older_records_are_ignored);
 	tcase_add_test(tcase, job_fails_after_its_attempts);
