Do not count workers that drain as hosts of their pool

Cause: maint_sizing counted each host that was up. No task can start on a worker that drains, as it does before a shutdown, and sizing had to wait until it was gone.

Workers that drain as their host is being restarted or moved count as before, for the pool that the host goes to.

--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -224,6 +224,21 @@
 	return known->host.pool;
 }
 
+/*
+ * Whether the host's worker drains by itself, not for an order of ours, after
+ * which the list may show it for a while.
+ */
+static bool drains_by_itself(const struct maint *maint,
+			     const struct known_host *known,
+			     const struct host_plan *plan)
+{
+	const struct worker *worker =
+		worker_find(maint->env->workers, known->host.worker);
+
+	return worker && worker->entry.draining &&
+	       !(plan && !strcmp(plan->worker, known->host.worker));
+}
+
 static void add_host(struct maint *maint, struct known_host *known)
 {
 	const struct host_plan *plan =
@@ -234,7 +249,8 @@
 	const struct load *load = maint_load(maint, known->host.worker);
 
 	known->movable = false;
-	if (!pool || known->host.state == HOST_DOWN)
+	if (!pool || known->host.state == HOST_DOWN ||
+	    drains_by_itself(maint, known, plan))
 		return;
 	/* A host to be restarted is not counted. */
 	if (plan && plan->work == HOST_RESTART &&
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1306,9 +1306,10 @@
 	struct sim_worker *worker = &sim->workers[index];
 	char *value = g_strdup_printf(
 		"{\"service\":\"pool\",\"addr\":\"w:1\",\"zone\":\"z\","
-		"\"state\":\"ready\",\"born\":%" G_GINT64_FORMAT ","
+		"\"state\":\"%s\",\"born\":%" G_GINT64_FORMAT ","
 		"\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
 		"\"labels\":[],\"machine\":\"%s\"}",
+		worker->entry.draining ? "draining" : "ready",
 		worker->entry.boot_ms, worker->entry.cpu_milli,
 		worker->entry.mem_mib, worker->entry.host);
 
@@ -1321,6 +1322,12 @@
 	g_free(value);
 }
 
+void sim_drain_worker(struct sim *sim, int index)
+{
+	sim->workers[index].entry.draining = true;
+	sim_set_worker_listed(sim, index, true);
+}
+
 static void count_crashes_met(struct sim *sim, const struct sim_worker *worker)
 {
 	for (guint i = 0; worker->up && i < worker->model.runs->len; i++) {
@@ -1351,6 +1358,7 @@
 
 	note_event(sim, "worker-started", index);
 	worker->up = true;
+	worker->entry.draining = false;
 	worker->restart_at_ms = 0;
 	worker->started_at_ms = sim->clk.manual_ms;
 	worker->entry.boot_ms = sim->clk.manual_ms + 1;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -247,5 +247,7 @@
 void sim_replace_worker(struct sim *sim, int worker);
 /* sim_set_worker_listed - add the worker's entry to the registry or delete it */
 void sim_set_worker_listed(struct sim *sim, int worker, bool listed);
+/* sim_drain_worker - let the worker say that it drains, as before a shutdown */
+void sim_drain_worker(struct sim *sim, int worker);
 
 #endif
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -22,6 +22,12 @@
 	/* The same, after a task has found no room elsewhere. */
 	RETURN_MS = 2000,
 	WATCHED_MS = 15000,
+	/* Of which those without tasks are parked, but for one. */
+	SHARED_WORKERS = 8,
+	DRAINING = 2,
+	SIZED_MS = 10000,
+	/* A wait of 1 s, a move, a registration and a start. */
+	ARRIVAL_MS = 5000,
 	WAVE_MS = 25000
 };
 
@@ -169,6 +175,34 @@
 }
 END_TEST
 
+/*
+ * Workers that drain were counted as hosts for long-running tasks, so that the
+ * pool got no others while standby hosts were there.
+ */
+START_TEST(pool_gets_hosts_for_workers_that_drain)
+{
+	struct sim *sim = sim_create(200 + (uint64_t)_i, 3, SHARED_WORKERS);
+	int draining = 0;
+
+	sim->hosts_obey = true;
+	sim_add_standby_pool(sim);
+	sim_run_for(sim, START_MS);
+	sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, SIZED_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	for (int i = 0; i < SHARED_WORKERS && draining < DRAINING; i++)
+		if (sim->workers[i].up && sim->workers[i].model.runs->len) {
+			sim_drain_worker(sim, i);
+			draining++;
+		}
+	ck_assert_int_le(longest_absence_ms(sim, TASKS), ARRIVAL_MS);
+	for (int i = 0; i < SHARED_WORKERS; i++)
+		ck_assert(!sim->workers[i].entry.draining ||
+			  !sim->workers[i].model.runs->len);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("leaving");
@@ -187,6 +221,8 @@
 			    SEEDS);
 	tcase_add_loop_test(tcase, task_stays_on_a_host_that_cannot_leave, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase, pool_gets_hosts_for_workers_that_drain, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
