--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -281,6 +281,21 @@
 		take_back_move(maint, known, "long-running-task");
 }
 
+/*
+ * Whether the host's worker drains by itself, not for an order of ours, after
+ * which the list may show it for a while.
+ */
+static bool drains_by_itself(const struct maint *maint,
+			     const struct known_host *known,
+			     const struct host_plan *plan)
+{
+	const struct worker *worker =
+		worker_find(maint->env->workers, known->host.worker);
+
+	return worker && worker->entry.draining &&
+	       !(plan && !strcmp(plan->worker, known->host.worker));
+}
+
 static void add_host(struct maint *maint, struct known_host *known)
 {
 	const struct host_plan *plan =
@@ -293,7 +308,8 @@
 	known->open_move = has_open_move(maint, known, plan);
 	pool = find_pool(maint, slice_of_host(maint, known->host.name),
 			 known->pool);
-	if (!pool || known->host.state == HOST_DOWN)
+	if (!pool || known->host.state == HOST_DOWN ||
+	    drains_by_itself(maint, known, plan))
 		return;
 	/* A host to be restarted is not counted. */
 	if (plan && plan->work == HOST_RESTART &&
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -159,6 +159,13 @@
 	return excess(sizing, pool, purpose->kept_milli(pool), pool->movable);
 }
 
+/* Whether the pool's long-running tasks have waited for long enough. */
+static bool has_waited(const struct sizing_pool *pool, int64_t now_ms)
+{
+	return pool->waiting_since_ms &&
+	       now_ms - pool->waiting_since_ms >= SIZING_LASTING_WAIT_MS;
+}
+
 static void observe_waiting(struct sizing_pool *pool, int64_t now_ms)
 {
 	int64_t hosts = (pool->waiting_parts + SIZING_HOST_PARTS - 1) /
@@ -171,8 +178,7 @@
 		pool->waiting_since_ms = 0;
 	else if (!pool->waiting_since_ms)
 		pool->waiting_since_ms = now_ms;
-	else if (now_ms - pool->waiting_since_ms >= SIZING_LASTING_WAIT_MS &&
-		 hosts > pool->min_hosts)
+	else if (has_waited(pool, now_ms) && hosts > pool->min_hosts)
 		pool->min_hosts = (int32_t)hosts;
 }
 
@@ -249,6 +255,23 @@
 	return most > 0;
 }
 
+/*
+ * Next host for long-running tasks. They cannot wait for the end of a burst, so
+ * that those that wait get hosts that other pools have demand for.
+ */
+static bool find_lasting_move(const struct sizing *sizing,
+			      const struct sizing_pool *pools, uint32_t count,
+			      int64_t now_ms, uint32_t *from, uint32_t *to)
+{
+	if (!find_target(sizing, pools, count, &for_long_running, to))
+		return false;
+	if (find_source(sizing, pools, count, &for_jobs_in_time, from))
+		return *from != *to;
+	return has_waited(&pools[*to], now_ms) &&
+	       find_source(sizing, pools, count, &for_long_running, from) &&
+	       *from != *to;
+}
+
 static bool find_standby_move(const struct sizing *sizing,
 			      const struct sizing_pool *pools, uint32_t count,
 			      int64_t now_ms, uint32_t *from, uint32_t *to)
@@ -274,12 +297,13 @@
 		      const struct sizing_pool *pools, uint32_t count,
 		      int64_t now_ms, uint32_t *from, uint32_t *to)
 {
-	static const struct purpose *const purposes[] = { &for_long_running,
-							  &for_jobs_in_time,
+	static const struct purpose *const purposes[] = { &for_jobs_in_time,
 							  &for_all_jobs };
 
 	if (sizing->host_milli <= 0)
 		return false;
+	if (find_lasting_move(sizing, pools, count, now_ms, from, to))
+		return true;
 	for (size_t i = 0; i < G_N_ELEMENTS(purposes); i++)
 		if (find_target(sizing, pools, count, purposes[i], to))
 			return find_source(sizing, pools, count, purposes[i],
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -152,6 +152,7 @@
 	int32_t width;
 	int32_t cpu_milli; /* of each task */
 	int32_t mem_mib;
+	int64_t task_ms; /* least duration of its tasks; 0: that of the sim */
 	bool accepted;
 	bool cancel_requested; /* may take effect without an answer */
 	bool rejected;
@@ -248,5 +249,7 @@
 void sim_replace_worker(struct sim *sim, int worker);
 /* sim_set_worker_listed - add the worker's entry to the registry or delete it */
 void sim_set_worker_listed(struct sim *sim, int worker, bool listed);
+/* sim_drain_worker - let the worker say that it drains, as before a shutdown */
+void sim_drain_worker(struct sim *sim, int worker);
 
 #endif
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -118,6 +118,8 @@
 	};
 
 	pools[0].min_hosts = 14;
+	pools[0].waiting_parts = 1;
+	pools[0].waiting_since_ms = now_ms - 1000;
 	ck_assert_uint_eq(move_hosts(&sizing, pools, 2), 2);
 	ck_assert_int_eq(pools[0].hosts, 14);
 }
