Test appends and joins whose answers are lost or slow

Callers saw 3,050 refusals with why=log-unavailable while 46% of the writes were done and not answered, and 1,350 while the log was 27 times slower. The tests repeat both without a network: the writer and the group on their own, and complete nodes in the simulation, which can now leave appends and joins unanswered until their timeout, and answer appends late.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -24,6 +24,9 @@
 	CRASH_CHECK_MS = 20,
 	/* Of an encoded record, besides its key and value. */
 	RECORD_HEADER_BYTES = 5,
+	/* Of calls to the log that are never answered. */
+	APPEND_TIMEOUT_MS = 1500,
+	JOIN_TIMEOUT_MS = 700,
 	/* A run that fails at once does so after this time. */
 	QUICK_FAILURE_MS = 100
 };
@@ -182,8 +185,21 @@
 	return log_model_append(sim->log, &append);
 }
 
+static bool is_unanswered(struct sim *sim)
+{
+	return sim->faults.unanswered_percent &&
+	       random_below(sim, 100) < sim->faults.unanswered_percent;
+}
+
 static void execute_append(struct sim *sim, struct event *event)
 {
+	event->fn = answer_append;
+	if (is_unanswered(sim)) {
+		apply_append(sim, event);
+		event->appended.outcome = STREAM_UNKNOWN;
+		schedule(sim, event, APPEND_TIMEOUT_MS);
+		return;
+	}
 	if (sim->faults.log_down ||
 	    random_below(sim, 100) < sim->faults.refused_percent) {
 		event->appended.outcome = STREAM_REFUSED;
@@ -193,8 +209,8 @@
 		    event_node(sim, event)->log_answers_lost)
 			event->appended.outcome = STREAM_UNKNOWN;
 	}
-	event->fn = answer_append;
-	schedule(sim, event, 1 + random_below(sim, 8));
+	schedule(sim, event,
+		 1 + random_below(sim, 8) + sim->faults.append_answer_ms);
 }
 
 /* Executes an append whose sender has already got STREAM_UNKNOWN. */
@@ -431,6 +447,22 @@
 	event_free(event);
 }
 
+static void answer_join_unknown(struct sim *sim, struct event *event)
+{
+	if (!can_deliver(sim, event))
+		return;
+	event->membership.outcome = STREAM_UNKNOWN;
+	event->on_member(event->arg, &event->membership);
+	event_free(event);
+}
+
+static void execute_unanswered_join(struct sim *sim, struct event *event)
+{
+	execute_join(sim, event);
+	event->fn = answer_join_unknown;
+	schedule(sim, event, JOIN_TIMEOUT_MS);
+}
+
 static void io_join(void *io, const struct stream_join *join,
 		    stream_member_fn *fn, void *arg)
 {
@@ -441,6 +473,8 @@
 	event->member_name = g_strdup(join->member);
 	event->on_member = fn;
 	event->arg = arg;
+	if (is_unanswered(client->sim))
+		event->fn = execute_unanswered_join;
 	schedule(client->sim, event, 1 + random_below(client->sim, 8));
 }
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -90,6 +90,10 @@
 	uint32_t order_late_percent; /* orders executed seconds late */
 	bool stops_lost;	     /* stop orders are not executed */
 	int64_t start_answer_ms;     /* added delay of start answers */
+	/* Appends and joins that are executed and never answered: the call ends
+	   at its timeout. Reads are answered. */
+	uint32_t unanswered_percent;
+	int64_t append_answer_ms; /* added delay of answers to appends */
 	bool log_down;
 	bool host_list_down;
 	uint32_t
