Repeat an append whose answer is missed before its call ends

A lost answer was noticed by the call's timeout of 1.5 s only, and the next append waited for it.

The writer now sends the same append again once its answer is missed, and takes the first answer that decides. When it is missed follows from the measured answers (new module rtt, as in RFC 6298; 60 ms at least), so that a slow log gets few repeats. The log repeats its answer to a producer's last appends, so a repeat stores nothing twice; answers to attempts of an append that has ended no longer count, except a fence. Calls end soon after their answer is missed, as each lost one occupies one of 16 connections.

So four attempts go out at even intervals, and eight while the log is known to lose answers, which an attempt answered before an earlier one shows.

--- a/src/stream.h
+++ b/src/stream.h
@@ -40,6 +40,7 @@
 	int64_t sequence;
 	const char *records; /* encoded by stream_io's add_record */
 	size_t len;
+	int64_t timeout_ms; /* without an answer by then: STREAM_UNKNOWN */
 };
 
 struct stream_record {
--- a/src/writer.c
+++ b/src/writer.c
@@ -4,10 +4,14 @@
 #include <string.h>
 
 #include "log.h"
+#include "rtt.h"
 
 enum {
 	WRITER_RETRY_MIN_MS = 50,
 	WRITER_RETRY_MAX_MS = 800,
+	/* Calls in flight, each of which occupies a connection until its end;
+	   all calls to the log share 16. */
+	WRITER_MAX_CALLS = 4,
 	WRITER_KEY_BYTES = 128
 };
 
@@ -20,6 +24,14 @@
 	void *arg;
 };
 
+/* One call of an append; its argument. */
+struct attempt {
+	struct writer *writer;
+	int64_t append;	 /* number of the append */
+	uint32_t number; /* of this attempt of it, from 1 on */
+	int64_t sent_ms;
+};
+
 struct writer {
 	struct writer_config config;
 	char *producer;
@@ -28,9 +40,16 @@
 	GArray *waiting;   /* for a later append */
 	GArray *sent;	   /* in the append in flight */
 	GByteArray *bytes; /* encoded records of that append */
-	bool busy;	   /* a call or a callback is in progress */
-	bool epoch_set;	   /* the log knows the epoch */
-	int64_t end;	   /* of the stream, after the last append */
+	bool calling_back; /* a callback is in progress */
+	uint32_t calls;	   /* in flight, of this append and earlier ones */
+	/* Of the append in flight; that the first one, which may be empty, and
+	   the second have the same sequence number does not matter. */
+	int64_t append;
+	uint32_t attempts; /* of it */
+	uint32_t unended;  /* attempts that are still in flight */
+	struct rtt rtt;
+	bool epoch_set; /* the log knows the epoch */
+	int64_t end;	/* of the stream, after the last append */
 	bool destroyed;
 	int64_t first_try_ms; /* of the append in flight */
 	int64_t next_try_ms;
@@ -69,14 +88,19 @@
 	g_free(writer);
 }
 
+static void free_if_unused(struct writer *writer)
+{
+	if (writer->destroyed && !writer->calling_back && !writer->calls)
+		free_writer(writer);
+}
+
 void writer_destroy(struct writer *writer)
 {
 	if (!writer)
 		return;
-	/* If busy, on_appended or writer_tick frees the writer later. */
+	/* Otherwise free_if_unused does, once nothing is in progress. */
 	writer->destroyed = true;
-	if (!writer->busy)
-		free_writer(writer);
+	free_if_unused(writer);
 }
 
 int64_t writer_add(struct writer *writer, const char *key, const char *value,
@@ -150,7 +174,8 @@
 	writer->epoch_set = true;
 	writer->end = end;
 	writer->retry_ms = WRITER_RETRY_MIN_MS;
-	writer->busy = true; /* a callback may destroy the writer */
+	writer->append++; /* answers to earlier attempts no longer count */
+	writer->calling_back = true; /* a callback may destroy the writer */
 	for (guint i = 0; i < completed->len; i++) {
 		struct entry *entry =
 			&g_array_index(completed, struct entry, i);
@@ -161,36 +186,41 @@
 		if (entry->key[0] && offset >= 0)
 			offset++;
 	}
-	writer->busy = false;
+	writer->calling_back = false;
 	clear_entries(completed);
 	g_array_free(completed, TRUE);
 }
 
+/* Nothing was done. While another attempt is in flight, it may be answered. */
 static void schedule_retry(struct writer *writer)
 {
-	writer->next_try_ms = clk_now_ms(writer->config.clk) + writer->retry_ms;
+	int64_t due_ms = clk_now_ms(writer->config.clk) + writer->retry_ms;
+
+	if (writer->unended)
+		return;
+	writer->next_try_ms = due_ms;
 	writer->retry_ms = MIN(writer->retry_ms * 2, WRITER_RETRY_MAX_MS);
 }
 
-static void on_appended(void *arg, const struct stream_append_result *result)
+static void fence(struct writer *writer)
 {
-	struct writer *writer = arg;
+	log_warn("append by %s in epoch %" G_GINT64_FORMAT
+		 " refused: fenced by a higher epoch",
+		 writer->producer, writer->config.epoch);
+	finish_append(writer, WRITER_FENCED, -1, -1);
+}
 
-	writer->busy = false;
-	if (writer->destroyed) {
-		free_writer(writer);
-		return;
-	}
+/* Applies the answer to an attempt of the append in flight. */
+static void apply_answer(struct writer *writer,
+			 const struct stream_append_result *result)
+{
 	switch (result->outcome) {
 	case STREAM_OK:
 		finish_append(writer, WRITER_STORED, result->offset,
 			      result->end);
 		break;
 	case STREAM_FENCED:
-		log_warn("append by %s in epoch %" G_GINT64_FORMAT
-			 " refused: fenced by a higher epoch",
-			 writer->producer, writer->config.epoch);
-		finish_append(writer, WRITER_FENCED, -1, -1);
+		fence(writer);
 		break;
 	case STREAM_BAD_SEQUENCE:
 		/* Not expected: only this process uses the producer and
@@ -200,12 +230,48 @@
 			  writer->sequence, writer->producer);
 		finish_append(writer, WRITER_FENCED, -1, -1);
 		break;
-	default:
+	case STREAM_REFUSED:
 		schedule_retry(writer);
 		break;
+	default:
+		/* Unknown: the next attempt is due as it is. */
+		break;
 	}
-	if (writer->destroyed)
-		free_writer(writer);
+}
+
+static bool is_answer(enum stream_outcome outcome)
+{
+	return outcome == STREAM_OK || outcome == STREAM_FENCED ||
+	       outcome == STREAM_BAD_SEQUENCE;
+}
+
+static void on_appended(void *arg, const struct stream_append_result *result)
+{
+	struct attempt *attempt = arg;
+	struct writer *writer = attempt->writer;
+	int64_t took_ms = clk_now_ms(writer->config.clk) - attempt->sent_ms;
+	bool current = attempt->append == writer->append;
+	uint32_t number = attempt->number;
+
+	g_free(attempt);
+	writer->calls--;
+	if (writer->destroyed) {
+		free_if_unused(writer);
+		return;
+	}
+	if (is_answer(result->outcome))
+		rtt_add(&writer->rtt, took_ms);
+	if (is_answer(result->outcome) && current)
+		rtt_count_attempts(&writer->rtt, number);
+	if (current)
+		writer->unended--;
+	/* An earlier append has ended: its sequence number may be too old for
+	   the log by now, but a fence holds for all. */
+	if (current)
+		apply_answer(writer, result);
+	else if (result->outcome == STREAM_FENCED && writer->sent->len)
+		fence(writer);
+	free_if_unused(writer);
 }
 
 /* Moves waiting records into the next append, up to max_bytes. */
@@ -232,39 +298,58 @@
 	g_array_remove_range(writer->waiting, 0, count);
 }
 
-void writer_tick(struct writer *writer)
+static void send_attempt(struct writer *writer, int64_t now_ms)
 {
-	int64_t now_ms = clk_now_ms(writer->config.clk);
+	struct attempt *attempt = g_new0(struct attempt, 1);
 	struct stream_append append = {
 		.id = writer->config.id,
 		.producer = writer->producer,
 		.epoch = writer->config.epoch,
+		.sequence = writer->sequence,
+		.records = (const char *)writer->bytes->data,
+		.len = writer->bytes->len,
 	};
 
-	if (writer->busy)
-		return;
-	if (!writer->sent->len) {
-		if (!writer->waiting->len ||
-		    now_ms - writer->last_append_ms < writer->config.gap_ms)
-			return;
-		fill_append(writer);
-		writer->first_try_ms = now_ms;
-		if (!writer->bytes->len && writer->epoch_set) {
-			finish_append(writer, WRITER_STORED, -1, writer->end);
-			if (writer->destroyed)
-				free_writer(writer);
-			return;
-		}
-	} else if (now_ms < writer->next_try_ms) {
-		return;
-	}
-	writer->busy = true;
+	attempt->writer = writer;
+	attempt->append = writer->append;
+	attempt->sent_ms = now_ms;
+	attempt->number = ++writer->attempts;
+	writer->unended++;
+	writer->calls++;
 	writer->last_append_ms = now_ms;
-	append.sequence = writer->sequence;
-	append.records = (const char *)writer->bytes->data;
-	append.len = writer->bytes->len;
+	writer->next_try_ms =
+		now_ms + rtt_missed_ms(&writer->rtt, writer->attempts);
+	append.timeout_ms = rtt_give_up_ms(&writer->rtt, writer->attempts);
 	writer->config.io->append(writer->config.io->io, &append, on_appended,
-				  writer);
+				  attempt);
+}
+
+/* Whether there is an append to send; an empty one sets the epoch only. */
+static bool start_append(struct writer *writer, int64_t now_ms)
+{
+	if (!writer->waiting->len ||
+	    now_ms - writer->last_append_ms < writer->config.gap_ms)
+		return false;
+	fill_append(writer);
+	writer->first_try_ms = now_ms;
+	writer->attempts = 0;
+	writer->unended = 0;
+	if (writer->bytes->len || !writer->epoch_set)
+		return true;
+	finish_append(writer, WRITER_STORED, -1, writer->end);
+	return false;
+}
+
+void writer_tick(struct writer *writer)
+{
+	int64_t now_ms = clk_now_ms(writer->config.clk);
+
+	if (writer->calling_back || writer->calls >= WRITER_MAX_CALLS)
+		return;
+	if (writer->sent->len ? now_ms >= writer->next_try_ms
+			      : start_append(writer, now_ms))
+		send_attempt(writer, now_ms);
+	free_if_unused(writer);
 }
 
 int64_t writer_stalled_ms(const struct writer *writer)
--- a/src/writer.h
+++ b/src/writer.h
@@ -3,9 +3,10 @@
  *	writer - appends records to a stream in batches, each exactly once
  *
  * One append is in flight at a time; records that are added meanwhile wait for
- * the next one. An append without an answer is retried with the same sequence
- * number until the log confirms or refuses it, so that a retry stores nothing
- * twice.
+ * the next one. An append whose answer is missed (module rtt) is sent again with
+ * the same sequence number, while earlier attempts may still be answered, until
+ * the log confirms or refuses one of them. The log repeats its answer to a
+ * producer's last appends, so that a repeat stores nothing twice.
  */
 #ifndef WRITER_H
 #define WRITER_H
@@ -19,7 +20,8 @@
 
 enum writer_outcome {
 	WRITER_STORED,
-	/* A higher epoch has appended; the record is not stored. */
+	/* A higher epoch has appended; the record is stored only if an attempt
+	   without an answer was executed before that. */
 	WRITER_FENCED
 };
 
