--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
 	ctl_command ctl_print report histo arrival load_report
-NODE = cfg job job_record worker share index backlog speed avail place writer tail order ownership \
+NODE = cfg job job_record worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
 	pool_away pool_unplaced pool_stored pool_publish crash place_backlog place_room place_quarantine \
@@ -109,9 +109,11 @@
 	$(BUILD)/test_leaving $(BUILD)/test_burst $(BUILD)/test_capacity $(BUILD)/test_lasting \
 	$(BUILD)/test_suspects $(BUILD)/test_retry $(BUILD)/test_reassigned \
 	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
-	$(BUILD)/test_acceptance $(BUILD)/test_moves
+	$(BUILD)/test_acceptance $(BUILD)/test_moves $(BUILD)/test_unanswered
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
+$(BUILD)/test_writer: tests/log_model.c tests/log_model.h
+$(BUILD)/test_writer: CPPFLAGS += -Itests
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
 	tests/standin_room.h tests/worker_model.c tests/worker_model.h
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
--- a/src/writer.h
+++ b/src/writer.h
@@ -3,9 +3,10 @@
  *	writer - appends records to a stream in batches, each exactly once
  *
  * One append is in flight at a time; records that are added meanwhile wait for
- * the next one. An append without an answer is retried with the same sequence
- * number until the log confirms or refuses it, so that a retry stores nothing
- * twice.
+ * the next one. An append whose answer is missed (module rtt) is sent again with
+ * the same sequence number, while earlier attempts may still be answered, until
+ * the log confirms or refuses one of them. The log repeats its answer to a
+ * producer's last appends, so that a repeat stores nothing twice.
  */
 #ifndef WRITER_H
 #define WRITER_H
@@ -19,7 +20,8 @@
 
 enum writer_outcome {
 	WRITER_STORED,
-	/* A higher epoch has appended; the record is not stored. */
+	/* A higher epoch has appended; the record is stored only if an attempt
+	   without an answer was executed before that. */
 	WRITER_FENCED
 };
 
@@ -77,6 +79,21 @@
 /* writer_stalled_ms - time since the first try of the append in flight */
 int64_t writer_stalled_ms(const struct writer *writer);
 
+/*
+ * writer_answer_ms - how long the log takes to answer an append, as measured
+ *
+ * RETURN VALUE
+ *	0 before the first answer.
+ */
+int64_t writer_answer_ms(const struct writer *writer);
+
+/*
+ * writer_expected_ms - expected time until a record added now is stored
+ *
+ * The rest of the append in flight, the gap, and an append of its own.
+ */
+int64_t writer_expected_ms(const struct writer *writer);
+
 /* writer_idle - whether nothing is queued or in flight */
 bool writer_idle(const struct writer *writer);
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -46,6 +46,7 @@
 	int64_t epoch;
 	int64_t sequence;
 	GByteArray *bytes;
+	int64_t timeout_ms;
 	struct stream_append_result appended;
 	stream_append_fn *on_append;
 	/* Read. */
@@ -182,8 +183,21 @@
 	return log_model_append(sim->log, &append);
 }
 
+static bool is_unanswered(struct sim *sim)
+{
+	return sim->faults.unanswered_percent &&
+	       random_below(sim, 100) < sim->faults.unanswered_percent;
+}
+
 static void execute_append(struct sim *sim, struct event *event)
 {
+	event->fn = answer_append;
+	if (is_unanswered(sim)) {
+		apply_append(sim, event);
+		event->appended.outcome = STREAM_UNKNOWN;
+		schedule(sim, event, event->timeout_ms);
+		return;
+	}
 	if (sim->faults.log_down ||
 	    random_below(sim, 100) < sim->faults.refused_percent) {
 		event->appended.outcome = STREAM_REFUSED;
@@ -193,8 +207,8 @@
 		    event_node(sim, event)->log_answers_lost)
 			event->appended.outcome = STREAM_UNKNOWN;
 	}
-	event->fn = answer_append;
-	schedule(sim, event, 1 + random_below(sim, 8));
+	schedule(sim, event,
+		 1 + random_below(sim, 8) + sim->faults.append_answer_ms);
 }
 
 /* Executes an append whose sender has already got STREAM_UNKNOWN. */
@@ -235,6 +249,7 @@
 	event->producer = g_strdup(append->producer);
 	event->epoch = append->epoch;
 	event->sequence = append->sequence;
+	event->timeout_ms = append->timeout_ms;
 	event->bytes = g_byte_array_new();
 	g_byte_array_append(event->bytes, (const guint8 *)append->records,
 			    (guint)append->len);
@@ -431,6 +446,22 @@
 	event_free(event);
 }
 
+static void answer_join_unknown(struct sim *sim, struct event *event)
+{
+	if (!can_deliver(sim, event))
+		return;
+	event->membership.outcome = STREAM_UNKNOWN;
+	event->on_member(event->arg, &event->membership);
+	event_free(event);
+}
+
+static void execute_unanswered_join(struct sim *sim, struct event *event)
+{
+	execute_join(sim, event);
+	event->fn = answer_join_unknown;
+	schedule(sim, event, event->timeout_ms);
+}
+
 static void io_join(void *io, const struct stream_join *join,
 		    stream_member_fn *fn, void *arg)
 {
@@ -438,9 +469,12 @@
 	struct event *event = event_new(client, answer_join);
 
 	event->join = *join;
+	event->timeout_ms = join->timeout_ms;
 	event->member_name = g_strdup(join->member);
 	event->on_member = fn;
 	event->arg = arg;
+	if (is_unanswered(client->sim))
+		event->fn = execute_unanswered_join;
 	schedule(client->sim, event, 1 + random_below(client->sim, 8));
 }
 
