Show accepted jobs that never begin, in the simulation

The simulation gets pages of newest records, deleted history, and reads that their readers give up.

Three ways were found and fail here: a pool whose hosts are filled by long-running tasks gets no host for a finite task, as need is a sum of processor time (memory; and processor time once the owner of the hosts is new, as the rise of demand that brings a host otherwise is forgotten); and nodes that all read a slow log at once give up and repeat their reads for good.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -17,6 +17,9 @@
 	TASK_MS = 400,
 	TASK_CPU_MILLI = 1000,
 	LATE_MIN_MS = 500,
+	/* As the nodes' calls to the log, see platform/store.c. */
+	READ_SLACK_MS = 800,
+	NEWEST_TIMEOUT_MS = 1500,
 	LATE_RANGE_MS = 8000,
 	/* A task crashes its worker within so long after sim.crash_delay_ms. */
 	CRASH_DELAY_MS = 60,
@@ -53,6 +56,9 @@
 	int64_t until_ms;
 	stream_batch_fn *on_batch;
 	bool newest;
+	int64_t give_up_ms; /* when the reader no longer waits; 0: never */
+	bool given_up;
+	char *after; /* key that the page of newest records follows; NULL: first */
 	int64_t end; /* of the stream for this answer; -1: at its delivery */
 	/* Group membership. */
 	char *member_name;
@@ -125,6 +131,7 @@
 {
 	g_free(event->producer);
 	g_free(event->member_name);
+	g_free(event->after);
 	g_free(event->task);
 	g_free(event->hosts);
 	worker_report_clear(&event->report);
@@ -255,6 +262,37 @@
 	}
 }
 
+static void add_record(GArray *records, const struct log_topic *topic, guint i)
+{
+	const struct log_record *at =
+		&g_array_index(topic->records, struct log_record, i);
+	struct stream_record record = {
+		.key = at->key,
+		.key_len = strlen(at->key),
+		.value = at->value,
+		.value_len = at->len,
+		.offset = i,
+	};
+
+	g_array_append_val(records, record);
+}
+
+/* Adds the newest record of each key, unless it is a tombstone. */
+static void add_newest(GArray *records, const struct log_topic *topic,
+		       int64_t end)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (int64_t i = end - 1; i >= 0; i--) {
+		const struct log_record *at = &g_array_index(
+			topic->records, struct log_record, (guint)i);
+
+		if (g_hash_table_add(seen, at->key) && at->value)
+			add_record(records, topic, (guint)i);
+	}
+	g_hash_table_destroy(seen);
+}
+
 /* Collects the records of an answer that ends before the given offset. */
 static GArray *collect_records(struct sim *sim, const struct event *event,
 			       int64_t end)
@@ -264,25 +302,45 @@
 	GArray *records =
 		g_array_new(FALSE, FALSE, sizeof(struct stream_record));
 
-	for (guint i = event->newest ? 0 : (guint)event->from; i < end; i++) {
-		struct log_record *at =
-			&g_array_index(topic->records, struct log_record, i);
-		struct stream_record record = {
-			.key = at->key,
-			.key_len = strlen(at->key),
-			.value = at->value,
-			.value_len = at->len,
-			.offset = i,
-		};
-
-		if (event->newest &&
-		    (!at->value || !log_model_is_newest(topic, i)))
-			continue;
-		g_array_append_val(records, record);
-	}
+	if (event->newest)
+		add_newest(records, topic, end);
+	else
+		for (int64_t i = event->from; i < end; i++)
+			add_record(records, topic, (guint)i);
 	return records;
 }
 
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	const struct stream_record *left = a;
+	const struct stream_record *right = b;
+
+	return strcmp(left->key, right->key);
+}
+
+/* Leaves one page of newest records, in the order of their keys. */
+static bool cut_page(const struct sim *sim, const struct event *event,
+		     GArray *records)
+{
+	guint before = 0;
+	bool more;
+
+	if (!event->newest)
+		return false;
+	g_array_sort(records, compare_keys);
+	if (!sim->page_records)
+		return false;
+	while (event->after && before < records->len &&
+	       strcmp(g_array_index(records, struct stream_record, before).key,
+		      event->after) <= 0)
+		before++;
+	g_array_remove_range(records, 0, before);
+	more = records->len > sim->page_records;
+	if (more)
+		g_array_set_size(records, sim->page_records);
+	return more;
+}
+
 static int64_t count_bytes(const GArray *records)
 {
 	int64_t bytes = 0;
@@ -325,8 +383,11 @@
 	if (event->newest)
 		count_job_page(sim, event, -1);
 	records = collect_records(sim, event, end);
+	batch.more = cut_page(sim, event, records);
+	if (!event->newest && event->from < topic->first)
+		batch.outcome = STREAM_DELETED;
 	if (is_cut_from_log(&event->client) || sim->faults.log_down ||
-	    event_node(sim, event)->log_answers_lost)
+	    event->given_up || event_node(sim, event)->log_answers_lost)
 		batch.outcome = STREAM_UNKNOWN;
 	else
 		event_node(sim, event)->read_bytes +=
@@ -352,11 +413,17 @@
 	event->end = log_model_part(sim->log, event->id.topic, event->id.part)
 			     ->records->len;
 	records = collect_records(sim, event, event->end);
+	cut_page(sim, event, records);
 	sim->reads_sent_us =
 		MAX(sim->reads_sent_us, now_us) +
 		count_bytes(records) * 1000 / sim->read_bytes_per_ms;
 	g_array_free(records, TRUE);
-	schedule(sim, event, (sim->reads_sent_us - now_us) / 1000);
+	event->given_up = event->give_up_ms &&
+			  sim->reads_sent_us / 1000 > event->give_up_ms;
+	schedule(sim, event,
+		 (event->given_up ? event->give_up_ms * 1000 - now_us
+				  : sim->reads_sent_us - now_us) /
+			 1000);
 }
 
 /* Polls until there is a record or the reader's wait ends. */
@@ -383,6 +450,8 @@
 	event->end = -1;
 	event->from = from;
 	event->until_ms = client->sim->clk.manual_ms + wait_ms;
+	if (client->sim->reads_time_out)
+		event->give_up_ms = event->until_ms + READ_SLACK_MS;
 	event->on_batch = fn;
 	event->arg = arg;
 	schedule(client->sim, event, 1 + random_below(client->sim, 4));
@@ -394,10 +463,13 @@
 	struct client *client = io;
 	struct event *event = event_new(client, queue_batch);
 
-	(void)after;
+	event->after = g_strdup(after);
 	event->id = id;
 	event->end = -1;
 	event->newest = true;
+	if (client->sim->reads_time_out)
+		event->give_up_ms =
+			client->sim->clk.manual_ms + NEWEST_TIMEOUT_MS;
 	event->on_batch = fn;
 	event->arg = arg;
 	count_job_page(client->sim, event, 1);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -110,6 +110,8 @@
 	   rate; an answer holds the records of when it was queued. 0:
 	   unlimited. */
 	int64_t read_bytes_per_ms;
+	uint32_t page_records; /* of a read of newest ones; 0: unlimited */
+	bool reads_time_out;   /* the nodes give up reads that are late */
 	int64_t reads_sent_us; /* when the last answer queued has been sent */
 	void (*tick)(struct node *node); /* node_tick, or a wrapper of it */
 	/* The nodes' decoder of registry entries, or a wrapper of it. */
