Log finite tasks that wait though there is room for them

At most one line a second and share: task-waits, with the figures of task-away, and how many workers are kept for other tasks, list runs of unknown jobs, or have the entry of an earlier life.

--- a/src/job.h
+++ b/src/job.h
@@ -117,7 +117,7 @@
 	/* Runs of a long-running one in a row that failed soon. */
 	int32_t quick_failures;
 	int32_t refusals; /* starts refused as invalid since the last one */
-	int64_t away_ms;  /* since when a long-running one is not at work */
+	int64_t away_ms; /* since when it is not at work; 0: it is, or not ready */
 	bool away_logged;
 	int32_t percent;
 	/* Tail latency in ms, or processor use in thousandths. */
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -20,9 +20,10 @@
 	char name[LIMIT_NAME_BYTES];
 	struct share share;
 	struct ownership ownership;
-	double typical_rate;  /* last known of the workers; 0: none yet */
-	int32_t starting;     /* start orders in flight */
-	int64_t next_scan_ms; /* next search for expired and unindexed jobs */
+	double typical_rate;   /* last known of the workers; 0: none yet */
+	int32_t starting;      /* start orders in flight */
+	int64_t next_scan_ms;  /* next search for expired and unindexed jobs */
+	int64_t next_waits_ms; /* next look at the finite tasks that wait */
 	int64_t next_publish_ms;    /* next record of the share's load */
 	struct backlog published;   /* the last one */
 	int64_t republish_ms;	    /* next one if the load does not change */
@@ -131,10 +132,12 @@
 void pool_move_off_slow(struct pool *pool, const struct place *place);
 
 /*
- * pool_note_away - log which long-running tasks are not at work, and since when
+ * pool_note_away - log which tasks are not at work, and since when
  *
- * One line when a task has been away for a while, with the room that there is
- * for it, and one when it is at work again. place is that of the last pass.
+ * One line when a long-running task has been away for a while, with the room that
+ * there is for it, and one when it is at work again. At most one line a second for
+ * finite tasks that wait though the pool is not full, with the one that has waited
+ * longest. place is that of the last pass.
  */
 void pool_note_away(struct pool *pool, const struct place *place);
 
