--- a/Makefile
+++ b/Makefile
@@ -109,7 +109,8 @@
 	$(BUILD)/test_leaving $(BUILD)/test_capacity $(BUILD)/test_lasting \
 	$(BUILD)/test_suspects $(BUILD)/test_retry $(BUILD)/test_reassigned \
 	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
-	$(BUILD)/test_acceptance $(BUILD)/test_begin
+	$(BUILD)/test_acceptance $(BUILD)/test_begin \
+	$(BUILD)/test_join
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
