--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -26,8 +26,8 @@
 	SHARED_WORKERS = 8,
 	DRAINING = 2,
 	SIZED_MS = 10000,
-	/* A wait of 1 s, a move, a registration and a start. */
-	ARRIVAL_MS = 5000,
+	/* Of a host that is moved to the pool, and a start on it. */
+	ARRIVAL_MS = 3000,
 	WAVE_MS = 25000
 };
 
