Keep a move that was taken back ended at nodes that start later

Tables that are kept ignore that record, but it is the newest one of the host: a node that starts takes the host as drained, stops its tasks as owner of the pool, and orders the move as owner of the hosts.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -104,6 +104,13 @@
 	return drained->number > kept->number;
 }
 
+/* Whether a drained plan that does not apply is older than the one that is kept. */
+static bool is_outdated(const struct host_plan *kept,
+			const struct host_plan *drained)
+{
+	return drained->number < kept->number || kept->step == HOST_ORDER_DONE;
+}
+
 int host_plan_apply(struct host_plans *plans, const char *host, int64_t offset,
 		    const char *value, size_t len, bool own, int64_t now_ms,
 		    struct err *err)
@@ -147,8 +154,11 @@
 	json_object_put(object);
 	if (fault.kind != ERR_OK)
 		return err_set(err, fault.kind, "%s", fault.text);
-	if (plan.step == HOST_DRAINED && kept && !applies_drained(kept, &plan))
+	if (plan.step == HOST_DRAINED && kept &&
+	    !applies_drained(kept, &plan)) {
+		kept->hidden = is_outdated(kept, &plan);
 		return 0;
+	}
 	if (own && (plan.step != HOST_DRAINED || !kept))
 		return 0;
 	host_plan_put(plans, &plan);
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -33,6 +33,9 @@
 	char worker[LIMIT_NAME_BYTES]; /* incarnation it ends; empty: none */
 	int64_t fence;		       /* of the owner that made the plan */
 	enum host_work work;
+	/* An outdated record is the newest of the host; its owner has to write
+	   this plan again, for nodes that start later. */
+	bool hidden;
 	enum host_step step;
 	int64_t wave;		     /* of a restart */
 	char pool[LIMIT_NAME_BYTES]; /* target of a move */
--- a/src/maint.c
+++ b/src/maint.c
@@ -395,11 +395,36 @@
 	maint_add_plan(maint, &next);
 }
 
+/* Ends a plan whose worker is there still. */
+static void release_worker(struct maint *maint, struct host_plan *plan)
+{
+	log_info("host-released host=%s worker=%s work=%s", plan->host,
+		 plan->worker, plan->work == HOST_MOVE ? "move" : "restart");
+	maint_end_plan(maint, plan);
+}
+
+/*
+ * Whether a host that counts as drained runs tasks all the same: its plan was
+ * ended, and a late record of its pool's owner hides that. Tasks whose end has not
+ * been read yet look alike, so that a move waits before it is dropped.
+ */
+static bool has_got_tasks(struct maint *maint, const struct known_host *known,
+			  struct host_plan *plan, int64_t now_ms)
+{
+	if (plan->work != HOST_MOVE ||
+	    !maint_load(maint, known->host.worker)->has_tasks)
+		return false;
+	if (now_ms - plan->seen_ms >= MAINT_SETTLE_MS)
+		release_worker(maint, plan);
+	return true;
+}
+
 static void send_order_if_due(struct maint *maint, struct known_host *known,
-			      const struct host_plan *plan, int64_t now_ms)
+			      struct host_plan *plan, int64_t now_ms)
 {
 	if (plan->step != HOST_DRAINED || now_ms < known->order_due_ms ||
-	    ordered_recently(maint, plan, now_ms))
+	    ordered_recently(maint, plan, now_ms) ||
+	    has_got_tasks(maint, known, plan, now_ms))
 		return;
 	if (plan->work == HOST_RESTART && !maint_may_restart(maint, plan->wave))
 		return;
@@ -420,14 +445,6 @@
 	       maint->list_asked_ms - plan->seen_ms >= MAINT_SETTLE_MS;
 }
 
-/* Ends a plan whose worker is there still. */
-static void release_worker(struct maint *maint, struct host_plan *plan)
-{
-	log_info("host-released host=%s worker=%s work=%s", plan->host,
-		 plan->worker, plan->work == HOST_MOVE ? "move" : "restart");
-	maint_end_plan(maint, plan);
-}
-
 static void order_drained_hosts(struct maint *maint, int64_t now_ms)
 {
 	struct host_plans *plans = maint->env->plans;
@@ -436,6 +453,9 @@
 		struct host_plan *plan = plans->list->pdata[i];
 		struct known_host *known = maint_find_host(maint, plan->host);
 
+		if (plan->hidden)
+			maint_store_plan(maint, plan);
+		plan->hidden = false;
 		if (!known || known->ordering)
 			continue;
 		if (plan->step == HOST_ORDER_DONE) {
--- a/tests/test_host_plan.c
+++ b/tests/test_host_plan.c
@@ -117,6 +117,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a move that was taken back and is in force again at nodes that
+ * start later: the pool's owner drained the host at the same time, and that record
+ * is the newest one. The owner of the hosts has to write its plan again.
+ */
+START_TEST(plan_hidden_by_a_late_record_is_noticed)
+{
+	struct host_plans *plans = host_plans_create();
+	struct host_plan plan = {
+		.host = "m1",
+		.worker = "w1",
+		.number = 7,
+		.work = HOST_MOVE,
+		.step = HOST_DRAIN_REQUESTED,
+		.pool = "standby",
+	};
+	struct host_plan drained = plan;
+
+	drained.step = HOST_DRAINED;
+	host_plan_put(plans, &plan);
+	apply(plans, &drained, 5, true);
+	ck_assert(!host_plan_find(plans, "m1")->hidden);
+	apply(plans, &drained, 6, true);
+	ck_assert(!host_plan_find(plans, "m1")->hidden);
+	plan.step = HOST_ORDER_DONE;
+	plan.worker[0] = '\0';
+	host_plan_put(plans, &plan);
+	apply(plans, &drained, 7, true);
+	ck_assert(host_plan_find(plans, "m1")->hidden);
+	ck_assert_int_eq(host_plan_find(plans, "m1")->step, HOST_ORDER_DONE);
+	host_plans_destroy(plans);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("host plans");
@@ -127,6 +161,7 @@
 	tcase_add_test(tcase, restarted_host_must_be_drained_again);
 	tcase_add_test(tcase, late_answers_to_earlier_plans_are_ignored);
 	tcase_add_test(tcase, later_plan_without_a_drain_replaces_a_done_one);
+	tcase_add_test(tcase, plan_hidden_by_a_late_record_is_noticed);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
