Take no host from a pool that misses some itself

Found by review: a pool wants hosts for rising demand and keeps them for present demand only, so that it could be the best source of a move and its target. The decision then ended without a move, also for other pools; and two pools with rising demand could take hosts from each other.

tests/test_sizing.c, pool_gives_no_hosts_to_itself.

--- a/src/sizing.c
+++ b/src/sizing.c
@@ -227,16 +227,22 @@
 	       pool->hosts;
 }
 
-/* Prefers standby hosts, which cost no capacity, then the largest surplus. */
+/*
+ * Prefers standby hosts, which cost no capacity, then the largest surplus. A pool
+ * that misses hosts itself gives none, though it may keep fewer than it wants.
+ */
 static bool find_source(const struct sizing *sizing,
 			const struct sizing_pool *pools, uint32_t count,
-			const struct purpose *purpose, uint32_t *from)
+			const struct purpose *purpose, uint32_t to,
+			uint32_t *from)
 {
 	int32_t best = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
 		int32_t excess_hosts = lendable(sizing, &pools[i], purpose);
 
+		if (i == to || deficit(sizing, &pools[i], purpose) > 0)
+			continue;
 		if (excess_hosts > 0 && pools[i].standby) {
 			*from = i;
 			return true;
@@ -276,24 +282,30 @@
 {
 	if (!find_target(sizing, pools, count, &for_long_running, to))
 		return false;
-	if (find_source(sizing, pools, count, &for_jobs_in_time, from))
-		return *from != *to;
+	if (find_source(sizing, pools, count, &for_jobs_in_time, *to, from))
+		return true;
 	return has_waited(&pools[*to], now_ms) &&
-	       find_source(sizing, pools, count, &for_long_running, from) &&
-	       *from != *to;
+	       find_source(sizing, pools, count, &for_long_running, *to, from);
 }
 
 /*
  * A pool whose oldest waiting task fits on none of its hosts, as each has too
  * little memory or processor time left, though there is enough in sum.
  */
-static bool find_unfit(const struct sizing_pool *pools, uint32_t count,
-		       int64_t now_ms, uint32_t *to)
+static bool is_unfit(const struct sizing_pool *pool, int64_t now_ms)
+{
+	return !pool->standby && pool->unfit_since_ms &&
+	       now_ms - pool->unfit_since_ms >= SIZING_UNFIT_MS;
+}
+
+static bool find_unfit_move(const struct sizing *sizing,
+			    const struct sizing_pool *pools, uint32_t count,
+			    int64_t now_ms, uint32_t *from, uint32_t *to)
 {
 	for (uint32_t i = 0; i < count; i++) {
 		*to = i;
-		if (!pools[i].standby && pools[i].unfit_since_ms &&
-		    now_ms - pools[i].unfit_since_ms >= SIZING_UNFIT_MS)
+		if (is_unfit(&pools[i], now_ms) &&
+		    find_source(sizing, pools, count, &for_all_jobs, i, from))
 			return true;
 	}
 	return false;
@@ -334,11 +346,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(purposes); i++)
 		if (find_target(sizing, pools, count, purposes[i], to))
 			return find_source(sizing, pools, count, purposes[i],
-					   from) &&
-			       *from != *to;
-	if (find_unfit(pools, count, now_ms, to) &&
-	    find_source(sizing, pools, count, &for_all_jobs, from) &&
-	    *from != *to)
+					   *to, from);
+	if (find_unfit_move(sizing, pools, count, now_ms, from, to))
 		return true;
 	return find_standby_move(sizing, pools, count, now_ms, from, to);
 }
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -125,6 +125,26 @@
 }
 END_TEST
 
+/*
+ * Guards against a decision that ends without a move, as the pool that misses most
+ * hosts for rising demand is also the one with most beyond its present demand.
+ */
+START_TEST(pool_gives_no_hosts_to_itself)
+{
+	struct sizing sizing = { .host_milli = 1000, .hosts = 100 };
+	struct sizing_pool pools[2] = {
+		pool_of(80, 10000, 0),
+		pool_of(20, 1000, 0),
+	};
+
+	pools[0].rise_milli = 75000;
+	pools[0].sample_ms = now_ms;
+	pools[1].sample_ms = now_ms;
+	ck_assert_uint_gt(move_hosts(&sizing, pools, 2), 0);
+	ck_assert_int_gt(pools[0].hosts, 80);
+}
+END_TEST
+
 struct fleet {
 	struct job_store *jobs;
 	struct worker_table *workers;
@@ -264,6 +284,7 @@
 	tcase_add_test(tcase, late_jobs_get_the_hosts_that_are_left);
 	tcase_add_test(tcase, late_jobs_take_no_host_just_after_a_peak);
 	tcase_add_test(tcase, long_running_tasks_come_before_jobs_in_time);
+	tcase_add_test(tcase, pool_gives_no_hosts_to_itself);
 	tcase_add_test(tcase, pool_with_waiting_tasks_lends_nothing);
 	tcase_add_test(tcase, waiting_tasks_of_late_jobs_keep_no_room);
 	suite_add_tcase(suite, tcase);
