Let calls outlast a lossy log that has become slow

Found by review: while answers are known to be lost, each attempt ended after 375 ms at most, however many there were. A log that takes longer then was never measured, and nothing was confirmed until it was faster again. After eight attempts the interval now doubles up to 1.5 s as for any other service.

tests/test_rtt.c, calls_outlast_a_lossy_service_that_becomes_slow.

--- a/src/rtt.c
+++ b/src/rtt.c
@@ -82,8 +82,11 @@
 	uint32_t quick = lossy ? RTT_QUICK_ATTEMPTS_LOSSY : RTT_QUICK_ATTEMPTS;
 	uint32_t doublings = attempts > quick ? attempts - quick : 0;
 	int64_t first_ms = first_missed_ms(rtt);
-	int64_t max_ms = lossy ? MAX(first_ms, RTT_MISSED_MAX_LOSSY_MS)
-			       : RTT_MISSED_MAX_MS;
+	/* Attempts that all end early would not notice that the service has
+	   become slower than that. */
+	int64_t max_ms = lossy && !doublings
+				 ? MAX(first_ms, RTT_MISSED_MAX_LOSSY_MS)
+				 : RTT_MISSED_MAX_MS;
 
 	return MIN(first_ms << MIN(doublings, RTT_MAX_DOUBLINGS), max_ms);
 }
--- a/tests/test_rtt.c
+++ b/tests/test_rtt.c
@@ -74,6 +74,21 @@
 }
 END_TEST
 
+/*
+ * Guards against a service that has lost answers, has become slow since, and is
+ * never measured again, as each call to it ends before its answer.
+ */
+START_TEST(calls_outlast_a_lossy_service_that_becomes_slow)
+{
+	struct rtt rtt = measured(FAST_MS);
+
+	for (int i = 0; i < ANSWERS; i++)
+		rtt_count_attempts(&rtt, 2);
+	ck_assert_int_lt(rtt_give_up_ms(&rtt, 1), MAX_MISSED_MS);
+	ck_assert_int_eq(rtt_give_up_ms(&rtt, ANSWERS), MAX_MISSED_MS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("rtt");
@@ -83,6 +98,7 @@
 	tcase_add_test(tcase, estimate_follows_a_service_that_becomes_slow);
 	tcase_add_test(tcase, intervals_grow_without_an_answer);
 	tcase_add_test(tcase, intervals_stay_short_while_answers_are_lost);
+	tcase_add_test(tcase, calls_outlast_a_lossy_service_that_becomes_slow);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
