Pause after refused joins and appends; count tasks that fill idle time as such

Found by review. A join that is refused was repeated after 60 to 150 ms, 400 ms before repeats came in, and a refused append without a pause while an older attempt was in flight: refused calls are priced and count towards the log's rate. The load of a host counted the processor time of tasks that only use what others leave, so that a waiting task seemed to fit nowhere.

--- a/src/group.c
+++ b/src/group.c
@@ -141,6 +141,10 @@
 		log_outcome(group, membership->outcome);
 	if (answered)
 		note_answer(group, &attempt);
+	else if (membership->outcome == STREAM_REFUSED)
+		group->next_join_ms = MAX(group->next_join_ms,
+					  clk_now_ms(group->config.clk) +
+						  group->config.renew_ms / 2);
 	if (answered && !group->leaving && !group->unwanted)
 		apply_membership(group, membership, attempt.sent_ms);
 }
--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -226,7 +226,8 @@
 				find_or_add_load(maint, pos.task->worker);
 
 			load->has_tasks = true;
-			load->cpu_milli += step->cpu_milli;
+			if (!step->uses_idle_cpu)
+				load->cpu_milli += step->cpu_milli;
 			load->mem_mib += step->mem_mib;
 			load->long_running |= step->long_running;
 		} else if (pos.task->state != TASK_WAITING || !ready) {
--- a/src/writer.c
+++ b/src/writer.c
@@ -196,8 +196,10 @@
 {
 	int64_t due_ms = clk_now_ms(writer->config.clk) + writer->retry_ms;
 
-	if (writer->unended)
+	if (writer->unended) {
+		writer->next_try_ms = MAX(writer->next_try_ms, due_ms);
 		return;
+	}
 	/* The log answers, so the next attempt is the first one again. */
 	writer->attempts = 0;
 	writer->next_try_ms = due_ms;
