Refuse by measured answers only while an append is in flight

Those looked up are last tries, with less than 150 ms left to their deadline, of jobs that had been refused for overload at four other nodes: the rule compared the little time left with two gaps and answers and called the log unavailable. Besides, what an idle writer has measured may be old, and a node that refuses measures nothing new.

With nothing in flight, the rule now says nothing: the overload check decides, and requests whose time is over end as before.

--- a/src/front.c
+++ b/src/front.c
@@ -130,11 +130,13 @@
 {
 	const struct writer *index = front->env->index_writer;
 	const struct writer *jobs = job_writer(front, request->id);
+	int64_t expected_ms =
+		writer_expected_ms(jobs) + writer_expected_ms(index);
 	int64_t left_ms = request->deadline_ms - FRONT_ANSWER_MARGIN_MS -
 			  clk_now_ms(front->env->clk);
 
 	return !is_away(jobs) && !is_away(index) &&
-	       writer_expected_ms(jobs) + writer_expected_ms(index) <= left_ms;
+	       (!expected_ms || expected_ms <= left_ms);
 }
 
 static void answer_unavailable(struct front *front, const char *id,
--- a/src/writer.c
+++ b/src/writer.c
@@ -369,12 +369,11 @@
 int64_t writer_expected_ms(const struct writer *writer)
 {
 	int64_t answer_ms = writer_answer_ms(writer);
-	int64_t rest_ms =
-		writer->sent->len
-			? MAX(answer_ms - writer_stalled_ms(writer), 0)
-			: 0;
 
-	return rest_ms + writer->config.gap_ms + answer_ms;
+	if (!writer->sent->len)
+		return 0;
+	return MAX(answer_ms - writer_stalled_ms(writer), 0) +
+	       writer->config.gap_ms + answer_ms;
 }
 
 bool writer_idle(const struct writer *writer)
--- a/src/writer.h
+++ b/src/writer.h
@@ -91,6 +91,9 @@
  * writer_expected_ms - expected time until a record added now is stored
  *
  * The rest of the append in flight, the gap, and an append of its own.
+ *
+ * RETURN VALUE
+ *	0 if no append is in flight: what was measured may be old.
  */
 int64_t writer_expected_ms(const struct writer *writer);
 
--- a/tests/test_unanswered.c
+++ b/tests/test_unanswered.c
@@ -26,6 +26,8 @@
 	SLOW_ANSWER_MS = 110,
 	/* Two appends, one after the other, are answered within the deadline. */
 	VERY_SLOW_ANSWER_MS = 450,
+	/* They are not. */
+	TOO_SLOW_ANSWER_MS = 1450,
 	JOBS = 60,
 	JOB_GAP_MS = 100,
 	SOON_MS = 1000,
@@ -172,6 +174,22 @@
 }
 END_TEST
 
+/* A node that refuses callers measures nothing new; it must not refuse them long
+   after a slow spell. */
+START_TEST(old_measurements_refuse_nobody)
+{
+	struct sim *sim = sim_create(FIRST_SEED + (uint64_t)_i, NODES, WORKERS);
+
+	sim_run_for(sim, START_MS);
+	sim->faults.append_answer_ms = TOO_SLOW_ANSWER_MS;
+	percent_accepted(sim, DEADLINE_MS);
+	sim->faults.append_answer_ms = 0;
+	sim_run_for(sim, DEADLINE_MS);
+	ck_assert_int_eq(percent_accepted(sim, SOON_MS), 100);
+	check_ends(sim);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("unanswered");
@@ -191,6 +209,7 @@
 			    SEEDS);
 	tcase_add_loop_test(tcase, memberships_are_held_while_answers_are_lost,
 			    0, SEEDS);
+	tcase_add_loop_test(tcase, old_measurements_refuse_nobody, 0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
