Move the tests of pool sizes to a file of their own; one runner of known red tests

tests/test_jobs.c had grown to 690 lines, and five files printed the tests of KNOWN-RED.txt each in its own way.

--- a/tests/test_begin.c
+++ b/tests/test_begin.c
@@ -284,15 +284,11 @@
 {
 	Suite *suite = suite_create("known red");
 	TCase *tcase = tcase_create("known red");
-	SRunner *runner = srunner_create(suite);
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, test, 0, RED_SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_SILENT);
-	printf("KNOWN RED: %s: %d of %d fail\n", name,
-	       srunner_ntests_failed(runner), srunner_ntests_run(runner));
-	srunner_free(runner);
+	suite_run_known_red(suite, name);
 }
 
 #define RUN_KNOWN_RED(test) run_known_red(test, #test)
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -12,6 +12,7 @@
 #include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
+#include "suite.h"
 
 enum {
 	START_MS = 3000,
@@ -378,17 +379,13 @@
 {
 	Suite *suite = suite_create("crash, known red");
 	TCase *tcase = tcase_create("known red");
-	SRunner *runner = srunner_create(suite);
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, invariants_hold_with_crashing_tasks,
 			    RED_INDEX, RED_INDEX + 1);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_SILENT);
-	printf("KNOWN RED: invariants_hold_with_crashing_tasks, seed %d: "
-	       "%d of 1 fail\n",
-	       first_seed + RED_INDEX, srunner_ntests_failed(runner));
-	srunner_free(runner);
+	suite_run_known_red(suite,
+			    "invariants_hold_with_crashing_tasks, seed 26");
 }
 
 int main(void)
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -1,5 +1,5 @@
 /*
- * Unit tests of jobs, placement, pool sizing, host plans and decoding. None
+ * Unit tests of jobs, placement, host plans and decoding. None
  * uses a network or a clock.
  */
 
@@ -11,7 +11,6 @@
 #include <check.h>
 
 #include "avail.h"
-#include "sizing.h"
 #include "log.h"
 #include "place.h"
 #include "pool_fixture.h"
@@ -276,230 +275,6 @@
 }
 END_TEST
 
-/*
- * Long-running tasks must not lose the hosts that hold their memory: by it, not
- * by processor, two tasks of 31 GB fit a host of 64 GB.
- */
-START_TEST(long_running_tasks_take_hosts_by_memory)
-{
-	struct sizing_host host = { .cpu_milli = 16000, .mem_mib = 65536 };
-
-	ck_assert_int_eq(sizing_task_parts(&host, 2000, 31744), 500);
-	ck_assert_int_eq(sizing_task_parts(&host, 2350, 13488), 250);
-	ck_assert_int_eq(sizing_task_parts(&host, 4000, 1024), 250);
-	ck_assert_int_eq(sizing_task_parts(&host, 0, 0), 1);
-	ck_assert_int_eq(sizing_task_parts(&host, 0, 65537), 1000);
-}
-END_TEST
-
-static struct sizing_pool sizing_pool_of(const char *name, int32_t hosts,
-					 int32_t idle, int64_t wanted_milli)
-{
-	struct sizing_pool pool = {
-		.hosts = hosts,
-		.idle = idle,
-		.movable = idle,
-		.min_hosts = 2,
-		.demand_milli = wanted_milli,
-		.standby = !strcmp(name, "parked"),
-	};
-
-	g_strlcpy(pool.name, name, sizeof(pool.name));
-	return pool;
-}
-
-/*
- * Long-running tasks must get another host if they wait because those at work
- * leave room for them on no host, though there is enough of it in sum.
- */
-START_TEST(long_running_tasks_that_wait_get_hosts)
-{
-	struct sizing sizing = { .host_milli = 1000 };
-	struct sizing_pool pools[2] = {
-		sizing_pool_of("busy", 13, 0, 0),
-		sizing_pool_of("parked", 20, 20, 0),
-	};
-	uint32_t from, to;
-
-	pools[0].min_hosts = 13;
-	pools[0].lasting_hosts = 13;
-	pools[0].waiting_parts = 2 * SIZING_HOST_PARTS + 1;
-	for (int64_t now_ms = 10000; now_ms < 11000; now_ms += 100) {
-		sizing_observe(&sizing, &pools[0], now_ms);
-		ck_assert(!sizing_next_move(&sizing, pools, 2, now_ms, &from,
-					    &to));
-	}
-	sizing_observe(&sizing, &pools[0], 11000);
-	ck_assert_int_eq(pools[0].min_hosts, 16);
-	ck_assert(sizing_next_move(&sizing, pools, 2, 11000, &from, &to));
-	ck_assert_uint_eq(to, 0);
-	/* One on each host. */
-	pools[0].waiting_hosts = 6;
-	sizing_observe(&sizing, &pools[0], 11100);
-	ck_assert_int_eq(pools[0].min_hosts, 19);
-	/* They are at work, the next wait is a new one. */
-	pools[0].min_hosts = 13;
-	pools[0].waiting_parts = 0;
-	sizing_observe(&sizing, &pools[0], 11200);
-	pools[0].waiting_parts = 1;
-	sizing_observe(&sizing, &pools[0], 11300);
-	ck_assert_int_eq(pools[0].min_hosts, 13);
-}
-END_TEST
-
-/*
- * Long-running tasks that wait must get hosts though a burst in another pool
- * asks for more than there are; those that do not wait take none from it.
- */
-START_TEST(long_running_tasks_get_hosts_in_a_burst)
-{
-	struct sizing sizing = { .host_milli = 1000, .hosts = 32 };
-	struct sizing_pool pools[2] = {
-		sizing_pool_of("lasting", 12, 0, 12000),
-		sizing_pool_of("burst", 20, 20, 90000),
-	};
-	uint32_t from, to;
-	int moves = 0;
-
-	pools[0].min_hosts = 14;
-	sizing_observe(&sizing, &pools[0], 10000);
-	ck_assert(!sizing_next_move(&sizing, pools, 2, 10000, &from, &to));
-	pools[0].waiting_parts = 1;
-	sizing_observe(&sizing, &pools[0], 10000);
-	sizing_observe(&sizing, &pools[0], 11000);
-	while (sizing_next_move(&sizing, pools, 2, 11000, &from, &to)) {
-		ck_assert_uint_eq(from, 1);
-		ck_assert_uint_eq(to, 0);
-		pools[from].hosts--;
-		pools[from].movable--;
-		pools[to].hosts++;
-		moves++;
-	}
-	ck_assert_int_eq(moves, 2);
-}
-END_TEST
-
-/* Alternating demand: one pool needs several times its capacity. */
-START_TEST(hosts_move_to_a_load_peak_and_are_parked_after_it)
-{
-	struct sizing sizing = { .host_milli = 1000 };
-	struct sizing_pool pools[3] = {
-		sizing_pool_of("busy", 4, 0, 8000),
-		sizing_pool_of("calm", 8, 6, 500),
-		sizing_pool_of("parked", 2, 2, 0),
-	};
-	uint32_t from, to, moves = 0;
-	int64_t now_ms = 10000;
-
-	for (int i = 0; i < 3; i++)
-		sizing_observe(&sizing, &pools[i], now_ms);
-	while (sizing_next_move(&sizing, pools, 3, now_ms, &from, &to)) {
-		ck_assert_uint_eq(to, 0);
-		/* Parked hosts first: no pool loses capacity. */
-		ck_assert_uint_eq(from, moves < 2 ? 2 : 1);
-		pools[from].hosts--;
-		pools[from].idle--;
-		pools[from].movable--;
-		pools[to].hosts++;
-		moves++;
-	}
-	ck_assert_int_eq(pools[0].hosts, 10);
-	/* The load peak is over. */
-	pools[0].demand_milli = 0;
-	pools[0].idle = 10;
-	pools[0].movable = 10;
-	for (now_ms = 11000; now_ms < 18000; now_ms += 100) {
-		for (int i = 0; i < 3; i++)
-			sizing_observe(&sizing, &pools[i], now_ms);
-		while (sizing_next_move(&sizing, pools, 3, now_ms, &from,
-					&to)) {
-			ck_assert_uint_eq(to, 2);
-			pools[from].hosts--;
-			pools[from].idle--;
-			pools[from].movable--;
-			pools[to].hosts++;
-		}
-	}
-	ck_assert_int_eq(pools[0].hosts, 3);
-	ck_assert_int_ge(pools[1].hosts, 2);
-}
-END_TEST
-
-/* Load peaks of two queues follow each other, and no host is parked. */
-START_TEST(hosts_move_between_successive_load_peaks)
-{
-	struct sizing sizing = { .host_milli = 1000 };
-	struct sizing_pool pools[2] = {
-		sizing_pool_of("next", 3, 0, 1000),
-		sizing_pool_of("past", 12, 0, 11000),
-	};
-	uint32_t from, to;
-	int64_t now_ms = 10000;
-
-	pools[1].movable = 8;
-	for (int i = 0; i < 2; i++)
-		sizing_observe(&sizing, &pools[i], now_ms);
-	ck_assert(!sizing_next_move(&sizing, pools, 2, now_ms, &from, &to));
-	now_ms += 200;
-	pools[0].demand_milli = 6000;
-	pools[1].demand_milli = 4000;
-	for (int i = 0; i < 2; i++)
-		sizing_observe(&sizing, &pools[i], now_ms);
-	ck_assert(sizing_next_move(&sizing, pools, 2, now_ms, &from, &to));
-	ck_assert_uint_eq(from, 1);
-	ck_assert_uint_eq(to, 0);
-}
-END_TEST
-
-/* Just after start-up the list does not yet have all hosts of a pool. */
-START_TEST(pool_without_work_gets_no_host)
-{
-	struct sizing sizing = { .host_milli = 1000 };
-	struct sizing_pool pools[2] = {
-		sizing_pool_of("calm", 0, 0, 0),
-		sizing_pool_of("parked", 8, 8, 0),
-	};
-	uint32_t from, to;
-
-	pools[0].min_hosts = 0;
-	sizing_observe(&sizing, &pools[0], 10000);
-	ck_assert(!sizing_next_move(&sizing, pools, 2, 10000, &from, &to));
-	pools[0].demand_milli = 500;
-	ck_assert(sizing_next_move(&sizing, pools, 2, 10000, &from, &to));
-	ck_assert_uint_eq(to, 0);
-}
-END_TEST
-
-/*
- * A turn begins in a large fleet: the first seconds' work does not wait for
- * hosts to be moved, as a pool keeps a share of all hosts and not a fixed few.
- */
-START_TEST(pool_of_a_large_fleet_keeps_more_hosts)
-{
-	struct sizing sizing = { .host_milli = 1000, .hosts = 300 };
-	struct sizing_pool pools[2] = {
-		sizing_pool_of("calm", 100, 100, 0),
-		sizing_pool_of("parked", 200, 0, 0),
-	};
-	uint32_t from, to;
-	int64_t now_ms = 10000;
-
-	pools[1].standby = true;
-	for (int i = 0; i < 2; i++)
-		sizing_observe(&sizing, &pools[i], now_ms);
-	now_ms += 5000;
-	while (sizing_next_move(&sizing, pools, 2, now_ms, &from, &to)) {
-		ck_assert_uint_eq(from, 0);
-		ck_assert_uint_eq(to, 1);
-		pools[0].hosts--;
-		pools[0].movable--;
-		pools[0].idle--;
-		pools[1].hosts++;
-	}
-	ck_assert_int_eq(pools[0].hosts, 18);
-}
-END_TEST
-
 /*
  * A small job comes to a pool with large ones. It is placed before work whose
  * target is later, so it must not be refused because of all of that.
@@ -663,9 +438,6 @@
 	log_init("test_jobs", true);
 	tcase_set_timeout(tcase, 120);
 	tcase_add_checked_fixture(tcase, setup, teardown);
-	tcase_add_test(tcase, long_running_tasks_take_hosts_by_memory);
-	tcase_add_test(tcase, long_running_tasks_that_wait_get_hosts);
-	tcase_add_test(tcase, long_running_tasks_get_hosts_in_a_burst);
 	tcase_add_test(tcase, steps_run_in_order_and_progress_survives);
 	tcase_add_test(tcase, older_records_are_ignored);
 	tcase_add_test(tcase, job_fails_after_its_attempts);
@@ -676,13 +448,8 @@
 	tcase_add_test(tcase, late_jobs_are_placed_last);
 	tcase_add_test(tcase, backlog_counts_parked_hosts);
 	tcase_add_test(tcase, long_running_task_is_not_stopped_beyond_budget);
-	tcase_add_test(tcase,
-		       hosts_move_to_a_load_peak_and_are_parked_after_it);
-	tcase_add_test(tcase, hosts_move_between_successive_load_peaks);
-	tcase_add_test(tcase, pool_of_a_large_fleet_keeps_more_hosts);
 	tcase_add_test(tcase, backlog_counts_later_targets_in_part);
 	tcase_add_test(tcase, backlog_excludes_late_jobs);
-	tcase_add_test(tcase, pool_without_work_gets_no_host);
 	tcase_add_test(tcase, route_has_longest_prefix);
 	tcase_add_test(tcase, settings_error_names_field_value_and_format);
 	tcase_add_test(tcase, mutated_messages_are_decoded_safely);
--- a/tests/test_reads.c
+++ b/tests/test_reads.c
@@ -200,19 +200,14 @@
 {
 	Suite *suite = suite_create("known red");
 	TCase *tcase = tcase_create("known red");
-	SRunner *runner = srunner_create(suite);
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase,
 			    cancel_is_carried_out_while_all_nodes_may_own_pools,
 			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	printf("KNOWN RED: "
-	       "cancel_is_carried_out_while_all_nodes_may_own_pools: "
-	       "%d of %d fail\n",
-	       srunner_ntests_failed(runner), srunner_ntests_run(runner));
-	srunner_free(runner);
+	suite_run_known_red(
+		suite, "cancel_is_carried_out_while_all_nodes_may_own_pools");
 }
 
 int main(void)
--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -251,18 +251,14 @@
 {
 	Suite *suite = suite_create("reassigned, known red");
 	TCase *tcase = tcase_create("plans of hosts");
-	SRunner *runner = srunner_create(suite);
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase,
 			    hosts_are_ordered_after_their_plans_are_stored, 0,
 			    SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_SILENT);
-	printf("KNOWN RED: hosts_are_ordered_after_their_plans_are_stored: "
-	       "%d of %d fail\n",
-	       srunner_ntests_failed(runner), SEEDS);
-	srunner_free(runner);
+	suite_run_known_red(suite,
+			    "hosts_are_ordered_after_their_plans_are_stored");
 }
 
 int main(void)
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -13,6 +13,7 @@
 #include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
+#include "suite.h"
 
 enum {
 	START_MS = 3000,
@@ -201,18 +202,14 @@
 {
 	Suite *suite = suite_create("suspects, known red");
 	TCase *tcase = tcase_create("late crashes");
-	SRunner *runner = srunner_create(suite);
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase,
 			    late_crashes_are_counted_beside_tasks_that_start, 0,
 			    KNOWN_RED_SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_SILENT);
-	printf("KNOWN RED: late_crashes_are_counted_beside_tasks_that_start: "
-	       "%d of %d fail\n",
-	       srunner_ntests_failed(runner), KNOWN_RED_SEEDS);
-	srunner_free(runner);
+	suite_run_known_red(suite,
+			    "late_crashes_are_counted_beside_tasks_that_start");
 }
 
 int main(void)
