End the plan of a move that has been carried out

Cause, shown in the simulation: all nodes lose power after a host was ordered to standby and before that is stored. The plan that is left is "drained" for a worker that is gone; the host, now in standby, has no worker, and its owner waited for one for good. Such hosts are counted in standby and never lent again: each loss of power during a change of demand takes all hosts that are being parked.

Now a move whose host is up in its target pool has been carried out.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -170,6 +170,9 @@
 {
 	if (host->state != HOST_UP)
 		return HOST_NEXT_WAIT;
+	/* A host in a standby pool has no worker that would tell. */
+	if (plan->work == HOST_MOVE && !strcmp(host->pool, plan->pool))
+		return HOST_NEXT_REPLAN;
 	if (!strcmp(host->worker, plan->worker))
 		return HOST_NEXT_ORDER;
 	return host->worker[0] ? HOST_NEXT_REPLAN : HOST_NEXT_WAIT;
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -18,6 +18,7 @@
 	HOSTS = 6,
 	LEAVING = 0,
 	STEP_MS = 50,
+	TICK_MS = 10,
 	WATCHED_MS = 10000,
 	LONG_TASK_MS = 6000,
 	FIRST_SEED = 700
@@ -119,6 +120,49 @@
 }
 END_TEST
 
+static bool is_order_under_way(const struct sim *sim)
+{
+	for (int i = 0; i < sim->worker_count; i++)
+		if (sim->workers[i].order_ends_ms)
+			return true;
+	return false;
+}
+
+/* Runs until a host is being moved, then kills all nodes at once. */
+static void lose_power_during_a_move(struct sim *sim)
+{
+	for (int i = 0; i < WATCHED_MS / TICK_MS; i++) {
+		sim_run_for(sim, TICK_MS);
+		if (is_order_under_way(sim))
+			break;
+	}
+	ck_assert(is_order_under_way(sim));
+	for (int i = 0; i < sim->node_count; i++)
+		sim_kill(sim, i);
+}
+
+/*
+ * Guards against a host that stays in standby for good: it was parked, and its
+ * owner could not store that. The plan that is left names a worker that is gone.
+ */
+START_TEST(parked_host_is_lent_though_the_record_of_its_move_is_lost)
+{
+	struct sim *sim = sim_create(FIRST_SEED + (uint64_t)_i, 3, HOSTS);
+
+	sim->hosts_obey = true;
+	sim_add_standby_pool(sim);
+	lose_power_during_a_move(sim);
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < sim->node_count; i++)
+		sim_start(sim, i);
+	sim_run_for(sim, 2 * START_MS);
+	sim_submit_lasting_job(sim, 0, HOSTS);
+	sim_run_for(sim, 2 * WATCHED_MS);
+	ck_assert_uint_eq(count_runs(sim), HOSTS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("moves");
@@ -131,6 +175,10 @@
 			    0, SEEDS);
 	tcase_add_loop_test(
 		tcase, move_is_taken_back_if_its_pool_needs_the_host, 0, SEEDS);
+	tcase_add_loop_test(
+		tcase,
+		parked_host_is_lent_though_the_record_of_its_move_is_lost, 0,
+		SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
