Take few hosts at a time from late jobs

A host on its way does no work, and the owners of few pools start all tasks while the others are idle.

Now hosts are taken from late jobs only while less than an eighth of all hosts are on their way; hosts that nobody needs move as before.

tests/test_sizing.c, few_hosts_are_taken_from_late_jobs_at_once.

--- a/src/maint_sizing.c
+++ b/src/maint_sizing.c
@@ -97,6 +97,7 @@
 	pool->late_milli = 0;
 	pool->suspects = 0;
 	pool->hosts = 0;
+	pool->arriving = 0;
 	pool->movable = 0;
 	pool->idle = 0;
 	pool->min_hosts = 0;
@@ -350,6 +351,7 @@
 	    (plan->step != HOST_ORDER_DONE || known->host.state != HOST_UP))
 		return;
 	pool->hosts++;
+	pool->arriving += strcmp(known->pool, known->host.pool) != 0;
 	pool->oldest_fits |= fits_oldest(pool, known, load);
 	known->load_milli = load->cpu_milli;
 	known->idle = !load->has_tasks;
@@ -453,9 +455,12 @@
 	to->hosts++;
 	to->unfit_since_ms = 0; /* the oldest waiting task fits on this one */
 	if (known->open_move && !strcmp(known->host.pool, to->name)) {
+		from->arriving--;
 		take_back_move(maint, known, "needed");
 		return true;
 	}
+	from->arriving -= known->open_move;
+	to->arriving++;
 	/* No tasks run in a standby pool. */
 	if (from->standby && !known->open_move)
 		plan.step = HOST_DRAINED;
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -22,6 +22,9 @@
 	SIZING_STANDBY_DELAY_MS = 1500,
 	/* A long-running task that waits longer needs another host. */
 	SIZING_LASTING_WAIT_MS = 1000,
+	/* Part of all hosts that may be on their way to another pool when one is
+	   taken from late jobs: their work is done by the owners of all pools. */
+	SIZING_MOVING_PART = 8,
 	/* So does a finite one that fits on none of its pool for longer. */
 	SIZING_UNFIT_MS = 1000
 };
@@ -143,6 +146,12 @@
 
 /* Present demand has priority over a past peak of another pool. */
 static const struct purpose for_jobs_in_time = {
+	.wanted_milli = rising_milli,
+	.kept_milli = all_milli,
+};
+
+/* The same, from pools that have late jobs. */
+static const struct purpose before_late_jobs = {
 	.wanted_milli = rising_milli,
 	.kept_milli = in_time_milli,
 };
@@ -272,6 +281,27 @@
 	return most > 0;
 }
 
+static bool may_take_from_late_jobs(const struct sizing *sizing,
+				    const struct sizing_pool *pools,
+				    uint32_t count)
+{
+	int32_t arriving = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		arriving += pools[i].arriving;
+	return arriving * SIZING_MOVING_PART < sizing->hosts;
+}
+
+/* A host for the pool that misses most for jobs that can be in time. */
+static bool find_source_in_time(const struct sizing *sizing,
+				const struct sizing_pool *pools, uint32_t count,
+				uint32_t to, uint32_t *from)
+{
+	return find_source(sizing, pools, count, &for_jobs_in_time, to, from) ||
+	       (may_take_from_late_jobs(sizing, pools, count) &&
+		find_source(sizing, pools, count, &before_late_jobs, to, from));
+}
+
 /*
  * Next host for long-running tasks. They cannot wait for the end of a burst, so
  * that those that wait get hosts that other pools have demand for.
@@ -282,7 +312,7 @@
 {
 	if (!find_target(sizing, pools, count, &for_long_running, to))
 		return false;
-	if (find_source(sizing, pools, count, &for_jobs_in_time, *to, from))
+	if (find_source_in_time(sizing, pools, count, *to, from))
 		return true;
 	return has_waited(&pools[*to], now_ms) &&
 	       find_source(sizing, pools, count, &for_long_running, *to, from);
@@ -336,17 +366,15 @@
 		      const struct sizing_pool *pools, uint32_t count,
 		      int64_t now_ms, uint32_t *from, uint32_t *to)
 {
-	static const struct purpose *const purposes[] = { &for_jobs_in_time,
-							  &for_all_jobs };
-
 	if (sizing->host_milli <= 0)
 		return false;
 	if (find_lasting_move(sizing, pools, count, now_ms, from, to))
 		return true;
-	for (size_t i = 0; i < G_N_ELEMENTS(purposes); i++)
-		if (find_target(sizing, pools, count, purposes[i], to))
-			return find_source(sizing, pools, count, purposes[i],
-					   *to, from);
+	if (find_target(sizing, pools, count, &for_jobs_in_time, to))
+		return find_source_in_time(sizing, pools, count, *to, from);
+	if (find_target(sizing, pools, count, &for_all_jobs, to))
+		return find_source(sizing, pools, count, &for_all_jobs, *to,
+				   from);
 	if (find_unfit_move(sizing, pools, count, now_ms, from, to))
 		return true;
 	return find_standby_move(sizing, pools, count, now_ms, from, to);
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -28,6 +28,7 @@
 	int64_t late_milli;
 	int32_t suspects;      /* ready tasks that wait for their quarantine */
 	int32_t hosts;	       /* including those moving here */
+	int32_t arriving;      /* of them, those that are moving here */
 	int32_t movable;       /* hosts without long-running tasks */
 	int32_t idle;	       /* movable hosts without any task */
 	int32_t min_hosts;     /* hosts that its long-running tasks need */
@@ -87,8 +88,9 @@
 /*
  * sizing_next_move - next move of a host that is worth its cost
  *
- * Long-running tasks come first, then jobs that can be in time: a pool with other
- * work only gives up hosts for them. The caller adjusts the counts of both pools and calls again.
+ * Long-running tasks come first, then jobs that can be in time: a pool with late
+ * ones gives up hosts for them, but few at a time, as a host on its way does no
+ * work. The caller adjusts the counts of both pools and calls again.
  *
  * RETURN VALUE
  *	Whether there is such a move; from and to are then set to pool indexes.
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -75,6 +75,27 @@
 }
 END_TEST
 
+/*
+ * Guards against hosts that are on their way most of the time, as demand shifts from
+ * pool to pool while all have late jobs: the work of all of them then stands still.
+ */
+START_TEST(few_hosts_are_taken_from_late_jobs_at_once)
+{
+	struct sizing sizing = { .host_milli = 1000, .hosts = 100 };
+	struct sizing_pool pools[2] = {
+		pool_of(10, 40000, 0),
+		pool_of(90, 5000, 900000),
+	};
+
+	pools[0].arriving = 13;
+	ck_assert_uint_eq(move_hosts(&sizing, pools, 2), 0);
+	/* One that the late jobs do not need may move all the same. */
+	pools[1].late_milli = 50000;
+	pools[1].peak_milli = 0;
+	ck_assert_uint_gt(move_hosts(&sizing, pools, 2), 0);
+}
+END_TEST
+
 /* Late jobs get what the others leave, and move nothing back and forth. */
 START_TEST(late_jobs_get_the_hosts_that_are_left)
 {
@@ -514,6 +535,7 @@
 	tcase_add_test(tcase, pool_without_work_gets_no_host);
 	tcase_add_test(tcase, pool_of_a_large_fleet_keeps_more_hosts);
 	tcase_add_test(tcase, jobs_in_time_get_the_hosts_of_late_jobs);
+	tcase_add_test(tcase, few_hosts_are_taken_from_late_jobs_at_once);
 	tcase_add_test(tcase, late_jobs_get_the_hosts_that_are_left);
 	tcase_add_test(tcase, late_jobs_take_no_host_just_after_a_peak);
 	tcase_add_test(tcase, long_running_tasks_come_before_jobs_in_time);
