--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -20,9 +20,11 @@
 	for ((i = 0; i < NODES; i++)); do start_node $i; done
 	note "all nodes are started again"
 fi
+end=$((SECONDS + 30))
 for ((j = 0; j < JOBS; j++)); do
 	id=$(printf '%016x' $((0xabc00000 + j)))
-	wait_until 40 state_is 0 "$id" done || note "job $id is $(state 0 "$id")"
+	until state_is 0 "$id" done || [ $SECONDS -ge $end ]; do sleep 0.1; done
+	note "GET $PREFIX$id at node 0: $(state 0 "$id")"
 done
 sleep 2
 stage GET /verdict
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A caller hands in one job of many small tasks, and other callers hand in usual
-# ones at the same queue. With TROUBLE=0 the large job has a tenth of the tasks.
+# ones at the same queue. A job that is refused is not judged. With TROUBLE=0 the large job has a tenth of the tasks.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib.sh"
 
@@ -13,7 +13,7 @@
 wait_until 20 state_is 1 "$(id 0)" done || cannot_run "a usual job does not end"
 COUNT=9000
 [ "$TROUBLE" = 1 ] || COUNT=$((COUNT / 10))
-submit 0 "$(id 1)" "{\"spec\":\"ms=2000 cpu=10\",\"steps\":[{\"count\":$COUNT,\"cpu\":10,\"memMb\":16,\"estMs\":2000}]}" || cannot_run "the large job is not accepted"
+submit 0 "$(id 1)" "{\"spec\":\"ms=2000 cpu=10\",\"steps\":[{\"count\":$COUNT,\"cpu\":10,\"memMb\":16,\"estMs\":2000}]}" || note "the large job is not accepted"
 sleep 1
 for j in 2 3 4 5; do
 	submit $((j % NODES)) "$(id $j)" "$(small)" || note "job $j is not accepted"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
-# A queue allows 4 attempts. A configuration removes its route while a job runs,
-# the first run of one of the job's tasks fails, and a configuration adds the
-# route again.
+# A queue allows 4 attempts. A configuration removes its route while a job runs, the
+# first run of its only task fails, and a configuration adds the route again.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib.sh"
 
@@ -10,7 +9,7 @@
 control "{\"config\":$(configuration 2 "$ROUTE,$OTHER")}"
 sleep 2
 ID=00000000abc00001
-submit 0 $ID '{"spec":"ms=5000 cpu=1800 fail=1","steps":[{"count":4,"cpu":1800,"memMb":500,"estMs":5000}]}' || cannot_run "the job is not accepted"
+submit 0 $ID '{"spec":"ms=5000 cpu=1800 fail=1","steps":[{"count":1,"cpu":1800,"memMb":500,"estMs":5000}]}' || cannot_run "the job is not accepted"
 wait_until 10 is_recorded "run-begun task=$ID" || cannot_run "the job does not begin"
 wait_until 10 state_is 1 $ID running || cannot_run "the job is not shown as running"
 if [ "$TROUBLE" = 1 ]; then
@@ -28,8 +27,8 @@
 	note "node $i shows the job as $seen"
 	[ "$seen" = failed ] && worst=1
 done
-failed=$(grep "run-ended task=$ID.*how=failed" "$RECORD" | grep -o "task=[^ ]*" | sort | uniq -c | sort -rn | head -n 1)
-note "most failed runs of one task: $failed; allowed before the job fails: 3"
-grep "client: node\|client: most" "$RECORD"
+failed=$(grep -c "run-ended task=$ID.*how=failed" "$RECORD")
+note "failed runs of the task: $failed; attempts of the queue: 4"
+grep "client: node\|client: failed" "$RECORD"
 keep_logs 'job-ended|configuration'
 [ $worst = 0 ]
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -25,6 +25,18 @@
 trap end_all EXIT
 trap 'exit 2' INT TERM
 
+# Ends the script if it takes too long; a wait in progress ends first (30 s at most),
+# so that it is over within 120 s. It starts no child that could outlive it.
+watch_time() {
+	mkfifo "$WORK/time"
+	(
+		exec {fd}<>"$WORK/time"
+		read -r -t 85 -u "$fd"
+		kill -TERM $$
+	) &
+	PIDS[watch]=$!
+}
+
 note() { printf '%8s client: %s\n' "$(date +%T)" "$*" >>"$RECORD"; }
 cannot_run() {
 	note "the case cannot run: $*"
@@ -144,6 +156,7 @@
 	local i
 	[ -x "$ROOT/target/plank-noded" ] && [ -x "$ROOT/target/review-stage" ] || cannot_run "build the deploy file and review/build.sh first"
 	: >"$RECORD"
+	watch_time
 	choose_ports
 	configuration 1 "$ROUTE" >"$WORK/configuration.json"
 	"$ROOT/target/review-stage" "$BASE" "$1" "$WORK/configuration.json" "$RECORD" >>"$WORK/stage.log" 2>&1 &
