--- a/src/pool.h
+++ b/src/pool.h
@@ -37,6 +37,7 @@
 	int64_t retries_held; /* of tasks, as attempts fail in a row */
 	int64_t renewals;
 	int64_t renewals_failed;
+	int64_t reports_cut_short; /* that may leave out ended runs */
 	int64_t runs_done;
 	int64_t runs_failed;
 	int64_t runs_lost;
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -187,7 +187,10 @@
 	}
 }
 
-/* Ends the runs that the worker's report should list but does not. */
+/*
+ * Ends the runs that the worker's report should list but does not. The report
+ * must have all ends: a run that is missing may be among those left out.
+ */
 static void end_unlisted(struct pool *pool, struct worker *worker,
 			 int64_t asked_ms)
 {
@@ -226,6 +229,19 @@
 	worker->noted_gpu = entry->gpu;
 }
 
+/* Logs that runs may have ended that the report leaves out, and the end of that. */
+static void note_ends_left_out(struct worker *worker,
+			       const struct worker_report *report)
+{
+	if (worker->ends_left_out != report->more_ends)
+		log_info("worker-ends worker=%s left_out=%d listed=%u "
+			 "cursor=%" G_GINT64_FORMAT
+			 " processed=%" G_GINT64_FORMAT,
+			 worker->entry.id, report->more_ends, report->end_count,
+			 worker->cursor, worker->cursor_processed);
+	worker->ends_left_out = report->more_ends;
+}
+
 /*
  * How long to wait for the next report of a worker none of whose runs has
  * progressed: until they count as stalled. 0: as usual.
@@ -281,6 +297,10 @@
 	if (new_life)
 		pool_note_restart(pool, worker);
 	pool_settle_lapses(pool, worker);
-	end_unlisted(pool, worker, asked_ms);
+	if (report->more_ends)
+		pool->env->counts.reports_cut_short++;
+	else
+		end_unlisted(pool, worker, asked_ms);
+	note_ends_left_out(worker, report);
 	pool_unplaced_reported(pool, worker, asked_ms);
 }
--- a/src/worker.h
+++ b/src/worker.h
@@ -68,7 +68,10 @@
 	uint32_t run_count;
 	struct worker_run *runs;
 	uint32_t end_count;
-	struct worker_end *ends;
+	struct worker_end *ends; /* the oldest that are not acknowledged */
+	/* The list of ends is full: others may follow once these have been
+	   acknowledged. The list of runs is always complete. */
+	bool more_ends;
 };
 
 void worker_report_clear(struct worker_report *report);
@@ -109,6 +112,7 @@
 	int64_t cursor_processed; /* number of the last ended run processed */
 	int64_t cursor_storing;	  /* up to which the ends are being stored */
 	int64_t cursor;		  /* up to which they are stored; sent as ack */
+	bool ends_left_out;	  /* by its last report; logged once */
 	int32_t cpu_used_milli;	  /* by placed tasks; see place_account */
 	int32_t mem_used_mib;
 	int32_t gpu_used;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -837,11 +837,13 @@
 {
 	GArray *runs = worker->model.runs;
 	GArray *ends = worker->model.ends;
+	guint listed = worker_model_listed_ends(&worker->model);
 
 	report->clock_ms = worker->model.clock_ms;
 	report->boot_ms = worker->entry.boot_ms;
 	report->runs = g_new0(struct worker_run, runs->len + 1);
-	report->ends = g_new0(struct worker_end, ends->len + 1);
+	report->ends = g_new0(struct worker_end, listed + 1);
+	report->more_ends = listed == WORKER_MODEL_LISTED_ENDS;
 	for (guint i = 0; i < runs->len; i++) {
 		const struct model_run *run =
 			&g_array_index(runs, struct model_run, i);
@@ -852,7 +854,7 @@
 		reported->run = run->run;
 		reported->percent = model_run_percent(run);
 	}
-	for (guint i = 0; i < ends->len; i++)
+	for (guint i = 0; i < listed; i++)
 		report->ends[report->end_count++] =
 			g_array_index(ends, struct worker_end, i);
 }
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -490,7 +490,7 @@
 		json_object_array_add(
 			runs, run_row(&g_array_index(state->runs,
 						     struct model_run, i)));
-	for (guint i = 0; i < state->ends->len; i++)
+	for (guint i = 0; i < worker_model_listed_ends(state); i++)
 		json_object_array_add(
 			ends, end_row(&g_array_index(state->ends,
 						     struct worker_end, i)));
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -130,6 +130,11 @@
 	model->lease_ms = MAX(model->lease_ms, until_ms);
 }
 
+guint worker_model_listed_ends(const struct worker_model *model)
+{
+	return MIN(model->ends->len, WORKER_MODEL_LISTED_ENDS);
+}
+
 int32_t model_run_percent(const struct model_run *run)
 {
 	if (run->until_stopped)
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -14,6 +14,9 @@
 
 #include "order.h"
 
+/* A worker lists so many of its ends at a time, the oldest first. */
+enum { WORKER_MODEL_LISTED_ENDS = 500 };
+
 struct model_run {
 	char task[JOB_TASK_NAME_BYTES];
 	int32_t run;
@@ -89,6 +92,9 @@
 /* worker_model_break - end a run because its gang is no longer complete */
 void worker_model_break(struct worker_model *model, guint index);
 
+/* worker_model_listed_ends - ends that an answer lists, of all that it has */
+guint worker_model_listed_ends(const struct worker_model *model);
+
 /* model_run_percent - progress of a run; 100 if it lasts until stopped */
 int32_t model_run_percent(const struct model_run *run);
 
