--- a/src/tail.c
+++ b/src/tail.c
@@ -119,15 +119,25 @@
 	forget_position(tail);
 }
 
+/* A page without records does not say where the next one begins. */
+static enum stream_outcome page_outcome(const struct stream_batch *batch)
+{
+	if (batch->outcome == STREAM_OK && batch->more && !batch->count)
+		return STREAM_INVALID;
+	return batch->outcome;
+}
+
 static void on_page(void *arg, const struct stream_batch *batch)
 {
 	struct tail *tail = arg;
+	enum stream_outcome outcome;
 
 	if (!call_ended(tail))
 		return;
 	tail->loading = false;
-	if (batch->outcome != STREAM_OK) {
-		note_failure(tail, batch->outcome);
+	outcome = page_outcome(batch);
+	if (outcome != STREAM_OK) {
+		note_failure(tail, outcome);
 		return;
 	}
 	note_success(tail);
@@ -137,7 +147,7 @@
 			tail->config.on_reload(tail->config.arg);
 	}
 	deliver(tail, batch);
-	if (batch->more && batch->count) {
+	if (batch->more) {
 		const struct stream_record *last =
 			&batch->records[batch->count - 1];
 
--- a/tests/test_tail.c
+++ b/tests/test_tail.c
@@ -61,7 +61,7 @@
 	answer(answer_arg, &batch);
 }
 
-static struct tail *loaded_tail(void)
+static struct tail *new_tail(void)
 {
 	struct tail_config config = {
 		.io = &fake_io,
@@ -71,10 +71,15 @@
 		.wait_ms = WAIT_MS,
 		.on_record = ignore_record,
 	};
-	struct tail *tail;
 
 	clk = clk_manual(START_MS);
-	tail = tail_create(&config);
+	return tail_create(&config);
+}
+
+static struct tail *loaded_tail(void)
+{
+	struct tail *tail = new_tail();
+
 	tail_tick(tail);
 	deliver(0, 10);
 	ck_assert(tail_loaded(tail));
@@ -132,6 +137,27 @@
 }
 END_TEST
 
+/* A stream must not pass for read whose next page is not known. */
+START_TEST(page_without_records_is_not_the_last_one)
+{
+	struct stream_batch page = {
+		.outcome = STREAM_OK,
+		.end = 10,
+		.more = true,
+	};
+	struct tail *tail = new_tail();
+
+	tail_tick(tail);
+	answer(answer_arg, &page);
+	ck_assert(!tail_loaded(tail));
+	clk.manual_ms += WAIT_MS;
+	tail_tick(tail);
+	deliver(0, 10);
+	ck_assert(tail_loaded(tail));
+	tail_destroy(tail);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("tail");
@@ -142,6 +168,7 @@
 	tcase_add_test(tcase, reads_pause_at_the_end);
 	tcase_add_test(tcase, reads_go_on_at_once_when_behind);
 	tcase_add_test(tcase, reads_pause_without_progress);
+	tcase_add_test(tcase, page_without_records_is_not_the_last_one);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
