--- a/src/pool.c
+++ b/src/pool.c
@@ -7,35 +7,6 @@
 
 enum { POOL_SCAN_MS = 1000 };
 
-/* Argument of a callback of the writer: a job's record or a cursor. */
-struct pending_write {
-	struct pool *pool;
-	char id[JOB_ID_BYTES]; /* of the job */
-	char *record;
-	size_t len;
-	uint32_t number;	       /* of the job's progress record */
-	char worker[LIMIT_NAME_BYTES]; /* or the worker of the cursor */
-	int64_t cursor;
-	int64_t boot_ms; /* start of the worker that the cursor belongs to */
-};
-
-static void pending_write_free(void *arg)
-{
-	struct pending_write *pending = arg;
-
-	g_free(pending->record);
-	g_free(pending);
-}
-
-static struct pending_write *pending_write_new(struct pool *pool)
-{
-	struct pending_write *pending = g_new0(struct pending_write, 1);
-
-	pending->pool = pool;
-	g_hash_table_add(pool->pending_writes, pending);
-	return pending;
-}
-
 const struct share *pool_share(const struct pool *pool)
 {
 	return &pool->share;
@@ -75,7 +46,7 @@
 	return queue && queue->attempts > 0 ? queue->attempts : 1;
 }
 
-static bool is_own_job(const struct pool *pool, const struct job *job)
+bool pool_is_own_job(const struct pool *pool, const struct job *job)
 {
 	return job->has_spec && share_has_job(&pool->share, job);
 }
@@ -105,7 +76,7 @@
 	}
 	/* Backwards, because job_reload removes ended jobs from the list. */
 	for (guint i = jobs->live->len; i > 0; i--)
-		if (is_own_job(pool, jobs->live->pdata[i - 1]))
+		if (pool_is_own_job(pool, jobs->live->pdata[i - 1]))
 			job_reload(jobs, jobs->live->pdata[i - 1]);
 	pool_publish_missing(pool);
 }
@@ -115,13 +86,13 @@
 	struct pool *pool = arg;
 	struct job_store *jobs = pool->env->jobs;
 
-	g_hash_table_remove_all(pool->pending_writes);
+	pool_write_clear(pool);
 	pool_unplaced_clear(pool);
 	pool_stored_clear(pool);
 	for (guint i = 0; i < jobs->list->len; i++) {
 		struct job *job = jobs->list->pdata[i];
 
-		if (is_own_job(pool, job) && !job_ended(job->stored_state))
+		if (pool_is_own_job(pool, job) && !job_ended(job->stored_state))
 			job_reload(jobs, job);
 	}
 }
@@ -150,8 +121,7 @@
 	g_strlcpy(pool->name, share->pool, sizeof(pool->name));
 	pool->share = *share;
 	pool->share.pool = pool->name;
-	pool->pending_writes =
-		g_hash_table_new_full(NULL, NULL, pending_write_free, NULL);
+	pool_write_init(pool);
 	pool_unplaced_init(pool);
 	pool_stored_init(pool);
 	ownership_init(&pool->ownership, &config);
@@ -212,130 +182,6 @@
 		 name, pos->task->run, why, times, hold_ms);
 }
 
-static void log_job_end(struct pool *pool, const struct job *job)
-{
-	const struct clk *clk = pool->env->clk;
-	int64_t wall_ms = clk_wall_ms(clk);
-	int64_t placed_ms = wall_ms - (clk_now_ms(clk) - job->placed_ms);
-
-	histo_add(&pool->env->age_ms, wall_ms - job->accepted_ms);
-	if (job->placed_ms)
-		histo_add(&pool->env->wait_ms, placed_ms - job->accepted_ms);
-	log_info("job-ended id=%s state=%s queue=%s age_ms=%" G_GINT64_FORMAT
-		 " waited_ms=%" G_GINT64_FORMAT " chain_ms=%" G_GINT64_FORMAT
-		 " target_ms=%" G_GINT64_FORMAT,
-		 job->id, job_state_name(job->stored_state), job->queue,
-		 wall_ms - job->accepted_ms,
-		 job->placed_ms ? placed_ms - job->accepted_ms : -1,
-		 job_critical_path_ms(job),
-		 place_target_ms(*pool->env->cfg, job) - job->accepted_ms);
-}
-
-static void on_job_stored(void *arg, enum writer_outcome outcome,
-			  int64_t offset)
-{
-	struct pending_write *pending = arg;
-	struct pool *pool = pending->pool;
-	struct job *job = job_find(pool->env->jobs, pending->id);
-
-	if (outcome != WRITER_STORED) {
-		/* This frees all pending writes, including this one. */
-		ownership_lose(&pool->ownership, "an append was fenced");
-		return;
-	}
-	if (job) {
-		job_progress_stored(pool->env->jobs, job, offset,
-				    pending->record, pending->len);
-		pool_publish_state(pool, job);
-		pool_stored_add(pool, job, pending->number, offset);
-		if (job_ended(job->stored_state))
-			log_job_end(pool, job);
-	}
-	g_hash_table_remove(pool->pending_writes, pending);
-}
-
-static void on_cursor_stored(void *arg, enum writer_outcome outcome,
-			     int64_t end)
-{
-	struct pending_write *pending = arg;
-	struct pool *pool = pending->pool;
-	struct worker *worker =
-		worker_find(pool->env->workers, pending->worker);
-
-	(void)end;
-	if (outcome != WRITER_STORED) {
-		ownership_lose(&pool->ownership, "an append was fenced");
-		return;
-	}
-	/* After a restart the worker numbers its ended runs from 1 again. */
-	if (worker && worker->boot_ms == pending->boot_ms) {
-		worker->cursor = MAX(worker->cursor, pending->cursor);
-		worker->next_renew_ms = 0;
-	}
-	g_hash_table_remove(pool->pending_writes, pending);
-}
-
-static void store_job(struct pool *pool, struct job *job)
-{
-	char key[JOB_ID_BYTES + 2];
-	struct pending_write *pending = pending_write_new(pool);
-	struct job_pos pos = { .job = job };
-
-	pending->number = ++job->record_count;
-	g_strlcpy(pending->id, job->id, sizeof(pending->id));
-	pending->record = job_progress_record(job, &pending->len);
-	job->dirty = false;
-	while (job_next_task(&pos)) {
-		if (pos.task->state != TASK_PLACED ||
-		    pos.task->phase != PHASE_RECORDING)
-			continue;
-		pos.task->phase = PHASE_STORING;
-		pos.task->placement_record = pending->number;
-	}
-	g_snprintf(key, sizeof(key), "p:%s", job->id);
-	writer_add(pool_writer(pool), key, pending->record, pending->len,
-		   on_job_stored, pending);
-}
-
-/*
- * Stores changed jobs, then the workers' cursors: a cursor acknowledges ended
- * runs, so the records with these ends are written first.
- */
-static void store_dirty(struct pool *pool)
-{
-	struct job_store *jobs = pool->env->jobs;
-	struct worker_table *workers = pool->env->workers;
-
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job *job = jobs->live->pdata[i];
-
-		if (!is_own_job(pool, job))
-			continue;
-		job_refresh(job);
-		if (!job->dirty)
-			continue;
-		if (job_ended(job->state))
-			pool_unplaced_add_job(pool, job);
-		store_job(pool, job);
-	}
-	for (guint i = 0; i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
-		struct pending_write *pending;
-
-		if (!share_has_worker(&pool->share, worker) ||
-		    worker->cursor_processed == worker->cursor_storing)
-			continue;
-		worker->cursor_storing = worker->cursor_processed;
-		pending = pending_write_new(pool);
-		g_strlcpy(pending->worker, worker->entry.id,
-			  sizeof(pending->worker));
-		pending->cursor = worker->cursor_processed;
-		pending->boot_ms = worker->boot_ms;
-		writer_add(pool_writer(pool), NULL, NULL, 0, on_cursor_stored,
-			   pending);
-	}
-}
-
 /* Marks the workers whose host is to be restarted or moved. */
 static void mark_leaving(struct pool *pool)
 {
@@ -400,46 +246,6 @@
 	pool_publish_load(pool, &place);
 }
 
-static void delete_record(struct pool *pool, char kind, const char *id)
-{
-	char key[JOB_ID_BYTES + 2];
-
-	g_snprintf(key, sizeof(key), "%c:%s", kind, id);
-	writer_add(pool_writer(pool), key, NULL, 0, NULL, NULL);
-}
-
-static void delete_published(struct pool *pool, const char *id)
-{
-	char key[JOB_ID_BYTES + 2];
-
-	g_snprintf(key, sizeof(key), "i:%s", id);
-	writer_add(pool->env->publisher, key, NULL, 0, NULL, NULL);
-}
-
-/* Deletes the records of ended jobs whose retention has expired. */
-static void delete_expired_jobs(struct pool *pool, int64_t now_ms)
-{
-	struct job_store *jobs = pool->env->jobs;
-
-	for (guint i = 0; i < jobs->list->len; i++) {
-		struct job *job = jobs->list->pdata[i];
-
-		if (!job_ended(job->stored_state) ||
-		    !share_has_job(&pool->share, job))
-			continue;
-		if (!job->ended_ms)
-			job->ended_ms = now_ms;
-		if (job->deleting ||
-		    now_ms - job->ended_ms < pool->env->job_retention_ms)
-			continue;
-		job->deleting = true;
-		delete_record(pool, 'p', job->id);
-		delete_record(pool, 'c', job->id);
-		delete_record(pool, 'j', job->id);
-		delete_published(pool, job->id);
-	}
-}
-
 static void scan_jobs(struct pool *pool)
 {
 	int64_t now_ms = pool_now_ms(pool);
@@ -448,7 +254,7 @@
 		return;
 	pool->next_scan_ms = now_ms + POOL_SCAN_MS;
 	pool_publish_unindexed(pool);
-	delete_expired_jobs(pool, now_ms);
+	pool_delete_expired_jobs(pool, now_ms);
 }
 
 /* Logs that the owner acts on without a valid membership, and the end of that. */
@@ -476,9 +282,9 @@
 		pool_end_lost(pool);
 		place_waiting_tasks(pool);
 		pool_drain_workers(pool);
-		store_dirty(pool);
+		pool_write_dirty(pool);
 		for (guint i = 0; i < jobs->live->len; i++)
-			if (is_own_job(pool, jobs->live->pdata[i])) {
+			if (pool_is_own_job(pool, jobs->live->pdata[i])) {
 				pool_send_starts(pool, jobs->live->pdata[i]);
 				pool_resend_stops(pool, jobs->live->pdata[i]);
 			}
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -60,6 +60,24 @@
  */
 int64_t pool_grantable_ms(const struct pool *pool, int64_t now_ms);
 
+/* pool_is_own_job - whether the job is one of the share that can run */
+bool pool_is_own_job(const struct pool *pool, const struct job *job);
+
+/* pool_write_init, pool_write_clear - make or forget the records in flight */
+void pool_write_init(struct pool *pool);
+void pool_write_clear(struct pool *pool);
+
+/*
+ * pool_write_dirty - store changed jobs, then the workers' cursors
+ *
+ * A cursor acknowledges ended runs, so the records with these ends are written
+ * first.
+ */
+void pool_write_dirty(struct pool *pool);
+
+/* pool_delete_expired_jobs - delete the records of jobs that ended long ago */
+void pool_delete_expired_jobs(struct pool *pool, int64_t now_ms);
+
 /* pool_max_attempts - failed runs of a task after which its job fails */
 int32_t pool_max_attempts(const struct pool *pool, const struct job *job);
 
