--- a/src/stream.h
+++ b/src/stream.h
@@ -29,7 +29,9 @@
 	STREAM_BAD_SEQUENCE, /* sequence number does not follow the last one */
 	STREAM_END_MISMATCH, /* the stream does not end at the expected offset */
 	STREAM_DELETED,	     /* the requested records are past retention */
-	STREAM_INVALID	     /* malformed or unexpected answer */
+	/* Malformed or unexpected answer; of an append: the log refuses its
+	   records for good, and nothing was done. */
+	STREAM_INVALID
 };
 
 /* An append. Producer, epoch and sequence make a retry idempotent. */
--- a/src/writer.c
+++ b/src/writer.c
@@ -48,6 +48,7 @@
 	uint32_t attempts; /* of it */
 	uint32_t unended;  /* attempts that are still in flight */
 	struct rtt rtt;
+	guint alone;	/* next records that are sent one by one */
 	bool epoch_set; /* the log knows the epoch */
 	int64_t end;	/* of the stream, after the last append */
 	bool destroyed;
@@ -168,11 +169,13 @@
 	GArray *completed = writer->sent;
 
 	writer->sent = g_array_new(FALSE, FALSE, sizeof(struct entry));
-	/* An append without records uses no sequence number. */
-	if (writer->bytes->len)
-		writer->sequence++;
-	writer->epoch_set = true;
-	writer->end = end;
+	if (outcome != WRITER_REFUSED) {
+		/* An append without records uses no sequence number. */
+		if (writer->bytes->len)
+			writer->sequence++;
+		writer->epoch_set = true;
+		writer->end = end;
+	}
 	writer->retry_ms = WRITER_RETRY_MIN_MS;
 	writer->append++; /* answers to earlier attempts no longer count */
 	writer->calling_back = true; /* a callback may destroy the writer */
@@ -206,6 +209,30 @@
 	writer->retry_ms = MIN(writer->retry_ms * 2, WRITER_RETRY_MAX_MS);
 }
 
+/*
+ * The log refuses the append for good. Of several records each is sent alone, so
+ * that only the one at fault is given up.
+ */
+static void refuse(struct writer *writer)
+{
+	const struct entry *first =
+		&g_array_index(writer->sent, struct entry, 0);
+
+	if (writer->sent->len == 1) {
+		log_error("record refused: key=%s bytes=%zu by=%s", first->key,
+			  first->value_len, writer->producer);
+		finish_append(writer, WRITER_REFUSED, -1, -1);
+		return;
+	}
+	log_warn("append of %u records by %s refused: each is sent alone",
+		 writer->sent->len, writer->producer);
+	writer->alone = writer->sent->len;
+	g_array_prepend_vals(writer->waiting, writer->sent->data,
+			     writer->sent->len);
+	g_array_set_size(writer->sent, 0);
+	writer->append++; /* answers to earlier attempts no longer count */
+}
+
 static void fence(struct writer *writer)
 {
 	log_warn("append by %s in epoch %" G_GINT64_FORMAT
@@ -237,6 +264,9 @@
 	case STREAM_REFUSED:
 		schedule_retry(writer);
 		break;
+	case STREAM_INVALID:
+		refuse(writer);
+		break;
 	default:
 		/* Unknown: the next attempt is due as it is. */
 		break;
@@ -281,10 +311,12 @@
 /* Moves waiting records into the next append, up to max_bytes. */
 static void fill_append(struct writer *writer)
 {
+	guint most = writer->alone ? 1 : writer->waiting->len;
 	guint count = 0;
 
+	writer->alone -= writer->alone > 0;
 	g_byte_array_set_size(writer->bytes, 0);
-	while (count < writer->waiting->len) {
+	while (count < most) {
 		struct entry *entry =
 			&g_array_index(writer->waiting, struct entry, count);
 
--- a/src/writer.h
+++ b/src/writer.h
@@ -7,6 +7,9 @@
  * the same sequence number, while earlier attempts may still be answered, until
  * the log confirms or refuses one of them. The log repeats its answer to a
  * producer's last appends, so that a repeat stores nothing twice.
+ *
+ * If the log refuses an append for good, its records are sent one by one, and only
+ * the one at fault is given up: no other waits for it.
  */
 #ifndef WRITER_H
 #define WRITER_H
@@ -22,7 +25,9 @@
 	WRITER_STORED,
 	/* A higher epoch has appended; the record is stored only if an attempt
 	   without an answer was executed before that. */
-	WRITER_FENCED
+	WRITER_FENCED,
+	/* The log refuses the record for good; it is not stored. */
+	WRITER_REFUSED
 };
 
 /* offset: of the record, or the end of the stream if no record was added. */
--- a/tests/log_model.c
+++ b/tests/log_model.c
@@ -78,6 +78,12 @@
  * Encoding of a record: length of the rest (4 bytes, big-endian), length of the
  * key (1 byte), key, value. An empty value is a tombstone.
  */
+static size_t encoded_size(const guint8 *at)
+{
+	return (size_t)at[0] << 24 | (size_t)at[1] << 16 | (size_t)at[2] << 8 |
+	       at[3];
+}
+
 static void append_encoded(struct log_topic *topic, const char *bytes,
 			   size_t len)
 {
@@ -85,8 +91,7 @@
 	const guint8 *end = at + len;
 
 	while (end - at >= 5) {
-		size_t size = (size_t)at[0] << 24 | (size_t)at[1] << 16 |
-			      (size_t)at[2] << 8 | at[3];
+		size_t size = encoded_size(at);
 		size_t key_len = at[4];
 		const char *key = (const char *)at + 5;
 
@@ -99,6 +104,19 @@
 	}
 }
 
+static bool is_too_large(const struct log_append *append)
+{
+	const guint8 *at = (const guint8 *)append->bytes;
+	const guint8 *end = at + append->len;
+
+	if (append->len > LOG_MODEL_CALL_BYTES)
+		return true;
+	for (; end - at >= 5; at += 4 + encoded_size(at))
+		if (encoded_size(at) > LOG_MODEL_RECORD_BYTES)
+			return true;
+	return false;
+}
+
 /* A producer's epoch and sequence belong to one part of a topic. */
 static struct producer *get_producer(struct log_model *model,
 				     const struct log_topic *topic,
@@ -147,6 +165,10 @@
 		.end = topic->records->len,
 	};
 
+	if (is_too_large(append)) {
+		result.outcome = STREAM_INVALID;
+		return result;
+	}
 	if (append->at >= 0 && append->at != result.end) {
 		result.outcome = STREAM_END_MISMATCH;
 		return result;
--- a/tests/log_model.h
+++ b/tests/log_model.h
@@ -14,7 +14,12 @@
 
 #include "stream.h"
 
-enum { LOG_MODEL_PARTS = 24 };
+enum {
+	LOG_MODEL_PARTS = 24,
+	/* Bounds of a record, without its length prefix, and of an append. */
+	LOG_MODEL_RECORD_BYTES = 256 * 1024,
+	LOG_MODEL_CALL_BYTES = 2 * 1024 * 1024
+};
 
 struct log_record {
 	char *key;
@@ -68,6 +73,7 @@
  *
  * RETURN VALUE
  *	The service's answer: the outcome and the topic's offsets.
+ *	STREAM_INVALID if the append or one of its records is too large.
  */
 struct stream_append_result log_model_append(struct log_model *model,
 					     const struct log_append *append);
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -178,6 +178,9 @@
 	case STREAM_END_MISMATCH:
 		answer(request, 412, body);
 		break;
+	case STREAM_INVALID:
+		answer(request, 400, body);
+		break;
 	default:
 		json_object_object_add(
 			body, "reason",
--- a/tests/test_writer.c
+++ b/tests/test_writer.c
@@ -68,6 +68,7 @@
 static int64_t all_took_ms[SEEDS][RECORDS];
 static int stored_calls;
 static int fenced_calls;
+static int refused_calls;
 
 static void fake_append(void *io, const struct stream_append *append,
 			stream_append_fn *fn, void *arg)
@@ -181,6 +182,7 @@
 	fake.answer_ms = ANSWER_MS;
 	stored_calls = 0;
 	fenced_calls = 0;
+	refused_calls = 0;
 	return writer_create(&config);
 }
 
@@ -191,6 +193,8 @@
 	(void)offset;
 	if (outcome == WRITER_STORED)
 		stored_calls++;
+	else if (outcome == WRITER_REFUSED)
+		refused_calls++;
 	else
 		fenced_calls++;
 	took_ms[number] = fake.clk.manual_ms - added_ms[number];
@@ -378,6 +382,31 @@
 }
 END_TEST
 
+/* Records behind one that the log never takes were not stored either, and the
+   append was repeated without end. */
+START_TEST(record_that_is_refused_holds_up_no_other)
+{
+	struct writer *writer = new_writer(1);
+	char *large = g_strnfill(LOG_MODEL_RECORD_BYTES, 'x');
+
+	add_record(writer, 0);
+	writer_add(writer, "large", large, LOG_MODEL_RECORD_BYTES, on_outcome,
+		   GINT_TO_POINTER(1));
+	add_record(writer, 2);
+	run_for(writer, QUANTILE_MS);
+	ck_assert_int_eq(stored_calls, 2);
+	ck_assert_int_eq(refused_calls, 1);
+	add_record(writer, 3);
+	run_for(writer, QUANTILE_MS);
+	ck_assert_int_eq(stored_calls, 3);
+	ck_assert_uint_eq(log_model_topic(fake.log, topic)->records->len, 3);
+	ck_assert_int_le(fake.sent, 5);
+	ck_assert(writer_idle(writer));
+	g_free(large);
+	writer_destroy(writer);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("writer");
@@ -394,6 +423,7 @@
 	tcase_add_loop_test(tcase, fenced_writer_is_told_once, 0, SEEDS);
 	tcase_add_loop_test(tcase, writer_is_destroyed_with_calls_in_flight, 0,
 			    SEEDS);
+	tcase_add_test(tcase, record_that_is_refused_holds_up_no_other);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
