--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
 	ctl_command ctl_print report histo arrival load_report
-NODE = cfg job job_record worker share index backlog speed avail place rtt writer tail order ownership \
+NODE = cfg job job_record job_range worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish crash place_backlog place_room place_quarantine \
@@ -110,7 +110,8 @@
 	$(BUILD)/test_suspects $(BUILD)/test_retry $(BUILD)/test_reassigned \
 	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
 	$(BUILD)/test_acceptance $(BUILD)/test_moves $(BUILD)/test_unanswered \
-	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends
+	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
+	$(BUILD)/test_large_jobs
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
@@ -120,7 +121,7 @@
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
-POOL_TESTS = $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
+POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
 	$(BUILD)/test_room $(BUILD)/test_index $(BUILD)/test_stream_age
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
--- a/src/crash.c
+++ b/src/crash.c
@@ -56,10 +56,11 @@
 	}
 	counted = gang_is_counted(tasks, count, pos->task->run);
 	pos->task->crashed_run = pos->task->run;
-	pos->job->dirty = true;
+	job_touch(pos->job, pos->task);
 	for (int32_t i = 0; i < count && !counted; i++) {
 		tasks[i].crashes += !lapse;
 		tasks[i].lapses += lapse;
+		job_touch(pos->job, &tasks[i]);
 	}
 }
 
--- a/src/front.c
+++ b/src/front.c
@@ -165,6 +165,19 @@
 	finish_request(pending, &answer);
 }
 
+/* The log refuses the record, at this node and at any other. */
+static void answer_refused(struct pending *pending)
+{
+	struct front_answer answer = {
+		.outcome = FRONT_INVALID,
+		.text = "the log refuses the job's record",
+	};
+
+	pending->front->env->counts.refused_invalid++;
+	log_info("refused id=%s why=record-refused", pending->request.id);
+	finish_request(pending, &answer);
+}
+
 static void on_published(void *arg, enum writer_outcome outcome, int64_t end)
 {
 	struct pending *pending = arg;
@@ -216,6 +229,8 @@
 		publish(pending, pending->request.kind == FRONT_SUBMIT
 					 ? INDEX_QUEUED
 					 : INDEX_CANCEL_REQUESTED);
+	else if (outcome == WRITER_REFUSED)
+		answer_refused(pending);
 	else
 		answer_fenced(pending);
 }
@@ -334,6 +349,20 @@
 	finish_request(pending, &answer);
 }
 
+static void refuse_invalid(struct front *front,
+			   const struct front_request *request,
+			   const struct err *err, front_fn *fn, void *arg)
+{
+	struct front_answer answer = {
+		.outcome = FRONT_INVALID,
+		.text = err->text,
+	};
+
+	front->env->counts.refused_invalid++;
+	log_info("refused id=%s why=invalid text=%s", request->id, err->text);
+	fn(arg, &answer);
+}
+
 static void submit(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg)
 {
@@ -354,12 +383,7 @@
 		return;
 	}
 	if (env->jobs->decode(request->body, request->len, &spec, &err) < 0) {
-		env->counts.refused_invalid++;
-		log_info("refused id=%s why=invalid text=%s", request->id,
-			 err.text);
-		answer.outcome = FRONT_INVALID;
-		answer.text = err.text;
-		fn(arg, &answer);
+		refuse_invalid(front, request, &err, fn, arg);
 		return;
 	}
 	if (would_be_late(front, request, &spec)) {
@@ -372,6 +396,14 @@
 	record = job_submission_record(
 		request->queue->name, request->queue->pool,
 		clk_wall_ms(env->clk), request->body, request->len, &len);
+	if (len + JOB_KEY_BYTES > env->record_bytes) {
+		err_set(&err, ERR_TOO_LARGE,
+			"the job has %zu bytes, the log takes %zu", len,
+			env->record_bytes - JOB_KEY_BYTES);
+		refuse_invalid(front, request, &err, fn, arg);
+		g_free(record);
+		return;
+	}
 	store(front, request, 'j', record, len, fn, arg);
 	g_free(record);
 }
--- a/src/front.h
+++ b/src/front.h
@@ -82,8 +82,9 @@
 	struct tail *index_tail;
 	struct writer *index_writer;
 	struct writer *job_writers[SHARE_MAX_COUNT]; /* by part */
-	struct front_counts counts;		     /* written by front */
-	struct histo submit_ms; /* from a submission to its answer */
+	size_t record_bytes;	    /* most that a record of the log may have */
+	struct front_counts counts; /* written by front */
+	struct histo submit_ms;	    /* from a submission to its answer */
 };
 
 struct front;
--- a/src/job.c
+++ b/src/job.c
@@ -34,7 +34,9 @@
 	     i++)
 		g_free(job->tasks[i].checkpoint);
 	g_free(job->tasks);
+	g_free(job->touched);
 	job->tasks = NULL;
+	job->touched = NULL;
 	job->occurrences = 0;
 	job->tasks_per_occurrence = 0;
 }
@@ -43,6 +45,7 @@
 {
 	clear_tasks(job);
 	job_spec_clear(&job->spec);
+	job_ranges_clear(job);
 	g_free(job->progress);
 	g_free(job);
 }
@@ -159,6 +162,7 @@
 				   : 1;
 	job->tasks = g_new0(struct job_task,
 			    job->occurrences * job->tasks_per_occurrence);
+	job->touched = g_new0(bool, job_range_count(job));
 }
 
 int job_apply_submission(struct job_store *store, const char *id,
@@ -250,6 +254,16 @@
 	return 0;
 }
 
+void job_apply_range(struct job_store *store, const char *id, uint32_t number,
+		     int64_t offset, const char *record, size_t len, bool own)
+{
+	struct job *job = find_or_create_job(store, id);
+
+	job_range_put(job, number, offset, record, len);
+	if (!own)
+		job->tasks_outdated = true;
+}
+
 void job_remove(struct job_store *store, const char *id)
 {
 	struct job *job = job_find(store, id);
@@ -272,6 +286,7 @@
 		return;
 	clear_tasks(job);
 	create_tasks(job);
+	job->in_ranges = false;
 	if (job->progress && job_read_tasks(job, job->progress, &err) < 0)
 		log_error("progress of job %s cannot be read: %s", job->id,
 			  err.text);
@@ -280,6 +295,8 @@
 void job_reload(struct job_store *store, struct job *job)
 {
 	job_load_tasks(job);
+	job->refused_record = 0;
+	job->store_after_ms = 0;
 	job->dirty = false;
 	job->state = job->stored_state;
 	remove_if_ended(store, job);
@@ -455,7 +472,7 @@
 	task->pace = 100;
 	if (!job->placed_ms)
 		job->placed_ms = now_ms;
-	job->dirty = true;
+	job_touch(job, task);
 }
 
 static bool is_confirmed(const struct job_task *task, int32_t run)
@@ -498,8 +515,10 @@
 	struct job_task *tasks =
 		job_task_at(pos->job, pos->occurrence, pos->step, 0);
 
-	for (int32_t i = 0; i < pos->job->spec.steps[pos->step].count; i++)
+	for (int32_t i = 0; i < pos->job->spec.steps[pos->step].count; i++) {
 		tasks[i].state = TASK_DONE;
+		job_touch(pos->job, &tasks[i]);
+	}
 }
 
 static void keep_checkpoint(struct job_pos *pos, const char *checkpoint)
@@ -517,6 +536,7 @@
 	for (int32_t i = 0; i < count; i++) {
 		g_free(tasks[i].checkpoint);
 		tasks[i].checkpoint = g_strdup(checkpoint);
+		job_touch(pos->job, &tasks[i]);
 	}
 }
 
@@ -526,7 +546,7 @@
 	const struct job_step *step = &pos->job->spec.steps[pos->step];
 	struct job_task *task = pos->task;
 
-	pos->job->dirty = true;
+	job_touch(pos->job, task);
 	keep_checkpoint(pos, checkpoint);
 	task->state = how == END_DONE ? TASK_DONE : TASK_WAITING;
 	task->phase = PHASE_UNKNOWN;
--- a/src/job.h
+++ b/src/job.h
@@ -26,6 +26,13 @@
 	JOB_MAX_TASKS = 20000,
 	JOB_MAX_SPEC_BYTES = 4000,
 	JOB_TASK_NAME_BYTES = 64,
+	/* Tasks of a range of a job's progress; so many fit a record of the log
+	   with the longest checkpoints. */
+	JOB_RANGE_TASKS = 8,
+	/* A job with more tasks stores its progress in ranges from the start, so
+	   that a change of one task does not write all of them. */
+	JOB_WHOLE_TASKS = 512,
+	JOB_KEY_BYTES = 32, /* of a job's record, at most */
 	JOB_BOOT_TAGS = 1000000
 };
 
@@ -147,6 +154,12 @@
 	uint32_t tasks_per_occurrence; /* tasks of one occurrence */
 	struct job_task *tasks;
 	bool tasks_outdated; /* progress has not been read into the tasks */
+	/* Progress is stored in ranges of tasks, each in a record of its own, and
+	   the progress record has the state only. Decided for good once the
+	   job's progress does not fit one record. */
+	bool in_ranges;
+	bool *touched; /* ranges that have changed since their last record */
+	GHashTable *ranges; /* number -> newest stored record; NULL: none */
 	bool dirty;	/* changed since the last progress record was made */
 	char *progress; /* newest stored progress, NULL: none */
 	int64_t submission_offset;
@@ -154,6 +167,9 @@
 	int64_t submission_rank; /* rank by submission */
 	int64_t placed_ms;	 /* first placement by this owner; 0: none */
 	uint32_t record_count;	 /* progress records made by this owner */
+	/* With the last one of these, the log refused a record; 0: none. */
+	uint32_t refused_record;
+	int64_t store_after_ms; /* not stored again before */
 	/* Newest state that this owner has published, see index.h, plus 1. */
 	uint8_t published;
 	bool unindexed; /* its owner has found it missing in the index once */
@@ -216,6 +232,14 @@
 		       const char *record, size_t len, bool own,
 		       struct err *err);
 
+/*
+ * job_apply_range - apply the record of a range of a job's tasks
+ *
+ * own: as of job_apply_progress.
+ */
+void job_apply_range(struct job_store *store, const char *id, uint32_t number,
+		     int64_t offset, const char *record, size_t len, bool own);
+
 /* job_remove - remove a job whose records have been deleted */
 void job_remove(struct job_store *store, const char *id);
 
@@ -251,6 +275,35 @@
 void job_progress_stored(struct job_store *store, struct job *job,
 			 int64_t offset, const char *record, size_t len);
 
+/*
+ * job_must_use_ranges - whether the job's progress has to be stored in ranges
+ *
+ * record_len is that of its progress record, max_bytes the most that one may
+ * have. False if it is stored so already.
+ */
+bool job_must_use_ranges(const struct job *job, size_t record_len,
+			 size_t max_bytes);
+
+/* job_use_ranges - store the progress in ranges from now on, all of them anew */
+void job_use_ranges(struct job *job);
+
+/* job_touch - note that a task has changed in what is stored of it */
+void job_touch(struct job *job, const struct job_task *task);
+
+/* job_range_count - number of ranges that the job's tasks make up */
+uint32_t job_range_count(const struct job *job);
+
+/*
+ * job_range_record - encode a range that has changed; free with g_free
+ *
+ * Ranges are stored before the progress record, whose placements count as stored
+ * with it.
+ *
+ * RETURN VALUE
+ *	NULL if the range has not changed since its last record.
+ */
+char *job_range_record(struct job *job, uint32_t number, size_t *len);
+
 /* Position of a task. */
 struct job_pos {
 	struct job *job;
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -11,7 +11,9 @@
  * the caller sent it. A progress record is {"state", "parts"}; a part is
  * [occurrence, step, done, tasks] with one hexadecimal digit for each four
  * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
- * for each other task that has been started. "boots" has, for each task that is
+ * for each other task that has been started. A job whose progress does not fit one
+ * record has {"state", "range"}, with the number of tasks of a range, and its tasks
+ * in records of their own, see job_range.c. "boots" has, for each task that is
  * placed, in the order of the rows, the tag of the start of its worker, so that
  * the next owner sees a crash after which the worker is back. "crashes", if there
  * are any, has a row [occurrence, step, index, crashes, run, boot_ms, lapses] for
@@ -172,13 +174,10 @@
 		json_object_put(boots);
 }
 
-char *job_progress_record(const struct job *job, size_t *len)
+static void put_parts(struct json_object *record, const struct job *job)
 {
-	struct json_object *record = json_object_new_object();
 	struct json_object *parts = json_object_new_array();
-	char *text;
 
-	jcursor_put_string(record, "state", job_state_name(job->state));
 	for (uint32_t k = 0; k < job->occurrences; k++)
 		for (uint32_t s = 0; s < job->spec.step_count; s++) {
 			/* Of an ended job only the tasks that may still be
@@ -191,8 +190,21 @@
 				json_object_array_add(parts, part);
 		}
 	json_object_object_add(record, "parts", parts);
-	put_boots(record, job);
-	put_crashes(record, job);
+}
+
+char *job_progress_record(const struct job *job, size_t *len)
+{
+	struct json_object *record = json_object_new_object();
+	char *text;
+
+	jcursor_put_string(record, "state", job_state_name(job->state));
+	if (job->in_ranges) {
+		jcursor_put_int(record, "range", JOB_RANGE_TASKS);
+	} else {
+		put_parts(record, job);
+		put_boots(record, job);
+		put_crashes(record, job);
+	}
 	text = g_strdup(
 		json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
 	*len = strlen(text);
@@ -365,27 +377,42 @@
 	}
 }
 
-int job_read_tasks(struct job *job, const char *record, struct err *err)
+static void read_parts(struct job *job, struct jcursor *root)
 {
-	struct err parse_err = { .kind = ERR_OK };
-	struct json_object *value =
-		jcursor_parse_bytes(record, strlen(record), &parse_err);
-	struct jcursor root = jcursor_root(value, &parse_err);
-	struct jcursor parts = jcursor_member(&root, "parts");
-	size_t count = value ? jcursor_check_array(&parts, JOB_MAX_TASKS) : 0;
+	struct jcursor parts = jcursor_member(root, "parts");
+	size_t count = jcursor_check_array(&parts, JOB_MAX_TASKS);
 
-	for (size_t i = 0; i < count && parse_err.kind == ERR_OK; i++) {
+	for (size_t i = 0; i < count && root->err->kind == ERR_OK; i++) {
 		struct jcursor part = jcursor_item(&parts, i);
 
 		if (jcursor_check_array(&part, 4) == 4)
 			decode_part(job, &part);
 	}
-	if (value && parse_err.kind == ERR_OK) {
-		read_boots(job, &root);
-		read_crashes(job, &root);
+	if (root->err->kind != ERR_OK)
+		return;
+	read_boots(job, root);
+	read_crashes(job, root);
+}
+
+int job_read_tasks(struct job *job, const char *record, struct err *err)
+{
+	struct err parse_err = { .kind = ERR_OK };
+	struct json_object *value =
+		jcursor_parse_bytes(record, strlen(record), &parse_err);
+	struct jcursor root = jcursor_root(value, &parse_err);
+	struct jcursor range = jcursor_member(&root, "range");
+
+	if (value && range.value) {
+		jcursor_int(&range, JOB_RANGE_TASKS, JOB_RANGE_TASKS, -1);
+		job->in_ranges = true;
+	} else if (value) {
+		read_parts(job, &root);
 	}
 	json_object_put(value);
 	if (parse_err.kind != ERR_OK)
 		return err_set(err, parse_err.kind, "%s", parse_err.text);
-	return 0;
+	/* Of a completed job no task may still be running. */
+	if (!job->in_ranges || job->stored_state == JOB_DONE)
+		return 0;
+	return job_read_ranges(job, err);
 }
--- a/src/node.c
+++ b/src/node.c
@@ -200,6 +200,7 @@
 		.index = node->index,
 		.publisher = node->publisher,
 		.cfg = (const struct cfg *const *)&node->cfg,
+		.record_bytes = config->settings->log_record_bytes,
 		.lease_ms = worker_lease_ms(node),
 		.job_retention_ms = config->settings->job_keep_ms,
 		.membership_ms = NODE_TTL_MS,
@@ -235,6 +236,7 @@
 		.backlogs = &node->backlogs,
 		.index_tail = node->index_tail,
 		.index_writer = node->index_writer,
+		.record_bytes = config->settings->log_record_bytes,
 	};
 	node->front = front_create(&node->front_env);
 	return node;
--- a/src/node_records.c
+++ b/src/node_records.c
@@ -208,15 +208,49 @@
 	}
 }
 
+/* Reads the id and the number of a key "r:ID:N"; false if it has another form. */
+static bool read_range_key(const struct stream_record *record, char *id,
+			   uint32_t *number)
+{
+	const size_t id_len = JOB_ID_BYTES - 1;
+	char key[JOB_KEY_BYTES];
+	guint64 value;
+
+	if (record->key_len < id_len + 4 || record->key_len >= sizeof(key) ||
+	    record->key[0] != 'r' || record->key[1] != ':' ||
+	    record->key[id_len + 2] != ':')
+		return false;
+	g_snprintf(key, sizeof(key), "%.*s", (int)record->key_len, record->key);
+	if (!g_ascii_string_to_unsigned(key + id_len + 3, 10, 0, JOB_MAX_TASKS,
+					&value, NULL))
+		return false;
+	*number = (uint32_t)value;
+	g_strlcpy(id, key + 2, JOB_ID_BYTES);
+	return true;
+}
+
+/* A range is deleted with its job, whose own record says so. */
+static void apply_range(struct node *node, const char *id, uint32_t number,
+			const struct stream_record *record)
+{
+	if (record->value)
+		job_apply_range(
+			node->jobs, id, number, record->offset, record->value,
+			record->value_len,
+			node_owner_of_job(node, job_find(node->jobs, id)));
+}
+
 /*
  * A key is a letter for the kind of record (j: job, c: cancellation, p:
- * progress, h: host plan), a colon, and the job's id or the host's name.
+ * progress, r: range of its tasks, h: host plan), a colon, and the job's id or the
+ * host's name; a colon and a number follow the id of a range.
  */
 void node_on_job_record(void *arg, const struct stream_record *record)
 {
 	struct node *node = arg;
 	struct err err = { .kind = ERR_OK };
 	char id[JOB_ID_BYTES];
+	uint32_t number;
 	int status = 0;
 
 	if (record->key_len > 2 && !memcmp(record->key, "h:", 2)) {
@@ -227,6 +261,10 @@
 		read_layout(record, &node->older_layout);
 		return;
 	}
+	if (read_range_key(record, id, &number)) {
+		apply_range(node, id, number, record);
+		return;
+	}
 	if (!read_job_id(record, id))
 		return;
 	if (!record->value) {
--- a/src/nodeconf.c
+++ b/src/nodeconf.c
@@ -74,6 +74,14 @@
 				     NODECONF_GROUP_PARTS);
 }
 
+static uint32_t parse_record_bytes(const struct jcursor *root)
+{
+	struct jcursor field = jcursor_member(root, "log_record_bytes");
+
+	return (uint32_t)jcursor_int(&field, NODECONF_MIN_RECORD_BYTES,
+				     INT32_MAX, NODECONF_RECORD_BYTES);
+}
+
 static uint32_t parse_share_hosts(const struct jcursor *root)
 {
 	struct jcursor field = jcursor_member(root, "share_hosts");
@@ -108,6 +116,7 @@
 	parsed.order_lease_ms = parse_ms(&root, "order_lease_ms", 3000);
 	parsed.job_keep_ms = parse_seconds(&root, "job_keep_s", 120);
 	parsed.group_parts = parse_parts(&root);
+	parsed.log_record_bytes = parse_record_bytes(&root);
 	parsed.share_hosts = parse_share_hosts(&root);
 	parsed.core_share = parse_amount(&root, "core_share", 1) *
 			    parse_amount(&root, "core_speed", 1);
--- a/src/nodeconf.h
+++ b/src/nodeconf.h
@@ -18,6 +18,8 @@
 enum {
 	NODECONF_SHARE_HOSTS = 150,
 	NODECONF_MAX_SHARE_HOSTS = 100000,
+	NODECONF_RECORD_BYTES = 256 * 1024,
+	NODECONF_MIN_RECORD_BYTES = 16 * 1024,
 	NODECONF_GROUP_PARTS = 24, /* if the settings do not say */
 	NODECONF_MIN_GROUP_PARTS = 8,
 	NODECONF_MAX_GROUP_PARTS = 128 /* see OWNERSHIP_PARTS */
@@ -44,6 +46,7 @@
 	/* Parts of the topic that the log's group divides among the nodes; the
 	   same at all nodes of a deployment. */
 	uint32_t group_parts;
+	uint32_t log_record_bytes; /* most that a record of the log may have */
 	uint32_t share_hosts; /* hosts that a slice of the fleet is meant for */
 	double core_share;    /* processor time of this node, in cores */
 	double link_mbps;     /* bandwidth of its network link */
--- a/src/pool.c
+++ b/src/pool.c
@@ -273,21 +273,40 @@
 		 over_ms);
 }
 
-void pool_tick(struct pool *pool)
+/* A job with so many tasks yields to others, which its starts would hold up. */
+static void send_starts(struct pool *pool)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *jobs = pool->env->jobs->live;
+
+	for (int in_ranges = 0; in_ranges <= 1; in_ranges++)
+		for (guint i = 0; i < jobs->len; i++) {
+			struct job *job = jobs->pdata[i];
 
+			if (pool_is_own_job(pool, job) &&
+			    job->in_ranges == in_ranges)
+				pool_send_starts(pool, job);
+		}
+}
+
+static void resend_stops(struct pool *pool)
+{
+	const GPtrArray *jobs = pool->env->jobs->live;
+
+	for (guint i = 0; i < jobs->len; i++)
+		if (pool_is_own_job(pool, jobs->pdata[i]))
+			pool_resend_stops(pool, jobs->pdata[i]);
+}
+
+void pool_tick(struct pool *pool)
+{
 	if (ownership_held(&pool->ownership)) {
 		note_membership(pool);
 		pool_end_lost(pool);
 		place_waiting_tasks(pool);
 		pool_drain_workers(pool);
 		pool_write_dirty(pool);
-		for (guint i = 0; i < jobs->live->len; i++)
-			if (pool_is_own_job(pool, jobs->live->pdata[i])) {
-				pool_send_starts(pool, jobs->live->pdata[i]);
-				pool_resend_stops(pool, jobs->live->pdata[i]);
-			}
+		send_starts(pool);
+		resend_stops(pool);
 		pool_stored_read(pool);
 		pool_unplaced_stop(pool);
 		pool_renew(pool);
--- a/src/pool.h
+++ b/src/pool.h
@@ -57,7 +57,8 @@
 	struct writer *publisher;     /* of states and loads to the index */
 	const struct cfg *const *cfg; /* current configuration */
 	int64_t job_retention_ms;     /* retention of ended jobs */
-	int64_t lease_ms;	      /* duration of workers' leases */
+	size_t record_bytes;   /* most that a record of the log may have */
+	int64_t lease_ms;      /* duration of workers' leases */
 	int64_t membership_ms; /* how long a renewal of the membership holds */
 	/* How long an owner whose membership has run out gives full leases. */
 	int64_t disconnected_ms;
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -211,7 +211,7 @@
 		return;
 	task->lapses--;
 	task->crashes += crashed;
-	pos->job->dirty = true;
+	job_touch(pos->job, task);
 	log_info("lapse-settled id=%s step=%u index=%u worker=%s crashed=%d "
 		 "crashes=%d lapses=%d",
 		 pos->job->id, pos->step, pos->index, worker->entry.id, crashed,
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -24,11 +24,13 @@
 	int32_t starting;      /* start orders in flight */
 	int64_t next_scan_ms;  /* next search for expired and unindexed jobs */
 	int64_t next_waits_ms; /* next look at the finite tasks that wait */
-	int64_t next_publish_ms;    /* next record of the share's load */
-	struct backlog published;   /* the last one */
-	int64_t republish_ms;	    /* next one if the load does not change */
-	bool stream_outdated;	    /* the jobs read are too old; logged once */
-	bool membership_over;	    /* it has run out; logged once */
+	int64_t next_publish_ms;  /* next record of the share's load */
+	struct backlog published; /* the last one */
+	int64_t republish_ms;	  /* next one if the load does not change */
+	bool stream_outdated;	  /* the jobs read are too old; logged once */
+	bool membership_over;	  /* it has run out; logged once */
+	/* Jobs with a record that the log has refused: no end is acknowledged. */
+	uint32_t refused_jobs;
 	GHashTable *pending_writes; /* callback arguments of the writer */
 	GArray *unplaced;	    /* struct unplaced_run */
 	GArray *stored;		    /* struct stored_record, in stream order */
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -162,12 +162,12 @@
 	    crash_is_cleared(task, now_ms)) {
 		/* Stored, so that the next owner does not blame this run. */
 		task->crashed_run = task->run;
-		pos.job->dirty = true;
+		job_touch(pos.job, task);
 	}
 	if (crash_must_forget(task, now_ms)) {
 		task->crashes = 0;
 		task->lapses = 0;
-		pos.job->dirty = true;
+		job_touch(pos.job, task);
 	}
 }
 
--- a/src/pool_write.c
+++ b/src/pool_write.c
@@ -1,6 +1,11 @@
 #include "log.h"
 #include "pool_int.h"
 
+enum {
+	/* Before a job is stored again that has a record which the log refuses. */
+	POOL_REFUSED_RETRY_MS = 1000
+};
+
 /* Argument of a callback of the writer: a job's record or a cursor. */
 struct pending_write {
 	struct pool *pool;
@@ -39,6 +44,7 @@
 void pool_write_clear(struct pool *pool)
 {
 	g_hash_table_remove_all(pool->pending_writes);
+	pool->refused_jobs = 0;
 }
 
 static void log_job_end(struct pool *pool, const struct job *job)
@@ -60,6 +66,69 @@
 		 place_target_ms(*pool->env->cfg, job) - job->accepted_ms);
 }
 
+/*
+ * The log refuses a record of the job for good. Its placements are stored anew, in
+ * ranges of tasks, which may be small enough.
+ */
+static void note_refused(struct pool *pool, struct job *job, uint32_t number)
+{
+	struct job_pos pos = { .job = job };
+
+	pool->refused_jobs += !job->refused_record;
+	job->refused_record = number;
+	job->store_after_ms = pool_now_ms(pool) + POOL_REFUSED_RETRY_MS;
+	job->dirty = true;
+	job_use_ranges(job);
+	while (job_next_task(&pos))
+		if (pos.task->state == TASK_PLACED &&
+		    pos.task->phase == PHASE_STORING)
+			pos.task->phase = PHASE_RECORDING;
+	log_error("job-record-refused id=%s record=%u state=%s", job->id,
+		  number, job_state_name(job->state));
+}
+
+/* Whether all records of the job are stored that were made with this one. */
+static bool is_complete(struct pool *pool, struct job *job, uint32_t number)
+{
+	if (!job->refused_record)
+		return true;
+	if (job->refused_record >= number)
+		return false;
+	job->refused_record = 0;
+	pool->refused_jobs--;
+	return true;
+}
+
+/* Frees the argument; false if the record is not stored. */
+static bool end_write(struct pending_write *pending,
+		      enum writer_outcome outcome)
+{
+	struct pool *pool = pending->pool;
+	struct job *job = job_find(pool->env->jobs, pending->id);
+
+	if (outcome == WRITER_STORED)
+		return true;
+	if (outcome == WRITER_FENCED) {
+		/* This frees all pending writes, including this one. */
+		ownership_lose(&pool->ownership, "an append was fenced");
+		return false;
+	}
+	if (job)
+		note_refused(pool, job, pending->number);
+	g_hash_table_remove(pool->pending_writes, pending);
+	return false;
+}
+
+static void on_range_stored(void *arg, enum writer_outcome outcome,
+			    int64_t offset)
+{
+	struct pending_write *pending = arg;
+
+	(void)offset;
+	if (end_write(pending, outcome))
+		g_hash_table_remove(pending->pool->pending_writes, pending);
+}
+
 static void on_job_stored(void *arg, enum writer_outcome outcome,
 			  int64_t offset)
 {
@@ -67,12 +136,9 @@
 	struct pool *pool = pending->pool;
 	struct job *job = job_find(pool->env->jobs, pending->id);
 
-	if (outcome != WRITER_STORED) {
-		/* This frees all pending writes, including this one. */
-		ownership_lose(&pool->ownership, "an append was fenced");
+	if (!end_write(pending, outcome))
 		return;
-	}
-	if (job) {
+	if (job && is_complete(pool, job, pending->number)) {
 		job_progress_stored(pool->env->jobs, job, offset,
 				    pending->record, pending->len);
 		pool_publish_state(pool, job);
@@ -92,27 +158,84 @@
 		worker_find(pool->env->workers, pending->worker);
 
 	(void)end;
-	if (outcome != WRITER_STORED) {
+	if (outcome == WRITER_FENCED) {
 		ownership_lose(&pool->ownership, "an append was fenced");
 		return;
 	}
-	/* After a restart the worker numbers its ended runs from 1 again. */
-	if (worker && worker->boot_ms == pending->boot_ms) {
+	if (outcome == WRITER_REFUSED || pool->refused_jobs) {
+		/* Ends may be among them that no record has. */
+		if (worker)
+			worker->cursor_storing = worker->cursor;
+	} else if (worker && worker->boot_ms == pending->boot_ms) {
+		/* After a restart it numbers its ended runs from 1 again. */
 		worker->cursor = MAX(worker->cursor, pending->cursor);
 		worker->next_renew_ms = 0;
 	}
 	g_hash_table_remove(pool->pending_writes, pending);
 }
 
+/* Argument for the callbacks of a job's records. */
+static struct pending_write *pending_record_new(struct pool *pool,
+						const struct job *job)
+{
+	struct pending_write *pending = pending_write_new(pool);
+
+	pending->number = job->record_count;
+	g_strlcpy(pending->id, job->id, sizeof(pending->id));
+	return pending;
+}
+
+static char *range_key(const struct job *job, uint32_t number)
+{
+	return g_strdup_printf("r:%s:%u", job->id, number);
+}
+
+static void store_ranges(struct pool *pool, struct job *job)
+{
+	uint32_t count = job_range_count(job);
+
+	for (uint32_t i = 0; i < count; i++) {
+		size_t len;
+		char *record = job_range_record(job, i, &len);
+		char *key;
+
+		if (!record)
+			continue;
+		key = range_key(job, i);
+		writer_add(pool_writer(pool), key, record, len, on_range_stored,
+			   pending_record_new(pool, job));
+		g_free(key);
+		g_free(record);
+	}
+}
+
+/* Makes the job's progress record; one that is too large is stored in ranges. */
+static char *progress_record(struct pool *pool, struct job *job, size_t *len)
+{
+	char *record = job_progress_record(job, len);
+
+	if (!job_must_use_ranges(job, *len + JOB_KEY_BYTES,
+				 pool->env->record_bytes))
+		return record;
+	log_info("job-in-ranges id=%s bytes=%zu ranges=%u", job->id, *len,
+		 job_range_count(job));
+	g_free(record);
+	job_use_ranges(job);
+	return job_progress_record(job, len);
+}
+
 static void store_job(struct pool *pool, struct job *job)
 {
 	char key[JOB_ID_BYTES + 2];
-	struct pending_write *pending = pending_write_new(pool);
+	struct pending_write *pending;
 	struct job_pos pos = { .job = job };
 
-	pending->number = ++job->record_count;
-	g_strlcpy(pending->id, job->id, sizeof(pending->id));
-	pending->record = job_progress_record(job, &pending->len);
+	job->record_count++;
+	pending = pending_record_new(pool, job);
+	pending->record = progress_record(pool, job, &pending->len);
+	/* A job that is done has no task left to know of. */
+	if (job->in_ranges && job->state != JOB_DONE)
+		store_ranges(pool, job);
 	job->dirty = false;
 	while (job_next_task(&pos)) {
 		if (pos.task->state != TASK_PLACED ||
@@ -137,13 +260,13 @@
 		if (!pool_is_own_job(pool, job))
 			continue;
 		job_refresh(job);
-		if (!job->dirty)
+		if (!job->dirty || pool_now_ms(pool) < job->store_after_ms)
 			continue;
 		if (job_ended(job->state))
 			pool_unplaced_add_job(pool, job);
 		store_job(pool, job);
 	}
-	for (guint i = 0; i < workers->list->len; i++) {
+	for (guint i = 0; !pool->refused_jobs && i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
 		struct pending_write *pending;
 
@@ -169,6 +292,23 @@
 	writer_add(pool_writer(pool), key, NULL, 0, NULL, NULL);
 }
 
+/* Before the job's progress: without that, its tasks would count as waiting. */
+static void delete_ranges(struct pool *pool, const struct job *job)
+{
+	GHashTableIter iter;
+	void *number;
+
+	if (!job->ranges)
+		return;
+	g_hash_table_iter_init(&iter, job->ranges);
+	while (g_hash_table_iter_next(&iter, &number, NULL)) {
+		char *key = range_key(job, GPOINTER_TO_UINT(number));
+
+		writer_add(pool_writer(pool), key, NULL, 0, NULL, NULL);
+		g_free(key);
+	}
+}
+
 static void delete_published(struct pool *pool, const char *id)
 {
 	char key[JOB_ID_BYTES + 2];
@@ -193,6 +333,7 @@
 		    now_ms - job->ended_ms < pool->env->job_retention_ms)
 			continue;
 		job->deleting = true;
+		delete_ranges(pool, job);
 		delete_record(pool, 'p', job->id);
 		delete_record(pool, 'c', job->id);
 		delete_record(pool, 'j', job->id);
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1358,6 +1358,7 @@
 	node->settings.group_parts = NODECONF_GROUP_PARTS;
 	node->settings.lease_max_ms = 6000;
 	node->settings.order_lease_ms = 3000;
+	node->settings.log_record_bytes = LOG_MODEL_RECORD_BYTES;
 	node->settings.job_keep_ms = 3600 * 1000;
 	node->node = node_create(&config);
 	node->alive = true;
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -7,6 +7,7 @@
 #include <check.h>
 
 #include "log.h"
+#include "nodeconf.h"
 #include "pool_fixture.h"
 #include "pool_int.h"
 #include "suite.h"
@@ -74,6 +75,7 @@
 		.jobs = fixture.jobs,
 		.workers = fixture.workers,
 		.cfg = (const struct cfg *const *)&fixture.cfg,
+		.record_bytes = NODECONF_RECORD_BYTES,
 		.lease_ms = LEASE_MS,
 		.membership_ms = MEMBERSHIP_MS,
 		.disconnected_ms = DISCONNECTED_MS,
--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -11,6 +11,7 @@
 
 #include "front.h"
 #include "log.h"
+#include "nodeconf.h"
 #include "pool_fixture.h"
 #include "pool_int.h"
 #include "suite.h"
@@ -159,6 +160,7 @@
 		.index = states,
 		.publisher = create_writer(),
 		.cfg = (const struct cfg *const *)&fixture.cfg,
+		.record_bytes = NODECONF_RECORD_BYTES,
 		.lease_ms = LEASE_MS,
 		.max_stream_age_ms = MAX_AGE_MS,
 	};
@@ -260,6 +262,7 @@
 	struct err err = { .kind = ERR_OK };
 	struct backlogs backlogs;
 	struct front_env front_env = {
+		.record_bytes = NODECONF_RECORD_BYTES,
 		.clk = &clk,
 		.cfg = (const struct cfg *const *)&fixture.cfg,
 		.layout = &layout,
