--- a/Makefile
+++ b/Makefile
@@ -111,7 +111,7 @@
 	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
 	$(BUILD)/test_acceptance $(BUILD)/test_moves $(BUILD)/test_unanswered \
 	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
-	$(BUILD)/test_large_jobs
+	$(BUILD)/test_large_jobs $(BUILD)/test_terms
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
@@ -121,7 +121,7 @@
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
-POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
+POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
 	$(BUILD)/test_room $(BUILD)/test_index $(BUILD)/test_stream_age
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -14,17 +14,26 @@
 
 enum { CFG_HOST_BYTES = 256, CFG_PREFIX_BYTES = 512 };
 
-struct cfg_queue {
-	char name[LIMIT_NAME_BYTES];
-	char http_host[CFG_HOST_BYTES]; /* HTTP host of its requests */
-	char prefix[CFG_PREFIX_BYTES];	/* of the path of its requests */
-	char pool[LIMIT_NAME_BYTES];
+/* Times it, the longest path of a job is a time within 64 bits. */
+#define CFG_MAX_STRETCH 1e6
+
+/* What a job of a queue is accepted under; stored with the job. */
+struct cfg_terms {
 	int32_t priority; /* 0 is the highest */
-	int32_t attempts; /* failed runs of a task after which the job fails */
+	/* Failed runs of a task after which the job fails; 0: not known. */
+	int32_t attempts;
 	/* A job's objective: slack_ms plus stretch times the estimate of its
 	   longest chain of steps. */
 	double stretch;
 	int64_t slack_ms;
+};
+
+struct cfg_queue {
+	char name[LIMIT_NAME_BYTES];
+	char http_host[CFG_HOST_BYTES]; /* HTTP host of its requests */
+	char prefix[CFG_PREFIX_BYTES];	/* of the path of its requests */
+	char pool[LIMIT_NAME_BYTES];
+	struct cfg_terms terms;
 	bool needs_ticket; /* starts need a ticket of the advice service */
 };
 
--- a/src/front.c
+++ b/src/front.c
@@ -261,6 +261,7 @@
 			  const struct job_spec *spec)
 {
 	struct front_env *env = front->env;
+	const struct cfg_terms *terms = &request->queue->terms;
 	struct job candidate = {
 		.spec = *spec,
 		.hash = rnd_hash_name(request->id),
@@ -277,8 +278,8 @@
 
 	if (spec->steps[0].long_running || spec->repeat_count > 0)
 		return false;
-	objective_ms = request->queue->slack_ms +
-		       (int64_t)(request->queue->stretch * (double)chain_ms);
+	objective_ms =
+		terms->slack_ms + (int64_t)(terms->stretch * (double)chain_ms);
 
 	backlog_ms = delay_ms(front, &share, wall_ms, wall_ms + objective_ms);
 	late = backlog_ms + chain_ms >
@@ -393,9 +394,8 @@
 		return;
 	}
 	job_spec_clear(&spec);
-	record = job_submission_record(
-		request->queue->name, request->queue->pool,
-		clk_wall_ms(env->clk), request->body, request->len, &len);
+	record = job_submission_record(request->queue, clk_wall_ms(env->clk),
+				       request->body, request->len, &len);
 	if (len + JOB_KEY_BYTES > env->record_bytes) {
 		err_set(&err, ERR_TOO_LARGE,
 			"the job has %zu bytes, the log takes %zu", len,
--- a/src/job.c
+++ b/src/job.c
@@ -200,6 +200,19 @@
 	return 0;
 }
 
+struct cfg_terms job_terms(const struct job *job, const struct cfg *cfg)
+{
+	const struct cfg_queue *queue;
+
+	if (job->terms.attempts)
+		return job->terms;
+	queue = cfg_queue_find(cfg, job->queue);
+	if (queue)
+		return queue->terms;
+	/* That nothing is known is no reason to let it fail. */
+	return (struct cfg_terms){ .attempts = INT32_MAX, .stretch = 1 };
+}
+
 void job_apply_cancel(struct job_store *store, const char *id)
 {
 	struct job *job = find_or_create_job(store, id);
--- a/src/job.h
+++ b/src/job.h
@@ -17,6 +17,7 @@
 
 #include <glib.h>
 
+#include "cfg.h"
 #include "err.h"
 #include "limit.h"
 
@@ -141,6 +142,8 @@
 	char queue[LIMIT_NAME_BYTES];
 	/* Set at submission; not changed if the queue moves to another pool. */
 	char pool[LIMIT_NAME_BYTES];
+	/* Likewise; not known of jobs that an older build has accepted. */
+	struct cfg_terms terms;
 	bool has_spec;
 	bool cancel_requested;
 	bool deleting;		     /* its records are being deleted */
@@ -219,6 +222,14 @@
 			 int64_t offset, const char *record, size_t len,
 			 struct err *err);
 
+/*
+ * job_terms - what the job was accepted under
+ *
+ * Of a job that was stored without, what cfg says of its queue, which may not be
+ * there any more.
+ */
+struct cfg_terms job_terms(const struct job *job, const struct cfg *cfg);
+
 /* job_apply_cancel - apply the record that requests cancellation */
 void job_apply_cancel(struct job_store *store, const char *id);
 
@@ -262,9 +273,8 @@
 void job_load_tasks(struct job *job);
 
 /* job_submission_record, job_progress_record - encode a record; free with g_free */
-char *job_submission_record(const char *queue, const char *pool,
-			    int64_t wall_ms, const char *body, size_t body_len,
-			    size_t *len);
+char *job_submission_record(const struct cfg_queue *queue, int64_t wall_ms,
+			    const char *body, size_t body_len, size_t *len);
 char *job_progress_record(const struct job *job, size_t *len);
 
 /*
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -7,8 +7,8 @@
 #include "jcursor.h"
 
 /*
- * A submission is a line of JSON with queue, pool and time, then the body as
- * the caller sent it. A progress record is {"state", "parts"}; a part is
+ * A submission is a line of JSON with queue, pool, time and the queue's terms,
+ * then the body as the caller sent it. A progress record is {"state", "parts"}; a part is
  * [occurrence, step, done, tasks] with one hexadecimal digit for each four
  * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
  * for each other task that has been started. A job whose progress does not fit one
@@ -22,18 +22,27 @@
  * on, or its tag.
  */
 
-char *job_submission_record(const char *queue, const char *pool,
-			    int64_t wall_ms, const char *body, size_t body_len,
-			    size_t *len)
+static void put_terms(struct json_object *head, const struct cfg_terms *terms)
+{
+	jcursor_put_int(head, "priority", terms->priority);
+	jcursor_put_int(head, "attempts", terms->attempts);
+	jcursor_put_int(head, "slack_ms", terms->slack_ms);
+	json_object_object_add(head, "stretch",
+			       json_object_new_double(terms->stretch));
+}
+
+char *job_submission_record(const struct cfg_queue *queue, int64_t wall_ms,
+			    const char *body, size_t body_len, size_t *len)
 {
 	struct json_object *head = json_object_new_object();
 	const char *text;
 	char *record;
 	size_t head_len;
 
-	jcursor_put_string(head, "queue", queue);
-	jcursor_put_string(head, "pool", pool);
+	jcursor_put_string(head, "queue", queue->name);
+	jcursor_put_string(head, "pool", queue->pool);
 	jcursor_put_int(head, "at", wall_ms);
+	put_terms(head, &queue->terms);
 	text = json_object_to_json_string_ext(head, JSON_C_TO_STRING_PLAIN);
 	head_len = strlen(text);
 	*len = head_len + 1 + body_len;
@@ -45,6 +54,20 @@
 	return record;
 }
 
+/* Records of older builds have no terms. */
+static void read_terms(struct cfg_terms *terms, const struct jcursor *root)
+{
+	struct jcursor item = jcursor_member(root, "priority");
+
+	terms->priority = (int32_t)jcursor_int(&item, INT32_MIN, INT32_MAX, 0);
+	item = jcursor_member(root, "attempts");
+	terms->attempts = (int32_t)jcursor_int(&item, 0, INT32_MAX, 0);
+	item = jcursor_member(root, "slack_ms");
+	terms->slack_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, 0);
+	item = jcursor_member(root, "stretch");
+	terms->stretch = jcursor_double(&item, 0, CFG_MAX_STRETCH, 1);
+}
+
 int job_read_head(struct job *job, const char *head, size_t len,
 		  struct err *err)
 {
@@ -60,6 +83,7 @@
 		jcursor_name(&item, job->pool, sizeof(job->pool));
 		item = jcursor_member(&root, "at");
 		job->accepted_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, -1);
+		read_terms(&job->terms, &root);
 	}
 	json_object_put(value);
 	return parse_err.kind == ERR_OK
--- a/src/place.c
+++ b/src/place.c
@@ -14,12 +14,10 @@
 
 int64_t place_target_ms(const struct cfg *cfg, const struct job *job)
 {
-	const struct cfg_queue *queue = cfg_queue_find(cfg, job->queue);
-	double stretch = queue ? queue->stretch : 1;
-	int64_t slack_ms = queue ? queue->slack_ms : 0;
+	struct cfg_terms terms = job_terms(job, cfg);
 
-	return job->accepted_ms + slack_ms +
-	       (int64_t)(stretch * (double)job_critical_path_ms(job));
+	return job->accepted_ms + terms.slack_ms +
+	       (int64_t)(terms.stretch * (double)job_critical_path_ms(job));
 }
 
 bool place_usable_if_leaving(const struct place *place,
@@ -463,7 +461,7 @@
 static void add_candidates(const struct place *place, struct job *job,
 			   GArray *out)
 {
-	const struct cfg_queue *queue = cfg_queue_find(place->cfg, job->queue);
+	int32_t priority = job_terms(job, place->cfg).priority;
 
 	for (uint32_t k = 0; k < job->occurrences; k++) {
 		if (job_due_ms(job, k) > place->wall_ms)
@@ -473,7 +471,7 @@
 				.job = job,
 				.occurrence = k,
 				.step = s,
-				.priority = queue ? queue->priority : 0,
+				.priority = priority,
 			};
 
 			if (!has_startable(place, job, k, s) ||
--- a/src/pool.c
+++ b/src/pool.c
@@ -38,14 +38,6 @@
 	return CLAMP(left_ms, 0, lease_ms);
 }
 
-int32_t pool_max_attempts(const struct pool *pool, const struct job *job)
-{
-	const struct cfg_queue *queue =
-		cfg_queue_find(*pool->env->cfg, job->queue);
-
-	return queue && queue->attempts > 0 ? queue->attempts : 1;
-}
-
 bool pool_is_own_job(const struct pool *pool, const struct job *job)
 {
 	return job->has_spec && share_has_job(&pool->share, job);
@@ -162,7 +154,8 @@
 		counts->runs_failed++;
 	else
 		counts->runs_lost++;
-	job_end_run(pos, how, checkpoint, pool_max_attempts(pool, pos->job));
+	job_end_run(pos, how, checkpoint,
+		    job_terms(pos->job, *pool->env->cfg).attempts);
 }
 
 void pool_hold_retry(struct pool *pool, struct job_pos *pos, int32_t times,
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -80,9 +80,6 @@
 /* pool_delete_expired_jobs - delete the records of jobs that ended long ago */
 void pool_delete_expired_jobs(struct pool *pool, int64_t now_ms);
 
-/* pool_max_attempts - failed runs of a task after which its job fails */
-int32_t pool_max_attempts(const struct pool *pool, const struct job *job);
-
 /*
  * pool_hold_retry - keep a task from being placed again for some time
  *
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -422,10 +422,15 @@
 		   const char *pool)
 {
 	static int64_t offset;
+	struct cfg_queue accepted = { 0 };
 	struct err err = { .kind = ERR_OK };
 	size_t len;
-	char *record = job_submission_record(queue, pool, start_ms, ten_tasks,
-					     strlen(ten_tasks), &len);
+	char *record;
+
+	g_strlcpy(accepted.name, queue, sizeof(accepted.name));
+	g_strlcpy(accepted.pool, pool, sizeof(accepted.pool));
+	record = job_submission_record(&accepted, start_ms, ten_tasks,
+				       strlen(ten_tasks), &len);
 
 	job_apply_submission(fleet->jobs, id, offset++, record, len, &err);
 	g_free(record);
