Read names of queues and pools back as they were stored

Callers saw jobs of a queue with a colon in its name answered 200, shown as failed and never run; with a name of 64 bytes or more, nodes refused the whole configuration (found by the review, no case of it).

Cause: the decoder of the configuration takes any name, while the record of a submission was read back as a name of letters, digits, '.', '_' and '-' only, and a queue's name was held in 64 bytes.

Evidence: names_of_any_characters_are_read_back in tests/test_terms.c fails without this ("job->has_spec").

Why this works: what is stored is read back as it is; 255 bytes fit a queue's name in all places. A pool's name may still have 63 bytes.

--- a/src/cfg.h
+++ b/src/cfg.h
@@ -12,7 +12,12 @@
 
 #include "limit.h"
 
-enum { CFG_HOST_BYTES = 256, CFG_PREFIX_BYTES = 512 };
+enum {
+	/* Of a queue; any text that is not empty. */
+	CFG_QUEUE_NAME_BYTES = 256,
+	CFG_HOST_BYTES = 256,
+	CFG_PREFIX_BYTES = 512
+};
 
 /* Times it, the longest path of a job is a time within 64 bits. */
 #define CFG_MAX_STRETCH 1e6
@@ -29,7 +34,7 @@
 };
 
 struct cfg_queue {
-	char name[LIMIT_NAME_BYTES];
+	char name[CFG_QUEUE_NAME_BYTES];
 	char http_host[CFG_HOST_BYTES]; /* HTTP host of its requests */
 	char prefix[CFG_PREFIX_BYTES];	/* of the path of its requests */
 	char pool[LIMIT_NAME_BYTES];
--- a/src/front.c
+++ b/src/front.c
@@ -25,7 +25,7 @@
 	struct front *front;
 	struct front_request request;
 	/* A copy, as the configuration may change before the answer. */
-	char queue[LIMIT_NAME_BYTES];
+	char queue[CFG_QUEUE_NAME_BYTES];
 	int64_t start_ms;
 	struct writer
 		*writer; /* of the record awaited; NULL: waits for a read */
--- a/src/index.c
+++ b/src/index.c
@@ -71,7 +71,7 @@
 		size_t len, struct err *err)
 {
 	struct index_entry *entry = g_hash_table_lookup(index->entries, id);
-	char queue[LIMIT_NAME_BYTES];
+	char queue[CFG_QUEUE_NAME_BYTES];
 	enum index_state state;
 
 	if (len < 2 || value[1] != ' ' || len - 2 >= sizeof(queue) ||
--- a/src/job.h
+++ b/src/job.h
@@ -139,7 +139,7 @@
 struct job {
 	char id[JOB_ID_BYTES];
 	uint32_t hash; /* of the id */
-	char queue[LIMIT_NAME_BYTES];
+	char queue[CFG_QUEUE_NAME_BYTES];
 	/* Set at submission; not changed if the queue moves to another pool. */
 	char pool[LIMIT_NAME_BYTES];
 	/* Likewise; not known of jobs that an older build has accepted. */
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -78,9 +78,9 @@
 
 	if (value) {
 		item = jcursor_member(&root, "queue");
-		jcursor_name(&item, job->queue, sizeof(job->queue));
+		jcursor_string(&item, job->queue, sizeof(job->queue), NULL);
 		item = jcursor_member(&root, "pool");
-		jcursor_name(&item, job->pool, sizeof(job->pool));
+		jcursor_string(&item, job->pool, sizeof(job->pool), NULL);
 		item = jcursor_member(&root, "at");
 		job->accepted_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, -1);
 		read_terms(&job->terms, &root);
--- a/tests/test_terms.c
+++ b/tests/test_terms.c
@@ -12,10 +12,12 @@
 #include <check.h>
 
 #include "fleet_sim.h"
+#include "index.h"
 #include "log.h"
 #include "place.h"
 #include "pool_fixture.h"
 #include "suite.h"
+#include "wire.h"
 
 enum {
 	FIRST_SEED = 1700,
@@ -31,6 +33,9 @@
 };
 
 #define ID "00000000000000a1"
+#define LONG_NAME                                                              \
+	"a-queue-whose-name-has-seventy-bytes-as-an-operator-may-well-name-"   \
+	"it-x"
 
 static const char without_queue[] =
 	"{\"version\":2,\"routes\":[],\"services\":[{\"name\":\"pool\","
@@ -101,14 +106,17 @@
 END_TEST
 
 static struct pool_fixture fixture;
+static struct index *names_index;
 
 static void setup(void)
 {
 	pool_fixture_setup(&fixture);
+	names_index = index_create();
 }
 
 static void teardown(void)
 {
+	index_destroy(names_index);
 	pool_fixture_teardown(&fixture);
 }
 
@@ -163,6 +171,47 @@
 }
 END_TEST
 
+/* A queue or pool with a name of any characters let its jobs fail, and a queue with
+   a long name let the whole configuration be refused. */
+START_TEST(names_of_any_characters_are_read_back)
+{
+	static const char *const names[] = { "landings:tally-check",
+					     "a b/c?d&e=%", "fa\\u00e9\\\"\\\\",
+					     LONG_NAME };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		struct cfg_queue *queue = &fixture.cfg->queues[0];
+		struct err err = { .kind = ERR_OK };
+		struct cfg *cfg = NULL;
+		struct job *job;
+		char id[JOB_ID_BYTES];
+		char *state, *text;
+
+		text = g_strdup_printf("{\"version\":1,\"routes\":[{\"name\":"
+				       "\"%s\",\"host\":\"h\",\"prefix\":"
+				       "\"/q/\",\"service\":\"p:q r\"}]}",
+				       names[i]);
+		ck_assert_int_eq(
+			wire_decode_cfg(text, strlen(text), &cfg, &err), 0);
+		*queue = cfg->queues[0];
+		snprintf(id, sizeof(id), "%016zx", i + 1);
+		job = pool_fixture_submit(&fixture, id, body);
+		ck_assert(job->has_spec);
+		ck_assert_str_eq(job->queue, queue->name);
+		ck_assert_str_eq(job->pool, "p:q r");
+		state = index_record(INDEX_QUEUED, queue->name);
+		ck_assert_int_eq(index_apply(names_index, id, state,
+					     strlen(state), &err),
+				 0);
+		ck_assert_int_eq(index_count_waiting(names_index, queue->name),
+				 1);
+		g_free(state);
+		g_free(text);
+		cfg_destroy(cfg);
+	}
+}
+END_TEST
+
 static TCase *record_cases(void)
 {
 	TCase *tcase = tcase_create("records");
@@ -170,6 +219,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, job_keeps_the_terms_of_its_acceptance);
 	tcase_add_test(tcase, record_of_the_older_layout_is_read);
+	tcase_add_test(tcase, names_of_any_characters_are_read_back);
 	return tcase;
 }
 
