Delete a job before its progress

Cause: the records of an ended job were deleted with its progress first. If an append ends between the two, and the owner is lost then, its successor reads a job without progress. Hundreds of ranges of a large job make such an end likely.

Evidence: job_is_deleted_before_its_progress in tests/test_large_jobs.c fails before (the offsets of the two), passes after. Why this works: what is left over in between is the progress of no job, which nobody runs.

--- a/src/pool_write.c
+++ b/src/pool_write.c
@@ -333,10 +333,11 @@
 		    now_ms - job->ended_ms < pool->env->job_retention_ms)
 			continue;
 		job->deleting = true;
+		/* The job before its progress: without that it would be new. */
 		delete_ranges(pool, job);
-		delete_record(pool, 'p', job->id);
-		delete_record(pool, 'c', job->id);
 		delete_record(pool, 'j', job->id);
+		delete_record(pool, 'c', job->id);
+		delete_record(pool, 'p', job->id);
 		delete_published(pool, job->id);
 	}
 }
--- a/tests/test_large_jobs.c
+++ b/tests/test_large_jobs.c
@@ -105,6 +105,41 @@
 	return count;
 }
 
+/* Offset of the tombstone of a job's record; -1: none. */
+static int64_t deleted_at(const struct sim *sim, char kind, const char *id)
+{
+	const struct log_topic *topic = log_model_topic(sim->log, "keyed.jobs");
+	char key[JOB_KEY_BYTES];
+
+	snprintf(key, sizeof(key), "%c:%s", kind, id);
+	for (guint i = 0; i < topic->records->len; i++) {
+		const struct log_record *record =
+			&g_array_index(topic->records, struct log_record, i);
+
+		if (!strcmp(record->key, key) && !record->value)
+			return i;
+	}
+	return -1;
+}
+
+/* A job without its progress would run again, if its owner were lost between two
+   appends that delete it. */
+START_TEST(job_is_deleted_before_its_progress)
+{
+	struct sim *sim = sim_create(FIRST_SEED, NODES, WORKERS);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_job(sim, 0, 1, 1);
+	sim_run_for(sim, SOON_MS);
+	check_done(sim, job);
+	sim_run_for(sim, sim->nodes[0].settings.job_keep_ms + END_MS);
+	ck_assert_int_ge(deleted_at(sim, 'j', job->id), 0);
+	ck_assert_int_lt(deleted_at(sim, 'j', job->id),
+			 deleted_at(sim, 'p', job->id));
+}
+END_TEST
+
 /* Records that nobody deletes would fill the log. */
 START_TEST(ranges_are_deleted_with_their_job)
 {
@@ -343,6 +378,7 @@
 	tcase_set_timeout(tcase, 300);
 	tcase_add_loop_test(tcase, large_job_holds_up_no_other, 0, SEEDS);
 	tcase_add_loop_test(tcase, large_job_survives_its_owner, 0, SEEDS);
+	tcase_add_test(tcase, job_is_deleted_before_its_progress);
 	tcase_add_test(tcase, ranges_are_deleted_with_their_job);
 	tcase_add_test(tcase, job_that_fits_no_record_is_refused_at_once);
 	suite_add_tcase(suite, tcase);
