--- a/src/job_record.c
+++ b/src/job_record.c
@@ -54,6 +54,17 @@
 	return record;
 }
 
+/* Reads a name that an operator has chosen, of any characters. */
+static void read_name(const struct jcursor *root, const char *key, char *out,
+		      size_t size)
+{
+	struct jcursor item = jcursor_member(root, key);
+
+	jcursor_string(&item, out, size, NULL);
+	if (item.err->kind == ERR_OK && !g_utf8_validate(out, -1, NULL))
+		jcursor_refuse(&item, "a name in UTF-8");
+}
+
 /* Records of older builds have no terms. */
 static void read_terms(struct cfg_terms *terms, const struct jcursor *root)
 {
@@ -77,10 +88,8 @@
 	struct jcursor item;
 
 	if (value) {
-		item = jcursor_member(&root, "queue");
-		jcursor_string(&item, job->queue, sizeof(job->queue), NULL);
-		item = jcursor_member(&root, "pool");
-		jcursor_string(&item, job->pool, sizeof(job->pool), NULL);
+		read_name(&root, "queue", job->queue, sizeof(job->queue));
+		read_name(&root, "pool", job->pool, sizeof(job->pool));
 		item = jcursor_member(&root, "at");
 		job->accepted_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, -1);
 		read_terms(&job->terms, &root);
