--- a/src/job_record.c
+++ b/src/job_record.c
@@ -8,18 +8,18 @@
 
 /*
  * A submission is a line of JSON with queue, pool, time and the queue's terms,
- * then the body as the caller sent it. A progress record is {"state", "parts"}; a part is
- * [occurrence, step, done, tasks] with one hexadecimal digit for each four
- * tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
- * for each other task that has been started. A job whose progress does not fit one
- * record has {"state", "range"}, with the number of tasks of a range, and its tasks
- * in records of their own, see job_range.c. "boots" has, for each task that is
+ * then the body as the caller sent it. A progress record is {"state", "parts"};
+ * a part is [occurrence, step, done, tasks] with one hexadecimal digit for each
+ * four tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
+ * for each other task that has been started. "boots" has, for each task that is
  * placed, in the order of the rows, the tag of the start of its worker, so that
  * the next owner sees a crash after which the worker is back. "crashes", if there
  * are any, has a row [occurrence, step, index, crashes, run, boot_ms, lapses] for
  * each task under which workers have crashed; run is the newest one under which
  * that was counted, and boot_ms the start of the worker that the task is placed
- * on, or its tag.
+ * on, or its tag. A job whose progress does not fit one record has {"state",
+ * "range"}, with the number of tasks of a range, and its tasks in records of
+ * their own, see job_range.c.
  */
 
 static void put_terms(struct json_object *head, const struct cfg_terms *terms)
