Test jobs in ranges beside lost owners and lost answers of the log

More crashes of workers were tried: the tasks are then started in quarantine, or given up, which other tests are for.

--- a/tests/test_large_jobs.c
+++ b/tests/test_large_jobs.c
@@ -31,9 +31,16 @@
 	END_MS = 30000,
 	DEADLINE_MS = 3000,
 	PLACED_TASKS = 600, /* more than JOB_WHOLE_TASKS */
-	FEW_TASKS = 100
+	FEW_TASKS = 100,
+	FAULT_SEEDS = 10,
+	FAULTS = 12,
+	FAULT_GAP_MS = 700,
+	LOST_PERCENT = 20,
+	LATE_PERCENT = 10
 };
 
+static int first_seed = FIRST_SEED;
+
 #define ID "00000000000000a1"
 
 static struct sim_job *submit_large(struct sim *sim)
@@ -87,6 +94,49 @@
 }
 END_TEST
 
+static void kill_or_start_node(struct sim *sim)
+{
+	int node = (int)rnd_below(&sim->rnd, NODES);
+
+	if (sim->nodes[node].alive)
+		sim_kill(sim, node);
+	else
+		sim_start(sim, node);
+}
+
+/* Owners that are lost while answers of the log are must not start a task of a job
+   in ranges twice, nor lose one. */
+START_TEST(job_in_ranges_survives_faults)
+{
+	uint64_t seed = (uint64_t)first_seed + (uint64_t)_i;
+	struct sim *sim = sim_create(seed, NODES, WORKERS);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	for (int i = 0; i < WORKERS; i++)
+		sim->workers[i].model.max_runs = PLACED_TASKS;
+	sim->task_cpu_milli = 1;
+	job = sim_submit_job(sim, 0, 2, PLACED_TASKS);
+	sim_run_for(sim, FAULT_GAP_MS);
+	sim->faults.lost_percent = LOST_PERCENT;
+	sim->faults.late_percent = LATE_PERCENT;
+	sim->faults.refused_percent = LOST_PERCENT;
+	sim->faults.order_lost_percent = LATE_PERCENT;
+	for (int i = 0; i < FAULTS; i++) {
+		kill_or_start_node(sim);
+		/* Once only: with more, its tasks would be in quarantine. */
+		if (i == FAULTS / 2)
+			sim_crash_worker(sim, 0);
+		sim_run_for(sim, FAULT_GAP_MS);
+	}
+	fleet_lift_faults(sim);
+	sim_run_for(sim, END_MS);
+	ck_assert_msg(!sim->broken[0], "seed %d: %s", (int)seed, sim->broken);
+	if (job->accepted)
+		ck_assert_int_eq(sim_get_job_state(sim, 0, job->id), JOB_DONE);
+}
+END_TEST
+
 static uint32_t count_kept(const struct sim *sim, const char *id)
 {
 	uint32_t count = 0;
@@ -372,12 +422,19 @@
 {
 	Suite *suite = suite_create("large jobs");
 	TCase *tcase = tcase_create("nodes");
+	/* For a search over more seeds, or one seed with its log. */
+	const char *from = getenv("PLANK_FIRST_SEED");
+	const char *count = getenv("PLANK_SEEDS");
 
+	if (from)
+		first_seed = atoi(from);
 	apr_initialize();
 	log_init("test_large_jobs", !getenv("PLANK_VERBOSE"));
 	tcase_set_timeout(tcase, 300);
 	tcase_add_loop_test(tcase, large_job_holds_up_no_other, 0, SEEDS);
 	tcase_add_loop_test(tcase, large_job_survives_its_owner, 0, SEEDS);
+	tcase_add_loop_test(tcase, job_in_ranges_survives_faults, 0,
+			    count ? atoi(count) : FAULT_SEEDS);
 	tcase_add_test(tcase, job_is_deleted_before_its_progress);
 	tcase_add_test(tcase, ranges_are_deleted_with_their_job);
 	tcase_add_test(tcase, job_that_fits_no_record_is_refused_at_once);
