Do not read a record beyond its end

Cause: g_strlcpy reads its source to a zero byte, also beyond the bytes that it copies, to return their number. The value of a record has none at its end; the same holds for a record of the index. How far it reads depends on what lies behind it in memory.

Evidence: records_are_not_read_beyond_their_end in tests/test_odd_entries.c puts a record at the end of readable memory: signal 11 before, passes after. The bytes are copied by their number now. Looked for elsewhere: the other calls of g_strlcpy have texts with a zero byte at their end.

--- a/src/index.c
+++ b/src/index.c
@@ -77,7 +77,8 @@
 	if (len < 2 || value[1] != ' ' || len - 2 >= sizeof(queue) ||
 	    !state_from_letter(value[0], &state))
 		return err_set(err, ERR_INVALID, "no state and queue");
-	g_strlcpy(queue, value + 2, len - 1);
+	memcpy(queue, value + 2, len - 2);
+	queue[len - 2] = '\0';
 	if (!entry) {
 		add_entry(index, id, state, queue);
 		return 0;
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -271,7 +271,8 @@
 	if (!end || (size_t)(end - start) >= sizeof(name))
 		return err_set(err, ERR_INVALID,
 			       "progress record has no state");
-	g_strlcpy(name, start, (size_t)(end - start) + 1);
+	memcpy(name, start, (size_t)(end - start));
+	name[end - start] = '\0';
 	if (!state_from_name(name, &job->stored_state))
 		return err_set(err, ERR_INVALID, "job state %s is unknown",
 			       name);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
 #include "fleet_text.h"
 #include "host_api.h"
 #include "host_plan.h"
+#include "index.h"
 #include "jcursor.h"
 #include "job.h"
 #include "node_int.h"
@@ -1351,6 +1353,41 @@
 }
 END_TEST
 
+/* Copies a record so that a read beyond its end fails. Never freed. */
+static const char *at_end_of_memory(const char *record, size_t len)
+{
+	size_t page = (size_t)sysconf(_SC_PAGESIZE);
+	char *pages = mmap(NULL, 2 * page, PROT_READ | PROT_WRITE,
+			   MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+
+	ck_assert_ptr_ne(pages, MAP_FAILED);
+	ck_assert_int_eq(mprotect(pages + page, page, PROT_NONE), 0);
+	return memcpy(pages + page - len, record, len);
+}
+
+/* Records have no zero byte at their end; a read beyond it ended the process. */
+START_TEST(records_are_not_read_beyond_their_end)
+{
+	static const char progress[] = "{\"state\":\"running\",\"parts\":[]}";
+	struct job_store *store = job_store_create(wire_decode_spec);
+	struct index *index = index_create();
+	struct err err = { .kind = ERR_OK };
+	size_t len = strlen(progress);
+
+	ck_assert_int_eq(job_apply_progress(store, JOB_ID, 1,
+					    at_end_of_memory(progress, len),
+					    len, false, &err),
+			 0);
+	ck_assert_int_eq(job_find(store, JOB_ID)->stored_state, JOB_RUNNING);
+	ck_assert_int_eq(index_apply(index, JOB_ID,
+				     at_end_of_memory("q cue", 5), 5, &err),
+			 0);
+	ck_assert_str_eq(index_find(index, JOB_ID)->queue, "cue");
+	index_destroy(index);
+	job_store_destroy(store);
+}
+END_TEST
+
 #define HEAD(terms) "{\"queue\":\"q\",\"pool\":\"p\",\"at\":1," terms "}"
 #define RESTART "\"work\":\"restart\",\"step\":\"asked\""
 
@@ -1459,6 +1496,7 @@
 	tcase_add_test(tcase, largest_accepted_numbers_do_not_overflow);
 	tcase_add_test(tcase, odd_progress_of_a_job_is_read_safely);
 	tcase_add_test(tcase, odd_records_of_nodes_are_refused);
+	tcase_add_test(tcase, records_are_not_read_beyond_their_end);
 	tcase_add_test(tcase, configurations_out_of_range_are_refused);
 	tcase_add_test(tcase, waves_out_of_range_are_refused);
 	tcase_add_test(tcase, a_page_continues_after_the_longest_key);
