Store a job's terms in fewer bytes

The terms took some 75 bytes of each submission, which all nodes that read the jobs read; as a list without names they take some 20.

--- a/src/job_record.c
+++ b/src/job_record.c
@@ -6,9 +6,11 @@
 #include "job_int.h"
 #include "jcursor.h"
 
+enum { JOB_NUMBER_BYTES = 32 }; /* text of a number */
+
 /*
- * A submission is a line of JSON with queue, pool, time and the queue's terms,
- * then the body as the caller sent it. A progress record is {"state", "parts"};
+ * A submission is a line of JSON with queue, pool, time and the queue's terms
+ * [priority, attempts, slack_ms, stretch], then the body as the caller sent it. A progress record is {"state", "parts"};
  * a part is [occurrence, step, done, tasks] with one hexadecimal digit for each
  * four tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
  * for each other task that has been started. "boots" has, for each task that is
@@ -22,13 +24,19 @@
  * their own, see job_range.c.
  */
 
+/* All nodes that read the jobs read them, so that they are kept short. */
 static void put_terms(struct json_object *head, const struct cfg_terms *terms)
 {
-	jcursor_put_int(head, "priority", terms->priority);
-	jcursor_put_int(head, "attempts", terms->attempts);
-	jcursor_put_int(head, "slack_ms", terms->slack_ms);
-	json_object_object_add(head, "stretch",
-			       json_object_new_double(terms->stretch));
+	struct json_object *row = json_object_new_array_ext(4);
+	char stretch[JOB_NUMBER_BYTES];
+
+	json_object_array_add(row, json_object_new_int(terms->priority));
+	json_object_array_add(row, json_object_new_int(terms->attempts));
+	json_object_array_add(row, json_object_new_int64(terms->slack_ms));
+	g_ascii_formatd(stretch, sizeof(stretch), "%.9g", terms->stretch);
+	json_object_array_add(
+		row, json_object_new_double_s(terms->stretch, stretch));
+	json_object_object_add(head, "terms", row);
 }
 
 char *job_submission_record(const struct cfg_queue *queue, int64_t wall_ms,
@@ -68,14 +76,23 @@
 /* Records of older builds have no terms. */
 static void read_terms(struct cfg_terms *terms, const struct jcursor *root)
 {
-	struct jcursor item = jcursor_member(root, "priority");
-
-	terms->priority = (int32_t)jcursor_int(&item, INT32_MIN, INT32_MAX, 0);
-	item = jcursor_member(root, "attempts");
-	terms->attempts = (int32_t)jcursor_int(&item, 0, INT32_MAX, 0);
-	item = jcursor_member(root, "slack_ms");
-	terms->slack_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, 0);
-	item = jcursor_member(root, "stretch");
+	struct jcursor row = jcursor_member(root, "terms");
+	struct jcursor item;
+
+	if (!row.value)
+		return;
+	if (jcursor_check_array(&row, 4) < 4) {
+		jcursor_refuse(&row, "a list of four");
+		return;
+	}
+	item = jcursor_item(&row, 0);
+	terms->priority =
+		(int32_t)jcursor_int(&item, INT32_MIN, INT32_MAX, INT64_MIN);
+	item = jcursor_item(&row, 1);
+	terms->attempts = (int32_t)jcursor_int(&item, 1, INT32_MAX, -1);
+	item = jcursor_item(&row, 2);
+	terms->slack_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, -1);
+	item = jcursor_item(&row, 3);
 	terms->stretch = jcursor_double(&item, 0, CFG_MAX_STRETCH, 1);
 }
 
--- a/src/pool_write.c
+++ b/src/pool_write.c
@@ -253,6 +253,7 @@
 {
 	struct job_store *jobs = pool->env->jobs;
 	struct worker_table *workers = pool->env->workers;
+	int64_t now_ms = pool_now_ms(pool);
 
 	for (guint i = 0; i < jobs->live->len; i++) {
 		struct job *job = jobs->live->pdata[i];
@@ -260,7 +261,7 @@
 		if (!pool_is_own_job(pool, job))
 			continue;
 		job_refresh(job);
-		if (!job->dirty || pool_now_ms(pool) < job->store_after_ms)
+		if (!job->dirty || now_ms < job->store_after_ms)
 			continue;
 		if (job_ended(job->state))
 			pool_unplaced_add_job(pool, job);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -1388,7 +1388,8 @@
 }
 END_TEST
 
-#define HEAD(terms) "{\"queue\":\"q\",\"pool\":\"p\",\"at\":1," terms "}"
+#define HEAD(terms)                                                            \
+	"{\"queue\":\"q\",\"pool\":\"p\",\"at\":1,\"terms\":" terms "}"
 #define RESTART "\"work\":\"restart\",\"step\":\"asked\""
 
 /* Guards against heads of submissions, plans and shares of another form. */
@@ -1408,14 +1409,18 @@
 		"{\"queue\":\"\xff\",\"pool\":\"p\",\"at\":1}",
 		"{\"queue\":\"q\",\"pool\":\"\xff\",\"at\":1}",
 		"{\"queue\":\"q\\u0000\",\"pool\":\"p\",\"at\":1}",
-		HEAD("\"attempts\":-1"),
-		HEAD("\"attempts\":2147483648"),
-		HEAD("\"attempts\":1.5"),
-		HEAD("\"priority\":\"0\""),
-		HEAD("\"priority\":2147483648"),
-		HEAD("\"slack_ms\":-1"),
-		HEAD("\"stretch\":-1"),
-		HEAD("\"stretch\":1e7"),
+		HEAD("5"),
+		HEAD("[0,4,0]"),
+		HEAD("[0,0,0,1]"),
+		HEAD("[0,-1,0,1]"),
+		HEAD("[0,2147483648,0,1]"),
+		HEAD("[0,1.5,0,1]"),
+		HEAD("[\"0\",1,0,1]"),
+		HEAD("[2147483648,1,0,1]"),
+		HEAD("[0,1,-1,1]"),
+		HEAD("[0,1,0,-1]"),
+		HEAD("[0,1,0,1e7]"),
+		HEAD("[0,1,0,1,0]"),
 	};
 	static const char *const plans[] = {
 		"",
