--- a/src/job_record.c
+++ b/src/job_record.c
@@ -50,7 +50,8 @@
 	jcursor_put_string(head, "queue", queue->name);
 	jcursor_put_string(head, "pool", queue->pool);
 	jcursor_put_int(head, "at", wall_ms);
-	put_terms(head, &queue->terms);
+	if (queue->terms.attempts)
+		put_terms(head, &queue->terms);
 	text = json_object_to_json_string_ext(head, JSON_C_TO_STRING_PLAIN);
 	head_len = strlen(text);
 	*len = head_len + 1 + body_len;
