Add failing tests: drained hosts that are not ordered keep their tasks away

The host is up and drained all the while.

The bound is the users': 6 s, and 3 s with room. The simulation now also reports two owners that order one host within the order lease, which its current users keep.

--- a/Makefile
+++ b/Makefile
@@ -110,6 +110,7 @@
 	$(BUILD)/test_suspects $(BUILD)/test_retry $(BUILD)/test_reassigned \
 	$(BUILD)/test_odd_entries $(BUILD)/test_cut $(BUILD)/test_reads \
 	$(BUILD)/test_acceptance $(BUILD)/test_moves $(BUILD)/test_unanswered \
+	$(BUILD)/test_moved_off \
 	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
 	$(BUILD)/test_large_jobs $(BUILD)/test_terms
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1122,12 +1122,26 @@
 		 1 + random_below(sim, random_below(sim, 10) ? 10 : 800));
 }
 
+/* Two owners must not order a host within the order lease. */
+static void check_host_order(struct sim *sim, const struct sim_worker *worker,
+			     int64_t fence)
+{
+	int64_t since_ms = sim->clk.manual_ms - worker->host_ordered_ms;
+
+	if (worker->host_fence && fence != worker->host_fence &&
+	    since_ms < sim->nodes[0].settings.order_lease_ms)
+		report_violation(sim, "two owners ordered a host at once",
+				 worker->entry.host);
+}
+
 static enum host_outcome apply_host_order(struct sim *sim,
 					  const struct event *event)
 {
 	struct sim_worker *worker = &sim->workers[event->worker];
 	bool move = event->work == HOST_MOVE;
 
+	check_host_order(sim, worker, event->fence);
+	worker->host_ordered_ms = sim->clk.manual_ms;
 	if (event->fence < worker->host_fence)
 		return HOST_FENCED;
 	worker->host_fence = event->fence;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -59,6 +59,7 @@
 	bool next_parked; /* the order moves it to the standby pool */
 	int64_t done_wave;
 	int64_t host_fence;
+	int64_t host_ordered_ms; /* of the last order, in simulated time */
 	struct worker_model model;
 };
 
