Test waits that begin anew with each owner

Callers saw long-running tasks away for 16 s after their worker had vanished, while nodes restarted in turn: each owner of the pool waits 6.7 s for leases from its own takeover. Drained hosts stayed unused for up to 10.9 s, as each owner of the hosts waits 4.5 s before its first order.

The simulation notes how far orders of two owners for a host are apart, and can let all runs succeed.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -739,7 +739,7 @@
 	struct model_run run = {
 		.run = event->run,
 		.remaining_ms = sim->task_ms + random_below(sim, TASK_MS),
-		.fails = random_below(sim, 100) < 2,
+		.fails = random_below(sim, 100) < 2 && !sim->runs_succeed,
 	};
 	enum order_outcome outcome;
 	char id[JOB_ID_BYTES];
@@ -1122,6 +1122,18 @@
 		 1 + random_below(sim, random_below(sim, 10) ? 10 : 800));
 }
 
+/* Notes how soon an order follows one of an earlier owner of the hosts. */
+static void note_host_order(struct sim *sim, struct sim_worker *worker,
+			    int64_t fence)
+{
+	int64_t apart_ms = sim->clk.manual_ms - worker->ordered_ms;
+
+	if (worker->ordered_ms && fence != worker->host_fence &&
+	    (!worker->orders_apart_ms || apart_ms < worker->orders_apart_ms))
+		worker->orders_apart_ms = MAX(apart_ms, 1);
+	worker->ordered_ms = sim->clk.manual_ms;
+}
+
 static enum host_outcome apply_host_order(struct sim *sim,
 					  const struct event *event)
 {
@@ -1130,6 +1142,7 @@
 
 	if (event->fence < worker->host_fence)
 		return HOST_FENCED;
+	note_host_order(sim, worker, event->fence);
 	worker->host_fence = event->fence;
 	if (move ? worker->parked == event->to_standby
 		 : worker->done_wave == event->wave)
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -59,6 +59,9 @@
 	bool next_parked; /* the order moves it to the standby pool */
 	int64_t done_wave;
 	int64_t host_fence;
+	int64_t ordered_ms; /* when an order last came; 0: none has */
+	/* Least time between orders of two owners; 0: no two have ordered. */
+	int64_t orders_apart_ms;
 	struct worker_model model;
 };
 
@@ -124,8 +127,9 @@
 	bool unguarded; /* workers execute starts beyond their capacity */
 	int32_t task_cpu_milli; /* of the tasks of jobs submitted from now on */
 	int32_t task_mem_mib;
-	bool gang;  /* the tasks of each of their steps are a gang */
-	bool fills; /* their tasks use the processor that others leave */
+	bool gang;	   /* the tasks of each of their steps are a gang */
+	bool fills;	   /* their tasks use the processor that others leave */
+	bool runs_succeed; /* else 2% of the runs fail at their end */
 	int32_t deadly_tasks; /* of the deadly jobs submitted from now on */
 	bool deadly_at_work;  /* those of a gang crash once it is complete */
 	bool hosts_obey; /* orders for hosts are carried out, else refused */
