--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -125,8 +125,9 @@
 	bool unguarded; /* workers execute starts beyond their capacity */
 	int32_t task_cpu_milli; /* of the tasks of jobs submitted from now on */
 	int32_t task_mem_mib;
-	bool gang;  /* the tasks of each of their steps are a gang */
-	bool fills; /* their tasks use the processor that others leave */
+	bool gang;	   /* the tasks of each of their steps are a gang */
+	bool fills;	   /* their tasks use the processor that others leave */
+	bool runs_succeed; /* else 2% of the runs fail at their end */
 	int32_t deadly_tasks; /* of the deadly jobs submitted from now on */
 	bool deadly_at_work;  /* those of a gang crash once it is complete */
 	bool hosts_obey; /* orders for hosts are carried out, else refused */
