--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -149,8 +149,8 @@
 	if (server->requests == 2)
 		shutdown(fd, SHUT_RDWR);
 	else
-		ck_assert_int_gt(
-			send(fd, answer, strlen(answer), MSG_NOSIGNAL), 0);
+		ck_assert_int_gt(send(fd, answer, strlen(answer), MSG_NOSIGNAL),
+				 0);
 }
 
 /* Each request arrives whole, as it is small. */
@@ -248,27 +248,13 @@
 }
 END_TEST
 
-/* See KNOWN-RED.txt. */
-static void run_known_red(void)
-{
-	Suite *suite = suite_create("calls that are repeated");
-	TCase *starts = tcase_create("starts");
-
-	tcase_add_test(starts,
-		       start_without_an_answer_is_not_taken_as_refused);
-	suite_add_tcase(suite, starts);
-	suite_run_known_red(
-		suite, "test_call: "
-		       "start_without_an_answer_is_not_taken_as_refused");
-}
-
 int main(void)
 {
 	Suite *suite = suite_create("call");
 	TCase *calls = tcase_create("calls");
 
 	tcase_add_test(calls, connections_to_one_address_are_bounded);
+	tcase_add_test(calls, start_without_an_answer_is_not_taken_as_refused);
 	suite_add_tcase(suite, calls);
-	run_known_red();
 	return suite_run(suite);
 }
