Show an owner that returns and orders old placements, known red (TWICE)

An owner is cut off from the log with stored placements that it has not ordered, on workers that its successor cannot reach. The successor waits until all leases there are over, places the tasks anew and starts them. Then the other nodes end, and the owner reaches the log again: its join is answered with the same part, so that it never learns that it had lost it. It keeps its tenure, reads the stream to its end and sends the starts: two runs of a task at the same time.

--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -38,7 +38,12 @@
 	WAVE_DOWN = 4,
 	/* Hosts are about to be up again, and others are drained. */
 	WAVE_START_MS = 1400,
-	WAVE_S = 5
+	WAVE_S = 5,
+	LONG_TASK_MS = 8000,
+	RETURN_JOBS = 6,
+	INSIDE = 2, /* workers in the data centre of the owner */
+	ABSENT_MS = 10500,
+	MEMBERSHIP_MS = 1600
 };
 
 static guint count_runs(const struct sim *sim)
@@ -113,6 +118,39 @@
 }
 END_TEST
 
+/*
+ * Guards against two runs of a task at the same time after an owner that could
+ * not reach the log is given its pool back, while others have had it. It has stored
+ * placements that it has not ordered, on workers that its successor cannot reach.
+ */
+START_TEST(owner_that_returns_does_not_order_what_it_placed_before)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	int owner;
+
+	sim->task_ms = LONG_TASK_MS;
+	sim_run_for(sim, START_MS);
+	owner = fleet_owner(sim);
+	ck_assert_int_ge(owner, 0);
+	for (int i = 0; i < RETURN_JOBS; i++)
+		sim_submit_job(sim, (owner + 1) % 3, 1, WIDTH);
+	sim_run_for(sim, SUBMIT_MS);
+	for (int i = 0; i < sim->node_count; i++)
+		for (int j = 0; j < sim->worker_count; j++)
+			sim->nodes[i].cut_from_worker[j] =
+				(i == owner) != (j < INSIDE);
+	sim->nodes[owner].cut_from_log = true;
+	sim_run_for(sim, ABSENT_MS);
+	for (int i = 0; i < sim->node_count; i++)
+		if (i != owner)
+			sim_kill(sim, i);
+	sim_run_for(sim, MEMBERSHIP_MS);
+	sim->nodes[owner].cut_from_log = false;
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 static int hosts_owner(const struct sim *sim)
 {
 	for (int i = 0; i < sim->node_count; i++)
@@ -261,6 +299,22 @@
 			    "hosts_are_ordered_after_their_plans_are_stored");
 }
 
+/* See KNOWN-RED.txt. */
+static void run_known_red_returns(void)
+{
+	Suite *suite = suite_create("owners that return");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(
+		tcase, owner_that_returns_does_not_order_what_it_placed_before,
+		0, SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(
+		suite,
+		"owner_that_returns_does_not_order_what_it_placed_before");
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -279,5 +333,6 @@
 			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	run_known_red();
+	run_known_red_returns();
 	return suite_run(suite);
 }
