--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -985,17 +985,24 @@
 	answer_done(answer);
 }
 
-/* Reads a page of the newest records that continues after a key. */
-static struct answer read_newest(struct server *server, const char *after_key)
+/*
+ * Reads a page of the newest records that continues after a key, or if from is not
+ * negative the records from that offset on.
+ */
+static struct answer read_store(struct server *server, const char *after_key,
+				int64_t from)
 {
+	const struct stream_id id = { "keyed.servers", 0 };
 	struct evloop *evloop = evloop_create(clk_system());
 	struct call_client *client = call_client_create(evloop);
 	struct store *store = store_create(client, server->address);
 	const struct stream_io *io = store_io(store);
 	struct answer answer = { .evloop = evloop };
 
-	io->newest(io->io, (struct stream_id){ "keyed.servers", 0 }, after_key,
-		   on_batch, &answer);
+	if (from < 0)
+		io->newest(io->io, id, after_key, on_batch, &answer);
+	else
+		io->read(io->io, id, from, 0, on_batch, &answer);
 	evloop_run(evloop);
 	ck_assert(answer.done);
 	store_destroy(store);
@@ -1016,7 +1023,7 @@
 	char *escaped = repeat("%FF", KEY_MAX_BYTES);
 
 	server_start(&server, "{\"items\":[],\"more\":false,\"end\":3}");
-	ck_assert_int_eq(read_newest(&server, key).outcome, STREAM_OK);
+	ck_assert_int_eq(read_store(&server, key, -1).outcome, STREAM_OK);
 	server_stop(&server);
 	ck_assert_msg(strstr(server.request, escaped) != NULL, "%.300s",
 		      server.request);
@@ -1037,7 +1044,7 @@
 	struct answer answer;
 
 	server_start(&server, body);
-	answer = read_newest(&server, NULL);
+	answer = read_store(&server, NULL, -1);
 	server_stop(&server);
 	ck_assert_int_eq(answer.outcome, STREAM_OK);
 	ck_assert_uint_ge(answer.count, 3);
@@ -1046,6 +1053,27 @@
 }
 END_TEST
 
+/*
+ * Guards against records that are never read: they were deleted while a read waited
+ * for them, and its answer begins with the first offset that is left.
+ */
+START_TEST(records_deleted_during_a_read_are_not_passed_over)
+{
+	/* End and first offset, whose bytes are all 1. */
+	static const char body[] = "\1\1\1\1\1\1\1\1\1\1\1\1\1\1\1\1";
+	const int64_t first = 0x0101010101010101;
+	struct server server;
+
+	server_start(&server, body);
+	ck_assert_int_eq(read_store(&server, NULL, first - 1).outcome,
+			 STREAM_DELETED);
+	server_stop(&server);
+	server_start(&server, body);
+	ck_assert_int_eq(read_store(&server, NULL, first).outcome, STREAM_OK);
+	server_stop(&server);
+}
+END_TEST
+
 static struct answer list_hosts(const char *body)
 {
 	struct evloop *evloop = evloop_create(clk_system());
@@ -1506,6 +1534,8 @@
 	tcase_add_test(tcase, waves_out_of_range_are_refused);
 	tcase_add_test(tcase, a_page_continues_after_the_longest_key);
 	tcase_add_test(tcase, odd_items_of_a_page_hide_no_others);
+	tcase_add_test(tcase,
+		       records_deleted_during_a_read_are_not_passed_over);
 	tcase_add_test(tcase, odd_lists_of_hosts_are_refused);
 	tcase_add_test(tcase, calls_to_odd_addresses_end);
 	suite_add_tcase(suite, tcase);
