Count the age of what is read by pages from the first page

A record that replaces one of the first page while the next ones are read is delivered only by the read after the last page. The age counted from the start of the last page, so that a node that reloads the jobs of several pages took what the first one said for up to as much newer as the pages took: the bound on the age of the jobs, by which starts are held, did not hold then.

Found by reading. The age now counts from the start of the first page; the read after the last page brings it down at once.

--- a/src/tail.c
+++ b/src/tail.c
@@ -25,6 +25,7 @@
 	int64_t next;
 	int64_t due_ms;
 	int64_t read_start_ms;	  /* start of the read in progress */
+	int64_t load_start_ms;	  /* of the first page of newest records */
 	int64_t answered_read_ms; /* start of the last answered read */
 	int64_t read_bytes;	  /* keys and values delivered */
 	GArray *next_waiters;	  /* served by the next sync read */
@@ -143,6 +144,7 @@
 	note_success(tail);
 	if (tail->first_end < 0) {
 		tail->first_end = batch->end;
+		tail->load_start_ms = tail->read_start_ms;
 		if (tail->config.on_reload)
 			tail->config.on_reload(tail->config.arg);
 	}
@@ -157,7 +159,9 @@
 	}
 	tail->loaded = true;
 	tail->next = tail->first_end;
-	tail->answered_read_ms = tail->read_start_ms;
+	/* Pages are not a snapshot: records of the first may be outdated. */
+	tail->answered_read_ms =
+		MAX(tail->answered_read_ms, tail->load_start_ms);
 	if (tail->config.on_loaded)
 		tail->config.on_loaded(tail->config.arg);
 }
--- a/tests/test_tail.c
+++ b/tests/test_tail.c
@@ -158,6 +158,39 @@
 }
 END_TEST
 
+/*
+ * Pages are not a snapshot: a record that replaces one of the first page is read
+ * only after the last page, so that what is known is as old as the first page.
+ */
+START_TEST(age_counts_from_the_first_page)
+{
+	static const struct stream_record record = {
+		.key = "k",
+		.key_len = 1,
+		.value = "v",
+		.value_len = 1,
+	};
+	struct stream_batch page = {
+		.outcome = STREAM_OK,
+		.records = &record,
+		.count = 1,
+		.end = 10,
+		.more = true,
+	};
+	struct tail *tail = new_tail();
+
+	tail_tick(tail);
+	answer(answer_arg, &page);
+	clk.manual_ms += GAP_MS;
+	tail_tick(tail);
+	deliver(0, 11);
+	ck_assert(tail_loaded(tail));
+	ck_assert_int_eq(tail_next(tail), 10);
+	ck_assert_int_eq(tail_age_ms(tail), GAP_MS);
+	tail_destroy(tail);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("tail");
@@ -169,6 +202,7 @@
 	tcase_add_test(tcase, reads_go_on_at_once_when_behind);
 	tcase_add_test(tcase, reads_pause_without_progress);
 	tcase_add_test(tcase, page_without_records_is_not_the_last_one);
+	tcase_add_test(tcase, age_counts_from_the_first_page);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
