Decide no request by a configuration that was not confirmed recently

Callers got 404 for a route whose addition had been confirmed seconds ago, or an answer on one that had been dropped, wherever a node was late in reading the change. Nothing asked how old the configuration was that a node knew: a read whose answer is lost takes 2.3 s to time out, and a busy node's loop is late by itself.

A node now refuses with 503 and Retry-After unless a read of the operators' stream to its end that began within the last 1.8 s has been answered. The bound is below the 2 s of the strictest deployment, and a version confirmed before such a read began has been applied, whatever made the node late. So that lost answers cost no service, reads there wait 0.6 s instead of 1.5 s, and once the age exceeds 1.25 s a second read, which does not wait, is made beside the first. Refusals are logged with age and version and counted; configuration_age_ms is a gauge.

--- a/src/front.c
+++ b/src/front.c
@@ -458,6 +458,20 @@
 	fn(arg, &answer);
 }
 
+const struct cfg *front_cfg(struct front *front)
+{
+	struct front_env *env = front->env;
+	int64_t age_ms = tail_age_ms(env->operators_tail);
+
+	if (!*env->cfg || age_ms <= env->max_cfg_age_ms)
+		return *env->cfg;
+	env->counts.refused_old_cfg++;
+	log_info("refused why=configuration-age age_ms=%" G_GINT64_FORMAT
+		 " version=%" G_GINT64_FORMAT,
+		 age_ms, (*env->cfg)->version);
+	return NULL;
+}
+
 void front_request(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg)
 {
--- a/src/front.h
+++ b/src/front.h
@@ -63,6 +63,7 @@
 	int64_t submitted;
 	int64_t refused_overload;
 	int64_t refused_unavailable;
+	int64_t refused_old_cfg; /* by front_cfg */
 	int64_t refused_invalid;
 	int64_t undecided;
 	int64_t cancelled;
@@ -80,6 +81,9 @@
 	struct index *index;
 	const struct backlogs *backlogs; /* used if it has not */
 	struct tail *index_tail;
+	struct tail *operators_tail; /* has the configuration */
+	/* Older, it may have been replaced, and no request is decided by it. */
+	int64_t max_cfg_age_ms;
 	struct writer *index_writer;
 	struct writer *job_writers[SHARE_MAX_COUNT]; /* by part */
 	size_t record_bytes;	    /* most that a record of the log may have */
@@ -92,6 +96,15 @@
 struct front *front_create(struct front_env *env);
 void front_destroy(struct front *front);
 
+/*
+ * front_cfg - the configuration to decide a request by
+ *
+ * RETURN VALUE
+ *	NULL if none has been read yet, or if the log has not confirmed it
+ *	recently; the request is to be refused, to be sent again later.
+ */
+const struct cfg *front_cfg(struct front *front);
+
 /* front_request - process a request; fn is called once, maybe before it returns */
 void front_request(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg);
--- a/src/node.c
+++ b/src/node.c
@@ -13,6 +13,13 @@
 	/* How long a read of a stream may wait. */
 	NODE_FOLLOW_WAIT_MS = 1500,
 	NODE_JOBS_WAIT_MS = 1000,
+	/* The operators' stream is read so often that its age stays below the
+	   second figure while reads are answered; above, a read in progress is
+	   late. Nodes must follow a change within 2,000 ms in some deployments,
+	   so that an older configuration decides nothing. */
+	NODE_CFG_WAIT_MS = 600,
+	NODE_CFG_CONFIRM_MS = 2 * NODE_CFG_WAIT_MS + 50,
+	NODE_CFG_MAX_AGE_MS = 1800,
 	/* The log counts as reachable while the newest answered read began
 	   less than this ago. */
 	NODE_LOG_AGE_MS = 2 * NODE_FOLLOW_WAIT_MS + 500,
@@ -167,7 +174,8 @@
 					    free_pool);
 	node->operators_tail =
 		create_tail(node, config->streams.operators, 0,
-			    NODE_FOLLOW_WAIT_MS, node_on_operator_record, NULL);
+			    NODE_CFG_WAIT_MS, node_on_operator_record, NULL);
+	tail_set_confirm(node->operators_tail, NODE_CFG_CONFIRM_MS);
 	node->registry_tail =
 		create_tail(node, config->streams.workers, NODE_WORKERS_GAP_MS,
 			    NODE_FOLLOW_WAIT_MS, node_on_worker_record,
@@ -235,6 +243,8 @@
 		.index = node->index,
 		.backlogs = &node->backlogs,
 		.index_tail = node->index_tail,
+		.operators_tail = node->operators_tail,
+		.max_cfg_age_ms = NODE_CFG_MAX_AGE_MS,
 		.index_writer = node->index_writer,
 		.record_bytes = config->settings->log_record_bytes,
 	};
--- a/src/node_metrics.h
+++ b/src/node_metrics.h
@@ -18,6 +18,7 @@
 	int64_t tasks_waiting;
 	int64_t workers_listed;
 	int64_t cfg_version;
+	int64_t cfg_age_ms;
 	int64_t ready;
 	int64_t stream_age_ms;
 	int64_t index_age_ms;
--- a/src/node_view.c
+++ b/src/node_view.c
@@ -49,6 +49,7 @@
 		.jobs_live = node->jobs->live->len,
 		.tasks_waiting = count_waiting_tasks(node),
 		.cfg_version = node->cfg ? node->cfg->version : -1,
+		.cfg_age_ms = tail_age_ms(node->operators_tail),
 		.ready = node_ready(node),
 		.stream_age_ms = node_jobs_age_ms(node),
 		.index_age_ms = tail_age_ms(node->index_tail),
--- a/src/noded.c
+++ b/src/noded.c
@@ -264,8 +264,7 @@
 		host_api_create(noded->client, noded->settings.host_service);
 	config.hosts = host_api_io(noded->hosts);
 	noded->node = node_create(&config);
-	noded->ingress = ingress_create(node_front(noded->node), clk,
-					node_cfg(noded->node));
+	noded->ingress = ingress_create(node_front(noded->node), clk);
 	return open_listeners(noded);
 }
 
--- a/src/tail.c
+++ b/src/tail.c
@@ -26,6 +26,9 @@
 	int64_t due_ms;
 	int64_t read_start_ms;	  /* start of the read in progress */
 	int64_t load_start_ms;	  /* of the first page of newest records */
+	int64_t sync_start_ms;	  /* start of the last sync read */
+	int64_t sync_due_ms;	  /* no confirming read before */
+	int64_t confirm_ms;	  /* see tail_set_confirm */
 	int64_t answered_read_ms; /* start of the last answered read */
 	int64_t read_bytes;	  /* keys and values delivered */
 	GArray *next_waiters;	  /* served by the next sync read */
@@ -228,6 +231,12 @@
 		return;
 	tail->syncing = false;
 	complete = process_batch(tail, batch) && tail->next >= batch->end;
+	if (complete)
+		tail->answered_read_ms =
+			MAX(tail->answered_read_ms, tail->sync_start_ms);
+	else
+		tail->sync_due_ms =
+			clk_now_ms(tail->config.clk) + TAIL_RETRY_MS;
 	call_waiters(&tail->sync_waiters, complete);
 }
 
@@ -238,6 +247,7 @@
 	tail->sync_waiters = tail->next_waiters;
 	tail->next_waiters = empty;
 	tail->syncing = true;
+	tail->sync_start_ms = clk_now_ms(tail->config.clk);
 	tail->calls++;
 	tail->config.io->read(tail->config.io->io, tail->config.id, tail->next,
 			      0, on_sync, tail);
@@ -257,13 +267,22 @@
 		start_sync(tail);
 }
 
+/* Whether the read in progress is late, so that another is to replace it. */
+static bool confirmation_due(const struct tail *tail, int64_t now_ms)
+{
+	return tail->confirm_ms && tail->loaded &&
+	       now_ms >= tail->sync_due_ms &&
+	       now_ms - tail->answered_read_ms > tail->confirm_ms;
+}
+
 void tail_tick(struct tail *tail)
 {
 	int64_t now_ms = clk_now_ms(tail->config.clk);
 
 	if (tail->stopped || tail->draining)
 		return;
-	if (tail->next_waiters->len && !tail->syncing)
+	if (!tail->syncing &&
+	    (tail->next_waiters->len || confirmation_due(tail, now_ms)))
 		start_sync(tail);
 	if (tail->loading || tail->polling || now_ms < tail->due_ms)
 		return;
@@ -319,6 +338,11 @@
 	return tail->read_bytes;
 }
 
+void tail_set_confirm(struct tail *tail, int64_t confirm_ms)
+{
+	tail->confirm_ms = confirm_ms;
+}
+
 void tail_set_gap(struct tail *tail, int64_t gap_ms)
 {
 	tail->config.gap_ms = gap_ms;
--- a/src/tail.h
+++ b/src/tail.h
@@ -48,12 +48,23 @@
 /* tail_next - offset that the next read starts from; -1: not loaded */
 int64_t tail_next(const struct tail *tail);
 
-/* tail_age_ms - time since the start of the last read that was answered */
+/*
+ * tail_age_ms - time since the start of the last read to the end of the stream
+ * that was answered; what was stored before that start has been delivered
+ */
 int64_t tail_age_ms(const struct tail *tail);
 
 /* tail_read_bytes - keys and values delivered so far */
 int64_t tail_read_bytes(const struct tail *tail);
 
+/*
+ * tail_set_confirm - confirm what is known once its age exceeds confirm_ms
+ *
+ * A read that does not wait is then made beside the one in progress, whose answer
+ * may be lost. 0, as initially: never.
+ */
+void tail_set_confirm(struct tail *tail, int64_t confirm_ms);
+
 /* tail_set_gap - change the pause between two reads */
 void tail_set_gap(struct tail *tail, int64_t gap_ms);
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -70,6 +70,9 @@
 	bool cut_from_log;
 	bool log_answers_lost; /* the log executes its calls, unanswered */
 	bool cut_from_host_list;
+	/* So many of its next reads of this topic get no answer; -1: all. */
+	const char *unanswered_topic;
+	int unanswered_reads;
 	int64_t disrupted_ms; /* when it was last out of touch with the log */
 	int job_pages;	    /* pages of newest records of jobs that it awaits */
 	int most_job_pages; /* at the same time */
@@ -251,6 +254,8 @@
 void sim_restart_worker(struct sim *sim, int worker);
 /* sim_set_configuration - store the configuration; guarded: of the workers */
 void sim_set_configuration(struct sim *sim, bool guarded);
+/* sim_put_version - store another version of the configuration */
+void sim_put_version(struct sim *sim, int64_t version);
 /* sim_replace_worker - start another worker, with an id of its own, on its host */
 void sim_replace_worker(struct sim *sim, int worker);
 /* sim_set_worker_listed - add the worker's entry to the registry or delete it */
