--- a/src/sizing.c
+++ b/src/sizing.c
@@ -1,7 +1,5 @@
 #include "sizing.h"
 
-#include <string.h>
-
 #include <glib.h>
 
 enum {
@@ -16,9 +14,8 @@
 	/* Spare hosts of a pool for the first tasks when demand shifts. */
 	SIZING_SPARE_HOSTS = 1,
 	SIZING_SPARE_PERCENT = 2,
-	/* Interval between samples of demand. A rise is measured over the last
-	   SIZING_SAMPLES of them, so that it shows soon, whenever it begins. */
-	SIZING_SAMPLE_MS = 200,
+	/* Interval between the samples that show a rise of demand. */
+	SIZING_SAMPLE_MS = 800,
 	/* Time to drain and move a host, over which a rise is extrapolated. */
 	SIZING_MOVE_MS = 2200,
 	/* A move to standby saves cost only if the surplus lasts. */
@@ -204,26 +201,6 @@
 		pool->unfit_since_ms = now_ms;
 }
 
-static void observe_rise(struct sizing_pool *pool, int64_t now_ms)
-{
-	const struct sizing_sample *oldest = &pool->samples[0];
-	int64_t rise_milli = pool->demand_milli - oldest->demand_milli;
-
-	if (now_ms - pool->sample_ms < SIZING_SAMPLE_MS)
-		return;
-	pool->rise_milli =
-		rise_milli > 0 && oldest->at_ms
-			? rise_milli * SIZING_MOVE_MS / (now_ms - oldest->at_ms)
-			: 0;
-	memmove(&pool->samples[0], &pool->samples[1],
-		sizeof(pool->samples) - sizeof(pool->samples[0]));
-	pool->samples[SIZING_SAMPLES - 1] = (struct sizing_sample){
-		.at_ms = now_ms,
-		.demand_milli = pool->demand_milli,
-	};
-	pool->sample_ms = now_ms;
-}
-
 void sizing_observe(const struct sizing *sizing, struct sizing_pool *pool,
 		    int64_t now_ms)
 {
@@ -234,7 +211,17 @@
 		pool->peak_milli = all_milli(pool);
 		pool->peak_ms = now_ms;
 	}
-	observe_rise(pool, now_ms);
+	if (now_ms - pool->sample_ms >= SIZING_SAMPLE_MS) {
+		int64_t rise_milli = pool->demand_milli - pool->sample_milli;
+		int64_t elapsed_ms = now_ms - pool->sample_ms;
+
+		pool->rise_milli =
+			rise_milli > 0 && pool->sample_ms
+				? rise_milli * SIZING_MOVE_MS / elapsed_ms
+				: 0;
+		pool->sample_milli = pool->demand_milli;
+		pool->sample_ms = now_ms;
+	}
 	if (surplus(sizing, pool) <= 0)
 		pool->surplus_since_ms = 0;
 	else if (!pool->surplus_since_ms)
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -16,12 +16,7 @@
 
 #include "limit.h"
 
-enum { SIZING_SAMPLES = 4, SIZING_HOST_PARTS = 1000 };
-
-struct sizing_sample {
-	int64_t at_ms;
-	int64_t demand_milli;
-};
+enum { SIZING_HISTORY = 16, SIZING_HOST_PARTS = 1000 };
 
 struct sizing_pool {
 	char name[LIMIT_NAME_BYTES];
@@ -51,8 +46,8 @@
 	int64_t unfit_since_ms; /* the oldest one fits on no host; 0: it does */
 	int64_t peak_milli; /* highest recent demand, that of late jobs included */
 	int64_t peak_ms;
-	struct sizing_sample samples[SIZING_SAMPLES]; /* the oldest first */
-	int64_t sample_ms;			      /* time of the newest */
+	int64_t sample_milli; /* demand sampled at before_ms */
+	int64_t sample_ms;
 	int64_t rise_milli;	  /* expected rise until a moved host arrives */
 	int64_t surplus_since_ms; /* 0: none */
 };
