--- a/tests/test_tenures.c
+++ b/tests/test_tenures.c
@@ -10,7 +10,6 @@
 #include <apr_general.h>
 #include <check.h>
 
-#include "fleet_cut.h"
 #include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
@@ -530,6 +529,21 @@
 	play->split = -1;
 }
 
+/*
+ * Lets the log give all parts to other members at once. fleet_cut_reassign would
+ * turn the members full circle as long as none has left.
+ */
+static void reassign(struct play *play)
+{
+	struct log_model *log = play->sim->log;
+	uint32_t turns = 1 + below(play, MAX(log->members->len, 2) - 1);
+
+	log_info("sim-reassigned at_ms=%" G_GINT64_FORMAT,
+		 play->sim->clk.manual_ms);
+	for (uint32_t i = 0; i < turns; i++)
+		log_model_reassign_all(log);
+}
+
 /* Ends the tenure of the pool's owner, or lets the log give all parts away. */
 static void change_owner(struct play *play)
 {
@@ -539,7 +553,7 @@
 
 	if (owner < 0 || !is_at_work(&sim->nodes[owner]) ||
 	    count_at_work(sim) < 2) {
-		fleet_cut_reassign(sim);
+		reassign(play);
 		return;
 	}
 	switch (below(play, 6)) {
@@ -559,7 +573,7 @@
 		if (by_chance(play, 50))
 			split_workers(play, owner);
 		if (by_chance(play, 50))
-			fleet_cut_reassign(sim);
+			reassign(play);
 		break;
 	case 4:
 		if (by_chance(play, 70))
@@ -567,10 +581,10 @@
 		sim->nodes[owner].cut_from_log = true;
 		play->log_back_ms[owner] =
 			now_ms + 1 + below(play, PLAY_MAX_LOG_CUT_MS);
-		fleet_cut_reassign(sim);
+		reassign(play);
 		break;
 	default:
-		fleet_cut_reassign(sim);
+		reassign(play);
 		break;
 	}
 }
