Keep when a host's earlier plan was seen once its next one is drained

An owner may order a host for a plan of its own once 3 s have passed since it saw the plan before. The record with which the pool's owner notes that the host is drained replaced the plan and that time with it, and a plan that was replaced in the same tenure lost it too, so that the order went out at once.

--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -161,6 +161,8 @@
 	}
 	if (own && (plan.step != HOST_DRAINED || !kept))
 		return 0;
+	if (kept && kept->number == plan.number)
+		plan.previous_seen_ms = kept->previous_seen_ms;
 	host_plan_put(plans, &plan);
 	return 0;
 }
--- a/src/maint.c
+++ b/src/maint.c
@@ -247,7 +247,8 @@
 	const struct host_plan *earlier =
 		host_plan_find(maint->env->plans, plan->host);
 
-	numbered.previous_seen_ms = earlier ? earlier->seen_ms : 0;
+	numbered.previous_seen_ms =
+		earlier ? MAX(earlier->seen_ms, earlier->previous_seen_ms) : 0;
 	numbered.number = ++maint->last_plan;
 	numbered.fence = maint->ownership.fence;
 	host_plan_put(maint->env->plans, &numbered);
--- a/tests/test_host_plan.c
+++ b/tests/test_host_plan.c
@@ -151,6 +151,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a second order for a host that an earlier owner has just ordered:
+ * the owner forgot when it had last seen that one's plan once its own was drained.
+ */
+START_TEST(drained_plan_keeps_when_the_earlier_one_was_seen)
+{
+	struct host_plans *plans = host_plans_create();
+	struct host_plan plan = {
+		.host = "m1",
+		.worker = "w2",
+		.number = 8,
+		.work = HOST_RESTART,
+		.step = HOST_DRAIN_REQUESTED,
+		.previous_seen_ms = 5000,
+	};
+
+	host_plan_put(plans, &plan);
+	plan.step = HOST_DRAINED;
+	apply(plans, &plan, 3, true);
+	ck_assert_int_eq(host_plan_find(plans, "m1")->step, HOST_DRAINED);
+	ck_assert_int_eq(host_plan_find(plans, "m1")->previous_seen_ms, 5000);
+	host_plans_destroy(plans);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("host plans");
@@ -162,6 +187,7 @@
 	tcase_add_test(tcase, late_answers_to_earlier_plans_are_ignored);
 	tcase_add_test(tcase, later_plan_without_a_drain_replaces_a_done_one);
 	tcase_add_test(tcase, plan_hidden_by_a_late_record_is_noticed);
+	tcase_add_test(tcase, drained_plan_keeps_when_the_earlier_one_was_seen);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
