Tell the next owner of the hosts at a planned stop what was ordered

Callers saw hosts of a wave and hosts lent to a busy pool stay unused while nodes restarted in turn. What a successor is told by the stored lists says which plans of earlier owners were not ordered; of the plans that the last owner made itself it still had to assume that they were, and waited 4.5 s once for each owner that had ordered anything.

A node that gets SIGTERM and owns the hosts now orders no more, stores which hosts with a plan it has not ordered and that it sends nothing further, and leaves the group once that is stored, after 200 ms at most. Its successor orders these hosts at once.

--- a/src/bound.c
+++ b/src/bound.c
@@ -254,27 +254,48 @@
 	end_storing(bound);
 }
 
-static bool is_due(const struct bound *bound, int64_t now_ms)
+bool bound_stored(const struct bound *bound)
 {
-	bool refresh = now_ms - bound->made_ms >= BOUND_REFRESH_MS;
 	GHashTableIter iter;
 	void *value;
 
-	if (bound->storing || now_ms < bound->retry_ms)
+	if (bound->storing || bound->replace)
 		return false;
-	if (bound->replace)
-		return true;
 	g_hash_table_iter_init(&iter, bound->subjects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct bound_subject *subject = value;
 
-		if (subject->kept != subject->listed ||
-		    (refresh && subject->kept && subject->end_ms > now_ms))
+		if (subject->kept != subject->listed)
+			return false;
+	}
+	return true;
+}
+
+/* Whether a subject's time runs, so that the list is to be stored again. */
+static bool has_time_left(const struct bound *bound, int64_t now_ms)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, bound->subjects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct bound_subject *subject = value;
+
+		if (subject->kept && subject->end_ms > now_ms)
 			return true;
 	}
 	return false;
 }
 
+static bool is_due(const struct bound *bound, int64_t now_ms)
+{
+	if (bound->storing || now_ms < bound->retry_ms)
+		return false;
+	return !bound_stored(bound) ||
+	       (now_ms - bound->made_ms >= BOUND_REFRESH_MS &&
+		has_time_left(bound, now_ms));
+}
+
 static void add_row(struct json_object *rows, const char *name, int64_t left_ms)
 {
 	struct json_object *row = json_object_new_array();
--- a/src/bound.h
+++ b/src/bound.h
@@ -90,6 +90,9 @@
 /* bound_holds_any - whether there is any such subject */
 bool bound_holds_any(const struct bound *bound);
 
+/* bound_stored - whether the newest list is the one that is wanted */
+bool bound_stored(const struct bound *bound);
+
 /*
  * bound_find_end - when permissions that the subject was given are over
  *
--- a/src/maint.c
+++ b/src/maint.c
@@ -556,7 +556,7 @@
 		request_list(maint, now_ms);
 		if (maint->env->layout->shares)
 			maint_bound_orders(maint);
-		if (maint->env->layout->shares &&
+		if (maint->env->layout->shares && !maint->handing_over &&
 		    now_ms >= maint->decide_due_ms &&
 		    has_authority(maint, now_ms)) {
 			maint->decide_due_ms = now_ms + MAINT_DECIDE_MS;
--- a/src/maint.h
+++ b/src/maint.h
@@ -60,6 +60,17 @@
 		  int64_t authority_end_ms);
 void maint_revoke(struct maint *maint);
 
+/*
+ * maint_hand_over - order no more, and store that for the next owner
+ *
+ * Which hosts have been ordered recently is known here only; without that the next
+ * owner waits before its first orders.
+ *
+ * maint_handed_over - whether that is stored, or this node does not own the hosts
+ */
+void maint_hand_over(struct maint *maint);
+bool maint_handed_over(const struct maint *maint);
+
 /* maint_is_owner - whether this node owns the hosts and has taken over */
 bool maint_is_owner(const struct maint *maint);
 
--- a/src/maint_bound.c
+++ b/src/maint_bound.c
@@ -38,6 +38,7 @@
 	bound_keep(&maint->bound, MAINT_ANY_HOST, end_ms);
 	maint->earlier_end_ms = end_ms;
 	maint->has_ordered = false;
+	maint->handing_over = false;
 }
 
 int64_t maint_earlier_orders_end_ms(const struct maint *maint,
@@ -55,15 +56,23 @@
 	return end_ms;
 }
 
-/* Whether the plan is of an earlier owner, and this one has not ordered it. */
-static bool is_inherited(const struct maint *maint,
-			 const struct host_plan *plan)
+/* Whether this owner may have ordered the host; no other one does meanwhile. */
+static bool may_have_ordered(const struct maint *maint,
+			     const struct host_plan *plan)
 {
 	const struct known_host *known = maint_find_host(maint, plan->host);
 
-	return plan->step != HOST_ORDER_DONE &&
-	       plan->fence != maint->ownership.fence &&
-	       !(known && known->order_fence == maint->ownership.fence);
+	if (maint->handing_over)
+		return known && (known->ordering || known->unanswered);
+	return plan->fence == maint->ownership.fence ||
+	       (known && known->order_fence == maint->ownership.fence);
+}
+
+/* Whether the host's plan waits for an order that this owner has not given. */
+static bool is_unordered(const struct maint *maint,
+			 const struct host_plan *plan)
+{
+	return plan->step != HOST_ORDER_DONE && !may_have_ordered(maint, plan);
 }
 
 static bool is_needed(void *arg, const char *subject)
@@ -74,7 +83,7 @@
 	if (!strcmp(subject, MAINT_ANY_HOST))
 		return !maint->has_ordered;
 	plan = host_plan_find(maint->env->plans, subject);
-	return plan && is_inherited(maint, plan);
+	return plan && is_unordered(maint, plan);
 }
 
 void maint_bound_orders(struct maint *maint)
@@ -84,7 +93,7 @@
 	for (guint i = 0; i < plans->len; i++) {
 		const struct host_plan *plan = plans->pdata[i];
 
-		if (is_inherited(maint, plan))
+		if (is_unordered(maint, plan))
 			bound_keep(&maint->bound, plan->host,
 				   maint_earlier_orders_end_ms(maint, plan));
 	}
@@ -102,3 +111,22 @@
 	return !bound_holds(&maint->bound, MAINT_ANY_HOST) &&
 	       !bound_holds(&maint->bound, known->host.name);
 }
+
+void maint_hand_over(struct maint *maint)
+{
+	int64_t now_ms = clk_now_ms(maint->env->clk);
+
+	if (!ownership_held(&maint->ownership) || maint->handing_over)
+		return;
+	maint->handing_over = true;
+	if (maint->has_ordered)
+		bound_keep(&maint->bound, MAINT_ANY_HOST, now_ms);
+	maint->has_ordered = false;
+	maint_bound_orders(maint);
+}
+
+bool maint_handed_over(const struct maint *maint)
+{
+	return !ownership_held(&maint->ownership) ||
+	       (maint->handing_over && bound_stored(&maint->bound));
+}
--- a/src/maint_int.h
+++ b/src/maint_int.h
@@ -59,6 +59,7 @@
 	GArray *pool_sizes;		 /* struct pool_size */
 	struct bound bound;		 /* hosts to which no order is given */
 	bool has_ordered;		 /* or is to order, in this tenure */
+	bool handing_over;	/* orders no more; its successor is to know */
 	int64_t earlier_end_ms; /* no earlier owner sends an order from then on */
 	int64_t last_plan;	/* number of the last plan */
 	struct writer *status_writer; /* NULL: not needed yet */
--- a/src/node.c
+++ b/src/node.c
@@ -37,7 +37,10 @@
 	/* The node reports not ready after the log has been unreachable for
 	   this long. */
 	NODE_UNREADY_MS = 1500,
-	NODE_MIN_STOP_MS = 500
+	NODE_MIN_STOP_MS = 500,
+	/* A node that stops stays a member so long at most, to store what the
+	   next owner of the hosts is to know. */
+	NODE_HAND_OVER_MS = 200
 };
 
 #define NODE_JOBS_TOPIC "keyed.jobs"
@@ -385,7 +388,15 @@
 	node->stopping = true;
 	node->stop_ms = clk_now_ms(node->config.clk);
 	front_end_by(node->front, end_ms);
-	group_leave(node->group);
+	maint_hand_over(node->maint);
+}
+
+bool node_hands_over(const struct node *node)
+{
+	int64_t passed_ms = clk_now_ms(node->config.clk) - node->stop_ms;
+
+	return node->stopping && passed_ms < NODE_HAND_OVER_MS &&
+	       !maint_handed_over(node->maint);
 }
 
 bool node_stopped(const struct node *node)
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -92,6 +92,9 @@
 /* node_create_pools - create the configured pools that do not exist yet */
 void node_create_pools(struct node *node);
 
+/* node_hands_over - whether it stops and still owns the hosts until that is stored */
+bool node_hands_over(const struct node *node);
+
 /* node_jobs_loaded - whether the jobs, the registry and the index are */
 bool node_jobs_loaded(const struct node *node);
 
--- a/src/node_pools.c
+++ b/src/node_pools.c
@@ -160,7 +160,9 @@
 		}
 		pool_tick(pool);
 	}
-	if (!node->stopping && loaded && node->cfg &&
+	if (node->stopping && !node_hands_over(node))
+		group_leave(node->group);
+	if ((!node->stopping || node_hands_over(node)) && loaded && node->cfg &&
 	    group_has_part(node->group, hosts_part)) {
 		maint_assign(node->maint, hosts_part,
 			     group_generation(node->group),
