Take a host that was not drained for its last plan as not ordered by it

A plan that replaces one of an earlier owner waited for 3 s since that one was seen, also if its pool had never drained the host for it, so that no order can have been sent.

--- a/src/maint.c
+++ b/src/maint.c
@@ -243,6 +243,19 @@
 			     request_new(maint));
 }
 
+/*
+ * When an order may last have been given for the host of an earlier plan; NULL:
+ * none. A host that was not drained for it has not been ordered.
+ */
+static int64_t last_order_ms(const struct host_plan *earlier)
+{
+	if (!earlier)
+		return 0;
+	return earlier->step == HOST_DRAIN_REQUESTED
+		       ? earlier->previous_seen_ms
+		       : MAX(earlier->seen_ms, earlier->previous_seen_ms);
+}
+
 struct host_plan *maint_add_plan(struct maint *maint,
 				 const struct host_plan *plan)
 {
@@ -250,8 +263,7 @@
 	const struct host_plan *earlier =
 		host_plan_find(maint->env->plans, plan->host);
 
-	numbered.previous_seen_ms =
-		earlier ? MAX(earlier->seen_ms, earlier->previous_seen_ms) : 0;
+	numbered.previous_seen_ms = last_order_ms(earlier);
 	numbered.number = ++maint->last_plan;
 	numbered.fence = maint->ownership.fence;
 	host_plan_put(maint->env->plans, &numbered);
