Show runs that lapse in an outage of the log after a short cut, known red

An owner that does not reach its workers for about a second stores that it no longer extends their leases. If the log goes away then, it cannot store that it extends them again, and the runs of workers that answer lapse.

--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -43,7 +43,9 @@
 	RETURN_JOBS = 6,
 	INSIDE = 2, /* workers in the data centre of the owner */
 	ABSENT_MS = 10500,
-	MEMBERSHIP_MS = 1600
+	MEMBERSHIP_MS = 1600,
+	SHORT_CUT_MS = 1300,
+	SHORT_OUTAGE_MS = 3500
 };
 
 static guint count_runs(const struct sim *sim)
@@ -118,6 +120,36 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that lapse on workers that answer: their owner has stored
+ * that it does not extend their leases, and cannot store that it does again.
+ */
+START_TEST(runs_survive_an_outage_of_the_log_after_a_short_cut)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	struct sim_job *job;
+	int owner;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS + _i * PHASE_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	owner = fleet_owner(sim);
+	ck_assert_int_ge(owner, 0);
+	for (int i = 0; i < sim->worker_count; i++)
+		sim->nodes[owner].cut_from_worker[i] = true;
+	sim_run_for(sim, SHORT_CUT_MS);
+	for (int i = 0; i < sim->worker_count; i++)
+		sim->nodes[owner].cut_from_worker[i] = false;
+	sim->faults.log_down = true;
+	sim_run_for(sim, SHORT_OUTAGE_MS);
+	sim->faults.log_down = false;
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_int_eq(job->starts, TASKS);
+}
+END_TEST
+
 /*
  * Guards against two runs of a task at the same time after an owner that could
  * not reach the log is given its pool back, while others have had it. It has stored
@@ -299,6 +331,22 @@
 			    "hosts_are_ordered_after_their_plans_are_stored");
 }
 
+/* See KNOWN-RED.txt. */
+static void run_known_red_short_cut(void)
+{
+	Suite *suite = suite_create("outages after a short cut");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(
+		tcase, runs_survive_an_outage_of_the_log_after_a_short_cut, 0,
+		SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(
+		suite,
+		"runs_survive_an_outage_of_the_log_after_a_short_cut");
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -320,5 +368,6 @@
 		0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	run_known_red();
+	run_known_red_short_cut();
 	return suite_run(suite);
 }
