Show runs that lapse at a takeover while the log is slow, known red

A new owner that reaches its workers later than 300 ms after its takeover lists them as out of reach. Two appends have to be answered before it extends their leases, which end first.

--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -45,7 +45,11 @@
 	ABSENT_MS = 10500,
 	MEMBERSHIP_MS = 1600,
 	SHORT_CUT_MS = 1300,
-	SHORT_OUTAGE_MS = 3500
+	SHORT_OUTAGE_MS = 3500,
+	TAKEOVER_MS = 6000,
+	LATE_MS = 350,
+	SLOW_APPEND_MS = 700,
+	SLOW_LOG_MS = 4000
 };
 
 static guint count_runs(const struct sim *sim)
@@ -150,6 +154,39 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that lapse at a takeover on workers that answer: the log is
+ * slow, and the new owner reaches them later than POOL_BOUND_TAKEOVER_MS.
+ */
+START_TEST(runs_survive_a_takeover_while_the_log_is_slow)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS + _i * PHASE_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	sim->faults.append_answer_ms = SLOW_APPEND_MS;
+	sim_kill(sim, fleet_owner(sim));
+	for (int i = 0; i < sim->node_count; i++)
+		for (int j = 0; j < sim->worker_count; j++)
+			sim->nodes[i].cut_from_worker[j] = true;
+	for (int i = 0; i < TAKEOVER_MS / ORDER_STEP_MS; i++)
+		if (fleet_owner(sim) < 0)
+			sim_run_for(sim, ORDER_STEP_MS);
+	sim_run_for(sim, LATE_MS);
+	for (int i = 0; i < sim->node_count; i++)
+		for (int j = 0; j < sim->worker_count; j++)
+			sim->nodes[i].cut_from_worker[j] = false;
+	sim_run_for(sim, SLOW_LOG_MS);
+	sim->faults.append_answer_ms = 0;
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_int_eq(job->starts, TASKS);
+}
+END_TEST
+
 /*
  * Guards against two runs of a task at the same time after an owner that could
  * not reach the log is given its pool back, while others have had it. It has stored
@@ -347,6 +384,21 @@
 		"runs_survive_an_outage_of_the_log_after_a_short_cut");
 }
 
+/* See KNOWN-RED.txt. */
+static void run_known_red_takeover(void)
+{
+	Suite *suite = suite_create("takeovers with a slow log");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase,
+			    runs_survive_a_takeover_while_the_log_is_slow, 0,
+			    SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(suite,
+			    "runs_survive_a_takeover_while_the_log_is_slow");
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -369,5 +421,6 @@
 	suite_add_tcase(suite, tcase);
 	run_known_red();
 	run_known_red_short_cut();
+	run_known_red_takeover();
 	return suite_run(suite);
 }
