--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -49,7 +49,11 @@
 	TAKEOVER_MS = 6000,
 	LATE_MS = 350,
 	SLOW_APPEND_MS = 700,
-	SLOW_LOG_MS = 4000
+	SLOW_LOG_MS = 4000,
+	TURN_SEEDS = 60,
+	TURN_HOSTS = 16,
+	/* The former owner has ordered the first hosts, and will order others. */
+	TURN_MS = 600
 };
 
 static guint count_runs(const struct sim *sim)
@@ -353,6 +357,29 @@
 }
 END_TEST
 
+/*
+ * Guards against two owners that order a host within its order lease: the former
+ * one has restarted it after its successor read the plan, and could not store
+ * that; the successor plans and orders it again as soon as it is up.
+ */
+START_TEST(restarted_host_is_not_ordered_again_at_once)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, TURN_HOSTS);
+	int former;
+
+	sim->hosts_obey = true;
+	sim_run_for(sim, START_MS);
+	former = hosts_owner(sim);
+	ck_assert_int_ge(former, 0);
+	sim_order_wave(sim, 1, WAVE_DOWN, WAVE_S);
+	sim_run_for(sim, TURN_MS + _i * PHASE_MS);
+	sim->nodes[former].cut_from_log = true;
+	log_model_reassign_all(sim->log);
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 /* Runs the test of KNOWN-RED.txt; its failures are printed and not counted. */
 static void run_known_red(void)
 {
@@ -399,6 +426,20 @@
 			    "runs_survive_a_takeover_while_the_log_is_slow");
 }
 
+/* See KNOWN-RED.txt. */
+static void run_known_red_turns(void)
+{
+	Suite *suite = suite_create("orders by turns");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, restarted_host_is_not_ordered_again_at_once,
+			    0, TURN_SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(suite,
+			    "restarted_host_is_not_ordered_again_at_once");
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -422,5 +463,6 @@
 	run_known_red();
 	run_known_red_short_cut();
 	run_known_red_takeover();
+	run_known_red_turns();
 	return suite_run(suite);
 }
