--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -402,13 +402,12 @@
 	TCase *tcase = tcase_create("owners");
 
 	tcase_set_timeout(tcase, 120);
-	tcase_add_loop_test(
-		tcase, runs_survive_an_outage_of_the_log_after_a_short_cut, 0,
-		SEEDS);
+	tcase_add_loop_test(tcase,
+			    runs_survive_an_outage_of_the_log_after_a_short_cut,
+			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	suite_run_known_red(
-		suite,
-		"runs_survive_an_outage_of_the_log_after_a_short_cut");
+		suite, "runs_survive_an_outage_of_the_log_after_a_short_cut");
 }
 
 /* See KNOWN-RED.txt. */
@@ -418,9 +417,8 @@
 	TCase *tcase = tcase_create("owners");
 
 	tcase_set_timeout(tcase, 120);
-	tcase_add_loop_test(tcase,
-			    runs_survive_a_takeover_while_the_log_is_slow, 0,
-			    SEEDS);
+	tcase_add_loop_test(
+		tcase, runs_survive_a_takeover_while_the_log_is_slow, 0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	suite_run_known_red(suite,
 			    "runs_survive_a_takeover_while_the_log_is_slow");
