--- a/tests/test_reassigned.c
+++ b/tests/test_reassigned.c
@@ -43,7 +43,17 @@
 	RETURN_JOBS = 6,
 	INSIDE = 2, /* workers in the data centre of the owner */
 	ABSENT_MS = 10500,
-	MEMBERSHIP_MS = 1600
+	MEMBERSHIP_MS = 1600,
+	SHORT_CUT_MS = 1300,
+	SHORT_OUTAGE_MS = 3500,
+	TAKEOVER_MS = 6000,
+	LATE_MS = 350,
+	SLOW_APPEND_MS = 700,
+	SLOW_LOG_MS = 4000,
+	TURN_SEEDS = 60,
+	TURN_HOSTS = 16,
+	/* The former owner has ordered the first hosts, and will order others. */
+	TURN_MS = 600
 };
 
 static guint count_runs(const struct sim *sim)
@@ -118,6 +128,69 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that lapse on workers that answer: their owner has stored
+ * that it does not extend their leases, and cannot store that it does again.
+ */
+START_TEST(runs_survive_an_outage_of_the_log_after_a_short_cut)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	struct sim_job *job;
+	int owner;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS + _i * PHASE_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	owner = fleet_owner(sim);
+	ck_assert_int_ge(owner, 0);
+	for (int i = 0; i < sim->worker_count; i++)
+		sim->nodes[owner].cut_from_worker[i] = true;
+	sim_run_for(sim, SHORT_CUT_MS);
+	for (int i = 0; i < sim->worker_count; i++)
+		sim->nodes[owner].cut_from_worker[i] = false;
+	sim->faults.log_down = true;
+	sim_run_for(sim, SHORT_OUTAGE_MS);
+	sim->faults.log_down = false;
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_int_eq(job->starts, TASKS);
+}
+END_TEST
+
+/*
+ * Guards against runs that lapse at a takeover on workers that answer: the log is
+ * slow, and the new owner reaches them later than POOL_BOUND_TAKEOVER_MS.
+ */
+START_TEST(runs_survive_a_takeover_while_the_log_is_slow)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, 5);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	job = sim_submit_lasting_job(sim, 0, TASKS);
+	sim_run_for(sim, START_MS + _i * PHASE_MS);
+	ck_assert_uint_eq(count_runs(sim), TASKS);
+	sim->faults.append_answer_ms = SLOW_APPEND_MS;
+	sim_kill(sim, fleet_owner(sim));
+	for (int i = 0; i < sim->node_count; i++)
+		for (int j = 0; j < sim->worker_count; j++)
+			sim->nodes[i].cut_from_worker[j] = true;
+	for (int i = 0; i < TAKEOVER_MS / ORDER_STEP_MS; i++)
+		if (fleet_owner(sim) < 0)
+			sim_run_for(sim, ORDER_STEP_MS);
+	sim_run_for(sim, LATE_MS);
+	for (int i = 0; i < sim->node_count; i++)
+		for (int j = 0; j < sim->worker_count; j++)
+			sim->nodes[i].cut_from_worker[j] = false;
+	sim_run_for(sim, SLOW_LOG_MS);
+	sim->faults.append_answer_ms = 0;
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_int_eq(job->starts, TASKS);
+}
+END_TEST
+
 /*
  * Guards against two runs of a task at the same time after an owner that could
  * not reach the log is given its pool back, while others have had it. It has stored
@@ -284,6 +357,29 @@
 }
 END_TEST
 
+/*
+ * Guards against two owners that order a host within its order lease: the former
+ * one has restarted it after its successor read the plan, and could not store
+ * that; the successor plans and orders it again as soon as it is up.
+ */
+START_TEST(restarted_host_is_not_ordered_again_at_once)
+{
+	struct sim *sim = sim_create(500 + (uint64_t)_i, 3, TURN_HOSTS);
+	int former;
+
+	sim->hosts_obey = true;
+	sim_run_for(sim, START_MS);
+	former = hosts_owner(sim);
+	ck_assert_int_ge(former, 0);
+	sim_order_wave(sim, 1, WAVE_DOWN, WAVE_S);
+	sim_run_for(sim, TURN_MS + _i * PHASE_MS);
+	sim->nodes[former].cut_from_log = true;
+	log_model_reassign_all(sim->log);
+	sim_run_for(sim, WATCHED_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 /* Runs the test of KNOWN-RED.txt; its failures are printed and not counted. */
 static void run_known_red(void)
 {
@@ -299,6 +395,49 @@
 			    "hosts_are_ordered_after_their_plans_are_stored");
 }
 
+/* See KNOWN-RED.txt. */
+static void run_known_red_short_cut(void)
+{
+	Suite *suite = suite_create("outages after a short cut");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase,
+			    runs_survive_an_outage_of_the_log_after_a_short_cut,
+			    0, SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(
+		suite, "runs_survive_an_outage_of_the_log_after_a_short_cut");
+}
+
+/* See KNOWN-RED.txt. */
+static void run_known_red_takeover(void)
+{
+	Suite *suite = suite_create("takeovers with a slow log");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(
+		tcase, runs_survive_a_takeover_while_the_log_is_slow, 0, SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(suite,
+			    "runs_survive_a_takeover_while_the_log_is_slow");
+}
+
+/* See KNOWN-RED.txt. */
+static void run_known_red_turns(void)
+{
+	Suite *suite = suite_create("orders by turns");
+	TCase *tcase = tcase_create("owners");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, restarted_host_is_not_ordered_again_at_once,
+			    0, TURN_SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(suite,
+			    "restarted_host_is_not_ordered_again_at_once");
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("reassigned");
@@ -320,5 +459,8 @@
 		0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	run_known_red();
+	run_known_red_short_cut();
+	run_known_red_takeover();
+	run_known_red_turns();
 	return suite_run(suite);
 }
