Count an earlier owner's drained plan as ordered until its authority ends

An owner that is cut off from the log restarts a host whose drained plan its successor has read long before; the host comes back, and the successor plans it again under its own fence, 3 s after it had read that plan, not 3 s after the other one can have ordered it. Found in review.

--- a/src/maint.c
+++ b/src/maint.c
@@ -245,12 +245,17 @@
 
 /*
  * When an order may last have been given for the host of an earlier plan; NULL:
- * none. A host that was not drained for it has not been ordered.
+ * none. A host that was not drained for it has not been ordered; one that was may
+ * have been, by an earlier owner, until the end of that one's authority.
  */
-static int64_t last_order_ms(const struct host_plan *earlier)
+static int64_t last_order_ms(const struct maint *maint,
+			     const struct host_plan *earlier)
 {
 	if (!earlier)
 		return 0;
+	if (earlier->step == HOST_DRAINED &&
+	    earlier->fence != maint->ownership.fence)
+		return maint->earlier_end_ms;
 	return earlier->step == HOST_DRAIN_REQUESTED
 		       ? earlier->previous_seen_ms
 		       : MAX(earlier->seen_ms, earlier->previous_seen_ms);
@@ -263,7 +268,7 @@
 	const struct host_plan *earlier =
 		host_plan_find(maint->env->plans, plan->host);
 
-	numbered.previous_seen_ms = last_order_ms(earlier);
+	numbered.previous_seen_ms = last_order_ms(maint, earlier);
 	numbered.number = ++maint->last_plan;
 	numbered.fence = maint->ownership.fence;
 	host_plan_put(maint->env->plans, &numbered);
