Name what bounds do: withhold and allow

From the review: keep, release and holds read as of the lease, not of the list. maint_prepare_order begins to order a host, so its name is no question. The machine code is the same (sections .text, .rodata and .data compared).

--- a/src/bound.c
+++ b/src/bound.c
@@ -22,8 +22,8 @@
 
 struct bound_subject {
 	int64_t end_ms;
-	bool kept;   /* to be in the next list */
-	bool listed; /* in the newest list, or in one that may be stored */
+	bool withheld; /* to be in the next list */
+	bool listed;   /* in the newest list, or in one that may be stored */
 };
 
 static void free_list(void *arg)
@@ -130,7 +130,7 @@
 	struct bound_subject *added = g_new0(struct bound_subject, 1);
 
 	added->end_ms = end_ms;
-	added->kept = true;
+	added->withheld = true;
 	g_hash_table_insert(bound->subjects, g_strdup(subject), added);
 	return added;
 }
@@ -161,12 +161,12 @@
 		add(bound, name, *(const int64_t *)end_ms)->listed = true;
 }
 
-bool bound_holds(const struct bound *bound, const char *subject)
+bool bound_withholds(const struct bound *bound, const char *subject)
 {
 	return bound->replace || find(bound, subject);
 }
 
-bool bound_holds_any(const struct bound *bound)
+bool bound_withholds_any(const struct bound *bound)
 {
 	return bound->replace || g_hash_table_size(bound->subjects);
 }
@@ -181,35 +181,34 @@
 	return found != NULL;
 }
 
-bool bound_keep(struct bound *bound, const char *subject, int64_t end_ms)
+bool bound_withhold(struct bound *bound, const char *subject, int64_t end_ms)
 {
 	struct bound_subject *found = find(bound, subject);
-	bool kept = found && found->kept;
+	bool withheld = found && found->withheld;
 
 	if (found)
-		found->kept = true;
+		found->withheld = true;
 	else if (g_hash_table_size(bound->subjects) < BOUND_MAX_SUBJECTS)
 		add(bound, subject, end_ms);
 	else
 		return false;
-	return !kept;
+	return !withheld;
 }
 
-bool bound_release(struct bound *bound, const char *subject)
+bool bound_allow(struct bound *bound, const char *subject)
 {
 	struct bound_subject *found = find(bound, subject);
 
-	if (!found || !found->kept)
+	if (!found || !found->withheld)
 		return false;
-	found->kept = false;
+	found->withheld = false;
 	if (!found->listed)
 		g_hash_table_remove(bound->subjects, subject);
 	return true;
 }
 
-void bound_release_unless(struct bound *bound,
-			  bool (*keep)(void *arg, const char *subject),
-			  void *arg)
+void bound_allow_unless(struct bound *bound,
+			bool (*keep)(void *arg, const char *subject), void *arg)
 {
 	GHashTableIter iter;
 	void *name, *value;
@@ -220,7 +219,7 @@
 
 		if (keep(arg, name))
 			continue;
-		subject->kept = false;
+		subject->withheld = false;
 		if (!subject->listed)
 			g_hash_table_iter_remove(&iter);
 	}
@@ -232,7 +231,7 @@
 	GHashTable *names = arg;
 
 	subject->listed = g_hash_table_contains(names, name);
-	return !subject->kept && !subject->listed;
+	return !subject->withheld && !subject->listed;
 }
 
 static void on_stored(void *arg, enum writer_outcome outcome, int64_t offset)
@@ -265,7 +264,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct bound_subject *subject = value;
 
-		if (subject->kept != subject->listed)
+		if (subject->withheld != subject->listed)
 			return false;
 	}
 	return true;
@@ -281,7 +280,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct bound_subject *subject = value;
 
-		if (subject->kept && subject->end_ms > now_ms)
+		if (subject->withheld && subject->end_ms > now_ms)
 			return true;
 	}
 	return false;
@@ -305,7 +304,7 @@
 	json_object_array_add(rows, row);
 }
 
-/* Rows of the kept subjects, which are noted as named by the list. */
+/* Rows of the subjects, which are noted as named by the list. */
 static struct json_object *make_rows(struct bound *bound, int64_t now_ms)
 {
 	struct json_object *rows = json_object_new_array();
@@ -316,7 +315,7 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		struct bound_subject *subject = value;
 
-		if (!subject->kept)
+		if (!subject->withheld)
 			continue;
 		subject->listed = true;
 		g_hash_table_add(bound->storing, g_strdup(name));
--- a/src/bound.h
+++ b/src/bound.h
@@ -84,11 +84,11 @@
  */
 void bound_lost(struct bound *bound);
 
-/* bound_holds - whether the subject may be given no permission now */
-bool bound_holds(const struct bound *bound, const char *subject);
+/* bound_withholds - whether the subject may be given no permission now */
+bool bound_withholds(const struct bound *bound, const char *subject);
 
-/* bound_holds_any - whether there is any such subject */
-bool bound_holds_any(const struct bound *bound);
+/* bound_withholds_any - whether there is any such subject */
+bool bound_withholds_any(const struct bound *bound);
 
 /* bound_stored - whether the newest list is the one that is wanted */
 bool bound_stored(const struct bound *bound);
@@ -97,40 +97,38 @@
  * bound_find_end - when permissions that the subject was given are over
  *
  * RETURN VALUE
- *	False if the bound does not know that.
+ *	False if that is not known; *end_ms is then unchanged.
  */
 bool bound_find_end(const struct bound *bound, const char *subject,
 		    int64_t *end_ms);
 
 /*
- * bound_keep - give the subject no permission any more, and store that
+ * bound_withhold - give the subject no permission any more, and store that
  *
  * All earlier ones are over at end_ms; an end that is known already holds.
  *
  * RETURN VALUE
  *	Whether that is new.
  */
-bool bound_keep(struct bound *bound, const char *subject, int64_t end_ms);
+bool bound_withhold(struct bound *bound, const char *subject, int64_t end_ms);
 
 /*
- * bound_release - the subject is to be given permissions again
+ * bound_allow - the subject is to be given permissions again
  *
- * Possible once bound_holds says so: a list without it is stored first, unless
- * none has named it.
+ * It may be once bound_withholds is false: a list without it is stored first,
+ * unless none has named it.
  *
  * RETURN VALUE
- *	Whether it was kept until now.
+ *	Whether it was withheld until now.
  */
-bool bound_release(struct bound *bound, const char *subject);
+bool bound_allow(struct bound *bound, const char *subject);
 
 /*
- * bound_release_unless - release the subjects for which the function says no
- *
- * Called once in each pass, with those that need not be kept any more.
+ * bound_allow_unless - allow all subjects but those for which keep returns true
  */
-void bound_release_unless(struct bound *bound,
-			  bool (*keep)(void *arg, const char *subject),
-			  void *arg);
+void bound_allow_unless(struct bound *bound,
+			bool (*keep)(void *arg, const char *subject),
+			void *arg);
 
 /*
  * bound_store - add the record of the list to the writer when one is due
--- a/src/maint.c
+++ b/src/maint.c
@@ -440,7 +440,7 @@
 		return;
 	if (plan->work == HOST_RESTART && !maint_may_restart(maint, plan->wave))
 		return;
-	if (maint_may_order(maint, known))
+	if (maint_prepare_order(maint, known))
 		send_order(maint, known, plan);
 }
 
--- a/src/maint_bound.c
+++ b/src/maint_bound.c
@@ -35,7 +35,7 @@
 			 "left_ms=%" G_GINT64_FORMAT,
 			 g_hash_table_size(maint->bound.subjects),
 			 end_ms - clk_now_ms(maint->env->clk));
-	bound_keep(&maint->bound, MAINT_ANY_HOST, end_ms);
+	bound_withhold(&maint->bound, MAINT_ANY_HOST, end_ms);
 	maint->earlier_end_ms = end_ms;
 	maint->has_ordered = false;
 	maint->handing_over = false;
@@ -94,22 +94,23 @@
 		const struct host_plan *plan = plans->pdata[i];
 
 		if (is_unordered(maint, plan))
-			bound_keep(&maint->bound, plan->host,
-				   maint_earlier_orders_end_ms(maint, plan));
+			bound_withhold(
+				&maint->bound, plan->host,
+				maint_earlier_orders_end_ms(maint, plan));
 	}
-	bound_release_unless(&maint->bound, is_needed, maint);
+	bound_allow_unless(&maint->bound, is_needed, maint);
 	bound_store(&maint->bound, ownership_writer(&maint->ownership, 0),
 		    clk_now_ms(maint->env->clk));
 }
 
-bool maint_may_order(struct maint *maint, struct known_host *known)
+bool maint_prepare_order(struct maint *maint, struct known_host *known)
 {
 	maint->has_ordered = true;
 	known->order_fence = maint->ownership.fence;
-	bound_release(&maint->bound, MAINT_ANY_HOST);
-	bound_release(&maint->bound, known->host.name);
-	return !bound_holds(&maint->bound, MAINT_ANY_HOST) &&
-	       !bound_holds(&maint->bound, known->host.name);
+	bound_allow(&maint->bound, MAINT_ANY_HOST);
+	bound_allow(&maint->bound, known->host.name);
+	return !bound_withholds(&maint->bound, MAINT_ANY_HOST) &&
+	       !bound_withholds(&maint->bound, known->host.name);
 }
 
 void maint_hand_over(struct maint *maint)
@@ -120,7 +121,7 @@
 		return;
 	maint->handing_over = true;
 	if (maint->has_ordered)
-		bound_keep(&maint->bound, MAINT_ANY_HOST, now_ms);
+		bound_withhold(&maint->bound, MAINT_ANY_HOST, now_ms);
 	maint->has_ordered = false;
 	maint_bound_orders(maint);
 }
--- a/src/maint_int.h
+++ b/src/maint_int.h
@@ -83,15 +83,15 @@
  * maint_bound_orders - store them; called on every tick
  * maint_earlier_orders_end_ms - until when an order of an earlier owner for the
  *	plan's host may be recent
- * maint_may_order - whether an order for a host may be sent, now that one is due;
- *	if not, that is to be stored first
+ * maint_prepare_order - begin to order a host, now that an order is due; whether
+ *	it may be sent. If not, that it is ordered is being stored first
  */
 void maint_bound_init(struct maint *maint);
 void maint_bound_acquired(struct maint *maint);
 void maint_bound_orders(struct maint *maint);
 int64_t maint_earlier_orders_end_ms(const struct maint *maint,
 				    const struct host_plan *plan);
-bool maint_may_order(struct maint *maint, struct known_host *known);
+bool maint_prepare_order(struct maint *maint, struct known_host *known);
 
 struct known_host *maint_find_host(const struct maint *maint, const char *name);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -71,7 +71,7 @@
 		if (pool_is_own_job(pool, jobs->live->pdata[i - 1]))
 			job_reload(jobs, jobs->live->pdata[i - 1]);
 	bound_acquired(&pool->bound);
-	if (bound_holds_any(&pool->bound))
+	if (bound_withholds_any(&pool->bound))
 		log_info("lease-bounds-read tenure=%s workers=%u",
 			 pool->ownership.name,
 			 g_hash_table_size(pool->bound.subjects));
@@ -212,7 +212,7 @@
 {
 	struct worker_table *workers = pool->env->workers;
 	struct host_plans *plans = pool->env->plans;
-	bool bounded = bound_holds_any(&pool->bound);
+	bool bounded = bound_withholds_any(&pool->bound);
 
 	for (guint i = 0; i < workers->list->len; i++) {
 		struct worker *worker = workers->list->pdata[i];
@@ -221,8 +221,8 @@
 			continue;
 		worker->leaving = false;
 		worker->may_stay = false;
-		worker->bounded =
-			bounded && bound_holds(&pool->bound, worker->entry.id);
+		worker->bounded = bounded && bound_withholds(&pool->bound,
+							     worker->entry.id);
 	}
 	for (guint i = 0; i < plans->list->len; i++) {
 		const struct host_plan *plan = plans->list->pdata[i];
--- a/src/pool_bound.c
+++ b/src/pool_bound.c
@@ -6,15 +6,19 @@
 	POOL_BOUND_GAP_MS = 50,
 	/* A worker that has not answered a new owner by then is out of reach. */
 	POOL_BOUND_TAKEOVER_MS = 300,
-	/* After one failed renewal, if its last report is older; after two at
-	   once. A reset connection alone is not taken for more. */
+	/* After one failed renewal a worker is out of reach if its last report
+	   is older, as when the renewal has timed out; after two at once. */
 	POOL_BOUND_REPORT_MS = 1000,
 	/* No worker is added while the log takes longer to answer an append. */
 	POOL_BOUND_ANSWER_MS = 150
 };
 
-/* Whether an owner reaches a worker, so that it may go on to extend its lease. */
-enum reach { REACH_OPEN, REACH_ANSWERS, REACH_NONE };
+/* Whether the owner reaches a worker. */
+enum reach {
+	REACH_OPEN, /* not known yet: what was decided before holds */
+	REACH_ANSWERS,
+	REACH_NONE
+};
 
 /* Workers whose placed tasks wait for the end of a lease. */
 struct bound_pass {
@@ -48,8 +52,8 @@
 	return writer_answer_ms(pool_writer(pool)) > POOL_BOUND_ANSWER_MS;
 }
 
-static void keep_if_unreachable(struct bound_pass *pass,
-				const struct job_task *task)
+static void withhold_if_unreachable(struct bound_pass *pass,
+				    const struct job_task *task)
 {
 	struct pool *pool = pass->pool;
 	const struct worker *worker =
@@ -64,7 +68,7 @@
 	if (reach == REACH_OPEN || log_is_slow(pool))
 		return;
 	end_ms = pool_lease_end_ms(pool, task->worker);
-	if (bound_keep(&pool->bound, task->worker, end_ms))
+	if (bound_withhold(&pool->bound, task->worker, end_ms))
 		log_info("lease-bound pool=%s worker=%s known=%d fenced=%d "
 			 "failures=%d left_ms=%" G_GINT64_FORMAT,
 			 pool->name, task->worker, worker != NULL,
@@ -80,7 +84,7 @@
 	return g_hash_table_contains(pass->needed, worker);
 }
 
-static void look_at_tasks(struct pool *pool, int64_t now_ms)
+static void bound_unreachable_workers(struct pool *pool, int64_t now_ms)
 {
 	const GPtrArray *jobs = pool->env->jobs->live;
 	struct bound_pass pass = {
@@ -96,9 +100,9 @@
 			continue;
 		while (job_next_task(&pos))
 			if (pos.task->state == TASK_PLACED)
-				keep_if_unreachable(&pass, pos.task);
+				withhold_if_unreachable(&pass, pos.task);
 	}
-	bound_release_unless(&pool->bound, is_needed, &pass);
+	bound_allow_unless(&pool->bound, is_needed, &pass);
 	g_hash_table_destroy(pass.needed);
 }
 
@@ -108,7 +112,7 @@
 
 	if (now_ms >= pool->next_bound_ms) {
 		pool->next_bound_ms = now_ms + POOL_BOUND_GAP_MS;
-		look_at_tasks(pool, now_ms);
+		bound_unreachable_workers(pool, now_ms);
 	}
 	bound_store(&pool->bound, pool_writer(pool), now_ms);
 }
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -257,7 +257,7 @@
 		    worker->starting < POOL_MAX_STARTS_PER_WORKER &&
 		    worker->clock_at_ms && !worker_is_dead(worker) &&
 		    !worker->renew_failures &&
-		    !bound_holds(&pool->bound, worker->entry.id) &&
+		    !bound_withholds(&pool->bound, worker->entry.id) &&
 		    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS &&
 		    pool_may_start(pool))
 			send_start(pool, &pos, worker);
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -105,7 +105,7 @@
 	};
 
 	if (worker->fence_accepted && !worker->renew_failures &&
-	    !bound_holds(&pool->bound, worker->entry.id) &&
+	    !bound_withholds(&pool->bound, worker->entry.id) &&
 	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
 		renew.until_ms = pool_grant_lease(pool, worker, now_ms);
 		renew.wait_ms = renewal_wait_ms(pool, worker, now_ms);
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -156,13 +156,13 @@
 {
 	int64_t end_ms = 0;
 
-	bound_keep(&bound, "w1", END_MS);
+	bound_withhold(&bound, "w1", END_MS);
 	store_and_answer();
 	for (int i = 0; i < 3; i++) {
 		clk.manual_ms += 1000;
 		change_owner();
-		ck_assert(bound_holds(&bound, "w1"));
-		ck_assert(!bound_keep(&bound, "w1", clk.manual_ms + 6000));
+		ck_assert(bound_withholds(&bound, "w1"));
+		ck_assert(!bound_withhold(&bound, "w1", clk.manual_ms + 6000));
 		ck_assert(bound_find_end(&bound, "w1", &end_ms));
 		ck_assert_int_eq(end_ms, END_MS);
 		store();
@@ -177,37 +177,37 @@
 /* Guards against a lease given while the newest list denies it. */
 START_TEST(subject_is_held_until_a_list_without_it_is_stored)
 {
-	bound_keep(&bound, "w1", END_MS);
+	bound_withhold(&bound, "w1", END_MS);
 	store_and_answer();
-	ck_assert(bound_release(&bound, "w1"));
-	ck_assert(bound_holds(&bound, "w1"));
+	ck_assert(bound_allow(&bound, "w1"));
+	ck_assert(bound_withholds(&bound, "w1"));
 	store();
 	ck_assert_str_eq(sent.value, "[]");
-	ck_assert(bound_holds(&bound, "w1"));
+	ck_assert(bound_withholds(&bound, "w1"));
 	answer(STREAM_OK);
-	ck_assert(!bound_holds(&bound, "w1"));
+	ck_assert(!bound_withholds(&bound, "w1"));
 }
 END_TEST
 
 /* Guards against the same while it is not known whether a list is stored. */
 START_TEST(subject_is_held_while_a_list_with_it_has_no_answer)
 {
-	bound_keep(&bound, "w1", END_MS);
+	bound_withhold(&bound, "w1", END_MS);
 	store();
-	bound_release(&bound, "w1");
-	ck_assert(bound_holds(&bound, "w1"));
+	bound_allow(&bound, "w1");
+	ck_assert(bound_withholds(&bound, "w1"));
 	answer(STREAM_OK);
-	ck_assert(bound_holds(&bound, "w1"));
+	ck_assert(bound_withholds(&bound, "w1"));
 	store_and_answer();
-	ck_assert(!bound_holds(&bound, "w1"));
+	ck_assert(!bound_withholds(&bound, "w1"));
 }
 END_TEST
 
 START_TEST(subject_that_no_list_has_named_is_released_at_once)
 {
-	bound_keep(&bound, "w1", END_MS);
-	ck_assert(bound_release(&bound, "w1"));
-	ck_assert(!bound_holds(&bound, "w1"));
+	bound_withhold(&bound, "w1", END_MS);
+	ck_assert(bound_allow(&bound, "w1"));
+	ck_assert(!bound_withholds(&bound, "w1"));
 	store();
 	ck_assert(!sent.waits);
 }
@@ -218,15 +218,15 @@
 {
 	struct err err = { .kind = ERR_OK };
 
-	bound_keep(&bound, "w1", END_MS);
+	bound_withhold(&bound, "w1", END_MS);
 	store_and_answer();
-	bound_release(&bound, "w1");
+	bound_allow(&bound, "w1");
 	store_and_answer();
 	ck_assert_int_eq(bound_apply(&table, key, 0, "[[\"w1\",10]]", 11,
 				     clk.manual_ms, &err),
 			 0);
 	change_owner();
-	ck_assert(!bound_holds(&bound, "w1"));
+	ck_assert(!bound_withholds(&bound, "w1"));
 }
 END_TEST
 
@@ -239,17 +239,17 @@
 				     clk.manual_ms, &err),
 			 ERR_INVALID);
 	change_owner();
-	ck_assert(bound_holds(&bound, "w1"));
+	ck_assert(bound_withholds(&bound, "w1"));
 	store_and_answer();
 	ck_assert_str_eq(sent.value, "[]");
-	ck_assert(!bound_holds(&bound, "w1"));
+	ck_assert(!bound_withholds(&bound, "w1"));
 }
 END_TEST
 
 /* Guards against a node that starts and reads a list of long ago. */
 START_TEST(list_is_stored_again_while_its_times_run)
 {
-	bound_keep(&bound, "w1", END_MS);
+	bound_withhold(&bound, "w1", END_MS);
 	store_and_answer();
 	store();
 	ck_assert(!sent.waits);
@@ -265,7 +265,7 @@
 /* Guards against an owner that goes on beside a later one. */
 START_TEST(fenced_list_ends_the_tenure)
 {
-	bound_keep(&bound, "w1", END_MS);
+	bound_withhold(&bound, "w1", END_MS);
 	store();
 	answer(STREAM_FENCED);
 	ck_assert_int_eq(fenced_calls, 1);
