Name the request in a refusal for an old configuration

With the log away a node refuses for the age of its configuration now, and that line had no id, so that operators could not get from a request to its cause. The id that the path ends with is logged. tenure-confirmed names its tenure like the other lines of a tenure that goes on.

--- a/src/front.c
+++ b/src/front.c
@@ -458,7 +458,7 @@
 	fn(arg, &answer);
 }
 
-const struct cfg *front_cfg(struct front *front)
+const struct cfg *front_cfg(struct front *front, const char *id)
 {
 	struct front_env *env = front->env;
 	int64_t age_ms = tail_age_ms(env->operators_tail);
@@ -466,9 +466,9 @@
 	if (!*env->cfg || age_ms <= env->max_cfg_age_ms)
 		return *env->cfg;
 	env->counts.refused_old_cfg++;
-	log_info("refused why=configuration-age age_ms=%" G_GINT64_FORMAT
+	log_info("refused id=%s why=configuration-age age_ms=%" G_GINT64_FORMAT
 		 " version=%" G_GINT64_FORMAT,
-		 age_ms, (*env->cfg)->version);
+		 id, age_ms, (*env->cfg)->version);
 	return NULL;
 }
 
--- a/src/front.h
+++ b/src/front.h
@@ -99,11 +99,13 @@
 /*
  * front_cfg - the configuration to decide a request by
  *
+ * id names the request in the log.
+ *
  * RETURN VALUE
  *	NULL if none has been read yet, or if the log has not confirmed it
  *	recently; the request is to be refused, to be sent again later.
  */
-const struct cfg *front_cfg(struct front *front);
+const struct cfg *front_cfg(struct front *front, const char *id);
 
 /* front_request - process a request; fn is called once, maybe before it returns */
 void front_request(struct front *front, const struct front_request *request,
--- a/src/ownership.c
+++ b/src/ownership.c
@@ -110,7 +110,7 @@
 	}
 	if (--ownership->unconfirmed)
 		return;
-	log_info("tenure-confirmed of=%s fence=%" G_GINT64_FORMAT,
+	log_info("tenure-confirmed tenure=%s fence=%" G_GINT64_FORMAT,
 		 ownership->name, ownership->fence);
 	ownership->authority_end_ms = ownership->membership_end_ms;
 }
--- a/tests/test_cfg_age.c
+++ b/tests/test_cfg_age.c
@@ -30,7 +30,8 @@
 /* Version that the node decides requests by; -1: it refuses them. */
 static int64_t deciding_version(struct sim *sim, int node)
 {
-	const struct cfg *cfg = front_cfg(node_front(sim->nodes[node].node));
+	const struct cfg *cfg =
+		front_cfg(node_front(sim->nodes[node].node), "-");
 
 	return cfg ? cfg->version : -1;
 }
