--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -86,6 +86,17 @@
 				"run-failed");
 }
 
+/* Logs the end of a run that its owner has given up or never knew. */
+static void note_unplaced_end(const struct worker *worker,
+			      const struct worker_end *end,
+			      const struct job_task *task)
+{
+	log_info("unplaced-run-ended task=%s run=%d worker=%s how=%d state=%d "
+		 "newest_run=%d newest_worker=%s failed=%d",
+		 end->task, end->run, worker->entry.id, end->how, task->state,
+		 task->run, task->worker ? task->worker : "-", task->failed);
+}
+
 static void handle_ended_run(struct pool *pool, struct worker *worker,
 			     const struct worker_end *end,
 			     struct progress *progress)
@@ -108,11 +119,19 @@
 		if (end->how == END_FAILED)
 			hold_if_failing(pool, &pos);
 		pool_end_run(pool, &pos, end->how, end->checkpoint);
-	} else if (end->how == END_DONE && pos.task->state == TASK_WAITING &&
-		   end->run <= pos.task->run) {
-		/* The run had been declared lost, but completed. */
-		pool_end_run(pool, &pos, END_DONE, NULL);
+		if (end->how == END_FAILED)
+			log_info(
+				"run-failed task=%s run=%d worker=%s failed=%d",
+				end->task, end->run, worker->entry.id,
+				pos.task->failed);
+		return;
 	}
+	if (end->how == END_DONE || end->how == END_FAILED)
+		note_unplaced_end(worker, end, pos.task);
+	/* The run had been declared lost, but completed. */
+	if (end->how == END_DONE && pos.task->state == TASK_WAITING &&
+	    end->run <= pos.task->run)
+		pool_end_run(pool, &pos, END_DONE, NULL);
 }
 
 static void stop_run(struct pool *pool, struct worker *worker,
