Check in the simulation that no task starts after its last attempt

Now a play may let half of the runs fail with three attempts; a start is judged by the failed runs before it whose ends are acknowledged then or later, and a job may be shown as failed only if one of its tasks has used up its attempts.

--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,8 @@
 	$(wildcard tests/*.h)
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
-FLEET_SOURCES = tests/fleet_capacity.c tests/fleet_capacity.h \
+FLEET_SOURCES = tests/fleet_attempts.c tests/fleet_attempts.h \
+	tests/fleet_capacity.c tests/fleet_capacity.h \
 	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
 	tests/fleet_gang.h tests/fleet_play.c tests/fleet_play.h \
 	tests/fleet_sim.c tests/fleet_sim.h tests/log_model.c tests/log_model.h \
@@ -113,7 +114,8 @@
 	$(BUILD)/test_moved_off \
 	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
 	$(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_tenures \
-	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders
+	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
+	$(BUILD)/test_attempts
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
--- a/tests/fleet_cut.c
+++ b/tests/fleet_cut.c
@@ -395,6 +395,7 @@
 	struct fleet_cut cut;
 
 	fleet_cut_init(&cut, sim);
+	fleet_limit_attempts(sim, play);
 	sim_run_for(sim, WARM_UP_MS);
 	play_steps(&cut, loads[seed % G_N_ELEMENTS(loads)].job_steps);
 	fleet_cut_end(&cut);
--- a/tests/fleet_play.c
+++ b/tests/fleet_play.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "fleet_attempts.h"
 #include "fleet_capacity.h"
 #include "fleet_cut.h"
 #include "fleet_sim.h"
@@ -20,7 +21,10 @@
 	DEADLY_GAP = 8,
 	/* With play->cuts, a job may be given up after so many crashes of
 	   workers under its runs. */
-	GIVE_UP_CRASHES = 2
+	GIVE_UP_CRASHES = 2,
+	/* With play->failing. */
+	ATTEMPTS = 3,
+	FAIL_PERCENT = 50
 };
 
 int fleet_owner(struct sim *sim)
@@ -148,6 +152,12 @@
 	return play->cuts && job->crashes_met >= GIVE_UP_CRASHES;
 }
 
+void fleet_limit_attempts(struct sim *sim, const struct fleet_play *play)
+{
+	if (play->failing)
+		fleet_attempts_limit(sim, ATTEMPTS, FAIL_PERCENT);
+}
+
 void fleet_check_ends(struct sim *sim, struct fleet_play *play)
 {
 	GHashTableIter iter;
@@ -162,7 +172,9 @@
 			continue;
 		state = sim_get_job_state(sim, 0, job->id);
 		if (state == (job->deadly ? JOB_FAILED : JOB_DONE) ||
-		    (state == JOB_FAILED && may_be_given_up(play, job)) ||
+		    (state == JOB_FAILED &&
+		     (may_be_given_up(play, job) ||
+		      fleet_attempts_used_up(sim, job->id))) ||
 		    (job->cancelled_ms && state == JOB_CANCELLED) ||
 		    (job->cancel_requested && !job->cancelled_ms &&
 		     job_ended((enum job_state)state)))
@@ -207,6 +219,7 @@
 	fleet_disable_guard(sim, play->disabled);
 	if (play->shrinking)
 		fleet_capacity_unguard(sim);
+	fleet_limit_attempts(sim, play);
 	/* Odd seeds have one or two nodes that cannot be deciders. */
 	if (seed % 2)
 		sim_restart_with_slow_link(sim, (int)(seed / 2 % 3));
--- a/tests/fleet_play.h
+++ b/tests/fleet_play.h
@@ -32,6 +32,8 @@
 	bool cuts;
 	/* Input: workers restarted under their id accept earlier orders. */
 	bool lenient;
+	/* Input: half of the runs fail, and tasks have few attempts. */
+	bool failing;
 	char broken[256]; /* first violated invariant; empty: none */
 	uint64_t started; /* runs; each call adds to it */
 };
@@ -44,12 +46,16 @@
  */
 void fleet_play(uint64_t seed, struct fleet_play *play);
 
+/* fleet_limit_attempts - with play->failing, let runs fail and limit attempts */
+void fleet_limit_attempts(struct sim *sim, const struct fleet_play *play);
+
 /*
  * fleet_check_ends - check the final states of all accepted jobs
  *
  * A job must be done, or cancelled if its cancel was acknowledged; after an
  * unacknowledged cancel any final state is right. A job with a task that
- * crashes workers must have failed instead. The first violation is written to
+ * crashes workers must have failed instead, and one may have failed of which a task
+ * has used up its attempts. The first violation is written to
  * play->broken.
  */
 void fleet_check_ends(struct sim *sim, struct fleet_play *play);
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet_attempts.h"
 #include "fleet_capacity.h"
 #include "fleet_gang.h"
 #include "host_plan.h"
@@ -28,7 +29,10 @@
 	/* Of an encoded record, besides its key and value. */
 	RECORD_HEADER_BYTES = 5,
 	/* A run that fails at once does so after this time. */
-	QUICK_FAILURE_MS = 100
+	QUICK_FAILURE_MS = 100,
+	/* Unless fleet_attempts_limit is called. */
+	ATTEMPTS = 50,
+	FAIL_PERCENT = 2
 };
 
 /* The io argument of one node incarnation's calls. */
@@ -672,6 +676,8 @@
 		return;
 	}
 	job->starts++;
+	if (!job->lasting && !fleet_attempts_started(sim, task))
+		report_violation(sim, "started after its last attempt", task);
 	if (job->rejected)
 		report_violation(sim, "task of a refused job", task);
 	check_deadly_start(sim, job, task);
@@ -702,6 +708,8 @@
 		 sim->clk.manual_ms, end->task, end->run, end->how);
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->done, g_strdup(end->task));
+	if (end->how == END_FAILED)
+		fleet_attempts_failed(sim, end);
 }
 
 static void record_acknowledged(void *arg, const struct worker_end *end)
@@ -713,6 +721,9 @@
 		 sim->clk.manual_ms, end->task, end->run);
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->acknowledged, g_strdup(end->task));
+	if (end->how == END_FAILED && !fleet_attempts_acknowledged(sim, end))
+		report_violation(sim, "had been started after its last attempt",
+				 end->task);
 }
 
 static const struct model_run *find_run(const struct worker_model *model,
@@ -768,7 +779,8 @@
 	struct model_run run = {
 		.run = event->run,
 		.remaining_ms = sim->task_ms + random_below(sim, TASK_MS),
-		.fails = random_below(sim, 100) < 2 && !sim->runs_succeed,
+		.fails = random_below(sim, 100) < sim->fail_percent &&
+			 !sim->runs_succeed,
 	};
 	enum order_outcome outcome;
 	char id[JOB_ID_BYTES];
@@ -1530,11 +1542,12 @@
 	char *text = g_strdup_printf(
 		"{\"version\":%" G_GINT64_FORMAT
 		",\"routes\":[{\"name\":\"q\",\"host\":\"h\","
-		"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":50,"
+		"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":%d,"
 		"\"stretch\":1000.0,\"sloMs\":100000}],"
 		"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":%s}%s],"
 		"\"limits\":{\"maxBodyBytes\":100000}}",
-		version, guarded ? "true" : "false", other_services);
+		version, sim->attempts, guarded ? "true" : "false",
+		other_services);
 
 	log_model_put(sim->log, "operators", "config", text, strlen(text));
 	g_free(text);
@@ -1604,6 +1617,9 @@
 	sim->task_ms = TASK_MS;
 	sim->crash_ms = SIM_CRASH_MS;
 	sim->deadly_tasks = 1;
+	sim->attempts = ATTEMPTS;
+	sim->fail_percent = FAIL_PERCENT;
+	sim->failures = fleet_attempts_create();
 	rnd_init(&sim->rnd, seed);
 	sim->events = g_sequence_new(NULL);
 	sim->log = log_model_create();
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -130,7 +130,9 @@
 	int32_t task_mem_mib;
 	bool gang;	   /* the tasks of each of their steps are a gang */
 	bool fills;	   /* their tasks use the processor that others leave */
-	bool runs_succeed; /* else 2% of the runs fail at their end */
+	int32_t attempts;	   /* of each task; see fleet_attempts_limit */
+	uint32_t fail_percent;	   /* of the runs fail at their end */
+	bool runs_succeed;	   /* no run fails */
 	int32_t deadly_tasks; /* of the deadly jobs submitted from now on */
 	bool deadly_at_work;  /* those of a gang crash once it is complete */
 	bool hosts_obey; /* orders for hosts are carried out, else refused */
@@ -151,6 +153,7 @@
 	GHashTable *acknowledged; /* tasks whose success was acknowledged */
 	GHashTable *done;	  /* tasks that succeeded on any worker */
 	GHashTable *jobs;	  /* id -> struct sim_job */
+	struct fleet_attempts *failures; /* failed runs of each task */
 	uint32_t started;
 	uint32_t starts_in_flight;     /* start orders in flight */
 	uint32_t max_starts_in_flight; /* maximum so far */
