Stop using idle connections once a call shows that they may be silent

Cause: each address has up to 16 idle connections. After they had gone silent, each call to the address took the next of them and ended at its timeout. The host list is read by one call at a time, so it was out of reach for up to 16 timeouts; then puts drained hosts back into service and decides nothing. The same holds for each address: log, hosts, workers.

A call that times out now shuts the idle connections to its address that have carried no response since it was sent. Those in use have a timeout of their own. The repeat opens a new connection, so that a silent address costs one timeout.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	host_plan \
 	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf front group \
 	standby node_metrics node_records node_pools node_view node
-PLATFORM = call json store wire order_api host_api ingress platform
+PLATFORM = conn call json store wire order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -11,6 +11,7 @@
 #include <check.h>
 
 #include "call.h"
+#include "conn.h"
 #include "evloop.h"
 #include "order_api.h"
 #include "suite.h"
@@ -20,7 +21,8 @@
 	BACKLOG = 200,
 	CALL_TIMEOUT_MS = 300,
 	COUNT_MS = 150,
-	RUN_MS = 800
+	RUN_MS = 800,
+	SILENT_TIMEOUT_MS = 150
 };
 
 struct silent_server {
@@ -248,6 +250,146 @@
 }
 END_TEST
 
+/*
+ * A server whose open connections go silent for good once some are open: their
+ * requests are read and not answered. New connections are answered at once.
+ */
+struct silencing_server {
+	struct silent_server listener;
+	int fds[CALLS];
+	int count;
+	int silent; /* the first so many connections do not answer */
+};
+
+static void silencing_tick(void *arg)
+{
+	static const char done[] = "HTTP/1.1 200 OK\r\n"
+				   "Content-Length: 2\r\n\r\n{}";
+	struct silencing_server *server = arg;
+	char request[4096];
+
+	while (server->count < CALLS &&
+	       (server->fds[server->count] =
+			accept(server->listener.fd, NULL, NULL)) >= 0)
+		server->count++;
+	for (int i = 0; i < server->count; i++)
+		if (recv(server->fds[i], request, sizeof(request),
+			 MSG_DONTWAIT) > 0 &&
+		    i >= server->silent)
+			ck_assert_int_gt(send(server->fds[i], done,
+					      strlen(done), MSG_NOSIGNAL),
+					 0);
+}
+
+/* Calls to such a server: several at once, then one after the other. */
+struct repeating_caller {
+	struct evloop *evloop;
+	struct call_client *client;
+	struct silencing_server server;
+	int in_progress;
+	int answered;	/* of the first calls */
+	int unanswered; /* of those after them */
+};
+
+static void send_repeated(struct repeating_caller *caller, call_fn *fn)
+{
+	struct call_request request = {
+		.method = "GET",
+		.address = caller->server.listener.address,
+		.path = "/",
+		.timeout_ms = SILENT_TIMEOUT_MS,
+	};
+
+	caller->in_progress++;
+	call_send(caller->client, &request, fn, caller);
+}
+
+static void on_repeated(void *arg, const struct call_response *response)
+{
+	struct repeating_caller *caller = arg;
+
+	caller->in_progress--;
+	if (response->status == 200) {
+		evloop_stop(caller->evloop);
+		return;
+	}
+	caller->unanswered++;
+	send_repeated(caller, on_repeated);
+}
+
+static void on_first(void *arg, const struct call_response *response)
+{
+	struct repeating_caller *caller = arg;
+
+	caller->in_progress--;
+	caller->answered += response->status == 200;
+	if (caller->in_progress)
+		return;
+	caller->server.silent = caller->server.count;
+	send_repeated(caller, on_repeated);
+}
+
+/*
+ * Guards against an address that is out of reach for one timeout after the other
+ * (21 s on the host list) once its open connections have gone silent: each call
+ * took the next of the idle ones.
+ */
+START_TEST(one_timeout_ends_the_use_of_connections_that_went_silent)
+{
+	struct evloop *evloop = evloop_create(clk_system());
+	struct repeating_caller caller = {
+		.evloop = evloop,
+		.client = call_client_create(evloop),
+	};
+
+	server_open(&caller.server.listener);
+	evloop_add_timer(evloop, 5, silencing_tick, &caller.server);
+	for (int i = 0; i < CALL_MAX_CONNECTIONS; i++)
+		send_repeated(&caller, on_first);
+	evloop_run(evloop);
+	ck_assert_int_eq(caller.answered, CALL_MAX_CONNECTIONS);
+	ck_assert_int_gt(caller.server.silent, 1);
+	ck_assert_int_eq(caller.unanswered, 1);
+	call_client_destroy(caller.client);
+	evloop_destroy(evloop);
+	for (int i = 0; i < caller.server.count; i++)
+		close(caller.server.fds[i]);
+	close(caller.server.listener.fd);
+}
+END_TEST
+
+enum { FD_OLD = 1000, FD_BUSY, FD_ANSWERED, FD_ELSEWHERE, SENT_MS = 500 };
+
+/*
+ * Guards against healthy connections that are closed with the silent ones: those in
+ * use, those that have answered since, and those to other addresses stay.
+ */
+START_TEST(only_idle_connections_without_an_answer_since_are_shut)
+{
+	struct conn_table *table = conn_table_create();
+	struct conn *user = NULL;
+	struct conn *old = conn_open(table, "a:1", FD_OLD);
+	struct conn *busy = conn_open(table, "a:1", FD_BUSY);
+	struct conn *answered = conn_open(table, "a:1", FD_ANSWERED);
+
+	conn_open(table, "b:1", FD_ELSEWHERE);
+	conn_set_answered(old, SENT_MS);
+	conn_set_answered(answered, SENT_MS + 1);
+	user = busy;
+	conn_set_user(busy, &user);
+	ck_assert_uint_eq(conn_shut_idle(table, "a:1", SENT_MS), 1);
+	ck_assert_uint_eq(conn_shut_idle(table, "a:1", SENT_MS), 0);
+	conn_closed(table, FD_BUSY);
+	ck_assert_ptr_null(user);
+	conn_closed(table, FD_OLD);
+	conn_closed(table, FD_ANSWERED);
+	ck_assert_uint_eq(conn_shut_idle(table, "a:1", SENT_MS), 0);
+	ck_assert_uint_eq(conn_shut_idle(table, "b:1", SENT_MS), 1);
+	conn_closed(table, FD_ELSEWHERE);
+	conn_table_release(table);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("call");
@@ -255,6 +397,11 @@
 
 	tcase_add_test(calls, connections_to_one_address_are_bounded);
 	tcase_add_test(calls, start_without_an_answer_is_not_taken_as_refused);
+	tcase_add_test(
+		calls,
+		one_timeout_ends_the_use_of_connections_that_went_silent);
+	tcase_add_test(calls,
+		       only_idle_connections_without_an_answer_since_are_shut);
 	suite_add_tcase(suite, calls);
 	return suite_run(suite);
 }
