Store up to which number plans of hosts are settled

A node that starts reads all plans at the same time, so that each host waits, however old its plan is.

The owner of the hosts now stores, with the list of hosts that are not ordered, the number up to which all plans were carried out longer ago than the order lease. A successor orders hosts with such a plan at once. Numbers up to it are not used again. An order counts from when it was sent, and as long as it may be under way.

--- a/src/bound.c
+++ b/src/bound.c
@@ -182,6 +182,18 @@
 	return found != NULL;
 }
 
+void bound_foreach(const struct bound *bound,
+		   void (*fn)(void *arg, const char *subject, int64_t end_ms),
+		   void *arg)
+{
+	GHashTableIter iter;
+	void *name, *value;
+
+	g_hash_table_iter_init(&iter, bound->subjects);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		fn(arg, name, ((const struct bound_subject *)value)->end_ms);
+}
+
 int64_t bound_own_end_ms(const struct bound *bound, const char *subject)
 {
 	const struct bound_subject *found = find(bound, subject);
--- a/src/bound.h
+++ b/src/bound.h
@@ -102,6 +102,11 @@
 bool bound_find_end(const struct bound *bound, const char *subject,
 		    int64_t *end_ms);
 
+/* bound_foreach - call fn for each subject that may be given no permission */
+void bound_foreach(const struct bound *bound,
+		   void (*fn)(void *arg, const char *subject, int64_t end_ms),
+		   void *arg);
+
 /*
  * bound_own_end_ms - until when a withheld subject may be given permissions
  *
--- a/src/maint.c
+++ b/src/maint.c
@@ -253,6 +253,10 @@
 {
 	if (!earlier)
 		return 0;
+	if (earlier->step == HOST_ORDER_DONE &&
+	    earlier->number <= maint->settled_plan)
+		return MIN(MAX(earlier->seen_ms, earlier->previous_seen_ms),
+			   maint->settled_end_ms - maint->env->order_lease_ms);
 	if (earlier->step == HOST_DRAINED &&
 	    earlier->fence != maint->ownership.fence)
 		return maint->earlier_end_ms;
@@ -372,6 +376,7 @@
 
 	g_strlcpy(request->host, plan->host, sizeof(request->host));
 	known->ordering = true;
+	known->sent_ms = clk_now_ms(maint->env->clk);
 	if (plan->work == HOST_MOVE)
 		maint->env->io->move(maint->env->io->io, &owner, plan->host,
 				     plan->pool, on_order, request);
--- a/src/maint_int.h
+++ b/src/maint_int.h
@@ -21,6 +21,7 @@
 	bool idle;	/* no task is placed there */
 	int32_t load_milli;
 	int64_t order_due_ms;
+	int64_t sent_ms;     /* when the last order was sent */
 	int64_t ordered_ms;  /* when the last order was confirmed */
 	int64_t order_fence; /* of the last tenure that was to order it */
 	bool unanswered; /* an order for its plan may still be carried out */
@@ -61,7 +62,11 @@
 	bool has_ordered;		 /* or is to order, in this tenure */
 	bool handing_over;	/* orders no more; its successor is to know */
 	int64_t earlier_end_ms; /* no earlier owner sends an order from then on */
-	int64_t last_plan;	/* number of the last plan */
+	/* No order for a plan up to this number is recent from then on. */
+	int64_t settled_plan;
+	int64_t settled_end_ms;
+	int64_t settled_due_ms;	      /* not looked for before */
+	int64_t last_plan;	      /* number of the last plan */
 	struct writer *status_writer; /* NULL: not needed yet */
 	bool listing;		      /* a list request is in progress */
 	bool list_failing;
@@ -76,7 +81,9 @@
 /*
  * Orders of earlier owners, see bound.h: until its first order an owner has
  * stored that it has given none, and likewise for each host that an earlier
- * owner has planned to order.
+ * owner has planned to order. It also stores up to which number plans are settled:
+ * orders for them are older than order_lease_ms. A node that starts could not tell,
+ * as it reads the plans of all hosts at the same time.
  *
  * maint_bound_init - begin without bounds
  * maint_bound_acquired - read those that an earlier owner has stored
