Renew no lease by the clock of a worker's former life

Cause: a worker starts again under its id, and its owner reads the new registry entry before its next renewal. That one asks for a lease that ends by the clock of the former life; the new clock starts at 0, so that the lease lasts for as long as the former life had (17 s in the play, holdMaxMs at most), while the owner counts 4 s. The cursor of a renewal was guarded against this, its lease was not; starts wait for the new life's report.

--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -118,7 +118,8 @@
 		.cursor = has_not_restarted(worker) ? worker->cursor : 0,
 	};
 
-	if (worker->fence_accepted && !worker->renew_failures &&
+	/* The end of a lease is a time on the clock of the last report's life. */
+	if (worker->fence_accepted && has_not_restarted(worker) &&
 	    grantable_to_ms(pool, worker, now_ms) &&
 	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
 		renew.until_ms = pool_grant_lease(pool, worker, now_ms);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -33,6 +33,8 @@
 static struct pool *pool;
 static struct worker *worker;
 static int64_t latest_end_ms; /* of the leases given by starts, real time */
+static int renewals;
+static int64_t renewed_until_ms; /* asked for by the last one; 0: nothing */
 
 /*
  * Real time at which a lease that is given now ends at the slowest worker; 0 if
@@ -61,7 +63,22 @@
 	g_free(arg);
 }
 
-static const struct order_io orders = { .start = start_and_pause };
+static void note_renewal(void *io, const struct worker_entry *entry,
+			 const struct order_renew *renew, order_renew_fn *fn,
+			 void *arg)
+{
+	(void)io;
+	(void)entry;
+	(void)fn;
+	renewals++;
+	renewed_until_ms = renew->until_ms;
+	g_free(arg);
+}
+
+static const struct order_io orders = {
+	.start = start_and_pause,
+	.renew = note_renewal,
+};
 
 static void setup(void)
 {
@@ -91,6 +108,7 @@
 	worker = pool_fixture_add_worker(&fixture, "w1", NULL, 4000);
 	worker->clock_ms = WORKER_CLOCK_MS;
 	latest_end_ms = 0;
+	renewals = 0;
 }
 
 static void teardown(void)
@@ -157,6 +175,40 @@
 }
 END_TEST
 
+static void renew_at_once(void)
+{
+	worker->fence_accepted = true;
+	worker->listed = true;
+	worker->last_report_ms = clk.manual_ms;
+	worker->clock_at_ms = clk.manual_ms;
+	worker->renewing = false;
+	worker->next_renew_ms = 0;
+	pool_renew(pool);
+}
+
+/*
+ * Guards against two runs of a task at the same time (TWICE): a worker has started
+ * again under its id, and a renewal asks for a lease that ends by the clock of its
+ * former life, so that it lasts for as long as that one had run.
+ */
+START_TEST(renewal_asks_for_no_lease_by_the_clock_of_a_former_life)
+{
+	worker->boot_ms = 1;
+	worker->entry.boot_ms = 1;
+	renew_at_once();
+	ck_assert_int_eq(renewals, 1);
+	ck_assert_int_gt(renewed_until_ms, WORKER_CLOCK_MS);
+	worker->entry.boot_ms = 2;
+	renew_at_once();
+	ck_assert_int_eq(renewals, 2);
+	ck_assert_int_eq(renewed_until_ms, 0);
+	worker->boot_ms = 2;
+	renew_at_once();
+	ck_assert_int_eq(renewals, 3);
+	ck_assert_int_gt(renewed_until_ms, WORKER_CLOCK_MS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("lease");
@@ -167,6 +219,8 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, no_lease_outlives_the_wait_of_a_successor);
 	tcase_add_test(tcase, starts_after_a_pause_get_no_longer_leases);
+	tcase_add_test(tcase,
+		       renewal_asks_for_no_lease_by_the_clock_of_a_former_life);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
