Start no task by an old registry

Suspected cause: starts wait for a read of the jobs of the last 300 ms, and nobody asks how old the registry is, which says that a worker drains. One answer that is lost there costs 2.3 s. The same class as a configuration or jobs that are old (CONFIG, UNASKED).

Starts now wait while the registry was not read to its end within 1.8 s. A read that is late is joined by a second one after 1.2 s, so that one lost answer holds nothing up.

--- a/src/node.c
+++ b/src/node.c
@@ -20,6 +20,10 @@
 	NODE_CFG_WAIT_MS = 600,
 	NODE_CFG_CONFIRM_MS = 2 * NODE_CFG_WAIT_MS + 50,
 	NODE_CFG_MAX_AGE_MS = 1800,
+	/* Starts must follow a worker that drains within 2,000 ms in some
+	   deployments. */
+	NODE_REGISTRY_CONFIRM_MS = 1200,
+	NODE_REGISTRY_MAX_AGE_MS = 1800,
 	/* The log counts as reachable while the newest answered read began
 	   less than this ago. */
 	NODE_LOG_AGE_MS = 2 * NODE_FOLLOW_WAIT_MS + 500,
@@ -184,6 +188,7 @@
 		create_tail(node, config->streams.workers, NODE_WORKERS_GAP_MS,
 			    NODE_FOLLOW_WAIT_MS, node_on_worker_record,
 			    node_on_registry_reload);
+	tail_set_confirm(node->registry_tail, NODE_REGISTRY_CONFIRM_MS);
 	standby_init(&node->standby, config->settings, clk_now_ms(config->clk));
 	node->follows_jobs = node->standby.decides;
 	tail_set_following(node->registry_tail, node->follows_jobs);
@@ -219,6 +224,8 @@
 		.membership_ms = NODE_TTL_MS,
 		.disconnected_ms = NODE_DISCONNECTED_MS,
 		.max_stream_age_ms = NODE_MAX_STREAM_AGE_MS,
+		.registry = node->registry_tail,
+		.max_registry_age_ms = NODE_REGISTRY_MAX_AGE_MS,
 	};
 	node->maint_env = (struct maint_env){
 		.clk = config->clk,
--- a/src/pool.h
+++ b/src/pool.h
@@ -67,6 +67,10 @@
 	/* No task is placed while the jobs read are older: a cancel may have been
 	   accepted since. */
 	int64_t max_stream_age_ms;
+	/* Of the workers; no start is sent while what was read is older: a worker
+	   may have said since that it drains. NULL: not asked. */
+	const struct tail *registry;
+	int64_t max_registry_age_ms;
 	struct pool_counts counts;
 	struct histo wait_ms;  /* from submission to first placement */
 	struct histo age_ms;   /* from submission to the end of the job */
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -38,10 +38,11 @@
 	GArray *unplaced;	    /* struct unplaced_run */
 	GArray *stored;		    /* struct stored_record, in stream order */
 	guint stored_reading;	    /* of them stored before the read began */
-	bool reading;	      /* a read of the stream's end is in flight */
-	bool read_wanted;     /* by starts that are due */
-	int64_t read_ms;      /* end of the last one that was answered */
-	int64_t next_read_ms; /* not before, after one that failed */
+	bool reading;		/* a read of the stream's end is in flight */
+	bool read_wanted;	/* by starts that are due */
+	int64_t read_ms;	/* end of the last one that was answered */
+	bool registry_outdated; /* so that no start is sent; logged */
+	int64_t next_read_ms;	/* not before, after one that failed */
 };
 
 static inline int64_t pool_now_ms(const struct pool *pool)
@@ -240,8 +241,8 @@
  * pool_stored_init, pool_stored_clear - begin with none; forget them all
  * pool_stored_add - add the placements of a job's record number at offset
  * pool_stored_read - read on while some wait; called on every tick
- * pool_may_start - whether such a read is recent enough to send a start; if not,
- *	one is made
+ * pool_may_start - whether such a read, and that of the registry, are recent enough
+ *	to send a start; if the former is not, one is made
  */
 void pool_stored_init(struct pool *pool);
 void pool_stored_clear(struct pool *pool);
--- a/src/pool_stored.c
+++ b/src/pool_stored.c
@@ -1,3 +1,4 @@
+#include "log.h"
 #include "pool_int.h"
 
 enum {
@@ -86,12 +87,28 @@
 	tail_sync(jobs_tail(pool), on_read, pool);
 }
 
+/* Whether the registry was read recently enough; logs each change. */
+static bool registry_is_recent(struct pool *pool)
+{
+	const struct pool_env *env = pool->env;
+	int64_t age_ms = env->registry ? tail_age_ms(env->registry) : 0;
+	bool outdated = age_ms > env->max_registry_age_ms;
+
+	if (outdated != pool->registry_outdated)
+		log_info(
+			"starts-%s tenure=%s registry_age_ms=%" G_GINT64_FORMAT,
+			outdated ? "held" : "resumed", pool->ownership.name,
+			age_ms);
+	pool->registry_outdated = outdated;
+	return !outdated;
+}
+
 bool pool_may_start(struct pool *pool)
 {
 	bool recent = pool_now_ms(pool) - pool->read_ms < POOL_READ_AGE_MS;
 
 	pool->read_wanted |= !recent;
-	return recent;
+	return recent && registry_is_recent(pool);
 }
 
 static bool has_placements(struct job *job, uint32_t number)
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -8,6 +8,7 @@
 #include <apr_general.h>
 #include <check.h>
 
+#include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
 
@@ -28,7 +29,14 @@
 	SIZED_MS = 10000,
 	/* Of a host that is moved to the pool, and a start on it. */
 	ARRIVAL_MS = 3000,
-	WAVE_MS = 25000
+	WAVE_MS = 25000,
+	DRAINING_WORKERS = 3,
+	/* The least of all deployments within which starts must follow. */
+	DRAIN_MS = 2000,
+	UNSEEN_MS = 4000,
+	PHASE_MS = 73,
+	/* From one job to the next. */
+	JOB_STEPS = 10
 };
 
 static guint count_runs(const struct sim *sim)
@@ -203,6 +211,58 @@
 }
 END_TEST
 
+/*
+ * A worker drains, and its pool's owner is not told: of its reads of the registry so
+ * many get no answer.
+ */
+static struct sim *drain_unseen(int seed, int unanswered)
+{
+	struct sim *sim = sim_create(300 + (uint64_t)seed, 3, DRAINING_WORKERS);
+	int owner;
+
+	sim_run_for(sim, START_MS + seed * PHASE_MS);
+	owner = fleet_owner(sim);
+	ck_assert_int_ge(owner, 0);
+	sim->nodes[owner].unanswered_topic = "workers";
+	sim->nodes[owner].unanswered_reads = unanswered;
+	sim_run_for(sim, seed * PHASE_MS % UNSEEN_MS);
+	sim_drain_worker(sim, 0);
+	return sim;
+}
+
+/*
+ * Guards against starts at a worker long after it has said that it drains (DRAIN):
+ * the owner reads the jobs, and no answer on the registry reaches it.
+ */
+START_TEST(no_start_by_an_old_registry)
+{
+	struct sim *sim = drain_unseen(_i, -1);
+
+	sim_run_for(sim, DRAIN_MS);
+	for (int i = 0; i < UNSEEN_MS / STEP_MS; i++) {
+		if (i % JOB_STEPS == 0)
+			sim_submit_job(sim, 0, 1, DRAINING_WORKERS);
+		sim_run_for(sim, STEP_MS);
+		ck_assert_uint_eq(sim->workers[0].model.runs->len, 0);
+	}
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
+/* Guards against the opposite: starts that wait as one answer is lost. */
+START_TEST(lost_answer_on_the_registry_delays_no_start)
+{
+	struct sim *sim = drain_unseen(_i, 1);
+	struct sim_job *job;
+
+	for (int i = 0; i < UNSEEN_MS / STEP_MS; i += JOB_STEPS) {
+		job = sim_submit_job(sim, 0, 1, 1);
+		sim_run_for(sim, JOB_STEPS * STEP_MS);
+		ck_assert_int_gt(job->starts, 0);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("leaving");
@@ -223,6 +283,9 @@
 			    SEEDS);
 	tcase_add_loop_test(tcase, pool_gets_hosts_for_workers_that_drain, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase, no_start_by_an_old_registry, 0, SEEDS);
+	tcase_add_loop_test(tcase, lost_answer_on_the_registry_delays_no_start,
+			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
