--- a/Makefile
+++ b/Makefile
@@ -102,8 +102,9 @@
 FLEET_SOURCES = tests/fleet_attempts.c tests/fleet_attempts.h \
 	tests/fleet_capacity.c tests/fleet_capacity.h \
 	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
-	tests/fleet_gang.h tests/fleet_play.c tests/fleet_play.h \
-	tests/fleet_sim.c tests/fleet_sim.h tests/log_model.c tests/log_model.h \
+	tests/fleet_gang.h tests/fleet_hosts.c tests/fleet_log.c \
+	tests/fleet_orders.c tests/fleet_play.c tests/fleet_play.h \
+	tests/fleet_sim.c tests/fleet_sim.h tests/fleet_sim_int.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
 FLEET_TESTS = $(BUILD)/test_node $(BUILD)/test_crash $(BUILD)/test_takeover \
--- /dev/null
+++ b/tests/fleet_orders.c
@@ -0,0 +1,549 @@
+/*
+ * Orders of the simulated nodes to workers, and the checks of each start.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet_attempts.h"
+#include "fleet_capacity.h"
+#include "fleet_gang.h"
+#include "fleet_sim_int.h"
+#include "log.h"
+
+enum {
+	MAX_RENEW_WAIT_MS = 2000,
+	LATE_RANGE_MS = 8000,
+	/* A task crashes its worker within so long after sim.crash_delay_ms. */
+	CRASH_DELAY_MS = 60,
+	/* Between looks at whether the gang of such a task is complete. */
+	CRASH_CHECK_MS = 20,
+	/* A run that fails at once does so after this time. */
+	QUICK_FAILURE_MS = 100,
+};
+
+void sim_report_violation(struct sim *sim, const char *what, const char *task)
+{
+	if (!sim->broken[0])
+		snprintf(sim->broken, sizeof(sim->broken),
+			 "at %" G_GINT64_FORMAT " ms: %s: %s",
+			 sim->clk.manual_ms, what, task);
+}
+
+/*
+ * Number of the task among those of its job that crash the workers that start
+ * them; -1 if it is not one.
+ */
+static int deadly_index(const struct sim_job *job, const char *task)
+{
+	unsigned int index;
+
+	if (!job->deadly ||
+	    sscanf(task + JOB_ID_BYTES - 1, ".0.0.%u", &index) != 1 ||
+	    (int32_t)index >= job->deadly_tasks)
+		return -1;
+	return (int)index;
+}
+
+static void check_deadly_start(struct sim *sim, struct sim_job *job,
+			       const char *task)
+{
+	int index = deadly_index(job, task);
+
+	if (index >= 0 && job->crashes_of[index] >= SIM_CRASH_LIMIT &&
+	    ++job->starts_beyond_limit[index] == SIM_STARTS_BEYOND_LIMIT)
+		sim_report_violation(
+			sim, "started again after crashing workers", task);
+}
+
+static bool is_over_capacity(const struct sim *sim,
+			     const struct sim_worker *worker, int node)
+{
+	if (sim->unguarded)
+		return fleet_capacity_exceeded(sim, worker, node);
+	return (int32_t)worker->model.runs->len > worker->model.max_runs;
+}
+
+static void check_start(struct sim *sim, struct sim_worker *worker, int node,
+			const char *task)
+{
+	char id[JOB_ID_BYTES];
+	unsigned int occurrence, step, index;
+	struct sim_job *job;
+
+	sim->started++;
+	for (int i = 0; i < sim->worker_count; i++) {
+		struct sim_worker *other = &sim->workers[i];
+
+		GArray *runs = other->model.runs;
+		uint32_t same = 0;
+
+		for (guint j = 0; other->up && j < runs->len; j++)
+			same += !strcmp(
+				g_array_index(runs, struct model_run, j).task,
+				task);
+		/* The count for the worker itself includes the new run. */
+		if (same > (other == worker))
+			sim_report_violation(sim, "two concurrent runs", task);
+	}
+	if (g_hash_table_contains(sim->acknowledged, task))
+		sim_report_violation(
+			sim, "started after its end was acknowledged", task);
+	if (is_over_capacity(sim, worker, node))
+		sim_report_violation(
+			sim, "more runs than the worker has room for", task);
+	if (sscanf(task, "%16[0-9a-f].%u.%u.%u", id, &occurrence, &step,
+		   &index) != 4) {
+		sim_report_violation(sim, "malformed task name", task);
+		return;
+	}
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (!job || (int32_t)step >= job->steps ||
+	    (int32_t)index >= job->width) {
+		sim_report_violation(sim, "task of no submitted job", task);
+		return;
+	}
+	job->starts++;
+	if (!job->lasting && !fleet_attempts_started(sim, task))
+		sim_report_violation(sim, "started after its last attempt",
+				     task);
+	if (job->rejected)
+		sim_report_violation(sim, "task of a refused job", task);
+	check_deadly_start(sim, job, task);
+	if (job->cancelled_ms &&
+	    sim->clk.manual_ms > job->cancelled_ms + LATE_RANGE_MS + 3000)
+		sim_report_violation(
+			sim, "started long after the cancel was acknowledged",
+			task);
+	for (int32_t i = 0; step && i < job->width; i++) {
+		char *before = g_strdup_printf("%s.%u.%u.%d", id, occurrence,
+					       step - 1, i);
+
+		if (!g_hash_table_contains(sim->done, before))
+			sim_report_violation(
+				sim,
+				"started before the previous step was done",
+				task);
+		g_free(before);
+	}
+}
+
+void sim_record_end(void *arg, const struct worker_end *end)
+{
+	struct sim *sim = arg;
+
+	log_info("sim-run-ended at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
+		 "how=%d",
+		 sim->clk.manual_ms, end->task, end->run, end->how);
+	if (end->how == END_DONE)
+		g_hash_table_add(sim->done, g_strdup(end->task));
+	if (end->how == END_FAILED)
+		fleet_attempts_failed(sim, end);
+}
+
+void sim_record_acknowledged(void *arg, const struct worker_end *end)
+{
+	struct sim *sim = arg;
+
+	log_info("sim-end-acknowledged at_ms=%" G_GINT64_FORMAT " task=%s "
+		 "run=%d",
+		 sim->clk.manual_ms, end->task, end->run);
+	if (end->how == END_DONE)
+		g_hash_table_add(sim->acknowledged, g_strdup(end->task));
+	if (end->how == END_FAILED && !fleet_attempts_acknowledged(sim, end))
+		sim_report_violation(sim,
+				     "had been started after its last attempt",
+				     end->task);
+}
+
+static const struct model_run *find_run(const struct worker_model *model,
+					const char *task)
+{
+	for (guint i = 0; i < model->runs->len; i++) {
+		const struct model_run *run =
+			&g_array_index(model->runs, struct model_run, i);
+
+		if (!strcmp(run->task, task))
+			return run;
+	}
+	return NULL;
+}
+
+/* Crashes the worker, unless the run has ended or the worker has restarted. */
+static void crash_by_task(struct sim *sim, struct event *event)
+{
+	struct sim_worker *worker = &sim->workers[event->worker];
+	char id[JOB_ID_BYTES];
+	const struct model_run *run = find_run(&worker->model, event->task);
+	struct sim_job *job;
+
+	g_strlcpy(id, event->task, sizeof(id));
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (worker->up && worker->entry.boot_ms == event->born_ms && run) {
+		if (run->waits && sim->deadly_at_work) {
+			sim_schedule(sim, event, CRASH_CHECK_MS);
+			return;
+		}
+		job->crashes++;
+		job->crashes_of[deadly_index(job, event->task)]++;
+		sim_crash_worker(sim, event->worker);
+		worker->restart_at_ms = sim->clk.manual_ms + sim->crash_ms;
+	}
+	sim_event_free(event);
+}
+
+static void schedule_crash(struct sim *sim, const struct event *start)
+{
+	struct event *event = sim_event_new(&start->client, crash_by_task);
+
+	event->worker = start->worker;
+	event->born_ms = start->born_ms;
+	event->task = g_strdup(start->task);
+	sim_schedule(sim, event,
+		     sim->crash_delay_ms +
+			     sim_random_below(sim, CRASH_DELAY_MS));
+}
+
+static enum order_outcome
+apply_start(struct sim *sim, struct sim_worker *worker, struct event *event)
+{
+	struct model_run run = {
+		.run = event->run,
+		.remaining_ms = sim->task_ms + sim_random_below(sim, TASK_MS),
+		.fails = sim_random_below(sim, 100) < sim->fail_percent &&
+			 !sim->runs_succeed,
+	};
+	enum order_outcome outcome;
+	char id[JOB_ID_BYTES];
+	const struct sim_job *job;
+	bool began;
+
+	run.total_ms = run.remaining_ms;
+	g_strlcpy(run.task, event->task, sizeof(run.task));
+	g_strlcpy(id, event->task, sizeof(id));
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (job && job->task_ms) {
+		run.remaining_ms += job->task_ms - sim->task_ms;
+		run.total_ms = run.remaining_ms;
+	}
+	if (job && job->fails_at_once) {
+		run.remaining_ms = QUICK_FAILURE_MS;
+		run.fails = true;
+	}
+	if (job && job->gang)
+		fleet_gang_init_run(&run, job, &worker->model);
+	outcome = worker_model_start(&worker->model, &run,
+				     event->order_until_ms, &began);
+	if (!began)
+		return outcome;
+	log_info("sim-run-started at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
+		 "worker=%s node=%d fence=%" G_GINT64_FORMAT " late=%d",
+		 sim->clk.manual_ms, event->task, event->run, worker->entry.id,
+		 event->client.node, event->fence, event->unanswered);
+	check_start(sim, worker, event->client.node, event->task);
+	if (job && deadly_index(job, event->task) >= 0)
+		schedule_crash(sim, event);
+	if (job && job->lasting && !job->fails_at_once)
+		g_array_index(worker->model.runs, struct model_run,
+			      worker->model.runs->len - 1)
+			.until_stopped = true;
+	return outcome;
+}
+
+/* Whether the worker refuses the start as invalid; counts it. */
+static bool refuse_invalid(struct sim *sim, const struct event *start)
+{
+	char id[JOB_ID_BYTES];
+	struct sim_job *job;
+
+	g_strlcpy(id, start->task, sizeof(id));
+	job = g_hash_table_lookup(sim->jobs, id);
+	if (!job || !job->invalid)
+		return false;
+	job->starts_refused++;
+	return true;
+}
+
+/*
+ * Whether the worker accepts an order that was sent to an earlier incarnation
+ * under the same id.
+ */
+static bool accepts_earlier_order(const struct sim *sim,
+				  const struct sim_worker *worker,
+				  const struct event *order)
+{
+	return sim->lenient_workers && order->unanswered &&
+	       order->born_ms >= 0 &&
+	       order->replacements == worker->replacements;
+}
+
+static enum order_outcome apply_order(struct sim *sim, struct event *event)
+{
+	struct sim_worker *worker = &sim->workers[event->worker];
+	enum order_outcome outcome = ORDER_OK;
+
+	if (!worker->up)
+		return ORDER_UNKNOWN;
+	if (event->born_ms != worker->entry.boot_ms &&
+	    !accepts_earlier_order(sim, worker, event))
+		return ORDER_OTHER_WORKER;
+	if (!worker_model_check_fence(&worker->model, event->fence))
+		return ORDER_FENCED;
+	if (event->kind == 's' && !event->unanswered &&
+	    sim_random_below(sim, 100) < sim->faults.unhealthy_percent)
+		return ORDER_UNHEALTHY;
+	if (event->kind == 's' && refuse_invalid(sim, event))
+		return ORDER_INVALID;
+	if (event->kind == 's')
+		outcome = apply_start(sim, worker, event);
+	else if (event->kind == 'x')
+		worker_model_stop(&worker->model, event->task, event->run);
+	else
+		worker_model_acknowledge(&worker->model, event->cursor);
+	worker_model_extend(&worker->model, event->order_until_ms);
+	return outcome;
+}
+
+static void fill_report(const struct sim_worker *worker,
+			struct worker_report *report)
+{
+	GArray *runs = worker->model.runs;
+	GArray *ends = worker->model.ends;
+	guint listed = worker_model_listed_ends(&worker->model);
+
+	report->clock_ms = worker->model.clock_ms;
+	report->boot_ms = worker->entry.boot_ms;
+	report->runs = g_new0(struct worker_run, runs->len + 1);
+	report->ends = g_new0(struct worker_end, listed + 1);
+	report->more_ends = listed == WORKER_MODEL_LISTED_ENDS;
+	for (guint i = 0; i < runs->len; i++) {
+		const struct model_run *run =
+			&g_array_index(runs, struct model_run, i);
+		struct worker_run *reported =
+			&report->runs[report->run_count++];
+
+		g_strlcpy(reported->task, run->task, sizeof(reported->task));
+		reported->run = run->run;
+		reported->percent = model_run_percent(run);
+	}
+	for (guint i = 0; i < listed; i++)
+		report->ends[report->end_count++] =
+			g_array_index(ends, struct worker_end, i);
+}
+
+/* What the answer says, unless that was settled when it was sent. */
+static void seal_order_answer(struct sim *sim, struct event *event)
+{
+	const struct sim_worker *worker = &sim->workers[event->worker];
+
+	if (event->sealed)
+		return;
+	/* A connection ends with the worker incarnation that accepted it. */
+	if (!worker->up || event->born_ms != worker->entry.boot_ms ||
+	    sim_event_node(sim, event)->answers_lost[event->worker])
+		event->outcome = ORDER_UNKNOWN;
+	worker_report_clear(&event->report);
+	if (event->kind == 'r' && event->outcome == ORDER_OK)
+		fill_report(worker, &event->report);
+	event->sealed = sim->stale_answers;
+}
+
+static void answer_order(struct sim *sim, struct event *event)
+{
+	sim->starts_in_flight -= event->kind == 's';
+	seal_order_answer(sim, event);
+	if (!sim_can_deliver(sim, event))
+		return;
+	if (event->kind == 'r')
+		event->on_renew(event->arg, event->outcome,
+				event->outcome == ORDER_OK ? &event->report
+							   : NULL);
+	else
+		event->on_order(event->arg, event->outcome);
+	sim_event_free(event);
+}
+
+static void poll_renew(struct sim *sim, struct event *event)
+{
+	struct sim_worker *worker = &sim->workers[event->worker];
+	bool wait = worker->up && !worker->model.ends->len &&
+		    sim->clk.manual_ms < event->until_ms;
+
+	if (!wait)
+		event->fn = answer_order;
+	sim_schedule(sim, event, wait ? STEP_MS : 1 + sim_random_below(sim, 4));
+}
+
+static void execute_order(struct sim *sim, struct event *event)
+{
+	event->outcome = apply_order(sim, event);
+	if (event->unanswered) {
+		sim_event_free(event);
+		return;
+	}
+	if (sim_random_below(sim, 100) < sim->faults.order_lost_percent)
+		event->outcome = ORDER_UNKNOWN;
+	if (event->kind == 'r' && event->outcome == ORDER_OK) {
+		event->fn = poll_renew;
+		poll_renew(sim, event);
+		return;
+	}
+	event->fn = answer_order;
+	sim_schedule(
+		sim, event,
+		1 + sim_random_below(sim, 6) +
+			(event->kind == 's' ? sim->faults.start_answer_ms : 0));
+}
+
+/* Index of the host that the worker runs on, or ran on before its successor. */
+static int worker_index(struct sim *sim, const char *id)
+{
+	size_t len = strcspn(id, ".");
+
+	for (int i = 0; i < sim->worker_count; i++) {
+		const char *other = sim->workers[i].entry.id;
+
+		if (strcspn(other, ".") == len && !strncmp(other, id, len))
+			return i;
+	}
+	abort();
+}
+
+/* Start of the worker that an order names; -1 if another has its host now. */
+static int64_t addressed_boot_ms(const struct sim_worker *worker,
+				 const char *id)
+{
+	return strcmp(worker->entry.id, id) ? -1 : worker->entry.boot_ms;
+}
+
+/* Schedules a copy of the order whose execution its sender does not learn of. */
+static void schedule_late_order(struct client *client,
+				const struct event *event)
+{
+	struct event *late = sim_event_new(client, execute_order);
+
+	late->worker = event->worker;
+	late->born_ms = event->born_ms;
+	late->replacements = event->replacements;
+	late->kind = event->kind;
+	late->task = g_strdup(event->task);
+	late->run = event->run;
+	late->fence = event->fence;
+	late->order_until_ms = event->order_until_ms;
+	late->unanswered = true;
+	/* An acknowledgement takes effect when it is executed. */
+	late->cursor = event->cursor;
+	sim_schedule(client->sim, late,
+		     LATE_MIN_MS +
+			     sim_random_below(client->sim, LATE_RANGE_MS));
+}
+
+static void send_order(struct client *client, struct event *event)
+{
+	struct sim *sim = client->sim;
+	struct sim_node *node = &sim->nodes[client->node];
+
+	if (node->cut_from_worker[event->worker] ||
+	    (event->kind == 'x' && sim->faults.stops_lost)) {
+		if (sim->cut_late_percent &&
+		    sim_random_below(sim, 100) < sim->cut_late_percent)
+			schedule_late_order(client, event);
+		event->outcome = ORDER_UNKNOWN;
+		event->fn = answer_order;
+		sim_schedule(sim, event, 500);
+		return;
+	}
+	if (sim_random_below(sim, 100) < sim->faults.order_late_percent) {
+		schedule_late_order(client, event);
+		event->outcome = ORDER_UNKNOWN;
+		event->fn = answer_order;
+		sim_schedule(sim, event, 1000);
+		return;
+	}
+	sim_schedule(sim, event, 1 + sim_random_below(sim, 4));
+}
+
+static struct event *order_event(struct client *client, char kind,
+				 const struct worker_entry *worker,
+				 const char *task, int32_t run, int64_t fence,
+				 void *arg)
+{
+	struct event *event = sim_event_new(client, execute_order);
+
+	event->kind = kind;
+	event->worker = worker_index(client->sim, worker->id);
+	event->born_ms = addressed_boot_ms(&client->sim->workers[event->worker],
+					   worker->id);
+	event->replacements = client->sim->workers[event->worker].replacements;
+	event->task = g_strdup(task);
+	event->run = run;
+	event->fence = fence;
+	event->arg = arg;
+	return event;
+}
+
+static void io_start(void *io, const struct worker_entry *worker,
+		     const struct order_start *start, order_fn *fn, void *arg)
+{
+	struct event *event = order_event(io, 's', worker, start->task,
+					  start->run, start->fence, arg);
+	struct sim *sim = event->client.sim;
+
+	event->order_until_ms = start->until_ms;
+	event->on_order = fn;
+	sim->starts_in_flight++;
+	sim->max_starts_in_flight =
+		MAX(sim->max_starts_in_flight, sim->starts_in_flight);
+	send_order(io, event);
+}
+
+static void io_stop(void *io, const struct worker_entry *worker,
+		    const char *task, int32_t run, int64_t fence, order_fn *fn,
+		    void *arg)
+{
+	struct event *event =
+		order_event(io, 'x', worker, task, run, fence, arg);
+
+	event->on_order = fn;
+	send_order(io, event);
+}
+
+static void io_pace(void *io, const struct worker_entry *worker,
+		    const char *task, int32_t run, int32_t percent,
+		    int64_t fence, order_fn *fn, void *arg)
+{
+	(void)io;
+	(void)worker;
+	(void)task;
+	(void)run;
+	(void)percent;
+	(void)fence;
+	(void)fn;
+	(void)arg;
+}
+
+static void io_renew(void *io, const struct worker_entry *worker,
+		     const struct order_renew *renew, order_renew_fn *fn,
+		     void *arg)
+{
+	struct client *client = io;
+	struct event *event =
+		order_event(io, 'r', worker, "", 0, renew->fence, arg);
+
+	event->order_until_ms = renew->until_ms;
+	event->cursor = renew->cursor;
+	event->until_ms = client->sim->clk.manual_ms +
+			  MIN(renew->wait_ms, MAX_RENEW_WAIT_MS);
+	event->on_renew = fn;
+	send_order(client, event);
+}
+
+struct order_io sim_order_io(struct client *client)
+{
+	return (struct order_io){
+		.io = client,
+		.start = io_start,
+		.stop = io_stop,
+		.pace = io_pace,
+		.renew = io_renew,
+	};
+}
