Shut only connections that were established, and are still open

Cause: libcurl tells that a socket is closed only once it has been connected. Sockets that failed to connect stayed in the table as idle connections; when a call timed out, their descriptors were shut, which belonged to others by then.

A connection is added once it is established, before the first request; its descriptor is shut only if its local port is still the same.

descriptor_of_a_failed_connect_is_not_shut is new.

--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -358,7 +358,25 @@
 }
 END_TEST
 
-enum { FD_OLD = 1000, FD_BUSY, FD_ANSWERED, FD_ELSEWHERE, SENT_MS = 500 };
+enum { SENT_MS = 500, PAIRS = 4 };
+
+/* Adds a connection over loopback that a server of its own has accepted. */
+static struct conn *add_connection(struct conn_table *table,
+				   const char *address, int *fd)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	struct silent_server server;
+	socklen_t len = sizeof(at);
+
+	server_open(&server);
+	ck_assert_int_eq(getsockname(server.fd, (struct sockaddr *)&at, &len),
+			 0);
+	*fd = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(connect(*fd, (struct sockaddr *)&at, len), 0);
+	ck_assert_int_eq(getsockname(*fd, (struct sockaddr *)&at, &len), 0);
+	close(server.fd);
+	return conn_open(table, address, *fd, ntohs(at.sin_port));
+}
 
 /*
  * Guards against healthy connections that are closed with the silent ones: those in
@@ -367,26 +385,107 @@
 START_TEST(only_idle_connections_without_an_answer_since_are_shut)
 {
 	struct conn_table *table = conn_table_create();
-	struct conn *user = NULL;
-	struct conn *old = conn_open(table, "a:1", FD_OLD);
-	struct conn *busy = conn_open(table, "a:1", FD_BUSY);
-	struct conn *answered = conn_open(table, "a:1", FD_ANSWERED);
+	int fds[PAIRS];
+	struct conn *old = add_connection(table, "a:1", &fds[0]);
+	struct conn *busy = add_connection(table, "a:1", &fds[1]);
+	struct conn *answered = add_connection(table, "a:1", &fds[2]);
+	struct conn *user = busy;
 
-	conn_open(table, "b:1", FD_ELSEWHERE);
+	add_connection(table, "b:1", &fds[3]);
 	conn_set_answered(old, SENT_MS);
 	conn_set_answered(answered, SENT_MS + 1);
-	user = busy;
 	conn_set_user(busy, &user);
 	ck_assert_uint_eq(conn_shut_idle(table, "a:1", SENT_MS), 1);
 	ck_assert_uint_eq(conn_shut_idle(table, "a:1", SENT_MS), 0);
-	conn_closed(table, FD_BUSY);
+	conn_closed(table, fds[1]);
 	ck_assert_ptr_null(user);
-	conn_closed(table, FD_OLD);
-	conn_closed(table, FD_ANSWERED);
+	conn_closed(table, fds[0]);
+	conn_closed(table, fds[2]);
 	ck_assert_uint_eq(conn_shut_idle(table, "a:1", SENT_MS), 0);
 	ck_assert_uint_eq(conn_shut_idle(table, "b:1", SENT_MS), 1);
-	conn_closed(table, FD_ELSEWHERE);
+	conn_closed(table, fds[3]);
 	conn_table_release(table);
+	for (int i = 0; i < PAIRS; i++)
+		close(fds[i]);
+}
+END_TEST
+
+/* A caller whose first call never connects; its second one is not answered. */
+struct refused_caller {
+	struct evloop *evloop;
+	struct call_client *client;
+	struct silent_server server;
+	int fillers[PAIRS];
+	int pair[2];
+	int ended;
+};
+
+static void send_refused(struct refused_caller *caller);
+
+/* The descriptor of the first call's socket is free again by now. */
+static void on_refused(void *arg, const struct call_response *response)
+{
+	struct refused_caller *caller = arg;
+
+	ck_assert_int_eq(response->status, 0);
+	if (++caller->ended == 2) {
+		evloop_stop(caller->evloop);
+		return;
+	}
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, caller->pair), 0);
+	while (accept(caller->server.fd, NULL, NULL) >= 0)
+		;
+	for (int i = 0; i < PAIRS; i++)
+		close(caller->fillers[i]);
+	send_refused(caller);
+}
+
+static void send_refused(struct refused_caller *caller)
+{
+	struct call_request request = {
+		.method = "GET",
+		.address = caller->server.address,
+		.path = "/",
+		.timeout_ms = caller->ended ? 10 * SILENT_TIMEOUT_MS
+					    : SILENT_TIMEOUT_MS,
+	};
+
+	call_send(caller->client, &request, on_refused, caller);
+}
+
+/*
+ * Guards against a caller's connection that is cut off without an answer (LOST): a
+ * socket that never connected was taken for an idle connection, and its descriptor
+ * was shut when that had become another's.
+ */
+START_TEST(descriptor_of_a_failed_connect_is_not_shut)
+{
+	struct evloop *evloop = evloop_create(clk_system());
+	struct refused_caller caller = { .evloop = evloop };
+	struct sockaddr_in at;
+	socklen_t len = sizeof(at);
+	char byte = 'x';
+
+	caller.client = call_client_create(evloop);
+	server_open(&caller.server);
+	ck_assert_int_eq(listen(caller.server.fd, 0), 0);
+	getsockname(caller.server.fd, (struct sockaddr *)&at, &len);
+	for (int i = 0; i < PAIRS; i++) {
+		caller.fillers[i] =
+			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(caller.fillers[i], (struct sockaddr *)&at, len);
+	}
+	send_refused(&caller);
+	evloop_run(evloop);
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(send(caller.pair[i], &byte, 1, MSG_NOSIGNAL),
+				 1);
+		ck_assert_int_eq(
+			recv(caller.pair[1 - i], &byte, 1, MSG_DONTWAIT), 1);
+	}
+	call_client_destroy(caller.client);
+	evloop_destroy(evloop);
+	close(caller.server.fd);
 }
 END_TEST
 
@@ -402,6 +501,7 @@
 		one_timeout_ends_the_use_of_connections_that_went_silent);
 	tcase_add_test(calls,
 		       only_idle_connections_without_an_answer_since_are_shut);
+	tcase_add_test(calls, descriptor_of_a_failed_connect_is_not_shut);
 	suite_add_tcase(suite, calls);
 	return suite_run(suite);
 }
