--- a/src/evloop.c
+++ b/src/evloop.c
@@ -46,6 +46,8 @@
 	int pipe[2]; /* written by other threads and signal handlers */
 	bool stopping;
 	bool skip_wait;	     /* do not wait, and run all sources */
+	int64_t start_ms;    /* of evloop_run */
+	int64_t waited_ms;   /* since then */
 	int64_t curl_due_ms; /* when libcurl's timeout is due; -1: none */
 	unsigned int source_count;
 	struct source sources[MAX_SOURCES];
@@ -371,6 +373,22 @@
 				 &running);
 }
 
+/* Waits for events; counts the time. */
+static int wait_events(struct evloop *evloop, struct epoll_event *events,
+		       int wait_ms)
+{
+	int64_t from_ms = clk_now_ms(evloop->clk);
+	int count = epoll_wait(evloop->epoll, events, MAX_EVENTS, wait_ms);
+
+	evloop->waited_ms += clk_now_ms(evloop->clk) - from_ms;
+	return count;
+}
+
+int64_t evloop_busy_ms(const struct evloop *evloop)
+{
+	return clk_now_ms(evloop->clk) - evloop->start_ms - evloop->waited_ms;
+}
+
 static int limit_wait(struct evloop *evloop, int wait_ms)
 {
 	if (evloop->skip_wait)
@@ -401,6 +419,7 @@
 	struct epoll_event events[MAX_EVENTS];
 
 	log_buffered(true);
+	evloop->start_ms = clk_now_ms(evloop->clk);
 	while (!evloop->stopping) {
 		int wait_ms = run_timers(evloop);
 		bool skip_wait;
@@ -411,8 +430,8 @@
 		log_flush();
 		for (unsigned int i = 0; i < evloop->source_count; i++)
 			watch_source(evloop, i);
-		count = epoll_wait(evloop->epoll, events, MAX_EVENTS,
-				   limit_wait(evloop, wait_ms));
+		count = wait_events(evloop, events,
+				    limit_wait(evloop, wait_ms));
 		for (int i = 0; i < count; i++)
 			handle_event(evloop, &events[i]);
 		run_curl_timeout(evloop);
--- a/src/evloop.h
+++ b/src/evloop.h
@@ -36,6 +36,13 @@
 struct evloop *evloop_create(const struct clk *clk);
 void evloop_destroy(struct evloop *evloop);
 
+/*
+ * evloop_busy_ms - time since the start of evloop_run that it has not waited
+ *
+ * By the loop's clock, so that time without a processor counts too.
+ */
+int64_t evloop_busy_ms(const struct evloop *evloop);
+
 /* evloop_clk - clock of the loop */
 const struct clk *evloop_clk(const struct evloop *evloop);
 
--- a/src/node.c
+++ b/src/node.c
@@ -381,6 +381,12 @@
 	writer_tick(node->publisher);
 }
 
+void node_note_tick(struct node *node, int64_t interval_ms, int64_t busy_ms)
+{
+	lag_note(&node->lag, clk_now_ms(node->config.clk), interval_ms,
+		 busy_ms);
+}
+
 void node_settings_changed(struct node *node)
 {
 	node->pool_env.lease_ms = worker_lease_ms(node);
--- a/src/node.h
+++ b/src/node.h
@@ -58,6 +58,9 @@
 void node_destroy(struct node *node);
 void node_tick(struct node *node);
 
+/* node_note_tick - note when a tick comes, see lag_note; called before it */
+void node_note_tick(struct node *node, int64_t interval_ms, int64_t busy_ms);
+
 /* node_settings_changed - apply changes of config.settings */
 void node_settings_changed(struct node *node);
 
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "lag.h"
 #include "liveness.h"
 #include "node.h"
 #include "share.h"
@@ -68,6 +69,7 @@
 	struct share_layout layout;
 	struct share_layout older_layout; /* that an older build has stored */
 	bool layout_proposed; /* by this node, in its tenure of the hosts */
+	struct lag lag;
 	bool stopping;
 	int64_t stop_ms;
 };
--- a/src/node_metrics.c
+++ b/src/node_metrics.c
@@ -44,6 +44,7 @@
 	M_READ_INDEX_BYTES,
 	M_READ_REGISTRY_BYTES,
 	M_APPEND_STALLED_MS,
+	M_BUSY_MS,
 	M_COUNT
 };
 
@@ -121,6 +122,8 @@
 				    "bytes read from the registry" },
 	[M_APPEND_STALLED_MS] = { "append_stalled_ms", COUNTERS_GAUGE,
 				  "age of the append in progress" },
+	[M_BUSY_MS] = { "busy_ms", COUNTERS_COUNTER,
+			"time that the event loop has not waited" },
 };
 
 static void add_latency(apr_pool_t *pool, char **text, const char *name,
@@ -145,7 +148,7 @@
 
 char *node_metrics_text(apr_pool_t *pool, const struct front_env *front,
 			const struct pool_env *pools,
-			const struct maint_env *maint,
+			const struct maint_env *maint, const struct lag *lag,
 			const struct node_gauges *gauges)
 {
 	struct counters *counters = counters_create(pool, metric_defs, M_COUNT);
@@ -189,6 +192,7 @@
 		[M_READ_INDEX_BYTES] = gauges->read_index_bytes,
 		[M_READ_REGISTRY_BYTES] = gauges->read_registry_bytes,
 		[M_APPEND_STALLED_MS] = gauges->append_stalled_ms,
+		[M_BUSY_MS] = lag->busy_ms,
 	};
 	char *text;
 
@@ -199,5 +203,6 @@
 	add_latency(pool, &text, "job_wait", &pools->wait_ms);
 	add_latency(pool, &text, "job_age", &pools->age_ms);
 	add_latency(pool, &text, "start_order", &pools->start_ms);
+	add_latency(pool, &text, "tick_late", &lag->late_ms);
 	return text;
 }
--- a/src/node_metrics.h
+++ b/src/node_metrics.h
@@ -7,6 +7,7 @@
 
 #include "counters.h"
 #include "front.h"
+#include "lag.h"
 #include "maint.h"
 #include "pool.h"
 
@@ -37,7 +38,7 @@
  */
 char *node_metrics_text(apr_pool_t *pool, const struct front_env *front,
 			const struct pool_env *pools,
-			const struct maint_env *maint,
+			const struct maint_env *maint, const struct lag *lag,
 			const struct node_gauges *gauges);
 
 #endif
--- a/src/node_view.c
+++ b/src/node_view.c
@@ -66,7 +66,7 @@
 		gauges.workers_listed += worker->listed;
 	}
 	return node_metrics_text(pool, &node->front_env, &node->pool_env,
-				 &node->maint_env, &gauges);
+				 &node->maint_env, &node->lag, &gauges);
 }
 
 struct json_object *node_view(const struct node *node, const char *path)
--- a/src/noded.c
+++ b/src/noded.c
@@ -143,6 +143,8 @@
 {
 	struct noded *noded = arg;
 
+	node_note_tick(noded->node, NODED_TICK_MS,
+		       evloop_busy_ms(noded->evloop));
 	node_tick(noded->node);
 	if (noded->stop_ms)
 		exit_when_stopped(noded, clk_now_ms(evloop_clk(noded->evloop)));
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -17,11 +17,12 @@
 	static struct front_env front;
 	static struct pool_env pools;
 	static struct maint_env maint;
+	static struct lag lag;
 	struct node_gauges gauges = { .jobs_live = 7 };
 
 	for (int64_t ms = 1; ms <= 1000; ms++)
 		histo_add(&pools.start_ms, ms);
-	return node_metrics_text(pool, &front, &pools, &maint, &gauges);
+	return node_metrics_text(pool, &front, &pools, &maint, &lag, &gauges);
 }
 
 /* One malformed line makes a scraper discard the whole response. */
@@ -59,6 +60,25 @@
 }
 END_TEST
 
+/* An owner out of processor time must be told from one whose log is slow. */
+START_TEST(late_ticks_and_busy_time_are_counted)
+{
+	static struct lag lag;
+
+	lag_note(&lag, 1000, 20, 0);
+	lag_note(&lag, 1020, 20, 5);
+	lag_note(&lag, 1340, 20, 325);
+	ck_assert_uint_eq(lag.late_ms.count, 3);
+	ck_assert_uint_eq(lag.late_ms.max, 300);
+	ck_assert_int_eq(lag.recent_ms, 30);
+	ck_assert_int_eq(lag.busy_ms, 325);
+	for (int64_t ms = 1360; ms <= 10000; ms += 20)
+		lag_note(&lag, ms, 20, 325 + (ms - 1340) * 3 / 4);
+	ck_assert_int_ge(lag.busy_percent, 70);
+	ck_assert_int_le(lag.busy_percent, 75);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("metrics");
@@ -69,6 +89,7 @@
 	apr_pool_create(&pool, NULL);
 	tcase_add_test(tcase, each_line_is_well_formed);
 	tcase_add_test(tcase, latencies_have_their_quantiles);
+	tcase_add_test(tcase, late_ticks_and_busy_time_are_counted);
 	suite_add_tcase(suite, tcase);
 	status = suite_run(suite);
 	apr_pool_destroy(pool);
