--- a/src/jcursor.c
+++ b/src/jcursor.c
@@ -59,36 +59,44 @@
 
 static void scan_value(struct key_scan *scan);
 
-/* Extends the path; returns its previous length, to truncate it again. */
-static size_t enter(struct key_scan *scan, const char *fmt, ...)
-	__attribute__((format(printf, 2, 3)));
+/* Puts a part in front of the path of what is wrong. */
+static void prefix_path(struct key_scan *scan, const char *part)
+{
+	char rest[JCURSOR_PATH_BYTES];
+	bool member = scan->path[0] && scan->path[0] != '[';
+
+	memcpy(rest, scan->path, sizeof(rest));
+	snprintf(scan->path, sizeof(scan->path), "%s%s%s", part,
+		 member ? "." : "", rest);
+}
 
-static size_t enter(struct key_scan *scan, const char *fmt, ...)
+/* Decodes the escapes of a key, between its quotes; NULL if that fails. */
+static struct json_object *decode_key(const char *start, size_t len)
 {
-	size_t len = strlen(scan->path);
-	va_list ap;
+	struct json_tokener *tok;
+	struct json_object *key;
 
-	va_start(ap, fmt);
-	vsnprintf(scan->path + len, sizeof(scan->path) - len, fmt, ap);
-	va_end(ap);
-	return len;
+	if (!memchr(start, '\\', len))
+		return json_object_new_string_len(start + 1, (int)len - 2);
+	tok = json_tokener_new();
+	if (!tok)
+		return NULL;
+	key = json_tokener_parse_ex(tok, start, (int)len);
+	json_tokener_free(tok);
+	return key;
 }
 
-/* Reads a key, decodes its escapes, and adds it to the keys seen. */
-static size_t scan_key(struct key_scan *scan, struct json_object *seen)
+/* Reads a key, and adds it to the keys seen; returns it. */
+static struct json_object *scan_key(struct key_scan *scan,
+				    struct json_object *seen)
 {
 	const char *start = scan->p;
-	struct json_tokener *tok = json_tokener_new();
-	struct json_object *key = NULL;
+	struct json_object *key;
 	const char *text;
-	size_t path_len;
 
 	skip_string(scan);
-	if (tok)
-		key = json_tokener_parse_ex(tok, start, (int)(scan->p - start));
-	json_tokener_free(tok);
+	key = decode_key(start, (size_t)(scan->p - start));
 	text = key ? json_object_get_string(key) : "";
-	path_len = enter(scan, "%s%s", scan->path[0] ? "." : "", text);
 	if (key && strlen(text) != (size_t)json_object_get_string_len(key))
 		scan->error = "a key with a zero byte given, each key "
 			      "once wanted";
@@ -97,15 +105,12 @@
 			      "once wanted";
 	else
 		json_object_object_add(seen, text, NULL);
-	json_object_put(key);
-	return path_len;
+	return key;
 }
 
-/* Ends a member or item: truncates the path and skips the separator. */
-static void leave(struct key_scan *scan, size_t path_len)
+/* Ends a member or item: skips the separator. */
+static void leave(struct key_scan *scan)
 {
-	if (!scan->error)
-		scan->path[path_len] = 0;
 	skip_space(scan);
 	if (scan->p < scan->end && *scan->p == ',')
 		scan->p++;
@@ -117,17 +122,21 @@
 
 	scan->p++;
 	while (seen && !scan->error) {
-		size_t path_len;
+		struct json_object *key;
 
 		skip_space(scan);
 		if (scan->p >= scan->end || *scan->p == '}')
 			break;
-		path_len = scan_key(scan, seen);
+		key = scan_key(scan, seen);
 		skip_space(scan);
 		if (scan->p < scan->end && *scan->p == ':')
 			scan->p++;
 		scan_value(scan);
-		leave(scan, path_len);
+		if (scan->error)
+			prefix_path(scan,
+				    key ? json_object_get_string(key) : "");
+		json_object_put(key);
+		leave(scan);
 	}
 	if (scan->p < scan->end)
 		scan->p++;
@@ -139,15 +148,18 @@
 	size_t index = 0;
 
 	scan->p++;
-	while (!scan->error) {
-		size_t path_len;
-
+	for (; !scan->error; index++) {
 		skip_space(scan);
 		if (scan->p >= scan->end || *scan->p == ']')
 			break;
-		path_len = enter(scan, "[%zu]", index++);
 		scan_value(scan);
-		leave(scan, path_len);
+		if (scan->error) {
+			char part[32];
+
+			snprintf(part, sizeof(part), "[%zu]", index);
+			prefix_path(scan, part);
+		}
+		leave(scan);
 	}
 	if (scan->p < scan->end)
 		scan->p++;
