Look at silent workers only, and sum capacities less often

Each tick walked all workers of the fleet twice: to find out which may be dead, with what they run asked first, and to sum what they have, which is kept as the most ever seen. A worker that has answered all calls is passed over at once, and the sum is made ten times a second.

--- a/src/front.c
+++ b/src/front.c
@@ -17,7 +17,9 @@
 	   refused; above 100, as the estimates are rough. */
 	FRONT_MAX_EXPECTED_PERCENT = 130,
 	FRONT_RETRY_UNAVAILABLE_MS = 1000,
-	FRONT_RETRY_OVERLOAD_MS = 1000
+	FRONT_RETRY_OVERLOAD_MS = 1000,
+	/* Between two sums of what all workers have. */
+	FRONT_CAPACITY_GAP_MS = 100
 };
 
 /* A request that waits for the log; fn is NULL once it has been answered. */
@@ -37,6 +39,7 @@
 
 struct front {
 	struct front_env *env;
+	int64_t next_capacity_ms;
 	int64_t max_listed_milli; /* most processor time of all workers so far */
 	int64_t end_ms; /* all requests are answered before; 0: none */
 	GPtrArray *pending;
@@ -565,15 +568,24 @@
 	       !log_answers_in_time(pending->front, &pending->request);
 }
 
-void front_tick(struct front *front)
+static void sum_capacity(struct front *front, int64_t now_ms)
 {
 	const struct front_env *env = front->env;
-	int64_t now_ms = clk_now_ms(env->clk);
-	int64_t listed_milli = *env->jobs_loaded
-				       ? place_listed_milli(env->workers)
-				       : backlogs_full_milli(env->backlogs);
+	int64_t listed_milli;
 
+	if (now_ms < front->next_capacity_ms)
+		return;
+	front->next_capacity_ms = now_ms + FRONT_CAPACITY_GAP_MS;
+	listed_milli = *env->jobs_loaded ? place_listed_milli(env->workers)
+					 : backlogs_full_milli(env->backlogs);
 	front->max_listed_milli = MAX(front->max_listed_milli, listed_milli);
+}
+
+void front_tick(struct front *front)
+{
+	int64_t now_ms = clk_now_ms(front->env->clk);
+
+	sum_capacity(front, now_ms);
 	for (guint i = front->pending->len; i > 0; i--) {
 		struct pending *pending = front->pending->pdata[i - 1];
 
--- a/src/liveness.c
+++ b/src/liveness.c
@@ -49,12 +49,10 @@
 }
 
 /* A dead worker is checked until it is replaced: until then it may return. */
-static bool needs_check(const struct liveness *liveness,
-			const struct worker *worker)
+static bool needs_check(const struct worker *worker, int64_t now_ms)
 {
-	return worker->entry.host[0] && worker_has_work(worker) &&
-	       !worker_is_replaced(worker) &&
-	       worker_is_silent(worker, clk_now_ms(liveness->config.clk));
+	return worker_is_silent(worker, now_ms) && worker->entry.host[0] &&
+	       worker_has_work(worker) && !worker_is_replaced(worker);
 }
 
 bool liveness_proves_replaced(const struct host *host, const char *worker)
@@ -79,7 +77,7 @@
 	const struct host *host =
 		g_hash_table_lookup(liveness->hosts, worker->entry.host);
 
-	if (!host || !needs_check(liveness, worker) ||
+	if (!host || !needs_check(worker, clk_now_ms(liveness->config.clk)) ||
 	    worker->last_report_ms >= liveness->requested_ms)
 		return;
 	if (!liveness_proves_dead(host, worker->entry.id)) {
@@ -140,7 +138,7 @@
 	if (liveness->list_pending || now_ms < liveness->next_list_ms)
 		return;
 	for (guint i = 0; !any && i < workers->len; i++)
-		any = needs_check(liveness, workers->pdata[i]);
+		any = needs_check(workers->pdata[i], now_ms);
 	if (!any)
 		return;
 	liveness->list_pending = true;
