Share out HTTP transfers over several handles of libcurl

Cause, one part: with the end of each transfer libcurl walks all connections of its multi handle, and looks at each idle one once a second, so that a call costs the more, the more workers a node calls. It was 27% of the samples of the busiest nodes (the users' profile). The connections to an address stay in one lane, so that their bound holds (test_call).

--- a/src/evloop.c
+++ b/src/evloop.c
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <sys/param.h>
 #include <unistd.h>
 
 #include "limit.h"
@@ -17,7 +18,8 @@
 	MAX_SOURCE_FDS = 1024,
 	MAX_EVENTS = 64,
 	/* Longest time between two calls of a source, for its own timeouts. */
-	SOURCE_IDLE_MS = 500
+	SOURCE_IDLE_MS = 500,
+	LANES = 32
 };
 
 struct timer {
@@ -27,7 +29,22 @@
 	void *arg;
 };
 
+/*
+ * A part of the transfers. With the end of each, libcurl walks all connections of
+ * its multi handle, and once a second it looks at each idle one, so that a single
+ * handle makes a call the dearer, the more addresses there are. All transfers to
+ * an address are in one lane and share its connections.
+ */
+struct lane {
+	struct evloop *evloop;
+	CURLM *multi;
+	uint32_t index;
+	int64_t due_ms; /* when libcurl's timeout is due; -1: none */
+	bool active;	/* has run since its ended transfers were looked for */
+};
+
 struct transfer {
+	CURLM *multi;
 	void (*done)(void *arg, CURL *easy, CURLcode code);
 	void *arg;
 };
@@ -41,14 +58,13 @@
 
 struct evloop {
 	const struct clk *clk;
-	CURLM *multi;
+	struct lane lanes[LANES];
 	int epoll;
 	int pipe[2]; /* written by other threads and signal handlers */
 	bool stopping;
-	bool skip_wait;	     /* do not wait, and run all sources */
-	int64_t start_ms;    /* of evloop_run */
-	int64_t waited_ms;   /* since then */
-	int64_t curl_due_ms; /* when libcurl's timeout is due; -1: none */
+	bool skip_wait;	   /* do not wait, and run all sources */
+	int64_t start_ms;  /* of evloop_run */
+	int64_t waited_ms; /* since then */
 	unsigned int source_count;
 	struct source sources[MAX_SOURCES];
 	unsigned int timer_count;
@@ -87,7 +103,8 @@
 static int on_curl_socket(CURL *easy, curl_socket_t fd, int action, void *arg,
 			  void *data)
 {
-	struct evloop *evloop = arg;
+	const struct lane *lane = arg;
+	struct evloop *evloop = lane->evloop;
 	uint32_t events = 0;
 
 	(void)easy;
@@ -100,20 +117,36 @@
 		events |= EPOLLIN;
 	if (action & CURL_POLL_OUT)
 		events |= EPOLLOUT;
-	watch_fd(evloop, fd, make_event(WATCH_CURL, 0, fd, events));
+	watch_fd(evloop, fd, make_event(WATCH_CURL, lane->index, fd, events));
 	return 0;
 }
 
 static int on_curl_timeout(CURLM *multi, long timeout_ms, void *arg)
 {
-	struct evloop *evloop = arg;
+	struct lane *lane = arg;
 
 	(void)multi;
-	evloop->curl_due_ms =
-		timeout_ms < 0 ? -1 : clk_now_ms(evloop->clk) + timeout_ms;
+	lane->due_ms = timeout_ms < 0
+			       ? -1
+			       : clk_now_ms(lane->evloop->clk) + timeout_ms;
 	return 0;
 }
 
+static void init_lane(struct evloop *evloop, uint32_t index)
+{
+	struct lane *lane = &evloop->lanes[index];
+
+	lane->evloop = evloop;
+	lane->index = index;
+	lane->due_ms = -1;
+	lane->multi = curl_multi_init();
+	curl_multi_setopt(lane->multi, CURLMOPT_MAXCONNECTS, 4096L);
+	curl_multi_setopt(lane->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+	curl_multi_setopt(lane->multi, CURLMOPT_SOCKETDATA, lane);
+	curl_multi_setopt(lane->multi, CURLMOPT_TIMERFUNCTION, on_curl_timeout);
+	curl_multi_setopt(lane->multi, CURLMOPT_TIMERDATA, lane);
+}
+
 struct evloop *evloop_create(const struct clk *clk)
 {
 	struct evloop *evloop = calloc(1, sizeof(*evloop));
@@ -122,7 +155,6 @@
 		return NULL;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	evloop->clk = clk;
-	evloop->curl_due_ms = -1;
 	evloop->epoll = epoll_create1(EPOLL_CLOEXEC);
 	if (evloop->epoll < 0 ||
 	    pipe2(evloop->pipe, O_NONBLOCK | O_CLOEXEC) < 0) {
@@ -131,14 +163,8 @@
 	}
 	watch_fd(evloop, evloop->pipe[0],
 		 make_event(WATCH_PIPE, 0, evloop->pipe[0], EPOLLIN));
-	evloop->multi = curl_multi_init();
-	curl_multi_setopt(evloop->multi, CURLMOPT_MAXCONNECTS, 4096L);
-	curl_multi_setopt(evloop->multi, CURLMOPT_SOCKETFUNCTION,
-			  on_curl_socket);
-	curl_multi_setopt(evloop->multi, CURLMOPT_SOCKETDATA, evloop);
-	curl_multi_setopt(evloop->multi, CURLMOPT_TIMERFUNCTION,
-			  on_curl_timeout);
-	curl_multi_setopt(evloop->multi, CURLMOPT_TIMERDATA, evloop);
+	for (uint32_t i = 0; i < LANES; i++)
+		init_lane(evloop, i);
 	return evloop;
 }
 
@@ -148,7 +174,8 @@
 		return;
 	if (signal_evloop == evloop)
 		signal_evloop = NULL;
-	curl_multi_cleanup(evloop->multi);
+	for (uint32_t i = 0; i < LANES; i++)
+		curl_multi_cleanup(evloop->lanes[i].multi);
 	close(evloop->epoll);
 	close(evloop->pipe[0]);
 	close(evloop->pipe[1]);
@@ -180,7 +207,17 @@
 	};
 }
 
-void evloop_transfer(struct evloop *evloop, CURL *easy,
+/* The lane of an address: a hash of it (FNV-1a). */
+static struct lane *find_lane(struct evloop *evloop, const char *address)
+{
+	uint32_t hash = 2166136261u;
+
+	for (const char *at = address; *at; at++)
+		hash = (hash ^ (unsigned char)*at) * 16777619u;
+	return &evloop->lanes[hash % LANES];
+}
+
+void evloop_transfer(struct evloop *evloop, const char *address, CURL *easy,
 		     void (*done)(void *arg, CURL *easy, CURLcode code),
 		     void *arg)
 {
@@ -190,34 +227,37 @@
 		done(arg, easy, CURLE_OUT_OF_MEMORY);
 		return;
 	}
+	transfer->multi = find_lane(evloop, address)->multi;
 	transfer->done = done;
 	transfer->arg = arg;
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_multi_add_handle(evloop->multi, easy);
+	curl_multi_add_handle(transfer->multi, easy);
 }
 
 void evloop_cancel(struct evloop *evloop, CURL *easy)
 {
 	struct transfer *transfer = NULL;
 
+	(void)evloop;
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
-	curl_multi_remove_handle(evloop->multi, easy);
+	curl_multi_remove_handle(transfer->multi, easy);
 	free(transfer);
 }
 
 void evloop_limit_connections(struct evloop *evloop, int32_t per_address)
 {
-	curl_multi_setopt(evloop->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-			  (long)per_address);
+	for (uint32_t i = 0; i < LANES; i++)
+		curl_multi_setopt(evloop->lanes[i].multi,
+				  CURLMOPT_MAX_HOST_CONNECTIONS,
+				  (long)per_address);
 }
 
-static void finish_transfers(struct evloop *evloop)
+static void finish_lane(struct lane *lane)
 {
 	int left;
 
-	for (CURLMsg *msg;
-	     (msg = curl_multi_info_read(evloop->multi, &left));) {
+	for (CURLMsg *msg; (msg = curl_multi_info_read(lane->multi, &left));) {
 		struct transfer *transfer = NULL;
 		CURL *easy = msg->easy_handle;
 		CURLcode code = msg->data.result;
@@ -225,12 +265,24 @@
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
-		curl_multi_remove_handle(evloop->multi, easy);
+		curl_multi_remove_handle(lane->multi, easy);
 		transfer->done(transfer->arg, easy, code);
 		free(transfer);
 	}
 }
 
+static void finish_transfers(struct evloop *evloop)
+{
+	for (uint32_t i = 0; i < LANES; i++) {
+		struct lane *lane = &evloop->lanes[i];
+
+		if (!lane->active)
+			continue;
+		lane->active = false;
+		finish_lane(lane);
+	}
+}
+
 /* Runs the timers that are due; returns the longest permissible wait. */
 static int run_timers(struct evloop *evloop)
 {
@@ -320,12 +372,19 @@
 	evloop->skip_wait = true;
 }
 
+static void run_lane(struct lane *lane, curl_socket_t fd, int action)
+{
+	int running;
+
+	lane->active = true;
+	curl_multi_socket_action(lane->multi, fd, action, &running);
+}
+
 static void handle_event(struct evloop *evloop, const struct epoll_event *event)
 {
 	int fd = (int)(uint32_t)event->data.u64;
 	unsigned int index = event->data.u64 >> 32 & 0xffffff;
 	int action = 0;
-	int running;
 
 	switch ((enum watch_kind)(event->data.u64 >> 56)) {
 	case WATCH_PIPE:
@@ -339,7 +398,7 @@
 			action |= CURL_CSELECT_IN;
 		if (event->events & EPOLLOUT)
 			action |= CURL_CSELECT_OUT;
-		curl_multi_socket_action(evloop->multi, fd, action, &running);
+		run_lane(&evloop->lanes[index], fd, action);
 		break;
 	}
 }
@@ -361,16 +420,18 @@
 		source->fds[i].revents = 0;
 }
 
-static void run_curl_timeout(struct evloop *evloop)
+static void run_curl_timeouts(struct evloop *evloop)
 {
-	int running;
+	int64_t now_ms = clk_now_ms(evloop->clk);
 
-	if (evloop->curl_due_ms < 0 ||
-	    clk_now_ms(evloop->clk) < evloop->curl_due_ms)
-		return;
-	evloop->curl_due_ms = -1;
-	curl_multi_socket_action(evloop->multi, CURL_SOCKET_TIMEOUT, 0,
-				 &running);
+	for (uint32_t i = 0; i < LANES; i++) {
+		struct lane *lane = &evloop->lanes[i];
+
+		if (lane->due_ms < 0 || now_ms < lane->due_ms)
+			continue;
+		lane->due_ms = -1;
+		run_lane(lane, CURL_SOCKET_TIMEOUT, 0);
+	}
 }
 
 /* Waits for events; counts the time. */
@@ -389,15 +450,18 @@
 	return clk_now_ms(evloop->clk) - evloop->start_ms - evloop->waited_ms;
 }
 
+/* The time until the first of libcurl's timeouts, if that is less. */
 static int limit_wait(struct evloop *evloop, int wait_ms)
 {
+	int64_t now_ms = clk_now_ms(evloop->clk);
+
 	if (evloop->skip_wait)
 		return 0;
-	if (evloop->curl_due_ms >= 0) {
-		int64_t left_ms = evloop->curl_due_ms - clk_now_ms(evloop->clk);
+	for (uint32_t i = 0; i < LANES; i++) {
+		int64_t due_ms = evloop->lanes[i].due_ms;
 
-		if (left_ms < wait_ms)
-			wait_ms = left_ms > 0 ? (int)left_ms : 0;
+		if (due_ms >= 0 && due_ms - now_ms < wait_ms)
+			wait_ms = (int)MAX(due_ms - now_ms, 0);
 	}
 	return wait_ms;
 }
@@ -434,7 +498,7 @@
 				    limit_wait(evloop, wait_ms));
 		for (int i = 0; i < count; i++)
 			handle_event(evloop, &events[i]);
-		run_curl_timeout(evloop);
+		run_curl_timeouts(evloop);
 		skip_wait = evloop->skip_wait;
 		evloop->skip_wait = false;
 		for (unsigned int i = 0; i < evloop->source_count; i++)
--- a/src/evloop.h
+++ b/src/evloop.h
@@ -57,11 +57,12 @@
 /*
  * evloop_transfer - start an HTTP transfer
  *
- * The caller sets up the handle. done is called once, when the transfer has
+ * The caller sets up the handle; address is of the host that it connects to.
+ * Transfers with the same address share connections. done is called once, when the transfer has
  * ended; the handle has then been removed from the loop and belongs to the
  * caller.
  */
-void evloop_transfer(struct evloop *evloop, CURL *easy,
+void evloop_transfer(struct evloop *evloop, const char *address, CURL *easy,
 		     void (*done)(void *arg, CURL *easy, CURLcode code),
 		     void *arg);
 
--- a/src/platclient.c
+++ b/src/platclient.c
@@ -201,7 +201,8 @@
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
 	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE, (long)len);
 	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, data);
-	evloop_transfer(platclient->evloop, call->easy, append_done, call);
+	evloop_transfer(platclient->evloop, platclient->url, call->easy,
+			append_done, call);
 }
 
 static void read_records(struct call *call, const struct jcursor *root,
@@ -279,7 +280,8 @@
 	call = new_call(platclient, arg, (long)wait_ms + LIMIT_READ_TIMEOUT_MS,
 			path);
 	call->on_read = fn;
-	evloop_transfer(platclient->evloop, call->easy, read_done, call);
+	evloop_transfer(platclient->evloop, platclient->url, call->easy,
+			read_done, call);
 }
 
 static void reboot_done(void *arg, CURL *easy, CURLcode code)
@@ -308,7 +310,8 @@
 		curl_slist_append(NULL, "Content-Type: application/json");
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
 	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
-	evloop_transfer(platclient->evloop, call->easy, reboot_done, call);
+	evloop_transfer(platclient->evloop, platclient->url, call->easy,
+			reboot_done, call);
 }
 
 static void store_etag(struct platclient *platclient, CURL *easy)
@@ -378,5 +381,6 @@
 					  platclient->hosts_etag, NULL));
 		curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
 	}
-	evloop_transfer(platclient->evloop, call->easy, hosts_done, call);
+	evloop_transfer(platclient->evloop, platclient->url, call->easy,
+			hosts_done, call);
 }
--- a/src/proxy_send.c
+++ b/src/proxy_send.c
@@ -254,5 +254,6 @@
 	}
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, forward);
-	evloop_transfer(evloop, easy, attempt_done, forward);
+	evloop_transfer(evloop, forward->worker->address, easy, attempt_done,
+			forward);
 }
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -264,7 +264,7 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, scenario->caller_timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_header);
-	evloop_transfer(evloop, easy, on_answer, NULL);
+	evloop_transfer(evloop, "127.0.0.1", easy, on_answer, NULL);
 	return headers;
 }
 
