--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
 	ctl_command ctl_print report histo arrival load_report
-NODE = lag cfg job job_record job_range worker share index backlog speed avail place rtt writer tail order ownership \
+NODE = lag cfg job job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine \
@@ -127,7 +127,7 @@
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
 POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
-	$(BUILD)/test_room $(BUILD)/test_index $(BUILD)/test_stream_age
+	$(BUILD)/test_room $(BUILD)/test_index $(BUILD)/test_stream_age $(BUILD)/test_cost
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
 
--- a/src/host_plan.c
+++ b/src/host_plan.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "jcursor.h"
+#include "rnd.h"
 
 static const char *const work_names[] = {
 	[HOST_RESTART] = "restart",
@@ -53,6 +54,7 @@
 	}
 	clearing = kept->drained_number;
 	*kept = *plan;
+	kept->hash = rnd_hash_name(plan->host);
 	kept->drained_number = clearing;
 	return kept;
 }
--- a/src/host_plan.h
+++ b/src/host_plan.h
@@ -29,6 +29,7 @@
 
 struct host_plan {
 	char host[LIMIT_NAME_BYTES];
+	uint32_t hash;	/* of its name, see share_of_hash */
 	int64_t number; /* rises with each plan, so late answers are detected */
 	char worker[LIMIT_NAME_BYTES]; /* incarnation it ends; empty: none */
 	int64_t fence;		       /* of the owner that made the plan */
--- a/src/job.c
+++ b/src/job.c
@@ -1,6 +1,5 @@
 #include "job.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +17,7 @@
 	store->list = g_ptr_array_new();
 	store->live = g_ptr_array_new();
 	store->decode = decode;
+	job_index_init(store);
 	return store;
 }
 
@@ -31,8 +31,10 @@
 static void clear_tasks(struct job *job)
 {
 	for (uint32_t i = 0; i < job->occurrences * job->tasks_per_occurrence;
-	     i++)
+	     i++) {
+		job_index_unplace(&job->tasks[i]);
 		g_free(job->tasks[i].checkpoint);
+	}
 	g_free(job->tasks);
 	g_free(job->touched);
 	job->tasks = NULL;
@@ -43,6 +45,7 @@
 
 static void free_job(struct job *job)
 {
+	job_index_remove(job);
 	clear_tasks(job);
 	job_spec_clear(&job->spec);
 	job_ranges_clear(job);
@@ -67,6 +70,7 @@
 	g_ptr_array_free(store->list, TRUE);
 	g_ptr_array_free(store->live, TRUE);
 	g_hash_table_destroy(store->jobs);
+	job_index_free(store);
 	g_free(store);
 }
 
@@ -155,8 +159,11 @@
 static void create_tasks(struct job *job)
 {
 	job->tasks_per_occurrence = 0;
-	for (uint32_t i = 0; i < job->spec.step_count; i++)
+	job->has_lasting = false;
+	for (uint32_t i = 0; i < job->spec.step_count; i++) {
 		job->tasks_per_occurrence += (uint32_t)job->spec.steps[i].count;
+		job->has_lasting |= job->spec.steps[i].long_running;
+	}
 	job->occurrences = job->spec.repeat_count > 1
 				   ? (uint32_t)job->spec.repeat_count
 				   : 1;
@@ -195,6 +202,7 @@
 	}
 	job->has_spec = true;
 	create_tasks(job);
+	job_index_add(store, job);
 	if (job->progress)
 		job_reload(store, job);
 	return 0;
@@ -220,11 +228,13 @@
 	job->cancel_requested = true;
 }
 
-/* Removes an ended job from the list of live jobs. */
+/* Removes an ended job from the lists of live jobs. */
 static void remove_if_ended(struct job_store *store, struct job *job)
 {
-	if (job_ended(job->state) && job_ended(job->stored_state))
-		g_ptr_array_remove(store->live, job);
+	if (!job_ended(job->state) || !job_ended(job->stored_state))
+		return;
+	g_ptr_array_remove(store->live, job);
+	job_index_remove(job);
 }
 
 void job_progress_stored(struct job_store *store, struct job *job,
@@ -295,6 +305,7 @@
 	struct err err = { .kind = ERR_OK };
 
 	job->tasks_outdated = false;
+	job->refreshed = false;
 	if (!job->has_spec)
 		return;
 	clear_tasks(job);
@@ -303,6 +314,7 @@
 	if (job->progress && job_read_tasks(job, job->progress, &err) < 0)
 		log_error("progress of job %s cannot be read: %s", job->id,
 			  err.text);
+	job_index_place_all(job);
 }
 
 void job_reload(struct job_store *store, struct job *job)
@@ -353,16 +365,31 @@
 		   pos->step, pos->index);
 }
 
+/* Reads ".NUMBER" and goes on behind it; false if it is none. */
+static bool read_number(const char **at, uint32_t *number)
+{
+	const char *digit = *at + 1;
+	uint64_t value = 0;
+
+	if (**at != '.' || !g_ascii_isdigit(*digit))
+		return false;
+	for (; g_ascii_isdigit(*digit) && value <= JOB_MAX_TASKS; digit++)
+		value = value * 10 + (uint64_t)g_ascii_digit_value(*digit);
+	*at = digit;
+	*number = (uint32_t)value;
+	return value <= JOB_MAX_TASKS;
+}
+
 bool job_task_find(const struct job_store *store, const char *name,
 		   struct job_pos *pos)
 {
+	const char *at = name + JOB_ID_BYTES - 1;
 	char id[JOB_ID_BYTES];
-	unsigned int occurrence, step, index;
-	int used = 0;
+	uint32_t occurrence, step, index;
 
-	if (sscanf(name, "%16[0-9a-fA-F].%u.%u.%u%n", id, &occurrence, &step,
-		   &index, &used) != 4 ||
-	    name[used])
+	g_strlcpy(id, name, sizeof(id));
+	if (!job_valid_id(id) || !read_number(&at, &occurrence) ||
+	    !read_number(&at, &step) || !read_number(&at, &index) || *at)
 		return false;
 	pos->job = job_find(store, id);
 	if (!pos->job || occurrence >= pos->job->occurrences ||
@@ -485,6 +512,7 @@
 	task->pace = 100;
 	if (!job->placed_ms)
 		job->placed_ms = now_ms;
+	job_index_place(job, task);
 	job_touch(job, task);
 }
 
@@ -530,6 +558,7 @@
 
 	for (int32_t i = 0; i < pos->job->spec.steps[pos->step].count; i++) {
 		tasks[i].state = TASK_DONE;
+		job_index_unplace(&tasks[i]);
 		job_touch(pos->job, &tasks[i]);
 	}
 }
@@ -563,6 +592,7 @@
 	keep_checkpoint(pos, checkpoint);
 	task->state = how == END_DONE ? TASK_DONE : TASK_WAITING;
 	task->phase = PHASE_UNKNOWN;
+	job_index_unplace(task);
 	if (how == END_DONE && step->gang)
 		complete_gang(pos);
 	if (how != END_FAILED)
@@ -596,6 +626,11 @@
 
 	if (!job->has_spec || job_ended(state))
 		return;
+	/* A running job that has not changed runs on. */
+	if (state == JOB_RUNNING && job->refreshed && !job->dirty &&
+	    !job->cancel_requested)
+		return;
+	job->refreshed = true;
 	for (uint32_t i = 0; i < count; i++) {
 		done += job->tasks[i].state == TASK_DONE;
 		started |= has_started(&job->tasks[i]);
--- a/src/job.h
+++ b/src/job.h
@@ -95,6 +95,8 @@
 	int64_t interval_ms;
 };
 
+struct job_placed;
+
 struct job_task {
 	uint8_t state;
 	uint8_t phase;
@@ -130,7 +132,9 @@
 	int32_t percent;
 	/* Tail latency in ms, or processor use in thousandths. */
 	int32_t load_metric;
-	int32_t pace;	      /* speed limit in percent of full speed */
+	int32_t pace;		   /* speed limit in percent of full speed */
+	struct job_placed *placed; /* list that it is in; NULL: none */
+	guint placed_slot;	   /* its place there */
 	uint32_t last_report; /* number of the last report that listed it */
 	uint32_t
 		placement_record; /* number of the progress record with the placement */
@@ -138,13 +142,15 @@
 
 struct job {
 	char id[JOB_ID_BYTES];
-	uint32_t hash; /* of the id */
+	struct job_share *share; /* that lists it as live; NULL: none */
+	uint32_t hash;		 /* of the id */
 	char queue[CFG_QUEUE_NAME_BYTES];
 	/* Set at submission; not changed if the queue moves to another pool. */
 	char pool[LIMIT_NAME_BYTES];
 	/* Likewise; not known of jobs that an older build has accepted. */
 	struct cfg_terms terms;
 	bool has_spec;
+	bool has_lasting; /* some step is long-running */
 	bool cancel_requested;
 	bool deleting;		     /* its records are being deleted */
 	enum job_state state;	     /* as changed in memory */
@@ -164,6 +170,7 @@
 	bool *touched; /* ranges that have changed since their last record */
 	GHashTable *ranges; /* number -> newest stored record; NULL: none */
 	bool dirty;	/* changed since the last progress record was made */
+	bool refreshed; /* its state was derived since its tasks were read */
 	char *progress; /* newest stored progress, NULL: none */
 	int64_t submission_offset;
 	int64_t progress_offset;
@@ -178,10 +185,30 @@
 	bool unindexed; /* its owner has found it missing in the index once */
 };
 
+/*
+ * Live jobs of a share of a pool (see share.h) whose submission has been read, and
+ * where their tasks are placed, as far as their progress has been read.
+ */
+struct job_share {
+	GPtrArray *live;       /* struct job, in order of submission */
+	GPtrArray *placed;     /* struct job_placed, none of them empty */
+	GHashTable *placed_at; /* the same, by worker */
+};
+
+/* Tasks of a share that are placed on a worker. */
+struct job_placed {
+	struct job_share *share;
+	const char *worker; /* interned */
+	GArray *tasks;	    /* struct job_pos, in no order */
+};
+
 struct job_store {
-	GHashTable *jobs; /* id -> struct job */
-	GPtrArray *list;  /* in order of submission */
-	GPtrArray *live;  /* jobs that have not ended */
+	GHashTable *jobs;	   /* id -> struct job */
+	GPtrArray *list;	   /* in order of submission */
+	GPtrArray *live;	   /* jobs that have not ended */
+	uint32_t share_count;	   /* of each pool */
+	GHashTable *by_pool;	   /* pool -> its shares, see job_share_find */
+	struct job_share no_share; /* without jobs */
 	int64_t next_order;
 	/* Decodes the body of a submission; returns 0 or an error kind. */
 	int (*decode)(const char *body, size_t len, struct job_spec *spec,
@@ -193,6 +220,9 @@
 						 struct err *err));
 void job_store_destroy(struct job_store *store);
 
+/* job_store_set_shares - set the number of shares of each pool; 1 at first */
+void job_store_set_shares(struct job_store *store, uint32_t count);
+
 /* job_spec_clear - free the memory that a decoded specification owns */
 void job_spec_clear(struct job_spec *spec);
 
@@ -323,6 +353,22 @@
 	struct job_task *task;
 };
 
+/* job_share_find - a share of a pool; an empty one if the pool has no jobs */
+const struct job_share *job_share_find(const struct job_store *store,
+				       const char *pool, uint32_t index);
+
+/*
+ * job_placed_at - tasks of the share on a worker, whose name is interned
+ *
+ * The list changes with each placement and each end of a run, and is freed with
+ * the end of its last one.
+ *
+ * RETURN VALUE
+ *	NULL if there are none.
+ */
+const struct job_placed *job_placed_at(const struct job_share *share,
+				       const char *worker);
+
 /* job_task_at - task by position; all numbers must be in range */
 struct job_task *job_task_at(const struct job *job, uint32_t occurrence,
 			     uint32_t step, uint32_t index);
--- a/src/job_int.h
+++ b/src/job_int.h
@@ -1,12 +1,35 @@
 /*
  * NAME
- *	job_int - decoding of records, shared by the files of module job
+ *	job_int - decoding of records and lists, shared by the files of module job
  */
 #ifndef JOB_INT_H
 #define JOB_INT_H
 
 #include "job.h"
 
+/* job_index_init, job_index_free - make or free the lists of a store */
+void job_index_init(struct job_store *store);
+void job_index_free(struct job_store *store);
+
+/* job_index_add - add a live job whose submission has been read to its share's */
+void job_index_add(struct job_store *store, struct job *job);
+
+/* job_index_remove - remove a job from its share's, if it is there */
+void job_index_remove(struct job *job);
+
+/*
+ * job_index_place - add a placed task to those of its worker
+ *
+ * If the job is in the list of its share; else nothing.
+ */
+void job_index_place(struct job *job, struct job_task *task);
+
+/* job_index_place_all - the same for all placed tasks of the job */
+void job_index_place_all(struct job *job);
+
+/* job_index_unplace - remove a task from those of its worker, if it is there */
+void job_index_unplace(struct job_task *task);
+
 /* job_read_head - read queue, pool and time from the head of a submission */
 int job_read_head(struct job *job, const char *head, size_t len,
 		  struct err *err);
--- a/src/node.c
+++ b/src/node.c
@@ -125,6 +125,8 @@
 	struct ownership_stream streams[SHARE_MAX_COUNT];
 
 	node->layout = *layout;
+	job_store_set_shares(node->jobs, layout->shares);
+	worker_table_set_shares(node->workers, layout->shares);
 	for (uint32_t i = 0; i < layout->parts; i++) {
 		if (!node->jobs_tails[i])
 			create_jobs_tail(node, i);
--- a/src/place.c
+++ b/src/place.c
@@ -82,32 +82,33 @@
 	worker->lasting_mem_mib -= step->mem_mib;
 }
 
-static void account_job(const struct place *place, struct job *job)
+/* Adds up what the tasks on a worker use. */
+static void account_worker(const struct place *place,
+			   const struct job_placed *placed)
 {
-	struct job_pos pos = { .job = job };
+	struct worker *worker = worker_find(place->workers, placed->worker);
 
-	while (job_next_task(&pos)) {
-		struct worker *worker;
+	for (guint i = 0; worker && i < placed->tasks->len; i++) {
+		const struct job_pos *pos =
+			&g_array_index(placed->tasks, struct job_pos, i);
 
-		if (pos.task->state != TASK_PLACED)
-			continue;
-		worker = worker_find(place->workers, pos.task->worker);
-		if (!worker)
+		if (pos->task->state != TASK_PLACED)
 			continue;
-		place_use_room(worker, &job->spec.steps[pos.step]);
-		worker->suspects += crash_is_suspect(pos.task);
+		place_use_room(worker, &pos->job->spec.steps[pos->step]);
+		worker->suspects += crash_is_suspect(pos->task);
 		worker->new_tasks -=
-			crash_is_settled(pos.task, worker->last_report_ms);
+			crash_is_settled(pos->task, worker->last_report_ms);
 	}
 }
 
 void place_account(const struct place *place)
 {
-	for (guint i = 0; i < place->workers->list->len; i++) {
-		struct worker *worker = place->workers->list->pdata[i];
+	const struct job_share *jobs = share_jobs(&place->share, place->jobs);
+	const GPtrArray *workers = share_workers(&place->share, place->workers);
+
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
 
-		if (!share_has_worker(&place->share, worker))
-			continue;
 		worker->cpu_used_milli = 0;
 		worker->mem_used_mib = 0;
 		worker->gpu_used = 0;
@@ -120,14 +121,11 @@
 		worker->new_tasks = 0;
 		worker->reserved = false;
 	}
-	for (guint i = 0; i < place->jobs->live->len; i++) {
-		struct job *job = place->jobs->live->pdata[i];
-
-		if (!job->has_spec || !share_has_job(&place->share, job))
-			continue;
-		account_job(place, job);
-		place_account_quarantine(place, job);
-		place_account_kept(place, job);
+	for (guint i = 0; i < jobs->placed->len; i++)
+		account_worker(place, jobs->placed->pdata[i]);
+	for (guint i = 0; i < jobs->live->len; i++) {
+		place_account_quarantine(place, jobs->live->pdata[i]);
+		place_account_kept(place, jobs->live->pdata[i]);
 	}
 }
 
@@ -206,11 +204,12 @@
 int32_t place_free_slots(const struct place *place, const struct job_pos *pos)
 {
 	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	const GPtrArray *workers = share_workers(&place->share, place->workers);
 	struct candidate cand = place_candidate(pos);
 	int32_t total = 0;
 
-	for (guint i = 0; i < place->workers->list->len; i++) {
-		const struct worker *worker = place->workers->list->pdata[i];
+	for (guint i = 0; i < workers->len; i++) {
+		const struct worker *worker = workers->pdata[i];
 		const struct worker_entry *entry = &worker->entry;
 		int32_t slots;
 
@@ -257,7 +256,7 @@
 
 void place_pass_begin(struct pass *pass, const struct place *place)
 {
-	GPtrArray *workers = place->workers->list;
+	const GPtrArray *workers = share_workers(&place->share, place->workers);
 
 	*pass = (struct pass){
 		.place = place,
@@ -505,16 +504,16 @@
 
 struct place_counts place_tasks(const struct place *place)
 {
+	const GPtrArray *jobs = share_jobs(&place->share, place->jobs)->live;
 	GArray *candidates =
 		g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	struct place_counts total = { 0 };
 	struct pass pass;
 
-	for (guint i = 0; i < place->jobs->live->len; i++) {
-		struct job *job = place->jobs->live->pdata[i];
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
 
-		if (job->has_spec && !job_ended(job->state) &&
-		    !job->cancel_requested && share_has_job(&place->share, job))
+		if (!job_ended(job->state) && !job->cancel_requested)
 			add_candidates(place, job, candidates);
 	}
 	g_array_sort(candidates, compare_candidates);
--- a/src/place_backlog.c
+++ b/src/place_backlog.c
@@ -106,6 +106,21 @@
 	return work;
 }
 
+/* Adds what a pool needs for the tasks of its share to the lender. */
+static void claim_for_tasks(const struct place *place, const char *pool,
+			    struct lender *lender)
+{
+	const GPtrArray *jobs =
+		job_share_find(place->jobs, pool, place->share.index)->live;
+
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
+
+		if (!job_ended(job->stored_state))
+			remaining_work(place, job, &lender->claimed_milli);
+	}
+}
+
 /*
  * Returns the share's remaining work, as far as it delays a job with the given
  * target. Adds what other pools need for their tasks to the lenders.
@@ -113,23 +128,23 @@
 static double count_remaining_work(const struct place *place, int64_t target_ms,
 				   struct lender *lenders)
 {
+	const GPtrArray *jobs = share_jobs(&place->share, place->jobs)->live;
+	int64_t claimed_milli = 0;
 	double work = 0;
 
-	for (guint i = 0; i < place->jobs->live->len; i++) {
-		struct job *job = place->jobs->live->pdata[i];
-		struct lender *lender;
-		int64_t claimed_milli = 0;
-		double left;
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
 
-		if (!job->has_spec || job_ended(job->stored_state) ||
-		    share_of_job(job, place->share.count) != place->share.index)
-			continue;
-		left = remaining_work(place, job, &claimed_milli);
-		lender = find_lender(place, lenders, job->pool);
-		if (share_has_job(&place->share, job))
-			work += delay_weight(place, job, target_ms) * left;
-		else if (lender)
-			lender->claimed_milli += claimed_milli;
+		if (!job_ended(job->stored_state))
+			work += delay_weight(place, job, target_ms) *
+				remaining_work(place, job, &claimed_milli);
+	}
+	for (uint32_t i = 0; i < place->cfg->pool_count; i++) {
+		const char *pool = place->cfg->pools[i].name;
+		struct lender *lender = find_lender(place, lenders, pool);
+
+		if (lender)
+			claim_for_tasks(place, pool, lender);
 	}
 	return work;
 }
@@ -148,6 +163,7 @@
 
 void place_survey_backlog(const struct place *place, struct backlog *backlog)
 {
+	const GPtrArray *jobs = share_jobs(&place->share, place->jobs)->live;
 	struct capacity capacity = count_capacity(place, NULL);
 
 	*backlog = (struct backlog){
@@ -155,12 +171,11 @@
 		.own_milli = capacity.own_milli,
 		.full_milli = capacity.own_full_milli,
 	};
-	for (guint i = 0; i < place->jobs->live->len; i++) {
-		struct job *job = place->jobs->live->pdata[i];
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
 		double work;
 
-		if (!job->has_spec || job_ended(job->stored_state) ||
-		    !share_has_job(&place->share, job))
+		if (job_ended(job->stored_state))
 			continue;
 		work = remaining_work(place, job, &backlog->claimed_milli);
 		backlog_add_work(backlog, place_target_ms(place->cfg, job),
--- a/src/place_room.c
+++ b/src/place_room.c
@@ -20,7 +20,7 @@
 				    const struct job_task *task)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
-	GPtrArray *workers = place->workers->list;
+	const GPtrArray *workers = share_workers(&place->share, place->workers);
 	struct worker *best = NULL;
 
 	if (!has_waited(place, cand, task))
@@ -82,18 +82,15 @@
 static const GArray *find_endings(struct pass *pass)
 {
 	const struct place *place = pass->place;
+	const GPtrArray *jobs = share_jobs(&place->share, place->jobs)->live;
 	GArray *endings = pass->endings;
 
 	if (endings)
 		return endings;
 	endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
 	pass->endings = endings;
-	for (guint i = 0; i < place->jobs->live->len; i++) {
-		struct job *job = place->jobs->live->pdata[i];
-
-		if (job->has_spec && share_has_job(&place->share, job))
-			add_endings(job, endings);
-	}
+	for (guint i = 0; i < jobs->len; i++)
+		add_endings(jobs->pdata[i], endings);
 	g_array_sort(endings, compare_endings);
 	return endings;
 }
@@ -224,7 +221,7 @@
 {
 	struct job_pos pos = { .job = job };
 
-	if (job_ended(job->state) || job->cancel_requested)
+	if (!job->has_lasting || job_ended(job->state) || job->cancel_requested)
 		return;
 	while (job_next_task(&pos)) {
 		struct worker *worker;
--- a/src/pool.c
+++ b/src/pool.c
@@ -38,16 +38,13 @@
 	return CLAMP(left_ms, 0, lease_ms);
 }
 
-bool pool_is_own_job(const struct pool *pool, const struct job *job)
-{
-	return job->has_spec && share_has_job(&pool->share, job);
-}
-
 static void on_acquired(void *arg)
 {
 	struct pool *pool = arg;
-	struct worker_table *workers = pool->env->workers;
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
+	struct job_store *store = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, store)->live;
 
 	pool->env->counts.takeovers++;
 	pool->starting = 0;
@@ -60,16 +57,11 @@
 
 		plan->drained_number = 0;
 	}
-	for (guint i = 0; i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
-
-		if (share_has_worker(&pool->share, worker))
-			worker_reset_owner_state(worker);
-	}
+	for (guint i = 0; i < workers->len; i++)
+		worker_reset_owner_state(workers->pdata[i]);
 	/* Backwards, because job_reload removes ended jobs from the list. */
-	for (guint i = jobs->live->len; i > 0; i--)
-		if (pool_is_own_job(pool, jobs->live->pdata[i - 1]))
-			job_reload(jobs, jobs->live->pdata[i - 1]);
+	for (guint i = jobs->len; i > 0; i--)
+		job_reload(store, jobs->pdata[i - 1]);
 	bound_acquired(&pool->bound);
 	if (bound_withholds_any(&pool->bound))
 		log_info("lease-bounds-read tenure=%s workers=%u",
@@ -81,17 +73,18 @@
 static void on_lost(void *arg)
 {
 	struct pool *pool = arg;
-	struct job_store *jobs = pool->env->jobs;
+	struct job_store *store = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, store)->live;
 
 	pool_write_clear(pool);
 	pool_unplaced_clear(pool);
 	pool_stored_clear(pool);
 	bound_lost(&pool->bound);
-	for (guint i = 0; i < jobs->list->len; i++) {
-		struct job *job = jobs->list->pdata[i];
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
 
-		if (pool_is_own_job(pool, job) && !job_ended(job->stored_state))
-			job_reload(jobs, job);
+		if (!job_ended(job->stored_state))
+			job_reload(store, job);
 	}
 }
 
@@ -204,21 +197,34 @@
 		 name, pos->task->run, why, times, hold_ms);
 }
 
+struct worker *pool_find_planned(const struct pool *pool,
+				 const struct host_plan *plan)
+{
+	const struct share *share = &pool->share;
+	struct worker *worker;
+
+	/* A worker without a known host is in the share of its own id. */
+	if (pool->env->workers->hosts_known &&
+	    share_of_hash(plan->hash, share->count) != share->index)
+		return NULL;
+	worker = worker_find(pool->env->workers, plan->worker);
+	return worker && share_has_worker(share, worker) ? worker : NULL;
+}
+
 /*
  * Marks the workers whose host is to be restarted or moved, and those whose lease
  * must not be extended.
  */
 static void mark_workers(struct pool *pool)
 {
-	struct worker_table *workers = pool->env->workers;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
 	struct host_plans *plans = pool->env->plans;
 	bool bounded = bound_withholds_any(&pool->bound);
 
-	for (guint i = 0; i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
 
-		if (!share_has_worker(&pool->share, worker))
-			continue;
 		worker->leaving = false;
 		worker->may_stay = false;
 		worker->bounded = bounded && bound_withholds(&pool->bound,
@@ -226,9 +232,9 @@
 	}
 	for (guint i = 0; i < plans->list->len; i++) {
 		const struct host_plan *plan = plans->list->pdata[i];
-		struct worker *worker = worker_find(workers, plan->worker);
+		struct worker *worker = pool_find_planned(pool, plan);
 
-		if (!worker || !share_has_worker(&pool->share, worker))
+		if (!worker)
 			continue;
 		worker->leaving = true;
 		worker->may_stay = plan->step == HOST_DRAIN_REQUESTED &&
@@ -304,27 +310,17 @@
 /* A job with so many tasks yields to others, which its starts would hold up. */
 static void send_starts(struct pool *pool)
 {
-	const GPtrArray *jobs = pool->env->jobs->live;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
 	for (int in_ranges = 0; in_ranges <= 1; in_ranges++)
 		for (guint i = 0; i < jobs->len; i++) {
 			struct job *job = jobs->pdata[i];
 
-			if (pool_is_own_job(pool, job) &&
-			    job->in_ranges == in_ranges)
+			if (job->in_ranges == in_ranges)
 				pool_send_starts(pool, job);
 		}
 }
 
-static void resend_stops(struct pool *pool)
-{
-	const GPtrArray *jobs = pool->env->jobs->live;
-
-	for (guint i = 0; i < jobs->len; i++)
-		if (pool_is_own_job(pool, jobs->pdata[i]))
-			pool_resend_stops(pool, jobs->pdata[i]);
-}
-
 void pool_tick(struct pool *pool)
 {
 	if (ownership_held(&pool->ownership)) {
@@ -335,7 +331,7 @@
 		pool_drain_workers(pool);
 		pool_write_dirty(pool);
 		send_starts(pool);
-		resend_stops(pool);
+		pool_resend_stops(pool);
 		pool_stored_read(pool);
 		pool_unplaced_stop(pool);
 		pool_renew(pool);
--- a/src/pool_away.c
+++ b/src/pool_away.c
@@ -56,12 +56,12 @@
 static void count_room(const struct place *place, const struct job_pos *pos,
 		       struct room *room)
 {
-	GPtrArray *workers = place->workers->list;
+	const GPtrArray *workers = share_workers(&place->share, place->workers);
 
 	for (guint i = 0; i < workers->len; i++) {
 		const struct worker *worker = workers->pdata[i];
 
-		if (!worker->listed || !share_has_worker(&place->share, worker))
+		if (!worker->listed)
 			continue;
 		room->workers++;
 		room->leaving += worker->leaving || worker->entry.draining;
@@ -187,22 +187,17 @@
 			 found->tasks);
 }
 
-static bool is_live(const struct place *place, const struct job *job)
-{
-	return share_has_job(&place->share, job) && !job_ended(job->state) &&
-	       !job->cancel_requested;
-}
-
 void pool_note_away(struct pool *pool, const struct place *place)
 {
-	GPtrArray *jobs = pool->env->jobs->live;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 	bool look = place->now_ms >= pool->next_waits_ms;
 	struct waits found = { 0 };
 
 	for (guint i = 0; i < jobs->len; i++) {
 		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!is_live(place, pos.job))
+		if ((!look && !pos.job->has_lasting) ||
+		    job_ended(pos.job->state) || pos.job->cancel_requested)
 			continue;
 		while (job_next_task(&pos))
 			if (pos.job->spec.steps[pos.step].long_running)
--- a/src/pool_bound.c
+++ b/src/pool_bound.c
@@ -55,28 +55,25 @@
 	return writer_answer_ms(pool_writer(pool)) > POOL_BOUND_ANSWER_MS;
 }
 
-static void withhold_if_unreachable(struct bound_pass *pass,
-				    const struct job_task *task)
+static void withhold_if_unreachable(struct bound_pass *pass, const char *name)
 {
 	struct pool *pool = pass->pool;
-	const struct worker *worker =
-		worker_find(pool->env->workers, task->worker);
+	const struct worker *worker = worker_find(pool->env->workers, name);
 	enum reach reach = reach_worker(pool, worker, pass->now_ms);
 	int64_t end_ms;
 
-	if (reach == REACH_ANSWERS ||
-	    g_hash_table_contains(pass->needed, task->worker))
+	if (reach == REACH_ANSWERS)
 		return;
-	g_hash_table_add(pass->needed, (char *)task->worker);
+	g_hash_table_add(pass->needed, (char *)name);
 	if (reach == REACH_OPEN || log_is_slow(pool))
 		return;
-	end_ms = pool_lease_end_ms(pool, task->worker);
+	end_ms = pool_lease_end_ms(pool, name);
 	if (worker && worker->fence_accepted)
 		end_ms += POOL_BOUND_SPARE_MS;
-	if (bound_withhold(&pool->bound, task->worker, end_ms))
+	if (bound_withhold(&pool->bound, name, end_ms))
 		log_info("lease-bound pool=%s worker=%s known=%d fenced=%d "
 			 "failures=%d left_ms=%" G_GINT64_FORMAT,
-			 pool->name, task->worker, worker != NULL,
+			 pool->name, name, worker != NULL,
 			 worker && worker->fence_accepted,
 			 worker ? worker->renew_failures : 0,
 			 end_ms - pass->now_ms);
@@ -91,21 +88,18 @@
 
 static void bound_unreachable_workers(struct pool *pool, int64_t now_ms)
 {
-	const GPtrArray *jobs = pool->env->jobs->live;
+	const GPtrArray *lists =
+		share_jobs(&pool->share, pool->env->jobs)->placed;
 	struct bound_pass pass = {
 		.pool = pool,
 		.now_ms = now_ms,
 		.needed = g_hash_table_new(g_str_hash, g_str_equal),
 	};
 
-	for (guint i = 0; i < jobs->len; i++) {
-		struct job_pos pos = { .job = jobs->pdata[i] };
+	for (guint i = 0; i < lists->len; i++) {
+		const struct job_placed *placed = lists->pdata[i];
 
-		if (!share_has_job(&pool->share, pos.job))
-			continue;
-		while (job_next_task(&pos))
-			if (pos.task->state == TASK_PLACED)
-				withhold_if_unreachable(&pass, pos.task);
+		withhold_if_unreachable(&pass, placed->worker);
 	}
 	bound_allow_unless(&pool->bound, is_needed, &pass);
 	g_hash_table_destroy(pass.needed);
--- a/src/pool_crash.c
+++ b/src/pool_crash.c
@@ -42,13 +42,11 @@
 
 static void find_tasks(struct pool *pool, bool dead, struct crash_scene *scene)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!share_has_job(&pool->share, pos.job))
-			continue;
 		while (job_next_task(&pos))
 			if (crashed_under(scene->worker, dead, pos.task))
 				add_task(scene, &pos);
@@ -118,13 +116,13 @@
 
 void pool_note_dead_workers(struct pool *pool)
 {
-	GPtrArray *workers = pool->env->workers->list;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
 
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *worker = workers->pdata[i];
 
-		if (!share_has_worker(&pool->share, worker) ||
-		    !worker_is_dead(worker) ||
+		if (!worker_is_dead(worker) ||
 		    worker->counted_dead_ms == worker->dead_ms)
 			continue;
 		worker->counted_dead_ms = worker->dead_ms;
@@ -134,14 +132,12 @@
 
 void pool_note_restart(struct pool *pool, struct worker *worker)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
 	count_crash(pool, worker, false, "worker-restarted");
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!share_has_job(&pool->share, pos.job))
-			continue;
 		/* The order that may have caused the crash is not repeated. */
 		while (job_next_task(&pos))
 			if (pos.task->state == TASK_PLACED &&
@@ -223,16 +219,15 @@
 
 void pool_settle_lapses(struct pool *pool, struct worker *worker)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
 	if (!worker->lapsed)
 		return;
 	worker->lapsed = false;
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!share_has_job(&pool->share, pos.job) ||
-		    job_ended(pos.job->state))
+		if (job_ended(pos.job->state))
 			continue;
 		while (job_next_task(&pos))
 			if (pos.task->lapsed_at == worker->name)
--- a/src/pool_empty.c
+++ b/src/pool_empty.c
@@ -36,13 +36,12 @@
 static bool can_be_emptied(const struct place *place,
 			   const struct worker *worker)
 {
-	struct job_store *jobs = place->jobs;
+	const GPtrArray *jobs = share_jobs(&place->share, place->jobs)->live;
 
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!share_has_job(&place->share, pos.job) ||
-		    job_ended(pos.job->state))
+		if (!pos.job->has_lasting || job_ended(pos.job->state))
 			continue;
 		while (job_next_task(&pos))
 			if (pos.task->state == TASK_PLACED &&
@@ -96,12 +95,12 @@
 static void reserve_for_stopping(const struct pool *pool,
 				 const struct place *place)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!share_has_job(&pool->share, pos.job))
+		if (!pos.job->has_lasting)
 			continue;
 		while (job_next_task(&pos))
 			if (pos.task->state == TASK_PLACED &&
@@ -147,19 +146,8 @@
 
 static bool is_empty(const struct pool *pool, const struct worker *worker)
 {
-	struct job_store *jobs = pool->env->jobs;
-
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
-
-		if (!share_has_job(&pool->share, pos.job))
-			continue;
-		while (job_next_task(&pos))
-			if (pos.task->state == TASK_PLACED &&
-			    pos.task->worker == worker->name)
-				return false;
-	}
-	return true;
+	return !job_placed_at(share_jobs(&pool->share, pool->env->jobs),
+			      worker->name);
 }
 
 static void store_host_drained(struct pool *pool, struct host_plan *plan)
@@ -180,13 +168,13 @@
 
 void pool_move_off_leaving(struct pool *pool, const struct place *place)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
 	reserve_for_stopping(pool, place);
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job *job = jobs->live->pdata[i];
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
 
-		if (share_has_job(&pool->share, job) && !job_ended(job->state))
+		if (job->has_lasting && !job_ended(job->state))
 			stop_long_running(pool, place, job);
 	}
 }
@@ -197,14 +185,13 @@
 
 	for (guint i = 0; i < plans->list->len; i++) {
 		struct host_plan *plan = plans->list->pdata[i];
-		struct worker *worker =
-			worker_find(pool->env->workers, plan->worker);
+		const struct worker *worker;
 
 		if (plan->step != HOST_DRAIN_REQUESTED ||
-		    plan->drained_number == plan->number || !worker ||
-		    !share_has_worker(&pool->share, worker))
+		    plan->drained_number == plan->number)
 			continue;
-		if (is_empty(pool, worker))
+		worker = pool_find_planned(pool, plan);
+		if (worker && is_empty(pool, worker))
 			store_host_drained(pool, plan);
 	}
 }
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -58,6 +58,10 @@
  */
 bool pool_may_send_orders(const struct pool *pool);
 
+/* pool_find_planned - worker of the share that a plan ends; NULL: not in it */
+struct worker *pool_find_planned(const struct pool *pool,
+				 const struct host_plan *plan);
+
 /*
  * pool_grantable_ms - longest lease that may be given at now_ms; 0: none
  *
@@ -66,9 +70,6 @@
  */
 int64_t pool_grantable_ms(const struct pool *pool, int64_t now_ms);
 
-/* pool_is_own_job - whether the job is one of the share that can run */
-bool pool_is_own_job(const struct pool *pool, const struct job *job);
-
 /* pool_write_init, pool_write_clear - make or forget the records in flight */
 void pool_write_init(struct pool *pool);
 void pool_write_clear(struct pool *pool);
@@ -124,7 +125,7 @@
 void pool_stop_task(struct pool *pool, struct job_pos *pos);
 
 /* pool_resend_stops - resend stop orders that got no answer */
-void pool_resend_stops(struct pool *pool, struct job *job);
+void pool_resend_stops(struct pool *pool);
 
 /*
  * pool_handle_report - process a worker's report
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -67,19 +67,45 @@
 	pool_end_run(pool, pos, END_LAPSED, NULL);
 }
 
+/* Whether runs at the worker can have ended without a report. */
+static bool may_have_lost(const struct pool *pool, const char *name,
+			  int64_t now_ms)
+{
+	const struct worker *worker = worker_find(pool->env->workers, name);
+
+	return (worker && worker_is_dead(worker)) ||
+	       now_ms >= pool_lease_end_ms(pool, name);
+}
+
+/* Tasks on workers whose lease is over, or that are dead; struct job_pos. */
+static GArray *find_lost(const struct pool *pool, int64_t now_ms)
+{
+	const GPtrArray *lists =
+		share_jobs(&pool->share, pool->env->jobs)->placed;
+	GArray *found = g_array_new(FALSE, FALSE, sizeof(struct job_pos));
+
+	for (guint i = 0; i < lists->len; i++) {
+		const struct job_placed *placed = lists->pdata[i];
+
+		if (may_have_lost(pool, placed->worker, now_ms))
+			g_array_append_vals(found, placed->tasks->data,
+					    placed->tasks->len);
+	}
+	return found;
+}
+
 void pool_end_lost(struct pool *pool)
 {
-	struct job_store *jobs = pool->env->jobs;
 	int64_t now_ms = pool_now_ms(pool);
+	GArray *found;
 
 	pool_note_dead_workers(pool);
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
-
-		if (!share_has_job(&pool->share, pos.job))
-			continue;
-		while (job_next_task(&pos))
-			if (pos.task->state == TASK_PLACED)
-				end_if_lost(pool, &pos, now_ms);
+	found = find_lost(pool, now_ms);
+	for (guint i = 0; i < found->len; i++) {
+		struct job_pos *pos = &g_array_index(found, struct job_pos, i);
+
+		if (pos->task->state == TASK_PLACED)
+			end_if_lost(pool, pos, now_ms);
 	}
+	g_array_free(found, TRUE);
 }
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -305,14 +305,27 @@
 				run, pool->ownership.fence, on_stop, sent);
 }
 
-void pool_resend_stops(struct pool *pool, struct job *job)
+static bool stop_due(const struct job_task *task, int64_t now_ms)
 {
-	struct job_pos pos = { .job = job };
+	return task->state == TASK_PLACED && task->phase == PHASE_STOPPING &&
+	       !task->stop_ok && now_ms - task->since_ms >= POOL_STOP_RETRY_MS;
+}
+
+void pool_resend_stops(struct pool *pool)
+{
+	const GPtrArray *lists =
+		share_jobs(&pool->share, pool->env->jobs)->placed;
 	int64_t now_ms = pool_now_ms(pool);
 
-	while (job_next_task(&pos))
-		if (pos.task->state == TASK_PLACED &&
-		    pos.task->phase == PHASE_STOPPING && !pos.task->stop_ok &&
-		    now_ms - pos.task->since_ms >= POOL_STOP_RETRY_MS)
-			pool_stop_task(pool, &pos);
+	for (guint i = 0; i < lists->len; i++) {
+		const struct job_placed *placed = lists->pdata[i];
+
+		for (guint k = 0; k < placed->tasks->len; k++) {
+			struct job_pos pos =
+				g_array_index(placed->tasks, struct job_pos, k);
+
+			if (stop_due(pos.task, now_ms))
+				pool_stop_task(pool, &pos);
+		}
+	}
 }
--- a/src/pool_publish.c
+++ b/src/pool_publish.c
@@ -62,14 +62,12 @@
 
 void pool_publish_unindexed(struct pool *pool)
 {
-	const GPtrArray *jobs = pool->env->jobs->live;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 
 	for (guint i = 0; i < jobs->len; i++) {
 		struct job *job = jobs->pdata[i];
 
-		if (!job->has_spec || job->published ||
-		    !share_has_job(&pool->share, job) ||
-		    index_find(pool->env->index, job->id))
+		if (job->published || index_find(pool->env->index, job->id))
 			continue;
 		if (job->unindexed)
 			publish(pool, job, index_state_of(job));
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -75,10 +75,9 @@
 }
 
 /* Whether tasks run or may be started on the worker. */
-static bool needs_renewal(const struct pool *pool, const struct worker *worker)
+static bool needs_renewal(const struct worker *worker)
 {
-	return share_has_worker(&pool->share, worker) &&
-	       (worker->listed || worker_has_work(worker));
+	return worker->listed || worker_has_work(worker);
 }
 
 /*
@@ -133,15 +132,16 @@
 
 void pool_renew(struct pool *pool)
 {
-	struct worker_table *workers = pool->env->workers;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
 	int64_t now_ms = pool_now_ms(pool);
 
 	if (!pool_grantable_ms(pool, now_ms))
 		return;
-	for (guint i = 0; i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
 
-		if (needs_renewal(pool, worker) && !worker->renewing &&
+		if (needs_renewal(worker) && !worker->renewing &&
 		    now_ms >= worker->next_renew_ms)
 			renew(pool, worker, now_ms);
 	}
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -213,18 +213,19 @@
 static void end_unlisted(struct pool *pool, struct worker *worker,
 			 int64_t asked_ms)
 {
-	struct job_store *jobs = pool->env->jobs;
+	const struct job_placed *placed = job_placed_at(
+		share_jobs(&pool->share, pool->env->jobs), worker->name);
 
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	/* Backwards, because the end of a run removes it from the list; the last
+	   one's, the list. */
+	for (guint i = placed ? placed->tasks->len : 0; i > 0; i--) {
+		struct job_pos pos =
+			g_array_index(placed->tasks, struct job_pos, i - 1);
 
-		if (!share_has_job(&pool->share, pos.job))
-			continue;
-		while (job_next_task(&pos))
-			if (is_placed_run(&pos, worker, pos.task->run) &&
-			    pos.task->last_report != worker->reports &&
-			    must_list(pos.task, asked_ms))
-				pool_end_run(pool, &pos, END_STOPPED, NULL);
+		if (is_placed_run(&pos, worker, pos.task->run) &&
+		    pos.task->last_report != worker->reports &&
+		    must_list(pos.task, asked_ms))
+			pool_end_run(pool, &pos, END_STOPPED, NULL);
 	}
 }
 
--- a/src/pool_slow.c
+++ b/src/pool_slow.c
@@ -10,18 +10,14 @@
 /* Rate of a worker whose runs take as long as estimated. */
 #define POOL_ESTIMATED_RATE 1.0
 
-static bool is_own_worker(const struct pool *pool, const struct worker *worker)
-{
-	return worker->fence_accepted && share_has_worker(&pool->share, worker);
-}
-
 /*
  * Median rate of the workers; the last one that was known while too few of them
  * are at work, as with a calm pool's last tasks on a worker that stands still.
  */
 static double typical_rate(struct pool *pool)
 {
-	GPtrArray *workers = pool->env->workers->list;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
 	double *rates = g_new(double, workers->len + 1);
 	uint32_t count = 0;
 	double typical;
@@ -29,7 +25,7 @@
 	for (guint i = 0; i < workers->len; i++) {
 		const struct worker *worker = workers->pdata[i];
 
-		if (is_own_worker(pool, worker))
+		if (worker->fence_accepted)
 			rates[count++] = speed_rate(&worker->speed);
 	}
 	typical = speed_typical(rates, count);
@@ -86,24 +82,24 @@
 
 void pool_move_off_slow(struct pool *pool, const struct place *place)
 {
-	GPtrArray *workers = pool->env->workers->list;
-	struct job_store *jobs = pool->env->jobs;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
 	double typical = typical_rate(pool);
 	bool any = false;
 
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *worker = workers->pdata[i];
 
-		if (!is_own_worker(pool, worker))
+		if (!worker->fence_accepted)
 			continue;
 		update_slow(worker, typical, place->now_ms);
 		any |= worker->slow_until_ms != 0;
 	}
-	for (guint i = 0; any && i < jobs->live->len; i++) {
-		struct job_pos pos = { .job = jobs->live->pdata[i] };
+	for (guint i = 0; any && i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
 
-		if (!share_has_job(&pool->share, pos.job) ||
-		    job_ended(pos.job->state) || pos.job->cancel_requested)
+		if (job_ended(pos.job->state) || pos.job->cancel_requested)
 			continue;
 		while (job_next_task(&pos))
 			move_task_if_slow(pool, place, &pos, typical);
--- a/src/pool_write.c
+++ b/src/pool_write.c
@@ -251,15 +251,14 @@
 
 void pool_write_dirty(struct pool *pool)
 {
-	struct job_store *jobs = pool->env->jobs;
-	struct worker_table *workers = pool->env->workers;
+	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
 	int64_t now_ms = pool_now_ms(pool);
 
-	for (guint i = 0; i < jobs->live->len; i++) {
-		struct job *job = jobs->live->pdata[i];
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = jobs->pdata[i];
 
-		if (!pool_is_own_job(pool, job))
-			continue;
 		job_refresh(job);
 		if (!job->dirty || now_ms < job->store_after_ms)
 			continue;
@@ -267,12 +266,11 @@
 			pool_unplaced_add_job(pool, job);
 		store_job(pool, job);
 	}
-	for (guint i = 0; !pool->refused_jobs && i < workers->list->len; i++) {
-		struct worker *worker = workers->list->pdata[i];
+	for (guint i = 0; !pool->refused_jobs && i < workers->len; i++) {
+		struct worker *worker = workers->pdata[i];
 		struct pending_write *pending;
 
-		if (!share_has_worker(&pool->share, worker) ||
-		    worker->cursor_processed == worker->cursor_storing)
+		if (worker->cursor_processed == worker->cursor_storing)
 			continue;
 		worker->cursor_storing = worker->cursor_processed;
 		pending = pending_write_new(pool);
--- a/src/share.c
+++ b/src/share.c
@@ -16,6 +16,11 @@
 	return CLAMP(count, 1, SHARE_MAX_COUNT);
 }
 
+uint32_t share_of_hash(uint32_t hash, uint32_t count)
+{
+	return index_of(hash, count);
+}
+
 uint32_t share_of_job(const struct job *job, uint32_t count)
 {
 	return index_of(job->hash, count);
@@ -37,6 +42,18 @@
 	       !strcmp(job->pool, share->pool);
 }
 
+const GPtrArray *share_workers(const struct share *share,
+			       const struct worker_table *table)
+{
+	return worker_list_share(table, share->pool, share->index);
+}
+
+const struct job_share *share_jobs(const struct share *share,
+				   const struct job_store *store)
+{
+	return job_share_find(store, share->pool, share->index);
+}
+
 bool share_has_worker(const struct share *share, const struct worker *worker)
 {
 	return share_of_worker(worker, share->count) == share->index &&
--- a/src/share.h
+++ b/src/share.h
@@ -42,10 +42,21 @@
 uint32_t share_of_job(const struct job *job, uint32_t count);
 uint32_t share_of_host(const char *host, uint32_t count);
 
+/* share_of_hash - share of a host by the hash of its name, see rnd_hash_name */
+uint32_t share_of_hash(uint32_t hash, uint32_t count);
+
 /* share_of_worker - share of its host; by its own id if that is unknown */
 uint32_t share_of_worker(const struct worker *worker, uint32_t count);
 
 bool share_has_job(const struct share *share, const struct job *job);
+/* share_workers - workers of the share, see worker_list_share */
+const GPtrArray *share_workers(const struct share *share,
+			       const struct worker_table *table);
+
+/* share_jobs - live jobs of the share */
+const struct job_share *share_jobs(const struct share *share,
+				   const struct job_store *store);
+
 bool share_has_worker(const struct share *share, const struct worker *worker);
 
 /* share_part - part of the jobs' stream that has the records of a slice */
--- a/src/worker.c
+++ b/src/worker.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "rnd.h"
+#include "share.h"
 
 void worker_report_clear(struct worker_report *report)
 {
@@ -16,10 +17,80 @@
 	memset(report, 0, sizeof(*report));
 }
 
+/* Workers of a pool, by share. */
+struct pool_workers {
+	GPtrArray *shares[SHARE_MAX_COUNT];
+};
+
+static void free_pool_workers(void *arg)
+{
+	struct pool_workers *workers = arg;
+
+	for (int i = 0; i < SHARE_MAX_COUNT; i++)
+		g_ptr_array_free(workers->shares[i], TRUE);
+	g_free(workers);
+}
+
+static struct pool_workers *find_or_add_pool(struct worker_table *table,
+					     const char *pool)
+{
+	struct pool_workers *workers =
+		g_hash_table_lookup(table->by_pool, pool);
+
+	if (workers)
+		return workers;
+	workers = g_new0(struct pool_workers, 1);
+	for (int i = 0; i < SHARE_MAX_COUNT; i++)
+		workers->shares[i] = g_ptr_array_new();
+	g_hash_table_insert(table->by_pool, g_strdup(pool), workers);
+	return workers;
+}
+
+/* Moves the worker to the list that its entry says. */
+static void list_in_share(struct worker_table *table, struct worker *worker)
+{
+	uint32_t index = share_of_worker(worker, table->share_count);
+	GPtrArray *peers =
+		find_or_add_pool(table, worker->entry.pool)->shares[index];
+	guint at = peers->len;
+
+	if (peers == worker->peers)
+		return;
+	if (worker->peers)
+		g_ptr_array_remove(worker->peers, worker);
+	worker->peers = peers;
+	while (at &&
+	       ((struct worker *)peers->pdata[at - 1])->number > worker->number)
+		at--;
+	g_ptr_array_insert(peers, (gint)at, worker);
+}
+
+void worker_table_set_shares(struct worker_table *table, uint32_t count)
+{
+	table->share_count = count;
+	for (guint i = 0; i < table->list->len; i++)
+		list_in_share(table, table->list->pdata[i]);
+}
+
+const GPtrArray *worker_list_share(const struct worker_table *table,
+				   const char *pool, uint32_t index)
+{
+	const struct pool_workers *workers =
+		g_hash_table_lookup(table->by_pool, pool);
+
+	return workers ? workers->shares[index] : table->none;
+}
+
 struct worker_table *worker_table_create(void)
 {
 	struct worker_table *table = g_new0(struct worker_table, 1);
 
+	table->share_count = 1;
+	table->hosts_known = true;
+	table->by_pool = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_pool_workers);
+	table->none = g_ptr_array_new();
+
 	table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	table->list = g_ptr_array_new();
 	table->rejected =
@@ -34,6 +105,8 @@
 	for (guint i = 0; i < table->list->len; i++)
 		g_free(table->list->pdata[i]);
 	g_ptr_array_free(table->list, TRUE);
+	g_hash_table_destroy(table->by_pool);
+	g_ptr_array_free(table->none, TRUE);
 	g_hash_table_destroy(table->by_id);
 	g_hash_table_destroy(table->rejected);
 	g_free(table);
@@ -60,6 +133,7 @@
 		worker = g_new0(struct worker, 1);
 		worker->entry = *entry;
 		g_hash_table_insert(table->by_id, worker->entry.id, worker);
+		worker->number = table->list->len;
 		g_ptr_array_add(table->list, worker);
 		worker->name = g_intern_string(entry->id);
 	}
@@ -67,11 +141,13 @@
 		worker->full_cpu_milli = 0;
 	worker->full_cpu_milli = MAX(worker->full_cpu_milli, entry->cpu_milli);
 	worker->entry = *entry;
+	table->hosts_known &= entry->host[0] != 0;
 	if (entry->host[0])
 		worker->hash = rnd_hash_name(entry->host);
 	else if (!worker->hash)
 		worker->hash = rnd_hash_name(entry->id);
 	worker->listed = true;
+	list_in_share(table, worker);
 	g_hash_table_remove(table->rejected, entry->id);
 	return worker;
 }
--- a/src/worker.h
+++ b/src/worker.h
@@ -79,6 +79,8 @@
 struct worker {
 	struct worker_entry entry;
 	const char *name; /* entry.id, interned like job_task.worker */
+	guint number;	  /* place in the table's list */
+	GPtrArray *peers; /* workers of its share of a pool, with itself */
 	uint32_t hash;	  /* of its host's name; of its id if that is unknown */
 	/* Most processor time that its entries have stated since its start. */
 	int32_t full_cpu_milli;
@@ -136,12 +138,28 @@
 struct worker_table {
 	GHashTable *by_id;
 	GPtrArray *list;
+	uint32_t share_count; /* of each pool */
+	GHashTable *by_pool;  /* pool -> workers of its shares */
+	GPtrArray *none;      /* no workers */
 	GHashTable *rejected; /* ids whose newest entry was rejected */
+	bool hosts_known;     /* all entries so far have named their host */
 	bool host_list_down;  /* the last request for the host list failed */
 };
 
 struct worker_table *worker_table_create(void);
 void worker_table_destroy(struct worker_table *table);
+
+/* worker_table_set_shares - set the number of shares of each pool; 1 at first */
+void worker_table_set_shares(struct worker_table *table, uint32_t count);
+
+/*
+ * worker_list_share - workers of a share of a pool (see share.h), listed or not
+ *
+ * By their newest entries, in the order of the table's list.
+ */
+const GPtrArray *worker_list_share(const struct worker_table *table,
+				   const char *pool, uint32_t index);
+
 struct worker *worker_find(const struct worker_table *table, const char *id);
 
 /* worker_put - add or update a registry entry; keeps the owner's state */
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -187,6 +187,8 @@
 	struct worker_table *workers = worker_table_create();
 	struct cfg cfg = { 0 };
 
+	job_store_set_shares(jobs, 2);
+	worker_table_set_shares(workers, 2);
 	for (int i = 0; i < 40; i++) {
 		char id[16];
 		struct worker *worker;
