Store ends of runs together while the owner is busy

Each end of a run was stored at the next tick, in a record with all tasks of its job, and then asked the worker for its next report: at an owner at its limit that is work for each end. While the event loop is busy for more than half of the time, records that nobody waits for are now stored every 120 ms at most; those with a placement or a new state of the job go out at once, as before.

--- a/src/job.c
+++ b/src/job.c
@@ -513,6 +513,7 @@
 	if (!job->placed_ms)
 		job->placed_ms = now_ms;
 	job_index_place(job, task);
+	job->has_placements = true;
 	job_touch(job, task);
 }
 
--- a/src/job.h
+++ b/src/job.h
@@ -169,7 +169,8 @@
 	bool in_ranges;
 	bool *touched; /* ranges that have changed since their last record */
 	GHashTable *ranges; /* number -> newest stored record; NULL: none */
-	bool dirty;	/* changed since the last progress record was made */
+	bool dirty; /* changed since the last progress record was made */
+	bool has_placements; /* that the newest progress record does not have */
 	bool refreshed; /* its state was derived since its tasks were read */
 	char *progress; /* newest stored progress, NULL: none */
 	int64_t submission_offset;
--- a/src/node.c
+++ b/src/node.c
@@ -228,6 +228,7 @@
 		.max_stream_age_ms = NODE_MAX_STREAM_AGE_MS,
 		.registry = node->registry_tail,
 		.max_registry_age_ms = NODE_REGISTRY_MAX_AGE_MS,
+		.lag = &node->lag,
 	};
 	node->maint_env = (struct maint_env){
 		.clk = config->clk,
--- a/src/pool.h
+++ b/src/pool.h
@@ -23,6 +23,7 @@
 #include "host_plan.h"
 #include "index.h"
 #include "job.h"
+#include "lag.h"
 #include "order.h"
 #include "ownership.h"
 #include "share.h"
@@ -71,6 +72,7 @@
 	   may have said since that it drains. NULL: not asked. */
 	const struct tail *registry;
 	int64_t max_registry_age_ms;
+	const struct lag *lag; /* of the node; NULL: never busy */
 	struct pool_counts counts;
 	struct histo wait_ms;  /* from submission to first placement */
 	struct histo age_ms;   /* from submission to the end of the job */
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -25,6 +25,7 @@
 	int32_t starting;      /* start orders in flight */
 	int64_t next_scan_ms;  /* next search for expired and unindexed jobs */
 	struct bound bound;    /* workers whose leases are not extended */
+	int64_t next_flush_ms; /* next time at which all changes are stored */
 	int64_t next_bound_ms; /* next look at which those are */
 	int64_t next_waits_ms; /* next look at the finite tasks that wait */
 	int64_t next_publish_ms;  /* next record of the share's load */
--- a/src/pool_write.c
+++ b/src/pool_write.c
@@ -3,7 +3,13 @@
 
 enum {
 	/* Before a job is stored again that has a record which the log refuses. */
-	POOL_REFUSED_RETRY_MS = 1000
+	POOL_REFUSED_RETRY_MS = 1000,
+	/* Ends of runs are stored at each tick while the node has time to spare.
+	   Beyond this part of its time they are batched, the longer the busier it
+	   is: each record has all tasks of its job, and each acknowledgement
+	   asks the worker for the next report. */
+	POOL_FLUSH_BUSY_PERCENT = 50,
+	POOL_FLUSH_MAX_MS = 120
 };
 
 /* Argument of a callback of the writer: a job's record or a cursor. */
@@ -78,6 +84,7 @@
 	job->refused_record = number;
 	job->store_after_ms = pool_now_ms(pool) + POOL_REFUSED_RETRY_MS;
 	job->dirty = true;
+	job->has_placements = true;
 	job_use_ranges(job);
 	while (job_next_task(&pos))
 		if (pos.task->state == TASK_PLACED &&
@@ -237,6 +244,7 @@
 	if (job->in_ranges && job->state != JOB_DONE)
 		store_ranges(pool, job);
 	job->dirty = false;
+	job->has_placements = false;
 	while (job_next_task(&pos)) {
 		if (pos.task->state != TASK_PLACED ||
 		    pos.task->phase != PHASE_RECORDING)
@@ -249,37 +257,67 @@
 		   on_job_stored, pending);
 }
 
-void pool_write_dirty(struct pool *pool)
+/* How long changes that nobody waits for may be kept, to store them together. */
+static int64_t flush_gap_ms(const struct pool *pool)
+{
+	int32_t busy_percent =
+		pool->env->lag ? MIN(pool->env->lag->busy_percent, 100) : 0;
+
+	return POOL_FLUSH_MAX_MS *
+	       MAX(busy_percent - POOL_FLUSH_BUSY_PERCENT, 0) /
+	       (100 - POOL_FLUSH_BUSY_PERCENT);
+}
+
+/* Whether a start or a caller waits for the job's record. */
+static bool is_awaited(const struct job *job)
+{
+	return job->has_placements || job->state != job->stored_state;
+}
+
+static void write_jobs(struct pool *pool, bool flush, int64_t now_ms)
 {
 	const GPtrArray *jobs = share_jobs(&pool->share, pool->env->jobs)->live;
-	const GPtrArray *workers =
-		share_workers(&pool->share, pool->env->workers);
-	int64_t now_ms = pool_now_ms(pool);
 
 	for (guint i = 0; i < jobs->len; i++) {
 		struct job *job = jobs->pdata[i];
 
 		job_refresh(job);
-		if (!job->dirty || now_ms < job->store_after_ms)
+		if (!job->dirty || now_ms < job->store_after_ms ||
+		    (!flush && !is_awaited(job)))
 			continue;
 		if (job_ended(job->state))
 			pool_unplaced_add_job(pool, job);
 		store_job(pool, job);
 	}
+}
+
+static void write_cursor(struct pool *pool, struct worker *worker)
+{
+	struct pending_write *pending = pending_write_new(pool);
+
+	worker->cursor_storing = worker->cursor_processed;
+	g_strlcpy(pending->worker, worker->entry.id, sizeof(pending->worker));
+	pending->cursor = worker->cursor_processed;
+	pending->boot_ms = worker->boot_ms;
+	writer_add(pool_writer(pool), NULL, NULL, 0, on_cursor_stored, pending);
+}
+
+void pool_write_dirty(struct pool *pool)
+{
+	const GPtrArray *workers =
+		share_workers(&pool->share, pool->env->workers);
+	int64_t now_ms = pool_now_ms(pool);
+	bool flush = now_ms >= pool->next_flush_ms;
+
+	write_jobs(pool, flush, now_ms);
+	if (!flush)
+		return;
+	pool->next_flush_ms = now_ms + flush_gap_ms(pool);
 	for (guint i = 0; !pool->refused_jobs && i < workers->len; i++) {
 		struct worker *worker = workers->pdata[i];
-		struct pending_write *pending;
 
-		if (worker->cursor_processed == worker->cursor_storing)
-			continue;
-		worker->cursor_storing = worker->cursor_processed;
-		pending = pending_write_new(pool);
-		g_strlcpy(pending->worker, worker->entry.id,
-			  sizeof(pending->worker));
-		pending->cursor = worker->cursor_processed;
-		pending->boot_ms = worker->boot_ms;
-		writer_add(pool_writer(pool), NULL, NULL, 0, on_cursor_stored,
-			   pending);
+		if (worker->cursor_processed != worker->cursor_storing)
+			write_cursor(pool, worker);
 	}
 }
 
--- a/tests/test_cost.c
+++ b/tests/test_cost.c
@@ -25,7 +25,8 @@
 	REPORTS = 200,
 	ROUNDS = 5,
 	/* Work that does not grow may still miss the processor's caches. */
-	MOST_TIMES = 4
+	MOST_TIMES = 4,
+	SOON_MS = 150
 };
 
 static struct pool_fixture fixture;
@@ -228,6 +229,87 @@
 }
 END_TEST
 
+static struct worker_end end_of_run(uint32_t index)
+{
+	struct worker_end end = {
+		.number = index + 1,
+		.run = 1,
+		.how = END_DONE,
+	};
+
+	snprintf(end.task, sizeof(end.task), "%016x.0.0.%u", 1, index);
+	return end;
+}
+
+static void report_end(uint32_t index)
+{
+	struct worker_end end = end_of_run(index);
+	struct worker_report report = {
+		.clock_ms = ++clk.manual_ms,
+		.end_count = 1,
+		.ends = &end,
+		.more_ends = true,
+	};
+
+	pool_handle_report(pool, worker, &report, clk.manual_ms);
+}
+
+static void own_with_writer(void)
+{
+	struct writer_config config = {
+		.clk = &clk,
+		.id = { "jobs", 0 },
+		.producer = "owner",
+	};
+
+	pool->ownership.slots[0].writer = writer_create(&config);
+}
+
+/* An owner that is busy must not write a record of a job for each of its ends. */
+START_TEST(busy_owner_stores_ends_together_and_placements_at_once)
+{
+	static struct lag busy = { .busy_percent = 100 };
+	struct job *running = submit();
+	struct job *waiting = submit();
+
+	own_with_writer();
+	env.lag = &busy;
+	place_runs(running);
+	pool_write_dirty(pool);
+	ck_assert(!running->dirty);
+	running->stored_state = running->state;
+	report_end(0);
+	place_runs(waiting);
+	pool_write_dirty(pool);
+	ck_assert(running->dirty);
+	ck_assert(!waiting->dirty);
+	/* No end is acknowledged that is not stored. */
+	ck_assert_int_eq(worker->cursor_processed, 1);
+	ck_assert_int_eq(worker->cursor_storing, 0);
+	report_end(1);
+	clk.manual_ms += SOON_MS;
+	pool_write_dirty(pool);
+	ck_assert(!running->dirty);
+	ck_assert_int_eq(worker->cursor_storing, 2);
+}
+END_TEST
+
+START_TEST(owner_with_time_to_spare_stores_ends_at_once)
+{
+	static struct lag idle = { .busy_percent = 30 };
+	struct job *running = submit();
+
+	own_with_writer();
+	env.lag = &idle;
+	place_runs(running);
+	pool_write_dirty(pool);
+	report_end(0);
+	pool_write_dirty(pool);
+	ck_assert(!running->dirty);
+	ck_assert_int_eq(worker->cursor_storing, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cost");
@@ -239,6 +321,9 @@
 	tcase_add_test(tcase, report_costs_no_more_with_many_jobs);
 	tcase_add_test(tcase, run_that_its_worker_does_not_list_ends);
 	tcase_add_test(tcase, tick_costs_no_more_with_workers_of_other_pools);
+	tcase_add_test(tcase,
+		       busy_owner_stores_ends_together_and_placements_at_once);
+	tcase_add_test(tcase, owner_with_time_to_spare_stores_ends_at_once);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
