--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -68,8 +68,11 @@
 	} else {
 		pool->env->counts.renewals_failed++;
 		if (!worker->renew_failures++)
-			log_info("renewal-failed pool=%s worker=%s why=%s",
-				 pool->name, sent->worker, order_name(outcome));
+			log_info("renewal-failed pool=%s worker=%s why=%s "
+				 "sent_ms_ago=%" G_GINT64_FORMAT
+				 " until_ms=%" G_GINT64_FORMAT,
+				 pool->name, sent->worker, order_name(outcome),
+				 now_ms - sent->sent_ms, sent->until_ms);
 	}
 	g_free(sent);
 }
@@ -122,6 +125,7 @@
 	    grantable_to_ms(pool, worker, now_ms) &&
 	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
 		renew.until_ms = pool_grant_lease(pool, worker, now_ms);
+		sent->until_ms = renew.until_ms;
 		renew.wait_ms = renewal_wait_ms(pool, worker, now_ms);
 	}
 	worker->renewing = true;
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -285,8 +285,16 @@
 
 	if (new_life) {
 		if (worker->boot_ms)
-			log_info("worker-restarted worker=%s",
-				 worker->entry.id);
+			log_info("worker-restarted worker=%s "
+				 "clock_ms=%" G_GINT64_FORMAT
+				 " was_clock_ms=%" G_GINT64_FORMAT
+				 " boot_ms=%" G_GINT64_FORMAT
+				 " was_boot_ms=%" G_GINT64_FORMAT
+				 " lease_left_ms=%" G_GINT64_FORMAT,
+				 worker->entry.id, report->clock_ms,
+				 worker_clock_ms(worker, now_ms),
+				 report->boot_ms, worker->boot_ms,
+				 worker->lease_end_ms - now_ms);
 		worker->boot_ms = report->boot_ms;
 		worker->cursor_processed = 0;
 		worker->cursor_storing = 0;
--- a/src/pool_sent.h
+++ b/src/pool_sent.h
@@ -17,6 +17,7 @@
 	char task[JOB_TASK_NAME_BYTES];
 	int32_t run;
 	int64_t sent_ms;
+	int64_t until_ms; /* end of the lease, by the worker's clock; 0: none */
 };
 
 /* pool_sent_new - an order that is sent now; free it with g_free */
