Take a worker that answers a start as up, whatever the host list said

What callers would see: two runs of a task at the same time. A start is sent to a worker that is down and waits; the host list says that the worker is down; it starts again under its id, executes the start and answers it. The owner had no report of it yet, still counted it as dead, and, as no start was without an answer any more, the run as ended.

Why this works: an answer is newer than the list. If the worker is down again, the next list says so.

--- a/src/pool_sent.c
+++ b/src/pool_sent.c
@@ -35,8 +35,12 @@
 	struct worker *worker =
 		worker_find(sent->pool->env->workers, sent->worker);
 
-	if (worker && outcome != ORDER_UNKNOWN)
-		worker->unanswered_since_ms = 0;
+	if (!worker || outcome == ORDER_UNKNOWN)
+		return;
+	worker->unanswered_since_ms = 0;
+	/* It may have started again under its id since the list that said so. */
+	if (!worker_is_replaced(worker))
+		worker->dead_ms = 0;
 }
 
 void pool_sent_handle_fenced(const struct pool_sent *sent)
--- a/src/pool_sent.h
+++ b/src/pool_sent.h
@@ -32,7 +32,7 @@
 /* pool_sent_is_outdated - whether the fence for the worker was raised since */
 bool pool_sent_is_outdated(const struct pool_sent *sent);
 
-/* pool_sent_note_answer - an answer of any kind shows that the worker is reachable */
+/* pool_sent_note_answer - an answer of any kind shows that the worker is up */
 void pool_sent_note_answer(const struct pool_sent *sent,
 			   enum order_outcome outcome);
 
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -18,6 +18,8 @@
 	SEEDS = 20,
 	WORKERS = 6,
 	WIDTH = 12,
+	/* One worker has room for more. */
+	NARROW = 2,
 	SHORT_TASK_MS = 5000,
 	LONG_TASK_MS = 30000,
 	/* As the platform sets it in the users' settings. */
@@ -36,6 +38,8 @@
 	/* A worker with no ended run answers a renewal within it. */
 	RENEWED_MS = 3000,
 	STEP_MS = 10,
+	/* Within which starts that have waited for a worker are answered. */
+	ANSWERED_MS = 30,
 	/* From the start of the new incarnation to the cut. */
 	CUT_AFTER_MS = 2000
 };
@@ -130,6 +134,28 @@
 }
 END_TEST
 
+/*
+ * Starts are sent to a worker that is down, and its next incarnation executes and
+ * answers them. It is cut off before its owner has any report of it.
+ */
+START_TEST(start_that_is_answered_by_the_next_incarnation)
+{
+	int restarted;
+	struct sim *sim = begin(_i, NARROW, LONG_TASK_MS, &restarted);
+
+	crash_unnoticed(sim, restarted);
+	sim_submit_job(sim, 0, 1, WIDTH / 2);
+	sim_run_for(sim, DARK_MS);
+	sim->workers[restarted].entry_delay_ms = 4 * HOLD_MAX_MS;
+	sim_restart_worker(sim, restarted);
+	sim_run_for(sim, ANSWERED_MS);
+	ck_assert_uint_gt(sim->workers[restarted].model.runs->len, 0);
+	cut_off(sim, restarted);
+	sim_run_for(sim, 2 * HOLD_MAX_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("old orders");
@@ -142,6 +168,9 @@
 			    SEEDS);
 	tcase_add_loop_test(tcase, renewal_that_waits_for_the_next_incarnation,
 			    0, SEEDS);
+	tcase_add_loop_test(tcase,
+			    start_that_is_answered_by_the_next_incarnation, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
