Wait longer for a start that a worker's next incarnation may have executed

What callers would see: two runs of a task at the same time. A start waits for a worker that is down; the worker starts again under its id and executes it; the answer is lost in a cut. The end of the lease is a time on the earlier clock, so that the run lasts as long as the platform allows, from when it was executed; the owner, which has heard nothing of the new incarnation, counts its own, shorter lease from when it was sent.

Why this works: the registry shows that the worker has started again since the task was placed. If a start of the run has no answer then, or an earlier owner may have sent one, the run counts as over only after the call's longest wait and the longest lease. Other runs end as before. Not covered: a worker that is cut off before it has registered.

--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -2,6 +2,9 @@
 
 #include "log.h"
 
+/* Longest that an order waits for a worker that is down. */
+enum { POOL_ORDER_WAIT_MS = 1500 };
+
 int64_t pool_order_fence(const struct pool *pool, const struct worker *worker)
 {
 	return ownership_raised_fence(&pool->ownership, worker->fence_raises);
@@ -13,6 +16,22 @@
 		now_ms, MAX(pool->env->lease_ms, pool->env->lease_max_ms));
 }
 
+bool pool_may_run_in_next_life(const struct worker *worker,
+			       const struct job_task *task)
+{
+	bool asked = task->unanswered_starts || task->phase == PHASE_UNKNOWN;
+
+	return asked && task->worker_boot_ms && worker->entry.boot_ms &&
+	       job_boot_tag(task->worker_boot_ms) !=
+		       job_boot_tag(worker->entry.boot_ms);
+}
+
+int64_t pool_next_life_extra_ms(const struct pool *pool)
+{
+	return POOL_ORDER_WAIT_MS + pool_longest_lease_end_ms(pool, 0) -
+	       worker_lease_bound_ms(0, pool->env->lease_ms);
+}
+
 /*
  * Orders have a higher fence from now on. Under the present one, some were sent to
  * an earlier incarnation, which the worker may still execute.
--- a/src/pool_life.h
+++ b/src/pool_life.h
@@ -28,6 +28,18 @@
  */
 int64_t pool_longest_lease_end_ms(const struct pool *pool, int64_t now_ms);
 
+/*
+ * pool_may_run_in_next_life - whether the worker's next incarnation may have the run
+ *
+ * The registry says that it has started again since the task was placed, and an
+ * order to start the run may be without an answer.
+ */
+bool pool_may_run_in_next_life(const struct worker *worker,
+			       const struct job_task *task);
+
+/* pool_next_life_extra_ms - how much later than the lease such a run may end */
+int64_t pool_next_life_extra_ms(const struct pool *pool);
+
 /*
  * pool_admit_report - whether a report that was asked for under the fence counts
  *
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -1,5 +1,6 @@
 #include "log.h"
 #include "pool_int.h"
+#include "pool_life.h"
 
 int64_t pool_lease_end_ms(const struct pool *pool, const char *id)
 {
@@ -48,9 +49,21 @@
 	return worker && worker->fence_accepted;
 }
 
+/* Upper bound of the end of the task's run, unless the worker's lease is extended. */
+static int64_t run_end_ms(const struct pool *pool, const struct job_task *task)
+{
+	const struct worker *worker =
+		worker_find(pool->env->workers, task->worker);
+	int64_t end_ms = pool_lease_end_ms(pool, task->worker);
+
+	if (worker && pool_may_run_in_next_life(worker, task))
+		end_ms += pool_next_life_extra_ms(pool);
+	return end_ms;
+}
+
 static void end_if_lost(struct pool *pool, struct job_pos *pos, int64_t now_ms)
 {
-	int64_t end_ms = pool_lease_end_ms(pool, pos->task->worker);
+	int64_t end_ms = run_end_ms(pool, pos->task);
 	bool dead = ended_with_worker(pool, pos->task);
 
 	if (pos->task->phase == PHASE_RECORDING ||
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -156,6 +156,29 @@
 }
 END_TEST
 
+/*
+ * The same, but the answers are lost, so that its owner knows of the restart only by
+ * the registry.
+ */
+START_TEST(start_that_is_executed_by_the_next_incarnation)
+{
+	int restarted;
+	struct sim *sim = begin(_i, NARROW, LONG_TASK_MS, &restarted);
+
+	crash_unnoticed(sim, restarted);
+	sim_submit_job(sim, 0, 1, WIDTH / 2);
+	sim_run_for(sim, DARK_MS);
+	for (int i = 0; i < sim->node_count; i++)
+		sim->nodes[i].answers_lost[restarted] = true;
+	sim_restart_worker(sim, restarted);
+	sim_run_for(sim, ANSWERED_MS);
+	ck_assert_uint_gt(sim->workers[restarted].model.runs->len, 0);
+	cut_off(sim, restarted);
+	sim_run_for(sim, 2 * HOLD_MAX_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("old orders");
@@ -171,6 +194,9 @@
 	tcase_add_loop_test(tcase,
 			    start_that_is_answered_by_the_next_incarnation, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase,
+			    start_that_is_executed_by_the_next_incarnation, 0,
+			    SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
