Ask a worker for which no fence is left no more often than others

After some 190 restarts of one worker under one owner, its reports count no more, and each was followed by the next renewal at once, without end. worker_that_restarts_too_often_waits_for_the_next_owner of tests/test_old_orders.c plays this: no task is started there until the next owner, which uses it again.

--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -44,7 +44,6 @@
 	worker->fence_accepted = false;
 	worker->lease_end_ms = MAX(worker->lease_end_ms,
 				   pool_longest_lease_end_ms(pool, now_ms));
-	worker->next_renew_ms = now_ms;
 	if (!ownership_raise(&pool->ownership, worker->fence_raises + 1)) {
 		if (!worker->fences_used_up)
 			log_warn("fences-used-up pool=%s worker=%s raises=%u",
@@ -54,6 +53,7 @@
 		return;
 	}
 	worker->fence_raises++;
+	worker->next_renew_ms = now_ms;
 	log_info("fence-raised pool=%s worker=%s why=%s raises=%u "
 		 "fence=%" G_GINT64_FORMAT " lease_left_ms=%" G_GINT64_FORMAT,
 		 pool->name, worker->entry.id, why, worker->fence_raises,
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -69,9 +69,10 @@
 	worker->next_renew_ms = now_ms + POOL_RENEW_RETRY_MS;
 	if (outcome == ORDER_OK) {
 		worker->renew_failures = 0;
-		worker->next_renew_ms = now_ms;
 		if (pool_admit_report(pool, worker, report, sent->fence))
 			handle_report(sent, worker, report);
+		else if (!worker->fences_used_up)
+			worker->next_renew_ms = now_ms;
 	} else if (outcome == ORDER_FENCED && pool_sent_is_outdated(sent)) {
 		worker->next_renew_ms = now_ms;
 	} else if (outcome == ORDER_FENCED) {
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -40,6 +40,9 @@
 	STEP_MS = 10,
 	/* Within which starts that have waited for a worker are answered. */
 	ANSWERED_MS = 30,
+	/* More than an owner has fences for one worker. */
+	RESTARTS = 200,
+	RESTART_GAP_MS = 1500,
 	/* From the start of the new incarnation to the cut. */
 	CUT_AFTER_MS = 2000
 };
@@ -179,6 +182,35 @@
 }
 END_TEST
 
+/*
+ * A worker that has started again more often than its owner has fences gets no
+ * tasks from it, and is asked no more often than others. Its next owner uses it.
+ */
+START_TEST(worker_that_restarts_too_often_waits_for_the_next_owner)
+{
+	struct sim *sim = sim_create(1500 + (uint64_t)_i, 3, 1);
+	struct sim_job *job;
+	int owner;
+
+	sim->runs_succeed = true;
+	sim_run_for(sim, START_MS);
+	owner = fleet_owner(sim);
+	for (int i = 0; i < RESTARTS; i++) {
+		sim_crash_worker(sim, 0);
+		sim_restart_worker(sim, 0);
+		sim_run_for(sim, RESTART_GAP_MS);
+	}
+	job = sim_submit_job(sim, 0, 1, 1);
+	sim_run_for(sim, START_MS);
+	ck_assert(job->accepted);
+	ck_assert_int_eq(job->starts, 0);
+	sim_kill(sim, owner);
+	sim_run_for(sim, 4 * START_MS);
+	ck_assert_int_eq(job->starts, 1);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("old orders");
@@ -197,6 +229,9 @@
 	tcase_add_loop_test(tcase,
 			    start_that_is_executed_by_the_next_incarnation, 0,
 			    SEEDS);
+	tcase_add_loop_test(
+		tcase, worker_that_restarts_too_often_waits_for_the_next_owner,
+		0, 2);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
