Log whether the start of a lost run is without an answer

The log of an owner that gives up a run did not tell whether an order to start it may still be executed by the worker's next incarnation (hypothesis 2 of docs/incidents/orders-for-the-present-life.md), or when it was sent. run-lost has unanswered= and start_ms_ago= now, -1 for a run of an earlier owner.

--- a/src/job.c
+++ b/src/job.c
@@ -500,6 +500,7 @@
 	task->phase = PHASE_RECORDING;
 	task->stop_wanted_ms = 0;
 	task->unanswered_starts = 0;
+	task->start_sent_ms = 0;
 	task->stop_ok = false;
 	task->run = run;
 	task->worker = g_intern_string(worker);
--- a/src/job.h
+++ b/src/job.h
@@ -103,6 +103,7 @@
 	int64_t stop_wanted_ms; /* since when a stop is wanted; 0: not wanted */
 	/* Unanswered start orders of this run, which may arrive late. */
 	int32_t unanswered_starts;
+	int64_t start_sent_ms; /* of this owner's last one; 0: none */
 	bool stop_ok;	 /* its worker has confirmed the stop */
 	bool gang_waits; /* it runs, but not yet all tasks of its gang */
 	int32_t run;
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -73,11 +73,15 @@
 	pool_note_lost_run(pool, pos);
 	log_info("run-lost id=%s step=%u index=%u run=%d worker=%s why=%s "
 		 "crashes=%d fenced=%d lease_over_ms=%" G_GINT64_FORMAT
-		 " owner_ms=%" G_GINT64_FORMAT,
+		 " owner_ms=%" G_GINT64_FORMAT
+		 " unanswered=%d start_ms_ago=%" G_GINT64_FORMAT,
 		 pos->job->id, pos->step, pos->index, pos->task->run,
 		 pos->task->worker, dead ? "worker-gone" : "lease-over",
 		 pos->task->crashes, has_accepted_fence(pool, pos->task),
-		 now_ms - end_ms, now_ms - pool->ownership.acquired_ms);
+		 now_ms - end_ms, now_ms - pool->ownership.acquired_ms,
+		 pos->task->unanswered_starts,
+		 pos->task->start_sent_ms ? now_ms - pos->task->start_sent_ms
+					  : -1);
 	pool_end_run(pool, pos, END_LAPSED, NULL);
 }
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -195,6 +195,7 @@
 	job_task_name(pos, sent->task, sizeof(sent->task));
 	sent->run = pos->task->run;
 	pos->task->unanswered_starts++;
+	pos->task->start_sent_ms = now_ms;
 	pos->task->since_ms = now_ms;
 	pool->starting++;
 	worker->starting++;
