Count a run as going on until no order to start it may be executed

An order to start a run that gets no answer may be executed up to 12 s later, by whichever incarnation of the worker is up then. Its owner counted the run as over with its own lease of 4 s, and for 2 s more if the registry told of a restart. If the worker starts again and is cut off before its owner has reached it, the run goes on for the longest lease from when it began.

A run can be on an incarnation that its owner does not know of only if such an order was not answered. So the owner counts only these runs longer: until 12 s after it has last sent an order that grants a lease, and the longest lease from then. All others end with the incarnation that has them. A record of a job's progress has, for each placed task, whether all orders to start its run have been answered ("settled"): the next owner counts the others as if an order had been sent until the end of the earlier one's authority.

A worker that the host list shows as down has no incarnation.

--- a/src/job.c
+++ b/src/job.c
@@ -501,6 +501,7 @@
 	task->stop_wanted_ms = 0;
 	task->unanswered_starts = 0;
 	task->start_sent_ms = 0;
+	task->start_settled = false;
 	task->stop_ok = false;
 	task->run = run;
 	task->worker = g_intern_string(worker);
@@ -518,6 +519,14 @@
 	job_touch(job, task);
 }
 
+void job_task_inherit(struct job_task *task, bool settled)
+{
+	task->phase = PHASE_UNKNOWN;
+	task->pace = 100;
+	task->start_settled = settled;
+	task->unanswered_starts = !settled;
+}
+
 static bool is_confirmed(const struct job_task *task, int32_t run)
 {
 	return task->state == TASK_PLACED && task->phase == PHASE_RUNNING &&
--- a/src/job.h
+++ b/src/job.h
@@ -101,11 +101,13 @@
 	uint8_t state;
 	uint8_t phase;
 	int64_t stop_wanted_ms; /* since when a stop is wanted; 0: not wanted */
-	/* Unanswered start orders of this run, which may arrive late. */
+	/* Orders to start this run without an answer, which may be executed late:
+	   those of this owner, or 1 if an earlier owner may have sent some. */
 	int32_t unanswered_starts;
 	int64_t start_sent_ms; /* of this owner's last one; 0: none */
-	bool stop_ok;	 /* its worker has confirmed the stop */
-	bool gang_waits; /* it runs, but not yet all tasks of its gang */
+	bool start_settled;    /* it runs, and there are none; stored */
+	bool stop_ok;	       /* its worker has confirmed the stop */
+	bool gang_waits;       /* it runs, but not yet all tasks of its gang */
 	int32_t run;
 	int32_t failed;
 	int32_t crashes;     /* workers that have crashed under it */
--- a/src/job_int.h
+++ b/src/job_int.h
@@ -48,6 +48,13 @@
 /* job_read_ranges - read the tasks of all stored ranges into newly made tasks */
 int job_read_ranges(struct job *job, struct err *err);
 
+/*
+ * job_task_inherit - note that an earlier owner may have started the task's run
+ *
+ * settled: no order to do so may be executed any more, as start_settled says.
+ */
+void job_task_inherit(struct job_task *task, bool settled);
+
 /*
  * job_read_tasks - read tasks of a progress record into newly made tasks
  *
--- a/src/job_range.c
+++ b/src/job_range.c
@@ -11,7 +11,8 @@
  * worker or null, boot, checkpoint or null] for each task that has been started; index counts
  * from the range's first task, and boot is the tag of the start of its worker.
  * Of a task under which workers have crashed, [crashes, run, lapses] follow; run
- * is the newest one under which that was counted.
+ * is the newest one under which that was counted. "settled", if it is not 0, has a
+ * bit for each placed task that has start_settled.
  */
 enum {
 	ROW_INDEX,
@@ -105,6 +106,7 @@
 	struct json_object *record = json_object_new_object();
 	struct json_object *rows = json_object_new_array();
 	uint32_t first = number * JOB_RANGE_TASKS;
+	int32_t settled = 0;
 	char *text;
 
 	for (uint32_t i = 0; i < JOB_RANGE_TASKS; i++) {
@@ -114,9 +116,14 @@
 			break;
 		if (task->run || task->state == TASK_DONE)
 			json_object_array_add(rows, encode_row(i, task));
+		if (task->state == TASK_PLACED && task->start_settled)
+			settled |= 1 << i;
 	}
 	*empty = !json_object_array_length(rows);
 	json_object_object_add(record, "tasks", rows);
+	if (settled)
+		json_object_object_add(record, "settled",
+				       json_object_new_int(settled));
 	text = g_strdup(
 		json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
 	json_object_put(record);
@@ -187,7 +194,7 @@
 	return out;
 }
 
-static void decode_row(struct job *job, uint32_t first,
+static void decode_row(struct job *job, uint32_t first, int64_t settled,
 		       const struct jcursor *row)
 {
 	uint32_t last = MIN(JOB_RANGE_TASKS, task_count(job) - first) - 1;
@@ -205,8 +212,7 @@
 	row_text(row, ROW_WORKER, text, sizeof(text));
 	task->worker = *text ? g_intern_string(text) : NULL;
 	task->worker_boot_ms = row_number(row, ROW_BOOT, JOB_BOOT_TAGS - 1);
-	task->phase = PHASE_UNKNOWN;
-	task->pace = 100;
+	job_task_inherit(task, settled >> index & 1);
 	row_text(row, ROW_CHECKPOINT, text, sizeof(text));
 	g_free(task->checkpoint);
 	task->checkpoint = *text ? g_strdup(text) : NULL;
@@ -240,12 +246,14 @@
 		jcursor_parse_bytes(record, strlen(record), &parse_err);
 	struct jcursor root = jcursor_root(value, &parse_err);
 	struct jcursor rows = jcursor_member(&root, "tasks");
+	struct jcursor item = jcursor_member(&root, "settled");
+	int64_t settled = jcursor_int(&item, 0, (1 << JOB_RANGE_TASKS) - 1, 0);
 	size_t count = value ? jcursor_check_array(&rows, JOB_RANGE_TASKS) : 0;
 
 	for (size_t i = 0; i < count && parse_err.kind == ERR_OK; i++) {
 		struct jcursor row = jcursor_item(&rows, i);
 
-		decode_row(job, number * JOB_RANGE_TASKS, &row);
+		decode_row(job, number * JOB_RANGE_TASKS, settled, &row);
 		check_row(job, number * JOB_RANGE_TASKS, &row);
 	}
 	json_object_put(value);
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -15,7 +15,9 @@
  * four tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
  * for each other task that has been started. "boots" has, for each task that is
  * placed, in the order of the rows, the tag of the start of its worker, so that
- * the next owner sees a crash after which the worker is back. "crashes", if there
+ * the next owner sees a crash after which the worker is back. "settled", if there
+ * are any, has one hexadecimal digit for each four of these, with a bit for each
+ * that has start_settled. "crashes", if there
  * are any, has a row [occurrence, step, index, crashes, run, boot_ms, lapses] for
  * each task under which workers have crashed; run is the newest one under which
  * that was counted, and boot_ms the start of the worker that the task is placed
@@ -225,6 +227,31 @@
 		json_object_put(boots);
 }
 
+/* Adds which placed tasks have start_settled, unless none has. */
+static void put_settled(struct json_object *record, const struct job *job)
+{
+	struct job_pos pos = { .job = (struct job *)job };
+	GString *digits = g_string_new(NULL);
+	uint32_t count = 0, digit = 0;
+	bool any = false;
+
+	while (!job_ended(job->state) && job_next_task(&pos)) {
+		if (pos.task->state != TASK_PLACED)
+			continue;
+		any |= pos.task->start_settled;
+		digit |= (uint32_t)pos.task->start_settled << count % 4;
+		if (++count % 4)
+			continue;
+		g_string_append_printf(digits, "%x", digit);
+		digit = 0;
+	}
+	if (count % 4)
+		g_string_append_printf(digits, "%x", digit);
+	if (any)
+		jcursor_put_string(record, "settled", digits->str);
+	g_string_free(digits, TRUE);
+}
+
 static void put_parts(struct json_object *record, const struct job *job)
 {
 	struct json_object *parts = json_object_new_array();
@@ -254,6 +281,7 @@
 	} else {
 		put_parts(record, job);
 		put_boots(record, job);
+		put_settled(record, job);
 		put_crashes(record, job);
 	}
 	text = g_strdup(
@@ -318,8 +346,7 @@
 		jcursor_string(&item, text, sizeof(text), NULL);
 		task->worker = g_intern_string(text);
 	}
-	task->phase = PHASE_UNKNOWN;
-	task->pace = 100;
+	job_task_inherit(task, false);
 	if (jcursor_check_array(row, 6) < 6)
 		return;
 	item = jcursor_item(row, 5);
@@ -413,6 +440,31 @@
 				row_number(&boots, next++, JOB_BOOT_TAGS - 1);
 }
 
+/* Records of older builds have none; then earlier owners may have sent orders. */
+static void read_settled(struct job *job, struct jcursor *root)
+{
+	struct jcursor item = jcursor_member(root, "settled");
+	struct job_pos pos = { .job = job };
+	char digits[JOB_MAX_TASKS / 4 + 2];
+	size_t count = 0;
+
+	if (!item.value)
+		return;
+	jcursor_string(&item, digits, sizeof(digits), NULL);
+	while (root->err->kind == ERR_OK && job_next_task(&pos)) {
+		int digit;
+
+		if (pos.task->state != TASK_PLACED)
+			continue;
+		if (count / 4 >= strlen(digits))
+			return;
+		digit = g_ascii_xdigit_value(digits[count / 4]);
+		job_task_inherit(pos.task,
+				 digit > 0 && (digit >> count % 4 & 1));
+		count++;
+	}
+}
+
 /* Records of older builds have no crashes. */
 static void read_crashes(const struct job *job, struct jcursor *root)
 {
@@ -443,6 +495,7 @@
 	if (root->err->kind != ERR_OK)
 		return;
 	read_boots(job, root);
+	read_settled(job, root);
 	read_crashes(job, root);
 }
 
--- a/src/liveness.c
+++ b/src/liveness.c
@@ -87,6 +87,7 @@
 	}
 	if (!worker_is_dead(worker))
 		mark_dead(liveness, worker, host);
+	worker->dead_seen_ms = liveness->requested_ms;
 	if (liveness_proves_replaced(host, worker->entry.id))
 		worker->replaced_ms = liveness->requested_ms;
 }
--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -2,9 +2,14 @@
 
 #include "log.h"
 
-/* Longest that an order waits for a worker that is down: a renewal whose answer
-   may wait for a run to end. */
-enum { POOL_ORDER_WAIT_MS = 2000 };
+enum {
+	/* Longest that an order waits for a worker that is down: a renewal whose
+	   answer may wait for a run to end. */
+	POOL_ORDER_WAIT_MS = 2000,
+	/* Longest time after its sending at which an order that was not answered
+	   may still be executed, by whichever incarnation of the worker is up. */
+	POOL_ORDER_LATE_MS = 12000
+};
 
 int64_t pool_order_fence(const struct pool *pool, const struct worker *worker)
 {
@@ -24,20 +29,57 @@
 						       POOL_ORDER_WAIT_MS);
 }
 
-bool pool_may_run_in_next_life(const struct worker *worker,
-			       const struct job_task *task)
+/* Upper bound of when an earlier owner has sent its last order to the worker. */
+static int64_t earlier_order_ms(const struct pool *pool, const char *worker)
 {
-	bool asked = task->unanswered_starts || task->phase == PHASE_UNKNOWN;
+	int64_t sent_ms = ownership_earlier_end_ms(&pool->ownership) +
+			  pool->env->disconnected_ms;
+	int64_t end_ms;
 
-	return asked && task->worker_boot_ms && worker->entry.boot_ms &&
-	       job_boot_tag(task->worker_boot_ms) !=
-		       job_boot_tag(worker->entry.boot_ms);
+	/* The end of the lease that such an order gave, as it has stored it. */
+	if (bound_find_end(&pool->bound, worker, &end_ms))
+		sent_ms = MIN(
+			sent_ms,
+			end_ms - worker_lease_bound_ms(0, pool->env->lease_ms));
+	return sent_ms;
 }
 
-int64_t pool_next_life_extra_ms(const struct pool *pool)
+int64_t pool_late_start_ms(const struct pool *pool, const struct job_task *task)
 {
-	return POOL_ORDER_WAIT_MS + pool_longest_lease_end_ms(pool, 0) -
-	       worker_lease_bound_ms(0, pool->env->lease_ms);
+	if (!task->unanswered_starts)
+		return 0;
+	return POOL_ORDER_LATE_MS +
+	       (task->start_sent_ms ? task->start_sent_ms
+				    : earlier_order_ms(pool, task->worker));
+}
+
+int64_t pool_late_run_end_ms(const struct pool *pool,
+			     const struct job_task *task)
+{
+	const struct worker *worker =
+		worker_find(pool->env->workers, task->worker);
+	int64_t executed_ms = pool_late_start_ms(pool, task);
+
+	if (!executed_ms)
+		return 0;
+	if (worker && worker->lease_sent_ms)
+		executed_ms = MAX(executed_ms,
+				  worker->lease_sent_ms + POOL_ORDER_LATE_MS);
+	return pool_longest_lease_end_ms(pool, executed_ms);
+}
+
+void pool_settle_start(struct pool *pool, const struct job_pos *pos,
+		       int64_t asked_ms)
+{
+	struct job_task *task = pos->task;
+
+	if (asked_ms >= pool_late_start_ms(pool, task))
+		task->unanswered_starts = 0;
+	if (task->unanswered_starts || task->start_settled ||
+	    task->phase != PHASE_RUNNING)
+		return;
+	task->start_settled = true;
+	job_touch(pos->job, task);
 }
 
 /*
--- a/src/pool_life.h
+++ b/src/pool_life.h
@@ -37,16 +37,34 @@
 				 const struct worker *worker);
 
 /*
- * pool_may_run_in_next_life - whether the worker's next incarnation may have the run
+ * pool_late_start_ms - until when an order to start the task's run may be executed
  *
- * The registry says that it has started again since the task was placed, and an
- * order to start the run may be without an answer.
+ * Any incarnation of the worker may do so that has not accepted a higher fence.
+ *
+ * RETURN VALUE
+ *	0 if all orders to start the run have been answered.
+ */
+int64_t pool_late_start_ms(const struct pool *pool,
+			   const struct job_task *task);
+
+/*
+ * pool_late_run_end_ms - upper bound of the end of a run that was started so
+ *
+ * Its worker may have started again unknown to the owner, so that the lease is of
+ * the longest kind, and late renewals extend it. 0 likewise.
  */
-bool pool_may_run_in_next_life(const struct worker *worker,
-			       const struct job_task *task);
+int64_t pool_late_run_end_ms(const struct pool *pool,
+			     const struct job_task *task);
 
-/* pool_next_life_extra_ms - how much later than the lease such a run may end */
-int64_t pool_next_life_extra_ms(const struct pool *pool);
+/*
+ * pool_settle_start - note that a report lists the task's run
+ *
+ * Once the run is confirmed and no order to start it is without an answer, or one
+ * that is cannot be executed any more, its next owner is told so: the run ends with the
+ * incarnation that has it.
+ */
+void pool_settle_start(struct pool *pool, const struct job_pos *pos,
+		       int64_t asked_ms);
 
 /*
  * pool_admit_report - whether a report that was asked for under the fence counts
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -2,6 +2,9 @@
 #include "pool_int.h"
 #include "pool_life.h"
 
+/* A host list that was asked for longer ago does not show that a worker is down. */
+enum { POOL_DEAD_LIST_AGE_MS = 1000 };
+
 int64_t pool_lease_end_ms(const struct pool *pool, const char *id)
 {
 	const struct worker *worker = worker_find(pool->env->workers, id);
@@ -15,18 +18,17 @@
 		return worker && worker->fence_accepted
 			       ? MIN(bound_ms, worker->lease_end_ms)
 			       : bound_ms;
+	if (worker && worker->fence_accepted)
+		return worker->lease_end_ms;
 	if (!worker)
 		return earlier_owner_ms;
-	if (worker->fence_accepted)
-		return worker->lease_end_ms;
 	end_ms = MAX(earlier_owner_ms, worker->lease_end_ms);
 	return MAX(end_ms, pool_earlier_life_end_ms(pool, worker));
 }
 
 /*
  * Whether the run certainly ended when its worker died. While the worker may
- * return under its name, an unanswered start may still be executed by it; of a
- * run started by an earlier owner it is not known whether such orders exist.
+ * return under its name, an unanswered start may still be executed by it.
  */
 static bool ended_with_worker(const struct pool *pool,
 			      const struct job_task *task)
@@ -34,10 +36,8 @@
 	const struct worker *worker =
 		worker_find(pool->env->workers, task->worker);
 
-	if (!worker || !worker_is_dead(worker))
-		return false;
-	return worker_is_replaced(worker) ||
-	       (!task->unanswered_starts && task->phase != PHASE_UNKNOWN);
+	return worker && worker_is_dead(worker) &&
+	       (worker_is_replaced(worker) || !task->unanswered_starts);
 }
 
 /* Whether only this owner can have extended the lease of the task's worker. */
@@ -50,6 +50,18 @@
 	return worker && worker->fence_accepted;
 }
 
+/*
+ * Whether some incarnation of the worker may be up. None is while the host list shows
+ * that; one that the registry has dropped has not reached the log for long.
+ */
+static bool may_be_up(const struct worker *worker, int64_t now_ms)
+{
+	return worker &&
+	       !(worker_is_dead(worker) &&
+		 worker->dead_seen_ms > worker->life_seen_ms &&
+		 now_ms - worker->dead_seen_ms < POOL_DEAD_LIST_AGE_MS);
+}
+
 /* Upper bound of the end of the task's run, unless the worker's lease is extended. */
 static int64_t run_end_ms(const struct pool *pool, const struct job_task *task)
 {
@@ -57,8 +69,8 @@
 		worker_find(pool->env->workers, task->worker);
 	int64_t end_ms = pool_lease_end_ms(pool, task->worker);
 
-	if (worker && pool_may_run_in_next_life(worker, task))
-		end_ms += pool_next_life_extra_ms(pool);
+	if (may_be_up(worker, pool_now_ms(pool)))
+		end_ms = MAX(end_ms, pool_late_run_end_ms(pool, task));
 	return end_ms;
 }
 
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -104,6 +104,7 @@
 	switch (outcome) {
 	case ORDER_OK:
 		job_run_confirmed(pos, now_ms);
+		pool_settle_start(pool, pos, sent->sent_ms);
 		return;
 	case ORDER_UNKNOWN:
 	case ORDER_LATE:
@@ -170,7 +171,7 @@
 		pool_sent_handle_fenced(sent);
 	else if (job_task_find(pool->env->jobs, sent->task, &pos) &&
 		 pos.task->state == TASK_PLACED && pos.task->run == sent->run) {
-		if (outcome != ORDER_UNKNOWN)
+		if (outcome != ORDER_UNKNOWN && pos.task->unanswered_starts)
 			pos.task->unanswered_starts--;
 		if (pos.task->phase == PHASE_STARTING)
 			handle_start_answer(sent, outcome, &pos);
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -37,6 +37,7 @@
 {
 	int64_t lease_ms = grantable_to_ms(pool, worker, now_ms);
 
+	worker->lease_sent_ms = now_ms;
 	worker->lease_end_ms = MAX(worker->lease_end_ms,
 				   worker_lease_bound_ms(now_ms, lease_ms));
 	return worker_clock_ms(worker, now_ms) + lease_ms;
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -151,9 +151,10 @@
 }
 
 static void handle_listed_run(struct pool *pool, struct worker *worker,
-			      const struct worker_run *run, int64_t now_ms,
+			      const struct worker_run *run, int64_t asked_ms,
 			      struct progress *progress)
 {
+	int64_t now_ms = pool_now_ms(pool);
 	struct job_pos pos;
 	struct job_task *task;
 
@@ -178,6 +179,7 @@
 		return;
 	if (task->phase != PHASE_RUNNING)
 		job_run_confirmed(&pos, now_ms);
+	pool_settle_start(pool, &pos, asked_ms);
 	if (crash_is_suspect(task) && task->crashed_run != task->run &&
 	    crash_is_cleared(task, now_ms)) {
 		/* Stored, so that the next owner does not blame this run. */
@@ -318,7 +320,7 @@
 	for (uint32_t i = 0; i < report->end_count; i++)
 		handle_ended_run(pool, worker, &report->ends[i], &progress);
 	for (uint32_t i = 0; i < report->run_count; i++)
-		handle_listed_run(pool, worker, &report->runs[i], now_ms,
+		handle_listed_run(pool, worker, &report->runs[i], asked_ms,
 				  &progress);
 	if (passed_ms > 0)
 		speed_add(&worker->speed, report->clock_ms, passed_ms,
--- a/src/worker.h
+++ b/src/worker.h
@@ -100,6 +100,7 @@
 	int64_t clock_ms; /* worker's clock at clock_at_ms of this node */
 	int64_t clock_at_ms;
 	int64_t lease_end_ms;	/* upper bound, on this node's clock */
+	int64_t lease_sent_ms;	/* of the last order that grants a lease */
 	int64_t last_report_ms; /* time of the last report */
 	/* Capacity in the registry entry at the last report. */
 	int32_t noted_cpu_milli;
@@ -108,8 +109,9 @@
 	int64_t unanswered_since_ms; /* oldest unanswered start order; 0: none */
 	/* It was dead at this time, see liveness; 0: not known. */
 	int64_t dead_ms;
-	int64_t replaced_ms; /* its host ran another one then; 0: not known */
-	int64_t up_ms;	     /* its host ran it then; 0: not known */
+	int64_t dead_seen_ms; /* of the newest host list that shows it dead */
+	int64_t replaced_ms;  /* its host ran another one then; 0: not known */
+	int64_t up_ms;	      /* its host ran it then; 0: not known */
 	int64_t counted_dead_ms; /* dead_ms whose crash has been counted */
 	bool lapsed;	  /* runs have lapsed there since its last report */
 	int32_t starting; /* start orders in flight */
--- a/tests/fleet_orders.c
+++ b/tests/fleet_orders.c
@@ -340,7 +340,9 @@
 		return;
 	/* A connection ends with the worker incarnation that accepted it. */
 	if (!worker->up || event->born_ms != worker->entry.boot_ms ||
-	    sim_event_node(sim, event)->answers_lost[event->worker])
+	    sim_event_node(sim, event)->answers_lost[event->worker] ||
+	    (event->kind == 's' &&
+	     sim_event_node(sim, event)->start_answers_lost))
 		event->outcome = ORDER_UNKNOWN;
 	worker_report_clear(&event->report);
 	if (event->kind == 'r' && event->outcome == ORDER_OK)
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -83,6 +83,7 @@
 	bool cut_from_worker[SIM_MAX_WORKERS];
 	/* The worker executes its orders, unanswered. */
 	bool answers_lost[SIM_MAX_WORKERS];
+	bool start_answers_lost; /* all workers do so with starts */
 };
 
 struct sim_faults {
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -46,7 +46,11 @@
 	/* From the start of the new incarnation to the cut. */
 	CUT_AFTER_MS = 2000,
 	/* To the death of the owner; runs have begun there. */
-	KILL_AFTER_MS = 700
+	KILL_AFTER_MS = 700,
+	/* Until the starts of a job that all get no answer have been sent. */
+	SENT_MS = 300,
+	/* Longest that orders are executed late, see LATE_RANGE_MS. */
+	LONGEST_LATE_MS = 9000
 };
 
 static int worker_with_runs(const struct sim *sim)
@@ -207,6 +211,65 @@
 }
 END_TEST
 
+/*
+ * Starts of a job are without an answer, and are executed seconds later. The worker
+ * starts again meanwhile, out of reach of all nodes.
+ */
+static struct sim *start_late(int seed, int64_t entry_delay_ms, int *restarted)
+{
+	struct sim *sim = begin(seed, NARROW, LONG_TASK_MS, restarted);
+
+	sim->faults.order_late_percent = 100;
+	sim_submit_job(sim, 0, 1, WIDTH);
+	sim_run_for(sim, SENT_MS);
+	sim->faults.order_late_percent = 0;
+	sim_crash_worker(sim, *restarted);
+	cut_off(sim, *restarted);
+	sim->workers[*restarted].entry_delay_ms = entry_delay_ms;
+	sim_run_for(sim, DOWN_MS);
+	sim_restart_worker(sim, *restarted);
+	return sim;
+}
+
+static void watch_late_runs(struct sim *sim, int restarted)
+{
+	sim_run_for(sim, LONGEST_LATE_MS);
+	ck_assert_uint_gt(sim->workers[restarted].model.runs->len, 0);
+	sim_run_for(sim, 2 * HOLD_MAX_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+
+/* A late start is executed later than a call to the worker may take. */
+START_TEST(start_that_the_next_incarnation_executes_seconds_later)
+{
+	int restarted;
+	struct sim *sim = start_late(_i, 0, &restarted);
+
+	watch_late_runs(sim, restarted);
+}
+END_TEST
+
+/* The same, and its owner does not learn of the restart. */
+START_TEST(start_that_an_unregistered_incarnation_executes)
+{
+	int restarted;
+	struct sim *sim = start_late(_i, 4 * HOLD_MAX_MS, &restarted);
+
+	watch_late_runs(sim, restarted);
+}
+END_TEST
+
+/* The same, and another node is the owner by then. */
+START_TEST(start_of_an_earlier_owner_that_the_next_incarnation_executes)
+{
+	int restarted;
+	struct sim *sim = start_late(_i, 4 * HOLD_MAX_MS, &restarted);
+
+	sim_kill(sim, fleet_owner(sim));
+	watch_late_runs(sim, restarted);
+}
+END_TEST
+
 /*
  * A worker that has started again more often than its owner has fences gets no
  * tasks from it, and is asked no more often than others. Its next owner uses it.
@@ -257,6 +320,16 @@
 	tcase_add_loop_test(tcase,
 			    next_owner_counts_leases_of_the_earlier_incarnation,
 			    0, SEEDS);
+	tcase_add_loop_test(
+		tcase, start_that_the_next_incarnation_executes_seconds_later,
+		0, SEEDS);
+	tcase_add_loop_test(tcase,
+			    start_that_an_unregistered_incarnation_executes, 0,
+			    SEEDS);
+	tcase_add_loop_test(
+		tcase,
+		start_of_an_earlier_owner_that_the_next_incarnation_executes, 0,
+		SEEDS);
 	tcase_add_loop_test(
 		tcase, worker_that_restarts_too_often_waits_for_the_next_owner,
 		0, 2);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -51,10 +51,10 @@
 END_TEST
 
 /*
- * The host is down, and its worker may start again under its id. A start order
- * of the earlier owner may still come, so the task has to wait.
+ * The host is down, and its worker may start again under its id. All orders to start
+ * the run have been answered, as the earlier owner has stored.
  */
-START_TEST(run_of_an_earlier_owner_outlasts_a_down_host)
+START_TEST(answered_run_of_an_earlier_owner_ends_with_a_down_host)
 {
 	struct sim *sim = sim_create(100 + (uint64_t)_i, 3, 5);
 	struct sim_job *job = submit_and_crash_worker(sim);
@@ -63,6 +63,31 @@
 	ck_assert_int_ge(owner, 0);
 	sim_kill(sim, owner);
 	sim_run_for(sim, 500 + TAKEOVER_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+	ck_assert_int_eq(sim_get_job_state(sim, (owner + 1) % 3, job->id),
+			 JOB_DONE);
+}
+END_TEST
+
+/*
+ * The same, but an order to start the run is without an answer. It may still come, so
+ * the task has to wait.
+ */
+START_TEST(run_of_an_earlier_owner_outlasts_a_down_host)
+{
+	struct sim *sim = sim_create(100 + (uint64_t)_i, 3, 5);
+	struct sim_job *job;
+	int owner;
+
+	for (int i = 0; i < sim->node_count; i++)
+		sim->nodes[i].start_answers_lost = true;
+	job = submit_and_crash_worker(sim);
+	owner = fleet_owner(sim);
+	ck_assert_int_ge(owner, 0);
+	for (int i = 0; i < sim->node_count; i++)
+		sim->nodes[i].start_answers_lost = false;
+	sim_kill(sim, owner);
+	sim_run_for(sim, 500 + TAKEOVER_MS);
 	ck_assert_int_ne(sim_get_job_state(sim, (owner + 1) % 3, job->id),
 			 JOB_DONE);
 	sim_run_for(sim, 2 * TAKEOVER_MS);
@@ -86,6 +111,9 @@
 			    0, SEEDS);
 	tcase_add_loop_test(tcase, run_of_an_earlier_owner_outlasts_a_down_host,
 			    0, SEEDS);
+	tcase_add_loop_test(
+		tcase, answered_run_of_an_earlier_owner_ends_with_a_down_host,
+		0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
