Tell a worker's age without the time of day

What callers could see: two runs of a task at the same time. A node that starts after a worker did told how long that has been up by the time of day, and took that as wrong by up to 10 s.

An earlier owner placed tasks on a worker only after that had accepted a fence that shuts out orders to the incarnation before. So none of them was executed later than the takeover, or than 12 s after this node read of the incarnation. The earlier one of the two is counted; the time of day is not asked. The same holds for a worker that the registry does not list yet.

What it costs: a node that takes over within 12 s of its start counts the longest lease from the takeover, 10.3 s in place of 6.7 s from its assignment, for workers that it cannot reach, that no stored list names and that the host list does not show as down.

--- a/src/node_records.c
+++ b/src/node_records.c
@@ -79,15 +79,12 @@
 /* Decodes an entry; an id with an escape is refused as no id of a worker. */
 static void put_worker(struct node *node, const struct worker_entry *entry)
 {
-	const struct clk *clk = node->config.clk;
 	const struct worker *known = worker_find(node->workers, entry->id);
-	bool first_entry = !known;
 	bool new_life = !known || known->entry.boot_ms != entry->boot_ms;
 	struct worker *worker = worker_put(node->workers, entry);
 
 	if (new_life)
-		worker_note_life(worker, first_entry, clk_now_ms(clk),
-				 clk_wall_ms(clk));
+		worker->life_seen_ms = clk_now_ms(node->config.clk);
 }
 
 void node_on_worker_record(void *arg, const struct stream_record *record)
--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -3,9 +3,6 @@
 #include "log.h"
 
 enum {
-	/* Longest that an order waits for a worker that is down: a renewal whose
-	   answer may wait for a run to end. */
-	POOL_ORDER_WAIT_MS = 2000,
 	/* Longest time after its sending at which an order that was not answered
 	   may still be executed, by whichever incarnation of the worker is up. */
 	POOL_ORDER_LATE_MS = 12000
@@ -25,8 +22,12 @@
 int64_t pool_earlier_life_end_ms(const struct pool *pool,
 				 const struct worker *worker)
 {
-	return pool_longest_lease_end_ms(pool, worker->life_seen_ms +
-						       POOL_ORDER_WAIT_MS);
+	int64_t executed_ms = pool->ownership.acquired_ms;
+
+	if (worker)
+		executed_ms = MIN(executed_ms,
+				  worker->life_seen_ms + POOL_ORDER_LATE_MS);
+	return pool_longest_lease_end_ms(pool, executed_ms);
 }
 
 /* Upper bound of when an earlier owner has sent its last order to the worker. */
--- a/src/pool_life.h
+++ b/src/pool_life.h
@@ -31,7 +31,9 @@
 /*
  * pool_earlier_life_end_ms - end of leases given by orders to earlier incarnations
  *
- * Upper bound, as far as the registry has told this node of the worker's start.
+ * Upper bound for a worker that this owner has not reached; NULL: that the registry
+ * does not list yet. An earlier owner has placed tasks there only after the worker had
+ * accepted a fence that shuts such orders out.
  */
 int64_t pool_earlier_life_end_ms(const struct pool *pool,
 				 const struct worker *worker);
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -20,10 +20,8 @@
 			       : bound_ms;
 	if (worker && worker->fence_accepted)
 		return worker->lease_end_ms;
-	if (!worker)
-		return earlier_owner_ms;
-	end_ms = MAX(earlier_owner_ms, worker->lease_end_ms);
-	return MAX(end_ms, pool_earlier_life_end_ms(pool, worker));
+	end_ms = MAX(earlier_owner_ms, pool_earlier_life_end_ms(pool, worker));
+	return worker ? MAX(end_ms, worker->lease_end_ms) : end_ms;
 }
 
 /*
--- a/src/worker.c
+++ b/src/worker.c
@@ -152,14 +152,6 @@
 	return worker;
 }
 
-void worker_note_life(struct worker *worker, bool first_entry, int64_t now_ms,
-		      int64_t wall_ms)
-{
-	int64_t age_ms = wall_ms - worker->entry.boot_ms - WORKER_WALL_ERROR_MS;
-
-	worker->life_seen_ms = now_ms - (first_entry ? MAX(age_ms, 0) : 0);
-}
-
 static void unlist(struct worker_table *table, const char *id)
 {
 	struct worker *worker = worker_find(table, id);
--- a/src/worker.h
+++ b/src/worker.h
@@ -84,8 +84,7 @@
 	uint32_t hash;	  /* of its host's name; of its id if that is unknown */
 	/* Most processor time that its entries have stated since its start. */
 	int32_t full_cpu_milli;
-	/* When this node read the first entry of its present incarnation; an
-	   estimate, not too early, if that was the first of any. */
+	/* When this node read the first entry of its present incarnation. */
 	int64_t life_seen_ms;
 	bool listed;   /* the registry has an entry for it */
 	bool leaving;  /* its host is to be restarted or moved */
@@ -173,15 +172,6 @@
 struct worker *worker_put(struct worker_table *table,
 			  const struct worker_entry *entry);
 
-/*
- * worker_note_life - note that an entry is the first one of an incarnation
- *
- * wall_ms is the time of day, by which the age of one that was there before is
- * told: it is at most WORKER_WALL_ERROR_MS ahead of the platform's.
- */
-void worker_note_life(struct worker *worker, bool first_entry, int64_t now_ms,
-		      int64_t wall_ms);
-
 /* worker_unlist - note that the registry dropped it; tasks may still run */
 void worker_unlist(struct worker_table *table, const char *id);
 
@@ -242,7 +232,6 @@
 enum {
 	WORKER_CLOCK_SLACK_PERCENT = 2,
 	WORKER_LEASE_MARGIN_MS = 100,
-	WORKER_WALL_ERROR_MS = 10000,
 	/* Workers usually answer orders within a few milliseconds. */
 	WORKER_SILENT_MS = 300
 };
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -50,7 +50,9 @@
 	/* Until the starts of a job that all get no answer have been sent. */
 	SENT_MS = 300,
 	/* Longest that orders are executed late, see LATE_RANGE_MS. */
-	LONGEST_LATE_MS = 9000
+	LONGEST_LATE_MS = 9000,
+	/* By which the clock of day is wrong, where it is. */
+	WALL_AHEAD_MS = 60000
 };
 
 static int worker_with_runs(const struct sim *sim)
@@ -270,6 +272,42 @@
 }
 END_TEST
 
+static int64_t wall_ahead_ms(const struct clk *clk)
+{
+	return clk->manual_ms + WALL_AHEAD_MS;
+}
+
+/*
+ * As with next_owner_counts_leases_of_the_earlier_incarnation, but the next owner
+ * starts after the worker, with a clock of day by which that is old.
+ */
+START_TEST(next_owner_with_a_wrong_clock_of_day_counts_leases)
+{
+	int restarted;
+	struct sim *sim = begin(_i, WIDTH, LONG_TASK_MS, &restarted);
+	int owner = fleet_owner(sim);
+
+	crash_unnoticed(sim, restarted);
+	sim_run_for(sim, DARK_MS);
+	sim_restart_worker(sim, restarted);
+	sim_submit_job(sim, owner, 1, WIDTH / 2);
+	sim_run_for(sim, DOWN_MS);
+	sim->clk.wall_ms = wall_ahead_ms;
+	for (int i = 0; i < sim->node_count; i++) {
+		if (i == owner)
+			continue;
+		sim_kill(sim, i);
+		sim_start(sim, i);
+	}
+	sim_run_for(sim, KILL_AFTER_MS);
+	ck_assert_uint_gt(sim->workers[restarted].model.runs->len, 0);
+	sim_kill(sim, owner);
+	cut_off(sim, restarted);
+	sim_run_for(sim, 2 * HOLD_MAX_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 /*
  * A worker that has started again more often than its owner has fences gets no
  * tasks from it, and is asked no more often than others. Its next owner uses it.
@@ -330,6 +368,9 @@
 		tcase,
 		start_of_an_earlier_owner_that_the_next_incarnation_executes, 0,
 		SEEDS);
+	tcase_add_loop_test(tcase,
+			    next_owner_with_a_wrong_clock_of_day_counts_leases,
+			    0, SEEDS);
 	tcase_add_loop_test(
 		tcase, worker_that_restarts_too_often_waits_for_the_next_owner,
 		0, 2);
