Shut out orders of before with the first call that a worker answers again

What callers could see: a task that has ended, or runs elsewhere by now, is run again by a worker that has started again under its id, as a start of before is executed late. The owner raised its fence when a report showed the restart, so that only the second call after it shut such orders out; the first came up to 250 ms after the start, or 2 s, once a renewal in flight to the former life had been given up.

The fence is raised with the first renewal that gets no answer, and when the registry tells of a restart; then a call is made at once, whatever is in flight. So the first call that any incarnation answers shuts out all orders of before. Nothing was started or extended at such a worker before, so that this costs no time. A raise as a precaution leaves half of the fences for restarts; the lease counts as the longest one only if the worker is another one than before.

What remains: an order that is executed before the call comes. Nothing that an owner sends can prevent that.

--- a/src/ownership.c
+++ b/src/ownership.c
@@ -172,10 +172,18 @@
 		fence_stream(ownership, i);
 }
 
+int64_t ownership_raises_left(const struct ownership *ownership,
+			      uint32_t raises)
+{
+	int64_t left = OWNERSHIP_MAX_TRIES - OWNERSHIP_KEPT_TRIES - 1 -
+		       ownership->retries - raises;
+
+	return MAX(left, 0);
+}
+
 bool ownership_raise(struct ownership *ownership, uint32_t raises)
 {
-	if (ownership->retries + raises >=
-	    OWNERSHIP_MAX_TRIES - OWNERSHIP_KEPT_TRIES)
+	if (!ownership_raises_left(ownership, raises - 1))
 		return false;
 	ownership->raises = MAX(ownership->raises, raises);
 	return true;
--- a/src/ownership.h
+++ b/src/ownership.h
@@ -106,6 +106,10 @@
  */
 bool ownership_raise(struct ownership *ownership, uint32_t raises);
 
+/* ownership_raises_left - how often a fence raised so many times may be yet */
+int64_t ownership_raises_left(const struct ownership *ownership,
+			      uint32_t raises);
+
 /* ownership_raised_fence - the tenure's fence, raised so many times */
 static inline int64_t ownership_raised_fence(const struct ownership *ownership,
 					     uint32_t raises)
--- a/src/pool_bound.c
+++ b/src/pool_bound.c
@@ -68,7 +68,7 @@
 	if (reach == REACH_OPEN || log_is_slow(pool))
 		return;
 	end_ms = pool_lease_end_ms(pool, name);
-	if (worker && worker->fence_accepted)
+	if (worker && worker->reports)
 		end_ms += POOL_BOUND_SPARE_MS;
 	if (bound_withhold(&pool->bound, name, end_ms))
 		log_info("lease-bound pool=%s worker=%s known=%d fenced=%d "
--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -5,7 +5,9 @@
 enum {
 	/* Longest time after its sending at which an order that was not answered
 	   may still be executed, by whichever incarnation of the worker is up. */
-	POOL_ORDER_LATE_MS = 12000
+	POOL_ORDER_LATE_MS = 12000,
+	/* Of a fence, kept for workers that are known to have started again. */
+	POOL_RESTART_RAISES = 96
 };
 
 int64_t pool_order_fence(const struct pool *pool, const struct worker *worker)
@@ -83,18 +85,13 @@
 	job_touch(pos->job, task);
 }
 
-/*
- * Orders have a higher fence from now on. Under the present one, some were sent to
- * an earlier incarnation, which the worker may still execute.
- */
+/* Orders have a higher fence from now on; the worker may yet execute some of before. */
 static void raise_fence(struct pool *pool, struct worker *worker,
 			const char *why)
 {
 	int64_t now_ms = pool_now_ms(pool);
 
 	worker->fence_accepted = false;
-	worker->lease_end_ms = MAX(worker->lease_end_ms,
-				   pool_longest_lease_end_ms(pool, now_ms));
 	if (!ownership_raise(&pool->ownership, worker->fence_raises + 1)) {
 		if (!worker->fences_used_up)
 			log_warn("fences-used-up pool=%s worker=%s raises=%u",
@@ -111,6 +108,36 @@
 		 pool_order_fence(pool, worker), worker->lease_end_ms - now_ms);
 }
 
+/* Raises the fence after a restart; some orders were sent to the life before. */
+static void note_restart(struct pool *pool, struct worker *worker,
+			 const char *why)
+{
+	worker->lease_end_ms =
+		MAX(worker->lease_end_ms,
+		    pool_longest_lease_end_ms(pool, pool_now_ms(pool)));
+	raise_fence(pool, worker, why);
+}
+
+void pool_guard_silent(struct pool *pool, struct worker *worker)
+{
+	if (worker->fence_accepted &&
+	    ownership_raises_left(&pool->ownership, worker->fence_raises) >
+		    POOL_RESTART_RAISES)
+		raise_fence(pool, worker, "worker-silent");
+}
+
+bool pool_is_registered_anew(const struct worker *worker)
+{
+	return !worker_has_current_entry(worker) &&
+	       worker->life_seen_ms > worker->last_report_ms;
+}
+
+void pool_guard_registered(struct pool *pool, struct worker *worker)
+{
+	if (worker->fence_accepted && pool_is_registered_anew(worker))
+		raise_fence(pool, worker, "worker-registered");
+}
+
 bool pool_admit_report(struct pool *pool, struct worker *worker,
 		       const struct worker_report *report, int64_t fence)
 {
@@ -118,7 +145,7 @@
 		     report->boot_ms != worker->boot_ms;
 
 	if (other && worker->fence_accepted)
-		raise_fence(pool, worker, "worker-restarted");
+		note_restart(pool, worker, "worker-restarted");
 	return fence == pool_order_fence(pool, worker) &&
 	       !worker->fences_used_up;
 }
@@ -128,5 +155,5 @@
 {
 	if (clock_ms >= 0 && clock_ms < sent->clock_ms &&
 	    worker->fence_accepted && !pool_sent_is_outdated(sent))
-		raise_fence(pool, worker, "clock-behind");
+		note_restart(pool, worker, "clock-behind");
 }
--- a/src/pool_life.h
+++ b/src/pool_life.h
@@ -68,6 +68,20 @@
 void pool_settle_start(struct pool *pool, const struct job_pos *pos,
 		       int64_t asked_ms);
 
+/*
+ * pool_guard_silent - raise the fence for a worker that does not answer
+ *
+ * It may start again unnoticed: the first call that its next incarnation answers
+ * then shuts out all orders of before.
+ */
+void pool_guard_silent(struct pool *pool, struct worker *worker);
+
+/* pool_is_registered_anew - whether the registry knows of a restart, and no report */
+bool pool_is_registered_anew(const struct worker *worker);
+
+/* pool_guard_registered - likewise, raise the fence if it has */
+void pool_guard_registered(struct pool *pool, struct worker *worker);
+
 /*
  * pool_admit_report - whether a report that was asked for under the fence counts
  *
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -15,10 +15,10 @@
 	int64_t bound_ms, end_ms;
 
 	if (bound_find_end(&pool->bound, id, &bound_ms))
-		return worker && worker->fence_accepted
+		return worker && worker->reports
 			       ? MIN(bound_ms, worker->lease_end_ms)
 			       : bound_ms;
-	if (worker && worker->fence_accepted)
+	if (worker && worker->reports)
 		return worker->lease_end_ms;
 	end_ms = MAX(earlier_owner_ms, pool_earlier_life_end_ms(pool, worker));
 	return worker ? MAX(end_ms, worker->lease_end_ms) : end_ms;
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -61,7 +61,8 @@
 	struct worker *worker = worker_find(pool->env->workers, sent->worker);
 	int64_t now_ms = pool_now_ms(pool);
 
-	if (!pool_sent_is_current(sent) || !worker) {
+	if (!pool_sent_is_current(sent) || !worker ||
+	    sent->sent_ms != worker->renew_sent_ms) {
 		g_free(sent);
 		return;
 	}
@@ -80,12 +81,14 @@
 		pool_sent_handle_fenced(sent);
 	} else {
 		pool->env->counts.renewals_failed++;
-		if (!worker->renew_failures++)
+		if (!worker->renew_failures++) {
 			log_info("renewal-failed pool=%s worker=%s why=%s "
 				 "sent_ms_ago=%" G_GINT64_FORMAT
 				 " until_ms=%" G_GINT64_FORMAT,
 				 pool->name, sent->worker, order_name(outcome),
 				 now_ms - sent->sent_ms, sent->until_ms);
+			pool_guard_silent(pool, worker);
+		}
 	}
 	g_free(sent);
 }
@@ -142,11 +145,31 @@
 		renew.wait_ms = renewal_wait_ms(pool, worker, now_ms);
 	}
 	worker->renewing = true;
+	worker->renew_sent_ms = sent->sent_ms;
 	pool->env->counts.renewals++;
 	pool->env->orders->renew(pool->env->orders->io, &worker->entry, &renew,
 				 on_renew, sent);
 }
 
+/*
+ * Whether the worker has started again since it was last asked. Until it has answered
+ * under a raised fence it may execute orders of before, so that no renewal in flight
+ * and no pause is waited for.
+ */
+static bool must_ask_at_once(const struct worker *worker)
+{
+	return pool_is_registered_anew(worker) &&
+	       worker->renew_sent_ms < worker->life_seen_ms;
+}
+
+static bool renewal_due(const struct worker *worker, int64_t now_ms)
+{
+	if (!needs_renewal(worker))
+		return false;
+	return must_ask_at_once(worker) ||
+	       (!worker->renewing && now_ms >= worker->next_renew_ms);
+}
+
 void pool_renew(struct pool *pool)
 {
 	const GPtrArray *workers =
@@ -158,8 +181,8 @@
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *worker = workers->pdata[i];
 
-		if (needs_renewal(worker) && !worker->renewing &&
-		    now_ms >= worker->next_renew_ms)
+		pool_guard_registered(pool, worker);
+		if (renewal_due(worker, now_ms))
 			renew(pool, worker, now_ms);
 	}
 }
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -305,13 +305,12 @@
 		worker->speed = (struct speed){ 0 };
 		worker->slow_until_ms = 0;
 	}
-	if (!worker->fence_accepted) {
-		/* From now on only this owner can extend the worker's lease. */
-		worker->fence_accepted = true;
+	/* From now on only this owner can extend the worker's lease. */
+	worker->fence_accepted = true;
+	if (new_life || !worker->reports)
 		worker->lease_end_ms =
 			MAX(worker->lease_end_ms,
 			    pool_longest_lease_end_ms(pool, now_ms));
-	}
 	worker->clock_ms = report->clock_ms;
 	worker->clock_at_ms = now_ms;
 	worker->last_report_ms = now_ms;
--- a/src/worker.h
+++ b/src/worker.h
@@ -93,10 +93,11 @@
 	bool fence_accepted; /* has accepted this owner's fence, see pool_life.h */
 	uint32_t fence_raises; /* of the owner's fence for this worker */
 	bool fences_used_up;   /* no higher one is left; it gets no tasks */
-	bool bounded;	  /* its lease must not be extended now, see bound.h */
-	bool renewing;	  /* a renewal is in flight */
-	int64_t boot_ms;  /* start of the worker that reported last */
-	int64_t clock_ms; /* worker's clock at clock_at_ms of this node */
+	bool bounded;  /* its lease must not be extended now, see bound.h */
+	bool renewing; /* a renewal is in flight */
+	int64_t renew_sent_ms; /* of the last one */
+	int64_t boot_ms;       /* start of the worker that reported last */
+	int64_t clock_ms;      /* worker's clock at clock_at_ms of this node */
 	int64_t clock_at_ms;
 	int64_t lease_end_ms;	/* upper bound, on this node's clock */
 	int64_t lease_sent_ms;	/* of the last order that grants a lease */
--- a/tests/fleet_orders.c
+++ b/tests/fleet_orders.c
@@ -583,3 +583,17 @@
 	}
 	return false;
 }
+
+int64_t sim_next_late_start_ms(const struct sim *sim, int worker)
+{
+	GSequenceIter *at = g_sequence_get_begin_iter(sim->events);
+
+	for (; !g_sequence_iter_is_end(at); at = g_sequence_iter_next(at)) {
+		const struct event *event = g_sequence_get(at);
+
+		if (event->kind == 's' && event->worker == worker &&
+		    event->unanswered)
+			return event->at_ms;
+	}
+	return -1;
+}
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -211,6 +211,14 @@
 /* sim_renewal_in_flight - whether the worker is to answer one, or has not yet */
 bool sim_renewal_in_flight(const struct sim *sim, int worker);
 
+/*
+ * sim_next_late_start_ms - when the next start without an answer is due at the worker
+ *
+ * RETURN VALUE
+ *	-1: none is.
+ */
+int64_t sim_next_late_start_ms(const struct sim *sim, int worker);
+
 /* sim_run_for - advance the simulated time */
 void sim_run_for(struct sim *sim, int64_t ms);
 
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -51,6 +51,8 @@
 	SENT_MS = 300,
 	/* Longest that orders are executed late, see LATE_RANGE_MS. */
 	LONGEST_LATE_MS = 9000,
+	/* From the start of a worker to the execution of a late order. */
+	BACK_BEFORE_MS = 150,
 	/* By which the clock of day is wrong, where it is. */
 	WALL_AHEAD_MS = 60000
 };
@@ -272,6 +274,44 @@
 }
 END_TEST
 
+/*
+ * The worker is back just before a late start of its former life is due. Its owner
+ * reaches it and shuts that out, as soon as the registry has the new incarnation.
+ */
+START_TEST(start_that_is_due_just_after_the_restart)
+{
+	int restarted;
+	struct sim *sim = begin(_i, NARROW, LONG_TASK_MS, &restarted);
+	uint32_t late = 0;
+	int64_t due_ms;
+
+	sim->faults.order_late_percent = 100;
+	sim_submit_job(sim, 0, 1, WIDTH);
+	sim_run_for(sim, SENT_MS);
+	sim->faults.order_late_percent = 0;
+	sim_crash_worker(sim, restarted);
+	while ((due_ms = sim_next_late_start_ms(sim, restarted)) >= 0) {
+		int64_t wait_ms = due_ms - sim->clk.manual_ms;
+
+		/* One that is due too soon comes while the worker is down. */
+		if (wait_ms < BACK_BEFORE_MS) {
+			sim_run_for(sim, wait_ms + STEP_MS);
+			continue;
+		}
+		sim_run_for(sim, wait_ms - BACK_BEFORE_MS);
+		sim_restart_worker(sim, restarted);
+		sim_run_for(sim, 2 * BACK_BEFORE_MS);
+		ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+		sim_crash_worker(sim, restarted);
+		late++;
+	}
+	ck_assert_uint_gt(late, 0);
+	sim_restart_worker(sim, restarted);
+	sim_run_for(sim, 2 * HOLD_MAX_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 static int64_t wall_ahead_ms(const struct clk *clk)
 {
 	return clk->manual_ms + WALL_AHEAD_MS;
@@ -368,6 +408,8 @@
 		tcase,
 		start_of_an_earlier_owner_that_the_next_incarnation_executes, 0,
 		SEEDS);
+	tcase_add_loop_test(tcase, start_that_is_due_just_after_the_restart, 0,
+			    SEEDS);
 	tcase_add_loop_test(tcase,
 			    next_owner_with_a_wrong_clock_of_day_counts_leases,
 			    0, SEEDS);
