Place a task only once no worker lists a run of before

Its owner had given run 2 up as lost; the worker executed the start after that, and its first report after the cut listed the run. The owner sent a stop and, 34 ms later, run 3 to the same worker, while run 2 needed 100 ms to end.

Cause: a task that waits was placed whatever a report had just listed; the stop was a hint only. Such a run is kept with the unplaced runs until a report lists its end, or no longer lists it, or the lease is over. A task with one is not placed meanwhile.

--- a/src/job.h
+++ b/src/job.h
@@ -127,6 +127,7 @@
 	int64_t lapsed_boot_ms;
 	int64_t since_ms;      /* start of the phase */
 	int64_t hold_until_ms; /* not placed again before */
+	int64_t listed_ms;     /* a worker had a run of before at that time */
 	/* Runs of a long-running one in a row that failed soon. */
 	int32_t quick_failures;
 	int32_t refusals; /* starts refused as invalid since the last one */
--- a/src/place.c
+++ b/src/place.c
@@ -348,6 +348,7 @@
 {
 	return task->state == TASK_WAITING &&
 	       task->hold_until_ms <= place->now_ms &&
+	       task->listed_ms < place->now_ms &&
 	       !(place->workers->host_list_down && crash_must_wait(task));
 }
 
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -218,7 +218,8 @@
  * pool_unplaced_reported - drop those that a report asked for at asked_ms would
  *	list
  * pool_unplaced_stopped - note that the worker has confirmed a stop order
- * pool_unplaced_account - add what they use, after place_account
+ * pool_unplaced_account - add what they use, after place_account; keep their tasks
+ *	from being placed while a worker lists a run of before
  * pool_unplaced_stop - order stops that are due; drop runs whose lease is over
  */
 void pool_unplaced_init(struct pool *pool);
--- a/src/pool_unplaced.c
+++ b/src/pool_unplaced.c
@@ -139,10 +139,14 @@
 
 		if (!worker)
 			continue;
-		if (!job_task_find(pool->env->jobs, unplaced->task, &pos))
+		if (!job_task_find(pool->env->jobs, unplaced->task, &pos)) {
 			worker->unknown_runs++;
-		else if (!is_placed(unplaced, &pos))
+			continue;
+		}
+		if (!is_placed(unplaced, &pos))
 			place_occupy(worker, &pos.job->spec.steps[pos.step]);
+		if (unplaced->listed)
+			pos.task->listed_ms = pool_now_ms(pool);
 	}
 }
 
--- a/tests/test_old_orders.c
+++ b/tests/test_old_orders.c
@@ -51,6 +51,8 @@
 	SENT_MS = 300,
 	/* Longest that orders are executed late, see LATE_RANGE_MS. */
 	LONGEST_LATE_MS = 9000,
+	/* A run takes so long to stop. */
+	STOP_MS = 200,
 	/* From the start of a worker to the execution of a late order. */
 	BACK_BEFORE_MS = 150,
 	/* By which the clock of day is wrong, where it is. */
@@ -312,6 +314,33 @@
 }
 END_TEST
 
+/*
+ * The host is down, so that its owner gives the run up. A late start is executed as
+ * soon as the worker is back, and the task waits, as there is no other worker.
+ */
+START_TEST(next_run_waits_for_the_end_of_one_that_is_listed)
+{
+	struct sim *sim = sim_create(1500 + (uint64_t)_i, 3, 1);
+
+	sim->lenient_workers = true;
+	sim_set_lease_max(sim, HOLD_MAX_MS);
+	sim->task_ms = LONG_TASK_MS;
+	sim->runs_succeed = true;
+	sim->workers[0].model.stop_ms = STOP_MS;
+	sim_run_for(sim, 5 * START_MS);
+	sim->faults.order_late_percent = 100;
+	sim_submit_job(sim, 0, 1, NARROW);
+	sim_run_for(sim, SENT_MS);
+	sim->faults.order_late_percent = 0;
+	sim_crash_worker(sim, 0);
+	sim_run_for(sim, sim_next_late_start_ms(sim, 0) - STEP_MS -
+				 sim->clk.manual_ms);
+	sim_restart_worker(sim, 0);
+	sim_run_for(sim, 2 * HOLD_MAX_MS);
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 static int64_t wall_ahead_ms(const struct clk *clk)
 {
 	return clk->manual_ms + WALL_AHEAD_MS;
@@ -408,6 +437,9 @@
 		tcase,
 		start_of_an_earlier_owner_that_the_next_incarnation_executes, 0,
 		SEEDS);
+	tcase_add_loop_test(tcase,
+			    next_run_waits_for_the_end_of_one_that_is_listed, 0,
+			    SEEDS);
 	tcase_add_loop_test(tcase, start_that_is_due_just_after_the_restart, 0,
 			    SEEDS);
 	tcase_add_loop_test(tcase,
