Count late orders where a worker's incarnation is not the registered one

It is settled once registry, report and raised fence agree. - A run can outlast the stored end of its worker's leases. - A host that the list shows up again does not count as down for the rest of the second.

--- a/Makefile
+++ b/Makefile
@@ -116,7 +116,8 @@
 	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
 	$(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_tenures \
 	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
-	$(BUILD)/test_attempts $(BUILD)/test_settled
+	$(BUILD)/test_attempts $(BUILD)/test_settled \
+	$(BUILD)/test_late_starts
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -32,18 +32,19 @@
 	return pool_longest_lease_end_ms(pool, executed_ms);
 }
 
-/* Upper bound of when an earlier owner has sent its last order to the worker. */
+/*
+ * Upper bound of when an earlier owner has sent its last order that grants a lease to
+ * the worker: it goes on with shorter ones for a full lease, and not beyond the end
+ * that it has stored.
+ */
 static int64_t earlier_order_ms(const struct pool *pool, const char *worker)
 {
 	int64_t sent_ms = ownership_earlier_end_ms(&pool->ownership) +
-			  pool->env->disconnected_ms;
+			  pool->env->disconnected_ms + pool->env->lease_ms;
 	int64_t end_ms;
 
-	/* The end of the lease that such an order gave, as it has stored it. */
 	if (bound_find_end(&pool->bound, worker, &end_ms))
-		sent_ms = MIN(
-			sent_ms,
-			end_ms - worker_lease_bound_ms(0, pool->env->lease_ms));
+		sent_ms = MIN(sent_ms, end_ms);
 	return sent_ms;
 }
 
@@ -75,12 +76,18 @@
 		       int64_t asked_ms)
 {
 	struct job_task *task = pos->task;
+	const struct worker *worker =
+		worker_find(pool->env->workers, task->worker);
 
 	if (asked_ms >= pool_late_start_ms(pool, task))
 		task->unanswered_starts = 0;
 	if (task->unanswered_starts || task->start_settled ||
 	    task->phase != PHASE_RUNNING)
 		return;
+	/* The next owner goes by the incarnation that the registry has. */
+	if (!worker || !worker->fence_accepted ||
+	    !worker_has_current_entry(worker))
+		return;
 	task->start_settled = true;
 	job_touch(pos->job, task);
 }
@@ -108,14 +115,21 @@
 		 pool_order_fence(pool, worker), worker->lease_end_ms - now_ms);
 }
 
-/* Raises the fence after a restart; some orders were sent to the life before. */
+/*
+ * Notes a restart; some orders were sent to the life before. They may be executed until
+ * the worker accepts a raised fence.
+ */
 static void note_restart(struct pool *pool, struct worker *worker,
 			 const char *why)
 {
+	int64_t executed_ms = MAX(pool_now_ms(pool),
+				  worker->lease_sent_ms + POOL_ORDER_LATE_MS);
+
 	worker->lease_end_ms =
 		MAX(worker->lease_end_ms,
-		    pool_longest_lease_end_ms(pool, pool_now_ms(pool)));
-	raise_fence(pool, worker, why);
+		    pool_longest_lease_end_ms(pool, executed_ms));
+	if (worker->fence_accepted)
+		raise_fence(pool, worker, why);
 }
 
 void pool_guard_silent(struct pool *pool, struct worker *worker)
@@ -154,6 +168,6 @@
 		      const struct pool_sent *sent, int64_t clock_ms)
 {
 	if (clock_ms >= 0 && clock_ms < sent->clock_ms &&
-	    worker->fence_accepted && !pool_sent_is_outdated(sent))
+	    sent->sent_ms >= worker->last_report_ms)
 		note_restart(pool, worker, "clock-behind");
 }
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -14,12 +14,11 @@
 		pool->env->lease_ms);
 	int64_t bound_ms, end_ms;
 
-	if (bound_find_end(&pool->bound, id, &bound_ms))
-		return worker && worker->reports
-			       ? MIN(bound_ms, worker->lease_end_ms)
-			       : bound_ms;
+	/* A run may outlast the stored end, see pool_late_run_end_ms. */
 	if (worker && worker->reports)
 		return worker->lease_end_ms;
+	if (bound_find_end(&pool->bound, id, &bound_ms))
+		return bound_ms;
 	end_ms = MAX(earlier_owner_ms, pool_earlier_life_end_ms(pool, worker));
 	return worker ? MAX(end_ms, worker->lease_end_ms) : end_ms;
 }
@@ -57,6 +56,7 @@
 	return worker &&
 	       !(worker_is_dead(worker) &&
 		 worker->dead_seen_ms > worker->life_seen_ms &&
+		 worker->dead_seen_ms > worker->up_ms &&
 		 now_ms - worker->dead_seen_ms < POOL_DEAD_LIST_AGE_MS);
 }
 
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -305,12 +305,14 @@
 		worker->speed = (struct speed){ 0 };
 		worker->slow_until_ms = 0;
 	}
-	/* From now on only this owner can extend the worker's lease. */
-	worker->fence_accepted = true;
+	/* From now on no order of before can extend the worker's lease. */
 	if (new_life || !worker->reports)
+		worker->lease_end_ms = pool_longest_lease_end_ms(pool, now_ms);
+	else if (!worker->fence_accepted)
 		worker->lease_end_ms =
-			MAX(worker->lease_end_ms,
+			MIN(worker->lease_end_ms,
 			    pool_longest_lease_end_ms(pool, now_ms));
+	worker->fence_accepted = true;
 	worker->clock_ms = report->clock_ms;
 	worker->clock_at_ms = now_ms;
 	worker->last_report_ms = now_ms;
