--- a/tests/test_late_starts.c
+++ b/tests/test_late_starts.c
@@ -327,8 +327,6 @@
 	sim->workers[restarted].entry_delay_ms = 4 * HOLD_MAX_MS;
 	sim_restart_worker(sim, restarted);
 	sim_run_for(sim, ANSWERED_MS);
-	if (!sim->workers[restarted].model.runs->len)
-		printf("SKIP %d\n", _i);
 	cut_off(sim, restarted);
 	sim_run_for(sim, 4 * HOLD_MAX_MS);
 	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
