Give a settled plan that is ordered again a new number

An owner stores up to which number plans are settled, so that the next one need not wait for old orders. That list and the plans of a host can be in two parts of the stream: in the trace the list up to 27 was stored, and that plan 20 had been carried out was not. The next owner found plan 20 drained and carried it out at 1076.88 s; the one after it read it as done, with a number that is settled, and ordered the host again at 1079.39 s, 2.5 s later (3 s are the least).

Ruled out by the trace: a list stored too early (plan 20 had been done), and the end of the earlier owner's authority, which had passed.

An owner that is to order a host for a settled plan gives the plan a new number first, which the next list can name only once it is settled itself. Should the new record not be stored, the next owner finds the plan as drained by another owner, and waits.

--- a/src/maint.c
+++ b/src/maint.c
@@ -445,6 +445,13 @@
 		return;
 	if (plan->work == HOST_RESTART && !maint_may_restart(maint, plan->wave))
 		return;
+	/* The next owner takes a settled plan for one that is long over. */
+	if (plan->number <= maint->settled_plan) {
+		plan = maint_add_plan(maint, plan);
+		log_info("host-plan-renewed host=%s number=%" G_GINT64_FORMAT,
+			 plan->host, plan->number);
+		return;
+	}
 	if (maint_prepare_order(maint, known))
 		send_order(maint, known, plan);
 }
--- a/tests/test_settled.c
+++ b/tests/test_settled.c
@@ -8,6 +8,7 @@
 
 #include "fleet_sim.h"
 #include "log.h"
+#include "node_int.h"
 #include "suite.h"
 
 enum {
@@ -27,6 +28,8 @@
 	ORDER_MS = 1200,
 	STEP_MS = 10,
 	WATCHED_MS = 15000,
+	/* A plan is found, its host drained and ordered. */
+	FOUND_MS = 10000,
 	/* The hosts are ordered again this long after the first wave's orders. */
 	RECENT_MS = 300
 };
@@ -96,6 +99,43 @@
 }
 END_TEST
 
+/*
+ * Guards against two owners that order a host within its order lease (ONE): that
+ * the first plan of a host was carried out is not stored, while the list that says
+ * so is, in another part of the stream. The next owner carries it out again, and the
+ * one after that must not take it for an old plan.
+ */
+START_TEST(settled_plan_that_is_ordered_again_is_recent)
+{
+	struct sim *sim = sim_create(FIRST_SEED + (uint64_t)_i, NODES, HOSTS);
+	struct sim_worker *worker = &sim->workers[0];
+	const struct host_plan *plan;
+	int64_t since_ms;
+
+	sim->hosts_obey = true;
+	sim_run_for(sim, START_MS);
+	sim_order_wave(sim, 1, WAVE_DOWN, WAVE_S);
+	sim_run_for(sim, WAVE_MS);
+	ck_assert_int_eq(worker->done_wave, 1);
+	worker->done_wave = 0;
+	sim_plan_restart(sim, 0);
+	since_ms = sim->clk.manual_ms;
+	restart_nodes(sim);
+	for (int i = 0;
+	     i < FOUND_MS / STEP_MS && worker->host_ordered_ms < since_ms; i++)
+		sim_run_for(sim, STEP_MS);
+	ck_assert_int_ge(worker->host_ordered_ms, since_ms);
+	sim_run_for(sim, RECENT_MS);
+	for (int i = 0; i < NODES; i++) {
+		plan = host_plan_find(sim->nodes[i].node->plans,
+				      worker->entry.host);
+		/* The plans of the wave have the numbers up to that of hosts. */
+		ck_assert_int_gt(plan->number, HOSTS);
+	}
+	ck_assert_msg(!sim->broken[0], "%s", sim->broken);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("settled");
@@ -110,6 +150,8 @@
 	tcase_add_loop_test(tcase,
 			    recently_ordered_hosts_wait_after_a_loss_of_power,
 			    0, SEEDS);
+	tcase_add_loop_test(tcase, settled_plan_that_is_ordered_again_is_recent,
+			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
