--- a/src/job.c
+++ b/src/job.c
@@ -503,6 +503,7 @@
 	task->start_sent_ms = 0;
 	task->start_settled = false;
 	task->stop_ok = false;
+	task->moved_off = false;
 	task->run = run;
 	task->worker = g_intern_string(worker);
 	task->worker_boot_ms = boot_ms;
