Split the tests of tenures by what the owners meet

tests/test_tenures.c had 804 lines of two suites that shared only the nodes that restart. What both use is module fleet_restarts. Names lose the prefix that kept the two apart in one file; a comment without its constant is dropped.

--- a/Makefile
+++ b/Makefile
@@ -104,6 +104,7 @@
 	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
 	tests/fleet_gang.h tests/fleet_hosts.c tests/fleet_log.c \
 	tests/fleet_orders.c tests/fleet_play.c tests/fleet_play.h \
+	tests/fleet_restarts.c tests/fleet_restarts.h \
 	tests/fleet_sim.c tests/fleet_sim.h tests/fleet_sim_int.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
@@ -115,6 +116,7 @@
 	$(BUILD)/test_moved_off \
 	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
 	$(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_tenures \
+	$(BUILD)/test_tenure_cuts \
 	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
 	$(BUILD)/test_attempts $(BUILD)/test_settled
 
