Split the stand-in into its log service and its workers

tests/standin.c had 826 lines for three jobs, with their state in variables of the file. standin_log serves the log, standin_worker the workers, each with its state in a struct and its own list of requests that wait; standin_answer has what both answer with. standin.c keeps the host list, the control of faults and the program.

--- a/Makefile
+++ b/Makefile
@@ -123,8 +123,11 @@
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
 $(BUILD)/test_writer: CPPFLAGS += -Itests
-$(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
-	tests/standin_room.h tests/worker_model.c tests/worker_model.h
+$(BUILD)/standin: tests/log_model.c tests/log_model.h \
+	tests/standin_answer.c tests/standin_answer.h tests/standin_log.c \
+	tests/standin_log.h tests/standin_room.c tests/standin_room.h \
+	tests/standin_worker.c tests/standin_worker.h tests/worker_model.c \
+	tests/worker_model.h
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
