--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 	pool_empty pool_slow pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine \
 	host_plan \
-	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf front group \
+	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf \
+	front front_pending front_late group \
 	standby node_metrics node_records node_pools node_view node
 PLATFORM = conn call json store wire order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
--- /dev/null
+++ b/src/front_int.h
@@ -0,0 +1,83 @@
+/*
+ * NAME
+ *	front_int - internal declarations of front.c, front_pending.c and
+ *	front_late.c
+ *
+ * Only these three files include this header.
+ */
+#ifndef FRONT_INT_H
+#define FRONT_INT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "front.h"
+
+/* A request that waits for the log; fn is NULL once it has been answered. */
+struct front_pending {
+	struct front *front;
+	struct front_request request;
+	/* A copy, as the configuration may change before the answer. */
+	char queue[CFG_QUEUE_NAME_BYTES];
+	int64_t start_ms;
+	struct writer
+		*writer; /* of the record awaited; NULL: waits for a read */
+	int64_t number;	 /* of that record */
+	bool stored;	 /* the job's record is; that of the index is not */
+	front_fn *fn;
+	void *arg;
+};
+
+struct front {
+	struct front_env *env;
+	int64_t next_capacity_ms;
+	int64_t max_listed_milli; /* most processor time of all workers so far */
+	int64_t end_ms; /* all requests are answered before; 0: none */
+	GPtrArray *pending;
+};
+
+/* front_pending_new - add a request that waits for the log */
+struct front_pending *front_pending_new(struct front *front,
+					const struct front_request *request,
+					front_fn *fn, void *arg);
+
+/* front_pending_free - remove a request, without an answer */
+void front_pending_free(struct front_pending *pending);
+
+/* front_pending_finish - remove a request, and answer it */
+void front_pending_finish(struct front_pending *pending,
+			  const struct front_answer *answer);
+
+/* front_store - store a job's record of this kind, then publish and answer */
+void front_store(struct front *front, const struct front_request *request,
+		 char kind, const char *record, size_t len, front_fn *fn,
+		 void *arg);
+
+/* front_publish - write the job's state to the index, then answer */
+void front_publish(struct front_pending *pending, enum index_state state);
+
+/*
+ * front_log_answers_in_time - whether a record that has not been sent can be
+ * stored and published before the deadline, as far as the log's answers so far
+ * tell
+ */
+bool front_log_answers_in_time(const struct front *front,
+			       const struct front_request *request);
+
+/* front_answer_unavailable - refuse a request, as the log is not available */
+void front_answer_unavailable(struct front *front, const char *id, front_fn *fn,
+			      void *arg);
+
+/* front_expire - end the requests whose time is over, or that wait in vain */
+void front_expire(struct front *front, int64_t now_ms);
+
+/* front_would_be_late - whether the backlog makes the job miss its objective */
+bool front_would_be_late(struct front *front,
+			 const struct front_request *request,
+			 const struct job_spec *spec);
+
+/* front_sum_capacity - sum up what all workers have, from time to time */
+void front_sum_capacity(struct front *front, int64_t now_ms);
+
+#endif
