--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -11,6 +11,7 @@
 #include "fleet_capacity.h"
 #include "fleet_play.h"
 #include "log.h"
+#include "suite.h"
 
 enum {
 	START_MS = 3000,
@@ -341,11 +342,9 @@
 {
 	Suite *suite = suite_create("capacity");
 	TCase *tcase = tcase_create("capacity that changes");
-	SRunner *runner = srunner_create(suite);
 	/* For a search over more seeds, or one seed with its log. */
 	const char *from = getenv("PLANK_FIRST_SEED");
 	const char *count = getenv("PLANK_SEEDS");
-	int failed;
 
 	if (from)
 		first_seed = atoi(from);
@@ -372,8 +371,5 @@
 	tcase_add_loop_test(tcase, invariants_hold_while_capacities_change, 0,
 			    count ? atoi(count) : SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -395,12 +395,10 @@
 	TCase *lasting = tcase_create("long-running tasks");
 	TCase *takeovers = tcase_create("crashes and takeovers");
 	TCase *gangs = tcase_create("gangs that crash workers");
-	SRunner *runner = srunner_create(suite);
 	/* For a search over more seeds, or one seed with its log. */
 	const char *from = getenv("PLANK_FIRST_SEED");
 	const char *count = getenv("PLANK_SEEDS");
 	int seeds = count ? atoi(count) : SEEDS;
-	int failed;
 
 	if (from)
 		first_seed = atoi(from);
@@ -452,8 +450,5 @@
 	suite_add_tcase(suite, lasting);
 	if (!from && !count)
 		run_known_red();
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_cut.c
+++ b/tests/test_cut.c
@@ -11,6 +11,7 @@
 
 #include "fleet_play.h"
 #include "log.h"
+#include "suite.h"
 
 /* Three of these seeds fail if a successor does not count the membership. */
 enum { FIRST_SEED = 1036, SEEDS = 15 };
@@ -113,11 +114,9 @@
 {
 	Suite *suite = suite_create("cut");
 	TCase *tcase = tcase_create("cuts and reassignments");
-	SRunner *runner = srunner_create(suite);
 	/* For a search over more seeds, or one seed with its log. */
 	const char *from = getenv("PLANK_FIRST_SEED");
 	const char *count = getenv("PLANK_SEEDS");
-	int failed;
 
 	if (from)
 		first_seed = atoi(from);
@@ -134,8 +133,5 @@
 		no_repeated_start_after_a_cancel_that_another_node_has_accepted,
 		0, CANCEL_SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -16,6 +16,7 @@
 #include "pool_fixture.h"
 #include "rnd.h"
 #include "nodeconf.h"
+#include "suite.h"
 #include "wire.h"
 
 static struct pool_fixture fixture;
@@ -431,8 +432,6 @@
 {
 	Suite *suite = suite_create("jobs");
 	TCase *tcase = tcase_create("decisions");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_jobs", true);
@@ -454,8 +453,5 @@
 	tcase_add_test(tcase, settings_error_names_field_value_and_format);
 	tcase_add_test(tcase, mutated_messages_are_decoded_safely);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -11,6 +11,7 @@
 #include "fleet_play.h"
 #include "fleet_sim.h"
 #include "log.h"
+#include "suite.h"
 
 enum {
 	START_MS = 3000,
@@ -267,8 +268,6 @@
 {
 	Suite *suite = suite_create("leaving");
 	TCase *tcase = tcase_create("hosts that leave");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_leaving", !getenv("PLANK_VERBOSE"));
@@ -287,8 +286,5 @@
 	tcase_add_loop_test(tcase, lost_answer_on_the_registry_delays_no_start,
 			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -12,6 +12,7 @@
 #include "log.h"
 #include "place.h"
 #include "pool_fixture.h"
+#include "suite.h"
 
 enum {
 	WORKER_CPU_MILLI = 4000,
@@ -284,8 +285,6 @@
 {
 	Suite *suite = suite_create("quarantine");
 	TCase *tcase = tcase_create("placement of suspects");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_quarantine", true);
@@ -299,8 +298,5 @@
 	tcase_add_test(tcase,
 		       suspect_gang_without_room_does_not_close_the_pool);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -11,6 +11,7 @@
 
 #include "fleet_sim.h"
 #include "log.h"
+#include "suite.h"
 
 enum {
 	NODES = 3,
@@ -68,8 +69,6 @@
 {
 	Suite *suite = suite_create("retry");
 	TCase *tcase = tcase_create("attempts that fail in a row");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_retry", !getenv("PLANK_VERBOSE"));
@@ -80,8 +79,5 @@
 		tcase, lasting_task_that_fails_at_once_is_started_less_often, 0,
 		SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_room.c
+++ b/tests/test_room.c
@@ -12,6 +12,7 @@
 #include "log.h"
 #include "place.h"
 #include "pool_fixture.h"
+#include "suite.h"
 #include "wire.h"
 
 enum { NOW_MS = 1000 };
@@ -238,8 +239,6 @@
 {
 	Suite *suite = suite_create("room");
 	TCase *tcase = tcase_create("room of workers");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_room", true);
@@ -251,8 +250,5 @@
 	tcase_add_test(tcase, requests_beyond_32_bits_do_not_fit);
 	tcase_add_test(tcase, backlog_does_not_count_shrunk_capacity_as_parked);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -216,8 +216,6 @@
 {
 	Suite *suite = suite_create("suspects");
 	TCase *tcase = tcase_create("tasks under which workers crashed");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_suspects", !getenv("PLANK_VERBOSE"));
@@ -230,9 +228,6 @@
 	tcase_add_loop_test(tcase, crashes_are_counted_though_each_owner_dies,
 			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
 	run_known_red();
-	return failed != 0;
+	return suite_run(suite);
 }
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -11,6 +11,7 @@
 #include "fleet_sim.h"
 #include "fleet_play.h"
 #include "log.h"
+#include "suite.h"
 
 enum {
 	START_MS = 3000,
@@ -76,8 +77,6 @@
 {
 	Suite *suite = suite_create("takeover");
 	TCase *tcase = tcase_create("workers that are gone");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	apr_initialize();
 	log_init("test_takeover", !getenv("PLANK_VERBOSE"));
@@ -87,8 +86,5 @@
 	tcase_add_loop_test(tcase, run_of_an_earlier_owner_outlasts_a_down_host,
 			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed != 0;
+	return suite_run(suite);
 }
