--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 	pool_empty pool_slow pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine \
 	host_plan \
-	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf front group \
+	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf \
+	front front_pending front_late group \
 	standby node_metrics node_records node_pools node_view node
 PLATFORM = conn call json store wire order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
@@ -100,10 +101,12 @@
 $(BUILD)/replay $(BUILD)/test_sessions: CPPFLAGS += -Itests
 
 FLEET_SOURCES = tests/fleet_attempts.c tests/fleet_attempts.h \
+	tests/fleet_callers.c tests/fleet_records.c \
 	tests/fleet_capacity.c tests/fleet_capacity.h \
 	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
 	tests/fleet_gang.h tests/fleet_hosts.c tests/fleet_log.c \
 	tests/fleet_orders.c tests/fleet_play.c tests/fleet_play.h \
+	tests/fleet_restarts.c tests/fleet_restarts.h \
 	tests/fleet_sim.c tests/fleet_sim.h tests/fleet_sim_int.h tests/log_model.c tests/log_model.h \
 	tests/worker_model.c tests/worker_model.h
 
@@ -115,6 +118,7 @@
 	$(BUILD)/test_moved_off \
 	$(BUILD)/test_begin $(BUILD)/test_join $(BUILD)/test_many_ends \
 	$(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_tenures \
+	$(BUILD)/test_tenure_cuts \
 	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
 	$(BUILD)/test_attempts $(BUILD)/test_settled \
 	$(BUILD)/test_late_starts
@@ -122,8 +126,11 @@
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
 $(BUILD)/test_writer: CPPFLAGS += -Itests
-$(BUILD)/standin: tests/log_model.c tests/log_model.h tests/standin_room.c \
-	tests/standin_room.h tests/worker_model.c tests/worker_model.h
+$(BUILD)/standin: tests/log_model.c tests/log_model.h \
+	tests/standin_answer.c tests/standin_answer.h tests/standin_log.c \
+	tests/standin_log.h tests/standin_room.c tests/standin_room.h \
+	tests/standin_worker.c tests/standin_worker.h tests/worker_model.c \
+	tests/worker_model.h
 $(FLEET_TESTS) $(BUILD)/explore $(BUILD)/standin: CPPFLAGS += -Itests
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
