Say in comments what the bounds of late starts cover

A reader who had not seen the work stumbled over these: what is settled, what the returned 0 means, and why a worker that is down or unknown does not count.

--- a/src/pool_life.h
+++ b/src/pool_life.h
@@ -32,8 +32,8 @@
  * pool_earlier_life_end_ms - end of leases given by orders to earlier incarnations
  *
  * Upper bound for a worker that this owner has not reached; NULL: that the registry
- * does not list yet. An earlier owner has placed tasks there only after the worker had
- * accepted a fence that shuts such orders out.
+ * does not list yet. An earlier owner has settled starts there only after the worker had
+ * accepted a fence that shuts such orders out; for others see pool_late_run_end_ms.
  */
 int64_t pool_earlier_life_end_ms(const struct pool *pool,
 				 const struct worker *worker);
@@ -53,7 +53,10 @@
  * pool_late_run_end_ms - upper bound of the end of a run that was started so
  *
  * Its worker may have started again unknown to the owner, so that the lease is of
- * the longest kind, and late renewals extend it. 0 likewise.
+ * the longest kind, and late renewals extend it.
+ *
+ * RETURN VALUE
+ *	0 if all orders to start the run have been answered.
  */
 int64_t pool_late_run_end_ms(const struct pool *pool,
 			     const struct job_task *task);
@@ -79,7 +82,7 @@
 /* pool_is_registered_anew - whether the registry knows of a restart, and no report */
 bool pool_is_registered_anew(const struct worker *worker);
 
-/* pool_guard_registered - likewise, raise the fence if it has */
+/* pool_guard_registered - raise the fence for a worker that has registered anew */
 void pool_guard_registered(struct pool *pool, struct worker *worker);
 
 /*
--- a/src/pool_lost.c
+++ b/src/pool_lost.c
@@ -37,7 +37,7 @@
 	       (worker_is_replaced(worker) || !task->unanswered_starts);
 }
 
-/* Whether only this owner can have extended the lease of the task's worker. */
+/* Whether the task's worker has accepted the present fence of this owner. */
 static bool has_accepted_fence(const struct pool *pool,
 			       const struct job_task *task)
 {
@@ -48,8 +48,9 @@
 }
 
 /*
- * Whether some incarnation of the worker may be up. None is while the host list shows
- * that; one that the registry has dropped has not reached the log for long.
+ * Whether an incarnation of the worker counts as up that may execute a late start. None
+ * does while the host list shows the host down, nor if the registry has dropped the worker:
+ * to wait for those would keep tasks from running again for 18 s and more.
  */
 static bool may_be_up(const struct worker *worker, int64_t now_ms)
 {
--- a/src/worker.h
+++ b/src/worker.h
@@ -90,7 +90,8 @@
 	bool leaving;  /* its host is to be restarted or moved */
 	bool may_stay; /* it leaves, but has not been reported as empty */
 	/* The rest is state of the pool's owner; see worker_reset_owner_state. */
-	bool fence_accepted; /* has accepted this owner's fence, see pool_life.h */
+	/* Has accepted the newest fence of this owner, see pool_life.h. */
+	bool fence_accepted;
 	uint32_t fence_raises; /* of the owner's fence for this worker */
 	bool fences_used_up;   /* no higher one is left; it gets no tasks */
 	bool bounded;  /* its lease must not be extended now, see bound.h */
