--- a/Makefile
+++ b/Makefile
@@ -30,12 +30,12 @@
 NODE = lag cfg job job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_life pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
-	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine \
-	host_plan \
+	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine place_tenants \
+	host_plan quota quota_use quota_plan pool_quota maint_quota \
 	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf \
-	front front_pending front_late group \
+	auth rate fair front front_pending front_late group \
 	standby node_metrics node_records node_pools node_view node
-PLATFORM = conn call json store wire order_api host_api ingress platform
+PLATFORM = conn call json store wire wire_tenants order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
@@ -135,7 +135,7 @@
 
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
 POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
-	$(BUILD)/test_room $(BUILD)/test_index $(BUILD)/test_stream_age $(BUILD)/test_cost
+	$(BUILD)/test_room $(BUILD)/test_fair $(BUILD)/test_index $(BUILD)/test_stream_age $(BUILD)/test_cost
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
 
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -8,6 +8,11 @@
 {
 	if (!cfg)
 		return;
+	for (uint32_t i = 0; i < cfg->tenant_count; i++)
+		g_strfreev(cfg->tenants[i].keys);
+	if (cfg->tenants_by_key)
+		g_hash_table_destroy(cfg->tenants_by_key);
+	free(cfg->tenants);
 	free(cfg->queues);
 	free(cfg->pools);
 	free(cfg);
@@ -60,3 +65,27 @@
 			return &cfg->pools[i];
 	return NULL;
 }
+
+const struct cfg_tenant *cfg_tenant_find(const struct cfg *cfg,
+					 const char *name)
+{
+	for (uint32_t i = 0; cfg && i < cfg->tenant_count; i++)
+		if (!strcmp(cfg->tenants[i].name, name))
+			return &cfg->tenants[i];
+	return NULL;
+}
+
+const struct cfg_tenant *cfg_tenant_of_key(const struct cfg *cfg,
+					   const char *key)
+{
+	return cfg->tenants_by_key
+		       ? g_hash_table_lookup(cfg->tenants_by_key, key)
+		       : NULL;
+}
+
+bool cfg_has_limit(const struct cfg_tenant *tenant)
+{
+	const struct cfg_room *max = &tenant->max_running;
+
+	return max->cpu_milli || max->mem_mib || max->gpu;
+}
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -1,6 +1,7 @@
 /*
  * NAME
- *	cfg - configuration of job queues and worker pools, made by operators
+ *	cfg - configuration of job queues, worker pools and organisations, made by
+ *	operators
  *
  * A configuration is immutable; a newer version replaces it as a whole.
  */
@@ -10,13 +11,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "limit.h"
 
 enum {
 	/* Of a queue; any text that is not empty. */
 	CFG_QUEUE_NAME_BYTES = 256,
 	CFG_HOST_BYTES = 256,
-	CFG_PREFIX_BYTES = 512
+	CFG_PREFIX_BYTES = 512,
+	CFG_KEY_BYTES = 256 /* of an organisation */
 };
 
 /* Times it, the longest path of a job is a time within 64 bits. */
@@ -40,6 +44,7 @@
 	char pool[LIMIT_NAME_BYTES];
 	struct cfg_terms terms;
 	bool needs_ticket; /* starts need a ticket of the advice service */
+	bool is_public;	   /* requests need no key */
 };
 
 struct cfg_pool {
@@ -48,6 +53,24 @@
 	bool standby;		/* parking pool; its hosts are powered off */
 };
 
+/* What tasks use, or may use at most; 0: no limit. */
+struct cfg_room {
+	int64_t cpu_milli;
+	int64_t mem_mib;
+	int64_t gpu;
+};
+
+/* An organisation whose requests carry one of its keys. */
+struct cfg_tenant {
+	char name[LIMIT_NAME_BYTES];
+	/* Its share when all is full, relative to others; also the jobs a second
+	   that it is entitled to submit. */
+	double weight;
+	struct cfg_room max_running; /* of its tasks, over all workers */
+	uint32_t key_count;
+	char **keys; /* secret: not to be logged */
+};
+
 struct cfg {
 	int64_t version;
 	int64_t max_body_bytes;
@@ -55,6 +78,10 @@
 	struct cfg_queue *queues;
 	uint32_t pool_count;
 	struct cfg_pool *pools;
+	bool has_tenants; /* requests need keys, but to public queues */
+	uint32_t tenant_count;
+	struct cfg_tenant *tenants;
+	GHashTable *tenants_by_key; /* key -> struct cfg_tenant; NULL: none */
 };
 
 void cfg_destroy(struct cfg *cfg);
@@ -76,4 +103,15 @@
 const struct cfg_queue *cfg_queue_find(const struct cfg *cfg, const char *name);
 const struct cfg_pool *cfg_pool_find(const struct cfg *cfg, const char *name);
 
+/* cfg_tenant_find - organisation by name, or NULL; cfg may be NULL */
+const struct cfg_tenant *cfg_tenant_find(const struct cfg *cfg,
+					 const char *name);
+
+/* cfg_tenant_of_key - organisation that has the key, or NULL */
+const struct cfg_tenant *cfg_tenant_of_key(const struct cfg *cfg,
+					   const char *key);
+
+/* cfg_has_limit - whether what the organisation may have running is limited */
+bool cfg_has_limit(const struct cfg_tenant *tenant);
+
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -1,8 +1,9 @@
 #include "front_int.h"
 
-#include "log.h"
+#include <string.h>
 
-enum { FRONT_RETRY_OVERLOAD_MS = 1000 };
+#include "auth.h"
+#include "log.h"
 
 struct front *front_create(struct front_env *env)
 {
@@ -27,20 +28,40 @@
 	return front->pending->len;
 }
 
-/* What this node knows of a job, by the index and the jobs; false: nothing. */
-static bool find_state(const struct front *front, const char *id,
-		       enum index_state *state)
+/* What this node knows of the job that a request names. */
+enum known {
+	KNOWN_NOTHING,
+	KNOWN_FOREIGN, /* it belongs to another organisation */
+	KNOWN_STATE
+};
+
+static const char *tenant_of(const struct index_entry *entry,
+			     const struct job *job)
 {
-	const struct index_entry *entry = index_find(front->env->index, id);
-	const struct job *job = job_find(front->env->jobs, id);
+	if (job && *job->tenant)
+		return job->tenant;
+	return entry ? entry->tenant : "";
+}
+
+/* Looks in the index and among the jobs. */
+static enum known find_state(const struct front *front,
+			     const struct front_request *request,
+			     enum index_state *state)
+{
+	const struct index_entry *entry =
+		index_find(front->env->index, request->id);
+	const struct job *job = job_find(front->env->jobs, request->id);
+	const char *tenant = tenant_of(entry, job);
 	enum index_state own;
 
 	if (!entry && !job)
-		return false;
+		return KNOWN_NOTHING;
+	if (*tenant && strcmp(tenant, request->tenant))
+		return KNOWN_FOREIGN;
 	own = job ? index_state_of(job) : INDEX_QUEUED;
 	*state = entry && !index_replaces(entry->state, own) ? entry->state
 							     : own;
-	return true;
+	return KNOWN_STATE;
 }
 
 /*
@@ -53,7 +74,7 @@
 	struct front *front = pending->front;
 	struct front_answer answer = {
 		.outcome = FRONT_OVERLOADED,
-		.retry_after_ms = FRONT_RETRY_OVERLOAD_MS,
+		.retry_after_ms = pending->retry_after_ms,
 	};
 	enum index_state state;
 
@@ -62,8 +83,10 @@
 		front_pending_free(pending);
 		return;
 	}
-	if (find_state(front, pending->request.id, &state))
+	if (find_state(front, &pending->request, &state) == KNOWN_STATE)
 		answer = (struct front_answer){ .outcome = FRONT_ACCEPTED };
+	else if (pending->refusal == FRONT_REFUSE_RATE)
+		front->env->counts.refused_rate++;
 	else
 		front->env->counts.refused_overload++;
 	front_pending_finish(pending, &answer);
@@ -83,6 +106,32 @@
 	fn(arg, &answer);
 }
 
+/* The answer is that to a malformed request, so that it tells nothing of the job. */
+static void refuse_foreign(struct front *front,
+			   const struct front_request *request, front_fn *fn,
+			   void *arg)
+{
+	struct front_answer answer = { .outcome = FRONT_INVALID, .text = "" };
+
+	front->env->counts.refused_invalid++;
+	log_info("refused id=%s why=id-of-another-tenant tenant=%s",
+		 request->id, request->tenant);
+	fn(arg, &answer);
+}
+
+static void refuse_if_unknown(struct front *front,
+			      const struct front_request *request,
+			      const struct front_decision *decision,
+			      front_fn *fn, void *arg)
+{
+	struct front_pending *pending =
+		front_pending_new(front, request, fn, arg);
+
+	pending->refusal = decision->refusal;
+	pending->retry_after_ms = decision->retry_after_ms;
+	tail_sync(front->env->index_tail, on_synced_to_refuse, pending);
+}
+
 static void submit(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg)
 {
@@ -91,10 +140,21 @@
 	struct err err = { .kind = ERR_OK };
 	enum index_state state;
 	struct job_spec spec;
+	struct front_decision decision;
+	struct job_origin origin = {
+		.queue = request->queue,
+		.tenant = request->tenant,
+		.wall_ms = clk_wall_ms(env->clk),
+	};
+	enum known known = find_state(front, request, &state);
 	char *record;
 	size_t len;
 
-	if (find_state(front, request->id, &state)) {
+	if (known == KNOWN_FOREIGN) {
+		refuse_foreign(front, request, fn, arg);
+		return;
+	}
+	if (known == KNOWN_STATE) {
 		/* Its node may have stopped before it published the job. */
 		if (!index_find(env->index, request->id))
 			front_publish(
@@ -108,15 +168,15 @@
 		refuse_invalid(front, request, &err, fn, arg);
 		return;
 	}
-	if (front_would_be_late(front, request, &spec)) {
-		job_spec_clear(&spec);
-		tail_sync(env->index_tail, on_synced_to_refuse,
-			  front_pending_new(front, request, fn, arg));
+	decision = front_decide(front, request, &spec);
+	job_spec_clear(&spec);
+	if (decision.refusal != FRONT_ACCEPT) {
+		refuse_if_unknown(front, request, &decision, fn, arg);
 		return;
 	}
-	job_spec_clear(&spec);
-	record = job_submission_record(request->queue, clk_wall_ms(env->clk),
-				       request->body, request->len, &len);
+	origin.beyond_rate = decision.beyond_rate;
+	record = job_submission_record(&origin, request->body, request->len,
+				       &len);
 	if (len + JOB_KEY_BYTES > env->record_bytes) {
 		err_set(&err, ERR_TOO_LARGE,
 			"the job has %zu bytes, the log takes %zu", len,
@@ -159,7 +219,7 @@
 	front_pending_free(pending);
 	if (!fn)
 		return;
-	if (find_state(front, request.id, &state))
+	if (find_state(front, &request, &state) == KNOWN_STATE)
 		answer_existing(front, &request, state, fn, fn_arg);
 	else if (complete)
 		fn(fn_arg, &answer);
@@ -192,6 +252,21 @@
 	return NULL;
 }
 
+const char *front_tenant(struct front *front, const struct cfg *cfg,
+			 const struct cfg_queue *queue, const char *key,
+			 const char *id)
+{
+	const char *tenant;
+	enum auth_outcome outcome = auth_check(cfg, queue, key, &tenant);
+
+	if (outcome == AUTH_ALLOWED)
+		return tenant;
+	front->env->counts.refused_key++;
+	log_info("refused id=%s why=%s queue=%s version=%" G_GINT64_FORMAT, id,
+		 auth_name(outcome), queue->name, cfg->version);
+	return NULL;
+}
+
 void front_request(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg)
 {
@@ -208,7 +283,7 @@
 		front_answer_unavailable(front, request->id, fn, arg);
 	} else if (request->kind == FRONT_SUBMIT) {
 		submit(front, request, fn, arg);
-	} else if (find_state(front, request->id, &state)) {
+	} else if (find_state(front, request, &state) == KNOWN_STATE) {
 		answer_existing(front, request, state, fn, arg);
 	} else {
 		/* Another node may have accepted it a moment ago. */
--- a/src/front.h
+++ b/src/front.h
@@ -19,6 +19,7 @@
 #include "index.h"
 #include "job.h"
 #include "place.h"
+#include "rate.h"
 #include "tail.h"
 #include "writer.h"
 
@@ -32,6 +33,8 @@
 struct front_request {
 	enum front_kind kind;
 	const struct cfg_queue *queue;
+	/* Organisation that it acts for, interned; "": none. */
+	const char *tenant;
 	char id[JOB_ID_BYTES]; /* unused by FRONT_COUNT_WAITING */
 	const char *body;      /* must stay valid until fn is called */
 	size_t len;
@@ -42,7 +45,7 @@
 	FRONT_ACCEPTED,	   /* submission or cancellation accepted */
 	FRONT_STATE_FOUND, /* state is set */
 	FRONT_COUNTED,	   /* count is set */
-	FRONT_NOT_FOUND,   /* unknown job */
+	FRONT_NOT_FOUND,   /* unknown job, or one of another organisation */
 	FRONT_INVALID,	   /* text says why */
 	FRONT_OVERLOADED,  /* refused and not stored: the job will not run */
 	FRONT_UNAVAILABLE, /* log unavailable; nothing was or will be stored */
@@ -62,9 +65,12 @@
 struct front_counts {
 	int64_t submitted;
 	int64_t refused_overload;
+	int64_t refused_rate;	 /* beyond an organisation's rate */
+	int64_t accepted_beyond; /* beyond it, as there was room */
 	int64_t refused_unavailable;
 	int64_t refused_old_cfg; /* by front_cfg */
 	int64_t refused_invalid;
+	int64_t refused_key; /* by front_tenant */
 	int64_t undecided;
 	int64_t cancelled;
 };
@@ -86,6 +92,8 @@
 	int64_t max_cfg_age_ms;
 	struct writer *index_writer;
 	struct writer *job_writers[SHARE_MAX_COUNT]; /* by part */
+	/* Of organisations, at which they submit jobs; NULL: not limited. */
+	struct rate *rate;
 	size_t record_bytes;	    /* most that a record of the log may have */
 	struct front_counts counts; /* written by front */
 	struct histo submit_ms;	    /* from a submission to its answer */
@@ -107,6 +115,18 @@
  */
 const struct cfg *front_cfg(struct front *front, const char *id);
 
+/*
+ * front_tenant - the organisation that a request acts for, by its key
+ *
+ * As auth_check; logs and counts a refusal. id names the request in the log.
+ *
+ * RETURN VALUE
+ *	Its name, interned, "" if it acts for none; NULL: it is to be refused.
+ */
+const char *front_tenant(struct front *front, const struct cfg *cfg,
+			 const struct cfg_queue *queue, const char *key,
+			 const char *id);
+
 /* front_request - process a request; fn is called once, maybe before it returns */
 void front_request(struct front *front, const struct front_request *request,
 		   front_fn *fn, void *arg);
--- a/src/front_int.h
+++ b/src/front_int.h
@@ -14,6 +14,13 @@
 
 #include "front.h"
 
+/* Why a submission is not accepted. */
+enum front_refusal {
+	FRONT_ACCEPT,
+	FRONT_REFUSE_LATE, /* it would be late */
+	FRONT_REFUSE_RATE  /* it is beyond its organisation's rate */
+};
+
 /* A request that waits for the log; fn is NULL once it has been answered. */
 struct front_pending {
 	struct front *front;
@@ -24,7 +31,10 @@
 	struct writer
 		*writer; /* of the record awaited; NULL: waits for a read */
 	int64_t number;	 /* of that record */
-	bool stored;	 /* the job's record is; that of the index is not */
+	/* Of a submission that is refused unless another node has accepted it. */
+	enum front_refusal refusal;
+	int64_t retry_after_ms;
+	bool stored; /* the job's record is; that of the index is not */
 	front_fn *fn;
 	void *arg;
 };
@@ -72,10 +82,22 @@
 /* front_expire - end the requests whose time is over, or that wait in vain */
 void front_expire(struct front *front, int64_t now_ms);
 
-/* front_would_be_late - whether the backlog makes the job miss its objective */
-bool front_would_be_late(struct front *front,
-			 const struct front_request *request,
-			 const struct job_spec *spec);
+/* What is decided of a submission. */
+struct front_decision {
+	enum front_refusal refusal;
+	int64_t retry_after_ms;
+	bool beyond_rate; /* it is accepted all the same */
+};
+
+/*
+ * front_decide - whether to accept a job
+ *
+ * Not if the backlog makes it miss its objective, or if it is beyond the rate of
+ * its organisation and could keep jobs that are not waiting.
+ */
+struct front_decision front_decide(struct front *front,
+				   const struct front_request *request,
+				   const struct job_spec *spec);
 
 /* front_sum_capacity - sum up what all workers have, from time to time */
 void front_sum_capacity(struct front *front, int64_t now_ms);
--- a/src/front_late.c
+++ b/src/front_late.c
@@ -7,10 +7,16 @@
 	/* A job expected to take more than this part of its objective is
 	   refused; above 100, as the estimates are rough. */
 	FRONT_MAX_EXPECTED_PERCENT = 130,
+	FRONT_RETRY_OVERLOAD_MS = 1000,
+	/* Work beyond this keeps a job from starting soon. */
+	FRONT_SPARE_BACKLOG_MS = 150,
 	/* Between two sums of what all workers have. */
 	FRONT_CAPACITY_GAP_MS = 100
 };
 
+/* Later than the target of any job, so that all work counts in full. */
+#define FRONT_LATEST_TARGET_MS LIMIT_NUMBER_MAX
+
 /* Time until the share has done its work with earlier targets. */
 static int64_t delay_ms(const struct front *front, const struct share *share,
 			int64_t wall_ms, int64_t target_ms)
@@ -31,28 +37,33 @@
 				 front->max_listed_milli);
 }
 
-bool front_would_be_late(struct front *front,
-			 const struct front_request *request,
-			 const struct job_spec *spec)
+static struct share share_of(const struct front *front,
+			     const struct front_request *request)
 {
-	struct front_env *env = front->env;
-	const struct cfg_terms *terms = &request->queue->terms;
-	struct job candidate = {
-		.spec = *spec,
-		.hash = rnd_hash_name(request->id),
-	};
-	struct share share = {
+	struct job candidate = { .hash = rnd_hash_name(request->id) };
+	uint32_t count = front->env->layout->shares;
+
+	return (struct share){
 		.pool = request->queue->pool,
-		.index = share_of_job(&candidate, env->layout->shares),
-		.count = env->layout->shares,
+		.index = share_of_job(&candidate, count),
+		.count = count,
 	};
+}
+
+/* Whether the backlog makes the job miss its objective. */
+static bool would_be_late(const struct front *front,
+			  const struct front_request *request,
+			  const struct job_spec *spec)
+{
+	const struct front_env *env = front->env;
+	const struct cfg_terms *terms = &request->queue->terms;
+	struct job candidate = { .spec = *spec };
+	struct share share = share_of(front, request);
 	int64_t chain_ms = job_critical_path_ms(&candidate);
 	int64_t wall_ms = clk_wall_ms(env->clk);
 	int64_t backlog_ms, objective_ms;
 	bool late;
 
-	if (spec->steps[0].long_running || spec->repeat_count > 0)
-		return false;
 	objective_ms =
 		terms->slack_ms + (int64_t)(terms->stretch * (double)chain_ms);
 
@@ -69,6 +80,61 @@
 	return late;
 }
 
+/* How long the job's organisation has to wait for its rate; 0: not at all. */
+static int64_t rate_wait(const struct front *front,
+			 const struct front_request *request)
+{
+	const struct front_env *env = front->env;
+	const struct cfg_tenant *tenant;
+
+	if (!env->rate || !*request->tenant)
+		return 0;
+	tenant = cfg_tenant_find(*env->cfg, request->tenant);
+	return tenant ? rate_wait_ms(env->rate, tenant->name, tenant->weight,
+				     clk_now_ms(env->clk))
+		      : 0;
+}
+
+/*
+ * Whether a job beyond its organisation's rate could keep others waiting, by all
+ * work that the share has.
+ */
+static bool has_backlog(const struct front *front,
+			const struct front_request *request)
+{
+	struct share share = share_of(front, request);
+
+	return delay_ms(front, &share, clk_wall_ms(front->env->clk),
+			FRONT_LATEST_TARGET_MS) > FRONT_SPARE_BACKLOG_MS;
+}
+
+struct front_decision front_decide(struct front *front,
+				   const struct front_request *request,
+				   const struct job_spec *spec)
+{
+	struct front_decision decision = { .refusal = FRONT_ACCEPT };
+	int64_t wait_ms;
+
+	if (spec->steps[0].long_running || spec->repeat_count > 0)
+		return decision;
+	wait_ms = rate_wait(front, request);
+	if (wait_ms && has_backlog(front, request)) {
+		log_info("refused id=%s why=rate tenant=%s queue=%s "
+			 "wait_ms=%" G_GINT64_FORMAT,
+			 request->id, request->tenant, request->queue->name,
+			 wait_ms);
+		decision.refusal = FRONT_REFUSE_RATE;
+		decision.retry_after_ms = wait_ms;
+	} else if (would_be_late(front, request, spec)) {
+		decision.refusal = FRONT_REFUSE_LATE;
+		decision.retry_after_ms = FRONT_RETRY_OVERLOAD_MS;
+	} else if (wait_ms) {
+		decision.beyond_rate = true;
+		front->env->counts.accepted_beyond++;
+	}
+	return decision;
+}
+
 void front_sum_capacity(struct front *front, int64_t now_ms)
 {
 	const struct front_env *env = front->env;
--- a/src/front_pending.c
+++ b/src/front_pending.c
@@ -157,14 +157,16 @@
 void front_publish(struct front_pending *pending, enum index_state state)
 {
 	struct writer *writer = pending->front->env->index_writer;
-	char *record = index_record(state, pending->queue);
+	size_t len;
+	char *record = index_record(state, pending->queue,
+				    pending->request.tenant, &len);
 	char key[JOB_ID_BYTES + 2];
 
 	g_snprintf(key, sizeof(key), "i:%s", pending->request.id);
 	pending->stored = true;
 	pending->writer = writer;
-	pending->number = writer_add(writer, key, record, strlen(record),
-				     on_published, pending);
+	pending->number =
+		writer_add(writer, key, record, len, on_published, pending);
 	g_free(record);
 }
 
--- a/src/index.c
+++ b/src/index.c
@@ -4,8 +4,10 @@
 
 /*
  * The value of a record is the letter of the state, a space, and the job's
- * queue, which may be empty if the record is not the first one of the job.
- * Letters are those of enum index_state, in its order.
+ * queue, which may be empty if the record is not the first one of the job. A
+ * zero byte and the name of the job's organisation follow if it has one; older
+ * builds read the queue up to that byte. Letters are those of enum index_state,
+ * in its order.
  */
 static const char state_letters[] = "qrxdfc";
 
@@ -55,7 +57,8 @@
 }
 
 static void add_entry(struct index *index, const char *id,
-		      enum index_state state, const char *queue)
+		      enum index_state state, const char *queue,
+		      const char *tenant)
 {
 	struct index_entry *entry = g_new0(struct index_entry, 1);
 
@@ -63,6 +66,7 @@
 	entry->state = state;
 	entry->recorded = state;
 	entry->queue = g_intern_string(queue);
+	entry->tenant = g_intern_string(tenant);
 	g_hash_table_insert(index->entries, entry->id, entry);
 	count_waiting(index, entry, 1);
 }
@@ -71,18 +75,26 @@
 		size_t len, struct err *err)
 {
 	struct index_entry *entry = g_hash_table_lookup(index->entries, id);
-	char queue[CFG_QUEUE_NAME_BYTES];
+	/* The queue, a zero byte, the organisation or nothing, and another. */
+	char names[CFG_QUEUE_NAME_BYTES + LIMIT_NAME_BYTES + 1] = { 0 };
+	const char *tenant;
 	enum index_state state;
 
-	if (len < 2 || value[1] != ' ' || len - 2 >= sizeof(queue) ||
+	if (len < 2 || value[1] != ' ' || len - 2 >= sizeof(names) - 1 ||
 	    !state_from_letter(value[0], &state))
 		return err_set(err, ERR_INVALID, "no state and queue");
-	memcpy(queue, value + 2, len - 2);
-	queue[len - 2] = '\0';
+	memcpy(names, value + 2, len - 2);
+	if (strlen(names) >= CFG_QUEUE_NAME_BYTES)
+		return err_set(err, ERR_INVALID,
+			       "the queue's name is too long");
+	tenant = names + strlen(names) + 1;
 	if (!entry) {
-		add_entry(index, id, state, queue);
+		add_entry(index, id, state, names, tenant);
 		return 0;
 	}
+	/* The first record that was read may be of an older build. */
+	if (!*entry->tenant)
+		entry->tenant = g_intern_string(tenant);
 	entry->recorded = state;
 	if (!index_replaces(entry->state, state))
 		return 0;
@@ -107,9 +119,18 @@
 		g_hash_table_lookup(index->waiting, g_intern_string(queue)));
 }
 
-char *index_record(enum index_state state, const char *queue)
+char *index_record(enum index_state state, const char *queue,
+		   const char *tenant, size_t *len)
 {
-	return g_strdup_printf("%c %s", state_letters[state], queue);
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "%c %s", state_letters[state], queue);
+	if (*tenant) {
+		g_string_append_c(text, '\0');
+		g_string_append(text, tenant);
+	}
+	*len = text->len;
+	return g_string_free(text, FALSE);
 }
 
 enum index_state index_state_of(const struct job *job)
--- a/src/index.h
+++ b/src/index.h
@@ -32,7 +32,8 @@
 	/* Of the newest record, which alone the log retains: an earlier state if
 	   its append was late. The owner then publishes the state again. */
 	enum index_state recorded;
-	const char *queue; /* interned */
+	const char *queue;  /* interned */
+	const char *tenant; /* interned; "": none */
 };
 
 struct index {
@@ -61,8 +62,14 @@
 /* index_count_waiting - accepted jobs of a queue that have not begun */
 int64_t index_count_waiting(const struct index *index, const char *queue);
 
-/* index_record - text of a record; free with g_free */
-char *index_record(enum index_state state, const char *queue);
+/*
+ * index_record - text of a record; free with g_free
+ *
+ * tenant is the job's organisation; "": none. *len is the length of the text,
+ * which may have a zero byte.
+ */
+char *index_record(enum index_state state, const char *queue,
+		   const char *tenant, size_t *len);
 
 /* index_state_of - state of a job as it is stored */
 enum index_state index_state_of(const struct job *job);
--- a/src/job.c
+++ b/src/job.c
@@ -147,6 +147,7 @@
 	job = g_new0(struct job, 1);
 	g_strlcpy(job->id, id, sizeof(job->id));
 	job->hash = rnd_hash_name(job->id);
+	job->tenant = g_intern_static_string("");
 	job->submission_offset = -1;
 	job->progress_offset = -1;
 	job->submission_rank = store->next_order++;
--- a/src/job.h
+++ b/src/job.h
@@ -150,6 +150,10 @@
 	struct job_share *share; /* that lists it as live; NULL: none */
 	uint32_t hash;		 /* of the id */
 	char queue[CFG_QUEUE_NAME_BYTES];
+	/* Organisation that it belongs to, interned; "": none. */
+	const char *tenant;
+	/* Accepted beyond what that is entitled to submit; comes after others. */
+	bool beyond_rate;
 	/* Set at submission; not changed if the queue moves to another pool. */
 	char pool[LIMIT_NAME_BYTES];
 	/* Likewise; not known of jobs that an older build has accepted. */
@@ -308,9 +312,17 @@
  */
 void job_load_tasks(struct job *job);
 
+/* What is stored of a submission beside its body. */
+struct job_origin {
+	const struct cfg_queue *queue;
+	const char *tenant; /* organisation that it belongs to; "": none */
+	bool beyond_rate;   /* see the member of struct job */
+	int64_t wall_ms;    /* when it was accepted */
+};
+
 /* job_submission_record, job_progress_record - encode a record; free with g_free */
-char *job_submission_record(const struct cfg_queue *queue, int64_t wall_ms,
-			    const char *body, size_t body_len, size_t *len);
+char *job_submission_record(const struct job_origin *origin, const char *body,
+			    size_t body_len, size_t *len);
 char *job_progress_record(const struct job *job, size_t *len);
 
 /*
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -9,8 +9,9 @@
 enum { JOB_NUMBER_BYTES = 32 }; /* text of a number */
 
 /*
- * A submission is a line of JSON with queue, pool, time and the queue's terms
- * [priority, attempts, slack_ms, stretch], then the body as the caller sent it. A progress record is {"state", "parts"};
+ * A submission is a line of JSON with queue, pool, time, the organisation if there
+ * is one and whether the job is beyond its rate, and the queue's terms [priority, attempts, slack_ms, stretch], then the
+ * body as the caller sent it. A progress record is {"state", "parts"};
  * a part is [occurrence, step, done, tasks] with one hexadecimal digit for each
  * four tasks in done, and a row [index, placed, run, failed, worker, checkpoint]
  * for each other task that has been started. "boots" has, for each task that is
@@ -41,9 +42,10 @@
 	json_object_object_add(head, "terms", row);
 }
 
-char *job_submission_record(const struct cfg_queue *queue, int64_t wall_ms,
-			    const char *body, size_t body_len, size_t *len)
+char *job_submission_record(const struct job_origin *origin, const char *body,
+			    size_t body_len, size_t *len)
 {
+	const struct cfg_queue *queue = origin->queue;
 	struct json_object *head = json_object_new_object();
 	const char *text;
 	char *record;
@@ -51,7 +53,11 @@
 
 	jcursor_put_string(head, "queue", queue->name);
 	jcursor_put_string(head, "pool", queue->pool);
-	jcursor_put_int(head, "at", wall_ms);
+	jcursor_put_int(head, "at", origin->wall_ms);
+	if (*origin->tenant)
+		jcursor_put_string(head, "tenant", origin->tenant);
+	if (origin->beyond_rate)
+		jcursor_put_int(head, "beyond", 1);
 	if (queue->terms.attempts)
 		put_terms(head, &queue->terms);
 	text = json_object_to_json_string_ext(head, JSON_C_TO_STRING_PLAIN);
@@ -76,6 +82,20 @@
 		jcursor_refuse(&item, "a name in UTF-8");
 }
 
+/* Jobs of public queues, and records of older builds, have none. */
+static void read_tenant(struct job *job, const struct jcursor *root)
+{
+	struct jcursor beyond = jcursor_member(root, "beyond");
+	char tenant[LIMIT_NAME_BYTES];
+
+	if (!jcursor_member(root, "tenant").value)
+		return;
+	read_name(root, "tenant", tenant, sizeof(tenant));
+	job->beyond_rate = jcursor_int(&beyond, 0, 1, 0) != 0;
+	if (root->err->kind == ERR_OK)
+		job->tenant = g_intern_string(tenant);
+}
+
 /* Records of older builds have no terms. */
 static void read_terms(struct cfg_terms *terms, const struct jcursor *root)
 {
@@ -113,6 +133,7 @@
 		item = jcursor_member(&root, "at");
 		job->accepted_ms = jcursor_int(&item, 0, LIMIT_NUMBER_MAX, -1);
 		read_terms(&job->terms, &root);
+		read_tenant(job, &root);
 	}
 	json_object_put(value);
 	return parse_err.kind == ERR_OK
--- a/src/maint.c
+++ b/src/maint.c
@@ -27,6 +27,7 @@
 	maint->list_asked_ms = 0;
 	maint->last_plan = host_plans_last_number(maint->env->plans);
 	maint_bound_acquired(maint);
+	maint_quota_acquired(maint);
 	maint->list_due_ms = 0;
 }
 
@@ -64,6 +65,7 @@
 	maint->loads =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	maint_bound_init(maint);
+	maint_quota_init(maint);
 	ownership_init(&maint->ownership, &config);
 	return maint;
 }
@@ -80,6 +82,7 @@
 		return;
 	ownership_clear(&maint->ownership);
 	bound_clear(&maint->bound);
+	maint_quota_clear(maint);
 	writer_destroy(maint->status_writer);
 	for (guint i = 0; i < maint->waves->len; i++)
 		free_wave(maint->waves->pdata[i]);
@@ -589,6 +592,7 @@
 		    now_ms >= maint->decide_due_ms &&
 		    has_authority(maint, now_ms)) {
 			maint->decide_due_ms = now_ms + MAINT_DECIDE_MS;
+			maint_decide_quotas(maint, now_ms);
 			decide(maint, now_ms);
 		}
 		if (maint->status_writer)
--- a/src/maint.h
+++ b/src/maint.h
@@ -13,6 +13,7 @@
 #include "host_plan.h"
 #include "job.h"
 #include "ownership.h"
+#include "quota.h"
 #include "share.h"
 #include "worker.h"
 
@@ -23,6 +24,7 @@
 	int64_t moves_ordered;
 	int64_t orders_refused;
 	int64_t waves_done;
+	int64_t quota_grants; /* records of grants to shares */
 };
 
 struct maint_env {
@@ -38,6 +40,7 @@
 	const struct cfg *const *cfg;
 	const struct share_layout *layout; /* shares of each pool */
 	const struct bound_table *bounds;  /* as read from the log */
+	const struct quota_table *quotas;  /* likewise; NULL: no limits */
 	int64_t order_lease_ms; /* minimum time between orders of two owners */
 	int64_t membership_ms;	/* how long a renewal of the membership holds */
 	struct maint_counts counts;
--- a/src/maint_int.h
+++ b/src/maint_int.h
@@ -7,6 +7,7 @@
 
 #include "bound.h"
 #include "maint.h"
+#include "quota_plan.h"
 #include "share.h"
 #include "sizing.h"
 
@@ -76,8 +77,22 @@
 	int64_t list_sent_ms;  /* when the last list was requested */
 	int64_t list_asked_ms; /* when the last complete one was */
 	int64_t decide_due_ms;
+	struct quota_plan *quota_plan;
+	GHashTable *quota_written; /* share -> number of the last grants */
 };
 
+/*
+ * Limits of organisations, divided among the shares; see quota_plan.h.
+ *
+ * maint_quota_init, maint_quota_clear - make or free what is known of them
+ * maint_quota_acquired - begin a tenure
+ * maint_decide_quotas - decide which grants to change, and store them
+ */
+void maint_quota_init(struct maint *maint);
+void maint_quota_clear(struct maint *maint);
+void maint_quota_acquired(struct maint *maint);
+void maint_decide_quotas(struct maint *maint, int64_t now_ms);
+
 /*
  * Orders of earlier owners, see bound.h: until its first order an owner has
  * stored that it has given none, and likewise for each host that an earlier
--- a/src/node.c
+++ b/src/node.c
@@ -180,6 +180,7 @@
 	liveness.workers = node->workers;
 	node->plans = host_plans_create();
 	bound_table_init(&node->bounds);
+	quota_table_init(&node->quotas);
 	node->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    free_pool);
 	node->operators_tail =
@@ -220,6 +221,9 @@
 		.index = node->index,
 		.publisher = node->publisher,
 		.cfg = (const struct cfg *const *)&node->cfg,
+		.quotas = &node->quotas,
+		.operators = node->operators_tail,
+		.max_cfg_age_ms = NODE_CFG_MAX_AGE_MS,
 		.record_bytes = config->settings->log_record_bytes,
 		.lease_ms = worker_lease_ms(node),
 		.lease_max_ms = config->settings->lease_max_ms,
@@ -246,10 +250,20 @@
 		.membership_ms = NODE_TTL_MS,
 		.layout = &node->layout,
 		.bounds = &node->bounds,
+		.quotas = &node->quotas,
 	};
 	node->maint = maint_create(&node->maint_env);
 	use_first_streams(node);
 	node->liveness = liveness_create(&liveness);
+	if (config->settings->rate_window_ms) {
+		struct rate_config rate = {
+			.window_ms = config->settings->rate_window_ms,
+			.overage = config->settings->rate_overage,
+			.slack_jobs = config->settings->rate_slack_jobs,
+		};
+
+		node->rate = rate_create(&rate);
+	}
 	node->front_env = (struct front_env){
 		.clk = config->clk,
 		.cfg = (const struct cfg *const *)&node->cfg,
@@ -264,6 +278,7 @@
 		.max_cfg_age_ms = NODE_CFG_MAX_AGE_MS,
 		.index_writer = node->index_writer,
 		.record_bytes = config->settings->log_record_bytes,
+		.rate = node->rate,
 	};
 	node->front = front_create(&node->front_env);
 	return node;
@@ -278,6 +293,8 @@
 	liveness_destroy(node->liveness);
 	host_plans_destroy(node->plans);
 	bound_table_clear(&node->bounds);
+	quota_table_clear(&node->quotas);
+	rate_destroy(node->rate);
 	group_destroy(node->group);
 	front_destroy(node->front);
 	writer_destroy(node->index_writer);
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -62,6 +62,8 @@
 	struct pool_env pool_env;
 	struct host_plans *plans;
 	struct bound_table bounds;
+	struct quota_table quotas;
+	struct rate *rate; /* of organisations; NULL: not limited */
 	struct maint *maint;
 	struct liveness *liveness;
 	struct maint_env maint_env;
--- a/src/node_records.c
+++ b/src/node_records.c
@@ -146,6 +146,28 @@
 	g_free(key);
 }
 
+/* Grants to a share, or what its owner says that it uses of limits. */
+static void apply_quota(struct node *node, const struct stream_record *record)
+{
+	struct err err = { .kind = ERR_OK };
+	char *key = g_strndup(record->key + 2, record->key_len - 2);
+	int status = 0;
+
+	if (record->value && record->key[0] == 'q')
+		status = quota_apply_grants(&node->quotas, key, record->offset,
+					    record->value, record->value_len,
+					    &err);
+	else if (record->value)
+		status =
+			quota_apply_use(&node->quotas, key, record->offset,
+					record->value, record->value_len, &err);
+	if (status < 0)
+		log_error("limits of share %s at offset %" G_GINT64_FORMAT
+			  " cannot be read: %s",
+			  key, record->offset, err.text);
+	g_free(key);
+}
+
 static bool read_layout(const struct stream_record *record,
 			struct share_layout *layout)
 {
@@ -170,10 +192,20 @@
 	node_use_layout(node, &layout);
 }
 
+/* While the index is being read, its jobs may be old. */
+static void count_accepted(struct node *node, const struct index_entry *entry)
+{
+	if (node->rate && entry && *entry->tenant &&
+	    tail_loaded(node->index_tail))
+		rate_note(node->rate, entry->tenant,
+			  clk_now_ms(node->config.clk));
+}
+
 static void apply_state(struct node *node, const char *id,
 			const struct stream_record *record)
 {
 	struct err err = { .kind = ERR_OK };
+	bool known = index_find(node->index, id) != NULL;
 	struct pool *pool;
 
 	if (!record->value)
@@ -183,6 +215,8 @@
 		log_error("state of job %s at offset %" G_GINT64_FORMAT
 			  " cannot be read: %s",
 			  id, record->offset, err.text);
+	if (!known)
+		count_accepted(node, index_find(node->index, id));
 	pool = node_owner_of_job(node, job_find(node->jobs, id));
 	if (pool)
 		pool_check_published(pool, job_find(node->jobs, id));
@@ -267,8 +301,9 @@
 
 /*
  * A key is a letter for the kind of record (j: job, c: cancellation, p:
- * progress, r: range of its tasks, h: host plan, b: bounds of an owner), a colon,
- * and the job's id, the host's name or what is owned; a colon and a number follow
+ * progress, r: range of its tasks, h: host plan, b: bounds of an owner, q: grants to
+ * a share, u: what it uses), a colon, and the job's id, the host's name or what is
+ * owned; a colon and a number follow
  * the id of a range.
  */
 void node_on_job_record(void *arg, const struct stream_record *record)
@@ -287,6 +322,11 @@
 		apply_bounds(node, record);
 		return;
 	}
+	if (record->key_len > 2 &&
+	    (!memcmp(record->key, "q:", 2) || !memcmp(record->key, "u:", 2))) {
+		apply_quota(node, record);
+		return;
+	}
 	if (has_key(record, NODE_SHARES_KEY)) {
 		read_layout(record, &node->older_layout);
 		return;
--- a/src/nodeconf.c
+++ b/src/nodeconf.c
@@ -115,6 +115,9 @@
 	parsed.stop_grace_ms = parse_seconds(&root, "stop_grace_s", 6);
 	parsed.order_lease_ms = parse_ms(&root, "order_lease_ms", 3000);
 	parsed.job_keep_ms = parse_seconds(&root, "job_keep_s", 120);
+	parsed.rate_window_ms = parse_seconds(&root, "rate_window_s", 0);
+	parsed.rate_overage = parse_amount(&root, "rate_overage", 0);
+	parsed.rate_slack_jobs = parse_amount(&root, "rate_slack_jobs", 0);
 	parsed.group_parts = parse_parts(&root);
 	parsed.log_record_bytes = parse_record_bytes(&root);
 	parsed.share_hosts = parse_share_hosts(&root);
--- a/src/nodeconf.h
+++ b/src/nodeconf.h
@@ -47,6 +47,12 @@
 	   same at all nodes of a deployment. */
 	uint32_t group_parts;
 	uint32_t log_record_bytes; /* most that a record of the log may have */
+	/* Window in which jobs of an organisation are counted against its rate,
+	   0: rates are not limited; the part of the rate and the jobs in a window
+	   that are tolerated beyond. */
+	int64_t rate_window_ms;
+	double rate_overage;
+	double rate_slack_jobs;
 	uint32_t share_hosts; /* hosts that a slice of the fleet is meant for */
 	double core_share;    /* processor time of this node, in cores */
 	double link_mbps;     /* bandwidth of its network link */
--- a/src/place.c
+++ b/src/place.c
@@ -399,6 +399,72 @@
 	return found == step->count ? (uint32_t)found : 0;
 }
 
+/* Whether the limit of the job's organisation allows count tasks of the step. */
+static bool is_within_quota(const struct place *place,
+			    const struct candidate *cand, int32_t count)
+{
+	return !place->quota ||
+	       quota_use_allows(place->quota, cand->job->tenant,
+				&cand->job->spec.steps[cand->step], count);
+}
+
+static void use_quota(const struct place *place, const struct candidate *cand,
+		      int32_t count)
+{
+	for (int32_t i = 0; place->quota && i < count; i++)
+		quota_use_add(place->quota, cand->job->tenant,
+			      &cand->job->spec.steps[cand->step]);
+}
+
+static struct place_counts place_whole_gang(struct pass *pass,
+					    struct candidate *cand)
+{
+	const struct job_step *step = &cand->job->spec.steps[cand->step];
+	const struct job_task *tasks =
+		job_task_at(cand->job, cand->occurrence, cand->step, 0);
+	struct place_counts counts = { 0 };
+
+	if (!is_within_quota(pass->place, cand, step->count)) {
+		quota_use_want(pass->place->quota, cand->job->tenant, step,
+			       step->count);
+		counts.over_quota = 1;
+		return counts;
+	}
+	counts.placed = crash_needs_quarantine(tasks)
+				? place_gang_in_quarantine(pass, cand)
+				: place_gang(pass, cand);
+	use_quota(pass->place, cand, (int32_t)counts.placed);
+	return counts;
+}
+
+/* Tasks of the step that could be placed now, from the one with that index on. */
+static int32_t count_startable(const struct place *place,
+			       const struct candidate *cand, int32_t from)
+{
+	const struct job_task *tasks =
+		job_task_at(cand->job, cand->occurrence, cand->step, 0);
+	int32_t count = 0;
+
+	for (int32_t i = from; i < cand->job->spec.steps[cand->step].count; i++)
+		count += place_is_startable(place, &tasks[i]);
+	return count;
+}
+
+/*
+ * Notes that a limit keeps the tasks from that index on waiting. If no worker has
+ * room either, a larger grant would be of no use.
+ */
+static void want_quota(struct pass *pass, struct candidate *cand,
+		       const struct job_task *task, int32_t index)
+{
+	const struct place *place = pass->place;
+
+	if (best_worker(pass, cand, task))
+		quota_use_want(place->quota, cand->job->tenant,
+			       &cand->job->spec.steps[cand->step],
+			       count_startable(place, cand, index));
+}
+
 static struct place_counts place_step(struct pass *pass, struct candidate *cand)
 {
 	const struct place *place = pass->place;
@@ -408,22 +474,25 @@
 	struct place_counts counts = { 0 };
 	uint32_t held = 0; /* tasks that wait for their quarantine */
 
-	if (step->gang) {
-		counts.placed = crash_needs_quarantine(tasks)
-					? place_gang_in_quarantine(pass, cand)
-					: place_gang(pass, cand);
-		return counts;
-	}
+	if (step->gang)
+		return place_whole_gang(pass, cand);
 	for (int32_t i = 0; i < step->count; i++) {
 		struct worker *worker;
 
 		if (!place_is_startable(place, &tasks[i]))
 			continue;
+		if (!is_within_quota(place, cand, 1)) {
+			want_quota(pass, cand, &tasks[i], i);
+			counts.over_quota = 1;
+			break;
+		}
 		if (crash_needs_quarantine(&tasks[i])) {
-			if (place_in_quarantine(pass, cand, &tasks[i]))
+			if (place_in_quarantine(pass, cand, &tasks[i])) {
+				use_quota(place, cand, 1);
 				counts.placed++;
-			else
+			} else {
 				held++;
+			}
 			continue;
 		}
 		worker = place_kept_worker(place, cand, &tasks[i]);
@@ -440,6 +509,7 @@
 			       worker->boot_ms, tasks[i].run + 1,
 			       place->now_ms);
 		place_use_room(worker, step);
+		use_quota(place, cand, 1);
 		worker->suspects += crash_is_suspect(&tasks[i]);
 		counts.placed++;
 	}
@@ -486,7 +556,7 @@
 	}
 }
 
-static gint compare_candidates(gconstpointer a, gconstpointer b)
+gint place_compare_candidates(gconstpointer a, gconstpointer b)
 {
 	const struct candidate *left = a;
 	const struct candidate *right = b;
@@ -495,6 +565,10 @@
 		return left->long_running ? -1 : 1;
 	if (left->too_late != right->too_late)
 		return left->too_late ? 1 : -1;
+	if (left->by_priority && left->priority != right->priority)
+		return left->priority < right->priority ? -1 : 1;
+	if (left->yields != right->yields)
+		return left->yields ? 1 : -1;
 	if (left->target_ms != right->target_ms)
 		return left->target_ms < right->target_ms ? -1 : 1;
 	if (left->priority != right->priority)
@@ -517,7 +591,9 @@
 		if (!job_ended(job->state) && !job->cancel_requested)
 			add_candidates(place, job, candidates);
 	}
-	g_array_sort(candidates, compare_candidates);
+	if (place->cfg->has_tenants)
+		place_rank_tenants(place, candidates);
+	g_array_sort(candidates, place_compare_candidates);
 	place_pass_begin(&pass, place);
 	for (guint i = 0; i < candidates->len; i++) {
 		struct candidate *cand =
@@ -526,6 +602,7 @@
 
 		total.placed += counts.placed;
 		total.waiting += counts.waiting;
+		total.over_quota += counts.over_quota;
 	}
 	place_pass_end(&pass);
 	g_array_free(candidates, TRUE);
--- a/src/place.h
+++ b/src/place.h
@@ -14,6 +14,7 @@
 #include "backlog.h"
 #include "cfg.h"
 #include "job.h"
+#include "quota_use.h"
 #include "share.h"
 #include "worker.h"
 
@@ -23,7 +24,8 @@
 /* Result of one scheduling pass. */
 struct place_counts {
 	uint32_t placed;
-	uint32_t waiting; /* startable tasks for which no worker has room */
+	uint32_t waiting;    /* startable tasks for which no worker has room */
+	uint32_t over_quota; /* steps whose tasks wait for their limit */
 };
 
 /* Input of the scheduler. */
@@ -32,8 +34,9 @@
 	const struct cfg *cfg;
 	struct job_store *jobs;
 	struct worker_table *workers;
-	int64_t now_ms;	 /* monotonic */
-	int64_t wall_ms; /* wall clock */
+	int64_t now_ms;		 /* monotonic */
+	int64_t wall_ms;	 /* wall clock */
+	struct quota_use *quota; /* NULL: no organisation has a limit */
 };
 
 /* place_account - add up what the pool's placed tasks use on each worker */
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -26,6 +26,10 @@
 	int32_t priority;
 	bool long_running;
 	bool too_late; /* target_ms can no longer be met */
+	/* Of an organisation that has more than its share, or beyond its rate. */
+	bool yields;
+	bool by_priority; /* priorities come before targets */
+	int32_t ready; /* finite tasks that can start; set by place_rank_tenants */
 	int64_t target_ms;
 	/* Workers chosen for tasks of a gang that are not placed yet. */
 	struct worker *const *chosen;
@@ -149,4 +153,13 @@
 uint32_t place_gang_in_quarantine(struct pass *pass,
 				  const struct candidate *cand);
 
+/* place_compare_candidates - which of two is placed first, as GCompareFunc */
+gint place_compare_candidates(gconstpointer a, gconstpointer b);
+
+/*
+ * place_rank_tenants - note which candidates come after those of other
+ * organisations; see fair.h
+ */
+void place_rank_tenants(const struct place *place, GArray *candidates);
+
 #endif
--- a/src/pool.c
+++ b/src/pool.c
@@ -67,6 +67,7 @@
 		log_info("lease-bounds-read tenure=%s workers=%u",
 			 pool->ownership.name,
 			 g_hash_table_size(pool->bound.subjects));
+	pool_quota_acquired(pool);
 	pool_publish_missing(pool);
 }
 
@@ -136,6 +137,7 @@
 	pool_write_init(pool);
 	pool_unplaced_init(pool);
 	pool_stored_init(pool);
+	pool_quota_init(pool);
 	init_bound(pool);
 	ownership_init(&pool->ownership, &config);
 	g_free(what);
@@ -148,6 +150,7 @@
 		return;
 	ownership_clear(&pool->ownership);
 	bound_clear(&pool->bound);
+	pool_quota_clear(pool);
 	g_hash_table_destroy(pool->pending_writes);
 	g_array_free(pool->unplaced, TRUE);
 	g_array_free(pool->stored, TRUE);
@@ -269,13 +272,17 @@
 
 	mark_workers(pool);
 	place_account(&place);
-	pool_unplaced_account(pool);
+	place.quota = pool_quota_begin(pool);
+	pool_unplaced_account(pool, place.quota);
 	pool_move_off_slow(pool, &place);
 	pool_move_off_leaving(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
 	if (writer_stalled_ms(pool_writer(pool)) < pool->env->lease_ms / 4 &&
 	    stream_is_recent(pool))
-		place_tasks(&place);
+		pool->env->counts.quota_blocked +=
+			place_tasks(&place).over_quota;
+	if (place.quota)
+		pool_quota_store(pool);
 	pool_note_away(pool, &place);
 	pool_publish_load(pool, &place);
 }
--- a/src/pool.h
+++ b/src/pool.h
@@ -26,6 +26,7 @@
 #include "lag.h"
 #include "order.h"
 #include "ownership.h"
+#include "quota.h"
 #include "share.h"
 #include "stream.h"
 #include "tail.h"
@@ -46,6 +47,8 @@
 	int64_t takeovers;
 	int64_t worker_crashes; /* with tasks on the worker */
 	int64_t tasks_given_up; /* as they crash their workers */
+	int64_t quota_reports;	/* records of what a share uses of limits */
+	int64_t quota_blocked;	/* steps kept waiting by a limit, per pass */
 };
 
 struct pool_env {
@@ -58,11 +61,16 @@
 	const struct bound_table *bounds; /* as read from the log */
 	struct index *index;		  /* states of jobs, as published */
 	struct writer *publisher;	  /* of states and loads to the index */
+	const struct quota_table *quotas; /* as read; NULL: no limits */
 	const struct cfg *const *cfg;	  /* current configuration */
-	int64_t job_retention_ms;	  /* retention of ended jobs */
-	size_t record_bytes;   /* most that a record of the log may have */
-	int64_t lease_ms;      /* duration of workers' leases */
-	int64_t lease_max_ms;  /* longest that workers grant */
+	/* Has the configuration: while what was read is older, no task of an
+	   organisation with a limit is placed. NULL: not asked. */
+	const struct tail *operators;
+	int64_t max_cfg_age_ms;
+	int64_t job_retention_ms; /* retention of ended jobs */
+	size_t record_bytes;	  /* most that a record of the log may have */
+	int64_t lease_ms;	  /* duration of workers' leases */
+	int64_t lease_max_ms;	  /* longest that workers grant */
 	int64_t membership_ms; /* how long a renewal of the membership holds */
 	/* How long an owner whose membership has run out gives full leases. */
 	int64_t disconnected_ms;
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -9,6 +9,7 @@
 #include "place.h"
 #include "pool.h"
 #include "ownership.h"
+#include "quota_use.h"
 
 enum {
 	/* A worker whose last report is older gets no start and no lease
@@ -39,11 +40,14 @@
 	GArray *unplaced;	    /* struct unplaced_run */
 	GArray *stored;		    /* struct stored_record, in stream order */
 	guint stored_reading;	    /* of them stored before the read began */
-	bool reading;		/* a read of the stream's end is in flight */
-	bool read_wanted;	/* by starts that are due */
-	int64_t read_ms;	/* end of the last one that was answered */
-	bool registry_outdated; /* so that no start is sent; logged */
-	int64_t next_read_ms;	/* not before, after one that failed */
+	bool reading;		 /* a read of the stream's end is in flight */
+	bool read_wanted;	 /* by starts that are due */
+	int64_t read_ms;	 /* end of the last one that was answered */
+	bool registry_outdated;	 /* so that no start is sent; logged */
+	int64_t next_read_ms;	 /* not before, after one that failed */
+	struct quota_use *quota; /* what the share uses of limits */
+	char *quota_key;	 /* "POOL/INDEX" */
+	int64_t quota_told_ms;	 /* when its last record was made */
 };
 
 static inline int64_t pool_now_ms(const struct pool *pool)
@@ -206,6 +210,20 @@
  */
 int64_t pool_lease_end_ms(const struct pool *pool, const char *worker);
 
+/*
+ * Limits of organisations, see quota.h.
+ *
+ * pool_quota_init, pool_quota_clear - make or free what is known of them
+ * pool_quota_acquired - begin a tenure
+ * pool_quota_begin - count what is placed; NULL: there are no limits
+ * pool_quota_store - store what the share uses, if others are to know
+ */
+void pool_quota_init(struct pool *pool);
+void pool_quota_clear(struct pool *pool);
+void pool_quota_acquired(struct pool *pool);
+struct quota_use *pool_quota_begin(struct pool *pool);
+void pool_quota_store(struct pool *pool);
+
 /*
  * Unplaced runs: those of ended jobs, and others that workers list though the
  * task is not placed there. They are stopped, and use room until their end is
@@ -218,8 +236,9 @@
  * pool_unplaced_reported - drop those that a report asked for at asked_ms would
  *	list
  * pool_unplaced_stopped - note that the worker has confirmed a stop order
- * pool_unplaced_account - add what they use, after place_account; keep their tasks
- *	from being placed while a worker lists a run of before
+ * pool_unplaced_account - add what they use, after place_account, also of limits
+ *	unless quota is NULL; keep their tasks from being placed while a worker
+ *	lists a run of before
  * pool_unplaced_stop - order stops that are due; drop runs whose lease is over
  */
 void pool_unplaced_init(struct pool *pool);
@@ -233,7 +252,7 @@
 			    int64_t asked_ms);
 void pool_unplaced_stopped(struct pool *pool, const char *worker,
 			   const char *task, int32_t run);
-void pool_unplaced_account(struct pool *pool);
+void pool_unplaced_account(struct pool *pool, struct quota_use *quota);
 void pool_unplaced_stop(struct pool *pool);
 
 /*
--- a/src/pool_publish.c
+++ b/src/pool_publish.c
@@ -13,11 +13,11 @@
 static void publish(struct pool *pool, struct job *job, enum index_state state)
 {
 	char key[JOB_ID_BYTES + 2];
-	char *record = index_record(state, job->queue);
+	size_t len;
+	char *record = index_record(state, job->queue, job->tenant, &len);
 
 	g_snprintf(key, sizeof(key), "i:%s", job->id);
-	writer_add(pool->env->publisher, key, record, strlen(record), NULL,
-		   NULL);
+	writer_add(pool->env->publisher, key, record, len, NULL, NULL);
 	g_free(record);
 	job->published = (uint8_t)(state + 1);
 }
--- a/src/pool_unplaced.c
+++ b/src/pool_unplaced.c
@@ -129,7 +129,7 @@
 	       pos->task->worker == unplaced->worker;
 }
 
-void pool_unplaced_account(struct pool *pool)
+void pool_unplaced_account(struct pool *pool, struct quota_use *quota)
 {
 	for (guint i = 0; i < pool->unplaced->len; i++) {
 		const struct unplaced_run *unplaced = at(pool, i);
@@ -143,8 +143,14 @@
 			worker->unknown_runs++;
 			continue;
 		}
-		if (!is_placed(unplaced, &pos))
-			place_occupy(worker, &pos.job->spec.steps[pos.step]);
+		if (!is_placed(unplaced, &pos)) {
+			const struct job_step *step =
+				&pos.job->spec.steps[pos.step];
+
+			place_occupy(worker, step);
+			if (quota)
+				quota_use_add(quota, pos.job->tenant, step);
+		}
 		if (unplaced->listed)
 			pos.task->listed_ms = pool_now_ms(pool);
 	}
--- /dev/null
+++ b/src/quota_plan.c
@@ -0,0 +1,410 @@
+#include "quota_plan.h"
+
+#include <string.h>
+
+enum {
+	/* Of what nobody needs, kept for the next share that is short. */
+	QUOTA_PLAN_KEPT_PERCENT = 20,
+	/* Smaller changes are not worth a record. */
+	QUOTA_PLAN_STEP = 100,
+	/* A share of a pool that is not configured any more holds nothing after
+	   this time: no lease of a worker lasts as long. */
+	QUOTA_PLAN_GONE_MS = 30 * 1000
+};
+
+struct quota_plan {
+	GHashTable
+		*turns; /* share and organisation -> turn of the last raise */
+	int64_t turn;
+	GHashTable
+		*gone; /* key of a share -> since when it is not configured */
+};
+
+/* A share's part of the limit that is being divided. */
+struct part {
+	const char *key;
+	const struct quota_share *share;
+	int32_t granted;
+	int32_t may_use;
+	int32_t used;
+	int32_t wanted;
+	int32_t unit;
+	int64_t turn;
+	int32_t target;
+	int32_t next; /* new grant */
+};
+
+struct quota_plan *quota_plan_create(void)
+{
+	struct quota_plan *plan = g_new0(struct quota_plan, 1);
+
+	plan->turns =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plan->gone =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return plan;
+}
+
+void quota_plan_destroy(struct quota_plan *plan)
+{
+	if (!plan)
+		return;
+	g_hash_table_destroy(plan->turns);
+	g_hash_table_destroy(plan->gone);
+	g_free(plan);
+}
+
+void quota_plan_reset(struct quota_plan *plan)
+{
+	g_hash_table_remove_all(plan->turns);
+	g_hash_table_remove_all(plan->gone);
+}
+
+static void keep_number(GHashTable *table, char *key, int64_t number)
+{
+	g_hash_table_insert(table, key, g_memdup2(&number, sizeof(number)));
+}
+
+static int64_t turn_of(const struct quota_plan *plan, const char *key,
+		       const char *tenant)
+{
+	char *name = g_strdup_printf("%s %s", key, tenant);
+	const int64_t *turn = g_hash_table_lookup(plan->turns, name);
+
+	g_free(name);
+	return turn ? *turn : 0;
+}
+
+/* Reads the parts; false if some share has not reported this limit yet. */
+static bool read_parts(const struct quota_plan *plan,
+		       const struct quota_table *table, const GPtrArray *keys,
+		       const char *tenant, struct part *parts)
+{
+	for (guint i = 0; i < keys->len; i++) {
+		const struct quota_share *share =
+			quota_find(table, keys->pdata[i]);
+		const struct quota_part *known = quota_part_find(share, tenant);
+
+		if (!known || !known->reported)
+			return false;
+		parts[i] = (struct part){
+			.key = keys->pdata[i],
+			.share = share,
+			.granted = known->granted,
+			.may_use = quota_may_use(share, tenant),
+			.used = known->used,
+			.wanted = MAX(known->wanted, known->used),
+			.unit = known->unit,
+			.turn = turn_of(plan, keys->pdata[i], tenant),
+			.next = known->granted,
+		};
+	}
+	return true;
+}
+
+static gint compare_turns(gconstpointer a, gconstpointer b)
+{
+	const struct part *left = *(struct part *const *)a;
+	const struct part *right = *(struct part *const *)b;
+
+	if (left->turn != right->turn)
+		return left->turn < right->turn ? -1 : 1;
+	return strcmp(left->key, right->key);
+}
+
+/* Those that are short, the one raised longest ago first; free the array. */
+static GPtrArray *short_parts(struct part *parts, guint count)
+{
+	GPtrArray *found = g_ptr_array_new();
+
+	for (guint i = 0; i < count; i++)
+		if (parts[i].unit)
+			g_ptr_array_add(found, &parts[i]);
+	g_ptr_array_sort(found, compare_turns);
+	return found;
+}
+
+static int64_t sum_targets(const struct part *parts, guint count)
+{
+	int64_t sum = 0;
+
+	for (guint i = 0; i < count; i++)
+		sum += parts[i].target;
+	return sum;
+}
+
+/*
+ * Sets the targets to what is wanted, but to no more than a level, the highest at
+ * which their sum is within left.
+ */
+static void fill_evenly(struct part *parts, guint count, int64_t left)
+{
+	guint open = count;
+	bool any = true;
+
+	for (guint i = 0; i < count; i++)
+		parts[i].target = -1;
+	while (open && any) {
+		int64_t level = MAX(left, 0) / open;
+
+		any = false;
+		for (guint i = 0; i < count; i++) {
+			if (parts[i].target >= 0 || parts[i].wanted > level)
+				continue;
+			parts[i].target = parts[i].wanted;
+			left -= parts[i].wanted;
+			open--;
+			any = true;
+		}
+	}
+	for (guint i = 0; i < count; i++)
+		if (parts[i].target < 0)
+			parts[i].target = (int32_t)(MAX(left, 0) / open);
+}
+
+/* Takes some of the largest target of the others; returns how much. */
+static int32_t take_from_largest(struct part *parts, guint count,
+				 const struct part *taker, int32_t most)
+{
+	struct part *largest = NULL;
+	int32_t taken;
+
+	for (guint i = 0; i < count; i++)
+		if (&parts[i] != taker &&
+		    (!largest || parts[i].target > largest->target))
+			largest = &parts[i];
+	if (!largest)
+		return 0;
+	taken = MIN(largest->target, most);
+	largest->target -= taken;
+	return taken;
+}
+
+/*
+ * Gives what is too little for any task of a share to those whose turn it is: a part
+ * that no task fits would be of no use to anybody. The first one gets its task's part
+ * in any case.
+ */
+static void make_usable(struct part *parts, guint count, int64_t whole)
+{
+	GPtrArray *waiting = short_parts(parts, count);
+	int64_t left = whole - sum_targets(parts, count);
+	bool first = true;
+
+	for (guint i = 0; i < waiting->len; i++) {
+		struct part *part = waiting->pdata[i];
+
+		if (part->target >= part->unit)
+			continue;
+		left += part->target;
+		part->target = -1;
+	}
+	for (guint i = 0; i < waiting->len; i++) {
+		struct part *part = waiting->pdata[i];
+		int32_t taken = 1;
+
+		if (part->target >= 0)
+			continue;
+		part->target = 0;
+		while (first && left < part->unit && taken > 0) {
+			taken = take_from_largest(parts, count, part,
+						  part->unit - (int32_t)left);
+			left += taken;
+		}
+		first = false;
+		if (left < part->unit)
+			continue;
+		part->target = part->unit;
+		left -= part->unit;
+	}
+	g_ptr_array_free(waiting, TRUE);
+}
+
+/* Divides what nobody needs, half of it equally, half by need. */
+static void add_spare(struct part *parts, guint count, int64_t left)
+{
+	int64_t spare = left * (100 - QUOTA_PLAN_KEPT_PERCENT) / 100;
+	int64_t need = 0;
+
+	if (spare <= 0)
+		return;
+	for (guint i = 0; i < count; i++)
+		need += parts[i].target;
+	for (guint i = 0; i < count; i++)
+		parts[i].target +=
+			(int32_t)(need ? spare / 2 / count +
+						  spare / 2 * parts[i].target /
+							  need
+				       : spare / count);
+}
+
+/* What each share should have, of what the shares of removed pools do not hold. */
+static void set_targets(struct part *parts, guint count, int64_t whole)
+{
+	fill_evenly(parts, count, whole);
+	make_usable(parts, count, whole);
+	add_spare(parts, count, whole - sum_targets(parts, count));
+}
+
+/* Whether a grant of the target would let the share start something. */
+static bool is_useful(const struct part *part, int32_t granted)
+{
+	return !part->unit || granted >= QUOTA_WHOLE ||
+	       granted >= MIN(part->used + part->unit, part->target);
+}
+
+static bool is_short(const struct part *part)
+{
+	return part->unit && part->next < part->target;
+}
+
+/* Whether little is left of a grant, or the share has none. */
+static bool is_low(const struct part *part)
+{
+	int32_t spare = part->target - part->wanted;
+
+	return part->target - part->next >= QUOTA_PLAN_STEP &&
+	       part->next - part->wanted < spare / 2;
+}
+
+/* Raises a grant out of what no share may use; returns the rest of that. */
+static int64_t raise_part(struct part *part, int64_t free)
+{
+	/* A share that uses more than its grant holds that already. If all hold
+	   too much, as a limit was lowered, free is negative. */
+	int64_t most = MAX(part->may_use, part->granted) + free;
+	int32_t next = (int32_t)MIN(part->target, most);
+
+	if (next <= part->granted || !is_useful(part, next))
+		return free;
+	part->next = next;
+	return free - MAX(next - MAX(part->may_use, part->granted), 0);
+}
+
+static int64_t raise_parts(struct quota_plan *plan, struct part *parts,
+			   guint count, int64_t free)
+{
+	GPtrArray *waiting = short_parts(parts, count);
+
+	for (guint i = 0; i < waiting->len; i++)
+		free = raise_part(waiting->pdata[i], free);
+	for (guint i = 0; i < count; i++)
+		if (!parts[i].unit && is_low(&parts[i]))
+			free = raise_part(&parts[i], free);
+	g_ptr_array_free(waiting, TRUE);
+	plan->turn++;
+	return free;
+}
+
+static void lower_parts(struct part *parts, guint count)
+{
+	bool any_short = false;
+
+	for (guint i = 0; i < count; i++)
+		any_short |= is_short(&parts[i]);
+	for (guint i = 0; any_short && i < count; i++)
+		if (parts[i].granted - parts[i].target >= QUOTA_PLAN_STEP)
+			parts[i].next = parts[i].target;
+}
+
+/* What shares of pools that are not configured any more may still use. */
+static int64_t held_by_others(struct quota_plan *plan,
+			      const struct quota_table *table,
+			      GHashTable *configured, const char *tenant,
+			      int64_t now_ms)
+{
+	GHashTableIter iter;
+	void *key, *share;
+	int64_t held = 0;
+
+	g_hash_table_iter_init(&iter, table->shares);
+	while (g_hash_table_iter_next(&iter, &key, &share)) {
+		const int64_t *since_ms;
+
+		if (g_hash_table_contains(configured, key)) {
+			g_hash_table_remove(plan->gone, key);
+			continue;
+		}
+		since_ms = g_hash_table_lookup(plan->gone, key);
+		if (!since_ms)
+			keep_number(plan->gone, g_strdup(key), now_ms);
+		if (!since_ms || now_ms - *since_ms < QUOTA_PLAN_GONE_MS)
+			held += quota_may_use(share, tenant);
+	}
+	return held;
+}
+
+static void note_changes(struct quota_plan *plan, const struct part *parts,
+			 guint count, const char *tenant, GHashTable *changes)
+{
+	for (guint i = 0; i < count; i++) {
+		const struct part *part = &parts[i];
+		GHashTable *of_share;
+
+		if (part->next == part->granted)
+			continue;
+		if (part->next > part->granted)
+			keep_number(plan->turns,
+				    g_strdup_printf("%s %s", part->key, tenant),
+				    plan->turn);
+		of_share = g_hash_table_lookup(changes, part->key);
+		if (!of_share) {
+			of_share = g_hash_table_new(g_str_hash, g_str_equal);
+			g_hash_table_insert(changes, (char *)part->key,
+					    of_share);
+		}
+		g_hash_table_insert(of_share, (char *)tenant,
+				    GINT_TO_POINTER(part->next));
+	}
+}
+
+static void decide_tenant(struct quota_plan *plan,
+			  const struct quota_table *table,
+			  const GPtrArray *keys, GHashTable *configured,
+			  const char *tenant, int64_t now_ms,
+			  GHashTable *changes)
+{
+	struct part *parts = g_new0(struct part, keys->len + 1);
+	int64_t whole = QUOTA_WHOLE -
+			held_by_others(plan, table, configured, tenant, now_ms);
+	int64_t free = whole;
+
+	if (read_parts(plan, table, keys, tenant, parts)) {
+		for (guint i = 0; i < keys->len; i++)
+			free -= MAX(parts[i].may_use, parts[i].granted);
+		set_targets(parts, keys->len, whole);
+		raise_parts(plan, parts, keys->len, free);
+		lower_parts(parts, keys->len);
+		note_changes(plan, parts, keys->len, tenant, changes);
+	}
+	g_free(parts);
+}
+
+static void free_changes(void *changes)
+{
+	g_hash_table_destroy(changes);
+}
+
+void quota_plan_decide(
+	struct quota_plan *plan, const struct quota_table *table,
+	const struct cfg *cfg, const GPtrArray *keys, int64_t now_ms,
+	void (*fn)(void *arg, const char *key, GHashTable *changes), void *arg)
+{
+	GHashTable *configured = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *changes = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    NULL, free_changes);
+	GHashTableIter iter;
+	void *key, *of_share;
+
+	for (guint i = 0; i < keys->len; i++)
+		g_hash_table_add(configured, keys->pdata[i]);
+	for (uint32_t i = 0; i < cfg->tenant_count; i++)
+		if (cfg_has_limit(&cfg->tenants[i]))
+			decide_tenant(plan, table, keys, configured,
+				      cfg->tenants[i].name, now_ms, changes);
+	g_hash_table_iter_init(&iter, changes);
+	while (g_hash_table_iter_next(&iter, &key, &of_share))
+		fn(arg, key, of_share);
+	g_hash_table_destroy(changes);
+	g_hash_table_destroy(configured);
+}
--- a/tests/pool_fixture.c
+++ b/tests/pool_fixture.c
@@ -40,8 +40,12 @@
 {
 	struct err err = { .kind = ERR_OK };
 	size_t len;
-	char *record = job_submission_record(&fixture->cfg->queues[0], 1000,
-					     body, strlen(body), &len);
+	struct job_origin origin = {
+		.queue = &fixture->cfg->queues[0],
+		.tenant = "",
+		.wall_ms = 1000,
+	};
+	char *record = job_submission_record(&origin, body, strlen(body), &len);
 
 	job_apply_submission(fixture->jobs, id, fixture->next_offset++, record,
 			     len, &err);
--- a/tests/test_acceptance.c
+++ b/tests/test_acceptance.c
@@ -44,6 +44,7 @@
 	struct node *node = sim->nodes[index].node;
 	struct front_request ask = {
 		.kind = FRONT_SUBMIT,
+		.tenant = "",
 		.queue = cfg_queue_find(*node_cfg(node), "q"),
 		.body = body,
 		.len = strlen(body),
--- a/tests/test_index.c
+++ b/tests/test_index.c
@@ -116,8 +116,11 @@
 START_TEST(records_are_read_back)
 {
 	for (int i = 0; i < INDEX_STATE_COUNT; i++) {
-		char *record = index_record((enum index_state)i, "queue");
+		size_t len;
+		char *record =
+			index_record((enum index_state)i, "queue", "", &len);
 
+		ck_assert_uint_eq(len, strlen(record));
 		ck_assert_int_eq(apply(record), 0);
 		ck_assert_int_eq(index_find(states, ID)->recorded, i);
 		g_free(record);
--- a/tests/test_large_jobs.c
+++ b/tests/test_large_jobs.c
@@ -225,6 +225,7 @@
 	enum front_outcome outcome = FRONT_UNDECIDED;
 	struct front_request request = {
 		.kind = FRONT_SUBMIT,
+		.tenant = "",
 		.id = ID,
 		.body = body,
 		.len = strlen(body),
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -143,13 +143,14 @@
 		"{\"spec\":\"t\",\"steps\":[{\"count\":3,\"cpu\":1000,"
 		"\"estMs\":100}]}";
 	static const struct cfg_queue queue = { .name = "q", .pool = "a" };
+	const struct job_origin origin = { .queue = &queue, .tenant = "" };
 	struct err err = { .kind = ERR_OK };
 	char id[JOB_ID_BYTES];
 	char *record;
 	size_t len;
 
 	snprintf(id, sizeof(id), "%016x", number);
-	record = job_submission_record(&queue, 0, body, strlen(body), &len);
+	record = job_submission_record(&origin, body, strlen(body), &len);
 	ck_assert_int_eq(
 		job_apply_submission(jobs, id, number, record, len, &err), 0);
 	g_free(record);
--- a/tests/test_sizing.c
+++ b/tests/test_sizing.c
@@ -423,14 +423,19 @@
 {
 	static int64_t offset;
 	struct cfg_queue accepted = { 0 };
+	struct job_origin origin = {
+		.queue = &accepted,
+		.tenant = "",
+		.wall_ms = start_ms,
+	};
 	struct err err = { .kind = ERR_OK };
 	size_t len;
 	char *record;
 
 	g_strlcpy(accepted.name, queue, sizeof(accepted.name));
 	g_strlcpy(accepted.pool, pool, sizeof(accepted.pool));
-	record = job_submission_record(&accepted, start_ms, ten_tasks,
-				       strlen(ten_tasks), &len);
+	record = job_submission_record(&origin, ten_tasks, strlen(ten_tasks),
+				       &len);
 
 	job_apply_submission(fleet->jobs, id, offset++, record, len, &err);
 	g_free(record);
--- a/tests/test_stream_age.c
+++ b/tests/test_stream_age.c
@@ -282,6 +282,7 @@
 	struct front *front = front_create(&front_env);
 	struct front_request request = {
 		.kind = FRONT_SUBMIT,
+		.tenant = "",
 		.queue = cfg_queue_find(fixture.cfg, "q"),
 		.id = "672a48d34c5231d8",
 		.body = one_task,
--- a/tests/test_terms.c
+++ b/tests/test_terms.c
@@ -186,6 +186,7 @@
 		struct job *job;
 		char id[JOB_ID_BYTES];
 		char *state, *text;
+		size_t len;
 
 		text = g_strdup_printf("{\"version\":1,\"routes\":[{\"name\":"
 				       "\"%s\",\"host\":\"h\",\"prefix\":"
@@ -199,9 +200,8 @@
 		ck_assert(job->has_spec);
 		ck_assert_str_eq(job->queue, queue->name);
 		ck_assert_str_eq(job->pool, "p:q r");
-		state = index_record(INDEX_QUEUED, queue->name);
-		ck_assert_int_eq(index_apply(names_index, id, state,
-					     strlen(state), &err),
+		state = index_record(INDEX_QUEUED, queue->name, "", &len);
+		ck_assert_int_eq(index_apply(names_index, id, state, len, &err),
 				 0);
 		ck_assert_int_eq(index_count_waiting(names_index, queue->name),
 				 1);
