--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -157,9 +157,10 @@
 			any = true;
 		}
 	}
+	left = open ? MAX(left, 0) / open : 0;
 	for (guint i = 0; i < count; i++)
 		if (parts[i].target < 0)
-			parts[i].target = (int32_t)(MAX(left, 0) / open);
+			parts[i].target = (int32_t)left;
 }
 
 /* Takes some of the largest target of the others; returns how much. */
