Report a node as not ready before it refuses for an old configuration

Cause: readiness looked at the index only, whose age may be 3.5 s; a configuration decides nothing after 1.8 s.

Change: a node whose configuration was not confirmed for 1.5 s is not ready. In calm the age stays below 1.25 s, also with one lost answer.

Tried and not kept: an owner that reaches the log and no worker outside its own data centre leaves its shares.

--- a/src/node.c
+++ b/src/node.c
@@ -20,6 +20,9 @@
 	NODE_CFG_WAIT_MS = 600,
 	NODE_CFG_CONFIRM_MS = 2 * NODE_CFG_WAIT_MS + 50,
 	NODE_CFG_MAX_AGE_MS = 1800,
+	/* A node that is about to refuse requests for that is not ready, so that
+	   callers are sent to others. Above NODE_CFG_CONFIRM_MS. */
+	NODE_CFG_UNREADY_MS = 1500,
 	/* Starts must follow a worker that drains within 2,000 ms in some
 	   deployments. */
 	NODE_REGISTRY_CONFIRM_MS = 1200,
@@ -458,6 +461,7 @@
 bool node_ready(const struct node *node)
 {
 	return !node->stopping && node->cfg && node->layout.shares &&
+	       tail_age_ms(node->operators_tail) < NODE_CFG_UNREADY_MS &&
 	       tail_loaded(node->index_tail) &&
 	       (!node->follows_jobs || node_jobs_loaded(node)) &&
 	       log_reachable(node) && node_stalled_ms(node) < NODE_UNREADY_MS;
--- a/tests/test_cfg_age.c
+++ b/tests/test_cfg_age.c
@@ -126,6 +126,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a node that refuses all requests and says that it is ready: the
+ * platform goes on sending it callers.
+ */
+START_TEST(node_is_not_ready_while_it_refuses)
+{
+	struct sim *sim = start(_i);
+	int node = _i % NODES;
+
+	lose_reads(sim, node, 1);
+	for (int64_t at_ms = 0; at_ms < WATCHED_MS; at_ms += STEP_MS) {
+		ck_assert(node_ready(sim->nodes[node].node));
+		sim_run_for(sim, STEP_MS);
+	}
+	lose_reads(sim, node, -1);
+	sim_run_for(sim, FOLLOW_MS);
+	for (int64_t at_ms = 0; at_ms < SILENT_MS; at_ms += STEP_MS) {
+		ck_assert_int_eq(deciding_version(sim, node), -1);
+		ck_assert(!node_ready(sim->nodes[node].node));
+		sim_run_for(sim, STEP_MS);
+	}
+	lose_reads(sim, node, 0);
+	sim_run_for(sim, RETURN_MS);
+	ck_assert(node_ready(sim->nodes[node].node));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("configuration age");
@@ -137,6 +164,8 @@
 	tcase_add_loop_test(
 		tcase, replaced_version_decides_nothing_while_reads_are_silent,
 		0, SEEDS);
+	tcase_add_loop_test(tcase, node_is_not_ready_while_it_refuses, 0,
+			    SEEDS);
 	tcase_add_loop_test(tcase, lost_answer_does_not_delay_a_version, 0,
 			    SEEDS);
 	tcase_add_loop_test(
