Count shares of removed pools by their records

Seen in test_quota: an organisation had 40 tasks of 20 running after a pool was removed from the configuration and came back, and 34 of 20 while the pool was removed.

Cause: what such a share holds was counted for 30 s only. But nodes keep the pools that they know, so its owner runs tasks on and may place more within its grant, and the grant was still there when the pool came back.

Change: a share that is not configured is granted nothing, and counts by its records. Only if nobody follows that grant for 30 s does it hold nothing.

Measured on aarch64: test_quota 27 of 27; the two new tests fail without the change.

--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -7,8 +7,9 @@
 	QUOTA_PLAN_KEPT_PERCENT = 20,
 	/* Smaller changes are not worth a record. */
 	QUOTA_PLAN_STEP = 100,
-	/* A share of a pool that is not configured any more holds nothing after
-	   this time: no lease of a worker lasts as long. */
+	/* A share of a pool that is not configured any more, whose owner does not
+	   follow a grant of nothing for so long, has no owner and nothing running:
+	   no lease of a worker lasts as long. */
 	QUOTA_PLAN_GONE_MS = 30 * 1000
 };
 
@@ -16,8 +17,9 @@
 	GHashTable
 		*turns; /* share and organisation -> turn of the last raise */
 	int64_t turn;
-	GHashTable
-		*gone; /* key of a share -> since when it is not configured */
+	/* Share that is not configured and organisation -> since when its owner has
+	   not followed a grant of nothing. */
+	GHashTable *gone;
 };
 
 /* A share's part of the limit that is being divided. */
@@ -60,19 +62,36 @@
 	g_hash_table_remove_all(plan->gone);
 }
 
-static void keep_number(GHashTable *table, char *key, int64_t number)
+static char *part_name(const char *key, const char *tenant)
+{
+	return g_strdup_printf("%s %s", key, tenant);
+}
+
+static void keep_number(GHashTable *table, const char *key, const char *tenant,
+			int64_t number)
 {
-	g_hash_table_insert(table, key, g_memdup2(&number, sizeof(number)));
+	g_hash_table_insert(table, part_name(key, tenant),
+			    g_memdup2(&number, sizeof(number)));
 }
 
-static int64_t turn_of(const struct quota_plan *plan, const char *key,
-		       const char *tenant)
+/* The number that is kept for a share and an organisation, or the fallback. */
+static int64_t kept_number(GHashTable *table, const char *key,
+			   const char *tenant, int64_t fallback)
 {
-	char *name = g_strdup_printf("%s %s", key, tenant);
-	const int64_t *turn = g_hash_table_lookup(plan->turns, name);
+	char *name = part_name(key, tenant);
+	const int64_t *number = g_hash_table_lookup(table, name);
 
 	g_free(name);
-	return turn ? *turn : 0;
+	return number ? *number : fallback;
+}
+
+static void forget_number(GHashTable *table, const char *key,
+			  const char *tenant)
+{
+	char *name = part_name(key, tenant);
+
+	g_hash_table_remove(table, name);
+	g_free(name);
 }
 
 /* Reads the parts; false if some share has not reported this limit yet. */
@@ -95,7 +114,8 @@
 			.used = known->used,
 			.wanted = MAX(known->wanted, known->used),
 			.unit = known->unit,
-			.turn = turn_of(plan, keys->pdata[i], tenant),
+			.turn = kept_number(plan->turns, keys->pdata[i], tenant,
+					    0),
 			.next = known->granted,
 		};
 	}
@@ -308,29 +328,60 @@
 			parts[i].next = parts[i].target;
 }
 
-/* What shares of pools that are not configured any more may still use. */
+/* Whether nothing runs in a share that is not configured, as it has no owner. */
+static bool is_gone(struct quota_plan *plan, const struct quota_share *share,
+		    const char *tenant, int64_t now_ms)
+{
+	int64_t since_ms;
+
+	if (share->applied >= share->number) {
+		forget_number(plan->gone, share->key, tenant);
+		return false;
+	}
+	since_ms = kept_number(plan->gone, share->key, tenant, -1);
+	if (since_ms < 0)
+		keep_number(plan->gone, share->key, tenant, now_ms);
+	return since_ms >= 0 && now_ms - since_ms >= QUOTA_PLAN_GONE_MS;
+}
+
+static void change_grant(const char *key, const char *tenant, int32_t granted,
+			 GHashTable *changes)
+{
+	GHashTable *of_share = g_hash_table_lookup(changes, key);
+
+	if (!of_share) {
+		of_share = g_hash_table_new(g_str_hash, g_str_equal);
+		g_hash_table_insert(changes, (char *)key, of_share);
+	}
+	g_hash_table_insert(of_share, (char *)tenant, GINT_TO_POINTER(granted));
+}
+
+/*
+ * What shares of pools that are not configured may still use. They are granted
+ * nothing, so that a pool that comes back begins with nothing.
+ */
 static int64_t held_by_others(struct quota_plan *plan,
 			      const struct quota_table *table,
 			      GHashTable *configured, const char *tenant,
-			      int64_t now_ms)
+			      int64_t now_ms, GHashTable *changes)
 {
 	GHashTableIter iter;
-	void *key, *share;
+	void *key, *value;
 	int64_t held = 0;
 
 	g_hash_table_iter_init(&iter, table->shares);
-	while (g_hash_table_iter_next(&iter, &key, &share)) {
-		const int64_t *since_ms;
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct quota_share *share = value;
+		int32_t granted = quota_granted(share, tenant);
 
 		if (g_hash_table_contains(configured, key)) {
-			g_hash_table_remove(plan->gone, key);
+			forget_number(plan->gone, key, tenant);
 			continue;
 		}
-		since_ms = g_hash_table_lookup(plan->gone, key);
-		if (!since_ms)
-			keep_number(plan->gone, g_strdup(key), now_ms);
-		if (!since_ms || now_ms - *since_ms < QUOTA_PLAN_GONE_MS)
-			held += quota_may_use(share, tenant);
+		if (granted)
+			change_grant(key, tenant, 0, changes);
+		if (granted || !is_gone(plan, share, tenant, now_ms))
+			held += MAX(granted, quota_may_use(share, tenant));
 	}
 	return held;
 }
@@ -340,22 +391,12 @@
 {
 	for (guint i = 0; i < count; i++) {
 		const struct part *part = &parts[i];
-		GHashTable *of_share;
 
 		if (part->next == part->granted)
 			continue;
 		if (part->next > part->granted)
-			keep_number(plan->turns,
-				    g_strdup_printf("%s %s", part->key, tenant),
-				    plan->turn);
-		of_share = g_hash_table_lookup(changes, part->key);
-		if (!of_share) {
-			of_share = g_hash_table_new(g_str_hash, g_str_equal);
-			g_hash_table_insert(changes, (char *)part->key,
-					    of_share);
-		}
-		g_hash_table_insert(of_share, (char *)tenant,
-				    GINT_TO_POINTER(part->next));
+			keep_number(plan->turns, part->key, tenant, plan->turn);
+		change_grant(part->key, tenant, part->next, changes);
 	}
 }
 
@@ -366,8 +407,8 @@
 			  GHashTable *changes)
 {
 	struct part *parts = g_new0(struct part, keys->len + 1);
-	int64_t whole = QUOTA_WHOLE -
-			held_by_others(plan, table, configured, tenant, now_ms);
+	int64_t whole = QUOTA_WHOLE - held_by_others(plan, table, configured,
+						     tenant, now_ms, changes);
 	int64_t free = whole;
 
 	if (read_parts(plan, table, keys, tenant, parts)) {
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -17,6 +17,7 @@
 	SHARES = 6,
 	PARTS = 2, /* of the log; share i is in part i % PARTS */
 	STEPS = 20000,
+	STEP_MS = 10,
 	MAX_RECORDS = 100000
 };
 
@@ -49,7 +50,9 @@
 static struct view coordinator;
 static struct quota_plan *plan;
 static GHashTable *written; /* key -> number, of this coordinator */
-static GPtrArray *keys;
+static GPtrArray *keys;	    /* of configured shares */
+static int64_t now_ms;
+static int stopped = -1; /* share without an owner */
 static struct cfg *cfgs[2];
 static struct job_step task = { .count = 1 };
 
@@ -143,6 +146,7 @@
 	cfgs[0] = make_cfg(limit_milli);
 	cfgs[1] = make_cfg(other_limit_milli);
 	keys = g_ptr_array_new();
+	now_ms = 0;
 	written = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	plan = quota_plan_create();
 	quota_table_init(&coordinator.table);
@@ -256,10 +260,17 @@
 static void coordinator_decide(const struct cfg *cfg)
 {
 	if (written_is_read())
-		quota_plan_decide(plan, &coordinator.table, cfg, keys, 0,
+		quota_plan_decide(plan, &coordinator.table, cfg, keys, now_ms,
 				  write_grants, NULL);
 }
 
+/* The pool of a share is removed from the configuration, or added to it again. */
+static void toggle_configured(int i)
+{
+	if (!g_ptr_array_remove(keys, owners[i].key))
+		g_ptr_array_add(keys, owners[i].key);
+}
+
 static void coordinator_takeover(void)
 {
 	quota_plan_reset(plan);
@@ -274,6 +285,8 @@
 		read_some(&coordinator, i, MAX_RECORDS);
 	coordinator_decide(cfgs[0]);
 	for (int i = 0; i < SHARES; i++) {
+		if (i == stopped)
+			continue;
 		read_some(&owners[i].view, i % PARTS, MAX_RECORDS);
 		owner_pass(i);
 		owner_send(i);
@@ -284,6 +297,7 @@
 {
 	int i = (int)rnd_below(&rnd, SHARES);
 
+	now_ms += STEP_MS;
 	switch (rnd_below(&rnd, 10)) {
 	case 0:
 		owners[i].waiting += (int32_t)rnd_below(&rnd, 4);
@@ -320,13 +334,16 @@
 			coordinator_takeover();
 		if (!rnd_below(&rnd, 10))
 			owners[i].cfg = cfgs[rnd_below(&rnd, 2)];
+		if (!rnd_below(&rnd, 400))
+			toggle_configured(SHARES - 1);
 		break;
 	}
 }
 
 /*
  * Guards against starts beyond a limit: records are read late, owners change and
- * lose what they have not stored, and configurations with two limits are in force.
+ * lose what they have not stored, configurations with two limits are in force, and
+ * a pool is removed and comes back while its tasks run on.
  */
 START_TEST(what_runs_never_exceeds_the_limit)
 {
@@ -376,6 +393,78 @@
 }
 END_TEST
 
+/*
+ * Guards against a part of the limit that is used twice, as the owner of a removed
+ * pool runs what it has on.
+ */
+START_TEST(removed_pool_keeps_what_its_tasks_use)
+{
+	enum { LIMIT = 20, ROUNDS = 12, GONE_MS = 60 * 1000 };
+
+	task.cpu_milli = 1000;
+	setup_with(LIMIT * 1000, LIMIT * 1000);
+	owners[0].waiting = LIMIT / 2;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_eq(owners[0].running, LIMIT / 2);
+	toggle_configured(0);
+	owners[0].waiting = LIMIT;
+	owners[1].waiting = LIMIT;
+	for (int k = 0; k < 3; k++) {
+		for (int i = 0; i < ROUNDS; i++) {
+			round_of_all();
+			ck_assert_int_le(total_running(), LIMIT);
+		}
+		now_ms += GONE_MS;
+	}
+	/* What ends there is given to others. */
+	owners[0].running = 0;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_ge(owners[1].running, LIMIT * 3 / 4);
+	ck_assert_int_le(total_running(), LIMIT);
+	teardown();
+}
+END_TEST
+
+/*
+ * Guards against a part of the limit that is lost with a pool that was removed and
+ * has no owner any more, and is used twice once the pool is back.
+ */
+START_TEST(removed_pool_gives_its_part_back)
+{
+	enum { LIMIT = 20, ROUNDS = 12, GONE_MS = 60 * 1000 };
+
+	task.cpu_milli = 1000;
+	setup_with(LIMIT * 1000, LIMIT * 1000);
+	owners[0].waiting = LIMIT;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_ge(owners[0].running, LIMIT * 3 / 4);
+	/* Its node has stopped, and its tasks with their leases. */
+	stopped = 0;
+	owners[0].running = 0;
+	toggle_configured(0);
+	owners[1].waiting = 2 * LIMIT;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_le(owners[1].running, LIMIT / 4);
+	now_ms += GONE_MS;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_ge(owners[1].running, LIMIT * 3 / 4);
+	stopped = -1;
+	toggle_configured(0);
+	owner_takeover(0);
+	owners[0].waiting = LIMIT;
+	for (int i = 0; i < ROUNDS; i++) {
+		round_of_all();
+		ck_assert_int_le(total_running(), LIMIT);
+	}
+	teardown();
+}
+END_TEST
+
 /* Guards against shares that each have less than any task needs. */
 START_TEST(few_large_tasks_run_in_some_share)
 {
@@ -472,6 +561,8 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, what_runs_never_exceeds_the_limit, 0, SEEDS);
 	tcase_add_test(tcase, share_that_is_short_gets_what_others_do_not_use);
+	tcase_add_test(tcase, removed_pool_keeps_what_its_tasks_use);
+	tcase_add_test(tcase, removed_pool_gives_its_part_back);
 	tcase_add_test(tcase, few_large_tasks_run_in_some_share);
 	tcase_add_test(tcase, task_larger_than_the_limit_runs_alone);
 	tcase_add_test(tcase,
