Lower grants by little if a share has none at all

Seen in test_quota_plan: of 20 shares that all want more of a limit, the one that asked last had no grant after any number of rounds, so that none of its tasks would ever start while the others are busy.

Cause: a grant is lowered only if it is 1% of the limit above its target. Nineteen shares with 526 of 10,000 each are 26 above the target of 500.

Change: while a share that is short has less than its largest task needs, grants are lowered by any amount.

--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -291,8 +291,7 @@
 /* Raises a grant out of what no share may use; returns the rest of that. */
 static int64_t raise_part(struct part *part, int64_t free)
 {
-	/* A share that uses more than its grant holds that already. If all hold
-	   too much, as a limit was lowered, free is negative. */
+	/* A share that uses more than its grant holds that already. */
 	int64_t most = MAX(part->may_use, part->granted) + free;
 	int32_t next = (int32_t)MIN(part->target, most);
 
@@ -317,14 +316,25 @@
 	return free;
 }
 
+/* Whether no task at all fits what a share that is short has been granted. */
+static bool has_nothing(const struct part *part)
+{
+	return is_short(part) && part->next < part->unit;
+}
+
 static void lower_parts(struct part *parts, guint count)
 {
 	bool any_short = false;
+	int32_t step = QUOTA_PLAN_STEP;
 
-	for (guint i = 0; i < count; i++)
+	for (guint i = 0; i < count; i++) {
 		any_short |= is_short(&parts[i]);
+		/* Many that each have a little too much could keep it out. */
+		if (has_nothing(&parts[i]))
+			step = 1;
+	}
 	for (guint i = 0; any_short && i < count; i++)
-		if (parts[i].granted - parts[i].target >= QUOTA_PLAN_STEP)
+		if (parts[i].granted - parts[i].target >= step)
 			parts[i].next = parts[i].target;
 }
 
