Take back unused grants while more runs than a lowered limit

Seen in test_quota: with 90 tasks running and a limit that was lowered from 200 to 100 tasks, other shares started 15 more.

Cause: grants are parts of the limit that an owner has read. A share that ran 45% of the old limit runs 90% of the new one, while others still had grants of more than 10% together. The planner only stopped raising grants.

Change: while what shares may use is above the whole, every grant is lowered to what its share uses.

--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -338,6 +338,16 @@
 			parts[i].next = parts[i].target;
 }
 
+/*
+ * More than the whole may be running, as a limit was lowered: no share keeps a part
+ * by which it could start something.
+ */
+static void lower_to_used(struct part *parts, guint count)
+{
+	for (guint i = 0; i < count; i++)
+		parts[i].next = MIN(parts[i].next, parts[i].used);
+}
+
 /* Whether nothing runs in a share that is not configured, as it has no owner. */
 static bool is_gone(struct quota_plan *plan, const struct quota_share *share,
 		    const char *tenant, int64_t now_ms)
@@ -425,8 +435,11 @@
 		for (guint i = 0; i < keys->len; i++)
 			free -= MAX(parts[i].may_use, parts[i].granted);
 		set_targets(parts, keys->len, whole);
-		raise_parts(plan, parts, keys->len, free);
+		if (free >= 0)
+			raise_parts(plan, parts, keys->len, free);
 		lower_parts(parts, keys->len);
+		if (free < 0)
+			lower_to_used(parts, keys->len);
 		note_changes(plan, parts, keys->len, tenant, changes);
 	}
 	g_free(parts);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -465,6 +465,42 @@
 }
 END_TEST
 
+/*
+ * Guards against starts beyond a limit that was lowered under what runs already, by
+ * shares that have a part of it unused.
+ */
+START_TEST(nothing_starts_while_more_runs_than_a_lowered_limit)
+{
+	enum { LIMIT = 200, LOWERED = 100, ROUNDS = 12 };
+
+	task.cpu_milli = 1000;
+	setup_with(LIMIT * 1000, LIMIT * 1000);
+	owners[0].waiting = LOWERED * 9 / 10;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_eq(owners[0].running, LOWERED * 9 / 10);
+	cfg_destroy(cfgs[0]);
+	cfgs[0] = make_cfg(LOWERED * 1000);
+	for (int i = 0; i < SHARES; i++)
+		owners[i].cfg = cfgs[0];
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	for (int i = 0; i < SHARES; i++)
+		owners[i].waiting = LIMIT;
+	for (int i = 0; i < ROUNDS; i++) {
+		round_of_all();
+		ck_assert_int_le(total_running(), LOWERED);
+	}
+	/* What ends makes room for others. */
+	owners[0].running = 0;
+	for (int i = 0; i < ROUNDS; i++)
+		round_of_all();
+	ck_assert_int_ge(total_running(), LOWERED * 3 / 4);
+	ck_assert_int_le(total_running(), LOWERED);
+	teardown();
+}
+END_TEST
+
 /* Guards against shares that each have less than any task needs. */
 START_TEST(few_large_tasks_run_in_some_share)
 {
@@ -563,6 +599,8 @@
 	tcase_add_test(tcase, share_that_is_short_gets_what_others_do_not_use);
 	tcase_add_test(tcase, removed_pool_keeps_what_its_tasks_use);
 	tcase_add_test(tcase, removed_pool_gives_its_part_back);
+	tcase_add_test(tcase,
+		       nothing_starts_while_more_runs_than_a_lowered_limit);
 	tcase_add_test(tcase, few_large_tasks_run_in_some_share);
 	tcase_add_test(tcase, task_larger_than_the_limit_runs_alone);
 	tcase_add_test(tcase,
