Ask no grant for a gang that is larger than the limit

Seen in test_quota_plan: a gang whose tasks together exceed the limit of their organisation asked for the whole limit. All other shares were lowered for it in turn, though a gang may not run beyond the limit and so never starts.

Change: such a gang wants nothing (it counts as quota_blocked as before). A gang of which some tasks still run asks for the others only; those that run counted twice.

--- a/src/place.c
+++ b/src/place.c
@@ -416,17 +416,32 @@
 			      &cand->job->spec.steps[cand->step]);
 }
 
+/* Tasks of the step that could be placed now, from the one with that index on. */
+static int32_t count_startable(const struct place *place,
+			       const struct candidate *cand, int32_t from)
+{
+	const struct job_task *tasks =
+		job_task_at(cand->job, cand->occurrence, cand->step, 0);
+	int32_t count = 0;
+
+	for (int32_t i = from; i < cand->job->spec.steps[cand->step].count; i++)
+		count += place_is_startable(place, &tasks[i]);
+	return count;
+}
+
 static struct place_counts place_whole_gang(struct pass *pass,
 					    struct candidate *cand)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
 	const struct job_task *tasks =
 		job_task_at(cand->job, cand->occurrence, cand->step, 0);
+	/* Others of its tasks may still run, and count already. */
+	int32_t startable = count_startable(pass->place, cand, 0);
 	struct place_counts counts = { 0 };
 
-	if (!is_within_quota(pass->place, cand, step->count)) {
+	if (!is_within_quota(pass->place, cand, startable)) {
 		quota_use_want(pass->place->quota, cand->job->tenant, step,
-			       step->count);
+			       startable);
 		counts.over_quota = 1;
 		return counts;
 	}
@@ -437,19 +452,6 @@
 	return counts;
 }
 
-/* Tasks of the step that could be placed now, from the one with that index on. */
-static int32_t count_startable(const struct place *place,
-			       const struct candidate *cand, int32_t from)
-{
-	const struct job_task *tasks =
-		job_task_at(cand->job, cand->occurrence, cand->step, 0);
-	int32_t count = 0;
-
-	for (int32_t i = from; i < cand->job->spec.steps[cand->step].count; i++)
-		count += place_is_startable(place, &tasks[i]);
-	return count;
-}
-
 /*
  * Notes that a limit keeps the tasks from that index on waiting. If no worker has
  * room either, a larger grant would be of no use.
--- a/src/quota_use.c
+++ b/src/quota_use.c
@@ -164,14 +164,18 @@
 	struct entry *entry = find(use, tenant);
 	/* Tasks of a gang start together or not at all. */
 	int32_t together = step->gang ? count : 1;
-	struct cfg_room unit = { 0 };
+	struct cfg_room room = { 0 };
+	int32_t unit;
 
 	if (!entry)
 		return;
+	add_room(&room, step, together);
+	unit = dominant_part(&room, &entry->limit);
+	/* Only a single task may run beyond the limit, and alone. */
+	if (unit > QUOTA_WHOLE && together > 1)
+		return;
 	add_room(&entry->wanted, step, count);
-	add_room(&unit, step, together);
-	entry->unit = MAX(entry->unit, dominant_part(&unit, &entry->limit));
-	entry->unit = MIN(entry->unit, QUOTA_WHOLE);
+	entry->unit = MAX(entry->unit, MIN(unit, QUOTA_WHOLE));
 }
 
 bool quota_use_wants(const struct quota_use *use, const char *tenant)
--- a/tests/test_quota_plan.c
+++ b/tests/test_quota_plan.c
@@ -8,6 +8,7 @@
 #include <check.h>
 
 #include "quota_plan.h"
+#include "quota_use.h"
 #include "suite.h"
 #include "wire.h"
 
@@ -141,6 +142,37 @@
 }
 END_TEST
 
+/* Counts what a gang of an organisation with a limit of 1000 thousandths wants. */
+static bool gang_wants(int32_t count, int32_t cpu_milli)
+{
+	struct job_step gang = { .count = count,
+				 .cpu_milli = cpu_milli,
+				 .gang = true };
+	struct quota_use *use = quota_use_create();
+	bool wants;
+
+	ck_assert(quota_use_begin(use, cfg, NULL, true));
+	quota_use_want(use, TENANT, &gang, count);
+	wants = quota_use_wants(use, TENANT);
+	quota_use_destroy(use);
+	return wants;
+}
+
+/*
+ * Guards against a limit that is cleared time and again for a gang which is larger
+ * than it, and which may never run.
+ */
+START_TEST(gang_larger_than_the_limit_wants_nothing)
+{
+	setup();
+	ck_assert(gang_wants(4, 250));
+	ck_assert(!gang_wants(4, 251));
+	/* A single task runs alone. */
+	ck_assert(gang_wants(1, 1001));
+	teardown();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("quota_plan");
@@ -148,6 +180,7 @@
 
 	tcase_add_test(tcase,
 		       share_gets_its_due_from_many_that_have_a_little_more);
+	tcase_add_test(tcase, gang_larger_than_the_limit_wants_nothing);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
