Let small tasks start beside a large one that cannot

Seen in test_quota_plan: with half of a limit used by tasks that run on, a task of 80% of it waited in another share. Small tasks beside it never started, and shares with small tasks were kept at 2,000 of the 5,000 that were free, for good.

Cause: a grant was raised only if the largest task that waits fits it, and the turn of a share ended only with a raise.

Change: reports have the smallest task, too, and a grant is raised if that fits. A share that has had its turn for 4 s without a raise gives it up for as long.

--- a/src/quota.c
+++ b/src/quota.c
@@ -8,7 +8,7 @@
 /*
  * Grants are {"n": number, "g": rows [organisation, grant, peak]}, a report is
  * {"n": number of the grants followed, "u": rows [organisation, held, used,
- * wanted, unit]}.
+ * wanted, unit, least]}.
  */
 
 static void free_share(void *arg)
@@ -90,7 +90,7 @@
 	return part;
 }
 
-enum { MAX_NUMBERS = 4 }; /* in a row, behind the name */
+enum { MAX_NUMBERS = 5 }; /* in a row, behind the name */
 
 struct row {
 	char tenant[LIMIT_NAME_BYTES];
@@ -190,6 +190,7 @@
 		part->used = 0;
 		part->wanted = 0;
 		part->unit = 0;
+		part->least = 0;
 	}
 }
 
@@ -208,6 +209,7 @@
 		part->used = row->numbers[1];
 		part->wanted = row->numbers[2];
 		part->unit = row->numbers[3];
+		part->least = row->numbers[4];
 	}
 }
 
@@ -220,7 +222,7 @@
 
 	if (offset <= share->use_offset)
 		return 0;
-	status = read_record(value, len, "u", 4, &record, err);
+	status = read_record(value, len, "u", 5, &record, err);
 	if (status == 0) {
 		share->use_offset = offset;
 		apply_use(share, &record);
--- a/src/quota.h
+++ b/src/quota.h
@@ -42,6 +42,7 @@
 	int32_t used;
 	int32_t wanted; /* used, and what it could start beyond its grant */
 	int32_t unit;	/* of that, the largest task; 0: none */
+	int32_t least;	/* and the smallest one */
 };
 
 struct quota_share {
--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -7,6 +7,9 @@
 	QUOTA_PLAN_KEPT_PERCENT = 20,
 	/* Smaller changes are not worth a record. */
 	QUOTA_PLAN_STEP = 100,
+	/* A share gives up its turn after this time without a raise, for as long:
+	   what it waits for does not end soon. Most tasks last 2 s at most. */
+	QUOTA_PLAN_TURN_MS = 4000,
 	/* A share of a pool that is not configured any more, whose owner does not
 	   follow a grant of nothing for so long, has no owner and nothing running:
 	   no lease of a worker lasts as long. */
@@ -17,11 +20,20 @@
 	GHashTable
 		*turns; /* share and organisation -> turn of the last raise */
 	int64_t turn;
+	GHashTable *firsts; /* organisation -> struct first */
+	/* Share and organisation -> when it gave up its turn. */
+	GHashTable *passed;
 	/* Share that is not configured and organisation -> since when its owner has
 	   not followed a grant of nothing. */
 	GHashTable *gone;
 };
 
+/* The share whose turn it is. */
+struct first {
+	char *key;
+	int64_t since_ms;
+};
+
 /* A share's part of the limit that is being divided. */
 struct part {
 	const char *key;
@@ -31,17 +43,31 @@
 	int32_t used;
 	int32_t wanted;
 	int32_t unit;
+	int32_t least;
 	int64_t turn;
+	bool passed; /* it has given up its turn */
 	int32_t target;
 	int32_t next; /* new grant */
 };
 
+static void free_first(void *arg)
+{
+	struct first *first = arg;
+
+	g_free(first->key);
+	g_free(first);
+}
+
 struct quota_plan *quota_plan_create(void)
 {
 	struct quota_plan *plan = g_new0(struct quota_plan, 1);
 
 	plan->turns =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plan->passed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plan->firsts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     free_first);
 	plan->gone =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return plan;
@@ -52,6 +78,8 @@
 	if (!plan)
 		return;
 	g_hash_table_destroy(plan->turns);
+	g_hash_table_destroy(plan->firsts);
+	g_hash_table_destroy(plan->passed);
 	g_hash_table_destroy(plan->gone);
 	g_free(plan);
 }
@@ -59,6 +87,8 @@
 void quota_plan_reset(struct quota_plan *plan)
 {
 	g_hash_table_remove_all(plan->turns);
+	g_hash_table_remove_all(plan->firsts);
+	g_hash_table_remove_all(plan->passed);
 	g_hash_table_remove_all(plan->gone);
 }
 
@@ -94,10 +124,19 @@
 	g_free(name);
 }
 
+/* Whether a share has given up its turn a short time ago. */
+static bool has_passed(const struct quota_plan *plan, const char *key,
+		       const char *tenant, int64_t now_ms)
+{
+	int64_t at_ms = kept_number(plan->passed, key, tenant, -1);
+
+	return at_ms >= 0 && now_ms - at_ms < QUOTA_PLAN_TURN_MS;
+}
+
 /* Reads the parts; false if some share has not reported this limit yet. */
 static bool read_parts(const struct quota_plan *plan,
 		       const struct quota_table *table, const GPtrArray *keys,
-		       const char *tenant, struct part *parts)
+		       const char *tenant, int64_t now_ms, struct part *parts)
 {
 	for (guint i = 0; i < keys->len; i++) {
 		const struct quota_share *share =
@@ -114,8 +153,11 @@
 			.used = known->used,
 			.wanted = MAX(known->wanted, known->used),
 			.unit = known->unit,
+			.least = known->least,
 			.turn = kept_number(plan->turns, keys->pdata[i], tenant,
 					    0),
+			.passed = has_passed(plan, keys->pdata[i], tenant,
+					     now_ms),
 			.next = known->granted,
 		};
 	}
@@ -227,12 +269,13 @@
 		if (part->target >= 0)
 			continue;
 		part->target = 0;
-		while (first && left < part->unit && taken > 0) {
+		while (first && !part->passed && left < part->unit &&
+		       taken > 0) {
 			taken = take_from_largest(parts, count, part,
 						  part->unit - (int32_t)left);
 			left += taken;
 		}
-		first = false;
+		first = first && part->passed;
 		if (left < part->unit)
 			continue;
 		part->target = part->unit;
@@ -271,7 +314,7 @@
 static bool is_useful(const struct part *part, int32_t granted)
 {
 	return !part->unit || granted >= QUOTA_WHOLE ||
-	       granted >= MIN(part->used + part->unit, part->target);
+	       granted >= MIN(part->used + part->least, part->target);
 }
 
 static bool is_short(const struct part *part)
@@ -322,6 +365,42 @@
 	return is_short(part) && part->next < part->unit;
 }
 
+/* The share whose turn it is; NULL: none that has nothing. */
+static const struct part *find_first(struct part *parts, guint count)
+{
+	GPtrArray *waiting = short_parts(parts, count);
+	const struct part *first = NULL;
+
+	for (guint i = 0; !first && i < waiting->len; i++) {
+		const struct part *part = waiting->pdata[i];
+
+		if (has_nothing(part) && !part->passed)
+			first = part;
+	}
+	g_ptr_array_free(waiting, TRUE);
+	return first;
+}
+
+/* Ends the turn of a share that it has not helped for long. */
+static void pass_turn(struct quota_plan *plan, struct part *parts, guint count,
+		      const char *tenant, int64_t now_ms)
+{
+	const struct part *part = find_first(parts, count);
+	struct first *first = g_hash_table_lookup(plan->firsts, tenant);
+
+	if (!part) {
+		g_hash_table_remove(plan->firsts, tenant);
+	} else if (!first || strcmp(first->key, part->key)) {
+		first = g_new0(struct first, 1);
+		first->key = g_strdup(part->key);
+		first->since_ms = now_ms;
+		g_hash_table_insert(plan->firsts, g_strdup(tenant), first);
+	} else if (now_ms - first->since_ms >= QUOTA_PLAN_TURN_MS) {
+		keep_number(plan->passed, part->key, tenant, now_ms);
+		g_hash_table_remove(plan->firsts, tenant);
+	}
+}
+
 static void lower_parts(struct part *parts, guint count)
 {
 	bool any_short = false;
@@ -431,12 +510,13 @@
 						     tenant, now_ms, changes);
 	int64_t free = whole;
 
-	if (read_parts(plan, table, keys, tenant, parts)) {
+	if (read_parts(plan, table, keys, tenant, now_ms, parts)) {
 		for (guint i = 0; i < keys->len; i++)
 			free -= MAX(parts[i].may_use, parts[i].granted);
 		set_targets(parts, keys->len, whole);
 		if (free >= 0)
 			raise_parts(plan, parts, keys->len, free);
+		pass_turn(plan, parts, keys->len, tenant, now_ms);
 		lower_parts(parts, keys->len);
 		if (free < 0)
 			lower_to_used(parts, keys->len);
--- a/src/quota_use.c
+++ b/src/quota_use.c
@@ -17,7 +17,8 @@
 	int32_t granted;
 	struct cfg_room used;
 	struct cfg_room wanted; /* beyond used */
-	int32_t unit;
+	int32_t unit;		/* the largest task that is wanted */
+	int32_t least;		/* and the smallest one */
 };
 
 struct quota_use {
@@ -175,7 +176,9 @@
 	if (unit > QUOTA_WHOLE && together > 1)
 		return;
 	add_room(&entry->wanted, step, count);
-	entry->unit = MAX(entry->unit, MIN(unit, QUOTA_WHOLE));
+	unit = MIN(unit, QUOTA_WHOLE);
+	entry->least = entry->unit ? MIN(entry->least, unit) : unit;
+	entry->unit = MAX(entry->unit, unit);
 }
 
 bool quota_use_wants(const struct quota_use *use, const char *tenant)
@@ -222,7 +225,8 @@
 	if (held < told->held &&
 	    (held == entry->granted || told->held - held >= QUOTA_USE_STEP))
 		return true;
-	if (differs(entry->unit, told->unit, QUOTA_USE_STEP))
+	if (differs(entry->unit, told->unit, QUOTA_USE_STEP) ||
+	    differs(entry->least, told->least, QUOTA_USE_STEP))
 		return true;
 	if (entry->unit &&
 	    differs(wanted_part(entry), told->wanted, QUOTA_USE_MINOR_STEP))
@@ -252,6 +256,7 @@
 		.used = used_part(entry),
 		.wanted = wanted_part(entry),
 		.unit = entry->unit,
+		.least = entry->least,
 	};
 
 	g_hash_table_insert(use->told, g_strdup(tenant),
@@ -272,8 +277,10 @@
 	while (g_hash_table_iter_next(&iter, &tenant, &value)) {
 		const struct entry *entry = value;
 		const int32_t numbers[] = { held_part(entry), used_part(entry),
-					    wanted_part(entry), entry->unit };
-		struct json_object *row = json_object_new_array_ext(5);
+					    wanted_part(entry), entry->unit,
+					    entry->least };
+		struct json_object *row =
+			json_object_new_array_ext(1 + G_N_ELEMENTS(numbers));
 
 		json_object_array_add(row, json_object_new_string(tenant));
 		for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++)
--- a/tests/test_quota_plan.c
+++ b/tests/test_quota_plan.c
@@ -142,6 +142,49 @@
 }
 END_TEST
 
+/*
+ * Guards against small tasks that never start, as a large one waits beside them that
+ * what runs elsewhere leaves no part for.
+ */
+START_TEST(small_tasks_start_beside_a_large_one_that_cannot)
+{
+	enum { ROUNDS = 10, RUNNING = 5000, LARGE = 8000, SMALL = 100 };
+
+	setup();
+	stored[0] = (struct stored){ RUNNING, RUNNING, RUNNING, 0, 0 };
+	stored[1] = (struct stored){ 0, 0, QUOTA_WHOLE, LARGE, SMALL };
+	store_all(4);
+	for (int i = 0; i < ROUNDS; i++)
+		decide();
+	ck_assert_int_ge(stored[1].granted, SMALL);
+	teardown();
+}
+END_TEST
+
+/*
+ * Guards against shares that are kept short for good by another's large task, which
+ * cannot start, as what runs elsewhere does not end.
+ */
+START_TEST(large_task_that_cannot_start_lets_others_have_their_turn)
+{
+	enum { ROUNDS = 100, RUNNING = 5000, LARGE = 8000, SMALL = 100 };
+	int32_t most = 0;
+
+	setup();
+	stored[0] = (struct stored){ RUNNING, RUNNING, RUNNING, 0, 0 };
+	stored[1] = (struct stored){ 0, 0, LARGE, LARGE, LARGE };
+	stored[2] = (struct stored){ 0, 0, QUOTA_WHOLE, SMALL, SMALL };
+	stored[3] = (struct stored){ 0, 0, QUOTA_WHOLE, SMALL, SMALL };
+	store_all(4);
+	for (int i = 0; i < ROUNDS; i++) {
+		decide();
+		most = MAX(most, stored[2].granted + stored[3].granted);
+	}
+	ck_assert_int_ge(most, RUNNING * 3 / 4);
+	teardown();
+}
+END_TEST
+
 /* Counts what a gang of an organisation with a limit of 1000 thousandths wants. */
 static bool gang_wants(int32_t count, int32_t cpu_milli)
 {
@@ -180,6 +223,10 @@
 
 	tcase_add_test(tcase,
 		       share_gets_its_due_from_many_that_have_a_little_more);
+	tcase_add_test(tcase, small_tasks_start_beside_a_large_one_that_cannot);
+	tcase_add_test(
+		tcase,
+		large_task_that_cannot_start_lets_others_have_their_turn);
 	tcase_add_test(tcase, gang_larger_than_the_limit_wants_nothing);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
