Keep jobs of public queues from an organisation that cancels them

Seen in test_acceptance: after an organisation had cancelled a job of a public queue, which any client may, clients without its key got 410 for the job at every node.

Cause: the index record of a cancellation named the organisation of the request, and an entry without one takes it from any later record.

Change: the record names the organisation of the job if the node knows the job.

--- a/src/front.c
+++ b/src/front.c
@@ -43,6 +43,14 @@
 	return entry ? entry->tenant : "";
 }
 
+const char *front_job_tenant(const struct front *front, const char *id)
+{
+	const struct index_entry *entry = index_find(front->env->index, id);
+	const struct job *job = job_find(front->env->jobs, id);
+
+	return entry || job ? tenant_of(entry, job) : NULL;
+}
+
 /* Looks in the index and among the jobs. */
 static enum known find_state(const struct front *front,
 			     const struct front_request *request,
--- a/src/front_int.h
+++ b/src/front_int.h
@@ -82,6 +82,9 @@
 /* front_expire - end the requests whose time is over, or that wait in vain */
 void front_expire(struct front *front, int64_t now_ms);
 
+/* front_job_tenant - organisation that a job belongs to; NULL: it is not known */
+const char *front_job_tenant(const struct front *front, const char *id);
+
 /* What is decided of a submission. */
 struct front_decision {
 	enum front_refusal refusal;
--- a/src/front_pending.c
+++ b/src/front_pending.c
@@ -157,9 +157,13 @@
 void front_publish(struct front_pending *pending, enum index_state state)
 {
 	struct writer *writer = pending->front->env->index_writer;
+	/* Who cancels a job of no organisation does not get it. */
+	const char *holder =
+		front_job_tenant(pending->front, pending->request.id);
 	size_t len;
-	char *record = index_record(state, pending->queue,
-				    pending->request.tenant, &len);
+	char *record =
+		index_record(state, pending->queue,
+			     holder ? holder : pending->request.tenant, &len);
 	char key[JOB_ID_BYTES + 2];
 
 	g_snprintf(key, sizeof(key), "i:%s", pending->request.id);
--- a/tests/test_acceptance.c
+++ b/tests/test_acceptance.c
@@ -99,6 +99,49 @@
 }
 END_TEST
 
+/* What a node answers to a request of an organisation; "": of none. */
+static enum front_outcome ask(struct sim *sim, int index, enum front_kind kind,
+			      const struct sim_job *job, const char *tenant)
+{
+	static enum front_outcome outcome;
+	struct node *node = sim->nodes[index].node;
+	struct front_request request = {
+		.kind = kind,
+		.tenant = g_intern_string(tenant),
+		.queue = cfg_queue_find(*node_cfg(node), "q"),
+		.body = "",
+		.deadline_ms = sim->clk.manual_ms + 3000,
+	};
+
+	outcome = FRONT_UNDECIDED;
+	g_strlcpy(request.id, job->id, sizeof(request.id));
+	front_request(node_front(node), &request, on_repeated, &outcome);
+	sim_run_for(sim, 500);
+	return outcome;
+}
+
+/*
+ * Guards against a job of a public queue that its client no longer sees, as an
+ * organisation has cancelled it.
+ */
+START_TEST(job_of_no_organisation_stays_so_when_one_cancels_it)
+{
+	struct sim *sim = sim_create_sized(FIRST_SEED + (uint64_t)_i, LARGE,
+					   SMALL, WORKERS);
+	struct sim_job *job;
+
+	sim_run_for(sim, START_MS);
+	sim->task_cpu_milli = TOO_LARGE_MILLI;
+	job = sim_submit_job(sim, LARGE, 1, 1);
+	sim_run_for(sim, READ_MS);
+	ck_assert_int_eq(ask(sim, 0, FRONT_CANCEL, job, "a"), FRONT_ACCEPTED);
+	ck_assert_int_eq(ask(sim, LARGE + 1, FRONT_GET_STATE, job, ""),
+			 FRONT_STATE_FOUND);
+	ck_assert_int_eq(ask(sim, 0, FRONT_GET_STATE, job, ""),
+			 FRONT_STATE_FOUND);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("acceptance");
@@ -111,6 +154,9 @@
 			    SEEDS);
 	tcase_add_loop_test(tcase, stored_job_is_published_by_its_owner, 0,
 			    SEEDS);
+	tcase_add_loop_test(tcase,
+			    job_of_no_organisation_stays_so_when_one_cancels_it,
+			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
