--- a/src/cfg.h
+++ b/src/cfg.h
@@ -45,6 +45,7 @@
 	struct cfg_terms terms;
 	bool needs_ticket; /* starts need a ticket of the advice service */
 	bool is_public;	   /* requests need no key */
+	int64_t timeout_ms; /* of a request, as clients are told; 0: none given */
 };
 
 struct cfg_pool {
