Check a configuration before it is sent: plankctl check-config

An operator saw only in the nodes' logs that a configuration was rejected, and not at all that a route can never match, that a queue's pool does not exist, or that a limit is smaller than any task.

Change: cfgcheck (pure, on the decoded configuration) finds errors, warnings, and what differs from the version in force in words for clients; ctl_config reads files with the decoder of the nodes and prints text or JSON, never a key.

--- a/Makefile
+++ b/Makefile
@@ -26,14 +26,14 @@
 	platclient propose replica snapshot follow hostlist reboot rpcserver \
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
-	ctl_command ctl_print report histo arrival load_report
+	ctl_command ctl_config ctl_print report histo arrival load_report
 NODE = lag cfg job job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_life pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine place_tenants \
 	host_plan quota quota_use quota_plan pool_quota maint_quota \
 	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf \
-	auth rate fair front front_pending front_late group \
+	auth rate fair cfgcheck front front_pending front_late group \
 	standby node_metrics node_records node_pools node_view node
 PLATFORM = conn call json store wire wire_tenants order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
--- a/src/ctl_command.c
+++ b/src/ctl_command.c
@@ -9,6 +9,7 @@
 #include <apr_strings.h>
 
 #include "clk.h"
+#include "ctl_config.h"
 #include "file.h"
 #include "jcursor.h"
 #include "limit.h"
@@ -274,6 +275,13 @@
 	  .arg_count = 1,
 	  .usage = "HOST or TEAM: why it is in its current state",
 	  .run = run_report },
+	{ .name = "check-config",
+	  .arg_count = 1,
+	  .usage = "FILE [--against FILE] [--largest-task CPU,MEM,GPU] "
+		   "[--workers CPU,MEM,GPU]: check a configuration of queues, "
+		   "pools and organisations",
+	  .is_local = true,
+	  .run = ctl_config_check },
 	{ .name = "summary",
 	  .usage = "[--hours N]: recent events and what needs an operator",
 	  .run = run_report },
@@ -335,7 +343,8 @@
 	struct change change = { 0 };
 	struct json_object *value;
 
-	if (command->arg_count && !jcursor_valid_name(first))
+	if (command->arg_count && !command->is_local &&
+	    !jcursor_valid_name(first))
 		return err_set(err, ERR_INVALID, "%s: not a valid name", first);
 	if (command->arg_count == 2 && !command->body &&
 	    !jcursor_valid_name(second))
@@ -389,5 +398,5 @@
 void ctl_command_print_usage(void)
 {
 	for (int i = 0; i < COMMAND_COUNT; i++)
-		printf("  %-10s %s\n", commands[i].name, commands[i].usage);
+		printf("  %-12s %s\n", commands[i].name, commands[i].usage);
 }
--- a/src/ctl_command.h
+++ b/src/ctl_command.h
@@ -24,6 +24,10 @@
 	int64_t hours;
 	const char *id; /* change id to repeat; NULL: generate one */
 	const char *output;
+	/* Of check-config; NULL: not given. */
+	const char *against;
+	const char *largest_task;
+	const char *workers;
 	int word_count;
 	const char **words; /* the command and its arguments */
 };
@@ -41,7 +45,10 @@
 	/* Columns of the text output; ends with NULL. */
 	const char *columns[CTL_PRINT_MAX_COLUMNS];
 	bool is_change;
-	/* Replaces the single request to path. */
+	/* Asks no daemon; the first argument is a file. */
+	bool is_local;
+	/* Replaces the single request to path. Returns 0, an error's kind, or the
+	   exit status, which is positive. */
 	int (*run)(const struct ctl_options *options, apr_pool_t *pool,
 		   struct err *err);
 };
@@ -53,7 +60,8 @@
  * ctl_command_run - carry out a command and print its result
  *
  * RETURN VALUE
- *	0, or the kind of the error, which err describes.
+ *	0, the kind of the error, which err describes, or the exit status of a
+ *	command that has ones of its own.
  */
 int ctl_command_run(const struct ctl_options *options,
 		    const struct ctl_command *command, apr_pool_t *pool,
--- a/src/plankctl.c
+++ b/src/plankctl.c
@@ -86,6 +86,9 @@
 	struct arg_str *hours;
 	struct arg_str *id;
 	struct arg_str *output;
+	struct arg_str *against;
+	struct arg_str *largest_task;
+	struct arg_str *workers;
 	struct arg_lit *json;
 	struct arg_lit *help;
 	struct arg_lit *version;
@@ -112,6 +115,10 @@
 	options->hours = parse_int(args->hours, 12, 1, MAX_HOURS, &status);
 	options->id = args->id->count ? args->id->sval[0] : NULL;
 	options->output = args->output->count ? args->output->sval[0] : NULL;
+	options->against = args->against->count ? args->against->sval[0] : NULL;
+	options->largest_task =
+		args->largest_task->count ? args->largest_task->sval[0] : NULL;
+	options->workers = args->workers->count ? args->workers->sval[0] : NULL;
 	options->word_count = args->words->count;
 	options->words = args->words->sval;
 	return status;
@@ -131,7 +138,12 @@
 		message = "--from applies only to audit";
 	else if (options->base != CTL_NO_BASE && command->body == NULL)
 		message = "--base applies only to publish and check";
-	else if (!options->admin_client.urls[0])
+	else if ((options->against || options->largest_task ||
+		  options->workers) &&
+		 !command->is_local)
+		message = "--against, --largest-task and --workers apply only "
+			  "to check-config";
+	else if (!command->is_local && !options->admin_client.urls[0])
 		message = "--url or $PLANK_URL is required";
 	else
 		return 0;
@@ -183,6 +195,13 @@
 			       "repeat a change whose outcome is unknown"),
 		.output = arg_str0("o", "output", "FILE",
 				   "write settings to a new file"),
+		.against = arg_str0(NULL, "against", "FILE",
+				    "configuration in force, to compare with"),
+		.largest_task = arg_str0(NULL, "largest-task", "CPU,MEM,GPU",
+					 "of the largest task, in thousandths "
+					 "of a core, MiB and GPUs"),
+		.workers = arg_str0(NULL, "workers", "CPU,MEM,GPU",
+				    "of all workers together"),
 		.json = arg_lit0("j", "json", "print JSON"),
 		.help = arg_lit0("h", "help", "print this and exit"),
 		.version =
@@ -190,9 +209,11 @@
 		.words = arg_strn(NULL, NULL, "COMMAND", 0, 4, "see below"),
 		.end = arg_end(8),
 	};
-	void *table[] = { args.url,  args.token, args.token_file, args.base,
-			  args.from, args.hours, args.id,	  args.output,
-			  args.json, args.help,	 args.version,	  args.words,
+	void *table[] = { args.url,	     args.token,   args.token_file,
+			  args.base,	     args.from,	   args.hours,
+			  args.id,	     args.output,  args.against,
+			  args.largest_task, args.workers, args.json,
+			  args.help,	     args.version, args.words,
 			  args.end };
 	int error_count = arg_parse(argc, argv, table);
 	apr_pool_t *pool;
@@ -214,5 +235,5 @@
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	curl_global_cleanup();
 	apr_terminate();
-	return err_answer(status)->exit_code;
+	return status > 0 ? status : err_answer(status)->exit_code;
 }
--- a/tests/process_fleet.sh
+++ b/tests/process_fleet.sh
@@ -81,6 +81,27 @@
 expect 16 other_team check crew-shares "$WORK/team.json"
 [ "$(curl -s -o /dev/null -w '%{http_code}' -X POST -H 'Authorization: Bearer other-team-token' \
 	"$(fleet_url 1)/v1/hosts/w0/drain")" = 403 ] || fail "no 403"
+config() { printf '{"version":%s,"routes":[{"name":"q","host":"h","prefix":"/","service":"%s"}],"services":[{"name":"p"}],"tenants":[{"name":"a","keys":[%s]}]}' "$@"; }
+config 7 p '"secret1"' >"$WORK/old.json"
+config 8 p '"secret2"' >"$WORK/new.json"
+config 8 p '' >"$WORK/warned.json"
+config 8 x '"secret2"' >"$WORK/wrong.json"
+config 8 p '"secret2","secret2"' >"$WORK/malformed.json"
+expect 0 "$BUILD/plankctl" check-config "$WORK/new.json" --against "$WORK/old.json"
+expect 1 "$BUILD/plankctl" check-config "$WORK/warned.json"
+expect 25 "$BUILD/plankctl" check-config "$WORK/wrong.json"
+expect 25 "$BUILD/plankctl" check-config "$WORK/malformed.json" --json
+expect 25 "$BUILD/plankctl" check-config "$WORK/old.json" --against "$WORK/new.json"
+expect 17 "$BUILD/plankctl" check-config "$WORK/none.json"
+expect 2 "$BUILD/plankctl" check-config "$WORK/new.json" --workers x
+expect 2 "$BUILD/plankctl" --url "$(fleet_url 0)" hosts --against "$WORK/old.json"
+for name in new warned wrong malformed; do
+	for option in --json ""; do
+		# shellcheck disable=SC2086
+		"$BUILD/plankctl" check-config "$WORK/$name.json" --against "$WORK/old.json" $option 2>&1 | grep -q secret && fail "check-config prints a key"
+	done
+done
+echo "ok: a configuration is checked without its keys"
 expect 15 "$BUILD/plankctl" --url "$(fleet_url 0)" --token wrong hosts
 expect 8 "$BUILD/plankctl" --url "http://127.0.0.1:$((BASE + 599))" --token $TOKEN hosts
 expect 0 "$BUILD/plankctl" --url "http://127.0.0.1:$((BASE + 599)),$(fleet_url 2)" --token $TOKEN hosts
