--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -17,27 +17,35 @@
 };
 
 struct quota_plan {
-	GHashTable
-		*turns; /* share and organisation -> turn of the last raise */
+	GHashTable *turns; /* struct quota_part -> turn of the last raise */
 	int64_t turn;
 	GHashTable *firsts; /* organisation -> struct first */
-	/* Share and organisation -> when it gave up its turn. */
-	GHashTable *passed;
-	/* Share that is not configured and organisation -> since when its owner has
-	   not followed a grant of nothing. */
+	GHashTable *passed; /* the same -> when it gave up its turn */
+	/* Of a share that is not configured -> since when its owner has not followed
+	   a grant of nothing. */
 	GHashTable *gone;
 };
 
 /* The share whose turn it is. */
 struct first {
-	char *key;
+	const struct quota_part *part;
 	int64_t since_ms;
 };
 
+/* Input and result of a decision. */
+struct decision {
+	int64_t now_ms;
+	const GPtrArray *keys; /* of the configured shares */
+	GPtrArray *shares;     /* their struct quota_share, or NULL */
+	GPtrArray *others;     /* struct quota_share of all others */
+	/* Share -> table from organisations to new grants. */
+	GHashTable *changes;
+};
+
 /* A share's part of the limit that is being divided. */
 struct part {
 	const char *key;
-	const struct quota_share *share;
+	const struct quota_part *known;
 	int32_t granted;
 	int32_t may_use;
 	int32_t used;
@@ -50,26 +58,15 @@
 	int32_t next; /* new grant */
 };
 
-static void free_first(void *arg)
-{
-	struct first *first = arg;
-
-	g_free(first->key);
-	g_free(first);
-}
-
 struct quota_plan *quota_plan_create(void)
 {
 	struct quota_plan *plan = g_new0(struct quota_plan, 1);
 
-	plan->turns =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	plan->passed =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	plan->firsts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     free_first);
-	plan->gone =
+	plan->turns = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	plan->passed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	plan->firsts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plan->gone = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	return plan;
 }
 
@@ -92,72 +89,57 @@
 	g_hash_table_remove_all(plan->gone);
 }
 
-static char *part_name(const char *key, const char *tenant)
-{
-	return g_strdup_printf("%s %s", key, tenant);
-}
-
-static void keep_number(GHashTable *table, const char *key, const char *tenant,
+/*
+ * Numbers are kept by the address of what the table has of a share and an
+ * organisation, which stays as it is while the table exists.
+ */
+static void keep_number(GHashTable *table, const struct quota_part *known,
 			int64_t number)
 {
-	g_hash_table_insert(table, part_name(key, tenant),
+	g_hash_table_insert(table, (struct quota_part *)known,
 			    g_memdup2(&number, sizeof(number)));
 }
 
-/* The number that is kept for a share and an organisation, or the fallback. */
-static int64_t kept_number(GHashTable *table, const char *key,
-			   const char *tenant, int64_t fallback)
+/* The number that is kept for a part, or the fallback. */
+static int64_t kept_number(GHashTable *table, const struct quota_part *known,
+			   int64_t fallback)
 {
-	char *name = part_name(key, tenant);
-	const int64_t *number = g_hash_table_lookup(table, name);
+	const int64_t *number = g_hash_table_lookup(table, known);
 
-	g_free(name);
 	return number ? *number : fallback;
 }
 
-static void forget_number(GHashTable *table, const char *key,
-			  const char *tenant)
-{
-	char *name = part_name(key, tenant);
-
-	g_hash_table_remove(table, name);
-	g_free(name);
-}
-
 /* Whether a share has given up its turn a short time ago. */
-static bool has_passed(const struct quota_plan *plan, const char *key,
-		       const char *tenant, int64_t now_ms)
+static bool has_passed(const struct quota_plan *plan,
+		       const struct quota_part *known, int64_t now_ms)
 {
-	int64_t at_ms = kept_number(plan->passed, key, tenant, -1);
+	int64_t at_ms = kept_number(plan->passed, known, -1);
 
 	return at_ms >= 0 && now_ms - at_ms < QUOTA_PLAN_TURN_MS;
 }
 
 /* Reads the parts; false if some share has not reported this limit yet. */
 static bool read_parts(const struct quota_plan *plan,
-		       const struct quota_table *table, const GPtrArray *keys,
-		       const char *tenant, int64_t now_ms, struct part *parts)
+		       const struct decision *decision, const char *tenant,
+		       struct part *parts)
 {
-	for (guint i = 0; i < keys->len; i++) {
-		const struct quota_share *share =
-			quota_find(table, keys->pdata[i]);
+	for (guint i = 0; i < decision->shares->len; i++) {
+		const struct quota_share *share = decision->shares->pdata[i];
 		const struct quota_part *known = quota_part_find(share, tenant);
 
 		if (!known || !known->reported)
 			return false;
 		parts[i] = (struct part){
-			.key = keys->pdata[i],
-			.share = share,
+			.key = decision->keys->pdata[i],
+			.known = known,
 			.granted = known->granted,
 			.may_use = quota_may_use(share, tenant),
 			.used = known->used,
 			.wanted = MAX(known->wanted, known->used),
 			.unit = known->unit,
 			.least = known->least,
-			.turn = kept_number(plan->turns, keys->pdata[i], tenant,
-					    0),
-			.passed = has_passed(plan, keys->pdata[i], tenant,
-					     now_ms),
+			.turn = kept_number(plan->turns, known, 0),
+			.passed = has_passed(plan, known, decision->now_ms),
 			.next = known->granted,
 		};
 	}
@@ -390,13 +372,13 @@
 
 	if (!part) {
 		g_hash_table_remove(plan->firsts, tenant);
-	} else if (!first || strcmp(first->key, part->key)) {
+	} else if (!first || first->part != part->known) {
 		first = g_new0(struct first, 1);
-		first->key = g_strdup(part->key);
+		first->part = part->known;
 		first->since_ms = now_ms;
 		g_hash_table_insert(plan->firsts, g_strdup(tenant), first);
 	} else if (now_ms - first->since_ms >= QUOTA_PLAN_TURN_MS) {
-		keep_number(plan->passed, part->key, tenant, now_ms);
+		keep_number(plan->passed, part->known, now_ms);
 		g_hash_table_remove(plan->firsts, tenant);
 	}
 }
@@ -429,17 +411,17 @@
 
 /* Whether nothing runs in a share that is not configured, as it has no owner. */
 static bool is_gone(struct quota_plan *plan, const struct quota_share *share,
-		    const char *tenant, int64_t now_ms)
+		    const struct quota_part *known, int64_t now_ms)
 {
 	int64_t since_ms;
 
 	if (share->applied >= share->number) {
-		forget_number(plan->gone, share->key, tenant);
+		g_hash_table_remove(plan->gone, known);
 		return false;
 	}
-	since_ms = kept_number(plan->gone, share->key, tenant, -1);
+	since_ms = kept_number(plan->gone, known, -1);
 	if (since_ms < 0)
-		keep_number(plan->gone, share->key, tenant, now_ms);
+		keep_number(plan->gone, known, now_ms);
 	return since_ms >= 0 && now_ms - since_ms >= QUOTA_PLAN_GONE_MS;
 }
 
@@ -460,27 +442,23 @@
  * nothing, so that a pool that comes back begins with nothing.
  */
 static int64_t held_by_others(struct quota_plan *plan,
-			      const struct quota_table *table,
-			      GHashTable *configured, const char *tenant,
-			      int64_t now_ms, GHashTable *changes)
+			      const struct decision *decision,
+			      const char *tenant)
 {
-	GHashTableIter iter;
-	void *key, *value;
 	int64_t held = 0;
 
-	g_hash_table_iter_init(&iter, table->shares);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct quota_share *share = value;
-		int32_t granted = quota_granted(share, tenant);
+	for (guint i = 0; i < decision->others->len; i++) {
+		const struct quota_share *share = decision->others->pdata[i];
+		const struct quota_part *known = quota_part_find(share, tenant);
 
-		if (g_hash_table_contains(configured, key)) {
-			forget_number(plan->gone, key, tenant);
+		if (!known)
 			continue;
-		}
-		if (granted)
-			change_grant(key, tenant, 0, changes);
-		if (granted || !is_gone(plan, share, tenant, now_ms))
-			held += MAX(granted, quota_may_use(share, tenant));
+		if (known->granted)
+			change_grant(share->key, tenant, 0, decision->changes);
+		if (known->granted ||
+		    !is_gone(plan, share, known, decision->now_ms))
+			held += MAX(known->granted,
+				    quota_may_use(share, tenant));
 	}
 	return held;
 }
@@ -494,37 +472,63 @@
 		if (part->next == part->granted)
 			continue;
 		if (part->next > part->granted)
-			keep_number(plan->turns, part->key, tenant, plan->turn);
+			keep_number(plan->turns, part->known, plan->turn);
 		change_grant(part->key, tenant, part->next, changes);
 	}
 }
 
 static void decide_tenant(struct quota_plan *plan,
-			  const struct quota_table *table,
-			  const GPtrArray *keys, GHashTable *configured,
-			  const char *tenant, int64_t now_ms,
-			  GHashTable *changes)
-{
-	struct part *parts = g_new0(struct part, keys->len + 1);
-	int64_t whole = QUOTA_WHOLE - held_by_others(plan, table, configured,
-						     tenant, now_ms, changes);
+			  const struct decision *decision, const char *tenant)
+{
+	guint count = decision->shares->len;
+	struct part *parts = g_new0(struct part, count + 1);
+	int64_t whole = QUOTA_WHOLE - held_by_others(plan, decision, tenant);
 	int64_t free = whole;
 
-	if (read_parts(plan, table, keys, tenant, now_ms, parts)) {
-		for (guint i = 0; i < keys->len; i++)
+	if (read_parts(plan, decision, tenant, parts)) {
+		for (guint i = 0; i < count; i++)
 			free -= MAX(parts[i].may_use, parts[i].granted);
-		set_targets(parts, keys->len, whole);
+		set_targets(parts, count, whole);
 		if (free >= 0)
-			raise_parts(plan, parts, keys->len, free);
-		pass_turn(plan, parts, keys->len, tenant, now_ms);
-		lower_parts(parts, keys->len);
+			raise_parts(plan, parts, count, free);
+		pass_turn(plan, parts, count, tenant, decision->now_ms);
+		lower_parts(parts, count);
 		if (free < 0)
-			lower_to_used(parts, keys->len);
-		note_changes(plan, parts, keys->len, tenant, changes);
+			lower_to_used(parts, count);
+		note_changes(plan, parts, count, tenant, decision->changes);
 	}
 	g_free(parts);
 }
 
+/* Sorts the shares by whether they are configured. */
+static void find_shares(struct quota_plan *plan,
+			const struct quota_table *table,
+			struct decision *decision)
+{
+	GHashTable *configured = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter, parts;
+	void *share, *part;
+
+	for (guint i = 0; i < decision->keys->len; i++) {
+		share = (void *)quota_find(table, decision->keys->pdata[i]);
+		g_ptr_array_add(decision->shares, share);
+		if (!share)
+			continue;
+		g_hash_table_add(configured, share);
+		if (!g_hash_table_size(plan->gone))
+			continue;
+		g_hash_table_iter_init(&parts,
+				       ((struct quota_share *)share)->parts);
+		while (g_hash_table_iter_next(&parts, NULL, &part))
+			g_hash_table_remove(plan->gone, part);
+	}
+	g_hash_table_iter_init(&iter, table->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &share))
+		if (!g_hash_table_contains(configured, share))
+			g_ptr_array_add(decision->others, share);
+	g_hash_table_destroy(configured);
+}
+
 static void free_changes(void *changes)
 {
 	g_hash_table_destroy(changes);
@@ -535,21 +539,25 @@
 	const struct cfg *cfg, const GPtrArray *keys, int64_t now_ms,
 	void (*fn)(void *arg, const char *key, GHashTable *changes), void *arg)
 {
-	GHashTable *configured = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *changes = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    NULL, free_changes);
+	struct decision decision = {
+		.now_ms = now_ms,
+		.keys = keys,
+		.shares = g_ptr_array_new(),
+		.others = g_ptr_array_new(),
+		.changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_changes),
+	};
 	GHashTableIter iter;
 	void *key, *of_share;
 
-	for (guint i = 0; i < keys->len; i++)
-		g_hash_table_add(configured, keys->pdata[i]);
+	find_shares(plan, table, &decision);
 	for (uint32_t i = 0; i < cfg->tenant_count; i++)
 		if (cfg_has_limit(&cfg->tenants[i]))
-			decide_tenant(plan, table, keys, configured,
-				      cfg->tenants[i].name, now_ms, changes);
-	g_hash_table_iter_init(&iter, changes);
+			decide_tenant(plan, &decision, cfg->tenants[i].name);
+	g_hash_table_iter_init(&iter, decision.changes);
 	while (g_hash_table_iter_next(&iter, &key, &of_share))
 		fn(arg, key, of_share);
-	g_hash_table_destroy(changes);
-	g_hash_table_destroy(configured);
+	g_hash_table_destroy(decision.changes);
+	g_ptr_array_free(decision.shares, TRUE);
+	g_ptr_array_free(decision.others, TRUE);
 }
--- a/src/quota_plan.h
+++ b/src/quota_plan.h
@@ -24,7 +24,8 @@
  * quota_plan_decide - decide which grants to raise and to lower
  *
  * keys are those of the configured shares, "POOL/INDEX", in any order. All grants
- * decided before must have been applied to the table. fn is called for each share
+ * decided before must have been applied to the table, which is the same one since
+ * quota_plan_reset. fn is called for each share
  * whose grants change, with a table from organisations to their new grants.
  */
 void quota_plan_decide(
