--- a/src/front_int.h
+++ b/src/front_int.h
@@ -34,7 +34,8 @@
 	/* Of a submission that is refused unless another node has accepted it. */
 	enum front_refusal refusal;
 	int64_t retry_after_ms;
-	bool stored; /* the job's record is; that of the index is not */
+	bool unrated; /* the job does not count against a rate */
+	bool stored;  /* the job's record is; that of the index is not */
 	front_fn *fn;
 	void *arg;
 };
@@ -60,9 +61,10 @@
 			  const struct front_answer *answer);
 
 /* front_store - store a job's record of this kind, then publish and answer */
-void front_store(struct front *front, const struct front_request *request,
-		 char kind, const char *record, size_t len, front_fn *fn,
-		 void *arg);
+struct front_pending *front_store(struct front *front,
+				  const struct front_request *request,
+				  char kind, const char *record, size_t len,
+				  front_fn *fn, void *arg);
 
 /* front_publish - write the job's state to the index, then answer */
 void front_publish(struct front_pending *pending, enum index_state state);
@@ -82,6 +84,9 @@
 /* front_expire - end the requests whose time is over, or that wait in vain */
 void front_expire(struct front *front, int64_t now_ms);
 
+/* front_job_tenant - organisation that a job belongs to; NULL: it is not known */
+const char *front_job_tenant(const struct front *front, const char *id);
+
 /* What is decided of a submission. */
 struct front_decision {
 	enum front_refusal refusal;
--- a/src/quota_plan.c
+++ b/src/quota_plan.c
@@ -7,29 +7,53 @@
 	QUOTA_PLAN_KEPT_PERCENT = 20,
 	/* Smaller changes are not worth a record. */
 	QUOTA_PLAN_STEP = 100,
-	/* A share of a pool that is not configured any more holds nothing after
-	   this time: no lease of a worker lasts as long. */
+	/* A share gives up its turn after this time without a raise, for as long:
+	   what it waits for does not end soon. Most tasks last 2 s at most. */
+	QUOTA_PLAN_TURN_MS = 4000,
+	/* A share of a pool that is not configured any more, whose owner does not
+	   follow a grant of nothing for so long, has no owner and nothing running:
+	   no lease of a worker lasts as long. */
 	QUOTA_PLAN_GONE_MS = 30 * 1000
 };
 
 struct quota_plan {
-	GHashTable
-		*turns; /* share and organisation -> turn of the last raise */
+	GHashTable *turns; /* struct quota_part -> turn of the last raise */
 	int64_t turn;
-	GHashTable
-		*gone; /* key of a share -> since when it is not configured */
+	GHashTable *firsts; /* organisation -> struct first */
+	GHashTable *passed; /* the same -> when it gave up its turn */
+	/* Of a share that is not configured -> since when its owner has not followed
+	   a grant of nothing. */
+	GHashTable *gone;
+};
+
+/* The share whose turn it is. */
+struct first {
+	const struct quota_part *part;
+	int64_t since_ms;
+};
+
+/* Input and result of a decision. */
+struct decision {
+	int64_t now_ms;
+	const GPtrArray *keys; /* of the configured shares */
+	GPtrArray *shares;     /* their struct quota_share, or NULL */
+	GPtrArray *others;     /* struct quota_share of all others */
+	/* Share -> table from organisations to new grants. */
+	GHashTable *changes;
 };
 
 /* A share's part of the limit that is being divided. */
 struct part {
 	const char *key;
-	const struct quota_share *share;
+	const struct quota_part *known;
 	int32_t granted;
 	int32_t may_use;
 	int32_t used;
 	int32_t wanted;
 	int32_t unit;
+	int32_t least;
 	int64_t turn;
+	bool passed; /* it has given up its turn */
 	int32_t target;
 	int32_t next; /* new grant */
 };
@@ -38,10 +62,11 @@
 {
 	struct quota_plan *plan = g_new0(struct quota_plan, 1);
 
-	plan->turns =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	plan->gone =
+	plan->turns = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	plan->passed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	plan->firsts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plan->gone = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	return plan;
 }
 
@@ -50,6 +75,8 @@
 	if (!plan)
 		return;
 	g_hash_table_destroy(plan->turns);
+	g_hash_table_destroy(plan->firsts);
+	g_hash_table_destroy(plan->passed);
 	g_hash_table_destroy(plan->gone);
 	g_free(plan);
 }
@@ -57,45 +84,62 @@
 void quota_plan_reset(struct quota_plan *plan)
 {
 	g_hash_table_remove_all(plan->turns);
+	g_hash_table_remove_all(plan->firsts);
+	g_hash_table_remove_all(plan->passed);
 	g_hash_table_remove_all(plan->gone);
 }
 
-static void keep_number(GHashTable *table, char *key, int64_t number)
+/*
+ * Numbers are kept by the address of what the table has of a share and an
+ * organisation, which stays as it is while the table exists.
+ */
+static void keep_number(GHashTable *table, const struct quota_part *known,
+			int64_t number)
+{
+	g_hash_table_insert(table, (struct quota_part *)known,
+			    g_memdup2(&number, sizeof(number)));
+}
+
+/* The number that is kept for a part, or the fallback. */
+static int64_t kept_number(GHashTable *table, const struct quota_part *known,
+			   int64_t fallback)
 {
-	g_hash_table_insert(table, key, g_memdup2(&number, sizeof(number)));
+	const int64_t *number = g_hash_table_lookup(table, known);
+
+	return number ? *number : fallback;
 }
 
-static int64_t turn_of(const struct quota_plan *plan, const char *key,
-		       const char *tenant)
+/* Whether a share has given up its turn a short time ago. */
+static bool has_passed(const struct quota_plan *plan,
+		       const struct quota_part *known, int64_t now_ms)
 {
-	char *name = g_strdup_printf("%s %s", key, tenant);
-	const int64_t *turn = g_hash_table_lookup(plan->turns, name);
+	int64_t at_ms = kept_number(plan->passed, known, -1);
 
-	g_free(name);
-	return turn ? *turn : 0;
+	return at_ms >= 0 && now_ms - at_ms < QUOTA_PLAN_TURN_MS;
 }
 
 /* Reads the parts; false if some share has not reported this limit yet. */
 static bool read_parts(const struct quota_plan *plan,
-		       const struct quota_table *table, const GPtrArray *keys,
-		       const char *tenant, struct part *parts)
+		       const struct decision *decision, const char *tenant,
+		       struct part *parts)
 {
-	for (guint i = 0; i < keys->len; i++) {
-		const struct quota_share *share =
-			quota_find(table, keys->pdata[i]);
+	for (guint i = 0; i < decision->shares->len; i++) {
+		const struct quota_share *share = decision->shares->pdata[i];
 		const struct quota_part *known = quota_part_find(share, tenant);
 
 		if (!known || !known->reported)
 			return false;
 		parts[i] = (struct part){
-			.key = keys->pdata[i],
-			.share = share,
+			.key = decision->keys->pdata[i],
+			.known = known,
 			.granted = known->granted,
 			.may_use = quota_may_use(share, tenant),
 			.used = known->used,
 			.wanted = MAX(known->wanted, known->used),
 			.unit = known->unit,
-			.turn = turn_of(plan, keys->pdata[i], tenant),
+			.least = known->least,
+			.turn = kept_number(plan->turns, known, 0),
+			.passed = has_passed(plan, known, decision->now_ms),
 			.next = known->granted,
 		};
 	}
@@ -207,12 +251,13 @@
 		if (part->target >= 0)
 			continue;
 		part->target = 0;
-		while (first && left < part->unit && taken > 0) {
+		while (first && !part->passed && left < part->unit &&
+		       taken > 0) {
 			taken = take_from_largest(parts, count, part,
 						  part->unit - (int32_t)left);
 			left += taken;
 		}
-		first = false;
+		first = first && part->passed;
 		if (left < part->unit)
 			continue;
 		part->target = part->unit;
@@ -251,7 +296,7 @@
 static bool is_useful(const struct part *part, int32_t granted)
 {
 	return !part->unit || granted >= QUOTA_WHOLE ||
-	       granted >= MIN(part->used + part->unit, part->target);
+	       granted >= MIN(part->used + part->least, part->target);
 }
 
 static bool is_short(const struct part *part)
@@ -271,8 +316,7 @@
 /* Raises a grant out of what no share may use; returns the rest of that. */
 static int64_t raise_part(struct part *part, int64_t free)
 {
-	/* A share that uses more than its grant holds that already. If all hold
-	   too much, as a limit was lowered, free is negative. */
+	/* A share that uses more than its grant holds that already. */
 	int64_t most = MAX(part->may_use, part->granted) + free;
 	int32_t next = (int32_t)MIN(part->target, most);
 
@@ -297,40 +341,124 @@
 	return free;
 }
 
+/* Whether no task at all fits what a share that is short has been granted. */
+static bool has_nothing(const struct part *part)
+{
+	return is_short(part) && part->next < part->unit;
+}
+
+/* The share whose turn it is; NULL: none that has nothing. */
+static const struct part *find_first(struct part *parts, guint count)
+{
+	GPtrArray *waiting = short_parts(parts, count);
+	const struct part *first = NULL;
+
+	for (guint i = 0; !first && i < waiting->len; i++) {
+		const struct part *part = waiting->pdata[i];
+
+		if (has_nothing(part) && !part->passed)
+			first = part;
+	}
+	g_ptr_array_free(waiting, TRUE);
+	return first;
+}
+
+/* Ends the turn of a share that it has not helped for long. */
+static void pass_turn(struct quota_plan *plan, struct part *parts, guint count,
+		      const char *tenant, int64_t now_ms)
+{
+	const struct part *part = find_first(parts, count);
+	struct first *first = g_hash_table_lookup(plan->firsts, tenant);
+
+	if (!part) {
+		g_hash_table_remove(plan->firsts, tenant);
+	} else if (!first || first->part != part->known) {
+		first = g_new0(struct first, 1);
+		first->part = part->known;
+		first->since_ms = now_ms;
+		g_hash_table_insert(plan->firsts, g_strdup(tenant), first);
+	} else if (now_ms - first->since_ms >= QUOTA_PLAN_TURN_MS) {
+		keep_number(plan->passed, part->known, now_ms);
+		g_hash_table_remove(plan->firsts, tenant);
+	}
+}
+
 static void lower_parts(struct part *parts, guint count)
 {
 	bool any_short = false;
+	int32_t step = QUOTA_PLAN_STEP;
 
-	for (guint i = 0; i < count; i++)
+	for (guint i = 0; i < count; i++) {
 		any_short |= is_short(&parts[i]);
+		/* Many that each have a little too much could keep it out. */
+		if (has_nothing(&parts[i]))
+			step = 1;
+	}
 	for (guint i = 0; any_short && i < count; i++)
-		if (parts[i].granted - parts[i].target >= QUOTA_PLAN_STEP)
+		if (parts[i].granted - parts[i].target >= step)
 			parts[i].next = parts[i].target;
 }
 
-/* What shares of pools that are not configured any more may still use. */
+/*
+ * More than the whole may be running, as a limit was lowered: no share keeps a part
+ * by which it could start something.
+ */
+static void lower_to_used(struct part *parts, guint count)
+{
+	for (guint i = 0; i < count; i++)
+		parts[i].next = MIN(parts[i].next, parts[i].used);
+}
+
+/* Whether nothing runs in a share that is not configured, as it has no owner. */
+static bool is_gone(struct quota_plan *plan, const struct quota_share *share,
+		    const struct quota_part *known, int64_t now_ms)
+{
+	int64_t since_ms;
+
+	if (share->applied >= share->number) {
+		g_hash_table_remove(plan->gone, known);
+		return false;
+	}
+	since_ms = kept_number(plan->gone, known, -1);
+	if (since_ms < 0)
+		keep_number(plan->gone, known, now_ms);
+	return since_ms >= 0 && now_ms - since_ms >= QUOTA_PLAN_GONE_MS;
+}
+
+static void change_grant(const char *key, const char *tenant, int32_t granted,
+			 GHashTable *changes)
+{
+	GHashTable *of_share = g_hash_table_lookup(changes, key);
+
+	if (!of_share) {
+		of_share = g_hash_table_new(g_str_hash, g_str_equal);
+		g_hash_table_insert(changes, (char *)key, of_share);
+	}
+	g_hash_table_insert(of_share, (char *)tenant, GINT_TO_POINTER(granted));
+}
+
+/*
+ * What shares of pools that are not configured may still use. They are granted
+ * nothing, so that a pool that comes back begins with nothing.
+ */
 static int64_t held_by_others(struct quota_plan *plan,
-			      const struct quota_table *table,
-			      GHashTable *configured, const char *tenant,
-			      int64_t now_ms)
+			      const struct decision *decision,
+			      const char *tenant)
 {
-	GHashTableIter iter;
-	void *key, *share;
 	int64_t held = 0;
 
-	g_hash_table_iter_init(&iter, table->shares);
-	while (g_hash_table_iter_next(&iter, &key, &share)) {
-		const int64_t *since_ms;
+	for (guint i = 0; i < decision->others->len; i++) {
+		const struct quota_share *share = decision->others->pdata[i];
+		const struct quota_part *known = quota_part_find(share, tenant);
 
-		if (g_hash_table_contains(configured, key)) {
-			g_hash_table_remove(plan->gone, key);
+		if (!known)
 			continue;
-		}
-		since_ms = g_hash_table_lookup(plan->gone, key);
-		if (!since_ms)
-			keep_number(plan->gone, g_strdup(key), now_ms);
-		if (!since_ms || now_ms - *since_ms < QUOTA_PLAN_GONE_MS)
-			held += quota_may_use(share, tenant);
+		if (known->granted)
+			change_grant(share->key, tenant, 0, decision->changes);
+		if (known->granted ||
+		    !is_gone(plan, share, known, decision->now_ms))
+			held += MAX(known->granted,
+				    quota_may_use(share, tenant));
 	}
 	return held;
 }
@@ -340,47 +468,67 @@
 {
 	for (guint i = 0; i < count; i++) {
 		const struct part *part = &parts[i];
-		GHashTable *of_share;
 
 		if (part->next == part->granted)
 			continue;
 		if (part->next > part->granted)
-			keep_number(plan->turns,
-				    g_strdup_printf("%s %s", part->key, tenant),
-				    plan->turn);
-		of_share = g_hash_table_lookup(changes, part->key);
-		if (!of_share) {
-			of_share = g_hash_table_new(g_str_hash, g_str_equal);
-			g_hash_table_insert(changes, (char *)part->key,
-					    of_share);
-		}
-		g_hash_table_insert(of_share, (char *)tenant,
-				    GINT_TO_POINTER(part->next));
+			keep_number(plan->turns, part->known, plan->turn);
+		change_grant(part->key, tenant, part->next, changes);
 	}
 }
 
 static void decide_tenant(struct quota_plan *plan,
-			  const struct quota_table *table,
-			  const GPtrArray *keys, GHashTable *configured,
-			  const char *tenant, int64_t now_ms,
-			  GHashTable *changes)
-{
-	struct part *parts = g_new0(struct part, keys->len + 1);
-	int64_t whole = QUOTA_WHOLE -
-			held_by_others(plan, table, configured, tenant, now_ms);
+			  const struct decision *decision, const char *tenant)
+{
+	guint count = decision->shares->len;
+	struct part *parts = g_new0(struct part, count + 1);
+	int64_t whole = QUOTA_WHOLE - held_by_others(plan, decision, tenant);
 	int64_t free = whole;
 
-	if (read_parts(plan, table, keys, tenant, parts)) {
-		for (guint i = 0; i < keys->len; i++)
+	if (read_parts(plan, decision, tenant, parts)) {
+		for (guint i = 0; i < count; i++)
 			free -= MAX(parts[i].may_use, parts[i].granted);
-		set_targets(parts, keys->len, whole);
-		raise_parts(plan, parts, keys->len, free);
-		lower_parts(parts, keys->len);
-		note_changes(plan, parts, keys->len, tenant, changes);
+		set_targets(parts, count, whole);
+		if (free >= 0)
+			raise_parts(plan, parts, count, free);
+		pass_turn(plan, parts, count, tenant, decision->now_ms);
+		lower_parts(parts, count);
+		if (free < 0)
+			lower_to_used(parts, count);
+		note_changes(plan, parts, count, tenant, decision->changes);
 	}
 	g_free(parts);
 }
 
+/* Sorts the shares by whether they are configured. */
+static void find_shares(struct quota_plan *plan,
+			const struct quota_table *table,
+			struct decision *decision)
+{
+	GHashTable *configured = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter, parts;
+	void *share, *part;
+
+	for (guint i = 0; i < decision->keys->len; i++) {
+		share = (void *)quota_find(table, decision->keys->pdata[i]);
+		g_ptr_array_add(decision->shares, share);
+		if (!share)
+			continue;
+		g_hash_table_add(configured, share);
+		if (!g_hash_table_size(plan->gone))
+			continue;
+		g_hash_table_iter_init(&parts,
+				       ((struct quota_share *)share)->parts);
+		while (g_hash_table_iter_next(&parts, NULL, &part))
+			g_hash_table_remove(plan->gone, part);
+	}
+	g_hash_table_iter_init(&iter, table->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &share))
+		if (!g_hash_table_contains(configured, share))
+			g_ptr_array_add(decision->others, share);
+	g_hash_table_destroy(configured);
+}
+
 static void free_changes(void *changes)
 {
 	g_hash_table_destroy(changes);
@@ -391,21 +539,25 @@
 	const struct cfg *cfg, const GPtrArray *keys, int64_t now_ms,
 	void (*fn)(void *arg, const char *key, GHashTable *changes), void *arg)
 {
-	GHashTable *configured = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *changes = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    NULL, free_changes);
+	struct decision decision = {
+		.now_ms = now_ms,
+		.keys = keys,
+		.shares = g_ptr_array_new(),
+		.others = g_ptr_array_new(),
+		.changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_changes),
+	};
 	GHashTableIter iter;
 	void *key, *of_share;
 
-	for (guint i = 0; i < keys->len; i++)
-		g_hash_table_add(configured, keys->pdata[i]);
+	find_shares(plan, table, &decision);
 	for (uint32_t i = 0; i < cfg->tenant_count; i++)
 		if (cfg_has_limit(&cfg->tenants[i]))
-			decide_tenant(plan, table, keys, configured,
-				      cfg->tenants[i].name, now_ms, changes);
-	g_hash_table_iter_init(&iter, changes);
+			decide_tenant(plan, &decision, cfg->tenants[i].name);
+	g_hash_table_iter_init(&iter, decision.changes);
 	while (g_hash_table_iter_next(&iter, &key, &of_share))
 		fn(arg, key, of_share);
-	g_hash_table_destroy(changes);
-	g_hash_table_destroy(configured);
+	g_hash_table_destroy(decision.changes);
+	g_ptr_array_free(decision.shares, TRUE);
+	g_ptr_array_free(decision.others, TRUE);
 }
