Test what crowds of misbehaving clients cost plank-noded and plank-entryd

No test had many clients that stop short of the end of a body, send more than the limit, or do not read answers. crowd sends nine such patterns with 600 connections on loopback. Checked is that the process lives, that its peak memory stays under 64 MB and its descriptors under 400, and that it serves an ordinary request afterwards; no times. The crowd tests run one at a time, after the other process tests.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
 	$(BUILD)/plank-load $(BUILD)/plank-noded
 STANDINS = $(BUILD)/platformd $(BUILD)/workerd $(BUILD)/faultd \
-	$(BUILD)/standin
+	$(BUILD)/standin $(BUILD)/crowd
 
 all: $(PROGRAMS)
 
@@ -154,7 +154,9 @@
 
 # Tests: unit tests by check, then process tests with the stand-ins.
 UNIT_TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-PROCESS_TESTS = $(wildcard tests/process_*.sh)
+# Crowd tests watch memory and descriptors; each runs alone.
+CROWD_TESTS = $(wildcard tests/process_crowd_*.sh)
+PROCESS_TESTS = $(filter-out $(CROWD_TESTS),$(wildcard tests/process_*.sh))
 
 $(UNIT_TESTS): tests/suite.h
 
@@ -170,6 +172,7 @@
 run-process: all standins
 	@PLANK_BUILD=$(BUILD) bash tests/run.sh $(PROCESS_JOBS) \
 		$(PROCESS_TESTS:%="bash %")
+	@PLANK_BUILD=$(BUILD) bash tests/run.sh 1 $(CROWD_TESTS:%="bash %")
 
 SANITIZED = BUILD=build-sanitize \
 	SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all \
