Bound what the clients of plank-noded and plank-entryd may hold

Causes: a connection had no bound but 4,096; a body was held up to 4 MB whatever the configuration's limit, in a buffer twice its size, for as long as a byte came every 10 s; the kernel grew the buffers of a connection on its own; answers that nobody read were not counted; a small body can take 250 times its size once it is decoded (67 MB for 262 KB of "{},").

Change: - budget: one budget in bytes and connections for a process, from memory_mb and max_fds (deploy/node.json), or given. It decides from counts and time only. - web: asks it when a connection opens, a header or a body is complete, and before a buffer grows. Refusals are 503, not-run, with Retry-After, also while the body arrives. Near a bound, connections with least progress are closed, and others after their answer. Headers, bodies, answers and idle connections have their times. Kernel buffers are fixed at the listener.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	fleet_settings fleet_host fleet_member fleet_text member route \
 	route_share route_result plan plan_survey plan_check admit claim \
 	claim_record claim_window
-AROUND = log file procconf cmd evloop web web_request web_linger tcp \
+AROUND = log file procconf cmd evloop budget budget_counters web web_request \
+	web_body web_budget web_linger tcp \
 	platclient propose replica snapshot follow hostlist reboot rpcserver \
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -74,6 +74,8 @@
 struct cfg {
 	int64_t version;
 	int64_t max_body_bytes;
+	int64_t header_timeout_ms; /* 0: not given, likewise idle */
+	int64_t idle_timeout_ms;
 	uint32_t queue_count;
 	struct cfg_queue *queues;
 	uint32_t pool_count;
--- a/src/entryd.c
+++ b/src/entryd.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 #include <apr_general.h>
+#include <apr_strings.h>
 
+#include "budget_counters.h"
 #include "claim_log.h"
 #include "cmd.h"
 #include "procconf.h"
@@ -23,7 +25,9 @@
 	/* A platform log that has been silent for this long is assumed to be
 	   unable to record a join. */
 	PLATFORM_SILENT_MS = 3000,
-	LEAVE_WAIT_MS = 2000
+	LEAVE_WAIT_MS = 2000,
+	/* Buffers of the kernel for a connection. */
+	SOCKET_BYTES = 64 * 1024
 };
 
 struct listed_host {
@@ -43,6 +47,7 @@
 	struct platclient *platclient; /* NULL if platform_url is not set */
 	struct claim_log *claim_log;
 	struct proxy *proxy;
+	struct budget *budget; /* of callers */
 	struct web *web;
 
 	int64_t incarnation;
@@ -354,6 +359,7 @@
 	set_hello(entryd);
 	set_gauges(entryd);
 	set_route_counters(entryd);
+	web_tick(entryd->web);
 	check_stop(entryd);
 }
 
@@ -380,7 +386,12 @@
 			     accepting ? "ready\n" : "not ready\n");
 	} else if (!strcmp(request->path, "/metrics")) {
 		respond_text(request, 200,
-			     counters_format(entryd->counters, request->pool));
+			     apr_pstrcat(request->pool,
+					 counters_format(entryd->counters,
+							 request->pool),
+					 budget_counters_text(entryd->budget,
+							      request->pool),
+					 NULL));
 	} else {
 		counters_inc(entryd->counters, ENTRY_REQUESTS);
 		/* While stopping, requests that the load balancer still sends
@@ -467,12 +478,38 @@
 	return entryd->claim_log != NULL;
 }
 
+static const struct web_sizes sizes = {
+	.pool_bytes = LIMIT_HEAD_READ_BYTES,
+	.receive_bytes = SOCKET_BYTES,
+	.send_bytes = SOCKET_BYTES,
+};
+
+static struct budget *create_budget(const struct procconf *procconf)
+{
+	struct budget_config config = {
+		.max_connections = (uint32_t)procconf->max_connections,
+		.max_bytes = procconf->max_request_bytes,
+		.connection_bytes = web_connection_bytes(&sizes),
+		.request_bytes = WEB_REQUEST_BYTES,
+		.body_copies = 1,
+		.head_ms = procconf->header_timeout_ms,
+		.idle_ms = procconf->idle_timeout_ms,
+	};
+
+	budget_derive(&config, procconf->memory_mb << 20,
+		      procconf->max_fds ? procconf->max_fds : web_max_fds());
+	log_info("bounds max_connections=%u max_request_bytes=%lld",
+		 config.max_connections, (long long)config.max_bytes);
+	return budget_create(&config);
+}
+
 static int create(struct entryd *entryd, apr_pool_t *pool, struct err *err)
 {
 	struct web_config web = {
 		.address = entryd->procconf->address,
 		.port = (uint16_t)entryd->procconf->http_port,
-		.max_body_bytes = LIMIT_BODY_BYTES,
+		.max_body_bytes = (size_t)entryd->procconf->max_body_bytes,
+		.sizes = sizes,
 		.on_request = handle,
 		.on_refused = web_refused,
 		.arg = entryd,
@@ -509,6 +546,8 @@
 	if (entryd->claim_log)
 		proxy.claims = claim_log_claims(entryd->claim_log);
 	entryd->proxy = proxy_create(&proxy);
+	entryd->budget = create_budget(entryd->procconf);
+	web.budget = entryd->budget;
 	entryd->web = web_create(entryd->evloop, &web, err);
 	if (!entryd->web)
 		return err->kind;
@@ -522,6 +561,7 @@
 {
 	rpcfollow_destroy(entryd->rpcfollow);
 	web_destroy(entryd->web);
+	budget_destroy(entryd->budget);
 	platclient_destroy(entryd->platclient);
 	claim_log_destroy(entryd->claim_log);
 	evloop_destroy(entryd->evloop);
--- a/src/limit.h
+++ b/src/limit.h
@@ -27,6 +27,8 @@
 	   the connection. */
 	LIMIT_HEAD_READ_BYTES = 96 * 1024,
 	LIMIT_BODY_BYTES = 4 * 1024 * 1024,
+	/* Of a job while no configuration is known. */
+	LIMIT_JOB_BODY_BYTES = 256 * 1024,
 	LIMIT_ANSWER_BYTES = 16 * 1024 * 1024,
 	LIMIT_RECORD_BYTES = 48 * 1024,
 	LIMIT_RPC_BYTES = 256 * 1024,
--- a/src/nodeconf.c
+++ b/src/nodeconf.c
@@ -5,8 +5,11 @@
 
 #include <glib.h>
 
+#include "budget.h"
 #include "jcursor.h"
 
+enum { MIB = 1024 * 1024 };
+
 /* Splits "address:port"; any other form is an error. */
 static void parse_address(const struct jcursor *root, const char *key,
 			  bool required, struct nodeconf_address *out)
@@ -90,6 +93,13 @@
 				     NODECONF_SHARE_HOSTS);
 }
 
+static uint32_t parse_connections(const struct jcursor *root)
+{
+	struct jcursor field = jcursor_member(root, "max_connections");
+
+	return (uint32_t)jcursor_int(&field, 0, BUDGET_MAX_CONNECTIONS, 0);
+}
+
 int nodeconf_parse(const char *text, size_t len, struct nodeconf *settings,
 		   struct err *err)
 {
@@ -127,6 +137,13 @@
 	parsed.decider_core_share =
 		parse_amount(&root, "decider_core_share", 0.2);
 	parsed.decider_link_mbps = parse_amount(&root, "decider_link_mbps", 50);
+	parsed.memory_bytes =
+		(int64_t)(parse_amount(&root, "memory_mb", NODECONF_MEMORY_MB) *
+			  MIB);
+	parsed.max_fds = (int64_t)parse_amount(&root, "max_fds", 0);
+	parsed.max_connections = parse_connections(&root);
+	parsed.max_request_bytes =
+		(int64_t)parse_amount(&root, "max_request_bytes", 0);
 	json_object_put(value);
 	if (fault.kind != ERR_OK)
 		return err_set(err, fault.kind, "%s", fault.text);
--- a/src/nodeconf.h
+++ b/src/nodeconf.h
@@ -22,7 +22,8 @@
 	NODECONF_MIN_RECORD_BYTES = 16 * 1024,
 	NODECONF_GROUP_PARTS = 24, /* if the settings do not say */
 	NODECONF_MIN_GROUP_PARTS = 8,
-	NODECONF_MAX_GROUP_PARTS = 128 /* see OWNERSHIP_PARTS */
+	NODECONF_MAX_GROUP_PARTS = 128, /* see OWNERSHIP_PARTS */
+	NODECONF_MEMORY_MB = 1024
 };
 
 struct nodeconf_address {
@@ -53,6 +54,10 @@
 	int64_t rate_window_ms;
 	double rate_overage;
 	double rate_slack_jobs;
+	int64_t memory_bytes;	   /* of the host, for this process */
+	int64_t max_fds;	   /* descriptors; 0: the limit at the start */
+	uint32_t max_connections;  /* of callers; 0: by the two above */
+	int64_t max_request_bytes; /* held for callers; 0: likewise */
 	uint32_t share_hosts; /* hosts that a slice of the fleet is meant for */
 	double core_share;    /* processor time of this node, in cores */
 	double link_mbps;     /* bandwidth of its network link */
--- a/src/noded.c
+++ b/src/noded.c
@@ -8,12 +8,15 @@
 #include <sys/stat.h>
 
 #include <apr_general.h>
+#include <apr_strings.h>
 #include <argtable2.h>
 
+#include "budget_counters.h"
 #include "call.h"
 #include "cmd.h"
 #include "host_api.h"
 #include "ingress.h"
+#include "json.h"
 #include "log.h"
 #include "node.h"
 #include "order_api.h"
@@ -31,6 +34,14 @@
 	   ready this many times; this long if it does not look. */
 	NODED_STOP_PROBES = 2,
 	NODED_STOP_UNSEEN_MS = 2500,
+	/* Buffers of a connection. The library's hold a header of
+	   LIMIT_HEAD_BYTES; answers are small. */
+	NODED_POOL_BYTES = 40 * 1024,
+	NODED_RECEIVE_BYTES = 16 * 1024,
+	NODED_SEND_BYTES = 8 * 1024,
+	/* Of a caller's body: itself, the job's record and the append. */
+	NODED_BODY_COPIES = 3,
+	NODED_OWN_CONNECTIONS = 64, /* to the readiness, and to the metrics */
 	/* Time and ticks without input before the end: a busy node may not have
 	   read yet what callers have sent. */
 	NODED_STOP_QUIET_MS = 300,
@@ -47,6 +58,7 @@
 	struct host_api *hosts;
 	struct node *node;
 	struct ingress *ingress;
+	struct budget *budget; /* of callers */
 	struct web *callers;
 	struct web *readiness;
 	struct web *metrics;  /* NULL: not served */
@@ -96,7 +108,9 @@
 		handle_view(noded, request);
 		return;
 	}
-	text = node_metrics(noded->node, request->pool);
+	text = apr_pstrcat(
+		request->pool, node_metrics(noded->node, request->pool),
+		budget_counters_text(noded->budget, request->pool), NULL);
 	web_respond(request, 200, headers, text, strlen(text));
 }
 
@@ -106,6 +120,32 @@
 	log_info("request-refused why=%s", err_name(kind));
 }
 
+static void on_caller(void *arg, struct web_request *request)
+{
+	ingress_handle(((struct noded *)arg)->ingress, request);
+}
+
+static size_t max_caller_body(void *arg)
+{
+	const struct cfg *cfg = *node_cfg(((struct noded *)arg)->node);
+
+	if (!cfg)
+		return LIMIT_JOB_BODY_BYTES;
+	return cfg->max_body_bytes > 0 ? (size_t)cfg->max_body_bytes : 0;
+}
+
+/* Applies the timeouts of the configuration in force, if it has any. */
+static void set_times(struct noded *noded)
+{
+	const struct cfg *cfg = *node_cfg(noded->node);
+	int64_t head_ms = cfg ? cfg->header_timeout_ms : 0;
+	int64_t idle_ms = cfg ? cfg->idle_timeout_ms : 0;
+
+	budget_set_times(noded->budget,
+			 head_ms ? head_ms : LIMIT_PARTIAL_REQUEST_S * 1000,
+			 idle_ms ? idle_ms : LIMIT_PARTIAL_REQUEST_S * 1000);
+}
+
 /* Whether the platform sends no more connections, as far as is known. */
 static bool out_of_rotation(const struct noded *noded, int64_t now_ms)
 {
@@ -146,6 +186,8 @@
 	node_note_tick(noded->node, NODED_TICK_MS,
 		       evloop_busy_ms(noded->evloop));
 	node_tick(noded->node);
+	set_times(noded);
+	web_tick(noded->callers);
 	if (noded->stop_ms)
 		exit_when_stopped(noded, clk_now_ms(evloop_clk(noded->evloop)));
 }
@@ -198,21 +240,50 @@
 	noded->settings_time = status.st_mtime;
 }
 
+static const struct web_sizes sizes = {
+	.max_connections = NODED_OWN_CONNECTIONS,
+	.pool_bytes = NODED_POOL_BYTES,
+	.receive_bytes = NODED_RECEIVE_BYTES,
+	.send_bytes = NODED_SEND_BYTES,
+};
+
+static struct budget *create_budget(const struct nodeconf *settings)
+{
+	struct budget_config config = {
+		.max_connections = settings->max_connections,
+		.max_bytes = settings->max_request_bytes,
+		.connection_bytes = web_connection_bytes(&sizes),
+		.request_bytes = WEB_REQUEST_BYTES,
+		.body_copies = NODED_BODY_COPIES,
+	};
+
+	budget_derive(&config, settings->memory_bytes,
+		      settings->max_fds ? settings->max_fds : web_max_fds());
+	log_info(
+		"bounds max_connections=%u max_request_bytes=%" G_GINT64_FORMAT,
+		config.max_connections, config.max_bytes);
+	return budget_create(&config);
+}
+
 static bool open_listeners(struct noded *noded)
 {
 	struct err err = { .kind = ERR_OK };
 	struct web_config callers = {
 		.address = noded->settings.callers.host,
 		.port = noded->settings.callers.port,
-		.max_body_bytes = LIMIT_BODY_BYTES,
-		.on_request = ingress_handle,
+		.max_body = max_caller_body,
+		.budget = noded->budget,
+		.sizes = sizes,
+		.decoded_bytes = json_decoded_bytes,
+		.on_request = on_caller,
 		.on_refused = log_refused,
-		.arg = noded->ingress,
+		.arg = noded,
 	};
 	struct web_config readiness = {
 		.address = noded->settings.readiness.host,
 		.port = noded->settings.readiness.port,
 		.max_body_bytes = 0,
+		.sizes = sizes,
 		.on_request = handle_readiness,
 		.on_refused = log_refused,
 		.arg = noded,
@@ -222,6 +293,7 @@
 		.address = noded->settings.metrics.host,
 		.port = noded->settings.metrics.port,
 		.max_body_bytes = 0,
+		.sizes = sizes,
 		.on_request = handle_metrics,
 		.on_refused = log_refused,
 		.arg = noded,
@@ -267,6 +339,7 @@
 	config.hosts = host_api_io(noded->hosts);
 	noded->node = node_create(&config);
 	noded->ingress = ingress_create(node_front(noded->node), clk);
+	noded->budget = create_budget(&noded->settings);
 	return open_listeners(noded);
 }
 
--- a/src/procconf.c
+++ b/src/procconf.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <arpa/inet.h>
 
+#include "budget.h"
 #include "file.h"
 #include "field.h"
 
@@ -42,6 +43,20 @@
 	  0, ENTRY },
 	{ "claim_window_ms", offsetof(struct procconf, claim_window_ms), 1000,
 	  24 * HOUR_MS, LIMIT_CLAIM_WINDOW_MS, ENTRY },
+	{ "memory_mb", offsetof(struct procconf, memory_mb), 32, 1 << 20,
+	  PROCCONF_MEMORY_MB, ENTRY },
+	{ "max_fds", offsetof(struct procconf, max_fds), 0, INT32_MAX, 0,
+	  ENTRY },
+	{ "max_connections", offsetof(struct procconf, max_connections), 0,
+	  BUDGET_MAX_CONNECTIONS, 0, ENTRY },
+	{ "max_request_bytes", offsetof(struct procconf, max_request_bytes), 0,
+	  LIMIT_NUMBER_MAX, 0, ENTRY },
+	{ "max_body_bytes", offsetof(struct procconf, max_body_bytes), 0,
+	  LIMIT_BODY_BYTES, LIMIT_BODY_BYTES, ENTRY },
+	{ "header_timeout_ms", offsetof(struct procconf, header_timeout_ms),
+	  100, HOUR_MS, LIMIT_PARTIAL_REQUEST_S * 1000, ENTRY },
+	{ "idle_timeout_ms", offsetof(struct procconf, idle_timeout_ms), 100,
+	  HOUR_MS, LIMIT_PARTIAL_REQUEST_S * 1000, ENTRY },
 	{ "stop_grace_ms", offsetof(struct procconf, stop_grace_ms), 0, HOUR_MS,
 	  LIMIT_STOP_GRACE_MS, ENTRY | FLEET },
 };
--- a/src/procconf.h
+++ b/src/procconf.h
@@ -18,7 +18,9 @@
 	PROCCONF_MAX_PEERS = 512,
 	PROCCONF_MAX_OPERATORS = 512,
 	PROCCONF_TOKEN_BYTES = 128,
-	PROCCONF_URL_BYTES = 128
+	PROCCONF_URL_BYTES = 128,
+	/* Enough for 4,096 connections of callers. */
+	PROCCONF_MEMORY_MB = 4096
 };
 
 struct procconf_peer {
@@ -49,6 +51,15 @@
 	int64_t snapshot_records;
 	int64_t stop_delay_ms;
 	int64_t stop_grace_ms;
+	/* Entry daemon: memory and descriptors of the host for it, and what its
+	   clients may hold; 0: by the limit at the start, and by these two. */
+	int64_t memory_mb;
+	int64_t max_fds;
+	int64_t max_connections;
+	int64_t max_request_bytes;
+	int64_t max_body_bytes;
+	int64_t header_timeout_ms;
+	int64_t idle_timeout_ms;
 
 	/*
 	 * Fleet daemon: its peers. Entry daemon: the fleet daemons to follow,
--- a/src/web.c
+++ b/src/web.c
@@ -14,7 +14,14 @@
 #include "log.h"
 #include "tcp.h"
 
-enum { MAX_CONNECTIONS = 4096, KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S };
+enum {
+	MAX_CONNECTIONS = 4096,
+	KEEPALIVE_S = LIMIT_PARTIAL_REQUEST_S,
+	/* Connections beyond the budget's bound that get a refusal. */
+	REFUSED_CONNECTIONS = 32,
+	/* The library closes a connection only if the budget has not. */
+	BACKSTOP_S = 2 * BUDGET_MAX_TRANSFER_MS / 1000
+};
 
 static struct web_connection *connection_of(struct MHD_Connection *conn)
 {
@@ -24,14 +31,25 @@
 	return info ? info->socket_context : NULL;
 }
 
-static int64_t now_ms(const struct web *web)
+int64_t web_now_ms(const struct web *web)
 {
 	return clk_now_ms(evloop_clk(web->evloop));
 }
 
 static void note_input(struct web *web)
 {
-	web->last_input_ms = now_ms(web);
+	web->last_input_ms = web_now_ms(web);
+}
+
+static uint32_t client_address(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr *addr = info ? info->client_addr : NULL;
+
+	if (!addr || addr->sa_family != AF_INET)
+		return 0;
+	return ((const struct sockaddr_in *)addr)->sin_addr.s_addr;
 }
 
 /*
@@ -51,18 +69,25 @@
 
 		note_input(web);
 		connection = calloc(1, sizeof(*connection));
-		if (connection)
-			connection->fd = info ? info->connect_fd : -1;
 		*context = connection;
+		if (!connection)
+			return;
+		connection->fd = info ? info->connect_fd : -1;
+		if (web->config.budget)
+			budget_open(web->config.budget, &connection->client,
+				    client_address(conn), web_now_ms(web));
 		return;
 	}
 	if (!connection)
 		return;
 	if (!connection->in_request && !connection->refused &&
+	    connection->client.closing == BUDGET_OK &&
 	    tcp_bytes(connection->fd).received > connection->consumed_bytes)
 		web->config.on_refused(web->config.arg, ERR_INVALID);
 	if (connection->refused)
-		web_linger_add(&web->linger, connection->fd, now_ms(web));
+		web_linger_add(&web->linger, connection->fd, web_now_ms(web));
+	if (web->config.budget)
+		budget_close(web->config.budget, &connection->client);
 	free(connection);
 	*context = NULL;
 }
@@ -85,34 +110,13 @@
 	ex->connection = connection_of(conn);
 	if (ex->connection)
 		ex->connection->in_request = true;
+	if (web_budget_of(ex))
+		budget_begin(web->config.budget, &ex->connection->client,
+			     web_now_ms(web));
 	web->active++;
 	return ex;
 }
 
-static void append_body(struct web_exchange *ex, const char *data, size_t len)
-{
-	size_t size = ex->request.body_len + len;
-
-	if (ex->too_large || size > ex->web->config.max_body_bytes) {
-		ex->too_large = true;
-		return;
-	}
-	if (size + 1 > ex->body_cap) {
-		size_t cap = (size + 1) * 2;
-		char *body = realloc(ex->body, cap);
-
-		if (!body) {
-			ex->too_large = true;
-			return;
-		}
-		ex->body = body;
-		ex->body_cap = cap;
-	}
-	memcpy(ex->body + ex->request.body_len, data, len);
-	ex->request.body_len = size;
-	ex->body[size] = 0;
-}
-
 static enum MHD_Result send_response(struct web_exchange *ex)
 {
 	struct MHD_Response *response = ex->response;
@@ -128,16 +132,14 @@
 static void dispatch(struct web_exchange *ex)
 {
 	struct web *web = ex->web;
-	char text[ERR_TEXT_BYTES];
+	struct budget *budget = web_budget_of(ex);
+	enum budget_reason reason = BUDGET_OK;
 
 	ex->request.body = ex->body ? ex->body : "";
-	if (ex->too_large) {
-		snprintf(text, sizeof(text),
-			 "request body too large: at most %zu bytes are "
-			 "wanted",
-			 web->config.max_body_bytes);
-		web_request_refuse(ex, MHD_HTTP_CONTENT_TOO_LARGE,
-				   ERR_TOO_LARGE, text);
+	if (budget)
+		reason = web_budget_handle(ex);
+	if (reason != BUDGET_OK) {
+		web_request_refuse_busy(ex, reason);
 		return;
 	}
 	ex->handled = true;
@@ -160,9 +162,10 @@
 		return ex->response ? send_response(ex) : MHD_YES;
 	}
 	if (*upload_len) {
-		append_body(ex, upload, *upload_len);
+		size_t len = *upload_len;
+
 		*upload_len = 0;
-		return MHD_YES;
+		return web_body_append(ex, upload, len);
 	}
 	if (!ex->handled)
 		dispatch(ex);
@@ -184,7 +187,10 @@
 		return;
 	/* The library reports a request as completed if it refused the header
 	   or a chunk. */
-	if (!ex->handled) {
+	if (!ex->handled && ex->connection &&
+	    ex->connection->client.closing != BUDGET_OK) {
+		/* Closed by the budget, which has counted it. */
+	} else if (!ex->handled) {
 		if (ex->connection)
 			ex->connection->refused = true;
 		web->config.on_refused(
@@ -199,6 +205,9 @@
 		ex->connection->in_request = false;
 		ex->connection->consumed_bytes =
 			tcp_bytes(ex->connection->fd).received;
+		if (web_budget_of(ex))
+			budget_end(web->config.budget, &ex->connection->client,
+				   web_now_ms(web));
 	}
 	if (ex->response)
 		MHD_destroy_response(ex->response);
@@ -241,10 +250,40 @@
 
 	(void)fds;
 	(void)count;
-	web_linger_tick(&web->linger, now_ms(web));
+	web_linger_tick(&web->linger, web_now_ms(web));
 	read_input(web);
 }
 
+/*
+ * Accepted connections inherit these. A fixed size also ends the kernel's own
+ * growth of the buffers, to some MB each, for input that is not read at once.
+ */
+static void set_socket_sizes(struct web *web)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(web->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	int receive = (int)web->config.sizes.receive_bytes;
+	int sent = (int)web->config.sizes.send_bytes;
+
+	if (!info)
+		return;
+	if (receive)
+		setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &receive,
+			   sizeof(receive));
+	if (sent)
+		setsockopt(info->listen_fd, SOL_SOCKET, SO_SNDBUF, &sent,
+			   sizeof(sent));
+}
+
+static unsigned int max_connections(const struct web_config *config)
+{
+	if (config->budget)
+		return budget_config(config->budget)->max_connections +
+		       REFUSED_CONNECTIONS;
+	return config->sizes.max_connections ? config->sizes.max_connections
+					     : MAX_CONNECTIONS;
+}
+
 struct web *web_create(struct evloop *evloop, const struct web_config *config,
 		       struct err *err)
 {
@@ -272,9 +311,11 @@
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, web,
 		MHD_OPTION_NOTIFY_CONNECTION, on_connection, web,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)LIMIT_HEAD_READ_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-		(unsigned int)KEEPALIVE_S, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)MAX_CONNECTIONS,
+		(size_t)(config->sizes.pool_bytes ? config->sizes.pool_bytes
+						  : LIMIT_HEAD_READ_BYTES),
+		MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)(config->budget ? BACKSTOP_S : KEEPALIVE_S),
+		MHD_OPTION_CONNECTION_LIMIT, max_connections(config),
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 	if (!web->daemon) {
 		err_set(err, ERR_IO, "cannot listen on %s:%u", config->address,
@@ -282,6 +323,7 @@
 		free(web);
 		return NULL;
 	}
+	set_socket_sizes(web);
 	evloop_add_source(evloop, &source);
 	return web;
 }
@@ -309,7 +351,7 @@
 int64_t web_quiet_ms(struct web *web)
 {
 	read_input(web);
-	return now_ms(web) - web->last_input_ms;
+	return web_now_ms(web) - web->last_input_ms;
 }
 
 void web_close_answered(struct web *web)
--- a/src/web.h
+++ b/src/web.h
@@ -14,6 +14,7 @@
 
 #include <apr_pools.h>
 
+#include "budget.h"
 #include "err.h"
 #include "evloop.h"
 
@@ -34,10 +35,36 @@
 	void *handler_data; /* for the handler's use */
 };
 
+/* Memory of a connection in bytes; 0: as the library and the kernel have it. */
+struct web_sizes {
+	uint32_t max_connections; /* without a budget; 0: 4,096 */
+	uint32_t pool_bytes;	  /* of the library, for headers and reads */
+	/* Buffers of the kernel, which keeps twice as much. */
+	uint32_t receive_bytes;
+	uint32_t send_bytes;
+};
+
+/* web_connection_bytes - most that a connection without a request takes */
+int64_t web_connection_bytes(const struct web_sizes *sizes);
+
+/* web_max_fds - descriptors that the system lets this process open */
+int64_t web_max_fds(void);
+
+enum { WEB_REQUEST_BYTES = 10 * 1024 }; /* of a request without its body */
+
 struct web_config {
 	const char *address;
 	uint16_t port;
 	size_t max_body_bytes;
+	/* Limit now in force, in place of max_body_bytes; NULL: none. */
+	size_t (*max_body)(void *arg);
+	/* What clients may hold, which outlives the server; web_tick has to be
+	   called then. NULL: no budget, and connections without activity for
+	   LIMIT_PARTIAL_REQUEST_S are closed. */
+	struct budget *budget;
+	struct web_sizes sizes;
+	/* Memory that on_request takes for a body until it returns; NULL: little. */
+	int64_t (*decoded_bytes)(const char *body, size_t len);
 	void (*on_request)(void *arg, struct web_request *request);
 	/* Called for each request refused before it reached the handler. */
 	void (*on_refused)(void *arg, int kind);
@@ -86,6 +113,13 @@
 /* web_respond_error - answer with the kind's status and a JSON body */
 void web_respond_error(struct web_request *request, int kind, const char *text);
 
+/*
+ * web_tick - close connections as the budget decides; logs what it did
+ *
+ * To be called from a timer of the process, as often as that runs.
+ */
+void web_tick(struct web *web);
+
 /* web_active - number of requests begun and not fully answered */
 uint32_t web_active(const struct web *web);
 
--- a/src/web_int.h
+++ b/src/web_int.h
@@ -3,7 +3,8 @@
  *	web_int - internals shared by the files of module web
  *
  * web.c runs the server and its connections, web_request.c checks the header of
- * a request and answers it, web_linger.c keeps refused connections open.
+ * a request and answers it, web_body.c receives its body, web_budget.c carries out
+ * what module budget decides, web_linger.c keeps refused connections open.
  */
 #ifndef WEB_INT_H
 #define WEB_INT_H
@@ -22,10 +23,15 @@
 	bool quiescing;
 	bool close_answered;
 	struct web_linger linger; /* refused connections */
+	int64_t logged_ms;	  /* last log line about the budget */
+	int64_t logged_count;	  /* refusals and closes up to then */
+	int64_t trim_ms;	  /* last return of memory to the system */
+	int64_t peak_bytes;	  /* most held since then */
 };
 
 /* A connection, tracked to detect input that never became a request. */
 struct web_connection {
+	struct budget_client client; /* first: the budget's view */
 	int fd;
 	bool in_request;
 	bool refused; /* the rest of its input is counted as refused */
@@ -41,9 +47,9 @@
 	struct web_connection *connection;
 	char *body;
 	size_t body_cap;
-	bool handled; /* passed to the handler, or refused */
+	int64_t announced; /* length of the body; -1: not known */
+	bool handled;	   /* passed to the handler, or refused */
 	bool suspended;
-	bool too_large;
 	struct MHD_Response *response;
 	int status;
 };
@@ -52,6 +58,32 @@
 void web_request_refuse(struct web_exchange *ex, int status, int kind,
 			const char *text);
 
+/* web_request_refuse_busy - the same, as the budget has refused the request */
+void web_request_refuse_busy(struct web_exchange *ex,
+			     enum budget_reason reason);
+
+/* web_max_body - limit of a body now in force */
+size_t web_max_body(const struct web *web);
+
+/*
+ * web_body_append - take bytes of the body
+ *
+ * RETURN VALUE
+ *	MHD_NO if the request has been refused and the connection is to be
+ *	closed.
+ */
+enum MHD_Result web_body_append(struct web_exchange *ex, const char *data,
+				size_t len);
+
+/* web_budget_of - the budget that counts a request's connection, or NULL */
+struct budget *web_budget_of(const struct web_exchange *ex);
+
+/* web_budget_handle - decide whether a complete request is handled */
+enum budget_reason web_budget_handle(struct web_exchange *ex);
+
+/* web_now_ms - time of the event loop's clock */
+int64_t web_now_ms(const struct web *web);
+
 /* web_request_check - check the header before the body; refuse a bad request */
 void web_request_check(struct web_exchange *ex);
 
--- a/src/web_request.c
+++ b/src/web_request.c
@@ -10,6 +10,7 @@
 
 #include "jcursor.h"
 #include "limit.h"
+#include "web_budget.h"
 
 static struct web_exchange *exchange_of(const struct web_request *request)
 {
@@ -79,10 +80,14 @@
 	for (; headers && headers->name; headers++)
 		MHD_add_response_header(response, headers->name,
 					headers->value);
-	if (ex->web->close_answered)
+	if (ex->web->close_answered ||
+	    (web_budget_of(ex) && budget_pressed(ex->web->config.budget)))
 		MHD_add_response_header(response, "Connection", "close");
 	ex->response = response;
 	ex->status = status;
+	if (web_budget_of(ex))
+		budget_answer(ex->web->config.budget, &ex->connection->client,
+			      (int64_t)len, web_now_ms(ex->web));
 	if (ex->suspended) {
 		ex->suspended = false;
 		MHD_resume_connection(ex->mhd_connection);
@@ -134,6 +139,27 @@
 	respond_error(&ex->request, status, kind, headers, text);
 }
 
+void web_request_refuse_busy(struct web_exchange *ex, enum budget_reason reason)
+{
+	char seconds[8];
+	char text[ERR_TEXT_BYTES];
+	const struct web_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ "Plank-Outcome", "not-run" },
+		{ "Retry-After", seconds },
+		{ "Connection", "close" },
+		{ NULL, NULL },
+	};
+
+	web_retry_after(ex->web, seconds, sizeof(seconds));
+	snprintf(text, sizeof(text), "too many clients: %s",
+		 budget_reason_name(reason));
+	ex->handled = true;
+	ex->connection->refused = true;
+	respond_error(&ex->request, MHD_HTTP_SERVICE_UNAVAILABLE, ERR_OVERLOAD,
+		      headers, text);
+}
+
 static enum MHD_Result add_length(void *cls, enum MHD_ValueKind kind,
 				  const char *name, const char *value)
 {
@@ -175,16 +201,27 @@
 	return framing;
 }
 
+/* Length of the body that the header tells; -1: not known. */
+static int64_t announced_length(const struct web_exchange *ex,
+				const struct framing *framing)
+{
+	if (framing->length)
+		return (int64_t)strtoull(framing->length, NULL, 10);
+	return web_header(&ex->request, "Transfer-Encoding") ? -1 : 0;
+}
+
 void web_request_check(struct web_exchange *ex)
 {
 	struct framing framing = framing_of(ex);
 	const char *length = framing.length;
-	size_t max_body = ex->web->config.max_body_bytes;
+	size_t max_body = web_max_body(ex->web);
 	size_t bytes = strlen(ex->request.target);
+	enum budget_reason reason;
 	char text[ERR_TEXT_BYTES];
 
 	MHD_get_connection_values(ex->mhd_connection, MHD_HEADER_KIND,
 				  add_length, &bytes);
+	ex->announced = announced_length(ex, &framing);
 	if (bytes > LIMIT_HEAD_BYTES) {
 		snprintf(text, sizeof(text),
 			 "header of %zu bytes exceeds the limit of %d", bytes,
@@ -204,5 +241,11 @@
 		/* The decoded path would end at the zero byte. */
 		web_request_refuse(ex, MHD_HTTP_BAD_REQUEST, ERR_INVALID,
 				   "target: %00 is not allowed in a path");
+	} else if (web_budget_of(ex)) {
+		reason = budget_admit(ex->web->config.budget,
+				      &ex->connection->client, ex->announced,
+				      web_now_ms(ex->web));
+		if (reason != BUDGET_OK)
+			web_request_refuse_busy(ex, reason);
 	}
 }
--- a/tests/test_odd_messages.c
+++ b/tests/test_odd_messages.c
@@ -3,6 +3,7 @@
  * numbers out of range. They are refused and end no process.
  */
 
+#include <malloc.h>
 #include <string.h>
 #include <sys/mman.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 #include "index.h"
 #include "jcursor.h"
 #include "job.h"
+#include "json.h"
 #include "nodeconf.h"
 #include "odd_text.h"
 #include "place.h"
@@ -106,6 +108,39 @@
 }
 END_TEST
 
+/* A body whose decoded form is larger than counted exceeds the memory for
+   clients; single quotes and comments must not hide a part of it. */
+START_TEST(decoded_form_is_no_larger_than_counted)
+{
+	static const char *const parts[] = {
+		"{}",	 "[]",	    "{\"a\":1}",       "1",
+		"\"a\"", "'\"',{}", "/*\"*/{},'\\\"'", "//\"\n{}",
+	};
+	enum { REPEATS = 20000 };
+
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		GString *text = g_string_new("[0");
+		struct json_object *value;
+		size_t before;
+		size_t after;
+
+		for (int n = 0; n < REPEATS; n++) {
+			g_string_append_c(text, ',');
+			g_string_append(text, parts[i]);
+		}
+		g_string_append_c(text, ']');
+		before = mallinfo2().uordblks + mallinfo2().hblkhd;
+		value = json_parse(text->str, text->len);
+		after = mallinfo2().uordblks + mallinfo2().hblkhd;
+		ck_assert_ptr_nonnull(value);
+		ck_assert_int_le((int64_t)after - (int64_t)before,
+				 json_decoded_bytes(text->str, text->len));
+		json_object_put(value);
+		g_string_free(text, TRUE);
+	}
+}
+END_TEST
+
 #define REPORT(rest) "{\"clockMs\":5,\"born\":6" rest "}"
 #define ROW ",\"running\":[[\"" JOB_ID ".0.0.0\","
 #define END ",\"finished\":[["
@@ -533,6 +568,7 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, deep_nesting_ends_no_decoder, 0, 11);
 	tcase_add_test(tcase, comments_do_not_hide_deep_nesting);
+	tcase_add_test(tcase, decoded_form_is_no_larger_than_counted);
 	tcase_add_test(tcase, reports_out_of_range_are_refused);
 	tcase_add_test(tcase, figures_of_runs_are_limited);
 	tcase_add_test(tcase, checkpoints_beyond_a_record_are_refused);
