Reserve free capacity for large tasks that wait (off by default)

Seen: a task of 13 cores waits while tasks of 6 cores take each gap in the free capacity of a full share: in the new model (one share of 25 workers, peaks of 1.6 times its capacity) the largest tenth waits 320 ms on average and 3.4 s in the 99th percentile, small tasks 57 ms and 0.9 s.

Cause: a finite task that fits no worker waits, and smaller ones pass it.

Change: modules reserve and estimate, used by place_reserve. The large task that has waited longest in the highest class gets the worker (a gang: workers) that will have room first by corrected estimates; others start there only if they end before or fit beside it. At most 6 reservations in a share, 10% of its capacity, 2 s each; they are in the owner's memory only. Counters, log lines, setting reserve_room.

--- a/src/job.c
+++ b/src/job.c
@@ -509,6 +509,7 @@
 	task->worker = g_intern_string(worker);
 	task->worker_boot_ms = boot_ms;
 	task->reserved = NULL;
+	task->waits_ms = 0;
 	task->since_ms = now_ms;
 	task->last_report = 0;
 	task->percent = 0;
--- a/src/job.h
+++ b/src/job.h
@@ -128,7 +128,9 @@
 	int64_t lapsed_boot_ms;
 	int64_t since_ms;      /* start of the phase */
 	int64_t hold_until_ms; /* not placed again before */
-	int64_t listed_ms;     /* a worker had a run of before at that time */
+	int64_t waits_ms; /* since when a finite one has no room; 0: it has */
+	int64_t no_reserve_until_ms; /* no reservation before, see reserve.h */
+	int64_t listed_ms; /* a worker had a run of before at that time */
 	/* Runs of a long-running one in a row that failed soon. */
 	int32_t quick_failures;
 	int32_t refusals; /* starts refused as invalid since the last one */
--- a/src/node.c
+++ b/src/node.c
@@ -234,6 +234,7 @@
 		.registry = node->registry_tail,
 		.max_registry_age_ms = NODE_REGISTRY_MAX_AGE_MS,
 		.lag = &node->lag,
+		.reserve_room = config->settings->reserve_room,
 	};
 	node->maint_env = (struct maint_env){
 		.clk = config->clk,
--- a/src/node_metrics.c
+++ b/src/node_metrics.c
@@ -19,6 +19,17 @@
 	M_QUOTA_REPORTS,
 	M_QUOTA_GRANTS,
 	M_QUOTA_BLOCKED,
+	M_RESERVED,
+	M_RESERVED_ANEW,
+	M_RESERVED_KEPT,
+	M_RESERVED_ELSEWHERE,
+	M_RESERVED_EXPIRED,
+	M_RESERVED_LATE,
+	M_RESERVED_WORKER,
+	M_RESERVED_GONE,
+	M_RESERVED_LIMIT,
+	M_RESERVED_PASSED,
+	M_RESERVED_IDLE,
 	M_STARTS_REFUSED,
 	M_RENEWALS,
 	M_RENEWALS_FAILED,
@@ -83,6 +94,30 @@
 			     "records of grants of limits to shares" },
 	[M_QUOTA_BLOCKED] = { "quota_blocked", COUNTERS_COUNTER,
 			      "steps kept waiting by a limit, per pass" },
+	[M_RESERVED] = { "reservations", COUNTERS_COUNTER,
+			 "reservations of room for large tasks" },
+	[M_RESERVED_ANEW] = { "reservations_renewed", COUNTERS_COUNTER,
+			      "made anew as they had passed their time" },
+	[M_RESERVED_KEPT] = { "reservations_kept", COUNTERS_COUNTER,
+			      "reservations whose task started there" },
+	[M_RESERVED_ELSEWHERE] = { "reservations_elsewhere", COUNTERS_COUNTER,
+				   "reservations whose task started on another "
+				   "worker" },
+	[M_RESERVED_EXPIRED] = { "reservations_expired", COUNTERS_COUNTER,
+				 "given up after the longest time" },
+	[M_RESERVED_LATE] = { "reservations_late", COUNTERS_COUNTER,
+			      "given up as the job cannot be in time" },
+	[M_RESERVED_WORKER] = { "reservations_worker_lost", COUNTERS_COUNTER,
+				"given up as the worker cannot be used" },
+	[M_RESERVED_GONE] = { "reservations_task_gone", COUNTERS_COUNTER,
+			      "given up as the task does not wait any more" },
+	[M_RESERVED_LIMIT] = { "reservations_over_limit", COUNTERS_COUNTER,
+			       "given up as the organisation is at its "
+			       "limit" },
+	[M_RESERVED_PASSED] = { "reservations_passed", COUNTERS_COUNTER,
+				"given up as no worker has room soon" },
+	[M_RESERVED_IDLE] = { "reserved_idle_core_ms", COUNTERS_COUNTER,
+			      "processor time that reservations kept idle" },
 	[M_STARTS_REFUSED] = { "starts_refused", COUNTERS_COUNTER,
 			       "start orders that workers refused" },
 	[M_RENEWALS] = { "renewals", COUNTERS_COUNTER, "lease renewals sent" },
@@ -171,6 +206,7 @@
 			const struct node_gauges *gauges)
 {
 	struct counters *counters = counters_create(pool, metric_defs, M_COUNT);
+	const struct reserve_counts *reserved = &pools->reserve_counts;
 	const int64_t values[M_COUNT] = {
 		[M_SUBMITTED] = front->counts.submitted,
 		[M_REFUSED_OVERLOAD] = front->counts.refused_overload,
@@ -186,6 +222,17 @@
 		[M_QUOTA_REPORTS] = pools->counts.quota_reports,
 		[M_QUOTA_GRANTS] = maint->counts.quota_grants,
 		[M_QUOTA_BLOCKED] = pools->counts.quota_blocked,
+		[M_RESERVED] = reserved->made,
+		[M_RESERVED_ANEW] = reserved->renewed,
+		[M_RESERVED_KEPT] = reserved->kept,
+		[M_RESERVED_ELSEWHERE] = reserved->elsewhere,
+		[M_RESERVED_EXPIRED] = reserved->expired,
+		[M_RESERVED_LATE] = reserved->late,
+		[M_RESERVED_WORKER] = reserved->worker,
+		[M_RESERVED_GONE] = reserved->gone,
+		[M_RESERVED_LIMIT] = reserved->over_limit,
+		[M_RESERVED_PASSED] = reserved->passed,
+		[M_RESERVED_IDLE] = reserved->idle_core_ms,
 		[M_STARTS_REFUSED] = pools->counts.starts_refused,
 		[M_RENEWALS] = pools->counts.renewals,
 		[M_RENEWALS_FAILED] = pools->counts.renewals_failed,
@@ -228,6 +275,7 @@
 	add_latency(pool, &text, "job_wait", &pools->wait_ms);
 	add_latency(pool, &text, "job_age", &pools->age_ms);
 	add_latency(pool, &text, "start_order", &pools->start_ms);
+	add_latency(pool, &text, "large_task_wait", &reserved->large_wait_ms);
 	add_latency(pool, &text, "tick_late", &lag->late_ms);
 	return text;
 }
--- a/src/nodeconf.c
+++ b/src/nodeconf.c
@@ -65,6 +65,14 @@
 	return jcursor_double(&field, 0, 1e9, fallback);
 }
 
+static bool parse_flag(const struct jcursor *root, const char *key,
+		       bool fallback)
+{
+	struct jcursor field = jcursor_member(root, key);
+
+	return jcursor_bool(&field, fallback);
+}
+
 static uint32_t parse_parts(const struct jcursor *root)
 {
 	struct jcursor field = jcursor_member(root, "group_parts");
@@ -121,6 +129,7 @@
 	parsed.group_parts = parse_parts(&root);
 	parsed.log_record_bytes = parse_record_bytes(&root);
 	parsed.share_hosts = parse_share_hosts(&root);
+	parsed.reserve_room = parse_flag(&root, "reserve_room", false);
 	parsed.core_share = parse_amount(&root, "core_share", 1) *
 			    parse_amount(&root, "core_speed", 1);
 	parsed.link_mbps = parse_amount(&root, "link_mbps", 1000);
--- a/src/nodeconf.h
+++ b/src/nodeconf.h
@@ -54,8 +54,10 @@
 	double rate_overage;
 	double rate_slack_jobs;
 	uint32_t share_hosts; /* hosts that a slice of the fleet is meant for */
-	double core_share;    /* processor time of this node, in cores */
-	double link_mbps;     /* bandwidth of its network link */
+	/* Whether free capacity is reserved for large tasks that wait. */
+	bool reserve_room;
+	double core_share; /* processor time of this node, in cores */
+	double link_mbps;  /* bandwidth of its network link */
 	/* A node with less of either decides only if no larger node does. */
 	double decider_core_share;
 	double decider_link_mbps;
--- a/src/place.c
+++ b/src/place.c
@@ -8,6 +8,9 @@
 	PLACE_MAX_REPORT_AGE_MS = 2500,
 	/* Score for a worker near the data; a fully used one scores 1000. */
 	PLACE_DATA_NEAR_BONUS = 2000,
+	/* Score for a worker with room reserved for the task or gang, so that a
+	   tightly coupled one starts where its reservation is. */
+	PLACE_RESERVED_BONUS = 8000,
 	/* Score lost by a suspect for each other one on the worker. */
 	PLACE_SUSPECT_PENALTY = 4000
 };
@@ -297,15 +300,17 @@
 	pass->full_mem_mib = step->mem_mib;
 }
 
-static struct worker *best_worker(struct pass *pass,
-				  const struct candidate *cand,
+static struct worker *best_worker(struct pass *pass, struct candidate *cand,
 				  const struct job_task *task)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
 	struct worker *best = NULL;
 	int64_t best_score = 0;
+	bool owns = place_reserve_owns(pass, cand);
+	bool held = false;
 
-	if (known_full(pass, step))
+	if (!owns &&
+	    (known_full(pass, step) || place_reserve_holds_off(pass, cand)))
 		return NULL;
 	for (guint i = 0; i < pass->usable->len; i++) {
 		struct worker *worker = pass->usable->pdata[i];
@@ -314,13 +319,21 @@
 		if (worker->reserved || !place_fits(worker, step) ||
 		    !place_may_hold(cand, worker))
 			continue;
+		if (!place_reserve_allows(pass, cand, worker)) {
+			held = true;
+			continue;
+		}
 		score = score_worker(cand, task, worker);
+		if (owns && worker->held)
+			score += PLACE_RESERVED_BONUS;
 		if (best && score <= best_score)
 			continue;
 		best = worker;
 		best_score = score;
 	}
-	if (!best)
+	if (!best && held)
+		place_reserve_note_held(pass, cand);
+	else if (!best)
 		note_full(pass, step);
 	return best;
 }
@@ -381,6 +394,7 @@
 	}
 	for (int32_t i = 0; i < found; i++) {
 		if (found == step->count) {
+			place_reserve_placed(pass, cand, &tasks[i], chosen[i]);
 			job_place_task(cand->job, &tasks[i],
 				       chosen[i]->entry.id, chosen[i]->boot_ms,
 				       run + 1, place->now_ms);
@@ -416,40 +430,45 @@
 			      &cand->job->spec.steps[cand->step]);
 }
 
+/* Tasks of the step that could be placed now, from the one with that index on. */
+static int32_t count_startable(const struct place *place,
+			       const struct candidate *cand, int32_t from)
+{
+	const struct job_task *tasks =
+		job_task_at(cand->job, cand->occurrence, cand->step, 0);
+	int32_t count = 0;
+
+	for (int32_t i = from; i < cand->job->spec.steps[cand->step].count; i++)
+		count += place_is_startable(place, &tasks[i]);
+	return count;
+}
+
 static struct place_counts place_whole_gang(struct pass *pass,
 					    struct candidate *cand)
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
-	const struct job_task *tasks =
+	struct job_task *tasks =
 		job_task_at(cand->job, cand->occurrence, cand->step, 0);
 	struct place_counts counts = { 0 };
 
 	if (!is_within_quota(pass->place, cand, step->count)) {
+		place_reserve_over_limit(pass, cand);
 		quota_use_want(pass->place->quota, cand->job->tenant, step,
 			       step->count);
 		counts.over_quota = 1;
 		return counts;
 	}
-	counts.placed = crash_needs_quarantine(tasks)
-				? place_gang_in_quarantine(pass, cand)
-				: place_gang(pass, cand);
+	if (crash_needs_quarantine(tasks))
+		counts.placed = place_gang_in_quarantine(pass, cand);
+	else
+		counts.placed = place_gang(pass, cand);
+	if (!counts.placed && !crash_needs_quarantine(tasks) &&
+	    count_startable(pass->place, cand, 0) == step->count)
+		place_reserve_waits(pass, cand, tasks, 0);
 	use_quota(pass->place, cand, (int32_t)counts.placed);
 	return counts;
 }
 
-/* Tasks of the step that could be placed now, from the one with that index on. */
-static int32_t count_startable(const struct place *place,
-			       const struct candidate *cand, int32_t from)
-{
-	const struct job_task *tasks =
-		job_task_at(cand->job, cand->occurrence, cand->step, 0);
-	int32_t count = 0;
-
-	for (int32_t i = from; i < cand->job->spec.steps[cand->step].count; i++)
-		count += place_is_startable(place, &tasks[i]);
-	return count;
-}
-
 /*
  * Notes that a limit keeps the tasks from that index on waiting. If no worker has
  * room either, a larger grant would be of no use.
@@ -482,6 +501,7 @@
 		if (!place_is_startable(place, &tasks[i]))
 			continue;
 		if (!is_within_quota(place, cand, 1)) {
+			place_reserve_over_limit(pass, cand);
 			want_quota(pass, cand, &tasks[i], i);
 			counts.over_quota = 1;
 			break;
@@ -502,9 +522,12 @@
 			worker = place_leaving_worker(place, cand, &tasks[i]);
 		if (!worker) {
 			place_keep_room(pass, cand, &tasks[i]);
+			place_reserve_waits(pass, cand, &tasks[i],
+					    counts.waiting);
 			counts.waiting++;
 			continue;
 		}
+		place_reserve_placed(pass, cand, &tasks[i], worker);
 		job_place_task(cand->job, &tasks[i], worker->entry.id,
 			       worker->boot_ms, tasks[i].run + 1,
 			       place->now_ms);
@@ -595,6 +618,7 @@
 		place_rank_tenants(place, candidates);
 	g_array_sort(candidates, place_compare_candidates);
 	place_pass_begin(&pass, place);
+	place_reserve_begin(&pass);
 	for (guint i = 0; i < candidates->len; i++) {
 		struct candidate *cand =
 			&g_array_index(candidates, struct candidate, i);
@@ -604,6 +628,7 @@
 		total.waiting += counts.waiting;
 		total.over_quota += counts.over_quota;
 	}
+	place_reserve_end(&pass);
 	place_pass_end(&pass);
 	g_array_free(candidates, TRUE);
 	return total;
--- a/src/place.h
+++ b/src/place.h
@@ -15,6 +15,7 @@
 #include "cfg.h"
 #include "job.h"
 #include "quota_use.h"
+#include "reserve.h"
 #include "share.h"
 #include "worker.h"
 
@@ -37,6 +38,7 @@
 	int64_t now_ms;		 /* monotonic */
 	int64_t wall_ms;	 /* wall clock */
 	struct quota_use *quota; /* NULL: no organisation has a limit */
+	struct reserve *reserve; /* NULL: no room is reserved for large tasks */
 };
 
 /* place_account - add up what the pool's placed tasks use on each worker */
--- a/src/place_int.h
+++ b/src/place_int.h
@@ -7,17 +7,6 @@
 
 #include "place.h"
 
-/* A pass over the waiting tasks, and what it has found out. */
-struct pass {
-	const struct place *place;
-	GPtrArray *usable; /* workers that may receive tasks */
-	GArray *endings;   /* struct ending, see place_room; NULL: not needed */
-	/* Smallest request for which no worker had room, among steps without
-	   other constraints; 0: none yet. */
-	int32_t full_cpu_milli;
-	int32_t full_mem_mib;
-};
-
 /* A step of one occurrence that has tasks to start. */
 struct candidate {
 	struct job *job;
@@ -31,11 +20,37 @@
 	bool by_priority; /* priorities come before targets */
 	int32_t ready; /* finite tasks that can start; set by place_rank_tenants */
 	int64_t target_ms;
+	int64_t expected_ms; /* corrected estimate; 0: not looked up yet */
 	/* Workers chosen for tasks of a gang that are not placed yet. */
 	struct worker *const *chosen;
 	int32_t chosen_count;
 };
 
+/* A pass over the waiting tasks, and what it has found out. */
+struct pass {
+	const struct place *place;
+	GPtrArray *usable; /* workers that may receive tasks */
+	GArray *endings;   /* struct ending, see place_room; NULL: not needed */
+	/* Smallest request for which no worker had room, among steps without
+	   other constraints; 0: none yet. */
+	int32_t full_cpu_milli;
+	int32_t full_mem_mib;
+	/* Of place_reserve, if the feature is on. */
+	struct reserve_room capacity; /* of the usable workers */
+	struct reserve_room mean;     /* size of their finite tasks; 0: none */
+	bool may_ask;		      /* a new reservation may be made */
+	struct candidate asks; /* has waited longest; job is NULL: none */
+	int64_t asks_since_ms;
+	/* Smallest request that only reservations kept from a worker. */
+	struct {
+		bool valid;
+		int32_t cpu_milli;
+		int32_t mem_mib;
+		struct reserve_rank rank;
+		int64_t expected_ms;
+	} held_from;
+};
+
 /* place_candidate - the candidate that a task belongs to, without its rank */
 static inline struct candidate place_candidate(const struct job_pos *pos)
 {
@@ -153,6 +168,35 @@
 uint32_t place_gang_in_quarantine(struct pass *pass,
 				  const struct candidate *cand);
 
+/*
+ * Reservations for large finite tasks; see reserve.h. Without effect if the
+ * feature is off.
+ *
+ * place_reserve_begin, place_reserve_end - mark what is reserved, for one pass;
+ *	then make a new reservation, if one was asked for
+ * place_reserve_owns - whether there is one for the candidate
+ * place_reserve_allows - whether reservations leave the worker to the candidate
+ * place_reserve_note_held - note that only they kept a worker from it
+ * place_reserve_holds_off - whether that is known of one that asks for no more
+ * place_reserve_placed - note a task that is placed there, before it is
+ * place_reserve_over_limit - give up those of a step that has reached a limit
+ * place_reserve_waits - note a task that no worker has room for; waiting_before
+ *	of its step were noted before it in this pass
+ */
+void place_reserve_begin(struct pass *pass);
+void place_reserve_end(struct pass *pass);
+bool place_reserve_owns(const struct pass *pass, const struct candidate *cand);
+bool place_reserve_allows(const struct pass *pass, struct candidate *cand,
+			  const struct worker *worker);
+void place_reserve_note_held(struct pass *pass, struct candidate *cand);
+bool place_reserve_holds_off(struct pass *pass, struct candidate *cand);
+void place_reserve_placed(struct pass *pass, struct candidate *cand,
+			  const struct job_task *task,
+			  const struct worker *worker);
+void place_reserve_over_limit(struct pass *pass, const struct candidate *cand);
+void place_reserve_waits(struct pass *pass, const struct candidate *cand,
+			 struct job_task *task, uint32_t waiting_before);
+
 /* place_compare_candidates - which of two is placed first, as GCompareFunc */
 gint place_compare_candidates(gconstpointer a, gconstpointer b);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -49,6 +49,7 @@
 	pool->env->counts.takeovers++;
 	pool->starting = 0;
 	pool->membership_over = false;
+	reserve_reset(&pool->reserve);
 	pool_unplaced_clear(pool);
 	pool->published = (struct backlog){ 0 };
 	pool->republish_ms = 0;
@@ -77,6 +78,7 @@
 	struct job_store *store = pool->env->jobs;
 	const GPtrArray *jobs = share_jobs(&pool->share, store)->live;
 
+	reserve_reset(&pool->reserve);
 	pool_write_clear(pool);
 	pool_unplaced_clear(pool);
 	pool_stored_clear(pool);
@@ -138,6 +140,8 @@
 	pool_unplaced_init(pool);
 	pool_stored_init(pool);
 	pool_quota_init(pool);
+	pool->estimates = estimate_create();
+	reserve_init(&pool->reserve, &env->reserve_counts, pool->estimates);
 	init_bound(pool);
 	ownership_init(&pool->ownership, &config);
 	g_free(what);
@@ -151,6 +155,7 @@
 	ownership_clear(&pool->ownership);
 	bound_clear(&pool->bound);
 	pool_quota_clear(pool);
+	estimate_destroy(pool->estimates);
 	g_hash_table_destroy(pool->pending_writes);
 	g_array_free(pool->unplaced, TRUE);
 	g_array_free(pool->stored, TRUE);
@@ -168,17 +173,32 @@
 	ownership_lose(&pool->ownership, "assigned to another node");
 }
 
+/* Corrects the queue's estimates by a run whose start this owner has sent. */
+static void note_duration(struct pool *pool, const struct job_pos *pos)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	const struct job_task *task = pos->task;
+
+	if (pool->env->reserve_room && !step->long_running && task->since_ms &&
+	    task->phase == PHASE_RUNNING)
+		estimate_note(pool->estimates, pos->job->queue,
+			      step->estimate_ms,
+			      pool_now_ms(pool) - task->since_ms);
+}
+
 void pool_end_run(struct pool *pool, struct job_pos *pos, enum job_end how,
 		  const char *checkpoint)
 {
 	struct pool_counts *counts = &pool->env->counts;
 
-	if (how == END_DONE)
+	if (how == END_DONE) {
 		counts->runs_done++;
-	else if (how == END_FAILED)
+		note_duration(pool, pos);
+	} else if (how == END_FAILED) {
 		counts->runs_failed++;
-	else
+	} else {
 		counts->runs_lost++;
+	}
 	job_end_run(pos, how, checkpoint,
 		    job_terms(pos->job, *pool->env->cfg).attempts);
 }
@@ -268,6 +288,7 @@
 		.workers = pool->env->workers,
 		.now_ms = pool_now_ms(pool),
 		.wall_ms = clk_wall_ms(pool->env->clk),
+		.reserve = pool->env->reserve_room ? &pool->reserve : NULL,
 	};
 
 	mark_workers(pool);
--- a/src/pool.h
+++ b/src/pool.h
@@ -27,6 +27,7 @@
 #include "order.h"
 #include "ownership.h"
 #include "quota.h"
+#include "reserve.h"
 #include "share.h"
 #include "stream.h"
 #include "tail.h"
@@ -82,6 +83,8 @@
 	const struct tail *registry;
 	int64_t max_registry_age_ms;
 	const struct lag *lag; /* of the node; NULL: never busy */
+	bool reserve_room;     /* for large tasks that wait, see reserve.h */
+	struct reserve_counts reserve_counts;
 	struct pool_counts counts;
 	struct histo wait_ms;  /* from submission to first placement */
 	struct histo age_ms;   /* from submission to the end of the job */
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -10,6 +10,7 @@
 #include "pool.h"
 #include "ownership.h"
 #include "quota_use.h"
+#include "reserve.h"
 
 enum {
 	/* A worker whose last report is older gets no start and no lease
@@ -48,6 +49,8 @@
 	struct quota_use *quota; /* what the share uses of limits */
 	char *quota_key;	 /* "POOL/INDEX" */
 	int64_t quota_told_ms;	 /* when its last record was made */
+	struct estimate *estimates; /* what tasks of queues really take */
+	struct reserve reserve;	    /* room for large tasks */
 };
 
 static inline int64_t pool_now_ms(const struct pool *pool)
--- a/src/worker.h
+++ b/src/worker.h
@@ -135,6 +135,7 @@
 	int32_t lasting_cpu_milli; /* used by placed long-running tasks */
 	int32_t lasting_mem_mib;
 	bool reserved;	     /* for a task that starts or waits in quarantine */
+	uint32_t held;	     /* number of a reservation in this pass; 0: none */
 	double failure_rate; /* moving average over its ended runs */
 	struct speed speed;  /* measured by its own clock */
 	/* Longest wait for its next report, to see whether its tasks still
