Apply reserve_room at a reload, and test it beside long-running tasks

Seen: reserve_room was read at the start only, and no test of the simulated fleet ran with it.

Change: node_settings_changed and the reload of plank-noded apply it. sim_reserve_room switches it on in the simulated fleet; test_burst plays a host that leaves during a burst of short jobs with it, too, and requires the same as without.

--- a/src/node.c
+++ b/src/node.c
@@ -413,6 +413,7 @@
 {
 	node->pool_env.lease_ms = worker_lease_ms(node);
 	node->pool_env.lease_max_ms = node->config.settings->lease_max_ms;
+	node->pool_env.reserve_room = node->config.settings->reserve_room;
 	node->maint_env.order_lease_ms = node->config.settings->order_lease_ms;
 }
 
--- a/src/noded.c
+++ b/src/noded.c
@@ -180,6 +180,7 @@
 	noded->settings.stop_grace_ms = settings.stop_grace_ms;
 	noded->settings.lease_max_ms = settings.lease_max_ms;
 	noded->settings.order_lease_ms = settings.order_lease_ms;
+	noded->settings.reserve_room = settings.reserve_room;
 	node_settings_changed(noded->node);
 	log_info("reload: settings loaded from %s", noded->path);
 }
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -405,6 +405,14 @@
 	return create(seed, large, small, workers, NODECONF_SHARE_HOSTS);
 }
 
+void sim_reserve_room(struct sim *sim)
+{
+	for (int i = 0; i < sim->node_count; i++) {
+		sim->nodes[i].settings.reserve_room = true;
+		node_settings_changed(sim->nodes[i].node);
+	}
+}
+
 void sim_set_lease_max(struct sim *sim, int64_t lease_max_ms)
 {
 	sim->lease_max_ms = lease_max_ms;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -205,6 +205,9 @@
 /* sim_create_sized - the same, with large nodes first, then small ones */
 struct sim *sim_create_sized(uint64_t seed, int large, int small, int workers);
 
+/* sim_reserve_room - let the nodes reserve room for large tasks, see reserve.h */
+void sim_reserve_room(struct sim *sim);
+
 /* sim_set_lease_max - set the longest lease that workers grant, also at the nodes */
 void sim_set_lease_max(struct sim *sim, int64_t lease_max_ms);
 
--- a/tests/test_burst.c
+++ b/tests/test_burst.c
@@ -46,6 +46,7 @@
 	int64_t longest_ms;
 	int64_t stopped_ms; /* last stop on the host that leaves; 0: none */
 	int64_t left_ms;    /* when that host was empty; 0: not yet */
+	bool reserves;	    /* room is reserved for large tasks of short jobs */
 	bool useless_stop;  /* neither had it room nor could its host leave */
 };
 
@@ -129,6 +130,8 @@
 	struct sim *sim = sim_create(seed, 3, WORKERS);
 
 	watch->sim = sim;
+	if (watch->reserves)
+		sim_reserve_room(sim);
 	sim_run_for(sim, START_MS);
 	sim->task_cpu_milli =
 		HALF_CPU_MILLI + (int32_t)(seed % 3) * FLEET_CPU_MILLI / 4;
@@ -162,6 +165,19 @@
 }
 END_TEST
 
+/* Guards against room that is reserved for short jobs and kept from these tasks. */
+START_TEST(task_leaves_its_host_beside_reservations)
+{
+	struct watch watch = { .reserves = true };
+
+	play((uint64_t)_i + (uint64_t)first_seed, &watch);
+	ck_assert(!watch.useless_stop);
+	ck_assert_int_le(watch.longest_ms, AWAY_MS);
+	ck_assert_int_ne(watch.left_ms, 0);
+	ck_assert_msg(!watch.sim->broken[0], "%s", watch.sim->broken);
+}
+END_TEST
+
 /* How long until the first worker's runs have all ended. */
 static int64_t first_empty_ms(const struct sim *sim)
 {
@@ -256,6 +272,8 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, task_leaves_its_host_when_that_helps, 0,
 			    seeds);
+	tcase_add_loop_test(tcase, task_leaves_its_host_beside_reservations, 0,
+			    seeds);
 	if (from || count)
 		tcase_add_loop_test(tcase,
 				    task_gets_the_worker_that_has_room_first, 0,
