--- a/src/node.c
+++ b/src/node.c
@@ -237,6 +237,7 @@
 		.registry = node->registry_tail,
 		.max_registry_age_ms = NODE_REGISTRY_MAX_AGE_MS,
 		.lag = &node->lag,
+		.reserve_room = config->settings->reserve_room,
 	};
 	node->maint_env = (struct maint_env){
 		.clk = config->clk,
@@ -415,6 +416,7 @@
 {
 	node->pool_env.lease_ms = worker_lease_ms(node);
 	node->pool_env.lease_max_ms = node->config.settings->lease_max_ms;
+	node->pool_env.reserve_room = node->config.settings->reserve_room;
 	node->maint_env.order_lease_ms = node->config.settings->order_lease_ms;
 }
 
--- a/src/nodeconf.h
+++ b/src/nodeconf.h
@@ -59,8 +59,10 @@
 	uint32_t max_connections;  /* of callers; 0: by the two above */
 	int64_t max_request_bytes; /* held for callers; 0: likewise */
 	uint32_t share_hosts; /* hosts that a slice of the fleet is meant for */
-	double core_share;    /* processor time of this node, in cores */
-	double link_mbps;     /* bandwidth of its network link */
+	/* Whether free capacity is reserved for large tasks that wait. */
+	bool reserve_room;
+	double core_share; /* processor time of this node, in cores */
+	double link_mbps;  /* bandwidth of its network link */
 	/* A node with less of either decides only if no larger node does. */
 	double decider_core_share;
 	double decider_link_mbps;
