Measure runs given up while 40% of the orders get no answer

The simulation gets these time-outs as an option, so that other suites draw the same faults as before, and the pool counts the starts that it withdraws.

--- a/Makefile
+++ b/Makefile
@@ -121,7 +121,7 @@
 	$(BUILD)/test_tenure_cuts \
 	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
 	$(BUILD)/test_attempts $(BUILD)/test_settled \
-	$(BUILD)/test_late_starts
+	$(BUILD)/test_late_starts $(BUILD)/test_lost_answers
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
--- a/src/pool.h
+++ b/src/pool.h
@@ -37,6 +37,7 @@
 struct pool_counts {
 	int64_t starts_sent;
 	int64_t starts_refused;
+	int64_t starts_withdrawn;
 	int64_t retries_held; /* of tasks, as attempts fail in a row */
 	int64_t renewals;
 	int64_t renewals_failed;
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -58,6 +58,7 @@
 		worker_find(pool->env->workers, pos->task->worker);
 	char name[JOB_TASK_NAME_BYTES];
 
+	pool->env->counts.starts_withdrawn++;
 	job_task_name(pos, name, sizeof(name));
 	log_info("start-withdrawn task=%s run=%d worker=%s unanswered=%d", name,
 		 pos->task->run, pos->task->worker,
--- a/tests/fleet_orders.c
+++ b/tests/fleet_orders.c
@@ -13,6 +13,11 @@
 enum {
 	MAX_RENEW_WAIT_MS = 2000,
 	LATE_RANGE_MS = 8000,
+	/* With sim.order_timeouts: as seen of the platform, and the time-outs
+	   of platform/order_api.c. */
+	ORDER_TIMEOUT_MS = 1000,
+	SLOW_LATE_MIN_MS = 2000,
+	SLOW_LATE_RANGE_MS = 10000,
 	/* A task crashes its worker within so long after sim.crash_delay_ms. */
 	CRASH_DELAY_MS = 60,
 	/* Between looks at whether the gang of such a task is complete. */
@@ -134,6 +139,7 @@
 	log_info("sim-run-ended at_ms=%" G_GINT64_FORMAT " task=%s run=%d "
 		 "how=%d",
 		 sim->clk.manual_ms, end->task, end->run, end->how);
+	sim->ended[end->how]++;
 	if (end->how == END_DONE)
 		g_hash_table_add(sim->done, g_strdup(end->task));
 	if (end->how == END_FAILED)
@@ -457,8 +463,20 @@
 	/* An acknowledgement takes effect when it is executed. */
 	late->cursor = event->cursor;
 	sim_schedule(client->sim, late,
-		     LATE_MIN_MS +
-			     sim_random_below(client->sim, LATE_RANGE_MS));
+		     client->sim->order_timeouts
+			     ? SLOW_LATE_MIN_MS +
+				       sim_random_below(client->sim,
+							SLOW_LATE_RANGE_MS)
+			     : LATE_MIN_MS + sim_random_below(client->sim,
+							      LATE_RANGE_MS));
+}
+
+/* When an order that gets no answer ends for its sender. */
+static int64_t unanswered_ms(const struct sim *sim, const struct event *event)
+{
+	if (!sim->order_timeouts || event->kind != 'r')
+		return ORDER_TIMEOUT_MS;
+	return ORDER_TIMEOUT_MS + event->until_ms - sim->clk.manual_ms;
 }
 
 static void send_order(struct client *client, struct event *event)
@@ -480,7 +498,7 @@
 		schedule_late_order(client, event);
 		event->outcome = ORDER_UNKNOWN;
 		event->fn = answer_order;
-		sim_schedule(sim, event, 1000);
+		sim_schedule(sim, event, unanswered_ms(sim, event));
 		return;
 	}
 	sim_schedule(sim, event, 1 + sim_random_below(sim, 4));
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -30,7 +30,8 @@
 	SIM_CRASH_MS = 3000,
 	/* From an order for a host to its next worker. */
 	SIM_RESTART_MS = 2000,
-	SIM_MOVE_MS = 1500
+	SIM_MOVE_MS = 1500,
+	SIM_END_KINDS = END_ALONE + 1
 };
 
 /* What a worker's registry entry has said of its capacity. */
@@ -143,6 +144,9 @@
 	bool refuse_old_orders;
 	/* How long an order waits for a worker that is down; 0: it is lost. */
 	int64_t order_wait_ms;
+	/* An order without an answer ends at the time-out that the platform's
+	   client sets, and is executed 2 to 12 s after it was sent. */
+	bool order_timeouts;
 	/* Answers to a paused node say what was so when they were sent. */
 	bool stale_answers;
 	/* Orders to a worker that is cut off which are executed late. */
@@ -159,7 +163,9 @@
 	GHashTable *jobs;	  /* id -> struct sim_job */
 	struct fleet_attempts *failures; /* failed runs of each task */
 	uint32_t started;
-	uint32_t starts_in_flight;     /* start orders in flight */
+	uint32_t
+		ended[SIM_END_KINDS]; /* runs at the workers, by enum job_end */
+	uint32_t starts_in_flight;    /* start orders in flight */
 	uint32_t max_starts_in_flight; /* maximum so far */
 	char broken[256]; /* first violated invariant; empty: none */
 };
