--- a/Makefile
+++ b/Makefile
@@ -28,10 +28,10 @@
 	rpcfollow view admin admin_change proxy proxy_read proxy_claim \
 	proxy_queue proxy_send claim_log entry_counters admin_client \
 	ctl_command ctl_config ctl_print report histo arrival load_report
-NODE = lag cfg job job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
+NODE = lag cfg job job_run job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_life pool_renew pool_report pool_lost \
 	pool_empty pool_slow pool_crash \
-	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_backlog place_room place_quarantine place_tenants place_reserve place_reserve_find reserve estimate \
+	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_account place_backlog place_room place_quarantine place_tenants place_reserve place_reserve_find reserve estimate \
 	host_plan quota quota_use quota_plan pool_quota maint_quota \
 	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf \
 	auth rate fair cfgcheck front front_pending front_late group \
--- /dev/null
+++ b/src/job_run.c
@@ -0,0 +1,169 @@
+#include "job.h"
+
+#include "job_int.h"
+
+void job_place_task(struct job *job, struct job_task *task, const char *worker,
+		    int64_t boot_ms, int32_t run, int64_t now_ms)
+{
+	task->state = TASK_PLACED;
+	task->phase = PHASE_RECORDING;
+	task->stop_wanted_ms = 0;
+	task->unanswered_starts = 0;
+	task->start_sent_ms = 0;
+	task->start_settled = false;
+	task->stop_ok = false;
+	task->moved_off = false;
+	task->run = run;
+	task->worker = g_intern_string(worker);
+	task->worker_boot_ms = boot_ms;
+	task->reserved = NULL;
+	task->waits_ms = 0;
+	task->since_ms = now_ms;
+	task->last_report = 0;
+	task->percent = 0;
+	task->load_metric = 0;
+	task->pace = 100;
+	if (!job->placed_ms)
+		job->placed_ms = now_ms;
+	job_index_place(job, task);
+	job->has_placements = true;
+	job_touch(job, task);
+}
+
+void job_task_inherit(struct job_task *task, bool settled)
+{
+	task->phase = PHASE_UNKNOWN;
+	task->pace = 100;
+	task->start_settled = settled;
+	task->unanswered_starts = !settled;
+}
+
+static bool is_confirmed(const struct job_task *task, int32_t run)
+{
+	return task->state == TASK_PLACED && task->phase == PHASE_RUNNING &&
+	       task->run == run;
+}
+
+static void refresh_gang(const struct job_pos *pos, int64_t now_ms)
+{
+	struct job_task *tasks =
+		job_task_at(pos->job, pos->occurrence, pos->step, 0);
+	int32_t count = pos->job->spec.steps[pos->step].count;
+	int32_t run = pos->task->run;
+	int32_t confirmed = 0;
+
+	for (int32_t i = 0; i < count; i++)
+		confirmed += is_confirmed(&tasks[i], run);
+	for (int32_t i = 0; i < count; i++) {
+		if (!is_confirmed(&tasks[i], run))
+			continue;
+		tasks[i].gang_waits = confirmed < count;
+		tasks[i].since_ms = now_ms;
+	}
+}
+
+void job_run_confirmed(const struct job_pos *pos, int64_t now_ms)
+{
+	pos->task->phase = PHASE_RUNNING;
+	pos->task->since_ms = now_ms;
+	pos->task->gang_waits = false;
+	pos->task->refusals = 0;
+	if (pos->job->spec.steps[pos->step].gang)
+		refresh_gang(pos, now_ms);
+}
+
+/* A gang is done as soon as one of its tasks is done. */
+static void complete_gang(struct job_pos *pos)
+{
+	struct job_task *tasks =
+		job_task_at(pos->job, pos->occurrence, pos->step, 0);
+
+	for (int32_t i = 0; i < pos->job->spec.steps[pos->step].count; i++) {
+		tasks[i].state = TASK_DONE;
+		job_index_unplace(&tasks[i]);
+		job_touch(pos->job, &tasks[i]);
+	}
+}
+
+static void keep_checkpoint(struct job_pos *pos, const char *checkpoint)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	struct job_task *tasks = pos->task;
+	int32_t count = 1;
+
+	if (!checkpoint || !*checkpoint)
+		return;
+	if (step->gang) {
+		tasks = job_task_at(pos->job, pos->occurrence, pos->step, 0);
+		count = step->count;
+	}
+	for (int32_t i = 0; i < count; i++) {
+		g_free(tasks[i].checkpoint);
+		tasks[i].checkpoint = g_strdup(checkpoint);
+		job_touch(pos->job, &tasks[i]);
+	}
+}
+
+void job_end_run(struct job_pos *pos, enum job_end how, const char *checkpoint,
+		 int32_t attempts)
+{
+	const struct job_step *step = &pos->job->spec.steps[pos->step];
+	struct job_task *task = pos->task;
+
+	job_touch(pos->job, task);
+	keep_checkpoint(pos, checkpoint);
+	task->state = how == END_DONE ? TASK_DONE : TASK_WAITING;
+	task->phase = PHASE_UNKNOWN;
+	job_index_unplace(task);
+	if (how == END_DONE && step->gang)
+		complete_gang(pos);
+	if (how != END_FAILED)
+		return;
+	task->failed++;
+	if (!step->long_running && task->failed >= attempts)
+		pos->job->state = JOB_FAILED;
+}
+
+void job_give_up(struct job *job)
+{
+	job->state = JOB_FAILED;
+	job->dirty = true;
+}
+
+/* Whether a worker has confirmed a start of the task at any time. */
+static bool has_started(const struct job_task *task)
+{
+	if (task->state == TASK_DONE || task->failed)
+		return true;
+	return task->state == TASK_PLACED &&
+	       (task->phase == PHASE_RUNNING || task->phase == PHASE_STOPPING);
+}
+
+void job_refresh(struct job *job)
+{
+	uint32_t count = job->occurrences * job->tasks_per_occurrence;
+	uint32_t done = 0;
+	bool started = false;
+	enum job_state state = job->state;
+
+	if (!job->has_spec || job_ended(state))
+		return;
+	/* A running job that has not changed runs on. */
+	if (state == JOB_RUNNING && job->refreshed && !job->dirty &&
+	    !job->cancel_requested)
+		return;
+	job->refreshed = true;
+	for (uint32_t i = 0; i < count; i++) {
+		done += job->tasks[i].state == TASK_DONE;
+		started |= has_started(&job->tasks[i]);
+	}
+	if (job->cancel_requested)
+		state = JOB_CANCELLED;
+	else if (done == count)
+		state = JOB_DONE;
+	else if (started)
+		state = JOB_RUNNING;
+	if (state != job->state)
+		job->dirty = true;
+	job->state = state;
+}
