Revert "Admit jobs by the workers that their owners reach"

So a new owner's first load counted no capacity, and nodes refused all jobs until its next one, just after a takeover. It would have to tell workers that do not answer from those that have not been asked.

--- a/src/backlog.c
+++ b/src/backlog.c
@@ -5,12 +5,6 @@
 #include "jcursor.h"
 #include "place.h"
 
-enum {
-	/* An owner writes its load at least each 2 s; without a newer record for so
-	   long, it has been away since. */
-	BACKLOG_SILENT_MS = 3000
-};
-
 /* Upper bounds of the spans but the last, in ms ahead of the survey. */
 static const int64_t span_ends_ms[BACKLOG_SPANS - 1] = {
 	0, 250, 500, 1000, 1500, 2000, 3000, 4000, 6000, 9000, 15000,
@@ -32,8 +26,6 @@
 {
 	return a->own_milli == b->own_milli && a->full_milli == b->full_milli &&
 	       a->claimed_milli == b->claimed_milli &&
-	       a->reached_milli == b->reached_milli &&
-	       a->lasting_milli == b->lasting_milli &&
 	       !memcmp(a->work, b->work, sizeof(a->work));
 }
 
@@ -65,9 +57,7 @@
 	for (uint32_t i = 0; i < BACKLOG_SPANS; i++)
 		g_string_append_printf(text, ",%" G_GINT64_FORMAT,
 				       backlog->work[i]);
-	g_string_append_printf(text,
-			       ",%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT "]",
-			       backlog->reached_milli, backlog->lasting_milli);
+	g_string_append_c(text, ']');
 	return g_string_free(text, FALSE);
 }
 
@@ -78,27 +68,13 @@
 	return jcursor_int(&item, 0, LIMIT_NUMBER_MAX, -1);
 }
 
-/* Records of older builds end before. */
-static void read_reached(const struct jcursor *row, struct backlog *backlog)
-{
-	size_t numbers = 4 + BACKLOG_SPANS;
-
-	if (jcursor_check_array(row, numbers + 2) < numbers + 2) {
-		backlog->reached_milli = backlog->own_milli;
-		return;
-	}
-	backlog->reached_milli = read_number(row, numbers);
-	backlog->lasting_milli = read_number(row, numbers + 1);
-}
-
 int backlogs_apply(struct backlogs *backlogs, const char *key,
-		   const char *value, size_t len, int64_t now_ms,
-		   struct err *err)
+		   const char *value, size_t len, struct err *err)
 {
 	struct err fault = { .kind = ERR_OK };
 	struct json_object *array = jcursor_parse(value, len, &fault);
 	struct jcursor row = jcursor_root(array, &fault);
-	struct backlog backlog = { .read_ms = now_ms };
+	struct backlog backlog = { 0 };
 
 	if (array) {
 		backlog.at_ms = read_number(&row, 0);
@@ -107,7 +83,6 @@
 		backlog.claimed_milli = read_number(&row, 3);
 		for (uint32_t i = 0; i < BACKLOG_SPANS; i++)
 			backlog.work[i] = read_number(&row, 4 + i);
-		read_reached(&row, &backlog);
 	}
 	json_object_put(array);
 	if (fault.kind != ERR_OK)
@@ -155,12 +130,12 @@
 
 int64_t backlogs_delay_ms(const struct backlogs *backlogs,
 			  const struct share *share, const struct cfg *cfg,
-			  int64_t target_ms, int64_t all_milli, int64_t now_ms)
+			  int64_t target_ms, int64_t all_milli)
 {
 	const struct backlog *own = backlogs_find(backlogs, share);
 	int64_t full_milli = 0;
 	int64_t lendable_milli = 0;
-	int64_t capacity_milli, silent_ms;
+	int64_t capacity_milli;
 
 	if (!own)
 		return 0;
@@ -174,16 +149,13 @@
 			continue;
 		full_milli += backlog->full_milli;
 		if (backlog != own)
-			lendable_milli += MAX(backlog->reached_milli -
-						      backlog->claimed_milli,
-					      0);
+			lendable_milli += MAX(
+				backlog->own_milli - backlog->claimed_milli, 0);
 	}
-	capacity_milli = own->reached_milli - own->lasting_milli +
-			 lendable_milli +
+	capacity_milli = own->own_milli + lendable_milli +
 			 MAX(all_milli / share->count - full_milli, 0);
 	if (capacity_milli <= 0)
 		return INT64_MAX / 2;
-	silent_ms = MAX(now_ms - own->read_ms - BACKLOG_SILENT_MS, 0);
-	return silent_ms + (int64_t)(delaying_work(own, target_ms) /
-				     (double)capacity_milli);
+	return (int64_t)(delaying_work(own, target_ms) /
+			 (double)capacity_milli);
 }
--- a/src/backlog.h
+++ b/src/backlog.h
@@ -24,14 +24,9 @@
 	int64_t full_milli; /* the same when nothing is shrunk */
 	/* Used by its placed tasks, and by those that are ready and in time. */
 	int64_t claimed_milli;
-	/* Of own_milli, that of workers which get tasks now: they answer, and do
-	   not leave. Unknown in records of older builds, which count them all. */
-	int64_t reached_milli;
-	int64_t lasting_milli; /* of that, used by long-running tasks */
 	/* Remaining work in milli-cores times ms, of jobs whose target is within
 	   backlog_span_ms of the survey; the last one has all of it. */
 	int64_t work[BACKLOG_SPANS];
-	int64_t read_ms; /* monotonic, when this node read the record */
 };
 
 /* Newest record of each share; pool and index -> struct backlog. */
@@ -64,8 +59,7 @@
  *	0 or ERR_INVALID.
  */
 int backlogs_apply(struct backlogs *backlogs, const char *key,
-		   const char *value, size_t len, int64_t now_ms,
-		   struct err *err);
+		   const char *value, size_t len, struct err *err);
 
 /* backlogs_find - newest record of a share, or NULL */
 const struct backlog *backlogs_find(const struct backlogs *backlogs,
@@ -77,15 +71,13 @@
 /*
  * backlogs_delay_ms - time that a share needs for its work before a new job
  *
- * As place_backlog_ms, from the records; cfg names the other pools. Only workers that
- * the owners reach count, without what long-running tasks use. A share whose owner
- * has told nothing for long does nothing meanwhile.
+ * As place_backlog_ms, from the records; cfg names the other pools.
  *
  * RETURN VALUE
  *	0 if nothing is known of the share.
  */
 int64_t backlogs_delay_ms(const struct backlogs *backlogs,
 			  const struct share *share, const struct cfg *cfg,
-			  int64_t target_ms, int64_t all_milli, int64_t now_ms);
+			  int64_t target_ms, int64_t all_milli);
 
 #endif
--- a/src/front_late.c
+++ b/src/front_late.c
@@ -30,12 +30,11 @@
 		.wall_ms = wall_ms,
 	};
 
-	/* Only its owner knows which workers of a share answer. */
-	if (*env->jobs_loaded && !backlogs_find(env->backlogs, share))
+	if (*env->jobs_loaded)
 		return place_backlog_ms(&place, target_ms,
 					front->max_listed_milli);
 	return backlogs_delay_ms(env->backlogs, share, *env->cfg, target_ms,
-				 front->max_listed_milli, clk_now_ms(env->clk));
+				 front->max_listed_milli);
 }
 
 static struct share share_of(const struct front *front,
--- a/src/node_records.c
+++ b/src/node_records.c
@@ -227,10 +227,8 @@
 	struct err err = { .kind = ERR_OK };
 	char *key = g_strndup(record->key + 2, record->key_len - 2);
 
-	if (record->value &&
-	    backlogs_apply(&node->backlogs, key, record->value,
-			   record->value_len, clk_now_ms(node->config.clk),
-			   &err) < 0)
+	if (record->value && backlogs_apply(&node->backlogs, key, record->value,
+					    record->value_len, &err) < 0)
 		log_error("load of share %s at offset %" G_GINT64_FORMAT
 			  " cannot be read: %s",
 			  key, record->offset, err.text);
--- a/src/place_backlog.c
+++ b/src/place_backlog.c
@@ -161,21 +161,6 @@
 	return total_milli;
 }
 
-/* Adds up the workers that get tasks now. */
-static void count_reached(const struct place *place, struct backlog *backlog)
-{
-	const GPtrArray *workers = share_workers(&place->share, place->workers);
-
-	for (guint i = 0; i < workers->len; i++) {
-		const struct worker *worker = workers->pdata[i];
-
-		if (!place_usable(place, worker))
-			continue;
-		backlog->reached_milli += worker->entry.cpu_milli;
-		backlog->lasting_milli += worker->lasting_cpu_milli;
-	}
-}
-
 void place_survey_backlog(const struct place *place, struct backlog *backlog)
 {
 	const GPtrArray *jobs = share_jobs(&place->share, place->jobs)->live;
@@ -186,7 +171,6 @@
 		.own_milli = capacity.own_milli,
 		.full_milli = capacity.own_full_milli,
 	};
-	count_reached(place, backlog);
 	for (guint i = 0; i < jobs->len; i++) {
 		struct job *job = jobs->pdata[i];
 		double work;
