Limits: count runs of ended jobs after a takeover; withdraw placements by a higher limit

A job is cancelled, its stops do not arrive, its workers are cut off and its owner is killed. Now it counts the placed tasks of jobs of organisations whose end it has read within the longest lease, until their workers have reported or their leases are over. No order is sent for them, and deployments without organisations are served as before. Ruled out: counting all ended jobs that are kept: a node that has just loaded them does not know when they ended, and workers that are long gone would hold the limit for 10 s.

Now the first pass by a lower limit withdraws placements that no order exists for, as far as they exceed the grant.

--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,8 @@
 	tests/fleet_callers.c tests/fleet_records.c \
 	tests/fleet_capacity.c tests/fleet_capacity.h \
 	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
-	tests/fleet_gang.h tests/fleet_hosts.c tests/fleet_log.c \
+	tests/fleet_gang.h tests/fleet_hosts.c tests/fleet_limit.c \
+	tests/fleet_limit.h tests/fleet_log.c \
 	tests/fleet_orders.c tests/fleet_play.c tests/fleet_play.h \
 	tests/fleet_restarts.c tests/fleet_restarts.h \
 	tests/fleet_sim.c tests/fleet_sim.h tests/fleet_sim_int.h tests/log_model.c tests/log_model.h \
@@ -122,7 +123,8 @@
 	$(BUILD)/test_tenure_cuts \
 	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
 	$(BUILD)/test_attempts $(BUILD)/test_settled \
-	$(BUILD)/test_late_starts $(BUILD)/test_lost_answers
+	$(BUILD)/test_late_starts $(BUILD)/test_lost_answers \
+	$(BUILD)/test_limits
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
--- a/src/job.h
+++ b/src/job.h
@@ -169,6 +169,8 @@
 	bool started;		     /* as stored: some task has started */
 	int64_t accepted_ms; /* wall clock of the node that accepted it */
 	int64_t ended_ms;    /* monotonic, of this node; 0: not ended */
+	/* Likewise, when it read the stored end; 0: not, or as it loaded the jobs. */
+	int64_t end_read_ms;
 	struct job_spec spec;
 	uint32_t occurrences;
 	uint32_t tasks_per_occurrence; /* tasks of one occurrence */
--- a/src/node_records.c
+++ b/src/node_records.c
@@ -299,6 +299,16 @@
 			node_owner_of_job(node, job_find(node->jobs, id)));
 }
 
+/* Notes when a job has ended, unless that may be long ago. */
+static void note_end(struct node *node, const char *id)
+{
+	struct job *job = job_find(node->jobs, id);
+
+	if (job && !job->end_read_ms && node->jobs_loaded &&
+	    job_ended(job->stored_state))
+		job->end_read_ms = clk_now_ms(node->config.clk);
+}
+
 /*
  * A key is a letter for the kind of record (j: job, c: cancellation, p:
  * progress, r: range of its tasks, h: host plan, b: bounds of an owner, q: grants to
@@ -360,6 +370,7 @@
 			record->value_len,
 			node_owner_of_job(node, job_find(node->jobs, id)),
 			&err);
+		note_end(node, id);
 		break;
 	}
 	if (status < 0)
--- a/src/pool.c
+++ b/src/pool.c
@@ -63,6 +63,7 @@
 	/* Backwards, because job_reload removes ended jobs from the list. */
 	for (guint i = jobs->len; i > 0; i--)
 		job_reload(store, jobs->pdata[i - 1]);
+	pool_unplaced_inherit(pool);
 	bound_acquired(&pool->bound);
 	if (bound_withholds_any(&pool->bound))
 		log_info("lease-bounds-read tenure=%s workers=%u",
@@ -295,6 +296,8 @@
 	place_account(&place);
 	place.quota = pool_quota_begin(pool);
 	pool_unplaced_account(pool, place.quota);
+	if (place.quota)
+		pool_quota_withdraw(pool);
 	pool_move_off_slow(pool, &place);
 	pool_move_off_leaving(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -227,18 +227,29 @@
  */
 int64_t pool_lease_end_ms(const struct pool *pool, const char *worker);
 
+/*
+ * pool_withdraw_start - withdraw the start of a placed task, or stop its run
+ *
+ * Because its worker's capacity has shrunk, or its organisation's limit was lowered.
+ * The tasks of a gang run together or not at all.
+ */
+void pool_withdraw_start(struct pool *pool, const struct job_pos *pos);
+
 /*
  * Limits of organisations, see quota.h.
  *
  * pool_quota_init, pool_quota_clear - make or free what is known of them
  * pool_quota_acquired - begin a tenure
  * pool_quota_begin - count what is placed; NULL: there are no limits
+ * pool_quota_withdraw - withdraw placements that no order exists for yet, as far as a limit
+ *	that was lowered since the last pass has no room for them
  * pool_quota_store - store what the share uses, if others are to know
  */
 void pool_quota_init(struct pool *pool);
 void pool_quota_clear(struct pool *pool);
 void pool_quota_acquired(struct pool *pool);
 struct quota_use *pool_quota_begin(struct pool *pool);
+void pool_quota_withdraw(struct pool *pool);
 void pool_quota_store(struct pool *pool);
 
 /*
@@ -248,6 +259,7 @@
  *
  * pool_unplaced_init, pool_unplaced_clear - begin with none; forget them all
  * pool_unplaced_add_job - add the placed tasks of a job that ends
+ * pool_unplaced_inherit - add, to none, those of jobs that have ended under an earlier owner
  * pool_unplaced_listed - add a run that the worker's report lists
  * pool_unplaced_ended - drop a run whose end the worker's report lists
  * pool_unplaced_reported - drop those that a report asked for at asked_ms would
@@ -261,6 +273,7 @@
 void pool_unplaced_init(struct pool *pool);
 void pool_unplaced_clear(struct pool *pool);
 void pool_unplaced_add_job(struct pool *pool, struct job *job);
+void pool_unplaced_inherit(struct pool *pool);
 void pool_unplaced_listed(struct pool *pool, const struct worker *worker,
 			  const struct worker_run *run);
 void pool_unplaced_ended(struct pool *pool, const struct worker *worker,
--- a/src/pool_order.c
+++ b/src/pool_order.c
@@ -77,11 +77,7 @@
 	return_to_waiting(pool, pos);
 }
 
-/*
- * Withdraws a start that is due, because its worker's capacity has shrunk. The
- * tasks of a gang run together or not at all.
- */
-static void withdraw_start(struct pool *pool, const struct job_pos *pos)
+void pool_withdraw_start(struct pool *pool, const struct job_pos *pos)
 {
 	const struct job_step *step = &pos->job->spec.steps[pos->step];
 	struct job_pos member = *pos;
@@ -282,7 +278,7 @@
 			continue;
 		worker = worker_find(pool->env->workers, pos.task->worker);
 		if (worker && must_withdraw(pos.task, worker, now_ms)) {
-			withdraw_start(pool, &pos);
+			pool_withdraw_start(pool, &pos);
 			continue;
 		}
 		if (pool->starting >= POOL_MAX_STARTS)
--- a/src/pool_quota.c
+++ b/src/pool_quota.c
@@ -63,6 +63,60 @@
 	return pool->quota;
 }
 
+/* Whether no order to start the task exists yet. */
+static bool is_unordered(const struct job_task *task)
+{
+	return task->state == TASK_PLACED &&
+	       (task->phase == PHASE_RECORDING ||
+		task->phase == PHASE_STORING ||
+		(task->phase == PHASE_STARTING && !task->start_sent_ms));
+}
+
+/* Placements of organisations whose limit was lowered; struct job_pos. */
+static GArray *find_lowered(const struct pool *pool)
+{
+	const GPtrArray *lists =
+		share_jobs(&pool->share, pool->env->jobs)->placed;
+	GArray *found = g_array_new(FALSE, FALSE, sizeof(struct job_pos));
+
+	for (guint i = 0; i < lists->len; i++) {
+		const struct job_placed *placed = lists->pdata[i];
+
+		for (guint k = 0; k < placed->tasks->len; k++) {
+			const struct job_pos *pos = &g_array_index(
+				placed->tasks, struct job_pos, k);
+
+			if (is_unordered(pos->task) &&
+			    quota_use_is_lowered(pool->quota, pos->job->tenant))
+				g_array_append_vals(found, pos, 1);
+		}
+	}
+	return found;
+}
+
+void pool_quota_withdraw(struct pool *pool)
+{
+	GArray *found;
+
+	if (!quota_use_any_lowered(pool->quota))
+		return;
+	found = find_lowered(pool);
+	for (guint i = 0; i < found->len; i++) {
+		const struct job_pos *pos =
+			&g_array_index(found, struct job_pos, i);
+		const struct job_step *step = &pos->job->spec.steps[pos->step];
+
+		/* One of a gang may have been withdrawn with another. */
+		if (!is_unordered(pos->task) ||
+		    quota_use_fits(pool->quota, pos->job->tenant))
+			continue;
+		pool_withdraw_start(pool, pos);
+		quota_use_remove(pool->quota, pos->job->tenant, step,
+				 step->gang ? step->count : 1);
+	}
+	g_array_free(found, TRUE);
+}
+
 void pool_quota_store(struct pool *pool)
 {
 	int64_t gap_ms = pool_now_ms(pool) - pool->quota_told_ms;
--- a/src/pool_unplaced.c
+++ b/src/pool_unplaced.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
+#include "log.h"
 #include "pool_int.h"
+#include "pool_life.h"
 
 enum { POOL_UNPLACED_STOP_RETRY_MS = 300 };
 
@@ -13,6 +15,9 @@
 	uint32_t last_report;
 	int64_t sent_ms;    /* of the last stop order; 0: none */
 	int64_t stopped_ms; /* when the worker confirmed the stop; 0: not yet */
+	/* Of a job that has ended under an earlier owner. It counts against limits
+	   until the worker has reported; a run that it lists is one like others. */
+	bool inherited;
 };
 
 static struct unplaced_run *at(const struct pool *pool, guint index)
@@ -69,6 +74,47 @@
 	}
 }
 
+/*
+ * Whether runs of the job may go on without a report: it has a limit, and its end was
+ * read no longer ago than a worker out of reach keeps a run.
+ */
+static bool may_run_on(const struct pool *pool, const struct job *job)
+{
+	int64_t now_ms = pool_now_ms(pool);
+
+	return *job->tenant && job->end_read_ms &&
+	       job_ended(job->stored_state) &&
+	       now_ms < pool_longest_lease_end_ms(pool, job->end_read_ms) &&
+	       share_has_job(&pool->share, job);
+}
+
+void pool_unplaced_inherit(struct pool *pool)
+{
+	const GPtrArray *jobs = pool->env->jobs->list;
+
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job_pos pos = { .job = jobs->pdata[i] };
+
+		if (!may_run_on(pool, pos.job))
+			continue;
+		while (job_next_task(&pos)) {
+			struct unplaced_run added = {
+				.run = pos.task->run,
+				.worker = pos.task->worker,
+				.inherited = true,
+			};
+
+			if (pos.task->state != TASK_PLACED)
+				continue;
+			job_task_name(&pos, added.task, sizeof(added.task));
+			g_array_append_val(pool->unplaced, added);
+		}
+	}
+	if (pool->unplaced->len)
+		log_info("runs-of-ended-jobs tenure=%s count=%u",
+			 pool->ownership.name, pool->unplaced->len);
+}
+
 void pool_unplaced_listed(struct pool *pool, const struct worker *worker,
 			  const struct worker_run *run)
 {
@@ -76,6 +122,7 @@
 		find_or_add(pool, worker->name, run->task, run->run);
 
 	unplaced->listed = true;
+	unplaced->inherited = false;
 	unplaced->last_report = worker->reports;
 }
 
@@ -103,7 +150,7 @@
 
 		if (unplaced->worker == worker->name &&
 		    unplaced->last_report != worker->reports &&
-		    (unplaced->listed || stopped))
+		    (unplaced->listed || unplaced->inherited || stopped))
 			g_array_remove_index_fast(pool->unplaced, i - 1);
 	}
 }
@@ -129,6 +176,17 @@
 	       pos->task->worker == unplaced->worker;
 }
 
+static void add_use(const struct pool *pool,
+		    const struct unplaced_run *unplaced,
+		    struct quota_use *quota)
+{
+	struct job_pos pos = { 0 };
+
+	if (quota && job_task_find(pool->env->jobs, unplaced->task, &pos))
+		quota_use_add(quota, pos.job->tenant,
+			      &pos.job->spec.steps[pos.step]);
+}
+
 void pool_unplaced_account(struct pool *pool, struct quota_use *quota)
 {
 	for (guint i = 0; i < pool->unplaced->len; i++) {
@@ -137,6 +195,10 @@
 			worker_find(pool->env->workers, unplaced->worker);
 		struct job_pos pos = { 0 };
 
+		if (unplaced->inherited) {
+			add_use(pool, unplaced, quota);
+			continue;
+		}
 		if (!worker)
 			continue;
 		if (!job_task_find(pool->env->jobs, unplaced->task, &pos)) {
@@ -144,12 +206,8 @@
 			continue;
 		}
 		if (!is_placed(unplaced, &pos)) {
-			const struct job_step *step =
-				&pos.job->spec.steps[pos.step];
-
-			place_occupy(worker, step);
-			if (quota)
-				quota_use_add(quota, pos.job->tenant, step);
+			place_occupy(worker, &pos.job->spec.steps[pos.step]);
+			add_use(pool, unplaced, quota);
 		}
 		if (unplaced->listed)
 			pos.task->listed_ms = pool_now_ms(pool);
@@ -166,12 +224,12 @@
 			worker_find(pool->env->workers, unplaced->worker);
 		struct job_pos pos = { 0 };
 
-		if (!worker ||
+		if ((!worker && !unplaced->inherited) ||
 		    now_ms >= pool_lease_end_ms(pool, unplaced->worker)) {
 			g_array_remove_index_fast(pool->unplaced, i - 1);
 			continue;
 		}
-		if (unplaced->stopped_ms ||
+		if (unplaced->inherited || unplaced->stopped_ms ||
 		    now_ms - unplaced->sent_ms < POOL_UNPLACED_STOP_RETRY_MS ||
 		    (job_task_find(pool->env->jobs, unplaced->task, &pos) &&
 		     is_placed(unplaced, &pos)))
--- a/src/quota_use.c
+++ b/src/quota_use.c
@@ -15,6 +15,7 @@
 struct entry {
 	struct cfg_room limit;
 	int32_t granted;
+	bool lowered; /* the limit, since the last pass */
 	struct cfg_room used;
 	struct cfg_room wanted; /* beyond used */
 	int32_t unit;		/* the largest task that is wanted */
@@ -28,6 +29,10 @@
 	/* Organisation -> struct quota_part of the last record; what is held is the
 	   most that others have to assume since. */
 	GHashTable *told;
+	/* Organisation -> struct cfg_room, its limit in the last pass; NULL: there
+	   was none in this tenure. */
+	GHashTable *limits;
+	bool any_lowered;
 };
 
 struct quota_use *quota_use_create(void)
@@ -44,6 +49,7 @@
 void quota_use_reset(struct quota_use *use)
 {
 	g_hash_table_remove_all(use->told);
+	g_clear_pointer(&use->limits, g_hash_table_destroy);
 }
 
 void quota_use_destroy(struct quota_use *use)
@@ -52,9 +58,55 @@
 		return;
 	g_hash_table_destroy(use->entries);
 	g_hash_table_destroy(use->told);
+	if (use->limits)
+		g_hash_table_destroy(use->limits);
 	g_free(use);
 }
 
+/* Whether a limit is lower than another one, 0 being none. */
+static bool is_lower(int64_t limit, int64_t other)
+{
+	return limit && (!other || limit < other);
+}
+
+/* Whether a limit is lower than that of the last pass. */
+static bool was_lowered(const struct quota_use *use, const char *tenant,
+			const struct cfg_room *limit)
+{
+	const struct cfg_room *last;
+
+	if (!use->limits)
+		return false;
+	last = g_hash_table_lookup(use->limits, tenant);
+	return !last || is_lower(limit->cpu_milli, last->cpu_milli) ||
+	       is_lower(limit->mem_mib, last->mem_mib) ||
+	       is_lower(limit->gpu, last->gpu);
+}
+
+/* Notes the limits of this pass, and which of them have been lowered. */
+static void compare_limits(struct quota_use *use)
+{
+	GHashTable *limits =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GHashTableIter iter;
+	void *tenant, *value;
+
+	use->any_lowered = false;
+	g_hash_table_iter_init(&iter, use->entries);
+	while (g_hash_table_iter_next(&iter, &tenant, &value)) {
+		struct entry *entry = value;
+
+		entry->lowered = was_lowered(use, tenant, &entry->limit);
+		use->any_lowered |= entry->lowered;
+		g_hash_table_insert(
+			limits, g_strdup(tenant),
+			g_memdup2(&entry->limit, sizeof(entry->limit)));
+	}
+	if (use->limits)
+		g_hash_table_destroy(use->limits);
+	use->limits = limits;
+}
+
 bool quota_use_begin(struct quota_use *use, const struct cfg *cfg,
 		     const struct quota_share *share, bool confirmed)
 {
@@ -73,6 +125,7 @@
 		g_hash_table_insert(use->entries, g_strdup(tenant->name),
 				    entry);
 	}
+	compare_limits(use);
 	return g_hash_table_size(use->entries) > 0;
 }
 
@@ -99,6 +152,27 @@
 		add_room(&entry->used, step, 1);
 }
 
+void quota_use_remove(struct quota_use *use, const char *tenant,
+		      const struct job_step *step, int32_t count)
+{
+	struct entry *entry = find(use, tenant);
+
+	if (entry)
+		add_room(&entry->used, step, -count);
+}
+
+bool quota_use_any_lowered(const struct quota_use *use)
+{
+	return use->any_lowered;
+}
+
+bool quota_use_is_lowered(const struct quota_use *use, const char *tenant)
+{
+	const struct entry *entry = find(use, tenant);
+
+	return entry && entry->lowered;
+}
+
 /* Part of a limit, rounded down; the product could exceed 64 bits. */
 static int64_t part_of(int64_t limit, int32_t part)
 {
@@ -116,6 +190,21 @@
 	return !room->cpu_milli && !room->mem_mib && !room->gpu;
 }
 
+static bool room_fits(const struct entry *entry, const struct cfg_room *room)
+{
+	return within(room->cpu_milli, entry->limit.cpu_milli,
+		      entry->granted) &&
+	       within(room->mem_mib, entry->limit.mem_mib, entry->granted) &&
+	       within(room->gpu, entry->limit.gpu, entry->granted);
+}
+
+bool quota_use_fits(const struct quota_use *use, const char *tenant)
+{
+	const struct entry *entry = find(use, tenant);
+
+	return !entry || room_fits(entry, &entry->used);
+}
+
 bool quota_use_allows(const struct quota_use *use, const char *tenant,
 		      const struct job_step *step, int32_t count)
 {
@@ -132,10 +221,7 @@
 		return true;
 	after = entry->used;
 	add_room(&after, step, count);
-	return within(after.cpu_milli, entry->limit.cpu_milli,
-		      entry->granted) &&
-	       within(after.mem_mib, entry->limit.mem_mib, entry->granted) &&
-	       within(after.gpu, entry->limit.gpu, entry->granted);
+	return room_fits(entry, &after);
 }
 
 /* The larger part of a limit, rounded up. */
--- a/src/quota_use.h
+++ b/src/quota_use.h
@@ -36,6 +36,22 @@
 void quota_use_add(struct quota_use *use, const char *tenant,
 		   const struct job_step *step);
 
+/* quota_use_remove - count tasks of the step no more */
+void quota_use_remove(struct quota_use *use, const char *tenant,
+		      const struct job_step *step, int32_t count);
+
+/*
+ * quota_use_any_lowered, quota_use_is_lowered - whether the configuration of this pass has
+ * a lower limit, of any organisation or of this one, than that of the last pass
+ *
+ * Not in the first pass of a tenure.
+ */
+bool quota_use_any_lowered(const struct quota_use *use);
+bool quota_use_is_lowered(const struct quota_use *use, const char *tenant);
+
+/* quota_use_fits - whether what is used is within the grant */
+bool quota_use_fits(const struct quota_use *use, const char *tenant);
+
 /* quota_use_allows - whether count more tasks of the step may be placed */
 bool quota_use_allows(const struct quota_use *use, const char *tenant,
 		      const struct job_step *step, int32_t count);
--- a/tests/fleet_callers.c
+++ b/tests/fleet_callers.c
@@ -24,7 +24,7 @@
 	struct node *node = sim->nodes[index].node;
 	struct front_request ask = {
 		.kind = FRONT_SUBMIT,
-		.tenant = "",
+		.tenant = sim->tenant,
 		.queue = cfg_queue_find(*node_cfg(node), "q"),
 		.deadline_ms = sim->clk.manual_ms + DEADLINE_MS,
 	};
@@ -116,7 +116,7 @@
 	struct node *node = sim->nodes[index].node;
 	struct front_request ask = {
 		.kind = FRONT_CANCEL,
-		.tenant = "",
+		.tenant = sim->tenant,
 		.queue = cfg_queue_find(*node_cfg(node), "q"),
 		.deadline_ms = sim->clk.manual_ms + DEADLINE_MS,
 	};
@@ -144,7 +144,7 @@
 	struct node *node = sim->nodes[index].node;
 	struct front_request ask = {
 		.kind = FRONT_GET_STATE,
-		.tenant = "",
+		.tenant = sim->tenant,
 		.queue = cfg_queue_find(*node_cfg(node), "q"),
 		.deadline_ms = sim->clk.manual_ms + DEADLINE_MS,
 	};
--- a/tests/fleet_orders.c
+++ b/tests/fleet_orders.c
@@ -7,6 +7,7 @@
 #include "fleet_attempts.h"
 #include "fleet_capacity.h"
 #include "fleet_gang.h"
+#include "fleet_limit.h"
 #include "fleet_sim_int.h"
 #include "log.h"
 
@@ -96,6 +97,9 @@
 	if (is_over_capacity(sim, worker, node))
 		sim_report_violation(
 			sim, "more runs than the worker has room for", task);
+	if (fleet_limit_exceeded(sim))
+		sim_report_violation(
+			sim, "more runs than its organisation's limit", task);
 	if (sscanf(task, "%16[0-9a-f].%u.%u.%u", id, &occurrence, &step,
 		   &index) != 4) {
 		sim_report_violation(sim, "malformed task name", task);
--- a/tests/fleet_play.c
+++ b/tests/fleet_play.c
@@ -5,6 +5,7 @@
 #include "fleet_attempts.h"
 #include "fleet_capacity.h"
 #include "fleet_cut.h"
+#include "fleet_limit.h"
 #include "fleet_sim.h"
 
 enum {
@@ -24,7 +25,13 @@
 	GIVE_UP_CRASHES = 2,
 	/* With play->failing. */
 	ATTEMPTS = 3,
-	FAIL_PERCENT = 50
+	FAIL_PERCENT = 50,
+	/* With play->limited: six of the twenty tasks that there is room for. */
+	LIMIT_MILLI = 6000,
+	LIMIT_STEPS = 10, /* it changes once in this number of steps */
+	LIMITED_TASK_MS = 2000,
+	LIMITED_STOP_MS = 900,
+	LIMITED_RECOVERY_MS = 200 * 1000
 };
 
 int fleet_owner(struct sim *sim)
@@ -220,6 +227,14 @@
 	if (play->shrinking)
 		fleet_capacity_unguard(sim);
 	fleet_limit_attempts(sim, play);
+	if (play->limit_hidden)
+		fleet_limit_hide(sim);
+	if (play->limited) {
+		fleet_limit_set(sim, LIMIT_MILLI);
+		for (int i = 0; i < sim->worker_count; i++)
+			sim->workers[i].model.stop_ms = LIMITED_STOP_MS;
+		sim->task_ms = LIMITED_TASK_MS;
+	}
 	/* Odd seeds have one or two nodes that cannot be deciders. */
 	if (seed % 2)
 		sim_restart_with_slow_link(sim, (int)(seed / 2 % 3));
@@ -232,6 +247,11 @@
 
 		if (play->shrinking)
 			fleet_capacity_vary(sim);
+		if (play->limited && !rnd_below(&sim->rnd, LIMIT_STEPS))
+			fleet_limit_set(
+				sim,
+				LIMIT_MILLI / 2 *
+					(1 + (int32_t)rnd_below(&sim->rnd, 3)));
 		if (node >= 0 && submitted < JOBS) {
 			int steps = 1 + (int)rnd_below(&sim->rnd, 3);
 			int width = 1 + (int)rnd_below(&sim->rnd, 6);
@@ -248,8 +268,11 @@
 	fleet_lift_faults(sim);
 	if (play->shrinking)
 		fleet_capacity_restore(sim);
+	if (play->limited)
+		fleet_limit_set(sim, LIMIT_MILLI);
 	if (!sim->broken[0])
-		sim_run_for(sim, RECOVERY_MS);
+		sim_run_for(sim,
+			    play->limited ? LIMITED_RECOVERY_MS : RECOVERY_MS);
 	g_strlcpy(play->broken, sim->broken, sizeof(play->broken));
 	if (!play->broken[0])
 		fleet_check_ends(sim, play);
--- a/tests/fleet_play.h
+++ b/tests/fleet_play.h
@@ -32,8 +32,11 @@
 	bool cuts;
 	/* Input: half of the runs fail, and tasks have few attempts. */
 	bool failing;
-	char broken[256]; /* first violated invariant; empty: none */
-	uint64_t started; /* runs; each call adds to it */
+	/* Input: what all jobs have running has a limit; tasks last for seconds. */
+	bool limited;
+	bool limit_hidden; /* input: with limited, the nodes know of no limit */
+	char broken[256];  /* first violated invariant; empty: none */
+	uint64_t started;  /* runs; each call adds to it */
 };
 
 /*
--- a/tests/fleet_records.c
+++ b/tests/fleet_records.c
@@ -2,23 +2,26 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fleet_limit.h"
 #include "fleet_sim_int.h"
 #include "host_plan.h"
 
 static void set_configuration(struct sim *sim, int64_t version, bool guarded,
 			      const char *other_services)
 {
+	char *tenants = fleet_limit_tenants(sim);
 	char *text = g_strdup_printf(
 		"{\"version\":%" G_GINT64_FORMAT
 		",\"routes\":[{\"name\":\"q\",\"host\":\"h\","
 		"\"prefix\":\"/q/\",\"service\":\"pool\",\"attempts\":%d,"
 		"\"stretch\":1000.0,\"sloMs\":100000}],"
 		"\"services\":[{\"name\":\"pool\",\"enforcesCapacity\":%s}%s],"
-		"\"limits\":{\"maxBodyBytes\":100000}}",
+		"\"limits\":{\"maxBodyBytes\":100000}%s}",
 		version, sim->attempts, guarded ? "true" : "false",
-		other_services);
+		other_services, tenants);
 
 	log_model_put(sim->log, "operators", "config", text, strlen(text));
+	g_free(tenants);
 	g_free(text);
 }
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -345,6 +345,7 @@
 	sim->share_hosts = share_hosts;
 	sim->lease_max_ms = LEASE_MAX_MS;
 	sim->task_ms = TASK_MS;
+	sim->tenant = "";
 	sim->crash_ms = SIM_CRASH_MS;
 	sim->deadly_tasks = 1;
 	sim->attempts = ATTEMPTS;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -41,6 +41,12 @@
 	int32_t mem_mib;
 };
 
+/* A limit of what the organisation may have running. */
+struct sim_limit {
+	int64_t since_ms;
+	int32_t cpu_milli;
+};
+
 struct sim_worker {
 	struct worker_entry entry;
 	int index;
@@ -134,6 +140,10 @@
 	bool gang;	  /* the tasks of each of their steps are a gang */
 	bool fills;	  /* their tasks use the processor that others leave */
 	int32_t attempts; /* of each task; see fleet_attempts_limit */
+	const char *tenant; /* that all jobs belong to; "": none */
+	/* Limits of what it has running, struct sim_limit, the newest last. */
+	GArray *limits;
+	bool limits_hidden;    /* the configuration has none */
 	uint32_t fail_percent; /* of the runs fail at their end */
 	bool runs_succeed;     /* no run fails */
 	int32_t deadly_tasks;  /* of the deadly jobs submitted from now on */
