--- a/tests/fleet_limit.h
+++ b/tests/fleet_limit.h
@@ -7,6 +7,7 @@
 
 #include <stdbool.h>
 
+#include "fleet_play.h"
 #include "fleet_sim.h"
 
 enum {
@@ -25,6 +26,16 @@
  */
 void fleet_limit_hide(struct sim *sim);
 
+/*
+ * fleet_limit_play - run the simulation of a seed with four shares of a pool
+ *
+ * More work than the limit allows comes all the time, in tasks of several sizes, and
+ * much of it is cancelled, while the limit changes, owners of shares and of the hosts are
+ * killed, paused and cut off from the log or from workers, and orders and the log's answers
+ * are lost or late. The first violated invariant is written to play->broken.
+ */
+void fleet_limit_play(uint64_t seed, struct fleet_play *play);
+
 /* The rest is called by the simulation. */
 
 /* fleet_limit_tenants - the organisation as a member of the configuration; free it */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -104,6 +104,17 @@
 }
 END_TEST
 
+/* The same with four shares, which all press at once. */
+START_TEST(limit_holds_while_owners_of_shares_change)
+{
+	struct fleet_play play = { 0 };
+
+	fleet_limit_play((uint64_t)first_seed + (uint64_t)_i, &play);
+	ck_assert_msg(!play.broken[0], "seed %d: %s", _i + first_seed,
+		      play.broken);
+}
+END_TEST
+
 /* The check must detect nodes that know of no limit. */
 START_TEST(check_detects_nodes_without_a_limit)
 {
@@ -135,6 +146,8 @@
 			    0, TAKEOVER_SEEDS);
 	tcase_add_loop_test(tcase, limit_holds_under_random_faults, 0,
 			    count ? atoi(count) : SEEDS);
+	tcase_add_loop_test(tcase, limit_holds_while_owners_of_shares_change, 0,
+			    count ? atoi(count) : SEEDS);
 	tcase_add_test(tcase, check_detects_nodes_without_a_limit);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
