Pace: tasks that fill work as fast as the targets beside them allow (HARM)

Steps with 'fills' and steps with targetMs were read and not acted on: a task that fills could take one that serves over its target for as long as both ran, which breaks HARM. The owner of a share now decides a pace for each of its workers with each report, and orders it: two steps down to a standstill while a target is missed, up again with care while all are met with ease.

Nothing changes where no step fills: no orders, no other waits; placement of other steps is the same.

Before: the check of the simulation finds harm when workers ignore the orders (check_detects_harm).

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	ctl_command ctl_config ctl_print report histo arrival load_report
 NODE = lag cfg job job_run job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
 	pool job_view pool_order pool_sent pool_life pool_renew pool_report pool_lost \
-	pool_empty pool_slow pool_crash \
+	pool_empty pool_slow pool_pace pace pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_account place_backlog place_room place_quarantine place_tenants place_reserve place_reserve_find reserve estimate \
 	host_plan quota quota_use quota_plan pool_quota maint_quota \
 	maint maint_bound maint_wave maint_sizing sizing liveness nodeconf \
@@ -106,7 +106,7 @@
 	tests/fleet_capacity.c tests/fleet_capacity.h \
 	tests/fleet_cut.c tests/fleet_cut.h tests/fleet_gang.c \
 	tests/fleet_gang.h tests/fleet_hosts.c tests/fleet_limit.c \
-	tests/fleet_limit.h tests/fleet_log.c \
+	tests/fleet_limit.h tests/fleet_log.c tests/fleet_pace.c tests/fleet_pace.h \
 	tests/fleet_orders.c tests/fleet_play.c tests/fleet_play.h \
 	tests/fleet_restarts.c tests/fleet_restarts.h \
 	tests/fleet_sim.c tests/fleet_sim.h tests/fleet_sim_int.h tests/log_model.c tests/log_model.h \
@@ -124,7 +124,7 @@
 	$(BUILD)/test_cfg_age $(BUILD)/test_old_orders \
 	$(BUILD)/test_attempts $(BUILD)/test_settled \
 	$(BUILD)/test_late_starts $(BUILD)/test_lost_answers \
-	$(BUILD)/test_limits
+	$(BUILD)/test_limits $(BUILD)/test_pace
 
 $(FLEET_TESTS) $(BUILD)/explore: $(FLEET_SOURCES)
 $(BUILD)/test_writer: tests/log_model.c tests/log_model.h
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -1,6 +1,7 @@
 #include "job.h"
 
 #include "job_int.h"
+#include "pace.h"
 
 void job_place_task(struct job *job, struct job_task *task, const char *worker,
 		    int64_t boot_ms, int32_t run, int64_t now_ms)
@@ -22,7 +23,10 @@
 	task->last_report = 0;
 	task->percent = 0;
 	task->load_metric = 0;
-	task->pace = 100;
+	task->pace = PACE_FULL;
+	task->pace_sent_ms = 0;
+	task->pace_unsure_ms = 0;
+	task->pace_calls = 0;
 	if (!job->placed_ms)
 		job->placed_ms = now_ms;
 	job_index_place(job, task);
@@ -33,7 +37,8 @@
 void job_task_inherit(struct job_task *task, bool settled)
 {
 	task->phase = PHASE_UNKNOWN;
-	task->pace = 100;
+	/* An earlier owner may have changed it. */
+	task->pace = -1;
 	task->start_settled = settled;
 	task->unanswered_starts = !settled;
 }
--- a/src/place.c
+++ b/src/place.c
@@ -56,13 +56,15 @@
 {
 	const struct job_step *step = &cand->job->spec.steps[cand->step];
 	const struct worker_entry *entry = &worker->entry;
-	int64_t used = entry->cpu_milli > 0 ? (int64_t)worker->cpu_used_milli *
-						      1000 / entry->cpu_milli
-					    : 0;
-	/* Prefers full workers, so that others stay empty and their hosts can
-	   be moved to another pool. */
-	int64_t score = used;
+	int64_t used = worker->cpu_used_milli;
+	int64_t score;
 
+	if (step->uses_idle_cpu)
+		used += worker->filling_cpu_milli;
+	used = entry->cpu_milli > 0 ? used * 1000 / entry->cpu_milli : 0;
+	/* Prefers full workers, so that others stay empty and their hosts can
+	   be moved to another pool; for a task that fills, idle ones. */
+	score = step->uses_idle_cpu ? -used : used;
 	if (step->data_rack[0] && worker_has_label(worker, step->data_rack))
 		score += PLACE_DATA_NEAR_BONUS;
 	score -= (int64_t)(worker->failure_rate * PLACE_DATA_NEAR_BONUS);
--- a/src/place_account.c
+++ b/src/place_account.c
@@ -5,7 +5,9 @@
 
 void place_occupy(struct worker *worker, const struct job_step *step)
 {
-	if (!step->uses_idle_cpu)
+	if (step->uses_idle_cpu)
+		worker->filling_cpu_milli += step->cpu_milli;
+	else
 		worker->cpu_used_milli += step->cpu_milli;
 	worker->mem_used_mib += step->mem_mib;
 	worker->gpu_used += step->gpu;
@@ -28,6 +30,7 @@
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
 
 	worker->cpu_used_milli -= cpu_milli;
+	worker->filling_cpu_milli -= step->cpu_milli - cpu_milli;
 	worker->mem_used_mib -= step->mem_mib;
 	worker->gpu_used -= step->gpu;
 	worker->tasks--;
@@ -67,6 +70,7 @@
 		struct worker *worker = workers->pdata[i];
 
 		worker->cpu_used_milli = 0;
+		worker->filling_cpu_milli = 0;
 		worker->mem_used_mib = 0;
 		worker->gpu_used = 0;
 		worker->unknown_runs = 0;
@@ -91,6 +95,8 @@
 	const struct worker_entry *entry = &worker->entry;
 	int32_t cpu_milli = step->uses_idle_cpu ? 0 : step->cpu_milli;
 
+	if (step->uses_idle_cpu && worker->pace.percent < PACE_LEAST_PLACED)
+		return false;
 	/* Subtracts, as a request and what is used may exceed 32 bits. */
 	return !worker->unknown_runs &&
 	       cpu_milli <= entry->cpu_milli - worker->cpu_used_milli &&
--- a/src/pool.c
+++ b/src/pool.c
@@ -48,6 +48,7 @@
 
 	pool->env->counts.takeovers++;
 	pool->starting = 0;
+	pool->pacing = 0;
 	pool->membership_over = false;
 	reserve_reset(&pool->reserve);
 	pool_unplaced_clear(pool);
@@ -299,6 +300,7 @@
 	if (place.quota)
 		pool_quota_withdraw(pool);
 	pool_move_off_slow(pool, &place);
+	pool_move_off_paced(pool, &place);
 	pool_move_off_leaving(pool, &place);
 	/* While the log is stalled, placements could not be stored. */
 	if (writer_stalled_ms(pool_writer(pool)) < pool->env->lease_ms / 4 &&
--- a/src/pool.h
+++ b/src/pool.h
@@ -54,6 +54,8 @@
 	int64_t tasks_given_up; /* as they crash their workers */
 	int64_t quota_reports;	/* records of what a share uses of limits */
 	int64_t quota_blocked;	/* steps kept waiting by a limit, per pass */
+	int64_t paces_sent;	/* orders that change the pace of a task */
+	int64_t paces_changed;	/* decisions about a worker's tasks that fill */
 };
 
 struct pool_env {
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -28,6 +28,7 @@
 	struct ownership ownership;
 	double typical_rate;   /* last known of the workers; 0: none yet */
 	int32_t starting;      /* start orders in flight */
+	int32_t pacing;	       /* orders in flight that change a task's pace */
 	int64_t next_scan_ms;  /* next search for expired and unindexed jobs */
 	struct bound bound;    /* workers whose leases are not extended */
 	int64_t next_flush_ms; /* next time at which all changes are stored */
@@ -227,6 +228,15 @@
  */
 int64_t pool_lease_end_ms(const struct pool *pool, const char *worker);
 
+/*
+ * pool_pace_report - decide by a report how fast the worker's tasks that fill may work,
+ *	see pace.h, and order it
+ * pool_move_off_paced - stop tasks that have stood still for long, if another worker has
+ *	room for them
+ */
+void pool_pace_report(struct pool *pool, struct worker *worker);
+void pool_move_off_paced(struct pool *pool, const struct place *place);
+
 /*
  * pool_withdraw_start - withdraw the start of a placed task, or stop its run
  *
--- a/src/pool_life.c
+++ b/src/pool_life.c
@@ -48,6 +48,11 @@
 	return sent_ms;
 }
 
+int64_t pool_latest_order_ms(int64_t sent_ms)
+{
+	return sent_ms + POOL_ORDER_LATE_MS;
+}
+
 int64_t pool_late_start_ms(const struct pool *pool, const struct job_task *task)
 {
 	if (!task->unanswered_starts)
--- a/src/pool_life.h
+++ b/src/pool_life.h
@@ -38,6 +38,9 @@
 int64_t pool_earlier_life_end_ms(const struct pool *pool,
 				 const struct worker *worker);
 
+/* pool_latest_order_ms - until when an order without an answer may be executed */
+int64_t pool_latest_order_ms(int64_t sent_ms);
+
 /*
  * pool_late_start_ms - until when an order to start the task's run may be executed
  *
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -8,6 +8,9 @@
 	   for a worker with tasks that report progress. */
 	POOL_RENEW_WAIT_MS = 1000,
 	POOL_PROGRESS_WAIT_MS = 500,
+	/* For one with tasks that fill beside some that serve: their figures are of
+	   the last half second. */
+	POOL_PACED_WAIT_MS = 250,
 	/* And while leases cannot be full, so that full ones follow soon after
 	   the log has answered. */
 	POOL_SHORT_LEASE_WAIT_MS = 200,
@@ -192,6 +195,8 @@
 		return now_ms - worker->lease_kept_ms > pool->env->lease_ms / 2
 			       ? 0
 			       : POOL_LOSSY_WAIT_MS;
+	if (worker->paced)
+		return POOL_PACED_WAIT_MS;
 	if (worker->stall_check_ms)
 		return MIN(worker->stall_check_ms, POOL_PROGRESS_WAIT_MS);
 	return has_finite_tasks(worker) ? POOL_PROGRESS_WAIT_MS
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -336,4 +336,5 @@
 		end_unlisted(pool, worker, asked_ms);
 	note_ends_left_out(worker, report);
 	pool_unplaced_reported(pool, worker, asked_ms);
+	pool_pace_report(pool, worker);
 }
--- a/src/worker.c
+++ b/src/worker.c
@@ -122,6 +122,7 @@
 	size_t start = offsetof(struct worker, fence_accepted);
 
 	memset((char *)worker + start, 0, sizeof(*worker) - start);
+	pace_reset(&worker->pace);
 }
 
 struct worker *worker_put(struct worker_table *table,
@@ -136,6 +137,7 @@
 		worker->number = table->list->len;
 		g_ptr_array_add(table->list, worker);
 		worker->name = g_intern_string(entry->id);
+		pace_reset(&worker->pace);
 	}
 	if (worker->entry.boot_ms != entry->boot_ms)
 		worker->full_cpu_milli = 0;
--- a/src/worker.h
+++ b/src/worker.h
@@ -16,6 +16,7 @@
 
 #include "job.h"
 #include "limit.h"
+#include "pace.h"
 #include "speed.h"
 
 enum {
@@ -130,6 +131,7 @@
 	int64_t cursor;		  /* up to which they are stored; sent as ack */
 	bool ends_left_out;	  /* by its last report; logged once */
 	int32_t cpu_used_milli;	  /* by placed tasks; see place_account */
+	int32_t filling_cpu_milli; /* requested by placed tasks that fill */
 	int32_t mem_used_mib;
 	int32_t gpu_used;
 	int32_t unknown_runs; /* runs that use an unknown part of its room */
@@ -147,6 +149,8 @@
 	   stand still; 0: as usual. */
 	int64_t stall_check_ms;
 	int64_t slow_until_ms; /* no new tasks before; 0: not slow */
+	struct pace pace;      /* of its tasks that fill */
+	bool paced;	       /* it has such tasks beside some that serve */
 };
 
 struct worker_table {
--- a/tests/fleet_callers.c
+++ b/tests/fleet_callers.c
@@ -39,6 +39,7 @@
 	job->cpu_milli = sim->fills ? 0 : sim->task_cpu_milli;
 	job->mem_mib = sim->task_mem_mib;
 	job->gang = sim->gang;
+	job->fills = sim->fills;
 	g_hash_table_insert(sim->jobs, job->id, job);
 	if (!ask.queue) {
 		job->rejected = true;
@@ -85,6 +86,21 @@
 	return job;
 }
 
+struct sim_job *sim_submit_serving_job(struct sim *sim, int index,
+				       int32_t width, int32_t target_ms)
+{
+	char *options = g_strdup_printf(",\"longRunning\":true,"
+					"\"maxPerServer\":1,"
+					"\"targetMs\":%d",
+					target_ms);
+	struct sim_job *job = submit(sim, index, 1, width, options);
+
+	g_free(options);
+	job->lasting = true;
+	job->target_ms = target_ms;
+	return job;
+}
+
 struct sim_job *sim_submit_deadly_job(struct sim *sim, int index, int32_t steps,
 				      int32_t width)
 {
--- a/tests/fleet_orders.c
+++ b/tests/fleet_orders.c
@@ -239,6 +239,7 @@
 		run.remaining_ms = QUICK_FAILURE_MS;
 		run.fails = true;
 	}
+	run.target_ms = job ? job->target_ms : 0;
 	if (job && job->gang)
 		fleet_gang_init_run(&run, job, &worker->model);
 	outcome = worker_model_start(&worker->model, &run,
@@ -309,6 +310,11 @@
 		outcome = apply_start(sim, worker, event);
 	else if (event->kind == 'x')
 		worker_model_stop(&worker->model, event->task, event->run);
+	else if (event->kind == 'p' && sim->paces_ignored)
+		return ORDER_OK;
+	else if (event->kind == 'p')
+		worker_model_pace(&worker->model, event->task, event->run,
+				  event->percent);
 	else
 		worker_model_acknowledge(&worker->model, event->cursor);
 	worker_model_extend(&worker->model, event->order_until_ms);
@@ -336,6 +342,7 @@
 		g_strlcpy(reported->task, run->task, sizeof(reported->task));
 		reported->run = run->run;
 		reported->percent = model_run_percent(run);
+		reported->load_metric = (int32_t)run->tail_ms;
 	}
 	for (guint i = 0; i < listed; i++)
 		report->ends[report->end_count++] =
@@ -463,6 +470,7 @@
 	late->run = event->run;
 	late->fence = event->fence;
 	late->order_until_ms = event->order_until_ms;
+	late->percent = event->percent;
 	late->unanswered = true;
 	/* An acknowledgement takes effect when it is executed. */
 	late->cursor = event->cursor;
@@ -557,14 +565,12 @@
 		    const char *task, int32_t run, int32_t percent,
 		    int64_t fence, order_fn *fn, void *arg)
 {
-	(void)io;
-	(void)worker;
-	(void)task;
-	(void)run;
-	(void)percent;
-	(void)fence;
-	(void)fn;
-	(void)arg;
+	struct event *event =
+		order_event(io, 'p', worker, task, run, fence, arg);
+
+	event->percent = percent;
+	event->on_order = fn;
+	send_order(io, event);
 }
 
 static void io_renew(void *io, const struct worker_entry *worker,
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -6,6 +6,7 @@
 #include "fleet_attempts.h"
 #include "fleet_capacity.h"
 #include "fleet_gang.h"
+#include "fleet_pace.h"
 #include "fleet_sim_int.h"
 #include "log.h"
 #include "store.h"
@@ -132,6 +133,7 @@
 		for (int i = 0; i < sim->worker_count; i++)
 			tick_worker(sim, &sim->workers[i]);
 		fleet_gang_step(sim);
+		fleet_pace_step(sim);
 		log_model_rebalance(sim->log, sim->clk.manual_ms);
 		for (int i = 0; i < sim->node_count; i++)
 			if (sim->nodes[i].alive && !sim->nodes[i].paused)
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -143,7 +143,12 @@
 	const char *tenant; /* that all jobs belong to; "": none */
 	/* Limits of what it has running, struct sim_limit, the newest last. */
 	GArray *limits;
-	bool limits_hidden;    /* the configuration has none */
+	bool limits_hidden; /* the configuration has none */
+	/* The tail of tasks that serve, alone, and what a task that fills adds at
+	   full speed, see fleet_pace.h. */
+	int32_t tail_ms;
+	int32_t added_ms;
+	bool paces_ignored; /* workers do not carry out orders to change it */
 	uint32_t fail_percent; /* of the runs fail at their end */
 	bool runs_succeed;     /* no run fails */
 	int32_t deadly_tasks;  /* of the deadly jobs submitted from now on */
@@ -196,6 +201,8 @@
 	int32_t deadly_tasks;
 	bool gang;
 	bool lasting;		/* its tasks run until they are stopped */
+	int32_t target_ms;	/* of its tasks' response times; 0: none */
+	bool fills;		/* its tasks use what others leave */
 	bool invalid;		/* workers refuse its starts as invalid */
 	bool fails_at_once;	/* its runs fail after a short time */
 	int32_t starts;		/* of its tasks */
@@ -259,6 +266,9 @@
 /* sim_submit_lasting_job - one step of long-running tasks, one to a worker */
 struct sim_job *sim_submit_lasting_job(struct sim *sim, int node,
 				       int32_t width);
+/* sim_submit_serving_job - the same, with a target of their response times */
+struct sim_job *sim_submit_serving_job(struct sim *sim, int node, int32_t width,
+				       int32_t target_ms);
 /*
  * sim_order_wave - let an operator order a wave of all hosts
  *
--- a/tests/fleet_sim_int.h
+++ b/tests/fleet_sim_int.h
@@ -61,7 +61,8 @@
 	int64_t order_until_ms;
 	int64_t fence;
 	int64_t cursor;
-	char kind; /* 's' start, 'x' stop, 'r' renew */
+	char kind; /* 's' start, 'x' stop, 'r' renew, 'p' pace */
+	int32_t percent;
 	enum order_outcome outcome;
 	bool unanswered; /* executed after its sender timed out */
 	bool sealed;	 /* report or membership is that of its sending */
--- a/tests/standin_worker.c
+++ b/tests/standin_worker.c
@@ -1,6 +1,7 @@
 #include "standin_worker.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "json.h"
@@ -112,7 +113,11 @@
 	standin_answer(request, 409, body);
 }
 
-/* A task whose text begins with "last" runs until it is stopped. */
+/*
+ * A task whose text begins with "last" runs until it is stopped; so does one that begins
+ * with "serve tail=MS", whose response times have this tail at the full pace of those
+ * beside it whose text begins with "fill", and less at a lower one.
+ */
 static void start_run(struct web_request *request,
 		      struct standin_worker *worker, struct json_object *params)
 {
@@ -121,12 +126,17 @@
 		.run = (int32_t)json_int(params, "run", 0),
 		.total_ms = TASK_MS,
 		.remaining_ms = TASK_MS,
-		.until_stopped = g_str_has_prefix(text, "last"),
+		.until_stopped = g_str_has_prefix(text, "last") ||
+				 g_str_has_prefix(text, "serve") ||
+				 g_str_has_prefix(text, "fill"),
+		.fills = g_str_has_prefix(text, "fill"),
 		.fails = g_str_has_prefix(text, "fail"),
 	};
 	enum order_outcome outcome;
 	bool began;
 
+	if (g_str_has_prefix(text, "serve tail="))
+		run.target_ms = atoi(text + strlen("serve tail="));
 	room_parse_use(text, &run);
 	json_copy(params, "task", run.task, sizeof(run.task));
 	worker_model_extend(&worker->model, json_int(params, "untilMs", 0));
@@ -144,7 +154,36 @@
 	answer_order(request, worker, outcome);
 }
 
-static struct json_object *run_row(const struct model_run *run)
+static void pace_run(struct web_request *request, struct standin_worker *worker,
+		     struct json_object *params)
+{
+	int32_t percent = (int32_t)json_int(params, "percent", 100);
+
+	worker_model_pace(&worker->model, json_text(params, "task"),
+			  (int32_t)json_int(params, "run", 0), percent);
+	log_info("run-paced task=%s percent=%d worker=%s",
+		 json_text(params, "task"), percent, worker->id);
+	answer_order(request, worker, ORDER_OK);
+}
+
+/* What a task that serves says of its response times. */
+static int32_t tail_ms(const struct worker_model *model,
+		       const struct model_run *run)
+{
+	int32_t pace = 0;
+
+	for (guint i = 0; i < model->runs->len; i++) {
+		const struct model_run *other =
+			&g_array_index(model->runs, struct model_run, i);
+
+		if (other->fills)
+			pace = MAX(pace, other->pace);
+	}
+	return run->target_ms * pace / 100;
+}
+
+static struct json_object *run_row(const struct worker_model *model,
+				   const struct model_run *run)
 {
 	struct json_object *row = json_object_new_array();
 
@@ -152,6 +191,9 @@
 	json_object_array_add(row, json_object_new_int(run->run));
 	json_object_array_add(row, json_object_new_string(""));
 	json_object_array_add(row, json_object_new_int(model_run_percent(run)));
+	if (run->target_ms)
+		json_object_array_add(row,
+				      json_object_new_int(tail_ms(model, run)));
 	return row;
 }
 
@@ -182,8 +224,9 @@
 
 	for (guint i = 0; i < state->runs->len; i++)
 		json_object_array_add(
-			runs, run_row(&g_array_index(state->runs,
-						     struct model_run, i)));
+			runs,
+			run_row(state, &g_array_index(state->runs,
+						      struct model_run, i)));
 	for (guint i = 0; i < worker_model_listed_ends(state); i++)
 		json_object_array_add(
 			ends, end_row(&g_array_index(state->ends,
@@ -386,6 +429,8 @@
 		worker_model_stop(&worker->model, json_text(params, "task"),
 				  (int32_t)json_int(params, "run", 0));
 		answer_order(request, worker, ORDER_OK);
+	} else if (!strcmp(request->path, "/pace")) {
+		pace_run(request, worker, params);
 	} else {
 		standin_answer(request, 404, json_object_new_object());
 	}
--- a/tests/worker_model.c
+++ b/tests/worker_model.c
@@ -83,6 +83,8 @@
 	if ((int32_t)model->runs->len >= model->max_runs)
 		return ORDER_NO_ROOM;
 	g_array_append_val(model->runs, *run);
+	g_array_index(model->runs, struct model_run, model->runs->len - 1)
+		.pace = 100;
 	*began = true;
 	return ORDER_OK;
 }
@@ -108,6 +110,18 @@
 				    GINT_TO_POINTER(run));
 }
 
+void worker_model_pace(struct worker_model *model, const char *task,
+		       int32_t run, int32_t percent)
+{
+	for (guint i = 0; i < model->runs->len; i++) {
+		struct model_run *at =
+			&g_array_index(model->runs, struct model_run, i);
+
+		if (at->run == run && !strcmp(at->task, task))
+			at->pace = percent;
+	}
+}
+
 void worker_model_acknowledge(struct worker_model *model, int64_t cursor)
 {
 	while (model->ends->len) {
@@ -170,7 +184,7 @@
 			continue;
 		}
 		if (!model->stalled)
-			run->remaining_ms -= worked_ms;
+			run->remaining_ms -= worked_ms * run->pace / 100;
 		if (run->remaining_ms <= 0 && !run->until_stopped)
 			end_run(model, i - 1,
 				run->fails ? END_FAILED : END_DONE);
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -28,7 +28,12 @@
 	int32_t gang_size; /* 0: not of a gang */
 	bool waits;	   /* for the other members of its gang */
 	int64_t alone_ms;  /* worker's clock when it has waited too long */
-	int32_t pace;
+	int32_t pace;	   /* in percent; set to 100 as it starts */
+	bool fills;	   /* see standin_worker.c */
+	/* Of a task that serves: */
+	int32_t target_ms; /* 0: it has none */
+	double tail_ms;	   /* of the last half second, roughly */
+	int64_t harmed_ms; /* over its target by what fills beside it, on end */
 	int64_t cpu_milli; /* used, as the task's text says; see standin_room */
 	int64_t mem_mib;
 	int64_t gpu;
@@ -84,6 +89,9 @@
 /* worker_model_stop - stop the run, and refuse later starts up to it */
 void worker_model_stop(struct worker_model *model, const char *task,
 		       int32_t run);
+/* worker_model_pace - let a run work at this share of its speed */
+void worker_model_pace(struct worker_model *model, const char *task,
+		       int32_t run, int32_t percent);
 /* worker_model_acknowledge - forget the ends up to a number */
 void worker_model_acknowledge(struct worker_model *model, int64_t cursor);
 /* worker_model_extend - extend the lease */
