--- a/tests/test_lost_answers.c
+++ b/tests/test_lost_answers.c
@@ -53,6 +53,8 @@
 	CUT_MS = 9000
 };
 
+static int first_seed = RESTARTS_FIRST_SEED;
+
 struct counts {
 	int jobs;
 	int in_time;
@@ -206,7 +208,7 @@
 START_TEST(no_task_runs_twice_though_workers_restart_and_are_cut_off)
 {
 	struct sim *sim =
-		sim_create(RESTARTS_FIRST_SEED + (uint64_t)_i, NODES, WORKERS);
+		sim_create((uint64_t)first_seed + (uint64_t)_i, NODES, WORKERS);
 
 	sim_set_lease_max(sim, HOLD_MAX_MS);
 	sim->order_timeouts = true;
@@ -249,10 +251,14 @@
 
 int main(void)
 {
+	/* For a search over more seeds of the second test. */
 	const char *seeds = getenv("PLANK_SEEDS");
+	const char *from = getenv("PLANK_FIRST_SEED");
 	Suite *suite = suite_create("lost answers");
 	TCase *tcase = tcase_create("lost answers");
 
+	if (from)
+		first_seed = atoi(from);
 	apr_initialize();
 	log_init("test_lost_answers", !getenv("PLANK_VERBOSE"));
 	tcase_set_timeout(tcase, 120);
