Pace: at most 4 orders in flight to a worker; refused under an old fence, sent again at once

Found by reading: with many tasks that fill on one worker, orders without an answer could have taken all connections to its address.

--- a/src/job.h
+++ b/src/job.h
@@ -145,7 +145,6 @@
 	int64_t pace_sent_ms;	/* of the last order to change it; 0: none */
 	int64_t pace_ok_ms;	/* when one was answered last */
 	int64_t pace_unsure_ms; /* until then one without an answer may come */
-	int32_t pace_calls;	/* such orders in flight */
 	struct job_placed *placed; /* list that it is in; NULL: none */
 	guint placed_slot;	   /* its place there */
 	uint32_t last_report; /* number of the last report that listed it */
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -26,7 +26,6 @@
 	task->pace = PACE_FULL;
 	task->pace_sent_ms = 0;
 	task->pace_unsure_ms = 0;
-	task->pace_calls = 0;
 	if (!job->placed_ms)
 		job->placed_ms = now_ms;
 	job_index_place(job, task);
--- a/src/pool_pace.c
+++ b/src/pool_pace.c
@@ -9,8 +9,9 @@
 	/* While an order without an answer may still be carried out, the pace is
 	   ordered again so often. */
 	POOL_PACE_REPEAT_MS = 500,
-	/* Orders without an answer: of a task, and in all. */
-	POOL_PACE_MAX_CALLS = 4,
+	/* Orders in flight, to a worker and in all; with other orders to it, fewer
+	   than the connections to one address. */
+	POOL_PACE_MAX_PER_WORKER = 4,
 	POOL_PACE_MAX = 64,
 	/* A task that has stood still for so long is moved to another worker. */
 	POOL_PACE_STARVED_MS = 10000
@@ -53,10 +54,13 @@
 	shared->target_ms = step->target_ms;
 }
 
+static void send_paces(struct pool *pool, struct worker *worker);
+
 static void on_pace(void *arg, enum order_outcome outcome, int64_t clock_ms)
 {
 	struct pool_sent *sent = arg;
 	struct pool *pool = sent->pool;
+	struct worker *worker;
 	struct job_pos pos;
 
 	(void)clock_ms;
@@ -65,6 +69,9 @@
 		return;
 	}
 	pool->pacing--;
+	worker = worker_find(pool->env->workers, sent->worker);
+	if (worker)
+		worker->pacing--;
 	pool_sent_note_answer(sent, outcome);
 	if (outcome == ORDER_FENCED && !pool_sent_is_outdated(sent)) {
 		pool_sent_handle_fenced(sent);
@@ -73,29 +80,33 @@
 		   pos.task->run == sent->run) {
 		struct job_task *task = pos.task;
 
-		task->pace_calls--;
 		if (outcome == ORDER_OK && sent->sent_ms >= task->pace_ok_ms) {
 			task->pace = sent->percent;
 			task->pace_ok_ms = sent->sent_ms;
 		} else if (outcome == ORDER_UNKNOWN) {
 			task->pace_unsure_ms =
 				pool_latest_order_ms(sent->sent_ms);
+		} else if (outcome == ORDER_FENCED) {
+			/* The fence was raised since: at once again. */
+			task->pace_sent_ms = 0;
 		}
 	}
+	/* Others of the worker may wait for their turn. */
+	if (outcome == ORDER_OK && worker)
+		send_paces(pool, worker);
 	g_free(sent);
 }
 
 static bool is_due(const struct job_task *task, int32_t percent, int64_t now_ms)
 {
-	if (task->pace_calls >= POOL_PACE_MAX_CALLS ||
-	    now_ms - task->pace_sent_ms < POOL_PACE_RETRY_MS)
+	if (now_ms - task->pace_sent_ms < POOL_PACE_RETRY_MS)
 		return false;
 	return task->pace != percent ||
 	       (now_ms < task->pace_unsure_ms &&
 		now_ms - task->pace_sent_ms >= POOL_PACE_REPEAT_MS);
 }
 
-static void send_pace(struct pool *pool, const struct worker *worker,
+static void send_pace(struct pool *pool, struct worker *worker,
 		      const struct job_pos *pos, int64_t now_ms)
 {
 	struct pool_sent *sent = pool_sent_new(pool, worker);
@@ -104,24 +115,27 @@
 	sent->run = pos->task->run;
 	sent->percent = worker->pace.percent;
 	pos->task->pace_sent_ms = now_ms;
-	pos->task->pace_calls++;
 	pool->pacing++;
+	worker->pacing++;
 	pool->env->counts.paces_sent++;
 	pool->env->orders->pace(pool->env->orders->io, &worker->entry,
 				sent->task, sent->run, sent->percent,
 				sent->fence, on_pace, sent);
 }
 
-static void send_paces(struct pool *pool, const struct worker *worker,
-		       int64_t now_ms)
+static void send_paces(struct pool *pool, struct worker *worker)
 {
 	const struct job_placed *placed = placed_at(pool, worker);
+	int64_t now_ms = pool_now_ms(pool);
 
+	if (!pool_may_send_orders(pool) || !worker->fence_accepted)
+		return;
 	for (guint i = 0; placed && i < placed->tasks->len; i++) {
 		const struct job_pos *pos =
 			&g_array_index(placed->tasks, struct job_pos, i);
 
-		if (pool->pacing >= POOL_PACE_MAX)
+		if (pool->pacing >= POOL_PACE_MAX ||
+		    worker->pacing >= POOL_PACE_MAX_PER_WORKER)
 			return;
 		if (pos->job->spec.steps[pos->step].uses_idle_cpu &&
 		    pos->task->state == TASK_PLACED &&
@@ -151,9 +165,8 @@
 			 worker->entry.id, worker->pace.percent, before,
 			 shared.fillers, shared.tail_ms, shared.target_ms);
 	}
-	if (shared.fillers && pool_may_send_orders(pool) &&
-	    worker->fence_accepted)
-		send_paces(pool, worker, now_ms);
+	if (shared.fillers)
+		send_paces(pool, worker);
 }
 
 /* Whether the worker's tasks that fill have stood still for long. */
--- a/src/worker.h
+++ b/src/worker.h
@@ -151,6 +151,7 @@
 	int64_t slow_until_ms; /* no new tasks before; 0: not slow */
 	struct pace pace;      /* of its tasks that fill */
 	bool paced;	       /* it has such tasks beside some that serve */
+	int32_t pacing; /* orders in flight that change the pace of one */
 };
 
 struct worker_table {
