Reports of workers are read as they arrive, whatever their length

What callers saw: jobs of a pool whose workers are healthy and empty stay running or queued for good. Tasks that save about a megabyte each, a hundred on four workers or sixty on one, make all runs of their workers lapse, those of other jobs too, and nothing starts there any more.

The ends of the lapsed runs are listed with their checkpoints until they are acknowledged, which a report that is never read cannot bring about: it does not end by itself. Reports of less cost the owner their whole length, and were given up after 1 s even if they were still arriving.

Evidence: 12 tasks of 6 MB and 4 of another job on two workers (x86-64), on: all 16 runs lapse, 'renewal-failed why=no-answer', failures=35 after 30 s, nothing runs; no malformed report is logged. tests/process_checkpoints.sh and three tests of tests/test_reports.c fail there (ORDER_UNKNOWN).

Change: json_stream reads an object member by member, and a list row by row; strings are cut beyond 32 KiB, as no record could hold them. wire_report decodes with it. A call whose body is read as it arrives ends when no part of it has come for 1 s, or after 20 s, instead of 1 s after its wait. Comments, which are no JSON, are refused. The line checkpoint-left-out names the bytes.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	maint maint_bound maint_wave maint_sizing sizing liveness host_view nodeconf \
 	auth rate fair cfgcheck front front_pending front_late group \
 	standby node_metrics node_records node_pools node_view node
-PLATFORM = conn call json store wire wire_tenants order_api host_api ingress platform
+PLATFORM = conn call json json_stream store wire wire_report wire_tenants order_api host_api ingress platform
 GENERATED = proto_xdr proto_clnt
 LIBRARY = $(BUILD)/libplank.a
 PROGRAMS = $(BUILD)/plank-entryd $(BUILD)/plank-fleetd $(BUILD)/plankctl \
--- a/src/noded.c
+++ b/src/noded.c
@@ -185,6 +185,7 @@
 
 	node_note_tick(noded->node, NODED_TICK_MS,
 		       evloop_busy_ms(noded->evloop));
+	call_tick(noded->client);
 	node_tick(noded->node);
 	set_times(noded);
 	web_tick(noded->callers);
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -114,10 +114,11 @@
 	if (now_ms - env->checkpoint_logged_ms < POOL_CHECKPOINT_LOG_MS)
 		return;
 	env->checkpoint_logged_ms = now_ms;
-	log_info("checkpoint-left-out task=%s run=%d worker=%s max_bytes=%d "
+	log_info("checkpoint-left-out task=%s run=%d worker=%s "
+		 "bytes=%" G_GINT64_FORMAT " max_bytes=%d "
 		 "left_out=%" G_GINT64_FORMAT,
-		 task, run, worker->entry.id, JOB_CHECKPOINT_BYTES - 1,
-		 env->counts.checkpoints_left_out);
+		 task, run, worker->entry.id, checkpoint->sent_bytes,
+		 JOB_CHECKPOINT_BYTES - 1, env->counts.checkpoints_left_out);
 }
 
 static void handle_ended_run(struct pool *pool, struct worker *worker,
--- a/src/worker.h
+++ b/src/worker.h
@@ -47,8 +47,9 @@
 
 /* Progress that a worker has saved for a run. */
 struct worker_checkpoint {
-	char *text;	 /* NULL: none, or unstorable */
-	bool unstorable; /* of JOB_CHECKPOINT_BYTES or more, or no text */
+	char *text;	 /* NULL: none, or left out */
+	bool unstorable; /* left out: of JOB_CHECKPOINT_BYTES or more, or no text */
+	int64_t sent_bytes; /* of one that is left out, as sent */
 };
 
 /* A run that a worker reports as running. */
--- a/tests/standin_worker.c
+++ b/tests/standin_worker.c
@@ -33,6 +33,41 @@
 	int64_t until_ms;
 };
 
+/* The number behind a key in a task's text. */
+static int64_t text_number(const char *text, const char *key, int64_t fallback)
+{
+	const char *at = strstr(text, key);
+
+	return at ? g_ascii_strtoll(at + strlen(key), NULL, 10) : fallback;
+}
+
+/* Notes how many bytes tasks of the job save, if its text says so. */
+static void note_saves(struct standin_workers *workers, const char *task,
+		       const char *text)
+{
+	int64_t bytes = text_number(text, "saves=", 0);
+
+	if (bytes)
+		g_hash_table_insert(workers->saves,
+				    g_strndup(task, JOB_ID_BYTES - 1),
+				    GSIZE_TO_POINTER((gsize)bytes));
+}
+
+/* What the task has saved: as many characters as its job says; none by default. */
+static struct json_object *checkpoint_of(const struct standin_worker *worker,
+					 const char *task)
+{
+	char *id = g_strndup(task, JOB_ID_BYTES - 1);
+	gsize bytes = GPOINTER_TO_SIZE(
+		g_hash_table_lookup(worker->workers->saves, id));
+	char *text = g_strnfill(bytes, 'c');
+	struct json_object *checkpoint = json_object_new_string(text);
+
+	g_free(text);
+	g_free(id);
+	return checkpoint;
+}
+
 static struct json_object *full_capacity(void)
 {
 	struct json_object *capacity =
@@ -116,7 +151,9 @@
 /*
  * A task whose text begins with "last" runs until it is stopped; so does one that begins
  * with "serve tail=MS", whose response times have this tail at the full pace of those
- * beside it whose text begins with "fill", and less at a lower one.
+ * beside it whose text begins with "fill", and less at a lower one. Others work for
+ * TASK_MS, or as long as "for=MS" in their text says. "saves=N" says how many bytes they
+ * save, in a checkpoint that is listed with their ends too.
  */
 static void start_run(struct web_request *request,
 		      struct standin_worker *worker, struct json_object *params)
@@ -124,8 +161,7 @@
 	const char *text = json_text(params, "spec");
 	struct model_run run = {
 		.run = (int32_t)json_int(params, "run", 0),
-		.total_ms = TASK_MS,
-		.remaining_ms = TASK_MS,
+		.total_ms = text_number(text, "for=", TASK_MS),
 		.until_stopped = g_str_has_prefix(text, "last") ||
 				 g_str_has_prefix(text, "serve") ||
 				 g_str_has_prefix(text, "fill"),
@@ -139,6 +175,8 @@
 		run.target_ms = atoi(text + strlen("serve tail="));
 	room_parse_use(text, &run);
 	json_copy(params, "task", run.task, sizeof(run.task));
+	run.remaining_ms = run.total_ms;
+	note_saves(worker->workers, run.task, text);
 	worker_model_extend(&worker->model, json_int(params, "untilMs", 0));
 	outcome = worker_model_start(&worker->model, &run,
 				     json_int(params, "untilMs", 0), &began);
@@ -182,14 +220,15 @@
 	return run->target_ms * pace / 100;
 }
 
-static struct json_object *run_row(const struct worker_model *model,
+static struct json_object *run_row(const struct standin_worker *worker,
 				   const struct model_run *run)
 {
+	const struct worker_model *model = &worker->model;
 	struct json_object *row = json_object_new_array();
 
 	json_object_array_add(row, json_object_new_string(run->task));
 	json_object_array_add(row, json_object_new_int(run->run));
-	json_object_array_add(row, json_object_new_string(""));
+	json_object_array_add(row, checkpoint_of(worker, run->task));
 	json_object_array_add(row, json_object_new_int(model_run_percent(run)));
 	if (run->target_ms)
 		json_object_array_add(row,
@@ -197,7 +236,8 @@
 	return row;
 }
 
-static struct json_object *end_row(const struct worker_end *end)
+static struct json_object *end_row(const struct standin_worker *worker,
+				   const struct worker_end *end)
 {
 	static const char *const names[] = {
 		[END_DONE] = "done",	   [END_FAILED] = "failed",
@@ -210,7 +250,7 @@
 	json_object_array_add(row, json_object_new_string(end->task));
 	json_object_array_add(row, json_object_new_int(end->run));
 	json_object_array_add(row, json_object_new_string(names[end->how]));
-	json_object_array_add(row, json_object_new_string(""));
+	json_object_array_add(row, checkpoint_of(worker, end->task));
 	return row;
 }
 
@@ -225,12 +265,13 @@
 	for (guint i = 0; i < state->runs->len; i++)
 		json_object_array_add(
 			runs,
-			run_row(state, &g_array_index(state->runs,
-						      struct model_run, i)));
+			run_row(worker, &g_array_index(state->runs,
+						       struct model_run, i)));
 	for (guint i = 0; i < worker_model_listed_ends(state); i++)
 		json_object_array_add(
-			ends, end_row(&g_array_index(state->ends,
-						     struct worker_end, i)));
+			ends,
+			end_row(worker, &g_array_index(state->ends,
+						       struct worker_end, i)));
 	json_object_object_add(body, "born",
 			       json_object_new_int64(worker->born_ms));
 	json_object_object_add(body, "running", runs);
@@ -375,6 +416,8 @@
 		.log = log,
 		.late_starts = g_ptr_array_new(),
 		.waiting = g_ptr_array_new(),
+		.saves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL),
 	};
 }
 
--- a/tests/standin_worker.h
+++ b/tests/standin_worker.h
@@ -38,6 +38,7 @@
 	int64_t starts_to_delay;
 	GPtrArray *late_starts;
 	GPtrArray *waiting; /* renewals that wait for the end of a run */
+	GHashTable *saves;  /* job id -> bytes that each of its tasks saves */
 };
 
 /* standin_workers_init - no workers yet; clk and log are kept */
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -18,6 +18,7 @@
 #include "nodeconf.h"
 #include "suite.h"
 #include "wire.h"
+#include "wire_report.h"
 
 static struct pool_fixture fixture;
 
--- a/tests/test_many_ends.c
+++ b/tests/test_many_ends.c
@@ -13,6 +13,7 @@
 #include "log.h"
 #include "suite.h"
 #include "wire.h"
+#include "wire_report.h"
 
 enum {
 	FIRST_SEED = 1500,
--- a/tests/test_odd_messages.c
+++ b/tests/test_odd_messages.c
@@ -24,6 +24,7 @@
 #include "suite.h"
 #include "teamconf.h"
 #include "wire.h"
+#include "wire_report.h"
 enum {
 	DEEP_LEVELS = 300000,
 };
