Leases are kept while a report arrives, however long that takes

What callers saw: runs that lapse, of all jobs at a worker, as its reports take 2 s or longer to arrive: by their length, over a slow link, or beside others.

Cause: a renewal counted as in flight until its report was read. After 250 ms it was repeated, up to three times without a lease, each with a report as long; a repeat raises the fence, so that the report which then arrived first was of no use. The worker's clock was taken to be that of the end of the report, so that the next lease was shorter by the time to read. That time also counted as the answer time of all workers of the node, and repeats as lost answers.

Change: order_io tells of each part of a report. While one arrives its worker is not asked again, and once a third of the lease is over, the lease is extended by a renewal of which only the worker's clock and start are read (module pool_reading; counter leases_extended_alone). The clock and the answer time are those of the first part. The pause before the next renewal is as long as the report took to read, up to half of the lease, so that one worker's reports leave time for others.

Weighed: a shorter wait and a longer lease, which move the bound and keep it; acknowledging the ends of a report that broke off, which nothing needs as long as reports that go on arriving are read.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	proxy_queue proxy_send claim_log entry_counters admin_client \
 	ctl_command ctl_config ctl_print report histo arrival load_report
 NODE = lag cfg job job_cancel job_open job_room job_run job_record job_range job_index worker share index backlog speed avail place rtt writer tail order ownership \
-	pool job_view pool_order pool_sent pool_life pool_renew pool_report pool_lost \
+	pool job_view pool_order pool_sent pool_life pool_renew pool_reading pool_report pool_lost \
 	pool_empty pool_slow pool_pace pace pool_crash \
 	pool_away pool_write pool_unplaced pool_stored pool_publish pool_bound bound crash place_account place_backlog place_room place_quarantine place_tenants place_reserve place_reserve_find reserve estimate \
 	host_plan quota quota_use quota_plan pool_quota maint_quota \
@@ -143,7 +143,7 @@
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
 POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
 	$(BUILD)/test_room $(BUILD)/test_fair $(BUILD)/test_index $(BUILD)/test_stream_age $(BUILD)/test_cost \
-	$(BUILD)/test_reserve $(BUILD)/test_schedules
+	$(BUILD)/test_reserve $(BUILD)/test_schedules $(BUILD)/test_slow_reports
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
 $(BUILD)/test_reserve: tests/reserve_model.c tests/reserve_model.h
--- a/src/node_metrics.c
+++ b/src/node_metrics.c
@@ -43,6 +43,7 @@
 	M_RENEWALS,
 	M_RENEWALS_FAILED,
 	M_RENEWALS_REPEATED,
+	M_LEASES_EXTENDED_ALONE,
 	M_ANSWERS_LOST,
 	M_REPORTS_CUT_SHORT,
 	M_RUNS_DONE,
@@ -159,6 +160,9 @@
 	[M_RENEWALS_REPEATED] = { "renewals_repeated", COUNTERS_COUNTER,
 				  "lease renewals sent as an answer is "
 				  "missed" },
+	[M_LEASES_EXTENDED_ALONE] = { "leases_extended_alone", COUNTERS_COUNTER,
+				      "lease renewals sent while a report is "
+				      "being read" },
 	[M_ANSWERS_LOST] = { "answers_lost", COUNTERS_COUNTER,
 			     "lease renewals without an answer whose repeat "
 			     "was "
@@ -292,6 +296,7 @@
 		[M_RENEWALS] = pools->counts.renewals,
 		[M_RENEWALS_FAILED] = pools->counts.renewals_failed,
 		[M_RENEWALS_REPEATED] = pools->counts.renewals_repeated,
+		[M_LEASES_EXTENDED_ALONE] = pools->counts.leases_extended_alone,
 		[M_ANSWERS_LOST] = pools->counts.answers_lost,
 		[M_REPORTS_CUT_SHORT] = pools->counts.reports_cut_short,
 		[M_RUNS_DONE] = pools->counts.runs_done,
--- a/src/order.h
+++ b/src/order.h
@@ -37,6 +37,11 @@
 	int64_t cursor;	  /* acknowledges ended runs up to this number */
 	int64_t until_ms; /* 0: the lease is not extended */
 	int64_t wait_ms;  /* how long the answer may wait for a run to end */
+	/* Of the answer, only its beginning is read, up to the worker's clock and
+	   start: its lists are left out of the report. */
+	bool lease_only;
+	/* Called with each part of the answer that arrives; NULL: not. */
+	void (*on_part)(void *arg);
 };
 
 /* clock_ms is the worker's clock; -1: the answer has none. */
--- a/src/pool.h
+++ b/src/pool.h
@@ -46,6 +46,8 @@
 	int64_t renewals_failed;
 	int64_t renewals_repeated; /* as the answer of the one before is missed */
 	int64_t answers_lost;	   /* of renewals whose repeat was answered */
+	/* Of leases, while a report is being read. */
+	int64_t leases_extended_alone;
 	int64_t reports_cut_short; /* that may leave out ended runs */
 	int64_t runs_done;
 	int64_t runs_failed;
--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -127,6 +127,14 @@
 /* pool_renew - renew leases that are due */
 void pool_renew(struct pool *pool);
 
+/*
+ * pool_may_extend - whether an order sent now may extend the worker's lease
+ *
+ * Not if it may have started again, or was not heard of for too long.
+ */
+bool pool_may_extend(const struct pool *pool, const struct worker *worker,
+		     int64_t now_ms);
+
 /*
  * pool_grant_lease - note the longest lease that may be given at now_ms
  *
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -1,6 +1,7 @@
 #include "log.h"
 #include "pool_int.h"
 #include "pool_life.h"
+#include "pool_reading.h"
 #include "pool_sent.h"
 
 enum {
@@ -31,7 +32,9 @@
 	   to one address. */
 	POOL_MAX_REPEATS = 3,
 	POOL_MAX_REPEATS_LOSSY = 8,
-	POOL_LOSSY_LOG_MS = 5000
+	POOL_LOSSY_LOG_MS = 5000,
+	/* Reading a report that takes longer is logged. */
+	POOL_READ_LOG_MS = 500
 };
 
 /* Longest lease that the worker may be given now; 0: none. */
@@ -59,20 +62,48 @@
 	return worker_clock_ms(worker, now_ms) + lease_ms;
 }
 
+/* When the answer began to arrive. */
+static int64_t answered_ms(const struct pool_sent *sent, int64_t now_ms)
+{
+	return sent->answered_ms ? sent->answered_ms : now_ms;
+}
+
+/*
+ * When to send the next renewal. A report that takes long to read takes up the link
+ * and the processor, so that as much time is left for those of other workers, but no
+ * more than half of the lease.
+ */
+static int64_t next_renew_ms(const struct pool_sent *sent,
+			     const struct worker *worker, int64_t now_ms)
+{
+	int64_t read_ms = now_ms - answered_ms(sent, now_ms);
+	int64_t latest_ms = sent->sent_ms + sent->pool->env->lease_ms / 2;
+
+	if (worker->cursor != worker->cursor_processed)
+		return now_ms + POOL_CURSOR_WAIT_MS;
+	return MAX(MIN(now_ms + read_ms, latest_ms),
+		   now_ms + POOL_RENEW_GAP_MS);
+}
+
 static void handle_report(const struct pool_sent *sent, struct worker *worker,
 			  const struct worker_report *report)
 {
 	int64_t now_ms = pool_now_ms(sent->pool);
+	int64_t began_ms = answered_ms(sent, now_ms);
 
 	worker->renew_repeats = 0;
 	worker->report_asked_ms = sent->sent_ms;
 	if (sent->until_ms)
 		worker->lease_kept_ms = sent->sent_ms;
 	pool_handle_report(sent->pool, worker, report, sent->sent_ms);
-	worker->next_renew_ms =
-		now_ms + (worker->cursor == worker->cursor_processed
-				  ? POOL_RENEW_GAP_MS
-				  : POOL_CURSOR_WAIT_MS);
+	/* The worker read its clock before it began to answer. */
+	worker->clock_at_ms = began_ms;
+	if (now_ms - began_ms > POOL_READ_LOG_MS)
+		log_info("report-read-slowly worker=%s runs=%u ends=%u "
+			 "read_ms=%" G_GINT64_FORMAT,
+			 sent->worker, report->run_count, report->end_count,
+			 now_ms - began_ms);
+	worker->next_renew_ms = next_renew_ms(sent, worker, now_ms);
 	/* A repeat has not extended the lease. */
 	if (sent->attempt > 1)
 		worker->next_renew_ms = now_ms;
@@ -82,7 +113,7 @@
 static void measure_answer(struct pool_env *env, const struct pool_sent *sent,
 			   int64_t now_ms)
 {
-	int64_t took_ms = now_ms - sent->sent_ms;
+	int64_t took_ms = answered_ms(sent, now_ms) - sent->sent_ms;
 
 	/* One that tells the end of a run came before the wait was over. */
 	if (took_ms >= sent->wait_ms)
@@ -135,6 +166,7 @@
 	if (outcome == ORDER_OK && !worker->renew_failures)
 		measure_answer(pool->env, sent, now_ms);
 	worker->renewing = false;
+	worker->report_part_ms = 0;
 	worker->next_renew_ms = now_ms + POOL_RENEW_RETRY_MS;
 	if (outcome == ORDER_OK) {
 		worker->renew_failures = 0;
@@ -211,18 +243,31 @@
 	return pool_loses_answers(env) ? ms : MAX(ms, POOL_MISSED_MIN_MS);
 }
 
+/* Cursor and end of a lease count as in the life of the last report. */
+static bool is_same_life(const struct worker *worker)
+{
+	return worker->fence_accepted && has_not_restarted(worker);
+}
+
+bool pool_may_extend(const struct pool *pool, const struct worker *worker,
+		     int64_t now_ms)
+{
+	int64_t heard_ms = MAX(worker->last_report_ms, worker->lease_kept_ms);
+
+	return is_same_life(worker) && grantable_to_ms(pool, worker, now_ms) &&
+	       now_ms - heard_ms < POOL_MAX_REPORT_AGE_MS;
+}
+
 static void renew(struct pool *pool, struct worker *worker, int64_t now_ms)
 {
 	struct pool_sent *sent = pool_sent_new(pool, worker);
-	/* Cursor and end of a lease count as in the life of the last report. */
-	bool same_life = worker->fence_accepted && has_not_restarted(worker);
 	struct order_renew renew = {
 		.fence = sent->fence,
-		.cursor = same_life ? worker->cursor : 0,
+		.cursor = is_same_life(worker) ? worker->cursor : 0,
+		.on_part = pool_reading_part,
 	};
 
-	if (same_life && grantable_to_ms(pool, worker, now_ms) &&
-	    now_ms - worker->last_report_ms < POOL_MAX_REPORT_AGE_MS) {
+	if (pool_may_extend(pool, worker, now_ms)) {
 		renew.until_ms = pool_grant_lease(pool, worker, now_ms);
 		sent->until_ms = renew.until_ms;
 		renew.wait_ms = renewal_wait_ms(pool, worker, now_ms);
@@ -272,7 +317,7 @@
 	bool overdue = worker->renew_overdue;
 
 	if (!worker->renewing || worker->renew_failures ||
-	    now_ms < worker->renew_due_ms ||
+	    now_ms < worker->renew_due_ms || pool_is_reading(worker, now_ms) ||
 	    worker->renew_repeats >= max_repeats)
 		return false;
 	worker->renew_overdue = true;
@@ -309,5 +354,7 @@
 		else if (needs_renewal(worker) &&
 			 must_repeat(pool, worker, now_ms))
 			repeat(pool, worker, now_ms);
+		else if (pool_is_reading(worker, now_ms))
+			pool_reading_keep_lease(pool, worker, now_ms);
 	}
 }
--- a/src/pool_sent.h
+++ b/src/pool_sent.h
@@ -23,7 +23,8 @@
 	int64_t wait_ms;  /* how long the answer to a renewal may wait */
 	int32_t attempt;  /* of a renewal: 1, then its repeats */
 	int64_t until_ms; /* end of the lease, by the worker's clock; 0: none */
-	int32_t percent;  /* of an order that changes the pace */
+	int64_t answered_ms; /* when the answer to a renewal began; 0: not told */
+	int32_t percent;     /* of an order that changes the pace */
 };
 
 /* pool_sent_new - an order that is sent now; free it with g_free */
--- a/src/worker.h
+++ b/src/worker.h
@@ -110,6 +110,8 @@
 	bool renew_overdue;	 /* it was missed at the last look already */
 	int32_t renew_repeats;	 /* since the last report, of a missed one */
 	int64_t report_asked_ms; /* when the last report was asked for */
+	int64_t report_part_ms;	 /* last part of the one in flight; 0: none */
+	bool extending;		 /* a renewal of the lease alone is in flight */
 	int64_t lease_kept_ms; /* last renewal of the lease that was answered */
 	int64_t boot_ms;       /* start of the worker that reported last */
 	int64_t clock_ms;      /* worker's clock at clock_at_ms of this node */
--- a/tests/test_reports.c
+++ b/tests/test_reports.c
@@ -1,4 +1,7 @@
-/* Unit tests of reading workers' reports over HTTP: long ones and slow ones. */
+/*
+ * Unit tests of reading workers' reports over HTTP: long ones, slow ones, and those
+ * of which only the beginning is wanted.
+ */
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -48,6 +51,7 @@
 	enum order_outcome outcome;
 	struct worker_report report; /* without the lists */
 	uint32_t unstorable;
+	int parts;
 	size_t used_before, used_most;
 };
 
@@ -154,6 +158,13 @@
 	    recv(reporter->fd, request, sizeof(request), MSG_DONTWAIT) <= 0)
 		return;
 	send_report(reporter);
+}
+
+static void on_part(void *arg)
+{
+	struct reporter *reporter = arg;
+
+	reporter->parts++;
 	reporter->used_most = MAX(reporter->used_most, used_bytes());
 }
 
@@ -179,7 +190,7 @@
 }
 
 /* Renews the worker's lease, and waits for the outcome. */
-static void renew(struct reporter *reporter)
+static void renew(struct reporter *reporter, bool lease_only)
 {
 	struct evloop *evloop = evloop_create(clk_system());
 	struct call_client *client = call_client_create(evloop);
@@ -188,6 +199,8 @@
 	struct order_renew renewal = {
 		.fence = 1,
 		.until_ms = 1000,
+		.lease_only = lease_only,
+		.on_part = on_part,
 	};
 
 	reporter_open(reporter, evloop);
@@ -221,7 +234,7 @@
  */
 START_TEST(reports_of_any_length_are_read)
 {
-	renew(&reporter);
+	renew(&reporter, false);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_uint_eq(reporter.report.run_count, RUNS);
 	ck_assert_uint_eq(reporter.unstorable, RUNS);
@@ -232,8 +245,9 @@
 /* Guards against a node that runs out of memory by the reports that it reads. */
 START_TEST(long_reports_take_no_memory)
 {
-	renew(&reporter);
+	renew(&reporter, false);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
+	ck_assert_int_gt(reporter.parts, RUNS);
 	ck_assert_uint_le(reporter.used_most,
 			  reporter.used_before + MAX_HELD_BYTES);
 }
@@ -248,7 +262,7 @@
 	reporter.runs = SLOW_RUNS;
 	reporter.checkpoint_bytes = 10;
 	reporter.gap_ms = SLOW_GAP_MS;
-	renew(&reporter);
+	renew(&reporter, false);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_uint_eq(reporter.report.run_count, SLOW_RUNS);
 	ck_assert_uint_eq(reporter.unstorable, 0);
@@ -262,13 +276,26 @@
 
 	reporter.stalls_after = RUNS / 2;
 	reporter.checkpoint_bytes = 10;
-	renew(&reporter);
+	renew(&reporter, false);
 	ck_assert_int_eq(reporter.outcome, ORDER_UNKNOWN);
 	ck_assert_int_ge(clk_now_ms(clk_system()) - began_ms, 1000);
 	ck_assert(reporter.answered);
 }
 END_TEST
 
+/* Guards against the lists of an answer that is only to show the lease extended. */
+START_TEST(beginning_of_a_report_is_enough_for_the_lease)
+{
+	renew(&reporter, true);
+	ck_assert_int_eq(reporter.outcome, ORDER_OK);
+	ck_assert_int_eq(reporter.report.clock_ms, 5);
+	ck_assert_int_eq(reporter.report.boot_ms, 6);
+	ck_assert_uint_eq(reporter.report.run_count, 0);
+	ck_assert_uint_lt(reporter.sent_bytes,
+			  (size_t)RUNS * CHECKPOINT_BYTES / 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("reports");
@@ -280,6 +307,7 @@
 	tcase_add_test(tcase, long_reports_take_no_memory);
 	tcase_add_test(tcase, report_that_goes_on_arriving_is_read);
 	tcase_add_test(tcase, report_that_stops_arriving_is_given_up);
+	tcase_add_test(tcase, beginning_of_a_report_is_enough_for_the_lease);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
