Workers that take long to begin their answers keep their leases

What callers saw: all runs at a worker lapse as it takes longer than a second to begin a long report.

Cause: each renewal was given up 1 s after its wait, and asked anew 250 ms later, so that the worker wrote one long report after the other and none was read.

Change: after a renewal that was given up the next one has 2 s, and a worker whose last answer took long to begin has twice that time, 3 s at most; its answers are missed as late. Connections that are not established still fail after 1 s, so that a worker that was cut off is found as soon as before.

--- a/src/order.h
+++ b/src/order.h
@@ -37,6 +37,7 @@
 	int64_t cursor;	  /* acknowledges ended runs up to this number */
 	int64_t until_ms; /* 0: the lease is not extended */
 	int64_t wait_ms;  /* how long the answer may wait for a run to end */
+	int64_t begin_ms; /* and then until it begins, before it is given up */
 	/* Of the answer, only its beginning is read, up to the worker's clock and
 	   start: its lists are left out of the report. */
 	bool lease_only;
--- a/src/pool_reading.c
+++ b/src/pool_reading.c
@@ -70,7 +70,10 @@
 void pool_reading_keep_lease(struct pool *pool, struct worker *worker,
 			     int64_t now_ms)
 {
-	struct order_renew renew = { .lease_only = true };
+	struct order_renew renew = {
+		.lease_only = true,
+		.begin_ms = pool->env->lease_ms / POOL_READING_LEASE_PARTS,
+	};
 	struct pool_sent *sent;
 
 	if (worker->extending ||
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -33,6 +33,11 @@
 	POOL_MAX_REPEATS = 3,
 	POOL_MAX_REPEATS_LOSSY = 8,
 	POOL_LOSSY_LOG_MS = 5000,
+	/* How long an answer may take to begin; after one that took longer; and at
+	   most, for a worker whose answers do. */
+	POOL_BEGIN_MS = 1000,
+	POOL_BEGIN_AGAIN_MS = 2000,
+	POOL_BEGIN_MAX_MS = 3000,
 	/* Reading a report that takes longer is logged. */
 	POOL_READ_LOG_MS = 500
 };
@@ -92,6 +97,8 @@
 	int64_t began_ms = answered_ms(sent, now_ms);
 
 	worker->renew_repeats = 0;
+	worker->answer_begin_ms =
+		MAX(began_ms - sent->sent_ms - sent->wait_ms, 0);
 	worker->report_asked_ms = sent->sent_ms;
 	if (sent->until_ms)
 		worker->lease_kept_ms = sent->sent_ms;
@@ -235,12 +242,27 @@
 					: POOL_RENEW_WAIT_MS;
 }
 
-/* When an answer is missed, from the end of its wait on. */
-static int64_t missed_ms(const struct pool_env *env, int32_t attempt)
+/*
+ * When an answer is missed, from the end of its wait on. A worker whose reports are long
+ * may take its time to begin each one.
+ */
+static int64_t missed_ms(const struct pool_env *env,
+			 const struct worker *worker, int32_t attempt)
 {
 	int64_t ms = rtt_missed_ms(&env->renew_rtt, (uint32_t)attempt);
 
-	return pool_loses_answers(env) ? ms : MAX(ms, POOL_MISSED_MIN_MS);
+	if (!pool_loses_answers(env))
+		ms = MAX(ms, POOL_MISSED_MIN_MS);
+	return MAX(ms, 2 * worker->answer_begin_ms);
+}
+
+/* How long an answer may take to begin, from the end of its wait on. */
+static int64_t begin_ms(const struct worker *worker)
+{
+	int64_t least_ms =
+		worker->renew_failures ? POOL_BEGIN_AGAIN_MS : POOL_BEGIN_MS;
+
+	return CLAMP(2 * worker->answer_begin_ms, least_ms, POOL_BEGIN_MAX_MS);
 }
 
 /* Cursor and end of a lease count as in the life of the last report. */
@@ -264,6 +286,7 @@
 	struct order_renew renew = {
 		.fence = sent->fence,
 		.cursor = is_same_life(worker) ? worker->cursor : 0,
+		.begin_ms = begin_ms(worker),
 		.on_part = pool_reading_part,
 	};
 
@@ -277,8 +300,8 @@
 	worker->renewing = true;
 	worker->renew_sent_ms = sent->sent_ms;
 	worker->renew_overdue = false;
-	worker->renew_due_ms =
-		now_ms + renew.wait_ms + missed_ms(pool->env, sent->attempt);
+	worker->renew_due_ms = now_ms + renew.wait_ms +
+			       missed_ms(pool->env, worker, sent->attempt);
 	pool->env->counts.renewals++;
 	pool->env->orders->renew(pool->env->orders->io, &worker->entry, &renew,
 				 on_renew, sent);
--- a/src/worker.h
+++ b/src/worker.h
@@ -111,6 +111,7 @@
 	int32_t renew_repeats;	 /* since the last report, of a missed one */
 	int64_t report_asked_ms; /* when the last report was asked for */
 	int64_t report_part_ms;	 /* last part of the one in flight; 0: none */
+	int64_t answer_begin_ms; /* that its last answer took to begin */
 	bool extending;		 /* a renewal of the lease alone is in flight */
 	int64_t lease_kept_ms; /* last renewal of the lease that was answered */
 	int64_t boot_ms;       /* start of the worker that reported last */
--- a/tests/test_reports.c
+++ b/tests/test_reports.c
@@ -199,6 +199,7 @@
 	struct order_renew renewal = {
 		.fence = 1,
 		.until_ms = 1000,
+		.begin_ms = 1000,
 		.lease_only = lease_only,
 		.on_part = on_part,
 	};
