Checkpoints of reports that arrive side by side take bounded memory

What callers saw: nothing yet. A node that reads the reports of many workers at once, each with some hundred checkpoints of the longest kind that a record holds (4 KB), holds them all: 300 workers with 64 tasks take 77 MB of its 260 MB, and 2 MB each with 500 ends.

Cause: nothing bounded what all reports that are being read hold together.

Change: a bound on the bytes of their checkpoints, setting max_report_bytes (5% of the memory). A checkpoint beyond it is left out, as one that no record could hold: counter checkpoints_left_out, and its task's last one holds. Each report may hold 64 KiB whatever others hold, so that no worker's progress is kept out by others. On the sites a checkpoint has 16 bytes: 13 MB hold some 800,000 of them.

Evidence: reports_side_by_side_hold_bounded_memory, 40 reports of 64 checkpoints, bound 1 MiB: 10,080,000 bytes without it, 3,670,016 allowed.

--- a/src/nodeconf.c
+++ b/src/nodeconf.c
@@ -118,15 +118,27 @@
 	return by_cores ? MIN(by_memory, by_cores) : by_memory;
 }
 
+/* A bound in bytes; so many percent of the memory if the settings have none. */
+static int64_t parse_bytes(const struct jcursor *root, const char *key,
+			   const struct nodeconf *parsed, int64_t percent)
+{
+	int64_t bytes = (int64_t)parse_amount(root, key, 0);
+
+	return bytes ? bytes : parsed->memory_bytes * percent / 100;
+}
+
 static void parse_job_room(const struct jcursor *root, struct nodeconf *parsed)
 {
 	parsed->max_tasks = (int64_t)parse_amount(root, "max_tasks", 0);
-	parsed->max_job_bytes = (int64_t)parse_amount(root, "max_job_bytes", 0);
 	if (!parsed->max_tasks)
 		parsed->max_tasks = default_max_tasks(parsed);
-	if (!parsed->max_job_bytes)
-		parsed->max_job_bytes =
-			parsed->memory_bytes * NODECONF_JOBS_PERCENT / 100;
+	parsed->max_job_bytes = parse_bytes(root, "max_job_bytes", parsed,
+					    NODECONF_JOBS_PERCENT);
+	parsed->max_report_bytes = parse_bytes(root, "max_report_bytes", parsed,
+					       NODECONF_REPORTS_PERCENT);
+	parsed->max_checkpoint_bytes =
+		parse_bytes(root, "max_checkpoint_bytes", parsed,
+			    NODECONF_CHECKPOINTS_PERCENT);
 }
 
 int nodeconf_parse(const char *text, size_t len, struct nodeconf *settings,
--- a/src/nodeconf.h
+++ b/src/nodeconf.h
@@ -27,6 +27,9 @@
 	/* Of the memory, for tasks and for jobs. */
 	NODECONF_TASKS_PERCENT = 40,
 	NODECONF_JOBS_PERCENT = 20,
+	/* For checkpoints in reports that are being read, and for those kept. */
+	NODECONF_REPORTS_PERCENT = 5,
+	NODECONF_CHECKPOINTS_PERCENT = 10,
 	/* Of a task that is placed: itself, its place among the tasks of its
 	   worker, and its rows in stored records. */
 	NODECONF_TASK_BYTES = 512,
@@ -70,6 +73,9 @@
 	   settings say. */
 	int64_t max_tasks;
 	int64_t max_job_bytes;
+	/* Of checkpoints: in workers' reports that are being read, and kept. */
+	int64_t max_report_bytes;
+	int64_t max_checkpoint_bytes;
 	uint32_t share_hosts; /* hosts that a slice of the fleet is meant for */
 	/* Whether free capacity is reserved for large tasks that wait. */
 	bool reserve_room;
--- a/src/noded.c
+++ b/src/noded.c
@@ -333,7 +333,8 @@
 		 (unsigned int)clk_wall_ms(clk), (unsigned int)g_random_int());
 	noded->client = call_client_create(noded->evloop);
 	noded->store = store_create(noded->client, noded->settings.log_service);
-	noded->orders = order_api_create(noded->client);
+	noded->orders = order_api_create(noded->client,
+					 noded->settings.max_report_bytes);
 	config.stream = store_io(noded->store);
 	config.orders = order_api_io(noded->orders);
 	noded->hosts =
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -108,7 +108,7 @@
 	struct pool_env *env = pool->env;
 	int64_t now_ms = pool_now_ms(pool);
 
-	if (!checkpoint->unstorable)
+	if (!checkpoint->left_out)
 		return;
 	env->counts.checkpoints_left_out++;
 	if (now_ms - env->checkpoint_logged_ms < POOL_CHECKPOINT_LOG_MS)
--- a/src/worker.h
+++ b/src/worker.h
@@ -48,7 +48,7 @@
 /* Progress that a worker has saved for a run. */
 struct worker_checkpoint {
 	char *text;	 /* NULL: none, or left out */
-	bool unstorable; /* left out: of JOB_CHECKPOINT_BYTES or more, or no text */
+	bool left_out; /* no record could hold it, or no memory was left */
 	int64_t sent_bytes; /* of one that is left out, as sent */
 };
 
--- a/tests/fleet_saved.c
+++ b/tests/fleet_saved.c
@@ -6,7 +6,7 @@
 static void save(const struct sim *sim, struct worker_checkpoint *checkpoint,
 		 char *text)
 {
-	checkpoint->unstorable = sim->saves_unstorable;
+	checkpoint->left_out = sim->saves_unstorable;
 	checkpoint->text = sim->saves_unstorable ? NULL : text;
 	if (sim->saves_unstorable)
 		g_free(text);
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -23,7 +23,8 @@
 	CALL_TIMEOUT_MS = 300,
 	COUNT_MS = 150,
 	RUN_MS = 800,
-	SILENT_TIMEOUT_MS = 150
+	SILENT_TIMEOUT_MS = 150,
+	MAX_REPORT_BYTES = 1024 * 1024
 };
 
 struct silent_server {
@@ -228,7 +229,7 @@
 {
 	struct evloop *evloop = evloop_create(clk_system());
 	struct call_client *client = call_client_create(evloop);
-	struct order_api *api = order_api_create(client);
+	struct order_api *api = order_api_create(client, MAX_REPORT_BYTES);
 	struct closing_server server = { 0 };
 	struct starter starter = {
 		.evloop = evloop,
--- a/tests/test_odd_messages.c
+++ b/tests/test_odd_messages.c
@@ -237,7 +237,7 @@
 static void check_checkpoint(const struct worker_checkpoint *checkpoint,
 			     const char *kept)
 {
-	ck_assert_int_eq(checkpoint->unstorable, !kept);
+	ck_assert_int_eq(checkpoint->left_out, !kept);
 	ck_assert_int_eq(!checkpoint->text, !kept);
 	if (kept)
 		ck_assert_str_eq(checkpoint->text, kept);
@@ -290,6 +290,79 @@
 }
 END_TEST
 
+enum {
+	ROOM_REPORTS = 40,
+	ROOM_RUNS = 64,
+	ROOM_BYTES = 1024 * 1024,
+	KEPT_BYTES = JOB_CHECKPOINT_BYTES /* with the final null byte */
+};
+
+/* Reads a report of such runs, but for its end; returns its reader. */
+static struct wire_report *read_runs(struct wire_report_room *room)
+{
+	struct wire_report *reader = wire_report_create(room);
+	char *longest = odd_text_repeat("c", JOB_CHECKPOINT_BYTES - 1);
+	static const char head[] =
+		"{\"clockMs\":5,\"running\":[[\"t\",1,\"\",0]";
+
+	wire_report_feed(reader, head, strlen(head));
+	for (int i = 0; i < ROOM_RUNS; i++) {
+		char *row = g_strdup_printf(",[\"t\",1,\"%s\",0]", longest);
+
+		wire_report_feed(reader, row, strlen(row));
+		g_free(row);
+	}
+	g_free(longest);
+	return reader;
+}
+
+static int64_t count_kept(struct wire_report *reader)
+{
+	struct err err = { .kind = ERR_OK };
+	struct worker_report report = { 0 };
+	int64_t kept = 0;
+
+	wire_report_feed(reader, "]}", 2);
+	ck_assert_int_eq(wire_report_finish(reader, &report, &err), 0);
+	ck_assert_uint_eq(report.run_count, 1 + ROOM_RUNS);
+	for (uint32_t i = 1; i < report.run_count; i++) {
+		const struct worker_checkpoint *checkpoint =
+			&report.runs[i].checkpoint;
+
+		ck_assert_int_eq(checkpoint->left_out, !checkpoint->text);
+		kept += checkpoint->text != NULL;
+	}
+	worker_report_clear(&report);
+	return kept;
+}
+
+/*
+ * Guards against a node that runs out of memory as the reports of many workers, each
+ * with many checkpoints of the longest kind, arrive side by side; and against workers
+ * none of whose progress is kept for the sake of others.
+ */
+START_TEST(reports_side_by_side_hold_bounded_memory)
+{
+	struct wire_report_room room = { .max_bytes = ROOM_BYTES };
+	struct wire_report *readers[ROOM_REPORTS];
+	int64_t kept = 0;
+
+	for (int i = 0; i < ROOM_REPORTS; i++)
+		readers[i] = read_runs(&room);
+	ck_assert_int_le(room.held_bytes,
+			 ROOM_BYTES + ROOM_REPORTS * WIRE_REPORT_SHARE_BYTES);
+	for (int i = 0; i < ROOM_REPORTS; i++) {
+		int64_t of_one = count_kept(readers[i]);
+
+		ck_assert_int_ge(of_one, WIRE_REPORT_SHARE_BYTES / KEPT_BYTES);
+		kept += of_one;
+	}
+	ck_assert_int_ge(kept, ROOM_BYTES / KEPT_BYTES);
+	ck_assert_int_eq(room.held_bytes, 0);
+	ck_assert_int_eq(count_kept(read_runs(&room)), ROOM_RUNS);
+}
+END_TEST
+
 #define SPEC(rest) "{\"spec\":\"t\",\"steps\":[{\"count\":1}]" rest "}"
 #define STEP(rest) "{\"spec\":\"t\",\"steps\":[{\"count\":1" rest "}]}"
 
@@ -604,6 +677,7 @@
 	tcase_add_test(tcase, reports_out_of_range_are_refused);
 	tcase_add_test(tcase, figures_of_runs_are_limited);
 	tcase_add_test(tcase, checkpoints_beyond_a_record_are_left_out);
+	tcase_add_test(tcase, reports_side_by_side_hold_bounded_memory);
 	tcase_add_test(tcase, jobs_out_of_range_are_refused);
 	tcase_add_test(tcase, largest_accepted_numbers_do_not_overflow);
 	tcase_add_test(tcase, odd_progress_of_a_job_is_read_safely);
--- a/tests/test_reports.c
+++ b/tests/test_reports.c
@@ -27,7 +27,8 @@
 	/* More than the runs without their checkpoints take. */
 	MAX_HELD_BYTES = 1024 * 1024,
 	SLOW_RUNS = 12,
-	SLOW_GAP_MS = 250
+	SLOW_GAP_MS = 250,
+	MAX_REPORT_BYTES = 1024 * 1024
 };
 
 /* A worker that answers one renewal with a report of such runs. */
@@ -50,7 +51,7 @@
 	bool answered;
 	enum order_outcome outcome;
 	struct worker_report report; /* without the lists */
-	uint32_t unstorable;
+	uint32_t left_out;
 	int parts;
 	size_t used_before, used_most;
 };
@@ -178,8 +179,8 @@
 	if (report) {
 		reporter->report = *report;
 		for (uint32_t i = 0; i < report->run_count; i++)
-			reporter->unstorable +=
-				report->runs[i].checkpoint.unstorable;
+			reporter->left_out +=
+				report->runs[i].checkpoint.left_out;
 	}
 	evloop_stop(reporter->evloop);
 }
@@ -194,7 +195,7 @@
 {
 	struct evloop *evloop = evloop_create(clk_system());
 	struct call_client *client = call_client_create(evloop);
-	struct order_api *api = order_api_create(client);
+	struct order_api *api = order_api_create(client, MAX_REPORT_BYTES);
 	const struct order_io *orders = order_api_io(api);
 	struct order_renew renewal = {
 		.fence = 1,
@@ -238,7 +239,7 @@
 	renew(&reporter, false);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_uint_eq(reporter.report.run_count, RUNS);
-	ck_assert_uint_eq(reporter.unstorable, RUNS);
+	ck_assert_uint_eq(reporter.left_out, RUNS);
 	ck_assert_uint_gt(reporter.sent_bytes, (size_t)RUNS * CHECKPOINT_BYTES);
 }
 END_TEST
@@ -266,7 +267,7 @@
 	renew(&reporter, false);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_uint_eq(reporter.report.run_count, SLOW_RUNS);
-	ck_assert_uint_eq(reporter.unstorable, 0);
+	ck_assert_uint_eq(reporter.left_out, 0);
 }
 END_TEST
 
