Checkpoints in memory are bounded

What callers saw: nothing yet. 30,000 tasks, as many as a node of 260 MB holds in memory, may each have a checkpoint of 4 KB: 120 MB that no bound counted, so that the process of an owner ends, with the jobs of all callers.

Cause: bytes of jobs are bounded at admission, when nothing is saved yet, and checkpoints were not among them. Those of tasks that are done were kept until their whole occurrence was.

A task without room keeps the checkpoint that it has, or none, and so costs its own progress; no job is refused for it, as counting them among the bytes of jobs would. Tasks that are done have none. Gauge checkpoint_bytes; the line checkpoint-left-out says why=memory.

--- a/Makefile
+++ b/Makefile
@@ -143,7 +143,8 @@
 POOL_FIXTURE = tests/pool_fixture.c tests/pool_fixture.h
 POOL_TESTS = $(BUILD)/test_large_jobs $(BUILD)/test_terms $(BUILD)/test_jobs $(BUILD)/test_lease $(BUILD)/test_quarantine \
 	$(BUILD)/test_room $(BUILD)/test_fair $(BUILD)/test_index $(BUILD)/test_stream_age $(BUILD)/test_cost \
-	$(BUILD)/test_reserve $(BUILD)/test_schedules $(BUILD)/test_slow_reports
+	$(BUILD)/test_reserve $(BUILD)/test_schedules $(BUILD)/test_slow_reports \
+	$(BUILD)/test_checkpoint_room
 $(POOL_TESTS): $(POOL_FIXTURE)
 $(POOL_TESTS): CPPFLAGS += -Itests
 $(BUILD)/test_reserve: tests/reserve_model.c tests/reserve_model.h
--- a/src/job.h
+++ b/src/job.h
@@ -570,13 +570,20 @@
  */
 const char *job_checkpoint(const struct job_pos *pos);
 
+/* job_set_checkpoint - set or remove a task's own one; false: there is no room */
+bool job_set_checkpoint(const struct job *job, struct job_task *task,
+			const char *checkpoint);
+
 /*
  * job_keep_checkpoint - keep what a run has saved; NULL: nothing
  *
  * Of a gang, the last one of any member is kept. It is stored with the next record of
  * the task, or of the gang's first member.
+ *
+ * RETURN VALUE
+ *	false if there is no room for it (job_room.h): the task's last one holds.
  */
-void job_keep_checkpoint(const struct job_pos *pos, const char *checkpoint);
+bool job_keep_checkpoint(const struct job_pos *pos, const char *checkpoint);
 
 /*
  * job_end_run - record the end of a task's newest run
--- a/src/job_open.c
+++ b/src/job_open.c
@@ -133,7 +133,7 @@
 {
 	for (uint32_t i = 0; i < job->tasks_per_occurrence; i++) {
 		job_index_unplace(&occurrence->tasks[i]);
-		g_free(occurrence->tasks[i].checkpoint);
+		job_set_checkpoint(job, &occurrence->tasks[i], NULL);
 	}
 	note_tasks(job, -(int64_t)job->tasks_per_occurrence);
 	g_free(occurrence);
--- a/src/job_range.c
+++ b/src/job_range.c
@@ -263,8 +263,8 @@
 	task->worker_boot_ms = row_number(row, ROW_BOOT, JOB_BOOT_TAGS - 1);
 	job_task_inherit(task, settled >> index & 1);
 	row_text(row, ROW_CHECKPOINT, text, sizeof(text));
-	g_free(task->checkpoint);
-	task->checkpoint = *text ? g_strdup(text) : NULL;
+	if (!job_set_checkpoint(job, task, *text ? text : NULL))
+		job_set_checkpoint(job, task, NULL);
 	if (count < ROW_COUNT)
 		return;
 	task->crashes = (int32_t)row_number(row, ROW_CRASHES, INT32_MAX);
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -379,8 +379,8 @@
 		return;
 	item = jcursor_item(row, 5);
 	jcursor_string(&item, text, sizeof(text), "");
-	g_free(task->checkpoint);
-	task->checkpoint = g_strdup(text);
+	if (!job_set_checkpoint(job, task, *text ? text : NULL))
+		job_set_checkpoint(job, task, NULL);
 }
 
 static void decode_part(struct job *job, struct jcursor *part)
--- a/src/job_room.c
+++ b/src/job_room.c
@@ -7,7 +7,9 @@
 enum {
 	/* Of a job besides its specification: its entries in tables and in the
 	   index, a progress record, and what the allocator adds. */
-	JOB_ROOM_OTHER_BYTES = 850
+	JOB_ROOM_OTHER_BYTES = 850,
+	/* Of a checkpoint besides its text, with what the allocator adds. */
+	JOB_ROOM_TEXT_BYTES = 24
 };
 
 void job_room_set(struct job_room *room, int64_t max_tasks, int64_t max_bytes)
@@ -31,6 +33,22 @@
 	       room->tasks[class] + tasks <= room->max_tasks[class];
 }
 
+int64_t job_checkpoint_bytes(const char *checkpoint)
+{
+	return checkpoint ? (int64_t)strlen(checkpoint) + JOB_ROOM_TEXT_BYTES
+			  : 0;
+}
+
+bool job_room_has_checkpoint(const struct job_room *room, const char *was,
+			     const char *checkpoint)
+{
+	int64_t change =
+		job_checkpoint_bytes(checkpoint) - job_checkpoint_bytes(was);
+
+	return change <= 0 || !room->max_checkpoint_bytes ||
+	       room->checkpoint_bytes + change <= room->max_checkpoint_bytes;
+}
+
 int64_t job_spec_bytes(const struct job_spec *spec)
 {
 	return (int64_t)(sizeof(struct job) + JOB_ROOM_OTHER_BYTES +
--- a/src/job_room.h
+++ b/src/job_room.h
@@ -9,7 +9,9 @@
  * ones; others go by what the owners publish with their load, see backlog.h.
  *
  * Tasks that are due and have no room come into memory later, so that a process
- * starts whatever the log has. Bytes are bounded at admission alone. Pure functions.
+ * starts whatever the log has. Bytes are bounded at admission alone. Checkpoints have a
+ * bound of their own, beyond which a task keeps the one that it has: a job whose tasks
+ * save much costs its own progress, and no other job is refused for it. Pure functions.
  */
 #ifndef JOB_ROOM_H
 #define JOB_ROOM_H
@@ -41,6 +43,8 @@
 	int64_t max_tasks[JOB_CLASS_COUNT];
 	int64_t bytes[JOB_CLASS_COUNT]; /* of the jobs without their tasks */
 	int64_t max_bytes[JOB_CLASS_COUNT];
+	int64_t checkpoint_bytes; /* of all tasks in memory */
+	int64_t max_checkpoint_bytes;
 };
 
 /* job_room_set - set the bounds, of both classes together */
@@ -52,6 +56,13 @@
 bool job_room_fits(const struct job_room *room, enum job_class class,
 		   int64_t tasks);
 
+/* job_room_has_checkpoint - whether a checkpoint has room in place of another */
+bool job_room_has_checkpoint(const struct job_room *room, const char *was,
+			     const char *checkpoint);
+
+/* job_checkpoint_bytes - estimated bytes of a checkpoint in memory; of NULL 0 */
+int64_t job_checkpoint_bytes(const char *checkpoint);
+
 /* job_spec_bytes - estimated bytes of a job in memory, without its tasks */
 int64_t job_spec_bytes(const struct job_spec *spec);
 
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -103,14 +103,26 @@
 	return checkpoint_holder(pos)->checkpoint;
 }
 
-void job_keep_checkpoint(const struct job_pos *pos, const char *checkpoint)
+bool job_set_checkpoint(const struct job *job, struct job_task *task,
+			const char *checkpoint)
 {
-	struct job_task *holder = checkpoint_holder(pos);
+	struct job_room *room = job->room;
 
-	if (!checkpoint || !g_strcmp0(checkpoint, holder->checkpoint))
-		return;
-	g_free(holder->checkpoint);
-	holder->checkpoint = g_strdup(checkpoint);
+	if (!g_strcmp0(checkpoint, task->checkpoint))
+		return true;
+	if (!job_room_has_checkpoint(room, task->checkpoint, checkpoint))
+		return false;
+	room->checkpoint_bytes += job_checkpoint_bytes(checkpoint) -
+				  job_checkpoint_bytes(task->checkpoint);
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+	return true;
+}
+
+bool job_keep_checkpoint(const struct job_pos *pos, const char *checkpoint)
+{
+	return !checkpoint ||
+	       job_set_checkpoint(pos->job, checkpoint_holder(pos), checkpoint);
 }
 
 void job_end_run(struct job_pos *pos, enum job_end how, const char *checkpoint,
@@ -127,6 +139,8 @@
 	task->state = done ? TASK_DONE : TASK_WAITING;
 	task->phase = PHASE_UNKNOWN;
 	job_index_unplace(task);
+	if (done)
+		job_set_checkpoint(pos->job, checkpoint_holder(pos), NULL);
 	if (done && step->gang)
 		complete_gang(pos);
 	if (how != END_FAILED)
--- a/src/node.c
+++ b/src/node.c
@@ -185,6 +185,8 @@
 	node->jobs = job_store_create(config->decoders.spec);
 	job_room_set(&node->jobs->room, config->settings->max_tasks,
 		     config->settings->max_job_bytes);
+	node->jobs->room.max_checkpoint_bytes =
+		config->settings->max_checkpoint_bytes;
 	node->workers = worker_table_create();
 	liveness.workers = node->workers;
 	node->plans = host_plans_create();
--- a/src/node_metrics.h
+++ b/src/node_metrics.h
@@ -21,6 +21,7 @@
 	int64_t tasks_in_memory;
 	int64_t unplaced_runs;
 	int64_t job_bytes;
+	int64_t checkpoint_bytes;
 	int64_t cfg_version;
 	int64_t cfg_age_ms;
 	int64_t ready;
--- a/src/node_view.c
+++ b/src/node_view.c
@@ -52,6 +52,7 @@
 		.tasks_in_memory =
 			room->tasks[JOB_UNTIMED] + room->tasks[JOB_TIMED],
 		.job_bytes = room->bytes[JOB_UNTIMED] + room->bytes[JOB_TIMED],
+		.checkpoint_bytes = room->checkpoint_bytes,
 		.cfg_version = node->cfg ? node->cfg->version : -1,
 		.cfg_age_ms = tail_age_ms(node->operators_tail),
 		.ready = node_ready(node),
--- a/src/pool_report.c
+++ b/src/pool_report.c
@@ -100,25 +100,33 @@
 		 task->run, task->worker ? task->worker : "-", task->failed);
 }
 
-/* Counts a checkpoint that is not kept; the task's last one before it holds. */
-static void note_checkpoint(struct pool *pool, const struct worker *worker,
-			    const char *task, int32_t run,
+/*
+ * Keeps what a run has saved. Counts a checkpoint that is not kept; the task's last one
+ * before it holds.
+ */
+static void keep_checkpoint(struct pool *pool, const struct worker *worker,
+			    const struct job_pos *pos, const char *task,
 			    const struct worker_checkpoint *checkpoint)
 {
 	struct pool_env *env = pool->env;
 	int64_t now_ms = pool_now_ms(pool);
+	bool kept = job_keep_checkpoint(pos, checkpoint->text);
 
-	if (!checkpoint->left_out)
+	if (kept && !checkpoint->left_out)
 		return;
 	env->counts.checkpoints_left_out++;
 	if (now_ms - env->checkpoint_logged_ms < POOL_CHECKPOINT_LOG_MS)
 		return;
 	env->checkpoint_logged_ms = now_ms;
-	log_info("checkpoint-left-out task=%s run=%d worker=%s "
+	log_info("checkpoint-left-out task=%s run=%d worker=%s why=%s "
 		 "bytes=%" G_GINT64_FORMAT " max_bytes=%d "
-		 "left_out=%" G_GINT64_FORMAT,
-		 task, run, worker->entry.id, checkpoint->sent_bytes,
-		 JOB_CHECKPOINT_BYTES - 1, env->counts.checkpoints_left_out);
+		 "kept_bytes=%" G_GINT64_FORMAT " left_out=%" G_GINT64_FORMAT,
+		 task, pos->task->run, worker->entry.id,
+		 kept ? "report" : "memory",
+		 kept ? checkpoint->sent_bytes
+		      : job_checkpoint_bytes(checkpoint->text),
+		 JOB_CHECKPOINT_BYTES - 1, env->jobs->room.checkpoint_bytes,
+		 env->counts.checkpoints_left_out);
 }
 
 static void handle_ended_run(struct pool *pool, struct worker *worker,
@@ -142,7 +150,7 @@
 			add_progress(worker, &pos, 100, progress);
 		if (end->how == END_FAILED || end->how == END_DONE)
 			hold_if_short(pool, &pos);
-		note_checkpoint(pool, worker, end->task, end->run,
+		keep_checkpoint(pool, worker, &pos, end->task,
 				&end->checkpoint);
 		pool_end_run(pool, &pos, end->how, end->checkpoint.text);
 		if (end->how == END_FAILED)
@@ -197,12 +205,12 @@
 	task->last_report = worker->reports;
 	task->percent = run->percent;
 	task->load_metric = run->load_metric;
-	note_checkpoint(pool, worker, run->task, run->run, &run->checkpoint);
 	if (task->phase != PHASE_RUNNING && task->phase != PHASE_STOPPING)
 		job_run_confirmed(&pos, now_ms);
 	/* Until all members of a gang are confirmed, starts of its run are sent. */
 	if (!task->gang_waits)
-		job_keep_checkpoint(&pos, run->checkpoint.text);
+		keep_checkpoint(pool, worker, &pos, run->task,
+				&run->checkpoint);
 	if (task->phase == PHASE_STOPPING)
 		return;
 	pool_settle_start(pool, &pos, asked_ms);
