--- a/tests/test_odd_messages.c
+++ b/tests/test_odd_messages.c
@@ -287,6 +287,10 @@
 		g_free(text);
 	}
 	check_report_with("a\\u0000b", NULL);
+	/* Decoded, it would not be the one that the worker listed. */
+	check_report_with("a\\ud800b", NULL);
+	check_report_with("a\\udc00", NULL);
+	check_report_with("\\ud83d\\ude00", "\xf0\x9f\x98\x80");
 }
 END_TEST
 
