Long labels cost no worker its service

What callers saw: nothing yet. A worker with a label of 32 bytes or more is never used, and a job that asks for a label of 32 to 63 bytes, which is accepted, never begins.

The decoder of the registry refused the whole entry for a long one, though jobs may ask for 63 bytes.

Change: workers keep labels of 63 bytes as well. Longer ones, which no job can ask for, are left out, and the entry holds.

Evidence: long_labels_cost_no_worker fails before.

--- a/src/worker.h
+++ b/src/worker.h
@@ -22,7 +22,7 @@
 
 enum {
 	WORKER_MAX_LABELS = 8,
-	WORKER_LABEL_BYTES = 32,
+	WORKER_LABEL_BYTES = LIMIT_NAME_BYTES, /* as of job_step.label */
 	/* Ids whose rejected entries are remembered; other ids beyond that are
 	   not logged, so that writing under ever new ones fills no log. */
 	WORKER_MAX_REJECTED = 1024
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -209,6 +209,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker that is out of service for good as one of its labels is long,
+ * and against jobs that ask for a label which fits them and no worker.
+ */
+START_TEST(long_labels_cost_no_worker)
+{
+	struct worker worker = { 0 };
+	char *fits = odd_text_repeat("l", sizeof(((struct job_step *)0)->label) - 1);
+	char *too_long = odd_text_repeat("l", 1000);
+	char *labels = g_strdup_printf("[\"small\",\"%s\",\"%s\",\"r1-3\"]",
+				       too_long, fits);
+	char *text = make_entry("labels", labels);
+
+	ck_assert_int_eq(decode_worker("w1", text, &worker.entry), 0);
+	ck_assert_uint_eq(worker.entry.label_count, 3);
+	ck_assert(worker_has_label(&worker, "small"));
+	ck_assert(worker_has_label(&worker, "r1-3"));
+	ck_assert(worker_has_label(&worker, fits));
+	g_free(text);
+	g_free(labels);
+	g_free(too_long);
+	g_free(fits);
+}
+END_TEST
+
 /*
  * Guards against text that is read only in part, so that its end is ignored,
  * and against values that are not entries at all.
@@ -678,6 +703,7 @@
 	tcase_add_loop_test(tcase, entries_with_an_odd_field_are_refused, 0,
 			    G_N_ELEMENTS(odd_fields));
 	tcase_add_test(tcase, entries_of_workers_are_read);
+	tcase_add_test(tcase, long_labels_cost_no_worker);
 	tcase_add_test(tcase, bytes_that_are_no_entry_are_refused);
 	tcase_add_test(tcase, huge_fields_are_refused);
 	tcase_add_test(tcase, entries_under_an_odd_id_are_refused);
