--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -216,7 +216,8 @@
 START_TEST(long_labels_cost_no_worker)
 {
 	struct worker worker = { 0 };
-	char *fits = odd_text_repeat("l", sizeof(((struct job_step *)0)->label) - 1);
+	char *fits =
+		odd_text_repeat("l", sizeof(((struct job_step *)0)->label) - 1);
 	char *too_long = odd_text_repeat("l", 1000);
 	char *labels = g_strdup_printf("[\"small\",\"%s\",\"%s\",\"r1-3\"]",
 				       too_long, fits);
--- a/tests/test_reports.c
+++ b/tests/test_reports.c
@@ -41,6 +41,7 @@
 	size_t checkpoint_bytes;
 	int64_t gap_ms;	  /* between two runs */
 	int stalls_after; /* so many runs */
+	bool lease_only;  /* as of struct order_renew */
 	int sent_runs;	  /* -1: no request yet */
 	int64_t next_ms;
 	char row[ROW_BYTES + CHECKPOINT_BYTES];
@@ -190,25 +191,57 @@
 	call_tick(arg);
 }
 
-/* Renews the worker's lease, and waits for the outcome. */
-static void renew(struct reporter *reporter, bool lease_only)
+static void on_started(void *arg, enum order_outcome outcome, int64_t clock_ms)
+{
+	struct reporter *reporter = arg;
+
+	(void)clock_ms;
+	reporter->answered = true;
+	reporter->outcome = outcome;
+	evloop_stop(reporter->evloop);
+}
+
+static void send_renewal(struct reporter *reporter,
+			 const struct order_io *orders)
 {
-	struct evloop *evloop = evloop_create(clk_system());
-	struct call_client *client = call_client_create(evloop);
-	struct order_api *api = order_api_create(client, MAX_REPORT_BYTES);
-	const struct order_io *orders = order_api_io(api);
 	struct order_renew renewal = {
 		.fence = 1,
 		.until_ms = 1000,
 		.begin_ms = 1000,
-		.lease_only = lease_only,
+		.lease_only = reporter->lease_only,
 		.on_part = on_part,
 	};
 
-	reporter_open(reporter, evloop);
-	reporter->used_before = used_bytes();
 	orders->renew(orders->io, &reporter->worker, &renewal, on_report,
 		      reporter);
+}
+
+static void send_start(struct reporter *reporter, const struct order_io *orders)
+{
+	struct order_start start = {
+		.task = "00000000000000aa.0.0.0",
+		.run = 1,
+		.text = "",
+		.until_ms = 1000,
+		.fence = 1,
+	};
+
+	orders->start(orders->io, &reporter->worker, &start, on_started,
+		      reporter);
+}
+
+/* Sends an order to the worker, and waits for the outcome. */
+static void order(struct reporter *reporter,
+		  void (*send)(struct reporter *reporter,
+			       const struct order_io *orders))
+{
+	struct evloop *evloop = evloop_create(clk_system());
+	struct call_client *client = call_client_create(evloop);
+	struct order_api *api = order_api_create(client, MAX_REPORT_BYTES);
+
+	reporter_open(reporter, evloop);
+	reporter->used_before = used_bytes();
+	send(reporter, order_api_io(api));
 	evloop_add_timer(evloop, TICK_MS, reporter_tick, reporter);
 	evloop_add_timer(evloop, TICK_MS, tick_client, client);
 	evloop_run(evloop);
@@ -236,7 +269,7 @@
  */
 START_TEST(reports_of_any_length_are_read)
 {
-	renew(&reporter, false);
+	order(&reporter, send_renewal);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_uint_eq(reporter.report.run_count, RUNS);
 	ck_assert_uint_eq(reporter.left_out, RUNS);
@@ -247,7 +280,7 @@
 /* Guards against a node that runs out of memory by the reports that it reads. */
 START_TEST(long_reports_take_no_memory)
 {
-	renew(&reporter, false);
+	order(&reporter, send_renewal);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_int_gt(reporter.parts, RUNS);
 	ck_assert_uint_le(reporter.used_most,
@@ -264,7 +297,7 @@
 	reporter.runs = SLOW_RUNS;
 	reporter.checkpoint_bytes = 10;
 	reporter.gap_ms = SLOW_GAP_MS;
-	renew(&reporter, false);
+	order(&reporter, send_renewal);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_uint_eq(reporter.report.run_count, SLOW_RUNS);
 	ck_assert_uint_eq(reporter.left_out, 0);
@@ -278,7 +311,7 @@
 
 	reporter.stalls_after = RUNS / 2;
 	reporter.checkpoint_bytes = 10;
-	renew(&reporter, false);
+	order(&reporter, send_renewal);
 	ck_assert_int_eq(reporter.outcome, ORDER_UNKNOWN);
 	ck_assert_int_ge(clk_now_ms(clk_system()) - began_ms, 1000);
 	ck_assert(reporter.answered);
@@ -288,7 +321,8 @@
 /* Guards against the lists of an answer that is only to show the lease extended. */
 START_TEST(beginning_of_a_report_is_enough_for_the_lease)
 {
-	renew(&reporter, true);
+	reporter.lease_only = true;
+	order(&reporter, send_renewal);
 	ck_assert_int_eq(reporter.outcome, ORDER_OK);
 	ck_assert_int_eq(reporter.report.clock_ms, 5);
 	ck_assert_int_eq(reporter.report.boot_ms, 6);
@@ -298,6 +332,19 @@
 }
 END_TEST
 
+/*
+ * Guards against a start that counts as unanswered, and against an owner that holds the
+ * whole answer of each order, 32 MiB at most.
+ */
+START_TEST(long_answers_of_orders_are_cut)
+{
+	order(&reporter, send_start);
+	ck_assert_int_eq(reporter.outcome, ORDER_OK);
+	ck_assert_uint_lt(reporter.sent_bytes,
+			  (size_t)RUNS * CHECKPOINT_BYTES / 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("reports");
@@ -310,6 +357,7 @@
 	tcase_add_test(tcase, report_that_goes_on_arriving_is_read);
 	tcase_add_test(tcase, report_that_stops_arriving_is_given_up);
 	tcase_add_test(tcase, beginning_of_a_report_is_enough_for_the_lease);
+	tcase_add_test(tcase, long_answers_of_orders_are_cut);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
