--- a/src/worker.h
+++ b/src/worker.h
@@ -47,8 +47,8 @@
 
 /* Progress that a worker has saved for a run. */
 struct worker_checkpoint {
-	char *text;	 /* NULL: none, or left out */
-	bool left_out; /* no record could hold it, or no memory was left */
+	char *text;	    /* NULL: none, or left out */
+	bool left_out;	    /* no record could hold it, or no memory was left */
 	int64_t sent_bytes; /* of one that is left out, as sent */
 };
 
