Starts do not put off the renewal of a lease while a report arrives

What callers saw: runs lapse at a worker whose report takes longer than 4 s to arrive, if starts were sent to it meanwhile.

Cause: the lease was extended alone once a third of it was over, counted from the last order that extends it. A start moved that, until the worker counted as not heard of for too long (2.5 s) to extend its lease.

Change: it is extended once the worker was not heard of for 1.2 s; an attempt has 0.5 s to begin, so that there is time for a third one.

--- a/src/pool_int.h
+++ b/src/pool_int.h
@@ -127,6 +127,9 @@
 /* pool_renew - renew leases that are due */
 void pool_renew(struct pool *pool);
 
+/* pool_heard_ms - when the worker was last known to be of the same life */
+int64_t pool_heard_ms(const struct worker *worker);
+
 /*
  * pool_may_extend - whether an order sent now may extend the worker's lease
  *
--- a/src/pool_reading.c
+++ b/src/pool_reading.c
@@ -7,8 +7,11 @@
 	/* A report of which no part came for longer counts as one that has not
 	   begun. */
 	POOL_READING_STALL_MS = 500,
-	/* The lease is extended once one of so many parts of it is over. */
-	POOL_READING_LEASE_PARTS = 3
+	/* The lease is extended once the worker was not heard of for longer, and
+	   how long the answer may take to begin: time for a second attempt, and a
+	   third, before POOL_MAX_REPORT_AGE_MS. */
+	POOL_READING_SILENCE_MS = 1200,
+	POOL_READING_BEGIN_MS = 500
 };
 
 void pool_reading_part(void *arg)
@@ -72,13 +75,13 @@
 {
 	struct order_renew renew = {
 		.lease_only = true,
-		.begin_ms = pool->env->lease_ms / POOL_READING_LEASE_PARTS,
+		.begin_ms =
+			MAX(2 * worker->answer_begin_ms, POOL_READING_BEGIN_MS),
 	};
 	struct pool_sent *sent;
 
 	if (worker->extending ||
-	    now_ms - worker->lease_sent_ms <
-		    pool->env->lease_ms / POOL_READING_LEASE_PARTS ||
+	    now_ms - pool_heard_ms(worker) < POOL_READING_SILENCE_MS ||
 	    !pool_may_extend(pool, worker, now_ms))
 		return;
 	sent = pool_sent_new(pool, worker);
--- a/src/pool_reading.h
+++ b/src/pool_reading.h
@@ -17,7 +17,7 @@
 /* pool_is_reading - whether a report of the worker is arriving */
 bool pool_is_reading(const struct worker *worker, int64_t now_ms);
 
-/* pool_reading_keep_lease - extend the lease if a third of it is over */
+/* pool_reading_keep_lease - extend the lease unless that was done just before */
 void pool_reading_keep_lease(struct pool *pool, struct worker *worker,
 			     int64_t now_ms);
 
--- a/src/pool_renew.c
+++ b/src/pool_renew.c
@@ -271,13 +271,16 @@
 	return worker->fence_accepted && has_not_restarted(worker);
 }
 
+int64_t pool_heard_ms(const struct worker *worker)
+{
+	return MAX(worker->last_report_ms, worker->lease_kept_ms);
+}
+
 bool pool_may_extend(const struct pool *pool, const struct worker *worker,
 		     int64_t now_ms)
 {
-	int64_t heard_ms = MAX(worker->last_report_ms, worker->lease_kept_ms);
-
 	return is_same_life(worker) && grantable_to_ms(pool, worker, now_ms) &&
-	       now_ms - heard_ms < POOL_MAX_REPORT_AGE_MS;
+	       now_ms - pool_heard_ms(worker) < POOL_MAX_REPORT_AGE_MS;
 }
 
 static void renew(struct pool *pool, struct worker *worker, int64_t now_ms)
--- a/tests/fleet_orders.c
+++ b/tests/fleet_orders.c
@@ -22,6 +22,8 @@
 	CRASH_CHECK_MS = 20,
 	/* A run that fails at once does so after this time. */
 	QUICK_FAILURE_MS = 100,
+	/* Between two parts of a report, with sim.report_ms. */
+	REPORT_PART_MS = 100,
 };
 
 static const struct model_run *find_run(const struct worker_model *model,
@@ -211,18 +213,27 @@
 	fleet_saved_fill(sim, worker, report);
 }
 
+/* Whether the answer is lost. A connection ends with the incarnation that accepted it. */
+static bool is_lost(struct sim *sim, const struct event *event)
+{
+	const struct sim_worker *worker = &sim->workers[event->worker];
+	const struct sim_node *node = sim_event_node(sim, event);
+
+	return !worker->up || event->born_ms != worker->entry.boot_ms ||
+	       node->answers_lost[event->worker] ||
+	       (event->kind == 's' && node->start_answers_lost);
+}
+
 /* What the answer says, unless that was settled when it was sent. */
 static void seal_order_answer(struct sim *sim, struct event *event)
 {
 	const struct sim_worker *worker = &sim->workers[event->worker];
 
+	if (event->arriving && is_lost(sim, event))
+		event->outcome = ORDER_UNKNOWN;
 	if (event->sealed)
 		return;
-	/* A connection ends with the worker incarnation that accepted it. */
-	if (!worker->up || event->born_ms != worker->entry.boot_ms ||
-	    sim_event_node(sim, event)->answers_lost[event->worker] ||
-	    (event->kind == 's' &&
-	     sim_event_node(sim, event)->start_answers_lost))
+	if (is_lost(sim, event))
 		event->outcome = ORDER_UNKNOWN;
 	worker_report_clear(&event->report);
 	if (event->kind == 'r' && event->outcome == ORDER_OK)
@@ -248,13 +259,51 @@
 	sim_event_free(event);
 }
 
+/* Tells of the next part of a report, or of the whole. */
+static void read_report(struct sim *sim, struct event *event)
+{
+	int64_t left_ms = event->until_ms - sim->clk.manual_ms;
+
+	if (left_ms <= 0) {
+		answer_order(sim, event);
+		return;
+	}
+	if (is_lost(sim, event)) {
+		event->fn = answer_order;
+		sim_schedule(sim, event, ORDER_TIMEOUT_MS);
+		return;
+	}
+	if (!sim_can_deliver(sim, event))
+		return;
+	if (event->on_part)
+		event->on_part(event->arg);
+	sim_schedule(sim, event, MIN(left_ms, REPORT_PART_MS));
+}
+
+/* Lets the report arrive in parts; it is that of now. */
+static void begin_report(struct sim *sim, struct event *event)
+{
+	int64_t read_ms =
+		event->lease_only
+			? 0
+			: sim_random_below(sim, (uint32_t)sim->report_ms);
+
+	seal_order_answer(sim, event);
+	event->sealed = true;
+	event->arriving = true;
+	event->until_ms = sim->clk.manual_ms + read_ms;
+	event->fn = read_report;
+}
+
 static void poll_renew(struct sim *sim, struct event *event)
 {
 	struct sim_worker *worker = &sim->workers[event->worker];
 	bool wait = worker->up && !worker->model.ends->len &&
 		    sim->clk.manual_ms < event->until_ms;
 
-	if (!wait)
+	if (!wait && sim->report_ms)
+		begin_report(sim, event);
+	else if (!wait)
 		event->fn = answer_order;
 	sim_schedule(sim, event, wait ? STEP_MS : 1 + sim_random_below(sim, 4));
 }
@@ -454,6 +503,8 @@
 	event->until_ms = client->sim->clk.manual_ms +
 			  MIN(renew->wait_ms, MAX_RENEW_WAIT_MS);
 	event->on_renew = fn;
+	event->on_part = renew->on_part;
+	event->lease_only = renew->lease_only;
 	send_order(client, event);
 }
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -160,6 +160,7 @@
 	/* Runs save checkpoints, see fleet_saved.h; such as no record can hold. */
 	bool saves;
 	bool saves_unstorable;
+	int32_t report_ms;     /* longest time that a report takes to arrive */
 	uint32_t fail_percent; /* of the runs fail at their end */
 	bool runs_succeed;     /* no run fails */
 	int32_t deadly_tasks;  /* of the deadly jobs submitted from now on */
--- a/tests/fleet_sim_int.h
+++ b/tests/fleet_sim_int.h
@@ -68,6 +68,9 @@
 	enum order_outcome outcome;
 	bool unanswered; /* executed after its sender timed out */
 	bool sealed;	 /* report or membership is that of its sending */
+	bool arriving;	 /* the report, in parts, until until_ms */
+	bool lease_only; /* as of struct order_renew */
+	void (*on_part)(void *arg);
 	struct worker_report report;
 	order_fn *on_order;
 	order_renew_fn *on_renew;
--- a/tests/test_checkpoints.c
+++ b/tests/test_checkpoints.c
@@ -1,6 +1,7 @@
 /*
  * Guards against checkpoints that are lost, or that take the runs beside them with
- * them, and against members of a gang that start from different ones.
+ * them, by their kind or as reports with them arrive slowly, and against members of a
+ * gang that start from different ones.
  */
 
 #include <stdlib.h>
@@ -22,7 +23,9 @@
 	/* Runs have listed what they have saved. */
 	SAVED_MS = 2500,
 	/* Well over the end of a lease and of all tasks. */
-	FINISH_MS = 40000
+	FINISH_MS = 40000,
+	/* Longer than a lease. */
+	REPORT_MS = 6000
 };
 
 static struct sim *begin(int seed)
@@ -123,6 +126,51 @@
 }
 END_TEST
 
+static const struct sim_job *submit_slow(struct sim *sim)
+{
+	const struct sim_job *job;
+
+	sim->report_ms = REPORT_MS;
+	job = sim_submit_job(sim, 0, 2, 6);
+	sim_run_for(sim, SAVED_MS);
+	return job;
+}
+
+/* All leases are kept, and no task is started again for a run that is only not read of. */
+START_TEST(no_run_lapses_while_reports_arrive_slowly)
+{
+	struct sim *sim = begin(_i);
+	const struct sim_job *job = submit_slow(sim);
+
+	check_done(sim, job);
+	ck_assert_int_eq(sim->ended[END_LAPSED], 0);
+}
+END_TEST
+
+/*
+ * A worker is lost, and then the owner: runs of both lapse or are found again, and no
+ * task runs twice, as a report that arrives slowly tells what was so seconds ago.
+ */
+START_TEST(tasks_run_once_while_reports_arrive_slowly)
+{
+	struct sim *sim = begin(_i);
+	const struct sim_job *job = submit_slow(sim);
+	int worker = worker_with_run(sim, job->id);
+
+	if (worker >= 0)
+		sim_crash_worker(sim, worker);
+	sim_run_for(sim, 200 * _i);
+	sim_kill(sim, fleet_owner(sim));
+	sim_run_for(sim, 1000);
+	if (worker >= 0)
+		sim_restart_worker(sim, worker);
+	for (int i = 0; i < sim->node_count; i++)
+		if (!sim->nodes[i].alive)
+			sim_start(sim, i);
+	check_done(sim, job);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("checkpoints");
@@ -139,6 +187,10 @@
 		tcase,
 		members_of_a_gang_start_from_one_checkpoint_after_a_takeover, 0,
 		SEEDS);
+	tcase_add_loop_test(tcase, no_run_lapses_while_reports_arrive_slowly, 0,
+			    SEEDS);
+	tcase_add_loop_test(tcase, tasks_run_once_while_reports_arrive_slowly,
+			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
 }
--- a/tests/test_slow_reports.c
+++ b/tests/test_slow_reports.c
@@ -20,6 +20,8 @@
 	LEASE_MS = 4000,
 	MEMBERSHIP_MS = 1500,
 	BOOT_MS = 7,
+	/* After a report; those of POOL_MAX_REPORT_AGE_MS start nothing. */
+	START_MS = 1300,
 	MAX_CALLS = 4
 };
 
@@ -43,10 +45,12 @@
 static struct pool *pool;
 static struct worker *worker;
 static struct answer answers[MAX_CALLS];
-static int64_t begin_ms; /* that a report takes to begin */
-static int64_t read_ms;	 /* and then to arrive */
-static int64_t lease_ms; /* end, by the worker's clock; 0: none yet */
-static int reports;	 /* that arrived as a whole */
+static int64_t begin_ms;  /* that a report takes to begin */
+static int64_t read_ms;	  /* and then to arrive */
+static int64_t lease_ms;  /* end, by the worker's clock; 0: none yet */
+static int reports;	  /* that arrived as a whole */
+static int64_t report_ms; /* when the last one did */
+static bool starts;	  /* orders of another kind extend the lease too */
 
 static int64_t worker_clock(void)
 {
@@ -96,6 +100,8 @@
 	if (clk.manual_ms < answer->ends_ms)
 		return;
 	reports += !answer->lease_only;
+	if (!answer->lease_only)
+		report_ms = clk.manual_ms;
 	report.clock_ms = answer->clock_ms;
 	answer->fn = NULL;
 	fn(answer->arg, ORDER_OK, &report);
@@ -132,6 +138,7 @@
 	begin_ms = 2;
 	lease_ms = 0;
 	reports = 0;
+	starts = false;
 	for (int i = 0; i < MAX_CALLS; i++)
 		answers[i] = (struct answer){ 0 };
 }
@@ -160,6 +167,11 @@
 		for (int j = 0; j < MAX_CALLS; j++)
 			if (answers[j].fn)
 				advance_answer(&answers[j]);
+		if (starts && reports > 2 &&
+		    clk.manual_ms == report_ms + START_MS)
+			lease_ms =
+				MAX(lease_ms, pool_grant_lease(pool, worker,
+							       clk.manual_ms));
 		if (clk.manual_ms % TICK_MS == 0)
 			pool_renew(pool);
 		ck_assert_msg(!lease_ms || lease_ms > worker_clock(),
@@ -179,6 +191,14 @@
 }
 END_TEST
 
+/* Guards against starts that put off the renewal of the lease until it is too late. */
+START_TEST(lease_is_kept_beside_starts)
+{
+	starts = true;
+	watch(2, 15000);
+}
+END_TEST
+
 /*
  * Guards against a worker that takes longer than a second to begin each answer, and
  * is asked anew at each second.
@@ -199,6 +219,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_loop_test(tcase, lease_is_kept_while_reports_arrive, 0,
 			    G_N_ELEMENTS(times_ms));
+	tcase_add_test(tcase, lease_is_kept_beside_starts);
 	tcase_add_test(tcase, lease_is_kept_while_reports_begin_late);
 	suite_add_tcase(suite, tcase);
 	return suite_run(suite);
