--- a/tests/test_checkpoints.c
+++ b/tests/test_checkpoints.c
@@ -171,6 +171,35 @@
 }
 END_TEST
 
+/*
+ * A new owner extends no lease before it has read one whole report of the worker, as
+ * only that tells which life of the worker it is and what runs there.
+ */
+START_TEST(no_run_lapses_as_the_owner_changes_and_reports_arrive_slowly)
+{
+	struct sim *sim = begin(_i);
+	const struct sim_job *job = submit_slow(sim);
+
+	sim_kill(sim, fleet_owner(sim));
+	check_done(sim, job);
+	ck_assert_int_eq(sim->ended[END_LAPSED], 0);
+}
+END_TEST
+
+static void run_known_red(void)
+{
+	Suite *suite = suite_create("checkpoints, known red");
+	TCase *tcase = tcase_create("what runs have saved");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(
+		tcase,
+		no_run_lapses_as_the_owner_changes_and_reports_arrive_slowly, 0,
+		SEEDS);
+	suite_add_tcase(suite, tcase);
+	suite_run_known_red(suite, "test_checkpoints");
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("checkpoints");
@@ -192,5 +221,6 @@
 	tcase_add_loop_test(tcase, tasks_run_once_while_reports_arrive_slowly,
 			    0, SEEDS);
 	suite_add_tcase(suite, tcase);
+	run_known_red();
 	return suite_run(suite);
 }
